Lay out the package, its tools and the inner protocol's structs

Cause: the project has no code; every part needs the clock, the metrics, the key-value interface, the document's types and the inner messages.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with bounds from the stated goals."""
--- /dev/null
+++ b/tests/test_clock.py
@@ -0,0 +1,18 @@
+import pytest
+
+from wigeonmill.clock import Clock
+from wigeonmill.clock import ManualClock
+
+
+def test_manual_clock_moves_only_forward():
+    clock = ManualClock(5.0)
+    clock.advance(2.5)
+    assert clock.now_ms() == 7.5
+    with pytest.raises(ValueError):
+        clock.set_ms(7.0)
+
+
+def test_clock_never_goes_back():
+    clock = Clock()
+    first = clock.now_ms()
+    assert clock.now_ms() >= first
--- /dev/null
+++ b/wigeonmill/__init__.py
@@ -0,0 +1,1 @@
+"""Serves language-model prompts that return after long silences."""
--- /dev/null
+++ b/wigeonmill/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent role: admission and runs beside one target."""
--- /dev/null
+++ b/wigeonmill/cache/__init__.py
@@ -0,0 +1,1 @@
+"""Block keys, frames, tiers and link budgets."""
--- /dev/null
+++ b/wigeonmill/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent requests."""
--- /dev/null
+++ b/wigeonmill/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration document."""
--- /dev/null
+++ b/wigeonmill/console/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' forms as web pages."""
--- /dev/null
+++ b/wigeonmill/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: callers' HTTP interface and routing."""
--- /dev/null
+++ b/wigeonmill/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which processes and targets are alive."""
--- /dev/null
+++ b/wigeonmill/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the services that the platform provides."""
--- /dev/null
+++ b/wigeonmill/platform/key_value.py
@@ -0,0 +1,103 @@
+"""The platform's key-value service as the rest of the system sees it."""
+
+from dataclasses import dataclass
+import enum
+from typing import Protocol
+
+from result import Result
+
+
+class KvErrorKind(enum.Enum):
+    """Why a key-value call failed and whether it took effect."""
+
+    # The compared version differs; nothing was written.
+    CONFLICT = 'conflict'
+    # The service was not reached or refused; nothing was written.
+    UNAVAILABLE = 'unavailable'
+    # The call went out and no reply came; it may have taken effect.
+    UNKNOWN = 'unknown'
+    # The request is wrong (value too large, lease unknown).
+    INVALID = 'invalid'
+
+
+@dataclass(frozen=True, slots=True)
+class KvError:
+    """A failed key-value call."""
+
+    kind: KvErrorKind
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class KvEntry:
+    """A stored value; `version` is its modification revision (1 or more)."""
+
+    key: str
+    value: bytes
+    version: int
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class KvEvent:
+    """A change of one key; `entry` is None when the key was deleted."""
+
+    key: str
+    revision: int
+    entry: KvEntry | None
+
+
+@dataclass(frozen=True, slots=True)
+class KvWatchBatch:
+    """Events in revision order; watch again from `next_revision`."""
+
+    events: list[KvEvent]
+    next_revision: int
+
+
+class KeyValue(Protocol):
+    """A key-value service with compare-and-swap, leases and watches.
+
+    Every method returns an outcome value and raises nothing. A method that
+    writes reports UNKNOWN when its effect is not known: read back to tell.
+    Values hold at most 1 MiB.
+    """
+
+    async def get(self, key: str) -> Result[KvEntry | None, KvError]:
+        """Return the entry of `key`, or None when there is none."""
+
+    async def list_prefix(
+        self, prefix: str, limit: int = 0
+    ) -> Result[list[KvEntry], KvError]:
+        """Return the entries under `prefix` in key order (0: no limit)."""
+
+    async def compare_and_swap(
+        self, key: str, expected_version: int, value: bytes, lease: int = 0
+    ) -> Result[int, KvError]:
+        """Write `value` if the version matches (0: the key is absent).
+
+        Returns the new version. The key goes when its lease lapses.
+        """
+
+    async def delete(
+        self, key: str, expected_version: int
+    ) -> Result[None, KvError]:
+        """Delete `key` if its version matches."""
+
+    async def grant_lease(self, ttl_ms: int) -> Result[int, KvError]:
+        """Return the id of a new lease that lasts `ttl_ms`."""
+
+    async def keep_alive(self, lease: int) -> Result[None, KvError]:
+        """Renew a lease for its whole term; INVALID when it has lapsed."""
+
+    async def revoke_lease(self, lease: int) -> Result[None, KvError]:
+        """End a lease and delete its keys."""
+
+    async def watch(
+        self, prefix: str, from_revision: int, wait_ms: int
+    ) -> Result[KvWatchBatch, KvError]:
+        """Wait up to `wait_ms` for changes under `prefix`.
+
+        `from_revision` 0 means from now on. An empty batch is a timeout.
+        INVALID when `from_revision` is older than the service still keeps.
+        """
--- /dev/null
+++ b/wigeonmill/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between wigeonmill's processes."""
--- /dev/null
+++ b/wigeonmill/protocol/gen/inner/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -0,0 +1,240 @@
+// Messages between wigeonmill's processes. Every message travels inside one
+// Envelope; durations are in milliseconds, sizes in bytes unless named.
+
+namespace py inner
+
+enum Kind {
+  CHALLENGE = 1
+  HELLO = 2
+  WELCOME = 3
+  OFFER_REQUEST = 10
+  OFFER = 11
+  RELEASE = 12
+  RUN = 20
+  RUN_ACCEPTED = 21
+  CHUNK = 22
+  RUN_END = 23
+  REFUSED = 24
+  CANCEL = 25
+  RESUME = 26
+  ACK = 27
+  CALL = 30
+  CALL_REPLY = 31
+  GOSSIP = 40
+  GOSSIP_REPLY = 41
+  STATUS_REQUEST = 50
+  STATUS = 51
+}
+
+// First message of the accepting side: a nonce for the other's proof.
+struct Challenge {
+  1: binary nonce
+}
+
+// Answer of the connecting side: its proof and its own nonce.
+struct Hello {
+  1: string process
+  2: string role
+  3: binary nonce
+  4: binary proof
+}
+
+struct Welcome {
+  1: string process
+  2: string role
+  3: i64 incarnation
+  4: binary proof
+}
+
+// Asks an agent what it would give a prompt. The deadline is the time left.
+struct OfferRequest {
+  1: string service_name
+  2: string team
+  3: string weight_version
+  4: list<binary> block_keys
+  5: i32 prompt_tokens
+  6: i32 max_tokens
+  7: i32 priority
+  8: i64 deadline_ms
+  9: binary fingerprint
+  10: bool reserve = true
+  11: i32 team_weight = 1
+}
+
+// An agent's answer: a reservation with its expected times, or a reason.
+struct Offer {
+  1: string refusal
+  2: i64 retry_after_ms
+  3: i64 reservation
+  4: i32 cached_tokens
+  5: i32 fetchable_tokens
+  6: double expected_wait_ms
+  7: double expected_first_token_ms
+}
+
+struct Release {
+  1: i64 reservation
+}
+
+// Starts a run. body is the caller's request as JSON for the engine.
+struct Run {
+  1: i64 reservation
+  2: string service_name
+  3: string team
+  4: string weight_version
+  5: list<binary> block_keys
+  6: i32 prompt_tokens
+  7: i32 max_tokens
+  8: i32 priority
+  9: i64 deadline_ms
+  10: binary fingerprint
+  11: binary body
+  12: string request_id
+  13: i32 team_weight = 1
+}
+
+struct RunAccepted {
+  1: string run_id
+  2: string weight_version
+  3: i32 cached_tokens
+}
+
+// Part of an answer; offset counts bytes of UTF-8 text before this part.
+struct Chunk {
+  1: string run_id
+  2: i64 offset
+  3: binary text
+  4: i32 tokens
+}
+
+// Ends an answer. length and digest (SHA-256) cover the whole text.
+struct RunEnd {
+  1: string run_id
+  2: i64 length
+  3: binary digest
+  4: string finish_reason
+  5: i32 prompt_tokens
+  6: i32 answer_tokens
+  7: i32 cached_tokens
+}
+
+// Refuses a request; not_run says that the target never saw it.
+struct Refused {
+  1: string reason
+  2: string message
+  3: i64 retry_after_ms
+  4: bool not_run
+}
+
+struct Cancel {
+  1: string run_id
+}
+
+// Asks for the rest of an answer from a byte offset, by the same team.
+struct Resume {
+  1: string run_id
+  2: string team
+  3: i64 offset
+}
+
+struct Ack {
+  1: string run_id
+  2: i64 offset
+}
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+// A call of a plain service. claim is set for calls at most once.
+struct Call {
+  1: string service_name
+  2: string team
+  3: string method
+  4: string path
+  5: list<Header> headers
+  6: binary body
+  7: i64 deadline_ms
+  8: string claim
+  9: string request_id
+  10: i32 team_weight = 1
+}
+
+struct CallReply {
+  1: i32 status
+  2: list<Header> headers
+  3: binary body
+  4: binary digest
+}
+
+// What one process says of another, ordered by incarnation then version.
+struct MemberState {
+  1: string name
+  2: string role
+  3: string address
+  4: string failure_domain
+  5: i64 incarnation
+  6: i64 heartbeat
+  7: i32 state
+  8: i64 config_serial
+  9: string region
+}
+
+struct SectionHash {
+  1: string section
+  2: binary hash
+}
+
+struct SectionValue {
+  1: string section
+  2: binary value
+}
+
+// A push-pull exchange: what the sender has and what the other lacks.
+struct Gossip {
+  1: string sender
+  2: list<MemberState> members
+  3: i64 config_serial
+  4: list<SectionHash> section_hashes
+  5: list<SectionValue> sections
+  6: binary config_meta
+}
+
+struct StatusRequest {
+  1: bool members
+}
+
+struct Status {
+  1: string process
+  2: string role
+  3: i64 config_serial
+  4: list<MemberState> members
+}
+
+// The one frame on the wire. stream pairs requests with their answers;
+// config_serial is the sender's configuration in force (0: none).
+struct Envelope {
+  1: Kind kind
+  2: i64 stream
+  3: i64 config_serial
+  10: optional Challenge challenge
+  11: optional Hello hello
+  12: optional Welcome welcome
+  13: optional OfferRequest offer_request
+  14: optional Offer offer
+  15: optional Release release
+  16: optional Run run
+  17: optional RunAccepted run_accepted
+  18: optional Chunk chunk
+  19: optional RunEnd run_end
+  20: optional Refused refused
+  21: optional Cancel cancel
+  22: optional Resume resume
+  23: optional Ack ack
+  24: optional Call call
+  25: optional CallReply call_reply
+  26: optional Gossip gossip
+  27: optional StatusRequest status_request
+  28: optional Status status
+}
--- /dev/null
+++ b/wigeonmill/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Pure routing decisions."""
--- /dev/null
+++ b/wigeonmill/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform's services and targets."""
--- /dev/null
+++ b/wigeonmill/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tools."""
