Carry envelopes over authenticated connections; check settings

Cause: entry and agent need one connection for many requests, proof of the shared key, and settings whose faults are all named at once. Change: frames of a length and a thrift envelope over tornado's stream, one write a loop turn; mutual HMAC proof with two keys while one rotates; settings by msgspec types and jsonschema.

--- /dev/null
+++ b/wigeonmill/protocol/client.py
@@ -0,0 +1,248 @@
+"""The connecting side: one shared connection to each peer address."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from dataclasses import dataclass
+import enum
+import ssl
+
+from result import Err
+from result import Ok
+from result import Result
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from wigeonmill.protocol.conn import Conn
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
+from wigeonmill.protocol.gen.inner.ttypes import Hello
+from wigeonmill.protocol.gen.inner.ttypes import Kind
+from wigeonmill.protocol.handshake import client_proofs
+from wigeonmill.protocol.handshake import InnerKeys
+from wigeonmill.protocol.handshake import new_nonce
+from wigeonmill.protocol.handshake import proof_matches
+from wigeonmill.protocol.handshake import server_proofs
+
+CONNECT_TIMEOUT_S = 2.0
+
+
+class PeerErrorKind(enum.Enum):
+    """Why a peer gave no answer."""
+
+    # No connection; nothing was sent.
+    UNREACHABLE = 'unreachable'
+    # The connection ended after the request may have been sent.
+    CLOSED = 'closed'
+    # No answer in time; the peer may still work on the request.
+    TIMEOUT = 'timeout'
+
+
+@dataclass(frozen=True, slots=True)
+class PeerError:
+    """A failed exchange with a peer."""
+
+    kind: PeerErrorKind
+    message: str
+
+
+class PeerStream:
+    """The answers to one request, in order."""
+
+    __slots__ = ('id', '_client', '_conn', '_received', '_waiter', '_ended')
+
+    def __init__(self, stream_id: int, client: 'PeerClient', conn: Conn):
+        self.id = stream_id
+        self._client = client
+        self._conn = conn
+        self._received: collections.deque[Envelope] = collections.deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._ended = False
+
+    def send(self, envelope: Envelope) -> None:
+        """Send an envelope on this stream."""
+        envelope.stream = self.id
+        envelope.config_serial = self._client.config_serial()
+        self._conn.send(envelope)
+
+    async def receive(self, timeout_ms: float) -> Result[Envelope, PeerError]:
+        """Return the next answer, or why there is none."""
+        if not self._received and not self._ended:
+            self._waiter = asyncio.get_running_loop().create_future()
+            done, _pending = await asyncio.wait(
+                [self._waiter], timeout=max(timeout_ms, 0.0) / 1000.0
+            )
+            if not done:
+                error = PeerError(PeerErrorKind.TIMEOUT, 'no answer in time')
+                return Err(error)
+        if self._received:
+            return Ok(self._received.popleft())
+        return Err(PeerError(PeerErrorKind.CLOSED, 'connection ended'))
+
+    def close(self) -> None:
+        """Forget the stream; later answers on it are dropped."""
+        self._client.forget(self.id)
+
+    def deliver(self, envelope: Envelope) -> None:
+        """Add an answer from the connection."""
+        self._received.append(envelope)
+        self._wake()
+
+    def end(self) -> None:
+        """Note that the connection has ended."""
+        self._ended = True
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+class PeerClient:
+    """A connection to one address, opened on first use and after loss."""
+
+    def __init__(
+        self,
+        address: str,
+        process: str,
+        role: str,
+        keys: Callable[[], InnerKeys],
+        config_serial: Callable[[], int],
+        on_serial: Callable[[str, int], None],
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        self.address = address
+        self.config_serial = config_serial
+        self.incarnation = 0
+        self._process = process
+        self._role = role
+        self._keys = keys
+        self._on_serial = on_serial
+        self._ssl = ssl_context
+        self._conn: Conn | None = None
+        self._opening: asyncio.Task[Conn | None] | None = None
+        self._streams: dict[int, PeerStream] = {}
+        self._next_stream = 1
+
+    async def open(self, envelope: Envelope) -> Result[PeerStream, PeerError]:
+        """Send `envelope` on a new stream."""
+        conn = self._conn
+        if conn is None or conn.closed:
+            conn = await self._connect_once()
+        if conn is None:
+            message = f'{self.address} is unreachable'
+            return Err(PeerError(PeerErrorKind.UNREACHABLE, message))
+        stream = PeerStream(self._next_stream, self, conn)
+        self._next_stream += 1
+        self._streams[stream.id] = stream
+        stream.send(envelope)
+        return Ok(stream)
+
+    async def request(
+        self, envelope: Envelope, timeout_ms: float
+    ) -> Result[Envelope, PeerError]:
+        """Send a request and return its single answer."""
+        opened = await self.open(envelope)
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        stream = opened.unwrap()
+        try:
+            return await stream.receive(timeout_ms)
+        finally:
+            stream.close()
+
+    def forget(self, stream_id: int) -> None:
+        """Drop a stream's bookkeeping."""
+        self._streams.pop(stream_id, None)
+
+    def close(self) -> None:
+        """Close the connection; open streams end."""
+        if self._opening is not None:
+            self._opening.cancel()
+        if self._conn is not None:
+            self._conn.close()
+
+    async def _connect_once(self) -> Conn | None:
+        if self._opening is None or self._opening.done():
+            self._opening = asyncio.ensure_future(self._connect())
+        # A cancelled caller must not cancel the others' connection attempt.
+        return await asyncio.shield(self._opening)
+
+    async def _connect(self) -> Conn | None:
+        try:
+            return await asyncio.wait_for(self._dial(), CONNECT_TIMEOUT_S)
+        except (OSError, StreamClosedError, asyncio.TimeoutError):
+            return None
+
+    async def _dial(self) -> Conn | None:
+        host, _, port = self.address.rpartition(':')
+        stream = await TCPClient().connect(
+            host, int(port), ssl_options=self._ssl
+        )
+        conn = Conn(stream)
+        if not await self._prove(conn):
+            conn.close()
+            return None
+        self._conn = conn
+        conn.when_closed(lambda: self._on_close(conn))
+        asyncio.ensure_future(conn.dispatch(self._on_envelope))
+        return conn
+
+    async def _prove(self, conn: Conn) -> bool:
+        first = await conn.receive()
+        if first is None or first.challenge is None:
+            return False
+        keys = self._keys()
+        nonce = new_nonce()
+        theirs = first.challenge.nonce or b''
+        proof = client_proofs(keys, theirs, nonce, self._process)[0]
+        hello = Hello(self._process, self._role, nonce, proof)
+        conn.send(Envelope(Kind.HELLO, 0, 0, hello=hello))
+        reply = await conn.receive()
+        welcome = reply.welcome if reply else None
+        if welcome is None or not welcome.process:
+            return False
+        accepted = server_proofs(keys, theirs, nonce, welcome.process)
+        if not proof_matches(welcome.proof, accepted):
+            return False
+        conn.peer = welcome.process
+        conn.role = welcome.role or ''
+        self.incarnation = welcome.incarnation or 0
+        return True
+
+    def _on_envelope(self, conn: Conn, envelope: Envelope) -> None:
+        if envelope.config_serial:
+            self._on_serial(self.address, envelope.config_serial)
+        stream = self._streams.get(envelope.stream)
+        if stream is not None:
+            stream.deliver(envelope)
+
+    def _on_close(self, conn: Conn) -> None:
+        if self._conn is not conn:
+            return
+        self._conn = None
+        streams = list(self._streams.values())
+        self._streams.clear()
+        for stream in streams:
+            stream.end()
+
+
+class PeerPool:
+    """One client for each peer address."""
+
+    def __init__(self, make_client: Callable[[str], PeerClient]) -> None:
+        self._make_client = make_client
+        self._clients: dict[str, PeerClient] = {}
+
+    def get(self, address: str) -> PeerClient:
+        """Return the client of `address`, made on first use."""
+        client = self._clients.get(address)
+        if client is None:
+            client = self._make_client(address)
+            self._clients[address] = client
+        return client
+
+    def close(self) -> None:
+        """Close every connection."""
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
--- /dev/null
+++ b/wigeonmill/protocol/codec.py
@@ -0,0 +1,58 @@
+"""Encodes and decodes inner frames: a length, then one thrift Envelope."""
+
+from dataclasses import dataclass
+import struct
+
+from result import Err
+from result import Ok
+from result import Result
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize
+from thrift.TSerialization import serialize
+
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_LIST_ITEMS = 100_000
+LENGTH_BYTES = 4
+_LENGTH = struct.Struct('>I')
+_FACTORY = TBinaryProtocolAcceleratedFactory(
+    string_length_limit=MAX_FRAME_BYTES,
+    container_length_limit=MAX_LIST_ITEMS,
+    fallback=False,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class FrameError:
+    """A frame that can't be read; the connection must be closed."""
+
+    message: str
+
+
+def encode_frame(envelope: Envelope) -> bytes:
+    """Return `envelope` as one frame with its length in front."""
+    body = serialize(envelope, _FACTORY)
+    return _LENGTH.pack(len(body)) + body
+
+
+def decode_length(header: bytes) -> Result[int, FrameError]:
+    """Return a frame's body length in bytes from its 4-byte header."""
+    if len(header) != LENGTH_BYTES:
+        return Err(FrameError(f'frame header has {len(header)} bytes'))
+    (length,) = _LENGTH.unpack(header)
+    if length == 0 or length > MAX_FRAME_BYTES:
+        return Err(FrameError(f'frame length {length} is out of range'))
+    return Ok(length)
+
+
+def decode_body(body: bytes) -> Result[Envelope, FrameError]:
+    """Return the envelope in a frame's body."""
+    try:
+        envelope = deserialize(Envelope(), body, _FACTORY)
+    except Exception as exc:
+        # The accelerated codec raises many types for malformed input.
+        return Err(FrameError(f'malformed frame: {type(exc).__name__}'))
+    if envelope.kind is None or envelope.stream is None:
+        return Err(FrameError('frame without kind or stream'))
+    return Ok(envelope)
--- /dev/null
+++ b/wigeonmill/settings.py
@@ -0,0 +1,201 @@
+"""The daemon's settings: read, checked, then used; all defaults are here."""
+
+from dataclasses import dataclass
+import ipaddress
+from pathlib import Path
+from typing import Annotated
+from typing import Literal
+
+import jsonschema
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class TlsSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Files of one TLS identity; `ca_file` makes the peer prove its own."""
+
+    cert_file: str
+    key_file: str
+    ca_file: str = ''
+
+
+class EntrySettings(msgspec.Struct, forbid_unknown_fields=True):
+    """The entry role: callers' HTTP address and limits.
+
+    `candidates` is how many agents are asked for an offer. Times are in ms.
+    """
+
+    http: str = '127.0.0.1:8080'
+    candidates: Annotated[int, msgspec.Meta(ge=1, le=8)] = 3
+    offer_timeout_ms: Milliseconds = 250
+    max_open_requests: Annotated[int, msgspec.Meta(ge=1)] = 4096
+    max_header_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 32768
+    body_timeout_ms: Milliseconds = 20_000
+    idle_timeout_ms: Milliseconds = 75_000
+    tls: TlsSettings | None = None
+
+
+class AgentSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """The agent role: its target and how long answers are kept.
+
+    `detached_run_ms` is how long a run lasts whose entry is gone.
+    """
+
+    target: str = ''
+    detached_run_ms: Milliseconds = 15_000
+    answer_kept_ms: Milliseconds = 60_000
+    health_interval_ms: Milliseconds = 250
+    target_timeout_ms: Milliseconds = 5_000
+
+
+class EmbeddedSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Every role and stand-in in one process, for a document."""
+
+    document: str = 'examples/isoko.json'
+    engine_speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+
+
+class Settings(msgspec.Struct, forbid_unknown_fields=True):
+    """One process of wigeonmill.
+
+    Addresses are IP:port. `peers` are inner addresses asked for a
+    configuration while the key-value service is out.
+    """
+
+    process: str
+    roles: list[Literal['entry', 'agent', 'embedded']]
+    failure_domain: str = ''
+    region: str = ''
+    inner: str = '127.0.0.1:7100'
+    inner_key_file: str = ''
+    inner_tls: TlsSettings | None = None
+    key_value: list[str] = msgspec.field(
+        default_factory=lambda: ['127.0.0.1:2379']
+    )
+    key_value_timeout_ms: Milliseconds = 1_000
+    vm_list: str = ''
+    peers: list[str] = []
+    drain_timeout_ms: Milliseconds = 120_000
+    log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+    entry: EntrySettings = msgspec.field(default_factory=EntrySettings)
+    agent: AgentSettings = msgspec.field(default_factory=AgentSettings)
+    embedded: EmbeddedSettings = msgspec.field(
+        default_factory=EmbeddedSettings
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsFault:
+    """One fault: the key's path, its value, and what to write instead."""
+
+    key: str
+    value: str
+    advice: str
+
+    def __str__(self) -> str:
+        return f'{self.key} = {self.value}: {self.advice}'
+
+
+def load_settings(path: str) -> Result[Settings, list[SettingsFault]]:
+    """Read and check the settings file at `path`."""
+    raw = read_settings(path)
+    if raw.is_err():
+        return Err([raw.unwrap_err()])
+    return check_settings(raw.unwrap())
+
+
+def read_settings(path: str) -> Result[object, SettingsFault]:
+    """Return the file's JSON value."""
+    try:
+        data = Path(path).read_bytes()
+    except OSError as exc:
+        advice = f'name a readable file ({exc.strerror})'
+        return Err(SettingsFault('settings file', path, advice))
+    try:
+        return Ok(msgspec.json.decode(data))
+    except msgspec.DecodeError as exc:
+        advice = f'write valid JSON ({exc})'
+        return Err(SettingsFault('settings file', path, advice))
+
+
+def check_settings(raw: object) -> Result[Settings, list[SettingsFault]]:
+    """Return typed settings, or every fault at once."""
+    schema = msgspec.json.schema(Settings)
+    validator = jsonschema.Draft202012Validator(schema)
+    errors = sorted(validator.iter_errors(raw), key=lambda e: e.json_path)
+    if errors:
+        return Err([_schema_fault(error) for error in errors])
+    settings = msgspec.convert(raw, Settings)
+    faults = _address_faults(settings) + _role_faults(settings)
+    if faults:
+        return Err(faults)
+    return Ok(settings)
+
+
+def _schema_fault(error: jsonschema.ValidationError) -> SettingsFault:
+    key = error.json_path.removeprefix('$').removeprefix('.') or 'settings'
+    value = repr(error.instance)[:80]
+    if error.validator == 'additionalProperties':
+        known = ', '.join(sorted(error.schema.get('properties', {})))
+        return SettingsFault(key, value, f'{error.message}; known: {known}')
+    if error.validator == 'enum':
+        known = ', '.join(map(str, error.validator_value))
+        return SettingsFault(key, value, f'write one of {known}')
+    if error.validator == 'type':
+        return SettingsFault(key, value, f'write a {error.validator_value}')
+    return SettingsFault(key, value, error.message)
+
+
+def _address_faults(settings: Settings) -> list[SettingsFault]:
+    named = [('inner', settings.inner), ('entry.http', settings.entry.http)]
+    named += [('key_value', address) for address in settings.key_value]
+    named += [('peers', address) for address in settings.peers]
+    if settings.vm_list:
+        named.append(('vm_list', settings.vm_list))
+    advice = 'write an IP number and a port, as 127.0.0.1:7100'
+    return [
+        SettingsFault(key, repr(address), advice)
+        for key, address in named
+        if not is_address(address)
+    ]
+
+
+def _role_faults(settings: Settings) -> list[SettingsFault]:
+    faults = []
+    if not settings.roles:
+        advice = "write at least one of 'entry', 'agent', 'embedded'"
+        faults.append(SettingsFault('roles', '[]', advice))
+    if not settings.process:
+        advice = 'write a name that no other process has'
+        faults.append(SettingsFault('process', "''", advice))
+    if 'agent' in settings.roles and not settings.agent.target:
+        advice = "write the target's name in the configuration document"
+        faults.append(SettingsFault('agent.target', "''", advice))
+    if 'embedded' in settings.roles and len(settings.roles) > 1:
+        advice = "write only ['embedded']; it brings the other roles"
+        faults.append(SettingsFault('roles', repr(settings.roles), advice))
+    if 'embedded' not in settings.roles and not settings.inner_key_file:
+        advice = 'name a file that holds the shared inner key'
+        faults.append(SettingsFault('inner_key_file', "''", advice))
+    return faults
+
+
+def is_address(text: str) -> bool:
+    """Tell whether `text` is an IP number and a port."""
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    return port.isdecimal() and int(port) <= 65535
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of a checked IP:port address."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
