--- /dev/null
+++ b/wigeonmill/routing/offers.py
@@ -0,0 +1,92 @@
+"""Chooses among the offers that agents made for a request."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from result import Err
+from result import Ok
+from result import Result
+
+DEFAULT_RETRY_AFTER_MS = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class TargetOffer:
+    """What an agent would give a request.
+
+    `expected_first_token_ms` includes `expected_wait_ms`. `cached_tokens`
+    are in accelerator memory, `fetchable_tokens` would come over the store
+    link, and the rest of `prompt_tokens` would be computed.
+    """
+
+    target: str
+    prompt_tokens: int
+    cached_tokens: int
+    fetchable_tokens: int
+    expected_wait_ms: float
+    expected_first_token_ms: float
+    reservation: int = 0
+
+    @property
+    def computed_tokens(self) -> int:
+        """Prompt tokens that the target would compute."""
+        known = self.cached_tokens + self.fetchable_tokens
+        return max(0, self.prompt_tokens - known)
+
+
+@dataclass(slots=True, frozen=True)
+class TargetRefusal:
+    """An agent's refusal to take a request now."""
+
+    target: str
+    reason: str
+    retry_after_ms: int
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """The refusal that the caller sees when no target took the request."""
+
+    reason: str
+    retry_after_ms: int
+
+
+@dataclass(slots=True, frozen=True)
+class OfferCosts:
+    """Costs, in milliseconds of time to first token, of shared resources.
+
+    Computing tokens delays other requests of the target; fetching tokens
+    takes the link from other requests.
+    """
+
+    computed_token_ms: float = 0.05
+    fetched_token_ms: float = 0.01
+
+
+NO_TARGET = 'no_target'
+
+
+def choose_offer(
+    offers: Sequence[TargetOffer],
+    refusals: Sequence[TargetRefusal] = (),
+    costs: OfferCosts = OfferCosts(),
+) -> Result[TargetOffer, Refusal]:
+    """Return the cheapest offer, or one refusal for all refusals."""
+    if offers:
+        return Ok(min(offers, key=lambda offer: offer_cost(offer, costs)))
+    return Err(combine_refusals(refusals))
+
+
+def offer_cost(offer: TargetOffer, costs: OfferCosts) -> float:
+    """Return the cost of an offer in milliseconds."""
+    computing = offer.computed_tokens * costs.computed_token_ms
+    fetching = offer.fetchable_tokens * costs.fetched_token_ms
+    return offer.expected_first_token_ms + computing + fetching
+
+
+def combine_refusals(refusals: Sequence[TargetRefusal]) -> Refusal:
+    """Return the refusal of the target that will be free first."""
+    if not refusals:
+        return Refusal(NO_TARGET, DEFAULT_RETRY_AFTER_MS)
+    first = min(refusals, key=lambda refusal: refusal.retry_after_ms)
+    return Refusal(first.reason, first.retry_after_ms)
--- /dev/null
+++ b/wigeonmill/routing/rendezvous.py
@@ -0,0 +1,65 @@
+"""Weighted rendezvous hashing."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+import heapq
+import math
+
+import xxhash
+
+_HASH_SPACE = 2.0**64
+
+
+@dataclass(slots=True, frozen=True)
+class WeightedTarget:
+    """A target with its weight (above 0) in its failure domain."""
+
+    name: str
+    failure_domain: str
+    weight: float = 1.0
+
+
+def name_seed(name: str) -> int:
+    """Return the 64-bit hash seed that stands for a target's name."""
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def score(key: bytes, seed: int, weight: float) -> float:
+    """Return a target's score for `key`; the highest score wins."""
+    digest = xxhash.xxh3_64_intdigest(key, seed=seed)
+    return -weight / math.log((digest + 0.5) / _HASH_SPACE)
+
+
+def rank(
+    key: bytes, targets: Sequence[WeightedTarget], count: int
+) -> list[WeightedTarget]:
+    """Return the `count` best targets for `key`, the best one first."""
+    return RendezvousRing(targets).rank(key, count)
+
+
+class RendezvousRing:
+    """Ranks a fixed set of targets; hash seeds are computed once."""
+
+    __slots__ = ('_entries',)
+
+    def __init__(self, targets: Sequence[WeightedTarget]) -> None:
+        self._entries = [
+            (name_seed(target.name), target.weight, target)
+            for target in targets
+        ]
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def rank(self, key: bytes, count: int) -> list[WeightedTarget]:
+        """Return the `count` best targets for `key`, the best one first."""
+        scored = [
+            (score(key, seed, weight), seed, target)
+            for seed, weight, target in self._entries
+        ]
+        best = heapq.nlargest(count, scored, key=_by_score)
+        return [target for _score, _seed, target in best]
+
+
+def _by_score(entry: tuple[float, int, WeightedTarget]) -> tuple[float, int]:
+    return entry[0], entry[1]
