--- /dev/null
+++ b/wigeonmill/agent/fair_queue.py
@@ -0,0 +1,240 @@
+"""A bounded queue that shares a target among teams by weight.
+
+Start-time fair queueing: each team's next entry carries a virtual start
+time, and the team with the least goes first. The cost of an entry is its
+prefill in tokens. Short entries may pass a long one that waits for prefill
+to drain; the long one keeps its virtual time, so it goes first once it may.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import heapq
+import itertools
+
+from result import Err
+from result import Ok
+from result import Result
+
+# One step of priority is worth this much waiting within a team.
+PRIORITY_STEP_MS = 10_000.0
+
+
+@dataclass(slots=True, eq=False)
+class QueueEntry:
+    """Work that waits; `cost` is its prefill in tokens (at least 1).
+
+    `deadline_ms` is on the clock's time. Among entries of one team, a
+    higher `priority` goes first.
+    """
+
+    id: int
+    team: str
+    weight: int
+    priority: int
+    cost: int
+    deadline_ms: float
+    enqueued_ms: float
+    queued: bool = field(default=False, init=False)
+
+
+@dataclass(frozen=True, slots=True)
+class QueueFull:
+    """The queue holds as much as it may; `queued_cost` is in tokens."""
+
+    queued_cost: int
+
+
+@dataclass(slots=True)
+class _Team:
+    name: str
+    weight: int
+    finish: float = 0.0
+    cost: int = 0
+    count: int = 0
+    short: list[tuple[float, int, QueueEntry]] = field(default_factory=list)
+    long: list[tuple[float, int, QueueEntry]] = field(default_factory=list)
+
+    def heads(self) -> list[tuple[float, int, QueueEntry]]:
+        """Return the first entry of each class, best first."""
+        for heap in (self.short, self.long):
+            while heap and not heap[0][2].queued:
+                heapq.heappop(heap)
+        heads = [heap[0] for heap in (self.short, self.long) if heap]
+        return sorted(heads, key=lambda head: head[:2])
+
+
+class FairQueue:
+    """Orders waiting entries across and within teams."""
+
+    __slots__ = (
+        '_max_entries',
+        '_short_cost',
+        '_teams',
+        '_deadlines',
+        '_virtual',
+        '_sequence',
+        '_count',
+        '_cost',
+    )
+
+    def __init__(self, max_entries: int, short_cost: int) -> None:
+        """Entries of at most `short_cost` tokens count as short."""
+        self._max_entries = max_entries
+        self._short_cost = short_cost
+        self._teams: dict[str, _Team] = {}
+        self._deadlines: list[tuple[float, int, QueueEntry]] = []
+        self._virtual = 0.0
+        self._sequence = itertools.count()
+        self._count = 0
+        self._cost = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    @property
+    def cost(self) -> int:
+        """Prefill tokens of all waiting entries."""
+        return self._cost
+
+    def is_short(self, cost: int) -> bool:
+        """Return whether an entry of this cost counts as short."""
+        return cost <= self._short_cost
+
+    def push(self, entry: QueueEntry) -> Result[QueueEntry | None, QueueFull]:
+        """Add an entry.
+
+        A full queue gives up an entry of the team that is furthest over its
+        share, if that isn't the new entry's own team; the caller refuses the
+        returned entry.
+        """
+        displaced = None
+        if self._count >= self._max_entries:
+            displaced = self._displaced_by(entry)
+            if displaced is None:
+                return Err(QueueFull(self._cost))
+            self.remove(displaced)
+        self._add(entry)
+        return Ok(displaced)
+
+    def pop(
+        self, may_start: Callable[[QueueEntry], bool]
+    ) -> QueueEntry | None:
+        """Remove and return the next entry that `may_start` allows.
+
+        It is asked for at most one short and one long entry of each team.
+        """
+        waiting = [team for team in self._teams.values() if team.count]
+        for team in sorted(waiting, key=_order):
+            for _key, _sequence, entry in team.heads():
+                if may_start(entry):
+                    self._start(team, entry)
+                    return entry
+        return None
+
+    def remove(self, entry: QueueEntry) -> bool:
+        """Take a waiting entry out; False when it doesn't wait any more."""
+        if not entry.queued:
+            return False
+        entry.queued = False
+        team = self._teams[entry.team]
+        team.cost -= entry.cost
+        team.count -= 1
+        self._cost -= entry.cost
+        self._count -= 1
+        if not self._count:
+            self._end_busy_period()
+        elif len(self._deadlines) > 2 * self._max_entries:
+            self._compact_deadlines()
+        return True
+
+    def expire(self, now_ms: float) -> list[QueueEntry]:
+        """Remove and return the entries whose deadline has passed."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            entry = heapq.heappop(self._deadlines)[2]
+            if self.remove(entry):
+                expired.append(entry)
+        return expired
+
+    def cost_ahead(self, team: str, weight: int, cost: int) -> int:
+        """Return the tokens likely to be served before a new entry.
+
+        Other teams get their fair share meanwhile, at most what they have
+        waiting; the new entry's own team is served in order.
+        """
+        own = self._teams.get(team)
+        own_cost = own.cost if own else 0
+        rounds = (own_cost + cost) / weight
+        ahead = float(own_cost)
+        for other in self._teams.values():
+            if other.name != team:
+                ahead += min(float(other.cost), rounds * other.weight)
+        return int(ahead)
+
+    def _add(self, entry: QueueEntry) -> None:
+        team = self._teams.get(entry.team)
+        if team is None:
+            self._drop_idle_teams()
+            team = _Team(entry.team, entry.weight, finish=self._virtual)
+            self._teams[entry.team] = team
+        team.weight = entry.weight
+        if not team.count:
+            team.finish = max(team.finish, self._virtual)
+        entry.queued = True
+        sequence = next(self._sequence)
+        rank = entry.enqueued_ms - entry.priority * PRIORITY_STEP_MS
+        heap = team.short if self.is_short(entry.cost) else team.long
+        heapq.heappush(heap, (rank, sequence, entry))
+        heapq.heappush(self._deadlines, (entry.deadline_ms, sequence, entry))
+        team.cost += entry.cost
+        team.count += 1
+        self._cost += entry.cost
+        self._count += 1
+
+    def _start(self, team: _Team, entry: QueueEntry) -> None:
+        self._virtual = max(self._virtual, team.finish)
+        team.finish += entry.cost / team.weight
+        self.remove(entry)
+
+    def _displaced_by(self, entry: QueueEntry) -> QueueEntry | None:
+        most = max(self._teams.values(), key=_share, default=None)
+        if most is None or most.name == entry.team:
+            return None
+        own = self._teams.get(entry.team)
+        own_count = (own.count if own else 0) + 1
+        if own_count / entry.weight >= _share(most):
+            return None
+        waiting = [
+            item
+            for heap in (most.short, most.long)
+            for item in heap
+            if item[2].queued
+        ]
+        return max(waiting, key=lambda item: item[:2])[2]
+
+    def _drop_idle_teams(self) -> None:
+        idle = [
+            team.name
+            for team in self._teams.values()
+            if not team.count and team.finish <= self._virtual
+        ]
+        for name in idle:
+            del self._teams[name]
+
+    def _end_busy_period(self) -> None:
+        self._virtual = 0.0
+        self._teams.clear()
+        self._deadlines.clear()
+
+    def _compact_deadlines(self) -> None:
+        self._deadlines = [item for item in self._deadlines if item[2].queued]
+        heapq.heapify(self._deadlines)
+
+
+def _order(team: _Team) -> tuple[float, str]:
+    return team.finish, team.name
+
+
+def _share(team: _Team) -> float:
+    return team.count / team.weight
