--- /dev/null
+++ b/tests/agent/test_quarantine.py
@@ -0,0 +1,63 @@
+from wigeonmill.agent.quarantine import CrashRecord
+from wigeonmill.agent.quarantine import decode_state
+from wigeonmill.agent.quarantine import encode_state
+from wigeonmill.agent.quarantine import MAX_RECORDS
+from wigeonmill.agent.quarantine import Quarantine
+from wigeonmill.agent.quarantine import QUARANTINE_TTL_MS
+from wigeonmill.agent.quarantine import QuarantineState
+from wigeonmill.agent.quarantine import SUSPECT_TTL_MS
+from wigeonmill.agent.quarantine import Verdict
+
+BAD = b'bad'
+GOOD = b'good'
+
+
+def test_second_crash_quarantines_and_innocents_are_cleared():
+    quarantine = Quarantine()
+    assert quarantine.on_crash([BAD, GOOD], 0) == []
+    assert quarantine.verdict(GOOD, 1) is Verdict.ALONE
+    assert quarantine.on_healthy(GOOD)
+    assert quarantine.verdict(GOOD, 1) is Verdict.CLEAR
+    quarantine.on_retry(BAD, 2)
+    assert quarantine.verdict(BAD, 2) is Verdict.RETRY_SPENT
+    assert quarantine.on_crash([BAD], 3) == [BAD]
+    assert not quarantine.on_healthy(BAD)
+    assert quarantine.verdict(BAD, QUARANTINE_TTL_MS) is Verdict.QUARANTINED
+
+
+def test_cancelled_retry_is_given_back_once_the_target_is_healthy():
+    quarantine = Quarantine()
+    quarantine.on_crash([BAD], 0)
+    quarantine.on_retry(BAD, 1)
+    quarantine.on_retry_cancelled(BAD, 2)
+    assert quarantine.verdict(BAD, 3) is Verdict.ALONE
+
+
+def test_suspicion_and_quarantine_end():
+    quarantine = Quarantine()
+    quarantine.on_crash([BAD], 0)
+    assert quarantine.verdict(BAD, SUSPECT_TTL_MS + 1) is Verdict.CLEAR
+    quarantine.on_crash([BAD], 0)
+    quarantine.on_crash([BAD], 0)
+    assert quarantine.verdict(BAD, SUSPECT_TTL_MS + 1) is Verdict.QUARANTINED
+    assert quarantine.verdict(BAD, QUARANTINE_TTL_MS + 1) is Verdict.CLEAR
+
+
+def test_state_survives_its_process_and_merges_to_the_graver_view():
+    first = Quarantine()
+    first.on_crash([BAD], 5)
+    first.on_retry(BAD, 6)
+    second = Quarantine(decode_state(encode_state(first.state)))
+    assert second.verdict(BAD, 7) is Verdict.RETRY_SPENT
+    second.merge(QuarantineState({BAD.hex(): CrashRecord(2, 0, 8)}), 9)
+    assert second.verdict(BAD, 10) is Verdict.QUARANTINED
+
+
+def test_records_are_bounded_and_suspects_go_first():
+    quarantine = Quarantine()
+    quarantine.on_crash([BAD], 0)
+    quarantine.on_crash([BAD], 0)
+    names = [str(at).encode() for at in range(MAX_RECORDS + 10)]
+    quarantine.on_crash(names, 1)
+    assert len(quarantine.state.records) == MAX_RECORDS
+    assert quarantine.verdict(BAD, 2) is Verdict.QUARANTINED
--- /dev/null
+++ b/wigeonmill/agent/quarantine.py
@@ -0,0 +1,154 @@
+"""Keeps a request that crashes its targets from crashing more of them.
+
+What was in flight at a crash is a suspect, by fingerprint. A suspect is
+retried once and alone; a second crash quarantines it. A healthy completion
+clears it. The state is a plain value: agents merge what others wrote to the
+key-value service with their own.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+import enum
+
+import msgspec
+
+SUSPECT_TTL_MS = 10 * 60_000
+QUARANTINE_TTL_MS = 24 * 3_600_000
+MAX_RECORDS = 2048
+
+
+class Verdict(enum.Enum):
+    """How a request may run."""
+
+    CLEAR = 'clear'
+    ALONE = 'alone'
+    # Another agent or an earlier try has used up the one retry.
+    RETRY_SPENT = 'retry_spent'
+    QUARANTINED = 'quarantined'
+
+
+@dataclass(slots=True)
+class CrashRecord:
+    """What is known of one fingerprint; `changed_ms` is wall time."""
+
+    crashes: int
+    retries: int
+    changed_ms: int
+
+
+@dataclass(slots=True)
+class QuarantineState:
+    """All records by fingerprint in hex."""
+
+    records: dict[str, CrashRecord] = field(default_factory=dict)
+
+
+class Quarantine:
+    """Decides whether a fingerprint may run, from the crashes seen."""
+
+    __slots__ = ('_state',)
+
+    def __init__(self, state: QuarantineState | None = None) -> None:
+        self._state = state or QuarantineState()
+
+    @property
+    def state(self) -> QuarantineState:
+        """The present state, to be written or sent."""
+        return self._state
+
+    def verdict(self, fingerprint: bytes, now_ms: int) -> Verdict:
+        """Return how the request may run at wall time `now_ms`."""
+        record = self._live(fingerprint, now_ms)
+        if record is None:
+            return Verdict.CLEAR
+        if record.crashes >= 2:
+            return Verdict.QUARANTINED
+        if record.retries >= 1:
+            return Verdict.RETRY_SPENT
+        return Verdict.ALONE
+
+    def on_retry(self, fingerprint: bytes, now_ms: int) -> None:
+        """Note that a suspect's one retry begins."""
+        record = self._state.records.get(fingerprint.hex())
+        if record is not None:
+            record.retries += 1
+            record.changed_ms = now_ms
+
+    def on_retry_cancelled(self, fingerprint: bytes, now_ms: int) -> None:
+        """Give the retry back: it ended with its target still healthy."""
+        record = self._state.records.get(fingerprint.hex())
+        if record is not None and record.retries and record.crashes == 1:
+            record.retries -= 1
+            record.changed_ms = now_ms
+
+    def on_healthy(self, fingerprint: bytes) -> bool:
+        """Clear a suspect that completed; returns whether it was one."""
+        record = self._state.records.get(fingerprint.hex())
+        if record is None or record.crashes >= 2:
+            return False
+        del self._state.records[fingerprint.hex()]
+        return True
+
+    def on_crash(self, in_flight: list[bytes], now_ms: int) -> list[bytes]:
+        """Blame what was in flight; returns the newly quarantined."""
+        quarantined = []
+        for fingerprint in dict.fromkeys(in_flight):
+            record = self._live(fingerprint, now_ms)
+            if record is None:
+                record = CrashRecord(0, 0, now_ms)
+                self._state.records[fingerprint.hex()] = record
+            record.crashes += 1
+            record.changed_ms = now_ms
+            if record.crashes == 2:
+                quarantined.append(fingerprint)
+        self._bound(now_ms)
+        return quarantined
+
+    def merge(self, other: QuarantineState, now_ms: int) -> None:
+        """Take in another agent's records; the graver view wins."""
+        for name, theirs in other.records.items():
+            ours = self._state.records.get(name)
+            if ours is None:
+                ours = CrashRecord(0, 0, 0)
+                self._state.records[name] = ours
+            ours.crashes = max(ours.crashes, theirs.crashes)
+            ours.retries = max(ours.retries, theirs.retries)
+            ours.changed_ms = max(ours.changed_ms, theirs.changed_ms)
+        self._bound(now_ms)
+
+    def _live(self, fingerprint: bytes, now_ms: int) -> CrashRecord | None:
+        record = self._state.records.get(fingerprint.hex())
+        if record is None or not _expired(record, now_ms):
+            return record
+        del self._state.records[fingerprint.hex()]
+        return None
+
+    def _bound(self, now_ms: int) -> None:
+        records = self._state.records
+        for name in [n for n, r in records.items() if _expired(r, now_ms)]:
+            del records[name]
+        excess = len(records) - MAX_RECORDS
+        if excess > 0:
+            by_worth = sorted(records, key=lambda name: _worth(records[name]))
+            for name in by_worth[:excess]:
+                del records[name]
+
+
+def encode_state(state: QuarantineState) -> bytes:
+    """Encode the state for the key-value service."""
+    return msgspec.json.encode(state)
+
+
+def decode_state(data: bytes) -> QuarantineState:
+    """Decode a stored state; raises msgspec.DecodeError when malformed."""
+    return msgspec.json.decode(data, type=QuarantineState)
+
+
+def _expired(record: CrashRecord, now_ms: int) -> bool:
+    quarantined = record.crashes >= 2
+    ttl_ms = QUARANTINE_TTL_MS if quarantined else SUSPECT_TTL_MS
+    return now_ms - record.changed_ms > ttl_ms
+
+
+def _worth(record: CrashRecord) -> tuple[bool, int]:
+    return record.crashes >= 2, record.changed_ms
