--- a/wigeonmill/claims/__init__.py
+++ b/wigeonmill/claims/__init__.py
@@ -1,1 +1,1 @@
-"""At-most-once execution of non-idempotent requests."""
+"""At-most-once execution of calls that are not idempotent."""
