Add the entry's HTTP interface and routing, and the agent's runs

Cause: the thin path needs a caller's request checked, routed by offers, run by an agent, and streamed back whole.

--- /dev/null
+++ b/wigeonmill/agent/engine.py
@@ -0,0 +1,257 @@
+"""The agent's client of its model engine, by curl."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+import enum
+import logging
+
+import msgspec
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPError
+from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPResponse
+
+logger = logging.getLogger(__name__)
+
+MAX_CLIENTS = 512
+CONNECT_TIMEOUT_S = 2.0
+CONTROL_TIMEOUT_S = 2.0
+MAX_ERROR_BYTES = 65536
+_DATA = b'data: '
+_DONE = b'[DONE]'
+
+
+class EngineEndKind(enum.Enum):
+    """How a stream from the engine ended."""
+
+    COMPLETED = 'completed'
+    # The engine answered with an error status; the prompt was not run.
+    REJECTED = 'rejected'
+    # No connection was made; the engine saw nothing.
+    UNREACHABLE = 'unreachable'
+    # The stream broke off; the prompt may have run in part.
+    BROKEN = 'broken'
+    TIMEOUT = 'timeout'
+    CANCELLED = 'cancelled'
+
+
+@dataclass(slots=True)
+class EngineEnd:
+    """The end of a stream; token counts are the engine's own."""
+
+    kind: EngineEndKind
+    message: str = ''
+    status: int = 0
+    finish_reason: str = ''
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    cached_tokens: int = 0
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    text: str | None = None
+    delta: _Delta | None = None
+    finish_reason: str | None = None
+
+
+class _PromptDetails(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _PromptDetails | None = None
+
+
+class _EngineChunk(msgspec.Struct):
+    choices: list[_Choice] = []
+    usage: _Usage | None = None
+
+
+class EngineHealth(msgspec.Struct):
+    """What the engine reports of itself."""
+
+    incarnation: str
+    uptime_ms: float
+    model: str = ''
+    weight_version: str = ''
+    role: str = ''
+    state: str = ''
+
+
+class EngineStream:
+    """One running request; parts of the answer go to `on_text`."""
+
+    def __init__(self, on_text: Callable[[bytes, int], None]) -> None:
+        self._on_text = on_text
+        self._decode = msgspec.json.Decoder(_EngineChunk).decode
+        self._rest = b''
+        self._error = bytearray()
+        self._status = 0
+        self._done = False
+        self._cancelled = False
+        self._end = EngineEnd(EngineEndKind.COMPLETED)
+
+    def cancel(self) -> None:
+        """Stop reading the stream."""
+        self._cancelled = True
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Take the bytes of the response as curl receives them."""
+        curl.setopt(pycurl.WRITEFUNCTION, self._write)
+        curl.setopt(pycurl.NOPROGRESS, 0)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self._progress)
+
+    def note_header(self, line: str) -> None:
+        """Read the status from the response's first line."""
+        if line.startswith('HTTP/'):
+            parts = line.split()
+            if len(parts) > 1 and parts[1].isdecimal():
+                self._status = int(parts[1])
+
+    def result(self, response: HTTPResponse) -> EngineEnd:
+        """Return how the stream ended."""
+        if self._cancelled:
+            return EngineEnd(EngineEndKind.CANCELLED)
+        if response.code not in (200, 599):
+            message = bytes(self._error).decode('utf-8', 'replace')
+            return EngineEnd(
+                EngineEndKind.REJECTED, message, response.code
+            )
+        if self._done:
+            return self._end
+        return EngineEnd(_failure_kind(response.error), str(response.error))
+
+    def _progress(self, *_sizes: int) -> int:
+        return 1 if self._cancelled else 0
+
+    def _write(self, data: bytes) -> int | None:
+        if self._cancelled:
+            return -1
+        if self._status != 200:
+            self._error += data[:MAX_ERROR_BYTES]
+            return None
+        lines = (self._rest + data).split(b'\n')
+        self._rest = lines.pop()
+        for line in lines:
+            if line.startswith(_DATA):
+                self._read_event(line[len(_DATA) :].strip())
+        return None
+
+    def _read_event(self, data: bytes) -> None:
+        if data == _DONE:
+            self._done = True
+            return
+        try:
+            chunk = self._decode(data)
+        except msgspec.DecodeError:
+            logger.warning('engine sent a malformed event')
+            self._cancelled = True
+            return
+        for choice in chunk.choices:
+            self._read_choice(choice)
+        if chunk.usage is not None:
+            self._read_usage(chunk.usage)
+
+    def _read_choice(self, choice: _Choice) -> None:
+        text = choice.text
+        if choice.delta is not None:
+            text = choice.delta.content
+        if text:
+            self._on_text(text.encode(), 1)
+        if choice.finish_reason:
+            self._end.finish_reason = choice.finish_reason
+
+    def _read_usage(self, usage: _Usage) -> None:
+        self._end.prompt_tokens = usage.prompt_tokens
+        self._end.answer_tokens = usage.completion_tokens
+        if usage.prompt_tokens_details is not None:
+            details = usage.prompt_tokens_details
+            self._end.cached_tokens = details.cached_tokens
+
+
+class EngineClient:
+    """Requests to one engine at an IP:port address."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f'http://{address}'
+        self._http = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CLIENTS
+        )
+        self._control = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=8
+        )
+
+    async def run(
+        self, path: str, body: bytes, stream: EngineStream, timeout_ms: float
+    ) -> EngineEnd:
+        """Send a request and feed `stream` until the answer ends."""
+        request = HTTPRequest(
+            self._base + path,
+            method='POST',
+            body=body,
+            headers={'Content-Type': 'application/json'},
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=max(timeout_ms, 1.0) / 1000.0,
+            header_callback=stream.note_header,
+            streaming_callback=_ignore,
+            prepare_curl_callback=stream.prepare,
+        )
+        response = await self._http.fetch(request, raise_error=False)
+        return stream.result(response)
+
+    async def cancel(self, request_id: str) -> None:
+        """Ask the engine to stop a request; errors are ignored."""
+        await self._send('POST', f'/v1/requests/{request_id}/cancel', b'')
+
+    async def health(self) -> EngineHealth | None:
+        """Return what the engine reports, or None when it can't be asked."""
+        response = await self._send('GET', '/health', None)
+        if response is None or response.code != 200:
+            return None
+        try:
+            return msgspec.json.decode(response.body, type=EngineHealth)
+        except msgspec.DecodeError:
+            return None
+
+    def close(self) -> None:
+        """Close both clients."""
+        self._http.close()
+        self._control.close()
+
+    async def _send(
+        self, method: str, path: str, body: bytes | None
+    ) -> HTTPResponse | None:
+        request = HTTPRequest(
+            self._base + path,
+            method=method,
+            body=body,
+            connect_timeout=CONTROL_TIMEOUT_S,
+            request_timeout=CONTROL_TIMEOUT_S,
+        )
+        try:
+            response = await self._control.fetch(request, raise_error=False)
+        except (HTTPError, OSError, asyncio.TimeoutError):
+            return None
+        return response
+
+
+def _failure_kind(error: BaseException | None) -> EngineEndKind:
+    errno = error.errno if isinstance(error, CurlError) else None
+    if errno == pycurl.E_COULDNT_CONNECT:
+        return EngineEndKind.UNREACHABLE
+    if errno == pycurl.E_OPERATION_TIMEDOUT:
+        return EngineEndKind.TIMEOUT
+    return EngineEndKind.BROKEN
+
+
+def _ignore(_data: bytes) -> None:
+    """Take the place of the callback that `EngineStream` replaces."""
--- /dev/null
+++ b/wigeonmill/entry/base.py
@@ -0,0 +1,178 @@
+"""What every handler of the callers' interface does alike."""
+
+import logging
+import secrets
+from typing import Any
+
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler
+from tornado.web import stream_request_body
+
+from wigeonmill.config.model import Limits
+from wigeonmill.config.model import Team
+from wigeonmill.entry.context import EntryContext
+from wigeonmill.entry.context import RouteTable
+from wigeonmill.entry.errors import ApiError
+from wigeonmill.entry.errors import encode_error
+from wigeonmill.entry.errors import Reason
+from wigeonmill.entry.requests import clean_request_id
+
+logger = logging.getLogger(__name__)
+
+REQUEST_ID_HEADER = 'X-Request-Id'
+RUN_ID_HEADER = 'X-Run-Id'
+RETRY_LEAVING_MS = 1000
+RETRY_BUSY_MS = 1000
+
+
+class ApiHandler(RequestHandler):
+    """Sets the request id and writes refusals in one shape."""
+
+    def initialize(self, context: EntryContext) -> None:
+        """Take the state shared by all requests."""
+        self.context = context
+        self.request_id = ''
+
+    def prepare(self) -> None:
+        given = self.request.headers.get(REQUEST_ID_HEADER, '')
+        self.request_id = clean_request_id(given) or secrets.token_hex(12)
+        self.set_header(REQUEST_ID_HEADER, self.request_id)
+        headers = self.request.headers.get_all()
+        size = sum(len(name) + len(value) for name, value in headers)
+        if size > self.context.settings.max_header_bytes:
+            self.refuse_status(431, 'the headers are too large')
+
+    def refuse(self, error: ApiError) -> None:
+        """End the request with a refusal and count its reason."""
+        self.context.metrics.count('refusals', error.reason.value)
+        self.set_status(error.status)
+        self.set_header('Content-Type', 'application/json')
+        if error.retry_after_s:
+            self.set_header('Retry-After', str(error.retry_after_s))
+        self.finish(encode_error(error))
+
+    def refuse_status(self, status: int, message: str) -> None:
+        """End the request as malformed with another status."""
+        self.context.metrics.count('refusals', Reason.MALFORMED.value)
+        self.set_status(status)
+        self.set_header('Content-Type', 'application/json')
+        self.finish(encode_error(ApiError(Reason.MALFORMED, message)))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        if status_code == 404:
+            self.refuse(ApiError(Reason.UNKNOWN_PATH, 'no such path'))
+        elif status_code == 405:
+            message = f'{self.request.method} is not served here'
+            self.refuse(ApiError(Reason.METHOD, message))
+        elif status_code < 500:
+            self.refuse_status(status_code, 'the request is malformed')
+        else:
+            error = ApiError(Reason.INTERNAL, 'internal error', 0, False)
+            self.refuse(error)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Ignore a body where none is expected."""
+
+
+class UnknownPathHandler(ApiHandler):
+    """Answers every path that is not served."""
+
+    def prepare(self) -> None:
+        super().prepare()
+        if not self._finished:
+            self.refuse(ApiError(Reason.UNKNOWN_PATH, 'no such path'))
+
+
+@stream_request_body
+class TeamHandler(ApiHandler):
+    """A request of a team, with a bounded body and number of requests."""
+
+    team: Team
+    routes: RouteTable
+
+    def initialize(self, context: EntryContext) -> None:
+        super().initialize(context)
+        self.body = bytearray()
+        self.admitted = False
+
+    @property
+    def limits(self) -> Limits:
+        """The configuration's limits on requests."""
+        return self.routes.document.limits
+
+    def prepare(self) -> None:
+        super().prepare()
+        if self._finished:
+            return
+        error = self._admit()
+        if error is not None:
+            # The rest of the body is not worth reading.
+            self.set_header('Connection', 'close')
+            self.refuse(error)
+            return
+        self.admitted = True
+        self.context.open_requests += 1
+        by_team = self.context.open_by_team
+        by_team[self.team.name] = by_team.get(self.team.name, 0) + 1
+
+    def data_received(self, chunk: bytes) -> None:
+        if self._finished:
+            return
+        if len(self.body) + len(chunk) > self.limits.max_body_bytes:
+            self._refuse_body()
+            return
+        self.body += chunk
+
+    def on_finish(self) -> None:
+        if not self.admitted:
+            return
+        self.admitted = False
+        self.context.open_requests -= 1
+        by_team = self.context.open_by_team
+        by_team[self.team.name] -= 1
+        if not by_team[self.team.name]:
+            del by_team[self.team.name]
+
+    async def flush_part(self, data: bytes) -> bool:
+        """Write and flush; returns False when the caller has gone."""
+        self.write(data)
+        try:
+            await self.flush()
+        except StreamClosedError:
+            return False
+        return True
+
+    def _admit(self) -> ApiError | None:
+        context = self.context
+        if context.leaving:
+            message = 'this entry is leaving; ask another one'
+            return ApiError(Reason.LEAVING, message, RETRY_LEAVING_MS)
+        if context.routes is None:
+            message = 'this entry has no configuration yet'
+            return ApiError(Reason.NO_CONFIG, message, RETRY_BUSY_MS)
+        self.routes = context.routes
+        authorization = self.request.headers.get('Authorization', '')
+        team = self.routes.teams.find(authorization)
+        if team is None:
+            message = 'the bearer key is missing or not known'
+            return ApiError(Reason.UNAUTHENTICATED, message)
+        self.team = team
+        if context.open_requests >= context.settings.max_open_requests:
+            message = 'this entry has too many open requests'
+            return ApiError(Reason.OVERLOADED, message, RETRY_BUSY_MS)
+        if context.open_by_team.get(team.name, 0) >= team.max_open_requests:
+            message = f'the team has {team.max_open_requests} open requests'
+            return ApiError(Reason.TEAM_LIMIT, message, RETRY_BUSY_MS)
+        length = self.request.headers.get('Content-Length', '0')
+        if length.isdecimal() and int(length) > self.limits.max_body_bytes:
+            return self._too_large()
+        return None
+
+    def _refuse_body(self) -> None:
+        self.body.clear()
+        self.set_header('Connection', 'close')
+        self.refuse(self._too_large())
+
+    def _too_large(self) -> ApiError:
+        message = f'the body may have {self.limits.max_body_bytes} bytes'
+        return ApiError(Reason.BODY_TOO_LARGE, message)
--- /dev/null
+++ b/wigeonmill/entry/context.py
@@ -0,0 +1,150 @@
+"""What the entry's parts share: configuration, peers and budgets."""
+
+from collections.abc import Collection
+import random
+
+from wigeonmill.clock import Clock
+from wigeonmill.config.holder import ConfigHolder
+from wigeonmill.config.model import ConfigRecord
+from wigeonmill.config.model import Document
+from wigeonmill.config.model import Service
+from wigeonmill.config.model import ServiceKind
+from wigeonmill.config.model import Target
+from wigeonmill.entry.teams import TeamDirectory
+from wigeonmill.metrics import Metrics
+from wigeonmill.protocol.client import PeerClient
+from wigeonmill.protocol.client import PeerPool
+from wigeonmill.routing.candidates import CandidatePicker
+from wigeonmill.routing.candidates import RoutableTarget
+from wigeonmill.routing.circuit import CircuitBreakers
+from wigeonmill.routing.retries import RetryBudget
+from wigeonmill.settings import EntrySettings
+
+
+class ServiceRoutes:
+    """One service with its targets and the picker over them."""
+
+    def __init__(self, service: Service, picker: CandidatePicker) -> None:
+        self.service = service
+        self.picker = picker
+        self.targets = {target.name: target for target in service.targets}
+
+
+class RouteTable:
+    """Routes of every service for one configuration and membership."""
+
+    def __init__(
+        self,
+        document: Document,
+        unavailable: Collection[str],
+        rng: random.Random,
+        candidates: int,
+    ) -> None:
+        self.document = document
+        self.teams = TeamDirectory(document)
+        self._rng = rng
+        self._candidates = candidates
+        self._domains_out = {
+            domain.name
+            for domain in document.failure_domains
+            if not domain.in_service
+        }
+        self._unavailable = unavailable
+        self._routes = {
+            service.name: self._service_routes(service)
+            for service in document.services
+        }
+        self._by_model = {
+            service.model: self._routes[service.name]
+            for service in document.services
+            if service.kind is ServiceKind.MODEL
+        }
+
+    def for_model(self, model: str) -> ServiceRoutes | None:
+        """Return the routes of the service that serves `model`."""
+        return self._by_model.get(model)
+
+    def for_plain(self, name: str) -> ServiceRoutes | None:
+        """Return the routes of the plain service `name`."""
+        routes = self._routes.get(name)
+        if routes is None or routes.service.kind is not ServiceKind.PLAIN:
+            return None
+        return routes
+
+    def find_target(self, name: str) -> Target | None:
+        """Return the target `name` of any service."""
+        for routes in self._routes.values():
+            if name in routes.targets:
+                return routes.targets[name]
+        return None
+
+    def _service_routes(self, service: Service) -> ServiceRoutes:
+        targets = [self._routable(target) for target in service.targets]
+        picker = CandidatePicker(targets, self._rng, self._candidates)
+        return ServiceRoutes(service, picker)
+
+    def _routable(self, target: Target) -> RoutableTarget:
+        domain_in = target.failure_domain not in self._domains_out
+        return RoutableTarget(
+            target.name,
+            target.failure_domain,
+            in_service=target.in_service and domain_in,
+            suspect=target.name in self._unavailable,
+        )
+
+
+class EntryContext:
+    """State shared by all requests of one entry process."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        holder: ConfigHolder,
+        peers: PeerPool,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.holder = holder
+        self.peers = peers
+        self.clock = clock
+        self.rng = rng
+        self.metrics = metrics
+        self.budget = RetryBudget()
+        self.breakers = CircuitBreakers(clock, rng)
+        self.routes: RouteTable | None = None
+        self.leaving = False
+        self.open_requests = 0
+        self.open_by_team: dict[str, int] = {}
+        self._unavailable: frozenset[str] = frozenset()
+        holder.subscribe(self._on_config)
+        if holder.record is not None:
+            self._on_config(holder.record)
+        metrics.gauge('open_requests', lambda: float(self.open_requests))
+
+    def peer(self, target: Target) -> PeerClient:
+        """Return the client of the agent beside `target`."""
+        return self.peers.get(target.agent)
+
+    def find_run_target(self, run_id: str) -> Target | None:
+        """Return the target that a run id names."""
+        if self.routes is None:
+            return None
+        return self.routes.find_target(run_id.rsplit('.', 3)[0])
+
+    def set_unavailable(self, targets: frozenset[str]) -> None:
+        """Keep new work from targets that membership says are gone."""
+        if targets == self._unavailable:
+            return
+        self._unavailable = targets
+        if self.holder.record is not None:
+            self._on_config(self.holder.record)
+
+    def _on_config(self, record: ConfigRecord) -> None:
+        self.routes = RouteTable(
+            record.document,
+            self._unavailable,
+            self.rng,
+            self.settings.candidates,
+        )
--- /dev/null
+++ b/wigeonmill/entry/plain.py
@@ -0,0 +1,223 @@
+"""Calls of plain services, with at-most-once calls by idempotency key."""
+
+import hashlib
+
+from tornado.httputil import HTTPHeaders
+
+from wigeonmill.config.model import CallRule
+from wigeonmill.config.model import Service
+from wigeonmill.config.model import Target
+from wigeonmill.entry.base import TeamHandler
+from wigeonmill.entry.context import ServiceRoutes
+from wigeonmill.entry.errors import ApiError
+from wigeonmill.entry.errors import Reason
+from wigeonmill.entry.refusals import agent_refusal
+from wigeonmill.entry.requests import parse_deadline
+from wigeonmill.protocol.client import PeerErrorKind
+from wigeonmill.protocol.gen.inner.ttypes import Call
+from wigeonmill.protocol.gen.inner.ttypes import CallReply
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
+from wigeonmill.protocol.gen.inner.ttypes import Header
+from wigeonmill.protocol.gen.inner.ttypes import Kind
+from wigeonmill.routing.retries import Attempts
+from wigeonmill.routing.retries import may_retry
+from wigeonmill.routing.retries import RetryReason
+
+KEY_HEADER = 'Idempotency-Key'
+MAX_KEY_CHARS = 255
+# Requests by these methods may be repeated (RFC 9110).
+IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
+# Time kept back from the deadline for the answer's way to the caller.
+ANSWER_MARGIN_MS = 50.0
+
+
+class PlainHandler(TeamHandler):
+    """Forwards one call to a target of a plain service."""
+
+    SUPPORTED_METHODS = (
+        'GET',
+        'HEAD',
+        'POST',
+        'DELETE',
+        'PATCH',
+        'PUT',
+        'OPTIONS',
+    )
+
+    async def get(self, service: str, path: str) -> None:
+        """Forward a call; every method is treated alike."""
+        if self._finished:
+            return
+        routes = self.routes.for_plain(service)
+        if routes is None:
+            message = f'no plain service is named {service!r}'
+            self.refuse(ApiError(Reason.UNKNOWN_SERVICE, message))
+            return
+        deadline = parse_deadline(
+            self.request.headers.get('X-Deadline-Ms', ''), self.limits
+        )
+        if deadline.is_err():
+            self.refuse(deadline.unwrap_err())
+            return
+        once = runs_once(routes.service, self.request.method or '', path)
+        key = self.request.headers.get(KEY_HEADER, '')
+        if once and not _valid_key(key):
+            message = (
+                f'this call runs at most once: send {KEY_HEADER} with 1 to '
+                f'{MAX_KEY_CHARS} printable characters'
+            )
+            self.refuse(ApiError(Reason.KEY_REQUIRED, message))
+            return
+        await self._forward(routes, path, key if once else '', deadline.ok())
+
+    head = get
+    post = get
+    delete = get
+    patch = get
+    put = get
+    options = get
+
+    async def _forward(
+        self, routes: ServiceRoutes, path: str, key: str, deadline_ms: int
+    ) -> None:
+        started_ms = self.context.clock.now_ms()
+        idempotent = not key and self.request.method in IDEMPOTENT_METHODS
+        attempts = Attempts(started_ms + deadline_ms, idempotent)
+        excluded: set[str] = set()
+        while True:
+            target = self._pick(routes, key, excluded)
+            if target is None:
+                message = 'no target of the service is available'
+                error = ApiError(Reason.NO_TARGET, message, 1000)
+                # A claimed call may have run on a target tried before.
+                self.refuse(_as_unknown(error, attempts))
+                return
+            excluded.add(target.name)
+            outcome = await self._attempt(routes, target, path, key, attempts)
+            if isinstance(outcome, CallReply):
+                self._answer(outcome)
+                return
+            if not self._may_retry(attempts):
+                self.refuse(outcome)
+                return
+            attempts.attempts += 1
+
+    def _pick(
+        self, routes: ServiceRoutes, key: str, excluded: set[str]
+    ) -> Target | None:
+        block_keys = []
+        if key:
+            seed = f'{self.team.name}\0{key}'.encode()
+            digest = hashlib.blake2b(seed, digest_size=16).digest()
+            block_keys = [digest]
+        names = routes.picker.pick(
+            block_keys, excluded, self.context.breakers.blocked
+        )
+        return routes.targets[names[0]] if names else None
+
+    async def _attempt(
+        self,
+        routes: ServiceRoutes,
+        target: Target,
+        path: str,
+        key: str,
+        attempts: Attempts,
+    ) -> CallReply | ApiError:
+        context = self.context
+        context.breakers.record_dispatch(target.name)
+        left_ms = attempts.deadline_ms - context.clock.now_ms()
+        call = self._call(routes.service.name, path, key, left_ms)
+        answer = await context.peer(target).request(
+            Envelope(Kind.CALL, call=call), max(left_ms, 1.0)
+        )
+        if answer.is_err():
+            context.breakers.record_failure(target.name)
+            error = answer.unwrap_err()
+            if error.kind is PeerErrorKind.UNREACHABLE:
+                return ApiError(Reason.NO_TARGET, error.message, 1000)
+            attempts.may_have_started = True
+            reason = Reason.OUTCOME_UNKNOWN
+            return ApiError(reason, error.message, 0, False)
+        reply = answer.unwrap().call_reply
+        if reply is None:
+            refusal = agent_refusal(answer.unwrap().refused)
+            if not refusal.not_run:
+                attempts.may_have_started = True
+            return refusal
+        if reply.digest != hashlib.sha256(reply.body or b'').digest():
+            attempts.may_have_started = True
+            context.metrics.count('answers_damaged', 'digest')
+            message = 'the answer arrived damaged'
+            return ApiError(Reason.OUTCOME_UNKNOWN, message, 0, False)
+        context.breakers.record_success(target.name)
+        context.budget.record_success()
+        return reply
+
+    def _call(
+        self, service: str, path: str, key: str, left_ms: float
+    ) -> Call:
+        query = f'?{self.request.query}' if self.request.query else ''
+        headers = [
+            Header(name, value)
+            for name, value in self.request.headers.get_all()
+        ]
+        return Call(
+            service,
+            self.team.name,
+            self.request.method,
+            f'/{path}{query}',
+            headers,
+            bytes(self.body),
+            int(max(left_ms - ANSWER_MARGIN_MS, 1.0)),
+            key,
+            self.request_id,
+            self.team.weight,
+        )
+
+    def _may_retry(self, attempts: Attempts) -> bool:
+        context = self.context
+        allowed = may_retry(
+            RetryReason.CONNECTION_LOST,
+            attempts,
+            context.budget,
+            context.clock,
+        )
+        if allowed.is_err():
+            denial = allowed.unwrap_err().value
+            context.metrics.count('retries_denied', denial)
+            return False
+        context.metrics.count('retries', RetryReason.CONNECTION_LOST.value)
+        return True
+
+    def _answer(self, reply: CallReply) -> None:
+        self.set_status(reply.status)
+        headers = HTTPHeaders()
+        for header in reply.headers or []:
+            headers.add(header.name, header.value)
+        for name, value in headers.get_all():
+            if name not in ('Server', 'Date', 'X-Request-Id'):
+                self.set_header(name, value)
+        self.context.metrics.count('answers')
+        bodiless = reply.status in (204, 304)
+        self.finish(None if bodiless else reply.body)
+
+
+def runs_once(service: Service, method: str, path: str) -> bool:
+    """Tell whether a call of a plain service may run at most once."""
+    return any(
+        _matches(rule, method, f'/{path}') for rule in service.non_repeatable
+    )
+
+
+def _matches(rule: CallRule, method: str, path: str) -> bool:
+    return rule.method == method and path.startswith(rule.path_prefix)
+
+
+def _valid_key(key: str) -> bool:
+    return 1 <= len(key) <= MAX_KEY_CHARS and key.isprintable()
+
+
+def _as_unknown(error: ApiError, attempts: Attempts) -> ApiError:
+    if not attempts.may_have_started:
+        return error
+    return ApiError(Reason.OUTCOME_UNKNOWN, error.message, 0, False)
--- /dev/null
+++ b/wigeonmill/entry/refusals.py
@@ -0,0 +1,62 @@
+"""Turns agents' refusals into callers' refusals."""
+
+from collections.abc import Sequence
+
+from wigeonmill.entry.errors import ApiError
+from wigeonmill.entry.errors import Reason
+from wigeonmill.protocol.gen.inner.ttypes import Refused
+from wigeonmill.routing.offers import Refusal
+from wigeonmill.routing.offers import TargetRefusal
+
+# Agents' reasons that callers see under another name.
+_CALLER_REASONS = {
+    'deadline': Reason.DEADLINE,
+    'quarantined': Reason.QUARANTINED,
+    'queue_full': Reason.OVERLOADED,
+    'cold': Reason.OVERLOADED,
+    'reservations_full': Reason.OVERLOADED,
+    'key_reused': Reason.KEY_REUSED,
+    'in_progress': Reason.IN_PROGRESS,
+    'unknown': Reason.OUTCOME_UNKNOWN,
+    'outcome_unknown': Reason.OUTCOME_UNKNOWN,
+    'not_run': Reason.NOT_RUN,
+    'run_not_found': Reason.UNKNOWN_RUN,
+    'target_error': Reason.TARGET_ERROR,
+    'interrupted': Reason.INTERRUPTED,
+}
+_MESSAGES = {
+    Reason.DEADLINE: 'the deadline is too near for an answer',
+    Reason.QUARANTINED: 'this request crashed targets and is quarantined',
+    Reason.OVERLOADED: 'all targets are busy',
+    Reason.UNKNOWN_RUN: 'no such run for this team',
+}
+
+
+def caller_reason(reason: str) -> Reason:
+    """Return the caller's reason for an agent's reason."""
+    return _CALLER_REASONS.get(reason, Reason.NO_TARGET)
+
+
+def agent_refusal(refused: Refused | None) -> ApiError:
+    """Return the caller's refusal for an agent's."""
+    if refused is None:
+        return ApiError(
+            Reason.INTERRUPTED, 'the agent gave no answer', 0, False
+        )
+    reason = caller_reason(refused.reason or '')
+    message = refused.message or _MESSAGES.get(reason, refused.reason)
+    retry_after_ms = int(refused.retry_after_ms or 0)
+    return ApiError(reason, message, retry_after_ms, bool(refused.not_run))
+
+
+def combined_refusal(
+    refusals: Sequence[TargetRefusal], combined: Refusal
+) -> ApiError:
+    """Return one refusal for a round in which nobody made an offer."""
+    for refusal in refusals:
+        if refusal.reason == 'quarantined':
+            reason = Reason.QUARANTINED
+            return ApiError(reason, _MESSAGES[reason])
+    reason = caller_reason(combined.reason)
+    message = _MESSAGES.get(reason, 'no target takes the request now')
+    return ApiError(reason, message, combined.retry_after_ms)
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -150,6 +150,13 @@
         finally:
             stream.close()
 
+    def notify(self, envelope: Envelope) -> None:
+        """Send an envelope that has no answer, if connected."""
+        if self._conn is not None:
+            envelope.stream = 0
+            envelope.config_serial = self.config_serial()
+            self._conn.send(envelope)
+
     def forget(self, stream_id: int) -> None:
         """Drop a stream's bookkeeping."""
         self._streams.pop(stream_id, None)
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -31,6 +31,7 @@
     CANCEL = 25
     RESUME = 26
     ACK = 27
+    DETACH = 28
     CALL = 30
     CALL_REPLY = 31
     GOSSIP = 40
@@ -53,6 +54,7 @@
         25: "CANCEL",
         26: "RESUME",
         27: "ACK",
+        28: "DETACH",
         30: "CALL",
         31: "CALL_REPLY",
         40: "GOSSIP",
@@ -76,6 +78,7 @@
         "CANCEL": 25,
         "RESUME": 26,
         "ACK": 27,
+        "DETACH": 28,
         "CALL": 30,
         "CALL_REPLY": 31,
         "GOSSIP": 40,
@@ -1499,6 +1502,7 @@
      - run_id
      - team
      - offset
+     - digest_from
 
     """
 
@@ -1506,13 +1510,15 @@
         'run_id',
         'team',
         'offset',
+        'digest_from',
     )
 
 
-    def __init__(self, run_id=None, team=None, offset=None,):
+    def __init__(self, run_id=None, team=None, offset=None, digest_from=0,):
         self.run_id = run_id
         self.team = team
         self.offset = offset
+        self.digest_from = digest_from
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1538,6 +1544,11 @@
                     self.offset = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.digest_from = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1560,6 +1571,10 @@
             oprot.writeFieldBegin('offset', TType.I64, 3)
             oprot.writeI64(self.offset)
             oprot.writeFieldEnd()
+        if self.digest_from is not None:
+            oprot.writeFieldBegin('digest_from', TType.I64, 4)
+            oprot.writeI64(self.digest_from)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3154,6 +3169,7 @@
     (1, TType.STRING, 'run_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'team', 'UTF8', None, ),  # 2
     (3, TType.I64, 'offset', None, None, ),  # 3
+    (4, TType.I64, 'digest_from', None, 0, ),  # 4
 )
 all_structs.append(Ack)
 Ack.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -18,6 +18,7 @@
   CANCEL = 25
   RESUME = 26
   ACK = 27
+  DETACH = 28
   CALL = 30
   CALL_REPLY = 31
   GOSSIP = 40
@@ -107,7 +108,8 @@
   4: i32 tokens
 }
 
-// Ends an answer. length and digest (SHA-256) cover the whole text.
+// Ends an answer. length counts the whole text; digest (SHA-256) covers it
+// from the start, or from a Resume's digest_from.
 struct RunEnd {
   1: string run_id
   2: i64 length
@@ -130,11 +132,13 @@
   1: string run_id
 }
 
-// Asks for the rest of an answer from a byte offset, by the same team.
+// Asks for the rest of an answer from a byte offset, by the same team. The
+// digest in its RunEnd covers the text from digest_from on.
 struct Resume {
   1: string run_id
   2: string team
   3: i64 offset
+  4: i64 digest_from = 0
 }
 
 struct Ack {
