--- a/wigeonmill/config/model.py
+++ b/wigeonmill/config/model.py
@@ -5,8 +5,36 @@
 """
 
 import enum
+from typing import Annotated
+import zlib
 
 import msgspec
+from msgspec import Meta
+
+# Python's `$` also matches before a final newline; this never does.
+_END = r'(?![\s\S])'
+
+Name = Annotated[
+    str,
+    Meta(
+        pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}' + _END,
+        description='Letters, digits, dot, underscore or hyphen; up to 63.',
+    ),
+]
+ModelName = Annotated[
+    str,
+    Meta(
+        pattern=r'^[A-Za-z0-9][A-Za-z0-9._:/-]{0,126}' + _END,
+        description='As a name, also with slash and colon; up to 127.',
+    ),
+]
+Address = Annotated[
+    str,
+    Meta(max_length=64, description='IP:port; IPv6 in square brackets.'),
+]
+InService = Annotated[
+    bool, Meta(description='False: receives no new work within seconds.')
+]
 
 
 class ServiceKind(enum.Enum):
@@ -23,18 +51,30 @@
     `address` the target's own HTTP address (IP:port).
     """
 
-    name: str
-    failure_domain: str
-    agent: str
-    address: str
-    in_service: bool = True
+    name: Name
+    failure_domain: Name
+    agent: Address
+    address: Address
+    in_service: InService = True
 
 
 class CallRule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Calls of a plain service that must run at most once."""
 
-    method: str
-    path_prefix: str
+    method: Annotated[
+        str,
+        Meta(
+            pattern=r'^[A-Z]{1,16}' + _END,
+            description='HTTP method in capitals.',
+        ),
+    ]
+    path_prefix: Annotated[
+        str,
+        Meta(
+            pattern=r'^/[!-~]{0,255}' + _END,
+            description='Path below the service, from its first slash.',
+        ),
+    ]
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -45,24 +85,41 @@
     says that the targets refuse orders with an old fencing number.
     """
 
-    name: str
+    name: Name
     kind: ServiceKind
     targets: list[Target]
-    model: str = ''
-    non_repeatable: list[CallRule] = []
-    fences_orders: bool = False
-    block_tokens: int = 1024
-    cold_concurrency: int = 1
-    max_concurrency: int = 64
-    concurrent_loads: int = 2
+    model: Annotated[
+        str, Meta(description='Model of a model service; else empty.')
+    ] = ''
+    non_repeatable: Annotated[
+        list[CallRule],
+        Meta(description='Calls of a plain service run at most once.'),
+    ] = []
+    fences_orders: Annotated[
+        bool,
+        Meta(description='The targets refuse an old fencing number.'),
+    ] = False
+    block_tokens: Annotated[
+        int, Meta(ge=16, le=65536, description='Tokens in a cache block.')
+    ] = 1024
+    cold_concurrency: Annotated[
+        int, Meta(ge=1, le=4096, description='Runs a cold target bears.')
+    ] = 1
+    max_concurrency: Annotated[
+        int, Meta(ge=1, le=4096, description='Runs a warm target bears.')
+    ] = 64
+    concurrent_loads: Annotated[
+        int,
+        Meta(ge=1, le=1024, description='Weight loads at the same time.'),
+    ] = 2
 
 
 class FailureDomain(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A failure domain; out of service it receives no new work."""
 
-    name: str
-    region: str
-    in_service: bool = True
+    name: Name
+    region: Name
+    in_service: InService = True
 
 
 class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -72,38 +129,64 @@
     are listed while a key is rotated. `weight` is its share under load.
     """
 
-    name: str
-    key_hashes: list[str]
-    weight: int = 1
-    max_open_requests: int = 256
+    name: Name
+    key_hashes: Annotated[
+        list[str],
+        Meta(description='SHA-256 of each key, 64 lower-case hex digits.'),
+    ]
+    weight: Annotated[
+        int, Meta(ge=1, le=1000, description='Share under load.')
+    ] = 1
+    max_open_requests: Annotated[
+        int, Meta(ge=1, le=100_000, description='Open requests per entry.')
+    ] = 256
 
 
 class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A model with the weight version to serve and its adapters."""
 
-    name: str
-    version: str
-    adapters: list[str] = []
+    name: ModelName
+    version: Annotated[
+        str, Meta(max_length=127, description='Weight version to serve.')
+    ]
+    adapters: Annotated[
+        list[ModelName], Meta(description='Adapters to load.')
+    ] = []
 
 
 class StoreVm(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A store VM for cache blocks at an HTTP address (IP:port)."""
 
-    name: str
-    failure_domain: str
-    address: str
-    in_service: bool = True
+    name: Name
+    failure_domain: Name
+    address: Address
+    in_service: InService = True
 
 
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limits that apply to every request."""
 
-    max_body_bytes: int = 4 * 1024 * 1024
-    max_prompt_tokens: int = 131072
-    max_answer_tokens: int = 8192
-    default_deadline_ms: int = 60_000
-    max_deadline_ms: int = 600_000
-    store_link_bytes_per_second: int = 200_000_000
+    max_body_bytes: Annotated[
+        int,
+        Meta(ge=1024, le=256 * 1024 * 1024, description='Bytes of a body.'),
+    ] = 4 * 1024 * 1024
+    max_prompt_tokens: Annotated[
+        int, Meta(ge=1, le=10_000_000, description='Tokens of a prompt.')
+    ] = 131072
+    max_answer_tokens: Annotated[
+        int, Meta(ge=1, le=1_000_000, description='Tokens of an answer.')
+    ] = 8192
+    default_deadline_ms: Annotated[
+        int,
+        Meta(ge=1, le=86_400_000, description='Milliseconds, if unnamed.'),
+    ] = 60_000
+    max_deadline_ms: Annotated[
+        int, Meta(ge=1, le=86_400_000, description='Milliseconds at most.')
+    ] = 600_000
+    store_link_bytes_per_second: Annotated[
+        int,
+        Meta(ge=1, le=10**12, description='Bytes a second of a store link.'),
+    ] = 200_000_000
 
 
 class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -133,12 +216,28 @@
 
 CONFIG_KEY = 'wigeonmill/config/current'
 
+# A stored record may not unpack to more than this.
+MAX_RECORD_BYTES = 16 * 1024 * 1024
+_JSON_START = b'{'
+
 
 def decode_record(data: bytes) -> ConfigRecord:
     """Decode a stored record; raises msgspec.DecodeError when malformed."""
-    return msgspec.json.decode(data, type=ConfigRecord)
+    text = data if data.startswith(_JSON_START) else _decompress(data)
+    return msgspec.json.decode(text, type=ConfigRecord)
 
 
 def encode_record(record: ConfigRecord) -> bytes:
-    """Encode a record for the key-value service."""
-    return msgspec.json.encode(record)
+    """Encode a record for the key-value service (zlib over JSON)."""
+    return zlib.compress(msgspec.json.encode(record))
+
+
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    try:
+        text = decompressor.decompress(data, MAX_RECORD_BYTES)
+    except zlib.error as exc:
+        raise msgspec.DecodeError(f'record is not zlib: {exc}') from exc
+    if not decompressor.eof:
+        raise msgspec.DecodeError('record is cut short or too large')
+    return text
