--- /dev/null
+++ b/tests/config/test_reader.py
@@ -0,0 +1,97 @@
+import importlib.resources
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from tests.config import samples
+from wigeonmill.config.model import ConfigRecord
+from wigeonmill.config.model import decode_record
+from wigeonmill.config.model import encode_record
+from wigeonmill.config.reader import parse_document
+from wigeonmill.config.reader import read_document
+from wigeonmill.config.schema import SCHEMA_FILE
+from wigeonmill.config.schema import schema_text
+
+
+def lines(tree):
+    return [f.line() for f in parse_document(json.dumps(tree).encode()).err()]
+
+
+def test_every_fault_comes_at_once_with_its_place():
+    tree = samples.load_tree()
+    tree['teams'][0]['weight'] = 'many'
+    tree['teams'][1]['waight'] = 3
+    tree['limits']['max_body_bytes'] = 1
+    tree['services'][1]['kind'] = 'simple'
+    del tree['services'][0]['targets']
+    found = lines(tree)
+    starts = [line.partition(':')[0] for line in found]
+    assert starts == [
+        '/limits/max_body_bytes',
+        '/services/0',
+        '/services/1/kind',
+        '/teams/0/weight',
+        '/teams/1/waight',
+    ]
+    assert 'at least 1024' in found[0]
+    assert "Add 'targets'" in found[1]
+    assert '"model", "plain"' in found[2]
+    assert '"many"' in found[3] and 'integer' in found[3]
+
+
+def test_malformed_json_has_line_and_column():
+    (fault,) = parse_document(b'{\n  "teams": [,]\n}').err()
+    assert 'line 2, column 13' in fault.problem
+
+
+@pytest.mark.parametrize(
+    'data, words',
+    [
+        (b'\xff', 'not UTF-8'),
+        (b'[' * 100_000, 'unusable JSON'),
+        (b'[' * 50 + b']' * 50, 'nested deeper'),
+        (b'{"teams": NaN}', 'not a JSON number'),
+        (b'{"teams": [], "teams": []}', 'twice'),
+        (b'[]', 'wrong type'),
+    ],
+)
+def test_unusable_text_is_a_fault(data, words):
+    assert any(words in fault.problem for fault in parse_document(data).err())
+
+
+def test_plain_key_in_place_of_its_hash_is_not_shown():
+    tree = samples.load_tree()
+    tree['teams'][0]['key_hashes'] = 'sk-very-secret'
+    assert 'very-secret' not in ''.join(lines(tree))
+
+
+def test_file_that_cannot_be_read_is_a_fault(tmp_path):
+    (fault,) = read_document(tmp_path / 'none.json').err()
+    assert 'No such file' in fault.problem
+
+
+def test_committed_schema_is_up_to_date():
+    package = importlib.resources.files('wigeonmill.config')
+    assert (package / SCHEMA_FILE).read_text() == schema_text()
+
+
+@given(st.binary(max_size=200) | st.text(max_size=200).map(str.encode))
+def test_any_text_gives_a_document_or_faults(data):
+    assert parse_document(data).is_err()
+
+
+def test_example_is_read_whole():
+    path = samples.EXAMPLES / 'isoko.json'
+    assert read_document(path).unwrap() == samples.load_example()
+
+
+def test_record_survives_storage_and_damage_is_noticed():
+    record = ConfigRecord(3, 'id', 'me', 5, samples.load_example())
+    data = encode_record(record)
+    assert decode_record(data) == record
+    for damaged in (data[:-9], b'x' + data, b''):
+        with pytest.raises(msgspec.DecodeError):
+            decode_record(damaged)
--- a/wigeonmill/config/model.py
+++ b/wigeonmill/config/model.py
@@ -18,14 +18,14 @@
     str,
     Meta(
         pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}' + _END,
-        description='Letters, digits, dot, underscore or hyphen; up to 63.',
+        description='1 to 63 letters, digits or . _ - (not first).',
     ),
 ]
 ModelName = Annotated[
     str,
     Meta(
         pattern=r'^[A-Za-z0-9][A-Za-z0-9._:/-]{0,126}' + _END,
-        description='As a name, also with slash and colon; up to 127.',
+        description='1 to 127 letters, digits or . _ : / - (not first).',
     ),
 ]
 Address = Annotated[
@@ -146,9 +146,7 @@
     """A model with the weight version to serve and its adapters."""
 
     name: ModelName
-    version: Annotated[
-        str, Meta(max_length=127, description='Weight version to serve.')
-    ]
+    version: ModelName
     adapters: Annotated[
         list[ModelName], Meta(description='Adapters to load.')
     ] = []
