--- /dev/null
+++ b/wigeonmill/platform/etcd.py
@@ -0,0 +1,202 @@
+"""A client of the key-value service over etcd's v3 JSON gateway."""
+
+import base64
+import math
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from wigeonmill.clock import Clock
+from wigeonmill.platform import etcd_messages as msg
+from wigeonmill.platform.etcd_watch import watch_once
+from wigeonmill.platform.http import HttpCall
+from wigeonmill.platform.http import HttpClient
+from wigeonmill.platform.http import HttpErrorKind
+from wigeonmill.platform.key_value import KvEntry
+from wigeonmill.platform.key_value import KvError
+from wigeonmill.platform.key_value import KvErrorKind
+from wigeonmill.platform.key_value import KvWatchBatch
+
+T = TypeVar('T')
+MAX_CALLS = 64
+MAX_WATCHES = 16
+_REFUSED_STATUSES = frozenset((429, 503))
+
+
+class EtcdKeyValue:
+    """The key-value service behind one or more gateway addresses.
+
+    `address` is IP:port, or several parted by commas, tried in order when
+    one is not reached. Must be used and closed inside a running loop.
+    """
+
+    __slots__ = ('_addresses', '_http', '_timeout_ms', '_watches')
+
+    def __init__(self, address: str, timeout_ms: int, clock: Clock) -> None:
+        self._addresses = [part.strip() for part in address.split(',')]
+        self._timeout_ms = timeout_ms
+        self._http = HttpClient(clock, MAX_CALLS)
+        self._watches = HttpClient(clock, MAX_WATCHES)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._http.close()
+        self._watches.close()
+
+    async def get(self, key: str) -> Result[KvEntry | None, KvError]:
+        req = msg.RangeRequest(msg.encode_key(key))
+        reply = await self._call('kv/range', req, msg.RangeReply, False)
+        if isinstance(reply, Err):
+            return reply
+        kvs = reply.ok_value.kvs
+        return Ok(_entry(kvs[0]) if kvs else None)
+
+    async def list_prefix(
+        self, prefix: str, limit: int = 0
+    ) -> Result[list[KvEntry], KvError]:
+        key = msg.range_key(prefix)
+        req = msg.RangeRequest(key, msg.prefix_end(key), str(limit))
+        reply = await self._call('kv/range', req, msg.RangeReply, False)
+        if isinstance(reply, Err):
+            return reply
+        return Ok([_entry(pair) for pair in reply.ok_value.kvs])
+
+    async def compare_and_swap(
+        self, key: str, expected_version: int, value: bytes, lease: int = 0
+    ) -> Result[int, KvError]:
+        wire_key = msg.encode_key(key)
+        wire_value = base64.b64encode(value).decode()
+        put = msg.PutRequest(wire_key, wire_value, str(lease))
+        return await self._txn(
+            wire_key, expected_version, msg.Operation(request_put=put)
+        )
+
+    async def delete(
+        self, key: str, expected_version: int
+    ) -> Result[None, KvError]:
+        wire_key = msg.encode_key(key)
+        delete = msg.DeleteRequest(wire_key)
+        reply = await self._txn(
+            wire_key,
+            expected_version,
+            msg.Operation(request_delete_range=delete),
+        )
+        return reply.map(lambda _revision: None)
+
+    async def grant_lease(self, ttl_ms: int) -> Result[int, KvError]:
+        """Return a new lease; its term is rounded up to whole seconds."""
+        seconds = max(math.ceil(ttl_ms / 1000), 1)
+        req = msg.LeaseGrantRequest(str(seconds))
+        reply = await self._call('lease/grant', req, msg.LeaseReply, True)
+        return reply.map(lambda granted: int(granted.ID))
+
+    async def keep_alive(self, lease: int) -> Result[None, KvError]:
+        req = msg.LeaseRequest(str(lease))
+        reply = await self._call(
+            'lease/keepalive', req, msg.LeaseStreamReply, True
+        )
+        if isinstance(reply, Err):
+            return reply
+        if int(reply.ok_value.result.TTL) <= 0:
+            return Err(KvError(KvErrorKind.INVALID, f'no lease {lease}'))
+        return Ok(None)
+
+    async def revoke_lease(self, lease: int) -> Result[None, KvError]:
+        req = msg.LeaseRequest(str(lease))
+        reply = await self._call('lease/revoke', req, msg.LeaseReply, True)
+        return reply.map(lambda _reply: None)
+
+    async def watch(
+        self, prefix: str, from_revision: int, wait_ms: int
+    ) -> Result[KvWatchBatch, KvError]:
+        key = msg.range_key(prefix)
+        create = msg.WatchCreate(key, msg.prefix_end(key), str(from_revision))
+        failed: Result[KvWatchBatch, KvError] = _unreached()
+        for address in self._addresses:
+            failed = await watch_once(
+                self._watches, f'http://{address}/v3/watch', create, wait_ms
+            )
+            if not _try_next(failed):
+                return failed
+        return failed
+
+    async def _txn(
+        self, key: str, version: int, operation: msg.Operation
+    ) -> Result[int, KvError]:
+        compare = msg.Compare(key, str(version))
+        req = msg.TxnRequest([compare], [operation])
+        reply = await self._call('kv/txn', req, msg.TxnReply, True)
+        if isinstance(reply, Err):
+            return reply
+        if not reply.ok_value.succeeded:
+            return Err(KvError(KvErrorKind.CONFLICT, 'version differs'))
+        return Ok(int(reply.ok_value.header.revision))
+
+    async def _call(
+        self, path: str, req: Any, kind: type[T], write: bool
+    ) -> Result[T, KvError]:
+        body = msgspec.json.encode(req)
+        outcome: Result[T, KvError] = _unreached()
+        for address in self._addresses:
+            call = HttpCall(
+                'POST',
+                f'http://{address}/v3/{path}',
+                self._timeout_ms,
+                body,
+                repeatable=not write,
+            )
+            outcome = await self._send(call, kind)
+            if not _try_next(outcome):
+                return outcome
+        return outcome
+
+    async def _send(self, call: HttpCall, kind: type[T]) -> Result[T, KvError]:
+        sent = await self._http.send(call)
+        if isinstance(sent, Err):
+            return Err(
+                _lost(sent.err_value.kind, sent.err_value.message, call)
+            )
+        reply = sent.ok_value
+        if reply.status in _REFUSED_STATUSES:
+            message = f'status {reply.status}'
+            return Err(KvError(KvErrorKind.UNAVAILABLE, message))
+        if 400 <= reply.status < 500:
+            message = reply.body.decode('utf-8', 'replace')
+            return Err(KvError(KvErrorKind.INVALID, message))
+        if reply.status >= 500:
+            message = f'status {reply.status}'
+            return Err(_lost(HttpErrorKind.BROKEN, message, call))
+        try:
+            return Ok(msgspec.json.decode(reply.body, type=kind))
+        except msgspec.MsgspecError as exc:
+            return Err(_lost(HttpErrorKind.BROKEN, str(exc), call))
+
+
+def _lost(kind: HttpErrorKind, message: str, call: HttpCall) -> KvError:
+    """Tell a call without effect from one whose effect is not known."""
+    if kind is HttpErrorKind.NOT_SENT or call.repeatable:
+        return KvError(KvErrorKind.UNAVAILABLE, message)
+    return KvError(KvErrorKind.UNKNOWN, message)
+
+
+def _try_next(outcome: Result[Any, KvError]) -> bool:
+    if isinstance(outcome, Ok):
+        return False
+    return outcome.err_value.kind is KvErrorKind.UNAVAILABLE
+
+
+def _unreached() -> Err[KvError]:
+    return Err(KvError(KvErrorKind.UNAVAILABLE, 'no address'))
+
+
+def _entry(pair: msg.KeyValuePair) -> KvEntry:
+    return KvEntry(
+        msg.decode_key(pair.key),
+        base64.b64decode(pair.value),
+        int(pair.mod_revision),
+        int(pair.lease),
+    )
--- /dev/null
+++ b/wigeonmill/platform/etcd_watch.py
@@ -0,0 +1,98 @@
+"""Reads one batch of changes from a watch stream of etcd's gateway."""
+
+import base64
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from wigeonmill.platform import etcd_messages as msg
+from wigeonmill.platform.http import CancelHandle
+from wigeonmill.platform.http import HttpCall
+from wigeonmill.platform.http import HttpClient
+from wigeonmill.platform.http import HttpErrorKind
+from wigeonmill.platform.key_value import KvEntry
+from wigeonmill.platform.key_value import KvError
+from wigeonmill.platform.key_value import KvErrorKind
+from wigeonmill.platform.key_value import KvEvent
+from wigeonmill.platform.key_value import KvWatchBatch
+
+
+class _Reader:
+    """Splits the stream into messages and stops it after the first batch."""
+
+    __slots__ = ('_cancel', '_buffer', 'opened_at', 'events', 'error')
+
+    def __init__(self, cancel: CancelHandle) -> None:
+        self._cancel = cancel
+        self._buffer = b''
+        self.opened_at: int | None = None
+        self.events: list[KvEvent] = []
+        self.error: KvError | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Take a piece of the stream."""
+        *lines, self._buffer = (self._buffer + data).split(b'\n')
+        for line in lines:
+            if line and not self._cancel.cancelled:
+                self._read(line)
+
+    def _read(self, line: bytes) -> None:
+        try:
+            reply = msgspec.json.decode(line, type=msg.WatchStreamReply).result
+        except msgspec.MsgspecError as exc:
+            self._fail(KvErrorKind.UNAVAILABLE, str(exc))
+            return
+        if reply.canceled:
+            self._fail(KvErrorKind.INVALID, 'revision was compacted')
+        elif reply.events:
+            self.events = [_event(event) for event in reply.events]
+            self._cancel.cancel()
+        elif reply.created:
+            self.opened_at = int(reply.header.revision)
+
+    def _fail(self, kind: KvErrorKind, message: str) -> None:
+        self.error = KvError(kind, message)
+        self._cancel.cancel()
+
+
+async def watch_once(
+    http: HttpClient, url: str, create: msg.WatchCreate, wait_ms: int
+) -> Result[KvWatchBatch, KvError]:
+    """Watch until the first batch of changes or for `wait_ms`."""
+    cancel = CancelHandle()
+    reader = _Reader(cancel)
+    body = msgspec.json.encode(msg.WatchRequest(create))
+    call = HttpCall(
+        'POST', url, wait_ms, body, cancel=cancel, on_data=reader.feed
+    )
+    sent = await http.send(call)
+    if reader.error is not None:
+        return Err(reader.error)
+    if reader.events:
+        last = reader.events[-1].revision
+        return Ok(KvWatchBatch(reader.events, last + 1))
+    timed_out = (
+        isinstance(sent, Err) and sent.err_value.kind is HttpErrorKind.TIMEOUT
+    )
+    if timed_out and reader.opened_at is not None:
+        start = int(create.start_revision) or reader.opened_at + 1
+        return Ok(KvWatchBatch([], start))
+    return Err(KvError(KvErrorKind.UNAVAILABLE, _describe(sent)))
+
+
+def _describe(sent: Result) -> str:
+    if isinstance(sent, Err):
+        return str(sent.err_value.message)
+    return f'status {sent.ok_value.status}'
+
+
+def _event(event: msg.WatchEvent) -> KvEvent:
+    pair = event.kv
+    key = msg.decode_key(pair.key)
+    revision = int(pair.mod_revision)
+    if event.type == 'DELETE':
+        return KvEvent(key, revision, None)
+    value = base64.b64decode(pair.value)
+    return KvEvent(key, revision, KvEntry(key, value, revision))
--- /dev/null
+++ b/wigeonmill/platform/http.py
@@ -0,0 +1,223 @@
+"""HTTP calls to the platform through curl, with outcomes as values."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import enum
+import os
+
+import pycurl
+from result import Err
+from result import Ok
+from result import Result
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPResponse
+
+from wigeonmill.clock import Clock
+
+MAX_BODY_BYTES = 256 * 1024 * 1024
+# Errors of curl that come before the first byte of a request is sent.
+_NOT_SENT = frozenset(
+    (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
+)
+
+
+class HttpErrorKind(enum.Enum):
+    """Why a call brought no reply."""
+
+    # The connection was not made; the other side saw nothing.
+    NOT_SENT = 'not_sent'
+    # No whole reply came in time.
+    TIMEOUT = 'timeout'
+    # The connection ended before the whole reply.
+    BROKEN = 'broken'
+    # The caller cancelled the call.
+    CANCELLED = 'cancelled'
+
+
+@dataclass(frozen=True, slots=True)
+class HttpError:
+    """A call without a whole reply."""
+
+    kind: HttpErrorKind
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A whole reply of any status, with the time it took."""
+
+    status: int
+    body: bytes
+    elapsed_ms: float
+
+
+class CancelHandle:
+    """Cuts off a call from outside; cancelling twice is harmless."""
+
+    __slots__ = ('cancelled', '_callbacks')
+
+    def __init__(self) -> None:
+        self.cancelled = False
+        self._callbacks: list[Callable[[], None]] = []
+
+    def cancel(self) -> None:
+        """Cut the call off now."""
+        if self.cancelled:
+            return
+        self.cancelled = True
+        for callback in self._callbacks:
+            callback()
+
+    def on_cancel(self, callback: Callable[[], None]) -> None:
+        """Run `callback` on cancellation, at once if already cancelled."""
+        if self.cancelled:
+            callback()
+        else:
+            self._callbacks.append(callback)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """One call.
+
+    With `repeatable` false curl never sends the request a second time when
+    a kept connection turns out to be dead. `on_data` receives the body of
+    the reply piece by piece in place of the reply's `body`.
+    """
+
+    method: str
+    url: str
+    timeout_ms: float
+    body: bytes | None = None
+    headers: dict[str, str] = field(default_factory=dict)
+    repeatable: bool = True
+    cancel: CancelHandle | None = None
+    on_data: Callable[[bytes], None] | None = None
+
+
+class HttpClient:
+    """A pool of curl handles, opened on first use inside the loop."""
+
+    __slots__ = ('_clock', '_curl', '_max_clients')
+
+    def __init__(self, clock: Clock, max_clients: int = 64) -> None:
+        self._clock = clock
+        self._max_clients = max_clients
+        self._curl: CurlAsyncHTTPClient | None = None
+
+    async def send(self, call: HttpCall) -> Result[HttpReply, HttpError]:
+        """Make one call; raises nothing."""
+        cancel = call.cancel or CancelHandle()
+        stopped: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        cancel.on_cancel(lambda: _set_done(stopped))
+        began_ms = self._clock.now_ms()
+        fetch = asyncio.ensure_future(
+            self._pool().fetch(_request(call, cancel), raise_error=False)
+        )
+        try:
+            await asyncio.wait(
+                (fetch, stopped), return_when=asyncio.FIRST_COMPLETED
+            )
+        except asyncio.CancelledError:
+            cancel.cancel()
+            fetch.add_done_callback(_ignore_outcome)
+            raise
+        if not fetch.done():
+            fetch.add_done_callback(_ignore_outcome)
+            return Err(HttpError(HttpErrorKind.CANCELLED, 'cancelled'))
+        elapsed_ms = self._clock.now_ms() - began_ms
+        return _outcome(fetch, elapsed_ms)
+
+    def close(self) -> None:
+        """Close every connection; calls in progress end without outcome."""
+        if self._curl is not None:
+            self._curl.close()
+            self._curl = None
+
+    def _pool(self) -> CurlAsyncHTTPClient:
+        if self._curl is None:
+            self._curl = CurlAsyncHTTPClient(
+                force_instance=True,
+                max_clients=self._max_clients,
+                max_body_size=MAX_BODY_BYTES,
+            )
+        return self._curl
+
+
+def _request(call: HttpCall, cancel: CancelHandle) -> HTTPRequest:
+    def prepare(curl: pycurl.Curl) -> None:
+        curl.setopt(pycurl.NOPROGRESS, 0)
+        curl.setopt(
+            pycurl.XFERINFOFUNCTION, lambda *_sizes: int(cancel.cancelled)
+        )
+        if not call.repeatable:
+            forbid_resend(curl, bool(call.body))
+
+    return HTTPRequest(
+        call.url,
+        method=call.method,
+        body=call.body,
+        headers=dict(call.headers),
+        connect_timeout=call.timeout_ms / 1000.0,
+        request_timeout=call.timeout_ms / 1000.0,
+        follow_redirects=False,
+        decompress_response=False,
+        allow_nonstandard_methods=True,
+        streaming_callback=call.on_data,
+        prepare_curl_callback=prepare,
+    )
+
+
+def forbid_resend(curl: pycurl.Curl, has_body: bool) -> None:
+    """Keep curl from sending a request again on its own.
+
+    Curl resends on a new connection when a kept one closes before the
+    first byte of a reply, though the server may have acted on the request.
+    Refusing to rewind a body that was read stops that; a request without a
+    body needs a connection of its own.
+    """
+    if has_body:
+        curl.setopt(
+            pycurl.SEEKFUNCTION, lambda _offset, _origin: pycurl.SEEKFUNC_FAIL
+        )
+    else:
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
+def _outcome(
+    fetch: asyncio.Future[HTTPResponse], elapsed_ms: float
+) -> Result[HttpReply, HttpError]:
+    exc = fetch.exception()
+    if exc is None:
+        response = fetch.result()
+        return Ok(HttpReply(response.code, response.body or b'', elapsed_ms))
+    if not isinstance(exc, CurlError):
+        return Err(HttpError(HttpErrorKind.BROKEN, str(exc)))
+    message = f'curl error {exc.errno}: {os.fsdecode(exc.message or "")}'
+    return Err(HttpError(_kind(exc.errno), message))
+
+
+def _kind(errno: int) -> HttpErrorKind:
+    if errno in _NOT_SENT:
+        return HttpErrorKind.NOT_SENT
+    if errno == pycurl.E_OPERATION_TIMEDOUT:
+        return HttpErrorKind.TIMEOUT
+    if errno == pycurl.E_ABORTED_BY_CALLBACK:
+        return HttpErrorKind.CANCELLED
+    return HttpErrorKind.BROKEN
+
+
+def _set_done(fut: asyncio.Future[None]) -> None:
+    if not fut.done():
+        fut.set_result(None)
+
+
+def _ignore_outcome(fut: asyncio.Future[HTTPResponse]) -> None:
+    if not fut.cancelled():
+        fut.exception()
--- a/wigeonmill/standins/memory_key_value.py
+++ b/wigeonmill/standins/memory_key_value.py
@@ -55,6 +55,8 @@
         self.faults = faults or KvFaults()
         self.calls: dict[str, int] = {}
         self.revision = 0
+        # The revision from which every event is still kept.
+        self.oldest_revision = 1
         self._entries: dict[str, KvEntry] = {}
         self._leases: dict[int, _Lease] = {}
         self._next_lease = 1
@@ -132,12 +134,21 @@
     async def watch(
         self, prefix: str, from_revision: int, wait_ms: int
     ) -> Result[KvWatchBatch, KvError]:
-        error = await self._admit('watch', write=False)
+        start = from_revision or self.revision + 1
+        error = await self.admit_watch()
         if error is not None:
             return Err(error)
-        start = from_revision or self.revision + 1
-        oldest = self._events[0].revision if self._events else 1
-        if start < oldest and len(self._events) >= HISTORY_EVENTS:
+        return await self.wait_events(prefix, start, wait_ms)
+
+    async def admit_watch(self) -> KvError | None:
+        """Count a new watch; return why it is refused, if it is."""
+        return await self._admit('watch', write=False)
+
+    async def wait_events(
+        self, prefix: str, start: int, wait_ms: int
+    ) -> Result[KvWatchBatch, KvError]:
+        """Wait for events from revision `start` on, as no call of its own."""
+        if start < self.oldest_revision:
             return Err(_error(KvErrorKind.INVALID, 'revision was compacted'))
         deadline_ms = self.clock.now_ms() + wait_ms
         while True:
@@ -257,6 +268,7 @@
         self._events.append(event)
         if len(self._events) > HISTORY_EVENTS:
             del self._events[: HISTORY_EVENTS // 10]
+            self.oldest_revision = self._events[0].revision
         changed = self._changed
         self._changed = asyncio.Event()
         changed.set()
