--- /dev/null
+++ b/wigeonmill/agent/model_service.py
@@ -0,0 +1,328 @@
+"""Runs prompts on the agent's model engine."""
+
+import asyncio
+import logging
+from typing import Any
+
+import msgspec
+
+from wigeonmill.agent.admission_types import Offer as TargetOffer
+from wigeonmill.agent.admission_types import OutcomeKind
+from wigeonmill.agent.admission_types import Refusal
+from wigeonmill.agent.admission_types import RefusalReason
+from wigeonmill.agent.admission_types import RunOutcome
+from wigeonmill.agent.admission_types import RunRequest
+from wigeonmill.agent.admission_types import Ticket
+from wigeonmill.agent.cache_planner import CachePlanner
+from wigeonmill.agent.context import AgentContext
+from wigeonmill.agent.engine import EngineClient
+from wigeonmill.agent.engine import EngineEnd
+from wigeonmill.agent.engine import EngineEndKind
+from wigeonmill.agent.engine import EngineStream
+from wigeonmill.agent.run_ids import RunId
+from wigeonmill.agent.runs import Run
+from wigeonmill.agent.runs import RunFailure
+from wigeonmill.agent.runs import RunSummary
+from wigeonmill.cache.keys import version_block_keys
+from wigeonmill.protocol.conn import Conn
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
+from wigeonmill.protocol.gen.inner.ttypes import Kind
+from wigeonmill.protocol.gen.inner.ttypes import Offer
+from wigeonmill.protocol.gen.inner.ttypes import OfferRequest
+from wigeonmill.protocol.gen.inner.ttypes import Refused
+from wigeonmill.protocol.gen.inner.ttypes import Run as RunMessage
+from wigeonmill.protocol.gen.inner.ttypes import RunAccepted
+
+logger = logging.getLogger(__name__)
+
+# The engine's status for a request it has no room for.
+_BUSY_STATUSES = frozenset((429, 503))
+_OUTCOMES = {
+    EngineEndKind.COMPLETED: OutcomeKind.COMPLETED,
+    EngineEndKind.CANCELLED: OutcomeKind.CANCELLED,
+    EngineEndKind.REJECTED: OutcomeKind.FAILED,
+    EngineEndKind.TIMEOUT: OutcomeKind.FAILED,
+    EngineEndKind.UNREACHABLE: OutcomeKind.CRASHED,
+    EngineEndKind.BROKEN: OutcomeKind.CRASHED,
+}
+
+
+class PendingRun:
+    """A run that waits for a slot or holds one."""
+
+    __slots__ = ('run', 'message', 'ticket', 'stream')
+
+    def __init__(self, run: Run, message: RunMessage, ticket: Ticket) -> None:
+        self.run = run
+        self.message = message
+        self.ticket = ticket
+        self.stream: EngineStream | None = None
+
+
+class ModelService:
+    """Offers, admits and runs prompts; one engine, one admission."""
+
+    def __init__(
+        self,
+        context: AgentContext,
+        engine: EngineClient,
+        planner: CachePlanner,
+    ) -> None:
+        self._context = context
+        self._engine = engine
+        self._planner = planner
+        self._pending: dict[int, PendingRun] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sequence = 0
+
+    @property
+    def busy(self) -> bool:
+        """True while a run waits or is in progress."""
+        return bool(self._pending)
+
+    def offer(self, message: OfferRequest) -> Offer:
+        """Return what the target would give a prompt now."""
+        context = self._context
+        if context.leaving:
+            return _no_offer(Refusal(RefusalReason.DRAINING))
+        request = self._request(message)
+        keys = self._keys(message.block_keys)
+        plan = self._planner.plan(keys, request.prompt_tokens)
+        made = context.admission.offer(request, plan, bool(message.reserve))
+        if made.is_err():
+            refusal = made.unwrap_err()
+            context.metrics.count('agent_refusals', refusal.reason.value)
+            return _no_offer(refusal)
+        return _offer_message(made.unwrap())
+
+    def release(self, reservation: int) -> None:
+        """Give back a reservation that its entry does not use."""
+        self._context.admission.release(reservation)
+        self.start_runnable()
+
+    def accept(self, conn: Conn, stream: int, message: RunMessage) -> None:
+        """Admit a run and answer with its id, or refuse it."""
+        context = self._context
+        if context.leaving:
+            refusal = Refusal(RefusalReason.DRAINING)
+            self._refuse(conn, stream, refusal)
+            return
+        request = self._request(message)
+        keys = self._keys(message.block_keys)
+        plan = self._planner.plan(keys, request.prompt_tokens)
+        admitted = context.admission.admit(
+            request, plan, message.reservation or 0
+        )
+        if admitted.is_err():
+            self._refuse(conn, stream, admitted.unwrap_err())
+            return
+        ticket = admitted.unwrap().ticket
+        run = self._make_run(message)
+        pending = PendingRun(run, message, ticket)
+        self._pending[ticket.id] = pending
+        run.cancel = lambda: self._cancel(pending)
+        accepted = RunAccepted(
+            run.run_id, ticket.weight_version, plan.cached_tokens
+        )
+        envelope = Envelope(Kind.RUN_ACCEPTED, stream, context.serial())
+        envelope.run_accepted = accepted
+        conn.send(envelope)
+        run.attach(conn, stream)
+        self.start_runnable()
+
+    def start_runnable(self) -> None:
+        """Start every waiting run that may start now."""
+        admission = self._context.admission
+        while True:
+            ticket = admission.next_runnable()
+            if ticket is None:
+                break
+            pending = self._pending[ticket.id]
+            task = asyncio.ensure_future(self._execute(pending))
+            self._tasks.add(task)
+            task.add_done_callback(self._on_task_done)
+        for refused in admission.take_refused():
+            self._refuse_waiting(refused.ticket, refused.refusal)
+
+    def _make_run(self, message: RunMessage) -> Run:
+        context = self._context
+        self._sequence += 1
+        run_id = RunId(
+            context.settings.target, context.incarnation, self._sequence
+        )
+        text = context.signer.issue(run_id, message.team)
+        run = Run(text, message.team, context.clock, context.serial)
+        context.runs.add(run)
+        return run
+
+    async def _execute(self, pending: PendingRun) -> None:
+        context = self._context
+        message = pending.message
+        keys = self._keys(message.block_keys, pending.ticket.weight_version)
+        await self._planner.prepare(keys, pending.ticket.plan)
+        started = context.admission.started(pending.ticket.id)
+        if started.is_err():
+            self._refuse_waiting(pending.ticket, started.unwrap_err())
+            return
+        if pending.run.ended:
+            # Its caller left during the import; the target sees nothing.
+            self._finish(pending, RunOutcome(OutcomeKind.CANCELLED))
+            return
+        waited_ms = context.clock.now_ms() - pending.ticket.admitted_ms
+        context.metrics.histogram('queue_wait').record(waited_ms)
+        end = await self._run_on_engine(pending, keys)
+        self._settle(pending, end)
+        self._planner.completed(keys)
+
+    async def _run_on_engine(
+        self, pending: PendingRun, keys: list[bytes]
+    ) -> EngineEnd:
+        context = self._context
+        first = True
+
+        def on_text(text: bytes, tokens: int) -> None:
+            nonlocal first
+            if first:
+                first = False
+                context.admission.first_token(pending.ticket.id)
+            pending.run.append(text, tokens)
+
+        stream = EngineStream(on_text)
+        pending.stream = stream
+        path, body = self._engine_request(pending, keys)
+        left_ms = pending.ticket.request.deadline_ms - context.clock.now_ms()
+        return await self._engine.run(path, body, stream, left_ms)
+
+    def _engine_request(
+        self, pending: PendingRun, keys: list[bytes]
+    ) -> tuple[str, bytes]:
+        message = pending.message
+        body: dict[str, Any] = msgspec.json.decode(message.body)
+        body['request_id'] = pending.run.run_id
+        body['weight_version'] = pending.ticket.weight_version
+        body['kv_block_keys'] = [key.hex() for key in keys]
+        body['prompt_tokens'] = message.prompt_tokens
+        body['priority'] = message.priority
+        body['stream'] = True
+        body['stream_options'] = {'include_usage': True}
+        path = '/v1/completions'
+        if 'messages' in body:
+            path = '/v1/chat/completions'
+        return path, msgspec.json.encode(body)
+
+    def _settle(self, pending: PendingRun, end: EngineEnd) -> None:
+        run = pending.run
+        if end.kind is EngineEndKind.COMPLETED:
+            run.finish(
+                RunSummary(
+                    end.finish_reason,
+                    end.prompt_tokens or pending.message.prompt_tokens,
+                    end.answer_tokens,
+                    end.cached_tokens,
+                )
+            )
+        else:
+            self._context.metrics.count('runs_failed', end.kind.value)
+            run.fail(_failure(end))
+        outcome = _OUTCOMES[end.kind]
+        if end.status in _BUSY_STATUSES:
+            outcome = OutcomeKind.OVERLOADED
+        self._finish(pending, RunOutcome(outcome, end.answer_tokens))
+
+    def _finish(self, pending: PendingRun, outcome: RunOutcome) -> None:
+        self._pending.pop(pending.ticket.id, None)
+        self._context.admission.finished(pending.ticket.id, outcome)
+        self.start_runnable()
+
+    def _refuse_waiting(self, ticket: Ticket, refusal: Refusal) -> None:
+        self._context.metrics.count('agent_refusals', refusal.reason.value)
+        pending = self._pending.pop(ticket.id, None)
+        if pending is not None:
+            failure = RunFailure(
+                refusal.reason.value, '', True, refusal.retry_after_ms
+            )
+            pending.run.fail(failure)
+
+    def _cancel(self, pending: PendingRun) -> None:
+        """Stop a run whose caller has left for good."""
+        if pending.run.ended:
+            return
+        self._context.metrics.count('runs_cancelled')
+        pending.run.fail(RunFailure('cancelled', 'cancelled', False))
+        if self._context.admission.withdraw(pending.ticket.id):
+            self._pending.pop(pending.ticket.id, None)
+            return
+        if pending.stream is not None:
+            pending.stream.cancel()
+            self._spawn_cancel(pending.run.run_id)
+
+    def _spawn_cancel(self, run_id: str) -> None:
+        task = asyncio.ensure_future(self._engine.cancel(run_id))
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: 'asyncio.Task[None]') -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error('a run broke an invariant', exc_info=task.exception())
+            raise SystemExit(1)
+
+    def _refuse(self, conn: Conn, stream: int, refusal: Refusal) -> None:
+        context = self._context
+        context.metrics.count('agent_refusals', refusal.reason.value)
+        refused = Refused(
+            refusal.reason.value, '', refusal.retry_after_ms, True
+        )
+        envelope = Envelope(Kind.REFUSED, stream, context.serial())
+        envelope.refused = refused
+        conn.send(envelope)
+
+    def _request(self, message: OfferRequest | RunMessage) -> RunRequest:
+        now_ms = self._context.clock.now_ms()
+        return RunRequest(
+            message.team,
+            message.weight_version or '',
+            message.prompt_tokens,
+            now_ms + message.deadline_ms,
+            message.team_weight or 1,
+            message.priority or 0,
+            message.fingerprint or b'',
+        )
+
+    def _keys(
+        self, keys: list[bytes] | None, version: str = ''
+    ) -> list[bytes]:
+        version = version or self._context.admission.weight_version
+        return version_block_keys(keys or [], version)
+
+
+def _offer_message(offer: TargetOffer) -> Offer:
+    return Offer(
+        '',
+        0,
+        offer.reservation,
+        offer.cached_tokens,
+        offer.fetchable_tokens,
+        offer.expected_wait_ms,
+        offer.expected_first_token_ms,
+    )
+
+
+def _no_offer(refusal: Refusal) -> Offer:
+    return Offer(refusal.reason.value, refusal.retry_after_ms)
+
+
+def _failure(end: EngineEnd) -> RunFailure:
+    """Return why a run failed.
+
+    An engine that can't be reached or that rejects has not run the prompt.
+    """
+    if end.kind is EngineEndKind.UNREACHABLE:
+        return RunFailure('unreachable', end.message, True)
+    if end.kind is EngineEndKind.REJECTED:
+        return RunFailure('target_error', end.message, True)
+    if end.kind is EngineEndKind.TIMEOUT:
+        return RunFailure('deadline', end.message, False)
+    if end.kind is EngineEndKind.CANCELLED:
+        return RunFailure('cancelled', end.message, False)
+    return RunFailure('crashed', end.message, False)
