Add admission: offers, reservations, fair order and the cold bound

One Admission decides for one target from exact state. A reservation holds a place for a short time, so that hundreds of entries cannot rush an idle target. Entries wait in lanes, so that a suspect or a long prompt holds up nobody else of its team: with one heap a suspect at the head stopped its team's short prompts, as the test showed.

--- a/tests/agent/test_fair_queue.py
+++ b/tests/agent/test_fair_queue.py
@@ -3,14 +3,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from wigeonmill.agent.fair_queue import Ahead
 from wigeonmill.agent.fair_queue import FairQueue
+from wigeonmill.agent.fair_queue import Lane
 from wigeonmill.agent.fair_queue import QueueEntry
 
 SHORT = 100
 
 
 def _entry(id_, team, cost=10, weight=1, priority=0, deadline=1e9, now=0.0):
-    return QueueEntry(id_, team, weight, priority, cost, deadline, now)
+    lane = Lane.SHORT if cost <= SHORT else Lane.LONG
+    return QueueEntry(id_, team, weight, priority, cost, deadline, now, lane)
 
 
 def _always(_entry):
@@ -19,7 +22,7 @@
 
 @given(st.integers(1, 4), st.integers(1, 4), st.integers(1, 50))
 def test_backlogged_teams_share_by_weight(one, other, cost):
-    queue = FairQueue(1000, SHORT)
+    queue = FairQueue(1000)
     for at in range(200):
         queue.push(_entry(at, 'a', cost, one))
         queue.push(_entry(1000 + at, 'b', cost, other))
@@ -30,7 +33,7 @@
 
 @given(st.lists(st.integers(1, 2000), min_size=1, max_size=30))
 def test_flood_of_one_team_starves_nobody(costs):
-    queue = FairQueue(1000, SHORT)
+    queue = FairQueue(1000)
     for at in range(300):
         queue.push(_entry(at, 'flood', 50))
     for at, cost in enumerate(costs):
@@ -43,14 +46,14 @@
 
 
 def test_short_entries_pass_a_long_one_that_waits_and_it_goes_next():
-    queue = FairQueue(10, SHORT)
+    queue = FairQueue(10)
     queue.push(_entry(1, 'a', cost=5000))
     queue.push(_entry(2, 'a', cost=10))
     queue.push(_entry(3, 'b', cost=10))
     queue.push(_entry(4, 'b', cost=10))
 
     def _short(entry):
-        return queue.is_short(entry.cost)
+        return entry.lane is Lane.SHORT
 
     assert [queue.pop(_short).id for _ in range(2)] == [2, 3]
     queue.push(_entry(5, 'a', cost=10))
@@ -59,7 +62,7 @@
 
 
 def test_priority_goes_first_but_does_not_starve_the_rest():
-    queue = FairQueue(10, SHORT)
+    queue = FairQueue(10)
     queue.push(_entry(1, 'a', now=0.0))
     queue.push(_entry(2, 'a', priority=1, now=5.0))
     queue.push(_entry(3, 'a', priority=1, now=20_000.0))
@@ -67,7 +70,7 @@
 
 
 def test_expired_entries_leave():
-    queue = FairQueue(10, SHORT)
+    queue = FairQueue(10)
     queue.push(_entry(1, 'a', deadline=50.0))
     queue.push(_entry(2, 'a', deadline=500.0))
     assert [entry.id for entry in queue.expire(50.0)] == [1]
@@ -77,7 +80,7 @@
 
 
 def test_full_queue_gives_up_the_flood_not_the_small_team():
-    queue = FairQueue(4, SHORT)
+    queue = FairQueue(4)
     for at in range(4):
         assert queue.push(_entry(at, 'flood')).ok_value is None
     assert queue.push(_entry(9, 'flood')).is_err()
@@ -85,9 +88,9 @@
     assert len(queue) == 4
 
 
-def test_cost_ahead_counts_the_fair_share_only():
-    queue = FairQueue(1000, SHORT)
+def test_work_ahead_counts_the_fair_share_only():
+    queue = FairQueue(1000)
     for at in range(100):
         queue.push(_entry(at, 'flood', 50))
-    assert queue.cost_ahead('small', 1, 50) == 50
-    assert queue.cost_ahead('flood', 1, 50) == 5000
+    assert queue.ahead('small', 1, 50) == Ahead(50, 1)
+    assert queue.ahead('flood', 1, 50) == Ahead(5000, 100)
--- /dev/null
+++ b/wigeonmill/agent/admission.py
@@ -0,0 +1,430 @@
+"""Decides what a target runs, when, and what it refuses.
+
+All of a target's work passes through one `Admission`, so that its state is
+exact. Every request goes `offer` (optional), `admit`, `next_runnable`,
+`started`, `first_token`, `finished`. Nothing here does I/O.
+"""
+
+from result import Err
+from result import Ok
+from result import Result
+
+from wigeonmill.agent.admission_types import AdmissionCounts
+from wigeonmill.agent.admission_types import AdmissionSettings
+from wigeonmill.agent.admission_types import Admitted
+from wigeonmill.agent.admission_types import Offer
+from wigeonmill.agent.admission_types import OutcomeKind
+from wigeonmill.agent.admission_types import Refusal
+from wigeonmill.agent.admission_types import RefusalReason
+from wigeonmill.agent.admission_types import RefusedTicket
+from wigeonmill.agent.admission_types import RunOutcome
+from wigeonmill.agent.admission_types import RunRequest
+from wigeonmill.agent.admission_types import Ticket
+from wigeonmill.agent.admission_types import TicketState
+from wigeonmill.agent.estimator import Estimate
+from wigeonmill.agent.estimator import Workload
+from wigeonmill.agent.in_flight import InFlight
+from wigeonmill.agent.quarantine import Quarantine
+from wigeonmill.agent.service_state import ServiceState
+from wigeonmill.agent.target_health import make_target_health
+from wigeonmill.agent.target_health import TargetHealth
+from wigeonmill.agent.waiting_list import WaitingList
+from wigeonmill.cache.tiers import TierPlan
+from wigeonmill.clock import Clock
+
+
+class Admission:
+    """Admission, order and limits of one target's work.
+
+    `health` takes load reports (`on_report`); the rest goes through here.
+    """
+
+    __slots__ = (
+        'health',
+        'counts',
+        '_clock',
+        '_settings',
+        '_state',
+        '_waiting',
+        '_in_flight',
+        '_refused',
+        '_next_id',
+    )
+
+    def __init__(
+        self,
+        clock: Clock,
+        settings: AdmissionSettings,
+        health: TargetHealth,
+        quarantine: Quarantine,
+    ) -> None:
+        self.health = health
+        self.counts = AdmissionCounts()
+        self._clock = clock
+        self._settings = settings
+        self._state = ServiceState(clock, quarantine)
+        self._waiting = WaitingList(settings)
+        self._in_flight = InFlight(settings.short_tokens)
+        self._refused: list[RefusedTicket] = []
+        self._next_id = 1
+
+    @property
+    def quarantine(self) -> Quarantine:
+        """What is suspected or known to crash targets."""
+        return self._state.quarantine
+
+    @property
+    def weight_version(self) -> str:
+        """The version that new runs get."""
+        return self._state.weight_version
+
+    @property
+    def limit(self) -> int:
+        """Runs that may hold a slot now."""
+        return self.health.limit
+
+    @property
+    def in_flight(self) -> list[Ticket]:
+        """The tickets that hold a slot."""
+        return list(self._in_flight)
+
+    @property
+    def running(self) -> int:
+        """Runs that hold a slot."""
+        return len(self._in_flight)
+
+    @property
+    def queued(self) -> int:
+        """Admitted requests that wait for a slot."""
+        return len(self._waiting)
+
+    @property
+    def reserved(self) -> int:
+        """Open reservations."""
+        return len(self._waiting.reservations)
+
+    def set_weight_version(self, weight_version: str) -> None:
+        """Take the version that the target reports ('' if none).
+
+        Runs in flight keep theirs; waiting requests for another version are
+        refused.
+        """
+        self._state.weight_version = weight_version
+        for ticket in self._waiting.tickets():
+            if not self._state.serves(ticket.request.weight_version):
+                self._refuse_waiting(ticket, RefusalReason.WEIGHT_VERSION)
+
+    def set_draining(self, draining: bool) -> None:
+        """Refuse new and waiting work while runs in flight go on."""
+        self._state.draining = draining
+        if draining:
+            self._refuse_all_waiting(RefusalReason.DRAINING)
+
+    def set_in_service(self, in_service: bool) -> None:
+        """Follow the operators' configuration."""
+        self._state.in_service = in_service
+        if not in_service:
+            self._refuse_all_waiting(RefusalReason.NOT_IN_SERVICE)
+
+    def offer(
+        self, request: RunRequest, plan: TierPlan, reserve: bool = True
+    ) -> Result[Offer, Refusal]:
+        """Return what the target would give a request, and hold a place."""
+        now_ms = self._clock.now_ms()
+        self._expire(now_ms)
+        refusal = self._refusal_of(request)
+        if refusal is not None:
+            return self._refused_now(refusal)
+        expected = self._estimate(request, plan)
+        late_ms = now_ms + expected.first_token_ms - request.deadline_ms
+        if late_ms > 0.0:
+            wait_ms = int(min(late_ms, expected.wait_ms))
+            late = Refusal(RefusalReason.DEADLINE, wait_ms)
+            return self._refused_now(late)
+        self.counts.offers += 1
+        return Ok(self._make_offer(request, plan, expected, reserve))
+
+    def release(self, reservation: int) -> None:
+        """Give a reservation back before it lapses."""
+        self._waiting.reservations.take(reservation)
+
+    def admit(
+        self, request: RunRequest, plan: TierPlan, reservation: int = 0
+    ) -> Result[Admitted, Refusal]:
+        """Queue a request, with the place of an offer or without one."""
+        now_ms = self._clock.now_ms()
+        self._expire(now_ms)
+        held = self._waiting.reservations.take(reservation)
+        refusal = self._refusal_of(request, has_place=held is not None)
+        if refusal is not None:
+            return self._refused_now(refusal)
+        ticket = self._make_ticket(request, plan, now_ms)
+        pushed = self._waiting.push(ticket)
+        if pushed.is_err():
+            return self._refused_now(self._no_place(RefusalReason.QUEUE_FULL))
+        self.counts.admitted += 1
+        displaced = pushed.unwrap()
+        if displaced is not None:
+            self._add_refused(displaced, RefusalReason.QUEUE_FULL)
+        return Ok(Admitted(ticket))
+
+    def next_runnable(self) -> Ticket | None:
+        """Give the next waiting request a slot, if one may start now."""
+        now_ms = self._clock.now_ms()
+        self._expire(now_ms)
+        if not self.health.reachable or self._in_flight.alone:
+            return None
+        if self.running >= self.limit:
+            return None
+        overdue = self._overdue_suspect(now_ms)
+        ticket = self._waiting.pop(
+            lambda waiting: self._may_start(waiting, overdue)
+        )
+        if ticket is None:
+            return None
+        ticket.state = TicketState.RUNNABLE
+        ticket.prefill_ahead = self._in_flight.prefill
+        self._in_flight.add(ticket)
+        return ticket
+
+    def started(self, ticket_id: int) -> Result[Ticket, Refusal]:
+        """Pass a runnable ticket to the target, after a last check.
+
+        To be called right before the target sees the request. On an error
+        the ticket's slot is free again and it was not run.
+        """
+        ticket = self._in_flight.get(ticket_id)
+        if ticket is None or ticket.state is not TicketState.RUNNABLE:
+            raise ValueError(f'ticket {ticket_id} is not runnable')
+        reason = self._reason_against_start(ticket)
+        if reason is not None:
+            self._in_flight.remove(ticket)
+            return self._refused_now(Refusal(reason))
+        ticket.state = TicketState.STARTED
+        ticket.started_ms = self._clock.now_ms()
+        if ticket.alone:
+            fingerprint = ticket.request.fingerprint
+            self.quarantine.on_retry(fingerprint, self._clock.wall_ms())
+        self.counts.started += 1
+        return Ok(ticket)
+
+    def first_token(self, ticket_id: int) -> None:
+        """Take the first token of a started run."""
+        ticket = self._in_flight.get(ticket_id)
+        if ticket is None or ticket.state is not TicketState.STARTED:
+            raise ValueError(f'ticket {ticket_id} has no first token to come')
+        ticket.first_token_ms = self._clock.now_ms()
+        self._in_flight.end_prefill(ticket)
+        took_ms = ticket.first_token_ms - ticket.started_ms
+        tokens = ticket.prefill_ahead + ticket.plan.recompute_tokens
+        ticket.healthy = self.health.on_first_token(tokens, took_ms)
+
+    def finished(self, ticket_id: int, outcome: RunOutcome) -> None:
+        """Take the end of a run that holds a slot."""
+        ticket = self._in_flight.get(ticket_id)
+        if ticket is None:
+            raise ValueError(f'ticket {ticket_id} holds no slot')
+        if outcome.kind is OutcomeKind.CRASHED and not ticket.blamed:
+            self.on_target_crashed()
+        state = ticket.state
+        self._in_flight.remove(ticket)
+        self._learn(ticket, state, outcome)
+        self.counts.finished += 1
+        outcomes = self.counts.outcomes
+        outcomes[outcome.kind] = outcomes.get(outcome.kind, 0) + 1
+
+    def withdraw(self, ticket_id: int) -> bool:
+        """Drop a waiting request whose caller left; False if not waiting."""
+        return self._waiting.remove(ticket_id) is not None
+
+    def take_refused(self) -> list[RefusedTicket]:
+        """Return the tickets refused while they waited, each once."""
+        refused = self._refused
+        self._refused = []
+        return refused
+
+    def on_connection_failed(self) -> None:
+        """Take a connection that the target refused or reset."""
+        self.health.on_connection_failed()
+        self._refuse_all_waiting(RefusalReason.UNREACHABLE)
+
+    def on_target_crashed(self) -> list[bytes]:
+        """Blame what the target had in flight; once for each run.
+
+        Returns the fingerprints that this crash has put in quarantine.
+        """
+        self.on_connection_failed()
+        blamed = [
+            ticket
+            for ticket in self._in_flight
+            if ticket.state is not TicketState.RUNNABLE and not ticket.blamed
+        ]
+        for ticket in blamed:
+            ticket.blamed = True
+        prints = [ticket.request.fingerprint for ticket in blamed]
+        known = [fingerprint for fingerprint in prints if fingerprint]
+        return self.quarantine.on_crash(known, self._clock.wall_ms())
+
+    def _refusal_of(
+        self, request: RunRequest, has_place: bool = False
+    ) -> Refusal | None:
+        reason = self._state.reason_against(request)
+        if reason is not None:
+            return Refusal(reason)
+        if not self.health.reachable:
+            return Refusal(RefusalReason.UNREACHABLE)
+        if has_place:
+            return None
+        places = self.running + self.queued + self.reserved
+        if self.health.cold and places >= self._cold_places():
+            return self._no_place(RefusalReason.COLD)
+        if not self._waiting.has_room(request):
+            return self._no_place(RefusalReason.QUEUE_FULL)
+        return None
+
+    def _cold_places(self) -> int:
+        return self.limit + self._settings.cold_queue
+
+    def _no_place(self, reason: RefusalReason) -> Refusal:
+        wait_ms = self.health.estimator.held_ms / self.limit
+        return Refusal(reason, int(wait_ms))
+
+    def _estimate(self, request: RunRequest, plan: TierPlan) -> Estimate:
+        missing = plan.recompute_tokens
+        ahead = self._waiting.ahead(request, max(1, missing))
+        workload = Workload(
+            prefill_ahead=self._in_flight.prefill,
+            queued_ahead=ahead.tokens,
+            slots_ahead=ahead.entries,
+            slots_free=max(0, self.limit - self.running),
+            limit=self.limit,
+        )
+        estimator = self.health.estimator
+        return estimator.estimate(workload, missing, plan.import_ms)
+
+    def _make_offer(
+        self,
+        request: RunRequest,
+        plan: TierPlan,
+        expected: Estimate,
+        reserve: bool,
+    ) -> Offer:
+        now_ms = self._clock.now_ms()
+        reservation, expires_ms = 0, now_ms
+        if reserve:
+            cost = max(1, plan.recompute_tokens)
+            reservations = self._waiting.reservations
+            held = reservations.reserve(request.team, cost, now_ms)
+            reservation, expires_ms = held.id, held.expires_ms
+        return Offer(
+            reservation,
+            expires_ms,
+            plan.cached_tokens,
+            plan.import_tokens,
+            expected.wait_ms,
+            expected.first_token_ms,
+        )
+
+    def _make_ticket(
+        self, request: RunRequest, plan: TierPlan, now_ms: float
+    ) -> Ticket:
+        ticket = Ticket(
+            self._next_id,
+            request,
+            plan,
+            request.weight_version or self._state.weight_version,
+            self._state.must_run_alone(request),
+            now_ms,
+        )
+        self._next_id += 1
+        return ticket
+
+    def _may_start(self, ticket: Ticket, overdue: Ticket | None) -> bool:
+        if overdue is not None and ticket is not overdue:
+            return False
+        if ticket.alone:
+            return self.running == 0
+        if ticket.cost <= self._settings.short_tokens:
+            return True
+        limit = self.limit
+        kept_slots = limit // self._settings.slots_per_short_slot
+        if self.running >= limit - kept_slots:
+            return False
+        in_flight = self._in_flight.long_prefill
+        allowed = self._settings.prefill_limit_tokens
+        return not in_flight or in_flight + ticket.cost <= allowed
+
+    def _overdue_suspect(self, now_ms: float) -> Ticket | None:
+        latest_ms = now_ms - self._settings.alone_wait_ms
+        for ticket in self._waiting.tickets():
+            if ticket.alone and ticket.admitted_ms <= latest_ms:
+                return ticket
+        return None
+
+    def _reason_against_start(self, ticket: Ticket) -> RefusalReason | None:
+        if not self.health.reachable:
+            return RefusalReason.UNREACHABLE
+        if not ticket.alone and self._state.must_run_alone(ticket.request):
+            return RefusalReason.SUSPECT
+        return self._state.reason_against(ticket.request)
+
+    def _learn(
+        self, ticket: Ticket, state: TicketState, outcome: RunOutcome
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        if outcome.kind is OutcomeKind.OVERLOADED:
+            self.health.on_overloaded()
+        elif outcome.kind is OutcomeKind.COMPLETED:
+            self.quarantine.on_healthy(ticket.request.fingerprint)
+            self.health.on_completed(ticket.healthy)
+            streamed = state is TicketState.STREAMING
+            self.health.estimator.on_finished(
+                now_ms - ticket.started_ms,
+                outcome.answer_tokens if streamed else 0,
+                now_ms - ticket.first_token_ms,
+            )
+        elif ticket.alone and _gives_retry_back(state, outcome):
+            fingerprint = ticket.request.fingerprint
+            wall_ms = self._clock.wall_ms()
+            self.quarantine.on_retry_cancelled(fingerprint, wall_ms)
+
+    def _expire(self, now_ms: float) -> None:
+        lapsed = self._waiting.reservations.expire(now_ms)
+        self.counts.lapsed_reservations += lapsed
+        for ticket in self._waiting.expire(now_ms):
+            self._add_refused(ticket, RefusalReason.DEADLINE)
+
+    def _refuse_all_waiting(self, reason: RefusalReason) -> None:
+        for ticket in self._waiting.tickets():
+            self._refuse_waiting(ticket, reason)
+
+    def _refuse_waiting(self, ticket: Ticket, reason: RefusalReason) -> None:
+        self._waiting.remove(ticket.id)
+        self._add_refused(ticket, reason)
+
+    def _add_refused(self, ticket: Ticket, reason: RefusalReason) -> None:
+        self._count(reason)
+        self._refused.append(RefusedTicket(ticket, Refusal(reason)))
+
+    def _refused_now(self, refusal: Refusal) -> Err[Refusal]:
+        self._count(refusal.reason)
+        return Err(refusal)
+
+    def _count(self, reason: RefusalReason) -> None:
+        refusals = self.counts.refusals
+        refusals[reason] = refusals.get(reason, 0) + 1
+
+
+def _gives_retry_back(state: TicketState, outcome: RunOutcome) -> bool:
+    crashed = outcome.kind is OutcomeKind.CRASHED
+    return not crashed and state is not TicketState.RUNNABLE
+
+
+def make_admission(
+    clock: Clock,
+    settings: AdmissionSettings,
+    quarantine: Quarantine | None = None,
+) -> Admission:
+    """Return the admission of a target of which nothing is known yet."""
+    health = make_target_health(settings)
+    return Admission(clock, settings, health, quarantine or Quarantine())
--- a/wigeonmill/agent/estimator.py
+++ b/wigeonmill/agent/estimator.py
@@ -8,6 +8,11 @@
 MIN_SAMPLES = 16
 # Weight of a new sample in the moving averages.
 EWMA_WEIGHT = 0.1
+# Weight of a new sample in the slowdown of a cold target.
+SLOWDOWN_WEIGHT = 0.3
+# Slowdown assumed of a target that has just turned cold.
+COLD_SLOWDOWN = 3.0
+MAX_SLOWDOWN = 20.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +60,7 @@
         '_decode_ms',
         '_held_ms',
         '_link_bytes_per_ms',
+        '_slowdown',
     )
 
     def __init__(self, prior: EstimatorPrior | None = None) -> None:
@@ -63,6 +69,7 @@
         self._decode_ms = self._prior.decode_ms_per_token
         self._held_ms = self._prior.held_ms
         self._link_bytes_per_ms = self._prior.link_bytes_per_ms
+        self._slowdown = 1.0
 
     @property
     def confident(self) -> bool:
@@ -84,7 +91,7 @@
         return self._first_token.line()[1] * tokens
 
     def first_token_ms(self, tokens: int) -> float:
-        """Return the expected time from start to first token.
+        """Return the time from start to first token at a warm target.
 
         `tokens` counts the run's own prefill and what is ahead of it.
         """
@@ -109,6 +116,20 @@
             rate = size_bytes / took_ms
             self._link_bytes_per_ms = _ewma(self._link_bytes_per_ms, rate)
 
+    def on_cold(self) -> None:
+        """Expect slower times than learned until `on_warm`."""
+        self._slowdown = max(self._slowdown, COLD_SLOWDOWN)
+
+    def on_warm(self) -> None:
+        """Expect the learned times again."""
+        self._slowdown = 1.0
+
+    def on_cold_first_token(self, tokens: int, took_ms: float) -> None:
+        """Learn how much slower a cold target is than a warm one."""
+        ratio = took_ms / max(1.0, self.first_token_ms(tokens))
+        ratio = min(max(1.0, ratio), MAX_SLOWDOWN)
+        self._slowdown += SLOWDOWN_WEIGHT * (ratio - self._slowdown)
+
     def forget_first_tokens(self) -> None:
         """Return to the prior, when the target has changed for good."""
         self._first_token = self._fresh_fit()
@@ -127,13 +148,14 @@
         """
         wait_ms = self._wait_ms(workload)
         ready_ms = max(wait_ms, import_ms)
-        own_ms = self.first_token_ms(missing_tokens)
+        own_ms = self.first_token_ms(missing_tokens) * self._slowdown
         return Estimate(wait_ms, ready_ms + own_ms)
 
     def _wait_ms(self, workload: Workload) -> float:
         queued_ms = self.prefill_ms(workload.queued_ahead)
         prefill_ms = self.prefill_ms(workload.prefill_ahead)
-        return max(prefill_ms + queued_ms, self._slot_ms(workload))
+        ahead_ms = (prefill_ms + queued_ms) * self._slowdown
+        return max(ahead_ms, self._slot_ms(workload))
 
     def _slot_ms(self, workload: Workload) -> float:
         lacking = workload.slots_ahead + 1 - workload.slots_free
--- a/wigeonmill/agent/fair_queue.py
+++ b/wigeonmill/agent/fair_queue.py
@@ -2,13 +2,15 @@
 
 Start-time fair queueing: each team's next entry carries a virtual start
 time, and the team with the least goes first. The cost of an entry is its
-prefill in tokens. Short entries may pass a long one that waits for prefill
-to drain; the long one keeps its virtual time, so it goes first once it may.
+prefill in tokens. Entries wait in lanes: one that may not start yet (a long
+prompt while prefill drains) holds up its own lane only. It keeps its virtual
+time, so it goes first once it may.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+import enum
 import heapq
 import itertools
 
@@ -20,6 +22,14 @@
 PRIORITY_STEP_MS = 10_000.0
 
 
+class Lane(enum.Enum):
+    """Entries that may start under the same conditions."""
+
+    SHORT = 'short'
+    LONG = 'long'
+    ALONE = 'alone'
+
+
 @dataclass(slots=True, eq=False)
 class QueueEntry:
     """Work that waits; `cost` is its prefill in tokens (at least 1).
@@ -35,6 +45,7 @@
     cost: int
     deadline_ms: float
     enqueued_ms: float
+    lane: Lane = Lane.SHORT
     queued: bool = field(default=False, init=False)
 
 
@@ -45,6 +56,22 @@
     queued_cost: int
 
 
+@dataclass(frozen=True, slots=True)
+class Ahead:
+    """Work that goes before a new entry; `tokens` are of prefill."""
+
+    tokens: int
+    entries: int
+
+
+# Rank within the team, sequence number, entry.
+_Item = tuple[float, int, QueueEntry]
+
+
+def _rank(item: _Item) -> tuple[float, int]:
+    return item[:2]
+
+
 @dataclass(slots=True)
 class _Team:
     name: str
@@ -52,16 +79,25 @@
     finish: float = 0.0
     cost: int = 0
     count: int = 0
-    short: list[tuple[float, int, QueueEntry]] = field(default_factory=list)
-    long: list[tuple[float, int, QueueEntry]] = field(default_factory=list)
+    lanes: dict[Lane, list[_Item]] = field(default_factory=dict)
 
-    def heads(self) -> list[tuple[float, int, QueueEntry]]:
-        """Return the first entry of each class, best first."""
-        for heap in (self.short, self.long):
+    def heads(self) -> list[_Item]:
+        """Return the first entry of each lane, best first."""
+        for heap in self.lanes.values():
             while heap and not heap[0][2].queued:
                 heapq.heappop(heap)
-        heads = [heap[0] for heap in (self.short, self.long) if heap]
-        return sorted(heads, key=lambda head: head[:2])
+        heads = [heap[0] for heap in self.lanes.values() if heap]
+        return sorted(heads, key=_rank)
+
+    def last(self) -> QueueEntry:
+        """Return the entry that would go last."""
+        items = [
+            item
+            for heap in self.lanes.values()
+            for item in heap
+            if item[2].queued
+        ]
+        return max(items, key=_rank)[2]
 
 
 class FairQueue:
@@ -69,7 +105,6 @@
 
     __slots__ = (
         '_max_entries',
-        '_short_cost',
         '_teams',
         '_deadlines',
         '_virtual',
@@ -78,12 +113,10 @@
         '_cost',
     )
 
-    def __init__(self, max_entries: int, short_cost: int) -> None:
-        """Entries of at most `short_cost` tokens count as short."""
+    def __init__(self, max_entries: int) -> None:
         self._max_entries = max_entries
-        self._short_cost = short_cost
         self._teams: dict[str, _Team] = {}
-        self._deadlines: list[tuple[float, int, QueueEntry]] = []
+        self._deadlines: list[_Item] = []
         self._virtual = 0.0
         self._sequence = itertools.count()
         self._count = 0
@@ -97,10 +130,6 @@
         """Prefill tokens of all waiting entries."""
         return self._cost
 
-    def is_short(self, cost: int) -> bool:
-        """Return whether an entry of this cost counts as short."""
-        return cost <= self._short_cost
-
     def push(self, entry: QueueEntry) -> Result[QueueEntry | None, QueueFull]:
         """Add an entry.
 
@@ -122,7 +151,7 @@
     ) -> QueueEntry | None:
         """Remove and return the next entry that `may_start` allows.
 
-        It is asked for at most one short and one long entry of each team.
+        It is asked for at most one entry of each team and lane.
         """
         waiting = [team for team in self._teams.values() if team.count]
         for team in sorted(waiting, key=_order):
@@ -157,20 +186,22 @@
                 expired.append(entry)
         return expired
 
-    def cost_ahead(self, team: str, weight: int, cost: int) -> int:
-        """Return the tokens likely to be served before a new entry.
+    def ahead(self, team: str, weight: int, cost: int) -> Ahead:
+        """Return what is likely to be served before a new entry.
 
         Other teams get their fair share meanwhile, at most what they have
         waiting; the new entry's own team is served in order.
         """
         own = self._teams.get(team)
-        own_cost = own.cost if own else 0
-        rounds = (own_cost + cost) / weight
-        ahead = float(own_cost)
+        tokens = float(own.cost) if own else 0.0
+        entries = float(own.count) if own else 0.0
+        rounds = (tokens + cost) / weight
         for other in self._teams.values():
-            if other.name != team:
-                ahead += min(float(other.cost), rounds * other.weight)
-        return int(ahead)
+            if other.name != team and other.cost:
+                share = min(1.0, rounds * other.weight / other.cost)
+                tokens += share * other.cost
+                entries += share * other.count
+        return Ahead(int(tokens), int(entries))
 
     def _add(self, entry: QueueEntry) -> None:
         team = self._teams.get(entry.team)
@@ -184,7 +215,7 @@
         entry.queued = True
         sequence = next(self._sequence)
         rank = entry.enqueued_ms - entry.priority * PRIORITY_STEP_MS
-        heap = team.short if self.is_short(entry.cost) else team.long
+        heap = team.lanes.setdefault(entry.lane, [])
         heapq.heappush(heap, (rank, sequence, entry))
         heapq.heappush(self._deadlines, (entry.deadline_ms, sequence, entry))
         team.cost += entry.cost
@@ -205,13 +236,7 @@
         own_count = (own.count if own else 0) + 1
         if own_count / entry.weight >= _share(most):
             return None
-        waiting = [
-            item
-            for heap in (most.short, most.long)
-            for item in heap
-            if item[2].queued
-        ]
-        return max(waiting, key=lambda item: item[:2])[2]
+        return most.last()
 
     def _drop_idle_teams(self) -> None:
         idle = [
--- /dev/null
+++ b/wigeonmill/agent/in_flight.py
@@ -0,0 +1,64 @@
+"""The runs that hold a slot at the target."""
+
+from collections.abc import Iterator
+
+from wigeonmill.agent.admission_types import Ticket
+from wigeonmill.agent.admission_types import TicketState
+
+
+class InFlight:
+    """Runs with a slot and the prefill that they still have to do."""
+
+    __slots__ = ('_tickets', '_short_tokens', '_prefill', '_long_prefill')
+
+    def __init__(self, short_tokens: int) -> None:
+        self._short_tokens = short_tokens
+        self._tickets: dict[int, Ticket] = {}
+        self._prefill = 0
+        self._long_prefill = 0
+
+    def __len__(self) -> int:
+        return len(self._tickets)
+
+    def __iter__(self) -> Iterator[Ticket]:
+        return iter(self._tickets.values())
+
+    @property
+    def prefill(self) -> int:
+        """Tokens of prefill in flight."""
+        return self._prefill
+
+    @property
+    def long_prefill(self) -> int:
+        """Tokens of prefill in flight by runs that aren't short."""
+        return self._long_prefill
+
+    @property
+    def alone(self) -> bool:
+        """Whether a run is in flight that must run alone."""
+        return any(ticket.alone for ticket in self._tickets.values())
+
+    def get(self, ticket_id: int) -> Ticket | None:
+        """Return the run with this id."""
+        return self._tickets.get(ticket_id)
+
+    def add(self, ticket: Ticket) -> None:
+        """Give a run a slot."""
+        self._tickets[ticket.id] = ticket
+        self._change_prefill(ticket, ticket.cost)
+
+    def end_prefill(self, ticket: Ticket) -> None:
+        """Take a run's prefill as done."""
+        if ticket.state is not TicketState.STREAMING:
+            ticket.state = TicketState.STREAMING
+            self._change_prefill(ticket, -ticket.cost)
+
+    def remove(self, ticket: Ticket) -> None:
+        """Free a run's slot."""
+        self.end_prefill(ticket)
+        del self._tickets[ticket.id]
+
+    def _change_prefill(self, ticket: Ticket, tokens: int) -> None:
+        self._prefill += tokens
+        if ticket.cost > self._short_tokens:
+            self._long_prefill += tokens
--- /dev/null
+++ b/wigeonmill/agent/service_state.py
@@ -0,0 +1,55 @@
+"""Whether a target may take a request at all, whatever its load."""
+
+from wigeonmill.agent.admission_types import RefusalReason
+from wigeonmill.agent.admission_types import RunRequest
+from wigeonmill.agent.quarantine import Quarantine
+from wigeonmill.agent.quarantine import Verdict
+from wigeonmill.clock import Clock
+
+_REASON_OF_VERDICT = {
+    Verdict.RETRY_SPENT: RefusalReason.SUSPECT,
+    Verdict.QUARANTINED: RefusalReason.QUARANTINED,
+}
+
+
+class ServiceState:
+    """The configuration, weight version and quarantine of a target."""
+
+    __slots__ = (
+        'draining',
+        'in_service',
+        'weight_version',
+        'quarantine',
+        '_clock',
+    )
+
+    def __init__(self, clock: Clock, quarantine: Quarantine) -> None:
+        self.draining = False
+        self.in_service = True
+        self.weight_version = ''
+        self.quarantine = quarantine
+        self._clock = clock
+
+    def reason_against(self, request: RunRequest) -> RefusalReason | None:
+        """Return why a new request can't run here; None if it can."""
+        if not self.in_service:
+            return RefusalReason.NOT_IN_SERVICE
+        if self.draining:
+            return RefusalReason.DRAINING
+        if not self.serves(request.weight_version):
+            return RefusalReason.WEIGHT_VERSION
+        return _REASON_OF_VERDICT.get(self._verdict(request))
+
+    def must_run_alone(self, request: RunRequest) -> bool:
+        """Return whether the request is suspected of crashing targets."""
+        return self._verdict(request) is Verdict.ALONE
+
+    def serves(self, weight_version: str) -> bool:
+        """Return whether new runs of a version may start."""
+        return weight_version in ('', self.weight_version)
+
+    def _verdict(self, request: RunRequest) -> Verdict:
+        if not request.fingerprint:
+            return Verdict.CLEAR
+        now_ms = self._clock.wall_ms()
+        return self.quarantine.verdict(request.fingerprint, now_ms)
--- /dev/null
+++ b/wigeonmill/agent/target_health.py
@@ -0,0 +1,128 @@
+"""What is known of a target: cold or warm, how fast, and its limit."""
+
+import logging
+
+from wigeonmill.agent.admission_types import AdmissionSettings
+from wigeonmill.agent.cold_start import ColdSign
+from wigeonmill.agent.cold_start import ColdStartDetector
+from wigeonmill.agent.estimator import Estimator
+from wigeonmill.agent.limiter import ConcurrencyLimiter
+from wigeonmill.agent.limiter import make_limiter
+
+logger = logging.getLogger(__name__)
+
+
+class TargetHealth:
+    """Joins the cold-start detector, the limiter and the estimator.
+
+    A target starts out cold and reachable.
+    """
+
+    __slots__ = (
+        'estimator',
+        'reachable',
+        'cold_signs',
+        '_limiter',
+        '_detector',
+        '_settings',
+        '_slow_while_cold',
+    )
+
+    def __init__(
+        self,
+        settings: AdmissionSettings,
+        limiter: ConcurrencyLimiter,
+        detector: ColdStartDetector,
+        estimator: Estimator,
+    ) -> None:
+        self.estimator = estimator
+        self.reachable = True
+        self.cold_signs: dict[ColdSign, int] = {}
+        self._limiter = limiter
+        self._detector = detector
+        self._settings = settings
+        self._slow_while_cold = 0
+
+    @property
+    def limit(self) -> int:
+        """Runs that the target bears now."""
+        return self._limiter.limit
+
+    @property
+    def cold(self) -> bool:
+        """Whether the target is held to its cold limit."""
+        return self._limiter.cold
+
+    def on_report(self, incarnation: str, uptime_ms: float) -> None:
+        """Take a load report, which also shows that the target answers."""
+        self.reachable = True
+        sign = self._detector.on_report(incarnation, uptime_ms)
+        if sign is not None:
+            self._turn_cold(sign)
+
+    def on_connection_failed(self) -> None:
+        """Take a refused or reset connection."""
+        self.reachable = False
+        self._turn_cold(self._detector.on_connection_failed())
+
+    def on_first_token(self, tokens: int, took_ms: float) -> bool:
+        """Take a first token; returns whether its time was healthy.
+
+        `tokens` counts the run's own prefill and what was ahead of it.
+        """
+        if not self.estimator.confident:
+            self.estimator.on_first_token(tokens, took_ms)
+            return True
+        expected_ms = self.estimator.first_token_ms(tokens)
+        sign = self._detector.on_first_token(took_ms, expected_ms)
+        if sign is not None:
+            self._turn_cold(sign)
+        healthy = self._is_healthy(took_ms, expected_ms)
+        if self.cold:
+            self._learn_while_cold(tokens, took_ms, healthy)
+        else:
+            self.estimator.on_first_token(tokens, took_ms)
+        return healthy
+
+    def on_completed(self, healthy: bool) -> None:
+        """Take a completed run whose first token was healthy or not."""
+        if not healthy:
+            return
+        was_cold = self.cold
+        self._limiter.on_healthy()
+        if was_cold and not self.cold:
+            self.estimator.on_warm()
+            logger.info('target is warm')
+
+    def on_overloaded(self) -> None:
+        """Take a refusal of the target for too much work."""
+        self._limiter.on_overload()
+
+    def _is_healthy(self, took_ms: float, expected_ms: float) -> bool:
+        factor = self._settings.healthy_factor
+        floor_ms = self._settings.healthy_floor_ms
+        return took_ms <= expected_ms * factor + floor_ms
+
+    def _learn_while_cold(
+        self, tokens: int, took_ms: float, healthy: bool
+    ) -> None:
+        self.estimator.on_cold_first_token(tokens, took_ms)
+        self._slow_while_cold = 0 if healthy else self._slow_while_cold + 1
+        if self._slow_while_cold >= self._settings.relearn_after:
+            # Slow for so long is the target's new normal speed.
+            self._slow_while_cold = 0
+            self.estimator.forget_first_tokens()
+            logger.warning('target stays slow, learning its speed anew')
+
+    def _turn_cold(self, sign: ColdSign) -> None:
+        if not self.cold:
+            logger.warning('target is cold: %s', sign.value)
+        self.cold_signs[sign] = self.cold_signs.get(sign, 0) + 1
+        self._limiter.on_cold()
+        self.estimator.on_cold()
+
+
+def make_target_health(settings: AdmissionSettings) -> TargetHealth:
+    """Return the health of a target of which nothing is known yet."""
+    limiter = make_limiter(settings.cold_concurrency, settings.max_concurrency)
+    return TargetHealth(settings, limiter, ColdStartDetector(), Estimator())
--- /dev/null
+++ b/wigeonmill/agent/waiting_list.py
@@ -0,0 +1,113 @@
+"""Admitted requests that wait for a slot, and places held for offers."""
+
+from collections.abc import Callable
+
+from result import Err
+from result import Ok
+from result import Result
+
+from wigeonmill.agent.admission_types import AdmissionSettings
+from wigeonmill.agent.admission_types import RunRequest
+from wigeonmill.agent.admission_types import Ticket
+from wigeonmill.agent.fair_queue import Ahead
+from wigeonmill.agent.fair_queue import FairQueue
+from wigeonmill.agent.fair_queue import Lane
+from wigeonmill.agent.fair_queue import QueueEntry
+from wigeonmill.agent.fair_queue import QueueFull
+from wigeonmill.agent.reservations import Reservations
+
+
+class WaitingList:
+    """The fair queue of tickets together with the reservations."""
+
+    __slots__ = ('reservations', '_queue', '_waiting', '_settings')
+
+    def __init__(self, settings: AdmissionSettings) -> None:
+        self.reservations = Reservations(settings.reservation_ms)
+        self._queue = FairQueue(settings.max_queue)
+        self._settings = settings
+        self._waiting: dict[int, tuple[Ticket, QueueEntry]] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def tickets(self) -> list[Ticket]:
+        """Return the waiting tickets in the order of their admission."""
+        return [ticket for ticket, _entry in self._waiting.values()]
+
+    def has_room(self, request: RunRequest) -> bool:
+        """Return whether there is a place for one more of the team.
+
+        When all places are taken, a team that holds less than another still
+        gets one: the other gives up a place when the request is admitted.
+        """
+        if (
+            len(self._queue) + len(self.reservations)
+            < self._settings.max_queue
+        ):
+            return True
+        places = self.reservations.team_counts()
+        for ticket, _entry in self._waiting.values():
+            team = ticket.request.team
+            places[team] = places.get(team, 0) + 1
+        own = places.pop(request.team, 0) + 1
+        return own / request.team_weight < max(places.values(), default=0)
+
+    def ahead(self, request: RunRequest, cost: int) -> Ahead:
+        """Return what goes before a new request, reservations included."""
+        queued = self._queue.ahead(request.team, request.team_weight, cost)
+        tokens = queued.tokens + self.reservations.cost
+        return Ahead(tokens, queued.entries + len(self.reservations))
+
+    def push(self, ticket: Ticket) -> Result[Ticket | None, QueueFull]:
+        """Add a ticket; returns the one that had to leave for it."""
+        entry = self._entry_of(ticket)
+        pushed = self._queue.push(entry)
+        if pushed.is_err():
+            return Err(pushed.unwrap_err())
+        self._waiting[ticket.id] = (ticket, entry)
+        displaced = pushed.unwrap()
+        if displaced is None:
+            return Ok(None)
+        return Ok(self._waiting.pop(displaced.id)[0])
+
+    def pop(self, may_start: Callable[[Ticket], bool]) -> Ticket | None:
+        """Remove and return the next ticket that `may_start` allows."""
+        entry = self._queue.pop(
+            lambda entry: may_start(self._waiting[entry.id][0])
+        )
+        if entry is None:
+            return None
+        return self._waiting.pop(entry.id)[0]
+
+    def remove(self, ticket_id: int) -> Ticket | None:
+        """Take out a ticket; None if it doesn't wait."""
+        found = self._waiting.pop(ticket_id, None)
+        if found is None:
+            return None
+        self._queue.remove(found[1])
+        return found[0]
+
+    def expire(self, now_ms: float) -> list[Ticket]:
+        """Remove and return the tickets past their deadlines."""
+        expired = self._queue.expire(now_ms)
+        return [self._waiting.pop(entry.id)[0] for entry in expired]
+
+    def _entry_of(self, ticket: Ticket) -> QueueEntry:
+        request = ticket.request
+        return QueueEntry(
+            ticket.id,
+            request.team,
+            request.team_weight,
+            request.priority,
+            ticket.cost,
+            request.deadline_ms,
+            ticket.admitted_ms,
+            self._lane_of(ticket),
+        )
+
+    def _lane_of(self, ticket: Ticket) -> Lane:
+        if ticket.alone:
+            return Lane.ALONE
+        short = ticket.cost <= self._settings.short_tokens
+        return Lane.SHORT if short else Lane.LONG
