Explore every interleaving of claims by one key

Drive the real claim store on an event loop that a test steps, with refused, lost and delayed calls, pauses and crashes at every step. Four broken variants are found. A caller that waits out its deadline behind another holder is now told so instead of being refused as not run.

--- /dev/null
+++ b/tests/claims/test_model_check.py
@@ -0,0 +1,84 @@
+import pytest
+from result import Ok
+
+from tests.claims.explorer import explore
+from wigeonmill.claims.record import decode_record
+from wigeonmill.claims.retention import RetentionPolicy
+from wigeonmill.claims.single_key import _granted
+from wigeonmill.claims.single_key import SingleKeyClaimStore
+from wigeonmill.metrics import Metrics
+
+
+def single_key_store(kind):
+    def make(world, kv, holder, rng, new_token):
+        policy = RetentionPolicy()
+        return kind(kv, world.clock, Metrics(), holder, rng, new_token, policy)
+
+    return make
+
+
+class TrustsLostReplies(SingleKeyClaimStore):
+    """Takes a write without a reply for a granted claim."""
+
+    async def _write(self, attempt, lease):
+        version = await super()._write(attempt, lease)
+        return version or (1 if attempt.in_doubt else 0)
+
+
+class VoidsByDelete(SingleKeyClaimStore):
+    """Deletes the key where a tombstone belongs."""
+
+    async def _replace(self, claim, record):
+        if record.answer is not None:
+            return await super()._replace(claim, record)
+        read = await self._kv.get(claim.key)
+        entry = read.ok()
+        if entry and decode_record(entry.value).token == claim.token:
+            await self._kv.delete(claim.key, entry.version)
+        return Ok(None)
+
+
+class NeverVoids(SingleKeyClaimStore):
+    """Leaves a claim in doubt behind at the deadline."""
+
+    async def _void_abandoned(self, attempt):
+        return
+
+
+class WritesWithoutComparing(SingleKeyClaimStore):
+    """Overwrites another attempt's claim."""
+
+    async def _try(self, attempt):
+        settled = await super()._try(attempt)
+        if settled is None:
+            return None
+        read = await self._kv.get(attempt.key)
+        if isinstance(read, Ok) and read.ok_value is not None:
+            attempt.expected = read.ok_value.version
+            version = await self._write(attempt, 0)
+            if version:
+                return Ok(_granted(attempt, version, 0))
+        return settled
+
+
+@pytest.mark.parametrize(
+    'claimers, faults, least', [('ab', 3, 30_000), ('abc', 1, 3_000)]
+)
+def test_single_key_claims_hold_in_every_state(claimers, faults, least):
+    states = explore(single_key_store(SingleKeyClaimStore), claimers, faults)
+    print(f'{len(claimers)} claimers, {faults} faults: {states} states')
+    assert states >= least
+
+
+@pytest.mark.parametrize(
+    'broken, fault',
+    [
+        (TrustsLostReplies, 'dispatched twice'),
+        (VoidsByDelete, 'key stays claimed'),
+        (NeverVoids, 'key stays claimed'),
+        (WritesWithoutComparing, 'dispatched twice'),
+    ],
+)
+def test_exploration_finds_the_fault_of_a_broken_store(broken, fault):
+    with pytest.raises(AssertionError, match=fault):
+        explore(single_key_store(broken), 'ab', 3)
--- a/wigeonmill/claims/model.py
+++ b/wigeonmill/claims/model.py
@@ -145,12 +145,13 @@
     """The attempt was refused.
 
     `not_run` says that this attempt never reached a target and never will.
-    `key_unclaimed` says more: no attempt with this key had a claim.
+    It says nothing of earlier attempts with the same key unless
+    `key_checked` is set: then the store showed that the key had no claim.
     """
 
     reason: RefusalReason
     not_run: bool
-    key_unclaimed: bool = False
+    key_checked: bool = False
 
 
 class ClaimErrorKind(enum.Enum):
--- a/wigeonmill/claims/single_key.py
+++ b/wigeonmill/claims/single_key.py
@@ -66,6 +66,7 @@
         'in_doubt',
         'abandoned',
         'wait_until_ms',
+        'fallback',
     )
 
     def __init__(
@@ -82,6 +83,8 @@
         # The caller was told "not run"; a claim must not stay behind.
         self.abandoned = False
         self.wait_until_ms = wait_until_ms
+        # What the caller is told if nothing more is known by the deadline.
+        self.fallback = _refuse(RefusalReason.STORE_OUTAGE)
 
 
 class SingleKeyClaimStore:
@@ -149,7 +152,7 @@
         if task.done():
             return task.result()
         attempt.abandoned = True
-        return _refuse(RefusalReason.STORE_OUTAGE)
+        return attempt.fallback
 
     def _abandon(self, attempt: _Attempt, task: asyncio.Task) -> None:
         attempt.abandoned = True
@@ -182,7 +185,7 @@
             attempt.in_doubt = True
         if attempt.in_doubt:
             await self._void_abandoned(attempt)
-        return _refuse(RefusalReason.STORE_OUTAGE)
+        return attempt.fallback
 
     async def _try(self, attempt: _Attempt) -> Settled | None:
         """Make one write and, unless it succeeds, one read."""
@@ -230,6 +233,7 @@
         if record is None or entry is None or stands is Standing.FREE:
             attempt.expected = entry.version if entry else 0
             attempt.read_first = False
+            attempt.fallback = _refuse(RefusalReason.STORE_OUTAGE, True)
             return None
         if stands is Standing.OWN:
             return Ok(_granted(attempt, entry.version, entry.lease))
@@ -244,11 +248,12 @@
     def _in_progress(
         self, attempt: _Attempt, record: ClaimRecord
     ) -> Settled | None:
+        left_ms = record.expires_wall_ms - self._clock.wall_ms()
+        attempt.fallback = Ok(InProgress(max(float(left_ms), 0.0)))
         if self._clock.now_ms() < attempt.wait_until_ms:
             attempt.read_first = True
             return None
-        left_ms = record.expires_wall_ms - self._clock.wall_ms()
-        return Ok(InProgress(max(float(left_ms), 0.0)))
+        return attempt.fallback
 
     async def _void_abandoned(self, attempt: _Attempt) -> None:
         claim = _granted(attempt, 0, 0)
@@ -330,8 +335,8 @@
     return isinstance(settled, Ok) and isinstance(settled.ok_value, Claimed)
 
 
-def _refuse(reason: RefusalReason) -> Settled:
-    return Err(ClaimRefusal(reason, not_run=True))
+def _refuse(reason: RefusalReason, key_checked: bool = False) -> Settled:
+    return Err(ClaimRefusal(reason, True, key_checked))
 
 
 def make_single_key_store(
