Add the agent's plain service and its message dispatch

Cause: calls of a plain service need admission and, where marked, a claim before the target sees a byte. Change: PlainService claims, takes a slot, sends once and records; a call that never left is voided and said to be not run. TargetWatch follows the target's reports. Block keys take the weight version at the agent.

--- /dev/null
+++ b/wigeonmill/agent/plain_service.py
@@ -0,0 +1,264 @@
+"""Runs calls on the agent's plain service, some of them at most once."""
+
+import asyncio
+
+from wigeonmill.agent.admission_types import OutcomeKind
+from wigeonmill.agent.admission_types import Refusal
+from wigeonmill.agent.admission_types import RefusalReason
+from wigeonmill.agent.admission_types import RunOutcome
+from wigeonmill.agent.admission_types import RunRequest
+from wigeonmill.agent.admission_types import Ticket
+from wigeonmill.agent.calls import CallClient
+from wigeonmill.agent.calls import CallEnd
+from wigeonmill.agent.calls import CallEndKind
+from wigeonmill.agent.calls import make_reply
+from wigeonmill.agent.context import AgentContext
+from wigeonmill.cache.tiers import plan_of_computation
+from wigeonmill.claims.model import Answered
+from wigeonmill.claims.model import AnswerHeader
+from wigeonmill.claims.model import Claimed
+from wigeonmill.claims.model import ClaimOutcome
+from wigeonmill.claims.model import ClaimRefusal
+from wigeonmill.claims.model import ClaimRequest
+from wigeonmill.claims.model import ClaimStore
+from wigeonmill.claims.model import InProgress
+from wigeonmill.claims.model import make_answer
+from wigeonmill.claims.model import RefusalReason as ClaimReason
+from wigeonmill.claims.model import request_digest
+from wigeonmill.config.rules import runs_once
+from wigeonmill.protocol.conn import Conn
+from wigeonmill.protocol.gen.inner.ttypes import Call
+from wigeonmill.protocol.gen.inner.ttypes import CallReply
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
+from wigeonmill.protocol.gen.inner.ttypes import Header
+from wigeonmill.protocol.gen.inner.ttypes import Kind
+from wigeonmill.protocol.gen.inner.ttypes import Refused
+
+REPLAYED_HEADER = 'Idempotent-Replayed'
+# How long a repeat waits for the first attempt's answer.
+REPEAT_WAIT_MS = 2_000.0
+_CALL_COST = 1
+
+CallResult = CallReply | Refused
+
+
+class PlainService:
+    """Admits and forwards calls; claims those that run at most once."""
+
+    def __init__(
+        self, context: AgentContext, calls: CallClient, claims: ClaimStore
+    ) -> None:
+        self._context = context
+        self._calls = calls
+        self._claims = claims
+        self._slots: dict[int, asyncio.Future[Refusal | None]] = {}
+        self._open = 0
+
+    @property
+    def busy(self) -> bool:
+        """True while a call waits or is in progress."""
+        return self._open > 0
+
+    def accept(self, conn: Conn, stream: int, call: Call) -> None:
+        """Answer one call on its stream, now or later."""
+        task = asyncio.ensure_future(self._answer(conn, stream, call))
+        self._open += 1
+        task.add_done_callback(self._on_done)
+
+    def start_runnable(self) -> None:
+        """Give free slots to waiting calls."""
+        admission = self._context.admission
+        while True:
+            ticket = admission.next_runnable()
+            if ticket is None:
+                break
+            self._wake(ticket, None)
+        for refused in admission.take_refused():
+            self._wake(refused.ticket, refused.refusal)
+
+    async def _answer(self, conn: Conn, stream: int, call: Call) -> None:
+        context = self._context
+        result = await self._run(call)
+        envelope = Envelope(Kind.CALL_REPLY, stream, context.serial())
+        if isinstance(result, Refused):
+            context.metrics.count('agent_refusals', result.reason)
+            envelope.kind = Kind.REFUSED
+            envelope.refused = result
+        else:
+            envelope.call_reply = result
+        conn.send(envelope)
+
+    async def _run(self, call: Call) -> CallResult:
+        context = self._context
+        placement = context.placement
+        if context.leaving or placement is None:
+            return _not_run(RefusalReason.DRAINING.value)
+        once = runs_once(placement.service, call.method, call.path)
+        if once and not call.claim:
+            return _not_run('idempotency_key_required')
+        request = self._request(call)
+        plan = plan_of_computation(_CALL_COST)
+        offered = context.admission.offer(request, plan, reserve=False)
+        if offered.is_err():
+            return _refused(offered.unwrap_err())
+        if not once:
+            return await self._dispatch(call, request, None)
+        return await self._run_once(call, request)
+
+    async def _run_once(
+        self, call: Call, request: RunRequest
+    ) -> CallResult:
+        left_ms = request.deadline_ms - self._context.clock.now_ms()
+        digest = request_digest(call.method, call.path, call.body or b'')
+        claimed = await self._claims.claim(
+            ClaimRequest(
+                call.team,
+                call.service_name,
+                call.claim,
+                digest,
+                left_ms,
+                min(REPEAT_WAIT_MS, left_ms),
+            )
+        )
+        if claimed.is_err():
+            return _claim_refused(claimed.unwrap_err())
+        outcome = claimed.unwrap()
+        if isinstance(outcome, Claimed):
+            return await self._dispatch(call, request, outcome)
+        return _settled(outcome)
+
+    async def _dispatch(
+        self, call: Call, request: RunRequest, claim: Claimed | None
+    ) -> CallResult:
+        """Send a call once a slot is free; voids the claim if never sent."""
+        refusal = await self._take_slot(request)
+        if isinstance(refusal, Refusal):
+            if claim is not None:
+                await self._claims.void(claim)
+            return _refused(refusal)
+        ticket = refusal
+        admission = self._context.admission
+        started = admission.started(ticket.id)
+        if started.is_err():
+            if claim is not None:
+                await self._claims.void(claim)
+            self.start_runnable()
+            return _refused(started.unwrap_err())
+        left_ms = request.deadline_ms - self._context.clock.now_ms()
+        end = await self._calls.send(call, left_ms)
+        admission.finished(ticket.id, RunOutcome(_outcome(end)))
+        self.start_runnable()
+        return await self._conclude(end, claim)
+
+    async def _take_slot(self, request: RunRequest) -> Ticket | Refusal:
+        context = self._context
+        plan = plan_of_computation(_CALL_COST)
+        admitted = context.admission.admit(request, plan)
+        if admitted.is_err():
+            return admitted.unwrap_err()
+        ticket = admitted.unwrap().ticket
+        slot: asyncio.Future[Refusal | None]
+        slot = asyncio.get_running_loop().create_future()
+        self._slots[ticket.id] = slot
+        self.start_runnable()
+        refusal = await slot
+        if refusal is not None:
+            return refusal
+        waited_ms = context.clock.now_ms() - ticket.admitted_ms
+        context.metrics.histogram('queue_wait').record(waited_ms)
+        return ticket
+
+    async def _conclude(
+        self, end: CallEnd, claim: Claimed | None
+    ) -> CallResult:
+        if end.reply is not None:
+            if claim is not None:
+                await self._record(claim, end.reply)
+            return end.reply
+        self._context.metrics.count('calls_failed', end.kind.value)
+        if end.kind is CallEndKind.UNREACHABLE:
+            if claim is not None:
+                await self._claims.void(claim)
+            return Refused('unreachable', end.message, 0, True)
+        return Refused('outcome_unknown', end.message, 0, False)
+
+    async def _record(self, claim: Claimed, reply: CallReply) -> None:
+        headers = [AnswerHeader(h.name, h.value) for h in reply.headers]
+        answer = make_answer(reply.status, headers, reply.body or b'')
+        recorded = await self._claims.record(claim, answer)
+        if recorded.is_err():
+            # The caller still gets this answer; repeats get "unknown".
+            reason = recorded.unwrap_err().kind.value
+            self._context.metrics.count('answers_not_recorded', reason)
+
+    def _wake(self, ticket: Ticket, refusal: Refusal | None) -> None:
+        slot = self._slots.pop(ticket.id, None)
+        if slot is not None and not slot.done():
+            slot.set_result(refusal)
+
+    def _request(self, call: Call) -> RunRequest:
+        now_ms = self._context.clock.now_ms()
+        return RunRequest(
+            call.team,
+            '',
+            _CALL_COST,
+            now_ms + call.deadline_ms,
+            call.team_weight or 1,
+        )
+
+    def _on_done(self, task: 'asyncio.Task[None]') -> None:
+        self._open -= 1
+        if not task.cancelled() and task.exception() is not None:
+            raise SystemExit(1) from task.exception()
+
+
+def _outcome(end: CallEnd) -> OutcomeKind:
+    if end.kind is CallEndKind.ANSWERED:
+        return OutcomeKind.COMPLETED
+    if end.kind is CallEndKind.UNREACHABLE:
+        return OutcomeKind.CRASHED
+    return OutcomeKind.FAILED
+
+
+def _settled(outcome: ClaimOutcome) -> CallResult:
+    """Return what a repeat of a claimed call gets."""
+    if isinstance(outcome, Answered):
+        return _replayed(outcome)
+    if isinstance(outcome, InProgress):
+        message = 'the first request with this key is still in progress'
+        retry_ms = int(outcome.retry_after_ms)
+        return Refused('in_progress', message, retry_ms, False)
+    message = 'a request with this key may have run; it is never run again'
+    return Refused('outcome_unknown', message, 0, False)
+
+
+def _replayed(outcome: Answered) -> CallResult:
+    answer = outcome.answer
+    if not answer.body_kept:
+        message = (
+            f'the call ran with status {answer.status}; its answer of '
+            f'{answer.body_length} bytes was too large to keep'
+        )
+        return Refused('answer_not_kept', message, 0, False)
+    headers = [Header(h.name, h.value) for h in answer.headers]
+    headers.append(Header(REPLAYED_HEADER, 'true'))
+    return make_reply(answer.status, headers, answer.body)
+
+
+def _claim_refused(refusal: ClaimRefusal) -> Refused:
+    if refusal.reason is ClaimReason.KEY_REUSED:
+        message = 'the idempotency key was used for another call'
+        return Refused(refusal.reason.value, message, 0, refusal.not_run)
+    if refusal.not_run:
+        message = f'not run: {refusal.reason.value}'
+        return Refused('not_run', message, 1000, True)
+    message = 'the outcome of this request could not be settled in time'
+    return Refused('outcome_unknown', message, 0, False)
+
+
+def _not_run(reason: str) -> Refused:
+    return Refused(reason, '', 0, True)
+
+
+def _refused(refusal: Refusal) -> Refused:
+    return Refused(refusal.reason.value, '', refusal.retry_after_ms, True)
--- /dev/null
+++ b/wigeonmill/agent/target_watch.py
@@ -0,0 +1,60 @@
+"""Follows the target's own reports: incarnation, uptime, version."""
+
+import asyncio
+from collections.abc import Callable
+
+from wigeonmill.agent.admission import Admission
+from wigeonmill.agent.engine import EngineClient
+from wigeonmill.metrics import Metrics
+
+# Reports missed in a row before a target counts as unreachable.
+MISSED_REPORTS = 3
+_LOADING = 'loading'
+
+
+class TargetWatch:
+    """Asks the target for its health at a fixed interval."""
+
+    def __init__(
+        self,
+        engine: EngineClient,
+        admission: Admission,
+        interval_ms: int,
+        on_change: Callable[[], None],
+        metrics: Metrics,
+    ) -> None:
+        self._engine = engine
+        self._admission = admission
+        self._interval_ms = interval_ms
+        self._on_change = on_change
+        self._metrics = metrics
+        self._missed = 0
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            await self.ask()
+            await asyncio.sleep(self._interval_ms / 1000.0)
+
+    async def ask(self) -> None:
+        """Take one report, or note that there is none."""
+        health = await self._engine.health()
+        if health is None:
+            self._miss()
+            return
+        self._missed = 0
+        admission = self._admission
+        admission.health.on_report(health.incarnation, health.uptime_ms)
+        version = health.weight_version
+        if health.state == _LOADING:
+            version = ''
+        if version != admission.weight_version:
+            admission.set_weight_version(version)
+        self._on_change()
+
+    def _miss(self) -> None:
+        self._missed += 1
+        self._metrics.count('target_reports_missed')
+        if self._missed == MISSED_REPORTS:
+            self._admission.on_connection_failed()
+            self._on_change()
--- a/wigeonmill/cache/keys.py
+++ b/wigeonmill/cache/keys.py
@@ -13,6 +13,7 @@
 _LENGTH_BYTES = 8
 _SEED_DOMAIN = b'wm-block-seed'
 _BLOCK_DOMAIN = b'wm-block'
+_VERSION_DOMAIN = b'wm-version'
 
 
 class Tokenizer(Protocol):
@@ -88,3 +89,16 @@
 def _digest(domain: bytes, data: bytes) -> bytes:
     digest = hashlib.blake2b(data, digest_size=KEY_BYTES, person=domain)
     return digest.digest()
+
+
+def version_block_keys(keys: list[bytes], weight_version: str) -> list[bytes]:
+    """Return a team's chained keys as keys for one weight version.
+
+    An entry chains keys without a version, as it does not know which one a
+    target serves; the agent adds the version of the run.
+    """
+    seed = _VERSION_DOMAIN + weight_version.encode()
+    return [
+        hashlib.blake2b(key + seed, digest_size=KEY_BYTES).digest()
+        for key in keys
+    ]
--- a/wigeonmill/entry/model_run.py
+++ b/wigeonmill/entry/model_run.py
@@ -268,7 +268,10 @@
         self._close_stream()
         if self._offset or error.reason is Reason.QUARANTINED:
             return error
-        if not self._retry(RetryReason.TARGET_CRASHED):
+        reason = RetryReason.TARGET_CRASHED
+        if error.not_run:
+            reason = RetryReason.REFUSED
+        if not self._retry(reason):
             return error
         self._attempts.attempts += 1
         return await self.start()
--- a/wigeonmill/entry/plain.py
+++ b/wigeonmill/entry/plain.py
@@ -4,9 +4,8 @@
 
 from tornado.httputil import HTTPHeaders
 
-from wigeonmill.config.model import CallRule
-from wigeonmill.config.model import Service
 from wigeonmill.config.model import Target
+from wigeonmill.config.rules import runs_once
 from wigeonmill.entry.base import TeamHandler
 from wigeonmill.entry.context import ServiceRoutes
 from wigeonmill.entry.errors import ApiError
@@ -59,7 +58,9 @@
         if deadline.is_err():
             self.refuse(deadline.unwrap_err())
             return
-        once = runs_once(routes.service, self.request.method or '', path)
+        once = runs_once(
+            routes.service, self.request.method or '', f'/{path}'
+        )
         key = self.request.headers.get(KEY_HEADER, '')
         if once and not _valid_key(key):
             message = (
@@ -202,17 +203,6 @@
         self.finish(None if bodiless else reply.body)
 
 
-def runs_once(service: Service, method: str, path: str) -> bool:
-    """Tell whether a call of a plain service may run at most once."""
-    return any(
-        _matches(rule, method, f'/{path}') for rule in service.non_repeatable
-    )
-
-
-def _matches(rule: CallRule, method: str, path: str) -> bool:
-    return rule.method == method and path.startswith(rule.path_prefix)
-
-
 def _valid_key(key: str) -> bool:
     return 1 <= len(key) <= MAX_KEY_CHARS and key.isprintable()
 
