--- /dev/null
+++ b/wigeonmill/platform/weight_store.py
@@ -0,0 +1,66 @@
+"""The platform's weight store: rate-limited downloads of model weights."""
+
+from typing import Protocol
+from urllib.parse import quote
+
+from result import Err
+from result import Ok
+from result import Result
+
+from wigeonmill.clock import Clock
+from wigeonmill.platform.http import CancelHandle
+from wigeonmill.platform.http import HttpCall
+from wigeonmill.platform.http import HttpClient
+from wigeonmill.platform.transfer import from_http
+from wigeonmill.platform.transfer import from_status
+from wigeonmill.platform.transfer import Transfer
+from wigeonmill.platform.transfer import TransferError
+
+
+class WeightStore(Protocol):
+    """Holds the weights of each model version."""
+
+    async def download(
+        self, model: str, version: str, cancel: CancelHandle | None = None
+    ) -> Result[Transfer, TransferError]:
+        """Read the whole weights and discard them."""
+
+
+class HttpWeightStore:
+    """The weight store at `address` (IP:port) over HTTP."""
+
+    __slots__ = ('_address', '_http', '_timeout_ms')
+
+    def __init__(self, address: str, timeout_ms: float, clock: Clock) -> None:
+        self._address = address
+        self._timeout_ms = timeout_ms
+        self._http = HttpClient(clock, max_clients=4)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._http.close()
+
+    async def download(
+        self, model: str, version: str, cancel: CancelHandle | None = None
+    ) -> Result[Transfer, TransferError]:
+        size = 0
+
+        def count(data: bytes) -> None:
+            nonlocal size
+            size += len(data)
+
+        path = f'{quote(model, safe="")}/{quote(version, safe="")}'
+        call = HttpCall(
+            'GET',
+            f'http://{self._address}/weights/{path}',
+            self._timeout_ms,
+            cancel=cancel,
+            on_data=count,
+        )
+        sent = await self._http.send(call)
+        if isinstance(sent, Err):
+            return Err(from_http(sent.err_value))
+        error = from_status(sent.ok_value.status)
+        if error is not None:
+            return Err(error)
+        return Ok(Transfer(size, sent.ok_value.elapsed_ms))
--- /dev/null
+++ b/wigeonmill/standins/__main__.py
@@ -0,0 +1,82 @@
+"""Runs one stand-in as a process: python -m wigeonmill.standins KIND."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+import signal
+from typing import Annotated
+from typing import Any
+
+import cappa
+import msgspec
+
+from wigeonmill.standins.engine import start_engine
+from wigeonmill.standins.engine_core import EngineOptions
+from wigeonmill.standins.key_value import KeyValueOptions
+from wigeonmill.standins.key_value import start_key_value
+from wigeonmill.standins.ledger import LedgerOptions
+from wigeonmill.standins.ledger import start_ledger
+from wigeonmill.standins.server import StandinServer
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """The options type and the factory of one kind of stand-in."""
+
+    options: type
+    start: Callable[[Any, str, int], Awaitable[StandinServer]]
+
+
+KINDS = {
+    'engine': Kind(EngineOptions, start_engine),
+    'key-value': Kind(KeyValueOptions, start_key_value),
+    'ledger': Kind(LedgerOptions, start_ledger),
+}
+
+
+@dataclass
+class Arguments:
+    """The command line; `options` is JSON text or the path of a file."""
+
+    kind: str
+    host: Annotated[str, cappa.Arg(long=True)] = '127.0.0.1'
+    port: Annotated[int, cappa.Arg(long=True)] = 0
+    options: Annotated[str, cappa.Arg(long=True)] = '{}'
+
+
+def read_options(kind: Kind, text: str) -> Any:
+    """Return the options in JSON text or in the file that it names."""
+    if not text.lstrip().startswith('{'):
+        text = Path(text).read_text(encoding='utf-8')
+    return msgspec.json.decode(text, type=kind.options)
+
+
+async def serve(kind: Kind, args: Arguments) -> None:
+    """Serve until SIGTERM or SIGINT; prints `ready ADDRESS` first."""
+    options = read_options(kind, args.options)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    server = await kind.start(options, args.host, args.port)
+    print(f'ready {server.address}', flush=True)
+    await stop.wait()
+    await server.stop()
+
+
+def main() -> None:
+    """Parse the command line and serve."""
+    args = cappa.parse(Arguments)
+    kind = KINDS.get(args.kind)
+    if kind is None:
+        raise SystemExit(f'kind must be one of: {", ".join(sorted(KINDS))}')
+    try:
+        asyncio.run(serve(kind, args))
+    except (OSError, msgspec.MsgspecError) as exc:
+        raise SystemExit(str(exc)) from exc
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/wigeonmill/standins/engine_orders.py
@@ -0,0 +1,72 @@
+"""Orders to a stand-in engine: load weights, change role."""
+
+import asyncio
+
+from result import Err
+
+from wigeonmill.platform.weight_store import HttpWeightStore
+from wigeonmill.standins.engine_core import Engine
+from wigeonmill.standins.engine_messages import Fencing
+from wigeonmill.standins.engine_messages import LoadOrder
+from wigeonmill.standins.engine_messages import RoleOrder
+
+DOWNLOAD_TIMEOUT_MS = 600_000
+
+
+def accept_load(engine: Engine, order: LoadOrder) -> str:
+    """Start a load order; returns the reason for a refusal or ''."""
+    if engine.loading:
+        return 'load_in_progress'
+    reason = _check_fencing(engine, order.fencing)
+    if reason:
+        return reason
+    engine.seen.loads.append(order)
+    engine.loading = True
+    engine.spawn(_load(engine, order))
+    return ''
+
+
+def accept_role(engine: Engine, order: RoleOrder) -> str:
+    """Take a role; returns the reason for a refusal or ''."""
+    reason = _check_fencing(engine, order.fencing)
+    if not reason:
+        engine.role = order.role
+    return reason
+
+
+def _check_fencing(engine: Engine, fencing: Fencing) -> str:
+    if fencing >= engine.fencing:
+        engine.fencing = fencing
+        return ''
+    if engine.options.checks_fencing:
+        engine.seen.stale_orders_refused += 1
+        return 'stale_fencing'
+    engine.seen.stale_orders_applied += 1
+    return ''
+
+
+async def _load(engine: Engine, order: LoadOrder) -> None:
+    incarnation = engine.incarnation
+    error = await _download(engine, order)
+    await asyncio.sleep(engine.options.load_ms / 1000.0)
+    if engine.incarnation != incarnation:
+        return
+    engine.loading = False
+    engine.last_load_error = error
+    if not error:
+        engine.adapters = list(order.adapters)
+        engine.replace_weights(order.model, order.weight_version)
+
+
+async def _download(engine: Engine, order: LoadOrder) -> str:
+    address = engine.options.weight_store
+    if not address:
+        return ''
+    store = HttpWeightStore(address, DOWNLOAD_TIMEOUT_MS, engine.clock)
+    try:
+        got = await store.download(order.model, order.weight_version)
+    finally:
+        store.close()
+    if isinstance(got, Err):
+        return f'{got.err_value.kind.value}: {got.err_value.message}'
+    return ''
--- a/wigeonmill/standins/key_value.py
+++ b/wigeonmill/standins/key_value.py
@@ -61,6 +61,9 @@
         """Return the calls so far."""
         return KeyValueAudit(self.memory.calls, self.memory.revision)
 
+    def faults_changed(self) -> None:
+        """Do nothing: faults act on the next call."""
+
 
 class _Handler(StandinHandler):
     @property
--- a/wigeonmill/standins/ledger.py
+++ b/wigeonmill/standins/ledger.py
@@ -103,6 +103,9 @@
         """Return every credit that was booked."""
         return LedgerAudit(self.options.name, self.applied, self.reads)
 
+    def faults_changed(self) -> None:
+        """Do nothing: faults act on the next call."""
+
 
 class CreditReply(msgspec.Struct):
     """The answer to a booked credit."""
--- a/wigeonmill/standins/server.py
+++ b/wigeonmill/standins/server.py
@@ -31,6 +31,9 @@
     def audit(self) -> Any:
         """Return the audit, a value that msgspec encodes."""
 
+    def faults_changed(self) -> None:
+        """Act on faults that were just set."""
+
 
 @dataclass(slots=True)
 class StandinServer(Generic[S]):
@@ -118,6 +121,7 @@
             return self.reply_error(400, 'invalid', message)
         for name in wanted:
             setattr(faults, name, getattr(changed, name))
+        self.state.faults_changed()
         return self.reply(faults)
 
 
