--- /dev/null
+++ b/bench/policy_sim/baselines.py
@@ -0,0 +1,184 @@
+"""Simple policies that the real one is measured against."""
+
+from collections.abc import Sequence
+import functools
+import itertools
+import random
+
+from bench.policy_sim.engine import EngineRun
+from bench.policy_sim.engine import FakeEngine
+from bench.policy_sim.engine import RunEnd
+from bench.policy_sim.model import SimRequest
+from bench.policy_sim.world import World
+from wigeonmill.routing.candidates import routing_key
+from wigeonmill.routing.rendezvous import RendezvousRing
+from wigeonmill.routing.rendezvous import WeightedTarget
+
+REPORT_EVERY_MS = 250.0
+REPORT_LAG_MS = 500.0
+HEALTH_LAG_MS = 1000.0
+ROLL_LAG_MS = 1000.0
+MAX_ATTEMPTS = 3
+
+
+class Baseline:
+    """Sends each request to one engine at once and retries lost ones."""
+
+    name = ''
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.usable = dict(world.engines)
+        self._out: set[str] = set()
+        self._loading: set[str] = set()
+        world.loop.after(HEALTH_LAG_MS, self._check_health)
+
+    def arrive(self, req: SimRequest) -> None:
+        self._attempt(req, 1)
+
+    def domain_changed(self, domain: str, in_service: bool) -> None:
+        (self._out.discard if in_service else self._out.add)(domain)
+        self._refresh()
+
+    def load_version(self, engine: FakeEngine, version: str) -> None:
+        self._loading.add(engine.name)
+        self._refresh()
+        loop = self.world.loop
+        load_ms = engine.spec.load_ms
+        loop.after(ROLL_LAG_MS, engine.load_version, version, load_ms)
+        loop.after(ROLL_LAG_MS + load_ms, self._loaded, engine)
+
+    def choose(self, req: SimRequest) -> FakeEngine | None:
+        """Return the engine for a request."""
+        raise NotImplementedError
+
+    def changed(self) -> None:
+        """React to a change of the usable engines."""
+
+    def _loaded(self, engine: FakeEngine) -> None:
+        self._loading.discard(engine.name)
+        self._refresh()
+
+    def _check_health(self) -> None:
+        self._refresh()
+        self.world.loop.after(HEALTH_LAG_MS, self._check_health)
+
+    def _refresh(self) -> None:
+        usable = {
+            name: engine
+            for name, engine in self.world.engines.items()
+            if engine.up
+            and engine.domain not in self._out
+            and name not in self._loading
+        }
+        if usable.keys() != self.usable.keys():
+            self.usable = usable
+            self.changed()
+
+    def _attempt(self, req: SimRequest, attempt: int) -> None:
+        world = self.world
+        if world.now_ms() >= req.deadline_ms:
+            world.stats.refuse(req, 'deadline')
+            return
+        engine = self.choose(req)
+        if engine is None:
+            world.stats.refuse(req, 'no_target')
+            return
+        ended = functools.partial(self._ended, attempt=attempt)
+        keys = req.keys(engine.version)
+        run = world.submit(engine, req, keys, self._first_token, ended)
+        if run is None:
+            self._again(req, attempt, 'unreachable')
+            return
+        world.loop.at(req.deadline_ms, self._give_up, engine, run)
+
+    def _give_up(self, engine: FakeEngine, run: EngineRun) -> None:
+        if run.first_token_ms is None:
+            engine.cancel(run)
+
+    def _first_token(self, run: EngineRun) -> None:
+        self.world.first_token(run.request)
+
+    def _ended(self, run: EngineRun, end: RunEnd, attempt: int) -> None:
+        if end is RunEnd.DONE:
+            self.world.finished(run.request)
+        elif end is RunEnd.CANCELLED:
+            self.world.stats.refuse(run.request, 'deadline')
+        else:
+            self._again(run.request, attempt, end.value)
+
+    def _again(self, req: SimRequest, attempt: int, reason: str) -> None:
+        if attempt >= MAX_ATTEMPTS:
+            self.world.stats.refuse(req, reason)
+            return
+        self.world.stats.retries[reason] += 1
+        self.world.loop.after(100.0, self._attempt, req, attempt + 1)
+
+
+class RoundRobin(Baseline):
+    """Takes the engines in turn."""
+
+    name = 'round_robin'
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world)
+        self._turn = itertools.count()
+
+    def choose(self, req: SimRequest) -> FakeEngine | None:
+        engines = list(self.usable.values())
+        return engines[next(self._turn) % len(engines)] if engines else None
+
+
+class LeastLoad(Baseline):
+    """Takes the engine that reported the fewest runs, a while ago."""
+
+    name = 'least_load'
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world)
+        self._load = dict.fromkeys(world.engines, 0)
+        world.loop.after(REPORT_EVERY_MS, self._report)
+
+    def choose(self, req: SimRequest) -> FakeEngine | None:
+        if not self.usable:
+            return None
+        least = min(self._load[name] for name in self.usable)
+        names = [name for name in self.usable if self._load[name] == least]
+        return self.usable[self.world.rng.choice(names)]
+
+    def _report(self) -> None:
+        loads = {
+            name: engine.active for name, engine in self.world.engines.items()
+        }
+        self.world.loop.after(REPORT_LAG_MS, self._take, loads)
+        self.world.loop.after(REPORT_EVERY_MS, self._report)
+
+    def _take(self, loads: dict[str, int]) -> None:
+        self._load = loads
+
+
+class PrefixAffinity(Baseline):
+    """Takes the engine that a hash of the prompt's start names."""
+
+    name = 'prefix_affinity'
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world)
+        self._ring = _ring(list(self.usable.values()))
+        self._rng = random.Random(1)
+
+    def choose(self, req: SimRequest) -> FakeEngine | None:
+        if not self.usable:
+            return None
+        key = routing_key(req.keys('v1'), self._rng)
+        return self.usable[self._ring.rank(key, 1)[0].name]
+
+    def changed(self) -> None:
+        self._ring = _ring(list(self.usable.values()))
+
+
+def _ring(engines: Sequence[FakeEngine]) -> RendezvousRing:
+    return RendezvousRing([WeightedTarget(e.name, e.domain) for e in engines])
+
+
+BASELINES = (RoundRobin, LeastLoad, PrefixAffinity)
--- /dev/null
+++ b/bench/policy_sim/oracle.py
@@ -0,0 +1,196 @@
+"""A policy with perfect knowledge, as the limit of what is possible.
+
+It sees every engine, cache, link and store VM as they are, knows which
+blocks will be asked for again, and keeps one queue for all engines.
+"""
+
+from collections import defaultdict
+import functools
+
+from bench.policy_sim.engine import EngineRun
+from bench.policy_sim.engine import FakeEngine
+from bench.policy_sim.engine import RunEnd
+from bench.policy_sim.model import BLOCK_TOKENS
+from bench.policy_sim.model import SimRequest
+from bench.policy_sim.store import StoredFrame
+from bench.policy_sim.world import World
+
+# An engine with less prefill than this waiting gets the next request.
+READY_TOKENS = 1024.0
+# Weight of computed tokens beside the time to the first token.
+COMPUTED_TOKEN_MS = 0.06
+
+
+class Oracle:
+    """Assigns each request with exact knowledge of all engines."""
+
+    name = 'oracle'
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self._queue: list[SimRequest] = []
+        self._out: set[str] = set()
+        self._rolling: set[str] = set()
+        self._stored: dict[bytes, StoredFrame] = {}
+        self._uses = self._future_uses()
+        self._importing: dict[str, float] = defaultdict(float)
+        self._doomed = self._crashing()
+        for name, link in world.links.items():
+            budget = world.fleet.store.budget_bytes_per_s
+            link.bytes_per_s = min(link.bytes_per_s, budget)
+            engine = world.engines[name]
+            removed = functools.partial(self._evicted, engine)
+            engine.cache.on_removed = removed
+
+    def arrive(self, req: SimRequest) -> None:
+        if req.fingerprint in self._doomed:
+            self.world.stats.refuse(req, 'quarantined')
+            return
+        self._queue.append(req)
+        self._queue.sort(key=lambda r: (-r.priority, r.arrival_ms))
+        self._dispatch()
+
+    def domain_changed(self, domain: str, in_service: bool) -> None:
+        (self._out.discard if in_service else self._out.add)(domain)
+        self._dispatch()
+
+    def load_version(self, engine: FakeEngine, version: str) -> None:
+        load_ms = engine.spec.load_ms
+        engine.load_version(version, load_ms)
+        self.world.loop.after(load_ms, self._dispatch)
+
+    def _future_uses(self) -> dict[bytes, list[float]]:
+        uses: dict[bytes, list[float]] = defaultdict(list)
+        for req in self.world.requests:
+            for version in ('v1', 'v2'):
+                for key in req.keys(version):
+                    uses[key].append(req.arrival_ms)
+        return uses
+
+    def _crashing(self) -> set[bytes]:
+        requests = self.world.requests
+        return {req.fingerprint for req in requests if req.crashes}
+
+    def _evicted(self, engine: FakeEngine, keys: list[bytes]) -> None:
+        link = self.world.links[engine.name]
+        now_ms = self.world.now_ms()
+        size = self.world.fleet.store.block_bytes
+        for key in keys:
+            uses = self._uses.get(key)
+            if key in self._stored or not uses or uses[-1] <= now_ms:
+                continue
+            frame = StoredFrame(key, '', engine.version)
+            self._stored[key] = frame
+            self.world.stats.exported_blocks += 1
+            link.transfer(size, _nothing)
+
+    def _dispatch(self) -> None:
+        left = []
+        now_ms = self.world.now_ms()
+        for req in self._queue:
+            if now_ms >= req.deadline_ms:
+                self.world.stats.refuse(req, 'deadline')
+                continue
+            if not self._place(req):
+                left.append(req)
+        self._queue = left
+
+    def _place(self, req: SimRequest) -> bool:
+        best = None
+        for engine in self.world.engines.values():
+            if not self._ready(engine):
+                continue
+            cost = self._cost(engine, req)
+            if best is None or cost[0] < best[0][0]:
+                best = (cost, engine)
+        if best is None:
+            return False
+        (_total, fetched), engine = best
+        self._send(engine, req, fetched)
+        return True
+
+    def _ready(self, engine: FakeEngine) -> bool:
+        if not engine.up or engine.loading or engine.domain in self._out:
+            return False
+        importing = self._importing[engine.name]
+        if engine.active + importing >= engine.bears:
+            return False
+        return engine.waiting_tokens() <= READY_TOKENS
+
+    def _cost(
+        self, engine: FakeEngine, req: SimRequest
+    ) -> tuple[float, list[bytes]]:
+        rate = engine.spec.prefill_tokens_per_s / 1000.0
+        keys = req.keys(engine.version)
+        held = engine.cache.match(keys)
+        wait_ms = engine.waiting_tokens() / rate
+        fetched = self._fetchable(engine, keys, held)
+        link = self.world.links[engine.name]
+        size = self.world.fleet.store.block_bytes
+        fetch_ms = len(fetched) * size / link.bytes_per_s * 1000.0
+        fetch_ms += link.busy_ms if fetched else 0.0
+        if fetch_ms > len(fetched) * BLOCK_TOKENS / rate + wait_ms:
+            fetched, fetch_ms = [], 0.0
+        known = (held + len(fetched)) * BLOCK_TOKENS
+        computed = max(1, req.prompt_tokens - known)
+        first_ms = max(wait_ms, fetch_ms) + computed / rate
+        return first_ms + computed * COMPUTED_TOKEN_MS, fetched
+
+    def _fetchable(
+        self, engine: FakeEngine, keys: tuple[bytes, ...], held: int
+    ) -> list[bytes]:
+        found = []
+        for key in keys[held:]:
+            if key not in self._stored:
+                break
+            found.append(key)
+        return found
+
+    def _send(
+        self, engine: FakeEngine, req: SimRequest, fetched: list[bytes]
+    ) -> None:
+        if not fetched:
+            self._submit(engine, req)
+            return
+        self._importing[engine.name] += 1
+        size = self.world.fleet.store.block_bytes * len(fetched)
+        link = self.world.links[engine.name]
+        link.transfer(
+            size, functools.partial(self._imported, engine, req, fetched)
+        )
+
+    def _imported(
+        self, engine: FakeEngine, req: SimRequest, fetched: list[bytes]
+    ) -> None:
+        self._importing[engine.name] -= 1
+        usable = not engine.loading and engine.up
+        if not usable or not set(fetched) <= set(req.keys(engine.version)):
+            self.arrive(req)
+            return
+        engine.import_blocks(fetched, engine.version)
+        self.world.stats.imported_blocks += len(fetched)
+        self._submit(engine, req)
+
+    def _submit(self, engine: FakeEngine, req: SimRequest) -> None:
+        keys = req.keys(engine.version)
+        run = self.world.submit(
+            engine, req, keys, self._first_token, self._ended
+        )
+        if run is None:
+            self.arrive(req)
+
+    def _first_token(self, run: EngineRun) -> None:
+        self.world.first_token(run.request)
+        self.world.loop.after(0.0, self._dispatch)
+
+    def _ended(self, run: EngineRun, end: RunEnd) -> None:
+        if end is RunEnd.DONE:
+            self.world.finished(run.request)
+            self._dispatch()
+            return
+        self.world.stats.retries[end.value] += 1
+        self.arrive(run.request)
+
+
+def _nothing() -> None:
+    pass
--- /dev/null
+++ b/bench/policy_sim/store.py
@@ -0,0 +1,107 @@
+"""Fake store VMs and the limited link of an engine to them."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bench.policy_sim.events import EventLoop
+
+CONNECT_TIMEOUT_MS = 200.0
+
+
+@dataclass(slots=True, frozen=True)
+class StoredFrame:
+    """A block as a store VM returns it; a partial one is cut short."""
+
+    key: bytes
+    team: str
+    version: str
+    complete: bool = True
+
+
+class FakeStoreVm:
+    """Keeps frames in limited space, the least recently used leave first."""
+
+    __slots__ = ('name', 'domain', 'up', 'partial', 'full', '_frames', '_room')
+
+    def __init__(self, name: str, domain: str, room: int) -> None:
+        self.name = name
+        self.domain = domain
+        self.up = True
+        self.partial = False
+        self.full = False
+        self._frames: OrderedDict[bytes, StoredFrame] = OrderedDict()
+        self._room = room
+
+    def __contains__(self, key: bytes) -> bool:
+        return self.up and key in self._frames
+
+    def get(self, key: bytes) -> StoredFrame | None:
+        """Return the frame of a block, None when there is none."""
+        frame = self._frames.get(key)
+        if frame is None or not self.up:
+            return None
+        self._frames.move_to_end(key)
+        if self.partial:
+            return StoredFrame(key, frame.team, frame.version, False)
+        return frame
+
+    def put(self, frame: StoredFrame) -> bool:
+        """Keep a frame; False when the VM is full or gone."""
+        if not self.up or self.full:
+            return False
+        self._frames[frame.key] = frame
+        self._frames.move_to_end(frame.key)
+        if len(self._frames) > self._room:
+            self._frames.popitem(last=False)
+        return True
+
+    def die(self) -> None:
+        """Lose everything."""
+        self.up = False
+        self._frames.clear()
+
+    def come_back(self) -> None:
+        """Return empty."""
+        self.up = True
+
+
+class StoreLink:
+    """Carries one transfer at a time and counts the bytes of each second."""
+
+    __slots__ = ('_loop', 'bytes_per_s', '_free_at_ms', 'seconds', 'total')
+
+    def __init__(self, loop: EventLoop, bytes_per_s: float) -> None:
+        self._loop = loop
+        self.bytes_per_s = bytes_per_s
+        self._free_at_ms = 0.0
+        self.seconds: dict[int, float] = {}
+        self.total = 0.0
+
+    def transfer(self, size: float, on_done: Callable[[], None]) -> None:
+        """Move `size` bytes after the transfers before it."""
+        start_ms = max(self._loop.now_ms(), self._free_at_ms)
+        took_ms = size / self.bytes_per_s * 1000.0
+        self._free_at_ms = start_ms + took_ms
+        self._count(start_ms, took_ms, size)
+        self._loop.at(self._free_at_ms, on_done)
+
+    @property
+    def busy_ms(self) -> float:
+        """Time until the link is free."""
+        return max(0.0, self._free_at_ms - self._loop.now_ms())
+
+    def most_in_a_second(self) -> float:
+        """Return the most bytes carried in any second."""
+        return max(self.seconds.values(), default=0.0)
+
+    def _count(self, start_ms: float, took_ms: float, size: float) -> None:
+        self.total += size
+        end_ms = start_ms + took_ms
+        at_ms = start_ms
+        while at_ms < end_ms:
+            second = int(at_ms // 1000)
+            until_ms = min(end_ms, (second + 1) * 1000.0)
+            part = size * (until_ms - at_ms) / took_ms
+            self.seconds[second] = self.seconds.get(second, 0.0) + part
+            at_ms = until_ms
