--- /dev/null
+++ b/wigeonmill/cache/frames.py
@@ -0,0 +1,112 @@
+"""The format of a stored cache block: one immutable, self-checking frame.
+
+A frame can be read on its own. Layout, big-endian: magic, key, team tag,
+digest of the weight version, write generation, payload length, payload,
+checksum (XXH3, 128 bits) over all that goes before it. A frame that is
+short, altered or not the one asked for is a miss, never an answer.
+"""
+
+from dataclasses import dataclass
+import enum
+import hashlib
+import struct
+
+from result import Err
+from result import Ok
+from result import Result
+import xxhash
+
+from wigeonmill.cache.keys import KEY_BYTES
+from wigeonmill.cache.keys import team_tag
+
+MAGIC = b'WMB1'
+_HEADER = struct.Struct(f'>4s{KEY_BYTES}s{KEY_BYTES}s{KEY_BYTES}sQQ')
+_CHECKSUM_BYTES = 16
+FRAME_OVERHEAD_BYTES = _HEADER.size + _CHECKSUM_BYTES
+MAX_PAYLOAD_BYTES = 1 << 30
+
+
+class FrameMiss(enum.Enum):
+    """Why a frame isn't the wanted block."""
+
+    SHORT = 'short'
+    LONG = 'long'
+    MAGIC = 'magic'
+    CHECKSUM = 'checksum'
+    OTHER_KEY = 'other_key'
+    OTHER_TEAM = 'other_team'
+    OTHER_WEIGHT_VERSION = 'other_weight_version'
+    OTHER_GENERATION = 'other_generation'
+
+
+@dataclass(frozen=True, slots=True)
+class FrameId:
+    """What a frame must be; `generation` is unique to one write.
+
+    Generation 0 in a wanted id takes any write of the block.
+    """
+
+    key: bytes
+    team: str
+    weight_version: str
+    generation: int = 0
+
+
+def encode_frame(frame_id: FrameId, payload: bytes) -> bytes:
+    """Return the frame of one block.
+
+    Raises ValueError if the key or the payload has no valid size.
+    """
+    if len(frame_id.key) != KEY_BYTES:
+        raise ValueError(f'a key of {len(frame_id.key)} bytes')
+    if len(payload) > MAX_PAYLOAD_BYTES:
+        raise ValueError(f'a payload of {len(payload)} bytes')
+    header = _HEADER.pack(
+        MAGIC,
+        frame_id.key,
+        team_tag(frame_id.team),
+        _version_tag(frame_id.weight_version),
+        frame_id.generation,
+        len(payload),
+    )
+    hasher = xxhash.xxh3_128(header)
+    hasher.update(payload)
+    return b''.join((header, payload, hasher.digest()))
+
+
+def decode_frame(frame: bytes, wanted: FrameId) -> Result[bytes, FrameMiss]:
+    """Return the payload of the wanted block, or why this isn't it."""
+    if len(frame) < FRAME_OVERHEAD_BYTES:
+        return Err(FrameMiss.SHORT)
+    fields = _HEADER.unpack_from(frame)
+    magic, key, team, version, generation, length = fields
+    if magic != MAGIC:
+        return Err(FrameMiss.MAGIC)
+    if len(frame) != length + FRAME_OVERHEAD_BYTES:
+        short = len(frame) < length + FRAME_OVERHEAD_BYTES
+        return Err(FrameMiss.SHORT if short else FrameMiss.LONG)
+    view = memoryview(frame)
+    if xxhash.xxh3_128_digest(view[:-_CHECKSUM_BYTES]) != bytes(
+        view[-_CHECKSUM_BYTES:]
+    ):
+        return Err(FrameMiss.CHECKSUM)
+    if key != wanted.key:
+        return Err(FrameMiss.OTHER_KEY)
+    if team != team_tag(wanted.team):
+        return Err(FrameMiss.OTHER_TEAM)
+    if version != _version_tag(wanted.weight_version):
+        return Err(FrameMiss.OTHER_WEIGHT_VERSION)
+    if wanted.generation and generation != wanted.generation:
+        return Err(FrameMiss.OTHER_GENERATION)
+    return Ok(bytes(view[_HEADER.size : -_CHECKSUM_BYTES]))
+
+
+def frame_name(key: bytes) -> str:
+    """Return the name under which a store VM keeps a block."""
+    return key.hex()
+
+
+def _version_tag(weight_version: str) -> bytes:
+    data = weight_version.encode()
+    digest = hashlib.blake2b(data, digest_size=KEY_BYTES, person=b'wm-version')
+    return digest.digest()
