Share the handling of deadlines between claim stores

The next store needs the same deadline, abandonment and counters, so move them out of the single-key store.

--- a/tests/claims/test_model_check.py
+++ b/tests/claims/test_model_check.py
@@ -4,7 +4,6 @@
 from tests.claims.explorer import explore
 from wigeonmill.claims.record import decode_record
 from wigeonmill.claims.retention import RetentionPolicy
-from wigeonmill.claims.single_key import _granted
 from wigeonmill.claims.single_key import SingleKeyClaimStore
 from wigeonmill.metrics import Metrics
 
@@ -20,8 +19,8 @@
 class TrustsLostReplies(SingleKeyClaimStore):
     """Takes a write without a reply for a granted claim."""
 
-    async def _write(self, attempt, lease):
-        version = await super()._write(attempt, lease)
+    async def _write(self, attempt, place, lease):
+        version = await super()._write(attempt, place, lease)
         return version or (1 if attempt.in_doubt else 0)
 
 
@@ -41,24 +40,18 @@
 class NeverVoids(SingleKeyClaimStore):
     """Leaves a claim in doubt behind at the deadline."""
 
-    async def _void_abandoned(self, attempt):
+    async def void_abandoned(self, attempt):
         return
 
 
 class WritesWithoutComparing(SingleKeyClaimStore):
     """Overwrites another attempt's claim."""
 
-    async def _try(self, attempt):
-        settled = await super()._try(attempt)
-        if settled is None:
-            return None
-        read = await self._kv.get(attempt.key)
-        if isinstance(read, Ok) and read.ok_value is not None:
-            attempt.expected = read.ok_value.version
-            version = await self._write(attempt, 0)
-            if version:
-                return Ok(_granted(attempt, version, 0))
-        return settled
+    async def _write(self, attempt, place, lease):
+        read = await self._kv.get(place.key)
+        entry = read.ok()
+        place.expected = entry.version if entry else 0
+        return await super()._write(attempt, place, lease)
 
 
 @pytest.mark.parametrize(
