Join the thin path: daemon, node, roles and the embedded system

Cause: the parts stood apart; a request had no way from caller to target. Change: Node holds what every process has; EntryRole and AgentRole start, drain and close; wigeonmilld runs the roles that its settings name, or all of them with stand-ins in one process. The first run lost an answer's first tokens: tornado calls a header callback on a later loop turn than curl's write function, so the status was not known yet; the stream now reads curl's headers itself. Curl's own resending is switched off, as it would run a call twice. Result: one test sends prompts, streamed and whole, and a credit twice through entry, agent and stand-in; the answers match and the credit is replayed. Speed is not measured yet.

--- a/wigeonmill/agent/calls.py
+++ b/wigeonmill/agent/calls.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 import enum
+from functools import partial
 import hashlib
 
 import pycurl
@@ -11,6 +12,8 @@
 from tornado.httpclient import HTTPResponse
 from tornado.httputil import HTTPHeaders
 
+from wigeonmill.platform.http import close_curl_client
+from wigeonmill.platform.http import forbid_resend
 from wigeonmill.protocol.gen.inner.ttypes import Call
 from wigeonmill.protocol.gen.inner.ttypes import CallReply
 from wigeonmill.protocol.gen.inner.ttypes import Header
@@ -84,6 +87,9 @@
             request_timeout=max(timeout_ms, 1.0) / 1000.0,
             follow_redirects=False,
             decompress_response=False,
+            prepare_curl_callback=partial(
+                forbid_resend, has_body=body is not None
+            ),
         )
         response = await self._http.fetch(request, raise_error=False)
         if response.code == 599:
@@ -92,7 +98,7 @@
 
     def close(self) -> None:
         """Close the client."""
-        self._http.close()
+        close_curl_client(self._http)
 
 
 def make_reply(status: int, headers: list[Header], body: bytes) -> CallReply:
--- a/wigeonmill/agent/engine.py
+++ b/wigeonmill/agent/engine.py
@@ -14,6 +14,9 @@
 from tornado.httpclient import HTTPRequest
 from tornado.httpclient import HTTPResponse
 
+from wigeonmill.platform.http import close_curl_client
+from wigeonmill.platform.http import forbid_resend
+
 logger = logging.getLogger(__name__)
 
 MAX_CLIENTS = 512
@@ -79,8 +82,8 @@
 class EngineHealth(msgspec.Struct):
     """What the engine reports of itself."""
 
-    incarnation: str
-    uptime_ms: float
+    incarnation: str = ''
+    uptime_ms: float = 0.0
     model: str = ''
     weight_version: str = ''
     role: str = ''
@@ -106,15 +109,16 @@
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Take the bytes of the response as curl receives them."""
+        forbid_resend(curl, has_body=True)
+        curl.setopt(pycurl.HEADERFUNCTION, self._read_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._progress)
 
-    def note_header(self, line: str) -> None:
-        """Read the status from the response's first line."""
-        if line.startswith('HTTP/'):
+    def _read_header(self, line: bytes) -> None:
+        if line.startswith(b'HTTP/'):
             parts = line.split()
-            if len(parts) > 1 and parts[1].isdecimal():
+            if len(parts) > 1 and parts[1].isdigit():
                 self._status = int(parts[1])
 
     def result(self, response: HTTPResponse) -> EngineEnd:
@@ -123,9 +127,7 @@
             return EngineEnd(EngineEndKind.CANCELLED)
         if response.code not in (200, 599):
             message = bytes(self._error).decode('utf-8', 'replace')
-            return EngineEnd(
-                EngineEndKind.REJECTED, message, response.code
-            )
+            return EngineEnd(EngineEndKind.REJECTED, message, response.code)
         if self._done:
             return self._end
         return EngineEnd(_failure_kind(response.error), str(response.error))
@@ -186,9 +188,7 @@
         self._http = CurlAsyncHTTPClient(
             force_instance=True, max_clients=MAX_CLIENTS
         )
-        self._control = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=8
-        )
+        self._control = CurlAsyncHTTPClient(force_instance=True, max_clients=8)
 
     async def run(
         self, path: str, body: bytes, stream: EngineStream, timeout_ms: float
@@ -201,7 +201,6 @@
             headers={'Content-Type': 'application/json'},
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=max(timeout_ms, 1.0) / 1000.0,
-            header_callback=stream.note_header,
             streaming_callback=_ignore,
             prepare_curl_callback=stream.prepare,
         )
@@ -224,8 +223,8 @@
 
     def close(self) -> None:
         """Close both clients."""
-        self._http.close()
-        self._control.close()
+        close_curl_client(self._http)
+        close_curl_client(self._control)
 
     async def _send(
         self, method: str, path: str, body: bytes | None
--- /dev/null
+++ b/wigeonmill/agent/role.py
@@ -0,0 +1,141 @@
+"""The agent role of a process: one target and all of its work."""
+
+import asyncio
+import logging
+
+from wigeonmill.agent.admission import make_admission
+from wigeonmill.agent.admission_types import AdmissionSettings
+from wigeonmill.agent.cache_planner import NoCachePlanner
+from wigeonmill.agent.calls import CallClient
+from wigeonmill.agent.context import AgentContext
+from wigeonmill.agent.context import find_placement
+from wigeonmill.agent.context import Placement
+from wigeonmill.agent.engine import EngineClient
+from wigeonmill.agent.model_service import ModelService
+from wigeonmill.agent.plain_service import PlainService
+from wigeonmill.agent.run_ids import RunIdSigner
+from wigeonmill.agent.service import AgentService
+from wigeonmill.agent.target_watch import TargetWatch
+from wigeonmill.claims.model import ClaimStore
+from wigeonmill.claims.model import Holder
+from wigeonmill.claims.single_key import make_single_key_store
+from wigeonmill.config.model import ConfigRecord
+from wigeonmill.config.model import ServiceKind
+from wigeonmill.node import Node
+from wigeonmill.protocol.conn import Conn
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
+
+logger = logging.getLogger(__name__)
+
+TICK_MS = 50
+POLL_MS = 20
+
+
+class AgentRole:
+    """Serves one target from its first configuration until drained."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._context: AgentContext | None = None
+        self._service: AgentService | None = None
+        self._engine: EngineClient | None = None
+        self._calls: CallClient | None = None
+        self._claims: ClaimStore | None = None
+        node.handlers.append(self._handle)
+        node.holder.subscribe(self._on_config)
+
+    def start(self) -> None:
+        """Begin work if a configuration is already in force."""
+        record = self._node.holder.record
+        if record is not None:
+            self._on_config(record)
+
+    async def drain(self) -> None:
+        """Refuse new and waiting work; finish what runs; deliver answers."""
+        context, service = self._context, self._service
+        if context is None or service is None:
+            return
+        context.leaving = True
+        context.admission.set_draining(True)
+        service.tick()
+        while service.busy or context.runs.undelivered():
+            await asyncio.sleep(POLL_MS / 1000.0)
+
+    async def close(self) -> None:
+        """Close the clients of the target and of the claims."""
+        if self._claims is not None:
+            await self._claims.close()
+        if self._engine is not None:
+            self._engine.close()
+        if self._calls is not None:
+            self._calls.close()
+
+    def _handle(self, conn: Conn, envelope: Envelope) -> bool:
+        if self._service is None:
+            return False
+        return self._service.handle(conn, envelope)
+
+    def _on_config(self, record: ConfigRecord) -> None:
+        name = self._node.settings.agent.target
+        placement = find_placement(record.document, name)
+        if self._service is not None:
+            return
+        if placement is None:
+            logger.warning('target %s is not in the configuration', name)
+            return
+        self._build(placement)
+
+    def _build(self, placement: Placement) -> None:
+        node = self._node
+        service = placement.service
+        admission = make_admission(
+            node.clock,
+            AdmissionSettings(
+                cold_concurrency=service.cold_concurrency,
+                max_concurrency=service.max_concurrency,
+            ),
+        )
+        context = AgentContext(
+            node.settings.agent,
+            node.holder,
+            admission,
+            RunIdSigner(node.keys),
+            node.clock,
+            node.metrics,
+            node.incarnation,
+        )
+        engine = EngineClient(placement.target.address)
+        models, plain = None, None
+        if service.kind is ServiceKind.MODEL:
+            models = ModelService(context, engine, NoCachePlanner())
+        else:
+            plain = self._make_plain(context, placement)
+        self._context = context
+        self._engine = engine
+        self._service = AgentService(context, models, plain)
+        watch = TargetWatch(
+            engine,
+            admission,
+            node.settings.agent.health_interval_ms,
+            self._service.tick,
+            node.metrics,
+        )
+        node.spawn(watch.run())
+        node.spawn(self._tick(self._service))
+        logger.info('target %s is served', node.settings.agent.target)
+
+    def _make_plain(
+        self, context: AgentContext, placement: Placement
+    ) -> PlainService:
+        node = self._node
+        holder = Holder(node.settings.agent.target, node.incarnation)
+        self._calls = CallClient(placement.target.address)
+        self._claims = make_single_key_store(
+            node.key_value, node.clock, node.metrics, holder, node.rng
+        )
+        return PlainService(context, self._calls, self._claims)
+
+    async def _tick(self, service: AgentService) -> None:
+        while True:
+            service.tick()
+            await asyncio.sleep(TICK_MS / 1000.0)
--- a/wigeonmill/agent/runs.py
+++ b/wigeonmill/agent/runs.py
@@ -195,7 +195,9 @@
             summary.answer_tokens,
             summary.cached_tokens,
         )
-        return Envelope(Kind.RUN_END, self._stream, self._serial(), run_end=end)
+        return Envelope(
+            Kind.RUN_END, self._stream, self._serial(), run_end=end
+        )
 
     def _on_closed(self, conn: Conn) -> None:
         if self._conn is conn:
@@ -235,6 +237,10 @@
         """Return the runs whose answers are not whole yet."""
         return [run for run in self._runs.values() if not run.ended]
 
+    def undelivered(self) -> bool:
+        """Tell whether a caller still reads an answer."""
+        return any(run.detached_at_ms is None for run in self._runs.values())
+
     def pump_all(self) -> None:
         """Send what waited for a congested connection."""
         for run in list(self._runs.values()):
--- a/wigeonmill/entry/base.py
+++ b/wigeonmill/entry/base.py
@@ -144,7 +144,7 @@
 
     def _admit(self) -> ApiError | None:
         context = self.context
-        if context.leaving:
+        if context.refusing:
             message = 'this entry is leaving; ask another one'
             return ApiError(Reason.LEAVING, message, RETRY_LEAVING_MS)
         if context.routes is None:
--- a/wigeonmill/entry/context.py
+++ b/wigeonmill/entry/context.py
@@ -114,7 +114,9 @@
         self.budget = RetryBudget()
         self.breakers = CircuitBreakers(clock, rng)
         self.routes: RouteTable | None = None
+        # Leaving: not ready for the balancer; refusing: takes no more.
         self.leaving = False
+        self.refusing = False
         self.open_requests = 0
         self.open_by_team: dict[str, int] = {}
         self._unavailable: frozenset[str] = frozenset()
--- a/wigeonmill/entry/models.py
+++ b/wigeonmill/entry/models.py
@@ -39,9 +39,10 @@
 class ModelHandler(TeamHandler):
     """Serves one model request, streamed or whole."""
 
-    def initialize(self, context: EntryContext, api: Api) -> None:
+    api = Api.COMPLETIONS
+
+    def initialize(self, context: EntryContext) -> None:
         super().initialize(context)
-        self._api = api
         self._run: ModelRun | None = None
         self._streaming = False
         self._started_ms = context.clock.now_ms()
@@ -84,9 +85,7 @@
             self.refuse(error)
             return
         created = self.context.clock.wall_ms() // 1000
-        shape = AnswerShape(
-            request.api, run.run_id, request.model, created
-        )
+        shape = AnswerShape(request.api, run.run_id, request.model, created)
         if request.stream:
             await self._stream(run, shape, request.include_usage)
         else:
@@ -166,7 +165,7 @@
             self.request.headers.get('X-Deadline-Ms', ''),
         )
         parsed = parse_model_request(
-            self._api, bytes(self.body), headers, self.limits
+            self.api, bytes(self.body), headers, self.limits
         )
         if parsed.is_err():
             return parsed
@@ -180,6 +179,12 @@
         return Ok(parsed.unwrap())
 
 
+class ChatHandler(ModelHandler):
+    """Serves one conversation."""
+
+    api = Api.CHAT
+
+
 class ModelListHandler(TeamHandler):
     """Lists the models that are served."""
 
--- /dev/null
+++ b/wigeonmill/entry/role.py
@@ -0,0 +1,53 @@
+"""The entry role of a process."""
+
+import asyncio
+import logging
+import ssl
+
+from wigeonmill.entry.context import EntryContext
+from wigeonmill.entry.server import EntryServer
+from wigeonmill.node import Node
+
+logger = logging.getLogger(__name__)
+
+POLL_MS = 20
+
+
+class EntryRole:
+    """Serves callers until it is drained."""
+
+    def __init__(
+        self, node: Node, ssl_context: ssl.SSLContext | None = None
+    ) -> None:
+        self.context = EntryContext(
+            node.settings.entry,
+            node.holder,
+            node.peers,
+            node.clock,
+            node.rng,
+            node.metrics,
+        )
+        self._server = EntryServer(self.context, ssl_context)
+
+    @property
+    def address(self) -> str:
+        """The IP:port where callers are served."""
+        return self._server.address
+
+    def start(self) -> None:
+        """Listen for callers."""
+        self._server.listen()
+
+    async def drain(self) -> None:
+        """Let the balancer notice, then refuse new and finish open work."""
+        self.context.leaving = True
+        grace_ms = self.context.settings.leave_grace_ms
+        await asyncio.sleep(grace_ms / 1000.0)
+        self.context.refusing = True
+        self._server.stop_listening()
+        while self.context.open_requests:
+            await asyncio.sleep(POLL_MS / 1000.0)
+
+    async def close(self) -> None:
+        """Close every caller's connection."""
+        await self._server.close()
--- a/wigeonmill/entry/server.py
+++ b/wigeonmill/entry/server.py
@@ -9,6 +9,7 @@
 
 from wigeonmill.entry.base import UnknownPathHandler
 from wigeonmill.entry.context import EntryContext
+from wigeonmill.entry.models import ChatHandler
 from wigeonmill.entry.models import ModelHandler
 from wigeonmill.entry.models import ModelListHandler
 from wigeonmill.entry.plain import PlainHandler
@@ -31,13 +32,10 @@
 def make_application(context: EntryContext) -> Application:
     """Return the callers' interface."""
     shared = {'context': context}
-    handlers = [
-        (api.value, ModelHandler, {'context': context, 'api': api})
-        for api in Api
-    ]
     return Application(
         [
-            *handlers,
+            (Api.COMPLETIONS.value, ModelHandler, shared),
+            (Api.CHAT.value, ChatHandler, shared),
             (r'/v1/models', ModelListHandler, shared),
             (r'/v1/services/([^/]+)/(.*)', PlainHandler, shared),
             (r'/healthz', HealthHandler, shared),
--- a/wigeonmill/membership/config_feed.py
+++ b/wigeonmill/membership/config_feed.py
@@ -15,6 +15,7 @@
 
 WATCH_MS = 20_000
 RETRY_MS = 500
+HINT_PAUSE_MS = 200
 
 
 class ConfigFeed:
@@ -26,6 +27,20 @@
         self._key_value = key_value
         self._holder = holder
         self._metrics = metrics
+        self._hinted = asyncio.Event()
+
+    def hint(self, serial: int) -> None:
+        """Note that a peer has a later configuration, `serial`."""
+        if serial > self._holder.serial:
+            self._hinted.set()
+
+    async def follow_hints(self) -> None:
+        """Read at once when a peer is ahead, until cancelled."""
+        while True:
+            await self._hinted.wait()
+            self._hinted.clear()
+            await self._read()
+            await asyncio.sleep(HINT_PAUSE_MS / 1000.0)
 
     async def run(self) -> None:
         """Follow the key until cancelled."""
--- a/wigeonmill/platform/http.py
+++ b/wigeonmill/platform/http.py
@@ -137,7 +137,7 @@
     def close(self) -> None:
         """Close every connection; calls in progress end without outcome."""
         if self._curl is not None:
-            self._curl.close()
+            close_curl_client(self._curl)
             self._curl = None
 
     def _pool(self) -> CurlAsyncHTTPClient:
@@ -221,3 +221,11 @@
 def _ignore_outcome(fut: asyncio.Future[HTTPResponse]) -> None:
     if not fut.cancelled():
         fut.exception()
+
+
+def close_curl_client(client: CurlAsyncHTTPClient) -> None:
+    """Close a client and the timer that curl may set while it closes."""
+    client.close()
+    timer = client._timeout
+    if timer is not None:
+        client.io_loop.remove_timeout(timer)
--- a/wigeonmill/settings.py
+++ b/wigeonmill/settings.py
@@ -33,6 +33,7 @@
     http: str = '127.0.0.1:8080'
     candidates: Annotated[int, msgspec.Meta(ge=1, le=8)] = 3
     offer_timeout_ms: Milliseconds = 250
+    leave_grace_ms: Annotated[int, msgspec.Meta(ge=0)] = 1_500
     max_open_requests: Annotated[int, msgspec.Meta(ge=1)] = 4096
     max_header_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 32768
     body_timeout_ms: Milliseconds = 20_000
