--- /dev/null
+++ b/wigeonmill/platform/block_store.py
@@ -0,0 +1,159 @@
+"""Store VMs, which keep cache blocks in memory and on disk."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+from urllib.parse import quote
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from wigeonmill.clock import Clock
+from wigeonmill.platform.http import CancelHandle
+from wigeonmill.platform.http import HttpCall
+from wigeonmill.platform.http import HttpClient
+from wigeonmill.platform.http import HttpReply
+from wigeonmill.platform.transfer import from_http
+from wigeonmill.platform.transfer import from_status
+from wigeonmill.platform.transfer import Transfer
+from wigeonmill.platform.transfer import TransferError
+from wigeonmill.platform.transfer import TransferErrorKind
+
+MAX_TRANSFERS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class StoredBlock:
+    """A block as read; its content is not checked."""
+
+    data: bytes
+    transfer: Transfer
+
+
+class StoreFill(msgspec.Struct, frozen=True):
+    """How full a store VM is, in bytes."""
+
+    memory_bytes: int
+    memory_limit_bytes: int
+    disk_bytes: int
+    disk_limit_bytes: int
+    blocks: int
+
+
+class BlockStore(Protocol):
+    """One store VM.
+
+    A name is written once. A block may be cut short or altered, so the
+    reader has to check it.
+    """
+
+    async def put(
+        self,
+        name: str,
+        data: bytes,
+        timeout_ms: float,
+        cancel: CancelHandle | None = None,
+    ) -> Result[Transfer, TransferError]:
+        """Keep `data` as `name`; FULL when there is no room."""
+
+    async def get(
+        self,
+        name: str,
+        timeout_ms: float,
+        cancel: CancelHandle | None = None,
+        on_progress: Callable[[int], None] | None = None,
+    ) -> Result[StoredBlock, TransferError]:
+        """Read a block; `on_progress` gets the bytes received so far."""
+
+    async def delete(
+        self, name: str, timeout_ms: float
+    ) -> Result[None, TransferError]:
+        """Remove a block; one that is not there counts as removed."""
+
+    async def fill(
+        self, timeout_ms: float
+    ) -> Result[StoreFill, TransferError]:
+        """Return how full the store is."""
+
+
+class HttpBlockStore:
+    """The store VM at `address` (IP:port) over HTTP."""
+
+    __slots__ = ('_address', '_http')
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._address = address
+        self._http = HttpClient(clock, MAX_TRANSFERS)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._http.close()
+
+    async def put(
+        self,
+        name: str,
+        data: bytes,
+        timeout_ms: float,
+        cancel: CancelHandle | None = None,
+    ) -> Result[Transfer, TransferError]:
+        url = self._url(name)
+        call = HttpCall('PUT', url, timeout_ms, data, cancel=cancel)
+        sent = await self._send(call)
+        return sent.map(lambda reply: Transfer(len(data), reply.elapsed_ms))
+
+    async def get(
+        self,
+        name: str,
+        timeout_ms: float,
+        cancel: CancelHandle | None = None,
+        on_progress: Callable[[int], None] | None = None,
+    ) -> Result[StoredBlock, TransferError]:
+        data = bytearray()
+
+        def receive(piece: bytes) -> None:
+            data.extend(piece)
+            if on_progress is not None:
+                on_progress(len(data))
+
+        url = self._url(name)
+        call = HttpCall('GET', url, timeout_ms, cancel=cancel, on_data=receive)
+        sent = await self._send(call)
+        if isinstance(sent, Err):
+            return sent
+        transfer = Transfer(len(data), sent.ok_value.elapsed_ms)
+        return Ok(StoredBlock(bytes(data), transfer))
+
+    async def delete(
+        self, name: str, timeout_ms: float
+    ) -> Result[None, TransferError]:
+        sent = await self._send(
+            HttpCall('DELETE', self._url(name), timeout_ms)
+        )
+        if isinstance(sent, Err):
+            if sent.err_value.kind is not TransferErrorKind.NOT_FOUND:
+                return sent
+        return Ok(None)
+
+    async def fill(
+        self, timeout_ms: float
+    ) -> Result[StoreFill, TransferError]:
+        url = f'http://{self._address}/fill'
+        sent = await self._send(HttpCall('GET', url, timeout_ms))
+        if isinstance(sent, Err):
+            return sent
+        try:
+            return Ok(msgspec.json.decode(sent.ok_value.body, type=StoreFill))
+        except msgspec.MsgspecError as exc:
+            return Err(TransferError(TransferErrorKind.BROKEN, str(exc)))
+
+    async def _send(self, call: HttpCall) -> Result[HttpReply, TransferError]:
+        sent = await self._http.send(call)
+        if isinstance(sent, Err):
+            return Err(from_http(sent.err_value))
+        error = from_status(sent.ok_value.status)
+        return Err(error) if error is not None else Ok(sent.ok_value)
+
+    def _url(self, name: str) -> str:
+        return f'http://{self._address}/blocks/{quote(name, safe="")}'
--- a/wigeonmill/standins/__main__.py
+++ b/wigeonmill/standins/__main__.py
@@ -14,11 +14,19 @@
 
 from wigeonmill.standins.engine import start_engine
 from wigeonmill.standins.engine_core import EngineOptions
+from wigeonmill.standins.fault_proxy import ProxyOptions
+from wigeonmill.standins.fault_proxy import start_fault_proxy
 from wigeonmill.standins.key_value import KeyValueOptions
 from wigeonmill.standins.key_value import start_key_value
 from wigeonmill.standins.ledger import LedgerOptions
 from wigeonmill.standins.ledger import start_ledger
 from wigeonmill.standins.server import StandinServer
+from wigeonmill.standins.store_vm import start_store_vm
+from wigeonmill.standins.store_vm import StoreVmOptions
+from wigeonmill.standins.vm_list import start_vm_list
+from wigeonmill.standins.vm_list import VmListOptions
+from wigeonmill.standins.weight_store import start_weight_store
+from wigeonmill.standins.weight_store import WeightStoreOptions
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +38,10 @@
 
 
 KINDS = {
+    'fault-proxy': Kind(ProxyOptions, start_fault_proxy),
+    'store-vm': Kind(StoreVmOptions, start_store_vm),
+    'vm-list': Kind(VmListOptions, start_vm_list),
+    'weight-store': Kind(WeightStoreOptions, start_weight_store),
     'engine': Kind(EngineOptions, start_engine),
     'key-value': Kind(KeyValueOptions, start_key_value),
     'ledger': Kind(LedgerOptions, start_ledger),
@@ -54,14 +66,20 @@
 
 
 async def serve(kind: Kind, args: Arguments) -> None:
-    """Serve until SIGTERM or SIGINT; prints `ready ADDRESS` first."""
+    """Serve until SIGTERM or SIGINT.
+
+    The first line says `ready ADDRESS`, and for a proxy `ready ADDRESS
+    CONTROL_ADDRESS`.
+    """
     options = read_options(kind, args.options)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     server = await kind.start(options, args.host, args.port)
-    print(f'ready {server.address}', flush=True)
+    print(
+        f'ready {server.address} {server.control_address}'.rstrip(), flush=True
+    )
     await stop.wait()
     await server.stop()
 
--- a/wigeonmill/standins/server.py
+++ b/wigeonmill/standins/server.py
@@ -37,12 +37,16 @@
 
 @dataclass(slots=True)
 class StandinServer(Generic[S]):
-    """A running stand-in; `address` is IP:port."""
+    """A running stand-in; addresses are IP:port.
+
+    `control_address` is set where faults and audit are served apart.
+    """
 
     address: str
     state: S
     _http: HTTPServer
     _on_stop: Callable[[], Awaitable[None]] | None
+    control_address: str = ''
 
     async def stop(self) -> None:
         """Close the listening socket and every connection."""
--- /dev/null
+++ b/wigeonmill/standins/vm_list.py
@@ -0,0 +1,126 @@
+"""A list of live and leaving VMs that shows changes late."""
+
+import asyncio
+
+import msgspec
+
+from wigeonmill.clock import Clock
+from wigeonmill.platform.vm_list import Vm
+from wigeonmill.platform.vm_list import VmListing
+from wigeonmill.standins.server import Route
+from wigeonmill.standins.server import StandinHandler
+from wigeonmill.standins.server import StandinServer
+from wigeonmill.standins.server import start_server
+
+POLL_MS = 20.0
+
+
+class VmListFaults(msgspec.Struct):
+    """Faults of the list; changes appear `lag_ms` after they are made."""
+
+    lag_ms: float = 0.0
+    unavailable: bool = False
+
+
+class VmListOptions(msgspec.Struct, forbid_unknown_fields=True):
+    """The VMs at the start."""
+
+    vms: list[Vm] = []
+    faults: VmListFaults = msgspec.field(default_factory=VmListFaults)
+
+
+class VmListAudit(msgspec.Struct):
+    """Reads so far and the newest revision, shown or not."""
+
+    reads: int = 0
+    revision: int = 1
+
+
+class VmListState:
+    """Every listing with the time from which it is true."""
+
+    def __init__(self, options: VmListOptions, clock: Clock) -> None:
+        self.faults = options.faults
+        self.seen = VmListAudit()
+        self.clock = clock
+        self._vms = {vm.name: vm for vm in options.vms}
+        first = VmListing(1, list(options.vms))
+        self._listings = [(float('-inf'), first)]
+
+    def audit(self) -> VmListAudit:
+        """Return the reads so far."""
+        return self.seen
+
+    def faults_changed(self) -> None:
+        """Do nothing: faults act on the next call."""
+
+    def set_vm(self, vm: Vm) -> None:
+        """Add or change a VM."""
+        self._vms[vm.name] = vm
+        self._publish()
+
+    def remove_vm(self, name: str) -> None:
+        """Remove a VM, if it is listed."""
+        if self._vms.pop(name, None) is not None:
+            self._publish()
+
+    def listing(self) -> VmListing:
+        """Return the listing as it was `lag_ms` ago."""
+        until_ms = self.clock.now_ms() - self.faults.lag_ms
+        while len(self._listings) > 1 and self._listings[1][0] <= until_ms:
+            self._listings.pop(0)
+        return self._listings[0][1]
+
+    async def wait_change(self, known: int, wait_ms: float) -> VmListing:
+        """Return the listing once its revision is not `known`."""
+        deadline_ms = self.clock.now_ms() + wait_ms
+        while True:
+            listing = self.listing()
+            left_ms = deadline_ms - self.clock.now_ms()
+            if listing.revision != known or left_ms <= 0:
+                return listing
+            await asyncio.sleep(min(left_ms, POLL_MS) / 1000.0)
+
+    def _publish(self) -> None:
+        self.seen.revision += 1
+        listing = VmListing(self.seen.revision, list(self._vms.values()))
+        self._listings.append((self.clock.now_ms(), listing))
+
+
+class _ListHandler(StandinHandler):
+    state: VmListState
+
+    async def get(self) -> None:
+        if self.state.faults.unavailable:
+            return self.reply_error(503, 'unavailable', 'out of service')
+        self.state.seen.reads += 1
+        known = int(self.get_query_argument('known', '0'))
+        wait_ms = float(self.get_query_argument('wait_ms', '0'))
+        return self.reply(await self.state.wait_change(known, wait_ms))
+
+    def post(self) -> None:
+        vm = self.decode(Vm)
+        if vm is not None:
+            self.state.set_vm(vm)
+            self.reply(vm)
+
+
+class _VmHandler(StandinHandler):
+    state: VmListState
+
+    def delete(self, name: str) -> None:
+        self.state.remove_vm(name)
+        self.set_status(204)
+
+
+async def start_vm_list(
+    options: VmListOptions, host: str = '127.0.0.1', port: int = 0
+) -> StandinServer[VmListState]:
+    """Start a VM list."""
+    state = VmListState(options, Clock())
+    own = {'state': state}
+    routes: list[Route] = [
+        ('/vms', _ListHandler, own),
+        ('/vms/([^/]+)', _VmHandler, own),
+    ]
+    return await start_server(state, routes, host, port)
