Test the stand-ins and keep curl from resending requests

Curl sends a request again when a kept connection closes before a reply: a request that crashed an engine ran on its next incarnation. Calls are now sent once unless they say that they are repeatable. Curl also takes a reply that ends amid its headers for a whole one; that is now an error.

--- a/tests/platform/test_key_value.py
+++ b/tests/platform/test_key_value.py
@@ -124,7 +124,7 @@
 def test_watch_delivers_changes_from_a_revision(kind):
     async def check():
         async with opened(kind) as (kv, memory):
-            empty = (await kv.watch('w/', 0, 30)).unwrap()
+            empty = (await kv.watch('w/', 0, 0)).unwrap()
             assert empty.events == []
             waiting = asyncio.ensure_future(
                 kv.watch('w/', empty.next_revision, TIMEOUT_MS)
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -93,3 +93,226 @@
             assert whole['choices'][0]['message']['content'] == text
 
     asyncio.run(check())
+
+
+def test_a_cached_prefix_skips_prefill():
+    async def check():
+        rates = BatchOptions(
+            prefill_tokens_per_second=8000.0, block_tokens=10, speed=20.0
+        )
+        async with engine(batch=rates) as caller:
+            req = request(kv_block_keys=KEYS[:2], prompt_tokens=25)
+            first = await caller.run(req)
+            again = await caller.run(req)
+            cached = [
+                parts[-1].usage.prompt_tokens_details.cached_tokens
+                for parts in (first, again)
+            ]
+            assert cached == [0, 20]
+            assert caller.state.seen.computed_prompt_tokens == 25 + 5
+
+    asyncio.run(check())
+
+
+def test_eviction_is_told_by_numbered_events_with_gaps():
+    async def check():
+        async with engine(cache_blocks=2) as caller:
+            await caller.run(request(kv_block_keys=KEYS[:2]))
+            _, listing = await caller.json('GET', '/cache/blocks')
+            assert set(listing['block_keys']) == set(KEYS[:2])
+            faults = {'drop_nth_event': 4, 'event_delay_ms': 40.0}
+            await caller.json('POST', '/faults', faults)
+            await caller.run(request(kv_block_keys=KEYS[2:3]))
+            since = listing['sequence']
+            path = f'/cache/events?since={since}'
+            _, early = await caller.json('GET', path)
+            assert (early['events'], early['next']) == ([], since)
+            _, late = await caller.json('GET', f'{path}&wait_ms=2000')
+            # The fourth event, that of the stored block, was dropped.
+            assert late['next'] == since + 2
+            kinds = [event['kind'] for event in late['events']]
+            assert kinds == ['evicted']
+            # The tail of a prompt goes first.
+            assert late['events'][0]['block_key'] == KEYS[1]
+
+    asyncio.run(check())
+
+
+def test_exports_import_again_and_wrong_blocks_are_audited():
+    async def check():
+        async with engine() as caller:
+            await caller.run(request(kv_block_keys=KEYS[:2]))
+            paths = [f'/cache/blocks/{key}' for key in KEYS]
+            data = (await caller.send('GET', paths[0])).unwrap().body
+            await caller.json('POST', '/faults', {'reuse_exports': 1})
+            reused = (await caller.send('GET', paths[0])).unwrap().body
+            assert reused != data
+            await caller.json('POST', '/faults', {'truncate_exports': 1})
+            assert (await caller.send('GET', paths[0])).is_err()
+            missing = (await caller.send('GET', paths[3])).unwrap()
+            assert missing.status == 404
+            await caller.send('PUT', paths[0], data)
+            seen = caller.state.seen
+            assert (seen.foreign_imports, seen.corrupt_imports) == (0, 0)
+            await caller.send('PUT', paths[2], data)
+            await caller.send('PUT', paths[3], data[:-1])
+            assert seen.foreign_imports == 2
+            await caller.send('PUT', paths[0], data[:-1])
+            assert seen.corrupt_imports == 1
+            parts = await caller.run(request('q', kv_block_keys=KEYS[2:3]))
+            text = ''.join(part.choices[0].text for part in parts)
+            assert text != expected_answer('q', 4)
+            assert seen.tainted_reads == 1
+
+    asyncio.run(check())
+
+
+def test_too_many_requests_crash_a_cold_engine():
+    async def check():
+        options = {'cold_concurrency': 2, 'cold_duration_ms': 60_000.0}
+        async with engine(**options) as caller:
+            before = caller.state.incarnation
+            two = [caller.run(request(max_tokens=3)) for _ in range(2)]
+            assert None not in await asyncio.gather(*two)
+            three = [caller.run(request(max_tokens=99)) for _ in range(3)]
+            assert await asyncio.gather(*three) == [None, None, None]
+            assert caller.state.seen.cold_overloads == 1
+            _, health = await caller.json('GET', '/health')
+            assert health['incarnation'] != before
+            assert health['state'] == 'cold'
+
+    asyncio.run(check())
+
+
+def test_a_marked_request_crashes_the_engine_with_its_neighbours():
+    async def check():
+        async with engine(cold_duration_ms=50.0) as caller:
+            await asyncio.sleep(0.06)
+            caller.state.faults.crash_marker = 'poison'
+            other = asyncio.ensure_future(caller.run(request(max_tokens=5000)))
+            while not caller.state.batch.running:
+                await asyncio.sleep(0.005)
+            assert await caller.run(request('some poison here')) is None
+            assert await other is None
+            outcomes = [r.outcome for r in caller.state.seen.requests]
+            assert outcomes == ['crashed', 'crashed']
+            assert caller.state.health().state.value == 'cold'
+
+    asyncio.run(check())
+
+
+def test_turning_cold_keeps_streams_and_loses_the_cache():
+    async def check():
+        options = {'cold_duration_ms': 30.0}
+        async with engine(**options) as caller:
+            await caller.run(request(kv_block_keys=KEYS))
+            before = caller.state.incarnation
+            running = asyncio.ensure_future(caller.run(request(max_tokens=50)))
+            while not caller.state.batch.running:
+                await asyncio.sleep(0.005)
+            await caller.json('POST', '/faults', {'turn_cold': True})
+            assert caller.state.incarnation != before
+            assert len(caller.state.cache) == 0
+            assert len(await running) == 51
+
+    asyncio.run(check())
+
+
+def test_a_broken_stream_resumes_and_a_cancelled_one_ends():
+    async def check():
+        async with engine(resume_grace_ms=30.0) as caller:
+            req = request(max_tokens=2000, request_id='r1')
+            lost = asyncio.ensure_future(caller.run(req))
+            while 'r1' not in caller.state.runs:
+                await asyncio.sleep(0.005)
+            lost.cancel()
+            path = '/v1/streams/r1?offset=1997'
+            caller.state.batch.options.speed = 10_000.0
+            sent = await caller.send('GET', path)
+            text = ''.join(
+                part.choices[0].text for part in chunks(sent.unwrap().body)
+            )
+            words = expected_answer('a b', 2000).split()
+            assert text.split() == words[1997:]
+            caller.state.batch.options.speed = 1.0
+            second = asyncio.ensure_future(
+                caller.run(request(max_tokens=2000, request_id='r2'))
+            )
+            while 'r2' not in caller.state.runs:
+                await asyncio.sleep(0.005)
+            _, reply = await caller.json('POST', '/v1/requests/r2/cancel')
+            assert reply['cancelled']
+            assert await second is None
+
+    asyncio.run(check())
+
+
+def test_higher_priority_runs_first():
+    async def check():
+        rates = BatchOptions(max_batch=1, speed=20.0)
+        async with engine(batch=rates) as caller:
+            order: list[str] = []
+
+            async def one(name, priority):
+                await caller.run(request(request_id=name, priority=priority))
+                order.append(name)
+
+            first = asyncio.ensure_future(one('first', 0))
+            while not caller.state.batch.running:
+                await asyncio.sleep(0.001)
+            await asyncio.gather(one('low', 0), one('high', 5), first)
+            assert order == ['first', 'high', 'low']
+
+    asyncio.run(check())
+
+
+def test_load_orders_are_fenced():
+    async def check():
+        async with engine(load_ms=30.0) as caller:
+            running = asyncio.ensure_future(
+                caller.run(request(max_tokens=100, weight_version='v1'))
+            )
+            while not caller.state.batch.running:
+                await asyncio.sleep(0.005)
+            order = {
+                'model': 'model',
+                'weight_version': 'v2',
+                'fencing': {'revision': 3, 'order': 1},
+            }
+            status, _ = await caller.json('POST', '/admin/load', order)
+            assert status == 202
+            status, refusal = await caller.json(
+                'POST', '/v1/completions', request()
+            )
+            assert (status, refusal['error']['reason']) == (503, 'loading')
+            while caller.state.loading:
+                await asyncio.sleep(0.005)
+            parts = await running
+            assert {part.weight_version for part in parts} == {'v1'}
+            order['fencing'] = {'revision': 2, 'order': 9}
+            status, refusal = await caller.json('POST', '/admin/load', order)
+            assert refusal['error']['reason'] == 'stale_fencing'
+            status, refusal = await caller.json(
+                'POST', '/v1/completions', request(weight_version='v1')
+            )
+            assert (status, refusal['error']['reason']) == (
+                409,
+                'weight_version',
+            )
+
+    asyncio.run(check())
+
+
+def test_an_engine_without_fencing_takes_old_orders():
+    async def check():
+        async with engine(checks_fencing=False) as caller:
+            for revision in (2, 1):
+                order = {
+                    'role': 'prefill',
+                    'fencing': {'revision': revision, 'order': 0},
+                }
+                status, _ = await caller.json('POST', '/admin/role', order)
+                assert status == 200
+            assert caller.state.seen.stale_orders_applied == 1
+
+    asyncio.run(check())
--- a/wigeonmill/platform/block_store.py
+++ b/wigeonmill/platform/block_store.py
@@ -118,7 +118,14 @@
                 on_progress(len(data))
 
         url = self._url(name)
-        call = HttpCall('GET', url, timeout_ms, cancel=cancel, on_data=receive)
+        call = HttpCall(
+            'GET',
+            url,
+            timeout_ms,
+            repeatable=True,
+            cancel=cancel,
+            on_data=receive,
+        )
         sent = await self._send(call)
         if isinstance(sent, Err):
             return sent
@@ -129,7 +136,7 @@
         self, name: str, timeout_ms: float
     ) -> Result[None, TransferError]:
         sent = await self._send(
-            HttpCall('DELETE', self._url(name), timeout_ms)
+            HttpCall('DELETE', self._url(name), timeout_ms, repeatable=True)
         )
         if isinstance(sent, Err):
             if sent.err_value.kind is not TransferErrorKind.NOT_FOUND:
@@ -140,7 +147,9 @@
         self, timeout_ms: float
     ) -> Result[StoreFill, TransferError]:
         url = f'http://{self._address}/fill'
-        sent = await self._send(HttpCall('GET', url, timeout_ms))
+        sent = await self._send(
+            HttpCall('GET', url, timeout_ms, repeatable=True)
+        )
         if isinstance(sent, Err):
             return sent
         try:
--- a/wigeonmill/platform/etcd.py
+++ b/wigeonmill/platform/etcd.py
@@ -118,7 +118,11 @@
         failed: Result[KvWatchBatch, KvError] = _unreached()
         for address in self._addresses:
             failed = await watch_once(
-                self._watches, f'http://{address}/v3/watch', create, wait_ms
+                self._watches,
+                f'http://{address}/v3/watch',
+                create,
+                wait_ms,
+                self._timeout_ms,
             )
             if not _try_next(failed):
                 return failed
--- a/wigeonmill/platform/etcd_watch.py
+++ b/wigeonmill/platform/etcd_watch.py
@@ -1,5 +1,6 @@
 """Reads one batch of changes from a watch stream of etcd's gateway."""
 
+import asyncio
 import base64
 
 import msgspec
@@ -11,7 +12,6 @@
 from wigeonmill.platform.http import CancelHandle
 from wigeonmill.platform.http import HttpCall
 from wigeonmill.platform.http import HttpClient
-from wigeonmill.platform.http import HttpErrorKind
 from wigeonmill.platform.key_value import KvEntry
 from wigeonmill.platform.key_value import KvError
 from wigeonmill.platform.key_value import KvErrorKind
@@ -22,10 +22,18 @@
 class _Reader:
     """Splits the stream into messages and stops it after the first batch."""
 
-    __slots__ = ('_cancel', '_buffer', 'opened_at', 'events', 'error')
+    __slots__ = (
+        'cancel',
+        'opened_at',
+        'events',
+        'error',
+        '_buffer',
+        '_wait_ms',
+    )
 
-    def __init__(self, cancel: CancelHandle) -> None:
-        self._cancel = cancel
+    def __init__(self, cancel: CancelHandle, wait_ms: int) -> None:
+        self.cancel = cancel
+        self._wait_ms = wait_ms
         self._buffer = b''
         self.opened_at: int | None = None
         self.events: list[KvEvent] = []
@@ -35,7 +43,7 @@
         """Take a piece of the stream."""
         *lines, self._buffer = (self._buffer + data).split(b'\n')
         for line in lines:
-            if line and not self._cancel.cancelled:
+            if line and not self.cancel.cancelled:
                 self._read(line)
 
     def _read(self, line: bytes) -> None:
@@ -48,24 +56,37 @@
             self._fail(KvErrorKind.INVALID, 'revision was compacted')
         elif reply.events:
             self.events = [_event(event) for event in reply.events]
-            self._cancel.cancel()
+            self.cancel.cancel()
         elif reply.created:
             self.opened_at = int(reply.header.revision)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._wait_ms / 1000.0, self.cancel.cancel)
 
     def _fail(self, kind: KvErrorKind, message: str) -> None:
         self.error = KvError(kind, message)
-        self._cancel.cancel()
+        self.cancel.cancel()
 
 
 async def watch_once(
-    http: HttpClient, url: str, create: msg.WatchCreate, wait_ms: int
+    http: HttpClient,
+    url: str,
+    create: msg.WatchCreate,
+    wait_ms: int,
+    timeout_ms: int,
 ) -> Result[KvWatchBatch, KvError]:
-    """Watch until the first batch of changes or for `wait_ms`."""
-    cancel = CancelHandle()
-    reader = _Reader(cancel)
-    body = msgspec.json.encode(msg.WatchRequest(create))
+    """Watch until the first batch of changes or for `wait_ms`.
+
+    The watch has to open within `timeout_ms`.
+    """
+    reader = _Reader(CancelHandle(), wait_ms)
     call = HttpCall(
-        'POST', url, wait_ms, body, cancel=cancel, on_data=reader.feed
+        'POST',
+        url,
+        timeout_ms + wait_ms,
+        msgspec.json.encode(msg.WatchRequest(create)),
+        repeatable=True,
+        cancel=reader.cancel,
+        on_data=reader.feed,
     )
     sent = await http.send(call)
     if reader.error is not None:
@@ -73,10 +94,7 @@
     if reader.events:
         last = reader.events[-1].revision
         return Ok(KvWatchBatch(reader.events, last + 1))
-    timed_out = (
-        isinstance(sent, Err) and sent.err_value.kind is HttpErrorKind.TIMEOUT
-    )
-    if timed_out and reader.opened_at is not None:
+    if reader.opened_at is not None and reader.cancel.cancelled:
         start = int(create.start_revision) or reader.opened_at + 1
         return Ok(KvWatchBatch([], start))
     return Err(KvError(KvErrorKind.UNAVAILABLE, _describe(sent)))
--- a/wigeonmill/platform/http.py
+++ b/wigeonmill/platform/http.py
@@ -84,8 +84,8 @@
 class HttpCall:
     """One call.
 
-    With `repeatable` false curl never sends the request a second time when
-    a kept connection turns out to be dead. `on_data` receives the body of
+    Unless `repeatable`, curl never sends the request a second time when a
+    kept connection turns out to be dead. `on_data` receives the body of
     the reply piece by piece in place of the reply's `body`.
     """
 
@@ -94,11 +94,28 @@
     timeout_ms: float
     body: bytes | None = None
     headers: dict[str, str] = field(default_factory=dict)
-    repeatable: bool = True
+    repeatable: bool = False
     cancel: CancelHandle | None = None
     on_data: Callable[[bytes], None] | None = None
 
 
+class _HeaderEnd:
+    """Sees whether the headers of the last reply are whole.
+
+    Curl takes a reply whose connection closes amid the headers for a
+    whole one without a body.
+    """
+
+    __slots__ = ('seen',)
+
+    def __init__(self) -> None:
+        self.seen = False
+
+    def feed(self, line: str) -> None:
+        """Take one line of the headers."""
+        self.seen = not line.strip()
+
+
 class HttpClient:
     """A pool of curl handles, opened on first use inside the loop."""
 
@@ -117,8 +134,10 @@
         )
         cancel.on_cancel(lambda: _set_done(stopped))
         began_ms = self._clock.now_ms()
+        headers = _HeaderEnd()
+        req = _request(call, cancel, headers)
         fetch = asyncio.ensure_future(
-            self._pool().fetch(_request(call, cancel), raise_error=False)
+            self._pool().fetch(req, raise_error=False)
         )
         try:
             await asyncio.wait(
@@ -132,6 +151,9 @@
             fetch.add_done_callback(_ignore_outcome)
             return Err(HttpError(HttpErrorKind.CANCELLED, 'cancelled'))
         elapsed_ms = self._clock.now_ms() - began_ms
+        if fetch.exception() is None and not headers.seen:
+            message = 'the connection ended amid the headers'
+            return Err(HttpError(HttpErrorKind.BROKEN, message))
         return _outcome(fetch, elapsed_ms)
 
     def close(self) -> None:
@@ -150,7 +172,9 @@
         return self._curl
 
 
-def _request(call: HttpCall, cancel: CancelHandle) -> HTTPRequest:
+def _request(
+    call: HttpCall, cancel: CancelHandle, headers: _HeaderEnd
+) -> HTTPRequest:
     def prepare(curl: pycurl.Curl) -> None:
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(
@@ -169,6 +193,7 @@
         follow_redirects=False,
         decompress_response=False,
         allow_nonstandard_methods=True,
+        header_callback=headers.feed,
         streaming_callback=call.on_data,
         prepare_curl_callback=prepare,
     )
--- a/wigeonmill/platform/vm_list.py
+++ b/wigeonmill/platform/vm_list.py
@@ -72,7 +72,9 @@
     ) -> Result[VmListing, TransferError]:
         query = f'known={known_revision}&wait_ms={wait_ms}'
         url = f'http://{self._address}/vms?{query}'
-        call = HttpCall('GET', url, self._timeout_ms + wait_ms)
+        call = HttpCall(
+            'GET', url, self._timeout_ms + wait_ms, repeatable=True
+        )
         sent = await self._http.send(call)
         if isinstance(sent, Err):
             return Err(from_http(sent.err_value))
--- a/wigeonmill/platform/weight_store.py
+++ b/wigeonmill/platform/weight_store.py
@@ -54,6 +54,7 @@
             'GET',
             f'http://{self._address}/weights/{path}',
             self._timeout_ms,
+            repeatable=True,
             cancel=cancel,
             on_data=count,
         )
