--- a/bench/policy_sim/block_cache.py
+++ b/bench/policy_sim/block_cache.py
@@ -1,6 +1,6 @@
 """An engine's limited prefix cache."""
 
-from collections import OrderedDict
+import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 
@@ -15,7 +15,9 @@
 
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
-        self._pins: OrderedDict[bytes, int] = OrderedDict()
+        self._pins: collections.OrderedDict[bytes, int] = (
+            collections.OrderedDict()
+        )
         self.on_stored: CacheListener | None = None
         self.on_removed: CacheListener | None = None
 
--- a/bench/policy_sim/stats.py
+++ b/bench/policy_sim/stats.py
@@ -1,6 +1,6 @@
 """What a run of one policy through one scene showed."""
 
-from collections import Counter
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -27,10 +27,18 @@
     """Records and counters of one run."""
 
     records: dict[int, RequestRecord] = field(default_factory=dict)
-    refusals: Counter[str] = field(default_factory=Counter)
-    retries: Counter[str] = field(default_factory=Counter)
-    denials: Counter[str] = field(default_factory=Counter)
-    violations: Counter[str] = field(default_factory=Counter)
+    refusals: collections.Counter[str] = field(
+        default_factory=collections.Counter
+    )
+    retries: collections.Counter[str] = field(
+        default_factory=collections.Counter
+    )
+    denials: collections.Counter[str] = field(
+        default_factory=collections.Counter
+    )
+    violations: collections.Counter[str] = field(
+        default_factory=collections.Counter
+    )
     prompt_tokens: int = 0
     recomputed_tokens: int = 0
     imported_blocks: int = 0
@@ -53,17 +61,13 @@
         """Return recomputed tokens by prompt tokens."""
         return self.recomputed_tokens / max(1, self.prompt_tokens)
 
-    def waits(
-        self, chosen: Callable[[RequestRecord], bool]
-    ) -> list[float]:
+    def waits(self, chosen: Callable[[RequestRecord], bool]) -> list[float]:
         """Return sorted times to first token of the chosen requests.
 
         A request without a first token counts with its whole deadline.
         """
         return sorted(
-            _wait(record)
-            for record in self.records.values()
-            if chosen(record)
+            _wait(record) for record in self.records.values() if chosen(record)
         )
 
 
--- a/bench/policy_sim/store.py
+++ b/bench/policy_sim/store.py
@@ -1,6 +1,6 @@
 """Fake store VMs and the limited link of an engine to them."""
 
-from collections import OrderedDict
+import collections
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -30,7 +30,9 @@
         self.up = True
         self.partial = False
         self.full = False
-        self._frames: OrderedDict[bytes, StoredFrame] = OrderedDict()
+        self._frames: collections.OrderedDict[bytes, StoredFrame] = (
+            collections.OrderedDict()
+        )
         self._room = room
 
     def __contains__(self, key: bytes) -> bool:
--- a/bench/policy_sim/workloads.py
+++ b/bench/policy_sim/workloads.py
@@ -83,7 +83,9 @@
     store = StoreSpec(4_000_000, 250e6, 200e6, 6000, 2.0)
     domains = ('mobile-bay', 'baton-rouge', 'biloxi')
     fleet = Fleet(domains, 9, 3, 0.5, 3, engine, store)
-    price_check = Kind('price_check', 0.65, URGENT, (2, 2), (50, 400), (40, 80))
+    price_check = Kind(
+        'price_check', 0.65, URGENT, (2, 2), (50, 400), (40, 80)
+    )
     invoice = Kind(
         'invoice', 0.35, 0, (5, 5), (2000, 7000), (150, 300), 0.4, 'follow_up'
     )
--- a/bench/policy_sim/world.py
+++ b/bench/policy_sim/world.py
@@ -31,9 +31,7 @@
         self.rng = random.Random(seed)
         self.stats = SceneStats()
         self.requests = list(requests)
-        self.engines = {
-            engine.name: engine for engine in self._make_engines()
-        }
+        self.engines = {engine.name: engine for engine in self._make_engines()}
         rate = fleet.store.link_bytes_per_s
         self.links = {
             name: StoreLink(self.loop, rate) for name in self.engines
