Measure the path with real processes against the stand-in alone

Cause: the path's own cost was not known. Change: bench path starts entry, four agents, four engines and load workers as processes; bench load is the load tool. Curl's errors raise even where tornado is asked not to raise, so the agent's clients take them as values now. Goals: 3 ms, 67 requests/s, 19,500 tokens/s, none failed.

--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,224 @@
+"""Measures what the path adds, against the same load sent straight.
+
+`python -m bench path --seed N [--json]`: real processes on loopback.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+import sys
+from typing import Annotated
+
+import cappa
+import msgspec
+
+from bench.load import LoadResult
+from bench.outcome import Bound
+from bench.outcome import Outcome
+from bench.outcome import print_outcome
+from bench.processes import Process
+from bench.system import System
+from bench.system import SystemOptions
+from bench.system import team_key
+
+# An entry's share of the two-year peak (2,800 requests/s over 420 nodes),
+# ten times over, and the tokens that go with it.
+GOAL_REQUESTS_PER_S = 67.0
+GOAL_TOKENS_PER_S = 19_500.0
+GOAL_ADDED_MS = 3.0
+GOAL_MEMORY_BYTES = 256e6
+OPEN_STREAMS = 1000
+FAST_ENGINE = {
+    'batch': {
+        'prefill_tokens_per_second': 1e9,
+        'decode_step_ms': 5.0,
+        'decode_growth': 0.0,
+        'max_batch': 2048,
+    }
+}
+
+
+@dataclass
+class Arguments:
+    """The command line."""
+
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    seconds: Annotated[float, cappa.Arg(long=True)] = 5.0
+    json: Annotated[bool, cappa.Arg(long=True)] = False
+
+
+@dataclass(slots=True)
+class Usage:
+    """Processor seconds of one process over one load."""
+
+    cpu_s: float
+    result: LoadResult
+
+    @property
+    def tokens_per_core(self) -> float:
+        """Tokens a second that one whole core carries."""
+        return self.result.tokens / max(self.cpu_s, 1e-9)
+
+    @property
+    def requests_per_core(self) -> float:
+        """Requests a second that one whole core carries."""
+        return self.result.requests / max(self.cpu_s, 1e-9)
+
+
+async def send_load(
+    address: str, seed: int, workers: int = 1, **options: float
+) -> LoadResult:
+    """Send a load from its own processes and return their joint result."""
+    args = [sys.executable, '-m', 'bench', 'load', '--address', address]
+    args += ['--key', team_key('alpha')]
+    for name, value in options.items():
+        args += [f'--{name.replace("_", "-")}', str(value)]
+    running = [
+        await asyncio.create_subprocess_exec(
+            *args,
+            '--seed',
+            str(seed * 100 + worker),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        for worker in range(workers)
+    ]
+    outputs = [(await process.communicate())[0] for process in running]
+    results = [msgspec.json.decode(o, type=LoadResult) for o in outputs]
+    return merge_results(results)
+
+
+def merge_results(results: Sequence[LoadResult]) -> LoadResult:
+    """Add counts up; of times, keep the worst worker's."""
+    merged = LoadResult()
+    for result in results:
+        merged.requests += result.requests
+        merged.failed += result.failed
+        merged.tokens += result.tokens
+        merged.elapsed_s = max(merged.elapsed_s, result.elapsed_s)
+        merged.first_token_p50 = max(
+            merged.first_token_p50, result.first_token_p50
+        )
+        merged.first_token_p99 = max(
+            merged.first_token_p99, result.first_token_p99
+        )
+        merged.per_token_p50 = max(merged.per_token_p50, result.per_token_p50)
+    return merged
+
+
+async def measure(args: Arguments) -> Outcome:
+    """Run every part and return the figures beside the goals."""
+    figures: dict[str, float] = {}
+    system = System(
+        SystemOptions(
+            engines=4,
+            ledgers=0,
+            engine_options=FAST_ENGINE,
+            cold_concurrency=1024,
+            max_concurrency=2048,
+        )
+    )
+    try:
+        await system.start()
+        await send_load(system.entry_addresses[0], args.seed, seconds=1.0)
+        await _added_times(system, args, figures)
+        await _throughput(system, args, figures)
+        await _open_streams(system, args, figures)
+    finally:
+        system.close()
+    return Outcome('path', args.seed, figures, _bounds())
+
+
+def _bounds() -> list[Bound]:
+    return [
+        Bound('added_first_token_p50_ms', high=GOAL_ADDED_MS),
+        Bound('entry_requests_per_core_s', low=GOAL_REQUESTS_PER_S),
+        Bound('entry_tokens_per_core_s', low=GOAL_TOKENS_PER_S),
+        Bound('entry_memory_bytes', high=GOAL_MEMORY_BYTES),
+        Bound('agent_memory_bytes', high=GOAL_MEMORY_BYTES),
+        Bound('failed', high=0.0),
+    ]
+
+
+async def _added_times(
+    system: System, args: Arguments, figures: dict[str, float]
+) -> None:
+    load = {'seconds': args.seconds, 'concurrency': 1, 'max_tokens': 32}
+    engine = system.targets['engine-1'].standin.address
+    straight = await send_load(engine, args.seed, **load)
+    through = await send_load(system.entry_addresses[0], args.seed, **load)
+    added_p50 = through.first_token_p50 - straight.first_token_p50
+    added_p99 = through.first_token_p99 - straight.first_token_p99
+    figures['straight_first_token_p50_ms'] = straight.first_token_p50
+    figures['added_first_token_p50_ms'] = added_p50
+    figures['added_first_token_p99_ms'] = added_p99
+    figures['added_per_token_p50_ms'] = (
+        through.per_token_p50 - straight.per_token_p50
+    )
+    figures['failed'] = float(straight.failed + through.failed)
+
+
+async def _throughput(
+    system: System, args: Arguments, figures: dict[str, float]
+) -> None:
+    """Measure processor time at ten times an entry's share of the peak."""
+    entry = system.entries[0]
+    agents = [target.agent for target in system.targets.values()]
+    tokens = int(GOAL_TOKENS_PER_S / GOAL_REQUESTS_PER_S)
+    before = [_cpu(entry), sum(map(_cpu, agents))]
+    result = await send_load(
+        system.entry_addresses[0],
+        args.seed,
+        workers=2,
+        seconds=args.seconds,
+        rate=GOAL_REQUESTS_PER_S / 2,
+        max_tokens=tokens,
+    )
+    entry_use = Usage(_cpu(entry) - before[0], result)
+    agent_use = Usage(sum(map(_cpu, agents)) - before[1], result)
+    figures['sent_requests_s'] = result.requests / result.elapsed_s
+    figures['sent_tokens_s'] = result.tokens / result.elapsed_s
+    figures['loaded_first_token_p99_ms'] = result.first_token_p99
+    figures['entry_requests_per_core_s'] = entry_use.requests_per_core
+    figures['entry_tokens_per_core_s'] = entry_use.tokens_per_core
+    figures['agent_requests_per_core_s'] = agent_use.requests_per_core
+    figures['agent_tokens_per_core_s'] = agent_use.tokens_per_core
+    figures['failed'] += result.failed
+
+
+async def _open_streams(
+    system: System, args: Arguments, figures: dict[str, float]
+) -> None:
+    """Measure memory while a thousand answers stream at once."""
+    load = asyncio.ensure_future(
+        send_load(
+            system.entry_addresses[0],
+            args.seed,
+            workers=2,
+            seconds=0.5,
+            concurrency=OPEN_STREAMS // 2,
+            max_tokens=600,
+        )
+    )
+    entry = system.entries[0]
+    agents = [target.agent for target in system.targets.values()]
+    entry_peak, agent_peak = 0, 0
+    while not load.done():
+        entry_peak = max(entry_peak, entry.memory_bytes())
+        agent_peak = max(agent_peak, *(a.memory_bytes() for a in agents))
+        await asyncio.sleep(0.1)
+    result = load.result()
+    figures['open_streams'] = float(OPEN_STREAMS)
+    figures['entry_memory_bytes'] = float(entry_peak)
+    figures['agent_memory_bytes'] = float(agent_peak)
+    figures['failed'] += result.failed
+
+
+def _cpu(process: Process) -> float:
+    return process.cpu_seconds()
+
+
+def main(argv: list[str]) -> int:
+    """Run the benchmark; returns 1 when a goal is missed."""
+    args = cappa.parse(Arguments, argv=argv)
+    outcome = asyncio.run(measure(args))
+    return print_outcome(outcome, args.json)
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,204 @@
+"""Starts the system and its stand-ins as real processes on loopback."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+import json
+import os
+from pathlib import Path
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+import msgspec
+
+from wigeonmill.clock import Clock
+from wigeonmill.config.acceptance import Submission
+from wigeonmill.config.acceptance import submit
+from wigeonmill.config.model import ConfigRecord
+from wigeonmill.config.model import Document
+from wigeonmill.platform.etcd import EtcdKeyValue
+
+READY = 'ready '
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+KEY_VALUE_TIMEOUT_MS = 1000
+
+
+@dataclass(slots=True)
+class Process:
+    """A running process; `address` is its IP:port, if it has one."""
+
+    name: str
+    address: str
+    log_path: Path
+    popen: subprocess.Popen[bytes]
+
+    @property
+    def running(self) -> bool:
+        """True until the process has ended."""
+        return self.popen.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process, if it still runs."""
+        if self.running:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for its end."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait(STOP_TIMEOUT_S)
+
+    def terminate(self) -> int:
+        """Ask for a graceful shutdown; returns the exit code."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return self.popen.returncode
+
+    def log(self) -> str:
+        """Return what the process wrote."""
+        return self.log_path.read_text(encoding='utf-8', errors='replace')
+
+    def cpu_seconds(self) -> float:
+        """Return processor time used, in seconds (Linux)."""
+        stat = Path(f'/proc/{self.popen.pid}/stat').read_text()
+        fields = stat.rpartition(')')[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf('SC_CLK_TCK')
+
+    def memory_bytes(self) -> int:
+        """Return resident memory in bytes (Linux)."""
+        statm = Path(f'/proc/{self.popen.pid}/statm').read_text()
+        return int(statm.split()[1]) * os.sysconf('SC_PAGE_SIZE')
+
+
+@dataclass(slots=True)
+class ProcessFleet:
+    """Processes started by one test or benchmark; `close` ends them all."""
+
+    folder: Path = field(
+        default_factory=lambda: Path(tempfile.mkdtemp(prefix='wigeonmill-'))
+    )
+    inner_key: str = field(default_factory=lambda: secrets.token_hex(16))
+    processes: list[Process] = field(default_factory=list)
+
+    def start_standin(
+        self, kind: str, options: dict[str, Any] | None = None, name: str = ''
+    ) -> Process:
+        """Start a stand-in of `kind` and wait until it is ready."""
+        args = ['-m', 'wigeonmill.standins', kind]
+        if options:
+            args += ['--options', json.dumps(options)]
+        process = self._spawn(name or kind, args, subprocess.PIPE)
+        assert process.popen.stdout is not None
+        line = process.popen.stdout.readline().decode()
+        if not line.startswith(READY):
+            raise RuntimeError(f'{process.name} did not start: {line}')
+        process.address = line.removeprefix(READY).strip()
+        return process
+
+    def start_daemon(self, settings: dict[str, Any]) -> Process:
+        """Start wigeonmilld with `settings`; does not wait."""
+        name = settings['process']
+        key_path = self.folder / 'inner.key'
+        if not key_path.exists():
+            key_path.write_text(self.inner_key + '\n')
+        full = {'inner_key_file': str(key_path), **settings}
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(full))
+        args = ['-m', 'wigeonmill.daemon', str(path)]
+        process = self._spawn(name, args, None)
+        process.address = settings.get('inner', '')
+        return process
+
+    def close(self) -> None:
+        """End every process."""
+        for process in self.processes:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self.processes:
+            process.popen.wait(STOP_TIMEOUT_S)
+            if process.popen.stdout is not None:
+                process.popen.stdout.close()
+
+    def _spawn(
+        self, name: str, args: Sequence[str], stdout: int | None
+    ) -> Process:
+        log_path = self.folder / f'{name}-{len(self.processes)}.log'
+        with log_path.open('wb') as log:
+            popen = subprocess.Popen(
+                [sys.executable, *args],
+                stdin=subprocess.DEVNULL,
+                stdout=stdout if stdout is not None else log,
+                stderr=log,
+            )
+        process = Process(name, '', log_path, popen)
+        self.processes.append(process)
+        return process
+
+
+def free_address() -> str:
+    """Return a loopback IP:port that nobody listens on at present."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+def wait_for_listener(
+    address: str, timeout_s: float = START_TIMEOUT_S
+) -> None:
+    """Wait until something accepts connections at `address`."""
+    host, _, port = address.rpartition(':')
+    deadline = time.monotonic() + timeout_s
+    while True:
+        try:
+            socket.create_connection((host, int(port)), 1.0).close()
+            return
+        except OSError:
+            if time.monotonic() > deadline:
+                raise
+            time.sleep(0.02)
+
+
+async def put_document(
+    key_value: str,
+    document: Document,
+    expected_serial: int,
+    force: bool = True,
+) -> ConfigRecord:
+    """Submit a document to the key-value service at `key_value`."""
+    client = EtcdKeyValue(key_value, KEY_VALUE_TIMEOUT_MS, Clock())
+    try:
+        submission = Submission(
+            document, 'bench', secrets.token_hex(8), expected_serial, force
+        )
+        outcome = await submit(client, Clock(), submission)
+        return outcome.unwrap().record
+    finally:
+        client.close()
+
+
+def encode_document(document: Document) -> dict[str, Any]:
+    """Return a document as plain JSON values."""
+    return msgspec.to_builtins(document)
+
+
+async def wait_until(
+    condition: Any, timeout_s: float = START_TIMEOUT_S
+) -> None:
+    """Wait until the async `condition` returns True."""
+    deadline = time.monotonic() + timeout_s
+    while not await condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f'{condition} did not come true')
+        await asyncio.sleep(0.02)
--- a/wigeonmill/agent/calls.py
+++ b/wigeonmill/agent/calls.py
@@ -8,6 +8,7 @@
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPError
 from tornado.httpclient import HTTPRequest
 from tornado.httpclient import HTTPResponse
 from tornado.httputil import HTTPHeaders
@@ -91,9 +92,10 @@
                 forbid_resend, has_body=body is not None
             ),
         )
-        response = await self._http.fetch(request, raise_error=False)
-        if response.code == 599:
-            return _failed(response)
+        try:
+            response = await self._http.fetch(request, raise_error=False)
+        except HTTPError as exc:
+            return _failed(exc)
         return CallEnd(CallEndKind.ANSWERED, reply=_reply(response))
 
     def close(self) -> None:
@@ -123,8 +125,7 @@
     return make_reply(response.code, headers, response.body or b'')
 
 
-def _failed(response: HTTPResponse) -> CallEnd:
-    error = response.error
+def _failed(error: HTTPError) -> CallEnd:
     errno = error.errno if isinstance(error, CurlError) else None
     if errno == pycurl.E_COULDNT_CONNECT:
         return CallEnd(CallEndKind.UNREACHABLE, str(error))
--- a/wigeonmill/agent/engine.py
+++ b/wigeonmill/agent/engine.py
@@ -121,16 +121,20 @@
             if len(parts) > 1 and parts[1].isdigit():
                 self._status = int(parts[1])
 
-    def result(self, response: HTTPResponse) -> EngineEnd:
-        """Return how the stream ended."""
+    def failed(self, error: HTTPError) -> EngineEnd:
+        """Return how a stream ended whose transfer failed."""
         if self._cancelled:
             return EngineEnd(EngineEndKind.CANCELLED)
-        if response.code not in (200, 599):
+        return EngineEnd(_failure_kind(error), str(error))
+
+    def result(self, status: int) -> EngineEnd:
+        """Return how a stream ended whose transfer was whole."""
+        if status != 200:
             message = bytes(self._error).decode('utf-8', 'replace')
-            return EngineEnd(EngineEndKind.REJECTED, message, response.code)
+            return EngineEnd(EngineEndKind.REJECTED, message, status)
         if self._done:
             return self._end
-        return EngineEnd(_failure_kind(response.error), str(response.error))
+        return EngineEnd(EngineEndKind.BROKEN, 'the stream has no end')
 
     def _progress(self, *_sizes: int) -> int:
         return 1 if self._cancelled else 0
@@ -204,8 +208,11 @@
             streaming_callback=_ignore,
             prepare_curl_callback=stream.prepare,
         )
-        response = await self._http.fetch(request, raise_error=False)
-        return stream.result(response)
+        try:
+            response = await self._http.fetch(request, raise_error=False)
+        except HTTPError as exc:
+            return stream.failed(exc)
+        return stream.result(response.code)
 
     async def cancel(self, request_id: str) -> None:
         """Ask the engine to stop a request; errors are ignored."""
@@ -243,7 +250,7 @@
         return response
 
 
-def _failure_kind(error: BaseException | None) -> EngineEndKind:
+def _failure_kind(error: HTTPError) -> EngineEndKind:
     errno = error.errno if isinstance(error, CurlError) else None
     if errno == pycurl.E_COULDNT_CONNECT:
         return EngineEndKind.UNREACHABLE
