--- a/bench/path.py
+++ b/bench/path.py
@@ -102,6 +102,9 @@
             merged.first_token_p99, result.first_token_p99
         )
         merged.per_token_p50 = max(merged.per_token_p50, result.per_token_p50)
+        for status, count in result.statuses.items():
+            known = merged.statuses.get(status, 0)
+            merged.statuses[status] = known + count
     return merged
 
 
