Take reported cold starts, new weights and stale news as signs

A target that reports itself cold stays at its cold limit; new weights and an idle target without recent answers count as unknown, hence cold. A run that never reached the target no longer makes it a suspect, and a target without reports is tried again after a second.

--- a/tests/agent/test_admission.py
+++ b/tests/agent/test_admission.py
@@ -230,6 +230,47 @@
     assert _start_next(admission) is suspect
 
 
+def test_idle_target_without_news_gets_its_cold_limit_first():
+    clock, admission = _admission()
+    _warm_up(clock, admission)
+    clock.advance(60_000.0)
+    for _ in range(3):
+        _admit(admission, _request()).unwrap()
+    first = _start_next(admission)
+    assert admission.next_runnable() is None
+    clock.advance(40.0)
+    admission.first_token(first.id)
+    assert _start_next(admission) and _start_next(admission)
+
+
+def test_new_weights_and_a_cold_report_collapse_the_limit():
+    clock, admission = _admission()
+    _warm_up(clock, admission)
+    admission.set_weight_version('')
+    assert admission.limit > 1
+    admission.set_weight_version('v2')
+    assert admission.limit == 1
+    admission.set_weight_version('v1')
+    admission.health.on_report('a', 2e6, cold=True)
+    _warm_up(clock, admission, runs=10)
+    assert admission.limit == 1
+    admission.health.on_report('a', 3e6)
+    _warm_up(clock, admission, runs=10)
+    assert admission.limit > 1
+
+
+def test_unreached_run_is_not_blamed_and_the_target_is_tried_again():
+    clock, admission = _admission()
+    ticket = _admit(admission, _request(mark=b'm')).unwrap()
+    _start_next(admission)
+    admission.finished(ticket.id, RunOutcome(OutcomeKind.UNREACHABLE))
+    assert admission.quarantine.state.records == {}
+    refusal = _admit(admission, _request()).unwrap_err()
+    assert refusal.reason is RefusalReason.UNREACHABLE
+    clock.advance(1000.0)
+    assert _admit(admission, _request()).is_ok()
+
+
 def test_withdrawn_request_never_runs():
     _clock, admission = _admission()
     ticket = _admit(admission, _request()).unwrap()
--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -110,6 +110,7 @@
         refused.
         """
         self._state.weight_version = weight_version
+        self.health.on_weight_version(weight_version)
         for ticket in self._waiting.tickets():
             if not self._state.serves(ticket.request.weight_version):
                 self._refuse_waiting(ticket, RefusalReason.WEIGHT_VERSION)
@@ -174,11 +175,12 @@
         self._expire(now_ms)
         if not self.health.reachable or self._in_flight.alone:
             return None
-        if self.running >= self.limit:
+        limit = self.health.limit_with(self._in_flight.streaming)
+        if self.running >= limit:
             return None
         overdue = self._overdue_suspect(now_ms)
         ticket = self._waiting.pop(
-            lambda waiting: self._may_start(waiting, overdue)
+            lambda waiting: self._may_start(waiting, limit, overdue)
         )
         if ticket is None:
             return None
@@ -226,6 +228,8 @@
             raise ValueError(f'ticket {ticket_id} holds no slot')
         if outcome.kind is OutcomeKind.CRASHED and not ticket.blamed:
             self.on_target_crashed()
+        elif outcome.kind is OutcomeKind.UNREACHABLE:
+            self.on_connection_failed()
         state = ticket.state
         self._in_flight.remove(ticket)
         self._learn(ticket, state, outcome)
@@ -339,14 +343,15 @@
         self._next_id += 1
         return ticket
 
-    def _may_start(self, ticket: Ticket, overdue: Ticket | None) -> bool:
+    def _may_start(
+        self, ticket: Ticket, limit: int, overdue: Ticket | None
+    ) -> bool:
         if overdue is not None and ticket is not overdue:
             return False
         if ticket.alone:
             return self.running == 0
         if ticket.cost <= self._settings.short_tokens:
             return True
-        limit = self.limit
         kept_slots = limit // self._settings.slots_per_short_slot
         if self.running >= limit - kept_slots:
             return False
@@ -426,5 +431,5 @@
     quarantine: Quarantine | None = None,
 ) -> Admission:
     """Return the admission of a target of which nothing is known yet."""
-    health = make_target_health(settings)
+    health = make_target_health(clock, settings)
     return Admission(clock, settings, health, quarantine or Quarantine())
--- a/wigeonmill/agent/admission_types.py
+++ b/wigeonmill/agent/admission_types.py
@@ -29,6 +29,8 @@
     FAILED = 'failed'
     # The target refused the run as too much.
     OVERLOADED = 'overloaded'
+    # The target was not reached and has not seen the run.
+    UNREACHABLE = 'unreachable'
     # The connection broke while the run was in flight.
     CRASHED = 'crashed'
 
@@ -140,6 +142,12 @@
     of prefill in flight and leave one slot in `slots_per_short_slot` to
     shorter ones. `cold_queue` bounds the places given out by a cold target.
     A suspect that has waited for `alone_wait_ms` holds back other starts.
+    A first token up to `healthy_factor` times the expected time plus
+    `healthy_floor_ms` is healthy; after `relearn_after` others in a row the
+    target's speed is learned anew. An idle target that hasn't answered for
+    `fresh_ms` may have turned cold unseen and gets its cold limit only.
+    One that failed a connection is left alone for `unreachable_ms`, unless
+    it reports before.
     """
 
     cold_concurrency: int = 1
@@ -154,6 +162,8 @@
     healthy_factor: float = 2.0
     healthy_floor_ms: float = 150.0
     relearn_after: int = 32
+    fresh_ms: float = 1_500.0
+    unreachable_ms: float = 1_000.0
 
 
 @dataclass(slots=True)
@@ -166,5 +176,4 @@
     finished: int = 0
     lapsed_reservations: int = 0
     refusals: dict[RefusalReason, int] = field(default_factory=dict)
-    cold_signs: dict[str, int] = field(default_factory=dict)
     outcomes: dict[OutcomeKind, int] = field(default_factory=dict)
--- a/wigeonmill/agent/cold_start.py
+++ b/wigeonmill/agent/cold_start.py
@@ -12,6 +12,8 @@
     UPTIME_WENT_BACK = 'uptime_went_back'
     CONNECTION_FAILED = 'connection_failed'
     SLOW_FIRST_TOKEN = 'slow_first_token'
+    WEIGHT_VERSION = 'weight_version'
+    REPORTED = 'reported'
 
 
 @dataclass(frozen=True, slots=True)
--- a/wigeonmill/agent/in_flight.py
+++ b/wigeonmill/agent/in_flight.py
@@ -38,6 +38,12 @@
         """Whether a run is in flight that must run alone."""
         return any(ticket.alone for ticket in self._tickets.values())
 
+    @property
+    def streaming(self) -> bool:
+        """Whether the target is sending an answer."""
+        streaming = TicketState.STREAMING
+        return any(t.state is streaming for t in self._tickets.values())
+
     def get(self, ticket_id: int) -> Ticket | None:
         """Return the run with this id."""
         return self._tickets.get(ticket_id)
--- a/wigeonmill/agent/limiter.py
+++ b/wigeonmill/agent/limiter.py
@@ -38,6 +38,11 @@
         """Concurrent runs allowed now, from `cold` to `maximum`."""
         return int(self._limit)
 
+    @property
+    def cold_limit(self) -> int:
+        """Concurrent runs that the target bears when cold."""
+        return self._settings.cold
+
     @property
     def cold(self) -> bool:
         """Whether the target is still held to its cold limit."""
--- a/wigeonmill/agent/model_service.py
+++ b/wigeonmill/agent/model_service.py
@@ -42,7 +42,7 @@
     EngineEndKind.CANCELLED: OutcomeKind.CANCELLED,
     EngineEndKind.REJECTED: OutcomeKind.FAILED,
     EngineEndKind.TIMEOUT: OutcomeKind.FAILED,
-    EngineEndKind.UNREACHABLE: OutcomeKind.CRASHED,
+    EngineEndKind.UNREACHABLE: OutcomeKind.UNREACHABLE,
     EngineEndKind.BROKEN: OutcomeKind.CRASHED,
 }
 
--- a/wigeonmill/agent/target_health.py
+++ b/wigeonmill/agent/target_health.py
@@ -8,6 +8,7 @@
 from wigeonmill.agent.estimator import Estimator
 from wigeonmill.agent.limiter import ConcurrencyLimiter
 from wigeonmill.agent.limiter import make_limiter
+from wigeonmill.clock import Clock
 
 logger = logging.getLogger(__name__)
 
@@ -20,49 +21,96 @@
 
     __slots__ = (
         'estimator',
-        'reachable',
         'cold_signs',
         '_limiter',
         '_detector',
         '_settings',
         '_slow_while_cold',
+        '_reported_cold',
+        '_weight_version',
+        '_answered_ms',
+        '_unreachable_until_ms',
+        '_clock',
     )
 
     def __init__(
         self,
+        clock: Clock,
         settings: AdmissionSettings,
         limiter: ConcurrencyLimiter,
         detector: ColdStartDetector,
         estimator: Estimator,
     ) -> None:
         self.estimator = estimator
-        self.reachable = True
         self.cold_signs: dict[ColdSign, int] = {}
         self._limiter = limiter
         self._detector = detector
         self._settings = settings
         self._slow_while_cold = 0
+        self._reported_cold = False
+        self._weight_version = ''
+        self._answered_ms = float('-inf')
+        self._unreachable_until_ms = float('-inf')
+        self._clock = clock
+
+    @property
+    def reachable(self) -> bool:
+        """Whether to try the target.
+
+        After a failed connection that is so once it answers a report or
+        some time has passed.
+        """
+        return self._clock.now_ms() >= self._unreachable_until_ms
 
     @property
     def limit(self) -> int:
-        """Runs that the target bears now."""
+        """Runs that the target bears now, as far as known."""
         return self._limiter.limit
 
+    def limit_with(self, streaming: bool) -> int:
+        """Return the limit for a start now.
+
+        An open stream would have shown a restart of the target. Without
+        one, a target that hasn't answered lately may have turned cold.
+        """
+        age_ms = self._clock.now_ms() - self._answered_ms
+        if streaming or age_ms <= self._settings.fresh_ms:
+            return self._limiter.limit
+        return self._limiter.cold_limit
+
     @property
     def cold(self) -> bool:
         """Whether the target is held to its cold limit."""
         return self._limiter.cold
 
-    def on_report(self, incarnation: str, uptime_ms: float) -> None:
-        """Take a load report, which also shows that the target answers."""
-        self.reachable = True
+    def on_report(
+        self, incarnation: str, uptime_ms: float, cold: bool = False
+    ) -> None:
+        """Take a report of the target, which also shows that it answers.
+
+        `cold` is set if the target itself says that it is cold.
+        """
+        self._unreachable_until_ms = float('-inf')
+        self._answered_ms = self._clock.now_ms()
         sign = self._detector.on_report(incarnation, uptime_ms)
+        if sign is None and cold:
+            sign = ColdSign.REPORTED
+        self._reported_cold = cold
         if sign is not None:
             self._turn_cold(sign)
 
+    def on_weight_version(self, weight_version: str) -> None:
+        """Take the version that the target serves ('' if none)."""
+        if not weight_version:
+            return
+        if self._weight_version not in ('', weight_version):
+            self._turn_cold(ColdSign.WEIGHT_VERSION)
+        self._weight_version = weight_version
+
     def on_connection_failed(self) -> None:
         """Take a refused or reset connection."""
-        self.reachable = False
+        now_ms = self._clock.now_ms()
+        self._unreachable_until_ms = now_ms + self._settings.unreachable_ms
         self._turn_cold(self._detector.on_connection_failed())
 
     def on_first_token(self, tokens: int, took_ms: float) -> bool:
@@ -70,6 +118,7 @@
 
         `tokens` counts the run's own prefill and what was ahead of it.
         """
+        self._answered_ms = self._clock.now_ms()
         if not self.estimator.confident:
             self.estimator.on_first_token(tokens, took_ms)
             return True
@@ -86,7 +135,7 @@
 
     def on_completed(self, healthy: bool) -> None:
         """Take a completed run whose first token was healthy or not."""
-        if not healthy:
+        if not healthy or self._reported_cold:
             return
         was_cold = self.cold
         self._limiter.on_healthy()
@@ -122,7 +171,10 @@
         self.estimator.on_cold()
 
 
-def make_target_health(settings: AdmissionSettings) -> TargetHealth:
+def make_target_health(
+    clock: Clock, settings: AdmissionSettings
+) -> TargetHealth:
     """Return the health of a target of which nothing is known yet."""
     limiter = make_limiter(settings.cold_concurrency, settings.max_concurrency)
-    return TargetHealth(settings, limiter, ColdStartDetector(), Estimator())
+    detector = ColdStartDetector()
+    return TargetHealth(clock, settings, limiter, detector, Estimator())
--- a/wigeonmill/agent/target_watch.py
+++ b/wigeonmill/agent/target_watch.py
@@ -10,6 +10,7 @@
 # Reports missed in a row before a target counts as unreachable.
 MISSED_REPORTS = 3
 _LOADING = 'loading'
+_COLD = 'cold'
 
 
 class TargetWatch:
@@ -44,7 +45,9 @@
             return
         self._missed = 0
         admission = self._admission
-        admission.health.on_report(health.incarnation, health.uptime_ms)
+        admission.health.on_report(
+            health.incarnation, health.uptime_ms, health.state == _COLD
+        )
         version = health.weight_version
         if health.state == _LOADING:
             version = ''
