--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -21,11 +21,11 @@
 from wigeonmill.agent.admission_types import RunRequest
 from wigeonmill.agent.admission_types import Ticket
 from wigeonmill.agent.admission_types import TicketState
-from wigeonmill.agent.estimator import Estimate
-from wigeonmill.agent.estimator import Workload
 from wigeonmill.agent.in_flight import InFlight
+from wigeonmill.agent.offer_pricing import OfferPricing
 from wigeonmill.agent.quarantine import Quarantine
 from wigeonmill.agent.service_state import ServiceState
+from wigeonmill.agent.start_rules import StartRules
 from wigeonmill.agent.target_health import make_target_health
 from wigeonmill.agent.target_health import TargetHealth
 from wigeonmill.agent.waiting_list import WaitingList
@@ -43,7 +43,8 @@
         'health',
         'counts',
         '_clock',
-        '_settings',
+        '_pricing',
+        '_rules',
         '_state',
         '_waiting',
         '_in_flight',
@@ -61,10 +62,13 @@
         self.health = health
         self.counts = AdmissionCounts()
         self._clock = clock
-        self._settings = settings
         self._state = ServiceState(clock, quarantine)
         self._waiting = WaitingList(settings)
         self._in_flight = InFlight(settings.short_tokens)
+        self._pricing = OfferPricing(
+            settings, health, self._waiting, self._in_flight
+        )
+        self._rules = StartRules(settings, self._waiting, self._in_flight)
         self._refused: list[RefusedTicket] = []
         self._next_id = 1
 
@@ -136,14 +140,16 @@
         refusal = self._refusal_of(request)
         if refusal is not None:
             return self._refused_now(refusal)
-        expected = self._estimate(request, plan)
+        expected = self._pricing.estimate(request, plan)
         late_ms = now_ms + expected.first_token_ms - request.deadline_ms
         if late_ms > 0.0:
             wait_ms = int(min(late_ms, expected.wait_ms))
             late = Refusal(RefusalReason.DEADLINE, wait_ms)
             return self._refused_now(late)
         self.counts.offers += 1
-        return Ok(self._make_offer(request, plan, expected, reserve))
+        return Ok(
+            self._pricing.make_offer(request, plan, expected, reserve, now_ms)
+        )
 
     def release(self, reservation: int) -> None:
         """Give a reservation back before it lapses."""
@@ -162,7 +168,9 @@
         ticket = self._make_ticket(request, plan, now_ms)
         pushed = self._waiting.push(ticket)
         if pushed.is_err():
-            return self._refused_now(self._no_place(RefusalReason.QUEUE_FULL))
+            return self._refused_now(
+                self._pricing.no_place(RefusalReason.QUEUE_FULL)
+            )
         self.counts.admitted += 1
         displaced = pushed.unwrap()
         if displaced is not None:
@@ -173,15 +181,10 @@
         """Give the next waiting request a slot, if one may start now."""
         now_ms = self._clock.now_ms()
         self._expire(now_ms)
-        if not self.health.reachable or self._in_flight.alone:
+        if not self.health.reachable:
             return None
         limit = self.health.limit_with(self._in_flight.streaming)
-        if self.running >= limit:
-            return None
-        overdue = self._overdue_suspect(now_ms)
-        ticket = self._waiting.pop(
-            lambda waiting: self._may_start(waiting, limit, overdue)
-        )
+        ticket = self._rules.next_ticket(limit, now_ms)
         if ticket is None:
             return None
         ticket.state = TicketState.RUNNABLE
@@ -279,55 +282,7 @@
             return Refusal(RefusalReason.UNREACHABLE)
         if has_place:
             return None
-        places = self.running + self.queued + self.reserved
-        if self.health.cold and places >= self._cold_places():
-            return self._no_place(RefusalReason.COLD)
-        if not self._waiting.has_room(request):
-            return self._no_place(RefusalReason.QUEUE_FULL)
-        return None
-
-    def _cold_places(self) -> int:
-        return self.limit + self._settings.cold_queue
-
-    def _no_place(self, reason: RefusalReason) -> Refusal:
-        wait_ms = self.health.estimator.held_ms / self.limit
-        return Refusal(reason, int(wait_ms))
-
-    def _estimate(self, request: RunRequest, plan: TierPlan) -> Estimate:
-        missing = plan.recompute_tokens
-        ahead = self._waiting.ahead(request, max(1, missing))
-        workload = Workload(
-            prefill_ahead=self._in_flight.prefill,
-            queued_ahead=ahead.tokens,
-            slots_ahead=ahead.entries,
-            slots_free=max(0, self.limit - self.running),
-            limit=self.limit,
-        )
-        estimator = self.health.estimator
-        return estimator.estimate(workload, missing, plan.import_ms)
-
-    def _make_offer(
-        self,
-        request: RunRequest,
-        plan: TierPlan,
-        expected: Estimate,
-        reserve: bool,
-    ) -> Offer:
-        now_ms = self._clock.now_ms()
-        reservation, expires_ms = 0, now_ms
-        if reserve:
-            cost = max(1, plan.recompute_tokens)
-            reservations = self._waiting.reservations
-            held = reservations.reserve(request.team, cost, now_ms)
-            reservation, expires_ms = held.id, held.expires_ms
-        return Offer(
-            reservation,
-            expires_ms,
-            plan.cached_tokens,
-            plan.import_tokens,
-            expected.wait_ms,
-            expected.first_token_ms,
-        )
+        return self._pricing.refusal_of_place(request)
 
     def _make_ticket(
         self, request: RunRequest, plan: TierPlan, now_ms: float
@@ -343,29 +298,6 @@
         self._next_id += 1
         return ticket
 
-    def _may_start(
-        self, ticket: Ticket, limit: int, overdue: Ticket | None
-    ) -> bool:
-        if overdue is not None and ticket is not overdue:
-            return False
-        if ticket.alone:
-            return self.running == 0
-        if ticket.cost <= self._settings.short_tokens:
-            return True
-        kept_slots = limit // self._settings.slots_per_short_slot
-        if self.running >= limit - kept_slots:
-            return False
-        in_flight = self._in_flight.long_prefill
-        allowed = self._settings.prefill_limit_tokens
-        return not in_flight or in_flight + ticket.cost <= allowed
-
-    def _overdue_suspect(self, now_ms: float) -> Ticket | None:
-        latest_ms = now_ms - self._settings.alone_wait_ms
-        for ticket in self._waiting.tickets():
-            if ticket.alone and ticket.admitted_ms <= latest_ms:
-                return ticket
-        return None
-
     def _reason_against_start(self, ticket: Ticket) -> RefusalReason | None:
         if not self.health.reachable:
             return RefusalReason.UNREACHABLE
--- /dev/null
+++ b/wigeonmill/agent/offer_pricing.py
@@ -0,0 +1,86 @@
+"""What a target can offer a request, from its exact load."""
+
+from wigeonmill.agent.admission_types import AdmissionSettings
+from wigeonmill.agent.admission_types import Offer
+from wigeonmill.agent.admission_types import Refusal
+from wigeonmill.agent.admission_types import RefusalReason
+from wigeonmill.agent.admission_types import RunRequest
+from wigeonmill.agent.estimator import Estimate
+from wigeonmill.agent.estimator import Workload
+from wigeonmill.agent.in_flight import InFlight
+from wigeonmill.agent.target_health import TargetHealth
+from wigeonmill.agent.waiting_list import WaitingList
+from wigeonmill.cache.tiers import TierPlan
+
+
+class OfferPricing:
+    """Works out expected times and whether there is a place."""
+
+    __slots__ = ('_settings', '_health', '_waiting', '_in_flight')
+
+    def __init__(
+        self,
+        settings: AdmissionSettings,
+        health: TargetHealth,
+        waiting: WaitingList,
+        in_flight: InFlight,
+    ) -> None:
+        self._settings = settings
+        self._health = health
+        self._waiting = waiting
+        self._in_flight = in_flight
+
+    def refusal_of_place(self, request: RunRequest) -> Refusal | None:
+        """Return why there is no place for one more request."""
+        waiting = len(self._waiting) + len(self._waiting.reservations)
+        places = len(self._in_flight) + waiting
+        cold_places = self._health.limit + self._settings.cold_queue
+        if self._health.cold and places >= cold_places:
+            return self.no_place(RefusalReason.COLD)
+        if not self._waiting.has_room(request):
+            return self.no_place(RefusalReason.QUEUE_FULL)
+        return None
+
+    def no_place(self, reason: RefusalReason) -> Refusal:
+        """Return a refusal until about the next end of a run."""
+        wait_ms = self._health.estimator.held_ms / self._health.limit
+        return Refusal(reason, int(wait_ms))
+
+    def estimate(self, request: RunRequest, plan: TierPlan) -> Estimate:
+        """Return the expected times of a request admitted now."""
+        missing = plan.recompute_tokens
+        ahead = self._waiting.ahead(request, max(1, missing))
+        limit = self._health.limit
+        workload = Workload(
+            prefill_ahead=self._in_flight.prefill,
+            queued_ahead=ahead.tokens,
+            slots_ahead=ahead.entries,
+            slots_free=max(0, limit - len(self._in_flight)),
+            limit=limit,
+        )
+        estimator = self._health.estimator
+        return estimator.estimate(workload, missing, plan.import_ms)
+
+    def make_offer(
+        self,
+        request: RunRequest,
+        plan: TierPlan,
+        expected: Estimate,
+        reserve: bool,
+        now_ms: float,
+    ) -> Offer:
+        """Return the offer and hold a place for it if `reserve` is set."""
+        reservation, expires_ms = 0, now_ms
+        if reserve:
+            cost = max(1, plan.recompute_tokens)
+            reservations = self._waiting.reservations
+            held = reservations.reserve(request.team, cost, now_ms)
+            reservation, expires_ms = held.id, held.expires_ms
+        return Offer(
+            reservation,
+            expires_ms,
+            plan.cached_tokens,
+            plan.import_tokens,
+            expected.wait_ms,
+            expected.first_token_ms,
+        )
--- /dev/null
+++ b/wigeonmill/agent/start_rules.py
@@ -0,0 +1,54 @@
+"""Which waiting request gets the next free slot."""
+
+from wigeonmill.agent.admission_types import AdmissionSettings
+from wigeonmill.agent.admission_types import Ticket
+from wigeonmill.agent.in_flight import InFlight
+from wigeonmill.agent.waiting_list import WaitingList
+
+
+class StartRules:
+    """Applies the limits on starts to the waiting list's fair order."""
+
+    __slots__ = ('_settings', '_waiting', '_in_flight')
+
+    def __init__(
+        self,
+        settings: AdmissionSettings,
+        waiting: WaitingList,
+        in_flight: InFlight,
+    ) -> None:
+        self._settings = settings
+        self._waiting = waiting
+        self._in_flight = in_flight
+
+    def next_ticket(self, limit: int, now_ms: float) -> Ticket | None:
+        """Remove and return the ticket that may start now, if any."""
+        if len(self._in_flight) >= limit or self._in_flight.alone:
+            return None
+        overdue = self._overdue_suspect(now_ms)
+        if overdue is None:
+            return self._waiting.pop(
+                lambda ticket: self._may_start(ticket, limit)
+            )
+        if self._in_flight:
+            return None
+        return self._waiting.remove(overdue.id)
+
+    def _may_start(self, ticket: Ticket, limit: int) -> bool:
+        if ticket.alone:
+            return not self._in_flight
+        if ticket.cost <= self._settings.short_tokens:
+            return True
+        kept_slots = limit // self._settings.slots_per_short_slot
+        if len(self._in_flight) >= limit - kept_slots:
+            return False
+        in_flight = self._in_flight.long_prefill
+        allowed = self._settings.prefill_limit_tokens
+        return not in_flight or in_flight + ticket.cost <= allowed
+
+    def _overdue_suspect(self, now_ms: float) -> Ticket | None:
+        latest_ms = now_ms - self._settings.alone_wait_ms
+        for ticket in self._waiting.tickets():
+            if ticket.alone and ticket.admitted_ms <= latest_ms:
+                return ticket
+        return None
