Join the cache decisions of one agent in CacheDecider

It plans imports from the event view and what the agent happens to know of the store, and grants exports, best value for a byte first, within the link's budget. Only blocks seen twice enter the list of exports.

--- /dev/null
+++ b/tests/cache/test_decider.py
@@ -0,0 +1,71 @@
+from wigeonmill.cache.decider import CacheDecider
+from wigeonmill.cache.decider import DeciderSettings
+from wigeonmill.cache.decider import Speeds
+from wigeonmill.cache.link_budget import LinkBudget
+
+KEYS = [bytes([at]) for at in range(6)]
+
+
+def _decider(limit=1000, **changes):
+    settings = DeciderSettings(1000, 100, **changes)
+    decider = CacheDecider(
+        settings, LinkBudget(limit), Speeds(10.0, prefill_ms_per_token=0.5)
+    )
+    decider.view.on_listing('a', 0, KEYS[:4])
+    return decider
+
+
+def _export_all(decider, now_ms=0.0):
+    exported = []
+    while (order := decider.next_export(now_ms)) is not None:
+        decider.end_export(order, now_ms, 100, whole=True)
+        exported.append(order.key)
+    return exported
+
+
+def test_second_use_exports_what_is_still_held_within_the_budget():
+    decider = _decider()
+    decider.saw(KEYS)
+    assert _export_all(decider) == []
+    decider.saw(KEYS)
+    assert _export_all(decider) == KEYS[:4]
+    decider.saw(KEYS)
+    assert _export_all(decider) == []
+
+
+def test_budget_spreads_exports_over_seconds_and_the_chain_goes_in_order():
+    decider = _decider(limit=400)
+    for _ in range(2):
+        decider.saw(KEYS)
+    assert _export_all(decider) == KEYS[:2]
+    assert _export_all(decider, 999.0) == []
+    assert _export_all(decider, 1000.0) == KEYS[2:4]
+
+
+def test_evicted_prefix_is_imported_from_where_the_memory_ends():
+    decider = _decider()
+    for key in KEYS[:4]:
+        decider.stored.on_stored(key)
+    decider.view.on_listing('a', 0, KEYS[:1])
+    plan = decider.plan(KEYS, 6500, now_ms=0.0)
+    assert (plan.cached_tokens, plan.import_tokens) == (1000, 3000)
+    assert plan.recompute_tokens == 2500
+    assert decider.probe(KEYS, 0.0) == KEYS[4]
+
+
+def test_a_missed_block_is_not_asked_for_again_at_once():
+    decider = _decider()
+    decider.stored.on_absent(KEYS[4], 0.0)
+    assert decider.probe(KEYS, 9_999.0) is None
+    assert decider.probe(KEYS, 10_000.0) == KEYS[4]
+    assert decider.probe(KEYS[:4], 0.0) is None
+
+
+def test_memory_is_bounded():
+    decider = _decider(stored=3, export_queue=2)
+    decider.saw(KEYS)
+    decider.saw(KEYS)
+    assert len(_export_all(decider)) <= 2
+    for key in KEYS:
+        decider.stored.on_stored(key)
+    assert len(decider.stored) == 3
--- a/wigeonmill/cache/export_policy.py
+++ b/wigeonmill/cache/export_policy.py
@@ -73,6 +73,10 @@
         returns = self._expected_returns(candidate.key)
         return returns * candidate.prefill_ms / max(1, candidate.size_bytes)
 
+    def is_worth(self, candidate: ExportCandidate) -> bool:
+        """Return whether an export pays, whatever the budget allows now."""
+        return self._reason(candidate) is ExportReason.WORTH_IT
+
     def decide(
         self, candidate: ExportCandidate, now_ms: float
     ) -> ExportDecision:
@@ -94,9 +98,7 @@
         a block can't be used without those before it.
         """
         worth = [
-            candidate
-            for candidate in candidates
-            if self._reason(candidate) is ExportReason.WORTH_IT
+            candidate for candidate in candidates if self.is_worth(candidate)
         ]
         return sorted(worth, key=lambda c: (-self.value(c), c.depth))
 
--- a/wigeonmill/cache/view.py
+++ b/wigeonmill/cache/view.py
@@ -85,6 +85,10 @@
         self._pending.clear()
         self._next_number = None
 
+    def holds(self, key: bytes) -> bool:
+        """Return whether a block is held."""
+        return key in self._keys
+
     def cached_prefix(self, keys: list[bytes]) -> int:
         """Return how many leading blocks of a chain are held."""
         for at, key in enumerate(keys):
