--- a/wigeonmill/agent/reservations.py
+++ b/wigeonmill/agent/reservations.py
@@ -17,7 +17,14 @@
 class Reservations:
     """All open reservations, which last equally long."""
 
-    __slots__ = ('_term_ms', '_open', '_order', '_next_id', '_team_counts')
+    __slots__ = (
+        '_term_ms',
+        '_open',
+        '_order',
+        '_next_id',
+        '_team_counts',
+        '_cost',
+    )
 
     def __init__(self, term_ms: float) -> None:
         self._term_ms = term_ms
@@ -25,6 +32,7 @@
         self._order: deque[Reservation] = deque()
         self._next_id = 1
         self._team_counts: dict[str, int] = {}
+        self._cost = 0
 
     def __len__(self) -> int:
         return len(self._open)
@@ -32,7 +40,7 @@
     @property
     def cost(self) -> int:
         """Prefill tokens of all open reservations."""
-        return sum(held.cost for held in self._open.values())
+        return self._cost
 
     def team_counts(self) -> dict[str, int]:
         """Return the number of open reservations by team."""
@@ -45,6 +53,7 @@
         self._next_id += 1
         self._open[held.id] = held
         self._order.append(held)
+        self._cost += cost
         self._team_counts[team] = self._team_counts.get(team, 0) + 1
         return held
 
@@ -53,6 +62,7 @@
         held = self._open.pop(reservation, None)
         if held is None:
             return None
+        self._cost -= held.cost
         left = self._team_counts[held.team] - 1
         if left:
             self._team_counts[held.team] = left
--- a/wigeonmill/agent/start_rules.py
+++ b/wigeonmill/agent/start_rules.py
@@ -47,8 +47,9 @@
         return not in_flight or in_flight + ticket.cost <= allowed
 
     def _overdue_suspect(self, now_ms: float) -> Ticket | None:
-        latest_ms = now_ms - self._settings.alone_wait_ms
-        for ticket in self._waiting.tickets():
-            if ticket.alone and ticket.admitted_ms <= latest_ms:
-                return ticket
-        return None
+        suspect = self._waiting.first_suspect()
+        if suspect is None:
+            return None
+        waited_ms = now_ms - suspect.admitted_ms
+        overdue = waited_ms >= self._settings.alone_wait_ms
+        return suspect if overdue else None
--- a/wigeonmill/agent/waiting_list.py
+++ b/wigeonmill/agent/waiting_list.py
@@ -20,13 +20,21 @@
 class WaitingList:
     """The fair queue of tickets together with the reservations."""
 
-    __slots__ = ('reservations', '_queue', '_waiting', '_settings')
+    __slots__ = (
+        'reservations',
+        '_queue',
+        '_waiting',
+        '_suspects',
+        '_settings',
+    )
 
     def __init__(self, settings: AdmissionSettings) -> None:
         self.reservations = Reservations(settings.reservation_ms)
         self._queue = FairQueue(settings.max_queue)
         self._settings = settings
         self._waiting: dict[int, tuple[Ticket, QueueEntry]] = {}
+        # Tickets that must run alone, in the order of their admission.
+        self._suspects: dict[int, Ticket] = {}
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -35,6 +43,10 @@
         """Return the waiting tickets in the order of their admission."""
         return [ticket for ticket, _entry in self._waiting.values()]
 
+    def first_suspect(self) -> Ticket | None:
+        """Return the ticket that has waited longest to run alone."""
+        return next(iter(self._suspects.values()), None)
+
     def has_room(self, request: RunRequest) -> bool:
         """Return whether there is a place for one more of the team.
 
@@ -66,32 +78,36 @@
         if pushed.is_err():
             return Err(pushed.unwrap_err())
         self._waiting[ticket.id] = (ticket, entry)
+        if ticket.alone:
+            self._suspects[ticket.id] = ticket
         displaced = pushed.unwrap()
         if displaced is None:
             return Ok(None)
-        return Ok(self._waiting.pop(displaced.id)[0])
+        return Ok(self._taken(displaced))
 
     def pop(self, may_start: Callable[[Ticket], bool]) -> Ticket | None:
         """Remove and return the next ticket that `may_start` allows."""
         entry = self._queue.pop(
             lambda entry: may_start(self._waiting[entry.id][0])
         )
-        if entry is None:
-            return None
-        return self._waiting.pop(entry.id)[0]
+        return None if entry is None else self._taken(entry)
 
     def remove(self, ticket_id: int) -> Ticket | None:
         """Take out a ticket; None if it doesn't wait."""
-        found = self._waiting.pop(ticket_id, None)
+        found = self._waiting.get(ticket_id)
         if found is None:
             return None
         self._queue.remove(found[1])
-        return found[0]
+        return self._taken(found[1])
 
     def expire(self, now_ms: float) -> list[Ticket]:
         """Remove and return the tickets past their deadlines."""
         expired = self._queue.expire(now_ms)
-        return [self._waiting.pop(entry.id)[0] for entry in expired]
+        return [self._taken(entry) for entry in expired]
+
+    def _taken(self, entry: QueueEntry) -> Ticket:
+        self._suspects.pop(entry.id, None)
+        return self._waiting.pop(entry.id)[0]
 
     def _entry_of(self, ticket: Ticket) -> QueueEntry:
         request = ticket.request
