--- a/tests/claims/explorer.py
+++ b/tests/claims/explorer.py
@@ -1,10 +1,13 @@
 """Explores every interleaving of claimers' calls with bounded faults."""
 
+import asyncio
+import itertools
 import random
 
 from result import Err
 from result import Ok
 
+from wigeonmill.claims.messages import TransportError
 from wigeonmill.claims.model import Answered
 from wigeonmill.claims.model import Claimed
 from wigeonmill.claims.model import ClaimRequest
@@ -17,7 +20,6 @@
 from wigeonmill.standins.step_loop import LoopClock
 from wigeonmill.standins.step_loop import StepLoop
 from wigeonmill.standins.stepped_key_value import PendingCall
-from wigeonmill.standins.stepped_key_value import run_now
 from wigeonmill.standins.stepped_key_value import SteppedKeyValue
 
 DIGEST = b'd' * 32
@@ -40,12 +42,13 @@
 class World:
     """One run: claimers, the service, calls under way and the audit."""
 
-    def __init__(self, make_store, claimers, faults):
+    def __init__(self, make_store, claimers, faults, crash_idle):
         self.loop = StepLoop()
         self.clock = LoopClock(self.loop)
         self.memory = MemoryKeyValue(Clock())
         self.make_store = make_store
         self.faults_left = faults
+        self.crash_idle = crash_idle
         self.pending = []
         self.delayed = []
         self.claimers = {}
@@ -59,7 +62,7 @@
         self.claimers[name] = Claimer(name)
         kv = SteppedKeyValue(name, self.memory, self.submit)
         rng = random.Random(1)
-        tokens = (f'{name}{n}'.encode() for n in range(9))
+        tokens = (f'{name}{n}'.encode() for n in itertools.count())
         self.stores[name] = self.make_store(
             self, kv, Holder(name, 1), rng, tokens.__next__
         )
@@ -114,7 +117,8 @@
                 found += [('lose_reply', n), ('lose_request', n)]
                 found.append(('delay', n))
         for n, claimer in enumerate(self.claimers.values()):
-            if not claimer.crashed and not claimer.task.done():
+            busy = self.crash_idle or not claimer.task.done()
+            if busy and not claimer.crashed:
                 found.append(('crash', n))
         if (self.pending or self.delayed) and self.loop.has_timer():
             found.append(('advance', 1))
@@ -132,7 +136,7 @@
         self.finish(call, call.start())
 
     def arrive(self, n):
-        run_now(self.delayed.pop(n).start())
+        self.loop.create_task(self.delayed.pop(n).start())
 
     def advance(self, cost):
         self.faults_left -= cost
@@ -147,7 +151,7 @@
     def lose_reply(self, n):
         self.faults_left -= 1
         call = self.pending.pop(n)
-        run_now(call.start())
+        self.loop.create_task(call.start())
         self.fail(call, KvErrorKind.UNKNOWN)
 
     def lose_request(self, n):
@@ -169,15 +173,28 @@
         self.delayed += [c for c in mine if c.is_write]
 
     def finish(self, call, work):
-        result = run_now(work)
-        claimer = self.claimers[call.client]
-        claimer.history.append((call.label, repr(result)))
-        call.reply.set_result(result)
+        def done(task):
+            result = task.result()
+            claimer = self.claimers[call.client]
+            claimer.history.append((call.label, repr(result)))
+            if not call.reply.done():
+                call.reply.set_result(result)
+
+        self.loop.create_task(work).add_done_callback(done)
 
     def fail(self, call, kind):
         claimer = self.claimers[call.client]
         claimer.history.append((call.label, kind.value))
-        call.reply.set_result(Err(KvError(kind, kind.value)))
+        if not call.reply.done():
+            call.reply.set_result(Err(KvError(kind, kind.value)))
+
+    async def serve(self, address, request):
+        """Run another process's request at the process at `address`."""
+        claimer = self.claimers[address]
+        if claimer.crashed:
+            return Err(TransportError('refused'))
+        claimer.history.append(('serve', repr(request)))
+        return Ok(await self.stores[address].serve(request))
 
     def fingerprint(self):
         claimers = tuple(
@@ -235,7 +252,28 @@
         raise AssertionError('never settles')
 
 
-def explore(make_store, claimers, faults):
+class SteppedTransport:
+    """Asks other processes of a world, one step at a time."""
+
+    def __init__(self, world, client):
+        self.world = world
+        self.client = client
+
+    async def ask(self, address, request, timeout_ms):
+        async def start():
+            return await self.world.serve(address, request)
+
+        reply = self.world.loop.create_future()
+        label = f'ask {address} {request!r}'
+        call = PendingCall(self.client, label, True, start, reply)
+        self.world.submit(call)
+        await asyncio.wait({reply}, timeout=timeout_ms / 1000.0)
+        if not reply.done():
+            return Err(TransportError('timeout'))
+        return reply.result()
+
+
+def explore(make_store, claimers, faults, crash_idle=False):
     """Visit every reachable state; returns how many there are.
 
     Each claimer's state follows from what it has observed, so two runs
@@ -245,7 +283,7 @@
     paths = [()]
     while paths:
         path = paths.pop()
-        world = World(make_store, claimers, faults)
+        world = World(make_store, claimers, faults, crash_idle)
         for choice in path:
             world.apply(choice)
         try:
--- a/tests/claims/test_model_check.py
+++ b/tests/claims/test_model_check.py
@@ -2,8 +2,14 @@
 from result import Ok
 
 from tests.claims.explorer import explore
+from tests.claims.explorer import SteppedTransport
+from wigeonmill.claims.grouped import GroupPolicy
+from wigeonmill.claims.grouped import make_grouped_store
+from wigeonmill.claims.journal import JournalPolicy
+from wigeonmill.claims.owners import OwnersPolicy
 from wigeonmill.claims.record import decode_record
 from wigeonmill.claims.retention import RetentionPolicy
+from wigeonmill.claims.shard import ShardPolicy
 from wigeonmill.claims.single_key import SingleKeyClaimStore
 from wigeonmill.metrics import Metrics
 
@@ -16,6 +22,27 @@
     return make
 
 
+def grouped_store(world, kv, holder, rng, new_token):
+    journal = JournalPolicy(flush_interval_ms=0.0, segment_bytes=300)
+    policy = GroupPolicy(
+        shards=1,
+        owners=OwnersPolicy(takeover_ms=200.0),
+        shard=ShardPolicy(journal=journal),
+    )
+    transport = SteppedTransport(world, holder.name)
+    return make_grouped_store(
+        kv,
+        transport,
+        world.clock,
+        Metrics(),
+        holder,
+        holder.name,
+        rng,
+        new_token,
+        policy,
+    )
+
+
 class TrustsLostReplies(SingleKeyClaimStore):
     """Takes a write without a reply for a granted claim."""
 
@@ -63,6 +90,13 @@
     assert states >= least
 
 
+@pytest.mark.parametrize('claimers, faults, least', [('ab', 2, 1)])
+def test_grouped_claims_hold_in_every_state(claimers, faults, least):
+    states = explore(grouped_store, claimers, faults, crash_idle=True)
+    print(f'{len(claimers)} claimers, {faults} faults: {states} states')
+    assert states >= least
+
+
 @pytest.mark.parametrize(
     'broken, fault',
     [
--- a/wigeonmill/claims/retention.py
+++ b/wigeonmill/claims/retention.py
@@ -39,6 +39,11 @@
         self._granted_ms = 0.0
         self._lock = asyncio.Lock()
 
+    @property
+    def longest_ms(self) -> int:
+        """The longest time that a value lives."""
+        return self._policy.retention_ms + 2 * self._policy.span_ms
+
     async def current(self) -> int:
         """Return the lease of the present span, 0 when none can be had."""
         if self._fresh():
--- /dev/null
+++ b/wigeonmill/claims/segment.py
@@ -0,0 +1,95 @@
+"""The values that make up one shard's journal.
+
+The head holds the newest entries and names the owner; each write of it is
+a compare-and-swap, which fences any earlier owner. Full segments are
+sealed under names of their own and never change. Each names the one before
+it, so a segment that no head leads to does not count, and the oldest may
+lapse without the rest becoming unreadable.
+"""
+
+import msgspec
+
+from wigeonmill.claims.model import Holder
+from wigeonmill.claims.record import ClaimRecord
+
+JOURNAL_PREFIX = 'wigeonmill/claims/journal/'
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """The state of one key from this entry on."""
+
+    name: str
+    record: ClaimRecord
+
+
+class Head(msgspec.Struct, array_like=True):
+    """The owner of a shard and its newest entries.
+
+    `tenure` is unique to one ownership. An empty `address` means that the
+    shard was handed over and has no owner. `previous` is the key of the
+    newest sealed segment, empty when there is none.
+    """
+
+    tenure: bytes
+    owner: Holder
+    address: str
+    number: int
+    previous: str
+    entries: list[msgspec.Raw]
+
+
+class SealedSegment(msgspec.Struct, frozen=True, array_like=True):
+    """Entries that no longer change."""
+
+    previous: str
+    entries: list[msgspec.Raw]
+
+
+def head_key(shard: int) -> str:
+    """Return the key of a shard's head."""
+    return f'{JOURNAL_PREFIX}{shard:03d}/head'
+
+
+def segments_prefix(shard: int) -> str:
+    """Return the prefix of a shard's sealed segments."""
+    return f'{JOURNAL_PREFIX}{shard:03d}/segment/'
+
+
+def segment_key(shard: int, number: int, tenure: bytes) -> str:
+    """Return the key of a sealed segment; no two tenures share one."""
+    return f'{segments_prefix(shard)}{number:010d}-{tenure.hex()}'
+
+
+def shard_of(name: str, shards: int) -> int:
+    """Return the shard that the key `name` (hex digest) belongs to."""
+    return int(name[:8], 16) % shards
+
+
+def encode_entry(entry: Entry) -> msgspec.Raw:
+    """Encode one entry, so that a segment's rewrite need not."""
+    return msgspec.Raw(msgspec.msgpack.encode(entry))
+
+
+def decode_entries(entries: list[msgspec.Raw]) -> list[Entry]:
+    """Decode entries in journal order."""
+    return [msgspec.msgpack.decode(raw, type=Entry) for raw in entries]
+
+
+def encode_head(head: Head) -> bytes:
+    """Encode a head for the key-value service."""
+    return msgspec.msgpack.encode(head)
+
+
+def decode_head(data: bytes) -> Head:
+    """Decode a head; raises msgspec.DecodeError when malformed."""
+    return msgspec.msgpack.decode(data, type=Head)
+
+
+def encode_segment(segment: SealedSegment) -> bytes:
+    """Encode a sealed segment for the key-value service."""
+    return msgspec.msgpack.encode(segment)
+
+
+def decode_segment(data: bytes) -> SealedSegment:
+    """Decode a segment; raises msgspec.DecodeError when malformed."""
+    return msgspec.msgpack.decode(data, type=SealedSegment)
--- a/wigeonmill/standins/stepped_key_value.py
+++ b/wigeonmill/standins/stepped_key_value.py
@@ -28,15 +28,6 @@
 Submit = Callable[[PendingCall], None]
 
 
-def run_now(call: Coroutine[Any, Any, Any]) -> Any:
-    """Run a coroutine that never waits; returns its result."""
-    try:
-        call.send(None)
-    except StopIteration as stop:
-        return stop.value
-    raise RuntimeError('the call waits')
-
-
 class SteppedKeyValue:
     """One client's connection; `submit` receives each of its calls.
 
