--- /dev/null
+++ b/wigeonmill/tls.py
@@ -0,0 +1,53 @@
+"""TLS contexts from the files that the settings name."""
+
+import ssl
+
+from result import Err
+from result import Ok
+from result import Result
+
+from wigeonmill.settings import TlsSettings
+
+
+def make_server_context(
+    tls: TlsSettings | None,
+) -> Result[ssl.SSLContext | None, str]:
+    """Return the accepting side's context; None without TLS.
+
+    With `ca_file` the connecting side has to prove its identity.
+    """
+    if tls is None:
+        return Ok(None)
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    if tls.ca_file:
+        context.verify_mode = ssl.CERT_REQUIRED
+    return _load(context, tls)
+
+
+def make_client_context(
+    tls: TlsSettings | None,
+) -> Result[ssl.SSLContext | None, str]:
+    """Return the connecting side's context; None without TLS.
+
+    Processes are named by address, so that the peer's certificate is
+    checked against `ca_file` and not against a host name.
+    """
+    if tls is None:
+        return Ok(None)
+    if not tls.ca_file:
+        return Err('tls.ca_file: name the file that certifies the peers')
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    return _load(context, tls)
+
+
+def _load(
+    context: ssl.SSLContext, tls: TlsSettings
+) -> Result[ssl.SSLContext | None, str]:
+    try:
+        context.load_cert_chain(tls.cert_file, tls.key_file)
+        if tls.ca_file:
+            context.load_verify_locations(tls.ca_file)
+    except (OSError, ssl.SSLError) as exc:
+        return Err(f'tls files of {tls.cert_file}: {type(exc).__name__}')
+    return Ok(context)
--- /dev/null
+++ b/wigeonmill/tools/cli.py
@@ -0,0 +1,73 @@
+"""The operators' command line."""
+
+import asyncio
+from dataclasses import dataclass
+import sys
+
+import cappa
+
+from wigeonmill.tools.change_commands import ApplyCommand
+from wigeonmill.tools.change_commands import DiffCommand
+from wigeonmill.tools.change_commands import RollbackCommand
+from wigeonmill.tools.completion_command import CompletionCommand
+from wigeonmill.tools.completion_command import PROGRAM
+from wigeonmill.tools.document_commands import CheckCommand
+from wigeonmill.tools.document_commands import SchemaCommand
+from wigeonmill.tools.exit_codes import ExitCode
+from wigeonmill.tools.record_commands import HistoryCommand
+from wigeonmill.tools.record_commands import ShowCommand
+from wigeonmill.tools.report import format_json
+from wigeonmill.tools.report import ProblemReport
+from wigeonmill.tools.service_commands import DrainCommand
+from wigeonmill.tools.service_commands import RestoreCommand
+from wigeonmill.tools.session import make_surroundings
+from wigeonmill.tools.session import Surroundings
+from wigeonmill.tools.status_command import StatusCommand
+
+Command = (
+    CheckCommand
+    | DiffCommand
+    | ApplyCommand
+    | RollbackCommand
+    | ShowCommand
+    | HistoryCommand
+    | StatusCommand
+    | DrainCommand
+    | RestoreCommand
+    | SchemaCommand
+    | CompletionCommand
+)
+
+
+@cappa.command(name=PROGRAM, help='Operate wigeonmill by its document.')
+@dataclass(frozen=True, slots=True)
+class Wigeonmill:
+    """The whole command line."""
+
+    command: cappa.Subcommands[Command]
+
+
+def main(
+    argv: list[str] | None = None, around: Surroundings | None = None
+) -> None:
+    """Run one command and exit with its code."""
+    args = cappa.parse(Wigeonmill, argv=argv)
+    around = around or make_surroundings(_confirm)
+    command = args.command
+    report = asyncio.run(command.run(around))
+    if command.json:
+        print(format_json(report))
+    else:
+        failed = isinstance(report, ProblemReport)
+        stream = sys.stderr if failed else sys.stdout
+        for line in report.lines():
+            print(line, file=stream)
+    sys.exit(int(ExitCode(report.exit_code)))
+
+
+def _confirm(question: str) -> bool:
+    """Ask on a terminal; scripts are not asked."""
+    if not sys.stdin.isatty():
+        print(question.rpartition('\n')[0], file=sys.stderr)
+        return True
+    return input(f'{question} [y/N] ').strip().lower() in ('y', 'yes')
--- /dev/null
+++ b/wigeonmill/tools/status_reader.py
@@ -0,0 +1,75 @@
+"""Reads processes' status over the inner protocol."""
+
+from collections.abc import Callable
+import ssl
+
+from result import Err
+from result import Ok
+from result import Result
+
+from wigeonmill.protocol.client import PeerClient
+from wigeonmill.protocol.client import PeerPool
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
+from wigeonmill.protocol.gen.inner.ttypes import Kind
+from wigeonmill.protocol.gen.inner.ttypes import StatusRequest
+from wigeonmill.protocol.handshake import InnerKeys
+from wigeonmill.tools.fleet import ProcessStatus
+
+STATUS_TIMEOUT_MS = 1000.0
+TOOL_ROLE = 'operator'
+# MemberState.state of a process that is alive or only suspected.
+_PRESENT_STATES = frozenset((0, 1))
+
+
+class InnerStatusReader:
+    """Asks each process over a connection that stays open."""
+
+    __slots__ = ('_pool',)
+
+    def __init__(
+        self,
+        name: str,
+        keys: Callable[[], InnerKeys],
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        def make_client(address: str) -> PeerClient:
+            return PeerClient(
+                address,
+                name,
+                TOOL_ROLE,
+                keys,
+                lambda: 0,
+                lambda _address, _serial: None,
+                ssl_context,
+            )
+
+        self._pool = PeerPool(make_client)
+
+    async def read_status(self, address: str) -> Result[ProcessStatus, str]:
+        """Return the status of the process at `address`."""
+        req = Envelope(
+            Kind.STATUS_REQUEST, status_request=StatusRequest(members=True)
+        )
+        reply = await self._pool.get(address).request(req, STATUS_TIMEOUT_MS)
+        if isinstance(reply, Err):
+            return Err(reply.err_value.message)
+        status = reply.ok_value.status
+        if status is None:
+            return Err('the answer is not a status')
+        peers = [
+            member.address
+            for member in status.members or []
+            if member.address and member.state in _PRESENT_STATES
+        ]
+        return Ok(
+            ProcessStatus(
+                status.process or '',
+                status.role or '',
+                status.config_serial or 0,
+                peers,
+            )
+        )
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._pool.close()
