--- /dev/null
+++ b/wigeonmill/config/merge.py
@@ -0,0 +1,123 @@
+"""Merges two operators' changes of the same document."""
+
+from dataclasses import dataclass
+import json
+from typing import Any
+
+import msgspec
+
+from wigeonmill.config.model import Document
+
+_SECTIONS = ('services', 'failure_domains', 'teams', 'models', 'store_vms')
+
+
+@dataclass(frozen=True, slots=True)
+class Clash:
+    """A place that both changed in different ways, as JSON text.
+
+    An empty text means that the item was removed.
+    """
+
+    place: str
+    mine: str
+    theirs: str
+
+
+@dataclass(frozen=True, slots=True)
+class Merged:
+    """The merged document; in each clash `mine` was taken."""
+
+    document: Document
+    clashes: list[Clash]
+
+
+def merge_documents(
+    base: Document, mine: Document, theirs: Document
+) -> Merged:
+    """Put the changes from `base` to `mine` on top of `theirs`."""
+    clashes: list[Clash] = []
+    fields: dict[str, Any] = {}
+    for section in _SECTIONS:
+        fields[section] = _merge_items(
+            section,
+            getattr(base, section),
+            getattr(mine, section),
+            getattr(theirs, section),
+            clashes,
+        )
+    fields['limits'] = _merge_fields(
+        'limits', base.limits, mine.limits, theirs.limits, clashes
+    )
+    return Merged(Document(**fields), clashes)
+
+
+def _merge_items(
+    place: str,
+    base: list[Any],
+    mine: list[Any],
+    theirs: list[Any],
+    clashes: list[Clash],
+) -> list[Any]:
+    old = {item.name: item for item in base}
+    own = {item.name: item for item in mine}
+    other = {item.name: item for item in theirs}
+    merged = []
+    # In their order, what only I have at the end.
+    for name in dict.fromkeys([*other, *own]):
+        item = _merge_item(
+            f'{place}/{name}',
+            old.get(name),
+            own.get(name),
+            other.get(name),
+            clashes,
+        )
+        if item is not None:
+            merged.append(item)
+    return merged
+
+
+def _merge_item(
+    place: str, base: Any, mine: Any, theirs: Any, clashes: list[Clash]
+) -> Any:
+    if mine == base:
+        return theirs
+    if theirs in (base, mine):
+        return mine
+    if base is None or mine is None or theirs is None:
+        clashes.append(Clash(place, _show(mine), _show(theirs)))
+        return mine
+    return _merge_fields(place, base, mine, theirs, clashes)
+
+
+def _merge_fields(
+    place: str,
+    base: msgspec.Struct,
+    mine: msgspec.Struct,
+    theirs: msgspec.Struct,
+    clashes: list[Clash],
+) -> msgspec.Struct:
+    merged: dict[str, Any] = {}
+    for name in base.__struct_fields__:
+        old, own, other = (getattr(x, name) for x in (base, mine, theirs))
+        where = f'{place}/{name}'
+        if name == 'targets':
+            merged[name] = _merge_items(where, old, own, other, clashes)
+        else:
+            merged[name] = _merge_value(where, old, own, other, clashes)
+    return msgspec.structs.replace(mine, **merged)
+
+
+def _merge_value(
+    place: str, base: Any, mine: Any, theirs: Any, clashes: list[Clash]
+) -> Any:
+    if mine == base:
+        return theirs
+    if theirs not in (base, mine):
+        clashes.append(Clash(place, _show(mine), _show(theirs)))
+    return mine
+
+
+def _show(value: Any) -> str:
+    if value is None:
+        return ''
+    return json.dumps(msgspec.to_builtins(value))
--- a/wigeonmill/config/reader.py
+++ b/wigeonmill/config/reader.py
@@ -62,7 +62,7 @@
     try:
         document = msgspec.convert(tree, Document)
     except msgspec.ValidationError as exc:
-        faults += _structure_faults(tree) or [_from_decoder(exc)]
+        faults += check_structure(tree) or [_from_decoder(exc)]
         return Err(faults)
     if faults:
         return Err(faults)
@@ -122,18 +122,20 @@
             yield from _duplicate_keys(value, (*path, index))
 
 
-@functools.cache
-def _validator() -> Draft202012Validator:
-    return Draft202012Validator(document_schema())
-
-
-def _structure_faults(tree: Any) -> list[Fault]:
+def check_structure(tree: Any, definition: str = 'Document') -> list[Fault]:
+    """Return every fault of a JSON value against one of the types."""
     faults: list[Fault] = []
-    for error in _validator().iter_errors(tree):
+    for error in _validator(definition).iter_errors(tree):
         faults.extend(_from_schema_error(error))
     return sorted(faults, key=lambda fault: fault.pointer)
 
 
+@functools.cache
+def _validator(definition: str) -> Draft202012Validator:
+    schema = document_schema() | {'$ref': f'#/$defs/{definition}'}
+    return Draft202012Validator(schema)
+
+
 def _from_schema_error(error: ValidationError) -> list[Fault]:
     path = list(error.absolute_path)
     if error.validator == 'additionalProperties':
