--- a/wigeonmill/agent/context.py
+++ b/wigeonmill/agent/context.py
@@ -31,9 +31,7 @@
 def find_placement(document: Document, name: str) -> Placement | None:
     """Return where the document has the target `name`, if it has it."""
     domains_in = {
-        domain.name
-        for domain in document.failure_domains
-        if domain.in_service
+        domain.name for domain in document.failure_domains if domain.in_service
     }
     for service in document.services:
         for target in service.targets:
--- a/wigeonmill/agent/engine.py
+++ b/wigeonmill/agent/engine.py
@@ -123,9 +123,7 @@
             return EngineEnd(EngineEndKind.CANCELLED)
         if response.code not in (200, 599):
             message = bytes(self._error).decode('utf-8', 'replace')
-            return EngineEnd(
-                EngineEndKind.REJECTED, message, response.code
-            )
+            return EngineEnd(EngineEndKind.REJECTED, message, response.code)
         if self._done:
             return self._end
         return EngineEnd(_failure_kind(response.error), str(response.error))
@@ -186,9 +184,7 @@
         self._http = CurlAsyncHTTPClient(
             force_instance=True, max_clients=MAX_CLIENTS
         )
-        self._control = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=8
-        )
+        self._control = CurlAsyncHTTPClient(force_instance=True, max_clients=8)
 
     async def run(
         self, path: str, body: bytes, stream: EngineStream, timeout_ms: float
--- a/wigeonmill/agent/plain_service.py
+++ b/wigeonmill/agent/plain_service.py
@@ -105,9 +105,7 @@
             return await self._dispatch(call, request, None)
         return await self._run_once(call, request)
 
-    async def _run_once(
-        self, call: Call, request: RunRequest
-    ) -> CallResult:
+    async def _run_once(self, call: Call, request: RunRequest) -> CallResult:
         left_ms = request.deadline_ms - self._context.clock.now_ms()
         digest = request_digest(call.method, call.path, call.body or b'')
         claimed = await self._claims.claim(
--- a/wigeonmill/agent/runs.py
+++ b/wigeonmill/agent/runs.py
@@ -195,7 +195,9 @@
             summary.answer_tokens,
             summary.cached_tokens,
         )
-        return Envelope(Kind.RUN_END, self._stream, self._serial(), run_end=end)
+        return Envelope(
+            Kind.RUN_END, self._stream, self._serial(), run_end=end
+        )
 
     def _on_closed(self, conn: Conn) -> None:
         if self._conn is conn:
--- a/wigeonmill/agent/service.py
+++ b/wigeonmill/agent/service.py
@@ -128,8 +128,6 @@
 
     def _refuse(self, conn: Conn, envelope: Envelope, reason: str) -> None:
         self._context.metrics.count('agent_refusals', reason)
-        reply = Envelope(
-            Kind.REFUSED, envelope.stream, self._context.serial()
-        )
+        reply = Envelope(Kind.REFUSED, envelope.stream, self._context.serial())
         reply.refused = Refused(reason, '', 0, True)
         conn.send(reply)
--- a/wigeonmill/entry/models.py
+++ b/wigeonmill/entry/models.py
@@ -84,9 +84,7 @@
             self.refuse(error)
             return
         created = self.context.clock.wall_ms() // 1000
-        shape = AnswerShape(
-            request.api, run.run_id, request.model, created
-        )
+        shape = AnswerShape(request.api, run.run_id, request.model, created)
         if request.stream:
             await self._stream(run, shape, request.include_usage)
         else:
--- a/wigeonmill/entry/plain.py
+++ b/wigeonmill/entry/plain.py
@@ -58,9 +58,7 @@
         if deadline.is_err():
             self.refuse(deadline.unwrap_err())
             return
-        once = runs_once(
-            routes.service, self.request.method or '', f'/{path}'
-        )
+        once = runs_once(routes.service, self.request.method or '', f'/{path}')
         key = self.request.headers.get(KEY_HEADER, '')
         if once and not _valid_key(key):
             message = (
@@ -154,9 +152,7 @@
         context.budget.record_success()
         return reply
 
-    def _call(
-        self, service: str, path: str, key: str, left_ms: float
-    ) -> Call:
+    def _call(self, service: str, path: str, key: str, left_ms: float) -> Call:
         query = f'?{self.request.query}' if self.request.query else ''
         headers = [
             Header(name, value)
--- a/wigeonmill/entry/requests.py
+++ b/wigeonmill/entry/requests.py
@@ -127,9 +127,7 @@
     return '\n'.join(f'{m.role}: {m.content}' for m in messages)
 
 
-def parse_deadline(
-    text: str, limits: Limits
-) -> Result[int, ApiError]:
+def parse_deadline(text: str, limits: Limits) -> Result[int, ApiError]:
     """Return the time allowed in ms from the X-Deadline-Ms header."""
     return _deadline(text, limits)
 
--- a/wigeonmill/platform/http.py
+++ b/wigeonmill/platform/http.py
@@ -15,6 +15,7 @@
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 from tornado.httpclient import HTTPResponse
+from tornado.httputil import HTTPHeaders
 
 from wigeonmill.clock import Clock
 
@@ -51,6 +52,7 @@
     """A whole reply of any status, with the time it took."""
 
     status: int
+    headers: HTTPHeaders
     body: bytes
     elapsed_ms: float
 
@@ -93,10 +95,11 @@
     url: str
     timeout_ms: float
     body: bytes | None = None
-    headers: dict[str, str] = field(default_factory=dict)
+    headers: HTTPHeaders = field(default_factory=HTTPHeaders)
     repeatable: bool = False
     cancel: CancelHandle | None = None
     on_data: Callable[[bytes], None] | None = None
+    connect_timeout_ms: float | None = None
 
 
 class _HeaderEnd:
@@ -175,6 +178,10 @@
 def _request(
     call: HttpCall, cancel: CancelHandle, headers: _HeaderEnd
 ) -> HTTPRequest:
+    # Curl takes 0 for no limit.
+    timeout_ms = max(call.timeout_ms, 1.0)
+    connect_ms = max(call.connect_timeout_ms or timeout_ms, 1.0)
+
     def prepare(curl: pycurl.Curl) -> None:
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(
@@ -187,9 +194,9 @@
         call.url,
         method=call.method,
         body=call.body,
-        headers=dict(call.headers),
-        connect_timeout=call.timeout_ms / 1000.0,
-        request_timeout=call.timeout_ms / 1000.0,
+        headers=call.headers.copy(),
+        connect_timeout=connect_ms / 1000.0,
+        request_timeout=timeout_ms / 1000.0,
         follow_redirects=False,
         decompress_response=False,
         allow_nonstandard_methods=True,
@@ -221,7 +228,8 @@
     exc = fetch.exception()
     if exc is None:
         response = fetch.result()
-        return Ok(HttpReply(response.code, response.body or b'', elapsed_ms))
+        body = response.body or b''
+        return Ok(HttpReply(response.code, response.headers, body, elapsed_ms))
     if not isinstance(exc, CurlError):
         return Err(HttpError(HttpErrorKind.BROKEN, str(exc)))
     message = f'curl error {exc.errno}: {os.fsdecode(exc.message or "")}'
