--- a/wigeonmill/entry/plain.py
+++ b/wigeonmill/entry/plain.py
@@ -67,7 +67,9 @@
             )
             self.refuse(ApiError(Reason.KEY_REQUIRED, message))
             return
-        await self._forward(routes, path, key if once else '', deadline.ok())
+        await self._forward(
+            routes, path, key if once else '', deadline.unwrap()
+        )
 
     head = get
     post = get
