Send a call without a body once; take a cut reply as unknown

Cause: curl resends a request whose kept connection dies before a reply; the guard refuses to rewind a body and so did nothing for an empty one. A reply cut amid its headers looked whole to curl: status 201, no body. Change: CallClient sends through HttpClient, which gives a request without a body a connection of its own and checks the reply's end.

--- a/wigeonmill/agent/calls.py
+++ b/wigeonmill/agent/calls.py
@@ -2,25 +2,23 @@
 
 from dataclasses import dataclass
 import enum
-from functools import partial
 import hashlib
 
-import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.curl_httpclient import CurlError
-from tornado.httpclient import HTTPError
-from tornado.httpclient import HTTPRequest
-from tornado.httpclient import HTTPResponse
+from result import Err
 from tornado.httputil import HTTPHeaders
 
-from wigeonmill.platform.http import close_curl_client
-from wigeonmill.platform.http import forbid_resend
+from wigeonmill.clock import Clock
+from wigeonmill.platform.http import HttpCall
+from wigeonmill.platform.http import HttpClient
+from wigeonmill.platform.http import HttpError
+from wigeonmill.platform.http import HttpErrorKind
+from wigeonmill.platform.http import HttpReply
 from wigeonmill.protocol.gen.inner.ttypes import Call
 from wigeonmill.protocol.gen.inner.ttypes import CallReply
 from wigeonmill.protocol.gen.inner.ttypes import Header
 
 MAX_CLIENTS = 256
-CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_MS = 2000.0
 # Headers of one connection, never forwarded, and those curl sets itself.
 HOP_HEADERS = frozenset(
     (
@@ -68,39 +66,29 @@
 
     def __init__(self, address: str) -> None:
         self._base = f'http://{address}'
-        self._http = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CLIENTS
-        )
+        self._http = HttpClient(Clock(), MAX_CLIENTS)
 
     async def send(self, call: Call, timeout_ms: float) -> CallEnd:
         """Send a call once and return its answer or why there is none."""
         body = call.body or None
-        bodiless = call.method in _BODILESS
-        if body is None and not bodiless:
+        if body is None and call.method not in _BODILESS:
             body = b''
-        request = HTTPRequest(
+        http_call = HttpCall(
+            call.method,
             self._base + call.path,
-            method=call.method,
-            headers=_forwarded(call.headers or []),
-            body=body,
-            allow_nonstandard_methods=True,
-            connect_timeout=CONNECT_TIMEOUT_S,
-            request_timeout=max(timeout_ms, 1.0) / 1000.0,
-            follow_redirects=False,
-            decompress_response=False,
-            prepare_curl_callback=partial(
-                forbid_resend, has_body=body is not None
-            ),
+            timeout_ms,
+            body,
+            _forwarded(call.headers or []),
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
         )
-        try:
-            response = await self._http.fetch(request, raise_error=False)
-        except HTTPError as exc:
-            return _failed(exc)
-        return CallEnd(CallEndKind.ANSWERED, reply=_reply(response))
+        sent = await self._http.send(http_call)
+        if isinstance(sent, Err):
+            return _failed(sent.err_value)
+        return CallEnd(CallEndKind.ANSWERED, reply=_reply(sent.ok_value))
 
     def close(self) -> None:
         """Close the client."""
-        close_curl_client(self._http)
+        self._http.close()
 
 
 def make_reply(status: int, headers: list[Header], body: bytes) -> CallReply:
@@ -116,17 +104,16 @@
     return kept
 
 
-def _reply(response: HTTPResponse) -> CallReply:
+def _reply(response: HttpReply) -> CallReply:
     headers = [
         Header(name, value)
         for name, value in response.headers.get_all()
         if name.lower() not in HOP_HEADERS
     ]
-    return make_reply(response.code, headers, response.body or b'')
+    return make_reply(response.status, headers, response.body)
 
 
-def _failed(error: HTTPError) -> CallEnd:
-    errno = error.errno if isinstance(error, CurlError) else None
-    if errno == pycurl.E_COULDNT_CONNECT:
-        return CallEnd(CallEndKind.UNREACHABLE, str(error))
-    return CallEnd(CallEndKind.UNKNOWN, str(error))
+def _failed(error: HttpError) -> CallEnd:
+    if error.kind is HttpErrorKind.NOT_SENT:
+        return CallEnd(CallEndKind.UNREACHABLE, error.message)
+    return CallEnd(CallEndKind.UNKNOWN, error.message)
