Read frames in bulk and wait without extra tasks

Cause: a profile of the entry under load showed two futures a frame for reading and a wait task a part. Change: a connection reads what has arrived and cuts it into frames; a stream waits on one future and a timer; an offer round collects answers by callbacks; a caller sees the last refusal when no target is left to ask; tornado's access lines are off, as requests are counted.

--- a/bench/path.py
+++ b/bench/path.py
@@ -145,7 +145,11 @@
 async def _added_times(
     system: System, args: Arguments, figures: dict[str, float]
 ) -> None:
-    load = {'seconds': args.seconds, 'concurrency': 1, 'max_tokens': 32}
+    load: dict[str, float] = {
+        'seconds': args.seconds,
+        'concurrency': 1,
+        'max_tokens': 32,
+    }
     engine = system.targets['engine-1'].standin.address
     straight = await send_load(engine, args.seed, **load)
     through = await send_load(system.entry_addresses[0], args.seed, **load)
--- a/wigeonmill/entry/model_run.py
+++ b/wigeonmill/entry/model_run.py
@@ -101,6 +101,8 @@
         started_ms = context.clock.now_ms()
         self._attempts = Attempts(started_ms + request.deadline_ms, True)
         self._excluded: set[str] = set()
+        # What the targets asked so far said, once none is left to ask.
+        self._refusal: ApiError | None = None
 
     async def start(self) -> ApiError | None:
         """Find a target that accepts the run; returns a refusal if none."""
@@ -179,7 +181,7 @@
         )
         targets = [self._routes.targets[name] for name in names]
         if not targets:
-            return Err(_Failed(_no_target(), None))
+            return Err(_Failed(self._refusal or _no_target(), None))
         request = self._offer_request()
         timeout_ms = min(
             context.settings.offer_timeout_ms, max(self._left_ms(), 1.0)
@@ -192,6 +194,7 @@
             reason = RetryReason.REFUSED
             if found.silent:
                 reason = RetryReason.UNREACHABLE
+            self._refusal = error
             return Err(_Failed(error, reason))
         offer = chosen.unwrap()
         release_others(context, targets, found.offers, offer)
--- a/wigeonmill/entry/offer_round.py
+++ b/wigeonmill/entry/offer_round.py
@@ -34,34 +34,54 @@
     timeout_ms: float,
 ) -> OfferRound:
     """Ask every target's agent and return the answers that came in time."""
-    found = OfferRound([], [], [])
-    tasks = {
-        asyncio.ensure_future(_ask(context, target, request, timeout_ms)): (
-            target
-        )
-        for target in targets
-    }
-    pending = set(tasks)
-    deadline_ms = context.clock.now_ms() + timeout_ms
-    while pending:
-        left_ms = deadline_ms - context.clock.now_ms()
-        if left_ms <= 0:
-            break
-        done, pending = await asyncio.wait(
-            pending,
-            timeout=left_ms / 1000.0,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        had_offer = bool(found.offers)
-        for task in done:
-            _collect(found, tasks[task], task.result())
-        if found.offers and not had_offer:
-            grace_end_ms = context.clock.now_ms() + GRACE_MS
-            deadline_ms = min(deadline_ms, grace_end_ms)
-    for task in pending:
-        found.silent.append(tasks[task].name)
-        task.cancel()
-    return found
+    collector = _Collector(context, targets, request, timeout_ms)
+    return await collector.finished
+
+
+class _Collector:
+    """Gathers answers until all are in or the time is over."""
+
+    def __init__(
+        self,
+        context: EntryContext,
+        targets: Sequence[Target],
+        request: OfferRequest,
+        timeout_ms: float,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self.finished: asyncio.Future[OfferRound] = loop.create_future()
+        self._found = OfferRound([], [], [])
+        self._tasks = {}
+        for target in targets:
+            task = loop.create_task(_ask(context, target, request, timeout_ms))
+            task.add_done_callback(self._on_answer)
+            self._tasks[task] = target
+        self._timer = loop.call_later(timeout_ms / 1000.0, self._finish)
+
+    def _on_answer(
+        self, task: 'asyncio.Task[TargetOffer | TargetRefusal | None]'
+    ) -> None:
+        target = self._tasks.pop(task, None)
+        if target is None or task.cancelled():
+            return
+        first_offer = not self._found.offers
+        _collect(self._found, target, task.result())
+        if not self._tasks:
+            self._finish()
+        elif first_offer and self._found.offers:
+            self._timer.cancel()
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(GRACE_MS / 1000.0, self._finish)
+
+    def _finish(self) -> None:
+        self._timer.cancel()
+        late = self._tasks
+        self._tasks = {}
+        for task, target in late.items():
+            self._found.silent.append(target.name)
+            task.cancel()
+        if not self.finished.done():
+            self.finished.set_result(self._found)
 
 
 def release_others(
--- a/wigeonmill/log.py
+++ b/wigeonmill/log.py
@@ -17,4 +17,4 @@
     root.handlers[:] = [handler]
     root.setLevel(level)
     # Callers' requests are counted, not logged.
-    logging.getLogger('tornado.access').setLevel(logging.ERROR)
+    logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -55,7 +55,7 @@
         self._client = client
         self._conn = conn
         self._received: collections.deque[Envelope] = collections.deque()
-        self._waiter: asyncio.Future[None] | None = None
+        self._waiter: asyncio.Future[bool] | None = None
         self._ended = False
 
     def send(self, envelope: Envelope) -> None:
@@ -67,17 +67,24 @@
     async def receive(self, timeout_ms: float) -> Result[Envelope, PeerError]:
         """Return the next answer, or why there is none."""
         if not self._received and not self._ended:
-            self._waiter = asyncio.get_running_loop().create_future()
-            done, _pending = await asyncio.wait(
-                [self._waiter], timeout=max(timeout_ms, 0.0) / 1000.0
-            )
-            if not done:
+            if not await self._wait(timeout_ms):
                 error = PeerError(PeerErrorKind.TIMEOUT, 'no answer in time')
                 return Err(error)
         if self._received:
             return Ok(self._received.popleft())
         return Err(PeerError(PeerErrorKind.CLOSED, 'connection ended'))
 
+    async def _wait(self, timeout_ms: float) -> bool:
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[bool] = loop.create_future()
+        self._waiter = waiter
+        timeout_s = max(timeout_ms, 0.0) / 1000.0
+        timer = loop.call_later(timeout_s, _resolve, waiter, False)
+        try:
+            return await waiter
+        finally:
+            timer.cancel()
+
     def close(self) -> None:
         """Forget the stream; later answers on it are dropped."""
         self._client.forget(self.id)
@@ -93,8 +100,8 @@
         self._wake()
 
     def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        if self._waiter is not None:
+            _resolve(self._waiter, True)
 
 
 class PeerClient:
@@ -253,3 +260,8 @@
         for client in self._clients.values():
             client.close()
         self._clients.clear()
+
+
+def _resolve(waiter: 'asyncio.Future[bool]', answered: bool) -> None:
+    if not waiter.done():
+        waiter.set_result(answered)
--- a/wigeonmill/protocol/conn.py
+++ b/wigeonmill/protocol/conn.py
@@ -1,6 +1,7 @@
 """One inner connection: frames over a tornado stream, many at a time."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import logging
 import ssl
@@ -19,6 +20,8 @@
 # Above this many unsent bytes a connection asks its senders to wait.
 HIGH_WATER_BYTES = 1 << 20
 
+READ_BYTES = 65536
+
 OnEnvelope = Callable[['Conn', Envelope], None]
 
 
@@ -35,6 +38,8 @@
         'role',
         'closed',
         'on_drain',
+        '_in',
+        '_received',
         '_out',
         '_writing',
         '_scheduled',
@@ -47,6 +52,8 @@
         self.role = ''
         self.closed = False
         self.on_drain: Callable[[], None] | None = None
+        self._in = bytearray()
+        self._received: collections.deque[Envelope] = collections.deque()
         self._out = bytearray()
         self._writing = False
         self._scheduled = False
@@ -79,20 +86,10 @@
 
         A malformed frame closes the connection.
         """
-        try:
-            header = await self.stream.read_bytes(LENGTH_BYTES)
-            length = decode_length(header)
-            if length.is_err():
-                self._reject(length.unwrap_err().message)
+        while not self._received:
+            if not await self._read_frames():
                 return None
-            body = await self.stream.read_bytes(length.unwrap())
-        except (StreamClosedError, ssl.SSLError):
-            return None
-        envelope = decode_body(body)
-        if envelope.is_err():
-            self._reject(envelope.unwrap_err().message)
-            return None
-        return envelope.unwrap()
+        return self._received.popleft()
 
     async def dispatch(self, on_envelope: OnEnvelope) -> None:
         """Hand every envelope to `on_envelope` until the connection ends."""
@@ -113,6 +110,34 @@
         """Close the stream; queued frames are dropped."""
         self.stream.close()
 
+    async def _read_frames(self) -> bool:
+        """Read what has arrived; several frames may come at once."""
+        try:
+            data = await self.stream.read_bytes(READ_BYTES, partial=True)
+        except (StreamClosedError, ssl.SSLError):
+            return False
+        self._in += data
+        start = 0
+        while True:
+            body_at = start + LENGTH_BYTES
+            if len(self._in) < body_at:
+                break
+            length = decode_length(bytes(self._in[start:body_at]))
+            if length.is_err():
+                self._reject(length.unwrap_err().message)
+                return False
+            end = body_at + length.unwrap()
+            if len(self._in) < end:
+                break
+            envelope = decode_body(bytes(self._in[body_at:end]))
+            if envelope.is_err():
+                self._reject(envelope.unwrap_err().message)
+                return False
+            self._received.append(envelope.unwrap())
+            start = end
+        del self._in[:start]
+        return True
+
     def _reject(self, message: str) -> None:
         logger.warning('closing connection of %s: %s', self.peer, message)
         self.stream.close()
