--- /dev/null
+++ b/wigeonmill/console/reading.py
@@ -0,0 +1,110 @@
+"""Pages that only show: overview, lists, processes, history, download."""
+
+import json
+
+import msgspec
+from result import Err
+from tornado.web import HTTPError
+
+from wigeonmill.config.checks import in_service_targets
+from wigeonmill.config.history import read_current
+from wigeonmill.config.history import read_latest
+from wigeonmill.console.base import ConsoleHandler
+from wigeonmill.console.items import ItemRef
+from wigeonmill.console.items import list_items
+from wigeonmill.tools.fleet import ProcessStanding
+from wigeonmill.tools.fleet import Standing
+from wigeonmill.tools.record_commands import make_rows
+
+LIST_ROWS = 100
+HISTORY_ROWS = 20
+
+
+class OverviewHandler(ConsoleHandler):
+    """The state of services and failure domains, with switches."""
+
+    async def get(self) -> None:
+        """Show the draft, which equals the newest record if unchanged."""
+        await self.refresh_draft()
+        document = self.current_draft().document
+        counts = {
+            service.name: len(in_service_targets(document, service))
+            for service in document.services
+        }
+        self.render('overview.html', document=document, counts=counts)
+
+
+class ListHandler(ConsoleHandler):
+    """The items of one kind, filtered by a part of their name."""
+
+    async def get(self) -> None:
+        """Show the first rows that match."""
+        await self.refresh_draft()
+        ref = self.read_ref()
+        items = list_items(self.current_draft().document, ref)
+        if not isinstance(items, list):
+            raise HTTPError(404)
+        wanted = self.get_argument('filter', '')
+        found = [item for item in items if wanted in item.name]
+        self.render(
+            'list.html',
+            ref=ref,
+            rows=found[:LIST_ROWS],
+            found=len(found),
+            filter=wanted,
+            child_ref=ItemRef,
+        )
+
+
+class StatusHandler(ConsoleHandler):
+    """Which processes have the accepted serial in force."""
+
+    async def get(self) -> None:
+        """Ask every process once."""
+        found = await read_current(self.context.kv)
+        rows: list[ProcessStanding] = []
+        serial = 0
+        if isinstance(found, Err):
+            message = found.err_value.message
+            self.notice = f'The key-value service does not answer ({message}).'
+        elif found.ok_value is not None:
+            record = found.ok_value.record
+            serial = record.serial
+            rows = await self.context.read_standing(record)
+        settled = (Standing.IN_FORCE, Standing.AHEAD)
+        late = [row for row in rows if row.standing not in settled]
+        self.render(
+            'status.html',
+            serial=serial,
+            rows=rows,
+            late=late,
+            accepted=self.get_argument('accepted', ''),
+        )
+
+
+class HistoryHandler(ConsoleHandler):
+    """The last accepted records."""
+
+    async def get(self) -> None:
+        """Show who changed how much."""
+        found = await read_latest(self.context.kv, HISTORY_ROWS + 1)
+        rows = []
+        if isinstance(found, Err):
+            message = found.err_value.message
+            self.notice = f'The key-value service does not answer ({message}).'
+        else:
+            rows = make_rows(found.ok_value)[:HISTORY_ROWS]
+        self.render('history.html', rows=rows)
+
+
+class DownloadHandler(ConsoleHandler):
+    """The draft's document as a file for version control."""
+
+    def get(self) -> None:
+        """Send the document."""
+        document = msgspec.to_builtins(self.current_draft().document)
+        self.set_header('Content-Type', 'application/json')
+        self.set_header(
+            'Content-Disposition', 'attachment; filename="wigeonmill.json"'
+        )
+        self.finish(json.dumps(document, indent=2) + '\n')
--- a/wigeonmill/tools/cli.py
+++ b/wigeonmill/tools/cli.py
@@ -11,6 +11,7 @@
 from wigeonmill.tools.change_commands import RollbackCommand
 from wigeonmill.tools.completion_command import CompletionCommand
 from wigeonmill.tools.completion_command import PROGRAM
+from wigeonmill.tools.console_command import ConsoleCommand
 from wigeonmill.tools.document_commands import CheckCommand
 from wigeonmill.tools.document_commands import SchemaCommand
 from wigeonmill.tools.exit_codes import ExitCode
@@ -34,6 +35,7 @@
     | StatusCommand
     | DrainCommand
     | RestoreCommand
+    | ConsoleCommand
     | SchemaCommand
     | CompletionCommand
 )
