--- a/wigeonmill/config/reader.py
+++ b/wigeonmill/config/reader.py
@@ -21,6 +21,14 @@
 from wigeonmill.config.model import MAX_RECORD_BYTES
 from wigeonmill.config.schema import document_schema
 
+_TYPE_WORDS = {
+    'integer': 'a whole number',
+    'string': 'a text in quotes',
+    'boolean': 'true or false',
+    'array': 'a list in square brackets',
+    'object': 'an object in braces',
+}
+
 # A document is nested less deeply than this.
 MAX_DEPTH = 16
 
@@ -169,8 +177,8 @@
     faults = []
     for key in error.validator_value:
         if key not in error.instance and f"'{key}'" in error.message:
-            kind = properties[key].get('type', 'value')
-            remedy = f"Add '{key}' ({kind})"
+            wanted = properties[key].get('type')
+            remedy = f"Add '{key}' ({_TYPE_WORDS.get(wanted, 'a value')})"
             faults.append(Fault(pointer, '', f"no field '{key}'", remedy))
     return faults
 
@@ -179,7 +187,7 @@
     limit = error.validator_value
     match error.validator:
         case 'type':
-            return 'wrong type', f'Write a value of type {limit}'
+            return 'wrong type', f'Write {_TYPE_WORDS.get(limit, limit)}'
         case 'enum':
             allowed = ', '.join(json.dumps(item) for item in limit)
             return 'not an allowed value', f'Write one of {allowed}'
--- a/wigeonmill/console/base.py
+++ b/wigeonmill/console/base.py
@@ -16,7 +16,6 @@
 from wigeonmill.console.drafts import SessionStore
 from wigeonmill.console.items import ItemKind
 from wigeonmill.console.items import ItemRef
-from wigeonmill.console.items import KINDS
 from wigeonmill.platform.key_value import KeyValue
 from wigeonmill.tools.fleet import ProcessStanding
 
@@ -34,6 +33,16 @@
 }
 _HSTS = 'max-age=31536000'
 
+_PAGES = (
+    ('/', 'Overview'),
+    ('/list?kind=team', 'Teams'),
+    ('/list?kind=model', 'Models'),
+    ('/list?kind=store-vm', 'Store VMs'),
+    ('/edit?kind=limits', 'Limits'),
+    ('/status', 'Processes'),
+    ('/history', 'History'),
+)
+
 ReadStanding = Callable[[ConfigRecord], Awaitable[list[ProcessStanding]]]
 
 
@@ -120,8 +129,8 @@
         namespace.update(
             draft=self.draft,
             notice=self.notice,
-            kinds=KINDS,
             ItemKind=ItemKind,
+            pages=_PAGES,
         )
         return namespace
 
