--- /dev/null
+++ b/bench/policy_sim/runner.py
@@ -0,0 +1,137 @@
+"""Runs policies through scenes and sums up what they showed."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+import random
+
+from bench.policy_sim.baselines import BASELINES
+from bench.policy_sim.oracle import Oracle
+from bench.policy_sim.policy import Policy
+from bench.policy_sim.scenes import DURATION_S
+from bench.policy_sim.scenes import make_trace
+from bench.policy_sim.scenes import OUT_AT_MS
+from bench.policy_sim.scenes import Scene
+from bench.policy_sim.scenes import WARMUP_S
+from bench.policy_sim.stats import percentile
+from bench.policy_sim.stats import PERCENTILES
+from bench.policy_sim.stats import RequestRecord
+from bench.policy_sim.stats import share_within
+from bench.policy_sim.workloads import Workload
+from bench.policy_sim.world import World
+
+TTFT_GOAL_MS = 1300.0
+# Requests that arrive later than this before the end are not judged.
+SETTLE_AFTER_LEAVE_MS = 5000.0
+DRAIN_MS = 20_000.0
+
+MakePolicy = Callable[[World], Policy]
+
+
+@dataclass(slots=True)
+class SceneRun:
+    """One policy's run through one scene of a workload."""
+
+    workload: Workload
+    scene: Scene
+    policy: str
+    world: World
+
+    def figures(self) -> dict[str, float]:
+        """Return the run's figures by name."""
+        stats = self.world.stats
+        found: dict[str, float] = {}
+        for name, chosen in self._groups().items():
+            waits = stats.waits(chosen)
+            for percent in PERCENTILES:
+                found[f'ttft_p{percent}_ms.{name}'] = percentile(
+                    waits, percent
+                )
+        found['recomputed_share'] = stats.recomputed_share()
+        found['link_peak_share'] = self._link_peak_share()
+        found['within_goal_share'] = self._within_goal(0.0)
+        if self.scene.name == 'domain_leaves':
+            from_ms = OUT_AT_MS + SETTLE_AFTER_LEAVE_MS
+            found['within_goal_after_leave'] = self._within_goal(from_ms)
+        found['goodput_rps'] = self._goodput()
+        found['imported_blocks'] = stats.imported_blocks
+        found['exported_blocks'] = stats.exported_blocks
+        found.update(self._counters())
+        return found
+
+    def _judged(self, record: RequestRecord) -> bool:
+        req = record.request
+        return self.world.measured(req) and not self.scene.left_out(req)
+
+    def _groups(self) -> dict[str, Callable[[RequestRecord], bool]]:
+        judged = self._judged
+        kinds = self.workload.kinds + self.workload.returns
+        groups: dict[str, Callable[[RequestRecord], bool]] = {
+            'all': judged,
+            'large': lambda r: judged(r) and r.request.team.large,
+            'small': lambda r: judged(r) and not r.request.team.large,
+        }
+        for kind in kinds:
+            groups[kind.name] = _of_kind(judged, kind.name)
+        return groups
+
+    def _within_goal(self, from_ms: float) -> float:
+        waits = self.world.stats.waits(
+            lambda r: self._judged(r) and r.request.arrival_ms >= from_ms
+        )
+        return share_within(waits, TTFT_GOAL_MS)
+
+    def _goodput(self) -> float:
+        good = [
+            record
+            for record in self.world.stats.records.values()
+            if record.finished and self.world.measured(record.request)
+        ]
+        return len(good) / (DURATION_S - WARMUP_S)
+
+    def _link_peak_share(self) -> float:
+        budget = self.workload.fleet.store.budget_bytes_per_s
+        links = self.world.links.values()
+        return max(link.most_in_a_second() for link in links) / budget
+
+    def _counters(self) -> dict[str, float]:
+        stats = self.world.stats
+        engines = self.world.engines.values()
+        overloads = sum(engine.counts.cold_overloads for engine in engines)
+        found: dict[str, float] = {'violations.cold_overload': overloads}
+        for name, counter in (
+            ('violations', stats.violations),
+            ('refusals', stats.refusals),
+            ('retries', stats.retries),
+            ('denied_retries', stats.denials),
+        ):
+            for reason, count in sorted(counter.items()):
+                found[f'{name}.{reason}'] = count
+        return found
+
+
+def _of_kind(
+    judged: Callable[[RequestRecord], bool], kind: str
+) -> Callable[[RequestRecord], bool]:
+    return lambda r: judged(r) and r.request.kind == kind
+
+
+def run_scene(
+    workload: Workload, scene: Scene, make_policy: MakePolicy, seed: int
+) -> SceneRun:
+    """Run one policy through one scene; the same seed gives the same run."""
+    name = f'{seed}:{workload.name}:{scene.name}'
+    requests = make_trace(workload, scene, random.Random(name))
+    world = World(workload.fleet, requests, name)
+    world.measured_from_ms = WARMUP_S * 1000.0
+    policy = make_policy(world)
+    scene.faults(world, policy)
+    for req in requests:
+        world.stats.record(req)
+        world.loop.at(req.arrival_ms, policy.arrive, req)
+    world.loop.run(DURATION_S * 1000.0 + DRAIN_MS)
+    return SceneRun(workload, scene, policy.name, world)
+
+
+def policies() -> tuple[MakePolicy, ...]:
+    """Return what makes the baselines and the oracle."""
+    return (*BASELINES, Oracle)
--- /dev/null
+++ b/bench/policy_sim/scenes.py
@@ -0,0 +1,183 @@
+"""What happens in each scene of the policy benchmark."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import replace
+import random
+
+from bench.policy_sim.model import SimRequest
+from bench.policy_sim.model import SimTeam
+from bench.policy_sim.policy import Policy
+from bench.policy_sim.workloads import DEADLINE_MS
+from bench.policy_sim.workloads import Phase
+from bench.policy_sim.workloads import TraceMaker
+from bench.policy_sim.workloads import Workload
+from bench.policy_sim.world import World
+
+WARMUP_S = 25.0
+DURATION_S = 85.0
+# Time that operators' changes take to reach every process.
+CONFIG_LAG_MS = 1000.0
+NOTICE_MS = 15_000.0
+OUT_AT_MS = 35_000.0
+BACK_AT_MS = 60_000.0
+COLD_AT_MS = (35_000.0, 60_000.0)
+ROLL_FROM_MS = 27_000.0
+FLOOD_FROM_S = 35.0
+FLOOD_FACTOR = 10.0
+CRASH_FROM_MS = 35_000.0
+CRASH_EVERY_MS = 1500.0
+CRASH_RESENDS = 20
+VM_DIES_AT_MS = 40_000.0
+VM_BACK_AT_MS = 65_000.0
+
+Faults = Callable[[World, Policy], None]
+
+
+@dataclass(slots=True, frozen=True)
+class Scene:
+    """A trace and the faults injected into it.
+
+    `load_scale` scales the load to the capacity that stays in service;
+    `left_out` names requests whose service is not judged: those of a team
+    over its share and those that crash engines.
+    """
+
+    name: str
+    faults: Faults
+    load_scale: float = 1.0
+    phases: tuple[Phase, ...] = ()
+    flooding: str = ''
+    crashing: bool = False
+
+    def left_out(self, req: SimRequest) -> bool:
+        """Whether a request's service is not judged."""
+        return req.crashes or req.team.name == self.flooding
+
+
+def make_trace(
+    workload: Workload, scene: Scene, rng: random.Random
+) -> list[SimRequest]:
+    """Return the scene's requests."""
+    phases = scene.phases or workload.phases
+    maker = TraceMaker(workload, rng)
+    requests = maker.make(phases, DURATION_S, scene.load_scale)
+    if scene.flooding:
+        requests += _flood(workload, scene, maker, phases)
+    if scene.crashing:
+        requests += _crashing(workload, maker, phases)
+    return sorted(requests, key=lambda req: (req.arrival_ms, req.id))
+
+
+def _flood(
+    workload: Workload,
+    scene: Scene,
+    maker: TraceMaker,
+    phases: Sequence[Phase],
+) -> list[SimRequest]:
+    team = _team(workload, scene.flooding)
+    share = team.share * (FLOOD_FACTOR - 1.0)
+    extra = maker.make(phases, DURATION_S, share, [team])
+    return [r for r in extra if r.arrival_ms >= FLOOD_FROM_S * 1000.0]
+
+
+def _crashing(
+    workload: Workload, maker: TraceMaker, phases: Sequence[Phase]
+) -> list[SimRequest]:
+    pool = maker.make(phases, DURATION_S, 0.2)
+    first = next(req for req in pool if not req.priority)
+    return [
+        replace(
+            first,
+            id=first.id if not turn else 1_000_000 + turn,
+            arrival_ms=CRASH_FROM_MS + turn * CRASH_EVERY_MS,
+            deadline_ms=CRASH_FROM_MS + turn * CRASH_EVERY_MS + DEADLINE_MS,
+            crashes=True,
+            resend_of=first.id,
+        )
+        for turn in range(CRASH_RESENDS)
+    ]
+
+
+def _team(workload: Workload, name: str) -> SimTeam:
+    return next(team for team in workload.teams if team.name == name)
+
+
+def _no_faults(world: World, policy: Policy) -> None:
+    pass
+
+
+def _slow_link(world: World, policy: Policy) -> None:
+    for link in world.links.values():
+        link.bytes_per_s *= 0.1
+
+
+def _store_vm_dies(world: World, policy: Policy) -> None:
+    vm = world.vms[0]
+    world.loop.at(VM_DIES_AT_MS, vm.die)
+    world.loop.at(VM_BACK_AT_MS, vm.come_back)
+
+
+def _engine_turns_cold(world: World, policy: Policy) -> None:
+    engines = list(world.engines.values())
+    for at_ms, engine in zip(COLD_AT_MS, engines):
+        world.loop.at(at_ms, engine.restart, 500.0)
+
+
+def _domain_leaves(world: World, policy: Policy) -> None:
+    domain = world.fleet.domains[0]
+    world.loop.at(OUT_AT_MS, _announce, world, policy, domain, False)
+    world.loop.at(OUT_AT_MS + NOTICE_MS, _switch_off, world, domain)
+    world.loop.at(BACK_AT_MS, _announce, world, policy, domain, True)
+
+
+def _announce(world: World, policy: Policy, domain: str, back: bool) -> None:
+    if back:
+        world.out_since.pop(domain, None)
+        for vm in world.vms:
+            if vm.domain == domain:
+                vm.come_back()
+    else:
+        world.out_since[domain] = world.now_ms()
+    world.loop.after(CONFIG_LAG_MS, policy.domain_changed, domain, back)
+
+
+def _switch_off(world: World, domain: str) -> None:
+    for vm in world.vms:
+        if vm.domain == domain:
+            vm.die()
+    for engine in world.engines.values():
+        if engine.domain == domain:
+            if engine.active:
+                world.stats.violations['runs_cut_off'] += engine.active
+            engine.restart(BACK_AT_MS - OUT_AT_MS - NOTICE_MS)
+
+
+def _weights_roll(world: World, policy: Policy) -> None:
+    engines = list(world.engines.values())
+    every_ms = (DURATION_S * 1000.0 - ROLL_FROM_MS) / len(engines)
+    for turn, engine in enumerate(engines):
+        at_ms = ROLL_FROM_MS + turn * every_ms
+        world.loop.at(at_ms, policy.load_version, engine, 'v2')
+
+
+def _return_phases(load: float) -> tuple[Phase, ...]:
+    return (
+        Phase(0.0, load, documents=(0.0, 0.4)),
+        Phase(25.0, load, documents=(0.4, 1.0)),
+        Phase(55.0, load, documents=(0.0, 0.4)),
+    )
+
+
+SCENES = (
+    Scene('steady', _no_faults),
+    Scene('return', _no_faults, phases=_return_phases(0.8)),
+    Scene('slow_link', _slow_link),
+    Scene('store_vm_dies', _store_vm_dies),
+    Scene('turns_cold', _engine_turns_cold),
+    Scene('domain_leaves', _domain_leaves, load_scale=2.0 / 3.0),
+    Scene('weights_roll', _weights_roll),
+    Scene('team_floods', _no_faults, flooding='large-0'),
+    Scene('crashing_request', _no_faults, crashing=True),
+)
