--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,7 @@
     names = sorted(
         module.name
         for module in pkgutil.iter_modules(bench.__path__)
-        if module.name not in ('__main__', 'outcome')
+        if module.name not in ('__main__', 'outcome') and not module.ispkg
     )
     if not argv or argv[0] not in names:
         print('usage: python -m bench ' + '|'.join(names), file=sys.stderr)
--- a/bench/policy_sim/baselines.py
+++ b/bench/policy_sim/baselines.py
@@ -18,6 +18,7 @@
 REPORT_LAG_MS = 500.0
 HEALTH_LAG_MS = 1000.0
 ROLL_LAG_MS = 1000.0
+ROLL_EVERY_MS = 6000.0
 MAX_ATTEMPTS = 3
 
 
@@ -40,7 +41,12 @@
         (self._out.discard if in_service else self._out.add)(domain)
         self._refresh()
 
-    def load_version(self, engine: FakeEngine, version: str) -> None:
+    def roll(self, version: str) -> None:
+        for turn, engine in enumerate(self.world.engines.values()):
+            at_ms = turn * ROLL_EVERY_MS
+            self.world.loop.after(at_ms, self._roll_one, engine, version)
+
+    def _roll_one(self, engine: FakeEngine, version: str) -> None:
         self._loading.add(engine.name)
         self._refresh()
         loop = self.world.loop
--- a/bench/policy_sim/oracle.py
+++ b/bench/policy_sim/oracle.py
@@ -16,6 +16,7 @@
 from bench.policy_sim.world import World
 
 # Weight of computed tokens beside the time to the first token.
+ROLL_EVERY_MS = 6000.0
 COMPUTED_TOKEN_MS = 0.15
 
 
@@ -52,7 +53,12 @@
         (self._out.discard if in_service else self._out.add)(domain)
         self._dispatch()
 
-    def load_version(self, engine: FakeEngine, version: str) -> None:
+    def roll(self, version: str) -> None:
+        for turn, engine in enumerate(self.world.engines.values()):
+            at_ms = turn * ROLL_EVERY_MS
+            self.world.loop.after(at_ms, self._roll_one, engine, version)
+
+    def _roll_one(self, engine: FakeEngine, version: str) -> None:
         load_ms = engine.spec.load_ms
         engine.load_version(version, load_ms)
         self.world.loop.after(load_ms, self._dispatch)
--- a/bench/policy_sim/policy.py
+++ b/bench/policy_sim/policy.py
@@ -2,7 +2,6 @@
 
 from typing import Protocol
 
-from bench.policy_sim.engine import FakeEngine
 from bench.policy_sim.model import SimRequest
 
 
@@ -17,5 +16,5 @@
     def domain_changed(self, domain: str, in_service: bool) -> None:
         """Take the operators' change of a failure domain."""
 
-    def load_version(self, engine: FakeEngine, version: str) -> None:
-        """Roll an engine to a weight version."""
+    def roll(self, version: str) -> None:
+        """Bring every engine to a weight version."""
--- /dev/null
+++ b/bench/policy_sim/sim_agent.py
@@ -0,0 +1,201 @@
+"""An agent over the fakes: the real admission beside one engine."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err
+from result import Ok
+from result import Result
+
+from bench.policy_sim.agent_cache import AgentCache
+from bench.policy_sim.engine import EngineRun
+from bench.policy_sim.engine import FakeEngine
+from bench.policy_sim.engine import RunEnd
+from bench.policy_sim.model import SimRequest
+from bench.policy_sim.world import World
+from wigeonmill.agent.admission import make_admission
+from wigeonmill.agent.admission_types import AdmissionSettings
+from wigeonmill.agent.admission_types import Offer
+from wigeonmill.agent.admission_types import OutcomeKind
+from wigeonmill.agent.admission_types import Refusal
+from wigeonmill.agent.admission_types import RefusalReason
+from wigeonmill.agent.admission_types import RunOutcome
+from wigeonmill.agent.admission_types import RunRequest
+from wigeonmill.agent.admission_types import Ticket
+from wigeonmill.agent.quarantine import QuarantineState
+from wigeonmill.routing.retries import RetryReason
+
+REPORT_EVERY_MS = 250.0
+REPORT_LAG_MS = 100.0
+QUARANTINE_LAG_MS = 500.0
+
+
+@dataclass(slots=True, eq=False)
+class AgentRun:
+    """A request that the agent took, and whom to tell of its end."""
+
+    req: SimRequest
+    keys: tuple[bytes, ...]
+    ticket: Ticket
+    on_end: Callable[['AgentRun', RetryReason | RefusalReason | None], None]
+    engine_run: EngineRun | None = None
+
+
+class SimAgent:
+    """Passes one engine's work through the real admission and cache code."""
+
+    def __init__(self, world: World, engine: FakeEngine) -> None:
+        self.engine = engine
+        self.peers: list['SimAgent'] = []
+        self._world = world
+        settings = AdmissionSettings(
+            cold_concurrency=engine.spec.cold_bears,
+            max_concurrency=engine.spec.max_batch,
+        )
+        self.admission = make_admission(world.loop.clock, settings)
+        self.admission.set_weight_version(engine.version)
+        self.cache = AgentCache(world, engine, self.admission)
+        self._runs: dict[int, AgentRun] = {}
+        world.loop.after(0.0, self._report)
+
+    def offer(self, req: SimRequest) -> Result[Offer, Refusal]:
+        """Answer an entry that asks for an offer."""
+        keys = req.keys(self.admission.weight_version)
+        plan = self.cache.plan(keys, req.prompt_tokens)
+        return self.admission.offer(self._run_request(req), plan)
+
+    def run(
+        self,
+        req: SimRequest,
+        reservation: int,
+        on_end: Callable[[AgentRun, RetryReason | RefusalReason | None], None],
+    ) -> Result[AgentRun, Refusal]:
+        """Take a request with the place of an offer."""
+        keys = req.keys(self.admission.weight_version)
+        plan = self.cache.plan(keys, req.prompt_tokens)
+        admitted = self.admission.admit(
+            self._run_request(req), plan, reservation
+        )
+        if admitted.is_err():
+            return Err(admitted.unwrap_err())
+        ticket = admitted.unwrap().ticket
+        run = AgentRun(req, keys, ticket, on_end)
+        self._runs[ticket.id] = run
+        self.pump()
+        return Ok(run)
+
+    def load_version(self, version: str) -> None:
+        """Load weights; nothing new starts meanwhile."""
+        load_ms = self.engine.spec.load_ms
+        self.admission.set_weight_version('')
+        self.engine.load_version(version, load_ms)
+        self._world.loop.after(load_ms, self._loaded, version)
+
+    def set_in_service(self, in_service: bool) -> None:
+        """Follow the operators' configuration."""
+        self.admission.set_in_service(in_service)
+        self.pump()
+
+    def merge_quarantine(self, state: QuarantineState) -> None:
+        """Take what another agent knows of crashing requests."""
+        wall_ms = self._world.loop.clock.wall_ms()
+        self.admission.quarantine.merge(state, wall_ms)
+
+    def _run_request(self, req: SimRequest) -> RunRequest:
+        return RunRequest(
+            req.team.name,
+            self.admission.weight_version,
+            req.prompt_tokens,
+            req.deadline_ms,
+            priority=req.priority,
+            fingerprint=req.fingerprint,
+        )
+
+    def _report(self) -> None:
+        loop = self._world.loop
+        loop.after(REPORT_EVERY_MS, self._report)
+        if self.engine.up:
+            incarnation = str(self.engine.incarnation)
+            uptime_ms = self.engine.uptime_ms()
+            loop.after(REPORT_LAG_MS, self._take, incarnation, uptime_ms)
+
+    def _take(self, incarnation: str, uptime_ms: float) -> None:
+        self.admission.health.on_report(incarnation, uptime_ms)
+        self.pump()
+
+    def _loaded(self, version: str) -> None:
+        self.admission.set_weight_version(version)
+        self.cache.restarted()
+        self.pump()
+
+    def pump(self) -> None:
+        """Start what may start and report what was refused."""
+        while True:
+            ticket = self.admission.next_runnable()
+            if ticket is None:
+                break
+            run = self._runs[ticket.id]
+            if ticket.plan.import_blocks:
+                self.cache.fetch(ticket, run.keys, self._starter(run))
+            else:
+                self._start(run)
+        for refused in self.admission.take_refused():
+            run = self._runs.pop(refused.ticket.id)
+            run.on_end(run, refused.refusal.reason)
+
+    def _starter(self, run: AgentRun) -> Callable[[], None]:
+        return lambda: self._start(run)
+
+    def _start(self, run: AgentRun) -> None:
+        started = self.admission.started(run.ticket.id)
+        if started.is_err():
+            del self._runs[run.ticket.id]
+            self._world.loop.after(
+                0.0, run.on_end, run, started.unwrap_err().reason
+            )
+            return
+        run.engine_run = self._world.submit(
+            self.engine,
+            run.req,
+            run.keys,
+            lambda _run: self._first_token(run),
+            lambda _run, end: self._ended(run, end),
+        )
+        if run.engine_run is None:
+            self._finish(run, OutcomeKind.UNREACHABLE)
+            run.on_end(run, RetryReason.UNREACHABLE)
+
+    def _first_token(self, run: AgentRun) -> None:
+        self.admission.first_token(run.ticket.id)
+        self.cache.completed(run.keys, run.req.team.name)
+        self._world.first_token(run.req)
+        self.pump()
+
+    def _ended(self, run: AgentRun, end: RunEnd) -> None:
+        if end is RunEnd.DONE:
+            self._finish(run, OutcomeKind.COMPLETED)
+            run.on_end(run, None)
+        elif end is RunEnd.LOST:
+            self._crashed(run)
+            run.on_end(run, RetryReason.CONNECTION_LOST)
+        elif end is RunEnd.REFUSED:
+            self._finish(run, OutcomeKind.OVERLOADED)
+            run.on_end(run, RetryReason.REFUSED)
+        else:
+            self._finish(run, OutcomeKind.CANCELLED)
+            run.on_end(run, RetryReason.STALLED_FIRST_TOKEN)
+        self.pump()
+
+    def _crashed(self, run: AgentRun) -> None:
+        self._finish(run, OutcomeKind.CRASHED)
+        self.cache.restarted()
+        state = self.admission.quarantine.state
+        for peer in self.peers:
+            self._world.loop.after(
+                QUARANTINE_LAG_MS, peer.merge_quarantine, state
+            )
+
+    def _finish(self, run: AgentRun, kind: OutcomeKind) -> None:
+        del self._runs[run.ticket.id]
+        tokens = run.req.answer_tokens if kind is OutcomeKind.COMPLETED else 0
+        self.admission.finished(run.ticket.id, RunOutcome(kind, tokens))
