Let a request import while it waits, without a slot

Until now an import would have run inside the slot. A ticket admitted as importing stays outside the queue until 'imported' gives it its final plan.

--- a/tests/agent/test_admission.py
+++ b/tests/agent/test_admission.py
@@ -8,7 +8,9 @@
 from wigeonmill.agent.admission_types import RefusalReason
 from wigeonmill.agent.admission_types import RunOutcome
 from wigeonmill.agent.admission_types import RunRequest
+from wigeonmill.cache.import_policy import plan_after_cut_off
 from wigeonmill.cache.tiers import plan_of_computation
+from wigeonmill.cache.tiers import TierPlan
 from wigeonmill.clock import ManualClock
 
 DONE = RunOutcome(OutcomeKind.COMPLETED, 10)
@@ -271,6 +273,26 @@
     assert _admit(admission, _request()).is_ok()
 
 
+def test_import_holds_no_slot_and_holds_up_nobody():
+    clock, admission = _admission()
+    plan = TierPlan(0, 4000, 1000, 4, 400, 50.0)
+    ticket = admission.admit(_request(), plan, importing=True).unwrap().ticket
+    other = _admit(admission, _request()).unwrap()
+    assert (admission.queued, admission.running) == (2, 0)
+    assert _start_next(admission) is other
+    _run(clock, admission, other)
+    assert admission.next_runnable() is None
+    assert admission.imported(ticket.id, plan_after_cut_off(plan, 1))
+    assert _start_next(admission) is ticket
+    assert ticket.cost == 4000
+    held = admission.admit(_request(deadline=500.0), plan, importing=True)
+    clock.advance(500.0)
+    assert admission.next_runnable() is None
+    [refused] = admission.take_refused()
+    assert refused.ticket is held.unwrap().ticket
+    assert not admission.imported(refused.ticket.id, plan)
+
+
 def test_withdrawn_request_never_runs():
     _clock, admission = _admission()
     ticket = _admit(admission, _request()).unwrap()
--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -156,9 +156,17 @@
         self._waiting.reservations.take(reservation)
 
     def admit(
-        self, request: RunRequest, plan: TierPlan, reservation: int = 0
+        self,
+        request: RunRequest,
+        plan: TierPlan,
+        reservation: int = 0,
+        importing: bool = False,
     ) -> Result[Admitted, Refusal]:
-        """Queue a request, with the place of an offer or without one."""
+        """Take a request, with the place of an offer or without one.
+
+        With `importing` it waits outside the queue until `imported`, so
+        that its import holds up nobody and it holds no slot meanwhile.
+        """
         now_ms = self._clock.now_ms()
         self._expire(now_ms)
         held = self._waiting.reservations.take(reservation)
@@ -166,17 +174,29 @@
         if refusal is not None:
             return self._refused_now(refusal)
         ticket = self._make_ticket(request, plan, now_ms)
-        pushed = self._waiting.push(ticket)
-        if pushed.is_err():
-            return self._refused_now(
-                self._pricing.no_place(RefusalReason.QUEUE_FULL)
-            )
+        if importing:
+            self._waiting.hold(ticket)
+        elif not self._push(ticket):
+            full = self._pricing.no_place(RefusalReason.QUEUE_FULL)
+            return self._refused_now(full)
         self.counts.admitted += 1
-        displaced = pushed.unwrap()
-        if displaced is not None:
-            self._add_refused(displaced, RefusalReason.QUEUE_FULL)
         return Ok(Admitted(ticket))
 
+    def imported(self, ticket_id: int, plan: TierPlan) -> bool:
+        """Queue a ticket whose import has ended, whole or cut off.
+
+        `plan` says what came of it. Returns False if the ticket was refused
+        or withdrawn meanwhile.
+        """
+        ticket = self._waiting.end_hold(ticket_id)
+        if ticket is None:
+            return False
+        ticket.plan = plan
+        if self._push(ticket):
+            return True
+        self._add_refused(ticket, RefusalReason.QUEUE_FULL)
+        return False
+
     def next_runnable(self) -> Ticket | None:
         """Give the next waiting request a slot, if one may start now."""
         now_ms = self._clock.now_ms()
@@ -284,6 +304,15 @@
             return None
         return self._pricing.refusal_of_place(request)
 
+    def _push(self, ticket: Ticket) -> bool:
+        pushed = self._waiting.push(ticket)
+        if pushed.is_err():
+            return False
+        displaced = pushed.unwrap()
+        if displaced is not None:
+            self._add_refused(displaced, RefusalReason.QUEUE_FULL)
+        return True
+
     def _make_ticket(
         self, request: RunRequest, plan: TierPlan, now_ms: float
     ) -> Ticket:
--- a/wigeonmill/agent/admission_types.py
+++ b/wigeonmill/agent/admission_types.py
@@ -38,8 +38,10 @@
 class TicketState(enum.Enum):
     """Where an admitted request stands."""
 
+    # Waits for blocks from the store; not in the queue yet.
+    IMPORTING = 'importing'
     QUEUED = 'queued'
-    # Holds a slot; the target has not seen it yet (import under way).
+    # Holds a slot; the target has not seen it yet.
     RUNNABLE = 'runnable'
     # The target has it.
     STARTED = 'started'
@@ -120,10 +122,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
-    """A ticket and the one that had to leave the queue for it, if any."""
+    """An admitted request."""
 
     ticket: Ticket
-    displaced: Ticket | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/wigeonmill/agent/waiting_list.py
+++ b/wigeonmill/agent/waiting_list.py
@@ -1,4 +1,4 @@
-"""Admitted requests that wait for a slot, and places held for offers."""
+"""Admitted requests that wait for blocks or a slot, and held places."""
 
 from collections.abc import Callable
 
@@ -9,6 +9,7 @@
 from wigeonmill.agent.admission_types import AdmissionSettings
 from wigeonmill.agent.admission_types import RunRequest
 from wigeonmill.agent.admission_types import Ticket
+from wigeonmill.agent.admission_types import TicketState
 from wigeonmill.agent.fair_queue import Ahead
 from wigeonmill.agent.fair_queue import FairQueue
 from wigeonmill.agent.fair_queue import Lane
@@ -25,6 +26,7 @@
         '_queue',
         '_waiting',
         '_suspects',
+        '_importing',
         '_settings',
     )
 
@@ -35,13 +37,27 @@
         self._waiting: dict[int, tuple[Ticket, QueueEntry]] = {}
         # Tickets that must run alone, in the order of their admission.
         self._suspects: dict[int, Ticket] = {}
+        self._importing: dict[int, Ticket] = {}
 
     def __len__(self) -> int:
-        return len(self._waiting)
+        return len(self._waiting) + len(self._importing)
 
     def tickets(self) -> list[Ticket]:
-        """Return the waiting tickets in the order of their admission."""
-        return [ticket for ticket, _entry in self._waiting.values()]
+        """Return all waiting tickets."""
+        queued = [ticket for ticket, _entry in self._waiting.values()]
+        return queued + list(self._importing.values())
+
+    def hold(self, ticket: Ticket) -> None:
+        """Keep a ticket out of the queue until its import has ended."""
+        ticket.state = TicketState.IMPORTING
+        self._importing[ticket.id] = ticket
+
+    def end_hold(self, ticket_id: int) -> Ticket | None:
+        """Return a held ticket, to be pushed; None if it isn't held."""
+        ticket = self._importing.pop(ticket_id, None)
+        if ticket is not None:
+            ticket.state = TicketState.QUEUED
+        return ticket
 
     def first_suspect(self) -> Ticket | None:
         """Return the ticket that has waited longest to run alone."""
@@ -59,17 +75,22 @@
         ):
             return True
         places = self.reservations.team_counts()
-        for ticket, _entry in self._waiting.values():
+        for ticket in self.tickets():
             team = ticket.request.team
             places[team] = places.get(team, 0) + 1
         own = places.pop(request.team, 0) + 1
         return own / request.team_weight < max(places.values(), default=0)
 
     def ahead(self, request: RunRequest, cost: int) -> Ahead:
-        """Return what goes before a new request, reservations included."""
+        """Return what goes before a new request.
+
+        All reservations and imports under way count as going before it.
+        """
         queued = self._queue.ahead(request.team, request.team_weight, cost)
-        tokens = queued.tokens + self.reservations.cost
-        return Ahead(tokens, queued.entries + len(self.reservations))
+        importing = sum(held.cost for held in self._importing.values())
+        tokens = queued.tokens + self.reservations.cost + importing
+        held = len(self._importing) + len(self.reservations)
+        return Ahead(tokens, queued.entries + held)
 
     def push(self, ticket: Ticket) -> Result[Ticket | None, QueueFull]:
         """Add a ticket; returns the one that had to leave for it."""
@@ -96,14 +117,21 @@
         """Take out a ticket; None if it doesn't wait."""
         found = self._waiting.get(ticket_id)
         if found is None:
-            return None
+            return self._importing.pop(ticket_id, None)
         self._queue.remove(found[1])
         return self._taken(found[1])
 
     def expire(self, now_ms: float) -> list[Ticket]:
         """Remove and return the tickets past their deadlines."""
-        expired = self._queue.expire(now_ms)
-        return [self._taken(entry) for entry in expired]
+        expired = [
+            ticket
+            for ticket in self._importing.values()
+            if ticket.request.deadline_ms <= now_ms
+        ]
+        for ticket in expired:
+            del self._importing[ticket.id]
+        queued = self._queue.expire(now_ms)
+        return expired + [self._taken(entry) for entry in queued]
 
     def _taken(self, entry: QueueEntry) -> Ticket:
         self._suspects.pop(entry.id, None)
