Make quarantine records of several agents merge exactly

Crashes are named, so that two agents' first crashes make a second one, and a cleared suspect leaves a record, so that old news doesn't bring it back.

--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -341,7 +341,8 @@
         if outcome.kind is OutcomeKind.OVERLOADED:
             self.health.on_overloaded()
         elif outcome.kind is OutcomeKind.COMPLETED:
-            self.quarantine.on_healthy(ticket.request.fingerprint)
+            fingerprint = ticket.request.fingerprint
+            self.quarantine.on_healthy(fingerprint, self._clock.wall_ms())
             self.health.on_completed(ticket.healthy)
             streamed = state is TicketState.STREAMING
             self.health.estimator.on_finished(
--- a/wigeonmill/agent/quarantine.py
+++ b/wigeonmill/agent/quarantine.py
@@ -2,8 +2,8 @@
 
 What was in flight at a crash is a suspect, by fingerprint. A suspect is
 retried once and alone; a second crash quarantines it. A healthy completion
-clears it. The state is a plain value: agents merge what others wrote to the
-key-value service with their own.
+clears it. The state is a plain value: agents merge what others sent or wrote
+to the key-value service with their own, in any order and any number of times.
 """
 
 from dataclasses import dataclass
@@ -15,6 +15,7 @@
 SUSPECT_TTL_MS = 10 * 60_000
 QUARANTINE_TTL_MS = 24 * 3_600_000
 MAX_RECORDS = 2048
+CRASHES_TO_QUARANTINE = 2
 
 
 class Verdict(enum.Enum):
@@ -29,12 +30,21 @@
 
 @dataclass(slots=True)
 class CrashRecord:
-    """What is known of one fingerprint; `changed_ms` is wall time."""
+    """What is known of one fingerprint; `changed_ms` is wall time.
 
-    crashes: int
+    `crashes` names the crashes it was part of; a record without any stands
+    for a cleared suspect.
+    """
+
+    crashes: list[str]
     retries: int
     changed_ms: int
 
+    @property
+    def quarantined(self) -> bool:
+        """Whether there have been too many crashes."""
+        return len(self.crashes) >= CRASHES_TO_QUARANTINE
+
 
 @dataclass(slots=True)
 class QuarantineState:
@@ -44,12 +54,18 @@
 
 
 class Quarantine:
-    """Decides whether a fingerprint may run, from the crashes seen."""
+    """Decides whether a fingerprint may run, from the crashes seen.
 
-    __slots__ = ('_state',)
+    `source` names the agent, so that crashes seen by two are told apart.
+    """
 
-    def __init__(self, state: QuarantineState | None = None) -> None:
+    __slots__ = ('_state', '_source')
+
+    def __init__(
+        self, state: QuarantineState | None = None, source: str = ''
+    ) -> None:
         self._state = state or QuarantineState()
+        self._source = source
 
     @property
     def state(self) -> QuarantineState:
@@ -59,9 +75,9 @@
     def verdict(self, fingerprint: bytes, now_ms: int) -> Verdict:
         """Return how the request may run at wall time `now_ms`."""
         record = self._live(fingerprint, now_ms)
-        if record is None:
+        if record is None or not record.crashes:
             return Verdict.CLEAR
-        if record.crashes >= 2:
+        if record.quarantined:
             return Verdict.QUARANTINED
         if record.retries >= 1:
             return Verdict.RETRY_SPENT
@@ -77,43 +93,48 @@
     def on_retry_cancelled(self, fingerprint: bytes, now_ms: int) -> None:
         """Give the retry back: it ended with its target still healthy."""
         record = self._state.records.get(fingerprint.hex())
-        if record is not None and record.retries and record.crashes == 1:
+        if record is not None and record.retries:
             record.retries -= 1
             record.changed_ms = now_ms
 
-    def on_healthy(self, fingerprint: bytes) -> bool:
+    def on_healthy(self, fingerprint: bytes, now_ms: int) -> bool:
         """Clear a suspect that completed; returns whether it was one."""
         record = self._state.records.get(fingerprint.hex())
-        if record is None or record.crashes >= 2:
+        if record is None or not record.crashes or record.quarantined:
             return False
-        del self._state.records[fingerprint.hex()]
+        record.crashes.clear()
+        record.retries = 0
+        record.changed_ms = now_ms
         return True
 
     def on_crash(self, in_flight: list[bytes], now_ms: int) -> list[bytes]:
         """Blame what was in flight; returns the newly quarantined."""
         quarantined = []
+        crash = f'{self._source}:{now_ms}'
         for fingerprint in dict.fromkeys(in_flight):
             record = self._live(fingerprint, now_ms)
             if record is None:
-                record = CrashRecord(0, 0, now_ms)
+                record = CrashRecord([], 0, now_ms)
                 self._state.records[fingerprint.hex()] = record
-            record.crashes += 1
+            was_quarantined = record.quarantined
+            _add_crashes(record, [crash])
             record.changed_ms = now_ms
-            if record.crashes == 2:
+            if record.quarantined and not was_quarantined:
                 quarantined.append(fingerprint)
         self._bound(now_ms)
         return quarantined
 
     def merge(self, other: QuarantineState, now_ms: int) -> None:
-        """Take in another agent's records; the graver view wins."""
+        """Take in another agent's records.
+
+        Crashes add up; a suspect that was cleared later stays cleared.
+        """
         for name, theirs in other.records.items():
             ours = self._state.records.get(name)
             if ours is None:
-                ours = CrashRecord(0, 0, 0)
+                ours = CrashRecord([], 0, 0)
                 self._state.records[name] = ours
-            ours.crashes = max(ours.crashes, theirs.crashes)
-            ours.retries = max(ours.retries, theirs.retries)
-            ours.changed_ms = max(ours.changed_ms, theirs.changed_ms)
+            _merge_record(ours, theirs)
         self._bound(now_ms)
 
     def _live(self, fingerprint: bytes, now_ms: int) -> CrashRecord | None:
@@ -144,11 +165,29 @@
     return msgspec.json.decode(data, type=QuarantineState)
 
 
+def _merge_record(ours: CrashRecord, theirs: CrashRecord) -> None:
+    cleared = not ours.crashes or not theirs.crashes
+    quarantined = ours.quarantined or theirs.quarantined
+    if cleared and not quarantined:
+        if theirs.changed_ms > ours.changed_ms:
+            ours.crashes = list(theirs.crashes)
+            ours.retries = theirs.retries
+            ours.changed_ms = theirs.changed_ms
+        return
+    _add_crashes(ours, theirs.crashes)
+    ours.retries = max(ours.retries, theirs.retries)
+    ours.changed_ms = max(ours.changed_ms, theirs.changed_ms)
+
+
+def _add_crashes(record: CrashRecord, crashes: list[str]) -> None:
+    names = sorted({*record.crashes, *crashes})
+    record.crashes = names[:CRASHES_TO_QUARANTINE]
+
+
 def _expired(record: CrashRecord, now_ms: int) -> bool:
-    quarantined = record.crashes >= 2
-    ttl_ms = QUARANTINE_TTL_MS if quarantined else SUSPECT_TTL_MS
+    ttl_ms = QUARANTINE_TTL_MS if record.quarantined else SUSPECT_TTL_MS
     return now_ms - record.changed_ms > ttl_ms
 
 
 def _worth(record: CrashRecord) -> tuple[bool, int]:
-    return record.crashes >= 2, record.changed_ms
+    return record.quarantined, record.changed_ms
