--- a/wigeonmill/agent/waiting_list.py
+++ b/wigeonmill/agent/waiting_list.py
@@ -1,4 +1,4 @@
-"""Admitted requests that wait for a slot, and places held for offers."""
+"""Admitted requests that wait for blocks or a slot, and held places."""
 
 from collections.abc import Callable
 
@@ -9,6 +9,7 @@
 from wigeonmill.agent.admission_types import AdmissionSettings
 from wigeonmill.agent.admission_types import RunRequest
 from wigeonmill.agent.admission_types import Ticket
+from wigeonmill.agent.admission_types import TicketState
 from wigeonmill.agent.fair_queue import Ahead
 from wigeonmill.agent.fair_queue import FairQueue
 from wigeonmill.agent.fair_queue import Lane
@@ -20,20 +21,47 @@
 class WaitingList:
     """The fair queue of tickets together with the reservations."""
 
-    __slots__ = ('reservations', '_queue', '_waiting', '_settings')
+    __slots__ = (
+        'reservations',
+        '_queue',
+        '_waiting',
+        '_suspects',
+        '_importing',
+        '_settings',
+    )
 
     def __init__(self, settings: AdmissionSettings) -> None:
         self.reservations = Reservations(settings.reservation_ms)
         self._queue = FairQueue(settings.max_queue)
         self._settings = settings
         self._waiting: dict[int, tuple[Ticket, QueueEntry]] = {}
+        # Tickets that must run alone, in the order of their admission.
+        self._suspects: dict[int, Ticket] = {}
+        self._importing: dict[int, Ticket] = {}
 
     def __len__(self) -> int:
-        return len(self._waiting)
+        return len(self._waiting) + len(self._importing)
 
     def tickets(self) -> list[Ticket]:
-        """Return the waiting tickets in the order of their admission."""
-        return [ticket for ticket, _entry in self._waiting.values()]
+        """Return all waiting tickets."""
+        queued = [ticket for ticket, _entry in self._waiting.values()]
+        return queued + list(self._importing.values())
+
+    def hold(self, ticket: Ticket) -> None:
+        """Keep a ticket out of the queue until its import has ended."""
+        ticket.state = TicketState.IMPORTING
+        self._importing[ticket.id] = ticket
+
+    def end_hold(self, ticket_id: int) -> Ticket | None:
+        """Return a held ticket, to be pushed; None if it isn't held."""
+        ticket = self._importing.pop(ticket_id, None)
+        if ticket is not None:
+            ticket.state = TicketState.QUEUED
+        return ticket
+
+    def first_suspect(self) -> Ticket | None:
+        """Return the ticket that has waited longest to run alone."""
+        return next(iter(self._suspects.values()), None)
 
     def has_room(self, request: RunRequest) -> bool:
         """Return whether there is a place for one more of the team.
@@ -47,17 +75,22 @@
         ):
             return True
         places = self.reservations.team_counts()
-        for ticket, _entry in self._waiting.values():
+        for ticket in self.tickets():
             team = ticket.request.team
             places[team] = places.get(team, 0) + 1
         own = places.pop(request.team, 0) + 1
         return own / request.team_weight < max(places.values(), default=0)
 
     def ahead(self, request: RunRequest, cost: int) -> Ahead:
-        """Return what goes before a new request, reservations included."""
+        """Return what goes before a new request.
+
+        All reservations and imports under way count as going before it.
+        """
         queued = self._queue.ahead(request.team, request.team_weight, cost)
-        tokens = queued.tokens + self.reservations.cost
-        return Ahead(tokens, queued.entries + len(self.reservations))
+        importing = sum(held.cost for held in self._importing.values())
+        tokens = queued.tokens + self.reservations.cost + importing
+        held = len(self._importing) + len(self.reservations)
+        return Ahead(tokens, queued.entries + held)
 
     def push(self, ticket: Ticket) -> Result[Ticket | None, QueueFull]:
         """Add a ticket; returns the one that had to leave for it."""
@@ -66,32 +99,43 @@
         if pushed.is_err():
             return Err(pushed.unwrap_err())
         self._waiting[ticket.id] = (ticket, entry)
+        if ticket.alone:
+            self._suspects[ticket.id] = ticket
         displaced = pushed.unwrap()
         if displaced is None:
             return Ok(None)
-        return Ok(self._waiting.pop(displaced.id)[0])
+        return Ok(self._taken(displaced))
 
     def pop(self, may_start: Callable[[Ticket], bool]) -> Ticket | None:
         """Remove and return the next ticket that `may_start` allows."""
         entry = self._queue.pop(
             lambda entry: may_start(self._waiting[entry.id][0])
         )
-        if entry is None:
-            return None
-        return self._waiting.pop(entry.id)[0]
+        return None if entry is None else self._taken(entry)
 
     def remove(self, ticket_id: int) -> Ticket | None:
         """Take out a ticket; None if it doesn't wait."""
-        found = self._waiting.pop(ticket_id, None)
+        found = self._waiting.get(ticket_id)
         if found is None:
-            return None
+            return self._importing.pop(ticket_id, None)
         self._queue.remove(found[1])
-        return found[0]
+        return self._taken(found[1])
 
     def expire(self, now_ms: float) -> list[Ticket]:
         """Remove and return the tickets past their deadlines."""
-        expired = self._queue.expire(now_ms)
-        return [self._waiting.pop(entry.id)[0] for entry in expired]
+        expired = [
+            ticket
+            for ticket in self._importing.values()
+            if ticket.request.deadline_ms <= now_ms
+        ]
+        for ticket in expired:
+            del self._importing[ticket.id]
+        queued = self._queue.expire(now_ms)
+        return expired + [self._taken(entry) for entry in queued]
+
+    def _taken(self, entry: QueueEntry) -> Ticket:
+        self._suspects.pop(entry.id, None)
+        return self._waiting.pop(entry.id)[0]
 
     def _entry_of(self, ticket: Ticket) -> QueueEntry:
         request = ticket.request
