Judge first tokens by the prefill that the target did meanwhile

Engines honour priorities, so price checks pass an invoice that has started; its first token then came far after the time expected from the prefill ahead of it at its start, was taken for a cold start (thousands of times in a run), and the limit fell to the cold one. Change: the expected time is that of all prefill that ended between the run's start and its first token, which admission knows exactly.

--- a/bench/policy_sim/agent_cache.py
+++ b/bench/policy_sim/agent_cache.py
@@ -114,9 +114,12 @@
         self._list_anew()
 
     def fetch(
-        self, ticket: Ticket, keys: Sequence[bytes], done: Callable[[], None]
+        self,
+        ticket: Ticket,
+        keys: Sequence[bytes],
+        done: Callable[[TierPlan], None],
     ) -> None:
-        """Import what the ticket's plan says, then call `done`."""
+        """Import what the plan says; `done` gets what came of it."""
         BlockImport(self, ticket, keys, done).next_block()
 
     def _emit(self, change: CacheChange, keys: Sequence[bytes]) -> None:
@@ -247,7 +250,7 @@
         cache: AgentCache,
         ticket: Ticket,
         keys: Sequence[bytes],
-        done: Callable[[], None],
+        done: Callable[[TierPlan], None],
     ) -> None:
         self._cache = cache
         self._ticket = ticket
@@ -284,8 +287,6 @@
         return frame.complete and same and version
 
     def _end(self) -> None:
-        ticket = self._ticket
-        ticket.plan = plan_after_cut_off(ticket.plan, len(self._frames))
         if self._frames:
-            self._cache.take_in(self._frames, ticket.request.team)
-        self._done()
+            self._cache.take_in(self._frames, self._ticket.request.team)
+        self._done(plan_after_cut_off(self._ticket.plan, len(self._frames)))
--- a/bench/policy_sim/sim_agent.py
+++ b/bench/policy_sim/sim_agent.py
@@ -23,6 +23,7 @@
 from wigeonmill.agent.admission_types import RunRequest
 from wigeonmill.agent.admission_types import Ticket
 from wigeonmill.agent.quarantine import QuarantineState
+from wigeonmill.cache.tiers import TierPlan
 from wigeonmill.routing.retries import RetryReason
 
 REPORT_EVERY_MS = 250.0
@@ -74,13 +75,20 @@
         keys = req.keys(self.admission.weight_version)
         plan = self.cache.plan(keys, req.prompt_tokens)
         admitted = self.admission.admit(
-            self._run_request(req), plan, reservation
+            self._run_request(req),
+            plan,
+            reservation,
+            importing=plan.import_blocks > 0,
         )
         if admitted.is_err():
             return Err(admitted.unwrap_err())
         ticket = admitted.unwrap().ticket
         run = AgentRun(req, keys, ticket, on_end)
         self._runs[ticket.id] = run
+        if plan.import_blocks:
+            self.cache.fetch(
+                ticket, keys, lambda plan: self._imported(run, plan)
+            )
         self.pump()
         return Ok(run)
 
@@ -134,17 +142,14 @@
             ticket = self.admission.next_runnable()
             if ticket is None:
                 break
-            run = self._runs[ticket.id]
-            if ticket.plan.import_blocks:
-                self.cache.fetch(ticket, run.keys, self._starter(run))
-            else:
-                self._start(run)
+            self._start(self._runs[ticket.id])
         for refused in self.admission.take_refused():
             run = self._runs.pop(refused.ticket.id)
             run.on_end(run, refused.refusal.reason)
 
-    def _starter(self, run: AgentRun) -> Callable[[], None]:
-        return lambda: self._start(run)
+    def _imported(self, run: AgentRun, plan: TierPlan) -> None:
+        if self.admission.imported(run.ticket.id, plan):
+            self.pump()
 
     def _start(self, run: AgentRun) -> None:
         started = self.admission.started(run.ticket.id)
--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -208,7 +208,6 @@
         if ticket is None:
             return None
         ticket.state = TicketState.RUNNABLE
-        ticket.prefill_ahead = self._in_flight.prefill
         self._in_flight.add(ticket)
         return ticket
 
@@ -227,6 +226,7 @@
             return self._refused_now(Refusal(reason))
         ticket.state = TicketState.STARTED
         ticket.started_ms = self._clock.now_ms()
+        ticket.prefill_done = self._in_flight.prefill_done
         if ticket.alone:
             fingerprint = ticket.request.fingerprint
             self.quarantine.on_retry(fingerprint, self._clock.wall_ms())
@@ -241,7 +241,10 @@
         ticket.first_token_ms = self._clock.now_ms()
         self._in_flight.end_prefill(ticket)
         took_ms = ticket.first_token_ms - ticket.started_ms
-        tokens = ticket.prefill_ahead + ticket.plan.recompute_tokens
+        # The target may have let others pass: what counts is all prefill
+        # that it did since the start.
+        self._in_flight.prefill_done += ticket.cost
+        tokens = self._in_flight.prefill_done - ticket.prefill_done
         ticket.healthy = self.health.on_first_token(tokens, took_ms)
 
     def finished(self, ticket_id: int, outcome: RunOutcome) -> None:
--- a/wigeonmill/agent/admission_types.py
+++ b/wigeonmill/agent/admission_types.py
@@ -110,7 +110,8 @@
     runnable_ms: float = 0.0
     started_ms: float = 0.0
     first_token_ms: float = 0.0
-    prefill_ahead: int = 0
+    # The target's total of finished prefill when the run started.
+    prefill_done: int = 0
     healthy: bool = True
     blamed: bool = False
 
--- a/wigeonmill/agent/in_flight.py
+++ b/wigeonmill/agent/in_flight.py
@@ -9,9 +9,17 @@
 class InFlight:
     """Runs with a slot and the prefill that they still have to do."""
 
-    __slots__ = ('_tickets', '_short_tokens', '_prefill', '_long_prefill')
+    __slots__ = (
+        'prefill_done',
+        '_tickets',
+        '_short_tokens',
+        '_prefill',
+        '_long_prefill',
+    )
 
     def __init__(self, short_tokens: int) -> None:
+        # Tokens of prefill that ended with a first token, ever.
+        self.prefill_done = 0
         self._short_tokens = short_tokens
         self._tickets: dict[int, Ticket] = {}
         self._prefill = 0
