Move cache blocks between engines and store VMs

Cause: the cache decisions had no process around them, so an evicted prefix was always computed again. A run searches the store even for blocks this agent has not written.

--- a/tests/test_embedded.py
+++ b/tests/test_embedded.py
@@ -41,10 +41,10 @@
         return await self.http.fetch(request, raise_error=False)
 
 
-def with_system(scenario):
+def with_system(scenario, adjust=None):
     async def body():
         document = read_document(ISOKO).unwrap()
-        system = Embedded(check_settings(RAW).unwrap())
+        system = Embedded(check_settings(RAW).unwrap(), adjust)
         await system.start(document)
         caller = Caller(system, document.teams[0].name)
         try:
@@ -91,3 +91,51 @@
         assert replies[1].headers['Idempotent-Replayed'] == 'true'
 
     with_system(scenario)
+
+
+def counters(system, name):
+    nodes = [agent.node for agent in system.agents.values()]
+    return sum(node.metrics.value(name) for node in nodes)
+
+
+async def wait_for(condition, timeout_s=20.0):
+    async def poll():
+        while not condition():
+            await asyncio.sleep(0.02)
+
+    await asyncio.wait_for(poll(), timeout_s)
+
+
+def test_evicted_prefix_comes_back_from_the_store():
+    def small_cache(options):
+        options.cache_blocks = 8
+        # A block takes 64 ms to compute, so that importing it pays.
+        options.batch.speed = 2.0
+
+    async def ask(caller, model, prompt):
+        body = {'model': model, 'prompt': prompt, 'max_tokens': 4}
+        reply = await caller.send('POST', '/v1/completions', body)
+        assert reply.code == 200, reply.body
+        answer = json.loads(reply.body)
+        assert answer['choices'][0]['text'] == expected_answer(prompt, 4)
+        return answer['usage']['prompt_tokens_details']['cached_tokens']
+
+    async def scenario(system, caller, document):
+        model = document.models[0].name
+        # Six blocks of 1,024 tokens of 4 bytes, and a little more.
+        manifest = 'manifest 17 ' + 'keg,' * 6200
+        for _ in range(2):
+            await ask(caller, model, manifest)
+        await wait_for(lambda: counters(system, 'export_blocks') >= 6)
+        others = [
+            f'manifest {number + 100} ' + 'keg,' * 6200 for number in range(30)
+        ]
+        await asyncio.gather(*[ask(caller, model, o) for o in others])
+        cached = await ask(caller, model, manifest)
+        assert cached == 6 * 1024
+        assert counters(system, 'import_blocks') >= 6
+        for agent in system.agents.values():
+            audit = agent.target.state.audit()
+            assert getattr(audit, 'tainted_reads', 0) == 0
+
+    with_system(scenario, small_cache)
--- /dev/null
+++ b/wigeonmill/agent/cache_manager.py
@@ -0,0 +1,259 @@
+"""Moves cache blocks between the engine and the store VMs."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+import secrets
+
+from result import Ok
+
+from wigeonmill.agent.engine_cache import EngineCacheClient
+from wigeonmill.agent.estimator import Estimator
+from wigeonmill.agent.store_pool import StorePool
+from wigeonmill.cache.decider import CacheDecider
+from wigeonmill.cache.decider import ExportOrder
+from wigeonmill.cache.decider import Speeds
+from wigeonmill.cache.frames import decode_frame
+from wigeonmill.cache.frames import encode_frame
+from wigeonmill.cache.frames import frame_name
+from wigeonmill.cache.frames import FrameId
+from wigeonmill.cache.import_policy import ImportProgress
+from wigeonmill.cache.import_policy import ImportSettings
+from wigeonmill.cache.import_policy import should_cut_off
+from wigeonmill.cache.tiers import TierPlan
+from wigeonmill.clock import Clock
+from wigeonmill.metrics import Metrics
+from wigeonmill.platform.transfer import TransferErrorKind
+
+EXPORT_IDLE_MS = 100.0
+WRITE_TIMEOUT_MS = 5_000.0
+MIN_READ_TIMEOUT_MS = 50.0
+GENERATION_BITS = 63
+# Owners of blocks that wait for their export; the oldest are forgotten.
+MAX_OWNERS = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """Whose block it is, and under which weights it was computed."""
+
+    team: str
+    weight_version: str
+
+
+class CacheManager:
+    """Plans, imports and exports the blocks of one engine."""
+
+    def __init__(
+        self,
+        decider: CacheDecider,
+        engine: EngineCacheClient,
+        stores: StorePool,
+        estimator: Estimator,
+        block_tokens: int,
+        clock: Clock,
+        metrics: Metrics,
+        busy: Callable[[], bool],
+    ) -> None:
+        self._decider = decider
+        self._engine = engine
+        self._stores = stores
+        self._estimator = estimator
+        self._block_tokens = block_tokens
+        self._clock = clock
+        self._metrics = metrics
+        self._busy = busy
+        self._imports = ImportSettings()
+        self._owners: dict[bytes, Owner] = {}
+
+    def plan(self, keys: list[bytes], prompt_tokens: int) -> TierPlan:
+        """Return the sources of a prompt as far as they are known."""
+        self._refresh_speeds()
+        now_ms = self._clock.now_ms()
+        return self._decider.plan(keys, prompt_tokens, now_ms)
+
+    def plan_search(self, keys: list[bytes], prompt_tokens: int) -> TierPlan:
+        """Return the sources if the store has all that it may have."""
+        self._refresh_speeds()
+        now_ms = self._clock.now_ms()
+        return self._decider.plan_search(keys, prompt_tokens, now_ms)
+
+    async def fetch(
+        self, keys: list[bytes], plan: TierPlan, owner: Owner
+    ) -> TierPlan:
+        """Import what the plan says; returns the plan as it came out.
+
+        Ends at the first block that is missing, damaged or too slow; what
+        is left is computed.
+        """
+        first = plan.cached_tokens // self._block_tokens
+        started_ms = self._clock.now_ms()
+        done = 0
+        while done < plan.import_blocks:
+            if self._too_slow(done, plan.import_blocks - done):
+                self._metrics.count('imports_cut_off', 'slow_link')
+                break
+            key = keys[first + done]
+            if not await self._import_block(keys[0], key, owner):
+                break
+            done += 1
+        if done:
+            took_ms = self._clock.now_ms() - started_ms
+            self._metrics.histogram('import_time').record(took_ms)
+        return self._achieved(plan, done)
+
+    def completed(self, keys: list[bytes], owner: Owner) -> None:
+        """Note a prompt whose blocks the engine now holds."""
+        for key in keys:
+            self._owners[key] = owner
+        while len(self._owners) > MAX_OWNERS:
+            del self._owners[next(iter(self._owners))]
+        self._refresh_speeds()
+        self._decider.saw(keys)
+
+    async def export_forever(self) -> None:
+        """Export what is worth it within the link's budget."""
+        while True:
+            order = None
+            if not self._busy():
+                order = self._decider.next_export(self._clock.now_ms())
+            if order is None:
+                await asyncio.sleep(EXPORT_IDLE_MS / 1000.0)
+                continue
+            await self._export(order)
+
+    def _refresh_speeds(self) -> None:
+        self._decider.speeds = Speeds(
+            self._estimator.link_bytes_per_ms,
+            max(self._estimator.prefill_ms(1), 1e-6),
+        )
+
+    def _too_slow(self, done: int, left: int) -> bool:
+        progress = ImportProgress(
+            done,
+            left,
+            self._decider.block_bytes,
+            self._block_tokens,
+            self._estimator.link_bytes_per_ms,
+        )
+        prefill_ms = self._estimator.prefill_ms(1)
+        return done > 0 and should_cut_off(progress, prefill_ms, self._imports)
+
+    async def _import_block(
+        self, anchor: bytes, key: bytes, owner: Owner
+    ) -> bool:
+        frame = await self._read(anchor, key)
+        if frame is None:
+            now_ms = self._clock.now_ms()
+            self._decider.stored.on_absent(key, now_ms)
+            return False
+        wanted = FrameId(key, owner.team, owner.weight_version)
+        decoded = decode_frame(frame, wanted)
+        if decoded.is_err():
+            reason = decoded.unwrap_err().value
+            self._metrics.count('frames_rejected', reason)
+            await self._remove(anchor, key)
+            return False
+        taken = await self._engine.take_in(key, decoded.unwrap())
+        if taken.is_err():
+            self._metrics.count('imports_failed', taken.unwrap_err().value)
+            return False
+        self._decider.stored.on_stored(key)
+        self._owners[key] = owner
+        self._metrics.count('import_bytes', by=len(frame))
+        self._metrics.count('import_blocks')
+        return True
+
+    async def _read(self, anchor: bytes, key: bytes) -> bytes | None:
+        for place in self._stores.for_read(anchor):
+            size = self._decider.block_bytes
+            now_ms = self._clock.now_ms()
+            transfer = self._decider.budget.take(size, now_ms, urgent=True)
+            if transfer is None:
+                self._metrics.count('imports_cut_off', 'link_budget')
+                return None
+            timeout_ms = max(
+                MIN_READ_TIMEOUT_MS,
+                self._estimator.prefill_ms(self._block_tokens),
+            )
+            read = await self._stores.get(place).get(
+                frame_name(key), timeout_ms
+            )
+            moved = 0
+            if isinstance(read, Ok):
+                moved = min(len(read.ok_value.data), size)
+            self._decider.budget.end(transfer, self._clock.now_ms(), moved)
+            if isinstance(read, Ok):
+                data = read.ok_value.data
+                self._note_size(len(data))
+                elapsed_ms = read.ok_value.transfer.elapsed_ms
+                self._estimator.on_import(len(data), elapsed_ms)
+                return data
+            error = read.err_value
+            if error.kind is not TransferErrorKind.NOT_FOUND:
+                self._metrics.count('imports_failed', error.kind.value)
+                self._stores.note(place, read)
+        return None
+
+    async def _remove(self, anchor: bytes, key: bytes) -> None:
+        """Delete a damaged frame, so that the block can be written anew."""
+        self._decider.stored.on_absent(key, self._clock.now_ms())
+        for place in self._stores.for_read(anchor):
+            store = self._stores.get(place)
+            await store.delete(frame_name(key), WRITE_TIMEOUT_MS)
+
+    async def _export(self, order: ExportOrder) -> None:
+        moved, whole = 0, False
+        frame = await self._frame_of(order)
+        place = self._stores.for_write(order.anchor)
+        if frame is not None and place is not None:
+            moved = len(frame)
+            store = self._stores.get(place)
+            put = await store.put(
+                frame_name(order.key), frame, WRITE_TIMEOUT_MS
+            )
+            whole = isinstance(put, Ok)
+            if whole:
+                self._metrics.count('export_bytes', by=moved)
+                self._metrics.count('export_blocks')
+            else:
+                error = put.unwrap_err()
+                self._metrics.count('exports_failed', error.kind.value)
+                self._stores.note(place, put.map(lambda _done: None))
+        self._decider.end_export(order, self._clock.now_ms(), moved, whole)
+
+    async def _frame_of(self, order: ExportOrder) -> bytes | None:
+        owner = self._owners.get(order.key)
+        if owner is None:
+            return None
+        content = await self._engine.export(order.key)
+        if content.is_err():
+            self._metrics.count('exports_failed', content.unwrap_err().value)
+            return None
+        generation = secrets.randbits(GENERATION_BITS) + 1
+        frame_id = FrameId(
+            order.key, owner.team, owner.weight_version, generation
+        )
+        frame = encode_frame(frame_id, content.unwrap())
+        granted = order.transfer.size_bytes
+        self._note_size(len(frame))
+        if len(frame) > granted:
+            self._metrics.count('exports_failed', 'larger_than_granted')
+            return None
+        return frame
+
+    def _note_size(self, frame_bytes: int) -> None:
+        """Learn the size of a block's frame; all blocks are alike."""
+        if frame_bytes > self._decider.block_bytes:
+            self._decider.block_bytes = frame_bytes
+
+    def _achieved(self, plan: TierPlan, done: int) -> TierPlan:
+        imported = done * self._block_tokens
+        left = plan.import_tokens - imported
+        return TierPlan(
+            plan.cached_tokens,
+            imported,
+            plan.recompute_tokens + left,
+            done,
+            done * self._decider.block_bytes,
+        )
--- a/wigeonmill/agent/cache_planner.py
+++ b/wigeonmill/agent/cache_planner.py
@@ -1,32 +1,24 @@
-"""Plans where a prompt's blocks come from and moves them."""
+"""The cache decisions as the agent's model service sees them."""
 
 from typing import Protocol
 
-from wigeonmill.cache.tiers import plan_of_computation
+from wigeonmill.agent.cache_manager import Owner
 from wigeonmill.cache.tiers import TierPlan
 
 
 class CachePlanner(Protocol):
-    """The agent's cache decisions as its model service sees them."""
+    """Plans where a prompt's blocks come from and moves them."""
 
     def plan(self, keys: list[bytes], prompt_tokens: int) -> TierPlan:
-        """Return the sources of a prompt with these block keys."""
+        """Return the sources of a prompt as far as they are known."""
 
-    async def prepare(self, keys: list[bytes], plan: TierPlan) -> None:
-        """Import what the plan says, as far as that goes well."""
+    def plan_search(self, keys: list[bytes], prompt_tokens: int) -> TierPlan:
+        """Return the sources if the store has all that it may have."""
 
-    def completed(self, keys: list[bytes]) -> None:
-        """Note that the engine has computed these blocks."""
+    async def fetch(
+        self, keys: list[bytes], plan: TierPlan, owner: Owner
+    ) -> TierPlan:
+        """Import what the plan says; returns the plan as it came out."""
 
-
-class NoCachePlanner:
-    """Plans to compute everything; the engine may still have it cached."""
-
-    def plan(self, keys: list[bytes], prompt_tokens: int) -> TierPlan:
-        return plan_of_computation(prompt_tokens)
-
-    async def prepare(self, keys: list[bytes], plan: TierPlan) -> None:
-        return None
-
-    def completed(self, keys: list[bytes]) -> None:
-        return None
+    def completed(self, keys: list[bytes], owner: Owner) -> None:
+        """Note a prompt whose blocks the engine now holds."""
--- a/wigeonmill/agent/model_service.py
+++ b/wigeonmill/agent/model_service.py
@@ -1,6 +1,7 @@
 """Runs prompts on the agent's model engine."""
 
 import asyncio
+from collections.abc import Coroutine
 import logging
 from typing import Any
 
@@ -13,6 +14,7 @@
 from wigeonmill.agent.admission_types import RunOutcome
 from wigeonmill.agent.admission_types import RunRequest
 from wigeonmill.agent.admission_types import Ticket
+from wigeonmill.agent.cache_manager import Owner
 from wigeonmill.agent.cache_planner import CachePlanner
 from wigeonmill.agent.context import AgentContext
 from wigeonmill.agent.engine import EngineClient
@@ -109,9 +111,10 @@
             return
         request = self._request(message)
         keys = self._keys(message.block_keys)
-        plan = self._planner.plan(keys, request.prompt_tokens)
+        plan = self._planner.plan_search(keys, request.prompt_tokens)
+        importing = plan.import_blocks > 0
         admitted = context.admission.admit(
-            request, plan, message.reservation or 0
+            request, plan, message.reservation or 0, importing
         )
         if admitted.is_err():
             self._refuse(conn, stream, admitted.unwrap_err())
@@ -128,6 +131,8 @@
         envelope.run_accepted = accepted
         conn.send(envelope)
         run.attach(conn, stream)
+        if importing:
+            self._spawn(self._import(pending))
         self.start_runnable()
 
     def start_runnable(self) -> None:
@@ -138,9 +143,7 @@
             if ticket is None:
                 break
             pending = self._pending[ticket.id]
-            task = asyncio.ensure_future(self._execute(pending))
-            self._tasks.add(task)
-            task.add_done_callback(self._on_task_done)
+            self._spawn(self._execute(pending))
         for refused in admission.take_refused():
             self._refuse_waiting(refused.ticket, refused.refusal)
 
@@ -155,24 +158,32 @@
         context.runs.add(run)
         return run
 
+    async def _import(self, pending: PendingRun) -> None:
+        """Import blocks while the run waits outside the queue."""
+        ticket = pending.ticket
+        keys = self._keys(pending.message.block_keys, ticket.weight_version)
+        plan = await self._planner.fetch(keys, ticket.plan, _owner(pending))
+        self._context.admission.imported(ticket.id, plan)
+        self.start_runnable()
+
     async def _execute(self, pending: PendingRun) -> None:
         context = self._context
         message = pending.message
         keys = self._keys(message.block_keys, pending.ticket.weight_version)
-        await self._planner.prepare(keys, pending.ticket.plan)
         started = context.admission.started(pending.ticket.id)
         if started.is_err():
             self._refuse_waiting(pending.ticket, started.unwrap_err())
             return
         if pending.run.ended:
-            # Its caller left during the import; the target sees nothing.
+            # Its caller left meanwhile; the target sees nothing.
             self._finish(pending, RunOutcome(OutcomeKind.CANCELLED))
             return
         waited_ms = context.clock.now_ms() - pending.ticket.admitted_ms
         context.metrics.histogram('queue_wait').record(waited_ms)
         end = await self._run_on_engine(pending, keys)
         self._settle(pending, end)
-        self._planner.completed(keys)
+        if end.kind is EngineEndKind.COMPLETED:
+            self._planner.completed(keys, _owner(pending))
 
     async def _run_on_engine(
         self, pending: PendingRun, keys: list[bytes]
@@ -254,10 +265,10 @@
             return
         if pending.stream is not None:
             pending.stream.cancel()
-            self._spawn_cancel(pending.run.run_id)
+            self._spawn(self._engine.cancel(pending.run.run_id))
 
-    def _spawn_cancel(self, run_id: str) -> None:
-        task = asyncio.ensure_future(self._engine.cancel(run_id))
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
 
@@ -296,6 +307,10 @@
         return version_block_keys(keys or [], version)
 
 
+def _owner(pending: PendingRun) -> Owner:
+    return Owner(pending.run.team, pending.ticket.weight_version)
+
+
 def _offer_message(offer: TargetOffer) -> Offer:
     return Offer(
         '',
--- a/wigeonmill/agent/role.py
+++ b/wigeonmill/agent/role.py
@@ -1,21 +1,29 @@
 """The agent role of a process: one target and all of its work."""
 
 import asyncio
+from collections.abc import Callable
 import logging
 
 from wigeonmill.agent.admission import make_admission
 from wigeonmill.agent.admission_types import AdmissionSettings
-from wigeonmill.agent.cache_planner import NoCachePlanner
+from wigeonmill.agent.cache_follower import CacheFollower
+from wigeonmill.agent.cache_manager import CacheManager
 from wigeonmill.agent.calls import CallClient
 from wigeonmill.agent.context import AgentContext
 from wigeonmill.agent.context import find_placement
 from wigeonmill.agent.context import Placement
 from wigeonmill.agent.engine import EngineClient
+from wigeonmill.agent.engine_cache import EngineCacheClient
 from wigeonmill.agent.model_service import ModelService
 from wigeonmill.agent.plain_service import PlainService
 from wigeonmill.agent.run_ids import RunIdSigner
 from wigeonmill.agent.service import AgentService
+from wigeonmill.agent.store_pool import StorePool
 from wigeonmill.agent.target_watch import TargetWatch
+from wigeonmill.cache.decider import CacheDecider
+from wigeonmill.cache.decider import DeciderSettings
+from wigeonmill.cache.decider import Speeds
+from wigeonmill.cache.link_budget import LinkBudget
 from wigeonmill.claims.model import ClaimStore
 from wigeonmill.claims.model import Holder
 from wigeonmill.claims.single_key import make_single_key_store
@@ -41,6 +49,7 @@
         self._engine: EngineClient | None = None
         self._calls: CallClient | None = None
         self._claims: ClaimStore | None = None
+        self._closers: list[Callable[[], None]] = []
         node.handlers.append(self._handle)
         node.holder.subscribe(self._on_config)
 
@@ -69,6 +78,8 @@
             self._engine.close()
         if self._calls is not None:
             self._calls.close()
+        for close in self._closers:
+            close()
 
     def _handle(self, conn: Conn, envelope: Envelope) -> bool:
         if self._service is None:
@@ -107,7 +118,8 @@
         engine = EngineClient(placement.target.address)
         models, plain = None, None
         if service.kind is ServiceKind.MODEL:
-            models = ModelService(context, engine, NoCachePlanner())
+            manager = self._make_cache_manager(context, placement)
+            models = ModelService(context, engine, manager)
         else:
             plain = self._make_plain(context, placement)
         self._context = context
@@ -124,6 +136,45 @@
         node.spawn(self._tick(self._service))
         logger.info('target %s is served', node.settings.agent.target)
 
+    def _make_cache_manager(
+        self, context: AgentContext, placement: Placement
+    ) -> CacheManager:
+        node = self._node
+        block_tokens = placement.service.block_tokens
+        estimator = context.admission.health.estimator
+        decider = CacheDecider(
+            DeciderSettings(block_tokens, node.settings.agent.block_bytes),
+            LinkBudget(0),
+            Speeds(estimator.link_bytes_per_ms, estimator.prefill_ms(1)),
+        )
+        engine = EngineCacheClient(placement.target.address, node.clock)
+        stores = StorePool(node.clock)
+
+        def configure(record: ConfigRecord) -> None:
+            limits = record.document.limits
+            decider.budget.set_limit(limits.store_link_bytes_per_second)
+            stores.configure(record.document)
+
+        node.holder.subscribe(configure)
+        if node.holder.record is not None:
+            configure(node.holder.record)
+        manager = CacheManager(
+            decider,
+            engine,
+            stores,
+            estimator,
+            block_tokens,
+            node.clock,
+            node.metrics,
+            lambda: context.admission.queued > 0,
+        )
+        follower = CacheFollower(engine, decider.view, node.metrics)
+        node.spawn(follower.run())
+        node.spawn(manager.export_forever())
+        self._closers.append(engine.close)
+        self._closers.append(stores.close)
+        return manager
+
     def _make_plain(
         self, context: AgentContext, placement: Placement
     ) -> PlainService:
--- a/wigeonmill/cache/decider.py
+++ b/wigeonmill/cache/decider.py
@@ -115,11 +115,38 @@
     ) -> TierPlan:
         """Return the sources of a prompt that waits `wait_ms` anyway."""
         cached = self.view.cached_prefix(keys)
+        known = self.stored.known_prefix(keys[cached:])
+        return self._plan(cached, known, prompt_tokens, now_ms, wait_ms)
+
+    def plan_search(
+        self, keys: list[bytes], prompt_tokens: int, now_ms: float
+    ) -> TierPlan:
+        """Return the plan if the store had each block that it may have.
+
+        Its import is worth starting: the first block that is not there
+        ends it at the cost of one read.
+        """
+        cached = self.view.cached_prefix(keys)
+        possible = 0
+        for key in keys[cached:]:
+            if not self.stored.may_hold(key, now_ms):
+                break
+            possible += 1
+        return self._plan(cached, possible, prompt_tokens, now_ms, 0.0)
+
+    def _plan(
+        self,
+        cached: int,
+        stored: int,
+        prompt_tokens: int,
+        now_ms: float,
+        wait_ms: float,
+    ) -> TierPlan:
         prefix = Prefix(
             prompt_tokens,
             self._settings.block_tokens,
             cached,
-            self.stored.known_prefix(keys[cached:]),
+            stored,
             self.block_bytes,
         )
         rates = Rates(
--- a/wigeonmill/embedded.py
+++ b/wigeonmill/embedded.py
@@ -23,6 +23,7 @@
 from wigeonmill.config.model import Document
 from wigeonmill.config.model import Service
 from wigeonmill.config.model import ServiceKind
+from wigeonmill.config.model import StoreVm
 from wigeonmill.config.model import Target
 from wigeonmill.config.reader import read_document
 from wigeonmill.entry.role import EntryRole
@@ -40,6 +41,8 @@
 from wigeonmill.standins.ledger import LedgerOptions
 from wigeonmill.standins.ledger import start_ledger
 from wigeonmill.standins.server import StandinServer
+from wigeonmill.standins.store_vm import start_store_vm
+from wigeonmill.standins.store_vm import StoreVmOptions
 
 logger = logging.getLogger(__name__)
 
@@ -68,6 +71,7 @@
     ) -> None:
         self.settings = settings
         self.agents: dict[str, EmbeddedAgent] = {}
+        self.stores: dict[str, StandinServer[Any]] = {}
         self.key_value: StandinServer[Any] | None = None
         self._adjust = engine_options
         self._keys = InnerKeys((secrets.token_hex(16).encode(),))
@@ -106,11 +110,14 @@
     async def start(self, document: Document) -> None:
         """Start every stand-in and role and put the document in force."""
         self.key_value = await start_key_value(KeyValueOptions())
+        stores = [await self._start_store(vm) for vm in document.store_vms]
         services = [
             await self._start_service(service, document)
             for service in document.services
         ]
-        own = msgspec.structs.replace(document, services=services)
+        own = msgspec.structs.replace(
+            document, services=services, store_vms=stores
+        )
         submission = Submission(own, OPERATOR, secrets.token_hex(8), 0)
         accepted = await submit(self.client(), Clock(), submission)
         if not isinstance(accepted.ok(), Accepted):
@@ -131,6 +138,8 @@
             await agent.target.stop()
         for client in self._clients:
             client.close()
+        for store in self.stores.values():
+            await store.stop()
         if self.key_value is not None:
             await self.key_value.stop()
 
@@ -142,6 +151,11 @@
         self._clients.append(client)
         return client
 
+    async def _start_store(self, vm: StoreVm) -> StoreVm:
+        store = await start_store_vm(StoreVmOptions())
+        self.stores[vm.name] = store
+        return msgspec.structs.replace(vm, address=store.address)
+
     async def _start_service(
         self, service: Service, document: Document
     ) -> Service:
--- a/wigeonmill/settings.py
+++ b/wigeonmill/settings.py
@@ -44,14 +44,15 @@
 class AgentSettings(msgspec.Struct, forbid_unknown_fields=True):
     """The agent role: its target and how long answers are kept.
 
-    `detached_run_ms` is how long a run lasts whose entry is gone.
+    `detached_run_ms` is how long a run lasts whose entry is gone;
+    `block_bytes` is the first guess of a cache block's size in the store.
     """
 
     target: str = ''
     detached_run_ms: Milliseconds = 15_000
     answer_kept_ms: Milliseconds = 60_000
     health_interval_ms: Milliseconds = 250
-    target_timeout_ms: Milliseconds = 5_000
+    block_bytes: Annotated[int, msgspec.Meta(ge=1)] = 131_072
 
 
 class EmbeddedSettings(msgspec.Struct, forbid_unknown_fields=True):
