Measure claim stores and let quiet shards write at once

Entries of a head that nobody writes any more now end with retention; a test showed that they kept a full shard full.

--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,108 @@
+"""Compares the claim stores by credits, key-value calls and added latency.
+
+Twelve agents in one process claim, dispatch to a ledger and record through
+a key-value service with limited rates; then again while replies are lost,
+the service is out, an owner stalls and an owner dies.
+"""
+
+import asyncio
+from dataclasses import dataclass
+import random
+from typing import Annotated
+
+import cappa
+
+from bench.claims_load import Callers
+from bench.claims_load import Ledger
+from bench.claims_load import Load
+from bench.claims_load import make_fleet
+from bench.claims_load import StoreKind
+from bench.outcome import Bound
+from bench.outcome import Outcome
+from bench.outcome import print_outcome
+from wigeonmill.clock import Clock
+
+RATES = (1, 10, 100, 1000)
+# The rate of credits while faults happen.
+FAULTS_RATE = 200
+WRITES_PER_SECOND = 300
+READS_PER_SECOND = 2000
+MAX_ADDED_P50_MS = 50.0
+
+
+@cappa.command(name='claims')
+@dataclass
+class Options:
+    """Arguments of the benchmark."""
+
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    json: Annotated[bool, cappa.Arg(long=True)] = False
+    seconds: Annotated[float, cappa.Arg(long=True)] = 8.0
+    shards: Annotated[int, cappa.Arg(long=True)] = 4
+    flush_interval_ms: Annotated[float, cappa.Arg(long=True)] = 20.0
+
+
+def main(argv: list[str]) -> int:
+    """Run the benchmark; returns its exit code."""
+    options = cappa.parse(Options, argv=argv)
+    figures = asyncio.run(_measure(options))
+    outcome = Outcome('claims', options.seed, figures, _bounds())
+    return print_outcome(outcome, options.json)
+
+
+async def _measure(options: Options) -> dict[str, float]:
+    figures: dict[str, float] = {}
+    for kind in StoreKind:
+        for rate in RATES:
+            found = await _run(options, kind, rate, faults=False)
+            figures.update(
+                {f'{kind.value}.{rate}.{k}': v for k, v in found.items()}
+            )
+        found = await _run(options, kind, FAULTS_RATE, faults=True)
+        figures.update(
+            {f'{kind.value}.faults.{k}': v for k, v in found.items()}
+        )
+    return figures
+
+
+async def _run(
+    options: Options, kind: StoreKind, rate: int, faults: bool
+) -> dict[str, float]:
+    rng = random.Random(f'{options.seed} {kind} {rate} {faults}')
+    load = Load(
+        rate,
+        options.seconds,
+        WRITES_PER_SECOND,
+        READS_PER_SECOND,
+        options.shards,
+        options.flush_interval_ms,
+    )
+    clock = Clock()
+    fleet = make_fleet(kind, load, clock, rng)
+    ledger = Ledger()
+    callers = Callers(fleet, ledger, load, clock, rng)
+    disturbing = None
+    if faults:
+        disturbing = asyncio.ensure_future(fleet.disturb())
+    await callers.run()
+    if disturbing is not None:
+        await disturbing
+    await fleet.close()
+    return callers.figures()
+
+
+def _bounds() -> list[Bound]:
+    top = f'{StoreKind.GROUPED.value}.{RATES[-1]}'
+    bounds = [
+        Bound(f'{top}.completed_share', low=1.0),
+        Bound(f'{top}.writes_per_second', high=WRITES_PER_SECOND),
+        Bound(f'{top}.reads_per_second', high=READS_PER_SECOND),
+        Bound(f'{top}.added_p50_ms', high=MAX_ADDED_P50_MS),
+    ]
+    runs = [f'{r}' for r in RATES] + ['faults']
+    for kind in StoreKind:
+        for run in runs:
+            for figure in ('doubled', 'lost', 'not_run_but_ran', 'differing'):
+                name = f'{kind.value}.{run}.{figure}'
+                bounds.append(Bound(name, high=0))
+    return bounds
--- a/wigeonmill/claims/attempt.py
+++ b/wigeonmill/claims/attempt.py
@@ -142,6 +142,8 @@
         if self._tasks:
             timeout_s = CLOSE_MS / 1000.0
             await asyncio.wait(set(self._tasks), timeout=timeout_s)
+        for task in set(self._tasks):
+            task.cancel()
 
     async def _run(self, request: ClaimRequest, settler: Settler) -> Settled:
         if len(request.idempotency_key.encode()) > MAX_KEY_BYTES:
--- a/wigeonmill/claims/journal.py
+++ b/wigeonmill/claims/journal.py
@@ -36,11 +36,14 @@
 class JournalPolicy(msgspec.Struct, frozen=True):
     """Pace and size of a shard's writes.
 
-    Every write carries the whole head, so `segment_bytes` bounds what is
-    written again with each flush.
+    Writes keep to one per `flush_interval_ms` on average; after a pause
+    `burst` of them may follow each other without waiting. Every write
+    carries the whole head, so `segment_bytes` bounds what is written again
+    with each flush.
     """
 
     flush_interval_ms: float = 20.0
+    burst: int = 4
     segment_bytes: int = 32 * 1024
 
 
@@ -99,12 +102,14 @@
         self._head_bytes = _size(head.entries)
         # Entries of the head, in journal order.
         self.head_entries = decode_entries(head.entries)
+        self._appended_ms = clock.now_ms()
+        self._seal_next = False
         self._sealed: collections.deque[_Sealed] = collections.deque()
         self._sealed_bytes = 0
         self._queue: list[_Waiting] = []
         self._queue_bytes = 0
         self._flusher: asyncio.Task | None = None
-        self._flushed_ms = float('-inf')
+        self._next_flush_ms = float('-inf')
         self.lost = False
 
     @property
@@ -119,13 +124,17 @@
         self._sealed_bytes += size
 
     def take_expired(self) -> list[Entry]:
-        """Forget segments past retention; returns their entries."""
+        """Forget entries past retention and return them."""
         oldest_ms = self._clock.now_ms() - self._retention.longest_ms
         expired: list[Entry] = []
         while self._sealed and self._sealed[0].at_ms < oldest_ms:
             segment = self._sealed.popleft()
             self._sealed_bytes -= segment.size
             expired += segment.entries
+        if self.head_entries and self._appended_ms < oldest_ms:
+            expired += self.head_entries
+            self.head_entries = []
+            self._seal_next = True
         return expired
 
     async def append(self, name: str, record: ClaimRecord) -> bool:
@@ -152,7 +161,6 @@
     async def _flush_all(self) -> None:
         while self._queue and not self.lost:
             await self._pace()
-            self._flushed_ms = self._clock.now_ms()
             batch = self._take_batch()
             if not await self._flush(batch):
                 self._lose(batch)
@@ -162,10 +170,15 @@
                 waiting.committed.set_result(True)
 
     async def _pace(self) -> None:
-        since_ms = self._clock.now_ms() - self._flushed_ms
-        left_ms = self._policy.flush_interval_ms - since_ms
+        """Wait for the next write's turn."""
+        interval_ms = self._policy.flush_interval_ms
+        left_ms = self._next_flush_ms - self._clock.now_ms()
         if left_ms > 0:
             await asyncio.sleep(left_ms / 1000.0)
+        saved_ms = (self._policy.burst - 1) * interval_ms
+        earliest_ms = self._clock.now_ms() - saved_ms
+        self._next_flush_ms = max(self._next_flush_ms, earliest_ms)
+        self._next_flush_ms += interval_ms
 
     def _take_batch(self) -> list[_Waiting]:
         size = 0
@@ -190,7 +203,7 @@
         entries = [waiting.entry for waiting in batch]
         size = sum(waiting.size for waiting in batch)
         fits = self._head_bytes + size <= self._policy.segment_bytes
-        if not fits and self._head.entries:
+        if (self._seal_next or not fits) and self._head.entries:
             return await self._flush_sealed(added, entries, size)
         raws = self._head.entries + added
         head = msgspec.structs.replace(self._head, entries=raws)
@@ -198,6 +211,7 @@
             return False
         self._head_bytes += size
         self.head_entries += entries
+        self._appended_ms = self._clock.now_ms()
         return True
 
     async def _flush_sealed(
@@ -213,8 +227,10 @@
         if not await self._swap_head(head):
             return False
         self.remember_sealed(self._head_bytes, self.head_entries)
+        self._seal_next = False
         self._head_bytes = size
         self.head_entries = entries
+        self._appended_ms = self._clock.now_ms()
         return True
 
     async def _seal(self) -> str:
