--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -156,9 +156,17 @@
         self._waiting.reservations.take(reservation)
 
     def admit(
-        self, request: RunRequest, plan: TierPlan, reservation: int = 0
+        self,
+        request: RunRequest,
+        plan: TierPlan,
+        reservation: int = 0,
+        importing: bool = False,
     ) -> Result[Admitted, Refusal]:
-        """Queue a request, with the place of an offer or without one."""
+        """Take a request, with the place of an offer or without one.
+
+        With `importing` it waits outside the queue until `imported`, so
+        that its import holds up nobody and it holds no slot meanwhile.
+        """
         now_ms = self._clock.now_ms()
         self._expire(now_ms)
         held = self._waiting.reservations.take(reservation)
@@ -166,17 +174,29 @@
         if refusal is not None:
             return self._refused_now(refusal)
         ticket = self._make_ticket(request, plan, now_ms)
-        pushed = self._waiting.push(ticket)
-        if pushed.is_err():
-            return self._refused_now(
-                self._pricing.no_place(RefusalReason.QUEUE_FULL)
-            )
+        if importing:
+            self._waiting.hold(ticket)
+        elif not self._push(ticket):
+            full = self._pricing.no_place(RefusalReason.QUEUE_FULL)
+            return self._refused_now(full)
         self.counts.admitted += 1
-        displaced = pushed.unwrap()
-        if displaced is not None:
-            self._add_refused(displaced, RefusalReason.QUEUE_FULL)
         return Ok(Admitted(ticket))
 
+    def imported(self, ticket_id: int, plan: TierPlan) -> bool:
+        """Queue a ticket whose import has ended, whole or cut off.
+
+        `plan` says what came of it. Returns False if the ticket was refused
+        or withdrawn meanwhile.
+        """
+        ticket = self._waiting.end_hold(ticket_id)
+        if ticket is None:
+            return False
+        ticket.plan = plan
+        if self._push(ticket):
+            return True
+        self._add_refused(ticket, RefusalReason.QUEUE_FULL)
+        return False
+
     def next_runnable(self) -> Ticket | None:
         """Give the next waiting request a slot, if one may start now."""
         now_ms = self._clock.now_ms()
@@ -188,7 +208,6 @@
         if ticket is None:
             return None
         ticket.state = TicketState.RUNNABLE
-        ticket.prefill_ahead = self._in_flight.prefill
         self._in_flight.add(ticket)
         return ticket
 
@@ -207,6 +226,7 @@
             return self._refused_now(Refusal(reason))
         ticket.state = TicketState.STARTED
         ticket.started_ms = self._clock.now_ms()
+        ticket.prefill_done = self._in_flight.prefill_done
         if ticket.alone:
             fingerprint = ticket.request.fingerprint
             self.quarantine.on_retry(fingerprint, self._clock.wall_ms())
@@ -221,7 +241,10 @@
         ticket.first_token_ms = self._clock.now_ms()
         self._in_flight.end_prefill(ticket)
         took_ms = ticket.first_token_ms - ticket.started_ms
-        tokens = ticket.prefill_ahead + ticket.plan.recompute_tokens
+        # The target may have let others pass: what counts is all prefill
+        # that it did since the start.
+        self._in_flight.prefill_done += ticket.cost
+        tokens = self._in_flight.prefill_done - ticket.prefill_done
         ticket.healthy = self.health.on_first_token(tokens, took_ms)
 
     def finished(self, ticket_id: int, outcome: RunOutcome) -> None:
@@ -284,6 +307,15 @@
             return None
         return self._pricing.refusal_of_place(request)
 
+    def _push(self, ticket: Ticket) -> bool:
+        pushed = self._waiting.push(ticket)
+        if pushed.is_err():
+            return False
+        displaced = pushed.unwrap()
+        if displaced is not None:
+            self._add_refused(displaced, RefusalReason.QUEUE_FULL)
+        return True
+
     def _make_ticket(
         self, request: RunRequest, plan: TierPlan, now_ms: float
     ) -> Ticket:
@@ -312,7 +344,8 @@
         if outcome.kind is OutcomeKind.OVERLOADED:
             self.health.on_overloaded()
         elif outcome.kind is OutcomeKind.COMPLETED:
-            self.quarantine.on_healthy(ticket.request.fingerprint)
+            fingerprint = ticket.request.fingerprint
+            self.quarantine.on_healthy(fingerprint, self._clock.wall_ms())
             self.health.on_completed(ticket.healthy)
             streamed = state is TicketState.STREAMING
             self.health.estimator.on_finished(
