Bound how long an answer waits to be recorded

In an outage record() held the caller's answer for up to 60 s. It and void() now report PENDING after 1 s and go on in the background. Headers count towards the size of a kept answer. The exploration checks more: a dispatched call without a crash must end answered.

--- a/tests/claims/explorer.py
+++ b/tests/claims/explorer.py
@@ -119,7 +119,9 @@
                 found += [('lose_reply', n), ('lose_request', n)]
                 found.append(('delay', n))
         for n, claimer in enumerate(self.claimers.values()):
-            busy = self.crash_idle or not claimer.task.done()
+            busy = any(c.client == claimer.name for c in self.pending)
+            if self.crash_idle or not claimer.task.done():
+                busy = True
             if busy and not claimer.crashed:
                 found.append(('crash', n))
         if (self.pending or self.delayed) and self.loop.has_timer():
@@ -234,6 +236,8 @@
         """Check what a later caller is told once all is quiet."""
         crashed = any(c.crashed for c in self.claimers.values())
         recorded = any(c.recorded for c in self.claimers.values())
+        # What went on in the background is done once all is quiet.
+        recorded |= bool(self.dispatched) and not crashed
         self.faults_left = 0
         self.start('later')
         self.run_quietly()
--- a/tests/claims/test_grouped.py
+++ b/tests/claims/test_grouped.py
@@ -15,7 +15,7 @@
 from wigeonmill.claims.model import ClaimRequest
 from wigeonmill.claims.model import Holder
 from wigeonmill.claims.model import InProgress
-from wigeonmill.claims.model import KEEP_BODY_BYTES
+from wigeonmill.claims.model import KEEP_ANSWER_BYTES
 from wigeonmill.claims.model import make_answer
 from wigeonmill.claims.model import RefusalReason
 from wigeonmill.claims.model import REFUSALS
@@ -143,7 +143,7 @@
 
 def test_values_stay_within_the_limit_of_the_service():
     async def scenario(cluster):
-        large = make_answer(200, [], b'x' * KEEP_BODY_BYTES)
+        large = make_answer(200, [], b'x' * KEEP_ANSWER_BYTES)
         store = cluster.store('a')
         await answer_all(store, [f'k{n}' for n in range(150)], large)
         found = await store.claim(request('k149'))
--- a/wigeonmill/claims/attempt.py
+++ b/wigeonmill/claims/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from typing import Any
 from typing import Protocol
 
 from result import Err
@@ -10,9 +11,12 @@
 
 from wigeonmill.claims.model import Answered
 from wigeonmill.claims.model import Claimed
+from wigeonmill.claims.model import ClaimError
+from wigeonmill.claims.model import ClaimErrorKind
 from wigeonmill.claims.model import ClaimOutcome
 from wigeonmill.claims.model import ClaimRefusal
 from wigeonmill.claims.model import ClaimRequest
+from wigeonmill.claims.model import COMPLETE_WAIT_MS
 from wigeonmill.claims.model import Holder
 from wigeonmill.claims.model import InProgress
 from wigeonmill.claims.model import MAX_KEY_BYTES
@@ -33,6 +37,7 @@
 CLOSE_MS = 5_000.0
 
 Settled = Result[ClaimOutcome, ClaimRefusal]
+Completed = Result[None, ClaimError]
 
 
 def refuse(reason: RefusalReason, key_checked: bool = False) -> Settled:
@@ -137,6 +142,16 @@
             self._metrics.count(OUTCOMES, name, label='outcome')
         return settled
 
+    async def complete(
+        self, work: Coroutine[Any, Any, Completed]
+    ) -> Completed:
+        """Run a record or void; PENDING if it takes long, yet it goes on."""
+        task = self._start(work)
+        await asyncio.wait({task}, timeout=COMPLETE_WAIT_MS / 1000.0)
+        if task.done():
+            return task.result()
+        return Err(ClaimError(ClaimErrorKind.PENDING, 'still trying'))
+
     async def close(self) -> None:
         """Wait for voids under way, for a bounded time."""
         if self._tasks:
--- a/wigeonmill/claims/grouped.py
+++ b/wigeonmill/claims/grouped.py
@@ -92,11 +92,13 @@
         self, claim: Claimed, answer: StoredAnswer
     ) -> Result[None, ClaimError]:
         record = record_of(claim, self._holder).answered(answer)
-        return await self._complete(OwnerAction.ANSWER, claim, record)
+        work = self._complete(OwnerAction.ANSWER, claim, record)
+        return await self._runner.complete(work)
 
     async def void(self, claim: Claimed) -> Result[None, ClaimError]:
         record = record_of(claim, self._holder).voided()
-        return await self._complete(OwnerAction.VOID, claim, record)
+        work = self._complete(OwnerAction.VOID, claim, record)
+        return await self._runner.complete(work)
 
     async def close(self) -> None:
         await self._runner.close()
@@ -125,7 +127,9 @@
 
     async def void_abandoned(self, attempt: Attempt) -> None:
         """Free the key that an abandoned attempt may hold."""
-        await self.void(attempt.granted(attempt.name))
+        claim = attempt.granted(attempt.name)
+        voided = attempt.record.voided()
+        await self._complete(OwnerAction.VOID, claim, voided)
 
     def _judge(self, attempt: Attempt, reply: OwnerReply) -> Settled | None:
         if reply.status is OwnerStatus.DONE:
--- a/wigeonmill/claims/model.py
+++ b/wigeonmill/claims/model.py
@@ -11,7 +11,10 @@
 
 TOKEN_BYTES = 16
 MAX_KEY_BYTES = 512
-KEEP_BODY_BYTES = 16 * 1024
+# Answers with more bytes of headers and body are kept without them.
+KEEP_ANSWER_BYTES = 16 * 1024
+# How long record() and void() wait before they go on in the background.
+COMPLETE_WAIT_MS = 1_000.0
 
 # Names of the counters that every implementation keeps.
 OUTCOMES = 'claim_outcomes'
@@ -67,8 +70,8 @@
 class StoredAnswer(msgspec.Struct, frozen=True, array_like=True):
     """A target's answer as kept for repeats of the call.
 
-    Without `body_kept` only the length and SHA-256 digest of the body are
-    there, because it was larger than the store keeps.
+    Without `body_kept` only the status and the body's length and SHA-256
+    digest are there, because the answer was larger than the store keeps.
     """
 
     status: int
@@ -82,11 +85,12 @@
 def make_answer(
     status: int, headers: list[AnswerHeader], body: bytes
 ) -> StoredAnswer:
-    """Return the answer to store, without a body that is too large."""
+    """Return the answer to store; a large one without its content."""
     digest = hashlib.sha256(body).digest()
-    kept = len(body) <= KEEP_BODY_BYTES
-    stored = body if kept else b''
-    return StoredAnswer(status, headers, stored, len(body), digest, kept)
+    header_bytes = sum(len(h.name) + len(h.value) for h in headers)
+    if len(body) + header_bytes > KEEP_ANSWER_BYTES:
+        return StoredAnswer(status, [], b'', len(body), digest, False)
+    return StoredAnswer(status, headers, body, len(body), digest)
 
 
 class Claimed(msgspec.Struct, frozen=True):
@@ -158,6 +162,8 @@
     """Why an answer or a void could not be stored."""
 
     STORE_OUTAGE = 'store_outage'
+    # Not durable yet; the store goes on trying.
+    PENDING = 'pending'
     # The claim is no longer there: retention is over or it was voided.
     CLAIM_GONE = 'claim_gone'
 
@@ -180,10 +186,17 @@
     async def record(
         self, claim: Claimed, answer: StoredAnswer
     ) -> Result[None, ClaimError]:
-        """Store the answer for repeats; returns when it is durable."""
+        """Store the answer for repeats; Ok when it is durable.
+
+        After COMPLETE_WAIT_MS the outcome is PENDING and the store goes on
+        in the background, so an outage does not hold the caller's answer.
+        """
 
     async def void(self, claim: Claimed) -> Result[None, ClaimError]:
-        """Free the key; only when no byte was sent to the target."""
+        """Free the key; only when no byte was sent to the target.
+
+        PENDING as with record(); a repeat may get Unknown until then.
+        """
 
     async def close(self) -> None:
         """Finish voids under way, hand over what is owned and stop."""
--- a/wigeonmill/claims/single_key.py
+++ b/wigeonmill/claims/single_key.py
@@ -85,11 +85,12 @@
         self, claim: Claimed, answer: StoredAnswer
     ) -> Result[None, ClaimError]:
         claimed = record_of(claim, self._holder)
-        return await self._replace(claim, claimed.answered(answer))
+        work = self._replace(claim, claimed.answered(answer))
+        return await self._runner.complete(work)
 
     async def void(self, claim: Claimed) -> Result[None, ClaimError]:
         voided = record_of(claim, self._holder).voided()
-        return await self._replace(claim, voided)
+        return await self._runner.complete(self._replace(claim, voided))
 
     async def close(self) -> None:
         await self._runner.close()
@@ -107,7 +108,8 @@
 
     async def void_abandoned(self, attempt: Attempt) -> None:
         """Free the key that an abandoned attempt may hold."""
-        await self.void(attempt.granted(KEY_PREFIX + attempt.name))
+        claim = attempt.granted(KEY_PREFIX + attempt.name)
+        await self._replace(claim, attempt.record.voided())
 
     async def _try(self, attempt: Attempt, place: _Place) -> Settled | None:
         """Make one write and, unless it succeeds, one read."""
