--- a/tests/config/test_sections.py
+++ b/tests/config/test_sections.py
@@ -2,6 +2,7 @@
 
 from tests.config import samples
 from wigeonmill.config.diff import diff_documents
+from wigeonmill.config.full_values import to_full_builtins
 from wigeonmill.config.holder import ConfigHolder
 from wigeonmill.config.model import ConfigRecord
 from wigeonmill.config.sections import apply_sections
@@ -10,6 +11,7 @@
 from wigeonmill.config.sections import Section
 from wigeonmill.config.sections import section_hashes
 from wigeonmill.config.sections import SectionSet
+from wigeonmill.config.sections import split_document
 from wigeonmill.metrics import Metrics
 
 
@@ -74,6 +76,14 @@
     ]
 
 
+def test_field_at_its_default_is_not_sent():
+    values = split_document(samples.load_example())
+    domains = msgspec.json.decode(values['failure_domains'])
+    assert domains[0] == {'name': 'nyarugenge', 'region': 'kigali'}
+    full = to_full_builtins(samples.load_example().failure_domains[0])
+    assert full == domains[0] | {'in_service': True}
+
+
 def test_holder_never_goes_back():
     metrics = Metrics()
     holder = ConfigHolder(metrics)
--- a/wigeonmill/config/diff.py
+++ b/wigeonmill/config/diff.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from wigeonmill.config.full_values import to_full_builtins
 from wigeonmill.config.model import Document
 
 _SECTIONS = ('services', 'failure_domains', 'teams', 'models', 'store_vms')
@@ -107,4 +108,4 @@
 def _show(field: str, value: Any) -> str:
     if field == 'key_hashes':
         value = [key_hash[:_HASH_CHARS] for key_hash in value]
-    return json.dumps(msgspec.to_builtins(value))
+    return json.dumps(to_full_builtins(value))
--- a/wigeonmill/config/merge.py
+++ b/wigeonmill/config/merge.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from wigeonmill.config.full_values import to_full_builtins
 from wigeonmill.config.model import Document
 
 _SECTIONS = ('services', 'failure_domains', 'teams', 'models', 'store_vms')
@@ -120,4 +121,4 @@
 def _show(value: Any) -> str:
     if value is None:
         return ''
-    return json.dumps(msgspec.to_builtins(value))
+    return json.dumps(to_full_builtins(value))
--- a/wigeonmill/config/model.py
+++ b/wigeonmill/config/model.py
@@ -1,7 +1,9 @@
 """The operators' document as typed values.
 
 The types are the one source of the document's shape: the JSON Schema for
-editors is made from them.
+editors is made from them. Fields at their default are left out when a value
+is encoded, so that a field that is added later disturbs no older process
+before it is used; a default never changes.
 """
 
 import enum
@@ -37,6 +39,15 @@
 ]
 
 
+class _Item(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """What all parts of a document have in common."""
+
+
 class ServiceKind(enum.Enum):
     """What a service's targets are."""
 
@@ -44,7 +55,7 @@
     PLAIN = 'plain'
 
 
-class Target(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Target(_Item, frozen=True):
     """One model engine or plain service process.
 
     `agent` is the inner address (IP:port) of the agent beside the target,
@@ -58,7 +69,7 @@
     in_service: InService = True
 
 
-class CallRule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class CallRule(_Item, frozen=True):
     """Calls of a plain service that must run at most once."""
 
     method: Annotated[
@@ -77,7 +88,7 @@
     ]
 
 
-class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Service(_Item, frozen=True):
     """A model service or a plain service with its targets.
 
     `model` names the model of a model service; `non_repeatable` lists the
@@ -114,7 +125,7 @@
     ] = 2
 
 
-class FailureDomain(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class FailureDomain(_Item, frozen=True):
     """A failure domain; out of service it receives no new work."""
 
     name: Name
@@ -122,7 +133,7 @@
     in_service: InService = True
 
 
-class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Team(_Item, frozen=True):
     """A team of callers.
 
     `key_hashes` are lower-case hex SHA-256 digests of the team's keys; two
@@ -142,7 +153,7 @@
     ] = 256
 
 
-class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Model(_Item, frozen=True):
     """A model with the weight version to serve and its adapters."""
 
     name: ModelName
@@ -152,7 +163,7 @@
     ] = []
 
 
-class StoreVm(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class StoreVm(_Item, frozen=True):
     """A store VM for cache blocks at an HTTP address (IP:port)."""
 
     name: Name
@@ -161,12 +172,12 @@
     in_service: InService = True
 
 
-class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Limits(_Item, frozen=True):
     """Limits that apply to every request."""
 
     max_body_bytes: Annotated[
         int,
-        Meta(ge=1024, le=256 * 1024 * 1024, description='Bytes of a body.'),
+        Meta(ge=1024, le=64 * 1024 * 1024, description='Bytes of a body.'),
     ] = 4 * 1024 * 1024
     max_prompt_tokens: Annotated[
         int, Meta(ge=1, le=10_000_000, description='Tokens of a prompt.')
@@ -187,7 +198,7 @@
     ] = 200_000_000
 
 
-class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Document(_Item, frozen=True):
     """The whole configuration that operators submit."""
 
     services: list[Service]
--- a/wigeonmill/console/forms.py
+++ b/wigeonmill/console/forms.py
@@ -14,6 +14,7 @@
 
 from wigeonmill.config.checks import check_document
 from wigeonmill.config.faults import Fault
+from wigeonmill.config.full_values import to_full_builtins
 from wigeonmill.config.model import Document
 from wigeonmill.config.reader import check_structure
 from wigeonmill.config.schema import document_schema
@@ -74,7 +75,7 @@
 def make_form(document: Document, ref: ItemRef) -> Form:
     """Return the form of an item, with the defaults for a new one."""
     item = find_item(document, ref)
-    values = msgspec.to_builtins(item) if item is not None else {}
+    values = to_full_builtins(item) if item is not None else {}
     fields = _blank_fields(document, ref)
     for form_field in fields:
         _fill(form_field, values.get(form_field.name))
@@ -87,7 +88,7 @@
     """Return the document with the typed item, or the form with errors."""
     fields = _blank_fields(document, ref)
     old = find_item(document, ref)
-    old_values = msgspec.to_builtins(old) if old is not None else {}
+    old_values = to_full_builtins(old) if old is not None else {}
     values = _default_values(ref) | old_values
     for form_field in fields:
         previous = old_values.get(form_field.name)
--- a/wigeonmill/console/reading.py
+++ b/wigeonmill/console/reading.py
@@ -2,11 +2,11 @@
 
 import json
 
-import msgspec
 from result import Err
 from tornado.web import HTTPError
 
 from wigeonmill.config.checks import in_service_targets
+from wigeonmill.config.full_values import to_full_builtins
 from wigeonmill.config.history import read_current
 from wigeonmill.config.history import read_latest
 from wigeonmill.console.base import ConsoleHandler
@@ -102,7 +102,7 @@
 
     def get(self) -> None:
         """Send the document."""
-        document = msgspec.to_builtins(self.current_draft().document)
+        document = to_full_builtins(self.current_draft().document)
         self.set_header('Content-Type', 'application/json')
         self.set_header(
             'Content-Disposition', 'attachment; filename="wigeonmill.json"'
--- a/wigeonmill/tools/record_commands.py
+++ b/wigeonmill/tools/record_commands.py
@@ -8,10 +8,10 @@
 from typing import Annotated
 
 import cappa
-import msgspec
 from result import Err
 
 from wigeonmill.config.diff import diff_documents
+from wigeonmill.config.full_values import to_full_builtins
 from wigeonmill.config.history import read_current
 from wigeonmill.config.history import read_latest
 from wigeonmill.config.history import read_serial
@@ -39,7 +39,7 @@
 
     def lines(self) -> Iterable[str]:
         """Return the document as JSON."""
-        document = msgspec.to_builtins(self.record.document)
+        document = to_full_builtins(self.record.document)
         yield json.dumps(document, indent=2)
 
 
--- a/wigeonmill/tools/report.py
+++ b/wigeonmill/tools/report.py
@@ -5,8 +5,6 @@
 import json
 from typing import Protocol
 
-import msgspec
-
 from wigeonmill.config.acceptance import Conflict
 from wigeonmill.config.acceptance import OutcomeUnknown
 from wigeonmill.config.acceptance import Rejected
@@ -14,6 +12,7 @@
 from wigeonmill.config.acceptance import Unavailable
 from wigeonmill.config.diff import Change
 from wigeonmill.config.faults import Fault
+from wigeonmill.config.full_values import to_full_builtins
 from wigeonmill.tools.exit_codes import ExitCode
 
 
@@ -127,6 +126,6 @@
 
 def format_json(report: Report) -> str:
     """Return a report as one JSON object with its exit code."""
-    fields = msgspec.to_builtins(report)
+    fields = to_full_builtins(report)
     fields['exit_code'] = int(report.exit_code)
     return json.dumps(fields)
