--- a/wigeonmill/config/model.py
+++ b/wigeonmill/config/model.py
@@ -100,28 +100,34 @@
     kind: ServiceKind
     targets: list[Target]
     model: Annotated[
-        str, Meta(description='Model of a model service; else empty.')
+        str, Meta(description='Model that the targets serve; empty if plain.')
     ] = ''
     non_repeatable: Annotated[
         list[CallRule],
-        Meta(description='Calls of a plain service run at most once.'),
+        Meta(description='Calls of a plain service that run at most once.'),
     ] = []
     fences_orders: Annotated[
         bool,
-        Meta(description='The targets refuse an old fencing number.'),
+        Meta(description='The targets refuse orders with an old number.'),
     ] = False
     block_tokens: Annotated[
         int, Meta(ge=16, le=65536, description='Tokens in a cache block.')
     ] = 1024
     cold_concurrency: Annotated[
-        int, Meta(ge=1, le=4096, description='Runs a cold target bears.')
+        int,
+        Meta(ge=1, le=4096, description='Open runs that a cold target bears.'),
     ] = 1
     max_concurrency: Annotated[
-        int, Meta(ge=1, le=4096, description='Runs a warm target bears.')
+        int,
+        Meta(ge=1, le=4096, description='Open runs that a warm target bears.'),
     ] = 64
     concurrent_loads: Annotated[
         int,
-        Meta(ge=1, le=1024, description='Weight loads at the same time.'),
+        Meta(
+            ge=1,
+            le=1024,
+            description='Targets that load weights at the same time.',
+        ),
     ] = 2
 
 
@@ -146,10 +152,15 @@
         Meta(description='SHA-256 of each key, 64 lower-case hex digits.'),
     ]
     weight: Annotated[
-        int, Meta(ge=1, le=1000, description='Share under load.')
+        int, Meta(ge=1, le=1000, description='Share of a target under load.')
     ] = 1
     max_open_requests: Annotated[
-        int, Meta(ge=1, le=100_000, description='Open requests per entry.')
+        int,
+        Meta(
+            ge=1,
+            le=100_000,
+            description='Open requests in each entry process.',
+        ),
     ] = 256
 
 
@@ -159,7 +170,7 @@
     name: ModelName
     version: ModelName
     adapters: Annotated[
-        list[ModelName], Meta(description='Adapters to load.')
+        list[ModelName], Meta(description='Adapters to serve.')
     ] = []
 
 
@@ -177,7 +188,11 @@
 
     max_body_bytes: Annotated[
         int,
-        Meta(ge=1024, le=64 * 1024 * 1024, description='Bytes of a body.'),
+        Meta(
+            ge=1024,
+            le=64 * 1024 * 1024,
+            description='Bytes of a request body.',
+        ),
     ] = 4 * 1024 * 1024
     max_prompt_tokens: Annotated[
         int, Meta(ge=1, le=10_000_000, description='Tokens of a prompt.')
@@ -187,14 +202,27 @@
     ] = 8192
     default_deadline_ms: Annotated[
         int,
-        Meta(ge=1, le=86_400_000, description='Milliseconds, if unnamed.'),
+        Meta(
+            ge=1,
+            le=86_400_000,
+            description='Milliseconds, if a request names none.',
+        ),
     ] = 60_000
     max_deadline_ms: Annotated[
-        int, Meta(ge=1, le=86_400_000, description='Milliseconds at most.')
+        int,
+        Meta(
+            ge=1,
+            le=86_400_000,
+            description='Milliseconds that a request may name.',
+        ),
     ] = 600_000
     store_link_bytes_per_second: Annotated[
         int,
-        Meta(ge=1, le=10**12, description='Bytes a second of a store link.'),
+        Meta(
+            ge=1,
+            le=10**12,
+            description='Bytes a second of the link to the store VMs.',
+        ),
     ] = 200_000_000
 
 
--- a/wigeonmill/tools/change_reports.py
+++ b/wigeonmill/tools/change_reports.py
@@ -31,7 +31,8 @@
 
     def lines(self) -> Iterable[str]:
         """Return one line for each change and fault."""
-        yield f'{len(self.changes)} changes against {self.base}'
+        noun = 'change' if len(self.changes) == 1 else 'changes'
+        yield f'{len(self.changes)} {noun} against {self.base}'
         for change in self.changes:
             yield f'  {change.line()}'
         for fault in self.faults:
--- a/wigeonmill/tools/cli.py
+++ b/wigeonmill/tools/cli.py
@@ -1,8 +1,11 @@
 """The operators' command line."""
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
+import os
 import sys
+from typing import TextIO
 
 import cappa
 
@@ -58,15 +61,24 @@
     command = args.command
     report = asyncio.run(command.run(around))
     if command.json:
-        print(format_json(report))
+        _print([format_json(report)], sys.stdout)
     else:
         failed = isinstance(report, ProblemReport)
-        stream = sys.stderr if failed else sys.stdout
-        for line in report.lines():
-            print(line, file=stream)
+        _print(report.lines(), sys.stderr if failed else sys.stdout)
     sys.exit(int(ExitCode(report.exit_code)))
 
 
+def _print(lines: Iterable[str], stream: TextIO) -> None:
+    """Print lines; a reader that has gone away is no fault."""
+    try:
+        for line in lines:
+            print(line, file=stream)
+        stream.flush()
+    except BrokenPipeError:
+        # The interpreter flushes once more on exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), stream.fileno())
+
+
 def _confirm(question: str) -> bool:
     """Ask on a terminal; scripts are not asked."""
     if not sys.stdin.isatty():
