Learn the store link's rate from exports too

Cause: the Alliance imported nothing. The assumed rate of the link before the first import made every import look slower than computing, so that no import ever came to correct it. Change: each exported block teaches the rate, and exports go one at a time, so that an import waits for one block at most.

--- a/bench/policy_sim/agent_cache.py
+++ b/bench/policy_sim/agent_cache.py
@@ -1,5 +1,6 @@
 """An agent's cache decisions over the fakes: views, imports, exports."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -196,15 +197,20 @@
         self._world.take_in(self._engine, frames, team)
 
     def _export_some(self) -> None:
-        loop = self._world.loop
-        loop.after(EXPORT_EVERY_MS, self._export_some)
+        """Export what is worth it, one block at a time."""
         candidates = [
             self._candidate(key, pending)
             for key, pending in self._pending.items()
         ]
         self._pending = {}
-        for candidate in self._exports.in_order(candidates):
-            self._export(candidate)
+        queue = self._exports.in_order(candidates)
+        self._export_next(collections.deque(queue))
+
+    def _export_next(self, queue: collections.deque[_Candidate]) -> None:
+        while queue:
+            if self._export(queue.popleft(), queue):
+                return
+        self._world.loop.after(EXPORT_EVERY_MS, self._export_some)
 
     def _candidate(self, key: bytes, pending: _PendingExport) -> _Candidate:
         estimator = self._admission.health.estimator
@@ -217,27 +223,30 @@
             pending,
         )
 
-    def _export(self, candidate: _Candidate) -> None:
+    def _export(
+        self, candidate: _Candidate, rest: collections.deque[_Candidate]
+    ) -> bool:
         now_ms = self._world.now_ms()
-        decision = self._exports.decide(candidate, now_ms)
-        if decision.transfer is None:
-            if decision.reason is ExportReason.LINK_BUDGET:
-                self._pending.setdefault(candidate.key, candidate.pending)
-            return
         place = place_for_write(
             candidate.pending.anchor, self._stores(), self._placement
         )
         if place is None or candidate.key not in self._engine.cache:
-            self._budget.end(decision.transfer, now_ms, 0)
-            return
+            return False
+        decision = self._exports.decide(candidate, now_ms)
+        if decision.transfer is None:
+            if decision.reason is ExportReason.LINK_BUDGET:
+                self._pending.setdefault(candidate.key, candidate.pending)
+            return False
         vm = [vm.name for vm in self._world.vms].index(place.name)
 
         def moved(took_ms: float) -> None:
-            self._world.export(
-                self._engine, candidate.key, candidate.pending.team, vm
-            )
+            self.learn_link(took_ms)
+            team = candidate.pending.team
+            self._world.export(self._engine, candidate.key, team, vm)
+            self._export_next(rest)
 
         self.move(decision.transfer, moved)
+        return True
 
 
 class BlockImport:
