Let the load rise while the simulated fleet warms up

The fleet started cold under full load, so that every scene began with a backlog that outlasted the warm-up. All policies get the same trace.

--- a/bench/policy_sim/scenes.py
+++ b/bench/policy_sim/scenes.py
@@ -16,6 +16,9 @@
 from bench.policy_sim.world import World
 
 WARMUP_S = 25.0
+# The load rises from a part of the first phase's, as the fleet starts cold.
+RAMP_S = 12.0
+RAMP_SHARE = 0.4
 DURATION_S = 85.0
 # Time that operators' changes take to reach every process.
 CONFIG_LAG_MS = 1000.0
@@ -60,7 +63,7 @@
     workload: Workload, scene: Scene, rng: random.Random
 ) -> list[SimRequest]:
     """Return the scene's requests."""
-    phases = scene.phases or workload.phases
+    phases = _ramped(scene.phases or workload.phases)
     maker = TraceMaker(workload, rng)
     requests = maker.make(phases, DURATION_S, scene.load_scale)
     if scene.flooding:
@@ -70,6 +73,12 @@
     return sorted(requests, key=lambda req: (req.arrival_ms, req.id))
 
 
+def _ramped(phases: Sequence[Phase]) -> tuple[Phase, ...]:
+    first = phases[0]
+    low = replace(first, load=first.load * RAMP_SHARE)
+    return (low, replace(first, from_s=RAMP_S), *phases[1:])
+
+
 def _flood(
     workload: Workload,
     scene: Scene,
