Judge a first token by the work done before it

Expected times counted the prefill ahead at the start only, so that urgent prompts which came later made first tokens look slow and warm targets fell back to cold all the time. Now the prefill that ended in between counts.

--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -208,7 +208,6 @@
         if ticket is None:
             return None
         ticket.state = TicketState.RUNNABLE
-        ticket.prefill_ahead = self._in_flight.prefill
         self._in_flight.add(ticket)
         return ticket
 
@@ -225,8 +224,7 @@
         if reason is not None:
             self._in_flight.remove(ticket)
             return self._refused_now(Refusal(reason))
-        ticket.state = TicketState.STARTED
-        ticket.started_ms = self._clock.now_ms()
+        self._in_flight.start(ticket, self._clock.now_ms())
         if ticket.alone:
             fingerprint = ticket.request.fingerprint
             self.quarantine.on_retry(fingerprint, self._clock.wall_ms())
@@ -241,7 +239,8 @@
         ticket.first_token_ms = self._clock.now_ms()
         self._in_flight.end_prefill(ticket)
         took_ms = ticket.first_token_ms - ticket.started_ms
-        tokens = ticket.prefill_ahead + ticket.plan.recompute_tokens
+        # More urgent runs may have gone first, before or after the start.
+        tokens = self._in_flight.computed - ticket.computed_before
         ticket.healthy = self.health.on_first_token(tokens, took_ms)
 
     def finished(self, ticket_id: int, outcome: RunOutcome) -> None:
--- a/wigeonmill/agent/admission_types.py
+++ b/wigeonmill/agent/admission_types.py
@@ -98,7 +98,11 @@
 
 @dataclass(slots=True, eq=False)
 class Ticket:
-    """An admitted request; its weight version never changes."""
+    """An admitted request; its weight version never changes.
+
+    `computed_before` counts the prefill, in tokens, that the target had
+    done for all runs when this one started.
+    """
 
     id: int
     request: RunRequest
@@ -110,7 +114,7 @@
     runnable_ms: float = 0.0
     started_ms: float = 0.0
     first_token_ms: float = 0.0
-    prefill_ahead: int = 0
+    computed_before: int = 0
     healthy: bool = True
     blamed: bool = False
 
--- a/wigeonmill/agent/in_flight.py
+++ b/wigeonmill/agent/in_flight.py
@@ -9,13 +9,20 @@
 class InFlight:
     """Runs with a slot and the prefill that they still have to do."""
 
-    __slots__ = ('_tickets', '_short_tokens', '_prefill', '_long_prefill')
+    __slots__ = (
+        '_tickets',
+        '_short_tokens',
+        '_prefill',
+        '_long_prefill',
+        '_computed',
+    )
 
     def __init__(self, short_tokens: int) -> None:
         self._short_tokens = short_tokens
         self._tickets: dict[int, Ticket] = {}
         self._prefill = 0
         self._long_prefill = 0
+        self._computed = 0
 
     def __len__(self) -> int:
         return len(self._tickets)
@@ -33,6 +40,11 @@
         """Tokens of prefill in flight by runs that aren't short."""
         return self._long_prefill
 
+    @property
+    def computed(self) -> int:
+        """Tokens of all prefill that has been seen to end."""
+        return self._computed
+
     @property
     def alone(self) -> bool:
         """Whether a run is in flight that must run alone."""
@@ -53,8 +65,16 @@
         self._tickets[ticket.id] = ticket
         self._change_prefill(ticket, ticket.cost)
 
+    def start(self, ticket: Ticket, now_ms: float) -> None:
+        """Note that the target has a run from now on."""
+        ticket.state = TicketState.STARTED
+        ticket.started_ms = now_ms
+        ticket.computed_before = self._computed
+
     def end_prefill(self, ticket: Ticket) -> None:
         """Take a run's prefill as done."""
+        if ticket.state is TicketState.STARTED:
+            self._computed += ticket.cost
         if ticket.state is not TicketState.STREAMING:
             ticket.state = TicketState.STREAMING
             self._change_prefill(ticket, -ticket.cost)
