Learn the link's rate quickly from an optimistic prior

The prior of 50 MB/s made imports look dearer than recomputation, so the Alliance never imported and never learned better.

--- a/wigeonmill/agent/estimator.py
+++ b/wigeonmill/agent/estimator.py
@@ -8,6 +8,9 @@
 MIN_SAMPLES = 16
 # Weight of a new sample in the moving averages.
 EWMA_WEIGHT = 0.1
+# Least weight of a new sample in the link's rate; the first few weigh more,
+# so that the prior doesn't keep the target from importing.
+IMPORT_WEIGHT = 0.2
 # Weight of a new sample in the slowdown of a cold target.
 SLOWDOWN_WEIGHT = 0.3
 # Slowdown assumed of a target that has just turned cold.
@@ -23,7 +26,7 @@
     prefill_tokens_per_ms: float = 8.0
     decode_ms_per_token: float = 25.0
     held_ms: float = 4_000.0
-    link_bytes_per_ms: float = 50_000.0
+    link_bytes_per_ms: float = 200_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +64,7 @@
         '_held_ms',
         '_link_bytes_per_ms',
         '_slowdown',
+        '_imports',
     )
 
     def __init__(self, prior: EstimatorPrior | None = None) -> None:
@@ -70,6 +74,7 @@
         self._held_ms = self._prior.held_ms
         self._link_bytes_per_ms = self._prior.link_bytes_per_ms
         self._slowdown = 1.0
+        self._imports = 0
 
     @property
     def confident(self) -> bool:
@@ -114,7 +119,10 @@
         """Learn the link's rate from one import."""
         if size_bytes > 0 and took_ms > 0.0:
             rate = size_bytes / took_ms
-            self._link_bytes_per_ms = _ewma(self._link_bytes_per_ms, rate)
+            self._imports += 1
+            weight = max(IMPORT_WEIGHT, 1.0 / self._imports)
+            change = weight * (rate - self._link_bytes_per_ms)
+            self._link_bytes_per_ms += change
 
     def on_cold(self) -> None:
         """Expect slower times than learned until `on_warm`."""
