Grow the cold limit from the first healthy completion on

Two completions were waited for first; each still brings one more run, so that the limit stays below what a target that warms with its completions bears.

--- a/wigeonmill/agent/limiter.py
+++ b/wigeonmill/agent/limiter.py
@@ -14,7 +14,7 @@
 
     cold: int
     maximum: int
-    cold_completions: int = 2
+    cold_completions: int = 0
     slow_start_share: float = 0.75
     overload_factor: float = 0.5
 
