Keep four fifths of a service's capacity while weights roll

At the load of 80 % a floor of 0.6 took out more than was spare. A service too small for the floor gives up one target while all others are warm.

--- a/wigeonmill/agent/rollout.py
+++ b/wigeonmill/agent/rollout.py
@@ -49,11 +49,12 @@
     """Bounds of a rollout.
 
     At least `min_serving_share` of the capacity of all targets stays in
-    service; at most `concurrent_loads` targets hold a load slot at a time.
+    service, but for one target at a time in services too small for that. At
+    most `concurrent_loads` targets hold a load slot at a time.
     """
 
     concurrent_loads: int
-    min_serving_share: float = 0.6
+    min_serving_share: float = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +149,8 @@
     left = Counter(target.failure_domain for target in serving)
     places = settings.concurrent_loads - _under_change(targets, slots_held)
     old = [t for t in serving if t.weight_version != weight_version]
+    if _may_miss_one(targets, settings):
+        spare = max(spare, max(t.capacity for t in targets))
     orders: list[Order] = []
     while old and len(orders) < places:
         # The domain with most targets in service can best miss one.
@@ -161,6 +164,20 @@
     return orders
 
 
+def _may_miss_one(
+    targets: list[TargetReport], settings: RolloutSettings
+) -> bool:
+    share = settings.min_serving_share
+    total = sum(target.capacity for target in targets)
+    least = min((target.capacity for target in targets), default=0.0)
+    too_small = total - least < total * share
+    all_warm = all(
+        target.phase is TargetPhase.SERVING and target.limit_share >= share
+        for target in targets
+    )
+    return too_small and all_warm
+
+
 def _loading(
     live: list[TargetReport], slots_held: frozenset[str]
 ) -> frozenset[str]:
