Take only times too long for whole prompts as a cold start

Blocks that the target had evicted unseen made a first token look slow and one warm target fell back to cold.

--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -240,8 +240,8 @@
         self._in_flight.end_prefill(ticket)
         took_ms = ticket.first_token_ms - ticket.started_ms
         # More urgent runs may have gone first, before or after the start.
-        tokens = self._in_flight.computed - ticket.computed_before
-        ticket.healthy = self.health.on_first_token(tokens, took_ms)
+        work = self._in_flight.work_since(ticket)
+        ticket.healthy = self.health.on_first_token(work, took_ms)
 
     def finished(self, ticket_id: int, outcome: RunOutcome) -> None:
         """Take the end of a run that holds a slot."""
--- a/wigeonmill/agent/admission_types.py
+++ b/wigeonmill/agent/admission_types.py
@@ -100,8 +100,8 @@
 class Ticket:
     """An admitted request; its weight version never changes.
 
-    `computed_before` counts the prefill, in tokens, that the target had
-    done for all runs when this one started.
+    `computed_before` and `prompted_before` count the prefill, in tokens as
+    planned and as prompts, that the target had done when this run started.
     """
 
     id: int
@@ -115,6 +115,7 @@
     started_ms: float = 0.0
     first_token_ms: float = 0.0
     computed_before: int = 0
+    prompted_before: int = 0
     healthy: bool = True
     blamed: bool = False
 
--- a/wigeonmill/agent/in_flight.py
+++ b/wigeonmill/agent/in_flight.py
@@ -1,11 +1,24 @@
 """The runs that hold a slot at the target."""
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from wigeonmill.agent.admission_types import Ticket
 from wigeonmill.agent.admission_types import TicketState
 
 
+@dataclass(frozen=True, slots=True)
+class PrefillWork:
+    """Prefill of a target in tokens.
+
+    `planned` leaves out what was expected in its cache; `most` counts whole
+    prompts, as blocks may have been evicted unseen.
+    """
+
+    planned: int
+    most: int
+
+
 class InFlight:
     """Runs with a slot and the prefill that they still have to do."""
 
@@ -15,6 +28,7 @@
         '_prefill',
         '_long_prefill',
         '_computed',
+        '_prompted',
     )
 
     def __init__(self, short_tokens: int) -> None:
@@ -23,6 +37,7 @@
         self._prefill = 0
         self._long_prefill = 0
         self._computed = 0
+        self._prompted = 0
 
     def __len__(self) -> int:
         return len(self._tickets)
@@ -40,10 +55,12 @@
         """Tokens of prefill in flight by runs that aren't short."""
         return self._long_prefill
 
-    @property
-    def computed(self) -> int:
-        """Tokens of all prefill that has been seen to end."""
-        return self._computed
+    def work_since(self, ticket: Ticket) -> PrefillWork:
+        """Return the prefill that ended since a run was started."""
+        return PrefillWork(
+            self._computed - ticket.computed_before,
+            self._prompted - ticket.prompted_before,
+        )
 
     @property
     def alone(self) -> bool:
@@ -70,11 +87,13 @@
         ticket.state = TicketState.STARTED
         ticket.started_ms = now_ms
         ticket.computed_before = self._computed
+        ticket.prompted_before = self._prompted
 
     def end_prefill(self, ticket: Ticket) -> None:
         """Take a run's prefill as done."""
         if ticket.state is TicketState.STARTED:
             self._computed += ticket.cost
+            self._prompted += ticket.request.prompt_tokens
         if ticket.state is not TicketState.STREAMING:
             ticket.state = TicketState.STREAMING
             self._change_prefill(ticket, -ticket.cost)
--- a/wigeonmill/agent/target_health.py
+++ b/wigeonmill/agent/target_health.py
@@ -6,6 +6,7 @@
 from wigeonmill.agent.cold_start import ColdSign
 from wigeonmill.agent.cold_start import ColdStartDetector
 from wigeonmill.agent.estimator import Estimator
+from wigeonmill.agent.in_flight import PrefillWork
 from wigeonmill.agent.limiter import ConcurrencyLimiter
 from wigeonmill.agent.limiter import make_limiter
 from wigeonmill.clock import Clock
@@ -113,24 +114,29 @@
         self._unreachable_until_ms = now_ms + self._settings.unreachable_ms
         self._turn_cold(self._detector.on_connection_failed())
 
-    def on_first_token(self, tokens: int, took_ms: float) -> bool:
+    def on_first_token(self, work: PrefillWork, took_ms: float) -> bool:
         """Take a first token; returns whether its time was healthy.
 
-        `tokens` counts the run's own prefill and what was ahead of it.
+        `work` is the prefill that the target did in that time. Only a time
+        too long for computing the whole prompts is a sign of a cold start.
         """
         self._answered_ms = self._clock.now_ms()
-        if not self.estimator.confident:
-            self.estimator.on_first_token(tokens, took_ms)
+        estimator = self.estimator
+        if not estimator.confident:
+            estimator.on_first_token(work.planned, took_ms)
             return True
-        expected_ms = self.estimator.first_token_ms(tokens)
-        sign = self._detector.on_first_token(took_ms, expected_ms)
+        most_ms = estimator.first_token_ms(work.most)
+        sign = self._detector.on_first_token(took_ms, most_ms)
         if sign is not None:
             self._turn_cold(sign)
-        healthy = self._is_healthy(took_ms, expected_ms)
+        healthy = took_ms <= self._healthy_ms(most_ms)
         if self.cold:
-            self._learn_while_cold(tokens, took_ms, healthy)
+            self._learn_while_cold(work.planned, took_ms, healthy)
         else:
-            self.estimator.on_first_token(tokens, took_ms)
+            planned_ms = estimator.first_token_ms(work.planned)
+            # An unseen eviction says nothing of the target's speed.
+            learned_ms = min(took_ms, self._healthy_ms(planned_ms))
+            estimator.on_first_token(work.planned, learned_ms)
         return healthy
 
     def on_completed(self, healthy: bool) -> None:
@@ -147,10 +153,9 @@
         """Take a refusal of the target for too much work."""
         self._limiter.on_overload()
 
-    def _is_healthy(self, took_ms: float, expected_ms: float) -> bool:
+    def _healthy_ms(self, expected_ms: float) -> float:
         factor = self._settings.healthy_factor
-        floor_ms = self._settings.healthy_floor_ms
-        return took_ms <= expected_ms * factor + floor_ms
+        return expected_ms * factor + self._settings.healthy_floor_ms
 
     def _learn_while_cold(
         self, tokens: int, took_ms: float, healthy: bool
