--- a/wigeonmill/agent/admission_types.py
+++ b/wigeonmill/agent/admission_types.py
@@ -98,7 +98,11 @@
 
 @dataclass(slots=True, eq=False)
 class Ticket:
-    """An admitted request; its weight version never changes."""
+    """An admitted request; its weight version never changes.
+
+    `computed_before` and `prompted_before` count the prefill, in tokens as
+    planned and as prompts, that the target had done when this run started.
+    """
 
     id: int
     request: RunRequest
@@ -110,8 +114,8 @@
     runnable_ms: float = 0.0
     started_ms: float = 0.0
     first_token_ms: float = 0.0
-    # The target's total of finished prefill when the run started.
-    prefill_done: int = 0
+    computed_before: int = 0
+    prompted_before: int = 0
     healthy: bool = True
     blamed: bool = False
 
