Spread configuration and membership by gossip

Every process followed the configuration key itself, so calls to the key-value service grew with the fleet, and nobody knew who was alive. Processes now exchange with a few neighbors: two readers a failure domain watch the key, the others fetch changed sections from the peer that is ahead. Silence makes a member suspect, then dead; a false account is refuted by a higher heartbeat, and removals wait while the observer may be the one cut off.

--- a/wigeonmill/agent/role.py
+++ b/wigeonmill/agent/role.py
@@ -41,8 +41,10 @@
         self._engine: EngineClient | None = None
         self._calls: CallClient | None = None
         self._claims: ClaimStore | None = None
+        self._draining = False
         node.handlers.append(self._handle)
         node.holder.subscribe(self._on_config)
+        node.membership.subscribe(self._on_membership)
 
     def start(self) -> None:
         """Begin work if a configuration is already in force."""
@@ -52,12 +54,11 @@
 
     async def drain(self) -> None:
         """Refuse new and waiting work; finish what runs; deliver answers."""
+        self._draining = True
         context, service = self._context, self._service
         if context is None or service is None:
             return
-        context.leaving = True
-        context.admission.set_draining(True)
-        service.tick()
+        self._set_leaving(context, service, True)
         while service.busy or context.runs.undelivered():
             await asyncio.sleep(POLL_MS / 1000.0)
 
@@ -123,6 +124,7 @@
         node.spawn(watch.run())
         node.spawn(self._tick(self._service))
         logger.info('target %s is served', node.settings.agent.target)
+        self._on_membership()
 
     def _make_plain(
         self, context: AgentContext, placement: Placement
@@ -135,6 +137,22 @@
         )
         return PlainService(context, self._calls, self._claims)
 
+    def _on_membership(self) -> None:
+        context, service = self._context, self._service
+        if context is None or service is None or self._draining:
+            return
+        leaving = self._node.membership.own_vm_leaving
+        if leaving != context.leaving:
+            logger.info('the VM is leaving: %s', leaving)
+            self._set_leaving(context, service, leaving)
+
+    def _set_leaving(
+        self, context: AgentContext, service: AgentService, leaving: bool
+    ) -> None:
+        context.leaving = leaving
+        context.admission.set_draining(leaving)
+        service.tick()
+
     async def _tick(self, service: AgentService) -> None:
         while True:
             service.tick()
--- a/wigeonmill/daemon.py
+++ b/wigeonmill/daemon.py
@@ -53,10 +53,12 @@
         )
         roles = self._make_roles(node)
         node.start()
+        node.membership.subscribe(lambda: self._check_superseded(node))
         for role in roles:
             role.start()
         await self._stop.wait()
         logger.info('shutting down')
+        await node.membership.leave()
         await self._drain(roles)
         for role in roles:
             await role.close()
@@ -73,6 +75,12 @@
             roles.append(EntryRole(node, tls))
         return roles
 
+    def _check_superseded(self, node: Node) -> None:
+        """Step aside for a later process of the same name."""
+        if node.membership.superseded and not self._stop.is_set():
+            logger.critical('a later process bears this name')
+            self._stop.set()
+
     async def _drain(self, roles: list[EntryRole | AgentRole]) -> None:
         draining = [asyncio.ensure_future(role.drain()) for role in roles]
         timeout_s = self._settings.drain_timeout_ms / 1000.0
--- a/wigeonmill/entry/role.py
+++ b/wigeonmill/entry/role.py
@@ -28,6 +28,9 @@
             node.metrics,
         )
         self._server = EntryServer(self.context, ssl_context)
+        self._membership = node.membership
+        self._draining = False
+        node.membership.subscribe(self._on_membership)
 
     @property
     def address(self) -> str:
@@ -40,6 +43,7 @@
 
     async def drain(self) -> None:
         """Let the balancer notice, then refuse new and finish open work."""
+        self._draining = True
         self.context.leaving = True
         grace_ms = self.context.settings.leave_grace_ms
         await asyncio.sleep(grace_ms / 1000.0)
@@ -51,3 +55,8 @@
     async def close(self) -> None:
         """Close every caller's connection."""
         await self._server.close()
+
+    def _on_membership(self) -> None:
+        self.context.set_unavailable(self._membership.unavailable)
+        if not self._draining:
+            self.context.leaving = self._membership.own_vm_leaving
--- a/wigeonmill/membership/config_feed.py
+++ b/wigeonmill/membership/config_feed.py
@@ -1,57 +1,115 @@
-"""Keeps a process's configuration up to date from the key-value service."""
+"""Keeps a process's configuration up to date.
+
+The readers of a failure domain watch the key-value service. Everyone else
+fetches from the peer that showed a higher serial, and reads the service
+only when no peer helps.
+"""
 
 import asyncio
 import logging
+import random
 
 import msgspec
 
 from wigeonmill.config.holder import ConfigHolder
 from wigeonmill.config.model import CONFIG_KEY
 from wigeonmill.config.model import decode_record
+from wigeonmill.membership.freshness import Freshness
+from wigeonmill.membership.peer_source import PeerSource
 from wigeonmill.metrics import Metrics
 from wigeonmill.platform.key_value import KeyValue
 
 logger = logging.getLogger(__name__)
 
-WATCH_MS = 20_000
-RETRY_MS = 500
-HINT_PAUSE_MS = 200
+WATCH_MS = 10_000
+RETRY_MS = 250.0
+RETRY_MAX_MS = 5_000.0
+HINT_PAUSE_MS = 50.0
+# Peers asked for their configuration when the service does not answer.
+COLD_START_PEERS = 5
+# A configuration that no reader confirmed for so long is read directly.
+STALE_MS = 30_000.0
+# Direct reads of the whole fleet a second, and the least pause of one
+# process between two of them: with its peers, and cut off from them.
+FLEET_READS_PER_SECOND = 5.0
+DIRECT_PAUSE_MS = 10_000.0
+CUT_OFF_PAUSE_MS = 5_000.0
 
 
 class ConfigFeed:
-    """Reads the configuration once, then watches its key."""
+    """Adopts newer records from the key-value service and from peers."""
 
     def __init__(
-        self, key_value: KeyValue, holder: ConfigHolder, metrics: Metrics
+        self,
+        key_value: KeyValue,
+        holder: ConfigHolder,
+        freshness: Freshness,
+        peers: PeerSource,
+        rng: random.Random,
+        metrics: Metrics,
     ) -> None:
         self._key_value = key_value
         self._holder = holder
+        self._freshness = freshness
+        self._peers = peers
+        self._rng = rng
         self._metrics = metrics
         self._hinted = asyncio.Event()
+        self._source = ''
 
-    def hint(self, serial: int) -> None:
-        """Note that a peer has a later configuration, `serial`."""
+    def hint(self, source: str, serial: int) -> None:
+        """Note that the peer `source` (name or IP:port) has `serial`."""
         if serial > self._holder.serial:
+            self._source = source
             self._hinted.set()
 
     async def follow_hints(self) -> None:
-        """Read at once when a peer is ahead, until cancelled."""
+        """Fetch at once when a peer is ahead, until cancelled."""
         while True:
             await self._hinted.wait()
             self._hinted.clear()
-            await self._read()
+            if not await self._peers.pull(self._source):
+                await self._read()
             await asyncio.sleep(HINT_PAUSE_MS / 1000.0)
 
-    async def run(self) -> None:
-        """Follow the key until cancelled."""
+    async def follow_key(self) -> None:
+        """Read the key, then watch it, until cancelled."""
         revision = 0
+        pause_ms = RETRY_MS
         while True:
-            if not revision:
-                revision = await self._read()
-            else:
+            if revision:
                 revision = await self._watch(revision)
-            if not revision:
-                await asyncio.sleep(RETRY_MS / 1000.0)
+            else:
+                revision = await self._read()
+            if revision:
+                pause_ms = RETRY_MS
+                continue
+            if not self._holder.serial:
+                await self.ask_peers()
+            await asyncio.sleep(pause_ms * self._jitter() / 1000.0)
+            pause_ms = min(pause_ms * 2, RETRY_MAX_MS)
+
+    async def ask_peers(self) -> None:
+        """Adopt the highest configuration of several peers."""
+        await self._peers.pull_from_several(COLD_START_PEERS)
+
+    async def read_if_stale(self, elapsed_ms: float) -> None:
+        """Read directly, now and then, if no reader confirmed for long.
+
+        `elapsed_ms` is the time since the last call.
+        """
+        if self._freshness.age_ms < STALE_MS:
+            return
+        pause_ms = self._direct_pause_ms()
+        if self._rng.random() * pause_ms < elapsed_ms:
+            self._metrics.count('config_retries', 'stale')
+            await self._read()
+
+    def _direct_pause_ms(self) -> float:
+        if self._peers.cut_off:
+            return CUT_OFF_PAUSE_MS
+        shared_ms = 1000.0 * self._peers.count / FLEET_READS_PER_SECOND
+        return max(DIRECT_PAUSE_MS, shared_ms)
 
     async def _read(self) -> int:
         read = await self._key_value.get(CONFIG_KEY)
@@ -70,6 +128,7 @@
             self._metrics.count('config_reads_failed', 'watch')
             return 0
         batch = watched.unwrap()
+        self._freshness.confirm()
         for event in batch.events:
             if event.entry is not None:
                 self._adopt(event.entry.value)
@@ -82,4 +141,9 @@
             self._metrics.count('config_refused', 'malformed')
             logger.error('configuration in the key-value service is malformed')
             return
-        self._holder.adopt(record)
+        self._freshness.confirm()
+        if record.serial > self._holder.serial:
+            self._holder.adopt(record)
+
+    def _jitter(self) -> float:
+        return self._rng.uniform(0.5, 1.5)
--- /dev/null
+++ b/wigeonmill/membership/membership.py
@@ -0,0 +1,229 @@
+"""Membership of one process: view, gossip, readers, configuration."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import logging
+import random
+from typing import Any
+
+from wigeonmill.clock import Clock
+from wigeonmill.config.holder import ConfigHolder
+from wigeonmill.config.model import Document
+from wigeonmill.membership.availability import unavailable_targets
+from wigeonmill.membership.config_feed import ConfigFeed
+from wigeonmill.membership.freshness import Freshness
+from wigeonmill.membership.gossip import Gossiper
+from wigeonmill.membership.member import Member
+from wigeonmill.membership.member import State
+from wigeonmill.membership.member import to_wire
+from wigeonmill.membership.overlay import is_reader
+from wigeonmill.membership.peer_source import PeerSource
+from wigeonmill.membership.readers import Reader
+from wigeonmill.membership.readers import VmListFeed
+from wigeonmill.membership.view import View
+from wigeonmill.membership.vm_news import VmNews
+from wigeonmill.metrics import Metrics
+from wigeonmill.platform.key_value import KeyValue
+from wigeonmill.platform.vm_list import VmList
+from wigeonmill.protocol.client import PeerPool
+from wigeonmill.protocol.conn import Conn
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
+from wigeonmill.protocol.gen.inner.ttypes import Kind
+from wigeonmill.protocol.gen.inner.ttypes import MemberState
+
+logger = logging.getLogger(__name__)
+
+ROUND_MS = 1_000.0
+# Rounds between two tries to reach someone who is not in the view or gone.
+SEED_ROUNDS = 5
+# Members asked in a round because peers' accounts of them differ.
+DISPUTED_PER_ROUND = 16
+GOODBYE_TIMEOUT_MS = 1_000.0
+
+Listener = Callable[[], None]
+
+
+class Membership:
+    """Takes part in the fleet on behalf of one process."""
+
+    def __init__(
+        self,
+        me: Member,
+        seeds: list[str],
+        pool: PeerPool,
+        key_value: KeyValue,
+        vm_list: VmList | None,
+        holder: ConfigHolder,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        spawn: Callable[[Coroutine[Any, Any, None]], 'asyncio.Task[None]'],
+    ) -> None:
+        self.view = View(me, clock)
+        self.vm_news = VmNews(self._on_vm_news)
+        self.unavailable: frozenset[str] = frozenset()
+        self._configured_seeds = seeds
+        self._pool = pool
+        self._holder = holder
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._spawn = spawn
+        self._listeners: list[Listener] = []
+        freshness = Freshness(clock)
+        self.gossiper = Gossiper(
+            self.view,
+            pool,
+            holder,
+            freshness,
+            self.vm_news,
+            clock,
+            metrics,
+            spawn,
+            self._on_members,
+        )
+        peers = PeerSource(self.view, self.gossiper, self._seeds, rng)
+        self.feed = ConfigFeed(
+            key_value, holder, freshness, peers, rng, metrics
+        )
+        self._readers = [Reader(lambda: spawn(self.feed.follow_key()))]
+        if vm_list is not None:
+            vm_feed = VmListFeed(vm_list, self.vm_news, rng, metrics)
+            self._readers.append(Reader(lambda: spawn(vm_feed.follow())))
+        holder.subscribe(lambda _record: self._on_members())
+        metrics.gauge('config_age_ms', lambda: freshness.age_ms)
+        self._register_gauges()
+
+    @property
+    def own_vm_leaving(self) -> bool:
+        """Whether the VM list shows this process's VM as leaving."""
+        me = self.view.me
+        names = tuple(name for name in (me.name, me.target) if name)
+        return self.vm_news.is_leaving(names, me.address)
+
+    @property
+    def superseded(self) -> bool:
+        """Whether a later process bears this process's name."""
+        return self.view.superseded
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this process reads for its failure domain."""
+        return self._readers[0].active
+
+    def start(self) -> None:
+        """Read the configuration and begin to exchange with peers."""
+        self._set_readers()
+        self._spawn(self.feed.follow_hints())
+        self._spawn(self._run())
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call `listener` when members or leaving VMs have changed."""
+        self._listeners.append(listener)
+
+    def handle(self, conn: Conn, envelope: Envelope) -> bool:
+        """Answer a gossip message; False if it is of another kind."""
+        if envelope.kind != Kind.GOSSIP or envelope.gossip is None:
+            return False
+        serial = envelope.config_serial or 0
+        answer = self.gossiper.answer(envelope.gossip, serial)
+        reply = Envelope(
+            Kind.GOSSIP_REPLY, envelope.stream, self._holder.serial
+        )
+        reply.gossip = answer
+        conn.send(reply)
+        return True
+
+    def hint(self, source: str, serial: int) -> None:
+        """Note that a peer (name or IP:port) has the higher `serial`."""
+        self.feed.hint(source, serial)
+
+    def wire_members(self) -> list[MemberState]:
+        """Return every member with the serial last heard of it."""
+        return [to_wire(member) for member in self.view.everyone()]
+
+    async def leave(self) -> None:
+        """Say goodbye, so that nobody sends new work here."""
+        for reader in self._readers:
+            reader.set_active(False)
+        goodbye = self.gossiper.say_goodbye()
+        try:
+            await asyncio.wait_for(goodbye, GOODBYE_TIMEOUT_MS / 1000.0)
+        except asyncio.TimeoutError:
+            self._metrics.count('gossip_failures', 'goodbye')
+
+    def close(self) -> None:
+        """Close every connection to peers."""
+        self._pool.close()
+
+    async def _run(self) -> None:
+        rounds = 0
+        while self.view.me.state is not State.LEFT:
+            start_ms = self._clock.now_ms()
+            self._round(rounds)
+            rounds += 1
+            pause_ms = ROUND_MS * self._rng.uniform(0.9, 1.1)
+            await asyncio.sleep(pause_ms / 1000.0)
+            elapsed_ms = self._clock.now_ms() - start_ms
+            self._spawn(self.feed.read_if_stale(elapsed_ms))
+
+    def _round(self, number: int) -> None:
+        for member in self.view.tick():
+            self._metrics.count('members_removed')
+            logger.info('%s is dead', member.name)
+        self.gossiper.refresh()
+        if self.view.has_news:
+            self.gossiper.poke()
+        self._spawn(self.gossiper.probe_next())
+        self._spawn(self.gossiper.probe_disputed(DISPUTED_PER_ROUND))
+        alone = not self.view.alive()
+        if alone or number % SEED_ROUNDS == 0:
+            self._spawn(self._try_seed())
+
+    async def _try_seed(self) -> None:
+        """Contact someone out of sight, so that parted views merge."""
+        seen = {member.address for member in self.view.alive()}
+        seen.add(self.view.me.address)
+        away = [m.address for m in self.view.suspects() + self.view.gone()]
+        hidden = [a for a in away + self._seeds() if a not in seen]
+        if hidden:
+            await self.gossiper.contact(self._rng.choice(hidden))
+
+    def _seeds(self) -> list[str]:
+        seeds = list(self._configured_seeds)
+        document: Document | None = self._holder.document
+        if document is not None:
+            for service in document.services:
+                seeds.extend(target.agent for target in service.targets)
+        return [seed for seed in seeds if seed != self.view.me.address]
+
+    def _on_members(self) -> None:
+        if self.view.me.state is State.ALIVE:
+            self._set_readers()
+        document = self._holder.document
+        if document is not None:
+            self.unavailable = unavailable_targets(
+                document, self.view, self.vm_news
+            )
+        for listener in self._listeners:
+            listener()
+
+    def _on_vm_news(self) -> None:
+        logger.info('%d VMs are leaving', len(self.vm_news.leaving))
+        self.gossiper.poke()
+        self._on_members()
+
+    def _set_readers(self) -> None:
+        chosen = is_reader(self.view.me, self.view.alive())
+        for reader in self._readers:
+            reader.set_active(chosen)
+
+    def _register_gauges(self) -> None:
+        gauge = self._metrics.gauge
+        view = self.view
+        gauge('members_alive', lambda: float(len(view.alive()) + 1))
+        gauge('members_suspect', lambda: float(len(view.suspects())))
+        gauge('members_gone', lambda: float(len(view.gone())))
+        gauge('membership_frozen', lambda: float(view.frozen))
+        gauge('config_reader', lambda: float(self.is_reader))
--- /dev/null
+++ b/wigeonmill/membership/peer_source.py
@@ -0,0 +1,58 @@
+"""Finds the peers to fetch a configuration from."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from wigeonmill.membership.gossip import Gossiper
+from wigeonmill.membership.view import View
+from wigeonmill.settings import is_address
+
+
+class PeerSource:
+    """Fetches from a named peer, or from several known ones."""
+
+    __slots__ = ('_view', '_gossiper', '_seeds', '_rng')
+
+    def __init__(
+        self,
+        view: View,
+        gossiper: Gossiper,
+        seeds: Callable[[], list[str]],
+        rng: random.Random,
+    ) -> None:
+        self._view = view
+        self._gossiper = gossiper
+        self._seeds = seeds
+        self._rng = rng
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether no peer answers."""
+        return self._view.cut_off
+
+    @property
+    def count(self) -> int:
+        """Number of processes that are alive, this one included."""
+        return len(self._view.alive()) + 1
+
+    async def pull(self, source: str) -> bool:
+        """Fetch from `source`, a member's name or an IP:port address."""
+        address = self._find(source)
+        return bool(address) and await self._gossiper.pull(address)
+
+    async def pull_from_several(self, limit: int) -> None:
+        """Fetch from up to `limit` peers; the highest serial stays."""
+        alive = [member.address for member in self._view.alive()]
+        known = list(dict.fromkeys(alive + self._seeds()))
+        chosen = self._rng.sample(known, min(limit, len(known)))
+        await asyncio.gather(*map(self._gossiper.pull, chosen))
+
+    def _find(self, source: str) -> str:
+        member = self._view.members.get(source)
+        if member is not None:
+            return member.address
+        if is_address(source):
+            return source
+        beside = self._gossiper.neighbors
+        return self._rng.choice(beside).address if beside else ''
--- /dev/null
+++ b/wigeonmill/membership/readers.py
@@ -0,0 +1,71 @@
+"""Work that only a fixed number of processes in a failure domain does."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from wigeonmill.membership.vm_news import VmNews
+from wigeonmill.metrics import Metrics
+from wigeonmill.platform.vm_list import VmList
+
+VM_LIST_WAIT_MS = 10_000
+VM_LIST_RETRY_MS = 1_000.0
+VM_LIST_RETRY_MAX_MS = 10_000.0
+
+
+class Reader:
+    """Runs work while this process is one of its domain's readers."""
+
+    __slots__ = ('_start', '_task')
+
+    def __init__(self, start: Callable[[], 'asyncio.Task[None]']) -> None:
+        self._start = start
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def active(self) -> bool:
+        """Whether the work runs."""
+        return self._task is not None
+
+    def set_active(self, active: bool) -> None:
+        """Start or stop the work, if that is a change."""
+        if active and self._task is None:
+            self._task = self._start()
+        elif not active and self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+
+class VmListFeed:
+    """Follows the platform's list of VMs."""
+
+    __slots__ = ('_vm_list', '_news', '_rng', '_metrics')
+
+    def __init__(
+        self,
+        vm_list: VmList,
+        news: VmNews,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._vm_list = vm_list
+        self._news = news
+        self._rng = rng
+        self._metrics = metrics
+
+    async def follow(self) -> None:
+        """Read each new revision until cancelled."""
+        revision = 0
+        pause_ms = VM_LIST_RETRY_MS
+        while True:
+            read = await self._vm_list.read(revision, VM_LIST_WAIT_MS)
+            if read.is_ok():
+                listing = read.unwrap()
+                revision = listing.revision
+                self._news.take_listing(listing)
+                pause_ms = VM_LIST_RETRY_MS
+                continue
+            self._metrics.count('vm_list_reads_failed')
+            jitter = self._rng.uniform(0.5, 1.5)
+            await asyncio.sleep(pause_ms * jitter / 1000.0)
+            pause_ms = min(pause_ms * 2, VM_LIST_RETRY_MAX_MS)
--- a/wigeonmill/node.py
+++ b/wigeonmill/node.py
@@ -10,16 +10,20 @@
 
 from wigeonmill.clock import Clock
 from wigeonmill.config.holder import ConfigHolder
-from wigeonmill.membership.config_feed import ConfigFeed
+from wigeonmill.membership.member import Member
+from wigeonmill.membership.membership import Membership
 from wigeonmill.metrics import Metrics
 from wigeonmill.platform.key_value import KeyValue
+from wigeonmill.platform.vm_list import HttpVmList
 from wigeonmill.protocol.client import PeerClient
 from wigeonmill.protocol.client import PeerPool
 from wigeonmill.protocol.conn import Conn
+from wigeonmill.protocol.conn import Traffic
 from wigeonmill.protocol.gen.inner.ttypes import Envelope
 from wigeonmill.protocol.gen.inner.ttypes import Kind
 from wigeonmill.protocol.gen.inner.ttypes import Refused
 from wigeonmill.protocol.gen.inner.ttypes import Status
+from wigeonmill.protocol.gen.inner.ttypes import StatusRequest
 from wigeonmill.protocol.handshake import InnerKeys
 from wigeonmill.protocol.server import InnerServer
 from wigeonmill.settings import Settings
@@ -27,6 +31,8 @@
 
 logger = logging.getLogger(__name__)
 
+VM_LIST_TIMEOUT_MS = 2_000.0
+
 Handler = Callable[[Conn, Envelope], bool]
 
 
@@ -66,7 +72,7 @@
         self.holder = ConfigHolder(self.metrics)
         self.address = ''
         self.handlers: list[Handler] = []
-        self.feed = ConfigFeed(key_value, self.holder, self.metrics)
+        self.traffic = Traffic()
         self._tls = tls
         self._tasks: set[asyncio.Task[Any]] = set()
         self.peers = PeerPool(self._make_client)
@@ -78,22 +84,28 @@
             self._on_envelope,
             self.metrics,
             tls.server,
+            self.traffic,
         )
+        # Bound early, so that the membership knows the address in use.
+        host, port = split_address(settings.inner)
+        self.address = self._server.bind_to(host, port)
+        self._vm_list = self._make_vm_list()
+        self.membership = self._make_membership()
+        self._register_gauges()
 
     def start(self) -> str:
         """Listen for peers and follow the configuration."""
-        host, port = split_address(self.settings.inner)
-        self.address = self._server.listen_on(host, port)
+        self._server.accept()
         logger.info('peers are served at %s', self.address)
-        self.spawn(self.feed.run())
-        self.spawn(self.feed.follow_hints())
+        self.membership.start()
         return self.address
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> 'asyncio.Task[None]':
         """Run `work` in the background until the node closes."""
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
+        return task
 
     async def close(self) -> None:
         """Stop all background work and close every connection."""
@@ -103,6 +115,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self._server.close_all()
         self.peers.close()
+        self.membership.close()
+        if self._vm_list is not None:
+            self._vm_list.close()
 
     def _make_client(self, address: str) -> PeerClient:
         return PeerClient(
@@ -113,13 +128,54 @@
             lambda: self.holder.serial,
             self._on_serial,
             self._tls.client,
+            self.traffic,
+        )
+
+    def _make_vm_list(self) -> HttpVmList | None:
+        if not self.settings.vm_list:
+            return None
+        return HttpVmList(
+            self.settings.vm_list, VM_LIST_TIMEOUT_MS, self.clock
+        )
+
+    def _make_membership(self) -> Membership:
+        settings = self.settings
+        me = Member(
+            settings.process,
+            ','.join(settings.roles),
+            self.address,
+            settings.failure_domain,
+            settings.region,
+            settings.agent.target,
+            self.incarnation,
+        )
+        # A pool of its own keeps control traffic from waiting for answers.
+        return Membership(
+            me,
+            settings.peers,
+            PeerPool(self._make_client),
+            self.key_value,
+            self._vm_list,
+            self.holder,
+            self.clock,
+            self.rng,
+            self.metrics,
+            self.spawn,
         )
 
+    def _register_gauges(self) -> None:
+        traffic = self.traffic
+        gauge = self.metrics.gauge
+        gauge('inner_sent_bytes', lambda: float(traffic.sent_bytes))
+        gauge('inner_received_bytes', lambda: float(traffic.received_bytes))
+
     def _on_envelope(self, conn: Conn, envelope: Envelope) -> None:
         if envelope.config_serial:
             self._on_serial(conn.peer, envelope.config_serial)
         if envelope.kind == Kind.STATUS_REQUEST:
-            self._send_status(conn, envelope.stream)
+            self._send_status(conn, envelope)
+            return
+        if self.membership.handle(conn, envelope):
             return
         for handler in self.handlers:
             if handler(conn, envelope):
@@ -130,19 +186,21 @@
         reply.refused = refused
         conn.send(reply)
 
-    def _send_status(self, conn: Conn, stream: int) -> None:
-        reply = Envelope(Kind.STATUS, stream, self.holder.serial)
+    def _send_status(self, conn: Conn, envelope: Envelope) -> None:
+        asked = envelope.status_request or StatusRequest()
+        reply = Envelope(Kind.STATUS, envelope.stream, self.holder.serial)
         reply.status = Status(
             self.settings.process,
             ','.join(self.settings.roles),
             self.holder.serial,
-            [],
+            self.membership.wire_members() if asked.members else [],
+            self.metrics.render() if asked.metrics else '',
         )
         conn.send(reply)
 
-    def _on_serial(self, _peer: str, serial: int) -> None:
+    def _on_serial(self, peer: str, serial: int) -> None:
         if serial > self.holder.serial:
-            self.feed.hint(serial)
+            self.membership.hint(peer, serial)
 
     def _on_task_done(self, task: 'asyncio.Task[Any]') -> None:
         self._tasks.discard(task)
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -14,6 +14,7 @@
 from tornado.tcpclient import TCPClient
 
 from wigeonmill.protocol.conn import Conn
+from wigeonmill.protocol.conn import Traffic
 from wigeonmill.protocol.gen.inner.ttypes import Envelope
 from wigeonmill.protocol.gen.inner.ttypes import Hello
 from wigeonmill.protocol.gen.inner.ttypes import Kind
@@ -116,6 +117,7 @@
         config_serial: Callable[[], int],
         on_serial: Callable[[str, int], None],
         ssl_context: ssl.SSLContext | None = None,
+        traffic: Traffic | None = None,
     ) -> None:
         self.address = address
         self.config_serial = config_serial
@@ -125,6 +127,7 @@
         self._keys = keys
         self._on_serial = on_serial
         self._ssl = ssl_context
+        self._traffic = traffic
         self._conn: Conn | None = None
         self._opening: asyncio.Task[Conn | None] | None = None
         self._streams: dict[int, PeerStream] = {}
@@ -192,7 +195,7 @@
         stream = await TCPClient().connect(
             host, int(port), ssl_options=self._ssl
         )
-        conn = Conn(stream)
+        conn = Conn(stream, self._traffic)
         if not await self._prove(conn):
             conn.close()
             return None
@@ -255,6 +258,12 @@
             self._clients[address] = client
         return client
 
+    def drop(self, address: str) -> None:
+        """Close and forget the client of `address`, if there is one."""
+        client = self._clients.pop(address, None)
+        if client is not None:
+            client.close()
+
     def close(self) -> None:
         """Close every connection."""
         for client in self._clients.values():
--- a/wigeonmill/protocol/conn.py
+++ b/wigeonmill/protocol/conn.py
@@ -25,6 +25,16 @@
 OnEnvelope = Callable[['Conn', Envelope], None]
 
 
+class Traffic:
+    """Bytes of many connections, without those of TLS."""
+
+    __slots__ = ('sent_bytes', 'received_bytes')
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+
 class Conn:
     """Sends and receives envelopes on one stream.
 
@@ -38,6 +48,7 @@
         'role',
         'closed',
         'on_drain',
+        '_traffic',
         '_in',
         '_received',
         '_out',
@@ -46,8 +57,11 @@
         '_close_callbacks',
     )
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(
+        self, stream: IOStream, traffic: Traffic | None = None
+    ) -> None:
         self.stream = stream
+        self._traffic = traffic or Traffic()
         self.peer = ''
         self.role = ''
         self.closed = False
@@ -116,6 +130,7 @@
             data = await self.stream.read_bytes(READ_BYTES, partial=True)
         except (StreamClosedError, ssl.SSLError):
             return False
+        self._traffic.received_bytes += len(data)
         self._in += data
         start = 0
         while True:
@@ -148,6 +163,7 @@
             return
         data = bytes(self._out)
         self._out.clear()
+        self._traffic.sent_bytes += len(data)
         self._writing = True
         try:
             fut = self.stream.write(data)
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -2070,6 +2070,7 @@
      - state
      - config_serial
      - region
+     - target
 
     """
 
@@ -2083,10 +2084,11 @@
         'state',
         'config_serial',
         'region',
+        'target',
     )
 
 
-    def __init__(self, name=None, role=None, address=None, failure_domain=None, incarnation=None, heartbeat=None, state=None, config_serial=None, region=None,):
+    def __init__(self, name=None, role=None, address=None, failure_domain=None, incarnation=None, heartbeat=None, state=None, config_serial=None, region=None, target=None,):
         self.name = name
         self.role = role
         self.address = address
@@ -2096,6 +2098,7 @@
         self.state = state
         self.config_serial = config_serial
         self.region = region
+        self.target = target
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2151,6 +2154,11 @@
                     self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2197,6 +2205,10 @@
             oprot.writeFieldBegin('region', TType.STRING, 9)
             oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
             oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 10)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2382,35 +2394,130 @@
         return not (self == other)
 
 
+class LeavingVm(object):
+    """
+    Attributes:
+     - name
+     - address
+
+    """
+
+    __slots__ = (
+        'name',
+        'address',
+    )
+
+
+    def __init__(self, name=None, address=None,):
+        self.name = name
+        self.address = address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingVm')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Gossip(object):
     """
     Attributes:
      - sender
      - members
-     - config_serial
      - section_hashes
      - sections
      - config_meta
+     - view_digest
+     - config_age_ms
+     - vm_revision
+     - leaving_vms
+     - want_config
+     - want_members
 
     """
 
     __slots__ = (
         'sender',
         'members',
-        'config_serial',
         'section_hashes',
         'sections',
         'config_meta',
+        'view_digest',
+        'config_age_ms',
+        'vm_revision',
+        'leaving_vms',
+        'want_config',
+        'want_members',
     )
 
 
-    def __init__(self, sender=None, members=None, config_serial=None, section_hashes=None, sections=None, config_meta=None,):
+    def __init__(self, sender=None, members=None, section_hashes=None, sections=None, config_meta=None, view_digest=None, config_age_ms=None, vm_revision=None, leaving_vms=None, want_config=None, want_members=None,):
         self.sender = sender
         self.members = members
-        self.config_serial = config_serial
         self.section_hashes = section_hashes
         self.sections = sections
         self.config_meta = config_meta
+        self.view_digest = view_digest
+        self.config_age_ms = config_age_ms
+        self.vm_revision = vm_revision
+        self.leaving_vms = leaving_vms
+        self.want_config = want_config
+        self.want_members = want_members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2437,11 +2544,6 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.config_serial = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.section_hashes = []
@@ -2469,6 +2571,42 @@
                     self.config_meta = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.view_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.config_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.vm_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.leaving_vms = []
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = LeavingVm()
+                        _elem51.read(iprot)
+                        self.leaving_vms.append(_elem51)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.want_config = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.want_members = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2486,32 +2624,55 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter46 in self.members:
-                iter46.write(oprot)
+            for iter52 in self.members:
+                iter52.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.config_serial is not None:
-            oprot.writeFieldBegin('config_serial', TType.I64, 3)
-            oprot.writeI64(self.config_serial)
-            oprot.writeFieldEnd()
         if self.section_hashes is not None:
             oprot.writeFieldBegin('section_hashes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.section_hashes))
-            for iter47 in self.section_hashes:
-                iter47.write(oprot)
+            for iter53 in self.section_hashes:
+                iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sections is not None:
             oprot.writeFieldBegin('sections', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sections))
-            for iter48 in self.sections:
-                iter48.write(oprot)
+            for iter54 in self.sections:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_meta is not None:
             oprot.writeFieldBegin('config_meta', TType.STRING, 6)
             oprot.writeBinary(self.config_meta)
             oprot.writeFieldEnd()
+        if self.view_digest is not None:
+            oprot.writeFieldBegin('view_digest', TType.I64, 7)
+            oprot.writeI64(self.view_digest)
+            oprot.writeFieldEnd()
+        if self.config_age_ms is not None:
+            oprot.writeFieldBegin('config_age_ms', TType.I64, 8)
+            oprot.writeI64(self.config_age_ms)
+            oprot.writeFieldEnd()
+        if self.vm_revision is not None:
+            oprot.writeFieldBegin('vm_revision', TType.I64, 9)
+            oprot.writeI64(self.vm_revision)
+            oprot.writeFieldEnd()
+        if self.leaving_vms is not None:
+            oprot.writeFieldBegin('leaving_vms', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving_vms))
+            for iter55 in self.leaving_vms:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.want_config is not None:
+            oprot.writeFieldBegin('want_config', TType.BOOL, 11)
+            oprot.writeBool(self.want_config)
+            oprot.writeFieldEnd()
+        if self.want_members is not None:
+            oprot.writeFieldBegin('want_members', TType.BOOL, 12)
+            oprot.writeBool(self.want_members)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2541,16 +2702,19 @@
     """
     Attributes:
      - members
+     - metrics
 
     """
 
     __slots__ = (
         'members',
+        'metrics',
     )
 
 
-    def __init__(self, members=None,):
+    def __init__(self, members=None, metrics=None,):
         self.members = members
+        self.metrics = metrics
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2566,6 +2730,11 @@
                     self.members = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.metrics = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2580,6 +2749,10 @@
             oprot.writeFieldBegin('members', TType.BOOL, 1)
             oprot.writeBool(self.members)
             oprot.writeFieldEnd()
+        if self.metrics is not None:
+            oprot.writeFieldBegin('metrics', TType.BOOL, 2)
+            oprot.writeBool(self.metrics)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2612,6 +2785,7 @@
      - role
      - config_serial
      - members
+     - metrics
 
     """
 
@@ -2620,14 +2794,16 @@
         'role',
         'config_serial',
         'members',
+        'metrics',
     )
 
 
-    def __init__(self, process=None, role=None, config_serial=None, members=None,):
+    def __init__(self, process=None, role=None, config_serial=None, members=None, metrics=None,):
         self.process = process
         self.role = role
         self.config_serial = config_serial
         self.members = members
+        self.metrics = metrics
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2656,14 +2832,19 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = MemberState()
-                        _elem54.read(iprot)
-                        self.members.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = MemberState()
+                        _elem61.read(iprot)
+                        self.members.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.metrics = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2689,10 +2870,14 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter55 in self.members:
-                iter55.write(oprot)
+            for iter62 in self.members:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.metrics is not None:
+            oprot.writeFieldBegin('metrics', TType.STRING, 5)
+            oprot.writeString(self.metrics.encode('utf-8') if sys.version_info[0] == 2 else self.metrics)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3217,6 +3402,7 @@
     (7, TType.I32, 'state', None, None, ),  # 7
     (8, TType.I64, 'config_serial', None, None, ),  # 8
     (9, TType.STRING, 'region', 'UTF8', None, ),  # 9
+    (10, TType.STRING, 'target', 'UTF8', None, ),  # 10
 )
 all_structs.append(SectionHash)
 SectionHash.thrift_spec = (
@@ -3230,20 +3416,33 @@
     (1, TType.STRING, 'section', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
 )
+all_structs.append(LeavingVm)
+LeavingVm.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+)
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'members', (TType.STRUCT, [MemberState, None], False), None, ),  # 2
-    (3, TType.I64, 'config_serial', None, None, ),  # 3
+    None,  # 3
     (4, TType.LIST, 'section_hashes', (TType.STRUCT, [SectionHash, None], False), None, ),  # 4
     (5, TType.LIST, 'sections', (TType.STRUCT, [SectionValue, None], False), None, ),  # 5
     (6, TType.STRING, 'config_meta', 'BINARY', None, ),  # 6
+    (7, TType.I64, 'view_digest', None, None, ),  # 7
+    (8, TType.I64, 'config_age_ms', None, None, ),  # 8
+    (9, TType.I64, 'vm_revision', None, None, ),  # 9
+    (10, TType.LIST, 'leaving_vms', (TType.STRUCT, [LeavingVm, None], False), None, ),  # 10
+    (11, TType.BOOL, 'want_config', None, None, ),  # 11
+    (12, TType.BOOL, 'want_members', None, None, ),  # 12
 )
 all_structs.append(StatusRequest)
 StatusRequest.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'members', None, None, ),  # 1
+    (2, TType.BOOL, 'metrics', None, None, ),  # 2
 )
 all_structs.append(Status)
 Status.thrift_spec = (
@@ -3252,6 +3451,7 @@
     (2, TType.STRING, 'role', 'UTF8', None, ),  # 2
     (3, TType.I64, 'config_serial', None, None, ),  # 3
     (4, TType.LIST, 'members', (TType.STRUCT, [MemberState, None], False), None, ),  # 4
+    (5, TType.STRING, 'metrics', 'UTF8', None, ),  # 5
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/wigeonmill/protocol/server.py
+++ b/wigeonmill/protocol/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+import socket
 import ssl
 
 from tornado.iostream import IOStream
@@ -12,6 +13,7 @@
 from wigeonmill.metrics import Metrics
 from wigeonmill.protocol.conn import Conn
 from wigeonmill.protocol.conn import OnEnvelope
+from wigeonmill.protocol.conn import Traffic
 from wigeonmill.protocol.gen.inner.ttypes import Challenge
 from wigeonmill.protocol.gen.inner.ttypes import Envelope
 from wigeonmill.protocol.gen.inner.ttypes import Kind
@@ -39,6 +41,7 @@
         on_envelope: OnEnvelope,
         metrics: Metrics,
         ssl_context: ssl.SSLContext | None = None,
+        traffic: Traffic | None = None,
     ) -> None:
         super().__init__(ssl_options=ssl_context)
         self._process = process
@@ -47,19 +50,30 @@
         self._keys = keys
         self._on_envelope = on_envelope
         self._metrics = metrics
+        self._traffic = traffic
         self._conns: set[Conn] = set()
+        self._bound: list[socket.socket] = []
 
-    def listen_on(self, host: str, port: int) -> str:
+    def bind_to(self, host: str, port: int) -> str:
         """Bind to `host` and `port` (0: any); returns the IP:port bound."""
-        sockets = bind_sockets(port, host)
-        self.add_sockets(sockets)
-        bound = sockets[0].getsockname()
+        self._bound = bind_sockets(port, host)
+        bound = self._bound[0].getsockname()
         return f'{bound[0]}:{bound[1]}'
 
+    def accept(self) -> None:
+        """Accept connections at the address bound."""
+        self.add_sockets(self._bound)
+
+    def listen_on(self, host: str, port: int) -> str:
+        """Bind and accept; returns the IP:port bound."""
+        address = self.bind_to(host, port)
+        self.accept()
+        return address
+
     async def handle_stream(
         self, stream: IOStream, address: tuple[str, int]
     ) -> None:
-        conn = Conn(stream)
+        conn = Conn(stream, self._traffic)
         if not await self._authenticate(conn):
             self._metrics.count('inner_refusals', 'handshake')
             conn.close()
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -172,7 +172,8 @@
   4: binary digest
 }
 
-// What one process says of another, ordered by incarnation then version.
+// What one process says of another, ordered by incarnation, heartbeat and
+// state. state: 0 alive, 1 suspect, 2 dead, 3 left.
 struct MemberState {
   1: string name
   2: string role
@@ -183,6 +184,7 @@
   7: i32 state
   8: i64 config_serial
   9: string region
+  10: string target
 }
 
 struct SectionHash {
@@ -195,18 +197,32 @@
   2: binary value
 }
 
-// A push-pull exchange: what the sender has and what the other lacks.
+// A VM that the VM list shows as leaving; address is its IP number.
+struct LeavingVm {
+  1: string name
+  2: string address
+}
+
+// A push-pull exchange; the answer has the same shape. members starts with
+// the sender's own state. section_hashes come with want_config, and
+// config_meta with sections in its answer.
 struct Gossip {
   1: string sender
   2: list<MemberState> members
-  3: i64 config_serial
   4: list<SectionHash> section_hashes
   5: list<SectionValue> sections
   6: binary config_meta
+  7: i64 view_digest
+  8: i64 config_age_ms
+  9: i64 vm_revision
+  10: list<LeavingVm> leaving_vms
+  11: bool want_config
+  12: bool want_members
 }
 
 struct StatusRequest {
   1: bool members
+  2: bool metrics
 }
 
 struct Status {
@@ -214,6 +230,7 @@
   2: string role
   3: i64 config_serial
   4: list<MemberState> members
+  5: string metrics
 }
 
 // The one frame on the wire. stream pairs requests with their answers;
