--- /dev/null
+++ b/bench/demo_parts/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the demonstration: callers, their records, the report."""
