Roll weights: drain, load by a leased slot, read back, serve

Cause: the document's weight version had no effect on the engines. Change: each agent follows plan_rollout over what the targets write of themselves; a load needs one of the service's leased slots; its write's revision is the order's fencing number; no order is given once the lease may have lapsed; the version counts only when the engine reports it.

--- a/tests/test_embedded.py
+++ b/tests/test_embedded.py
@@ -1,60 +1,11 @@
 import asyncio
 import json
-from pathlib import Path
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPRequest
-
-from wigeonmill.config.reader import read_document
-from wigeonmill.embedded import Embedded
-from wigeonmill.settings import check_settings
+from tests.embedded_system import counters
+from tests.embedded_system import wait_for
+from tests.embedded_system import with_system
 from wigeonmill.standins.answers import expected_answer
 
-ISOKO = Path(__file__).parent.parent / 'examples' / 'isoko.json'
-RAW = {
-    'process': 'all',
-    'roles': ['embedded'],
-    'entry': {'http': '127.0.0.1:0', 'leave_grace_ms': 0},
-    'embedded': {'engine_speed': 20.0},
-}
-
-
-class Caller:
-    """Sends requests of one team to an embedded system."""
-
-    def __init__(self, system, team):
-        self.base = f'http://{system.address}'
-        self.key = f'example-key-{team}'
-        self.http = CurlAsyncHTTPClient(force_instance=True)
-
-    async def send(self, method, path, body=None, **headers):
-        headers = {k.replace('_', '-'): v for k, v in headers.items()}
-        headers.setdefault('Authorization', f'Bearer {self.key}')
-        request = HTTPRequest(
-            self.base + path,
-            method=method,
-            body=None if body is None else json.dumps(body),
-            headers=headers,
-            allow_nonstandard_methods=True,
-            request_timeout=30.0,
-        )
-        return await self.http.fetch(request, raise_error=False)
-
-
-def with_system(scenario, adjust=None):
-    async def body():
-        document = read_document(ISOKO).unwrap()
-        system = Embedded(check_settings(RAW).unwrap(), adjust)
-        await system.start(document)
-        caller = Caller(system, document.teams[0].name)
-        try:
-            await scenario(system, caller, document)
-        finally:
-            caller.http.close()
-            await system.stop()
-
-    asyncio.run(body())
-
 
 def test_prompt_and_credit_go_the_whole_way():
     async def scenario(system, caller, document):
@@ -93,19 +44,6 @@
     with_system(scenario)
 
 
-def counters(system, name):
-    nodes = [agent.node for agent in system.agents.values()]
-    return sum(node.metrics.value(name) for node in nodes)
-
-
-async def wait_for(condition, timeout_s=20.0):
-    async def poll():
-        while not condition():
-            await asyncio.sleep(0.02)
-
-    await asyncio.wait_for(poll(), timeout_s)
-
-
 def test_evicted_prefix_comes_back_from_the_store():
     def small_cache(options):
         options.cache_blocks = 8
--- a/wigeonmill/agent/engine.py
+++ b/wigeonmill/agent/engine.py
@@ -23,6 +23,7 @@
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 2.0
 MAX_ERROR_BYTES = 65536
+STATE_LOADING = 'loading'
 _DATA = b'data: '
 _DONE = b'[DONE]'
 
@@ -89,6 +90,45 @@
     role: str = ''
     state: str = ''
 
+    def serves(self, weight_version: str) -> bool:
+        """Tell whether the engine has loaded `weight_version`."""
+        return self.weight_version == weight_version and (
+            self.state != STATE_LOADING
+        )
+
+
+class OrderOutcome(enum.Enum):
+    """What became of an order to the engine."""
+
+    ACCEPTED = 'accepted'
+    # The engine knows of a later order, or is busy with one.
+    REFUSED = 'refused'
+    # No answer: whether it took effect is read back from its reports.
+    UNKNOWN = 'unknown'
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOrder:
+    """Weights to load; serial and order make the fencing number."""
+
+    model: str
+    weight_version: str
+    adapters: list[str]
+    serial: int
+    order: int
+
+
+class _Fencing(msgspec.Struct):
+    revision: int
+    order: int
+
+
+class _LoadBody(msgspec.Struct):
+    model: str
+    weight_version: str
+    fencing: _Fencing
+    adapters: list[str]
+
 
 class EngineStream:
     """One running request; parts of the answer go to `on_text`."""
@@ -218,6 +258,22 @@
         """Ask the engine to stop a request; errors are ignored."""
         await self._send('POST', f'/v1/requests/{request_id}/cancel', b'')
 
+    async def load(self, order: LoadOrder) -> OrderOutcome:
+        """Order the engine to load weights."""
+        body = _LoadBody(
+            order.model,
+            order.weight_version,
+            _Fencing(order.serial, order.order),
+            order.adapters,
+        )
+        data = msgspec.json.encode(body)
+        response = await self._send('POST', '/admin/load', data)
+        if response is None:
+            return OrderOutcome.UNKNOWN
+        if response.code < 300:
+            return OrderOutcome.ACCEPTED
+        return OrderOutcome.REFUSED
+
     async def health(self) -> EngineHealth | None:
         """Return what the engine reports, or None when it can't be asked."""
         response = await self._send('GET', '/health', None)
--- a/wigeonmill/agent/role.py
+++ b/wigeonmill/agent/role.py
@@ -14,12 +14,15 @@
 from wigeonmill.agent.context import Placement
 from wigeonmill.agent.engine import EngineClient
 from wigeonmill.agent.engine_cache import EngineCacheClient
+from wigeonmill.agent.load_slots import LoadSlots
 from wigeonmill.agent.model_service import ModelService
 from wigeonmill.agent.plain_service import PlainService
+from wigeonmill.agent.rollout_board import RolloutBoard
 from wigeonmill.agent.run_ids import RunIdSigner
 from wigeonmill.agent.service import AgentService
 from wigeonmill.agent.store_pool import StorePool
 from wigeonmill.agent.target_watch import TargetWatch
+from wigeonmill.agent.weight_rollout import WeightRollout
 from wigeonmill.cache.decider import CacheDecider
 from wigeonmill.cache.decider import DeciderSettings
 from wigeonmill.cache.decider import Speeds
@@ -120,6 +123,8 @@
         models, plain = None, None
         if service.kind is ServiceKind.MODEL:
             manager = self._make_cache_manager(context, placement)
+            rollout = self._make_rollout(context, placement, engine)
+            node.spawn(rollout.run())
             models = ModelService(context, engine, manager)
         else:
             plain = self._make_plain(context, placement)
@@ -138,6 +143,16 @@
         logger.info('target %s is served', node.settings.agent.target)
         self._on_membership()
 
+    def _make_rollout(
+        self, context: AgentContext, placement: Placement, engine: EngineClient
+    ) -> WeightRollout:
+        node = self._node
+        service = placement.service.name
+        target = node.settings.agent.target
+        slots = LoadSlots(node.key_value, node.clock, service, target)
+        board = RolloutBoard(node.key_value, service)
+        return WeightRollout(context, engine, board, slots, node.rng)
+
     def _make_cache_manager(
         self, context: AgentContext, placement: Placement
     ) -> CacheManager:
--- /dev/null
+++ b/wigeonmill/agent/rollout_board.py
@@ -0,0 +1,101 @@
+"""What the targets of a service say of a change of weights.
+
+One key a target, kept only while a version is rolled out.
+"""
+
+import msgspec
+from result import Err
+
+from wigeonmill.agent.rollout import TargetPhase
+from wigeonmill.agent.rollout import TargetReport
+from wigeonmill.config.model import Service
+from wigeonmill.platform.key_value import KeyValue
+
+BOARD_PREFIX = 'wigeonmill/rollout'
+# A target's entry goes when its agent has not written for this long.
+ENTRY_LEASE_MS = 600_000
+
+
+class BoardEntry(msgspec.Struct, frozen=True):
+    """One target's phase; `loading` says that it holds a load slot."""
+
+    target: str
+    phase: str
+    weight_version: str
+    limit_share: float
+    running: int
+    loading: bool = False
+
+
+class RolloutBoard:
+    """Reads and writes the entries of one service and version."""
+
+    def __init__(self, key_value: KeyValue, service: str) -> None:
+        self._key_value = key_value
+        self._service = service
+        self._lease = 0
+
+    async def write(self, version: str, entry: BoardEntry) -> bool:
+        """Write a target's entry; returns False if that is not certain."""
+        key = f'{self._prefix(version)}{entry.target}'
+        if not self._lease:
+            granted = await self._key_value.grant_lease(ENTRY_LEASE_MS)
+            if isinstance(granted, Err):
+                return False
+            self._lease = granted.ok_value
+        read = await self._key_value.get(key)
+        if isinstance(read, Err):
+            return False
+        known = read.ok_value.version if read.ok_value else 0
+        written = await self._key_value.compare_and_swap(
+            key, known, msgspec.json.encode(entry), self._lease
+        )
+        if written.is_err():
+            self._lease = 0
+        return written.is_ok()
+
+    async def read(self, version: str) -> list[BoardEntry] | None:
+        """Return all entries, or None when they can't be read."""
+        listed = await self._key_value.list_prefix(self._prefix(version))
+        if isinstance(listed, Err):
+            return None
+        entries = []
+        for entry in listed.ok_value:
+            try:
+                entries.append(
+                    msgspec.json.decode(entry.value, type=BoardEntry)
+                )
+            except msgspec.MsgspecError:
+                continue
+        return entries
+
+    def _prefix(self, version: str) -> str:
+        return f'{BOARD_PREFIX}/{self._service}/{version}/'
+
+
+def make_reports(
+    service: Service, entries: list[BoardEntry]
+) -> list[TargetReport]:
+    """Return a report of every target; one without entry serves as before."""
+    by_target = {entry.target: entry for entry in entries}
+    reports = []
+    for target in service.targets:
+        if not target.in_service:
+            continue
+        entry = by_target.get(target.name)
+        if entry is None:
+            phase = TargetPhase.SERVING
+            report = TargetReport(
+                target.name, target.failure_domain, '', phase
+            )
+        else:
+            report = TargetReport(
+                target.name,
+                target.failure_domain,
+                entry.weight_version,
+                TargetPhase(entry.phase),
+                limit_share=entry.limit_share,
+                running=entry.running,
+            )
+        reports.append(report)
+    return reports
--- a/wigeonmill/agent/target_watch.py
+++ b/wigeonmill/agent/target_watch.py
@@ -5,11 +5,11 @@
 
 from wigeonmill.agent.admission import Admission
 from wigeonmill.agent.engine import EngineClient
+from wigeonmill.agent.engine import STATE_LOADING
 from wigeonmill.metrics import Metrics
 
 # Reports missed in a row before a target counts as unreachable.
 MISSED_REPORTS = 3
-_LOADING = 'loading'
 _COLD = 'cold'
 
 
@@ -49,7 +49,7 @@
             health.incarnation, health.uptime_ms, health.state == _COLD
         )
         version = health.weight_version
-        if health.state == _LOADING:
+        if health.state == STATE_LOADING:
             version = ''
         if version != admission.weight_version:
             admission.set_weight_version(version)
