Keep innocent suspects from serialising the fleet

Whatever was in flight at a crash ran alone to its end afterwards, on any target: nine suspects held up 80 other requests. Now offers price the time that suspects take, so that they gather where the crash has left room; a suspect runs alone until it has streamed for a second, and a crash before that is blamed on it alone.

--- a/tests/agent/test_admission.py
+++ b/tests/agent/test_admission.py
@@ -299,3 +299,40 @@
     assert admission.withdraw(ticket.id)
     assert not admission.withdraw(ticket.id)
     assert admission.next_runnable() is None
+
+
+def test_settled_suspect_lets_others_start_and_blame_stays_with_the_new():
+    clock, admission = _admission(cold_concurrency=4, suspect_settle_ms=500.0)
+    admission.quarantine.on_crash([b'old', b'new'], 0)
+    old = _admit(admission, _request(mark=b'old')).unwrap()
+    new = _admit(admission, _request(mark=b'new')).unwrap()
+    assert _start_next(admission) is old
+    clock.advance(40.0)
+    admission.first_token(old.id)
+    assert admission.next_runnable() is None
+    clock.advance(500.0)
+    assert _start_next(admission) is new
+    _admit(admission, _request())
+    assert admission.next_runnable() is None
+    for ticket in (old, new):
+        admission.finished(ticket.id, CRASHED)
+    records = admission.quarantine.state.records
+    assert records[b'new'.hex()].quarantined
+    assert not records[b'old'.hex()].quarantined
+    admission.health.on_report('b', 10.0)
+    again = _admit(admission, _request(mark=b'old')).unwrap_err()
+    assert again.reason is RefusalReason.SUSPECT
+
+
+def test_offers_price_the_time_that_suspects_take():
+    clock, admission = _admission()
+    _warm_up(clock, admission)
+    _admit(admission, _request()).unwrap()
+    _start_next(admission)
+    usual = _offer(admission, _request()).unwrap().expected_first_token_ms
+    admission.quarantine.on_crash([b'bad'], int(clock.now_ms()))
+    suspect = _offer(admission, _request(mark=b'bad')).unwrap()
+    assert suspect.expected_first_token_ms > usual + 2000.0
+    _admit(admission, _request(mark=b'bad')).unwrap()
+    later = _offer(admission, _request()).unwrap()
+    assert later.expected_first_token_ms > usual + 2000.0
--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -64,7 +64,7 @@
         self._clock = clock
         self._state = ServiceState(clock, quarantine)
         self._waiting = WaitingList(settings)
-        self._in_flight = InFlight(settings.short_tokens)
+        self._in_flight = InFlight(settings)
         self._pricing = OfferPricing(
             settings, health, self._waiting, self._in_flight
         )
@@ -140,7 +140,8 @@
         refusal = self._refusal_of(request)
         if refusal is not None:
             return self._refused_now(refusal)
-        expected = self._pricing.estimate(request, plan)
+        alone = self._state.must_run_alone(request)
+        expected = self._pricing.estimate(request, plan, alone, now_ms)
         late_ms = now_ms + expected.first_token_ms - request.deadline_ms
         if late_ms > 0.0:
             wait_ms = int(min(late_ms, expected.wait_ms))
@@ -277,16 +278,17 @@
     def on_target_crashed(self) -> list[bytes]:
         """Blame what the target had in flight; once for each run.
 
-        Returns the fingerprints that this crash has put in quarantine.
+        A suspect that hasn't settled takes all the blame. Returns the
+        fingerprints that this crash has put in quarantine.
         """
-        self.on_connection_failed()
-        blamed = [
-            ticket
-            for ticket in self._in_flight
-            if ticket.state is not TicketState.RUNNABLE and not ticket.blamed
-        ]
-        for ticket in blamed:
+        now_ms = self._clock.now_ms()
+        suspect = self._in_flight.unsettled_suspect(now_ms)
+        seen = [t for t in self._in_flight if _is_at_target(t)]
+        new = [ticket for ticket in seen if not ticket.blamed]
+        blamed = [suspect] if suspect in new else new
+        for ticket in new:
             ticket.blamed = True
+        self.on_connection_failed()
         prints = [ticket.request.fingerprint for ticket in blamed]
         known = [fingerprint for fingerprint in prints if fingerprint]
         return self.quarantine.on_crash(known, self._clock.wall_ms())
@@ -381,6 +383,10 @@
         refusals[reason] = refusals.get(reason, 0) + 1
 
 
+def _is_at_target(ticket: Ticket) -> bool:
+    return ticket.state is not TicketState.RUNNABLE
+
+
 def _gives_retry_back(state: TicketState, outcome: RunOutcome) -> bool:
     crashed = outcome.kind is OutcomeKind.CRASHED
     return not crashed and state is not TicketState.RUNNABLE
--- a/wigeonmill/agent/admission_types.py
+++ b/wigeonmill/agent/admission_types.py
@@ -147,7 +147,8 @@
     Runs with more prefill than `short_tokens` share `prefill_limit_tokens`
     of prefill in flight and leave one slot in `slots_per_short_slot` to
     shorter ones. `cold_queue` bounds the places given out by a cold target.
-    A suspect that has waited for `alone_wait_ms` holds back other starts.
+    A suspect that has waited for `alone_wait_ms` holds back other starts. It
+    runs alone until it has streamed for `suspect_settle_ms`.
     A first token up to `healthy_factor` times the expected time plus
     `healthy_floor_ms` is healthy; after `relearn_after` others in a row the
     target's speed is learned anew. An idle target that hasn't answered for
@@ -165,6 +166,7 @@
     prefill_limit_tokens: int = 16_384
     slots_per_short_slot: int = 8
     alone_wait_ms: float = 2_000.0
+    suspect_settle_ms: float = 1_000.0
     healthy_factor: float = 2.0
     healthy_floor_ms: float = 150.0
     relearn_after: int = 32
--- a/wigeonmill/agent/in_flight.py
+++ b/wigeonmill/agent/in_flight.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from wigeonmill.agent.admission_types import AdmissionSettings
 from wigeonmill.agent.admission_types import Ticket
 from wigeonmill.agent.admission_types import TicketState
 
@@ -25,14 +26,16 @@
     __slots__ = (
         '_tickets',
         '_short_tokens',
+        '_settle_ms',
         '_prefill',
         '_long_prefill',
         '_computed',
         '_prompted',
     )
 
-    def __init__(self, short_tokens: int) -> None:
-        self._short_tokens = short_tokens
+    def __init__(self, settings: AdmissionSettings) -> None:
+        self._short_tokens = settings.short_tokens
+        self._settle_ms = settings.suspect_settle_ms
         self._tickets: dict[int, Ticket] = {}
         self._prefill = 0
         self._long_prefill = 0
@@ -63,9 +66,16 @@
         )
 
     @property
-    def alone(self) -> bool:
-        """Whether a run is in flight that must run alone."""
-        return any(ticket.alone for ticket in self._tickets.values())
+    def only_suspects(self) -> bool:
+        """Whether no run is in flight that isn't a suspect."""
+        return all(ticket.alone for ticket in self._tickets.values())
+
+    def unsettled_suspect(self, now_ms: float) -> Ticket | None:
+        """Return the suspect that may still crash the target by itself."""
+        for ticket in self._tickets.values():
+            if ticket.alone and not self._is_settled(ticket, now_ms):
+                return ticket
+        return None
 
     @property
     def streaming(self) -> bool:
@@ -103,6 +113,11 @@
         self.end_prefill(ticket)
         del self._tickets[ticket.id]
 
+    def _is_settled(self, ticket: Ticket, now_ms: float) -> bool:
+        if ticket.state is not TicketState.STREAMING:
+            return False
+        return now_ms - ticket.first_token_ms >= self._settle_ms
+
     def _change_prefill(self, ticket: Ticket, tokens: int) -> None:
         self._prefill += tokens
         if ticket.cost > self._short_tokens:
--- a/wigeonmill/agent/offer_pricing.py
+++ b/wigeonmill/agent/offer_pricing.py
@@ -46,7 +46,9 @@
         wait_ms = self._health.estimator.held_ms / self._health.limit
         return Refusal(reason, int(wait_ms))
 
-    def estimate(self, request: RunRequest, plan: TierPlan) -> Estimate:
+    def estimate(
+        self, request: RunRequest, plan: TierPlan, alone: bool, now_ms: float
+    ) -> Estimate:
         """Return the expected times of a request admitted now."""
         missing = plan.recompute_tokens
         ahead = self._waiting.ahead(request, max(1, missing))
@@ -59,7 +61,24 @@
             limit=limit,
         )
         estimator = self._health.estimator
-        return estimator.estimate(workload, missing, plan.import_ms)
+        expected = estimator.estimate(workload, missing, plan.import_ms)
+        suspects_ms = self._suspects_ms(missing, alone, now_ms)
+        return Estimate(
+            expected.wait_ms + suspects_ms,
+            expected.first_token_ms + suspects_ms,
+        )
+
+    def _suspects_ms(self, missing: int, alone: bool, now_ms: float) -> float:
+        ahead = self._waiting.suspects
+        if self._in_flight.unsettled_suspect(now_ms) is not None:
+            ahead += 1
+        estimator = self._health.estimator
+        each_ms = estimator.first_token_ms(missing)
+        each_ms += self._settings.suspect_settle_ms
+        wait_ms = ahead * each_ms
+        if (alone or ahead) and not self._in_flight.only_suspects:
+            wait_ms += self._settings.alone_wait_ms + estimator.held_ms
+        return wait_ms
 
     def make_offer(
         self,
--- a/wigeonmill/agent/start_rules.py
+++ b/wigeonmill/agent/start_rules.py
@@ -7,7 +7,11 @@
 
 
 class StartRules:
-    """Applies the limits on starts to the waiting list's fair order."""
+    """Applies the limits on starts to the waiting list's fair order.
+
+    A suspect starts beside settled suspects at most, and nothing starts
+    beside a suspect until it has settled.
+    """
 
     __slots__ = ('_settings', '_waiting', '_in_flight')
 
@@ -23,20 +27,22 @@
 
     def next_ticket(self, limit: int, now_ms: float) -> Ticket | None:
         """Remove and return the ticket that may start now, if any."""
-        if len(self._in_flight) >= limit or self._in_flight.alone:
+        if len(self._in_flight) >= limit:
+            return None
+        if self._in_flight.unsettled_suspect(now_ms) is not None:
             return None
         overdue = self._overdue_suspect(now_ms)
         if overdue is None:
             return self._waiting.pop(
                 lambda ticket: self._may_start(ticket, limit)
             )
-        if self._in_flight:
+        if not self._in_flight.only_suspects:
             return None
         return self._waiting.remove(overdue.id)
 
     def _may_start(self, ticket: Ticket, limit: int) -> bool:
         if ticket.alone:
-            return not self._in_flight
+            return self._in_flight.only_suspects
         if ticket.cost <= self._settings.short_tokens:
             return True
         kept_slots = limit // self._settings.slots_per_short_slot
--- a/wigeonmill/agent/waiting_list.py
+++ b/wigeonmill/agent/waiting_list.py
@@ -59,6 +59,11 @@
             ticket.state = TicketState.QUEUED
         return ticket
 
+    @property
+    def suspects(self) -> int:
+        """Waiting tickets that must run alone."""
+        return len(self._suspects)
+
     def first_suspect(self) -> Ticket | None:
         """Return the ticket that has waited longest to run alone."""
         return next(iter(self._suspects.values()), None)
