--- a/bench/policy_sim/sim_agent.py
+++ b/bench/policy_sim/sim_agent.py
@@ -22,6 +22,9 @@
 from wigeonmill.agent.admission_types import RunOutcome
 from wigeonmill.agent.admission_types import RunRequest
 from wigeonmill.agent.admission_types import Ticket
+from wigeonmill.agent.quarantine import decode_state
+from wigeonmill.agent.quarantine import encode_state
+from wigeonmill.agent.quarantine import Quarantine
 from wigeonmill.agent.quarantine import QuarantineState
 from wigeonmill.cache.tiers import TierPlan
 from wigeonmill.routing.retries import RetryReason
@@ -53,10 +56,13 @@
             cold_concurrency=engine.spec.cold_bears,
             max_concurrency=engine.spec.max_batch,
         )
-        self.admission = make_admission(world.loop.clock, settings)
+        self.admission = make_admission(
+            world.loop.clock, settings, Quarantine(source=engine.name)
+        )
         self.admission.set_weight_version(engine.version)
         self.cache = AgentCache(world, engine, self.admission)
         self._runs: dict[int, AgentRun] = {}
+        self._shared_changes = 0
         world.loop.after(0.0, self._report)
 
     def offer(self, req: SimRequest) -> Result[Offer, Refusal]:
@@ -85,6 +91,7 @@
         ticket = admitted.unwrap().ticket
         run = AgentRun(req, keys, ticket, on_end)
         self._runs[ticket.id] = run
+        self._share_quarantine()
         if plan.import_blocks:
             self.cache.fetch(
                 ticket, keys, lambda plan: self._imported(run, plan)
@@ -194,13 +201,21 @@
     def _crashed(self, run: AgentRun) -> None:
         self._finish(run, OutcomeKind.CRASHED)
         self.cache.restarted()
-        state = self.admission.quarantine.state
+        self._share_quarantine()
+
+    def _share_quarantine(self) -> None:
+        quarantine = self.admission.quarantine
+        if quarantine.changes == self._shared_changes:
+            return
+        self._shared_changes = quarantine.changes
+        data = encode_state(quarantine.state)
         for peer in self.peers:
             self._world.loop.after(
-                QUARANTINE_LAG_MS, peer.merge_quarantine, state
+                QUARANTINE_LAG_MS, peer.merge_quarantine, decode_state(data)
             )
 
     def _finish(self, run: AgentRun, kind: OutcomeKind) -> None:
         del self._runs[run.ticket.id]
         tokens = run.req.answer_tokens if kind is OutcomeKind.COMPLETED else 0
         self.admission.finished(run.ticket.id, RunOutcome(kind, tokens))
+        self._share_quarantine()
--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -180,6 +180,9 @@
         elif not self._push(ticket):
             full = self._pricing.no_place(RefusalReason.QUEUE_FULL)
             return self._refused_now(full)
+        if ticket.alone:
+            fingerprint = request.fingerprint
+            self.quarantine.on_retry(fingerprint, self._clock.wall_ms())
         self.counts.admitted += 1
         return Ok(Admitted(ticket))
 
@@ -224,11 +227,9 @@
         reason = self._reason_against_start(ticket)
         if reason is not None:
             self._in_flight.remove(ticket)
+            self._give_retry_back(ticket)
             return self._refused_now(Refusal(reason))
         self._in_flight.start(ticket, self._clock.now_ms())
-        if ticket.alone:
-            fingerprint = ticket.request.fingerprint
-            self.quarantine.on_retry(fingerprint, self._clock.wall_ms())
         self.counts.started += 1
         return Ok(ticket)
 
@@ -262,7 +263,10 @@
 
     def withdraw(self, ticket_id: int) -> bool:
         """Drop a waiting request whose caller left; False if not waiting."""
-        return self._waiting.remove(ticket_id) is not None
+        ticket = self._waiting.remove(ticket_id)
+        if ticket is not None:
+            self._give_retry_back(ticket)
+        return ticket is not None
 
     def take_refused(self) -> list[RefusedTicket]:
         """Return the tickets refused while they waited, each once."""
@@ -331,9 +335,7 @@
     def _reason_against_start(self, ticket: Ticket) -> RefusalReason | None:
         if not self.health.reachable:
             return RefusalReason.UNREACHABLE
-        if not ticket.alone and self._state.must_run_alone(ticket.request):
-            return RefusalReason.SUSPECT
-        return self._state.reason_against(ticket.request)
+        return self._state.reason_against_start(ticket)
 
     def _learn(
         self, ticket: Ticket, state: TicketState, outcome: RunOutcome
@@ -351,7 +353,11 @@
                 outcome.answer_tokens if streamed else 0,
                 now_ms - ticket.first_token_ms,
             )
-        elif ticket.alone and _gives_retry_back(state, outcome):
+        elif outcome.kind is not OutcomeKind.CRASHED:
+            self._give_retry_back(ticket)
+
+    def _give_retry_back(self, ticket: Ticket) -> None:
+        if ticket.alone:
             fingerprint = ticket.request.fingerprint
             wall_ms = self._clock.wall_ms()
             self.quarantine.on_retry_cancelled(fingerprint, wall_ms)
@@ -371,6 +377,7 @@
         self._add_refused(ticket, reason)
 
     def _add_refused(self, ticket: Ticket, reason: RefusalReason) -> None:
+        self._give_retry_back(ticket)
         self._count(reason)
         self._refused.append(RefusedTicket(ticket, Refusal(reason)))
 
@@ -387,11 +394,6 @@
     return ticket.state is not TicketState.RUNNABLE
 
 
-def _gives_retry_back(state: TicketState, outcome: RunOutcome) -> bool:
-    crashed = outcome.kind is OutcomeKind.CRASHED
-    return not crashed and state is not TicketState.RUNNABLE
-
-
 def make_admission(
     clock: Clock,
     settings: AdmissionSettings,
--- a/wigeonmill/agent/quarantine.py
+++ b/wigeonmill/agent/quarantine.py
@@ -57,15 +57,17 @@
     """Decides whether a fingerprint may run, from the crashes seen.
 
     `source` names the agent, so that crashes seen by two are told apart.
+    `changes` rises with each change that other agents should learn of.
     """
 
-    __slots__ = ('_state', '_source')
+    __slots__ = ('changes', '_state', '_source')
 
     def __init__(
         self, state: QuarantineState | None = None, source: str = ''
     ) -> None:
         self._state = state or QuarantineState()
         self._source = source
+        self.changes = 0
 
     @property
     def state(self) -> QuarantineState:
@@ -84,18 +86,20 @@
         return Verdict.ALONE
 
     def on_retry(self, fingerprint: bytes, now_ms: int) -> None:
-        """Note that a suspect's one retry begins."""
+        """Note that a suspect's one retry is taken."""
         record = self._state.records.get(fingerprint.hex())
         if record is not None:
             record.retries += 1
             record.changed_ms = now_ms
+            self.changes += 1
 
     def on_retry_cancelled(self, fingerprint: bytes, now_ms: int) -> None:
-        """Give the retry back: it ended with its target still healthy."""
+        """Give the retry back: no target has crashed by it."""
         record = self._state.records.get(fingerprint.hex())
         if record is not None and record.retries:
             record.retries -= 1
             record.changed_ms = now_ms
+            self.changes += 1
 
     def on_healthy(self, fingerprint: bytes, now_ms: int) -> bool:
         """Clear a suspect that completed; returns whether it was one."""
@@ -105,6 +109,7 @@
         record.crashes.clear()
         record.retries = 0
         record.changed_ms = now_ms
+        self.changes += 1
         return True
 
     def on_crash(self, in_flight: list[bytes], now_ms: int) -> list[bytes]:
@@ -121,6 +126,7 @@
             record.changed_ms = now_ms
             if record.quarantined and not was_quarantined:
                 quarantined.append(fingerprint)
+            self.changes += 1
         self._bound(now_ms)
         return quarantined
 
@@ -168,15 +174,14 @@
 def _merge_record(ours: CrashRecord, theirs: CrashRecord) -> None:
     cleared = not ours.crashes or not theirs.crashes
     quarantined = ours.quarantined or theirs.quarantined
-    if cleared and not quarantined:
-        if theirs.changed_ms > ours.changed_ms:
-            ours.crashes = list(theirs.crashes)
-            ours.retries = theirs.retries
-            ours.changed_ms = theirs.changed_ms
-        return
-    _add_crashes(ours, theirs.crashes)
-    ours.retries = max(ours.retries, theirs.retries)
-    ours.changed_ms = max(ours.changed_ms, theirs.changed_ms)
+    newer = theirs.changed_ms > ours.changed_ms
+    if not cleared or quarantined:
+        _add_crashes(ours, theirs.crashes)
+    elif newer:
+        ours.crashes = list(theirs.crashes)
+    if newer:
+        ours.retries = theirs.retries
+        ours.changed_ms = theirs.changed_ms
 
 
 def _add_crashes(record: CrashRecord, crashes: list[str]) -> None:
--- a/wigeonmill/agent/service_state.py
+++ b/wigeonmill/agent/service_state.py
@@ -2,6 +2,7 @@
 
 from wigeonmill.agent.admission_types import RefusalReason
 from wigeonmill.agent.admission_types import RunRequest
+from wigeonmill.agent.admission_types import Ticket
 from wigeonmill.agent.quarantine import Quarantine
 from wigeonmill.agent.quarantine import Verdict
 from wigeonmill.clock import Clock
@@ -40,6 +41,19 @@
             return RefusalReason.WEIGHT_VERSION
         return _REASON_OF_VERDICT.get(self._verdict(request))
 
+    def reason_against_start(self, ticket: Ticket) -> RefusalReason | None:
+        """Return why an admitted request can't start; None if it can.
+
+        One that became a suspect meanwhile has to be admitted anew.
+        """
+        reason = self.reason_against(ticket.request)
+        if ticket.alone and reason is RefusalReason.SUSPECT:
+            # The retry was spent on this very ticket.
+            return None
+        if not ticket.alone and self.must_run_alone(ticket.request):
+            return RefusalReason.SUSPECT
+        return reason
+
     def must_run_alone(self, request: RunRequest) -> bool:
         """Return whether the request is suspected of crashing targets."""
         return self._verdict(request) is Verdict.ALONE
