--- a/tests/claims/test_model_check.py
+++ b/tests/claims/test_model_check.py
@@ -7,13 +7,13 @@
 from tests.claims.explorer import SteppedTransport
 from wigeonmill.claims.grouped import GroupPolicy
 from wigeonmill.claims.grouped import make_grouped_store
+from wigeonmill.claims.head_writer import HeadWriter
 from wigeonmill.claims.journal import JournalPolicy
 from wigeonmill.claims.journal import new_head
 from wigeonmill.claims.journal import ShardJournal
 from wigeonmill.claims.owners import OwnersPolicy
 from wigeonmill.claims.record import decode_record
 from wigeonmill.claims.retention import RetentionPolicy
-from wigeonmill.claims.segment import head_key
 from wigeonmill.claims.shard import ShardPolicy
 from wigeonmill.claims.single_key import SingleKeyClaimStore
 from wigeonmill.metrics import Metrics
@@ -116,22 +116,22 @@
         explore(single_key_store(broken), 'ab', 3)
 
 
-class TrustsUnansweredFlush(ShardJournal):
+class TrustsUnansweredWrite(HeadWriter):
     """Takes a head's write without a reply for a committed one."""
 
-    async def _read_back(self, head):
-        self._adopt(head, self._version)
+    async def read_back(self, head):
+        self._adopt(head, self.version)
         return True
 
 
-class WritesUnfenced(ShardJournal):
+class WritesUnfenced(HeadWriter):
     """Overwrites the head whoever owns the shard."""
 
-    async def _swap_head(self, head):
-        read = await self._kv.get(head_key(self._shard))
+    async def swap(self, head):
+        read = await self._kv.get(self._key)
         if read.is_ok() and read.ok_value is not None:
-            self._version = read.ok_value.version
-        return await super()._swap_head(head)
+            self.version = read.ok_value.version
+        return await super().swap(head)
 
 
 class GrantsBeforeCommit(ShardJournal):
@@ -143,17 +143,17 @@
 
 
 @pytest.mark.parametrize(
-    'broken, fault',
+    'part, broken, fault',
     [
-        (TrustsUnansweredFlush, 'answer lost'),
-        (WritesUnfenced, 'dispatched twice'),
-        (GrantsBeforeCommit, 'answer lost'),
+        ('journal.HeadWriter', TrustsUnansweredWrite, 'answer lost'),
+        ('journal.HeadWriter', WritesUnfenced, 'dispatched twice'),
+        ('opener.ShardJournal', GrantsBeforeCommit, 'answer lost'),
     ],
 )
 def test_exploration_finds_the_fault_of_a_broken_journal(
-    broken, fault, monkeypatch
+    part, broken, fault, monkeypatch
 ):
-    monkeypatch.setattr('wigeonmill.claims.opener.ShardJournal', broken)
+    monkeypatch.setattr(f'wigeonmill.claims.{part}', broken)
     with pytest.raises(AssertionError, match=fault):
         explore(grouped_store, 'ab', 2, crash_idle=True)
 
--- a/wigeonmill/claims/journal.py
+++ b/wigeonmill/claims/journal.py
@@ -5,22 +5,19 @@
 import random
 
 import msgspec
-from result import Err
 from result import Ok
 
 from wigeonmill.claims.backoff import Backoff
+from wigeonmill.claims.head_writer import HeadWriter
 from wigeonmill.claims.model import Holder
 from wigeonmill.claims.model import RETRIES
 from wigeonmill.claims.record import ClaimRecord
 from wigeonmill.claims.retention import RetentionLease
 from wigeonmill.claims.segment import decode_entries
-from wigeonmill.claims.segment import decode_head
 from wigeonmill.claims.segment import encode_entry
-from wigeonmill.claims.segment import encode_head
 from wigeonmill.claims.segment import encode_segment
 from wigeonmill.claims.segment import Entry
 from wigeonmill.claims.segment import Head
-from wigeonmill.claims.segment import head_key
 from wigeonmill.claims.segment import SealedSegment
 from wigeonmill.claims.segment import segment_key
 from wigeonmill.clock import Clock
@@ -97,8 +94,7 @@
         self._retention = retention
         self._policy = policy
         self._shard = shard
-        self._head = head
-        self._version = version
+        self._writer = HeadWriter(kv, metrics, rng, shard, head, version)
         self._head_bytes = _size(head.entries)
         # Entries of the head, in journal order.
         self.head_entries = decode_entries(head.entries)
@@ -153,9 +149,9 @@
         """Write what is queued, then leave the shard without an owner."""
         if self._flusher is not None:
             await self._flusher
-        head = msgspec.structs.replace(self._head, address='')
+        head = msgspec.structs.replace(self._writer.head, address='')
         if not self.lost:
-            await self._swap_head(head)
+            await self._writer.swap(head)
         self.lost = True
 
     async def _flush_all(self) -> None:
@@ -203,11 +199,11 @@
         entries = [waiting.entry for waiting in batch]
         size = sum(waiting.size for waiting in batch)
         fits = self._head_bytes + size <= self._policy.segment_bytes
-        if (self._seal_next or not fits) and self._head.entries:
+        if (self._seal_next or not fits) and self._writer.head.entries:
             return await self._flush_sealed(added, entries, size)
-        raws = self._head.entries + added
-        head = msgspec.structs.replace(self._head, entries=raws)
-        if not await self._swap_head(head):
+        raws = self._writer.head.entries + added
+        head = msgspec.structs.replace(self._writer.head, entries=raws)
+        if not await self._writer.swap(head):
             return False
         self._head_bytes += size
         self.head_entries += entries
@@ -219,12 +215,12 @@
     ) -> bool:
         """Seal the head's entries and start the next segment."""
         head = msgspec.structs.replace(
-            self._head,
-            number=self._head.number + 1,
+            self._writer.head,
+            number=self._writer.head.number + 1,
             previous=await self._seal(),
             entries=added,
         )
-        if not await self._swap_head(head):
+        if not await self._writer.swap(head):
             return False
         self.remember_sealed(self._head_bytes, self.head_entries)
         self._seal_next = False
@@ -238,7 +234,7 @@
 
         Returns the key. Only the head's next write makes it count.
         """
-        head = self._head
+        head = self._writer.head
         key = segment_key(self._shard, head.number, head.tenure)
         segment = SealedSegment(head.previous, head.entries)
         data = encode_segment(segment)
@@ -258,45 +254,6 @@
                     self._retention.forget(lease)
             await backoff.pause()
 
-    async def _swap_head(self, head: Head) -> bool:
-        """Write the head; False when another process owns the shard."""
-        data = encode_head(head)
-        backoff = Backoff(self._rng)
-        while True:
-            swapped = await self._kv.compare_and_swap(
-                head_key(self._shard), self._version, data
-            )
-            if isinstance(swapped, Ok):
-                self._adopt(head, swapped.ok_value)
-                return True
-            kind = swapped.err_value.kind
-            self._metrics.count(RETRIES, kind.value)
-            if kind is not KvErrorKind.UNAVAILABLE:
-                settled = await self._read_back(head)
-                if settled is not None:
-                    return settled
-            await backoff.pause()
-
-    async def _read_back(self, head: Head) -> bool | None:
-        """Tell whether a write took effect; None when it is to be retried."""
-        read = await self._kv.get(head_key(self._shard))
-        if isinstance(read, Err):
-            return None
-        entry = read.ok_value
-        if entry is None:
-            return False
-        if decode_head(entry.value).tenure != head.tenure:
-            return False
-        if entry.version == self._version:
-            return None
-        # Nobody else writes under this tenure: the write took effect.
-        self._adopt(head, entry.version)
-        return True
-
-    def _adopt(self, head: Head, version: int) -> None:
-        self._head = head
-        self._version = version
-
 
 def _size(raws: list[msgspec.Raw]) -> int:
     return sum(len(bytes(raw)) for raw in raws)
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -34,6 +34,8 @@
     DETACH = 28
     CALL = 30
     CALL_REPLY = 31
+    CLAIM_CALL = 32
+    CLAIM_REPLY = 33
     GOSSIP = 40
     GOSSIP_REPLY = 41
     STATUS_REQUEST = 50
@@ -57,6 +59,8 @@
         28: "DETACH",
         30: "CALL",
         31: "CALL_REPLY",
+        32: "CLAIM_CALL",
+        33: "CLAIM_REPLY",
         40: "GOSSIP",
         41: "GOSSIP_REPLY",
         50: "STATUS_REQUEST",
@@ -81,6 +85,8 @@
         "DETACH": 28,
         "CALL": 30,
         "CALL_REPLY": 31,
+        "CLAIM_CALL": 32,
+        "CLAIM_REPLY": 33,
         "GOSSIP": 40,
         "GOSSIP_REPLY": 41,
         "STATUS_REQUEST": 50,
@@ -2058,6 +2064,142 @@
         return not (self == other)
 
 
+class ClaimCall(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+    __slots__ = (
+        'request',
+    )
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimCall')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeBinary(self.request)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ClaimReply(object):
+    """
+    Attributes:
+     - reply
+
+    """
+
+    __slots__ = (
+        'reply',
+    )
+
+
+    def __init__(self, reply=None,):
+        self.reply = reply
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.reply = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimReply')
+        if self.reply is not None:
+            oprot.writeFieldBegin('reply', TType.STRING, 1)
+            oprot.writeBinary(self.reply)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class MemberState(object):
     """
     Attributes:
@@ -2740,6 +2882,8 @@
      - ack
      - call
      - call_reply
+     - claim_call
+     - claim_reply
      - gossip
      - status_request
      - status
@@ -2769,10 +2913,12 @@
         'gossip',
         'status_request',
         'status',
+        'claim_call',
+        'claim_reply',
     )
 
 
-    def __init__(self, kind=None, stream=None, config_serial=None, challenge=None, hello=None, welcome=None, offer_request=None, offer=None, release=None, run=None, run_accepted=None, chunk=None, run_end=None, refused=None, cancel=None, resume=None, ack=None, call=None, call_reply=None, gossip=None, status_request=None, status=None,):
+    def __init__(self, kind=None, stream=None, config_serial=None, challenge=None, hello=None, welcome=None, offer_request=None, offer=None, release=None, run=None, run_accepted=None, chunk=None, run_end=None, refused=None, cancel=None, resume=None, ack=None, call=None, call_reply=None, claim_call=None, claim_reply=None, gossip=None, status_request=None, status=None,):
         self.kind = kind
         self.stream = stream
         self.config_serial = config_serial
@@ -2792,6 +2938,8 @@
         self.ack = ack
         self.call = call
         self.call_reply = call_reply
+        self.claim_call = claim_call
+        self.claim_reply = claim_reply
         self.gossip = gossip
         self.status_request = status_request
         self.status = status
@@ -2916,6 +3064,18 @@
                     self.call_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.STRUCT:
+                    self.claim_call = ClaimCall()
+                    self.claim_call.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRUCT:
+                    self.claim_reply = ClaimReply()
+                    self.claim_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             elif fid == 26:
                 if ftype == TType.STRUCT:
                     self.gossip = Gossip()
@@ -3032,6 +3192,14 @@
             oprot.writeFieldBegin('status', TType.STRUCT, 28)
             self.status.write(oprot)
             oprot.writeFieldEnd()
+        if self.claim_call is not None:
+            oprot.writeFieldBegin('claim_call', TType.STRUCT, 29)
+            self.claim_call.write(oprot)
+            oprot.writeFieldEnd()
+        if self.claim_reply is not None:
+            oprot.writeFieldBegin('claim_reply', TType.STRUCT, 30)
+            self.claim_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3205,6 +3373,16 @@
     (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
     (4, TType.STRING, 'digest', 'BINARY', None, ),  # 4
 )
+all_structs.append(ClaimCall)
+ClaimCall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'BINARY', None, ),  # 1
+)
+all_structs.append(ClaimReply)
+ClaimReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'reply', 'BINARY', None, ),  # 1
+)
 all_structs.append(MemberState)
 MemberState.thrift_spec = (
     None,  # 0
@@ -3284,6 +3462,8 @@
     (26, TType.STRUCT, 'gossip', [Gossip, None], None, ),  # 26
     (27, TType.STRUCT, 'status_request', [StatusRequest, None], None, ),  # 27
     (28, TType.STRUCT, 'status', [Status, None], None, ),  # 28
+    (29, TType.STRUCT, 'claim_call', [ClaimCall, None], None, ),  # 29
+    (30, TType.STRUCT, 'claim_reply', [ClaimReply, None], None, ),  # 30
 )
 fix_spec(all_structs)
 del all_structs
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -21,6 +21,8 @@
   DETACH = 28
   CALL = 30
   CALL_REPLY = 31
+  CLAIM_CALL = 32
+  CLAIM_REPLY = 33
   GOSSIP = 40
   GOSSIP_REPLY = 41
   STATUS_REQUEST = 50
@@ -172,6 +174,15 @@
   4: binary digest
 }
 
+// Asks the owner of a claim shard; request is the claims package's record.
+struct ClaimCall {
+  1: binary request
+}
+
+struct ClaimReply {
+  1: binary reply
+}
+
 // What one process says of another, ordered by incarnation then version.
 struct MemberState {
   1: string name
@@ -238,6 +249,8 @@
   23: optional Ack ack
   24: optional Call call
   25: optional CallReply call_reply
+  29: optional ClaimCall claim_call
+  30: optional ClaimReply claim_reply
   26: optional Gossip gossip
   27: optional StatusRequest status_request
   28: optional Status status
