--- a/wigeonmill/console/reading.py
+++ b/wigeonmill/console/reading.py
@@ -13,7 +13,6 @@
 from wigeonmill.console.items import ItemRef
 from wigeonmill.console.items import list_items
 from wigeonmill.tools.fleet import ProcessStanding
-from wigeonmill.tools.fleet import Standing
 from wigeonmill.tools.record_commands import make_rows
 
 LIST_ROWS = 100
@@ -71,8 +70,7 @@
             record = found.ok_value.record
             serial = record.serial
             rows = await self.context.read_standing(record)
-        settled = (Standing.IN_FORCE, Standing.AHEAD)
-        late = [row for row in rows if row.standing not in settled]
+        late = [row for row in rows if not row.settled]
         self.render(
             'status.html',
             serial=serial,
--- a/wigeonmill/tools/change_reports.py
+++ b/wigeonmill/tools/change_reports.py
@@ -105,8 +105,7 @@
     if spread.everywhere:
         yield f'In force in all {count} processes after {took_s:.2f} s.'
         return
-    settled = (Standing.IN_FORCE, Standing.AHEAD)
-    late = [r for r in spread.processes if r.standing not in settled]
+    late = [row for row in spread.processes if not row.settled]
     yield f'After {took_s:.2f} s, {len(late)} of {count} are behind:'
     header = ['process', 'role', 'address', 'serial', 'standing']
     yield from format_table(header, [_row(row) for row in late])
--- a/wigeonmill/tools/fleet.py
+++ b/wigeonmill/tools/fleet.py
@@ -18,6 +18,10 @@
 POLL_PAUSE_S = 0.1
 # Questions that are open at the same time.
 MAX_QUESTIONS = 64
+# Processes asked for their peers at the same time, and further rounds of
+# this when none has answered.
+PEER_SOURCES = 8
+MAX_PEER_ROUNDS = 4
 
 
 class Standing(enum.Enum):
@@ -43,10 +47,13 @@
 class StatusReader(Protocol):
     """Asks one process for its status."""
 
-    async def read_status(self, address: str) -> Result[ProcessStatus, str]:
+    async def read_status(
+        self, address: str, with_peers: bool
+    ) -> Result[ProcessStatus, str]:
         """Return the status of the process at an inner address.
 
-        The error says why there is none.
+        Its peers are asked for only if wanted. The error says why there is
+        no status.
         """
 
     def close(self) -> None:
@@ -64,6 +71,11 @@
     standing: Standing
     detail: str = ''
 
+    @property
+    def settled(self) -> bool:
+        """True if the serial or a higher one is in force."""
+        return self.standing in (Standing.IN_FORCE, Standing.AHEAD)
+
 
 @dataclass(frozen=True, slots=True)
 class Spread:
@@ -76,8 +88,7 @@
     @property
     def everywhere(self) -> bool:
         """True if every process has the serial or a higher one."""
-        settled = (Standing.IN_FORCE, Standing.AHEAD)
-        return all(row.standing in settled for row in self.processes)
+        return all(row.settled for row in self.processes)
 
 
 def agent_addresses(document: Document) -> list[str]:
@@ -88,23 +99,28 @@
 async def read_fleet(
     reader: StatusReader, seeds: Iterable[str], serial: int
 ) -> list[ProcessStanding]:
-    """Ask the seeds and every process that they know, each once."""
-    gate = asyncio.Semaphore(MAX_QUESTIONS)
-    asked: set[str] = set()
-    rows: list[ProcessStanding] = []
-    wave = list(dict.fromkeys(seeds))
-    while wave:
-        asked.update(wave)
+    """Ask the seeds and the processes that these know, each once."""
+    addresses = await find_processes(reader, list(dict.fromkeys(seeds)))
+    return await _read_standings(reader, addresses, serial)
+
+
+async def find_processes(reader: StatusReader, seeds: list[str]) -> list[str]:
+    """Return the seeds and the peers of the first few that answer.
+
+    Every process knows all others, so that a few are enough to ask.
+    """
+    found = dict.fromkeys(seeds)
+    for start in range(0, len(seeds), PEER_SOURCES):
+        batch = seeds[start : start + PEER_SOURCES]
         replies = await asyncio.gather(
-            *(_ask(reader, gate, address) for address in wave)
+            *(reader.read_status(address, True) for address in batch)
         )
-        peers: dict[str, None] = {}
-        for address, reply in zip(wave, replies):
-            rows.append(_standing(address, reply, serial))
-            if isinstance(reply, Ok):
-                peers.update(dict.fromkeys(reply.ok_value.peers))
-        wave = [address for address in peers if address not in asked]
-    return sorted(rows, key=lambda row: (row.role, row.process, row.address))
+        known = [reply.ok_value for reply in replies if isinstance(reply, Ok)]
+        for status in known:
+            found.update(dict.fromkeys(status.peers))
+        if known or start >= PEER_SOURCES * MAX_PEER_ROUNDS:
+            break
+    return list(found)
 
 
 async def wait_in_force(
@@ -114,21 +130,36 @@
     serial: int,
     timeout_ms: float,
 ) -> Spread:
-    """Ask until `serial` is in force everywhere or the time is over."""
+    """Ask until `serial` is in force everywhere or the time is over.
+
+    A process that has it is not asked again: none goes back.
+    """
     start_ms = clock.now_ms()
+    pending = await find_processes(reader, list(dict.fromkeys(seeds)))
+    settled: list[ProcessStanding] = []
     while True:
-        rows = await read_fleet(reader, seeds, serial)
-        spread = Spread(serial, clock.now_ms() - start_ms, rows)
-        if spread.everywhere or spread.took_ms >= timeout_ms:
+        rows = await _read_standings(reader, pending, serial)
+        settled += [row for row in rows if row.settled]
+        late = [row for row in rows if not row.settled]
+        spread = Spread(serial, clock.now_ms() - start_ms, late + settled)
+        if not late or spread.took_ms >= timeout_ms:
             return spread
+        pending = [row.address for row in late]
         await asyncio.sleep(POLL_PAUSE_S)
 
 
-async def _ask(
-    reader: StatusReader, gate: asyncio.Semaphore, address: str
-) -> Result[ProcessStatus, str]:
-    async with gate:
-        return await reader.read_status(address)
+async def _read_standings(
+    reader: StatusReader, addresses: list[str], serial: int
+) -> list[ProcessStanding]:
+    gate = asyncio.Semaphore(MAX_QUESTIONS)
+
+    async def ask(address: str) -> ProcessStanding:
+        async with gate:
+            reply = await reader.read_status(address, False)
+        return _standing(address, reply, serial)
+
+    rows = await asyncio.gather(*(ask(address) for address in addresses))
+    return sorted(rows, key=lambda row: (row.role, row.process, row.address))
 
 
 def _standing(
--- a/wigeonmill/tools/status_reader.py
+++ b/wigeonmill/tools/status_reader.py
@@ -45,11 +45,12 @@
 
         self._pool = PeerPool(make_client)
 
-    async def read_status(self, address: str) -> Result[ProcessStatus, str]:
+    async def read_status(
+        self, address: str, with_peers: bool
+    ) -> Result[ProcessStatus, str]:
         """Return the status of the process at `address`."""
-        req = Envelope(
-            Kind.STATUS_REQUEST, status_request=StatusRequest(members=True)
-        )
+        question = StatusRequest(members=with_peers)
+        req = Envelope(Kind.STATUS_REQUEST, status_request=question)
         reply = await self._pool.get(address).request(req, STATUS_TIMEOUT_MS)
         if isinstance(reply, Err):
             return Err(reply.err_value.message)
