--- a/wigeonmill/tls.py
+++ b/wigeonmill/tls.py
@@ -30,12 +30,11 @@
     """Return the connecting side's context; None without TLS.
 
     Processes are named by address, so that the peer's certificate is
-    checked against `ca_file` and not against a host name.
+    checked against `ca_file`, or against the own certificate if there is
+    none, and not against a host name.
     """
     if tls is None:
         return Ok(None)
-    if not tls.ca_file:
-        return Err('tls.ca_file: name the file that certifies the peers')
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.check_hostname = False
     return _load(context, tls)
@@ -46,8 +45,8 @@
 ) -> Result[ssl.SSLContext | None, str]:
     try:
         context.load_cert_chain(tls.cert_file, tls.key_file)
-        if tls.ca_file:
-            context.load_verify_locations(tls.ca_file)
+        if context.verify_mode is ssl.CERT_REQUIRED:
+            context.load_verify_locations(tls.ca_file or tls.cert_file)
     except (OSError, ssl.SSLError) as exc:
         return Err(f'tls files of {tls.cert_file}: {type(exc).__name__}')
     return Ok(context)
