--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -224,9 +224,7 @@
         if reason is not None:
             self._in_flight.remove(ticket)
             return self._refused_now(Refusal(reason))
-        ticket.state = TicketState.STARTED
-        ticket.started_ms = self._clock.now_ms()
-        ticket.prefill_done = self._in_flight.prefill_done
+        self._in_flight.start(ticket, self._clock.now_ms())
         if ticket.alone:
             fingerprint = ticket.request.fingerprint
             self.quarantine.on_retry(fingerprint, self._clock.wall_ms())
@@ -241,11 +239,9 @@
         ticket.first_token_ms = self._clock.now_ms()
         self._in_flight.end_prefill(ticket)
         took_ms = ticket.first_token_ms - ticket.started_ms
-        # The target may have let others pass: what counts is all prefill
-        # that it did since the start.
-        self._in_flight.prefill_done += ticket.cost
-        tokens = self._in_flight.prefill_done - ticket.prefill_done
-        ticket.healthy = self.health.on_first_token(tokens, took_ms)
+        # More urgent runs may have gone first, before or after the start.
+        work = self._in_flight.work_since(ticket)
+        ticket.healthy = self.health.on_first_token(work, took_ms)
 
     def finished(self, ticket_id: int, outcome: RunOutcome) -> None:
         """Take the end of a run that holds a slot."""
--- a/wigeonmill/agent/in_flight.py
+++ b/wigeonmill/agent/in_flight.py
@@ -1,29 +1,43 @@
 """The runs that hold a slot at the target."""
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from wigeonmill.agent.admission_types import Ticket
 from wigeonmill.agent.admission_types import TicketState
 
 
+@dataclass(frozen=True, slots=True)
+class PrefillWork:
+    """Prefill of a target in tokens.
+
+    `planned` leaves out what was expected in its cache; `most` counts whole
+    prompts, as blocks may have been evicted unseen.
+    """
+
+    planned: int
+    most: int
+
+
 class InFlight:
     """Runs with a slot and the prefill that they still have to do."""
 
     __slots__ = (
-        'prefill_done',
         '_tickets',
         '_short_tokens',
         '_prefill',
         '_long_prefill',
+        '_computed',
+        '_prompted',
     )
 
     def __init__(self, short_tokens: int) -> None:
-        # Tokens of prefill that ended with a first token, ever.
-        self.prefill_done = 0
         self._short_tokens = short_tokens
         self._tickets: dict[int, Ticket] = {}
         self._prefill = 0
         self._long_prefill = 0
+        self._computed = 0
+        self._prompted = 0
 
     def __len__(self) -> int:
         return len(self._tickets)
@@ -41,6 +55,13 @@
         """Tokens of prefill in flight by runs that aren't short."""
         return self._long_prefill
 
+    def work_since(self, ticket: Ticket) -> PrefillWork:
+        """Return the prefill that ended since a run was started."""
+        return PrefillWork(
+            self._computed - ticket.computed_before,
+            self._prompted - ticket.prompted_before,
+        )
+
     @property
     def alone(self) -> bool:
         """Whether a run is in flight that must run alone."""
@@ -61,8 +82,18 @@
         self._tickets[ticket.id] = ticket
         self._change_prefill(ticket, ticket.cost)
 
+    def start(self, ticket: Ticket, now_ms: float) -> None:
+        """Note that the target has a run from now on."""
+        ticket.state = TicketState.STARTED
+        ticket.started_ms = now_ms
+        ticket.computed_before = self._computed
+        ticket.prompted_before = self._prompted
+
     def end_prefill(self, ticket: Ticket) -> None:
         """Take a run's prefill as done."""
+        if ticket.state is TicketState.STARTED:
+            self._computed += ticket.cost
+            self._prompted += ticket.request.prompt_tokens
         if ticket.state is not TicketState.STREAMING:
             ticket.state = TicketState.STREAMING
             self._change_prefill(ticket, -ticket.cost)
