--- a/tests/config/test_reader.py
+++ b/tests/config/test_reader.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.config import samples
+from wigeonmill.config.acceptance import find_faults
 from wigeonmill.config.model import ConfigRecord
 from wigeonmill.config.model import decode_record
 from wigeonmill.config.model import encode_record
@@ -83,6 +84,34 @@
     assert parse_document(data).is_err()
 
 
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+
+
+@given(JSON_VALUES, st.randoms(use_true_random=False))
+def test_any_value_at_any_place_gives_a_document_or_faults(value, rng):
+    tree = samples.load_tree()
+    place = tree
+    while True:
+        keys = range(len(place)) if isinstance(place, list) else list(place)
+        key = rng.choice(keys)
+        deeper = place[key]
+        if not isinstance(deeper, list | dict) or not deeper:
+            break
+        if rng.random() < 0.2:
+            break
+        place = deeper
+    place[key] = value
+    parsed = parse_document(json.dumps(tree).encode())
+    if parsed.is_err():
+        assert parsed.err() and all(f.line() for f in parsed.err())
+    else:
+        assert all(f.line() for f in find_faults(None, parsed.ok()))
+
+
 def test_example_is_read_whole():
     path = samples.EXAMPLES / 'isoko.json'
     assert read_document(path).unwrap() == samples.load_example()
--- a/wigeonmill/config/reader.py
+++ b/wigeonmill/config/reader.py
@@ -1,5 +1,6 @@
 """Reads a document's text and reports every fault of its structure."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 import functools
@@ -42,8 +43,8 @@
         super().__init__(pairs)
         self.duplicates: list[str] = []
         if len(self) != len(pairs):
-            keys = [key for key, _value in pairs]
-            self.duplicates = [k for k in self if keys.count(k) > 1]
+            counts = collections.Counter(key for key, _value in pairs)
+            self.duplicates = [k for k, n in counts.items() if n > 1]
 
 
 def read_document(path: pathlib.Path) -> Result[Document, list[Fault]]:
--- a/wigeonmill/console/login.py
+++ b/wigeonmill/console/login.py
@@ -4,8 +4,7 @@
 
 from wigeonmill.console.base import ConsoleHandler
 from wigeonmill.console.base import SESSION_COOKIE
-
-MAX_AUTHOR_CHARS = 64
+from wigeonmill.tools.operator_settings import MAX_AUTHOR_CHARS
 
 
 class LoginHandler(ConsoleHandler):
@@ -21,8 +20,8 @@
         """Open a session if the key is right."""
         author = self.get_argument('author', '')
         key = self.get_body_argument('key', '')
-        if not author.isprintable() or not 0 < len(author) < MAX_AUTHOR_CHARS:
-            error = f'Write your name, up to {MAX_AUTHOR_CHARS - 1} characters'
+        if not author.isprintable() or not 0 < len(author) <= MAX_AUTHOR_CHARS:
+            error = f'Write your name, up to {MAX_AUTHOR_CHARS} characters'
             return self._refuse(author, error)
         outcome = self.context.sessions.log_in(author, key)
         if isinstance(outcome, Err):
--- a/wigeonmill/tools/operator_settings.py
+++ b/wigeonmill/tools/operator_settings.py
@@ -14,6 +14,7 @@
 from wigeonmill.settings import TlsSettings
 
 SETTINGS_VARIABLE = 'WIGEONMILL_SETTINGS'
+MAX_AUTHOR_CHARS = 64
 
 
 class ConsoleSettings(msgspec.Struct, forbid_unknown_fields=True):
@@ -80,6 +81,11 @@
         for key, address in named
         if not is_address(address)
     ]
+    author = settings.author
+    if len(author) > MAX_AUTHOR_CHARS or not author.isprintable():
+        faults.append(
+            f'author: write up to {MAX_AUTHOR_CHARS} printable characters'
+        )
     return Err(faults) if faults else Ok(settings)
 
 
--- a/wigeonmill/tools/status_reader.py
+++ b/wigeonmill/tools/status_reader.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from wigeonmill.protocol.client import PeerClient
+from wigeonmill.protocol.client import PeerErrorKind
 from wigeonmill.protocol.client import PeerPool
 from wigeonmill.protocol.gen.inner.ttypes import Envelope
 from wigeonmill.protocol.gen.inner.ttypes import Kind
@@ -17,6 +18,11 @@
 
 STATUS_TIMEOUT_MS = 1000.0
 TOOL_ROLE = 'operator'
+_REASONS = {
+    PeerErrorKind.UNREACHABLE: 'no connection, or another inner key',
+    PeerErrorKind.CLOSED: 'the connection ended',
+    PeerErrorKind.TIMEOUT: 'no answer in time',
+}
 # MemberState.state of a process that is alive or only suspected.
 _PRESENT_STATES = frozenset((0, 1))
 
@@ -53,7 +59,7 @@
         req = Envelope(Kind.STATUS_REQUEST, status_request=question)
         reply = await self._pool.get(address).request(req, STATUS_TIMEOUT_MS)
         if isinstance(reply, Err):
-            return Err(reply.err_value.message)
+            return Err(_REASONS[reply.err_value.kind])
         status = reply.ok_value.status
         if status is None:
             return Err('the answer is not a status')
