--- a/tests/config/test_acceptance.py
+++ b/tests/config/test_acceptance.py
@@ -162,15 +162,22 @@
 
 
 class YieldingKeyValue:
-    """Passes calls on after a drawn number of turns of the loop."""
+    """Passes calls on after a drawn number of turns of the loop.
 
-    def __init__(self, kv, turns):
+    From call number `outage_from` on the service is out.
+    """
+
+    def __init__(self, kv, turns, outage_from):
         self._kv = kv
         self._turns = iter(turns)
+        self._calls_left = outage_from
 
     async def _wait(self):
         for _turn in range(next(self._turns, 0)):
             await asyncio.sleep(0)
+        self._calls_left -= 1
+        if self._calls_left < 0:
+            self._kv.faults.outage = True
 
     async def get(self, key):
         await self._wait()
@@ -204,8 +211,9 @@
         turns=st.tuples(TURNS, TURNS),
         replies=st.integers(0, 6),
         requests=st.integers(0, 6),
+        outage_from=st.integers(0, 9) | st.just(99),
     )
-    def race(self, tokens, turns, replies, requests):
+    def race(self, tokens, turns, replies, requests, outage_from):
         self.kv.faults.lose_replies = replies
         self.kv.faults.lose_requests = requests
         submissions = []
@@ -216,15 +224,18 @@
                     f's{self.count}', self.seen[operator], tokens[operator]
                 )
             )
-        outcomes = asyncio.run(self.submit_both(submissions, turns))
+        outcomes = asyncio.run(
+            self.submit_both(submissions, turns, outage_from)
+        )
+        self.kv.faults.outage = False
         for submission, outcome in zip(submissions, outcomes):
             self.outcomes[submission.submission_id] = outcome
 
-    async def submit_both(self, submissions, turns):
+    async def submit_both(self, submissions, turns, outage_from):
         clock = ManualClock(1000.0)
         return await asyncio.gather(
             *(
-                submit(YieldingKeyValue(self.kv, t), clock, s)
+                submit(YieldingKeyValue(self.kv, t, outage_from), clock, s)
                 for s, t in zip(submissions, turns)
             )
         )
