--- a/tests/tools/test_docs.py
+++ b/tests/tools/test_docs.py
@@ -29,8 +29,11 @@
 def test_every_command_setting_and_exit_code_is_described():
     text = (DOCS / 'CLI.md').read_text()
     commands = cappa.collect(Wigeonmill).subcommand.options
-    for command in commands:
-        assert f'| `{command}' in text, command
+    for name, command in commands.items():
+        assert f'| `{name}' in text, name
+        for option in command.options:
+            for long in option.long or ():
+                assert long in text, long
     for code in ExitCode:
         assert f'\n| {int(code)} |' in text
     for field in OperatorSettings.__struct_fields__:
