--- a/wigeonmill/tools/status_reader.py
+++ b/wigeonmill/tools/status_reader.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from wigeonmill.protocol.client import PeerClient
+from wigeonmill.protocol.client import PeerErrorKind
 from wigeonmill.protocol.client import PeerPool
 from wigeonmill.protocol.gen.inner.ttypes import Envelope
 from wigeonmill.protocol.gen.inner.ttypes import Kind
@@ -17,6 +18,11 @@
 
 STATUS_TIMEOUT_MS = 1000.0
 TOOL_ROLE = 'operator'
+_REASONS = {
+    PeerErrorKind.UNREACHABLE: 'no connection, or another inner key',
+    PeerErrorKind.CLOSED: 'the connection ended',
+    PeerErrorKind.TIMEOUT: 'no answer in time',
+}
 # MemberState.state of a process that is alive or only suspected.
 _PRESENT_STATES = frozenset((0, 1))
 
@@ -45,14 +51,15 @@
 
         self._pool = PeerPool(make_client)
 
-    async def read_status(self, address: str) -> Result[ProcessStatus, str]:
+    async def read_status(
+        self, address: str, with_peers: bool
+    ) -> Result[ProcessStatus, str]:
         """Return the status of the process at `address`."""
-        req = Envelope(
-            Kind.STATUS_REQUEST, status_request=StatusRequest(members=True)
-        )
+        question = StatusRequest(members=with_peers)
+        req = Envelope(Kind.STATUS_REQUEST, status_request=question)
         reply = await self._pool.get(address).request(req, STATUS_TIMEOUT_MS)
         if isinstance(reply, Err):
-            return Err(reply.err_value.message)
+            return Err(_REASONS[reply.err_value.kind])
         status = reply.ok_value.status
         if status is None:
             return Err('the answer is not a status')
