--- a/wigeonmill/node.py
+++ b/wigeonmill/node.py
@@ -10,6 +10,7 @@
 
 from wigeonmill.clock import Clock
 from wigeonmill.config.holder import ConfigHolder
+from wigeonmill.config.model import ConfigRecord
 from wigeonmill.membership.member import Member
 from wigeonmill.membership.membership import Membership
 from wigeonmill.metrics import Metrics
@@ -73,6 +74,7 @@
         self.address = ''
         self.handlers: list[Handler] = []
         self.traffic = Traffic()
+        self.adopted_at_ms = 0
         self._tls = tls
         self._tasks: set[asyncio.Task[Any]] = set()
         self.peers = PeerPool(self._make_client)
@@ -143,7 +145,7 @@
         me = Member(
             settings.process,
             ','.join(settings.roles),
-            self.address,
+            settings.inner_advertised or self.address,
             settings.failure_domain,
             settings.region,
             settings.agent.target,
@@ -166,9 +168,14 @@
     def _register_gauges(self) -> None:
         traffic = self.traffic
         gauge = self.metrics.gauge
+        self.holder.subscribe(self._on_config)
+        gauge('config_adopted_at_ms', lambda: float(self.adopted_at_ms))
         gauge('inner_sent_bytes', lambda: float(traffic.sent_bytes))
         gauge('inner_received_bytes', lambda: float(traffic.received_bytes))
 
+    def _on_config(self, _record: ConfigRecord) -> None:
+        self.adopted_at_ms = self.clock.wall_ms()
+
     def _on_envelope(self, conn: Conn, envelope: Envelope) -> None:
         if envelope.config_serial:
             self._on_serial(conn.peer, envelope.config_serial)
--- a/wigeonmill/settings.py
+++ b/wigeonmill/settings.py
@@ -64,8 +64,9 @@
 class Settings(msgspec.Struct, forbid_unknown_fields=True):
     """One process of wigeonmill.
 
-    Addresses are IP:port. `peers` are inner addresses asked for a
-    configuration while the key-value service is out.
+    Addresses are IP:port. `inner_advertised` is where peers reach `inner`,
+    if it is another address. `peers` are inner addresses to join at, and
+    asked for a configuration while the key-value service is out.
     """
 
     process: str
@@ -73,6 +74,7 @@
     failure_domain: str = ''
     region: str = ''
     inner: str = '127.0.0.1:7100'
+    inner_advertised: str = ''
     inner_key_file: str = ''
     inner_tls: TlsSettings | None = None
     key_value: list[str] = msgspec.field(
@@ -156,6 +158,8 @@
     named = [('inner', settings.inner), ('entry.http', settings.entry.http)]
     named += [('key_value', address) for address in settings.key_value]
     named += [('peers', address) for address in settings.peers]
+    if settings.inner_advertised:
+        named.append(('inner_advertised', settings.inner_advertised))
     if settings.vm_list:
         named.append(('vm_list', settings.vm_list))
     advice = 'write an IP number and a port, as 127.0.0.1:7100'
