--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -39,6 +39,8 @@
     ('kicukiro', 'kigali'),
 )
 SERVICE = 'ledger'
+# Targets that aren't reachable: their agents take part in control only.
+SPARE = 'spare'
 TEAM = 'team-0'
 SEEDS = 3
 # Below the range that the system takes outgoing ports from.
@@ -287,23 +289,34 @@
         self.daemons[name] = Daemon(name, plan, process, http, control)
 
     def _make_document(self, plans: list[dict[str, Any]]) -> Document:
-        targets = [
-            Target(
-                plan['agent']['target'],
-                plan['failure_domain'],
-                plan['inner'],
-                self.ledgers[plan['failure_domain']].address,
-            )
-            for plan in plans
-            if 'agent' in plan
-        ]
-        service = Service(SERVICE, ServiceKind.PLAIN, targets)
+        agents = [plan for plan in plans if 'agent' in plan]
+        serving: list[Target] = []
+        spare: list[Target] = []
+        for plan in agents:
+            domain = plan['failure_domain']
+            known = {target.failure_domain for target in serving}
+            if domain in known:
+                spare.append(self._target(plan, self._ports.take()))
+            else:
+                address = self.ledgers[domain].address
+                serving.append(self._target(plan, address))
+        services = [Service(SERVICE, ServiceKind.PLAIN, serving)]
+        if spare:
+            services.append(Service(SPARE, ServiceKind.PLAIN, spare))
         domains = [FailureDomain(name, region) for name, region in DOMAINS]
         teams = [
             Team(f'team-{n}', [hash_key(f'bench-key-team-{n}')], 1, 100_000)
             for n in range(self.options.teams)
         ]
-        return Document([service], domains, teams)
+        return Document(services, domains, teams)
+
+    def _target(self, plan: dict[str, Any], address: str) -> Target:
+        return Target(
+            plan['agent']['target'],
+            plan['failure_domain'],
+            plan['inner'],
+            address,
+        )
 
     def _make_client(self, address: str) -> PeerClient:
         keys = InnerKeys((self.fleet.inner_key.encode(),))
--- a/bench/control_scenes.py
+++ b/bench/control_scenes.py
@@ -173,6 +173,7 @@
     failures: list[int] = []
     callers = asyncio.ensure_future(_call(fleet, stop, failures))
     figures: Figures = {'drain_new_work_after_3_s': 0.0}
+    first = await _reads(fleet, domain)
     spread: list[float] = []
     for paused in _one_entry_one_agent(fleet, domain):
         await asyncio.sleep(1.0)
@@ -193,6 +194,7 @@
         await _wait_in_force(fleet)
     stop.set()
     await callers
+    figures['drain_domain_reads'] = float(await _reads(fleet, domain) - first)
     figures['drain_failed_reads'] = float(len(failures))
     return figures | _spread_figures('drain_in_force', spread)
 
