Ask the next peer soon when a fetch of configuration hangs

With a tenth of the links losing all traffic in turn, a process that fetched from behind such a link waited 2 s and then read the key-value service. It now keeps every peer that showed the higher serial, gives each 400 ms, and tries the next.

What is left is the second until a process behind a dead link asks a neighbor itself.

--- a/wigeonmill/membership/config_feed.py
+++ b/wigeonmill/membership/config_feed.py
@@ -55,12 +55,14 @@
         self._rng = rng
         self._metrics = metrics
         self._hinted = asyncio.Event()
-        self._source = ''
+        # Peers that showed a higher serial, the latest one last.
+        self._sources: dict[str, None] = {}
 
     def hint(self, source: str, serial: int) -> None:
         """Note that the peer `source` (name or IP:port) has `serial`."""
         if serial > self._holder.serial:
-            self._source = source
+            self._sources.pop(source, None)
+            self._sources[source] = None
             self._hinted.set()
 
     async def follow_hints(self) -> None:
@@ -68,10 +70,21 @@
         while True:
             await self._hinted.wait()
             self._hinted.clear()
-            if not await self._peers.pull(self._source):
+            if not await self._pull_from_sources():
                 await self._read()
             await asyncio.sleep(HINT_PAUSE_MS / 1000.0)
 
+    async def _pull_from_sources(self) -> bool:
+        """Ask one source after the other until one has given."""
+        serial = self._holder.serial
+        while self._sources:
+            source, _none = self._sources.popitem()
+            if await self._peers.pull(source):
+                self._sources.clear()
+            elif self._holder.serial == serial:
+                self._metrics.count('config_retries', 'next_peer')
+        return self._holder.serial > serial
+
     async def follow_key(self) -> None:
         """Read the key, then watch it, until cancelled."""
         revision = 0
--- a/wigeonmill/membership/gossip.py
+++ b/wigeonmill/membership/gossip.py
@@ -32,7 +32,8 @@
 logger = logging.getLogger(__name__)
 
 EXCHANGE_TIMEOUT_MS = 1_000.0
-PULL_TIMEOUT_MS = 2_000.0
+PULL_TIMEOUT_MS = 400.0
+WHOLE_PULL_TIMEOUT_MS = 2_000.0
 # An exchange that took longer than its timeout and this was held up by a
 # pause of this process itself; it says nothing of the peer.
 PAUSE_SLACK_MS = 3_000.0
@@ -154,7 +155,7 @@
 
     async def pull(self, address: str) -> bool:
         """Fetch the configuration from a peer; True if one was adopted."""
-        pulled = await self._pull(address, whole=False)
+        pulled = await self._pull(address, self._holder.sections is None)
         if pulled is Pulled.BROKEN:
             self._metrics.count('config_retries', 'whole')
             pulled = await self._pull(address, whole=True)
@@ -203,7 +204,8 @@
     async def _pull(self, address: str, whole: bool) -> Pulled:
         message = self._compose(None)
         self._config.ask(message, whole)
-        reply = await self._request(address, message, PULL_TIMEOUT_MS)
+        timeout_ms = WHOLE_PULL_TIMEOUT_MS if whole else PULL_TIMEOUT_MS
+        reply = await self._request(address, message, timeout_ms)
         if reply is None:
             self._metrics.count('config_reads_failed', 'peer')
             return Pulled.NOTHING_NEWER
