--- a/bench/system.py
+++ b/bench/system.py
@@ -174,7 +174,9 @@
         )
 
     def _make_document(self) -> Document:
-        services = [self._service(MODEL, ServiceKind.MODEL, 'engine')]
+        services = []
+        if self.options.engines:
+            services.append(self._service(MODEL, ServiceKind.MODEL, 'engine'))
         if self.options.ledgers:
             services.append(self._service(LEDGER, ServiceKind.PLAIN, 'ledger'))
         stores = [
--- a/wigeonmill/agent/model_service.py
+++ b/wigeonmill/agent/model_service.py
@@ -21,6 +21,8 @@
 from wigeonmill.agent.engine import EngineEnd
 from wigeonmill.agent.engine import EngineEndKind
 from wigeonmill.agent.engine import EngineStream
+from wigeonmill.agent.quarantine import decode_state
+from wigeonmill.agent.quarantine import encode_state
 from wigeonmill.agent.run_ids import RunId
 from wigeonmill.agent.runs import Run
 from wigeonmill.agent.runs import RunFailure
@@ -94,8 +96,11 @@
         if made.is_err():
             refusal = made.unwrap_err()
             context.metrics.count('agent_refusals', refusal.reason.value)
-            return _no_offer(refusal)
-        return _offer_message(made.unwrap())
+            reply = _no_offer(refusal)
+        else:
+            reply = _offer_message(made.unwrap())
+        reply.crash_record = self._crash_record(request.fingerprint)
+        return reply
 
     def release(self, reservation: int) -> None:
         """Give back a reservation that its entry does not use."""
@@ -110,6 +115,7 @@
             self._refuse(conn, stream, refusal)
             return
         request = self._request(message)
+        self._merge_crash_records(message)
         keys = self._keys(message.block_keys)
         plan = self._planner.plan_search(keys, request.prompt_tokens)
         importing = plan.import_blocks > 0
@@ -222,6 +228,11 @@
         return path, msgspec.json.encode(body)
 
     def _settle(self, pending: PendingRun, end: EngineEnd) -> None:
+        outcome = _OUTCOMES[end.kind]
+        if end.status in _BUSY_STATUSES:
+            outcome = OutcomeKind.OVERLOADED
+        # A crash is noted first, so that the failure tells of it.
+        self._finish(pending, RunOutcome(outcome, end.answer_tokens))
         run = pending.run
         if end.kind is EngineEndKind.COMPLETED:
             run.finish(
@@ -234,11 +245,10 @@
             )
         else:
             self._context.metrics.count('runs_failed', end.kind.value)
-            run.fail(_failure(end))
-        outcome = _OUTCOMES[end.kind]
-        if end.status in _BUSY_STATUSES:
-            outcome = OutcomeKind.OVERLOADED
-        self._finish(pending, RunOutcome(outcome, end.answer_tokens))
+            failure = _failure(end)
+            fingerprint = pending.ticket.request.fingerprint
+            failure.crash_record = self._crash_record(fingerprint)
+            run.fail(failure)
 
     def _finish(self, pending: PendingRun, outcome: RunOutcome) -> None:
         self._pending.pop(pending.ticket.id, None)
@@ -254,6 +264,23 @@
             )
             pending.run.fail(failure)
 
+    def _crash_record(self, fingerprint: bytes) -> bytes:
+        quarantine = self._context.admission.quarantine
+        wall_ms = self._context.clock.wall_ms()
+        known = quarantine.known_of(fingerprint, wall_ms)
+        return encode_state(known) if known.records else b''
+
+    def _merge_crash_records(self, message: RunMessage) -> None:
+        """Learn of crashes on other targets from the entry."""
+        wall_ms = self._context.clock.wall_ms()
+        for data in message.crash_records or []:
+            try:
+                known = decode_state(data)
+            except msgspec.DecodeError:
+                self._context.metrics.count('crash_records_malformed')
+                continue
+            self._context.admission.quarantine.merge(known, wall_ms)
+
     def _cancel(self, pending: PendingRun) -> None:
         """Stop a run whose caller has left for good."""
         if pending.run.ended:
--- a/wigeonmill/agent/quarantine.py
+++ b/wigeonmill/agent/quarantine.py
@@ -130,6 +130,13 @@
         self._bound(now_ms)
         return quarantined
 
+    def known_of(self, fingerprint: bytes, now_ms: int) -> QuarantineState:
+        """Return what is known of one request, to be sent with an offer."""
+        record = self._live(fingerprint, now_ms)
+        if record is None:
+            return QuarantineState()
+        return QuarantineState({fingerprint.hex(): record})
+
     def merge(self, other: QuarantineState, now_ms: int) -> None:
         """Take in another agent's records.
 
--- a/wigeonmill/agent/role.py
+++ b/wigeonmill/agent/role.py
@@ -17,6 +17,8 @@
 from wigeonmill.agent.load_slots import LoadSlots
 from wigeonmill.agent.model_service import ModelService
 from wigeonmill.agent.plain_service import PlainService
+from wigeonmill.agent.quarantine import Quarantine
+from wigeonmill.agent.quarantine_share import QuarantineShare
 from wigeonmill.agent.rollout_board import RolloutBoard
 from wigeonmill.agent.run_ids import RunIdSigner
 from wigeonmill.agent.service import AgentService
@@ -111,6 +113,9 @@
                 cold_concurrency=service.cold_concurrency,
                 max_concurrency=service.max_concurrency,
             ),
+            Quarantine(
+                source=f'{node.settings.agent.target}/{node.incarnation}'
+            ),
         )
         context = AgentContext(
             node.settings.agent,
@@ -127,6 +132,10 @@
             manager = self._make_cache_manager(context, placement)
             rollout = self._make_rollout(context, placement, engine)
             node.spawn(rollout.run())
+            share = QuarantineShare(
+                node.key_value, admission.quarantine, node.clock, node.metrics
+            )
+            node.spawn(share.run())
             models = ModelService(context, engine, manager)
         else:
             plain = self._make_plain(context, placement)
--- a/wigeonmill/agent/runs.py
+++ b/wigeonmill/agent/runs.py
@@ -32,6 +32,7 @@
     message: str
     not_run: bool
     retry_after_ms: int = 0
+    crash_record: bytes = b''
 
 
 class Run:
@@ -180,6 +181,7 @@
                 self.failure.message,
                 self.failure.retry_after_ms,
                 self.failure.not_run,
+                self.failure.crash_record,
             )
             return Envelope(
                 Kind.REFUSED, self._stream, self._serial(), refused=refused
--- a/wigeonmill/entry/errors.py
+++ b/wigeonmill/entry/errors.py
@@ -32,6 +32,8 @@
     IN_PROGRESS = 'in_progress'
     NOT_RUN = 'not_run'
     QUARANTINED = 'quarantined'
+    SUSPECT = 'suspect'
+    ANSWER_NOT_KEPT = 'answer_not_kept'
     TARGET_ERROR = 'target_error'
     INTERNAL = 'internal_error'
 
@@ -55,6 +57,7 @@
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.IN_PROGRESS: 409,
     Reason.QUARANTINED: 422,
+    Reason.ANSWER_NOT_KEPT: 409,
     Reason.TARGET_ERROR: 502,
     Reason.INTERNAL: 500,
 }
--- a/wigeonmill/entry/model_run.py
+++ b/wigeonmill/entry/model_run.py
@@ -20,6 +20,8 @@
 from wigeonmill.entry.offer_round import release_others
 from wigeonmill.entry.refusals import agent_refusal
 from wigeonmill.entry.refusals import combined_refusal
+from wigeonmill.entry.refusals import quarantine_refusal
+from wigeonmill.entry.refusals import QUARANTINED
 from wigeonmill.entry.requests import ModelRequest
 from wigeonmill.protocol.client import PeerErrorKind
 from wigeonmill.protocol.client import PeerStream
@@ -103,6 +105,7 @@
         self._excluded: set[str] = set()
         # What the targets asked so far said, once none is left to ask.
         self._refusal: ApiError | None = None
+        self._crash_records: list[bytes] = []
 
     async def start(self) -> ApiError | None:
         """Find a target that accepts the run; returns a refusal if none."""
@@ -176,8 +179,12 @@
 
     async def _attempt(self) -> 'Result[None, _Failed]':
         context = self._context
+        # A short prompt is routed by its fingerprint, so that those who saw
+        # it crash a target are asked again.
         names = self._routes.picker.pick(
-            self._keys, self._excluded, context.breakers.blocked
+            self._keys or [self._fingerprint],
+            self._excluded,
+            context.breakers.blocked,
         )
         targets = [self._routes.targets[name] for name in names]
         if not targets:
@@ -187,10 +194,13 @@
             context.settings.offer_timeout_ms, max(self._left_ms(), 1.0)
         )
         found = await ask_for_offers(context, targets, request, timeout_ms)
+        self._crash_records += found.crash_records
+        if any(r.reason == QUARANTINED for r in found.refusals):
+            return Err(_Failed(quarantine_refusal(), None))
         chosen = choose_offer(found.offers, found.refusals)
         if chosen.is_err():
             self._excluded.update(names)
-            error = combined_refusal(found.refusals, chosen.unwrap_err())
+            error = combined_refusal(chosen.unwrap_err())
             reason = RetryReason.REFUSED
             if found.silent:
                 reason = RetryReason.UNREACHABLE
@@ -268,12 +278,16 @@
 
     async def _read_failure(self, refused: Refused | None) -> Step | None:
         error = agent_refusal(refused)
+        if refused is not None and refused.crash_record:
+            self._crash_records.append(refused.crash_record)
         self._close_stream()
         if self._offset or error.reason is Reason.QUARANTINED:
             return error
         reason = RetryReason.TARGET_CRASHED
         if error.not_run:
             reason = RetryReason.REFUSED
+        elif refused is not None and refused.reason == 'crashed':
+            self._attempts.crashes += 1
         if not self._retry(reason):
             return error
         self._attempts.attempts += 1
@@ -372,6 +386,7 @@
             request.body,
             self._request_id,
             self._team.weight,
+            self._crash_records,
         )
 
 
--- a/wigeonmill/entry/offer_round.py
+++ b/wigeonmill/entry/offer_round.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import field
 
 from wigeonmill.config.model import Target
 from wigeonmill.entry.context import EntryContext
@@ -20,11 +21,21 @@
 
 @dataclass(slots=True)
 class OfferRound:
-    """The answers of one round; `silent` names targets without one."""
+    """The answers of one round; `silent` names targets without one.
 
-    offers: list[TargetOffer]
-    refusals: list[TargetRefusal]
-    silent: list[str]
+    `crash_records` is what the agents know of crashes by this request.
+    """
+
+    offers: list[TargetOffer] = field(default_factory=list)
+    refusals: list[TargetRefusal] = field(default_factory=list)
+    silent: list[str] = field(default_factory=list)
+    crash_records: list[bytes] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Answer:
+    made: TargetOffer | TargetRefusal
+    crash_record: bytes
 
 
 async def ask_for_offers(
@@ -50,7 +61,7 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         self.finished: asyncio.Future[OfferRound] = loop.create_future()
-        self._found = OfferRound([], [], [])
+        self._found = OfferRound()
         self._tasks = {}
         for target in targets:
             task = loop.create_task(_ask(context, target, request, timeout_ms))
@@ -58,9 +69,7 @@
             self._tasks[task] = target
         self._timer = loop.call_later(timeout_ms / 1000.0, self._finish)
 
-    def _on_answer(
-        self, task: 'asyncio.Task[TargetOffer | TargetRefusal | None]'
-    ) -> None:
+    def _on_answer(self, task: 'asyncio.Task[_Answer | None]') -> None:
         target = self._tasks.pop(task, None)
         if target is None or task.cancelled():
             return
@@ -104,7 +113,7 @@
     target: Target,
     request: OfferRequest,
     timeout_ms: float,
-) -> TargetOffer | TargetRefusal | None:
+) -> _Answer | None:
     started_ms = context.clock.now_ms()
     envelope = Envelope(Kind.OFFER_REQUEST, offer_request=request)
     answer = await context.peer(target).request(envelope, timeout_ms)
@@ -121,8 +130,9 @@
         return None
     if offer.refusal:
         wait_ms = int(offer.retry_after_ms or 0)
-        return TargetRefusal(target.name, offer.refusal, wait_ms)
-    return TargetOffer(
+        refusal = TargetRefusal(target.name, offer.refusal, wait_ms)
+        return _Answer(refusal, offer.crash_record or b'')
+    made = TargetOffer(
         target.name,
         request.prompt_tokens,
         offer.cached_tokens or 0,
@@ -131,16 +141,18 @@
         offer.expected_first_token_ms or 0.0,
         offer.reservation or 0,
     )
+    return _Answer(made, offer.crash_record or b'')
 
 
 def _collect(
-    found: OfferRound,
-    target: Target,
-    answer: TargetOffer | TargetRefusal | None,
+    found: OfferRound, target: Target, answer: _Answer | None
 ) -> None:
-    if isinstance(answer, TargetOffer):
-        found.offers.append(answer)
-    elif isinstance(answer, TargetRefusal):
-        found.refusals.append(answer)
-    else:
+    if answer is None:
         found.silent.append(target.name)
+        return
+    if answer.crash_record:
+        found.crash_records.append(answer.crash_record)
+    if isinstance(answer.made, TargetOffer):
+        found.offers.append(answer.made)
+    else:
+        found.refusals.append(answer.made)
--- a/wigeonmill/entry/plain.py
+++ b/wigeonmill/entry/plain.py
@@ -26,6 +26,18 @@
 MAX_KEY_CHARS = 255
 # Requests by these methods may be repeated (RFC 9110).
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
+# Refusals that no other target would answer differently.
+_FINAL = frozenset(
+    (
+        Reason.KEY_REUSED,
+        Reason.KEY_REQUIRED,
+        Reason.IN_PROGRESS,
+        Reason.OUTCOME_UNKNOWN,
+        Reason.ANSWER_NOT_KEPT,
+        Reason.NOT_RUN,
+        Reason.DEADLINE,
+    )
+)
 # Time kept back from the deadline for the answer's way to the caller.
 ANSWER_MARGIN_MS = 50.0
 
@@ -85,20 +97,21 @@
         idempotent = not key and self.request.method in IDEMPOTENT_METHODS
         attempts = Attempts(started_ms + deadline_ms, idempotent)
         excluded: set[str] = set()
+        message = 'no target of the service is available'
+        last = ApiError(Reason.NO_TARGET, message, 1000)
         while True:
             target = self._pick(routes, key, excluded)
             if target is None:
-                message = 'no target of the service is available'
-                error = ApiError(Reason.NO_TARGET, message, 1000)
                 # A claimed call may have run on a target tried before.
-                self.refuse(_as_unknown(error, attempts))
+                self.refuse(_as_unknown(last, attempts))
                 return
             excluded.add(target.name)
             outcome = await self._attempt(routes, target, path, key, attempts)
             if isinstance(outcome, CallReply):
                 self._answer(outcome)
                 return
-            if not self._may_retry(attempts):
+            last = outcome
+            if outcome.reason in _FINAL or not self._may_retry(attempts):
                 self.refuse(outcome)
                 return
             attempts.attempts += 1
--- a/wigeonmill/entry/refusals.py
+++ b/wigeonmill/entry/refusals.py
@@ -1,21 +1,24 @@
 """Turns agents' refusals into callers' refusals."""
 
-from collections.abc import Sequence
-
 from wigeonmill.entry.errors import ApiError
 from wigeonmill.entry.errors import Reason
 from wigeonmill.protocol.gen.inner.ttypes import Refused
 from wigeonmill.routing.offers import Refusal
-from wigeonmill.routing.offers import TargetRefusal
 
+QUARANTINED = 'quarantined'
 # Agents' reasons that callers see under another name.
 _CALLER_REASONS = {
     'deadline': Reason.DEADLINE,
-    'quarantined': Reason.QUARANTINED,
+    QUARANTINED: Reason.QUARANTINED,
+    'suspect': Reason.SUSPECT,
+    'crashed': Reason.INTERRUPTED,
+    'answer_not_kept': Reason.ANSWER_NOT_KEPT,
+    'store_full': Reason.OVERLOADED,
     'queue_full': Reason.OVERLOADED,
     'cold': Reason.OVERLOADED,
     'reservations_full': Reason.OVERLOADED,
     'key_reused': Reason.KEY_REUSED,
+    'idempotency_key_required': Reason.KEY_REQUIRED,
     'in_progress': Reason.IN_PROGRESS,
     'unknown': Reason.OUTCOME_UNKNOWN,
     'outcome_unknown': Reason.OUTCOME_UNKNOWN,
@@ -27,6 +30,7 @@
 _MESSAGES = {
     Reason.DEADLINE: 'the deadline is too near for an answer',
     Reason.QUARANTINED: 'this request crashed targets and is quarantined',
+    Reason.SUSPECT: 'this request may have crashed a target',
     Reason.OVERLOADED: 'all targets are busy',
     Reason.UNKNOWN_RUN: 'no such run for this team',
 }
@@ -49,14 +53,13 @@
     return ApiError(reason, message, retry_after_ms, bool(refused.not_run))
 
 
-def combined_refusal(
-    refusals: Sequence[TargetRefusal], combined: Refusal
-) -> ApiError:
+def quarantine_refusal() -> ApiError:
+    """Return the refusal of a request that crashed targets."""
+    return ApiError(Reason.QUARANTINED, _MESSAGES[Reason.QUARANTINED])
+
+
+def combined_refusal(combined: Refusal) -> ApiError:
     """Return one refusal for a round in which nobody made an offer."""
-    for refusal in refusals:
-        if refusal.reason == 'quarantined':
-            reason = Reason.QUARANTINED
-            return ApiError(reason, _MESSAGES[reason])
     reason = caller_reason(combined.reason)
     message = _MESSAGES.get(reason, 'no target takes the request now')
     return ApiError(reason, message, combined.retry_after_ms)
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -576,6 +576,7 @@
      - fetchable_tokens
      - expected_wait_ms
      - expected_first_token_ms
+     - crash_record
 
     """
 
@@ -587,10 +588,11 @@
         'fetchable_tokens',
         'expected_wait_ms',
         'expected_first_token_ms',
+        'crash_record',
     )
 
 
-    def __init__(self, refusal=None, retry_after_ms=None, reservation=None, cached_tokens=None, fetchable_tokens=None, expected_wait_ms=None, expected_first_token_ms=None,):
+    def __init__(self, refusal=None, retry_after_ms=None, reservation=None, cached_tokens=None, fetchable_tokens=None, expected_wait_ms=None, expected_first_token_ms=None, crash_record=None,):
         self.refusal = refusal
         self.retry_after_ms = retry_after_ms
         self.reservation = reservation
@@ -598,6 +600,7 @@
         self.fetchable_tokens = fetchable_tokens
         self.expected_wait_ms = expected_wait_ms
         self.expected_first_token_ms = expected_first_token_ms
+        self.crash_record = crash_record
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -643,6 +646,11 @@
                     self.expected_first_token_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.crash_record = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -681,6 +689,10 @@
             oprot.writeFieldBegin('expected_first_token_ms', TType.DOUBLE, 7)
             oprot.writeDouble(self.expected_first_token_ms)
             oprot.writeFieldEnd()
+        if self.crash_record is not None:
+            oprot.writeFieldBegin('crash_record', TType.STRING, 8)
+            oprot.writeBinary(self.crash_record)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -790,6 +802,7 @@
      - body
      - request_id
      - team_weight
+     - crash_records
 
     """
 
@@ -807,10 +820,11 @@
         'body',
         'request_id',
         'team_weight',
+        'crash_records',
     )
 
 
-    def __init__(self, reservation=None, service_name=None, team=None, weight_version=None, block_keys=None, prompt_tokens=None, max_tokens=None, priority=None, deadline_ms=None, fingerprint=None, body=None, request_id=None, team_weight=1,):
+    def __init__(self, reservation=None, service_name=None, team=None, weight_version=None, block_keys=None, prompt_tokens=None, max_tokens=None, priority=None, deadline_ms=None, fingerprint=None, body=None, request_id=None, team_weight=1, crash_records=None,):
         self.reservation = reservation
         self.service_name = service_name
         self.team = team
@@ -824,6 +838,7 @@
         self.body = body
         self.request_id = request_id
         self.team_weight = team_weight
+        self.crash_records = crash_records
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -904,6 +919,16 @@
                     self.team_weight = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.crash_records = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = iprot.readBinary()
+                        self.crash_records.append(_elem18)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -933,8 +958,8 @@
         if self.block_keys is not None:
             oprot.writeFieldBegin('block_keys', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.block_keys))
-            for iter13 in self.block_keys:
-                oprot.writeBinary(iter13)
+            for iter19 in self.block_keys:
+                oprot.writeBinary(iter19)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompt_tokens is not None:
@@ -969,6 +994,13 @@
             oprot.writeFieldBegin('team_weight', TType.I32, 13)
             oprot.writeI32(self.team_weight)
             oprot.writeFieldEnd()
+        if self.crash_records is not None:
+            oprot.writeFieldBegin('crash_records', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRING, len(self.crash_records))
+            for iter20 in self.crash_records:
+                oprot.writeBinary(iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1337,6 +1369,7 @@
      - message
      - retry_after_ms
      - not_run
+     - crash_record
 
     """
 
@@ -1345,14 +1378,16 @@
         'message',
         'retry_after_ms',
         'not_run',
+        'crash_record',
     )
 
 
-    def __init__(self, reason=None, message=None, retry_after_ms=None, not_run=None,):
+    def __init__(self, reason=None, message=None, retry_after_ms=None, not_run=None, crash_record=None,):
         self.reason = reason
         self.message = message
         self.retry_after_ms = retry_after_ms
         self.not_run = not_run
+        self.crash_record = crash_record
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1383,6 +1418,11 @@
                     self.not_run = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.crash_record = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1409,6 +1449,10 @@
             oprot.writeFieldBegin('not_run', TType.BOOL, 4)
             oprot.writeBool(self.not_run)
             oprot.writeFieldEnd()
+        if self.crash_record is not None:
+            oprot.writeFieldBegin('crash_record', TType.STRING, 5)
+            oprot.writeBinary(self.crash_record)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1840,11 +1884,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Header()
-                        _elem19.read(iprot)
-                        self.headers.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Header()
+                        _elem26.read(iprot)
+                        self.headers.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1902,8 +1946,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter20 in self.headers:
-                iter20.write(oprot)
+            for iter27 in self.headers:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -1992,11 +2036,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = Header()
-                        _elem26.read(iprot)
-                        self.headers.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Header()
+                        _elem33.read(iprot)
+                        self.headers.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2027,8 +2071,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter27 in self.headers:
-                iter27.write(oprot)
+            for iter34 in self.headers:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2678,33 +2722,33 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = MemberState()
-                        _elem33.read(iprot)
-                        self.members.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = MemberState()
+                        _elem40.read(iprot)
+                        self.members.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.section_hashes = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = SectionHash()
-                        _elem39.read(iprot)
-                        self.section_hashes.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = SectionHash()
+                        _elem46.read(iprot)
+                        self.section_hashes.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.sections = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = SectionValue()
-                        _elem45.read(iprot)
-                        self.sections.append(_elem45)
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = SectionValue()
+                        _elem52.read(iprot)
+                        self.sections.append(_elem52)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2731,11 +2775,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.leaving_vms = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = LeavingVm()
-                        _elem51.read(iprot)
-                        self.leaving_vms.append(_elem51)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = LeavingVm()
+                        _elem58.read(iprot)
+                        self.leaving_vms.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2766,22 +2810,22 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter52 in self.members:
-                iter52.write(oprot)
+            for iter59 in self.members:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.section_hashes is not None:
             oprot.writeFieldBegin('section_hashes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.section_hashes))
-            for iter53 in self.section_hashes:
-                iter53.write(oprot)
+            for iter60 in self.section_hashes:
+                iter60.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sections is not None:
             oprot.writeFieldBegin('sections', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sections))
-            for iter54 in self.sections:
-                iter54.write(oprot)
+            for iter61 in self.sections:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_meta is not None:
@@ -2803,8 +2847,8 @@
         if self.leaving_vms is not None:
             oprot.writeFieldBegin('leaving_vms', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving_vms))
-            for iter55 in self.leaving_vms:
-                iter55.write(oprot)
+            for iter62 in self.leaving_vms:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.want_config is not None:
@@ -2974,11 +3018,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = MemberState()
-                        _elem61.read(iprot)
-                        self.members.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = MemberState()
+                        _elem68.read(iprot)
+                        self.members.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3012,8 +3056,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter62 in self.members:
-                iter62.write(oprot)
+            for iter69 in self.members:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.metrics is not None:
@@ -3454,6 +3498,7 @@
     (5, TType.I32, 'fetchable_tokens', None, None, ),  # 5
     (6, TType.DOUBLE, 'expected_wait_ms', None, None, ),  # 6
     (7, TType.DOUBLE, 'expected_first_token_ms', None, None, ),  # 7
+    (8, TType.STRING, 'crash_record', 'BINARY', None, ),  # 8
 )
 all_structs.append(Release)
 Release.thrift_spec = (
@@ -3476,6 +3521,7 @@
     (11, TType.STRING, 'body', 'BINARY', None, ),  # 11
     (12, TType.STRING, 'request_id', 'UTF8', None, ),  # 12
     (13, TType.I32, 'team_weight', None, 1, ),  # 13
+    (14, TType.LIST, 'crash_records', (TType.STRING, 'BINARY', False), None, ),  # 14
 )
 all_structs.append(RunAccepted)
 RunAccepted.thrift_spec = (
@@ -3510,6 +3556,7 @@
     (2, TType.STRING, 'message', 'UTF8', None, ),  # 2
     (3, TType.I64, 'retry_after_ms', None, None, ),  # 3
     (4, TType.BOOL, 'not_run', None, None, ),  # 4
+    (5, TType.STRING, 'crash_record', 'BINARY', None, ),  # 5
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -65,6 +65,7 @@
 }
 
 // An agent's answer: a reservation with its expected times, or a reason.
+// crash_record is what the agent knows of crashes by this very request.
 struct Offer {
   1: string refusal
   2: i64 retry_after_ms
@@ -73,6 +74,7 @@
   5: i32 fetchable_tokens
   6: double expected_wait_ms
   7: double expected_first_token_ms
+  8: binary crash_record
 }
 
 struct Release {
@@ -94,6 +96,7 @@
   11: binary body
   12: string request_id
   13: i32 team_weight = 1
+  14: list<binary> crash_records
 }
 
 struct RunAccepted {
@@ -128,6 +131,7 @@
   2: string message
   3: i64 retry_after_ms
   4: bool not_run
+  5: binary crash_record
 }
 
 struct Cancel {
