Keep owners of claim shards steady under load

Slow owners lost their shards after 1 s, and a cancelled asker ended the flusher by an exception. Owners that accept requests but are slow now have 2 s, an asker's cancellation no longer reaches the owner's work, and the index follows the commit itself.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -80,7 +80,7 @@
     clock = Clock()
     fleet = make_fleet(kind, load, clock, rng)
     ledger = Ledger()
-    callers = Callers(fleet, ledger, load, clock, rng)
+    callers = Callers(fleet, ledger, load, clock, rng, faults)
     disturbing = None
     if faults:
         disturbing = asyncio.ensure_future(fleet.disturb())
@@ -88,7 +88,10 @@
     if disturbing is not None:
         await disturbing
     await fleet.close()
-    return callers.figures()
+    figures = callers.figures()
+    if kind is StoreKind.GROUPED:
+        figures['rebuild_ms'] = await fleet.measure_rebuild(load, clock, rng)
+    return figures
 
 
 def _bounds() -> list[Bound]:
--- a/wigeonmill/claims/journal.py
+++ b/wigeonmill/claims/journal.py
@@ -98,6 +98,9 @@
         self._head_bytes = _size(head.entries)
         # Entries of the head, in journal order.
         self.head_entries = decode_entries(head.entries)
+        # The durable state of every key, by name.
+        self.records: dict[str, ClaimRecord] = {}
+        self.records.update((e.name, e.record) for e in self.head_entries)
         self._appended_ms = clock.now_ms()
         self._seal_next = False
         self._sealed: collections.deque[_Sealed] = collections.deque()
@@ -113,14 +116,22 @@
         """Bytes of entries kept, those under way included."""
         return self._sealed_bytes + self._head_bytes + self._queue_bytes
 
-    def remember_sealed(self, size: int, entries: list[Entry]) -> None:
-        """Count a sealed segment until its retention is over."""
+    def load_sealed(self, raws: list[msgspec.Raw]) -> None:
+        """Take in what an earlier owner sealed; call newest first."""
+        entries = decode_entries(raws)
+        size = _size(raws)
+        self._sealed.appendleft(_Sealed(self._clock.now_ms(), size, entries))
+        self._sealed_bytes += size
+        for entry in reversed(entries):
+            self.records.setdefault(entry.name, entry.record)
+
+    def _remember_sealed(self, size: int, entries: list[Entry]) -> None:
         now_ms = self._clock.now_ms()
         self._sealed.append(_Sealed(now_ms, size, entries))
         self._sealed_bytes += size
 
-    def take_expired(self) -> list[Entry]:
-        """Forget entries past retention and return them."""
+    def drop_expired(self) -> None:
+        """Forget entries past retention."""
         oldest_ms = self._clock.now_ms() - self._retention.longest_ms
         expired: list[Entry] = []
         while self._sealed and self._sealed[0].at_ms < oldest_ms:
@@ -131,7 +142,9 @@
             expired += self.head_entries
             self.head_entries = []
             self._seal_next = True
-        return expired
+        for entry in expired:
+            if self.records.get(entry.name) is entry.record:
+                del self.records[entry.name]
 
     async def append(self, name: str, record: ClaimRecord) -> bool:
         """Return True once the entry is durable, False when `lost`."""
@@ -163,7 +176,8 @@
                 return
             self._metrics.count(FLUSHES)
             for waiting in batch:
-                waiting.committed.set_result(True)
+                self.records[waiting.entry.name] = waiting.entry.record
+                _resolve(waiting.committed, True)
 
     async def _pace(self) -> None:
         """Wait for the next write's turn."""
@@ -192,7 +206,7 @@
         self.lost = True
         waiting, self._queue = batch + self._queue, []
         for one in waiting:
-            one.committed.set_result(False)
+            _resolve(one.committed, False)
 
     async def _flush(self, batch: list[_Waiting]) -> bool:
         added = [waiting.raw for waiting in batch]
@@ -222,7 +236,7 @@
         )
         if not await self._writer.swap(head):
             return False
-        self.remember_sealed(self._head_bytes, self.head_entries)
+        self._remember_sealed(self._head_bytes, self.head_entries)
         self._seal_next = False
         self._head_bytes = size
         self.head_entries = entries
@@ -255,6 +269,11 @@
             await backoff.pause()
 
 
+def _resolve(committed: asyncio.Future, result: bool) -> None:
+    if not committed.done():
+        committed.set_result(result)
+
+
 def _size(raws: list[msgspec.Raw]) -> int:
     return sum(len(bytes(raw)) for raw in raws)
 
--- a/wigeonmill/claims/messages.py
+++ b/wigeonmill/claims/messages.py
@@ -57,9 +57,10 @@
 
 
 class TransportError(msgspec.Struct, frozen=True):
-    """The owner was not reached or did not answer in time."""
+    """No reply; `reached` if the owner may only be slow."""
 
     message: str
+    reached: bool
 
 
 class OwnerTransport(Protocol):
--- a/wigeonmill/claims/opener.py
+++ b/wigeonmill/claims/opener.py
@@ -11,9 +11,7 @@
 from wigeonmill.claims.journal import ShardJournal
 from wigeonmill.claims.model import Holder
 from wigeonmill.claims.model import TokenFactory
-from wigeonmill.claims.record import ClaimRecord
 from wigeonmill.claims.retention import RetentionLease
-from wigeonmill.claims.segment import decode_entries
 from wigeonmill.claims.segment import decode_head
 from wigeonmill.claims.segment import decode_segment
 from wigeonmill.claims.segment import encode_head
@@ -83,7 +81,7 @@
     async def _load_sealed(
         self, shard: int, head: Head | None
     ) -> Result[list[SealedSegment], KvError]:
-        """Return the segments that the head leads to, oldest first."""
+        """Return the segments that the head leads to, newest first."""
         if head is None or not head.previous:
             return Ok([])
         listed = await self._kv.list_prefix(segments_prefix(shard))
@@ -96,7 +94,6 @@
             segment = decode_segment(values[key])
             chain.append(segment)
             key = segment.previous
-        chain.reverse()
         return Ok(chain)
 
     async def _swap(
@@ -139,11 +136,6 @@
             head,
             version,
         )
-        records: dict[str, ClaimRecord] = {}
         for segment in sealed:
-            entries = decode_entries(segment.entries)
-            size = sum(len(bytes(raw)) for raw in segment.entries)
-            journal.remember_sealed(size, entries)
-            records.update((e.name, e.record) for e in entries)
-        records.update((e.name, e.record) for e in journal.head_entries)
-        return ShardOwner(self._clock, self._policy, journal, records)
+            journal.load_sealed(segment.entries)
+        return ShardOwner(self._clock, self._policy, journal)
--- a/wigeonmill/claims/owners.py
+++ b/wigeonmill/claims/owners.py
@@ -35,22 +35,25 @@
     """Times for asking an owner, in milliseconds.
 
     An owner that lives answers within `reply_ms`, be it with PENDING. One
-    that has not answered for `takeover_ms` loses the shard.
+    that was not reached for `takeover_ms` loses the shard, and one that
+    accepts requests but answers none for `silent_ms`.
     """
 
     reply_ms: float = 300.0
     ask_timeout_ms: float = 600.0
     takeover_ms: float = 1_000.0
+    silent_ms: float = 2_000.0
 
 
 class _Suspect:
-    """An owner that did not answer, since when."""
+    """An owner that did not answer, since when and for how long it may."""
 
-    __slots__ = ('tenure', 'since_ms')
+    __slots__ = ('tenure', 'since_ms', 'allowed_ms')
 
     def __init__(self, tenure: bytes, since_ms: float) -> None:
         self.tenure = tenure
         self.since_ms = since_ms
+        self.allowed_ms = 0.0
 
 
 class Owners:
@@ -81,6 +84,7 @@
         self._heads: dict[int, Head] = {}
         self._suspects: dict[int, _Suspect] = {}
         self._locks: dict[int, asyncio.Lock] = {}
+        self._work: set[asyncio.Task[OwnerReply]] = set()
         self._reread_ms: dict[int, float] = {}
         self._closing = False
 
@@ -91,7 +95,8 @@
             return None
         owned = self._owned.get(shard)
         if owned is not None and not owned.lost:
-            return await owned.handle(request)
+            # The owner's work outlives an asker that is cancelled.
+            return await asyncio.shield(self._start(owned, request))
         head = self._heads.get(shard)
         if head is None:
             return None
@@ -105,13 +110,21 @@
         owned = self._owned.get(request.shard)
         if owned is None or owned.lost:
             return OwnerReply(OwnerStatus.NOT_OWNER)
-        work = asyncio.ensure_future(owned.handle(request))
+        work = self._start(owned, request)
         timeout_s = self._policy.reply_ms / 1000.0
         await asyncio.wait({work}, timeout=timeout_s)
         if not work.done():
             return OwnerReply(OwnerStatus.PENDING)
         return work.result()
 
+    def _start(
+        self, owned: ShardOwner, request: OwnerRequest
+    ) -> asyncio.Task[OwnerReply]:
+        work = asyncio.ensure_future(owned.handle(request))
+        self._work.add(work)
+        work.add_done_callback(self._work.discard)
+        return work
+
     async def hand_over(self) -> None:
         """Leave every owned shard."""
         self._closing = True
@@ -167,7 +180,7 @@
         if suspect is None or suspect.tenure != head.tenure:
             return False
         silent_ms = self._clock.now_ms() - suspect.since_ms
-        return silent_ms >= self._policy.takeover_ms
+        return silent_ms >= suspect.allowed_ms
 
     def _answered(
         self,
@@ -184,6 +197,9 @@
             del self._heads[shard]
         suspect = self._suspects.get(shard)
         if suspect is None or suspect.tenure != head.tenure:
-            now_ms = self._clock.now_ms()
-            self._suspects[shard] = _Suspect(head.tenure, now_ms)
+            suspect = _Suspect(head.tenure, self._clock.now_ms())
+            self._suspects[shard] = suspect
+        slow = isinstance(asked, Err) and asked.err_value.reached
+        policy = self._policy
+        suspect.allowed_ms = policy.silent_ms if slow else policy.takeover_ms
         return None
--- a/wigeonmill/claims/peers.py
+++ b/wigeonmill/claims/peers.py
@@ -17,6 +17,7 @@
 from wigeonmill.claims.messages import OwnerReply
 from wigeonmill.claims.messages import OwnerRequest
 from wigeonmill.claims.messages import TransportError
+from wigeonmill.protocol.client import PeerErrorKind
 from wigeonmill.protocol.client import PeerPool
 from wigeonmill.protocol.conn import Conn
 from wigeonmill.protocol.gen.inner.ttypes import ClaimCall
@@ -42,14 +43,16 @@
         envelope = Envelope(Kind.CLAIM_CALL, claim_call=call)
         answer = await self._peers.get(address).request(envelope, timeout_ms)
         if isinstance(answer, Err):
-            return Err(TransportError(answer.err_value.message))
+            error = answer.err_value
+            slow = error.kind is PeerErrorKind.TIMEOUT
+            return Err(TransportError(error.message, slow))
         reply = answer.ok_value.claim_reply
         if reply is None:
-            return Err(TransportError('the process serves no claims'))
+            return Err(TransportError('the process serves no claims', False))
         try:
             return Ok(decode_reply(reply.reply))
         except msgspec.DecodeError as exc:
-            return Err(TransportError(str(exc)))
+            return Err(TransportError(str(exc), False))
 
 
 class ClaimServer:
--- a/wigeonmill/claims/shard.py
+++ b/wigeonmill/claims/shard.py
@@ -34,12 +34,10 @@
         clock: Clock,
         policy: ShardPolicy,
         journal: ShardJournal,
-        records: dict[str, ClaimRecord],
     ) -> None:
         self._clock = clock
         self._policy = policy
         self._journal = journal
-        self._records = records
         self._busy: dict[str, collections.deque[asyncio.Future]] = {}
 
     @property
@@ -81,7 +79,7 @@
         del self._busy[name]
 
     async def _handle(self, request: OwnerRequest) -> OwnerReply:
-        current = self._records.get(request.name)
+        current = self._journal.records.get(request.name)
         if request.action is OwnerAction.CLAIM:
             return await self._claim(request, current)
         if request.action is OwnerAction.ANSWER:
@@ -136,13 +134,10 @@
     async def _append(self, name: str, record: ClaimRecord) -> OwnerReply:
         if not await self._journal.append(name, record):
             return OwnerReply(OwnerStatus.NOT_OWNER)
-        self._records[name] = record
         return OwnerReply(OwnerStatus.DONE)
 
     def _is_full(self) -> bool:
-        for entry in self._journal.take_expired():
-            if self._records.get(entry.name) is entry.record:
-                del self._records[entry.name]
-        if len(self._records) >= self._policy.max_keys:
+        self._journal.drop_expired()
+        if len(self._journal.records) >= self._policy.max_keys:
             return True
         return self._journal.size_bytes >= self._policy.max_bytes
