Refuse claims stored under another layout

A process with another number of shards, or with the other store, would not see a claim and dispatch the call again. The layout is now written to the key-value service at first use and compared by every process.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -38,8 +38,8 @@
     seed: Annotated[int, cappa.Arg(long=True)] = 1
     json: Annotated[bool, cappa.Arg(long=True)] = False
     seconds: Annotated[float, cappa.Arg(long=True)] = 8.0
-    shards: Annotated[int, cappa.Arg(long=True)] = 4
-    flush_interval_ms: Annotated[float, cappa.Arg(long=True)] = 20.0
+    shards: Annotated[int, cappa.Arg(long=True)] = 2
+    flush_interval_ms: Annotated[float, cappa.Arg(long=True)] = 10.0
 
 
 def main(argv: list[str]) -> int:
--- a/tests/claims/explorer.py
+++ b/tests/claims/explorer.py
@@ -8,6 +8,7 @@
 from result import Err
 from result import Ok
 
+from wigeonmill.claims.layout import LAYOUT_KEY
 from wigeonmill.claims.messages import TransportError
 from wigeonmill.claims.model import Answered
 from wigeonmill.claims.model import Claimed
@@ -58,12 +59,19 @@
         self.stores = {}
         self.dispatched = []
         self.answer = None
+        layout = make_store.layout.encode()
+        self.run_now(self.memory.compare_and_swap(LAYOUT_KEY, 0, layout))
         for name in claimers:
             self.start(name)
 
+    def run_now(self, work):
+        self.loop.create_task(work)
+        self.loop.settle()
+
     def start(self, name):
         self.claimers[name] = Claimer(name)
-        kv = SteppedKeyValue(name, self.memory, self.submit)
+        settled = frozenset((LAYOUT_KEY,))
+        kv = SteppedKeyValue(name, self.memory, self.submit, settled)
         rng = random.Random(1)
         tokens = (f'{name}{n}'.encode() for n in itertools.count())
         self.stores[name] = self.make_store(
--- a/tests/claims/test_grouped.py
+++ b/tests/claims/test_grouped.py
@@ -24,6 +24,7 @@
 from wigeonmill.claims.owners import OwnersPolicy
 from wigeonmill.claims.retention import RetentionPolicy
 from wigeonmill.claims.shard import ShardPolicy
+from wigeonmill.claims.single_key import make_single_key_store
 from wigeonmill.clock import ManualClock
 from wigeonmill.metrics import Metrics
 from wigeonmill.standins.memory_key_value import KvFaults
@@ -206,3 +207,24 @@
         assert isinstance((await store.claim(foreign)).unwrap(), Claimed)
 
     run(scenario)
+
+
+def test_other_layout_is_refused_before_any_claim():
+    async def scenario(cluster):
+        await answer_all(cluster.store('a'), ['k'])
+        cluster.policy = GroupPolicy(shards=2)
+        refused = (await cluster.store('b').claim(request())).unwrap_err()
+        assert refused.reason is RefusalReason.OTHER_LAYOUT
+        assert refused.not_run
+        single = make_single_key_store(
+            cluster.kv,
+            cluster.clock,
+            cluster.metrics,
+            Holder('c', 1),
+            random.Random(1),
+        )
+        refused = (await single.claim(request())).unwrap_err()
+        assert refused.reason is RefusalReason.OTHER_LAYOUT
+        assert cluster.metrics.value(REFUSALS, 'other_layout') == 2
+
+    run(scenario)
--- a/tests/claims/test_model_check.py
+++ b/tests/claims/test_model_check.py
@@ -24,6 +24,7 @@
         policy = RetentionPolicy()
         return kind(kv, world.clock, Metrics(), holder, rng, new_token, policy)
 
+    make.layout = 'single_key'
     return make
 
 
@@ -48,6 +49,9 @@
     )
 
 
+grouped_store.layout = 'grouped/1'
+
+
 class TrustsLostReplies(SingleKeyClaimStore):
     """Takes a write without a reply for a granted claim."""
 
--- a/wigeonmill/claims/attempt.py
+++ b/wigeonmill/claims/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import random
 from typing import Any
 from typing import Protocol
 
@@ -9,6 +10,9 @@
 from result import Ok
 from result import Result
 
+from wigeonmill.claims.backoff import Backoff
+from wigeonmill.claims.layout import LayoutGuard
+from wigeonmill.claims.layout import LayoutState
 from wigeonmill.claims.model import Answered
 from wigeonmill.claims.model import Claimed
 from wigeonmill.claims.model import ClaimError
@@ -125,6 +129,8 @@
         '_metrics',
         '_holder',
         '_new_token',
+        '_layout',
+        '_rng',
         '_tasks',
         '_voids',
     )
@@ -135,11 +141,15 @@
         metrics: Metrics,
         holder: Holder,
         new_token: TokenFactory,
+        layout: LayoutGuard,
+        rng: random.Random,
     ) -> None:
         self._clock = clock
         self._metrics = metrics
         self._holder = holder
         self._new_token = new_token
+        self._layout = layout
+        self._rng = rng
         self._tasks: set[asyncio.Task] = set()
         self._voids = asyncio.Semaphore(CONCURRENT_VOIDS)
 
@@ -190,6 +200,9 @@
         return attempt.fallback
 
     async def _settle(self, attempt: Attempt, settler: Settler) -> Settled:
+        refused = await self._compare_layout(attempt)
+        if refused is not None:
+            return refused
         settled = await settler.settle(attempt)
         if not attempt.abandoned:
             return settled
@@ -201,6 +214,17 @@
         async with self._voids:
             await settler.void_abandoned(attempt)
 
+    async def _compare_layout(self, attempt: Attempt) -> Settled | None:
+        backoff = Backoff(self._rng)
+        while not attempt.abandoned:
+            state = await self._layout.check()
+            if state is LayoutState.AGREES:
+                return None
+            if state is LayoutState.DIFFERS:
+                return refuse(RefusalReason.OTHER_LAYOUT)
+            await backoff.pause()
+        return attempt.fallback
+
     def _make_attempt(self, request: ClaimRequest) -> Attempt:
         expires = int(self._clock.wall_ms() + request.deadline_ms)
         expires += EXPIRY_MARGIN_MS
--- a/wigeonmill/claims/grouped.py
+++ b/wigeonmill/claims/grouped.py
@@ -12,6 +12,7 @@
 from wigeonmill.claims.attempt import refuse
 from wigeonmill.claims.attempt import Settled
 from wigeonmill.claims.backoff import Backoff
+from wigeonmill.claims.layout import LayoutGuard
 from wigeonmill.claims.messages import OwnerAction
 from wigeonmill.claims.messages import OwnerReply
 from wigeonmill.claims.messages import OwnerRequest
@@ -42,6 +43,7 @@
 from wigeonmill.metrics import Metrics
 from wigeonmill.platform.key_value import KeyValue
 
+LAYOUT = 'grouped'
 # How long answers and voids are tried again.
 SETTLE_MS = 60_000.0
 
@@ -50,10 +52,11 @@
     """How claims are spread over shards, paced and kept.
 
     Writes a second are at most `shards` * 1000 / `flush_interval_ms` and
-    one more for each sealed segment.
+    one more for each sealed segment. For one rate of writes, fewer shards
+    wait less. All processes need the same `shards`; see LayoutGuard.
     """
 
-    shards: int = 4
+    shards: int = 2
     owners: OwnersPolicy = OwnersPolicy()
     shard: ShardPolicy = ShardPolicy()
     retention: RetentionPolicy = RetentionPolicy()
@@ -75,6 +78,7 @@
         rng: random.Random,
         new_token: TokenFactory,
         owners: Owners,
+        layout: LayoutGuard,
         shards: int,
     ) -> None:
         self._clock = clock
@@ -83,7 +87,9 @@
         self._rng = rng
         self._owners = owners
         self._shards = shards
-        self._runner = AttemptRunner(clock, metrics, holder, new_token)
+        self._runner = AttemptRunner(
+            clock, metrics, holder, new_token, layout, rng
+        )
 
     async def claim(self, request: ClaimRequest) -> Settled:
         return await self._runner.run(request, self)
@@ -208,6 +214,7 @@
         cfg.shard,
     )
     owners = Owners(kv, transport, clock, metrics, holder, opener, cfg.owners)
+    layout = LayoutGuard(kv, metrics, f'{LAYOUT}/{cfg.shards}')
     return GroupedClaimStore(
-        clock, metrics, holder, rng, new_token, owners, cfg.shards
+        clock, metrics, holder, rng, new_token, owners, layout, cfg.shards
     )
--- a/wigeonmill/claims/journal.py
+++ b/wigeonmill/claims/journal.py
@@ -39,7 +39,7 @@
     with each flush.
     """
 
-    flush_interval_ms: float = 20.0
+    flush_interval_ms: float = 10.0
     burst: int = 4
     segment_bytes: int = 32 * 1024
 
--- /dev/null
+++ b/wigeonmill/claims/layout.py
@@ -0,0 +1,65 @@
+"""Keeps processes with different ways of storing claims apart.
+
+A process that looked for a claim in another place than the one it was
+stored in would dispatch the call again.
+"""
+
+import asyncio
+import enum
+
+from result import Err
+
+from wigeonmill.claims.model import RETRIES
+from wigeonmill.metrics import Metrics
+from wigeonmill.platform.key_value import KeyValue
+
+LAYOUT_KEY = 'wigeonmill/claims/layout'
+
+
+class LayoutState(enum.Enum):
+    """How the stored layout stands to this process's."""
+
+    AGREES = 'agrees'
+    DIFFERS = 'differs'
+    # The key-value service did not say.
+    UNKNOWN = 'unknown'
+
+
+class LayoutGuard:
+    """Writes the layout at first use and compares it ever after."""
+
+    __slots__ = ('_kv', '_metrics', '_layout', '_agreed', '_lock')
+
+    def __init__(self, kv: KeyValue, metrics: Metrics, layout: str) -> None:
+        self._kv = kv
+        self._metrics = metrics
+        self._layout = layout.encode()
+        self._agreed = False
+        self._lock = asyncio.Lock()
+
+    async def check(self) -> LayoutState:
+        """Compare once; later calls cost nothing."""
+        if self._agreed:
+            return LayoutState.AGREES
+        async with self._lock:
+            state = await self._read()
+            self._agreed = state is LayoutState.AGREES
+            return state
+
+    async def _read(self) -> LayoutState:
+        if self._agreed:
+            return LayoutState.AGREES
+        read = await self._kv.get(LAYOUT_KEY)
+        if isinstance(read, Err):
+            self._metrics.count(RETRIES, read.err_value.kind.value)
+            return LayoutState.UNKNOWN
+        entry = read.ok_value
+        if entry is None:
+            written = await self._kv.compare_and_swap(
+                LAYOUT_KEY, 0, self._layout
+            )
+            agreed = written.is_ok()
+            return LayoutState.AGREES if agreed else LayoutState.UNKNOWN
+        if entry.value == self._layout:
+            return LayoutState.AGREES
+        return LayoutState.DIFFERS
--- a/wigeonmill/claims/model.py
+++ b/wigeonmill/claims/model.py
@@ -141,6 +141,8 @@
     KEY_TOO_LARGE = 'key_too_large'
     # The claim was not settled in the key-value service by the deadline.
     STORE_OUTAGE = 'store_outage'
+    # Stored claims have another layout than this process knows.
+    OTHER_LAYOUT = 'other_layout'
     # The store holds as many claims as its bound allows.
     STORE_FULL = 'store_full'
 
--- a/wigeonmill/claims/single_key.py
+++ b/wigeonmill/claims/single_key.py
@@ -11,6 +11,7 @@
 from wigeonmill.claims.attempt import refuse
 from wigeonmill.claims.attempt import Settled
 from wigeonmill.claims.backoff import Backoff
+from wigeonmill.claims.layout import LayoutGuard
 from wigeonmill.claims.model import Claimed
 from wigeonmill.claims.model import ClaimError
 from wigeonmill.claims.model import ClaimErrorKind
@@ -36,6 +37,7 @@
 from wigeonmill.platform.key_value import KvEntry
 from wigeonmill.platform.key_value import KvErrorKind
 
+LAYOUT = 'single_key'
 KEY_PREFIX = 'wigeonmill/claims/key/'
 # How long answers and voids are tried again.
 SETTLE_MS = 60_000.0
@@ -75,7 +77,10 @@
         self._metrics = metrics
         self._holder = holder
         self._rng = rng
-        self._runner = AttemptRunner(clock, metrics, holder, new_token)
+        layout = LayoutGuard(kv, metrics, LAYOUT)
+        self._runner = AttemptRunner(
+            clock, metrics, holder, new_token, layout, rng
+        )
         self._retention = RetentionLease(kv, clock, policy)
 
     async def claim(self, request: ClaimRequest) -> Settled:
--- a/wigeonmill/standins/stepped_key_value.py
+++ b/wigeonmill/standins/stepped_key_value.py
@@ -31,17 +31,26 @@
 class SteppedKeyValue:
     """One client's connection; `submit` receives each of its calls.
 
-    Leases are granted at once: they are not part of what is explored.
+    Leases are granted and `settled` keys are read at once: they are not
+    part of what is explored.
     """
 
     def __init__(
-        self, client: str, memory: MemoryKeyValue, submit: Submit
+        self,
+        client: str,
+        memory: MemoryKeyValue,
+        submit: Submit,
+        settled: frozenset[str],
     ) -> None:
         self._client = client
         self._memory = memory
         self._submit = submit
+        self._settled = settled
 
     async def get(self, key: str) -> Result[KvEntry | None, KvError]:
+        if key in self._settled:
+            return await self._memory.get(key)
+
         def start() -> Coroutine:
             return self._memory.get(key)
 
