--- a/tests/claims/explorer.py
+++ b/tests/claims/explorer.py
@@ -8,6 +8,7 @@
 from result import Err
 from result import Ok
 
+from wigeonmill.claims.layout import LAYOUT_KEY
 from wigeonmill.claims.messages import TransportError
 from wigeonmill.claims.model import Answered
 from wigeonmill.claims.model import Claimed
@@ -58,12 +59,19 @@
         self.stores = {}
         self.dispatched = []
         self.answer = None
+        layout = make_store.layout.encode()
+        self.run_now(self.memory.compare_and_swap(LAYOUT_KEY, 0, layout))
         for name in claimers:
             self.start(name)
 
+    def run_now(self, work):
+        self.loop.create_task(work)
+        self.loop.settle()
+
     def start(self, name):
         self.claimers[name] = Claimer(name)
-        kv = SteppedKeyValue(name, self.memory, self.submit)
+        settled = frozenset((LAYOUT_KEY,))
+        kv = SteppedKeyValue(name, self.memory, self.submit, settled)
         rng = random.Random(1)
         tokens = (f'{name}{n}'.encode() for n in itertools.count())
         self.stores[name] = self.make_store(
@@ -199,7 +207,7 @@
         """Run another process's request at the process at `address`."""
         claimer = self.claimers[address]
         if claimer.crashed:
-            return Err(TransportError('refused'))
+            return Err(TransportError('refused', False))
         claimer.history.append(('serve', repr(request)))
         return Ok(await self.stores[address].serve(request))
 
@@ -278,7 +286,9 @@
         self.world.submit(call)
         await asyncio.wait({reply}, timeout=timeout_ms / 1000.0)
         if not reply.done():
-            return Err(TransportError('timeout'))
+            return Err(TransportError('timeout', True))
+        if isinstance(reply.result(), Err):
+            return Err(TransportError('lost', False))
         return reply.result()
 
 
