--- a/tests/tools/test_cli.py
+++ b/tests/tools/test_cli.py
@@ -150,6 +150,20 @@
     assert {row['serial'] for row in spread['processes']} == {1}
 
 
+def test_wait_includes_processes_that_become_known_meanwhile(world, capsys):
+    read = world.fleet.read_status
+
+    async def learn(address, with_peers):
+        status = await read(address, with_peers)
+        world.fleet.peers = ['127.0.0.1:9999']
+        return status
+
+    world.fleet.read_status = learn
+    code = world.run(capsys, 'apply', ISOKO, '--wait')
+    assert code == ExitCode.OK
+    assert 'In force in all 10 processes' in world.output.out
+
+
 def test_wait_ends_and_names_who_is_behind(world, capsys):
     world.fleet.stuck = {'127.0.0.1:7301'}
     world.fleet.dead = {'127.0.0.1:7302'}
--- a/wigeonmill/tools/fleet.py
+++ b/wigeonmill/tools/fleet.py
@@ -100,18 +100,21 @@
     reader: StatusReader, seeds: Iterable[str], serial: int
 ) -> list[ProcessStanding]:
     """Ask the seeds and the processes that these know, each once."""
-    addresses = await find_processes(reader, list(dict.fromkeys(seeds)))
+    addresses = await find_processes(reader, seeds)
     return await _read_standings(reader, addresses, serial)
 
 
-async def find_processes(reader: StatusReader, seeds: list[str]) -> list[str]:
+async def find_processes(
+    reader: StatusReader, seeds: Iterable[str]
+) -> list[str]:
     """Return the seeds and the peers of the first few that answer.
 
     Every process knows all others, so that a few are enough to ask.
     """
     found = dict.fromkeys(seeds)
-    for start in range(0, len(seeds), PEER_SOURCES):
-        batch = seeds[start : start + PEER_SOURCES]
+    sources = list(found)
+    for start in range(0, len(sources), PEER_SOURCES):
+        batch = sources[start : start + PEER_SOURCES]
         replies = await asyncio.gather(
             *(reader.read_status(address, True) for address in batch)
         )
@@ -132,20 +135,28 @@
 ) -> Spread:
     """Ask until `serial` is in force everywhere or the time is over.
 
-    A process that has it is not asked again: none goes back.
+    A process that has it is not asked again: none goes back. Processes that
+    became known in the meantime are asked before the end.
     """
     start_ms = clock.now_ms()
-    pending = await find_processes(reader, list(dict.fromkeys(seeds)))
-    settled: list[ProcessStanding] = []
+    pending = await find_processes(reader, seeds)
+    settled: dict[str, ProcessStanding] = {}
     while True:
         rows = await _read_standings(reader, pending, serial)
-        settled += [row for row in rows if row.settled]
+        settled.update((row.address, row) for row in rows if row.settled)
         late = [row for row in rows if not row.settled]
-        spread = Spread(serial, clock.now_ms() - start_ms, late + settled)
-        if not late or spread.took_ms >= timeout_ms:
+        took_ms = clock.now_ms() - start_ms
+        spread = Spread(serial, took_ms, [*late, *settled.values()])
+        if took_ms >= timeout_ms:
             return spread
         pending = [row.address for row in late]
-        await asyncio.sleep(POLL_PAUSE_S)
+        if late:
+            await asyncio.sleep(POLL_PAUSE_S)
+            continue
+        known = await find_processes(reader, seeds)
+        pending = [address for address in known if address not in settled]
+        if not pending:
+            return spread
 
 
 async def _read_standings(
--- a/wigeonmill/tools/status_reader.py
+++ b/wigeonmill/tools/status_reader.py
@@ -7,6 +7,7 @@
 from result import Ok
 from result import Result
 
+from wigeonmill.membership.member import State
 from wigeonmill.protocol.client import PeerClient
 from wigeonmill.protocol.client import PeerErrorKind
 from wigeonmill.protocol.client import PeerPool
@@ -23,8 +24,7 @@
     PeerErrorKind.CLOSED: 'the connection ended',
     PeerErrorKind.TIMEOUT: 'no answer in time',
 }
-# MemberState.state of a process that is alive or only suspected.
-_PRESENT_STATES = frozenset((0, 1))
+_PRESENT_STATES = frozenset(state for state in State if state.present)
 
 
 class InnerStatusReader:
