--- a/tests/tools/test_cli.py
+++ b/tests/tools/test_cli.py
@@ -155,7 +155,8 @@
 
     async def learn(address, with_peers):
         status = await read(address, with_peers)
-        world.fleet.peers = ['127.0.0.1:9999']
+        if not with_peers:
+            world.fleet.peers = ['127.0.0.1:9999']
         return status
 
     world.fleet.read_status = learn
