--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import json
+import os
 import socket
 from typing import Any
 
@@ -39,12 +40,16 @@
     ('kicukiro', 'kigali'),
 )
 SERVICE = 'ledger'
+COLD_CONCURRENCY = 16
 # Targets that aren't reachable: their agents take part in control only.
 SPARE = 'spare'
 TEAM = 'team-0'
 SEEDS = 3
-# Below the range that the system takes outgoing ports from.
-FIRST_PORT = 20_000
+# Below the range that the system takes outgoing ports from; each running
+# fleet starts elsewhere.
+FIRST_PORT = 12_000
+PORTS_PER_FLEET = 500
+FLEETS = 36
 # The target's own reports are its load, not control.
 HEALTH_INTERVAL_MS = 60_000
 STATUS_TIMEOUT_MS = 3_000.0
@@ -60,6 +65,7 @@
     processes: int
     teams: int
     proxied: bool = False
+    vm_list: bool = False
 
 
 @dataclass(slots=True)
@@ -118,10 +124,12 @@
         self.fleet = ProcessFleet()
         self.daemons: dict[str, Daemon] = {}
         self.ledgers: dict[str, Process] = {}
+        self.vm_list: Process | None = None
         self.document: Document | None = None
         self.serial = 0
         self.accepted_at_ms = 0
-        self._ports = PortRange(FIRST_PORT)
+        start = os.getpid() % FLEETS * PORTS_PER_FLEET
+        self._ports = PortRange(FIRST_PORT + start)
         self._key_value: Process | None = None
         self._pool: PeerPool | None = None
         self._weight = 1
@@ -136,6 +144,8 @@
         """Start all processes; wait until they know each other."""
         self._pool = PeerPool(self._make_client)
         self._key_value = self.fleet.start_standin('key-value')
+        if self.options.vm_list:
+            self.vm_list = self.fleet.start_standin('vm-list')
         for domain, _region in DOMAINS:
             name = f'{SERVICE}-{domain}'
             self.ledgers[domain] = self.fleet.start_standin(
@@ -236,6 +246,21 @@
             f'http://{control}/faults', method='POST', body=json.dumps(faults)
         )
 
+    async def set_vm(self, name: str, state: str) -> None:
+        """Show a VM as `live` or `leaving` in the VM list."""
+        assert self.vm_list is not None
+        vm = {
+            'name': name,
+            'address': '',
+            'failure_domain': '',
+            'state': state,
+        }
+        await CurlAsyncHTTPClient().fetch(
+            f'http://{self.vm_list.address}/vms',
+            method='POST',
+            body=json.dumps(vm),
+        )
+
     async def get_json(self, url: str) -> Any:
         """Return the JSON value at `url`."""
         reply = await CurlAsyncHTTPClient().fetch(url)
@@ -265,6 +290,8 @@
             'inner': self._ports.take(),
             'key_value': [self.key_value.address],
         }
+        if self.vm_list is not None:
+            plan['vm_list'] = self.vm_list.address
         if is_entry:
             plan['entry'] = {'http': self._ports.take(), 'leave_grace_ms': 0}
         else:
@@ -300,7 +327,14 @@
             else:
                 address = self.ledgers[domain].address
                 serving.append(self._target(plan, address))
-        services = [Service(SERVICE, ServiceKind.PLAIN, serving)]
+        services = [
+            Service(
+                SERVICE,
+                ServiceKind.PLAIN,
+                serving,
+                cold_concurrency=COLD_CONCURRENCY,
+            )
+        ]
         if spare:
             services.append(Service(SPARE, ServiceKind.PLAIN, spare))
         domains = [FailureDomain(name, region) for name, region in DOMAINS]
--- /dev/null
+++ b/tests/membership/test_processes.py
@@ -0,0 +1,114 @@
+"""Real processes: a drain with a paused one, a leaving VM, a goodbye."""
+
+import asyncio
+import signal
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+
+from bench.control_fleet import ControlFleet
+from bench.control_fleet import DOMAINS
+from bench.control_fleet import FleetOptions
+from bench.control_fleet import SERVICE
+from bench.control_fleet import TEAM
+from bench.processes import wait_until
+
+IN_FORCE_MS = 3_000.0
+LIMIT_S = 3.0
+# Six entries, then an agent in each of the first two domains.
+PROCESSES = 8
+FIRST, SECOND = 'agent-6', 'agent-7'
+
+
+def run(scenario):
+    async def body():
+        options = FleetOptions(PROCESSES, teams=1, vm_list=True)
+        fleet = ControlFleet(options)
+        try:
+            await fleet.start()
+            await scenario(fleet)
+            assert fleet.reverts() == 0
+        finally:
+            fleet.close()
+
+    asyncio.run(body())
+
+
+async def everyone_reads(fleet, metric, value, but=()):
+    names = [name for name in fleet.daemons if name not in but]
+
+    async def condition():
+        readings = await fleet.read(names)
+        return len(readings) == len(names) and all(
+            reading.metric(metric) == value for reading in readings.values()
+        )
+
+    await wait_until(condition)
+
+
+async def call(fleet, count=12):
+    """Return the codes of `count` reads over all entries."""
+    client = CurlAsyncHTTPClient()
+    entries = fleet.entries()
+    requests = [
+        HTTPRequest(
+            f'http://{entries[n % len(entries)].http}'
+            f'/v1/services/{SERVICE}/accounts/bar-7',
+            headers={'Authorization': f'Bearer bench-key-{TEAM}'},
+        )
+        for n in range(count)
+    ]
+    fetched = (client.fetch(req, raise_error=False) for req in requests)
+    return [reply.code for reply in await asyncio.gather(*fetched)]
+
+
+async def reads_at(fleet, number):
+    address = fleet.ledgers[DOMAINS[number][0]].address
+    return (await fleet.get_json(f'http://{address}/audit'))['reads']
+
+
+def test_drain_is_in_force_and_a_paused_process_catches_up():
+    async def scenario(fleet):
+        paused = fleet.daemons[FIRST].process
+        paused.signal(signal.SIGSTOP)
+        await fleet.set_domain(DOMAINS[0][0], False)
+        await asyncio.sleep(LIMIT_S)
+        others = [name for name in fleet.daemons if name != FIRST]
+        readings = await fleet.read(others)
+        assert len(readings) == PROCESSES - 1
+        for reading in readings.values():
+            assert reading.serial == fleet.serial
+            waited_ms = reading.adopted_at_ms - fleet.accepted_at_ms
+            assert waited_ms <= IN_FORCE_MS
+        await everyone_reads(fleet, 'members_gone', 1.0, but=[FIRST])
+        before = await reads_at(fleet, 0)
+        paused.signal(signal.SIGCONT)
+        assert await call(fleet) == [200] * 12
+        await fleet.wait_joined()
+        assert await call(fleet) == [200] * 12
+        assert await reads_at(fleet, 0) == before
+
+    run(scenario)
+
+
+def test_leaving_vm_and_leaving_process_get_no_new_work():
+    async def scenario(fleet):
+        agent = fleet.daemons[SECOND].process
+        await fleet.set_vm('target-7', 'leaving')
+        await asyncio.sleep(LIMIT_S)
+        assert 'the VM is leaving: True' in agent.log()
+        before = await reads_at(fleet, 1)
+        assert await call(fleet) == [200] * 12
+        assert await reads_at(fleet, 1) == before
+        await fleet.set_vm('target-7', 'live')
+        await asyncio.sleep(LIMIT_S)
+        assert await call(fleet, 60) == [200] * 60
+        assert await reads_at(fleet, 1) > before
+        agent.signal(signal.SIGTERM)
+        await everyone_reads(fleet, 'members_gone', 1.0, but=[SECOND])
+        before = await reads_at(fleet, 1)
+        assert await call(fleet) == [200] * 12
+        assert await reads_at(fleet, 1) == before
+        assert agent.popen.wait(10) == 0
+
+    run(scenario)
