Let a round's cost not grow with the view

Each round scanned every member several times for those that are not alive. The view now keeps these by name.

--- a/wigeonmill/membership/gossip.py
+++ b/wigeonmill/membership/gossip.py
@@ -137,7 +137,7 @@
             None,
         )
         message = self._compose(member)
-        message.want_members = not self.view.alive()
+        message.want_members = self.view.alive_count == 1
         answered = await self.exchange(address, message)
         if address not in {member.address for member in self.neighbors}:
             self._pool.drop(address)
--- a/wigeonmill/membership/membership.py
+++ b/wigeonmill/membership/membership.py
@@ -177,7 +177,7 @@
             self.gossiper.poke()
         self._spawn(self.gossiper.probe_next())
         self._spawn(self.gossiper.probe_disputed(DISPUTED_PER_ROUND))
-        alone = not self.view.alive()
+        alone = self.view.alive_count == 1
         if alone or number % SEED_ROUNDS == 0:
             self._spawn(self._try_seed())
 
@@ -222,7 +222,7 @@
     def _register_gauges(self) -> None:
         gauge = self._metrics.gauge
         view = self.view
-        gauge('members_alive', lambda: float(len(view.alive()) + 1))
+        gauge('members_alive', lambda: float(view.alive_count))
         gauge('members_suspect', lambda: float(len(view.suspects())))
         gauge('members_gone', lambda: float(len(view.gone())))
         gauge('membership_frozen', lambda: float(view.frozen))
--- a/wigeonmill/membership/peer_source.py
+++ b/wigeonmill/membership/peer_source.py
@@ -34,7 +34,7 @@
     @property
     def count(self) -> int:
         """Number of processes that are alive, this one included."""
-        return len(self._view.alive()) + 1
+        return self._view.alive_count
 
     async def pull(self, source: str) -> bool:
         """Fetch from `source`, a member's name or an IP:port address."""
--- a/wigeonmill/membership/view.py
+++ b/wigeonmill/membership/view.py
@@ -68,20 +68,20 @@
 
     def alive(self) -> list[Member]:
         """Return the other members that are alive."""
-        return self._in_state(State.ALIVE)
+        return [m for m in self.members.values() if m.state is State.ALIVE]
+
+    @property
+    def alive_count(self) -> int:
+        """Number of members that are alive, this process included."""
+        return 1 + len(self.members) - len(self._since)
 
     def suspects(self) -> list[Member]:
         """Return the other members that are suspect."""
-        return self._in_state(State.SUSPECT)
+        return [m for m in self._not_alive() if m.state is State.SUSPECT]
 
     def gone(self) -> list[Member]:
         """Return the members that are dead or have left."""
-        return [m for m in self.members.values() if not m.state.present]
-
-    def knows_same(self, account: Member) -> bool:
-        """Return whether the view already has all that `account` says."""
-        held = self._held(account.name)
-        return held is not None and merge(held, account) == held
+        return [m for m in self._not_alive() if not m.state.present]
 
     def take(self, account: Member) -> bool:
         """Merge a rumor; returns whether it was news, to be passed on."""
@@ -186,7 +186,7 @@
         if self.cut_off:
             return True
         suspects = len(self.suspects())
-        present = suspects + len(self.alive()) + 1
+        present = suspects + self.alive_count
         return suspects >= self._limits.frozen_share * present
 
     def _take_own(self, account: Member) -> bool:
@@ -235,8 +235,8 @@
     def _held(self, name: str) -> Member | None:
         return self.me if name == self.me.name else self.members.get(name)
 
-    def _in_state(self, state: State) -> list[Member]:
-        return [m for m in self.members.values() if m.state is state]
+    def _not_alive(self) -> list[Member]:
+        return [self.members[name] for name in self._since]
 
 
 def _weight(member: Member) -> int:
