Read the key-value service only while still behind

After a change, a process that had already adopted the new record by another way took its fetch for a failure and read the key-value service, so these reads grew with the fleet.

--- a/wigeonmill/membership/config_feed.py
+++ b/wigeonmill/membership/config_feed.py
@@ -57,12 +57,14 @@
         self._hinted = asyncio.Event()
         # Peers that showed a higher serial, the latest one last.
         self._sources: dict[str, None] = {}
+        self._hinted_serial = 0
 
     def hint(self, source: str, serial: int) -> None:
         """Note that the peer `source` (name or IP:port) has `serial`."""
         if serial > self._holder.serial:
             self._sources.pop(source, None)
             self._sources[source] = None
+            self._hinted_serial = max(self._hinted_serial, serial)
             self._hinted.set()
 
     async def follow_hints(self) -> None:
@@ -70,20 +72,24 @@
         while True:
             await self._hinted.wait()
             self._hinted.clear()
-            if not await self._pull_from_sources():
+            await self._pull_from_sources()
+            if self._behind:
+                self._metrics.count('config_retries', 'direct')
                 await self._read()
             await asyncio.sleep(HINT_PAUSE_MS / 1000.0)
 
-    async def _pull_from_sources(self) -> bool:
-        """Ask one source after the other until one has given."""
-        serial = self._holder.serial
-        while self._sources:
+    @property
+    def _behind(self) -> bool:
+        return self._hinted_serial > self._holder.serial
+
+    async def _pull_from_sources(self) -> None:
+        """Ask one source after the other until none is ahead."""
+        while self._behind and self._sources:
             source, _none = self._sources.popitem()
-            if await self._peers.pull(source):
-                self._sources.clear()
-            elif self._holder.serial == serial:
+            await self._peers.pull(source)
+            if self._behind:
                 self._metrics.count('config_retries', 'next_peer')
-        return self._holder.serial > serial
+        self._sources.clear()
 
     async def follow_key(self) -> None:
         """Read the key, then watch it, until cancelled."""
