--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -64,7 +64,7 @@
         self._clock = clock
         self._state = ServiceState(clock, quarantine)
         self._waiting = WaitingList(settings)
-        self._in_flight = InFlight(settings.short_tokens)
+        self._in_flight = InFlight(settings)
         self._pricing = OfferPricing(
             settings, health, self._waiting, self._in_flight
         )
@@ -140,7 +140,8 @@
         refusal = self._refusal_of(request)
         if refusal is not None:
             return self._refused_now(refusal)
-        expected = self._pricing.estimate(request, plan)
+        alone = self._state.must_run_alone(request)
+        expected = self._pricing.estimate(request, plan, alone, now_ms)
         late_ms = now_ms + expected.first_token_ms - request.deadline_ms
         if late_ms > 0.0:
             wait_ms = int(min(late_ms, expected.wait_ms))
@@ -179,6 +180,9 @@
         elif not self._push(ticket):
             full = self._pricing.no_place(RefusalReason.QUEUE_FULL)
             return self._refused_now(full)
+        if ticket.alone:
+            fingerprint = request.fingerprint
+            self.quarantine.on_retry(fingerprint, self._clock.wall_ms())
         self.counts.admitted += 1
         return Ok(Admitted(ticket))
 
@@ -223,13 +227,9 @@
         reason = self._reason_against_start(ticket)
         if reason is not None:
             self._in_flight.remove(ticket)
+            self._give_retry_back(ticket)
             return self._refused_now(Refusal(reason))
-        ticket.state = TicketState.STARTED
-        ticket.started_ms = self._clock.now_ms()
-        ticket.prefill_done = self._in_flight.prefill_done
-        if ticket.alone:
-            fingerprint = ticket.request.fingerprint
-            self.quarantine.on_retry(fingerprint, self._clock.wall_ms())
+        self._in_flight.start(ticket, self._clock.now_ms())
         self.counts.started += 1
         return Ok(ticket)
 
@@ -241,11 +241,9 @@
         ticket.first_token_ms = self._clock.now_ms()
         self._in_flight.end_prefill(ticket)
         took_ms = ticket.first_token_ms - ticket.started_ms
-        # The target may have let others pass: what counts is all prefill
-        # that it did since the start.
-        self._in_flight.prefill_done += ticket.cost
-        tokens = self._in_flight.prefill_done - ticket.prefill_done
-        ticket.healthy = self.health.on_first_token(tokens, took_ms)
+        # More urgent runs may have gone first, before or after the start.
+        work = self._in_flight.work_since(ticket)
+        ticket.healthy = self.health.on_first_token(work, took_ms)
 
     def finished(self, ticket_id: int, outcome: RunOutcome) -> None:
         """Take the end of a run that holds a slot."""
@@ -265,7 +263,10 @@
 
     def withdraw(self, ticket_id: int) -> bool:
         """Drop a waiting request whose caller left; False if not waiting."""
-        return self._waiting.remove(ticket_id) is not None
+        ticket = self._waiting.remove(ticket_id)
+        if ticket is not None:
+            self._give_retry_back(ticket)
+        return ticket is not None
 
     def take_refused(self) -> list[RefusedTicket]:
         """Return the tickets refused while they waited, each once."""
@@ -281,16 +282,17 @@
     def on_target_crashed(self) -> list[bytes]:
         """Blame what the target had in flight; once for each run.
 
-        Returns the fingerprints that this crash has put in quarantine.
+        A suspect that hasn't settled takes all the blame. Returns the
+        fingerprints that this crash has put in quarantine.
         """
-        self.on_connection_failed()
-        blamed = [
-            ticket
-            for ticket in self._in_flight
-            if ticket.state is not TicketState.RUNNABLE and not ticket.blamed
-        ]
-        for ticket in blamed:
+        now_ms = self._clock.now_ms()
+        suspect = self._in_flight.unsettled_suspect(now_ms)
+        seen = [t for t in self._in_flight if _is_at_target(t)]
+        new = [ticket for ticket in seen if not ticket.blamed]
+        blamed = [suspect] if suspect in new else new
+        for ticket in new:
             ticket.blamed = True
+        self.on_connection_failed()
         prints = [ticket.request.fingerprint for ticket in blamed]
         known = [fingerprint for fingerprint in prints if fingerprint]
         return self.quarantine.on_crash(known, self._clock.wall_ms())
@@ -333,9 +335,7 @@
     def _reason_against_start(self, ticket: Ticket) -> RefusalReason | None:
         if not self.health.reachable:
             return RefusalReason.UNREACHABLE
-        if not ticket.alone and self._state.must_run_alone(ticket.request):
-            return RefusalReason.SUSPECT
-        return self._state.reason_against(ticket.request)
+        return self._state.reason_against_start(ticket)
 
     def _learn(
         self, ticket: Ticket, state: TicketState, outcome: RunOutcome
@@ -353,7 +353,11 @@
                 outcome.answer_tokens if streamed else 0,
                 now_ms - ticket.first_token_ms,
             )
-        elif ticket.alone and _gives_retry_back(state, outcome):
+        elif outcome.kind is not OutcomeKind.CRASHED:
+            self._give_retry_back(ticket)
+
+    def _give_retry_back(self, ticket: Ticket) -> None:
+        if ticket.alone:
             fingerprint = ticket.request.fingerprint
             wall_ms = self._clock.wall_ms()
             self.quarantine.on_retry_cancelled(fingerprint, wall_ms)
@@ -373,6 +377,7 @@
         self._add_refused(ticket, reason)
 
     def _add_refused(self, ticket: Ticket, reason: RefusalReason) -> None:
+        self._give_retry_back(ticket)
         self._count(reason)
         self._refused.append(RefusedTicket(ticket, Refusal(reason)))
 
@@ -385,9 +390,8 @@
         refusals[reason] = refusals.get(reason, 0) + 1
 
 
-def _gives_retry_back(state: TicketState, outcome: RunOutcome) -> bool:
-    crashed = outcome.kind is OutcomeKind.CRASHED
-    return not crashed and state is not TicketState.RUNNABLE
+def _is_at_target(ticket: Ticket) -> bool:
+    return ticket.state is not TicketState.RUNNABLE
 
 
 def make_admission(
--- a/wigeonmill/config/model.py
+++ b/wigeonmill/config/model.py
@@ -1,7 +1,9 @@
 """The operators' document as typed values.
 
 The types are the one source of the document's shape: the JSON Schema for
-editors is made from them.
+editors is made from them. Fields at their default are left out when a value
+is encoded, so that a field that is added later disturbs no older process
+before it is used; a default never changes.
 """
 
 import enum
@@ -37,6 +39,15 @@
 ]
 
 
+class _Item(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """What all parts of a document have in common."""
+
+
 class ServiceKind(enum.Enum):
     """What a service's targets are."""
 
@@ -44,7 +55,7 @@
     PLAIN = 'plain'
 
 
-class Target(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Target(_Item, frozen=True):
     """One model engine or plain service process.
 
     `agent` is the inner address (IP:port) of the agent beside the target,
@@ -58,7 +69,7 @@
     in_service: InService = True
 
 
-class CallRule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class CallRule(_Item, frozen=True):
     """Calls of a plain service that must run at most once."""
 
     method: Annotated[
@@ -77,7 +88,7 @@
     ]
 
 
-class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Service(_Item, frozen=True):
     """A model service or a plain service with its targets.
 
     `model` names the model of a model service; `non_repeatable` lists the
@@ -89,32 +100,38 @@
     kind: ServiceKind
     targets: list[Target]
     model: Annotated[
-        str, Meta(description='Model of a model service; else empty.')
+        str, Meta(description='Model that the targets serve; empty if plain.')
     ] = ''
     non_repeatable: Annotated[
         list[CallRule],
-        Meta(description='Calls of a plain service run at most once.'),
+        Meta(description='Calls of a plain service that run at most once.'),
     ] = []
     fences_orders: Annotated[
         bool,
-        Meta(description='The targets refuse an old fencing number.'),
+        Meta(description='The targets refuse orders with an old number.'),
     ] = False
     block_tokens: Annotated[
         int, Meta(ge=16, le=65536, description='Tokens in a cache block.')
     ] = 1024
     cold_concurrency: Annotated[
-        int, Meta(ge=1, le=4096, description='Runs a cold target bears.')
+        int,
+        Meta(ge=1, le=4096, description='Open runs that a cold target bears.'),
     ] = 1
     max_concurrency: Annotated[
-        int, Meta(ge=1, le=4096, description='Runs a warm target bears.')
+        int,
+        Meta(ge=1, le=4096, description='Open runs that a warm target bears.'),
     ] = 64
     concurrent_loads: Annotated[
         int,
-        Meta(ge=1, le=1024, description='Weight loads at the same time.'),
+        Meta(
+            ge=1,
+            le=1024,
+            description='Targets that load weights at the same time.',
+        ),
     ] = 2
 
 
-class FailureDomain(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class FailureDomain(_Item, frozen=True):
     """A failure domain; out of service it receives no new work."""
 
     name: Name
@@ -122,7 +139,7 @@
     in_service: InService = True
 
 
-class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Team(_Item, frozen=True):
     """A team of callers.
 
     `key_hashes` are lower-case hex SHA-256 digests of the team's keys; two
@@ -135,24 +152,29 @@
         Meta(description='SHA-256 of each key, 64 lower-case hex digits.'),
     ]
     weight: Annotated[
-        int, Meta(ge=1, le=1000, description='Share under load.')
+        int, Meta(ge=1, le=1000, description='Share of a target under load.')
     ] = 1
     max_open_requests: Annotated[
-        int, Meta(ge=1, le=100_000, description='Open requests per entry.')
+        int,
+        Meta(
+            ge=1,
+            le=100_000,
+            description='Open requests in each entry process.',
+        ),
     ] = 256
 
 
-class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Model(_Item, frozen=True):
     """A model with the weight version to serve and its adapters."""
 
     name: ModelName
     version: ModelName
     adapters: Annotated[
-        list[ModelName], Meta(description='Adapters to load.')
+        list[ModelName], Meta(description='Adapters to serve.')
     ] = []
 
 
-class StoreVm(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class StoreVm(_Item, frozen=True):
     """A store VM for cache blocks at an HTTP address (IP:port)."""
 
     name: Name
@@ -161,12 +183,16 @@
     in_service: InService = True
 
 
-class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Limits(_Item, frozen=True):
     """Limits that apply to every request."""
 
     max_body_bytes: Annotated[
         int,
-        Meta(ge=1024, le=256 * 1024 * 1024, description='Bytes of a body.'),
+        Meta(
+            ge=1024,
+            le=64 * 1024 * 1024,
+            description='Bytes of a request body.',
+        ),
     ] = 4 * 1024 * 1024
     max_prompt_tokens: Annotated[
         int, Meta(ge=1, le=10_000_000, description='Tokens of a prompt.')
@@ -176,18 +202,31 @@
     ] = 8192
     default_deadline_ms: Annotated[
         int,
-        Meta(ge=1, le=86_400_000, description='Milliseconds, if unnamed.'),
+        Meta(
+            ge=1,
+            le=86_400_000,
+            description='Milliseconds, if a request names none.',
+        ),
     ] = 60_000
     max_deadline_ms: Annotated[
-        int, Meta(ge=1, le=86_400_000, description='Milliseconds at most.')
+        int,
+        Meta(
+            ge=1,
+            le=86_400_000,
+            description='Milliseconds that a request may name.',
+        ),
     ] = 600_000
     store_link_bytes_per_second: Annotated[
         int,
-        Meta(ge=1, le=10**12, description='Bytes a second of a store link.'),
+        Meta(
+            ge=1,
+            le=10**12,
+            description='Bytes a second of the link to the store VMs.',
+        ),
     ] = 200_000_000
 
 
-class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Document(_Item, frozen=True):
     """The whole configuration that operators submit."""
 
     services: list[Service]
--- a/wigeonmill/console/reading.py
+++ b/wigeonmill/console/reading.py
@@ -2,18 +2,17 @@
 
 import json
 
-import msgspec
 from result import Err
 from tornado.web import HTTPError
 
 from wigeonmill.config.checks import in_service_targets
+from wigeonmill.config.full_values import to_full_builtins
 from wigeonmill.config.history import read_current
 from wigeonmill.config.history import read_latest
 from wigeonmill.console.base import ConsoleHandler
 from wigeonmill.console.items import ItemRef
 from wigeonmill.console.items import list_items
 from wigeonmill.tools.fleet import ProcessStanding
-from wigeonmill.tools.fleet import Standing
 from wigeonmill.tools.record_commands import make_rows
 
 LIST_ROWS = 100
@@ -71,8 +70,7 @@
             record = found.ok_value.record
             serial = record.serial
             rows = await self.context.read_standing(record)
-        settled = (Standing.IN_FORCE, Standing.AHEAD)
-        late = [row for row in rows if row.standing not in settled]
+        late = [row for row in rows if not row.settled]
         self.render(
             'status.html',
             serial=serial,
@@ -102,7 +100,7 @@
 
     def get(self) -> None:
         """Send the document."""
-        document = msgspec.to_builtins(self.current_draft().document)
+        document = to_full_builtins(self.current_draft().document)
         self.set_header('Content-Type', 'application/json')
         self.set_header(
             'Content-Disposition', 'attachment; filename="wigeonmill.json"'
