Let a restarted process with a slow clock take its name back

A process that met a later account of its own name stepped aside even if that account said dead or left, so a VM replaced with a slower clock could not come back. Connections to peers that are not neighbors are closed after use.

--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -79,6 +79,13 @@
     assert leaver.superseded
 
 
+def test_a_process_with_a_slow_clock_replaces_its_dead_predecessor():
+    view, _clock = make_view()
+    assert view.take(make_member('me', incarnation=9, state=State.DEAD))
+    assert not view.superseded
+    assert view.me.age_key == (9, 1)
+
+
 def test_observer_that_is_cut_off_suspects_and_removes_nobody():
     view, clock = make_view('abcdef')
     view.heard()
--- a/wigeonmill/membership/gossip.py
+++ b/wigeonmill/membership/gossip.py
@@ -128,7 +128,7 @@
             del self._disputed[name]
             member = self.view.members.get(name)
             if member is not None:
-                self._spawn(self.probe(member))
+                self._spawn(self._probe_stranger(member))
 
     async def contact(self, address: str) -> bool:
         """Exchange with whoever is at `address`; False if no answer."""
@@ -139,8 +139,7 @@
         message = self._compose(member)
         message.want_members = self.view.alive_count == 1
         answered = await self.exchange(address, message)
-        if address not in {member.address for member in self.neighbors}:
-            self._pool.drop(address)
+        self._release(address)
         return answered
 
     async def exchange(self, address: str, message: Gossip) -> bool:
@@ -159,6 +158,7 @@
         if pulled is Pulled.BROKEN:
             self._metrics.count('config_retries', 'whole')
             pulled = await self._pull(address, whole=True)
+        self._release(address)
         return pulled is Pulled.ADOPTED
 
     def answer(self, req: Gossip, serial: int) -> Gossip:
@@ -186,6 +186,15 @@
         news = [self.view.me]
         await asyncio.gather(*(self._pass_on(m, news) for m in told))
 
+    async def _probe_stranger(self, member: Member) -> None:
+        await self.probe(member)
+        self._release(member.address)
+
+    def _release(self, address: str) -> None:
+        """Keep no connection to a peer that is not a neighbor."""
+        if address not in {member.address for member in self.neighbors}:
+            self._pool.drop(address)
+
     async def _flush_later(self) -> None:
         await asyncio.sleep(FLUSH_PAUSE_MS / 1000.0)
         self._flushing = False
--- a/wigeonmill/membership/view.py
+++ b/wigeonmill/membership/view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from dataclasses import replace
 
 from wigeonmill.clock import Clock
 from wigeonmill.membership.member import Member
@@ -191,14 +192,23 @@
 
     def _take_own(self, account: Member) -> bool:
         if account.incarnation > self.me.incarnation:
-            self.superseded = True
-            self.version += 1
-            return False
+            return self._take_later_namesake(account)
         if not supersedes(account, self.me) or self.me.state is State.LEFT:
             return False
         self._set_me(self.me.with_heartbeat(account.heartbeat + 1))
         return True
 
+    def _take_later_namesake(self, account: Member) -> bool:
+        if account.state.present:
+            self.superseded = True
+            self.version += 1
+            return False
+        # The other one is gone; only its clock was ahead of this one's.
+        incarnation = account.incarnation
+        renewed = replace(self.me, incarnation=incarnation)
+        self._set_me(renewed.with_heartbeat(account.heartbeat + 1))
+        return True
+
     def _set_me(self, me: Member) -> None:
         self.digest ^= _weight(self.me) ^ _weight(me)
         self.me = me
