--- a/wigeonmill/membership/gossip.py
+++ b/wigeonmill/membership/gossip.py
@@ -22,6 +22,7 @@
 from wigeonmill.membership.member import to_wire
 from wigeonmill.membership.overlay import neighbors
 from wigeonmill.membership.view import View
+from wigeonmill.membership.view_sync import ViewSync
 from wigeonmill.membership.vm_news import VmNews
 from wigeonmill.metrics import Metrics
 from wigeonmill.protocol.client import PeerPool
@@ -42,10 +43,6 @@
 # Accounts in one message, but for the answer to a request for all.
 MAX_MEMBERS = 64
 MAX_SYNCED_MEMBERS = 4096
-# Exchanges with differing digests before a whole view is asked for, and
-# the least time between two such requests.
-DIFFERING_DIGESTS = 3
-SYNC_PAUSE_MS = 5_000.0
 
 
 class Gossiper:
@@ -77,9 +74,7 @@
         self._version = -1
         self._next_neighbor = 0
         self._flushing = False
-        self._differing = 0
-        self._synced_ms = float('-inf')
-        self._disputed: dict[str, None] = {}
+        self._sync = ViewSync(view, clock)
         holder.subscribe(self._on_config)
 
     def refresh(self) -> None:
@@ -121,14 +116,10 @@
             logger.info('%s does not answer: suspect', member.name)
             self.poke()
 
-    async def probe_disputed(self, limit: int) -> None:
+    def probe_disputed(self, limit: int) -> None:
         """Ask up to `limit` members on whom peers' accounts differ."""
-        names = list(self._disputed)[:limit]
-        for name in names:
-            del self._disputed[name]
-            member = self.view.members.get(name)
-            if member is not None:
-                self._spawn(self._probe_stranger(member))
+        for member in self._sync.take_disputed(limit):
+            self._spawn(self._probe_stranger(member))
 
     async def contact(self, address: str) -> bool:
         """Exchange with whoever is at `address`; False if no answer."""
@@ -149,7 +140,8 @@
             return False
         gossip, serial = reply
         self._take(gossip, serial, bool(message.want_members))
-        self._compare_digests(address, gossip)
+        if self._sync.due(gossip.view_digest or 0):
+            self._spawn(self._ask_for_view(address))
         return True
 
     async def pull(self, address: str) -> bool:
@@ -273,7 +265,7 @@
             self.view.take(account)
         self.view.heard()
         if synced:
-            self._take_synced(accounts)
+            self._sync.take(accounts)
         self._vm_news.take_gossip(message)
         if serial <= self._holder.serial:
             self._freshness.take(float(message.config_age_ms or 0))
@@ -282,30 +274,10 @@
             self.poke()
         return accounts[0]
 
-    def _take_synced(self, accounts: list[Member]) -> None:
-        named = {account.name for account in accounts}
-        for account in accounts:
-            if self.view.take_synced(account):
-                self._disputed[account.name] = None
-        unknown = [m.name for m in self.view.alive() if m.name not in named]
-        self.view.queue(unknown)
-        self._metrics.count('gossip_syncs')
-
-    def _compare_digests(self, address: str, message: Gossip) -> None:
-        if message.view_digest == self.view.digest or self.view.has_news:
-            self._differing = 0
-            return
-        self._differing += 1
-        now_ms = self._clock.now_ms()
-        due = now_ms - self._synced_ms >= SYNC_PAUSE_MS
-        if self._differing >= DIFFERING_DIGESTS and due:
-            self._synced_ms = now_ms
-            self._differing = 0
-            self._spawn(self._sync(address))
-
-    async def _sync(self, address: str) -> None:
+    async def _ask_for_view(self, address: str) -> None:
         message = self._compose(None)
         message.want_members = True
+        self._metrics.count('gossip_syncs')
         await self.exchange(address, message)
 
     def _was_paused(self, start_ms: float) -> bool:
--- a/wigeonmill/membership/membership.py
+++ b/wigeonmill/membership/membership.py
@@ -176,7 +176,7 @@
         if self.view.has_news:
             self.gossiper.poke()
         self._spawn(self.gossiper.probe_next())
-        self._spawn(self.gossiper.probe_disputed(DISPUTED_PER_ROUND))
+        self.gossiper.probe_disputed(DISPUTED_PER_ROUND)
         alone = self.view.alive_count == 1
         if alone or number % SEED_ROUNDS == 0:
             self._spawn(self._try_seed())
