--- a/bench/control_scenes.py
+++ b/bench/control_scenes.py
@@ -44,6 +44,7 @@
         self._fleet = fleet
         self.at_s = 0.0
         self.cpu_s: dict[str, float] = {}
+        self.readers: set[str] = set()
         self.traffic: dict[str, float] = {}
         self.calls: dict[str, int] = {}
 
@@ -55,6 +56,9 @@
             + r.metric('inner_received_bytes')
             for name, r in readings.items()
         }
+        self.readers = {
+            name for name, r in readings.items() if r.metric('config_reader')
+        }
         self.calls = await self._fleet.key_value_calls()
         self.at_s = time.monotonic()
         self.cpu_s = {
@@ -249,6 +253,11 @@
         f'{phase}_bytes_per_s_mean': statistics.fmean(traffic),
         f'{phase}_bytes_per_s_max': max(traffic),
     }
+    for role, names in _roles(fleet, after).items():
+        figures[f'{phase}_core_share_{role}'] = statistics.fmean(
+            (after.cpu_s[name] - before.cpu_s[name]) / elapsed_s
+            for name in names
+        )
     kinds = set(before.calls) | set(after.calls)
     calls = {k: after.calls.get(k, 0) - before.calls.get(k, 0) for k in kinds}
     total = sum(calls.values())
@@ -259,6 +268,14 @@
     return figures
 
 
+def _roles(fleet: ControlFleet, usage: _Usage) -> dict[str, set[str]]:
+    """Return the names of readers, and of other entries and agents."""
+    entries = {daemon.name for daemon in fleet.entries()} - usage.readers
+    agents = set(fleet.daemons) - entries - usage.readers
+    roles = {'reader': usage.readers, 'entry': entries, 'agent': agents}
+    return {role: names for role, names in roles.items() if names}
+
+
 def _rates(
     before: dict[str, float], after: dict[str, float], elapsed_s: float
 ) -> list[float]:
