Keep requests in the fair queue instead of at the target

Short prompts were started without bound and longer ones up to 16384 tokens at once, so that the target's own queue undid the fair shares. Shorts now share 2048 tokens of prefill in flight, longer ones 8192, and only teams close to their share pass a long prompt.

--- a/tests/agent/test_admission.py
+++ b/tests/agent/test_admission.py
@@ -181,7 +181,7 @@
 
 
 def test_short_prompts_pass_long_ones_that_share_the_prefill_limit():
-    clock, admission = _admission(prefill_limit_tokens=10_000)
+    clock, admission = _admission(long_limit_tokens=10_000)
     _warm_up(clock, admission)
     for tokens in (9000, 9000, 100):
         _admit(admission, _request(tokens=tokens)).unwrap()
--- a/tests/agent/test_fair_queue.py
+++ b/tests/agent/test_fair_queue.py
@@ -9,6 +9,7 @@
 from wigeonmill.agent.fair_queue import QueueEntry
 
 SHORT = 100
+PASS = 1000
 
 
 def _entry(id_, team, cost=10, weight=1, priority=0, deadline=1e9, now=0.0):
@@ -22,7 +23,7 @@
 
 @given(st.integers(1, 4), st.integers(1, 4), st.integers(1, 50))
 def test_backlogged_teams_share_by_weight(one, other, cost):
-    queue = FairQueue(1000)
+    queue = FairQueue(1000, PASS)
     for at in range(200):
         queue.push(_entry(at, 'a', cost, one))
         queue.push(_entry(1000 + at, 'b', cost, other))
@@ -33,7 +34,7 @@
 
 @given(st.lists(st.integers(1, 2000), min_size=1, max_size=30))
 def test_flood_of_one_team_starves_nobody(costs):
-    queue = FairQueue(1000)
+    queue = FairQueue(1000, PASS)
     for at in range(300):
         queue.push(_entry(at, 'flood', 50))
     for at, cost in enumerate(costs):
@@ -46,7 +47,7 @@
 
 
 def test_short_entries_pass_a_long_one_that_waits_and_it_goes_next():
-    queue = FairQueue(10)
+    queue = FairQueue(10, PASS)
     queue.push(_entry(1, 'a', cost=5000))
     queue.push(_entry(2, 'a', cost=10))
     queue.push(_entry(3, 'b', cost=10))
@@ -62,7 +63,7 @@
 
 
 def test_priority_goes_first_but_does_not_starve_the_rest():
-    queue = FairQueue(10)
+    queue = FairQueue(10, PASS)
     queue.push(_entry(1, 'a', now=0.0))
     queue.push(_entry(2, 'a', priority=1, now=5.0))
     queue.push(_entry(3, 'a', priority=1, now=20_000.0))
@@ -70,7 +71,7 @@
 
 
 def test_expired_entries_leave():
-    queue = FairQueue(10)
+    queue = FairQueue(10, PASS)
     queue.push(_entry(1, 'a', deadline=50.0))
     queue.push(_entry(2, 'a', deadline=500.0))
     assert [entry.id for entry in queue.expire(50.0)] == [1]
@@ -80,7 +81,7 @@
 
 
 def test_full_queue_gives_up_the_flood_not_the_small_team():
-    queue = FairQueue(4)
+    queue = FairQueue(4, PASS)
     for at in range(4):
         assert queue.push(_entry(at, 'flood')).ok_value is None
     assert queue.push(_entry(9, 'flood')).is_err()
@@ -89,7 +90,7 @@
 
 
 def test_work_ahead_counts_the_fair_share_only():
-    queue = FairQueue(1000)
+    queue = FairQueue(1000, PASS)
     for at in range(100):
         queue.push(_entry(at, 'flood', 50))
     assert queue.ahead('small', 1, 50) == Ahead(50, 1)
--- a/wigeonmill/agent/admission_types.py
+++ b/wigeonmill/agent/admission_types.py
@@ -144,17 +144,23 @@
 class AdmissionSettings:
     """Limits of one target.
 
-    Runs with more prefill than `short_tokens` share `prefill_limit_tokens`
-    of prefill in flight and leave one slot in `slots_per_short_slot` to
-    shorter ones. `cold_queue` bounds the places given out by a cold target.
+    Runs of up to `short_tokens` of prefill share `short_limit_tokens` of
+    prefill in flight, longer ones `long_limit_tokens`, so that requests
+    wait in the fair queue and not at the target; one of each class may
+    always run. Longer ones leave one slot in `slots_per_short_slot` to
+    shorter ones. Short ones pass a longer one that waits if their team is
+    at most `pass_tokens` ahead of its team in what it has got. `cold_queue`
+    bounds the places given out by a cold target.
+
     A suspect that has waited for `alone_wait_ms` holds back other starts. It
     runs alone until it has streamed for `suspect_settle_ms`.
+
     A first token up to `healthy_factor` times the expected time plus
     `healthy_floor_ms` is healthy; after `relearn_after` others in a row the
     target's speed is learned anew. An idle target that hasn't answered for
-    `fresh_ms` may have turned cold unseen and gets its cold limit only.
-    One that failed a connection is left alone for `unreachable_ms`, unless
-    it reports before.
+    `fresh_ms` may have turned cold unseen and gets its cold limit only. One
+    that failed a connection is left alone for `unreachable_ms`, unless it
+    reports before.
     """
 
     cold_concurrency: int = 1
@@ -162,8 +168,10 @@
     max_queue: int = 256
     cold_queue: int = 4
     reservation_ms: float = 250.0
-    short_tokens: int = 2048
-    prefill_limit_tokens: int = 16_384
+    short_tokens: int = 2_048
+    short_limit_tokens: int = 2_048
+    long_limit_tokens: int = 8_192
+    pass_tokens: int = 4_096
     slots_per_short_slot: int = 8
     alone_wait_ms: float = 2_000.0
     suspect_settle_ms: float = 1_000.0
--- a/wigeonmill/agent/fair_queue.py
+++ b/wigeonmill/agent/fair_queue.py
@@ -105,6 +105,7 @@
 
     __slots__ = (
         '_max_entries',
+        '_pass_tokens',
         '_teams',
         '_deadlines',
         '_virtual',
@@ -113,8 +114,9 @@
         '_cost',
     )
 
-    def __init__(self, max_entries: int) -> None:
+    def __init__(self, max_entries: int, pass_tokens: int) -> None:
         self._max_entries = max_entries
+        self._pass_tokens = pass_tokens
         self._teams: dict[str, _Team] = {}
         self._deadlines: list[_Item] = []
         self._virtual = 0.0
@@ -151,14 +153,22 @@
     ) -> QueueEntry | None:
         """Remove and return the next entry that `may_start` allows.
 
-        It is asked for at most one entry of each team and lane.
+        It is asked for at most one entry of each team and lane. Once a long
+        entry may not start, only teams that are at most `pass_tokens` ahead
+        of its team in virtual time may pass it.
         """
         waiting = [team for team in self._teams.values() if team.count]
+        passed_until = float('inf')
         for team in sorted(waiting, key=_order):
+            if team.finish > passed_until:
+                return None
             for _key, _sequence, entry in team.heads():
                 if may_start(entry):
                     self._start(team, entry)
                     return entry
+                if entry.lane is Lane.LONG:
+                    limit = team.finish + self._pass_tokens
+                    passed_until = min(passed_until, limit)
         return None
 
     def remove(self, entry: QueueEntry) -> bool:
--- a/wigeonmill/agent/in_flight.py
+++ b/wigeonmill/agent/in_flight.py
@@ -53,6 +53,11 @@
         """Tokens of prefill in flight."""
         return self._prefill
 
+    @property
+    def short_prefill(self) -> int:
+        """Tokens of prefill in flight by short runs."""
+        return self._prefill - self._long_prefill
+
     @property
     def long_prefill(self) -> int:
         """Tokens of prefill in flight by runs that aren't short."""
--- a/wigeonmill/agent/start_rules.py
+++ b/wigeonmill/agent/start_rules.py
@@ -44,12 +44,21 @@
         if ticket.alone:
             return self._in_flight.only_suspects
         if ticket.cost <= self._settings.short_tokens:
-            return True
+            return self._fits(
+                ticket,
+                self._in_flight.short_prefill,
+                self._settings.short_limit_tokens,
+            )
         kept_slots = limit // self._settings.slots_per_short_slot
         if len(self._in_flight) >= limit - kept_slots:
             return False
-        in_flight = self._in_flight.long_prefill
-        allowed = self._settings.prefill_limit_tokens
+        return self._fits(
+            ticket,
+            self._in_flight.long_prefill,
+            self._settings.long_limit_tokens,
+        )
+
+    def _fits(self, ticket: Ticket, in_flight: int, allowed: int) -> bool:
         return not in_flight or in_flight + ticket.cost <= allowed
 
     def _overdue_suspect(self, now_ms: float) -> Ticket | None:
--- a/wigeonmill/agent/waiting_list.py
+++ b/wigeonmill/agent/waiting_list.py
@@ -32,7 +32,7 @@
 
     def __init__(self, settings: AdmissionSettings) -> None:
         self.reservations = Reservations(settings.reservation_ms)
-        self._queue = FairQueue(settings.max_queue)
+        self._queue = FairQueue(settings.max_queue, settings.pass_tokens)
         self._settings = settings
         self._waiting: dict[int, tuple[Ticket, QueueEntry]] = {}
         # Tickets that must run alone, in the order of their admission.
