Price offers by what the fair queue serves first

Offers counted a flood's whole backlog up to the request's own cost, so that small teams did not find the target with the shortest wait. Now teams count by virtual time and shorts don't count longs.

--- a/tests/agent/test_fair_queue.py
+++ b/tests/agent/test_fair_queue.py
@@ -89,9 +89,13 @@
     assert len(queue) == 4
 
 
-def test_work_ahead_counts_the_fair_share_only():
+def test_work_ahead_counts_what_goes_first_only():
     queue = FairQueue(1000, PASS)
     for at in range(100):
         queue.push(_entry(at, 'flood', 50))
-    assert queue.ahead('small', 1, 50) == Ahead(50, 1)
-    assert queue.ahead('flood', 1, 50) == Ahead(5000, 100)
+    queue.push(_entry(200, 'other', 5000))
+    for _ in range(3):
+        queue.pop(lambda entry: entry.team == 'flood')
+    assert queue.ahead('small', 1, Lane.SHORT) == Ahead(0, 0)
+    assert queue.ahead('small', 1, Lane.LONG) == Ahead(5000, 1)
+    assert queue.ahead('flood', 1, Lane.SHORT) == Ahead(97 * 50, 97)
--- a/wigeonmill/agent/fair_queue.py
+++ b/wigeonmill/agent/fair_queue.py
@@ -79,6 +79,8 @@
     finish: float = 0.0
     cost: int = 0
     count: int = 0
+    short_cost: int = 0
+    short_count: int = 0
     lanes: dict[Lane, list[_Item]] = field(default_factory=dict)
 
     def heads(self) -> list[_Item]:
@@ -89,6 +91,28 @@
         heads = [heap[0] for heap in self.lanes.values() if heap]
         return sorted(heads, key=_rank)
 
+    def load(self, lane: Lane) -> tuple[float, float]:
+        """Return tokens and entries that an entry of `lane` waits for."""
+        if lane is not Lane.SHORT:
+            return float(self.cost), float(self.count)
+        return float(self.short_cost), float(self.short_count)
+
+    def share_before(self, start: float) -> float:
+        """Return the share of the team's entries that start by `start`."""
+        if start < self.finish:
+            return 0.0
+        mean = self.cost / self.count
+        tokens = (start - self.finish) * self.weight + mean
+        return min(1.0, tokens / self.cost)
+
+    def change(self, entry: QueueEntry, sign: int) -> None:
+        """Count an entry that came (1) or left (-1)."""
+        self.cost += sign * entry.cost
+        self.count += sign
+        if entry.lane is Lane.SHORT:
+            self.short_cost += sign * entry.cost
+            self.short_count += sign
+
     def last(self) -> QueueEntry:
         """Return the entry that would go last."""
         items = [
@@ -177,8 +201,7 @@
             return False
         entry.queued = False
         team = self._teams[entry.team]
-        team.cost -= entry.cost
-        team.count -= 1
+        team.change(entry, -1)
         self._cost -= entry.cost
         self._count -= 1
         if not self._count:
@@ -196,23 +219,36 @@
                 expired.append(entry)
         return expired
 
-    def ahead(self, team: str, weight: int, cost: int) -> Ahead:
+    def ahead(self, team: str, weight: int, lane: Lane) -> Ahead:
         """Return what is likely to be served before a new entry.
 
-        Other teams get their fair share meanwhile, at most what they have
-        waiting; the new entry's own team is served in order.
+        That is the team's own entries and those of other teams whose
+        virtual time comes first; short entries don't wait for long ones.
         """
         own = self._teams.get(team)
-        tokens = float(own.cost) if own else 0.0
-        entries = float(own.count) if own else 0.0
-        rounds = (tokens + cost) / weight
+        tokens, entries = own.load(lane) if own else (0.0, 0.0)
+        start = self._start_of_next(team, weight)
         for other in self._teams.values():
-            if other.name != team and other.cost:
-                share = min(1.0, rounds * other.weight / other.cost)
-                tokens += share * other.cost
-                entries += share * other.count
+            if other.name == team or not other.count:
+                continue
+            share = other.share_before(start)
+            other_tokens, other_entries = other.load(lane)
+            tokens += share * other_tokens
+            entries += share * other_entries
         return Ahead(int(tokens), int(entries))
 
+    def goes_first(self, other: str, team: str, weight: int) -> bool:
+        """Return whether a new entry of `other` goes before one of `team`."""
+        other_start = self._start_of_next(other, weight)
+        return other_start <= self._start_of_next(team, weight)
+
+    def _start_of_next(self, name: str, weight: int) -> float:
+        team = self._teams.get(name)
+        if team is None:
+            return self._virtual
+        start = max(team.finish, self._virtual)
+        return start + team.cost / weight
+
     def _add(self, entry: QueueEntry) -> None:
         team = self._teams.get(entry.team)
         if team is None:
@@ -228,8 +264,7 @@
         heap = team.lanes.setdefault(entry.lane, [])
         heapq.heappush(heap, (rank, sequence, entry))
         heapq.heappush(self._deadlines, (entry.deadline_ms, sequence, entry))
-        team.cost += entry.cost
-        team.count += 1
+        team.change(entry, 1)
         self._cost += entry.cost
         self._count += 1
 
--- a/wigeonmill/agent/offer_pricing.py
+++ b/wigeonmill/agent/offer_pricing.py
@@ -51,7 +51,7 @@
     ) -> Estimate:
         """Return the expected times of a request admitted now."""
         missing = plan.recompute_tokens
-        ahead = self._waiting.ahead(request, max(1, missing))
+        ahead = self._waiting.ahead(request, max(1, missing), alone)
         limit = self._health.limit
         workload = Workload(
             prefill_ahead=self._in_flight.prefill,
--- a/wigeonmill/agent/reservations.py
+++ b/wigeonmill/agent/reservations.py
@@ -46,6 +46,13 @@
         """Return the number of open reservations by team."""
         return dict(self._team_counts)
 
+    def team_costs(self) -> dict[str, int]:
+        """Return the prefill tokens of open reservations by team."""
+        costs: dict[str, int] = {}
+        for held in self._open.values():
+            costs[held.team] = costs.get(held.team, 0) + held.cost
+        return costs
+
     def reserve(self, team: str, cost: int, now_ms: float) -> Reservation:
         """Hold a place for the usual term."""
         expires_ms = now_ms + self._term_ms
--- a/wigeonmill/agent/waiting_list.py
+++ b/wigeonmill/agent/waiting_list.py
@@ -86,16 +86,24 @@
         own = places.pop(request.team, 0) + 1
         return own / request.team_weight < max(places.values(), default=0)
 
-    def ahead(self, request: RunRequest, cost: int) -> Ahead:
+    def ahead(self, request: RunRequest, cost: int, alone: bool) -> Ahead:
         """Return what goes before a new request.
 
-        All reservations and imports under way count as going before it.
+        That includes the reservations and imports under way of teams that
+        would go first, or of the same team.
         """
-        queued = self._queue.ahead(request.team, request.team_weight, cost)
-        importing = sum(held.cost for held in self._importing.values())
-        tokens = queued.tokens + self.reservations.cost + importing
-        held = len(self._importing) + len(self.reservations)
-        return Ahead(tokens, queued.entries + held)
+        team, weight = request.team, request.team_weight
+        queued = self._queue.ahead(team, weight, self._lane_of(cost, alone))
+        tokens, entries = queued.tokens, queued.entries
+        held = self.reservations.team_costs()
+        for ticket in self._importing.values():
+            name = ticket.request.team
+            held[name] = held.get(name, 0) + ticket.cost
+        for name, held_cost in held.items():
+            if self._queue.goes_first(name, team, weight):
+                tokens += held_cost
+                entries += 1
+        return Ahead(tokens, entries)
 
     def push(self, ticket: Ticket) -> Result[Ticket | None, QueueFull]:
         """Add a ticket; returns the one that had to leave for it."""
@@ -152,11 +160,11 @@
             ticket.cost,
             request.deadline_ms,
             ticket.admitted_ms,
-            self._lane_of(ticket),
+            self._lane_of(ticket.cost, ticket.alone),
         )
 
-    def _lane_of(self, ticket: Ticket) -> Lane:
-        if ticket.alone:
+    def _lane_of(self, cost: int, alone: bool) -> Lane:
+        if alone:
             return Lane.ALONE
-        short = ticket.cost <= self._settings.short_tokens
+        short = cost <= self._settings.short_tokens
         return Lane.SHORT if short else Lane.LONG
