Export blocks on first use, the more often seen first

Cause: of 1,678 blocks recomputed in Alliance steady, 1,652 were in no store: a block was exported on second use only, and by then its first copy had often left. The link stood at half of its budget in its busiest second. Change: a block is worth its export when first seen, if the budget has room; those seen more often still go first.

--- a/bench/policy_sim/agent_cache.py
+++ b/bench/policy_sim/agent_cache.py
@@ -1,28 +1,22 @@
 """An agent's cache decisions over the fakes: views, imports, exports."""
 
-import collections
 from collections.abc import Callable
 from collections.abc import Sequence
-from dataclasses import dataclass
 import functools
 
 from bench.policy_sim.engine import FakeEngine
 from bench.policy_sim.model import BLOCK_TOKENS
+from bench.policy_sim.store import FakeStoreVm
 from bench.policy_sim.store import StoredFrame
 from bench.policy_sim.world import World
 from wigeonmill.agent.admission import Admission
 from wigeonmill.agent.admission_types import Ticket
-from wigeonmill.cache.export_policy import ExportCandidate
-from wigeonmill.cache.export_policy import ExportPolicy
-from wigeonmill.cache.export_policy import ExportReason
-from wigeonmill.cache.export_policy import ExportSettings
-from wigeonmill.cache.ghost_list import GhostList
+from wigeonmill.cache.decider import CacheDecider
+from wigeonmill.cache.decider import DeciderSettings
+from wigeonmill.cache.decider import ExportOrder
+from wigeonmill.cache.decider import Speeds
 from wigeonmill.cache.import_policy import ImportProgress
 from wigeonmill.cache.import_policy import ImportSettings
-from wigeonmill.cache.import_policy import plan_after_cut_off
-from wigeonmill.cache.import_policy import plan_tiers
-from wigeonmill.cache.import_policy import Prefix
-from wigeonmill.cache.import_policy import Rates
 from wigeonmill.cache.import_policy import should_cut_off
 from wigeonmill.cache.link_budget import LinkBudget
 from wigeonmill.cache.link_budget import Transfer
@@ -33,29 +27,15 @@
 from wigeonmill.cache.tiers import TierPlan
 from wigeonmill.cache.view import CacheChange
 from wigeonmill.cache.view import CacheEvent
-from wigeonmill.cache.view import CacheView
 
 EVENT_LAG_MS = 50.0
 EVENT_LOSS = 0.01
 LISTING_MS = 20.0
-EXPORT_EVERY_MS = 50.0
-GHOST_KEYS = 8192
-
-
-@dataclass(slots=True, frozen=True)
-class _PendingExport:
-    anchor: bytes
-    team: str
-    depth: int
-
-
-@dataclass(slots=True, frozen=True)
-class _Candidate(ExportCandidate):
-    pending: _PendingExport = _PendingExport(b'', '', 0)
+IDLE_EXPORT_MS = 50.0
 
 
 class AgentCache:
-    """Joins the cache modules of one agent with its engine and link."""
+    """Joins the real cache decisions with an engine, a link and a store."""
 
     def __init__(
         self, world: World, engine: FakeEngine, admission: Admission
@@ -66,16 +46,18 @@
         self._admission = admission
         self._link = world.links[engine.name]
         self._size = spec.block_bytes
+        self._latency_ms = spec.latency_ms
         self._budget = LinkBudget(int(spec.budget_bytes_per_s))
-        self._ghosts = GhostList(GHOST_KEYS)
         self._imports = ImportSettings(latency_ms=spec.latency_ms)
-        self._exports = ExportPolicy(
-            ExportSettings(), self._ghosts, self._budget
+        self.decider = CacheDecider(
+            DeciderSettings(BLOCK_TOKENS, self._size),
+            self._budget,
+            self._speeds(),
+            imports=self._imports,
         )
         self._placement = PlacementSettings()
-        self._view = CacheView()
         self._events = 0
-        self._pending: dict[bytes, _PendingExport] = {}
+        self._teams: dict[bytes, str] = {}
         engine.cache.on_stored = functools.partial(
             self._emit, CacheChange.STORED
         )
@@ -83,35 +65,24 @@
             self._emit, CacheChange.REMOVED
         )
         self._list_anew()
-        world.loop.after(EXPORT_EVERY_MS, self._export_some)
+        world.loop.after(IDLE_EXPORT_MS, self._export_next)
 
     def plan(self, keys: Sequence[bytes], prompt_tokens: int) -> TierPlan:
         """Return where a prompt's tokens would come from."""
-        cached = self._view.cached_prefix(list(keys))
-        estimator = self._admission.health.estimator
-        prefix = Prefix(
-            prompt_tokens,
-            BLOCK_TOKENS,
-            cached,
-            self._stored_blocks(keys, cached),
-            self._size,
-        )
-        rates = Rates(
-            estimator.link_bytes_per_ms,
-            estimator.prefill_ms(1),
-            self._budget.available(self._world.now_ms(), True),
-        )
-        return plan_tiers(prefix, rates, self._imports)
+        now_ms = self._world.now_ms()
+        return self.decider.plan(list(keys), prompt_tokens, now_ms)
+
+    def admitted(self, keys: Sequence[bytes], team: str) -> None:
+        """Note that a prompt was admitted."""
+        self._teams.update(dict.fromkeys(keys, team))
+        self.decider.saw(list(keys))
 
-    def completed(self, keys: Sequence[bytes], team: str) -> None:
-        """Note that the engine holds these blocks and that they were used."""
-        for depth, key in enumerate(keys):
-            self._ghosts.saw(key)
-            self._pending[key] = _PendingExport(keys[0], team, depth)
+    def probe(self, keys: Sequence[bytes]) -> bytes | None:
+        """Return the next block that the store may hold, if any."""
+        return self.decider.probe(list(keys), self._world.now_ms())
 
     def restarted(self) -> None:
         """Forget what the engine held."""
-        self._pending.clear()
         self._list_anew()
 
     def fetch(
@@ -120,9 +91,44 @@
         keys: Sequence[bytes],
         done: Callable[[TierPlan], None],
     ) -> None:
-        """Import what the plan says; `done` gets what came of it."""
+        """Import what pays; `done` gets what came of it."""
         BlockImport(self, ticket, keys, done).next_block()
 
+    def read(self, keys: Sequence[bytes], key: bytes, done: 'OnFrame') -> None:
+        """Read a block over the link; `done` gets None on a miss."""
+        vm = self._holder(keys[0], key)
+        if vm is None:
+            self._missed(key)
+            self._world.loop.after(self._latency_ms, done, None)
+            return
+        transfer = self._take(True)
+        if transfer is None:
+            self._world.loop.after(0.0, done, None)
+            return
+        self._move(transfer, functools.partial(self._read, vm, key, done))
+
+    def cut_off(self, done: int, left: int) -> bool:
+        """Whether computing the rest of an import is quicker."""
+        speeds = self.decider.speeds
+        progress = ImportProgress(
+            done, left, self._size, BLOCK_TOKENS, speeds.link_bytes_per_ms
+        )
+        return should_cut_off(
+            progress, speeds.prefill_ms_per_token, self._imports
+        )
+
+    def take_in(self, frames: Sequence[StoredFrame], team: str) -> None:
+        """Give imported frames to the engine."""
+        self._world.take_in(self._engine, frames, team)
+
+    def learn(self) -> None:
+        """Take over the speeds learned until now."""
+        self.decider.speeds = self._speeds()
+
+    def _speeds(self) -> Speeds:
+        estimator = self._admission.health.estimator
+        return Speeds(estimator.link_bytes_per_ms, estimator.prefill_ms(1))
+
     def _emit(self, change: CacheChange, keys: Sequence[bytes]) -> None:
         self._events += 1
         event = CacheEvent(self._events, change, tuple(keys))
@@ -133,43 +139,43 @@
             )
 
     def _on_event(self, incarnation: str, event: CacheEvent) -> None:
-        if not self._view.on_event(incarnation, event):
+        if not self.decider.view.on_event(incarnation, event):
             self._world.loop.after(LISTING_MS, self._list_anew)
 
     def _list_anew(self) -> None:
         incarnation = str(self._engine.incarnation)
         keys = self._engine.cache.keys()
-        self._view.on_listing(incarnation, self._events, keys)
+        self.decider.view.on_listing(incarnation, self._events, keys)
 
     def _stores(self) -> list[StoreState]:
         return [StoreState(vm.name, vm.up) for vm in self._world.vms]
 
-    def _stored_blocks(self, keys: Sequence[bytes], cached: int) -> int:
-        if cached >= len(keys):
-            return 0
-        places = places_for_read(keys[0], self._stores(), self._placement)
-        names = {place.name for place in places}
-        vms = [vm for vm in self._world.vms if vm.name in names]
-        for count, key in enumerate(keys[cached:]):
-            if not any(key in vm for vm in vms):
-                return count
-        return len(keys) - cached
-
-    def read(self, anchor: bytes, key: bytes) -> StoredFrame | None:
-        """Return a block's frame from where it would be kept."""
-        for place in places_for_read(anchor, self._stores(), self._placement):
-            vm = next(vm for vm in self._world.vms if vm.name == place.name)
-            frame = vm.get(key)
-            if frame is not None:
-                return frame
+    def _holder(self, anchor: bytes, key: bytes) -> FakeStoreVm | None:
+        vms = {vm.name: vm for vm in self._world.vms}
+        places = places_for_read(anchor, self._stores(), self._placement)
+        for place in places:
+            if key in vms[place.name]:
+                return vms[place.name]
         return None
 
-    def take(self, urgent: bool) -> Transfer | None:
-        """Ask the link's budget for one block."""
+    def _read(
+        self, vm: FakeStoreVm, key: bytes, done: 'OnFrame', took_ms: float
+    ) -> None:
+        self._learn_link(took_ms)
+        frame = vm.get(key)
+        if frame is None or not frame.complete:
+            self._missed(key)
+        else:
+            self.decider.stored.on_stored(key)
+        done(frame)
+
+    def _missed(self, key: bytes) -> None:
+        self.decider.stored.on_absent(key, self._world.now_ms())
+
+    def _take(self, urgent: bool) -> Transfer | None:
         return self._budget.take(self._size, self._world.now_ms(), urgent)
 
-    def move(self, transfer: Transfer, done: Callable[[float], None]) -> None:
-        """Move one block; `done` gets the milliseconds that it took."""
+    def _move(self, transfer: Transfer, done: Callable[[float], None]) -> None:
         began_ms = self._world.now_ms()
 
         def moved() -> None:
@@ -179,80 +185,44 @@
 
         self._link.transfer(self._size, moved)
 
-    def learn_link(self, took_ms: float) -> None:
-        """Learn the link's rate from one block."""
+    def _learn_link(self, took_ms: float) -> None:
         estimator = self._admission.health.estimator
         estimator.on_import(self._size, took_ms)
+        self.learn()
 
-    def cut_off(self, done: int, left: int) -> bool:
-        """Whether computing the rest of an import is quicker."""
-        estimator = self._admission.health.estimator
-        progress = ImportProgress(
-            done, left, self._size, BLOCK_TOKENS, estimator.link_bytes_per_ms
-        )
-        return should_cut_off(progress, estimator.prefill_ms(1), self._imports)
-
-    def take_in(self, frames: Sequence[StoredFrame], team: str) -> None:
-        """Give imported frames to the engine."""
-        self._world.take_in(self._engine, frames, team)
-
-    def _export_some(self) -> None:
-        """Export what is worth it, one block at a time."""
-        candidates = [
-            self._candidate(key, pending)
-            for key, pending in self._pending.items()
-        ]
-        self._pending = {}
-        queue = self._exports.in_order(candidates)
-        self._export_next(collections.deque(queue))
-
-    def _export_next(self, queue: collections.deque[_Candidate]) -> None:
-        while queue:
-            if self._export(queue.popleft(), queue):
-                return
-        self._world.loop.after(EXPORT_EVERY_MS, self._export_some)
-
-    def _candidate(self, key: bytes, pending: _PendingExport) -> _Candidate:
-        estimator = self._admission.health.estimator
-        return _Candidate(
-            key,
-            self._size,
-            estimator.prefill_ms(BLOCK_TOKENS),
-            pending.depth,
-            self.read(pending.anchor, key) is not None,
-            pending,
+    def _export_next(self) -> None:
+        """Export one block after the other while there are any."""
+        order = self.decider.next_export(self._world.now_ms())
+        if order is None:
+            self._world.loop.after(IDLE_EXPORT_MS, self._export_next)
+            return
+        began_ms = self._world.now_ms()
+        self._link.transfer(
+            self._size, functools.partial(self._exported, order, began_ms)
         )
 
-    def _export(
-        self, candidate: _Candidate, rest: collections.deque[_Candidate]
-    ) -> bool:
+    def _exported(self, order: ExportOrder, began_ms: float) -> None:
         now_ms = self._world.now_ms()
-        place = place_for_write(
-            candidate.pending.anchor, self._stores(), self._placement
-        )
-        if place is None or candidate.key not in self._engine.cache:
-            return False
-        decision = self._exports.decide(candidate, now_ms)
-        if decision.transfer is None:
-            if decision.reason is ExportReason.LINK_BUDGET:
-                self._pending.setdefault(candidate.key, candidate.pending)
-            return False
-        vm = [vm.name for vm in self._world.vms].index(place.name)
+        place = place_for_write(order.anchor, self._stores(), self._placement)
+        whole = False
+        if place is not None:
+            names = [vm.name for vm in self._world.vms]
+            team = self._teams.get(order.key, '')
+            whole = self._world.export(
+                self._engine, order.key, team, names.index(place.name)
+            )
+        self.decider.end_export(order, now_ms, self._size, whole)
+        self._learn_link(now_ms - began_ms)
+        self._export_next()
 
-        def moved(took_ms: float) -> None:
-            self.learn_link(took_ms)
-            team = candidate.pending.team
-            self._world.export(self._engine, candidate.key, team, vm)
-            self._export_next(rest)
 
-        self.move(decision.transfer, moved)
-        return True
+OnFrame = Callable[[StoredFrame | None], None]
 
 
 class BlockImport:
     """One import, block by block, cut off when it gets too slow."""
 
-    __slots__ = ('_cache', '_ticket', '_keys', '_done', '_frames')
+    __slots__ = ('_cache', '_ticket', '_keys', '_done', '_frames', '_cached')
 
     def __init__(
         self,
@@ -266,36 +236,37 @@
         self._keys = keys
         self._done = done
         self._frames: list[StoredFrame] = []
+        self._cached = ticket.plan.cached_tokens // BLOCK_TOKENS
 
     def next_block(self) -> None:
-        """Move the next block, or end the import."""
-        left = self._ticket.plan.import_blocks - len(self._frames)
-        if not left or self._cache.cut_off(len(self._frames), left):
+        """Read the next block, or end the import."""
+        done = len(self._frames)
+        left = self._ticket.plan.import_blocks - done
+        at = self._cached + done
+        more = left > 0 or self._cache.probe(self._keys) is not None
+        if at >= len(self._keys) or not more:
             self._end()
-            return
-        transfer = self._cache.take(True)
-        if transfer is None:
+        elif self._cache.cut_off(done, max(1, left)):
             self._end()
-            return
-        self._cache.move(transfer, self._moved)
-
-    def _moved(self, took_ms: float) -> None:
-        self._cache.learn_link(took_ms)
-        cached = self._ticket.plan.cached_tokens // BLOCK_TOKENS
-        key = self._keys[cached + len(self._frames)]
-        frame = self._cache.read(self._keys[0], key)
-        if frame is None or not self._sound(frame, key):
+        else:
+            self._cache.read(self._keys, self._keys[at], self._took)
+
+    def _took(self, frame: StoredFrame | None) -> None:
+        if frame is None or not self._sound(frame):
             self._end()
             return
         self._frames.append(frame)
         self.next_block()
 
-    def _sound(self, frame: StoredFrame, key: bytes) -> bool:
-        same = frame.key == key and frame.team == self._ticket.request.team
+    def _sound(self, frame: StoredFrame) -> bool:
+        same_team = frame.team == self._ticket.request.team
         version = frame.version == self._ticket.weight_version
-        return frame.complete and same and version
+        return frame.complete and same_team and version
 
     def _end(self) -> None:
         if self._frames:
             self._cache.take_in(self._frames, self._ticket.request.team)
-        self._done(plan_after_cut_off(self._ticket.plan, len(self._frames)))
+        plan = self._ticket.plan
+        tokens = len(self._frames) * BLOCK_TOKENS
+        left = plan.import_tokens + plan.recompute_tokens - tokens
+        self._done(TierPlan(plan.cached_tokens, tokens, left))
--- a/bench/policy_sim/oracle.py
+++ b/bench/policy_sim/oracle.py
@@ -38,8 +38,8 @@
             budget = world.fleet.store.budget_bytes_per_s
             link.bytes_per_s = min(link.bytes_per_s, budget)
             engine = world.engines[name]
-            removed = functools.partial(self._evicted, engine)
-            engine.cache.on_removed = removed
+            stored = functools.partial(self._export, engine)
+            engine.cache.on_stored = stored
 
     def arrive(self, req: SimRequest) -> None:
         if req.fingerprint in self._doomed:
@@ -75,7 +75,7 @@
         requests = self.world.requests
         return {req.fingerprint for req in requests if req.crashes}
 
-    def _evicted(self, engine: FakeEngine, keys: list[bytes]) -> None:
+    def _export(self, engine: FakeEngine, keys: list[bytes]) -> None:
         link = self.world.links[engine.name]
         now_ms = self.world.now_ms()
         size = self.world.fleet.store.block_bytes
--- a/bench/policy_sim/sim_agent.py
+++ b/bench/policy_sim/sim_agent.py
@@ -74,18 +74,21 @@
         """Take a request with the place of an offer."""
         keys = req.keys(self.admission.weight_version)
         plan = self.cache.plan(keys, req.prompt_tokens)
+        importing = plan.import_blocks > 0
+        importing = importing or self.cache.probe(keys) is not None
         admitted = self.admission.admit(
             self._run_request(req),
             plan,
             reservation,
-            importing=plan.import_blocks > 0,
+            importing=importing,
         )
         if admitted.is_err():
             return Err(admitted.unwrap_err())
         ticket = admitted.unwrap().ticket
         run = AgentRun(req, keys, ticket, on_end)
         self._runs[ticket.id] = run
-        if plan.import_blocks:
+        self.cache.admitted(keys, req.team.name)
+        if importing:
             self.cache.fetch(
                 ticket, keys, lambda plan: self._imported(run, plan)
             )
@@ -172,7 +175,7 @@
 
     def _first_token(self, run: AgentRun) -> None:
         self.admission.first_token(run.ticket.id)
-        self.cache.completed(run.keys, run.req.team.name)
+        self.cache.learn()
         self._world.first_token(run.req)
         self.pump()
 
--- a/bench/policy_sim/workloads.py
+++ b/bench/policy_sim/workloads.py
@@ -98,7 +98,7 @@
         (follow_up,),
         1,
         500,
-        40.0,
+        46.0,
         (Phase(0.0, 0.8),),
     )
 
@@ -122,7 +122,7 @@
         (reconcile,),
         2,
         300,
-        30.0,
+        33.0,
         (Phase(0.0, 0.55), Phase(35.0, 0.8, 1.5), Phase(70.0, 0.6)),
     )
 
--- a/tests/cache/test_decider.py
+++ b/tests/cache/test_decider.py
@@ -1,16 +1,17 @@
 from wigeonmill.cache.decider import CacheDecider
 from wigeonmill.cache.decider import DeciderSettings
 from wigeonmill.cache.decider import Speeds
+from wigeonmill.cache.export_policy import ExportSettings
 from wigeonmill.cache.link_budget import LinkBudget
 
 KEYS = [bytes([at]) for at in range(6)]
 
 
-def _decider(limit=1000, **changes):
+def _decider(limit=1000, min_sightings=2, **changes):
     settings = DeciderSettings(1000, 100, **changes)
-    decider = CacheDecider(
-        settings, LinkBudget(limit), Speeds(10.0, prefill_ms_per_token=0.5)
-    )
+    speeds = Speeds(10.0, prefill_ms_per_token=0.5)
+    exports = ExportSettings(min_sightings)
+    decider = CacheDecider(settings, LinkBudget(limit), speeds, exports)
     decider.view.on_listing('a', 0, KEYS[:4])
     return decider
 
@@ -33,6 +34,12 @@
     assert _export_all(decider) == []
 
 
+def test_first_use_exports_when_a_block_needs_one_sighting():
+    decider = _decider(min_sightings=1)
+    decider.saw(KEYS)
+    assert _export_all(decider) == KEYS[:4]
+
+
 def test_budget_spreads_exports_over_seconds_and_the_chain_goes_in_order():
     decider = _decider(limit=400)
     for _ in range(2):
--- a/tests/cache/test_policies.py
+++ b/tests/cache/test_policies.py
@@ -20,7 +20,8 @@
 
 def _export(limit=1000):
     ghosts = GhostList(100)
-    policy = ExportPolicy(ExportSettings(), ghosts, LinkBudget(limit, 0.0))
+    settings = ExportSettings(min_sightings=2)
+    policy = ExportPolicy(settings, ghosts, LinkBudget(limit, 0.0))
     return ghosts, policy
 
 
--- a/wigeonmill/cache/export_policy.py
+++ b/wigeonmill/cache/export_policy.py
@@ -37,13 +37,13 @@
 class ExportSettings:
     """How much saved computation a byte on the link has to bring.
 
-    `min_sightings` is 2 as a prefix seen once isn't yet worth it; a block
-    whose recomputation takes `costly_ms` or more is exported at once.
+    A block has to be seen `min_sightings` times, unless its recomputation
+    takes `costly_ms` or more. What was seen more often goes first.
     `min_gain` compares expected saved prefill with the time of the transfer
     at the full rate of the link.
     """
 
-    min_sightings: int = 2
+    min_sightings: int = 1
     costly_ms: float = 1_000.0
     min_gain: float = 1.0
 
