--- a/wigeonmill/claims/attempt.py
+++ b/wigeonmill/claims/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from typing import Any
 from typing import Protocol
 
 from result import Err
@@ -10,9 +11,12 @@
 
 from wigeonmill.claims.model import Answered
 from wigeonmill.claims.model import Claimed
+from wigeonmill.claims.model import ClaimError
+from wigeonmill.claims.model import ClaimErrorKind
 from wigeonmill.claims.model import ClaimOutcome
 from wigeonmill.claims.model import ClaimRefusal
 from wigeonmill.claims.model import ClaimRequest
+from wigeonmill.claims.model import COMPLETE_WAIT_MS
 from wigeonmill.claims.model import Holder
 from wigeonmill.claims.model import InProgress
 from wigeonmill.claims.model import MAX_KEY_BYTES
@@ -31,8 +35,12 @@
 
 # How long close() waits for voids under way.
 CLOSE_MS = 5_000.0
+# Abandoned attempts that are voided at a time; the others wait in line, so
+# that an outage does not end in a flood of calls.
+CONCURRENT_VOIDS = 32
 
 Settled = Result[ClaimOutcome, ClaimRefusal]
+Completed = Result[None, ClaimError]
 
 
 def refuse(reason: RefusalReason, key_checked: bool = False) -> Settled:
@@ -112,7 +120,14 @@
 class AttemptRunner:
     """Holds each attempt to its deadline, then voids what is in doubt."""
 
-    __slots__ = ('_clock', '_metrics', '_holder', '_new_token', '_tasks')
+    __slots__ = (
+        '_clock',
+        '_metrics',
+        '_holder',
+        '_new_token',
+        '_tasks',
+        '_voids',
+    )
 
     def __init__(
         self,
@@ -126,6 +141,7 @@
         self._holder = holder
         self._new_token = new_token
         self._tasks: set[asyncio.Task] = set()
+        self._voids = asyncio.Semaphore(CONCURRENT_VOIDS)
 
     async def run(self, request: ClaimRequest, settler: Settler) -> Settled:
         """Settle one request by its deadline and count the outcome."""
@@ -137,11 +153,23 @@
             self._metrics.count(OUTCOMES, name, label='outcome')
         return settled
 
+    async def complete(
+        self, work: Coroutine[Any, Any, Completed]
+    ) -> Completed:
+        """Run a record or void; PENDING if it takes long, yet it goes on."""
+        task = self._start(work)
+        await asyncio.wait({task}, timeout=COMPLETE_WAIT_MS / 1000.0)
+        if task.done():
+            return task.result()
+        return Err(ClaimError(ClaimErrorKind.PENDING, 'still trying'))
+
     async def close(self) -> None:
         """Wait for voids under way, for a bounded time."""
         if self._tasks:
             timeout_s = CLOSE_MS / 1000.0
             await asyncio.wait(set(self._tasks), timeout=timeout_s)
+        for task in set(self._tasks):
+            task.cancel()
 
     async def _run(self, request: ClaimRequest, settler: Settler) -> Settled:
         if len(request.idempotency_key.encode()) > MAX_KEY_BYTES:
@@ -154,7 +182,7 @@
         except asyncio.CancelledError:
             attempt.abandoned = True
             if task.done() and is_claim(task.result()):
-                self._start(settler.void_abandoned(attempt))
+                self._start(self._void(attempt, settler))
             raise
         if task.done():
             return task.result()
@@ -166,9 +194,13 @@
         if not attempt.abandoned:
             return settled
         if attempt.in_doubt or is_claim(settled):
-            await settler.void_abandoned(attempt)
+            await self._void(attempt, settler)
         return attempt.fallback
 
+    async def _void(self, attempt: Attempt, settler: Settler) -> None:
+        async with self._voids:
+            await settler.void_abandoned(attempt)
+
     def _make_attempt(self, request: ClaimRequest) -> Attempt:
         expires = int(self._clock.wall_ms() + request.deadline_ms)
         expires += EXPIRY_MARGIN_MS
