Don't invent a slowdown for cold targets

Now a cold target is priced as warm until its own first tokens say otherwise, at twice the time at most.

--- a/wigeonmill/agent/estimator.py
+++ b/wigeonmill/agent/estimator.py
@@ -14,8 +14,8 @@
 # Weight of a new sample in the slowdown of a cold target.
 SLOWDOWN_WEIGHT = 0.3
 # Slowdown assumed of a target that has just turned cold.
-COLD_SLOWDOWN = 3.0
-MAX_SLOWDOWN = 20.0
+COLD_SLOWDOWN = 1.0
+MAX_SLOWDOWN = 2.0
 
 
 @dataclass(frozen=True, slots=True)
