Draw candidates by prefixes of two lengths; price unknown targets low

Cause 1: Isoko's prompts share their team's first two blocks, by which all candidates were drawn: in the steady scene two of six engines stood at 15 and 20 % busy while the others were at 70 %. Change: each failure domain's candidate is drawn by the first four or the first two blocks. Unknown speed was assumed to be 8 tokens a millisecond, so that it offered worse than the others and never came to learn better, and stayed cold. Change: assume 32.

--- a/bench/policy_sim/baselines.py
+++ b/bench/policy_sim/baselines.py
@@ -10,7 +10,7 @@
 from bench.policy_sim.engine import RunEnd
 from bench.policy_sim.model import SimRequest
 from bench.policy_sim.world import World
-from wigeonmill.routing.candidates import routing_key
+from wigeonmill.routing.candidates import routing_keys
 from wigeonmill.routing.rendezvous import RendezvousRing
 from wigeonmill.routing.rendezvous import WeightedTarget
 
@@ -176,7 +176,7 @@
     def choose(self, req: SimRequest) -> FakeEngine | None:
         if not self.usable:
             return None
-        key = routing_key(req.keys('v1'), self._rng)
+        key = routing_keys(req.keys('v1'), self._rng)[-1]
         return self.usable[self._ring.rank(key, 1)[0].name]
 
     def changed(self) -> None:
--- a/wigeonmill/agent/estimator.py
+++ b/wigeonmill/agent/estimator.py
@@ -23,7 +23,7 @@
     """What is assumed of a target before it has completed anything."""
 
     first_token_overhead_ms: float = 30.0
-    prefill_tokens_per_ms: float = 8.0
+    prefill_tokens_per_ms: float = 32.0
     decode_ms_per_token: float = 25.0
     held_ms: float = 4_000.0
     link_bytes_per_ms: float = 200_000.0
--- a/wigeonmill/routing/candidates.py
+++ b/wigeonmill/routing/candidates.py
@@ -9,16 +9,19 @@
 from collections.abc import Collection
 from collections.abc import Sequence
 from dataclasses import dataclass
+import itertools
 import random
 
 import xxhash
 
+from wigeonmill.routing.rendezvous import name_seed
 from wigeonmill.routing.rendezvous import RendezvousRing
 from wigeonmill.routing.rendezvous import WeightedTarget
 
 SLOTS = 16384
-# Blocks at the start of a prompt that decide where it goes.
-PREFIX_BLOCKS = 2
+# Counts of blocks at a prompt's start that decide where it goes. A team's
+# prompts often share their first blocks: the longer prefix spreads them.
+PREFIX_BLOCKS = (4, 2)
 DEFAULT_CANDIDATES = 3
 # Targets kept for each slot; exclusions beyond these rank all targets anew.
 RANK_DEPTH = 8
@@ -89,17 +92,17 @@
                 return False
             return blocked is None or not blocked(target.name)
 
-        chosen = self._ranked(routing_key(block_keys, self._rng), allowed)
-        names = [target.name for target in chosen]
+        slots = [slot_of(key) for key in routing_keys(block_keys, self._rng)]
+        rankings = [self._ranked(slot, allowed) for slot in slots]
+        names = merge_rankings(rankings, slots[0], self._count)
         extra = self._random_target(names, allowed)
         if extra is not None:
             names.append(extra)
         return names
 
     def _ranked(
-        self, key: bytes, allowed: Callable[[WeightedTarget], bool]
+        self, slot: int, allowed: Callable[[WeightedTarget], bool]
     ) -> list[WeightedTarget]:
-        slot = slot_of(key)
         ranking = self._slots.get(slot)
         if ranking is None:
             ranking = self._rank_slot(slot, RANK_DEPTH)
@@ -108,7 +111,7 @@
         if len(usable) < self._count and len(ranking) < len(self._targets):
             everything = self._rank_slot(slot, len(self._targets))
             usable = [target for target in everything if allowed(target)]
-        return usable[: self._count]
+        return usable
 
     def _rank_slot(self, slot: int, depth: int) -> list[WeightedTarget]:
         key = slot.to_bytes(4, 'big')
@@ -129,11 +132,36 @@
         return None
 
 
-def routing_key(block_keys: Sequence[bytes], rng: random.Random) -> bytes:
-    """Return the key of a prompt's first blocks, random without blocks."""
+def routing_keys(
+    block_keys: Sequence[bytes], rng: random.Random
+) -> list[bytes]:
+    """Return the keys that choose targets, a random one without blocks."""
     if not block_keys:
-        return rng.randbytes(8)
-    return block_keys[min(PREFIX_BLOCKS, len(block_keys)) - 1]
+        return [rng.randbytes(8)]
+    held = len(block_keys)
+    keys = [block_keys[min(count, held) - 1] for count in PREFIX_BLOCKS]
+    return list(dict.fromkeys(keys))
+
+
+def merge_rankings(
+    rankings: Sequence[Sequence[WeightedTarget]], salt: int, count: int
+) -> list[str]:
+    """Return `count` names from the rankings, one per domain at first.
+
+    Each failure domain is drawn by one of the rankings, whichever domains
+    there are besides: so the others' targets stay when one leaves.
+    """
+    best: dict[str, str] = {}
+    for at, ranking in enumerate(rankings):
+        for target in ranking:
+            domain = target.failure_domain
+            drawn = (name_seed(domain) + salt) % len(rankings)
+            if at == drawn and domain not in best:
+                best[domain] = target.name
+    names = dict.fromkeys(best.values())
+    for targets in itertools.zip_longest(*rankings):
+        names.update(dict.fromkeys(t.name for t in targets if t is not None))
+    return list(names)[:count]
 
 
 def slot_of(key: bytes) -> int:
