Count a computed token as 0.2 ms and draw candidates by shorter prefixes

Cause: with the link at a tenth, memory is the only cache, and the policy computed twice what prefix affinity alone did. Offers were compared with 0.05 ms for each computed token, less than the token itself takes, so that a short queue sent a document to one engine after the other; and price checks and invoices over one document drew by different blocks. Change: 0.2 ms, and candidates are drawn by three and two blocks.

--- a/wigeonmill/routing/candidates.py
+++ b/wigeonmill/routing/candidates.py
@@ -21,7 +21,7 @@
 SLOTS = 16384
 # Counts of blocks at a prompt's start that decide where it goes. A team's
 # prompts often share their first blocks: the longer prefix spreads them.
-PREFIX_BLOCKS = (4, 2)
+PREFIX_BLOCKS = (3, 2)
 DEFAULT_CANDIDATES = 3
 # Targets kept for each slot; exclusions beyond these rank all targets anew.
 RANK_DEPTH = 8
--- a/wigeonmill/routing/offers.py
+++ b/wigeonmill/routing/offers.py
@@ -59,7 +59,7 @@
     takes the link from other requests.
     """
 
-    computed_token_ms: float = 0.05
+    computed_token_ms: float = 0.2
     fetched_token_ms: float = 0.01
 
 
