--- a/wigeonmill/agent/start_rules.py
+++ b/wigeonmill/agent/start_rules.py
@@ -7,7 +7,11 @@
 
 
 class StartRules:
-    """Applies the limits on starts to the waiting list's fair order."""
+    """Applies the limits on starts to the waiting list's fair order.
+
+    A suspect starts beside settled suspects at most, and nothing starts
+    beside a suspect until it has settled.
+    """
 
     __slots__ = ('_settings', '_waiting', '_in_flight')
 
@@ -23,27 +27,38 @@
 
     def next_ticket(self, limit: int, now_ms: float) -> Ticket | None:
         """Remove and return the ticket that may start now, if any."""
-        if len(self._in_flight) >= limit or self._in_flight.alone:
+        if len(self._in_flight) >= limit:
+            return None
+        if self._in_flight.unsettled_suspect(now_ms) is not None:
             return None
         overdue = self._overdue_suspect(now_ms)
         if overdue is None:
             return self._waiting.pop(
                 lambda ticket: self._may_start(ticket, limit)
             )
-        if self._in_flight:
+        if not self._in_flight.only_suspects:
             return None
         return self._waiting.remove(overdue.id)
 
     def _may_start(self, ticket: Ticket, limit: int) -> bool:
         if ticket.alone:
-            return not self._in_flight
+            return self._in_flight.only_suspects
         if ticket.cost <= self._settings.short_tokens:
-            return True
+            return self._fits(
+                ticket,
+                self._in_flight.short_prefill,
+                self._settings.short_limit_tokens,
+            )
         kept_slots = limit // self._settings.slots_per_short_slot
         if len(self._in_flight) >= limit - kept_slots:
             return False
-        in_flight = self._in_flight.long_prefill
-        allowed = self._settings.prefill_limit_tokens
+        return self._fits(
+            ticket,
+            self._in_flight.long_prefill,
+            self._settings.long_limit_tokens,
+        )
+
+    def _fits(self, ticket: Ticket, in_flight: int, allowed: int) -> bool:
         return not in_flight or in_flight + ticket.cost <= allowed
 
     def _overdue_suspect(self, now_ms: float) -> Ticket | None:
