--- a/tests/features/test_answers.py
+++ b/tests/features/test_answers.py
@@ -47,14 +47,8 @@
         world.system.document, services=[service]
     )
     world.run(world.system.apply(document))
-    prompt = 'through the proxy?'
-
-    def proxied_now():
-        world.run(world.prompt(prompt))
-        text = world.system.entries[0].log()
-        return 'configuration 2' in text
-
-    world.wait(proxied_now)
+    entry = world.system.entries[0]
+    world.wait(lambda: 'configuration 2 ' in entry.log())
     open_streams(world, count)
 
 
