Run a seeded schedule of faults over a mixed load

python -m bench chaos starts 2 entries, 4 engines, 2 ledgers, 2 store VMs and a key-value service with a fault proxy before each agent, plays faults singly and in pairs, and checks callers' records against the stand-ins' audits. Stand-ins can be started at a given port, so that a store VM comes back at its address.

--- /dev/null
+++ b/bench/chaos.py
@@ -0,0 +1,169 @@
+"""Faults over a mixed load: `python -m bench chaos --seed N --seconds S`.
+
+Real processes behind fault proxies run a seeded schedule of faults. The
+checker reads the stand-ins' audits and the callers' own records. With
+`--log` the processes' logs are kept and their folder is named.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass
+import json
+import random
+import shutil
+import sys
+from typing import Annotated
+from typing import Any
+
+import cappa
+
+from bench.chaos_parts.callers import Callers
+from bench.chaos_parts.checker import bounds
+from bench.chaos_parts.checker import check
+from bench.chaos_parts.checker import Evidence
+from bench.chaos_parts.checker import refusal_counts
+from bench.chaos_parts.faults import Stage
+from bench.chaos_parts.faults import Tally
+from bench.chaos_parts.operators import Operators
+from bench.chaos_parts.proxied_system import ProxiedSystem
+from bench.chaos_parts.schedule import play
+from bench.outcome import Outcome
+from bench.outcome import print_outcome
+from bench.processes import wait_until
+from bench.system import SystemOptions
+from wigeonmill.log import configure_logs
+
+REQUESTS_PER_S = 12.0
+SETTLE_TIMEOUT_S = 120.0
+COLD_CONCURRENCY = 2
+ENGINE_OPTIONS: dict[str, Any] = {
+    'cache_blocks': 24,
+    'block_bytes': 16_384,
+    'cold_concurrency': COLD_CONCURRENCY,
+    'cold_duration_ms': 1500.0,
+    'restart_ms': 300.0,
+}
+
+
+@dataclass
+class Arguments:
+    """The command line."""
+
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    seconds: Annotated[float, cappa.Arg(long=True)] = 30.0
+    json: Annotated[bool, cappa.Arg(long=True)] = False
+    log: Annotated[bool, cappa.Arg(long=True)] = False
+
+
+class Chaos:
+    """One run: load and faults, then the check."""
+
+    def __init__(self, seed: int, seconds: float) -> None:
+        self.seconds = seconds
+        self.load_rng = random.Random(f'load-{seed}')
+        self.fault_rng = random.Random(f'faults-{seed}')
+        self.system = ProxiedSystem(
+            SystemOptions(
+                entries=2,
+                engines=4,
+                ledgers=2,
+                store_vms=2,
+                engine_options=ENGINE_OPTIONS,
+                cold_concurrency=COLD_CONCURRENCY,
+                max_concurrency=16,
+            )
+        )
+        self.played: list[str] = []
+        self.evidence: Evidence | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> dict[str, float]:
+        """Start, send under faults, wait for every caller; the figures."""
+        await self.system.start()
+        callers = Callers(
+            self.system.entry_addresses,
+            self.system.options.teams,
+            self.load_rng,
+        )
+        operators = Operators(self.system)
+        tally = Tally()
+        stage = Stage(self.system, operators, callers, tally)
+        evidence = Evidence(
+            self.system, callers.records, operators.records, tally
+        )
+        self.evidence = evidence
+        watch = asyncio.create_task(operators.watch())
+        sender = asyncio.create_task(self._send(callers))
+        self.played = await play(stage, self.fault_rng, self.seconds)
+        await sender
+        await self._settle(callers)
+        watch.cancel()
+        await wait_until(operators.look)
+        figures = await asyncio.to_thread(check, evidence)
+        operators.close()
+        callers.close()
+        return figures
+
+    async def _send(self, callers: Callers) -> None:
+        count = int(self.seconds * REQUESTS_PER_S)
+        for number in range(count):
+            work = self._choose(callers, number)
+            self._tasks.append(asyncio.create_task(work))
+            gap_s = self.load_rng.expovariate(REQUESTS_PER_S)
+            await asyncio.sleep(gap_s)
+
+    def _choose(
+        self, callers: Callers, number: int
+    ) -> Coroutine[Any, Any, None]:
+        draw = self.load_rng.random()
+        if draw < 0.4:
+            return callers.reconcile(number)
+        if draw < 0.6:
+            return callers.tag(number)
+        return callers.credit(number)
+
+    async def _settle(self, callers: Callers) -> None:
+        """Wait for the open requests; what stays open is a finding."""
+        _done, waiting = await asyncio.wait(
+            self._tasks, timeout=SETTLE_TIMEOUT_S
+        )
+        for task in waiting:
+            task.cancel()
+
+
+def run_chaos(seed: int, seconds: float, keep_logs: bool = False) -> Outcome:
+    """Make one run and return its outcome."""
+    chaos = Chaos(seed, seconds)
+    try:
+        figures = asyncio.run(chaos.run())
+    finally:
+        chaos.system.close()
+        if not keep_logs:
+            shutil.rmtree(chaos.system.fleet.folder, ignore_errors=True)
+    if keep_logs:
+        _write_records(chaos)
+    figures['faults'] = len(chaos.played)
+    assert chaos.evidence is not None
+    figures.update(refusal_counts(chaos.evidence.callers))
+    return Outcome('chaos', seed, figures, bounds())
+
+
+def _write_records(chaos: Chaos) -> None:
+    """Write what was played and what callers saw beside the logs."""
+    folder = chaos.system.fleet.folder
+    assert chaos.evidence is not None
+    callers = chaos.evidence.callers
+    lines = [*chaos.played, *map(repr, callers.credits)]
+    lines += [repr(record)[-2000:] for record in callers.prompts]
+    (folder / 'records.txt').write_text('\n'.join(lines))
+    (folder / 'operators.txt').write_text(repr(chaos.evidence.operators))
+    (folder / 'tally.txt').write_text(repr(chaos.evidence.tally))
+    print(json.dumps({'folder': str(folder)}), file=sys.stderr)
+
+
+def main(argv: list[str]) -> int:
+    """Make one run; returns 1 if an invariant broke."""
+    args = cappa.parse(Arguments, argv=argv)
+    configure_logs('chaos', 'INFO' if args.log else 'ERROR')
+    outcome = run_chaos(args.seed, args.seconds, args.log)
+    return print_outcome(outcome, args.json)
--- /dev/null
+++ b/bench/chaos_parts/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the chaos benchmark: system, load, faults, schedule, checker."""
--- /dev/null
+++ b/bench/chaos_parts/checker.py
@@ -0,0 +1,177 @@
+"""Checks the callers' records against the stand-ins' audits only."""
+
+import collections
+from dataclasses import dataclass
+from typing import Any
+
+from bench.chaos_parts.callers import CREATED
+from bench.chaos_parts.faults import Tally
+from bench.chaos_parts.operators import DrainRecord
+from bench.chaos_parts.operators import OperatorRecords
+from bench.chaos_parts.proxied_system import ProxiedSystem
+from bench.chaos_parts.records import CallerRecords
+from bench.chaos_parts.records import CreditRecord
+from bench.chaos_parts.records import PromptRecord
+from bench.outcome import Bound
+from bench.standin_control import read_audit
+from wigeonmill.standins.answers import expected_answer
+
+MAX_CRASHES_BY_PROMPT = 2
+# Each must be zero.
+INVARIANTS = (
+    'credits_doubled',
+    'credits_lost',
+    'credits_not_run_but_ran',
+    'credits_unknown_to_callers',
+    'answers_crossed',
+    'credit_answers_crossed',
+    'answers_wrong',
+    'answers_cut',
+    'tainted_reads',
+    'stale_versions',
+    'cold_overloads',
+    'work_after_drain',
+    'crashes_above_two',
+    'configuration_reverts',
+    'open_after_heal',
+)
+
+
+@dataclass(slots=True)
+class Evidence:
+    """What the checker reads."""
+
+    system: ProxiedSystem
+    callers: CallerRecords
+    operators: OperatorRecords
+    tally: Tally
+
+
+def bounds() -> list[Bound]:
+    """Return the bound of each invariant."""
+    return [Bound(name, 0.0, 0.0) for name in INVARIANTS]
+
+
+def check(evidence: Evidence) -> dict[str, float]:
+    """Return the figures of a run whose faults are healed."""
+    audits = {
+        name: read_audit_of(evidence.system, name)
+        for name in evidence.system.targets
+    }
+    figures: dict[str, float] = {}
+    figures.update(_check_prompts(evidence.callers.prompts))
+    figures.update(_check_credits(evidence.callers.credits, audits))
+    figures.update(_check_engines(audits))
+    figures['work_after_drain'] = sum(
+        _late_work(evidence.system, audits, drain)
+        for drain in evidence.operators.drains
+    )
+    crashes = evidence.tally.crashes_by_prompt
+    figures['marked_prompts'] = len(crashes)
+    figures['crashes_above_two'] = sum(
+        max(count - MAX_CRASHES_BY_PROMPT, 0) for count in crashes
+    )
+    figures['configuration_changes'] = len(evidence.operators.accepted)
+    figures['configuration_reverts'] = evidence.operators.reverts
+    figures['open_after_heal'] = evidence.callers.open_requests
+    return figures
+
+
+def read_audit_of(system: ProxiedSystem, target: str) -> dict[str, Any]:
+    """Return the audit of a target's stand-in."""
+    return read_audit(system.targets[target].standin.address)
+
+
+def _check_prompts(records: list[PromptRecord]) -> dict[str, float]:
+    expected = {r.prompt: expected_answer(r.prompt, 64) for r in records}
+    crossed, wrong, cut = 0, 0, 0
+    for record in records:
+        own = expected_answer(record.prompt, record.max_tokens)
+        if record.whole and record.texts[-1] != own:
+            cut += own.startswith(record.texts[-1])
+        for text in record.texts:
+            if own.startswith(text):
+                continue
+            others = (expected[p] for p in expected if p != record.prompt)
+            foreign = any(other.startswith(text) for other in others)
+            crossed += foreign
+            wrong += not foreign
+    usual = [r for r in records if not r.marked]
+    return {
+        'prompts': len(records),
+        'prompts_whole': sum(r.whole for r in records),
+        'prompts_resumed': sum(bool(r.resumed) for r in records),
+        'goodput_share': sum(r.whole for r in usual) / max(1, len(usual)),
+        'answers_crossed': crossed,
+        'answers_wrong': wrong,
+        'answers_cut': cut,
+    }
+
+
+def _check_credits(
+    records: list[CreditRecord], audits: dict[str, dict[str, Any]]
+) -> dict[str, float]:
+    applied: collections.Counter[str] = collections.Counter()
+    for audit in audits.values():
+        applied.update(c['reference'] for c in audit.get('credits', []))
+    lost, not_run, crossed = 0, 0, 0
+    for record in records:
+        booked = [r for r in record.replies if r.status == CREATED]
+        crossed += sum(r.reference != record.reference for r in booked)
+        lost += bool(booked) and not applied[record.reference]
+        last = record.replies[-1] if record.replies else None
+        if last is not None and last.not_run:
+            not_run += applied[record.reference] > 0
+    sent = {record.reference for record in records}
+    return {
+        'credits_sent': len(records),
+        'credits_told_booked': sum(
+            any(r.status == CREATED for r in record.replies)
+            for record in records
+        ),
+        'credits_applied': len(applied),
+        'credits_doubled': sum(n - 1 for n in applied.values() if n > 1),
+        'credits_lost': lost,
+        'credits_not_run_but_ran': not_run,
+        'credits_unknown_to_callers': len(set(applied) - sent),
+        'credit_answers_crossed': crossed,
+    }
+
+
+def _check_engines(audits: dict[str, dict[str, Any]]) -> dict[str, float]:
+    engines = [a for a in audits.values() if 'crashes' in a]
+    stale = sum(
+        a['stale_version_imports'] + a['stale_orders_applied'] for a in engines
+    )
+    return {
+        'engine_runs': sum(len(a['requests']) for a in engines),
+        'engine_crashes': sum(a['crashes'] for a in engines),
+        'tainted_reads': sum(a['tainted_reads'] for a in engines),
+        'foreign_imports': sum(a['foreign_imports'] for a in engines),
+        'corrupt_imports': sum(a['corrupt_imports'] for a in engines),
+        'imports': sum(sum(a['imports'].values()) for a in engines),
+        'stale_versions': stale,
+        'cold_overloads': sum(a['cold_overloads'] for a in engines),
+    }
+
+
+def _late_work(
+    system: ProxiedSystem,
+    audits: dict[str, dict[str, Any]],
+    drain: DrainRecord,
+) -> int:
+    late = drain.credits_ended - drain.credits_settled
+    for target in system.targets_of(drain.domain):
+        for record in audits[target.name].get('requests', []):
+            late += drain.settled_ms < record['started_ms'] < drain.ended_ms
+    return late
+
+
+def refusal_counts(records: CallerRecords) -> dict[str, float]:
+    """Return how often callers saw each reason."""
+    counts: collections.Counter[str] = collections.Counter()
+    for prompt in records.prompts:
+        counts.update(prompt.reasons)
+    for credit in records.credits:
+        counts.update(r.reason for r in credit.replies if r.reason)
+    return {f'refused_{k}': v for k, v in sorted(counts.items())}
--- /dev/null
+++ b/bench/chaos_parts/proxied_system.py
@@ -0,0 +1,149 @@
+"""A system whose agents stand behind fault proxies and can be restarted."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+from bench.processes import free_address
+from bench.processes import Process
+from bench.processes import wait_for_listener
+from bench.system import DOMAINS
+from bench.system import REGION
+from bench.system import System
+from bench.system import SystemOptions
+from bench.system import TargetProcesses
+
+RESTART_TRIES = 3
+ENTRY_LEAVE_GRACE_MS = 200
+LISTEN_TIMEOUT_S = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Proxy:
+    """A proxy's traffic and control addresses, and where it leads."""
+
+    address: str
+    control: str
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAddresses:
+    """Where callers and peers reach an entry, the same after a restart."""
+
+    http: str
+    inner: str
+
+
+class ProxiedSystem(System):
+    """Entries reach each agent by a proxy of its own."""
+
+    def __init__(self, options: SystemOptions) -> None:
+        super().__init__(options)
+        self.proxies: dict[str, Proxy] = {}
+        self._entry_places = [
+            EntryAddresses(free_address(), free_address())
+            for _number in range(options.entries)
+        ]
+
+    def start_entry(self, name: str) -> Process:
+        """Start the next entry at its reserved addresses."""
+        number = len(self.entries)
+        process = self._spawn_entry(number, name)
+        self.entries.append(process)
+        self.entry_addresses.append(self._entry_places[number].http)
+        return process
+
+    async def restart_entry(self, number: int) -> None:
+        """Start an entry again after its end."""
+        name = self.entries[number].name
+        for _try in range(RESTART_TRIES):
+            self.entries[number] = self._spawn_entry(number, name)
+            address = self._entry_places[number].http
+            if await _listens(self.entries[number], address):
+                return
+        raise RuntimeError(f'{name} does not start again')
+
+    def start_agent(self, target: str, address: str) -> Process:
+        """Start the agent beside a target; peers know it by its proxy."""
+        agent = {'target': target, **self.options.agent_settings}
+        extra = {
+            'agent': agent,
+            'inner_advertised': self.proxies[target].address,
+            **self._place(int(target.rpartition('-')[2]) - 1),
+        }
+        name = f'agent-{target}'
+        return self.fleet.start_daemon(
+            self._settings(name, ['agent'], address, **extra)
+        )
+
+    async def start_agent_again(self, target: str) -> None:
+        """Start a target's agent again after its end."""
+        found = self.targets[target]
+        address = self.proxies[target].upstream
+        for _try in range(RESTART_TRIES):
+            found.agent = self.start_agent(target, address)
+            if await _listens(found.agent, address):
+                return
+        raise RuntimeError(f'the agent of {target} does not start again')
+
+    def restart_store(self, name: str) -> None:
+        """Start a store VM again, empty, at its old address."""
+        port = int(self.stores[name].address.rpartition(':')[2])
+        self.stores[name] = self.fleet.start_standin(
+            'store-vm', {}, name, port
+        )
+
+    def targets_of(self, domain: str) -> list[TargetProcesses]:
+        """Return the targets of a failure domain."""
+        found = self.targets.values()
+        return [t for t in found if t.failure_domain == domain]
+
+    def _spawn_entry(self, number: int, name: str) -> Process:
+        place = self._entry_places[number]
+        entry = {'http': place.http, 'leave_grace_ms': ENTRY_LEAVE_GRACE_MS}
+        entry.update(self.options.entry_settings)
+        return self.fleet.start_daemon(
+            self._settings(
+                name,
+                ['entry'],
+                place.inner,
+                entry=entry,
+                **self._place(number),
+            )
+        )
+
+    def _place(self, number: int) -> dict[str, Any]:
+        return {
+            'failure_domain': DOMAINS[number % len(DOMAINS)],
+            'region': REGION,
+            'peers': [place.inner for place in self._entry_places],
+        }
+
+    def _start_target(self, kind: str, number: int) -> None:
+        name = f'{kind}-{number + 1}'
+        upstream = free_address()
+        process = self.fleet.start_standin(
+            'fault-proxy', {'upstream': upstream}, f'proxy-{name}'
+        )
+        data, control = process.address.split()
+        self.proxies[name] = Proxy(data, control, upstream)
+        standin = self.fleet.start_standin(
+            kind, self._target_options(kind, name), name
+        )
+        agent = self.start_agent(name, upstream)
+        domain = DOMAINS[number % len(DOMAINS)]
+        self.targets[name] = TargetProcesses(
+            name, standin, agent, data, domain
+        )
+
+
+async def _listens(process: Process, address: str) -> bool:
+    loop = asyncio.get_running_loop()
+    try:
+        await loop.run_in_executor(
+            None, wait_for_listener, address, LISTEN_TIMEOUT_S
+        )
+    except OSError:
+        return False
+    return process.running
--- /dev/null
+++ b/bench/chaos_parts/schedule.py
@@ -0,0 +1,105 @@
+"""A seeded schedule of faults, singly and in pairs, and its execution."""
+
+import asyncio
+from dataclasses import dataclass
+import logging
+import random
+
+from bench.chaos_parts.faults import Fault
+from bench.chaos_parts.faults import FaultKind
+from bench.chaos_parts.faults import make_fault
+from bench.chaos_parts.faults import Stage
+
+logger = logging.getLogger(__name__)
+
+FIRST_S = 1.0
+GAP_S = (0.3, 1.0)
+DURATION_S = (1.5, 4.0)
+PAIR_SHARE = 0.5
+SECOND_AFTER_S = 0.8
+# Kinds that can't hit one place twice at a time: one of each group at most.
+_GROUPS = (
+    {FaultKind.KILL_ENTRY, FaultKind.PAUSE_ENTRY},
+    {FaultKind.KILL_AGENT, FaultKind.PAUSE_AGENT},
+    {FaultKind.STORE_KILLED, FaultKind.STORE_FULL, FaultKind.STORE_TRUNCATES},
+    {FaultKind.DRAIN, FaultKind.KEY_VALUE_OUTAGE},
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Episode:
+    """One or two kinds of faults; the second begins a little later."""
+
+    kinds: tuple[FaultKind, ...]
+    gap_s: float
+    duration_s: float
+    second_after_s: float
+
+
+class Episodes:
+    """Draws episodes; every kind comes once before any comes twice."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._bag: list[FaultKind] = []
+
+    def draw(self) -> Episode:
+        """Return the next episode."""
+        kinds = [self._next()]
+        if self._rng.random() < PAIR_SHARE:
+            kinds.append(self._next())
+        if len(kinds) == 2 and _exclude(kinds[0], kinds[1]):
+            self._bag.append(kinds.pop())
+        return Episode(
+            tuple(kinds),
+            self._rng.uniform(*GAP_S),
+            self._rng.uniform(*DURATION_S),
+            self._rng.uniform(0.0, SECOND_AFTER_S),
+        )
+
+    def _next(self) -> FaultKind:
+        if not self._bag:
+            self._bag = list(FaultKind)
+            self._rng.shuffle(self._bag)
+        return self._bag.pop()
+
+
+async def play(stage: Stage, rng: random.Random, seconds: float) -> list[str]:
+    """Play episodes for `seconds`, heal them all; returns what was played."""
+    loop = asyncio.get_running_loop()
+    ends = loop.time() + seconds
+    episodes = Episodes(rng)
+    played: list[str] = []
+    await asyncio.sleep(FIRST_S)
+    while loop.time() < ends:
+        episode = episodes.draw()
+        faults = [make_fault(kind, stage, rng) for kind in episode.kinds]
+        name = '+'.join(kind.value for kind in episode.kinds)
+        logger.info('fault %s', name)
+        played.append(name)
+        await _play_one(episode, faults)
+        await asyncio.sleep(episode.gap_s)
+    return played
+
+
+async def _play_one(episode: Episode, faults: list[Fault]) -> None:
+    delays_s = (0.0, episode.second_after_s)
+    await asyncio.gather(
+        *(
+            _run_fault(fault, delay_s, episode.duration_s)
+            for fault, delay_s in zip(faults, delays_s)
+        )
+    )
+
+
+async def _run_fault(fault: Fault, delay_s: float, duration_s: float) -> None:
+    await asyncio.sleep(delay_s)
+    await fault.begin()
+    await asyncio.sleep(duration_s)
+    await fault.heal()
+
+
+def _exclude(first: FaultKind, second: FaultKind) -> bool:
+    if first is second:
+        return True
+    return any(first in group and second in group for group in _GROUPS)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -93,10 +93,17 @@
     processes: list[Process] = field(default_factory=list)
 
     def start_standin(
-        self, kind: str, options: dict[str, Any] | None = None, name: str = ''
+        self,
+        kind: str,
+        options: dict[str, Any] | None = None,
+        name: str = '',
+        port: int = 0,
     ) -> Process:
-        """Start a stand-in of `kind` and wait until it is ready."""
-        args = ['-m', 'wigeonmill.standins', kind]
+        """Start a stand-in of `kind` and wait until it is ready.
+
+        Port 0 takes a free one.
+        """
+        args = ['-m', 'wigeonmill.standins', kind, '--port', str(port)]
         if options:
             args += ['--options', json.dumps(options)]
         process = self._spawn(name or kind, args, subprocess.PIPE)
--- a/bench/system.py
+++ b/bench/system.py
@@ -161,11 +161,9 @@
 
     def _start_target(self, kind: str, number: int) -> None:
         name = f'{kind}-{number + 1}'
-        options: dict[str, Any] = {'name': name}
-        if kind == 'engine':
-            options.update(model=MODEL, weight_version=VERSION)
-            options.update(self.options.engine_options)
-        standin = self.fleet.start_standin(kind, options, name)
+        standin = self.fleet.start_standin(
+            kind, self._target_options(kind, name), name
+        )
         address = free_address()
         agent = self.start_agent(name, address)
         domain = DOMAINS[number % len(DOMAINS)]
@@ -173,6 +171,13 @@
             name, standin, agent, address, domain
         )
 
+    def _target_options(self, kind: str, name: str) -> dict[str, Any]:
+        options: dict[str, Any] = {'name': name}
+        if kind == 'engine':
+            options.update(model=MODEL, weight_version=VERSION)
+            options.update(self.options.engine_options)
+        return options
+
     def _make_document(self) -> Document:
         services = []
         if self.options.engines:
