Check chaos runs in tests, add graceful stops and lost ledger replies

Ledgers hold each reply 120 ms, so that faults meet credits between booking and reply; engines lose and delay cache events.

--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -21,6 +21,7 @@
 from bench.chaos_parts.checker import bounds
 from bench.chaos_parts.checker import check
 from bench.chaos_parts.checker import Evidence
+from bench.chaos_parts.checker import read_audits
 from bench.chaos_parts.checker import refusal_counts
 from bench.chaos_parts.faults import Stage
 from bench.chaos_parts.faults import Tally
@@ -42,6 +43,7 @@
     'cold_concurrency': COLD_CONCURRENCY,
     'cold_duration_ms': 1500.0,
     'restart_ms': 300.0,
+    'faults': {'event_delay_ms': 30.0, 'drop_nth_event': 17},
 }
 
 
@@ -88,10 +90,6 @@
         operators = Operators(self.system)
         tally = Tally()
         stage = Stage(self.system, operators, callers, tally)
-        evidence = Evidence(
-            self.system, callers.records, operators.records, tally
-        )
-        self.evidence = evidence
         watch = asyncio.create_task(operators.watch())
         sender = asyncio.create_task(self._send(callers))
         self.played = await play(stage, self.fault_rng, self.seconds)
@@ -99,10 +97,16 @@
         await self._settle(callers)
         watch.cancel()
         await wait_until(operators.look)
-        figures = await asyncio.to_thread(check, evidence)
         operators.close()
         callers.close()
-        return figures
+        self.evidence = Evidence(
+            read_audits(self.system),
+            {t.name: t.failure_domain for t in self.system.targets.values()},
+            callers.records,
+            operators.records,
+            tally,
+        )
+        return check(self.evidence)
 
     async def _send(self, callers: Callers) -> None:
         count = int(self.seconds * REQUESTS_PER_S)
--- a/bench/chaos_parts/checker.py
+++ b/bench/chaos_parts/checker.py
@@ -39,9 +39,10 @@
 
 @dataclass(slots=True)
 class Evidence:
-    """What the checker reads."""
+    """What the checker reads; audits and failure domains by target."""
 
-    system: ProxiedSystem
+    audits: dict[str, dict[str, Any]]
+    domains: dict[str, str]
     callers: CallerRecords
     operators: OperatorRecords
     tally: Tally
@@ -54,17 +55,13 @@
 
 def check(evidence: Evidence) -> dict[str, float]:
     """Return the figures of a run whose faults are healed."""
-    audits = {
-        name: read_audit_of(evidence.system, name)
-        for name in evidence.system.targets
-    }
+    audits = evidence.audits
     figures: dict[str, float] = {}
     figures.update(_check_prompts(evidence.callers.prompts))
     figures.update(_check_credits(evidence.callers.credits, audits))
     figures.update(_check_engines(audits))
     figures['work_after_drain'] = sum(
-        _late_work(evidence.system, audits, drain)
-        for drain in evidence.operators.drains
+        _late_work(evidence, drain) for drain in evidence.operators.drains
     )
     crashes = evidence.tally.crashes_by_prompt
     figures['marked_prompts'] = len(crashes)
@@ -77,9 +74,10 @@
     return figures
 
 
-def read_audit_of(system: ProxiedSystem, target: str) -> dict[str, Any]:
-    """Return the audit of a target's stand-in."""
-    return read_audit(system.targets[target].standin.address)
+def read_audits(system: ProxiedSystem) -> dict[str, dict[str, Any]]:
+    """Return the audit of each target's stand-in."""
+    targets = system.targets.values()
+    return {t.name: read_audit(t.standin.address) for t in targets}
 
 
 def _check_prompts(records: list[PromptRecord]) -> dict[str, float]:
@@ -155,14 +153,12 @@
     }
 
 
-def _late_work(
-    system: ProxiedSystem,
-    audits: dict[str, dict[str, Any]],
-    drain: DrainRecord,
-) -> int:
+def _late_work(evidence: Evidence, drain: DrainRecord) -> int:
     late = drain.credits_ended - drain.credits_settled
-    for target in system.targets_of(drain.domain):
-        for record in audits[target.name].get('requests', []):
+    for name, domain in evidence.domains.items():
+        if domain != drain.domain:
+            continue
+        for record in evidence.audits[name].get('requests', []):
             late += drain.settled_ms < record['started_ms'] < drain.ended_ms
     return late
 
--- a/bench/chaos_parts/faults.py
+++ b/bench/chaos_parts/faults.py
@@ -23,6 +23,7 @@
 CUTS = 4
 LOST_REPLIES = 3
 TRUNCATED_PUTS = 6
+BAD_EXPORTS = 3
 
 
 class FaultKind(enum.Enum):
@@ -30,6 +31,8 @@
 
     KILL_ENTRY = 'kill_entry'
     KILL_AGENT = 'kill_agent'
+    STOP_ENTRY = 'stop_entry'
+    STOP_AGENT = 'stop_agent'
     PAUSE_ENTRY = 'pause_entry'
     PAUSE_AGENT = 'pause_agent'
     PROXY_DELAY = 'proxy_delay'
@@ -43,6 +46,8 @@
     STORE_KILLED = 'store_killed'
     STORE_TRUNCATES = 'store_truncates'
     ENGINE_COLD = 'engine_cold'
+    ENGINE_EXPORTS = 'engine_exports'
+    LEDGER_LOSES = 'ledger_loses'
     MARKED_PROMPT = 'marked_prompt'
     DRAIN = 'drain'
     OPERATORS_RACE = 'operators_race'
@@ -100,6 +105,36 @@
         await self.stage.system.start_agent_again(self.target)
 
 
+@dataclass(slots=True)
+class _StopEntry:
+    """A graceful shutdown, which lasts while open requests run."""
+
+    stage: Stage
+    number: int
+
+    async def begin(self) -> None:
+        await asyncio.to_thread(
+            self.stage.system.entries[self.number].terminate
+        )
+
+    async def heal(self) -> None:
+        await self.stage.system.restart_entry(self.number)
+
+
+@dataclass(slots=True)
+class _StopAgent:
+    stage: Stage
+    target: str
+
+    async def begin(self) -> None:
+        await asyncio.to_thread(
+            self.stage.system.targets[self.target].agent.terminate
+        )
+
+    async def heal(self) -> None:
+        await self.stage.system.start_agent_again(self.target)
+
+
 @dataclass(slots=True)
 class _Pause:
     process: Callable[[], Process]
@@ -219,6 +254,7 @@
     system = stage.system
     target = rng.choice(sorted(system.targets))
     engine = rng.choice(_names(system, 'engine'))
+    ledger = rng.choice(_names(system, 'ledger'))
     entry = rng.randrange(len(system.entries))
     store = rng.choice(sorted(system.stores))
     domain = rng.choice(sorted({t.failure_domain for t in _all(system)}))
@@ -227,6 +263,10 @@
             return _KillEntry(stage, entry)
         case FaultKind.KILL_AGENT:
             return _KillAgent(stage, target)
+        case FaultKind.STOP_ENTRY:
+            return _StopEntry(stage, entry)
+        case FaultKind.STOP_AGENT:
+            return _StopAgent(stage, target)
         case FaultKind.PAUSE_ENTRY:
             return _Pause(lambda: system.entries[entry])
         case FaultKind.PAUSE_AGENT:
@@ -235,6 +275,21 @@
             return _KillStore(stage, store)
         case FaultKind.ENGINE_COLD:
             return _EngineCold(stage, engine)
+        case FaultKind.ENGINE_EXPORTS:
+            return _Switch(
+                system.targets[engine].standin.address,
+                {
+                    'truncate_exports': BAD_EXPORTS,
+                    'reuse_exports': BAD_EXPORTS,
+                },
+                {'truncate_exports': 0, 'reuse_exports': 0},
+            )
+        case FaultKind.LEDGER_LOSES:
+            return _Switch(
+                system.targets[ledger].standin.address,
+                {'lose_replies': LOST_REPLIES, 'lose_requests': LOST_REPLIES},
+                {'lose_replies': 0, 'lose_requests': 0},
+            )
         case FaultKind.MARKED_PROMPT:
             return _MarkedPrompt(stage, f'marked-{rng.getrandbits(32):08x}')
         case FaultKind.DRAIN:
--- a/bench/chaos_parts/proxied_system.py
+++ b/bench/chaos_parts/proxied_system.py
@@ -16,6 +16,7 @@
 RESTART_TRIES = 3
 ENTRY_LEAVE_GRACE_MS = 200
 LISTEN_TIMEOUT_S = 15.0
+LEDGER_DELAY_MS = 120.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +121,13 @@
             'peers': [place.inner for place in self._entry_places],
         }
 
+    def _target_options(self, kind: str, name: str) -> dict[str, Any]:
+        options = super()._target_options(kind, name)
+        if kind == 'ledger':
+            # Faults then often meet a credit between booking and reply.
+            options['faults'] = {'delay_ms': LEDGER_DELAY_MS}
+        return options
+
     def _start_target(self, kind: str, number: int) -> None:
         name = f'{kind}-{number + 1}'
         upstream = free_address()
--- a/bench/chaos_parts/schedule.py
+++ b/bench/chaos_parts/schedule.py
@@ -19,8 +19,8 @@
 SECOND_AFTER_S = 0.8
 # Kinds that can't hit one place twice at a time: one of each group at most.
 _GROUPS = (
-    {FaultKind.KILL_ENTRY, FaultKind.PAUSE_ENTRY},
-    {FaultKind.KILL_AGENT, FaultKind.PAUSE_AGENT},
+    {FaultKind.KILL_ENTRY, FaultKind.STOP_ENTRY, FaultKind.PAUSE_ENTRY},
+    {FaultKind.KILL_AGENT, FaultKind.STOP_AGENT, FaultKind.PAUSE_AGENT},
     {FaultKind.STORE_KILLED, FaultKind.STORE_FULL, FaultKind.STORE_TRUNCATES},
     {FaultKind.DRAIN, FaultKind.KEY_VALUE_OUTAGE},
 )
