--- a/bench/system.py
+++ b/bench/system.py
@@ -75,6 +75,7 @@
         self.stores: dict[str, Process] = {}
         self.entries: list[Process] = []
         self.entry_addresses: list[str] = []
+        self.monitoring: dict[str, str] = {}
         self.document: Document | None = None
         self.serial = 0
 
@@ -138,8 +139,15 @@
     def start_agent(self, target: str, address: str) -> Process:
         """Start the agent beside a target."""
         agent = {'target': target, **self.options.agent_settings}
+        monitoring = self.monitoring.setdefault(target, free_address())
         return self.fleet.start_daemon(
-            self._settings(f'agent-{target}', ['agent'], address, agent=agent)
+            self._settings(
+                f'agent-{target}',
+                ['agent'],
+                address,
+                agent=agent,
+                monitoring=monitoring,
+            )
         )
 
     def restart_agent(self, target: str) -> None:
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -22,7 +22,7 @@
     Then it is refused with "run_not_found"
 
   Scenario: A caller leaves for good
-    Given a system with 1 entries and 1 engines
+    Given an agent that keeps a run without reader for a second
     When a caller leaves while a long answer streams
     Then the engine stops the run
 
--- a/tests/features/test_answers.py
+++ b/tests/features/test_answers.py
@@ -89,6 +89,11 @@
     world.marks['refusal'] = rest.body
 
 
+@given('an agent that keeps a run without reader for a second')
+def short_detached(world):
+    world.start(engines=1, ledgers=0, agent_settings={'detached_run_ms': 1000})
+
+
 @when('a caller leaves while a long answer streams')
 def caller_leaves(world):
     world.marks['audit'] = len(world.audit('engine-1')['requests'])
--- a/tests/features/world.py
+++ b/tests/features/world.py
@@ -10,7 +10,6 @@
 from tornado.httpclient import HTTPError
 from tornado.httpclient import HTTPRequest
 
-from bench.processes import wait_until
 from bench.standin_control import read_audit
 from bench.system import LEDGER
 from bench.system import MODEL
@@ -100,10 +99,10 @@
     def wait(self, condition, timeout_s=30.0):
         """Wait until `condition()` is true."""
 
-        async def check():
-            return condition()
-
-        self.run(wait_until(check, timeout_s))
+        deadline = time.monotonic() + timeout_s
+        while not condition():
+            assert time.monotonic() < deadline, 'the condition stays false'
+            self.pause(0.02)
 
     def target(self, name):
         """Return the processes of one target."""
@@ -177,6 +176,11 @@
         self.streams.append(stream)
         return stream
 
+    def run_ok(self, prompt):
+        """Tell whether a prompt is answered now."""
+        task = self.loop.create_task(self.prompt(prompt))
+        return self.run(task).status == 200
+
     def settle(self):
         """Wait for every stream's end."""
         for stream in self.streams:
--- a/wigeonmill/agent/cache_manager.py
+++ b/wigeonmill/agent/cache_manager.py
@@ -23,6 +23,7 @@
 from wigeonmill.cache.tiers import TierPlan
 from wigeonmill.clock import Clock
 from wigeonmill.metrics import Metrics
+from wigeonmill.platform.transfer import Transfer
 from wigeonmill.platform.transfer import TransferErrorKind
 
 EXPORT_IDLE_MS = 100.0
@@ -31,6 +32,10 @@
 GENERATION_BITS = 63
 # Owners of blocks that wait for their export; the oldest are forgotten.
 MAX_OWNERS = 65_536
+# After this long without a transfer the link's rate is unknown again, and
+# an import is tried as on a fast link; it is cut off if the link is slow.
+RELEARN_MS = 10_000.0
+FAST_LINK_BYTES_PER_MS = 200_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +70,8 @@
         self._busy = busy
         self._imports = ImportSettings()
         self._owners: dict[bytes, Owner] = {}
+        self._frame_bytes = 0
+        self._sampled_ms = clock.now_ms()
 
     def plan(self, keys: list[bytes], prompt_tokens: int) -> TierPlan:
         """Return the sources of a prompt as far as they are known."""
@@ -123,8 +130,11 @@
             await self._export(order)
 
     def _refresh_speeds(self) -> None:
+        rate = self._estimator.link_bytes_per_ms
+        if self._clock.now_ms() - self._sampled_ms > RELEARN_MS:
+            rate = max(rate, FAST_LINK_BYTES_PER_MS)
         self._decider.speeds = Speeds(
-            self._estimator.link_bytes_per_ms,
+            rate,
             max(self._estimator.prefill_ms(1), 1e-6),
         )
 
@@ -154,6 +164,7 @@
             self._metrics.count('frames_rejected', reason)
             await self._remove(anchor, key)
             return False
+        self._note_size(len(frame))
         taken = await self._engine.take_in(key, decoded.unwrap())
         if taken.is_err():
             self._metrics.count('imports_failed', taken.unwrap_err().value)
@@ -184,11 +195,8 @@
                 moved = min(len(read.ok_value.data), size)
             self._decider.budget.end(transfer, self._clock.now_ms(), moved)
             if isinstance(read, Ok):
-                data = read.ok_value.data
-                self._note_size(len(data))
-                elapsed_ms = read.ok_value.transfer.elapsed_ms
-                self._estimator.on_import(len(data), elapsed_ms)
-                return data
+                self._note_rate(read.ok_value.transfer)
+                return read.ok_value.data
             error = read.err_value
             if error.kind is not TransferErrorKind.NOT_FOUND:
                 self._metrics.count('imports_failed', error.kind.value)
@@ -213,7 +221,8 @@
                 frame_name(order.key), frame, WRITE_TIMEOUT_MS
             )
             whole = isinstance(put, Ok)
-            if whole:
+            if isinstance(put, Ok):
+                self._note_rate(put.ok_value)
                 self._metrics.count('export_bytes', by=moved)
                 self._metrics.count('export_blocks')
             else:
@@ -243,9 +252,17 @@
         return frame
 
     def _note_size(self, frame_bytes: int) -> None:
-        """Learn the size of a block's frame; all blocks are alike."""
-        if frame_bytes > self._decider.block_bytes:
-            self._decider.block_bytes = frame_bytes
+        """Learn the size of a whole frame; all blocks are alike."""
+        self._frame_bytes = max(self._frame_bytes, frame_bytes)
+        self._decider.block_bytes = self._frame_bytes
+
+    def _note_rate(self, transfer: Transfer) -> None:
+        """Learn the link's rate, without the time that any transfer takes."""
+        floor_ms = transfer.elapsed_ms * 0.1
+        moving_ms = transfer.elapsed_ms - self._imports.latency_ms
+        took_ms = max(moving_ms, floor_ms)
+        self._estimator.on_import(transfer.size_bytes, took_ms)
+        self._sampled_ms = self._clock.now_ms()
 
     def _achieved(self, plan: TierPlan, done: int) -> TierPlan:
         imported = done * self._block_tokens
--- a/wigeonmill/daemon.py
+++ b/wigeonmill/daemon.py
@@ -1,12 +1,17 @@
 """wigeonmilld: runs the roles that a settings file names."""
 
 import asyncio
+from dataclasses import dataclass
 import logging
 import random
 import signal
 import ssl
 import sys
 
+from result import Err
+from result import Ok
+from result import Result
+
 from wigeonmill.agent.role import AgentRole
 from wigeonmill.clock import Clock
 from wigeonmill.embedded import Embedded
@@ -14,12 +19,14 @@
 from wigeonmill.keys import InnerKeyFile
 from wigeonmill.keys import read_inner_keys
 from wigeonmill.log import configure_logs
+from wigeonmill.monitoring import MonitoringServer
 from wigeonmill.node import Node
 from wigeonmill.node import TlsContexts
 from wigeonmill.platform.etcd import EtcdKeyValue
 from wigeonmill.settings import load_settings
 from wigeonmill.settings import Settings
-from wigeonmill.settings import TlsSettings
+from wigeonmill.tls import make_client_context
+from wigeonmill.tls import make_server_context
 
 logger = logging.getLogger(__name__)
 
@@ -27,31 +34,30 @@
 EXIT_SETTINGS = 3
 
 
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """The keys and the TLS contexts of one process."""
+
+    keys: InnerKeyFile
+    inner: TlsContexts
+    callers: ssl.SSLContext | None
+
+
 class Daemon:
     """One process of wigeonmill from start to graceful shutdown."""
 
-    def __init__(self, settings: Settings, keys: InnerKeyFile) -> None:
+    def __init__(self, settings: Settings, identity: Identity) -> None:
         self._settings = settings
-        self._keys = keys
+        self._identity = identity
         self._stop = asyncio.Event()
 
     async def run(self) -> None:
         """Start the roles, wait for SIGTERM, drain and close."""
         self._install_signals()
-        key_value = EtcdKeyValue(
-            ','.join(self._settings.key_value),
-            self._settings.key_value_timeout_ms,
-            Clock(),
-        )
-        node = Node(
-            self._settings,
-            key_value,
-            self._keys.keys,
-            make_inner_tls(self._settings.inner_tls),
-            Clock(),
-            random.Random(),
-        )
+        key_value = self._make_key_value()
+        node = self._make_node(key_value)
         roles = self._make_roles(node)
+        monitoring = self._start_monitoring(node)
         node.start()
         node.membership.subscribe(lambda: self._check_superseded(node))
         for role in roles:
@@ -63,18 +69,43 @@
         for role in roles:
             await role.close()
         await node.close()
+        if monitoring is not None:
+            await monitoring.close()
         key_value.close()
         logger.info('shut down')
 
+    def _make_key_value(self) -> EtcdKeyValue:
+        return EtcdKeyValue(
+            ','.join(self._settings.key_value),
+            self._settings.key_value_timeout_ms,
+            Clock(),
+        )
+
+    def _make_node(self, key_value: EtcdKeyValue) -> Node:
+        return Node(
+            self._settings,
+            key_value,
+            self._identity.keys.keys,
+            self._identity.inner,
+            Clock(),
+            random.Random(),
+        )
+
     def _make_roles(self, node: Node) -> list[EntryRole | AgentRole]:
         roles: list[EntryRole | AgentRole] = []
         if 'agent' in self._settings.roles:
             roles.append(AgentRole(node))
         if 'entry' in self._settings.roles:
-            tls = make_server_tls(self._settings.entry.tls)
-            roles.append(EntryRole(node, tls))
+            roles.append(EntryRole(node, self._identity.callers))
         return roles
 
+    def _start_monitoring(self, node: Node) -> MonitoringServer | None:
+        if not self._settings.monitoring:
+            return None
+        server = MonitoringServer(node.metrics)
+        server.listen(self._settings.monitoring)
+        return server
+
     def _check_superseded(self, node: Node) -> None:
         """Step aside for a later process of the same name."""
         if node.membership.superseded and not self._stop.is_set():
@@ -93,34 +124,26 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._keys.reload)
-
-
-def make_server_tls(tls: TlsSettings | None) -> ssl.SSLContext | None:
-    """Return a context for accepting; callers prove nothing by TLS."""
-    if tls is None:
-        return None
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    context.load_cert_chain(tls.cert_file, tls.key_file)
-    if tls.ca_file:
-        context.load_verify_locations(tls.ca_file)
-        context.verify_mode = ssl.CERT_REQUIRED
-    return context
-
+        loop.add_signal_handler(signal.SIGHUP, self._identity.keys.reload)
 
-def make_inner_tls(tls: TlsSettings | None) -> TlsContexts:
-    """Return mutual TLS for inner connections, if the settings name it.
 
-    Peers are found by IP number, so the certificate's issuer is checked and
-    not its host name.
-    """
-    if tls is None:
-        return TlsContexts()
-    client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-    client.check_hostname = False
-    client.load_verify_locations(tls.ca_file or tls.cert_file)
-    client.load_cert_chain(tls.cert_file, tls.key_file)
-    return TlsContexts(make_server_tls(tls), client)
+def load_identity(settings: Settings) -> Result[Identity, str]:
+    """Read the files with keys and certificates that the settings name."""
+    keys = read_inner_keys(settings.inner_key_file)
+    if isinstance(keys, Err):
+        return keys
+    server = make_server_context(settings.inner_tls)
+    if isinstance(server, Err):
+        return server
+    client = make_client_context(settings.inner_tls)
+    if isinstance(client, Err):
+        return client
+    callers = make_server_context(settings.entry.tls)
+    if isinstance(callers, Err):
+        return callers
+    key_file = InnerKeyFile(settings.inner_key_file, keys.ok_value)
+    inner = TlsContexts(server.ok_value, client.ok_value)
+    return Ok(Identity(key_file, inner, callers.ok_value))
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -138,16 +161,11 @@
     configure_logs(settings.process, settings.log_level)
     if 'embedded' in settings.roles:
         return asyncio.run(Embedded(settings).run())
-    keys = read_inner_keys(settings.inner_key_file)
-    if keys.is_err():
-        print(f'{args[0]}: {keys.unwrap_err()}', file=sys.stderr)
+    identity = load_identity(settings)
+    if isinstance(identity, Err):
+        print(f'{args[0]}: {identity.err_value}', file=sys.stderr)
         return EXIT_SETTINGS
-    key_file = InnerKeyFile(settings.inner_key_file, keys.unwrap())
-    return asyncio.run(_run(settings, key_file))
-
-
-async def _run(settings: Settings, keys: InnerKeyFile) -> int:
-    await Daemon(settings, keys).run()
+    asyncio.run(Daemon(settings, identity.ok_value).run())
     return 0
 
 
--- a/wigeonmill/settings.py
+++ b/wigeonmill/settings.py
@@ -83,6 +83,7 @@
     )
     key_value_timeout_ms: Milliseconds = 1_000
     vm_list: str = ''
+    monitoring: str = ''
     peers: list[str] = []
     drain_timeout_ms: Milliseconds = 120_000
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
@@ -163,6 +164,8 @@
         named.append(('inner_advertised', settings.inner_advertised))
     if settings.vm_list:
         named.append(('vm_list', settings.vm_list))
+    if settings.monitoring:
+        named.append(('monitoring', settings.monitoring))
     advice = 'write an IP number and a port, as 127.0.0.1:7100'
     return [
         SettingsFault(key, repr(address), advice)
