--- a/wigeonmill/standins/stepped_key_value.py
+++ b/wigeonmill/standins/stepped_key_value.py
@@ -16,13 +16,17 @@
 
 @dataclass(slots=True)
 class PendingCall:
-    """A call under way; `start` makes it take effect on the service."""
+    """A call under way; `start` makes it take effect.
+
+    A `certain` call is slow at worst.
+    """
 
     client: str
     label: str
     is_write: bool
     start: Callable[[], Coroutine[Any, Any, Any]]
     reply: asyncio.Future
+    certain: bool = False
 
 
 Submit = Callable[[PendingCall], None]
