--- a/wigeonmill/agent/estimator.py
+++ b/wigeonmill/agent/estimator.py
@@ -14,8 +14,8 @@
 # Weight of a new sample in the slowdown of a cold target.
 SLOWDOWN_WEIGHT = 0.3
 # Slowdown assumed of a target that has just turned cold.
-COLD_SLOWDOWN = 3.0
-MAX_SLOWDOWN = 20.0
+COLD_SLOWDOWN = 1.0
+MAX_SLOWDOWN = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +23,7 @@
     """What is assumed of a target before it has completed anything."""
 
     first_token_overhead_ms: float = 30.0
-    prefill_tokens_per_ms: float = 8.0
+    prefill_tokens_per_ms: float = 32.0
     decode_ms_per_token: float = 25.0
     held_ms: float = 4_000.0
     link_bytes_per_ms: float = 200_000.0
--- a/wigeonmill/agent/role.py
+++ b/wigeonmill/agent/role.py
@@ -17,6 +17,8 @@
 from wigeonmill.agent.load_slots import LoadSlots
 from wigeonmill.agent.model_service import ModelService
 from wigeonmill.agent.plain_service import PlainService
+from wigeonmill.agent.quarantine import Quarantine
+from wigeonmill.agent.quarantine_share import QuarantineShare
 from wigeonmill.agent.rollout_board import RolloutBoard
 from wigeonmill.agent.run_ids import RunIdSigner
 from wigeonmill.agent.service import AgentService
@@ -27,9 +29,11 @@
 from wigeonmill.cache.decider import DeciderSettings
 from wigeonmill.cache.decider import Speeds
 from wigeonmill.cache.link_budget import LinkBudget
+from wigeonmill.claims.grouped import make_grouped_store
 from wigeonmill.claims.model import ClaimStore
 from wigeonmill.claims.model import Holder
-from wigeonmill.claims.single_key import make_single_key_store
+from wigeonmill.claims.peers import ClaimServer
+from wigeonmill.claims.peers import PeerTransport
 from wigeonmill.config.model import ConfigRecord
 from wigeonmill.config.model import ServiceKind
 from wigeonmill.node import Node
@@ -109,6 +113,9 @@
                 cold_concurrency=service.cold_concurrency,
                 max_concurrency=service.max_concurrency,
             ),
+            Quarantine(
+                source=f'{node.settings.agent.target}/{node.incarnation}'
+            ),
         )
         context = AgentContext(
             node.settings.agent,
@@ -125,6 +132,10 @@
             manager = self._make_cache_manager(context, placement)
             rollout = self._make_rollout(context, placement, engine)
             node.spawn(rollout.run())
+            share = QuarantineShare(
+                node.key_value, admission.quarantine, node.clock, node.metrics
+            )
+            node.spawn(share.run())
             models = ModelService(context, engine, manager)
         else:
             plain = self._make_plain(context, placement)
@@ -198,9 +209,19 @@
         node = self._node
         holder = Holder(node.settings.agent.target, node.incarnation)
         self._calls = CallClient(placement.target.address)
-        self._claims = make_single_key_store(
-            node.key_value, node.clock, node.metrics, holder, node.rng
+        store = make_grouped_store(
+            node.key_value,
+            PeerTransport(node.peers),
+            node.clock,
+            node.metrics,
+            holder,
+            node.settings.inner_advertised or node.address,
+            node.rng,
+        )
+        node.handlers.append(
+            ClaimServer(store, lambda: node.holder.serial).handle
         )
+        self._claims = store
         return PlainService(context, self._calls, self._claims)
 
     def _on_membership(self) -> None:
