Leave a shard with the newer process of the same name

While an agent drains beside its replacement, both took the shard from each other with each request, as either saw an owner of its own name. Only a newer incarnation takes over at once now.

--- a/tests/claims/test_grouped.py
+++ b/tests/claims/test_grouped.py
@@ -166,6 +166,21 @@
     run(scenario)
 
 
+def test_replaced_process_does_not_take_its_shard_back():
+    async def scenario(cluster):
+        old = cluster.store('a', incarnation=1)
+        await answer_all(old, ['k'])
+        new = cluster.store('a', incarnation=2)
+        for _ in range(3):
+            assert await new.claim(request()) == Ok(Answered(ANSWER))
+            assert await old.claim(request()) == Ok(Answered(ANSWER))
+        await answer_all(new, ['k2'])
+        await answer_all(old, ['k3'])
+        assert cluster.metrics.value(TAKEOVERS) == 2
+
+    run(scenario)
+
+
 def test_full_shard_refuses_new_keys_until_retention_is_over():
     async def scenario(cluster):
         store = cluster.store('a')
--- a/wigeonmill/claims/owners.py
+++ b/wigeonmill/claims/owners.py
@@ -173,7 +173,7 @@
         return True
 
     def _may_take(self, shard: int, head: Head) -> bool:
-        if not head.address or head.owner.name == self._holder.name:
+        if not head.address or self._is_successor(head.owner):
             return True
         suspect = self._suspects.get(shard)
         if suspect is None or suspect.tenure != head.tenure:
@@ -181,6 +181,11 @@
         silent_ms = self._clock.now_ms() - suspect.since_ms
         return silent_ms >= suspect.allowed_ms
 
+    def _is_successor(self, owner: Holder) -> bool:
+        if owner.name != self._holder.name:
+            return False
+        return owner.incarnation <= self._holder.incarnation
+
     def _answered(
         self,
         shard: int,
