Refuse a crashing prompt from the entry's memory; say what may have run

Agents learn of a quarantine only from offers or their own writes. Ruled out: a crash by cold overload (audits show none) and a lost write (the key-value service took each).

Change: an entry keeps the crash records that it sees, refuses a quarantined prompt by itself and hands its records to the next agent. Before: test_an_entry_remembers_a_quarantined_prompt got "interrupted" where the agents that knew were paused; after: "quarantined", and no engine more crashes. Left: a second entry whose first round of offers misses every agent that knows still lets the prompt run once more.

A refusal after a crash or a lost connection of the same request said not_run; test_a_prompt_that_crashed_its_only_engine_was_run failed with true before and passes. Such refusals now leave it false.

Each attempt now has its request id, and the ledger's audit is compared by it, which is stricter per attempt; the earlier reading stays as the figure credits_repeat_not_run.

--- a/bench/chaos_parts/callers.py
+++ b/bench/chaos_parts/callers.py
@@ -110,19 +110,21 @@
         attempts = self._rng.choice((1, ATTEMPTS, ATTEMPTS))
         again = self._rng.random() < 0.2
         for _attempt in range(attempts):
-            reply = await self._post_credit(team, key, record.reference)
+            reply = await self._post_credit(team, key, record)
             record.replies.append(reply)
             if reply.status == CREATED:
                 break
             await asyncio.sleep(PAUSE_S)
         if again:
-            reply = await self._post_credit(team, key, record.reference)
+            reply = await self._post_credit(team, key, record)
             record.replies.append(reply)
         record.ended = True
 
     async def _post_credit(
-        self, team: str, key: str, reference: str
+        self, team: str, key: str, record: CreditRecord
     ) -> CreditReply:
+        reference = record.reference
+        request_id = f'{reference}.{len(record.replies)}'
         body = {'account': f'bar-{team}', 'amount': 5.0}
         request = self._request(
             f'/v1/services/{LEDGER}/credits',
@@ -130,20 +132,23 @@
             team,
         )
         request.headers['Idempotency-Key'] = key
+        request.headers['X-Request-Id'] = request_id
         request.headers['X-Deadline-Ms'] = str(CREDIT_DEADLINE_MS)
         request.request_timeout = CREDIT_TIMEOUT_S
         response = await self._fetch(request)
         if response is None:
-            return CreditReply(0)
+            return CreditReply(0, request_id=request_id)
         text = response.body.decode('utf-8', 'replace')
         if response.code == CREATED:
-            return CreditReply(CREATED, _reference(text))
+            found = _reference(text)
+            return CreditReply(CREATED, found, request_id=request_id)
         error = _error(text)
         return CreditReply(
             response.code,
             '',
             str(error.get('code', 'unreadable')),
             bool(error.get('not_run', False)),
+            request_id,
         )
 
     async def _prompt(
--- a/bench/chaos_parts/checker.py
+++ b/bench/chaos_parts/checker.py
@@ -110,16 +110,19 @@
     records: list[CreditRecord], audits: dict[str, dict[str, Any]]
 ) -> dict[str, float]:
     applied: collections.Counter[str] = collections.Counter()
+    ran: set[str] = set()
     for audit in audits.values():
         applied.update(c['reference'] for c in audit.get('credits', []))
-    lost, not_run, crossed = 0, 0, 0
+        ran.update(c['request_id'] for c in audit.get('credits', []))
+    lost, not_run, crossed, after = 0, 0, 0, 0
     for record in records:
         booked = [r for r in record.replies if r.status == CREATED]
         crossed += sum(r.reference != record.reference for r in booked)
         lost += bool(booked) and not applied[record.reference]
+        not_run += _falsely_not_run(record, applied, ran)
         last = record.replies[-1] if record.replies else None
         if last is not None and last.not_run:
-            not_run += applied[record.reference] > 0
+            after += applied[record.reference] > 0
     sent = {record.reference for record in records}
     return {
         'credits_sent': len(records),
@@ -131,11 +134,28 @@
         'credits_doubled': sum(n - 1 for n in applied.values() if n > 1),
         'credits_lost': lost,
         'credits_not_run_but_ran': not_run,
+        'credits_repeat_not_run': after,
         'credits_unknown_to_callers': len(set(applied) - sent),
         'credit_answers_crossed': crossed,
     }
 
 
+def _falsely_not_run(
+    record: CreditRecord, applied: collections.Counter[str], ran: set[str]
+) -> bool:
+    """Return whether an attempt ran that its refusal said had not.
+
+    A repeat's refusal speaks of that attempt only, so a credit that an
+    earlier attempt booked is no fault; one that no other attempt can have
+    booked is.
+    """
+    replies = record.replies
+    if any(r.not_run and r.request_id in ran for r in replies):
+        return True
+    refused = bool(replies) and all(r.not_run for r in replies)
+    return refused and applied[record.reference] > 0
+
+
 def _check_engines(audits: dict[str, dict[str, Any]]) -> dict[str, float]:
     engines = [a for a in audits.values() if 'crashes' in a]
     stale = sum(
--- a/bench/chaos_parts/records.py
+++ b/bench/chaos_parts/records.py
@@ -25,12 +25,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CreditReply:
-    """One answer to a credit; status 0 is a lost connection."""
+    """One answer to a credit; status 0 is a lost connection.
+
+    `request_id` is that of the attempt, as its ledger would see it.
+    """
 
     status: int
     reference: str = ''
     reason: str = ''
     not_run: bool = False
+    request_id: str = ''
 
 
 @dataclass(slots=True)
--- a/tests/bench/test_chaos.py
+++ b/tests/bench/test_chaos.py
@@ -21,6 +21,7 @@
 
 BOOKED = CreditReply(201, 'r1')
 NOT_RUN = CreditReply(503, reason='not_run', not_run=True)
+FALSE = CreditReply(503, reason='leaving', not_run=True, request_id='a0')
 
 
 def engine_audit(**changes):
@@ -41,7 +42,9 @@
 
 def evidence(prompts=(), credit_records=(), booked=(), engine=None):
     audits = {
-        'ledger-1': {'credits': [{'reference': r} for r in booked]},
+        'ledger-1': {
+            'credits': [{'reference': r, 'request_id': 'a0'} for r in booked]
+        },
         'engine-1': engine or engine_audit(),
     }
     domains = {'ledger-1': 'gasabo', 'engine-1': 'nyarugenge'}
@@ -68,7 +71,9 @@
         ([CreditReply(0)], ['r1'], set()),
         ([BOOKED], [], {'credits_lost'}),
         ([BOOKED], ['r1', 'r1'], {'credits_doubled'}),
+        ([CreditReply(0), NOT_RUN], ['r1'], set()),
         ([NOT_RUN], ['r1'], {'credits_not_run_but_ran'}),
+        ([FALSE, BOOKED], ['r1'], {'credits_not_run_but_ran'}),
         ([CreditReply(201, 'r2')], ['r1'], {'credit_answers_crossed'}),
         ([], ['r2'], {'credits_unknown_to_callers'}),
     ],
--- a/wigeonmill/entry/context.py
+++ b/wigeonmill/entry/context.py
@@ -10,6 +10,7 @@
 from wigeonmill.config.model import Service
 from wigeonmill.config.model import ServiceKind
 from wigeonmill.config.model import Target
+from wigeonmill.entry.crash_memory import CrashMemory
 from wigeonmill.entry.teams import TeamDirectory
 from wigeonmill.metrics import Metrics
 from wigeonmill.protocol.client import PeerClient
@@ -113,6 +114,7 @@
         self.metrics = metrics
         self.budget = RetryBudget()
         self.breakers = CircuitBreakers(clock, rng)
+        self.crashes = CrashMemory(clock, metrics)
         self.routes: RouteTable | None = None
         # Leaving: not ready for the balancer; refusing: takes no more.
         self.leaving = False
--- /dev/null
+++ b/wigeonmill/entry/crash_memory.py
@@ -0,0 +1,50 @@
+"""What an entry has learned of requests that crash their targets.
+
+The agents that saw a crash may be slow, paused or gone when the request
+comes again; the entry then still refuses it, or hands on what is known.
+"""
+
+import msgspec
+
+from wigeonmill.agent.quarantine import decode_state
+from wigeonmill.agent.quarantine import encode_state
+from wigeonmill.agent.quarantine import Quarantine
+from wigeonmill.agent.quarantine import Verdict
+from wigeonmill.clock import Clock
+from wigeonmill.metrics import Metrics
+
+
+class CrashMemory:
+    """Crash records by fingerprint, bounded in number and age."""
+
+    __slots__ = ('_quarantine', '_clock', '_metrics')
+
+    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+        self._quarantine = Quarantine()
+        self._clock = clock
+        self._metrics = metrics
+
+    def learn(self, crash_record: bytes) -> None:
+        """Take in a record that an agent sent."""
+        try:
+            known = decode_state(crash_record)
+        except msgspec.DecodeError:
+            self._metrics.count('crash_records_malformed')
+            return
+        self._quarantine.merge(known, self._clock.wall_ms())
+
+    def known_of(self, fingerprint: bytes) -> list[bytes]:
+        """Return the record of one request, none if there is none."""
+        now_ms = self._clock.wall_ms()
+        known = self._quarantine.known_of(fingerprint, now_ms)
+        return [encode_state(known)] if known.records else []
+
+    def quarantined(self, fingerprint: bytes) -> bool:
+        """Return whether the request has crashed too many targets."""
+        now_ms = self._clock.wall_ms()
+        verdict = self._quarantine.verdict(fingerprint, now_ms)
+        return verdict is Verdict.QUARANTINED
+
+    def on_healthy(self, fingerprint: bytes) -> None:
+        """Clear a suspect that completed."""
+        self._quarantine.on_healthy(fingerprint, self._clock.wall_ms())
--- a/wigeonmill/entry/model_run.py
+++ b/wigeonmill/entry/model_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from dataclasses import replace
 import hashlib
 
 from result import Err
@@ -105,18 +106,12 @@
         self._excluded: set[str] = set()
         # What the targets asked so far said, once none is left to ask.
         self._refusal: ApiError | None = None
-        self._crash_records: list[bytes] = []
+        self._crash_records = context.crashes.known_of(self._fingerprint)
 
     async def start(self) -> ApiError | None:
         """Find a target that accepts the run; returns a refusal if none."""
-        while True:
-            started = await self._attempt()
-            if started.is_ok():
-                return None
-            retry = started.unwrap_err()
-            if retry.reason is None or not self._retry(retry.reason):
-                return retry.error
-            self._attempts.attempts += 1
+        error = await self._start()
+        return self._as_known(error) if error is not None else None
 
     async def resume(self, run_id: str, offset: int) -> ApiError | None:
         """Go on with a run that another connection or entry began."""
@@ -131,24 +126,8 @@
 
     async def next(self) -> Step:
         """Return the next part of the answer, its end, or its failure."""
-        while True:
-            stream = self._stream
-            if stream is None:
-                return _interrupted('the run has no connection')
-            received = await stream.receive(self._left_ms())
-            if received.is_err():
-                if received.unwrap_err().kind is PeerErrorKind.TIMEOUT:
-                    self.cancel()
-                    return ApiError(
-                        Reason.DEADLINE, 'no whole answer in time', 0, False
-                    )
-                failure = await self._recover()
-                if failure is not None:
-                    return failure
-                continue
-            step = await self._read(received.unwrap())
-            if step is not None:
-                return step
+        step = await self._next()
+        return self._as_known(step) if isinstance(step, ApiError) else step
 
     def cancel(self) -> None:
         """Stop the run at its target, as its caller has gone."""
@@ -177,8 +156,40 @@
         self._stream.close()
         self._stream = None
 
+    async def _start(self) -> ApiError | None:
+        while True:
+            started = await self._attempt()
+            if started.is_ok():
+                return None
+            retry = started.unwrap_err()
+            if retry.reason is None or not self._retry(retry.reason):
+                return retry.error
+            self._attempts.attempts += 1
+
+    async def _next(self) -> Step:
+        while True:
+            stream = self._stream
+            if stream is None:
+                return _interrupted('the run has no connection')
+            received = await stream.receive(self._left_ms())
+            if received.is_err():
+                if received.unwrap_err().kind is PeerErrorKind.TIMEOUT:
+                    self.cancel()
+                    return ApiError(
+                        Reason.DEADLINE, 'no whole answer in time', 0, False
+                    )
+                failure = await self._recover()
+                if failure is not None:
+                    return failure
+                continue
+            step = await self._read(received.unwrap())
+            if step is not None:
+                return step
+
     async def _attempt(self) -> 'Result[None, _Failed]':
         context = self._context
+        if context.crashes.quarantined(self._fingerprint):
+            return Err(_Failed(quarantine_refusal(), None))
         # A short prompt is routed by its fingerprint, so that those who saw
         # it crash a target are asked again.
         names = self._routes.picker.pick(
@@ -194,7 +205,9 @@
             context.settings.offer_timeout_ms, max(self._left_ms(), 1.0)
         )
         found = await ask_for_offers(context, targets, request, timeout_ms)
-        self._crash_records += found.crash_records
+        self._learn(found.crash_records)
+        if context.crashes.quarantined(self._fingerprint):
+            return Err(_Failed(quarantine_refusal(), None))
         if any(r.reason == QUARANTINED for r in found.refusals):
             return Err(_Failed(quarantine_refusal(), None))
         chosen = choose_offer(found.offers, found.refusals)
@@ -226,6 +239,7 @@
         if received.is_err():
             stream.close()
             context.breakers.record_failure(target.name)
+            self._attempts.may_have_started = True
             error = _interrupted(received.unwrap_err().message)
             return Err(_Failed(error, RetryReason.CONNECTION_LOST))
         answer = received.unwrap()
@@ -267,6 +281,7 @@
             self._context.metrics.count('answers_damaged', 'digest')
             return _interrupted('the answer is not whole')
         self._context.budget.record_success()
+        self._context.crashes.on_healthy(self._fingerprint)
         if self.target is not None:
             self._context.breakers.record_success(self.target.name)
         return Finished(
@@ -279,8 +294,10 @@
     async def _read_failure(self, refused: Refused | None) -> Step | None:
         error = agent_refusal(refused)
         if refused is not None and refused.crash_record:
-            self._crash_records.append(refused.crash_record)
+            self._learn([refused.crash_record])
         self._close_stream()
+        if not error.not_run:
+            self._attempts.may_have_started = True
         if self._offset or error.reason is Reason.QUARANTINED:
             return error
         reason = RetryReason.TARGET_CRASHED
@@ -291,11 +308,12 @@
         if not self._retry(reason):
             return error
         self._attempts.attempts += 1
-        return await self.start()
+        return await self._start()
 
     async def _recover(self) -> ApiError | None:
         """Resume the run after its connection was lost."""
         self._close_stream()
+        self._attempts.may_have_started = True
         self._context.metrics.count('retries', 'resume')
         for _try in range(RESUME_TRIES):
             resumed = await self._resume()
@@ -311,7 +329,7 @@
         if self._offset or not self._retry(RetryReason.CONNECTION_LOST):
             return resumed
         self._attempts.attempts += 1
-        return await self.start()
+        return await self._start()
 
     async def _resume(self) -> ApiError | None:
         if self.target is None:
@@ -335,6 +353,17 @@
         self._stream = stream
         return None
 
+    def _as_known(self, error: ApiError) -> ApiError:
+        """Return the refusal, not said to be "not run" if it may have."""
+        if not self._attempts.may_have_started:
+            return error
+        return replace(error, not_run=False)
+
+    def _learn(self, crash_records: list[bytes]) -> None:
+        for record in crash_records:
+            self._context.crashes.learn(record)
+        self._crash_records += crash_records
+
     def _retry(self, reason: RetryReason) -> bool:
         context = self._context
         allowed = may_retry(
