--- a/bench/chaos_parts/proxied_system.py
+++ b/bench/chaos_parts/proxied_system.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bench.processes import free_address
+from bench.chaos_parts.ports import reserve_address
 from bench.processes import Process
 from bench.processes import wait_for_listener
 from bench.system import DOMAINS
@@ -42,8 +42,9 @@
     def __init__(self, options: SystemOptions) -> None:
         super().__init__(options)
         self.proxies: dict[str, Proxy] = {}
+        self._ports: set[int] = set()
         self._entry_places = [
-            EntryAddresses(free_address(), free_address())
+            EntryAddresses(self._reserve(), self._reserve())
             for _number in range(options.entries)
         ]
 
@@ -100,6 +101,9 @@
         found = self.targets.values()
         return [t for t in found if t.failure_domain == domain]
 
+    def _reserve(self) -> str:
+        return reserve_address(self._ports)
+
     def _spawn_entry(self, number: int, name: str) -> Process:
         place = self._entry_places[number]
         entry = {'http': place.http, 'leave_grace_ms': ENTRY_LEAVE_GRACE_MS}
@@ -121,6 +125,10 @@
             'peers': [place.inner for place in self._entry_places],
         }
 
+    def _start_store(self, name: str) -> Process:
+        port = int(self._reserve().rpartition(':')[2])
+        return self.fleet.start_standin('store-vm', {}, name, port)
+
     def _target_options(self, kind: str, name: str) -> dict[str, Any]:
         options = super()._target_options(kind, name)
         if kind == 'ledger':
@@ -130,7 +138,7 @@
 
     def _start_target(self, kind: str, number: int) -> None:
         name = f'{kind}-{number + 1}'
-        upstream = free_address()
+        upstream = self._reserve()
         process = self.fleet.start_standin(
             'fault-proxy', {'upstream': upstream}, f'proxy-{name}'
         )
--- a/bench/system.py
+++ b/bench/system.py
@@ -84,7 +84,7 @@
         self.key_value = self.fleet.start_standin('key-value')
         for number in range(self.options.store_vms):
             name = f'store-{number + 1}'
-            self.stores[name] = self.fleet.start_standin('store-vm', {}, name)
+            self.stores[name] = self._start_store(name)
         for number in range(self.options.engines):
             self._start_target('engine', number)
         for number in range(self.options.ledgers):
@@ -179,6 +179,9 @@
             name, standin, agent, address, domain
         )
 
+    def _start_store(self, name: str) -> Process:
+        return self.fleet.start_standin('store-vm', {}, name)
+
     def _target_options(self, kind: str, name: str) -> dict[str, Any]:
         options: dict[str, Any] = {'name': name}
         if kind == 'engine':
