Try another target for a stalled first token; ask again when all are silent

Cause: with a thousand streams open 10 of 1,202 requests were refused as no_target: every offer of a round came too late, all four targets were excluded and none was left. And a target that stalled after its offer held its request to the deadline. Ruled out: refusals by agents (their counters show none). Change: a round in which nobody answered excludes only targets without a connection; a first token later than three times the offer's time, at least 2 s, is tried elsewhere within the retry budget. Result: two new scenarios fail before and pass after the change.

--- a/tests/claims/test_model_check.py
+++ b/tests/claims/test_model_check.py
@@ -99,7 +99,7 @@
     assert states >= least
 
 
-@pytest.mark.parametrize('claimers, faults, least', [('ab', 2, 100_000)])
+@pytest.mark.parametrize('claimers, faults, least', [('ab', 2, 108_000)])
 def test_grouped_claims_hold_in_every_state(claimers, faults, least):
     states = explore(grouped_store, claimers, faults, crash_idle=True)
     print(f'{len(claimers)} claimers, {faults} faults: {states} states')
--- a/tests/features/targets.feature
+++ b/tests/features/targets.feature
@@ -36,3 +36,13 @@
     Then every manifest got its own answer
     And no engine read a damaged block
     And some blocks came from the store
+
+  Scenario: A first token stalls
+    Given 2 engines and 1 entries
+    When every engine but one stalls after it has made an offer
+    Then a prompt is answered by the other engine
+
+  Scenario: No agent answers for a moment
+    Given 2 engines and 1 entries
+    When all agents are paused for less than a second
+    Then a prompt sent meanwhile is answered
--- a/tests/features/test_targets.py
+++ b/tests/features/test_targets.py
@@ -240,3 +240,36 @@
 def some_imports(world):
     imports = [sum(a['imports'].values()) for a in world.audits('engine')]
     assert sum(imports) > 0
+
+
+@when('every engine but one stalls after it has made an offer')
+def stall(world):
+    for number in range(6):
+        world.run(world.prompt(f'warm up {number}'))
+    set_faults(world.target('engine-1').standin.address, stalled=True)
+
+
+@when('all agents are paused for less than a second')
+def pause_agents(world):
+    world.run(world.prompt('warm up'))
+    agents = [target.agent for target in world.system.targets.values()]
+    for agent in agents:
+        agent.signal(signal.SIGSTOP)
+    world.marks['task'] = world.loop.create_task(world.prompt('meanwhile'))
+    world.pause(0.6)
+    for agent in agents:
+        agent.signal(signal.SIGCONT)
+
+
+@then('a prompt is answered by the other engine')
+def answered_elsewhere(world):
+    for number in range(4):
+        prompt = f'stalled {number}'
+        reply = world.run(world.prompt(prompt))
+        assert expected_answer(prompt, 4) in reply.body, reply.body
+
+
+@then('a prompt sent meanwhile is answered')
+def answered_meanwhile(world):
+    reply = world.run(world.marks['task'])
+    assert expected_answer('meanwhile', 4) in reply.body, reply.body
--- a/wigeonmill/entry/model_run.py
+++ b/wigeonmill/entry/model_run.py
@@ -17,6 +17,7 @@
 from wigeonmill.entry.errors import ApiError
 from wigeonmill.entry.errors import Reason
 from wigeonmill.entry.offer_round import ask_for_offers
+from wigeonmill.entry.offer_round import OfferRound
 from wigeonmill.entry.offer_round import release_others
 from wigeonmill.entry.refusals import agent_refusal
 from wigeonmill.entry.refusals import combined_refusal
@@ -43,6 +44,10 @@
 
 RESUME_PAUSE_MS = 100.0
 RESUME_TRIES = 30
+# A first token is stalled after this many times the offer's time, and not
+# before the floor.
+STALL_FACTOR = 3.0
+STALL_FLOOR_MS = 2_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +111,8 @@
         # What the targets asked so far said, once none is left to ask.
         self._refusal: ApiError | None = None
         self._crash_records: list[bytes] = []
+        # How long a first token may take before another target is tried.
+        self._stall_ms = 0.0
 
     async def start(self) -> ApiError | None:
         """Find a target that accepts the run; returns a refusal if none."""
@@ -135,14 +142,12 @@
             stream = self._stream
             if stream is None:
                 return _interrupted('the run has no connection')
-            received = await stream.receive(self._left_ms())
+            received = await stream.receive(self._patience_ms())
             if received.is_err():
                 if received.unwrap_err().kind is PeerErrorKind.TIMEOUT:
-                    self.cancel()
-                    return ApiError(
-                        Reason.DEADLINE, 'no whole answer in time', 0, False
-                    )
-                failure = await self._recover()
+                    failure = await self._on_timeout()
+                else:
+                    failure = await self._recover()
                 if failure is not None:
                     return failure
                 continue
@@ -199,7 +204,7 @@
             return Err(_Failed(quarantine_refusal(), None))
         chosen = choose_offer(found.offers, found.refusals)
         if chosen.is_err():
-            self._excluded.update(names)
+            self._exclude(names, found)
             error = combined_refusal(chosen.unwrap_err())
             reason = RetryReason.REFUSED
             if found.silent:
@@ -207,6 +212,8 @@
             self._refusal = error
             return Err(_Failed(error, reason))
         offer = chosen.unwrap()
+        expected_ms = offer.expected_first_token_ms
+        self._stall_ms = max(STALL_FLOOR_MS, expected_ms * STALL_FACTOR)
         release_others(context, targets, found.offers, offer)
         return await self._dispatch(offer)
 
@@ -293,6 +300,38 @@
         self._attempts.attempts += 1
         return await self.start()
 
+    def _patience_ms(self) -> float:
+        """Return how long to wait for the next part of the answer."""
+        left_ms = self._left_ms()
+        if self._offset or self._stall_ms <= 0.0:
+            return left_ms
+        return min(left_ms, self._stall_ms)
+
+    async def _on_timeout(self) -> ApiError | None:
+        """Try another target for a stalled first token, or give up."""
+        if self._left_ms() <= 0.0:
+            self.cancel()
+            message = 'no whole answer in time'
+            return ApiError(Reason.DEADLINE, message, 0, False)
+        # One that may not be tried again is waited for to its deadline.
+        self._stall_ms = 0.0
+        if not self._retry(RetryReason.STALLED_FIRST_TOKEN):
+            return None
+        self.cancel()
+        self._attempts.attempts += 1
+        return await self.start()
+
+    def _exclude(self, names: list[str], found: OfferRound) -> None:
+        """Keep those that can't help from being asked again.
+
+        When nobody answered in time, it is likelier that this process is
+        slow than that all of them are; they may be asked again.
+        """
+        if found.refusals or len(found.silent) < len(names):
+            self._excluded.update(names)
+        else:
+            self._excluded.update(found.unreachable)
+
     async def _recover(self) -> ApiError | None:
         """Resume the run after its connection was lost."""
         self._close_stream()
--- a/wigeonmill/entry/offer_round.py
+++ b/wigeonmill/entry/offer_round.py
@@ -23,19 +23,21 @@
 class OfferRound:
     """The answers of one round; `silent` names targets without one.
 
-    `crash_records` is what the agents know of crashes by this request.
+    `unreachable` are those of them without a connection. `crash_records`
+    is what the agents know of crashes by this request.
     """
 
     offers: list[TargetOffer] = field(default_factory=list)
     refusals: list[TargetRefusal] = field(default_factory=list)
     silent: list[str] = field(default_factory=list)
+    unreachable: list[str] = field(default_factory=list)
     crash_records: list[bytes] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class _Answer:
-    made: TargetOffer | TargetRefusal
-    crash_record: bytes
+    made: TargetOffer | TargetRefusal | None
+    crash_record: bytes = b''
 
 
 async def ask_for_offers(
@@ -120,9 +122,10 @@
     if answer.is_err():
         kind = answer.unwrap_err().kind
         context.metrics.count('offers_failed', kind.value)
-        if kind is not PeerErrorKind.TIMEOUT:
-            context.breakers.record_failure(target.name)
-        return None
+        if kind is PeerErrorKind.TIMEOUT:
+            return None
+        context.breakers.record_failure(target.name)
+        return _Answer(None)
     elapsed_ms = context.clock.now_ms() - started_ms
     context.metrics.histogram('inner_round_trip').record(elapsed_ms)
     offer = answer.unwrap().offer
@@ -150,6 +153,10 @@
     if answer is None:
         found.silent.append(target.name)
         return
+    if answer.made is None:
+        found.silent.append(target.name)
+        found.unreachable.append(target.name)
+        return
     if answer.crash_record:
         found.crash_records.append(answer.crash_record)
     if isinstance(answer.made, TargetOffer):
