Write second copies of stored blocks when the link has room

Change: a stored block that its target still holds is also written to the next VM of its ranking, but only while no first copy waits and the budget for exports allows it.

--- a/bench/policy_sim/agent_cache.py
+++ b/bench/policy_sim/agent_cache.py
@@ -203,7 +203,9 @@
 
     def _exported(self, order: ExportOrder, began_ms: float) -> None:
         now_ms = self._world.now_ms()
-        place = place_for_write(order.anchor, self._stores(), self._placement)
+        place = place_for_write(
+            order.anchor, self._stores(), self._placement, order.copy
+        )
         whole = False
         if place is not None:
             names = [vm.name for vm in self._world.vms]
--- a/tests/cache/test_placement.py
+++ b/tests/cache/test_placement.py
@@ -38,4 +38,6 @@
     assert names == [best, second]
     dead = [StoreState(s.name, alive=False) for s in STORES]
     assert place_for_write(anchor, dead, SETTINGS) is None
+    copy = place_for_write(anchor, STORES, SETTINGS, copy=True)
+    assert copy.name == second
     assert places_for_read(anchor, dead, SETTINGS) == []
--- a/wigeonmill/agent/cache_manager.py
+++ b/wigeonmill/agent/cache_manager.py
@@ -205,7 +205,7 @@
     async def _export(self, order: ExportOrder) -> None:
         moved, whole = 0, False
         frame = await self._frame_of(order)
-        place = self._stores.for_write(order.anchor)
+        place = self._stores.for_write(order.anchor, order.copy)
         if frame is not None and place is not None:
             moved = len(frame)
             store = self._stores.get(place)
--- a/wigeonmill/agent/store_pool.py
+++ b/wigeonmill/agent/store_pool.py
@@ -61,9 +61,12 @@
                 store = HttpBlockStore(address, self._clock)
                 self._stores[name] = _Known(address, store)
 
-    def for_write(self, anchor: bytes) -> str | None:
-        """Return the VM to write a prefix's blocks to, if any takes them."""
-        place = place_for_write(anchor, self._states(), self._settings)
+    def for_write(self, anchor: bytes, copy: bool = False) -> str | None:
+        """Return the VM to write a prefix's blocks to, if any takes them.
+
+        A second `copy` goes to another VM than the first.
+        """
+        place = place_for_write(anchor, self._states(), self._settings, copy)
         return place.name if place is not None else None
 
     def for_read(self, anchor: bytes) -> list[str]:
--- a/wigeonmill/cache/decider.py
+++ b/wigeonmill/cache/decider.py
@@ -52,12 +52,13 @@
     """A block to write to the store now.
 
     `anchor` is the first key of its prefix, for the placement; `transfer`
-    goes back to `end_export`.
+    goes back to `end_export`. A `copy` goes to another VM than the first.
     """
 
     key: bytes
     anchor: bytes
     transfer: Transfer
+    copy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +83,7 @@
         '_exports',
         '_imports',
         '_waiting',
+        '_uncopied',
     )
 
     def __init__(
@@ -105,6 +107,8 @@
         )
         self._imports = imports or ImportSettings()
         self._waiting: OrderedDict[bytes, _Waiting] = OrderedDict()
+        # Blocks with one copy in the store, by key with their anchors.
+        self._uncopied: OrderedDict[bytes, bytes] = OrderedDict()
 
     def plan(
         self,
@@ -196,15 +200,30 @@
                 return None
             waiting = self._waiting.pop(candidate.key)
             return ExportOrder(waiting.key, waiting.anchor, decision.transfer)
-        return None
+        return self._next_copy(now_ms)
 
     def end_export(
         self, order: ExportOrder, now_ms: float, moved_bytes: int, whole: bool
     ) -> None:
         """Take the end of an export; `whole` if the store has the block."""
         self.budget.end(order.transfer, now_ms, moved_bytes)
-        if whole:
-            self.stored.on_stored(order.key)
+        if not whole or order.copy:
+            return
+        self.stored.on_stored(order.key)
+        self._uncopied[order.key] = order.anchor
+        if len(self._uncopied) > self._settings.export_queue:
+            self._uncopied.popitem(last=False)
+
+    def _next_copy(self, now_ms: float) -> ExportOrder | None:
+        while self._uncopied:
+            key, anchor = self._uncopied.popitem(last=False)
+            if self.view.holds(key):
+                size = self.block_bytes
+                transfer = self.budget.take(size, now_ms, urgent=False)
+                if transfer is None:
+                    return None
+                return ExportOrder(key, anchor, transfer, copy=True)
+        return None
 
     def _candidate(self, key: bytes, depth: int) -> ExportCandidate:
         tokens = self._settings.block_tokens
--- a/wigeonmill/cache/placement.py
+++ b/wigeonmill/cache/placement.py
@@ -45,13 +45,22 @@
 
 
 def place_for_write(
-    anchor: bytes, stores: list[StoreState], settings: PlacementSettings
+    anchor: bytes,
+    stores: list[StoreState],
+    settings: PlacementSettings,
+    copy: bool = False,
 ) -> StoreState | None:
-    """Return the VM to write to, or None if all that may keep it can't."""
-    for store in rank_stores(anchor, stores)[: settings.attempts]:
-        if store.alive and store.fill < settings.max_fill:
-            return store
-    return None
+    """Return the VM to write to, or None if all that may keep it can't.
+
+    A second `copy` goes to the next VM after that of the first.
+    """
+    open_stores = [
+        store
+        for store in rank_stores(anchor, stores)[: settings.attempts]
+        if store.alive and store.fill < settings.max_fill
+    ]
+    at = 1 if copy else 0
+    return open_stores[at] if at < len(open_stores) else None
 
 
 def places_for_read(
