Count a target as serving once its limit exceeds the usual runs

Change: limit_share() sets the limit against the usual runs of all targets with a quarter to spare. The agent's own rollout board should use limit_share().

--- a/bench/policy_sim/real.py
+++ b/bench/policy_sim/real.py
@@ -6,6 +6,7 @@
 from bench.policy_sim.sim_agent import SimAgent
 from bench.policy_sim.sim_entry import SimEntry
 from bench.policy_sim.world import World
+from wigeonmill.agent.rollout import limit_share
 from wigeonmill.agent.rollout import OrderKind
 from wigeonmill.agent.rollout import plan_rollout
 from wigeonmill.agent.rollout import RolloutSettings
@@ -73,12 +74,12 @@
 
     def _report(self, agent: SimAgent) -> TargetReport:
         name = agent.engine.name
-        limit = agent.admission.limit
+        runs = [peer.admission.running for peer in self.agents.values()]
         return TargetReport(
             name,
             agent.engine.domain,
             agent.engine.version,
             self._phases[name],
-            limit_share=limit / agent.engine.spec.max_batch,
+            limit_share=limit_share(agent.admission.limit, runs),
             running=agent.admission.running,
         )
--- a/bench/policy_sim/runner.py
+++ b/bench/policy_sim/runner.py
@@ -55,6 +55,8 @@
             from_ms = OUT_AT_MS + SETTLE_AFTER_LEAVE_MS
             found['within_goal_after_leave'] = self._within_goal(from_ms)
         found['goodput_rps'] = self._goodput()
+        if self.scene.name == 'weights_roll':
+            found['rolled_share'] = self._rolled_share()
         found['imported_blocks'] = stats.imported_blocks
         found['exported_blocks'] = stats.exported_blocks
         found.update(self._counters())
@@ -94,6 +96,10 @@
         ]
         return len(good) / (DURATION_S - WARMUP_S)
 
+    def _rolled_share(self) -> float:
+        engines = self.world.engines.values()
+        return sum(e.version == 'v2' for e in engines) / len(engines)
+
     def _link_peak_share(self) -> float:
         budget = self.workload.fleet.store.budget_bytes_per_s
         links = self.world.links.values()
--- a/tests/agent/test_rollout.py
+++ b/tests/agent/test_rollout.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from wigeonmill.agent.rollout import limit_share
 from wigeonmill.agent.rollout import Order
 from wigeonmill.agent.rollout import OrderKind
 from wigeonmill.agent.rollout import plan_rollout
@@ -100,3 +101,11 @@
     load = Order(OrderKind.LOAD, 't0', 'v2')
     for slots in (frozenset(), frozenset({'t0'})):
         assert plan_rollout(fleet, 'v2', slots, settings).orders == (load,)
+
+
+def test_a_target_bears_its_share_once_its_limit_exceeds_the_usual_runs():
+    running = [30, 30, 30, 10]
+    assert limit_share(4, running) < 0.2
+    assert limit_share(31, running) < 1.0
+    assert limit_share(32, running) == 1.0
+    assert limit_share(1, [0, 0]) == 1.0
--- a/wigeonmill/agent/rollout.py
+++ b/wigeonmill/agent/rollout.py
@@ -6,9 +6,13 @@
 """
 
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass
 import enum
 
+# A target bears its share once its limit is this many times the usual runs.
+LIMIT_HEADROOM = 1.25
+
 
 class TargetPhase(enum.Enum):
     """What a target reports about itself."""
@@ -74,6 +78,16 @@
     done: bool
 
 
+def limit_share(limit: int, running: Sequence[int]) -> float:
+    """Return the share of its work that a target with this limit bears.
+
+    `running` counts the runs of every target of the service. A target that
+    has been cold bears all once its limit leaves room beside the usual runs.
+    """
+    usual = sum(running) / max(1, len(running))
+    return min(1.0, limit / max(1.0, LIMIT_HEADROOM * usual))
+
+
 def plan_rollout(
     targets: list[TargetReport],
     weight_version: str,
