--- a/wigeonmill/routing/candidates.py
+++ b/wigeonmill/routing/candidates.py
@@ -18,7 +18,7 @@
 from wigeonmill.routing.rendezvous import RendezvousRing
 from wigeonmill.routing.rendezvous import WeightedTarget
 
-SLOTS = 16384
+SLOTS = 4096
 # Counts of blocks at a prompt's start that decide where it goes. A team's
 # prompts often share their first blocks: the longer prefix spreads them.
 PREFIX_BLOCKS = (3, 2)
--- a/wigeonmill/routing/rendezvous.py
+++ b/wigeonmill/routing/rendezvous.py
@@ -19,6 +19,9 @@
     weight: float = 1.0
 
 
+_Scored = tuple[float, int, WeightedTarget]
+
+
 def name_seed(name: str) -> int:
     """Return the 64-bit hash seed that stands for a target's name."""
     return xxhash.xxh3_64_intdigest(name.encode())
@@ -40,26 +43,40 @@
 class RendezvousRing:
     """Ranks a fixed set of targets; hash seeds are computed once."""
 
-    __slots__ = ('_entries',)
+    __slots__ = ('_entries', '_equal')
 
     def __init__(self, targets: Sequence[WeightedTarget]) -> None:
         self._entries = [
             (name_seed(target.name), target.weight, target)
             for target in targets
         ]
+        self._equal = len({target.weight for target in targets}) <= 1
 
     def __len__(self) -> int:
         return len(self._entries)
 
     def rank(self, key: bytes, count: int) -> list[WeightedTarget]:
         """Return the `count` best targets for `key`, the best one first."""
-        scored = [
+        scored = self._scored(key)
+        if count >= len(scored):
+            best = sorted(scored, key=_by_score, reverse=True)
+        else:
+            best = heapq.nlargest(count, scored, key=_by_score)
+        return [target for _score, _seed, target in best]
+
+    def _scored(self, key: bytes) -> list[_Scored]:
+        if self._equal:
+            # Scores of equal weights have the order of the digests.
+            digest = xxhash.xxh3_64_intdigest
+            return [
+                (digest(key, seed=seed), seed, target)
+                for seed, _weight, target in self._entries
+            ]
+        return [
             (score(key, seed, weight), seed, target)
             for seed, weight, target in self._entries
         ]
-        best = heapq.nlargest(count, scored, key=_by_score)
-        return [target for _score, _seed, target in best]
 
 
-def _by_score(entry: tuple[float, int, WeightedTarget]) -> tuple[float, int]:
+def _by_score(entry: _Scored) -> tuple[float, int]:
     return entry[0], entry[1]
