--- a/wigeonmill/agent/rollout.py
+++ b/wigeonmill/agent/rollout.py
@@ -5,7 +5,7 @@
 again; enough of the others carry the service meanwhile.
 """
 
-from collections import Counter
+import collections
 from collections.abc import Sequence
 from dataclasses import dataclass
 import enum
@@ -160,7 +160,7 @@
     needed = total * settings.min_serving_share
     serving = [t for t in targets if t.phase is TargetPhase.SERVING]
     spare = sum(t.capacity * t.limit_share for t in serving) - needed
-    left = Counter(target.failure_domain for target in serving)
+    left = collections.Counter(target.failure_domain for target in serving)
     places = settings.concurrent_loads - _under_change(targets, slots_held)
     old = [t for t in serving if t.weight_version != weight_version]
     if _may_miss_one(targets, settings):
