--- a/wigeonmill/agent/admission_types.py
+++ b/wigeonmill/agent/admission_types.py
@@ -170,7 +170,7 @@
     reservation_ms: float = 250.0
     short_tokens: int = 2_048
     short_limit_tokens: int = 2_048
-    long_limit_tokens: int = 8_192
+    long_limit_tokens: int = 4_096
     pass_tokens: int = 4_096
     slots_per_short_slot: int = 8
     alone_wait_ms: float = 2_000.0
