--- a/tests/claims/test_grouped.py
+++ b/tests/claims/test_grouped.py
@@ -24,6 +24,7 @@
 from wigeonmill.claims.owners import OwnersPolicy
 from wigeonmill.claims.retention import RetentionPolicy
 from wigeonmill.claims.shard import ShardPolicy
+from wigeonmill.claims.single_key import make_single_key_store
 from wigeonmill.clock import ManualClock
 from wigeonmill.metrics import Metrics
 from wigeonmill.standins.memory_key_value import KvFaults
@@ -68,7 +69,7 @@
 
     async def ask(self, address, request, timeout_ms):
         if address in self.dead:
-            return Err(TransportError('refused'))
+            return Err(TransportError('refused', False))
         return Ok(await self.stores[address].serve(request))
 
 
@@ -165,6 +166,21 @@
     run(scenario)
 
 
+def test_replaced_process_does_not_take_its_shard_back():
+    async def scenario(cluster):
+        old = cluster.store('a', incarnation=1)
+        await answer_all(old, ['k'])
+        new = cluster.store('a', incarnation=2)
+        for _ in range(3):
+            assert await new.claim(request()) == Ok(Answered(ANSWER))
+            assert await old.claim(request()) == Ok(Answered(ANSWER))
+        await answer_all(new, ['k2'])
+        await answer_all(old, ['k3'])
+        assert cluster.metrics.value(TAKEOVERS) == 2
+
+    run(scenario)
+
+
 def test_full_shard_refuses_new_keys_until_retention_is_over():
     async def scenario(cluster):
         store = cluster.store('a')
@@ -206,3 +222,24 @@
         assert isinstance((await store.claim(foreign)).unwrap(), Claimed)
 
     run(scenario)
+
+
+def test_other_layout_is_refused_before_any_claim():
+    async def scenario(cluster):
+        await answer_all(cluster.store('a'), ['k'])
+        cluster.policy = GroupPolicy(shards=2)
+        refused = (await cluster.store('b').claim(request())).unwrap_err()
+        assert refused.reason is RefusalReason.OTHER_LAYOUT
+        assert refused.not_run
+        single = make_single_key_store(
+            cluster.kv,
+            cluster.clock,
+            cluster.metrics,
+            Holder('c', 1),
+            random.Random(1),
+        )
+        refused = (await single.claim(request())).unwrap_err()
+        assert refused.reason is RefusalReason.OTHER_LAYOUT
+        assert cluster.metrics.value(REFUSALS, 'other_layout') == 2
+
+    run(scenario)
