--- a/tests/agent/test_fair_queue.py
+++ b/tests/agent/test_fair_queue.py
@@ -5,8 +5,8 @@
 
 from wigeonmill.agent.fair_queue import Ahead
 from wigeonmill.agent.fair_queue import FairQueue
-from wigeonmill.agent.fair_queue import Lane
-from wigeonmill.agent.fair_queue import QueueEntry
+from wigeonmill.agent.team_queue import Lane
+from wigeonmill.agent.team_queue import QueueEntry
 
 SHORT = 100
 PASS = 1000
--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -26,6 +26,7 @@
 from wigeonmill.agent.quarantine import Quarantine
 from wigeonmill.agent.service_state import ServiceState
 from wigeonmill.agent.start_rules import StartRules
+from wigeonmill.agent.suspects import Suspects
 from wigeonmill.agent.target_health import make_target_health
 from wigeonmill.agent.target_health import TargetHealth
 from wigeonmill.agent.waiting_list import WaitingList
@@ -45,6 +46,7 @@
         '_clock',
         '_pricing',
         '_rules',
+        '_suspects',
         '_state',
         '_waiting',
         '_in_flight',
@@ -69,6 +71,7 @@
             settings, health, self._waiting, self._in_flight
         )
         self._rules = StartRules(settings, self._waiting, self._in_flight)
+        self._suspects = Suspects(clock, quarantine, self._in_flight)
         self._refused: list[RefusedTicket] = []
         self._next_id = 1
 
@@ -180,9 +183,7 @@
         elif not self._push(ticket):
             full = self._pricing.no_place(RefusalReason.QUEUE_FULL)
             return self._refused_now(full)
-        if ticket.alone:
-            fingerprint = request.fingerprint
-            self.quarantine.on_retry(fingerprint, self._clock.wall_ms())
+        self._suspects.take_retry(ticket)
         self.counts.admitted += 1
         return Ok(Admitted(ticket))
 
@@ -227,7 +228,7 @@
         reason = self._reason_against_start(ticket)
         if reason is not None:
             self._in_flight.remove(ticket)
-            self._give_retry_back(ticket)
+            self._suspects.give_retry_back(ticket)
             return self._refused_now(Refusal(reason))
         self._in_flight.start(ticket, self._clock.now_ms())
         self.counts.started += 1
@@ -265,7 +266,7 @@
         """Drop a waiting request whose caller left; False if not waiting."""
         ticket = self._waiting.remove(ticket_id)
         if ticket is not None:
-            self._give_retry_back(ticket)
+            self._suspects.give_retry_back(ticket)
         return ticket is not None
 
     def take_refused(self) -> list[RefusedTicket]:
@@ -285,17 +286,9 @@
         A suspect that hasn't settled takes all the blame. Returns the
         fingerprints that this crash has put in quarantine.
         """
-        now_ms = self._clock.now_ms()
-        suspect = self._in_flight.unsettled_suspect(now_ms)
-        seen = [t for t in self._in_flight if _is_at_target(t)]
-        new = [ticket for ticket in seen if not ticket.blamed]
-        blamed = [suspect] if suspect in new else new
-        for ticket in new:
-            ticket.blamed = True
+        blamed = self._suspects.on_crash()
         self.on_connection_failed()
-        prints = [ticket.request.fingerprint for ticket in blamed]
-        known = [fingerprint for fingerprint in prints if fingerprint]
-        return self.quarantine.on_crash(known, self._clock.wall_ms())
+        return blamed
 
     def _refusal_of(
         self, request: RunRequest, has_place: bool = False
@@ -344,8 +337,7 @@
         if outcome.kind is OutcomeKind.OVERLOADED:
             self.health.on_overloaded()
         elif outcome.kind is OutcomeKind.COMPLETED:
-            fingerprint = ticket.request.fingerprint
-            self.quarantine.on_healthy(fingerprint, self._clock.wall_ms())
+            self._suspects.on_healthy(ticket)
             self.health.on_completed(ticket.healthy)
             streamed = state is TicketState.STREAMING
             self.health.estimator.on_finished(
@@ -354,13 +346,7 @@
                 now_ms - ticket.first_token_ms,
             )
         elif outcome.kind is not OutcomeKind.CRASHED:
-            self._give_retry_back(ticket)
-
-    def _give_retry_back(self, ticket: Ticket) -> None:
-        if ticket.alone:
-            fingerprint = ticket.request.fingerprint
-            wall_ms = self._clock.wall_ms()
-            self.quarantine.on_retry_cancelled(fingerprint, wall_ms)
+            self._suspects.give_retry_back(ticket)
 
     def _expire(self, now_ms: float) -> None:
         lapsed = self._waiting.reservations.expire(now_ms)
@@ -377,7 +363,7 @@
         self._add_refused(ticket, reason)
 
     def _add_refused(self, ticket: Ticket, reason: RefusalReason) -> None:
-        self._give_retry_back(ticket)
+        self._suspects.give_retry_back(ticket)
         self._count(reason)
         self._refused.append(RefusedTicket(ticket, Refusal(reason)))
 
@@ -390,10 +376,6 @@
         refusals[reason] = refusals.get(reason, 0) + 1
 
 
-def _is_at_target(ticket: Ticket) -> bool:
-    return ticket.state is not TicketState.RUNNABLE
-
-
 def make_admission(
     clock: Clock,
     settings: AdmissionSettings,
--- a/wigeonmill/agent/fair_queue.py
+++ b/wigeonmill/agent/fair_queue.py
@@ -9,8 +9,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from dataclasses import field
-import enum
 import heapq
 import itertools
 
@@ -18,37 +16,15 @@
 from result import Ok
 from result import Result
 
+from wigeonmill.agent.team_queue import Item
+from wigeonmill.agent.team_queue import Lane
+from wigeonmill.agent.team_queue import QueueEntry
+from wigeonmill.agent.team_queue import TeamQueue
+
 # One step of priority is worth this much waiting within a team.
 PRIORITY_STEP_MS = 10_000.0
 
 
-class Lane(enum.Enum):
-    """Entries that may start under the same conditions."""
-
-    SHORT = 'short'
-    LONG = 'long'
-    ALONE = 'alone'
-
-
-@dataclass(slots=True, eq=False)
-class QueueEntry:
-    """Work that waits; `cost` is its prefill in tokens (at least 1).
-
-    `deadline_ms` is on the clock's time. Among entries of one team, a
-    higher `priority` goes first.
-    """
-
-    id: int
-    team: str
-    weight: int
-    priority: int
-    cost: int
-    deadline_ms: float
-    enqueued_ms: float
-    lane: Lane = Lane.SHORT
-    queued: bool = field(default=False, init=False)
-
-
 @dataclass(frozen=True, slots=True)
 class QueueFull:
     """The queue holds as much as it may; `queued_cost` is in tokens."""
@@ -64,66 +40,6 @@
     entries: int
 
 
-# Rank within the team, sequence number, entry.
-_Item = tuple[float, int, QueueEntry]
-
-
-def _rank(item: _Item) -> tuple[float, int]:
-    return item[:2]
-
-
-@dataclass(slots=True)
-class _Team:
-    name: str
-    weight: int
-    finish: float = 0.0
-    cost: int = 0
-    count: int = 0
-    short_cost: int = 0
-    short_count: int = 0
-    lanes: dict[Lane, list[_Item]] = field(default_factory=dict)
-
-    def heads(self) -> list[_Item]:
-        """Return the first entry of each lane, best first."""
-        for heap in self.lanes.values():
-            while heap and not heap[0][2].queued:
-                heapq.heappop(heap)
-        heads = [heap[0] for heap in self.lanes.values() if heap]
-        return sorted(heads, key=_rank)
-
-    def load(self, lane: Lane) -> tuple[float, float]:
-        """Return tokens and entries that an entry of `lane` waits for."""
-        if lane is not Lane.SHORT:
-            return float(self.cost), float(self.count)
-        return float(self.short_cost), float(self.short_count)
-
-    def share_before(self, start: float) -> float:
-        """Return the share of the team's entries that start by `start`."""
-        if start < self.finish:
-            return 0.0
-        mean = self.cost / self.count
-        tokens = (start - self.finish) * self.weight + mean
-        return min(1.0, tokens / self.cost)
-
-    def change(self, entry: QueueEntry, sign: int) -> None:
-        """Count an entry that came (1) or left (-1)."""
-        self.cost += sign * entry.cost
-        self.count += sign
-        if entry.lane is Lane.SHORT:
-            self.short_cost += sign * entry.cost
-            self.short_count += sign
-
-    def last(self) -> QueueEntry:
-        """Return the entry that would go last."""
-        items = [
-            item
-            for heap in self.lanes.values()
-            for item in heap
-            if item[2].queued
-        ]
-        return max(items, key=_rank)[2]
-
-
 class FairQueue:
     """Orders waiting entries across and within teams."""
 
@@ -141,8 +57,8 @@
     def __init__(self, max_entries: int, pass_tokens: int) -> None:
         self._max_entries = max_entries
         self._pass_tokens = pass_tokens
-        self._teams: dict[str, _Team] = {}
-        self._deadlines: list[_Item] = []
+        self._teams: dict[str, TeamQueue] = {}
+        self._deadlines: list[Item] = []
         self._virtual = 0.0
         self._sequence = itertools.count()
         self._count = 0
@@ -253,7 +169,7 @@
         team = self._teams.get(entry.team)
         if team is None:
             self._drop_idle_teams()
-            team = _Team(entry.team, entry.weight, finish=self._virtual)
+            team = TeamQueue(entry.team, entry.weight, finish=self._virtual)
             self._teams[entry.team] = team
         team.weight = entry.weight
         if not team.count:
@@ -268,7 +184,7 @@
         self._cost += entry.cost
         self._count += 1
 
-    def _start(self, team: _Team, entry: QueueEntry) -> None:
+    def _start(self, team: TeamQueue, entry: QueueEntry) -> None:
         self._virtual = max(self._virtual, team.finish)
         team.finish += entry.cost / team.weight
         self.remove(entry)
@@ -302,9 +218,9 @@
         heapq.heapify(self._deadlines)
 
 
-def _order(team: _Team) -> tuple[float, str]:
+def _order(team: TeamQueue) -> tuple[float, str]:
     return team.finish, team.name
 
 
-def _share(team: _Team) -> float:
+def _share(team: TeamQueue) -> float:
     return team.count / team.weight
--- a/wigeonmill/agent/waiting_list.py
+++ b/wigeonmill/agent/waiting_list.py
@@ -12,10 +12,10 @@
 from wigeonmill.agent.admission_types import TicketState
 from wigeonmill.agent.fair_queue import Ahead
 from wigeonmill.agent.fair_queue import FairQueue
-from wigeonmill.agent.fair_queue import Lane
-from wigeonmill.agent.fair_queue import QueueEntry
 from wigeonmill.agent.fair_queue import QueueFull
 from wigeonmill.agent.reservations import Reservations
+from wigeonmill.agent.team_queue import Lane
+from wigeonmill.agent.team_queue import QueueEntry
 
 
 class WaitingList:
