--- a/wigeonmill/standins/stepped_key_value.py
+++ b/wigeonmill/standins/stepped_key_value.py
@@ -16,13 +16,17 @@
 
 @dataclass(slots=True)
 class PendingCall:
-    """A call under way; `start` makes it take effect on the service."""
+    """A call under way; `start` makes it take effect.
+
+    A `certain` call is slow at worst.
+    """
 
     client: str
     label: str
     is_write: bool
     start: Callable[[], Coroutine[Any, Any, Any]]
     reply: asyncio.Future
+    certain: bool = False
 
 
 Submit = Callable[[PendingCall], None]
@@ -31,17 +35,26 @@
 class SteppedKeyValue:
     """One client's connection; `submit` receives each of its calls.
 
-    Leases are granted at once: they are not part of what is explored.
+    Leases are granted and `settled` keys are read at once: they are not
+    part of what is explored.
     """
 
     def __init__(
-        self, client: str, memory: MemoryKeyValue, submit: Submit
+        self,
+        client: str,
+        memory: MemoryKeyValue,
+        submit: Submit,
+        settled: frozenset[str],
     ) -> None:
         self._client = client
         self._memory = memory
         self._submit = submit
+        self._settled = settled
 
     async def get(self, key: str) -> Result[KvEntry | None, KvError]:
+        if key in self._settled:
+            return await self._memory.get(key)
+
         def start() -> Coroutine:
             return self._memory.get(key)
 
