--- a/wigeonmill/agent/admission_types.py
+++ b/wigeonmill/agent/admission_types.py
@@ -173,7 +173,7 @@
     long_limit_tokens: int = 4_096
     pass_tokens: int = 4_096
     slots_per_short_slot: int = 8
-    alone_wait_ms: float = 2_000.0
+    alone_wait_ms: float = 8_000.0
     suspect_settle_ms: float = 1_000.0
     healthy_factor: float = 2.0
     healthy_floor_ms: float = 150.0
