Keep targets busy while a suspect waits

Any waiting suspect raised the price of all other requests, so that its target ran empty, also when the fingerprint was in quarantine already. Now only a suspect that holds back other starts does, and one whose fingerprint is quarantined leaves at once.

--- a/wigeonmill/agent/admission.py
+++ b/wigeonmill/agent/admission.py
@@ -353,6 +353,11 @@
         self.counts.lapsed_reservations += lapsed
         for ticket in self._waiting.expire(now_ms):
             self._add_refused(ticket, RefusalReason.DEADLINE)
+        for ticket in self._waiting.suspect_tickets():
+            reason = self._state.reason_against(ticket.request)
+            if reason is RefusalReason.QUARANTINED:
+                # Another copy of it has crashed a target meanwhile.
+                self._refuse_waiting(ticket, reason)
 
     def _refuse_all_waiting(self, reason: RefusalReason) -> None:
         for ticket in self._waiting.tickets():
--- a/wigeonmill/agent/offer_pricing.py
+++ b/wigeonmill/agent/offer_pricing.py
@@ -69,16 +69,19 @@
         )
 
     def _suspects_ms(self, missing: int, alone: bool, now_ms: float) -> float:
-        ahead = self._waiting.suspects
-        if self._in_flight.unsettled_suspect(now_ms) is not None:
-            ahead += 1
         estimator = self._health.estimator
         each_ms = estimator.first_token_ms(missing)
         each_ms += self._settings.suspect_settle_ms
-        wait_ms = ahead * each_ms
-        if (alone or ahead) and not self._in_flight.only_suspects:
-            wait_ms += self._settings.alone_wait_ms + estimator.held_ms
-        return wait_ms
+        running = self._in_flight.unsettled_suspect(now_ms) is not None
+        held_back = self._waiting.overdue_suspect(now_ms) is not None
+        if not alone and not held_back:
+            return each_ms if running else 0.0
+        wait_ms = (self._waiting.suspects + running) * each_ms
+        if self._in_flight.only_suspects:
+            return wait_ms
+        if not held_back:
+            wait_ms += self._settings.alone_wait_ms
+        return wait_ms + estimator.held_ms
 
     def make_offer(
         self,
--- a/wigeonmill/agent/start_rules.py
+++ b/wigeonmill/agent/start_rules.py
@@ -31,7 +31,7 @@
             return None
         if self._in_flight.unsettled_suspect(now_ms) is not None:
             return None
-        overdue = self._overdue_suspect(now_ms)
+        overdue = self._waiting.overdue_suspect(now_ms)
         if overdue is None:
             return self._waiting.pop(
                 lambda ticket: self._may_start(ticket, limit)
@@ -60,11 +60,3 @@
 
     def _fits(self, ticket: Ticket, in_flight: int, allowed: int) -> bool:
         return not in_flight or in_flight + ticket.cost <= allowed
-
-    def _overdue_suspect(self, now_ms: float) -> Ticket | None:
-        suspect = self._waiting.first_suspect()
-        if suspect is None:
-            return None
-        waited_ms = now_ms - suspect.admitted_ms
-        overdue = waited_ms >= self._settings.alone_wait_ms
-        return suspect if overdue else None
--- a/wigeonmill/agent/waiting_list.py
+++ b/wigeonmill/agent/waiting_list.py
@@ -64,9 +64,18 @@
         """Waiting tickets that must run alone."""
         return len(self._suspects)
 
-    def first_suspect(self) -> Ticket | None:
-        """Return the ticket that has waited longest to run alone."""
-        return next(iter(self._suspects.values()), None)
+    def suspect_tickets(self) -> list[Ticket]:
+        """Return the waiting tickets that must run alone."""
+        return list(self._suspects.values())
+
+    def overdue_suspect(self, now_ms: float) -> Ticket | None:
+        """Return the suspect for which other starts are held back."""
+        suspect = next(iter(self._suspects.values()), None)
+        if suspect is None:
+            return None
+        waited_ms = now_ms - suspect.admitted_ms
+        overdue = waited_ms >= self._settings.alone_wait_ms
+        return suspect if overdue else None
 
     def has_room(self, request: RunRequest) -> bool:
         """Return whether there is a place for one more of the team.
