Make targets drawn by chance 100 ms dearer than those of the prefix

Cause: with the link at a tenth, 848 of 2,678 recomputed blocks were price checks whose blocks lay in another engine's memory. A document that goes to the engine asked by chance is not looked for there when it returns. Change: an offer by chance has to be 100 ms better.

--- a/bench/policy_sim/sim_entry.py
+++ b/bench/policy_sim/sim_entry.py
@@ -101,6 +101,7 @@
                     offer.expected_wait_ms,
                     offer.expected_first_token_ms,
                     offer.reservation,
+                    names.index(name) >= self._picker.count,
                 )
             )
         # The offers travel back, then the run and the releases travel out.
--- a/tests/routing/test_offers.py
+++ b/tests/routing/test_offers.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from wigeonmill.routing.offers import choose_offer
 from wigeonmill.routing.offers import NO_TARGET
 from wigeonmill.routing.offers import TargetOffer
@@ -26,6 +28,13 @@
     assert choose_offer([fetched, cached]).unwrap().target == 'cached'
 
 
+def test_target_by_chance_has_to_be_clearly_better():
+    chosen = _offer('chosen', 750.0)
+    for ttft_ms, winner in ((700.0, 'chosen'), (600.0, 'chance')):
+        chance = replace(_offer('chance', ttft_ms), by_chance=True)
+        assert choose_offer([chosen, chance]).unwrap().target == winner
+
+
 def test_refusals_become_the_earliest_one():
     refusals = [
         TargetRefusal('a', 'overload', 900),
--- a/wigeonmill/routing/candidates.py
+++ b/wigeonmill/routing/candidates.py
@@ -73,6 +73,11 @@
     def __len__(self) -> int:
         return len(self._targets)
 
+    @property
+    def count(self) -> int:
+        """Targets that the prefix chooses; any after them came by chance."""
+        return self._count
+
     def pick(
         self,
         block_keys: Sequence[bytes],
--- a/wigeonmill/routing/offers.py
+++ b/wigeonmill/routing/offers.py
@@ -16,7 +16,8 @@
 
     `expected_first_token_ms` includes `expected_wait_ms`. `cached_tokens`
     are in accelerator memory, `fetchable_tokens` would come over the store
-    link, and the rest of `prompt_tokens` would be computed.
+    link, and the rest of `prompt_tokens` would be computed. `by_chance`
+    marks a target that the prefix did not choose.
     """
 
     target: str
@@ -26,6 +27,7 @@
     expected_wait_ms: float
     expected_first_token_ms: float
     reservation: int = 0
+    by_chance: bool = False
 
     @property
     def computed_tokens(self) -> int:
@@ -56,11 +58,13 @@
     """Costs, in milliseconds of time to first token, of shared resources.
 
     Computing tokens delays other requests of the target; fetching tokens
-    takes the link from other requests.
+    takes the link from other requests. A prefix that goes to a target by
+    chance is not looked for there when it returns.
     """
 
     computed_token_ms: float = 0.2
     fetched_token_ms: float = 0.01
+    by_chance_ms: float = 100.0
 
 
 NO_TARGET = 'no_target'
@@ -81,7 +85,8 @@
     """Return the cost of an offer in milliseconds."""
     computing = offer.computed_tokens * costs.computed_token_ms
     fetching = offer.fetchable_tokens * costs.fetched_token_ms
-    return offer.expected_first_token_ms + computing + fetching
+    straying = costs.by_chance_ms if offer.by_chance else 0.0
+    return offer.expected_first_token_ms + computing + fetching + straying
 
 
 def combine_refusals(refusals: Sequence[TargetRefusal]) -> Refusal:
