--- a/wigeonmill/routing/candidates.py
+++ b/wigeonmill/routing/candidates.py
@@ -18,7 +18,7 @@
 from wigeonmill.routing.rendezvous import RendezvousRing
 from wigeonmill.routing.rendezvous import WeightedTarget
 
-SLOTS = 16384
+SLOTS = 4096
 # Counts of blocks at a prompt's start that decide where it goes. A team's
 # prompts often share their first blocks: the longer prefix spreads them.
 PREFIX_BLOCKS = (3, 2)
@@ -73,6 +73,11 @@
     def __len__(self) -> int:
         return len(self._targets)
 
+    @property
+    def count(self) -> int:
+        """Targets that the prefix chooses; any after them came by chance."""
+        return self._count
+
     def pick(
         self,
         block_keys: Sequence[bytes],
