--- a/tests/claims/test_grouped.py
+++ b/tests/claims/test_grouped.py
@@ -91,12 +91,11 @@
 
 async def check_takeover_keeps_answers(cluster):
     first = cluster.store('a')
-    for start in range(0, 60, 10):
-        keys = [f'k{n}' for n in range(start, start + 10)]
-        await answer_all(first, keys)
+    for n in range(60):
+        await answer_all(first, [f'k{n}'])
     assert isinstance((await first.claim(request('open'))).ok(), Claimed)
     segments = await cluster.kv.list_prefix('wigeonmill/claims/journal/')
-    assert len(segments.unwrap()) > 5
+    assert len(segments.unwrap()) > 100
     cluster.dead.add('a')
     second = cluster.store('b')
     for n in range(60):
@@ -110,7 +109,7 @@
 
 
 def test_new_owner_knows_every_claim_and_answer():
-    run(check_takeover_keeps_answers)
+    run(check_takeover_keeps_answers, segment_bytes=1)
 
 
 def test_unsealed_segments_would_lose_answers(monkeypatch):
@@ -119,7 +118,7 @@
 
     monkeypatch.setattr(ShardJournal, '_seal', drop)
     with pytest.raises(AssertionError):
-        run(check_takeover_keeps_answers)
+        run(check_takeover_keeps_answers, segment_bytes=1)
 
 
 def test_concurrent_claims_of_one_key_grant_one():
--- a/wigeonmill/claims/journal.py
+++ b/wigeonmill/claims/journal.py
@@ -1,7 +1,6 @@
 """One shard's journal with group commit, as its owner writes it."""
 
 import asyncio
-import collections
 import random
 
 import msgspec
@@ -9,14 +8,15 @@
 
 from wigeonmill.claims.backoff import Backoff
 from wigeonmill.claims.head_writer import HeadWriter
+from wigeonmill.claims.key_index import KeyIndex
 from wigeonmill.claims.model import Holder
 from wigeonmill.claims.model import RETRIES
 from wigeonmill.claims.record import ClaimRecord
+from wigeonmill.claims.record import encode_record
 from wigeonmill.claims.retention import RetentionLease
 from wigeonmill.claims.segment import decode_entries
 from wigeonmill.claims.segment import encode_entry
 from wigeonmill.claims.segment import encode_segment
-from wigeonmill.claims.segment import Entry
 from wigeonmill.claims.segment import Head
 from wigeonmill.claims.segment import SealedSegment
 from wigeonmill.claims.segment import segment_key
@@ -47,26 +47,18 @@
 class _Waiting:
     """An entry that is not durable yet."""
 
-    __slots__ = ('entry', 'raw', 'size', 'committed')
+    __slots__ = ('name', 'record', 'raw', 'size', 'committed')
 
-    def __init__(self, entry: Entry, committed: asyncio.Future) -> None:
-        self.entry = entry
-        self.raw = encode_entry(entry)
+    def __init__(
+        self, name: str, record: bytes, committed: asyncio.Future
+    ) -> None:
+        self.name = name
+        self.record = record
+        self.raw = encode_entry(name, record)
         self.size = len(bytes(self.raw))
         self.committed = committed
 
 
-class _Sealed:
-    """A sealed segment as remembered until its retention is over."""
-
-    __slots__ = ('at_ms', 'size', 'entries')
-
-    def __init__(self, at_ms: float, size: int, entries: list[Entry]) -> None:
-        self.at_ms = at_ms
-        self.size = size
-        self.entries = entries
-
-
 class ShardJournal:
     """Appends entries; many share one compare-and-swap of the head.
 
@@ -96,62 +88,48 @@
         self._shard = shard
         self._writer = HeadWriter(kv, metrics, rng, shard, head, version)
         self._head_bytes = _size(head.entries)
-        # Entries of the head, in journal order.
-        self.head_entries = decode_entries(head.entries)
-        # The durable state of every key, by name.
-        self.records: dict[str, ClaimRecord] = {}
-        self.records.update((e.name, e.record) for e in self.head_entries)
-        self._appended_ms = clock.now_ms()
-        self._seal_next = False
-        self._sealed: collections.deque[_Sealed] = collections.deque()
-        self._sealed_bytes = 0
+        self._index = KeyIndex(clock, retention.longest_ms)
         self._queue: list[_Waiting] = []
         self._queue_bytes = 0
         self._flusher: asyncio.Task | None = None
         self._next_flush_ms = float('-inf')
         self.lost = False
+        for entry in decode_entries(head.entries):
+            self._index.keep(entry.name, bytes(entry.record), head.number)
+
+    @property
+    def key_count(self) -> int:
+        """Number of keys whose state is kept."""
+        return self._index.key_count
 
     @property
     def size_bytes(self) -> int:
         """Bytes of entries kept, those under way included."""
-        return self._sealed_bytes + self._head_bytes + self._queue_bytes
-
-    def load_sealed(self, raws: list[msgspec.Raw]) -> None:
-        """Take in what an earlier owner sealed; call newest first."""
-        entries = decode_entries(raws)
-        size = _size(raws)
-        self._sealed.appendleft(_Sealed(self._clock.now_ms(), size, entries))
-        self._sealed_bytes += size
-        for entry in reversed(entries):
-            self.records.setdefault(entry.name, entry.record)
-
-    def _remember_sealed(self, size: int, entries: list[Entry]) -> None:
-        now_ms = self._clock.now_ms()
-        self._sealed.append(_Sealed(now_ms, size, entries))
-        self._sealed_bytes += size
+        return self._index.sealed_bytes + self._head_bytes + self._queue_bytes
+
+    def get(self, name: str) -> ClaimRecord | None:
+        """Return the durable state of a key."""
+        return self._index.get(name)
+
+    def load_sealed(self, segments: list[SealedSegment]) -> None:
+        """Take in what earlier owners sealed, newest first."""
+        number = self._writer.head.number
+        for segment in segments:
+            number -= 1
+            size = _size(segment.entries)
+            entries = decode_entries(segment.entries)
+            self._index.load_older(number, size, entries)
 
     def drop_expired(self) -> None:
         """Forget entries past retention."""
-        oldest_ms = self._clock.now_ms() - self._retention.longest_ms
-        expired: list[Entry] = []
-        while self._sealed and self._sealed[0].at_ms < oldest_ms:
-            segment = self._sealed.popleft()
-            self._sealed_bytes -= segment.size
-            expired += segment.entries
-        if self.head_entries and self._appended_ms < oldest_ms:
-            expired += self.head_entries
-            self.head_entries = []
-            self._seal_next = True
-        for entry in expired:
-            if self.records.get(entry.name) is entry.record:
-                del self.records[entry.name]
+        self._index.drop_expired()
 
     async def append(self, name: str, record: ClaimRecord) -> bool:
         """Return True once the entry is durable, False when `lost`."""
         if self.lost:
             return False
         committed = asyncio.get_running_loop().create_future()
-        waiting = _Waiting(Entry(name, record), committed)
+        waiting = _Waiting(name, encode_record(record), committed)
         self._queue.append(waiting)
         self._queue_bytes += waiting.size
         if self._flusher is None or self._flusher.done():
@@ -176,7 +154,6 @@
                 return
             self._metrics.count(FLUSHES)
             for waiting in batch:
-                self.records[waiting.entry.name] = waiting.entry.record
                 _resolve(waiting.committed, True)
 
     async def _pace(self) -> None:
@@ -209,38 +186,34 @@
             _resolve(one.committed, False)
 
     async def _flush(self, batch: list[_Waiting]) -> bool:
-        added = [waiting.raw for waiting in batch]
-        entries = [waiting.entry for waiting in batch]
         size = sum(waiting.size for waiting in batch)
         fits = self._head_bytes + size <= self._policy.segment_bytes
-        if (self._seal_next or not fits) and self._writer.head.entries:
-            return await self._flush_sealed(added, entries, size)
-        raws = self._writer.head.entries + added
-        head = msgspec.structs.replace(self._writer.head, entries=raws)
-        if not await self._writer.swap(head):
-            return False
-        self._head_bytes += size
-        self.head_entries += entries
-        self._appended_ms = self._clock.now_ms()
-        return True
-
-    async def _flush_sealed(
-        self, added: list[msgspec.Raw], entries: list[Entry], size: int
-    ) -> bool:
+        full = self._index.head_expired or not fits
+        added = [waiting.raw for waiting in batch]
+        if full and self._writer.head.entries:
+            written = await self._flush_sealed(added)
+        else:
+            raws = self._writer.head.entries + added
+            head = msgspec.structs.replace(self._writer.head, entries=raws)
+            written = await self._writer.swap(head)
+        if written:
+            self._head_bytes += size
+            number = self._writer.head.number
+            for one in batch:
+                self._index.keep(one.name, one.record, number)
+        return written
+
+    async def _flush_sealed(self, added: list[msgspec.Raw]) -> bool:
         """Seal the head's entries and start the next segment."""
+        old = self._writer.head
+        previous = await self._seal()
         head = msgspec.structs.replace(
-            self._writer.head,
-            number=self._writer.head.number + 1,
-            previous=await self._seal(),
-            entries=added,
+            old, number=old.number + 1, previous=previous, entries=added
         )
         if not await self._writer.swap(head):
             return False
-        self._remember_sealed(self._head_bytes, self.head_entries)
-        self._seal_next = False
-        self._head_bytes = size
-        self.head_entries = entries
-        self._appended_ms = self._clock.now_ms()
+        self._index.seal(old.number, self._head_bytes)
+        self._head_bytes = 0
         return True
 
     async def _seal(self) -> str:
--- a/wigeonmill/claims/opener.py
+++ b/wigeonmill/claims/opener.py
@@ -17,8 +17,8 @@
 from wigeonmill.claims.segment import encode_head
 from wigeonmill.claims.segment import Head
 from wigeonmill.claims.segment import head_key
+from wigeonmill.claims.segment import page_prefix
 from wigeonmill.claims.segment import SealedSegment
-from wigeonmill.claims.segment import segments_prefix
 from wigeonmill.claims.shard import ShardOwner
 from wigeonmill.claims.shard import ShardPolicy
 from wigeonmill.clock import Clock
@@ -84,16 +84,19 @@
         """Return the segments that the head leads to, newest first."""
         if head is None or not head.previous:
             return Ok([])
-        listed = await self._kv.list_prefix(segments_prefix(shard))
-        if isinstance(listed, Err):
-            return listed
-        values = {entry.key: entry.value for entry in listed.ok_value}
-        chain = []
+        values: dict[str, bytes] = {}
+        chain: list[SealedSegment] = []
         key = head.previous
-        while key in values:
-            segment = decode_segment(values[key])
-            chain.append(segment)
-            key = segment.previous
+        while key:
+            if key not in values:
+                listed = await self._kv.list_prefix(page_prefix(shard, key))
+                if isinstance(listed, Err):
+                    return listed
+                values = {entry.key: entry.value for entry in listed.ok_value}
+            if key not in values:
+                break
+            chain.append(decode_segment(values[key]))
+            key = chain[-1].previous
         return Ok(chain)
 
     async def _swap(
@@ -136,6 +139,5 @@
             head,
             version,
         )
-        for segment in sealed:
-            journal.load_sealed(segment.entries)
+        journal.load_sealed(sealed)
         return ShardOwner(self._clock, self._policy, journal)
--- a/wigeonmill/claims/record.py
+++ b/wigeonmill/claims/record.py
@@ -11,6 +11,7 @@
 
 # A holder's claim counts as in progress this long past its deadline.
 EXPIRY_MARGIN_MS = 2_000
+NAME_BYTES = 20
 
 
 class ClaimState(enum.IntEnum):
@@ -105,12 +106,12 @@
 
 def key_name(service: str, team: str, idempotency_key: str) -> str:
     """Return the key-value name part of one team's idempotency key."""
-    sha = hashlib.sha256()
+    digest = hashlib.blake2b(digest_size=NAME_BYTES)
     for part in (service, team, idempotency_key):
         data = part.encode()
-        sha.update(len(data).to_bytes(8, 'big'))
-        sha.update(data)
-    return sha.hexdigest()
+        digest.update(len(data).to_bytes(8, 'big'))
+        digest.update(data)
+    return digest.hexdigest()
 
 
 def encode_record(record: ClaimRecord) -> bytes:
--- a/wigeonmill/claims/segment.py
+++ b/wigeonmill/claims/segment.py
@@ -10,16 +10,19 @@
 import msgspec
 
 from wigeonmill.claims.model import Holder
-from wigeonmill.claims.record import ClaimRecord
 
 JOURNAL_PREFIX = 'wigeonmill/claims/journal/'
 
+NUMBER_DIGITS = 10
+# A listing leaves out the last digits of the number: 100 segments.
+PAGE_DIGITS = 2
+
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
-    """The state of one key from this entry on."""
+    """The state of one key from this entry on; `record` is encoded."""
 
     name: str
-    record: ClaimRecord
+    record: msgspec.Raw
 
 
 class Head(msgspec.Struct, array_like=True):
@@ -57,7 +60,14 @@
 
 def segment_key(shard: int, number: int, tenure: bytes) -> str:
     """Return the key of a sealed segment; no two tenures share one."""
-    return f'{segments_prefix(shard)}{number:010d}-{tenure.hex()}'
+    return f'{segments_prefix(shard)}{number:0{NUMBER_DIGITS}d}-{tenure.hex()}'
+
+
+def page_prefix(shard: int, key: str) -> str:
+    """Return the prefix of the 100 segments listed together with `key`."""
+    prefix = segments_prefix(shard)
+    digits = key.removeprefix(prefix)[: NUMBER_DIGITS - PAGE_DIGITS]
+    return prefix + digits
 
 
 def shard_of(name: str, shards: int) -> int:
@@ -65,8 +75,9 @@
     return int(name[:8], 16) % shards
 
 
-def encode_entry(entry: Entry) -> msgspec.Raw:
+def encode_entry(name: str, record: bytes) -> msgspec.Raw:
     """Encode one entry, so that a segment's rewrite need not."""
+    entry = Entry(name, msgspec.Raw(record))
     return msgspec.Raw(msgspec.msgpack.encode(entry))
 
 
--- a/wigeonmill/claims/shard.py
+++ b/wigeonmill/claims/shard.py
@@ -21,8 +21,8 @@
 class ShardPolicy(msgspec.Struct, frozen=True):
     """Bounds of one shard; beyond them new keys are refused."""
 
-    max_keys: int = 100_000
-    max_bytes: int = 32 * 1024 * 1024
+    max_keys: int = 200_000
+    max_bytes: int = 64 * 1024 * 1024
     journal: JournalPolicy = JournalPolicy()
 
 
@@ -79,7 +79,7 @@
         del self._busy[name]
 
     async def _handle(self, request: OwnerRequest) -> OwnerReply:
-        current = self._journal.records.get(request.name)
+        current = self._journal.get(request.name)
         if request.action is OwnerAction.CLAIM:
             return await self._claim(request, current)
         if request.action is OwnerAction.ANSWER:
@@ -138,6 +138,6 @@
 
     def _is_full(self) -> bool:
         self._journal.drop_expired()
-        if len(self._journal.records) >= self._policy.max_keys:
+        if self._journal.key_count >= self._policy.max_keys:
             return True
         return self._journal.size_bytes >= self._policy.max_bytes
