--- /dev/null
+++ b/tests/protocol/test_client.py
@@ -0,0 +1,35 @@
+"""The connecting side while a connection is not yet made."""
+
+import asyncio
+import socket
+
+from wigeonmill.protocol.client import PeerClient
+from wigeonmill.protocol.client import PeerErrorKind
+from wigeonmill.protocol.client import PeerPool
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
+from wigeonmill.protocol.gen.inner.ttypes import Kind
+from wigeonmill.protocol.handshake import InnerKeys
+
+
+def make_client(address):
+    keys = InnerKeys((b'client-test-key!',))
+    return PeerClient(
+        address, 'a', 'entry', lambda: keys, lambda: 0, lambda *_seen: None
+    )
+
+
+def test_dropping_a_client_ends_its_requests_with_an_error():
+    async def body():
+        with socket.create_server(('127.0.0.1', 0)) as silent:
+            address = f'127.0.0.1:{silent.getsockname()[1]}'
+            pool = PeerPool(make_client)
+            envelope = Envelope(Kind.STATUS_REQUEST)
+            request = asyncio.ensure_future(
+                pool.get(address).request(envelope, 5000.0)
+            )
+            await asyncio.sleep(0.05)
+            pool.drop(address)
+            outcome = await asyncio.wait_for(request, 2.0)
+            assert outcome.unwrap_err().kind is PeerErrorKind.UNREACHABLE
+
+    asyncio.run(body())
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -181,8 +181,11 @@
     async def _connect_once(self) -> Conn | None:
         if self._opening is None or self._opening.done():
             self._opening = asyncio.ensure_future(self._connect())
-        # A cancelled caller must not cancel the others' connection attempt.
-        return await asyncio.shield(self._opening)
+        opening = self._opening
+        # A cancelled caller must not cancel the others' attempt, and an
+        # attempt that `close` cancels must not cancel the callers.
+        await asyncio.wait([opening])
+        return None if opening.cancelled() else opening.result()
 
     async def _connect(self) -> Conn | None:
         try:
