Take no work after a pause until the configuration is current

A process stopped for a while acts first on messages from before the pause. A gap of more than 1 s between beats now counts as a pause; the agent refuses new and waiting work until a neighbor or the key-value service has told it the newest configuration.

--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from pathlib import Path
+import time
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from wigeonmill.clock import Clock
 from wigeonmill.config.reader import read_document
 from wigeonmill.config.sections import normalize
+from wigeonmill.membership.catch_up import PAUSE_MS
 from wigeonmill.membership.member import State
 from wigeonmill.standins.memory_key_value import KvFaults
 from wigeonmill.standins.memory_key_value import MemoryKeyValue
@@ -122,3 +124,26 @@
         await until(lambda: old.membership.superseded)
 
     run(scenario, ('a', 'b', 'c'))
+
+
+def test_a_paused_node_takes_no_work_until_it_has_caught_up():
+    async def scenario(fleet):
+        document = read_document(ISOKO).unwrap()
+        await fleet.apply(document)
+        nodes = list(fleet.nodes.values())
+        await until(lambda: all(n.holder.serial == 1 for n in nodes))
+        late = next(n for n in nodes if not n.membership.is_reader)
+        states = []
+        late.membership.subscribe(
+            lambda: states.append(
+                (late.membership.catching_up, late.holder.serial)
+            )
+        )
+        # The loop stops for all; only `late` looks at its clock meanwhile.
+        time.sleep(PAUSE_MS / 1000.0 + 0.1)
+        late.membership.check_pause()
+        assert states == [(True, 1)]
+        await until(lambda: not late.membership.catching_up)
+        assert late.metrics.value('own_pauses') == 1
+
+    run(scenario)
--- a/wigeonmill/agent/role.py
+++ b/wigeonmill/agent/role.py
@@ -56,6 +56,7 @@
         self._claims: ClaimStore | None = None
         self._closers: list[Callable[[], None]] = []
         self._draining = False
+        self._vm_leaving = False
         node.handlers.append(self._handle)
         node.holder.subscribe(self._on_config)
         node.membership.subscribe(self._on_membership)
@@ -219,9 +220,13 @@
         context, service = self._context, self._service
         if context is None or service is None or self._draining:
             return
-        leaving = self._node.membership.own_vm_leaving
+        membership = self._node.membership
+        vm_leaving = membership.own_vm_leaving
+        if vm_leaving != self._vm_leaving:
+            self._vm_leaving = vm_leaving
+            logger.info('the VM is leaving: %s', vm_leaving)
+        leaving = vm_leaving or membership.catching_up
         if leaving != context.leaving:
-            logger.info('the VM is leaving: %s', leaving)
             self._set_leaving(context, service, leaving)
 
     def _set_leaving(
@@ -233,5 +238,6 @@
 
     async def _tick(self, service: AgentService) -> None:
         while True:
+            self._node.membership.check_pause()
             service.tick()
             await asyncio.sleep(TICK_MS / 1000.0)
--- /dev/null
+++ b/wigeonmill/membership/catch_up.py
@@ -0,0 +1,91 @@
+"""Holds new work back after a pause until the configuration is current.
+
+A process that was stopped for a while holds messages in its sockets that
+were sent under a configuration of then. It must not act on them before it
+has heard what changed meanwhile.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import logging
+from typing import Any
+
+from wigeonmill.clock import Clock
+from wigeonmill.membership.config_feed import ConfigFeed
+from wigeonmill.membership.gossip import Gossiper
+from wigeonmill.metrics import Metrics
+
+logger = logging.getLogger(__name__)
+
+BEAT_MS = 200.0
+# A gap between two beats that counts as a pause.
+PAUSE_MS = 1_000.0
+RETRY_MS = 250.0
+
+
+class CatchUp:
+    """Notices pauses of this process and catches up after each."""
+
+    __slots__ = (
+        'active',
+        '_gossiper',
+        '_feed',
+        '_clock',
+        '_metrics',
+        '_spawn',
+        '_on_change',
+        '_beat_ms',
+    )
+
+    def __init__(
+        self,
+        gossiper: Gossiper,
+        feed: ConfigFeed,
+        clock: Clock,
+        metrics: Metrics,
+        spawn: Callable[[Coroutine[Any, Any, None]], 'asyncio.Task[None]'],
+        on_change: Callable[[], None],
+    ) -> None:
+        # True from a pause until the configuration is known to be current.
+        self.active = False
+        self._gossiper = gossiper
+        self._feed = feed
+        self._clock = clock
+        self._metrics = metrics
+        self._spawn = spawn
+        self._on_change = on_change
+        self._beat_ms = clock.now_ms()
+
+    async def run(self) -> None:
+        """Beat until cancelled."""
+        while True:
+            self.check()
+            await asyncio.sleep(BEAT_MS / 1000.0)
+
+    def check(self) -> None:
+        """Notice a pause; to be called before any message is acted on."""
+        now_ms = self._clock.now_ms()
+        paused_ms = now_ms - self._beat_ms
+        self._beat_ms = now_ms
+        if paused_ms < PAUSE_MS or self.active:
+            return
+        self._metrics.count('own_pauses')
+        logger.warning('this process was paused for %d ms', paused_ms)
+        self.active = True
+        self._on_change()
+        self._spawn(self._catch_up())
+
+    async def _catch_up(self) -> None:
+        while not await self._is_current():
+            self._metrics.count('config_retries', 'own_pause')
+            await asyncio.sleep(RETRY_MS / 1000.0)
+        self.active = False
+        self._on_change()
+
+    async def _is_current(self) -> bool:
+        """Ask all neighbors, else the key-value service."""
+        if await self._gossiper.catch_up():
+            return True
+        # Alone in an outage, the last configuration stays in force.
+        return await self._feed.read_now() or not self._gossiper.neighbors
--- a/wigeonmill/membership/config_feed.py
+++ b/wigeonmill/membership/config_feed.py
@@ -108,6 +108,10 @@
             await asyncio.sleep(pause_ms * self._jitter() / 1000.0)
             pause_ms = min(pause_ms * 2, RETRY_MAX_MS)
 
+    async def read_now(self) -> bool:
+        """Read the key-value service; False if it did not answer."""
+        return bool(await self._read())
+
     async def ask_peers(self) -> None:
         """Adopt the highest configuration of several peers."""
         await self._peers.pull_from_several(COLD_START_PEERS)
--- a/wigeonmill/membership/gossip.py
+++ b/wigeonmill/membership/gossip.py
@@ -40,6 +40,7 @@
 PAUSE_SLACK_MS = 3_000.0
 RETRY_PAUSE_MS = 200.0
 FLUSH_PAUSE_MS = 20.0
+NO_ANSWER = -1
 # Accounts in one message, but for the answer to a request for all.
 MAX_MEMBERS = 64
 MAX_SYNCED_MEMBERS = 4096
@@ -133,6 +134,20 @@
         self._release(address)
         return answered
 
+    async def catch_up(self) -> bool:
+        """Get the newest configuration of all neighbors.
+
+        Returns whether any answered and the newest is now in force.
+        """
+        asked = list(self.neighbors)
+        serials = await asyncio.gather(
+            *(self._ask_serial(member.address) for member in asked)
+        )
+        newest = max(serials, default=NO_ANSWER)
+        if newest > self._holder.serial:
+            await self.pull(asked[serials.index(newest)].address)
+        return NO_ANSWER < newest <= self._holder.serial
+
     async def exchange(self, address: str, message: Gossip) -> bool:
         """Send a message and take the answer; False if there is none."""
         reply = await self._request(address, message, EXCHANGE_TIMEOUT_MS)
@@ -274,6 +289,14 @@
             self.poke()
         return accounts[0]
 
+    async def _ask_serial(self, address: str) -> int:
+        message = self._compose(None)
+        reply = await self._request(address, message, EXCHANGE_TIMEOUT_MS)
+        if reply is None:
+            return NO_ANSWER
+        self._take(reply[0], reply[1])
+        return reply[1]
+
     async def _ask_for_view(self, address: str) -> None:
         message = self._compose(None)
         message.want_members = True
--- a/wigeonmill/membership/membership.py
+++ b/wigeonmill/membership/membership.py
@@ -11,6 +11,7 @@
 from wigeonmill.config.holder import ConfigHolder
 from wigeonmill.config.model import Document
 from wigeonmill.membership.availability import unavailable_targets
+from wigeonmill.membership.catch_up import CatchUp
 from wigeonmill.membership.config_feed import ConfigFeed
 from wigeonmill.membership.freshness import Freshness
 from wigeonmill.membership.gossip import Gossiper
@@ -87,6 +88,9 @@
         self.feed = ConfigFeed(
             key_value, holder, freshness, peers, rng, metrics
         )
+        self._catch_up = CatchUp(
+            self.gossiper, self.feed, clock, metrics, spawn, self._notify
+        )
         self._readers = [Reader(lambda: spawn(self.feed.follow_key()))]
         if vm_list is not None:
             vm_feed = VmListFeed(vm_list, self.vm_news, rng, metrics)
@@ -102,6 +106,11 @@
         names = tuple(name for name in (me.name, me.target) if name)
         return self.vm_news.is_leaving(names, me.address)
 
+    @property
+    def catching_up(self) -> bool:
+        """Whether this process was paused and may be behind."""
+        return self._catch_up.active
+
     @property
     def superseded(self) -> bool:
         """Whether a later process bears this process's name."""
@@ -117,6 +126,11 @@
         self._set_readers()
         self._spawn(self.feed.follow_hints())
         self._spawn(self._run())
+        self._spawn(self._catch_up.run())
+
+    def check_pause(self) -> None:
+        """Notice a pause of this process before it acts on a message."""
+        self._catch_up.check()
 
     def subscribe(self, listener: Listener) -> None:
         """Call `listener` when members or leaving VMs have changed."""
@@ -206,6 +220,9 @@
             self.unavailable = unavailable_targets(
                 document, self.view, self.vm_news
             )
+        self._notify()
+
+    def _notify(self) -> None:
         for listener in self._listeners:
             listener()
 
--- a/wigeonmill/node.py
+++ b/wigeonmill/node.py
@@ -177,6 +177,7 @@
         self.adopted_at_ms = self.clock.wall_ms()
 
     def _on_envelope(self, conn: Conn, envelope: Envelope) -> None:
+        self.membership.check_pause()
         if envelope.config_serial:
             self._on_serial(conn.peer, envelope.config_serial)
         if envelope.kind == Kind.STATUS_REQUEST:
