--- a/wigeonmill/membership/gossip.py
+++ b/wigeonmill/membership/gossip.py
@@ -21,14 +21,13 @@
 from wigeonmill.membership.member import State
 from wigeonmill.membership.member import to_wire
 from wigeonmill.membership.overlay import neighbors
+from wigeonmill.membership.peer_link import PeerLink
 from wigeonmill.membership.view import View
 from wigeonmill.membership.view_sync import ViewSync
 from wigeonmill.membership.vm_news import VmNews
 from wigeonmill.metrics import Metrics
 from wigeonmill.protocol.client import PeerPool
-from wigeonmill.protocol.gen.inner.ttypes import Envelope
 from wigeonmill.protocol.gen.inner.ttypes import Gossip
-from wigeonmill.protocol.gen.inner.ttypes import Kind
 
 logger = logging.getLogger(__name__)
 
@@ -63,7 +62,7 @@
     ) -> None:
         self.view = view
         self.neighbors: list[Member] = []
-        self._pool = pool
+        self._link = PeerLink(pool, metrics)
         self._holder = holder
         self._config = ConfigExchange(holder, metrics)
         self._freshness = freshness
@@ -83,12 +82,8 @@
         if self.view.version == self._version:
             return
         self._version = self.view.version
-        chosen = neighbors(self.view.me, self.view.alive())
-        kept = {member.address for member in chosen}
-        for member in self.neighbors:
-            if member.address not in kept:
-                self._pool.drop(member.address)
-        self.neighbors = chosen
+        self.neighbors = neighbors(self.view.me, self.view.alive())
+        self._link.keep(member.address for member in self.neighbors)
         self._on_change()
 
     async def probe_next(self) -> None:
@@ -131,7 +126,7 @@
         message = self._compose(member)
         message.want_members = self.view.alive_count == 1
         answered = await self.exchange(address, message)
-        self._release(address)
+        self._link.release(address)
         return answered
 
     async def catch_up(self) -> bool:
@@ -150,12 +145,11 @@
 
     async def exchange(self, address: str, message: Gossip) -> bool:
         """Send a message and take the answer; False if there is none."""
-        reply = await self._request(address, message, EXCHANGE_TIMEOUT_MS)
+        reply = await self._link.request(address, message, EXCHANGE_TIMEOUT_MS)
         if reply is None:
             return False
-        gossip, serial = reply
-        self._take(gossip, serial, bool(message.want_members))
-        if self._sync.due(gossip.view_digest or 0):
+        self._take(reply.gossip, reply.serial, bool(message.want_members))
+        if self._sync.due(reply.gossip.view_digest or 0):
             self._spawn(self._ask_for_view(address))
         return True
 
@@ -165,7 +159,7 @@
         if pulled is Pulled.BROKEN:
             self._metrics.count('config_retries', 'whole')
             pulled = await self._pull(address, whole=True)
-        self._release(address)
+        self._link.release(address)
         return pulled is Pulled.ADOPTED
 
     def answer(self, req: Gossip, serial: int) -> Gossip:
@@ -195,12 +189,7 @@
 
     async def _probe_stranger(self, member: Member) -> None:
         await self.probe(member)
-        self._release(member.address)
-
-    def _release(self, address: str) -> None:
-        """Keep no connection to a peer that is not a neighbor."""
-        if address not in {member.address for member in self.neighbors}:
-            self._pool.drop(address)
+        self._link.release(member.address)
 
     async def _flush_later(self) -> None:
         await asyncio.sleep(FLUSH_PAUSE_MS / 1000.0)
@@ -221,30 +210,14 @@
         message = self._compose(None)
         self._config.ask(message, whole)
         timeout_ms = WHOLE_PULL_TIMEOUT_MS if whole else PULL_TIMEOUT_MS
-        reply = await self._request(address, message, timeout_ms)
+        reply = await self._link.request(address, message, timeout_ms)
         if reply is None:
             self._metrics.count('config_reads_failed', 'peer')
             return Pulled.NOTHING_NEWER
-        pulled = self._config.take(reply[0], whole)
-        self._take(reply[0], reply[1])
+        pulled = self._config.take(reply.gossip, whole)
+        self._take(reply.gossip, reply.serial)
         return pulled
 
-    async def _request(
-        self, address: str, message: Gossip, timeout_ms: float
-    ) -> tuple[Gossip, int] | None:
-        envelope = Envelope(Kind.GOSSIP, gossip=message)
-        client = self._pool.get(address)
-        reply = await client.request(envelope, timeout_ms)
-        if reply.is_err():
-            kind = reply.unwrap_err().kind.value
-            self._metrics.count('gossip_failures', kind)
-            return None
-        received = reply.unwrap()
-        if received.gossip is None:
-            self._metrics.count('gossip_failures', 'refused')
-            return None
-        return received.gossip, received.config_serial or 0
-
     def _compose(
         self, peer: Member | None, news: list[Member] | None = None
     ) -> Gossip:
@@ -291,11 +264,11 @@
 
     async def _ask_serial(self, address: str) -> int:
         message = self._compose(None)
-        reply = await self._request(address, message, EXCHANGE_TIMEOUT_MS)
+        reply = await self._link.request(address, message, EXCHANGE_TIMEOUT_MS)
         if reply is None:
             return NO_ANSWER
-        self._take(reply[0], reply[1])
-        return reply[1]
+        self._take(reply.gossip, reply.serial)
+        return reply.serial
 
     async def _ask_for_view(self, address: str) -> None:
         message = self._compose(None)
