--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -10,6 +10,7 @@
 from bench.capacity_model import MEMBERS
 from bench.capacity_model import REQUESTS_PER_S
 from bench.capacity_model import RESTARTS_PER_DAY
+from bench.capacity_model import TOKENS_PER_S
 from bench.capacity_table import show
 from wigeonmill.membership.config_feed import WATCH_MS
 from wigeonmill.membership.overlay import READERS_PER_DOMAIN
@@ -93,27 +94,51 @@
         ),
         (
             'each process',
-            'processor for control',
+            'processor for control, composed',
             show(share * 100, '% of a core'),
             '1.4 %',
             'one exchange a second; changes by section',
-            f'{CONTROL} (idle), {STATE} (changes, membership)',
+            f'{CONTROL} (idle, worst), {STATE} at full size',
         ),
         (
             'each process',
-            'control bytes, sent and received',
+            'processor for control, straight line',
+            show(measured.estimate('day_core_share') * 100, '% of a core'),
+            '1.4 %',
+            'the same',
+            f'{CONTROL}, slopes over processes and teams',
+        ),
+        (
+            'each process',
+            'control bytes, composed',
             show((idle_bytes + changed + announced + rumors) / 1000, 'KB/s'),
             '20 KB/s',
             f'{2 * RINGS} neighbors; rumors once; changed sections only',
-            f'{CONTROL} (idle), {STATE} (changes, rumors)',
+            f'{CONTROL} (idle, worst), {STATE} at full size',
+        ),
+        (
+            'each process',
+            'control bytes, straight line',
+            show(measured.estimate('day_bytes_per_s') / 1000, 'KB/s'),
+            '20 KB/s',
+            'the same',
+            f'{CONTROL}, slopes over processes and teams',
         ),
         (
             'fleet',
             'in force everywhere, worst measured',
             show(measured.worst('in_force_ms_max') / 1000, 's'),
-            '3 s measured, 13 s at the target',
+            '3 s',
             'pushed to all neighbors, fetched from whoever is ahead',
-            f'{CONTROL}; not extrapolated, hops grow with the logarithm',
+            f'{CONTROL}, no faults',
+        ),
+        (
+            'fleet',
+            'in force everywhere, straight line',
+            show(measured.estimate('in_force_ms_max') / 1000, 's'),
+            '13 s',
+            'the same; hops grow with the logarithm of the size',
+            f'{CONTROL}, slopes over processes and teams',
         ),
     ]
 
@@ -122,6 +147,8 @@
     entry_rate = REQUESTS_PER_S / ENTRIES
     agent_rate = REQUESTS_PER_S / AGENTS
     entry = entry_rate / measured.path_figure('entry_requests_per_core_s')
+    tokens = TOKENS_PER_S / ENTRIES
+    streaming = tokens / measured.path_figure('entry_tokens_per_core_s')
     agent = agent_rate / measured.path_figure('agent_requests_per_core_s')
     return [
         (
@@ -132,6 +159,14 @@
             'requests spread by the balancer',
             f'{PATH}, requests per core',
         ),
+        (
+            'entry',
+            f'processor for {tokens:,.0f} tokens/s (the same work)',
+            show(streaming * 100, '% of a core'),
+            'under 1 core',
+            'parts of an answer share frames and writes',
+            f'{PATH}, tokens per core',
+        ),
         (
             'agent',
             f'processor for {agent_rate:.1f} requests/s',
--- /dev/null
+++ b/tests/test_capacity_page.py
@@ -0,0 +1,13 @@
+"""The capacity page shows what the recorded measurements give."""
+
+from bench.capacity import make_tables
+from bench.capacity import PAGE
+from bench.capacity import put_into_page
+from bench.capacity_model import Measurements
+
+
+def test_the_page_has_the_tables_of_the_records():
+    page = PAGE.read_text(encoding='utf-8')
+    tables = make_tables(Measurements())
+    assert '1.4 %' in tables
+    assert put_into_page(page, tables) == page
