--- a/tests/membership/test_processes.py
+++ b/tests/membership/test_processes.py
@@ -70,7 +70,11 @@
 def test_drain_is_in_force_and_a_paused_process_catches_up():
     async def scenario(fleet):
         paused = fleet.daemons[FIRST].process
+        assert await call(fleet) == [200] * 12
         paused.signal(signal.SIGSTOP)
+        # Some of these wait in the paused agent's socket.
+        waiting = asyncio.ensure_future(call(fleet))
+        await asyncio.sleep(0.2)
         await fleet.set_domain(DOMAINS[0][0], False)
         await asyncio.sleep(LIMIT_S)
         others = [name for name in fleet.daemons if name != FIRST]
@@ -83,7 +87,7 @@
         await everyone_reads(fleet, 'members_gone', 1.0, but=[FIRST])
         before = await reads_at(fleet, 0)
         paused.signal(signal.SIGCONT)
-        assert await call(fleet) == [200] * 12
+        assert await waiting == [200] * 12
         await fleet.wait_joined()
         assert await call(fleet) == [200] * 12
         assert await reads_at(fleet, 0) == before
