End a request at once when its caller leaves

Cause: closing a stream did not wake its reader, so a request whose caller had left waited for its deadline. Until then it held a place of its team and of the entry, and a graceful stop took 56 s in a trial of the quickstart with one caller gone. A failed answer that was not streamed also went into the histogram of first tokens. Change: close() wakes the reader; a handler whose caller has gone ends without a refusal, and cancels a run that is accepted later. Only a first part counts as a first token. Result: the new test of tests/test_embedded.py times out after 20 s without the change and passes with it; the answers feature passes.

--- a/tests/test_embedded.py
+++ b/tests/test_embedded.py
@@ -44,6 +44,48 @@
     with_system(scenario)
 
 
+def test_a_caller_that_leaves_holds_no_place():
+    raw = {
+        'embedded': {'engine_speed': 1.0},
+        'agent': {'detached_run_ms': 200},
+    }
+
+    async def leave(system, caller, body):
+        metrics = system.entry_node.metrics
+        data = json.dumps(body).encode()
+        host, port = system.address.split(':')
+        _reader, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            'POST /v1/completions HTTP/1.1\r\nHost: test\r\n'
+            f'Authorization: Bearer {caller.key}\r\n'
+            f'Content-Length: {len(data)}\r\n\r\n'
+        )
+        writer.write(head.encode() + data)
+        await wait_for(lambda: 'open_requests 1.0' in metrics.render())
+        await wait_for(lambda: busy(system))
+        writer.close()
+        await wait_for(lambda: 'open_requests 0.0' in metrics.render())
+        assert not metrics.reasons('refusals')
+        await wait_for(lambda: not busy(system))
+
+    def busy(system):
+        agents = [a for n, a in system.agents.items() if 'engine' in n]
+        audits = [agent.target.state.audit() for agent in agents]
+        return any(not r.finished_ms for a in audits for r in a.requests)
+
+    async def scenario(system, caller, document):
+        # The answer would take 160 s.
+        body = {
+            'model': document.models[0].name,
+            'prompt': 'keg',
+            'max_tokens': 8192,
+        }
+        for stream in (True, False):
+            await leave(system, caller, {**body, 'stream': stream})
+
+    with_system(scenario, None, raw)
+
+
 def test_evicted_prefix_comes_back_from_the_store():
     def small_cache(options):
         options.cache_blocks = 8
--- a/wigeonmill/entry/model_run.py
+++ b/wigeonmill/entry/model_run.py
@@ -137,6 +137,8 @@
                 return _interrupted('the run has no connection')
             received = await stream.receive(self._left_ms())
             if received.is_err():
+                if self._stream is not stream:
+                    return _interrupted('the caller has gone')
                 if received.unwrap_err().kind is PeerErrorKind.TIMEOUT:
                     self.cancel()
                     return ApiError(
--- a/wigeonmill/entry/models.py
+++ b/wigeonmill/entry/models.py
@@ -47,6 +47,7 @@
         super().initialize(context)
         self._run: ModelRun | None = None
         self._streaming = False
+        self._caller_gone = False
         self._parts = 0
         self._started_ms = context.clock.now_ms()
 
@@ -68,6 +69,7 @@
 
     def on_connection_close(self) -> None:
         super().on_connection_close()
+        self._caller_gone = True
         if self._run is None:
             return
         if self._streaming:
@@ -84,6 +86,9 @@
         )
         self._run = run
         error = await self._begin(run)
+        if self._caller_gone:
+            run.cancel()
+            return
         if error is not None:
             self.refuse(error)
             return
@@ -123,6 +128,8 @@
                 run.caller_left()
                 return
             step = await self._next_part(run)
+        if self._caller_gone:
+            return
         if isinstance(step, ApiError):
             self.context.metrics.count('refusals', step.reason.value)
             self.write(error_event(step))
@@ -134,10 +141,13 @@
     async def _collect(self, run: ModelRun, shape: AnswerShape) -> None:
         texts: list[str] = []
         step = await run.next()
-        self._note_first_token()
+        if isinstance(step, Part):
+            self._note_first_token()
         while isinstance(step, Part):
             texts.append(step.text)
             step = await self._next_part(run)
+        if self._caller_gone:
+            return
         if isinstance(step, ApiError):
             self.refuse(step)
             return
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -87,8 +87,9 @@
             timer.cancel()
 
     def close(self) -> None:
-        """Forget the stream; later answers on it are dropped."""
+        """Forget the stream and wake its reader; later answers are dropped."""
         self._client.forget(self.id)
+        self.end()
 
     def deliver(self, envelope: Envelope) -> None:
         """Add an answer from the connection."""
@@ -96,7 +97,7 @@
         self._wake()
 
     def end(self) -> None:
-        """Note that the connection has ended."""
+        """Note that no further answer comes."""
         self._ended = True
         self._wake()
 
