Count each refusal of a leaving agent and each retry by its own reason

Cause: an agent that leaves refused offers without counting them, and every retry of a plain call was counted as connection_lost, though only refusals and unreachable agents are retried there. Change: count agent_refusals{draining}; retries{refused} or {unreachable}.

--- a/wigeonmill/agent/model_service.py
+++ b/wigeonmill/agent/model_service.py
@@ -88,7 +88,9 @@
         """Return what the target would give a prompt now."""
         context = self._context
         if context.leaving:
-            return _no_offer(Refusal(RefusalReason.DRAINING))
+            refusal = Refusal(RefusalReason.DRAINING)
+            context.metrics.count('agent_refusals', refusal.reason.value)
+            return _no_offer(refusal)
         request = self._request(message)
         keys = self._keys(message.block_keys)
         plan = self._planner.plan(keys, request.prompt_tokens)
--- a/wigeonmill/entry/plain.py
+++ b/wigeonmill/entry/plain.py
@@ -111,7 +111,12 @@
                 self._answer(outcome)
                 return
             last = outcome
-            if outcome.reason in _FINAL or not self._may_retry(attempts):
+            reason = RetryReason.REFUSED
+            if outcome.reason is Reason.NO_TARGET:
+                reason = RetryReason.UNREACHABLE
+            if outcome.reason in _FINAL or not self._may_retry(
+                attempts, reason
+            ):
                 self.refuse(outcome)
                 return
             attempts.attempts += 1
@@ -186,19 +191,14 @@
             self.team.weight,
         )
 
-    def _may_retry(self, attempts: Attempts) -> bool:
+    def _may_retry(self, attempts: Attempts, reason: RetryReason) -> bool:
         context = self.context
-        allowed = may_retry(
-            RetryReason.CONNECTION_LOST,
-            attempts,
-            context.budget,
-            context.clock,
-        )
+        allowed = may_retry(reason, attempts, context.budget, context.clock)
         if allowed.is_err():
             denial = allowed.unwrap_err().value
             context.metrics.count('retries_denied', denial)
             return False
-        context.metrics.count('retries', RetryReason.CONNECTION_LOST.value)
+        context.metrics.count('retries', reason.value)
         return True
 
     def _answer(self, reply: CallReply) -> None:
