--- a/wigeonmill/entry/models.py
+++ b/wigeonmill/entry/models.py
@@ -115,6 +115,9 @@
         # Nothing is sent before the first part, so that a refusal can
         # still have its own status.
         step = await run.next()
+        if self._caller_gone:
+            run.cancel()
+            return
         if isinstance(step, ApiError):
             self.refuse(step)
             return
