Pass the request id on to plain services and keep a library header back

Cause: targets got no X-Request-Id unless the caller had sent one, and callers got X-Http-Reason, which the HTTP client adds to every reply. Change: the id goes with every call; the header stays in the agent.

--- a/tests/test_embedded.py
+++ b/tests/test_embedded.py
@@ -40,6 +40,12 @@
         assert [r.code for r in replies] == [201, 201]
         assert replies[0].body == replies[1].body
         assert replies[1].headers['Idempotent-Replayed'] == 'true'
+        # The test's own client adds this header once.
+        assert replies[0].headers.get_list('X-Http-Reason') == ['Created']
+        ledgers = [a for n, a in system.agents.items() if 'ledger' in n]
+        audits = [ledger.target.state.audit() for ledger in ledgers]
+        booked = [c.request_id for audit in audits for c in audit.credits]
+        assert booked == [replies[0].headers['X-Request-Id']]
 
     with_system(scenario)
 
--- a/wigeonmill/agent/calls.py
+++ b/wigeonmill/agent/calls.py
@@ -39,6 +39,8 @@
         'content-encoding',
     )
 )
+# The client library's own addition to a reply.
+_LIBRARY_HEADERS = frozenset(('x-http-reason',))
 _BODILESS = frozenset(('GET', 'HEAD', 'OPTIONS', 'DELETE'))
 
 
@@ -73,12 +75,15 @@
         body = call.body or None
         if body is None and call.method not in _BODILESS:
             body = b''
+        headers = _forwarded(call.headers or [])
+        if call.request_id:
+            headers['X-Request-Id'] = call.request_id
         http_call = HttpCall(
             call.method,
             self._base + call.path,
             timeout_ms,
             body,
-            _forwarded(call.headers or []),
+            headers,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
         )
         sent = await self._http.send(http_call)
@@ -108,7 +113,7 @@
     headers = [
         Header(name, value)
         for name, value in response.headers.get_all()
-        if name.lower() not in HOP_HEADERS
+        if name.lower() not in HOP_HEADERS | _LIBRARY_HEADERS
     ]
     return make_reply(response.status, headers, response.body)
 
