--- /dev/null
+++ b/tests/test_settings_page.py
@@ -0,0 +1,50 @@
+import pathlib
+import re
+
+import msgspec
+
+from wigeonmill.settings import AgentSettings
+from wigeonmill.settings import EmbeddedSettings
+from wigeonmill.settings import EntrySettings
+from wigeonmill.settings import Settings
+from wigeonmill.settings import TlsSettings
+
+PAGE = pathlib.Path(__file__).parent.parent / 'docs' / 'SETTINGS.md'
+SECTIONS = {
+    'The process': Settings,
+    'entry': EntrySettings,
+    'agent': AgentSettings,
+    'embedded': EmbeddedSettings,
+    'TLS objects': TlsSettings,
+}
+
+
+def _default(field):
+    if field.default_factory is not msgspec.NODEFAULT:
+        value = field.default_factory()
+        return 'defaults' if isinstance(value, msgspec.Struct) else value
+    return field.default
+
+
+def _shown(field):
+    if field.required:
+        return 'required'
+    value = _default(field)
+    return value if value == 'defaults' else f'`{_encoded(value)}`'
+
+
+def _encoded(value):
+    return msgspec.json.encode(value).decode()
+
+
+def test_every_setting_is_on_the_page_with_its_default():
+    parts = re.split(r'^## (.+)\n', PAGE.read_text(), flags=re.M)
+    sections = dict(zip(parts[1::2], parts[2::2], strict=True))
+    for title, struct in SECTIONS.items():
+        rows = re.findall(
+            r'^\| `(\w+)` \| [^|]+ \| ([^|]+) \|', sections[title], re.M
+        )
+        wanted = {
+            f.encode_name: _shown(f) for f in msgspec.structs.fields(struct)
+        }
+        assert dict(rows) == wanted, title
