--- /dev/null
+++ b/tests/test_counters_page.py
@@ -0,0 +1,26 @@
+import pathlib
+import re
+
+from wigeonmill.claims import journal
+from wigeonmill.claims import model
+from wigeonmill.claims import opener
+
+ROOT = pathlib.Path(__file__).parent.parent
+PAGE = ROOT / 'docs' / 'COUNTERS.md'
+USE = re.compile(r"(?:\.count|\.gauge|\bgauge|\.histogram)\(\s*'(\w+)'")
+# Names that the code gives by a constant.
+CONSTANTS = {
+    model.OUTCOMES,
+    model.REFUSALS,
+    model.RETRIES,
+    journal.FLUSHES,
+    opener.TAKEOVERS,
+}
+
+
+def test_every_metric_is_on_the_page():
+    sources = (ROOT / 'wigeonmill').rglob('*.py')
+    used = {name for s in sources for name in USE.findall(s.read_text())}
+    assert len(used) > 50
+    described = set(re.findall(r'`(\w+)`', PAGE.read_text()))
+    assert used | CONSTANTS <= described, (used | CONSTANTS) - described
