--- a/wigeonmill/entry/model_run.py
+++ b/wigeonmill/entry/model_run.py
@@ -144,6 +144,8 @@
                 return _interrupted('the run has no connection')
             received = await stream.receive(self._patience_ms())
             if received.is_err():
+                if self._stream is not stream:
+                    return _interrupted('the caller has gone')
                 if received.unwrap_err().kind is PeerErrorKind.TIMEOUT:
                     failure = await self._on_timeout()
                 else:
