--- a/wigeonmill/entry/models.py
+++ b/wigeonmill/entry/models.py
@@ -92,12 +92,15 @@
         if error is not None:
             self.refuse(error)
             return
-        created = self.context.clock.wall_ms() // 1000
-        shape = AnswerShape(request.api, run.run_id, request.model, created)
         if request.stream:
-            await self._stream(run, shape, request.include_usage)
+            await self._stream(run, request)
         else:
-            await self._collect(run, shape)
+            await self._collect(run, request)
+
+    def _make_shape(self, run: ModelRun, request: ModelRequest) -> AnswerShape:
+        """Return the answer's shape, once its first part fixed the run."""
+        created = self.context.clock.wall_ms() // 1000
+        return AnswerShape(request.api, run.run_id, request.model, created)
 
     async def _begin(self, run: ModelRun) -> ApiError | None:
         text = self.request.headers.get(LAST_EVENT_HEADER, '')
@@ -109,9 +112,7 @@
             return ApiError(Reason.MALFORMED, message)
         return await run.resume(event_id.run_id, event_id.offset)
 
-    async def _stream(
-        self, run: ModelRun, shape: AnswerShape, include_usage: bool
-    ) -> None:
+    async def _stream(self, run: ModelRun, request: ModelRequest) -> None:
         # Nothing is sent before the first part, so that a refusal can
         # still have its own status.
         step = await run.next()
@@ -122,6 +123,7 @@
             self.refuse(step)
             return
         self._note_first_token()
+        shape = self._make_shape(run, request)
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('Cache-Control', 'no-store')
         self.set_header(RUN_ID_HEADER, run.run_id)
@@ -138,10 +140,10 @@
             self.write(error_event(step))
         else:
             run.acknowledge()
-            self.write(shape.end(step, include_usage))
+            self.write(shape.end(step, request.include_usage))
         self.finish()
 
-    async def _collect(self, run: ModelRun, shape: AnswerShape) -> None:
+    async def _collect(self, run: ModelRun, request: ModelRequest) -> None:
         texts: list[str] = []
         step = await run.next()
         if isinstance(step, Part):
@@ -157,6 +159,7 @@
         run.acknowledge()
         self.set_header('Content-Type', 'application/json')
         self.set_header(RUN_ID_HEADER, run.run_id)
+        shape = self._make_shape(run, request)
         self.finish(shape.whole(''.join(texts), step))
 
     async def _next_part(self, run: ModelRun) -> Step:
