--- a/wigeonmill/entry/dispatch.py
+++ b/wigeonmill/entry/dispatch.py
@@ -1,6 +1,7 @@
 """Finds a target for one model request and starts the run there."""
 
 from dataclasses import dataclass
+from dataclasses import replace
 import hashlib
 
 from result import Err
@@ -89,7 +90,7 @@
         self._excluded: set[str] = set()
         # What the targets asked so far said, once none is left to ask.
         self._refusal: ApiError | None = None
-        self._crash_records: list[bytes] = []
+        self._crash_records = context.crashes.known_of(self._fingerprint)
 
     @property
     def left_ms(self) -> float:
@@ -104,7 +105,20 @@
                 return started
             failed = started.err_value
             if failed.reason is None or not self.may_retry(failed.reason):
-                return Err(failed.error)
+                return Err(self.as_known(failed.error))
+
+    def as_known(self, error: ApiError) -> ApiError:
+        """Return a refusal that says "not run" only if no attempt may have.
+
+        A later attempt's refusal does not undo what an earlier one did.
+        """
+        if self._attempts.may_have_started:
+            return replace(error, not_run=False)
+        return error
+
+    def note_success(self) -> None:
+        """Clear the request of suspicion: it has completed."""
+        self._context.crashes.on_healthy(self._fingerprint)
 
     def may_retry(self, reason: RetryReason) -> bool:
         """Take one more attempt from the budget, if that is allowed."""
@@ -119,17 +133,25 @@
         context.metrics.count('retries_denied', allowed.err_value.value)
         return False
 
+    def note_lost_run(self) -> None:
+        """Note that an accepted run may have begun, whatever became of it."""
+        self._attempts.may_have_started = True
+
     def note_failure(self, refused: Refused | None) -> None:
         """Keep what a failed run tells of crashes, for the next target."""
+        if refused is None or not refused.not_run:
+            self.note_lost_run()
         if refused is None:
             return
         if refused.crash_record:
-            self._crash_records.append(refused.crash_record)
+            self._learn([refused.crash_record])
         if refused.reason == 'crashed':
             self._attempts.crashes += 1
 
     async def _attempt(self) -> Result[StartedRun, _Failed]:
         context = self._context
+        if context.crashes.quarantined(self._fingerprint):
+            return Err(_Failed(quarantine_refusal(), None))
         # A short prompt is routed by its fingerprint, so that those who saw
         # it crash a target are asked again.
         names = self._routes.picker.pick(
@@ -146,8 +168,8 @@
         found = await ask_for_offers(
             context, targets, self._offer_request(), timeout_ms
         )
-        self._crash_records += found.crash_records
-        if any(r.reason == QUARANTINED for r in found.refusals):
+        self._learn(found.crash_records)
+        if self._quarantined(found):
             return Err(_Failed(quarantine_refusal(), None))
         chosen = choose_offer(found.offers, found.refusals)
         if isinstance(chosen, Err):
@@ -175,6 +197,7 @@
         if isinstance(received, Err):
             stream.close()
             context.breakers.record_failure(target.name)
+            self.note_lost_run()
             error = interrupted(received.err_value.message)
             return Err(_Failed(error, RetryReason.CONNECTION_LOST))
         answer = received.ok_value
@@ -187,6 +210,16 @@
         run_id = answer.run_accepted.run_id
         return Ok(StartedRun(run_id, target, stream, stall_ms))
 
+    def _learn(self, crash_records: list[bytes]) -> None:
+        self._crash_records += crash_records
+        for record in crash_records:
+            self._context.crashes.learn(record)
+
+    def _quarantined(self, found: OfferRound) -> bool:
+        if self._context.crashes.quarantined(self._fingerprint):
+            return True
+        return any(r.reason == QUARANTINED for r in found.refusals)
+
     def _exclude(self, names: list[str], found: OfferRound) -> None:
         """Keep those that can't help from being asked again.
 
--- a/wigeonmill/entry/model_run.py
+++ b/wigeonmill/entry/model_run.py
@@ -107,24 +107,10 @@
 
     async def next(self) -> Step:
         """Return the next part of the answer, its end, or its failure."""
-        while True:
-            stream = self._stream
-            if stream is None:
-                return interrupted('the run has no connection')
-            received = await stream.receive(self._patience_ms())
-            if isinstance(received, Err):
-                if self._stream is not stream:
-                    return interrupted('the caller has gone')
-                if received.err_value.kind is PeerErrorKind.TIMEOUT:
-                    failure = await self._on_timeout()
-                else:
-                    failure = await self._recover()
-                if failure is not None:
-                    return failure
-                continue
-            step = await self._read(received.ok_value)
-            if step is not None:
-                return step
+        step = await self._next()
+        if isinstance(step, ApiError):
+            return self._dispatcher.as_known(step)
+        return step
 
     def cancel(self) -> None:
         """Stop the run at its target, as its caller has gone."""
@@ -154,6 +140,26 @@
             self._stream.close()
             self._stream = None
 
+    async def _next(self) -> Step:
+        while True:
+            stream = self._stream
+            if stream is None:
+                return interrupted('the run has no connection')
+            received = await stream.receive(self._patience_ms())
+            if isinstance(received, Err):
+                if self._stream is not stream:
+                    return interrupted('the caller has gone')
+                if received.err_value.kind is PeerErrorKind.TIMEOUT:
+                    failure = await self._on_timeout()
+                else:
+                    failure = await self._recover()
+                if failure is not None:
+                    return failure
+                continue
+            step = await self._read(received.ok_value)
+            if step is not None:
+                return step
+
     async def _read(self, envelope: Envelope) -> Step | None:
         if envelope.kind == Kind.CHUNK and envelope.chunk is not None:
             return self._read_chunk(envelope.chunk)
@@ -177,6 +183,7 @@
             self._context.metrics.count('answers_damaged', 'digest')
             return interrupted('the answer is not whole')
         self._context.budget.record_success()
+        self._dispatcher.note_success()
         if self.target is not None:
             self._context.breakers.record_success(self.target.name)
         return Finished(
@@ -217,6 +224,7 @@
         self._stall_ms = 0.0
         if not self._dispatcher.may_retry(RetryReason.STALLED_FIRST_TOKEN):
             return None
+        self._dispatcher.note_lost_run()
         stream = self._stream
         started = await self._dispatcher.start()
         if isinstance(started, Err):
@@ -236,6 +244,7 @@
         Without any part of the answer another target may be tried instead.
         """
         self._close_stream()
+        self._dispatcher.note_lost_run()
         self._context.metrics.count('retries', 'resume')
         failure = await self._resume()
         if self._offset:
