--- a/wigeonmill/agent/rollout.py
+++ b/wigeonmill/agent/rollout.py
@@ -5,10 +5,14 @@
 again; enough of the others carry the service meanwhile.
 """
 
-from collections import Counter
+import collections
+from collections.abc import Sequence
 from dataclasses import dataclass
 import enum
 
+# A target bears its share once its limit is this many times the usual runs.
+LIMIT_HEADROOM = 1.25
+
 
 class TargetPhase(enum.Enum):
     """What a target reports about itself."""
@@ -74,6 +78,16 @@
     done: bool
 
 
+def limit_share(limit: int, running: Sequence[int]) -> float:
+    """Return the share of its work that a target with this limit bears.
+
+    `running` counts the runs of every target of the service. A target that
+    has been cold bears all once its limit leaves room beside the usual runs.
+    """
+    usual = sum(running) / max(1, len(running))
+    return min(1.0, limit / max(1.0, LIMIT_HEADROOM * usual))
+
+
 def plan_rollout(
     targets: list[TargetReport],
     weight_version: str,
@@ -146,7 +160,7 @@
     needed = total * settings.min_serving_share
     serving = [t for t in targets if t.phase is TargetPhase.SERVING]
     spare = sum(t.capacity * t.limit_share for t in serving) - needed
-    left = Counter(target.failure_domain for target in serving)
+    left = collections.Counter(target.failure_domain for target in serving)
     places = settings.concurrent_loads - _under_change(targets, slots_held)
     old = [t for t in serving if t.weight_version != weight_version]
     if _may_miss_one(targets, settings):
--- a/wigeonmill/entry/models.py
+++ b/wigeonmill/entry/models.py
@@ -47,6 +47,7 @@
         super().initialize(context)
         self._run: ModelRun | None = None
         self._streaming = False
+        self._caller_gone = False
         self._parts = 0
         self._started_ms = context.clock.now_ms()
 
@@ -68,6 +69,7 @@
 
     def on_connection_close(self) -> None:
         super().on_connection_close()
+        self._caller_gone = True
         if self._run is None:
             return
         if self._streaming:
@@ -84,15 +86,21 @@
         )
         self._run = run
         error = await self._begin(run)
+        if self._caller_gone:
+            run.cancel()
+            return
         if error is not None:
             self.refuse(error)
             return
-        created = self.context.clock.wall_ms() // 1000
-        shape = AnswerShape(request.api, run.run_id, request.model, created)
         if request.stream:
-            await self._stream(run, shape, request.include_usage)
+            await self._stream(run, request)
         else:
-            await self._collect(run, shape)
+            await self._collect(run, request)
+
+    def _make_shape(self, run: ModelRun, request: ModelRequest) -> AnswerShape:
+        """Return the answer's shape, once its first part fixed the run."""
+        created = self.context.clock.wall_ms() // 1000
+        return AnswerShape(request.api, run.run_id, request.model, created)
 
     async def _begin(self, run: ModelRun) -> ApiError | None:
         text = self.request.headers.get(LAST_EVENT_HEADER, '')
@@ -104,16 +112,18 @@
             return ApiError(Reason.MALFORMED, message)
         return await run.resume(event_id.run_id, event_id.offset)
 
-    async def _stream(
-        self, run: ModelRun, shape: AnswerShape, include_usage: bool
-    ) -> None:
+    async def _stream(self, run: ModelRun, request: ModelRequest) -> None:
         # Nothing is sent before the first part, so that a refusal can
         # still have its own status.
         step = await run.next()
+        if self._caller_gone:
+            run.cancel()
+            return
         if isinstance(step, ApiError):
             self.refuse(step)
             return
         self._note_first_token()
+        shape = self._make_shape(run, request)
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('Cache-Control', 'no-store')
         self.set_header(RUN_ID_HEADER, run.run_id)
@@ -123,27 +133,33 @@
                 run.caller_left()
                 return
             step = await self._next_part(run)
+        if self._caller_gone:
+            return
         if isinstance(step, ApiError):
             self.context.metrics.count('refusals', step.reason.value)
             self.write(error_event(step))
         else:
             run.acknowledge()
-            self.write(shape.end(step, include_usage))
+            self.write(shape.end(step, request.include_usage))
         self.finish()
 
-    async def _collect(self, run: ModelRun, shape: AnswerShape) -> None:
+    async def _collect(self, run: ModelRun, request: ModelRequest) -> None:
         texts: list[str] = []
         step = await run.next()
-        self._note_first_token()
+        if isinstance(step, Part):
+            self._note_first_token()
         while isinstance(step, Part):
             texts.append(step.text)
             step = await self._next_part(run)
+        if self._caller_gone:
+            return
         if isinstance(step, ApiError):
             self.refuse(step)
             return
         run.acknowledge()
         self.set_header('Content-Type', 'application/json')
         self.set_header(RUN_ID_HEADER, run.run_id)
+        shape = self._make_shape(run, request)
         self.finish(shape.whole(''.join(texts), step))
 
     async def _next_part(self, run: ModelRun) -> Step:
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -87,8 +87,9 @@
             timer.cancel()
 
     def close(self) -> None:
-        """Forget the stream; later answers on it are dropped."""
+        """Forget the stream and wake its reader; later answers are dropped."""
         self._client.forget(self.id)
+        self.end()
 
     def deliver(self, envelope: Envelope) -> None:
         """Add an answer from the connection."""
@@ -96,7 +97,7 @@
         self._wake()
 
     def end(self) -> None:
-        """Note that the connection has ended."""
+        """Note that no further answer comes."""
         self._ended = True
         self._wake()
 
@@ -181,8 +182,11 @@
     async def _connect_once(self) -> Conn | None:
         if self._opening is None or self._opening.done():
             self._opening = asyncio.ensure_future(self._connect())
-        # A cancelled caller must not cancel the others' connection attempt.
-        return await asyncio.shield(self._opening)
+        opening = self._opening
+        # A cancelled caller must not cancel the others' attempt, and an
+        # attempt that `close` cancels must not cancel the callers.
+        await asyncio.wait([opening])
+        return None if opening.cancelled() else opening.result()
 
     async def _connect(self) -> Conn | None:
         try:
