--- a/wigeonmill/agent/rollout_board.py
+++ b/wigeonmill/agent/rollout_board.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err
 
+from wigeonmill.agent.rollout import limit_share
 from wigeonmill.agent.rollout import TargetPhase
 from wigeonmill.agent.rollout import TargetReport
 from wigeonmill.config.model import Service
@@ -17,12 +18,15 @@
 
 
 class BoardEntry(msgspec.Struct, frozen=True):
-    """One target's phase; `loading` says that it holds a load slot."""
+    """One target's phase; `loading` says that it holds a load slot.
+
+    `limit` is its concurrency limit at present, `running` its runs.
+    """
 
     target: str
     phase: str
     weight_version: str
-    limit_share: float
+    limit: int
     running: int
     loading: bool = False
 
@@ -78,15 +82,15 @@
 ) -> list[TargetReport]:
     """Return a report of every target; one without entry serves as before."""
     by_target = {entry.target: entry for entry in entries}
+    running = [entry.running for entry in entries]
     reports = []
     for target in service.targets:
         if not target.in_service:
             continue
         entry = by_target.get(target.name)
         if entry is None:
-            phase = TargetPhase.SERVING
             report = TargetReport(
-                target.name, target.failure_domain, '', phase
+                target.name, target.failure_domain, '', TargetPhase.SERVING
             )
         else:
             report = TargetReport(
@@ -94,7 +98,7 @@
                 target.failure_domain,
                 entry.weight_version,
                 TargetPhase(entry.phase),
-                limit_share=entry.limit_share,
+                limit_share=limit_share(entry.limit, running),
                 running=entry.running,
             )
         reports.append(report)
--- a/wigeonmill/agent/weight_rollout.py
+++ b/wigeonmill/agent/weight_rollout.py
@@ -28,6 +28,8 @@
 BOARD_MS = 500.0
 # How long an engine may take to report the version that it was ordered.
 LOAD_TIMEOUT_MS = 120_000.0
+# How long a target that serves again tells the others of its limit.
+RAMP_MS = 60_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +58,7 @@
         self._rng = rng
         self._phase = TargetPhase.SERVING
         self._announced: BoardEntry | None = None
+        self._ramp_until_ms = float('-inf')
 
     @property
     def _admission(self) -> Admission:
@@ -72,6 +75,9 @@
                     pause_ms = BOARD_MS * (0.5 + self._rng.random())
             elif wanted is not None and self._phase is not TargetPhase.SERVING:
                 await self._serve(wanted)
+            elif wanted is not None and self._ramps():
+                await self._announce(wanted)
+                pause_ms = BOARD_MS
             await asyncio.sleep(pause_ms / 1000.0)
 
     def _wanted(self) -> Wanted | None:
@@ -88,6 +94,10 @@
         reported = self._admission.weight_version
         return bool(reported) and reported != wanted.model.version
 
+    def _ramps(self) -> bool:
+        """Tell whether the others still wait for this target to warm up."""
+        return self._context.clock.now_ms() < self._ramp_until_ms
+
     async def _step(self, wanted: Wanted) -> None:
         """Do what the plan has for this target, if anything."""
         await self._announce(wanted)
@@ -173,19 +183,17 @@
         self._phase = TargetPhase.SERVING
         if not self._context.leaving:
             self._admission.set_draining(False)
+        self._ramp_until_ms = self._context.clock.now_ms() + RAMP_MS
         logger.info('serving %s', wanted.model.version)
         while not await self._announce(wanted):
             await asyncio.sleep(BOARD_MS / 1000.0)
 
     async def _announce(self, wanted: Wanted) -> bool:
-        limit_share = 1.0
-        if self._phase is not TargetPhase.SERVING:
-            limit_share = 0.0
         entry = BoardEntry(
             self._context.settings.target,
             self._phase.value,
             self._admission.weight_version,
-            limit_share,
+            self._admission.limit,
             self._admission.running,
             self._phase is TargetPhase.LOADING,
         )
--- a/wigeonmill/entry/dispatch.py
+++ b/wigeonmill/entry/dispatch.py
@@ -166,7 +166,11 @@
             context.settings.offer_timeout_ms, max(self.left_ms, 1.0)
         )
         found = await ask_for_offers(
-            context, targets, self._offer_request(), timeout_ms
+            context,
+            targets,
+            self._offer_request(),
+            timeout_ms,
+            names[self._routes.picker.count :],
         )
         self._learn(found.crash_records)
         if self._quarantined(found):
--- a/wigeonmill/entry/offer_round.py
+++ b/wigeonmill/entry/offer_round.py
@@ -1,9 +1,11 @@
 """Asks several agents for an offer at once and takes the best."""
 
 import asyncio
+from collections.abc import Collection
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 
 from wigeonmill.config.model import Target
 from wigeonmill.entry.context import EntryContext
@@ -45,10 +47,19 @@
     targets: Sequence[Target],
     request: OfferRequest,
     timeout_ms: float,
+    by_chance: Collection[str] = (),
 ) -> OfferRound:
-    """Ask every target's agent and return the answers that came in time."""
+    """Ask every target's agent and return the answers that came in time.
+
+    `by_chance` names the targets that were drawn at random.
+    """
     collector = _Collector(context, targets, request, timeout_ms)
-    return await collector.finished
+    found = await collector.finished
+    found.offers = [
+        replace(offer, by_chance=offer.target in by_chance)
+        for offer in found.offers
+    ]
+    return found
 
 
 class _Collector:
