Let entries and restarted agents learn of quarantined prompts in time

Cause: three ways to a third crashed engine. Ruled out: a cold overload (audits show none), a lost write of the state. Change: 50 ms instead of 15, and all answers once one tells of a crash; an agent offers nothing until the quarantine is read or 3 s are over; an entry reads the stored quarantine, once a second at most, when an agent that it asked is silent.

--- a/wigeonmill/agent/admission_types.py
+++ b/wigeonmill/agent/admission_types.py
@@ -10,6 +10,8 @@
 class RefusalReason(enum.Enum):
     """Why a target takes no request; in all cases it was not run."""
 
+    # The agent has not learned yet which requests are quarantined.
+    STARTING = 'starting'
     DRAINING = 'draining'
     NOT_IN_SERVICE = 'not_in_service'
     UNREACHABLE = 'unreachable'
--- a/wigeonmill/agent/model_service.py
+++ b/wigeonmill/agent/model_service.py
@@ -1,6 +1,7 @@
 """Runs prompts on the agent's model engine."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import logging
 from typing import Any
@@ -41,6 +42,7 @@
 
 # The engine's status for a request it has no room for.
 _BUSY_STATUSES = frozenset((429, 503))
+STARTING_RETRY_MS = 500
 _OUTCOMES = {
     EngineEndKind.COMPLETED: OutcomeKind.COMPLETED,
     EngineEndKind.CANCELLED: OutcomeKind.CANCELLED,
@@ -71,10 +73,13 @@
         context: AgentContext,
         engine: EngineClient,
         planner: CachePlanner,
+        ready: Callable[[], bool],
     ) -> None:
+        """Runs nothing before `ready` returns True."""
         self._context = context
         self._engine = engine
         self._planner = planner
+        self._ready = ready
         self._pending: dict[int, PendingRun] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._sequence = 0
@@ -87,10 +92,10 @@
     def offer(self, message: OfferRequest) -> Offer:
         """Return what the target would give a prompt now."""
         context = self._context
-        if context.leaving:
-            refusal = Refusal(RefusalReason.DRAINING)
-            context.metrics.count('agent_refusals', refusal.reason.value)
-            return _no_offer(refusal)
+        closed = self._closed()
+        if closed is not None:
+            context.metrics.count('agent_refusals', closed.reason.value)
+            return _no_offer(closed)
         request = self._request(message)
         keys = self._keys(message.block_keys)
         plan = self._planner.plan(keys, request.prompt_tokens)
@@ -112,9 +117,9 @@
     def accept(self, conn: Conn, stream: int, message: RunMessage) -> None:
         """Admit a run and answer with its id, or refuse it."""
         context = self._context
-        if context.leaving:
-            refusal = Refusal(RefusalReason.DRAINING)
-            self._refuse(conn, stream, refusal)
+        closed = self._closed()
+        if closed is not None:
+            self._refuse(conn, stream, closed)
             return
         request = self._request(message)
         self._merge_crash_records(message)
@@ -155,6 +160,14 @@
         for refused in admission.take_refused():
             self._refuse_waiting(refused.ticket, refused.refusal)
 
+    def _closed(self) -> Refusal | None:
+        """Return why the agent takes no work at all, if it takes none."""
+        if self._context.leaving:
+            return Refusal(RefusalReason.DRAINING)
+        if not self._ready():
+            return Refusal(RefusalReason.STARTING, STARTING_RETRY_MS)
+        return None
+
     def _make_run(self, message: RunMessage) -> Run:
         context = self._context
         self._sequence += 1
--- a/wigeonmill/agent/quarantine_share.py
+++ b/wigeonmill/agent/quarantine_share.py
@@ -17,7 +17,8 @@
 
 QUARANTINE_KEY = 'wigeonmill/quarantine'
 CHECK_MS = 100.0
-RETRY_MS = 1_000.0
+RETRY_MS = 500.0
+READ_PATIENCE_MS = 3_000.0
 
 
 class QuarantineShare:
@@ -39,11 +40,23 @@
         self._clock = clock
         self._metrics = metrics
         self._written = 0
+        self._read = False
+        self._patience_end_ms = clock.now_ms() + READ_PATIENCE_MS
+
+    @property
+    def ready(self) -> bool:
+        """True once the state was read, or could not be for too long.
+
+        Until then an agent takes no work, as it might run a prompt that is
+        known to crash its target.
+        """
+        return self._read or self._clock.now_ms() >= self._patience_end_ms
 
     async def run(self) -> None:
         """Read until it succeeds, then write changes, until cancelled."""
         while not await self.read():
             await asyncio.sleep(RETRY_MS / 1000.0)
+        self._read = True
         while True:
             pause_ms = CHECK_MS
             if self._quarantine.changes != self._written:
--- a/wigeonmill/agent/role.py
+++ b/wigeonmill/agent/role.py
@@ -137,7 +137,9 @@
                 node.key_value, admission.quarantine, node.clock, node.metrics
             )
             node.spawn(share.run())
-            models = ModelService(context, engine, manager)
+            models = ModelService(
+                context, engine, manager, lambda: share.ready
+            )
         else:
             plain = self._make_plain(context, placement)
         self._context = context
--- a/wigeonmill/entry/context.py
+++ b/wigeonmill/entry/context.py
@@ -13,6 +13,7 @@
 from wigeonmill.entry.crash_memory import CrashMemory
 from wigeonmill.entry.teams import TeamDirectory
 from wigeonmill.metrics import Metrics
+from wigeonmill.platform.key_value import KeyValue
 from wigeonmill.protocol.client import PeerClient
 from wigeonmill.protocol.client import PeerPool
 from wigeonmill.routing.candidates import CandidatePicker
@@ -102,6 +103,7 @@
         settings: EntrySettings,
         holder: ConfigHolder,
         peers: PeerPool,
+        key_value: KeyValue,
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
@@ -114,7 +116,7 @@
         self.metrics = metrics
         self.budget = RetryBudget()
         self.breakers = CircuitBreakers(clock, rng)
-        self.crashes = CrashMemory(clock, metrics)
+        self.crashes = CrashMemory(key_value, clock, metrics)
         self.routes: RouteTable | None = None
         # Leaving: not ready for the balancer; refusing: takes no more.
         self.leaving = False
--- a/wigeonmill/entry/crash_memory.py
+++ b/wigeonmill/entry/crash_memory.py
@@ -5,24 +5,57 @@
 """
 
 import msgspec
+from result import Err
 
 from wigeonmill.agent.quarantine import decode_state
 from wigeonmill.agent.quarantine import encode_state
 from wigeonmill.agent.quarantine import Quarantine
 from wigeonmill.agent.quarantine import Verdict
+from wigeonmill.agent.quarantine_share import QUARANTINE_KEY
 from wigeonmill.clock import Clock
 from wigeonmill.metrics import Metrics
+from wigeonmill.platform.key_value import KeyValue
+
+# One entry asks the key-value service at most this often.
+REFRESH_MS = 1_000.0
 
 
 class CrashMemory:
     """Crash records by fingerprint, bounded in number and age."""
 
-    __slots__ = ('_quarantine', '_clock', '_metrics')
+    __slots__ = (
+        '_quarantine',
+        '_key_value',
+        '_clock',
+        '_metrics',
+        '_refreshed_ms',
+    )
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, key_value: KeyValue, clock: Clock, metrics: Metrics
+    ) -> None:
         self._quarantine = Quarantine()
+        self._key_value = key_value
         self._clock = clock
         self._metrics = metrics
+        self._refreshed_ms = float('-inf')
+
+    async def refresh(self) -> None:
+        """Read what agents have stored, if that was not done just now.
+
+        To be called when agents that may know of crashes don't answer.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms - self._refreshed_ms < REFRESH_MS:
+            return
+        self._refreshed_ms = now_ms
+        read = await self._key_value.get(QUARANTINE_KEY)
+        if isinstance(read, Err):
+            reason = read.err_value.kind.value
+            self._metrics.count('quarantine_reads_failed', reason)
+            self._refreshed_ms = float('-inf')
+        elif read.ok_value is not None:
+            self.learn(read.ok_value.value)
 
     def learn(self, crash_record: bytes) -> None:
         """Take in a record that an agent sent."""
--- a/wigeonmill/entry/dispatch.py
+++ b/wigeonmill/entry/dispatch.py
@@ -90,7 +90,7 @@
         self._excluded: set[str] = set()
         # What the targets asked so far said, once none is left to ask.
         self._refusal: ApiError | None = None
-        self._crash_records = context.crashes.known_of(self._fingerprint)
+        self._crash_records: list[bytes] = []
 
     @property
     def left_ms(self) -> float:
@@ -173,6 +173,8 @@
             names[self._routes.picker.count :],
         )
         self._learn(found.crash_records)
+        if found.silent:
+            await context.crashes.refresh()
         if self._quarantined(found):
             return Err(_Failed(quarantine_refusal(), None))
         chosen = choose_offer(found.offers, found.refusals)
@@ -267,7 +269,8 @@
             request.body,
             self._request_id,
             self._team.weight,
-            self._crash_records,
+            self._crash_records
+            + self._context.crashes.known_of(self._fingerprint),
         )
 
 
--- a/wigeonmill/entry/offer_round.py
+++ b/wigeonmill/entry/offer_round.py
@@ -18,7 +18,7 @@
 from wigeonmill.routing.offers import TargetRefusal
 
 # How long the other agents' answers are awaited after the first offer.
-GRACE_MS = 15.0
+GRACE_MS = 50.0
 
 
 @dataclass(slots=True)
@@ -75,6 +75,9 @@
         loop = asyncio.get_running_loop()
         self.finished: asyncio.Future[OfferRound] = loop.create_future()
         self._found = OfferRound()
+        self._context = context
+        self._deadline_ms = context.clock.now_ms() + timeout_ms
+        self._patient = False
         self._tasks = {}
         for target in targets:
             task = loop.create_task(_ask(context, target, request, timeout_ms))
@@ -90,11 +93,23 @@
         _collect(self._found, target, task.result())
         if not self._tasks:
             self._finish()
+        elif self._found.crash_records:
+            # Who else knows of crashes matters more than a quick answer.
+            self._wait_for_all()
         elif first_offer and self._found.offers:
             self._timer.cancel()
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(GRACE_MS / 1000.0, self._finish)
 
+    def _wait_for_all(self) -> None:
+        if self._patient:
+            return
+        self._patient = True
+        self._timer.cancel()
+        left_ms = self._deadline_ms - self._context.clock.now_ms()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(max(left_ms, 0.0) / 1000.0, self._finish)
+
     def _finish(self) -> None:
         self._timer.cancel()
         late = self._tasks
--- a/wigeonmill/entry/role.py
+++ b/wigeonmill/entry/role.py
@@ -23,6 +23,7 @@
             node.settings.entry,
             node.holder,
             node.peers,
+            node.key_value,
             node.clock,
             node.rng,
             node.metrics,
