Give the agent's message conversions a module of their own

Change: outcomes and messages are turned into each other in model_messages.py; behaviour is as before.

--- a/wigeonmill/agent/model_service.py
+++ b/wigeonmill/agent/model_service.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from wigeonmill.agent.admission_types import Offer as TargetOffer
 from wigeonmill.agent.admission_types import OutcomeKind
 from wigeonmill.agent.admission_types import Refusal
 from wigeonmill.agent.admission_types import RefusalReason
@@ -22,6 +21,10 @@
 from wigeonmill.agent.engine import EngineEnd
 from wigeonmill.agent.engine import EngineEndKind
 from wigeonmill.agent.engine import EngineStream
+from wigeonmill.agent.model_messages import failure_of
+from wigeonmill.agent.model_messages import no_offer
+from wigeonmill.agent.model_messages import offer_message
+from wigeonmill.agent.model_messages import outcome_of
 from wigeonmill.agent.quarantine import decode_state
 from wigeonmill.agent.quarantine import encode_state
 from wigeonmill.agent.run_ids import RunId
@@ -40,17 +43,7 @@
 
 logger = logging.getLogger(__name__)
 
-# The engine's status for a request it has no room for.
-_BUSY_STATUSES = frozenset((429, 503))
 STARTING_RETRY_MS = 500
-_OUTCOMES = {
-    EngineEndKind.COMPLETED: OutcomeKind.COMPLETED,
-    EngineEndKind.CANCELLED: OutcomeKind.CANCELLED,
-    EngineEndKind.REJECTED: OutcomeKind.FAILED,
-    EngineEndKind.TIMEOUT: OutcomeKind.FAILED,
-    EngineEndKind.UNREACHABLE: OutcomeKind.UNREACHABLE,
-    EngineEndKind.BROKEN: OutcomeKind.CRASHED,
-}
 
 
 class PendingRun:
@@ -95,7 +88,7 @@
         closed = self._closed()
         if closed is not None:
             context.metrics.count('agent_refusals', closed.reason.value)
-            return _no_offer(closed)
+            return no_offer(closed)
         request = self._request(message)
         keys = self._keys(message.block_keys)
         plan = self._planner.plan(keys, request.prompt_tokens)
@@ -103,9 +96,9 @@
         if made.is_err():
             refusal = made.unwrap_err()
             context.metrics.count('agent_refusals', refusal.reason.value)
-            reply = _no_offer(refusal)
+            reply = no_offer(refusal)
         else:
-            reply = _offer_message(made.unwrap())
+            reply = offer_message(made.unwrap())
         reply.crash_record = self._crash_record(request.fingerprint)
         return reply
 
@@ -243,9 +236,7 @@
         return path, msgspec.json.encode(body)
 
     def _settle(self, pending: PendingRun, end: EngineEnd) -> None:
-        outcome = _OUTCOMES[end.kind]
-        if end.status in _BUSY_STATUSES:
-            outcome = OutcomeKind.OVERLOADED
+        outcome = outcome_of(end)
         # A crash is noted first, so that the failure tells of it.
         self._finish(pending, RunOutcome(outcome, end.answer_tokens))
         run = pending.run
@@ -260,7 +251,7 @@
             )
         else:
             self._context.metrics.count('runs_failed', end.kind.value)
-            failure = _failure(end)
+            failure = failure_of(end)
             fingerprint = pending.ticket.request.fingerprint
             failure.crash_record = self._crash_record(fingerprint)
             run.fail(failure)
@@ -351,35 +342,3 @@
 
 def _owner(pending: PendingRun) -> Owner:
     return Owner(pending.run.team, pending.ticket.weight_version)
-
-
-def _offer_message(offer: TargetOffer) -> Offer:
-    return Offer(
-        '',
-        0,
-        offer.reservation,
-        offer.cached_tokens,
-        offer.fetchable_tokens,
-        offer.expected_wait_ms,
-        offer.expected_first_token_ms,
-    )
-
-
-def _no_offer(refusal: Refusal) -> Offer:
-    return Offer(refusal.reason.value, refusal.retry_after_ms)
-
-
-def _failure(end: EngineEnd) -> RunFailure:
-    """Return why a run failed.
-
-    An engine that can't be reached or that rejects has not run the prompt.
-    """
-    if end.kind is EngineEndKind.UNREACHABLE:
-        return RunFailure('unreachable', end.message, True)
-    if end.kind is EngineEndKind.REJECTED:
-        return RunFailure('target_error', end.message, True)
-    if end.kind is EngineEndKind.TIMEOUT:
-        return RunFailure('deadline', end.message, False)
-    if end.kind is EngineEndKind.CANCELLED:
-        return RunFailure('cancelled', end.message, False)
-    return RunFailure('crashed', end.message, False)
