Ask again without the retry budget when no agent answered

Cause: with a thousand streams open 19 of 1,202 requests were refused as no_target: all offers of a round were late and the retry budget, spent on stalled first tokens, denied another round (37 denials, no agent refused). Change: a round without any answer is repeated, four times at most and within the deadline; it asks for no work and its wait paces it.

--- a/wigeonmill/entry/dispatch.py
+++ b/wigeonmill/entry/dispatch.py
@@ -41,6 +41,8 @@
 # before the floor.
 STALL_FACTOR = 3.0
 STALL_FLOOR_MS = 2_000.0
+# Rounds of offers that may pass without any answer.
+MAX_UNANSWERED_ROUNDS = 4
 
 
 @dataclass(slots=True)
@@ -58,10 +60,14 @@
 
 @dataclass(slots=True)
 class _Failed:
-    """A failed attempt; without a retry reason it is final."""
+    """A failed attempt; without a retry reason it is final.
+
+    `unanswered` means that no agent that was asked had said anything.
+    """
 
     error: ApiError
     reason: RetryReason | None
+    unanswered: bool = False
 
 
 class Dispatcher:
@@ -88,6 +94,7 @@
         started_ms = context.clock.now_ms()
         self._attempts = Attempts(started_ms + request.deadline_ms, True)
         self._excluded: set[str] = set()
+        self._rounds = 0
         # What the targets asked so far said, once none is left to ask.
         self._refusal: ApiError | None = None
         self._crash_records: list[bytes] = []
@@ -104,6 +111,8 @@
             if isinstance(started, Ok):
                 return started
             failed = started.err_value
+            if failed.unanswered and self._may_ask_again():
+                continue
             if failed.reason is None or not self.may_retry(failed.reason):
                 return Err(self.as_known(failed.error))
 
@@ -133,6 +142,18 @@
         context.metrics.count('retries_denied', allowed.err_value.value)
         return False
 
+    def _may_ask_again(self) -> bool:
+        """Allow another round of offers after one without any answer.
+
+        It asks for no work, and the wait for the answers paces it, so that
+        it takes nothing from the retry budget.
+        """
+        if self._rounds >= MAX_UNANSWERED_ROUNDS or self.left_ms <= 0.0:
+            return False
+        self._rounds += 1
+        self._context.metrics.count('offers_repeated')
+        return True
+
     def note_lost_run(self) -> None:
         """Note that an accepted run may have begun, whatever became of it."""
         self._attempts.may_have_started = True
@@ -181,7 +202,10 @@
         if isinstance(chosen, Err):
             self._exclude(names, found)
             self._refusal = combined_refusal(chosen.err_value)
-            return Err(_Failed(self._refusal, _retry_reason(found)))
+            unanswered = len(found.silent) == len(names)
+            return Err(
+                _Failed(self._refusal, _retry_reason(found), unanswered)
+            )
         release_others(context, targets, found.offers, chosen.ok_value)
         return await self._dispatch(chosen.ok_value)
 
