Go on with a dead agent's answers after it starts again

Cause: an agent's death ended every answer that it was streaming, though the engine still had the runs. Change: an agent that is asked to resume a run of an earlier incarnation reads it again from the engine and attaches the caller at its offset; the entry tries to resume for about 8 s instead of 3. Result: 'The agent dies while answers stream and starts again' fails before (the streams end as interrupted) and passes after; the engine runs each prompt once.

--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -15,6 +15,13 @@
     Then every caller has the whole answer to its own prompt
     And no prompt was run twice
 
+  Scenario: The agent dies while answers stream and starts again
+    Given a system with 1 entries and 1 engines
+    When 3 answers stream through the first entry
+    And the agent is killed and started again
+    Then every caller has the whole answer to its own prompt
+    And no prompt was run twice
+
   Scenario: Another team's run can't be resumed
     Given a system with 1 entries and 1 engines
     When 1 answers stream through the first entry
--- a/tests/features/test_answers.py
+++ b/tests/features/test_answers.py
@@ -79,6 +79,12 @@
     set_faults(world.marks['proxy'], reset=False)
 
 
+@when('the agent is killed and started again')
+def restart_agent(world):
+    world.target('engine-1').agent.kill()
+    world.system.restart_agent('engine-1')
+
+
 @when('another team asks for the rest')
 def other_team(world):
     stream = world.streams[0]
--- a/wigeonmill/agent/engine.py
+++ b/wigeonmill/agent/engine.py
@@ -238,9 +238,26 @@
         self, path: str, body: bytes, stream: EngineStream, timeout_ms: float
     ) -> EngineEnd:
         """Send a request and feed `stream` until the answer ends."""
+        return await self._stream('POST', path, body, stream, timeout_ms)
+
+    async def read_again(
+        self, request_id: str, stream: EngineStream, timeout_ms: float
+    ) -> EngineEnd:
+        """Feed `stream` with a run that the engine has, from its start."""
+        path = f'/v1/streams/{request_id}?offset=0'
+        return await self._stream('GET', path, None, stream, timeout_ms)
+
+    async def _stream(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        stream: EngineStream,
+        timeout_ms: float,
+    ) -> EngineEnd:
         request = HTTPRequest(
             self._base + path,
-            method='POST',
+            method=method,
             body=body,
             headers={'Content-Type': 'application/json'},
             connect_timeout=CONNECT_TIMEOUT_S,
--- a/wigeonmill/agent/role.py
+++ b/wigeonmill/agent/role.py
@@ -20,6 +20,7 @@
 from wigeonmill.agent.quarantine import Quarantine
 from wigeonmill.agent.quarantine_share import QuarantineShare
 from wigeonmill.agent.rollout_board import RolloutBoard
+from wigeonmill.agent.run_adoption import RunAdopter
 from wigeonmill.agent.run_ids import RunIdSigner
 from wigeonmill.agent.service import AgentService
 from wigeonmill.agent.store_pool import StorePool
@@ -128,7 +129,7 @@
             node.incarnation,
         )
         engine = EngineClient(placement.target.address)
-        models, plain = None, None
+        models, plain, adopter = None, None, None
         if service.kind is ServiceKind.MODEL:
             manager = self._make_cache_manager(context, placement)
             rollout = self._make_rollout(context, placement, engine)
@@ -137,6 +138,7 @@
                 node.key_value, admission.quarantine, node.clock, node.metrics
             )
             node.spawn(share.run())
+            adopter = RunAdopter(context, engine)
             models = ModelService(
                 context, engine, manager, lambda: share.ready
             )
@@ -144,7 +146,7 @@
             plain = self._make_plain(context, placement)
         self._context = context
         self._engine = engine
-        self._service = AgentService(context, models, plain)
+        self._service = AgentService(context, models, plain, adopter)
         watch = TargetWatch(
             engine,
             admission,
--- a/wigeonmill/agent/service.py
+++ b/wigeonmill/agent/service.py
@@ -5,6 +5,7 @@
 from wigeonmill.agent.context import AgentContext
 from wigeonmill.agent.model_service import ModelService
 from wigeonmill.agent.plain_service import PlainService
+from wigeonmill.agent.run_adoption import RunAdopter
 from wigeonmill.protocol.conn import Conn
 from wigeonmill.protocol.gen.inner.ttypes import Envelope
 from wigeonmill.protocol.gen.inner.ttypes import Kind
@@ -23,10 +24,12 @@
         context: AgentContext,
         models: ModelService | None,
         plain: PlainService | None,
+        adopter: RunAdopter | None,
     ) -> None:
         self._context = context
         self._models = models
         self._plain = plain
+        self._adopter = adopter
 
     def handle(self, conn: Conn, envelope: Envelope) -> bool:
         """Serve one message; returns False when it is not an agent's."""
@@ -66,7 +69,8 @@
         """True while any work waits or is in progress."""
         models = self._models is not None and self._models.busy
         plain = self._plain is not None and self._plain.busy
-        return models or plain
+        adopted = self._adopter is not None and self._adopter.busy
+        return models or plain or adopted
 
     def _offer(self, conn: Conn, envelope: Envelope) -> None:
         if self._models is None or envelope.offer_request is None:
@@ -92,8 +96,18 @@
 
     def _resume(self, conn: Conn, envelope: Envelope) -> None:
         resume = envelope.resume
-        if resume is None or not self._attach(conn, envelope.stream, resume):
+        if resume is None:
             self._refuse(conn, envelope, 'run_not_found')
+            return
+        if self._attach(conn, envelope.stream, resume):
+            return
+        if not self._adopt(conn, envelope.stream, resume):
+            self._refuse(conn, envelope, 'run_not_found')
+
+    def _adopt(self, conn: Conn, stream: int, resume: Resume) -> bool:
+        if self._adopter is None or self._context.runs.get(resume.run_id):
+            return False
+        return self._adopter.adopt(conn, stream, resume)
 
     def _attach(self, conn: Conn, stream: int, resume: Resume) -> bool:
         context = self._context
--- a/wigeonmill/entry/model_run.py
+++ b/wigeonmill/entry/model_run.py
@@ -30,7 +30,7 @@
 from wigeonmill.routing.retries import RetryReason
 
 RESUME_PAUSE_MS = 100.0
-RESUME_TRIES = 30
+RESUME_TRIES = 80
 RESUME_TIMEOUT_MS = 2_000.0
 
 
