Take new concurrency bounds without a restart

Cause: an agent read cold_concurrency and max_concurrency once, so an accepted change of them was not in force until it was restarted. Change: each configuration's bounds go to the limiter at once; a list of callbacks that nobody used is gone. Result: a new limiter test fails without set_bounds and passes with it; agent and embedded tests pass.

--- a/tests/agent/test_limiter.py
+++ b/tests/agent/test_limiter.py
@@ -47,3 +47,18 @@
 def test_invalid_bounds_are_refused():
     with pytest.raises(ValueError):
         ConcurrencyLimiter(LimiterSettings(cold=0, maximum=4))
+
+
+def test_new_bounds_are_in_force_at_once():
+    limiter = make_limiter(2, 16)
+    limiter.set_bounds(1, 16)
+    assert limiter.limit == 1
+    for _run in range(40):
+        limiter.on_healthy()
+    assert limiter.limit == 16
+    limiter.set_bounds(1, 8)
+    assert limiter.limit == 8
+    limiter.on_healthy()
+    assert limiter.limit == 8
+    limiter.on_cold()
+    assert limiter.limit == 1
--- a/wigeonmill/agent/context.py
+++ b/wigeonmill/agent/context.py
@@ -1,7 +1,5 @@
 """What the agent's parts share, and what the configuration says of it."""
 
-from collections.abc import Callable
-
 from wigeonmill.agent.admission import Admission
 from wigeonmill.agent.run_ids import RunIdSigner
 from wigeonmill.agent.runs import RunTable
@@ -67,7 +65,6 @@
         )
         self.placement: Placement | None = None
         self.leaving = False
-        self.on_placement: list[Callable[[], None]] = []
         holder.subscribe(self._on_config)
         admission.set_in_service(False)
         if holder.record is not None:
@@ -82,5 +79,9 @@
         self.placement = placement
         in_service = placement is not None and placement.in_service
         self.admission.set_in_service(in_service)
-        for callback in self.on_placement:
-            callback()
+        if placement is not None:
+            service = placement.service
+            admission = self.admission
+            admission.health.set_bounds(
+                service.cold_concurrency, service.max_concurrency
+            )
--- a/wigeonmill/agent/limiter.py
+++ b/wigeonmill/agent/limiter.py
@@ -1,6 +1,7 @@
 """The limit on concurrent runs, which protects a target in cold start."""
 
 from dataclasses import dataclass
+from dataclasses import replace
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +60,21 @@
             grown = self._limit + 1.0 / self._limit
         self._limit = min(grown, float(self._settings.maximum))
 
+    def set_bounds(self, cold: int, maximum: int) -> None:
+        """Take new bounds; a limit outside of them moves to the nearer one.
+
+        A target that is held to its cold limit follows that bound.
+        """
+        was_cold = self.cold
+        self._settings = replace(
+            self._settings, cold=cold, maximum=max(cold, maximum)
+        )
+        lowest, highest = float(cold), float(self._settings.maximum)
+        self._limit = min(max(self._limit, lowest), highest)
+        if was_cold:
+            self._limit = lowest
+        self._threshold = min(self._threshold, highest)
+
     def on_overload(self) -> None:
         """Shrink the limit after the target refused work as too much."""
         shrunk = self._limit * self._settings.overload_factor
--- a/wigeonmill/agent/target_health.py
+++ b/wigeonmill/agent/target_health.py
@@ -84,6 +84,10 @@
         """Whether the target is held to its cold limit."""
         return self._limiter.cold
 
+    def set_bounds(self, cold: int, maximum: int) -> None:
+        """Take the configuration's bounds of the concurrency limit."""
+        self._limiter.set_bounds(cold, maximum)
+
     def on_report(
         self, incarnation: str, uptime_ms: float, cold: bool = False
     ) -> None:
