Keep crash records in one place at the entry; drop unused reasons

Cause: the dispatcher kept the crash records that it had just put into the entry's crash memory and sent each twice with a run; two retry reasons were never given. Change: a run carries what the memory knows; the two reasons are gone. Result: behaviour as before; the crashing-prompt, target, answer, routing, embedded and policy tests pass.

--- a/wigeonmill/entry/dispatch.py
+++ b/wigeonmill/entry/dispatch.py
@@ -97,7 +97,6 @@
         self._rounds = 0
         # What the targets asked so far said, once none is left to ask.
         self._refusal: ApiError | None = None
-        self._crash_records: list[bytes] = []
 
     @property
     def left_ms(self) -> float:
@@ -241,7 +240,6 @@
         return Ok(StartedRun(run_id, target, stream, stall_ms))
 
     def _learn(self, crash_records: list[bytes]) -> None:
-        self._crash_records += crash_records
         for record in crash_records:
             self._context.crashes.learn(record)
 
@@ -293,8 +291,7 @@
             request.body,
             self._request_id,
             self._team.weight,
-            self._crash_records
-            + self._context.crashes.known_of(self._fingerprint),
+            self._context.crashes.known_of(self._fingerprint),
         )
 
 
--- a/wigeonmill/routing/retries.py
+++ b/wigeonmill/routing/retries.py
@@ -23,11 +23,9 @@
     """Why a request is tried again; each has a counter."""
 
     REFUSED = 'refused'
-    RESERVATION_LAPSED = 'reservation_lapsed'
     UNREACHABLE = 'unreachable'
     CONNECTION_LOST = 'connection_lost'
     TARGET_CRASHED = 'target_crashed'
-    TARGET_LEAVING = 'target_leaving'
     STALLED_FIRST_TOKEN = 'stalled_first_token'
 
 
