Let a new leader order at once what its predecessor left alone

The wait only matters for engines that the predecessor may have ordered within the lease time. Change: the rollout's record names each engine before it is ordered and the leader's fence; an order needs the record written. A successor reads it once, leaves the named engines alone for the lease time and orders the others at once; a leader that finds a higher fence steps down. The record and its reading are a module of their own (rollout_notice), as are the types of orders (engine_orders). Tests: five in test_weights_rollout; the fake leader tells "leads" and "turn over" apart now, and the test of the fenced leader also checks that no engine takes an order from it.

--- a/tests/gateway/test_weights_rollout.py
+++ b/tests/gateway/test_weights_rollout.py
@@ -12,17 +12,20 @@
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.context import FIRST_LISTING_MS
 from wigeonmill.gateway.context import GatewayContext
+from wigeonmill.gateway.engine_orders import EngineReport
+from wigeonmill.gateway.engine_orders import OrderOutcome
 from wigeonmill.gateway.own_records import RolloutRecord
-from wigeonmill.gateway.weights_rollout import EngineReport
-from wigeonmill.gateway.weights_rollout import note_rollout
-from wigeonmill.gateway.weights_rollout import OrderOutcome
+from wigeonmill.gateway.rollout_notice import note_rollout
+from wigeonmill.gateway.rollout_notice import RolloutNotice
 from wigeonmill.gateway.weights_rollout import WeightsRollout
 from wigeonmill.metrics import Metrics
 from wigeonmill.providers.fetch import FetchError
+from wigeonmill.standins.memory_key_value import KvFaults
 from wigeonmill.standins.memory_key_value import MemoryKeyValue
 
 DEADLINE_MS = 15_000.0
 LOAD_MS = 1_800.0
+LEASE_MS = 3_000.0
 
 
 class Engine:
@@ -89,14 +92,19 @@
 
 
 class Leader:
-    def __init__(self):
-        self.may_order = True
-        self.fence = 5
+    def __init__(self, fence=5, turn_over=True):
+        self.leads = True
+        self.turn_over = turn_over
+        self.fence = fence
         self.stepped_down = ''
 
+    @property
+    def may_order(self):
+        return self.leads and self.turn_over
+
     def step_down(self, why):
         self.stepped_down = why
-        self.may_order = False
+        self.leads = False
 
 
 class World:
@@ -110,6 +118,7 @@
             self.ctx.directory.take(make_engine_record(id_))
         if not known_since_start:
             self.clock.advance(FIRST_LISTING_MS + 1)
+        self.keys = MemoryKeyValue(self.clock, KvFaults())
         self.leader = Leader()
         self.rollout = self.make_rollout()
         self.most_loading = 0
@@ -124,7 +133,7 @@
             self.ctx,
             self.leader,
             Orders(self.engines),
-            MemoryKeyValue(self.clock),
+            RolloutNotice(self.ctx, self.leader, self.keys),
             'a',
             DEADLINE_MS,
         )
@@ -191,15 +200,81 @@
     world.ctx.wanted.want_weights(MODEL, 2)
     world.run_for(2_000)
     old, old_leader = world.rollout, world.leader
-    world.leader = Leader()
-    world.leader.fence = 9
+    world.leader = Leader(fence=9)
     world.rollout = world.make_rollout()
     world.run_for(12_000)
     assert world.versions() == {2}
     world.ctx.wanted.want_weights(MODEL, 3)
     world.rollout = old
+    orders = [engine.orders for engine in world.engines.values()]
     world.run_for(2_000)
     assert old_leader.stepped_down
+    assert orders == [engine.orders for engine in world.engines.values()]
+
+
+def test_a_leader_that_an_engine_fences_off_steps_down(monkeypatch):
+    world = World(monkeypatch, count=1)
+    world.engines['e0'].fence = world.leader.fence + 1
+    world.ctx.wanted.want_weights(MODEL, 2)
+    world.run_for(1_000)
+    assert world.leader.stepped_down
+
+
+def test_a_new_leader_orders_at_once_what_its_predecessor_left_alone(
+    monkeypatch,
+):
+    # A leader was frozen amid a rollout; waiting out its turn for every
+    # engine took 3 s of the 10 s that new weights may take.
+    world = World(monkeypatch)
+    world.ctx.wanted.want_weights(MODEL, 2)
+    world.run_for(300)
+    touched = {id_ for id_, e in world.engines.items() if e.orders}
+    assert touched
+    lost_ms = world.clock.now_ms()
+    world.leader = Leader(fence=9, turn_over=False)
+    world.rollout = world.make_rollout()
+    world.run_for(2_500)
+    untouched = [e for id_, e in world.engines.items() if id_ not in touched]
+    assert any(engine.orders for engine in untouched)
+    assert world.clock.now_ms() - lost_ms < LEASE_MS
+
+
+def test_a_new_leader_leaves_alone_what_its_predecessor_ordered(monkeypatch):
+    world = World(monkeypatch)
+    world.ctx.wanted.want_weights(MODEL, 2)
+    world.run_for(300)
+    touched = [e for e in world.engines.values() if e.orders]
+    world.ctx.wanted.want_weights(MODEL, 3)
+    world.leader = Leader(fence=9, turn_over=False)
+    world.rollout = world.make_rollout()
+    world.run_for(20_000)
+    assert {engine.orders for engine in touched} == {1}
+    world.leader.turn_over = True
+    world.run_for(4_000)
+    assert world.versions() == {3}
+
+
+def test_no_engine_is_ordered_that_the_record_does_not_name(monkeypatch):
+    world = World(monkeypatch)
+    world.ctx.wanted.want_weights(MODEL, 2)
+    world.keys.faults.lose_requests = 1
+    asyncio.run(world.rollout.step())
+    assert not any(engine.orders for engine in world.engines.values())
+    world.run_for(12_000)
+    assert world.versions() == {2}
+
+
+def test_a_late_write_of_the_predecessor_changes_nothing(monkeypatch):
+    world = World(monkeypatch)
+    world.ctx.wanted.want_weights(MODEL, 2)
+    world.run_for(300)
+    old = world.rollout
+    world.leader = Leader(fence=9, turn_over=False)
+    world.rollout = world.make_rollout()
+    world.run_for(300)
+    counts = [engine.orders for engine in world.engines.values()]
+    asyncio.run(old.step())
+    assert counts == [engine.orders for engine in world.engines.values()]
 
 
 def test_a_later_version_overtakes_one_under_way(monkeypatch):
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -5,8 +5,8 @@
 from tests.gateway.samples import make_target
 from tests.platform.standin import Reply
 from tests.platform.standin import with_standin
-from wigeonmill.gateway.weights_rollout import OrderOutcome
-from wigeonmill.gateway.weights_rollout import WeightsOrder
+from wigeonmill.gateway.engine_orders import OrderOutcome
+from wigeonmill.gateway.engine_orders import WeightsOrder
 
 ORDER = WeightsOrder('m', 2, 'entry', 41, 3, cut_streams=False)
 
--- a/wigeonmill/gateway/adapter.py
+++ b/wigeonmill/gateway/adapter.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass
 
 from wigeonmill.gateway.changes import RecordDecoder
+from wigeonmill.gateway.engine_orders import EngineOrders
 from wigeonmill.gateway.server import CallerCodec
 from wigeonmill.gateway.store_watch import CacheStores
 from wigeonmill.gateway.sync import RecordSource
 from wigeonmill.gateway.target_client import TargetCodec
-from wigeonmill.gateway.weights_rollout import EngineOrders
 from wigeonmill.providers.key_value import LeasedKeys
 
 
--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -21,8 +21,8 @@
 from wigeonmill.gateway.own_records import ROLLOUT_KEY
 from wigeonmill.gateway.own_records import RolloutRecord
 from wigeonmill.gateway.registration import EntryList
-from wigeonmill.gateway.weights_rollout import note_rollout
-from wigeonmill.gateway.weights_rollout import WeightsRollout
+from wigeonmill.gateway.rollout_notice import note_rollout
+from wigeonmill.gateway.rollout_notice import RolloutNotice
 
 logger = logging.getLogger(__name__)
 
@@ -39,7 +39,7 @@
         '_decoder',
         '_entries',
         '_inner_key',
-        '_rollout',
+        '_notice',
         '_on_state',
     )
 
@@ -49,14 +49,14 @@
         decoder: RecordDecoder,
         entries: EntryList,
         inner_key: SharedInnerKey,
-        rollout: WeightsRollout,
+        notice: RolloutNotice,
         on_state: Callable[[DesiredState], None],
     ) -> None:
         self._ctx = ctx
         self._decoder = decoder
         self._entries = entries
         self._inner_key = inner_key
-        self._rollout = rollout
+        self._notice = notice
         self._on_state = on_state
 
     def take(self, record: Record) -> None:
@@ -74,7 +74,7 @@
         elif record.key == INNER_KEY:
             self._inner_key.take(record)
         elif record.key == ROLLOUT_KEY:
-            self._rollout.take_record(record)
+            self._notice.take_record(record)
             found = decode_own(record, RolloutRecord)
             if found is not None:
                 note_rollout(self._ctx, found, LOADING_PAUSE_MS)
--- a/wigeonmill/gateway/own_records.py
+++ b/wigeonmill/gateway/own_records.py
@@ -35,13 +35,16 @@
     """A change of weights under way.
 
     `loading` names the targets that get no new work, `loaded` the version
-    that others were seen to have.
+    that others were seen to have. `ordered` names the targets that the leader
+    with this `fence` ordered lately, or is about to order.
     """
 
     model: str
     version: int
     loading: list[str]
     loaded: dict[str, int]
+    ordered: list[str] = []
+    fence: int = 0
 
 
 def decode_own(record: Record, kind: type[T]) -> T | None:
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -28,6 +28,7 @@
 from wigeonmill.gateway.picker import Picker
 from wigeonmill.gateway.registration import EntryList
 from wigeonmill.gateway.registration import Registration
+from wigeonmill.gateway.rollout_notice import RolloutNotice
 from wigeonmill.gateway.server import GatewayServer
 from wigeonmill.gateway.settings import GatewaySettings
 from wigeonmill.gateway.status_server import StatusServer
@@ -112,11 +113,12 @@
             term_ms=max(LEADER_TERM_MS, settings.key_value_ttl_min_ms),
             turn_ms=settings.lease_ms,
         )
+        notice = RolloutNotice(self._ctx, self._leadership, adapter.keys)
         self._rollout = WeightsRollout(
             self._ctx,
             self._leadership,
             adapter.engines,
-            adapter.keys,
+            notice,
             settings.process,
             settings.weights_deadline_ms,
         )
@@ -139,7 +141,7 @@
             adapter.decoder,
             self._entries,
             self._inner_key,
-            self._rollout,
+            notice,
             self._on_state,
         )
         self._mirror.subscribe(intake.take)
--- a/wigeonmill/gateway/rollout_plan.py
+++ b/wigeonmill/gateway/rollout_plan.py
@@ -13,8 +13,9 @@
 class EngineState:
     """One engine as last reported.
 
-    `ordered` says that it was ordered to load and has not finished.
-    `runs` are the open requests of all entries.
+    `ordered` says that it was ordered to load and has not finished, `held`
+    that it must not be ordered yet. `runs` are the open requests of all
+    entries.
     """
 
     id: str
@@ -22,6 +23,7 @@
     version: int
     ordered: bool
     runs: int
+    held: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,7 @@
     waiting = [
         engine
         for engine in engines
-        if engine.version < wanted and not engine.ordered
+        if engine.version < wanted and not engine.ordered and not engine.held
     ]
     waiting.sort(key=lambda engine: (engine.version, engine.runs, engine.id))
     free = max(0, bound - len(loading))
--- a/wigeonmill/gateway/weights_rollout.py
+++ b/wigeonmill/gateway/weights_rollout.py
@@ -2,25 +2,20 @@
 
 import asyncio
 from dataclasses import dataclass
-import enum
 import logging
-from typing import Protocol
 
-import msgspec
 from result import Err
-from result import Result
 
 from wigeonmill.gateway.context import GatewayContext
+from wigeonmill.gateway.engine_orders import EngineOrders
+from wigeonmill.gateway.engine_orders import EngineReport
+from wigeonmill.gateway.engine_orders import OrderOutcome
+from wigeonmill.gateway.engine_orders import WeightsOrder
 from wigeonmill.gateway.leadership import Leadership
-from wigeonmill.gateway.mirror import Record
-from wigeonmill.gateway.own_records import ROLLOUT_KEY
-from wigeonmill.gateway.own_records import RolloutRecord
+from wigeonmill.gateway.rollout_notice import RolloutNotice
 from wigeonmill.gateway.rollout_plan import EngineState
 from wigeonmill.gateway.rollout_plan import plan_wave
-from wigeonmill.gateway.targets import Loading
 from wigeonmill.gateway.targets import Target
-from wigeonmill.providers.fetch import FetchError
-from wigeonmill.providers.key_value import LeasedKeys
 
 logger = logging.getLogger(__name__)
 
@@ -39,65 +34,6 @@
 ORDER_LOST_MS = 2_500.0
 
 
-class OrderOutcome(enum.Enum):
-    """What an engine answered to an order."""
-
-    ACCEPTED = 'accepted'
-    ALREADY_DONE = 'already_done'
-    # Another order is in progress, or the order count differs.
-    CONFLICT = 'conflict'
-    # A higher fencing token was seen.
-    FENCED = 'fenced'
-    WRONG_TARGET = 'wrong_target'
-    INVALID = 'invalid'
-    # The order never left this process.
-    NOT_SENT = 'not_sent'
-    # No answer: it may be carried out, now or later.
-    UNKNOWN = 'unknown'
-
-
-@dataclass(frozen=True, slots=True)
-class EngineReport:
-    """What an engine says of its orders; `orders` counts those accepted.
-
-    `waiting` requests have not begun to run.
-    """
-
-    born_ms: int
-    versions: dict[str, int]
-    busy: bool
-    orders: int
-    waiting: int
-
-
-@dataclass(frozen=True, slots=True)
-class WeightsOrder:
-    """An order to load a weight version of a model.
-
-    `cut_streams` ends the engine's streams, which go on elsewhere if they
-    may; else the engine waits for their ends first.
-    """
-
-    model: str
-    version: int
-    holder: str
-    fence: int
-    expected_orders: int
-    cut_streams: bool
-
-
-class EngineOrders(Protocol):
-    """Asks engines for reports and gives them orders."""
-
-    async def report(self, target: Target) -> Result[EngineReport, FetchError]:
-        """Return the engine's report."""
-
-    async def load_weights(
-        self, target: Target, order: WeightsOrder
-    ) -> OrderOutcome:
-        """Order an engine to load weights."""
-
-
 @dataclass(slots=True)
 class _Ordered:
     version: int
@@ -114,7 +50,7 @@
         ctx: GatewayContext,
         leadership: Leadership,
         orders: EngineOrders,
-        keys: LeasedKeys,
+        notice: RolloutNotice,
         entry: str,
         deadline_ms: float,
     ) -> None:
@@ -123,21 +59,15 @@
         self._clock = ctx.clock
         self._leadership = leadership
         self._orders = orders
-        self._keys = keys
+        self._notice = notice
         self._entry = entry
         self._ordered: dict[str, _Ordered] = {}
-        self._published: RolloutRecord | None = None
-        self.record_version = 0
-
-    def take_record(self, record: Record) -> None:
-        """Note the revision of the published record."""
-        self.record_version = record.revision if record.value else 0
 
     async def step(self) -> None:
         """Do what is due now; nothing unless this entry leads."""
-        if not self._leadership.may_order:
+        if not self._leadership.leads:
             self._ordered.clear()
-            self._published = None
+            self._notice.reset()
             return
         for model, wanted in self._ctx.wanted.all_weights.items():
             await self._step_model(model, wanted)
@@ -154,8 +84,12 @@
             if target.weights[model] < wanted or target.id in self._ordered
         ]
         if not behind:
-            if self._published is not None and self._published.loading:
-                await self._publish(RolloutRecord(model, wanted, [], {}))
+            if self._notice.names_loading:
+                await self._notice.announce(model, wanted, (), {})
+            return
+        if not await self._notice.take_over():
+            return
+        if not any(self._notice.may_order(target.id) for target in behind):
             return
         reports = await asyncio.gather(
             *(self._orders.report(target) for target in behind)
@@ -210,8 +144,9 @@
                 target.id,
                 target.failure_domain,
                 target.weights[model],
-                target.id in self._ordered,
+                target.id in self._ordered or _is_busy(reported, target),
                 target.load.runs(),
+                held=not self._notice.may_order(target.id),
             )
             for target in engines
             if target.weights[model] >= wanted
@@ -224,9 +159,11 @@
             for target in engines
             if target.weights[model] >= wanted
         }
-        record = RolloutRecord(model, wanted, sorted(wave.loading), loaded)
-        if record != self._published:
-            await self._publish(record)
+        announced = await self._notice.announce(
+            model, wanted, wave.loading, loaded, wave.start
+        )
+        if not announced:
+            return
         if not wave.start:
             return
         by_id = {target.id: target for target in engines}
@@ -251,7 +188,7 @@
 
     async def _order(self, target: Target, model: str, wanted: int) -> None:
         report = await self._emptied(target)
-        if report is None or not self._leadership.may_order:
+        if report is None or not self._notice.may_order(target.id):
             return
         order = WeightsOrder(
             model,
@@ -264,6 +201,7 @@
         self._ordered[target.id] = _Ordered(
             wanted, report.born_ms, report.orders, self._clock.now_ms()
         )
+        self._notice.note_ordered(target.id)
         outcome = await self._orders.load_weights(target, order)
         logger.info(
             'order given',
@@ -293,33 +231,8 @@
         age_ms = self._ctx.wanted.weights_age_ms(model)
         return age_ms >= URGENT_SHARE * self._deadline_ms
 
-    async def _publish(self, record: RolloutRecord) -> None:
-        self._published = record
-        written = await self._keys.compare_and_swap(
-            ROLLOUT_KEY, self.record_version, msgspec.json.encode(record)
-        )
-        if isinstance(written, Err):
-            # The entries then learn from the engines' own refusals.
-            logger.warning(
-                'rollout not published',
-                extra={'detail': written.err_value.message},
-            )
-            return
-        self.record_version = written.ok_value
-
 
-def note_rollout(
-    ctx: GatewayContext, record: RolloutRecord, pause_ms: float
-) -> None:
-    """Keep new work from engines that load, and know those that have."""
-    now_ms = ctx.clock.now_ms()
-    for target in ctx.directory.all():
-        target.loading = None
-        if target.id in record.loading:
-            target.loading = Loading(
-                record.model, record.version, now_ms + pause_ms
-            )
-        version = record.loaded.get(target.id)
-        if version is not None and record.model in target.weights:
-            known = target.weights[record.model]
-            target.weights[record.model] = max(version, known)
+def _is_busy(reported: dict[str, EngineReport], target: Target) -> bool:
+    """Whether an engine carries out an order, perhaps a predecessor's."""
+    report = reported.get(target.id)
+    return report is not None and report.busy
