Close a connection with the last answer on it during a planned stop

Change: while draining, a finished answer closes its connection once the answer is written out. Test: a stream that began before a stop ends with its connection (timed out before the change).

--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -29,9 +29,17 @@
 
     def __init__(self):
         self.go_on = asyncio.Event()
+        self.begun = asyncio.Event()
         self.cancelled = False
 
     async def serve(self, req, channel):
+        if req.path.endswith('stream'):
+            channel.begin(AnswerHead(200, ()))
+            channel.send(b'part')
+            self.begun.set()
+            await self.go_on.wait()
+            channel.finish()
+            return
         try:
             await self.go_on.wait()
         except asyncio.CancelledError:
@@ -85,6 +93,21 @@
     with_server(check)
 
 
+def test_a_stream_that_began_before_a_stop_ends_with_its_connection():
+    """Its head could not say so, and a request on it would be cut."""
+
+    async def check(server, forwarder, port):
+        reader, writer = await connect(port)
+        writer.write(b'GET /a/stream HTTP/1.1\r\nHost: h\r\n\r\n')
+        await forwarder.begun.wait()
+        server.draining = True
+        forwarder.go_on.set()
+        answer = await reader.read()
+        assert answer.endswith(b'0\r\n\r\n')
+
+    with_server(check)
+
+
 def test_a_connection_is_idle_again_after_its_answer():
     async def check(server, forwarder, port):
         forwarder.go_on.set()
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -18,6 +18,7 @@
 from tornado.httputil import RequestStartLine
 from tornado.httputil import responses
 from tornado.httputil import ResponseStartLine
+from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
 from wigeonmill.addresses import split_address
@@ -234,8 +235,13 @@
     def finish(self) -> None:
         """End the body as complete."""
         self._over = True
-        if not self.closed:
-            self._conn.finish()
+        if self.closed:
+            return
+        self._conn.finish()
+        if self._server.draining:
+            # The head may have gone out before the stop, so that the caller
+            # does not know that the connection ends.
+            asyncio.ensure_future(_close_after_writes(self._conn))
 
     def abort(self) -> None:
         """End the connection; the answer must not look complete."""
@@ -272,6 +278,15 @@
             self.abort()
 
 
+async def _close_after_writes(conn: HTTP1Connection) -> None:
+    """Close a connection once the caller's system has the whole answer."""
+    try:
+        await conn.stream.write(b'')
+    except StreamClosedError:
+        return
+    conn.close()
+
+
 def _is_quiet(conn: HTTP1Connection) -> bool:
     """Whether nothing of a request has come on a connection.
 
