Follow the whole key-value service by one watch instead of three

Each entry kept three watches, one a prefix, and each is renewed every 1.8 s. Ruled out: lease renewals (a tenth of a call each). Change: one listing and one watch of every key. The mirror is complete up to one revision instead of one a prefix; the machinery for prefixes is gone. Test: the tests of mirror, sync and store follow; "complete up to the least known prefix" became "complete up to its last listing and never less".

--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -6,43 +6,39 @@
 from wigeonmill.gateway.mirror import Record
 
 
-def make_mirror():
-    return Mirror(['op/', 'targets/'])
-
-
 def test_an_older_change_never_replaces_a_newer_one():
-    mirror = make_mirror()
+    mirror = Mirror()
     mirror.apply([Record('op/x', 5, b'new')])
     assert mirror.apply([Record('op/x', 4, b'old')]) == 0
     assert mirror.get('op/x').value == b'new'
 
 
 def test_what_a_listing_leaves_out_is_removed_unless_it_is_newer():
-    mirror = make_mirror()
+    mirror = Mirror()
     seen = []
     mirror.subscribe(seen.append)
     mirror.apply([Record('op/a', 2, b'a'), Record('op/b', 9, b'b')])
-    mirror.replace('op/', [Record('op/c', 3, b'c')], 7)
+    mirror.replace([Record('op/c', 3, b'c')], 7)
     assert mirror.get('op/a') == Record('op/a', 7, None)
     assert mirror.get('op/b').value == b'b'
     assert seen[-1] == Record('op/a', 7, None)
 
 
-def test_it_is_complete_only_up_to_the_least_known_prefix():
-    mirror = make_mirror()
-    mirror.replace('op/', [], 10)
+def test_it_is_complete_up_to_its_last_listing_and_never_less():
+    mirror = Mirror()
+    mirror.apply([Record('op/a', 12, b'a')])
     assert mirror.complete == 0
-    mirror.replace('targets/', [], 6)
-    assert mirror.complete == 6
+    mirror.replace([], 10)
+    assert mirror.complete == 10
+    mirror.replace([], 6)
+    assert mirror.complete == 10
 
 
 def test_another_entry_hears_removals_too():
-    mine, theirs = make_mirror(), make_mirror()
-    for prefix in mine.prefixes:
-        mine.replace(prefix, [], 3)
+    mine, theirs = Mirror(), Mirror()
+    mine.replace([], 3)
     mine.apply([Record('op/a', 4, b'a'), Record('targets/t', 5, None)])
-    mine.advance('op/', 5)
-    mine.advance('targets/', 5)
+    mine.advance(5)
     records, complete = mine.since(3)
     theirs.apply([Record('targets/t', 2, b't')])
     theirs.merge(records, complete)
@@ -51,21 +47,20 @@
 
 
 def test_a_long_history_is_told_in_parts_without_a_gap():
-    mine, theirs = make_mirror(), make_mirror()
+    mine, theirs = Mirror(), Mirror()
     count = MAX_SHARED_RECORDS + 40
     mine.apply([Record(f'op/{n}', n + 1, b'') for n in range(count)])
-    for prefix in mine.prefixes:
-        mine.advance(prefix, count)
+    mine.advance(count)
     while theirs.complete < mine.complete:
         records, complete = mine.since(theirs.complete)
         assert complete > theirs.complete
         theirs.merge(records, complete)
-    assert len(theirs.under('op/')) == count
+    assert len(theirs.present()) == count
 
 
 @given(st.permutations([(k, r) for r, k in enumerate('abcabcab', start=1)]))
 def test_changes_may_come_in_any_order(changes):
-    mirror = make_mirror()
+    mirror = Mirror()
     for key, revision in changes:
         mirror.apply([Record(key, revision, str(revision).encode())])
     assert mirror.get('a').revision == 7
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -26,7 +26,7 @@
             clock, random.Random(1), Metrics(), RetryLimits(), lambda: 2
         )
         self.ctx.directory.take(make_engine_record('e0'))
-        self.mirror = Mirror(['op/'])
+        self.mirror = Mirror()
         self.peers = Peers(
             self.ctx,
             self.mirror,
@@ -70,7 +70,7 @@
 def test_an_entry_the_service_turns_away_hears_changes_from_another():
     async def check(first, second):
         second.mirror.apply([Record('op/config', 7, b'new')])
-        second.mirror.advance('op/', 7)
+        second.mirror.advance(7)
         await until(lambda: first.mirror.complete == 7)
         assert first.mirror.get('op/config').value == b'new'
 
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -33,14 +33,14 @@
         self.revision += 1
         self.records[key] = Record(key, self.revision, value)
 
-    async def listing(self, prefix):
+    async def listing(self):
         self.listings += 1
         if self.error:
             return Err(self.error)
         present = [r for r in self.records.values() if r.value is not None]
         return Ok(Changes(tuple(present), self.revision))
 
-    async def changes(self, prefix, after, wait_ms, fresh):
+    async def changes(self, after, wait_ms, fresh):
         self.fresh_watches.append(fresh)
         for _turn in range(20):
             if self.error:
@@ -57,7 +57,7 @@
 def with_sync(check):
     async def run():
         source = Source()
-        mirror = Mirror(['op/'])
+        mirror = Mirror()
         reached = []
         sync = MirrorSync(
             source,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -32,7 +32,7 @@
     }
 
     async def check(store, standin):
-        found = (await store.listing('op/')).unwrap()
+        found = (await store.listing()).unwrap()
         assert found.records == (
             Record('op/a', 3, b'\x00\xff'),
             Record('op/b', 4, b'v'),
@@ -51,14 +51,14 @@
     ]
 
     async def check(store, standin):
-        found = (await store.changes('op/', 11, 50, fresh=False)).unwrap()
+        found = (await store.changes(11, 50, fresh=False)).unwrap()
         assert found.records == (
             Record('op/a', 12, b'v'),
             Record('op/b', 13, None),
         )
         assert found.revision == 13
         assert standin.calls[0].query == {
-            'prefix': 'op/',
+            'prefix': '',
             'after': '11',
             'waitMs': '50',
         }
@@ -80,7 +80,7 @@
 )
 def test_refusals_are_told_apart(status, kind):
     async def check(store, standin):
-        outcome = await store.changes('op/', 1, 50, fresh=True)
+        outcome = await store.changes(1, 50, fresh=True)
         assert outcome.unwrap_err().kind is kind
 
     check_store(lambda call: Reply(status, {}), check)
@@ -132,7 +132,7 @@
 
 def test_an_unreadable_reply_is_an_error():
     async def check(store, standin):
-        outcome = await store.listing('op/')
+        outcome = await store.listing()
         assert outcome.unwrap_err().kind is KvErrorKind.UNKNOWN
 
     check_store(lambda call: Reply(body='no json'), check)
--- a/wigeonmill/gateway/adapter.py
+++ b/wigeonmill/gateway/adapter.py
@@ -13,10 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Adapter:
-    """What speaks the platform's wire.
-
-    `prefixes` are those of the platform's own records.
-    """
+    """What speaks the platform's wire."""
 
     source: RecordSource
     decoder: RecordDecoder
@@ -25,5 +22,4 @@
     keys: LeasedKeys
     engines: EngineOrders
     caches: CacheStores
-    prefixes: tuple[str, ...]
     ready_path: str
--- a/wigeonmill/gateway/mirror.py
+++ b/wigeonmill/gateway/mirror.py
@@ -25,30 +25,15 @@
 class Mirror:
     """Records by key; only a later revision replaces one.
 
-    `complete` is the revision up to which every change is known: the least
-    of what is known of each of `prefixes`.
+    `complete` is the revision up to which every change is known.
     """
 
-    __slots__ = ('_records', '_listeners', '_complete')
+    __slots__ = ('_records', '_listeners', 'complete')
 
-    def __init__(self, prefixes: Iterable[str]) -> None:
+    def __init__(self) -> None:
         self._records: dict[str, Record] = {}
         self._listeners: list[Callable[[Record], None]] = []
-        self._complete = dict.fromkeys(prefixes, 0)
-
-    @property
-    def prefixes(self) -> list[str]:
-        """The prefixes that are copied."""
-        return list(self._complete)
-
-    @property
-    def complete(self) -> int:
-        """The revision up to which every change is known."""
-        return min(self._complete.values())
-
-    def complete_under(self, prefix: str) -> int:
-        """The revision up to which changes under one prefix are known."""
-        return self._complete[prefix]
+        self.complete = 0
 
     def subscribe(self, listener: Callable[[Record], None]) -> None:
         """Call `listener` with each record that changes."""
@@ -58,13 +43,9 @@
         """Return the record of `key`; a removed one has no value."""
         return self._records.get(key)
 
-    def under(self, prefix: str) -> list[Record]:
-        """Return the present records under `prefix`."""
-        return [
-            record
-            for record in self._records.values()
-            if record.value is not None and record.key.startswith(prefix)
-        ]
+    def present(self) -> list[Record]:
+        """Return the records that are not removed."""
+        return [r for r in self._records.values() if r.value is not None]
 
     def apply(self, records: Iterable[Record]) -> int:
         """Take changes; returns how many were new."""
@@ -79,14 +60,12 @@
                 listener(record)
         return count
 
-    def advance(self, prefix: str, revision: int) -> None:
-        """Note that all changes under `prefix` up to `revision` are known."""
-        self._complete[prefix] = max(self._complete[prefix], revision)
+    def advance(self, revision: int) -> None:
+        """Note that all changes up to `revision` are known."""
+        self.complete = max(self.complete, revision)
 
-    def replace(
-        self, prefix: str, records: Iterable[Record], revision: int
-    ) -> int:
-        """Take a listing of `prefix` made at `revision`.
+    def replace(self, records: Iterable[Record], revision: int) -> int:
+        """Take a listing made at `revision`.
 
         What is not listed was removed by then, unless it is newer.
         """
@@ -94,11 +73,11 @@
         keys = {record.key for record in listed}
         gone = [
             Record(known.key, revision, None)
-            for known in self.under(prefix)
+            for known in self.present()
             if known.key not in keys and known.revision < revision
         ]
         count = self.apply([*listed, *gone])
-        self.advance(prefix, revision)
+        self.advance(revision)
         return count
 
     def since(self, revision: int) -> tuple[list[Record], int]:
@@ -116,6 +95,5 @@
     def merge(self, records: Iterable[Record], complete: int) -> int:
         """Take what another entry knew up to `complete`."""
         count = self.apply(records)
-        for prefix in self._complete:
-            self.advance(prefix, complete)
+        self.advance(complete)
         return count
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -23,7 +23,6 @@
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.own_records import ENTRY_PREFIX
 from wigeonmill.gateway.own_records import LEADER_KEY
-from wigeonmill.gateway.own_records import PREFIX
 from wigeonmill.gateway.peers import Peers
 from wigeonmill.gateway.picker import Picker
 from wigeonmill.gateway.registration import EntryList
@@ -83,7 +82,7 @@
         self.metrics = Metrics()
         self._transfers = transfers
         self._stop = asyncio.Event()
-        self._mirror = Mirror((*adapter.prefixes, PREFIX))
+        self._mirror = Mirror()
         self._entries = EntryList(
             clock, settings.process, settings.expected_entries
         )
@@ -254,7 +253,7 @@
 
     async def _ensure_inner_key(self) -> None:
         while not self._inner_key.known:
-            if self._mirror.complete_under(PREFIX):
+            if self._mirror.complete:
                 await self._inner_key.ensure()
             await asyncio.sleep(TICK_MS / 1000.0)
 
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-import functools
 import logging
 import random
 from typing import Protocol
@@ -42,11 +41,11 @@
 class RecordSource(Protocol):
     """Reads the records of the key-value service."""
 
-    async def listing(self, prefix: str) -> Result[Changes, KvError]:
-        """Return what is under `prefix`."""
+    async def listing(self) -> Result[Changes, KvError]:
+        """Return every record."""
 
     async def changes(
-        self, prefix: str, after: int, wait_ms: int, fresh: bool
+        self, after: int, wait_ms: int, fresh: bool
     ) -> Result[Changes, KvError]:
         """Wait for changes after a revision; INVALID if it is too old.
 
@@ -55,7 +54,7 @@
 
 
 class MirrorSync:
-    """Lists each prefix once, then watches it, for as long as it runs."""
+    """Lists all records once, then watches them, for as long as it runs."""
 
     def __init__(
         self,
@@ -72,85 +71,76 @@
         self._rng = rng
         self._metrics = metrics
         self._on_reach = on_reach
-        self._tasks: list[asyncio.Task[None]] = []
-        # Prefixes that have not been read, or not since a failure.
-        self._failing = set(mirror.prefixes)
+        self._task: asyncio.Task[None] | None = None
         self.reached = False
 
     def start(self) -> None:
-        """Begin to follow every prefix of the mirror."""
-        for prefix in self._mirror.prefixes:
-            loop = functools.partial(self._follow, prefix)
-            self._tasks.append(asyncio.ensure_future(keep_going(loop)))
+        """Begin to follow the records."""
+        self._task = asyncio.ensure_future(keep_going(self._follow))
 
     def close(self) -> None:
         """Stop following."""
-        for task in self._tasks:
-            task.cancel()
+        if self._task is not None:
+            self._task.cancel()
 
-    async def _follow(self, prefix: str) -> None:
+    async def _follow(self) -> None:
         backoff_ms = FIRST_BACKOFF_MS
         listed = False
         failed = False
         while True:
             if listed:
-                outcome = await self._watch_once(prefix, failed)
+                outcome = await self._watch_once(failed)
             else:
-                outcome = await self._list_once(prefix)
+                outcome = await self._list_once()
             failed = isinstance(outcome, Err)
             if isinstance(outcome, Err):
                 error = outcome.err_value
                 listed = listed and error.kind is not KvErrorKind.INVALID
-                self._note_failure(prefix, error)
+                self._note_failure(error)
                 pause_ms = backoff_ms * (0.5 + self._rng.random())
                 await asyncio.sleep(pause_ms / 1000.0)
                 backoff_ms = min(MAX_BACKOFF_MS, backoff_ms * 2)
                 continue
-            self._note_success(prefix)
+            self._note_success()
             backoff_ms = FIRST_BACKOFF_MS
             listed = True
 
-    async def _list_once(self, prefix: str) -> Result[Changes, KvError]:
-        outcome = await self._source.listing(prefix)
+    async def _list_once(self) -> Result[Changes, KvError]:
+        outcome = await self._source.listing()
         if not isinstance(outcome, Err):
             found = outcome.ok_value
-            self._mirror.replace(prefix, found.records, found.revision)
+            self._mirror.replace(found.records, found.revision)
         return outcome
 
-    async def _watch_once(
-        self, prefix: str, returning: bool
-    ) -> Result[Changes, KvError]:
-        after = self._mirror.complete_under(prefix)
+    async def _watch_once(self, returning: bool) -> Result[Changes, KvError]:
         wait_ms = RETURN_WAIT_MS if returning else WATCH_WAIT_MS
         outcome = await self._source.changes(
-            prefix, after, wait_ms, fresh=returning
+            self._mirror.complete, wait_ms, fresh=returning
         )
         if not isinstance(outcome, Err):
             found = outcome.ok_value
             self._mirror.apply(found.records)
-            self._mirror.advance(prefix, found.revision)
+            self._mirror.advance(found.revision)
         return outcome
 
-    def _note_failure(self, prefix: str, error: KvError) -> None:
+    def _note_failure(self, error: KvError) -> None:
         self._metrics.count('key_value_failures', error.kind.value)
-        self._failing.add(prefix)
         if error.kind is KvErrorKind.INVALID:
             logger.info(
                 'history lost, listing anew',
-                extra={'prefix': prefix, 'detail': error.message},
+                extra={'detail': error.message},
             )
             return
         if self.reached:
             self.reached = False
             logger.warning(
                 'key-value service lost',
-                extra={'prefix': prefix, 'detail': error.message},
+                extra={'detail': error.message},
             )
             self._on_reach(False)
 
-    def _note_success(self, prefix: str) -> None:
-        self._failing.discard(prefix)
-        if not self.reached and not self._failing:
+    def _note_success(self) -> None:
+        if not self.reached:
             self.reached = True
             logger.info(
                 'key-value service reached',
