--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -54,6 +54,66 @@
         self.at_ms = at_ms
 
 
+class PeerLoads:
+    """What the other entries have open at a target, summed up.
+
+    The sums are kept, not made for each request: with many entries they
+    would take most of the time of a pick.
+    """
+
+    __slots__ = ('_clock', '_loads', '_runs', '_tokens', '_waiting')
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        # In the order in which they were told.
+        self._loads: dict[str, PeerLoad] = {}
+        self._runs = 0
+        self._tokens = [0] * PRIORITIES
+        self._waiting = [0] * PRIORITIES
+
+    def set(self, entry: str, load: PeerLoad) -> None:
+        """Take what an entry has open."""
+        self.clear(entry)
+        self._loads[entry] = load
+        self._add(load, 1)
+
+    def clear(self, entry: str) -> None:
+        """Take that an entry has nothing open."""
+        load = self._loads.pop(entry, None)
+        if load is not None:
+            self._add(load, -1)
+
+    def runs(self) -> int:
+        """Return the open requests."""
+        self._expire()
+        return self._runs
+
+    def tokens(self, priorities: int) -> int:
+        """Return the memory taken by the first so many priorities."""
+        self._expire()
+        return sum(self._tokens[:priorities])
+
+    def waiting_tokens(self, priorities: int) -> int:
+        """Return the tokens to be read of the first so many priorities."""
+        self._expire()
+        return sum(self._waiting[:priorities])
+
+    def _expire(self) -> None:
+        oldest_ms = self._clock.now_ms() - PEER_LOAD_TTL_MS
+        while self._loads:
+            entry = next(iter(self._loads))
+            if self._loads[entry].at_ms >= oldest_ms:
+                return
+            self.clear(entry)
+
+    def _add(self, load: PeerLoad, sign: int) -> None:
+        self._runs += sign * load.runs
+        for priority, tokens in enumerate(load.tokens):
+            self._tokens[priority] += sign * tokens
+        for priority, tokens in enumerate(load.waiting_tokens):
+            self._waiting[priority] += sign * tokens
+
+
 class OpenSend:
     """One request that is open at a target.
 
@@ -111,7 +171,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._open: dict[OpenSend, None] = {}
-        self._peers: dict[str, PeerLoad] = {}
+        self._peers = PeerLoads(clock)
         self._fit = LinearFit(
             FIRST_TOKEN_FIXED_MS, PREFILL_MS_PER_TOKEN, TYPICAL_PROMPT_TOKENS
         )
@@ -196,15 +256,15 @@
 
     def set_peer(self, entry: str, load: PeerLoad) -> None:
         """Take what another entry has open here."""
-        self._peers[entry] = load
+        self._peers.set(entry, load)
 
     def clear_peer(self, entry: str) -> None:
         """Take that another entry has nothing open here."""
-        self._peers.pop(entry, None)
+        self._peers.clear(entry)
 
     def runs(self) -> int:
         """Return the open requests of all entries."""
-        return len(self._open) + sum(p.runs for p in self._fresh_peers())
+        return len(self._open) + self._peers.runs()
 
     def own_runs(self) -> int:
         """Return the open requests of this entry."""
@@ -229,9 +289,7 @@
         if capacity <= 0:
             return 0
         last = priority + 1
-        taken = sum(self.tokens[:last])
-        for peer in self._fresh_peers():
-            taken += sum(peer.tokens[:last])
+        taken = sum(self.tokens[:last]) + self._peers.tokens(last)
         return taken + tokens - capacity
 
     def is_silent(self) -> bool:
@@ -257,11 +315,5 @@
     def _ahead_of(self, priority: int) -> int:
         """Return the tokens that are read before a new request's."""
         last = priority + 1
-        ahead = sum(self.waiting_tokens[:last])
-        for peer in self._fresh_peers():
-            ahead += sum(peer.waiting_tokens[:last])
-        return ahead
-
-    def _fresh_peers(self) -> list[PeerLoad]:
-        oldest_ms = self._clock.now_ms() - PEER_LOAD_TTL_MS
-        return [p for p in self._peers.values() if p.at_ms >= oldest_ms]
+        own = sum(self.waiting_tokens[:last])
+        return own + self._peers.waiting_tokens(last)
