Let three entries poll a cache store and tell the others

Change: entries choose three readers of each store by rendezvous over their list. The others ask one entry a round for what came after the event number that they know, and poll by themselves only after 1.5 s without news. What is heard is trusted from when the reader had asked; another start of the store is left to a poll of one's own, and older news take nothing back. Ruled out: longer pauses between everyone's polls (parts known late). Tests: views that share, readers among 27 entries, entries that hear or not.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -6,10 +6,15 @@
 from tests.gateway.samples import make_engine_record
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.allowances import RetryLimits
+from wigeonmill.gateway.cache_news import CacheNewsExchange
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.peers import Peers
+from wigeonmill.gateway.store_view import CacheEvent
+from wigeonmill.gateway.store_view import CacheListing
+from wigeonmill.gateway.store_view import CacheNews
+from wigeonmill.gateway.store_view import StoreView
 from wigeonmill.metrics import Metrics
 from wigeonmill.protocol.handshake import InnerKeys
 
@@ -27,21 +32,35 @@
         )
         self.ctx.directory.take(make_engine_record('e0'))
         self.mirror = Mirror()
+        self.view = followed_store(clock)
         self.peers = Peers(
             self.ctx,
             self.mirror,
             name,
             lambda: addresses,
             lambda: keys,
+            CacheNewsExchange(self),
             random.Random(2),
         )
         self.address = self.peers.listen('127.0.0.1:0')
 
+    def views(self):
+        return [self.view]
+
+    def find(self, address):
+        return self.view if address == self.view.address else None
+
     @property
     def load(self):
         return self.ctx.directory.get('e0').load
 
 
+def followed_store(clock):
+    view = StoreView(clock, '127.0.0.1:1')
+    view.take_listing(CacheListing(1, 5, ()))
+    return view
+
+
 async def until(condition):
     async def poll():
         while not condition():
@@ -77,6 +96,19 @@
     with_two(check)
 
 
+def test_an_entry_hears_from_another_what_a_cache_store_holds():
+    async def check(first, second):
+        clock = second.ctx.clock
+        event = CacheEvent(True, 's', 'p', 640)
+        news = CacheNews(1, 9, False, 77_000, (event,))
+        second.view.take_news(news, clock.now_ms())
+        await until(lambda: first.view.holds('s', 'p') == 640)
+        assert first.view.next == 9
+        assert first.view.fetch_until_ms == second.view.fetch_until_ms
+
+    with_two(check)
+
+
 def test_open_work_is_told_and_ends():
     async def check(first, second):
         send = first.load.open(12_000, 9_000, 1)
--- a/tests/gateway/test_store_view.py
+++ b/tests/gateway/test_store_view.py
@@ -5,8 +5,10 @@
 from wigeonmill.gateway.store_view import CacheListing
 from wigeonmill.gateway.store_view import CacheNews
 from wigeonmill.gateway.store_view import MAX_PENDING_SAVES
+from wigeonmill.gateway.store_view import MAX_TOLD_EVENTS
 from wigeonmill.gateway.store_view import SAVE_PENDING_MS
 from wigeonmill.gateway.store_view import SaveDecision
+from wigeonmill.gateway.store_view import SharedNews
 from wigeonmill.gateway.store_view import StoreView
 from wigeonmill.gateway.store_view import TRUST_MS
 
@@ -106,3 +108,54 @@
             view.take_news(news(clock), clock.now_ms())
         assert view.start_save('s', f'p{number}') is SaveDecision.SAVE
     assert len(view._pending) <= MAX_PENDING_SAVES
+
+
+def test_what_another_entry_knew_is_trusted_from_when_it_had_asked():
+    clock = ManualClock()
+    mine, theirs = followed(clock), followed(clock)
+    asked_ms = clock.now_ms()
+    theirs.take_news(news(clock, events=[WHOLE], number=2), asked_ms)
+    clock.advance(1_000)
+    sent_ms = clock.now_ms()
+    shared = theirs.share(mine.boot, mine.next)
+    clock.advance(200)
+    mine.take_shared(shared, sent_ms)
+    assert mine.holds('s', 'p') == 640
+    assert mine.next == 2
+    assert mine.fetch_until_ms == theirs.fetch_until_ms
+    clock.set_ms(asked_ms + TRUST_MS)
+    assert mine.holds('s', 'p') == 0
+
+
+def test_news_of_another_start_are_left_to_a_poll():
+    clock = ManualClock()
+    mine, theirs = followed(clock, boot=1), followed(clock, boot=2)
+    assert theirs.share(mine.boot, mine.next) is None
+    mine.take_shared(SharedNews(2, 9, 99_000, 0.0, (WHOLE,)), clock.now_ms())
+    assert mine.boot == 1
+    assert mine.holds('s', 'p') == 0
+
+
+def test_older_news_of_another_entry_take_nothing_back():
+    clock = ManualClock()
+    view = followed(clock)
+    gone = CacheEvent(False, 's', 'p', 0)
+    view.take_news(news(clock, events=[WHOLE], number=2), clock.now_ms())
+    view.take_news(news(clock, events=[gone], number=3), clock.now_ms())
+    old = SharedNews(1, 2, int(clock.now_ms()), 0.0, (WHOLE,))
+    view.take_shared(old, clock.now_ms())
+    assert view.holds('s', 'p') == 0
+
+
+def test_what_is_no_longer_kept_is_not_shared():
+    clock = ManualClock()
+    mine, theirs = followed(clock), followed(clock)
+    for number in range(2, MAX_TOLD_EVENTS + 4):
+        event = CacheEvent(True, 's', f'p{number}', 64)
+        theirs.take_news(news(clock, events=[event], number=number), 0.0)
+    assert theirs.share(mine.boot, mine.next) is None
+    recent = theirs.share(mine.boot, theirs.next - 2)
+    assert [event.part for event in recent.events] == [
+        f'p{theirs.next - 1}',
+        f'p{theirs.next}',
+    ]
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -14,6 +14,7 @@
 from result import Err
 
 from wigeonmill.addresses import split_address
+from wigeonmill.gateway.cache_news import CacheNewsExchange
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
@@ -53,6 +54,7 @@
         me: str,
         addresses: Callable[[], Iterable[str]],
         keys: Callable[[], InnerKeys],
+        caches: CacheNewsExchange,
         rng: random.Random,
     ) -> None:
         self._ctx = ctx
@@ -60,6 +62,7 @@
         self._me = me
         self._addresses = addresses
         self._keys = keys
+        self._caches = caches
         self._rng = rng
         self._busy: set[str] = set()
         # Entries that are still to be told in this round.
@@ -87,8 +90,8 @@
         """Tell the others, until cancelled."""
         while True:
             await asyncio.sleep(NEWS_INTERVAL_MS / 1000.0)
-            for address in self._next_told():
-                asyncio.ensure_future(self._tell(address))
+            for number, address in enumerate(self._next_told()):
+                asyncio.ensure_future(self._tell(address, asks=number == 0))
 
     def _next_told(self) -> list[str]:
         """Return who is told now: everyone in turn, in a random order."""
@@ -110,14 +113,21 @@
                 self._rng.shuffle(self._turn)
         return told
 
-    async def _tell(self, address: str) -> None:
+    async def _tell(self, address: str, asks: bool) -> None:
+        """Tell one entry; with `asks`, also ask it for news of the stores.
+
+        One of several is asked, as all would answer the same.
+        """
         self._busy.add(address)
         try:
             news = self._compose(None)
             last_loss = self._add_losses(
                 news, self._told_losses.get(address, 0)
             )
+            if asks:
+                news.cache_points = self._caches.questions()
             envelope = Envelope(Kind.ENTRY_NEWS, entry_news=news)
+            asked_ms = self._ctx.clock.now_ms()
             client = self._pool.get(address)
             reply = await client.request(envelope, NEWS_TIMEOUT_MS)
             if isinstance(reply, Err):
@@ -130,6 +140,7 @@
                 answer = reply.ok_value.entry_news
                 self._told_losses[address] = last_loss
                 self._take(answer)
+                self._caches.take(answer.cache_updates or (), asked_ms)
         finally:
             self._busy.discard(address)
 
@@ -143,6 +154,7 @@
         if len(self._answered_losses) > MAX_NAMES:
             self._answered_losses.clear()
         self._answered_losses[news.sender] = self._add_losses(answer, known)
+        answer.cache_updates = self._caches.answers(news.cache_points or ())
         reply = Envelope(
             Kind.ENTRY_NEWS_REPLY, envelope.stream, 0, entry_news=answer
         )
--- a/wigeonmill/gateway/registration.py
+++ b/wigeonmill/gateway/registration.py
@@ -12,6 +12,8 @@
 from wigeonmill.gateway.own_records import EntryRecord
 from wigeonmill.providers.key_value import KvErrorKind
 from wigeonmill.providers.key_value import LeasedKeys
+from wigeonmill.routing.rendezvous import rank
+from wigeonmill.routing.rendezvous import WeightedTarget
 
 logger = logging.getLogger(__name__)
 
@@ -86,7 +88,14 @@
 class EntryList:
     """The entries that are listed, and those that were not long ago."""
 
-    __slots__ = ('_clock', '_me', '_addresses', '_unlisted_ms', '_least')
+    __slots__ = (
+        '_clock',
+        '_me',
+        '_addresses',
+        '_unlisted_ms',
+        '_least',
+        '_chosen',
+    )
 
     def __init__(self, clock: Clock, me: str, least: int) -> None:
         self._clock = clock
@@ -94,10 +103,13 @@
         self._addresses: dict[str, str] = {}
         self._unlisted_ms: dict[str, float] = {}
         self._least = least
+        # What was chosen for the list as it is.
+        self._chosen: dict[tuple[str, int], bool] = {}
 
     def take(self, record: Record) -> None:
         """Take the record of an entry."""
         name = record.key.removeprefix(ENTRY_PREFIX)
+        self._chosen.clear()
         found = decode_own(record, EntryRecord)
         if found is None:
             if self._addresses.pop(name, None) is not None:
@@ -114,6 +126,20 @@
             if name != self._me
         }
 
+    def is_among(self, key: str, count: int) -> bool:
+        """Whether this entry is one of `count` that are chosen for `key`.
+
+        All entries choose alike once they know the same list.
+        """
+        known = self._chosen.get((key, count))
+        if known is None:
+            names = {*self._addresses, self._me}
+            entries = [WeightedTarget(name, '') for name in names]
+            best = rank(key.encode(), entries, count)
+            known = any(entry.name == self._me for entry in best)
+            self._chosen[key, count] = known
+        return known
+
     def count(self) -> int:
         """Return how many entries may be alive, this one included."""
         oldest_ms = self._clock.now_ms() - UNLISTED_COUNTS_MS
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -13,6 +13,7 @@
 from wigeonmill.gateway.adapter import Adapter
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.cache_cleaner import CacheCleaner
+from wigeonmill.gateway.cache_news import CacheNewsExchange
 from wigeonmill.gateway.cache_planner import StorePlanner
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.desired import DesiredState
@@ -122,15 +123,18 @@
             settings.weights_deadline_ms,
         )
         self._inner_key = SharedInnerKey(adapter.keys)
+        self._stores = StoreWatch(
+            adapter.caches, clock, self.metrics, self._entries.is_among
+        )
         self._peers = Peers(
             self._ctx,
             self._mirror,
             settings.process,
             self._peer_addresses,
             self._inner_key.current,
+            CacheNewsExchange(self._stores),
             rng,
         )
-        self._stores = StoreWatch(adapter.caches, clock, self.metrics)
         self._cleaner = CacheCleaner(
             self._ctx, self._leadership, adapter.caches, self._stores
         )
--- a/wigeonmill/gateway/store_view.py
+++ b/wigeonmill/gateway/store_view.py
@@ -7,6 +7,7 @@
 store within that time after seeing it at a new start.
 """
 
+import collections
 from collections.abc import Iterable
 from dataclasses import dataclass
 import enum
@@ -21,6 +22,9 @@
 SAVE_PENDING_MS = 4_000.0
 # Saves under way that are remembered before lost ones are dropped.
 MAX_PENDING_SAVES = 4_096
+# Events that are kept to be told to other entries; those that lack more ask
+# the store.
+MAX_TOLD_EVENTS = 1_024
 
 
 class SaveDecision(enum.Enum):
@@ -69,8 +73,22 @@
     parts: tuple[CacheEvent, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SharedNews:
+    """News of a store from another entry, which asked `age_ms` ago.
+
+    `events` are all after the number that was asked for, up to `next`.
+    """
+
+    boot: int
+    next: int
+    clock_ms: int
+    age_ms: float
+    events: tuple[CacheEvent, ...]
+
+
 class StoreView:
-    """One store as its polls show it."""
+    """One store as its polls, and those of other entries, show it."""
 
     __slots__ = (
         '_clock',
@@ -78,6 +96,9 @@
         '_pending',
         '_trusted_until_ms',
         '_boot_seen_ms',
+        '_told',
+        '_told_from',
+        '_clock_ms',
         'address',
         'boot',
         'next',
@@ -91,6 +112,13 @@
         self._pending: dict[tuple[str, str], float] = {}
         self._trusted_until_ms = 0.0
         self._boot_seen_ms = 0.0
+        # Events with the number up to which they were complete, all later
+        # than the number `_told_from`.
+        self._told: collections.deque[tuple[int, CacheEvent]] = (
+            collections.deque()
+        )
+        self._told_from = 0
+        self._clock_ms = 0
         self.address = address
         self.boot: int | None = None
         self.next = 0
@@ -102,20 +130,41 @@
         if news.boot != self.boot:
             self._restart(news.boot)
             return False
-        for event in news.events:
-            self._set(event)
         if news.lost:
             return False
-        self.next = news.next
         # The store may have answered at any time since it was asked.
-        self._trusted_until_ms = asked_ms + TRUST_MS
-        self.fetch_until_ms = news.clock_ms + TRUST_MS
+        self._advance(news.events, news.next, asked_ms, news.clock_ms)
         return True
 
+    def take_shared(self, news: SharedNews, asked_ms: float) -> None:
+        """Take what another entry, asked at `asked_ms`, knew.
+
+        News of another start are left to a poll of this entry's own.
+        """
+        if news.boot != self.boot or news.next < self.next:
+            return
+        known_ms = asked_ms - news.age_ms
+        self._advance(news.events, news.next, known_ms, news.clock_ms)
+
+    def share(self, boot: int, after: int) -> SharedNews | None:
+        """Return what came after an event number, if all of it is kept."""
+        if boot != self.boot or not self._told_from <= after <= self.next:
+            return None
+        events = tuple(event for number, event in self._told if number > after)
+        return SharedNews(boot, self.next, self._clock_ms, self.age_ms, events)
+
+    @property
+    def age_ms(self) -> float:
+        """Time since the store was asked for what is known."""
+        asked_ms = self._trusted_until_ms - TRUST_MS
+        return self._clock.now_ms() - asked_ms
+
     def take_listing(self, listing: CacheListing) -> None:
         """Take all that the store holds."""
         if listing.boot != self.boot:
             self._restart(listing.boot)
+        self._told.clear()
+        self._told_from = listing.next
         self._parts.clear()
         self.tokens = 0
         for part in listing.parts:
@@ -154,6 +203,24 @@
         """Return the salts of all parts."""
         return {salt for salt, _part in self._parts}
 
+    def _advance(
+        self,
+        events: Iterable[CacheEvent],
+        next_: int,
+        known_ms: float,
+        clock_ms: int,
+    ) -> None:
+        for event in events:
+            self._set(event)
+            self._told.append((next_, event))
+        while len(self._told) > MAX_TOLD_EVENTS:
+            self._told_from = self._told.popleft()[0]
+        self.next = next_
+        until_ms = known_ms + TRUST_MS
+        self._trusted_until_ms = max(self._trusted_until_ms, until_ms)
+        self._clock_ms = max(self._clock_ms, clock_ms)
+        self.fetch_until_ms = self._clock_ms + TRUST_MS
+
     def _forget_lost_saves(self, now_ms: float) -> None:
         """Drop saves that were never reported as whole."""
         self._pending = {
@@ -175,6 +242,9 @@
         self.next = 0
         self._parts.clear()
         self._pending.clear()
+        self._told.clear()
+        self._told_from = 0
+        self._clock_ms = 0
         self.tokens = 0
         self._trusted_until_ms = 0.0
         self._boot_seen_ms = self._clock.now_ms()
--- a/wigeonmill/gateway/store_watch.py
+++ b/wigeonmill/gateway/store_watch.py
@@ -1,6 +1,7 @@
 """Follows what each cache store holds by long polls."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 import functools
@@ -26,6 +27,10 @@
 # Pause after an answer, so that a busy store is not asked for every event.
 POLL_PAUSE_MS = 100.0
 FAILED_PAUSE_MS = 500.0
+# Entries that poll a store; the others hear from them.
+READERS = 3
+# An entry that has heard nothing of a store for so long asks it as well.
+UNHEARD_MS = 1_500.0
 
 
 class CacheStores(Protocol):
@@ -49,9 +54,14 @@
     """One view and one polling task for each store."""
 
     def __init__(
-        self, stores: CacheStores, clock: Clock, metrics: Metrics
+        self,
+        stores: CacheStores,
+        clock: Clock,
+        metrics: Metrics,
+        is_reader: Callable[[str, int], bool],
     ) -> None:
         self._stores = stores
+        self._is_reader = is_reader
         self._clock = clock
         self._metrics = metrics
         self._views: dict[str, StoreView] = {}
@@ -85,11 +95,28 @@
         """Return the view of a followed store."""
         return self._views[address]
 
+    def views(self) -> Iterable[StoreView]:
+        """Return the view of each followed store."""
+        return self._views.values()
+
+    def find(self, address: str) -> StoreView | None:
+        """Return the view of a store, if it is followed."""
+        return self._views.get(address)
+
     async def _poll(self, view: StoreView) -> None:
         while True:
-            pause_ms = await self._poll_once(view)
+            pause_ms = POLL_PAUSE_MS
+            if self._is_due(view):
+                pause_ms = await self._poll_once(view)
             await asyncio.sleep(pause_ms / 1000.0)
 
+    def _is_due(self, view: StoreView) -> bool:
+        return (
+            view.boot is None
+            or view.age_ms > UNHEARD_MS
+            or self._is_reader(view.address, READERS)
+        )
+
     async def _poll_once(self, view: StoreView) -> float:
         asked_ms = self._clock.now_ms()
         wait_ms = POLL_WAIT_MS if view.boot is not None else 0
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -3399,6 +3399,339 @@
         return not (self == other)
 
 
+class CachePoint(object):
+    """
+    Attributes:
+     - store
+     - boot
+     - next
+
+    """
+
+    __slots__ = (
+        'store',
+        'boot',
+        'next',
+    )
+
+
+    def __init__(self, store=None, boot=None, next=None,):
+        self.store = store
+        self.boot = boot
+        self.next = next
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.store = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.boot = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.next = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CachePoint')
+        if self.store is not None:
+            oprot.writeFieldBegin('store', TType.STRING, 1)
+            oprot.writeString(self.store.encode('utf-8') if sys.version_info[0] == 2 else self.store)
+            oprot.writeFieldEnd()
+        if self.boot is not None:
+            oprot.writeFieldBegin('boot', TType.I64, 2)
+            oprot.writeI64(self.boot)
+            oprot.writeFieldEnd()
+        if self.next is not None:
+            oprot.writeFieldBegin('next', TType.I64, 3)
+            oprot.writeI64(self.next)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CachePart(object):
+    """
+    Attributes:
+     - held
+     - salt
+     - part
+     - tokens
+
+    """
+
+    __slots__ = (
+        'held',
+        'salt',
+        'part',
+        'tokens',
+    )
+
+
+    def __init__(self, held=None, salt=None, part=None, tokens=None,):
+        self.held = held
+        self.salt = salt
+        self.part = part
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.held = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.salt = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CachePart')
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.BOOL, 1)
+            oprot.writeBool(self.held)
+            oprot.writeFieldEnd()
+        if self.salt is not None:
+            oprot.writeFieldBegin('salt', TType.STRING, 2)
+            oprot.writeString(self.salt.encode('utf-8') if sys.version_info[0] == 2 else self.salt)
+            oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 3)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 4)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CacheUpdate(object):
+    """
+    Attributes:
+     - store
+     - boot
+     - next
+     - clock_ms
+     - age_ms
+     - parts
+
+    """
+
+    __slots__ = (
+        'store',
+        'boot',
+        'next',
+        'clock_ms',
+        'age_ms',
+        'parts',
+    )
+
+
+    def __init__(self, store=None, boot=None, next=None, clock_ms=None, age_ms=None, parts=None,):
+        self.store = store
+        self.boot = boot
+        self.next = next
+        self.clock_ms = clock_ms
+        self.age_ms = age_ms
+        self.parts = parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.store = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.boot = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.next = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.clock_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.age_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = CachePart()
+                        _elem89.read(iprot)
+                        self.parts.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CacheUpdate')
+        if self.store is not None:
+            oprot.writeFieldBegin('store', TType.STRING, 1)
+            oprot.writeString(self.store.encode('utf-8') if sys.version_info[0] == 2 else self.store)
+            oprot.writeFieldEnd()
+        if self.boot is not None:
+            oprot.writeFieldBegin('boot', TType.I64, 2)
+            oprot.writeI64(self.boot)
+            oprot.writeFieldEnd()
+        if self.next is not None:
+            oprot.writeFieldBegin('next', TType.I64, 3)
+            oprot.writeI64(self.next)
+            oprot.writeFieldEnd()
+        if self.clock_ms is not None:
+            oprot.writeFieldBegin('clock_ms', TType.I64, 4)
+            oprot.writeI64(self.clock_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.DOUBLE, 5)
+            oprot.writeDouble(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter90 in self.parts:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EntryNews(object):
     """
     Attributes:
@@ -3408,6 +3741,8 @@
      - losses
      - records
      - records_to
+     - cache_points
+     - cache_updates
 
     """
 
@@ -3418,16 +3753,20 @@
         'losses',
         'records',
         'records_to',
+        'cache_points',
+        'cache_updates',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
         self.losses = losses
         self.records = records
         self.records_to = records_to
+        self.cache_points = cache_points
+        self.cache_updates = cache_updates
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3451,33 +3790,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.open_work = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = OpenWork()
-                        _elem89.read(iprot)
-                        self.open_work.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = OpenWork()
+                        _elem96.read(iprot)
+                        self.open_work.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.losses = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = TargetLoss()
-                        _elem95.read(iprot)
-                        self.losses.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = TargetLoss()
+                        _elem102.read(iprot)
+                        self.losses.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = StoreRecord()
-                        _elem101.read(iprot)
-                        self.records.append(_elem101)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = StoreRecord()
+                        _elem108.read(iprot)
+                        self.records.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3486,6 +3825,28 @@
                     self.records_to = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.cache_points = []
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = CachePoint()
+                        _elem114.read(iprot)
+                        self.cache_points.append(_elem114)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.cache_updates = []
+                    (_etype118, _size115) = iprot.readListBegin()
+                    for _i119 in range(_size115):
+                        _elem120 = CacheUpdate()
+                        _elem120.read(iprot)
+                        self.cache_updates.append(_elem120)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3507,28 +3868,42 @@
         if self.open_work is not None:
             oprot.writeFieldBegin('open_work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.open_work))
-            for iter102 in self.open_work:
-                iter102.write(oprot)
+            for iter121 in self.open_work:
+                iter121.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter103 in self.losses:
-                iter103.write(oprot)
+            for iter122 in self.losses:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter104 in self.records:
-                iter104.write(oprot)
+            for iter123 in self.records:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records_to is not None:
             oprot.writeFieldBegin('records_to', TType.I64, 6)
             oprot.writeI64(self.records_to)
             oprot.writeFieldEnd()
+        if self.cache_points is not None:
+            oprot.writeFieldBegin('cache_points', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.cache_points))
+            for iter124 in self.cache_points:
+                iter124.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cache_updates is not None:
+            oprot.writeFieldBegin('cache_updates', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.cache_updates))
+            for iter125 in self.cache_updates:
+                iter125.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4178,6 +4553,31 @@
     (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
     (2, TType.STRING, 'loss', 'UTF8', None, ),  # 2
 )
+all_structs.append(CachePoint)
+CachePoint.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'store', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'boot', None, None, ),  # 2
+    (3, TType.I64, 'next', None, None, ),  # 3
+)
+all_structs.append(CachePart)
+CachePart.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'held', None, None, ),  # 1
+    (2, TType.STRING, 'salt', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'part', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'tokens', None, None, ),  # 4
+)
+all_structs.append(CacheUpdate)
+CacheUpdate.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'store', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'boot', None, None, ),  # 2
+    (3, TType.I64, 'next', None, None, ),  # 3
+    (4, TType.I64, 'clock_ms', None, None, ),  # 4
+    (5, TType.DOUBLE, 'age_ms', None, None, ),  # 5
+    (6, TType.LIST, 'parts', (TType.STRUCT, [CachePart, None], False), None, ),  # 6
+)
 all_structs.append(EntryNews)
 EntryNews.thrift_spec = (
     None,  # 0
@@ -4187,6 +4587,8 @@
     (4, TType.LIST, 'losses', (TType.STRUCT, [TargetLoss, None], False), None, ),  # 4
     (5, TType.LIST, 'records', (TType.STRUCT, [StoreRecord, None], False), None, ),  # 5
     (6, TType.I64, 'records_to', None, None, ),  # 6
+    (7, TType.LIST, 'cache_points', (TType.STRUCT, [CachePoint, None], False), None, ),  # 7
+    (8, TType.LIST, 'cache_updates', (TType.STRUCT, [CacheUpdate, None], False), None, ),  # 8
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -273,6 +273,33 @@
   2: string loss
 }
 
+// How far the sender knows what a cache store holds: up to event number next
+// of the store's start boot. It asks for what came later.
+struct CachePoint {
+  1: string store
+  2: i64 boot
+  3: i64 next
+}
+
+// A part that a cache store holds whole, or holds no more.
+struct CachePart {
+  1: bool held
+  2: string salt
+  3: string part
+  4: i32 tokens
+}
+
+// What a cache store told after the point that was asked for, complete up to
+// next; age_ms is the time since the store was asked, clock_ms its clock then.
+struct CacheUpdate {
+  1: string store
+  2: i64 boot
+  3: i64 next
+  4: i64 clock_ms
+  5: double age_ms
+  6: list<CachePart> parts
+}
+
 // What an entry tells another. known_to is the revision up to which the
 // sender knows every change of the key-value service. The answer holds the
 // records after the other's known_to, complete up to records_to.
@@ -283,6 +310,8 @@
   4: list<TargetLoss> losses
   5: list<StoreRecord> records
   6: i64 records_to
+  7: list<CachePoint> cache_points
+  8: list<CacheUpdate> cache_updates
 }
 
 // The one frame on the wire. stream pairs requests with their answers;
