Learn the work of a plain call without its wait for a slot

The time learned held the wait for a slot, and the estimate multiplied it by the open requests once more. Change: a sample is divided by the turns that the request had to wait. Test: 24 requests over six slots teach the time of one (it was learned as up to four times that before).

--- a/tests/gateway/test_target_load.py
+++ b/tests/gateway/test_target_load.py
@@ -8,6 +8,8 @@
 from wigeonmill.gateway.target_load import PeerLoad
 from wigeonmill.gateway.target_load import PeerLoads
 from wigeonmill.gateway.target_load import PRIORITIES
+from wigeonmill.gateway.target_load import TargetLoad
+from wigeonmill.gateway.target_load import WHOLE_ANSWER_MS
 
 TOKENS = st.lists(st.integers(0, 100_000), max_size=PRIORITIES)
 STEPS = st.lists(
@@ -41,3 +43,18 @@
         assert sums.waiting_tokens(priorities) == sum(
             sum(load.waiting_tokens[:priorities]) for load in fresh
         )
+
+
+def test_the_wait_for_a_slot_is_not_learned_as_work():
+    """It counts by the open requests; learned too, it would count twice."""
+    clock = ManualClock()
+    load = TargetLoad(clock)
+    sends = [load.open(0, 0, 0) for _turn in range(24)]
+    began_ms = clock.now_ms()
+    for number, send in enumerate(sends):
+        # Six slots that come free one after the other.
+        turns = max(1.0, (number + 1) / 6)
+        clock.set_ms(began_ms + turns * WHOLE_ANSWER_MS)
+        load.whole_answer(send, slots=6)
+        load.close(send)
+    assert load.whole_answer_ms(slots=6) <= 1.1 * WHOLE_ANSWER_MS
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -91,7 +91,9 @@
                 body += part
             elif part is SendEnd.COMPLETE and head is not None:
                 self._opened.answered = True
-                self._target.load.whole_answer(self._opened)
+                self._target.load.whole_answer(
+                    self._opened, self._target.slots
+                )
                 return self._judge(head, bytes(body))
             else:
                 return cut_off(part, self._send.message)
--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -117,8 +117,9 @@
 class OpenSend:
     """One request that is open at a target.
 
-    `tokens` is the memory it takes, `prefill_tokens` what is to be read;
-    `delayed` says that it had to wait for memory or for others.
+    `tokens` is the memory it takes, `prefill_tokens` what is to be read,
+    `runs_ahead` what was open before it; `delayed` says that it had to wait
+    for memory or for others.
     """
 
     __slots__ = (
@@ -127,6 +128,7 @@
         'prefill_tokens',
         'priority',
         'ahead',
+        'runs_ahead',
         'delayed',
         'answered',
     )
@@ -138,6 +140,7 @@
         prefill_tokens: int,
         priority: int,
         ahead: int,
+        runs_ahead: int,
         delayed: bool,
     ) -> None:
         self.sent_ms = sent_ms
@@ -145,6 +148,7 @@
         self.prefill_tokens = prefill_tokens
         self.priority = priority
         self.ahead = ahead
+        self.runs_ahead = runs_ahead
         self.delayed = delayed
         self.answered = False
 
@@ -199,6 +203,7 @@
             prefill_tokens,
             priority,
             self._ahead_of(priority),
+            self.runs(),
             delayed,
         )
         self._open[send] = None
@@ -227,10 +232,11 @@
         sample = float(send.tokens) * took_ms
         self._held_token_ms += SAMPLE_WEIGHT * (sample - self._held_token_ms)
 
-    def whole_answer(self, send: OpenSend) -> None:
-        """Learn from the time to a whole answer."""
+    def whole_answer(self, send: OpenSend, slots: int) -> None:
+        """Learn from the time to a whole answer, less its wait for a slot."""
         took_ms = self._clock.now_ms() - send.sent_ms
-        self._whole_ms += SAMPLE_WEIGHT * (took_ms - self._whole_ms)
+        own_ms = took_ms / _turns(send.runs_ahead, slots)
+        self._whole_ms += SAMPLE_WEIGHT * (own_ms - self._whole_ms)
 
     def close(self, send: OpenSend) -> None:
         """Note that a request is open no more."""
@@ -309,11 +315,15 @@
 
     def whole_answer_ms(self, slots: int) -> float:
         """Return the expected time to a whole answer of a new request."""
-        turns = (self.runs() + 1) / max(1, slots)
-        return self._whole_ms * max(1.0, turns)
+        return self._whole_ms * _turns(self.runs(), slots)
 
     def _ahead_of(self, priority: int) -> int:
         """Return the tokens that are read before a new request's."""
         last = priority + 1
         own = sum(self.waiting_tokens[:last])
         return own + self._peers.waiting_tokens(last)
+
+
+def _turns(runs_ahead: int, slots: int) -> float:
+    """Return how many turns of the slots a request takes, its own included."""
+    return max(1.0, (runs_ahead + 1) / max(1, slots))
