Let many entries compare a few targets by chance

Cause: 27 entries hear of each other's work some 0.9 s late, longer than a plain call lasts. Change: with more than six entries a plain call compares two targets by chance, a model request four and the home of its subject. If the best of these loses over half of the credit, all targets are looked at, so nothing is refused while one has room. Tests: tests/gateway/test_many_entries_few_targets.py (fails before), three in test_picker.

--- /dev/null
+++ b/tests/gateway/test_many_entries_few_targets.py
@@ -0,0 +1,112 @@
+"""Many entries choose among few targets by news that are almost a second old.
+
+If each takes the target that looked best, all take the same one until the
+next news, and requests wait there while other targets are idle.
+"""
+
+import heapq
+import random
+
+from tests.gateway.samples import LEDGER
+from tests.gateway.samples import make_record
+from wigeonmill.clock import ManualClock
+from wigeonmill.gateway.picker import Demand
+from wigeonmill.gateway.picker import Picker
+from wigeonmill.gateway.target_load import PeerLoad
+from wigeonmill.gateway.targets import Directory
+from wigeonmill.routing.circuit import CircuitBreakers
+
+ENTRIES = 27
+TARGETS = 3
+SLOTS = 6
+RUN_MS = 90.0
+# Five sixths of what the targets bear.
+REQUESTS_PER_S = 165
+NEWS_MS = 870.0
+SECONDS = 20
+OBJECTIVE_MS = 400.0
+# Share of the requests that is to be answered within the objective.
+IN_TIME = 0.95
+
+
+class Server:
+    """Runs `SLOTS` requests at once, the others in order."""
+
+    def __init__(self):
+        self.free_ms = [0.0] * SLOTS
+
+    def serve(self, now_ms):
+        """Return when a request that comes now is answered."""
+        begins_ms = max(now_ms, heapq.heappop(self.free_ms))
+        heapq.heappush(self.free_ms, begins_ms + RUN_MS)
+        return begins_ms + RUN_MS
+
+
+class Entry:
+    """One entry with what it has open and what it heard."""
+
+    def __init__(self, clock, name):
+        self.name = name
+        self.clock = clock
+        rng = random.Random(name)
+        self.directory = Directory(clock)
+        for n in range(TARGETS):
+            record = make_record(f't{n}', address=f'10.0.0.{n}:1', slots=SLOTS)
+            self.directory.take(record)
+        self.picker = Picker(
+            clock,
+            rng,
+            self.directory,
+            CircuitBreakers(clock, rng),
+            lambda domain: False,
+        )
+
+    def pick(self):
+        demand = Demand(
+            service=LEDGER,
+            cold_per_s=0.0,
+            entries=ENTRIES,
+            left_ms=4_000.0,
+            objective_ms=OBJECTIVE_MS,
+            objective_left_ms=OBJECTIVE_MS,
+        )
+        return self.picker.pick(demand).unwrap().target
+
+    def hear(self, other):
+        for target in other.directory.all():
+            runs = target.load.own_runs()
+            load = PeerLoad(runs, (), (), self.clock.now_ms())
+            self.directory.get(target.id).load.set_peer(other.name, load)
+
+
+def test_requests_spread_over_the_targets():
+    rng = random.Random(3)
+    clock = ManualClock()
+    entries = [Entry(clock, f'e{n}') for n in range(ENTRIES)]
+    servers = {f't{n}': Server() for n in range(TARGETS)}
+    ends = []
+    took_ms = []
+    next_news = {
+        (a, b): rng.uniform(0, NEWS_MS)
+        for a in range(ENTRIES)
+        for b in range(ENTRIES)
+        if a != b
+    }
+    for number in range(SECONDS * REQUESTS_PER_S):
+        clock.advance(rng.expovariate(REQUESTS_PER_S / 1_000.0))
+        now_ms = clock.now_ms()
+        while ends and ends[0][0] <= now_ms:
+            _end_ms, _number, load, send = heapq.heappop(ends)
+            load.whole_answer(send, SLOTS)
+            load.close(send)
+        for (a, b), due_ms in next_news.items():
+            if due_ms <= now_ms:
+                entries[a].hear(entries[b])
+                next_news[a, b] = now_ms + NEWS_MS
+        target = rng.choice(entries).pick()
+        send = target.load.open(0, 0, 0)
+        end_ms = servers[target.id].serve(now_ms)
+        took_ms.append(end_ms - now_ms)
+        heapq.heappush(ends, (end_ms, number, target.load, send))
+    in_time = sum(1 for ms in took_ms if ms <= OBJECTIVE_MS)
+    assert in_time / len(took_ms) >= IN_TIME
--- a/tests/gateway/test_picker.py
+++ b/tests/gateway/test_picker.py
@@ -241,3 +241,34 @@
     assert picks == {'e1'}
     outcome = fleet.picker.pick(make_demand(regions=('west',)))
     assert outcome.unwrap_err().reason is Reason.NO_TARGET
+
+
+def test_many_entries_still_find_the_one_target_with_room():
+    fleet = Fleet(engines(count=25))
+    free = fleet.target('e7')
+    for target in fleet.directory.all():
+        for _turn in range(0 if target is free else 60):
+            target.load.open(10_000, 10_000, 0)
+    picked = {fleet.pick(entries=27).target.id for _turn in range(20)}
+    assert picked == {'e7'}
+
+
+def test_many_entries_compare_a_few_targets_and_the_home():
+    fleet = Fleet(engines(count=25))
+    home = fleet.pick(entries=5).target
+    for other in fleet.directory.all():
+        if other is not home:
+            other.load.open(10_000, 10_000, 0)
+    assert {fleet.pick(entries=27).target for _turn in range(20)} == {home}
+
+
+def test_many_entries_do_not_all_take_the_same_plain_target():
+    fleet = Fleet([make_record(f't{n}', address=f'a{n}') for n in range(25)])
+    for target in fleet.directory.all():
+        for _turn in range(0 if target.id == 't0' else target.slots):
+            target.load.open(0, 0, 0)
+    picks = {
+        fleet.pick(service=LEDGER, entries=27, generation=None).target.id
+        for _turn in range(40)
+    }
+    assert len(picks) > 10
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -33,6 +33,14 @@
 INTERRUPTION_LOSS = 0.3
 # Time to fetch a cached part from elsewhere, without its tokens.
 FETCH_FIXED_MS = 15.0
+# With more entries than this, news of each other's work are older than a
+# short request lasts. Entries that all took the target that looks best would
+# take the same one; each compares a few by chance instead.
+FRESH_ENTRIES = 6
+COMPARED_TARGETS = 2
+COMPARED_ENGINES = 4
+# If all of these lose more, every target is looked at.
+POOR_LOSS = 0.5
 # A returned caller finds cold targets warm, or a place freed, after this.
 RETRY_AFTER_MS = 400.0
 # Spread of the times after which refused callers come back.
@@ -162,10 +170,34 @@
 
     def _best(self, targets: Sequence[Target], demand: Demand) -> Pick:
         home = self._home(demand)
+        compared = self._compared(targets, demand, home)
+        best = self._cheapest(compared, demand, home)
+        if best.loss > POOR_LOSS and len(compared) < len(targets):
+            return self._cheapest(targets, demand, home)
+        return best
+
+    def _cheapest(
+        self, targets: Sequence[Target], demand: Demand, home: str
+    ) -> Pick:
         picks = [self._price(target, demand, home) for target in targets]
         self._rng.shuffle(picks)
         return min(picks, key=lambda pick: pick.loss)
 
+    def _compared(
+        self, targets: Sequence[Target], demand: Demand, home: str
+    ) -> Sequence[Target]:
+        """Return the targets to choose from, the home always among them."""
+        if demand.entries <= FRESH_ENTRIES:
+            return targets
+        is_model = demand.generation is not None
+        count = COMPARED_ENGINES if is_model else COMPARED_TARGETS
+        if len(targets) <= count:
+            return targets
+        chosen = self._rng.sample(targets, count)
+        if all(target.id != home for target in chosen):
+            chosen += [target for target in targets if target.id == home]
+        return chosen
+
     def _home(self, demand: Demand) -> str:
         """Return the target whose cache should hold the prompt's subject."""
         if demand.generation is None or demand.generation.subject is None:
