Tell how late the loop is and what processor time was used

Cause: a small entry's slow answers looked like a busy processor until a scratch copy logged its loop's lag; the logs and metrics did not tell.

--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import signal
+import time
 
 from result import Err
 from result import Result
@@ -238,15 +239,26 @@
     async def _tick(self) -> None:
         """Expire what lapsed, and log the counters now and then."""
         logged_ms = self._clock.now_ms()
+        lag = self.metrics.histogram('gateway_loop_lag')
         while True:
+            due_ms = self._clock.now_ms() + TICK_MS
             await asyncio.sleep(TICK_MS / 1000.0)
+            lag.record(max(0.0, self._clock.now_ms() - due_ms))
             self._ctx.directory.expire()
             if self._clock.now_ms() - logged_ms >= COUNTERS_INTERVAL_MS:
                 logged_ms = self._clock.now_ms()
                 self._log_counters()
 
     def _log_counters(self) -> None:
-        logger.info('counters', extra={'metrics': self.metrics.counters()})
+        lag = self.metrics.histogram('gateway_loop_lag')
+        logger.info(
+            'counters',
+            extra={
+                'metrics': self.metrics.counters(),
+                'loop_lag_p99_ms': lag.percentile(99.0),
+                'processor_ms': round(time.process_time() * 1000.0),
+            },
+        )
 
     async def _register(self) -> None:
         """Stay listed among the entries."""
