Ask one other entry a round for changes, not all that are told

Cause: an entry behind the others got the same records from all six that it told, among them a configuration of tens of kilobytes; with changes in quick succession that fills a small entry's link. Found while tracing full links. Change: revisions are asked of the one entry that is also asked for news of cache stores; the others are told that nothing is asked. Test: of five entries that know a change one is asked (all five before).

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -22,6 +22,18 @@
 WAIT_S = 5.0
 
 
+class CountingMirror(Mirror):
+    """Counts how often its changes are asked for."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked = 0
+
+    def since(self, revision):
+        self.asked += 1
+        return super().since(revision)
+
+
 class Entry:
     """One entry's peers with its mirror and targets."""
 
@@ -31,7 +43,7 @@
             clock, random.Random(1), Metrics(), RetryLimits(), lambda: 2
         )
         self.ctx.directory.take(make_engine_record('e0'))
-        self.mirror = Mirror()
+        self.mirror = CountingMirror()
         self.view = followed_store(clock)
         self.peers = Peers(
             self.ctx,
@@ -69,23 +81,27 @@
     await asyncio.wait_for(poll(), WAIT_S)
 
 
-def with_two(check, second_keys=KEYS):
+def with_entries(check, others, keys):
     async def run():
         addresses = []
         first = Entry('a', addresses)
-        second = Entry('b', [], second_keys)
-        addresses.append(second.address)
+        rest = [Entry(f'b{n}', [], keys) for n in range(others)]
+        addresses.extend(entry.address for entry in rest)
         task = asyncio.ensure_future(first.peers.run())
         try:
-            await check(first, second)
+            await check(first, *rest)
         finally:
             task.cancel()
-            first.peers.close()
-            second.peers.close()
+            for entry in (first, *rest):
+                entry.peers.close()
 
     asyncio.run(run())
 
 
+def with_two(check, second_keys=KEYS):
+    with_entries(check, 1, second_keys)
+
+
 def test_an_entry_the_service_turns_away_hears_changes_from_another():
     async def check(first, second):
         second.mirror.apply([Record('op/config', 7, b'new')])
@@ -159,3 +175,17 @@
         assert len(told) == 300
 
     with_two(check)
+
+
+def test_a_change_is_asked_of_one_entry_at_a_time():
+    """A large configuration from six entries at once fills a small link."""
+
+    async def check(first, *others):
+        for other in others:
+            other.mirror.apply([Record('op/config', 7, b'c' * 60_000)])
+            other.mirror.advance(7)
+        await until(lambda: first.mirror.complete == 7)
+        await asyncio.sleep(0.5)
+        assert sum(other.mirror.asked for other in others) == 1
+
+    with_entries(check, 5, KEYS)
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -40,6 +40,8 @@
 NEWS_INTERVAL_MS = 200.0
 MAX_TOLD = 6
 NEWS_TIMEOUT_MS = 500.0
+# Stands for no revision: the sender wants no changes.
+NOTHING_ASKED = -1
 # Entries that were answered are remembered up to this number.
 MAX_NAMES = 4_096
 
@@ -114,9 +116,11 @@
         return told
 
     async def _tell(self, address: str, asks: bool) -> None:
-        """Tell one entry; with `asks`, also ask it for news of the stores.
+        """Tell one entry; with `asks`, also ask it for what it knows.
 
-        One of several is asked, as all would answer the same.
+        That is changes of the key-value service and news of the cache
+        stores. One of several is asked, as all would answer the same and
+        fill a small link.
         """
         self._busy.add(address)
         try:
@@ -124,7 +128,9 @@
             last_loss = self._add_losses(
                 news, self._told_losses.get(address, 0)
             )
+            news.known_to = NOTHING_ASKED
             if asks:
+                news.known_to = self._mirror.complete
                 news.cache_points = self._caches.questions()
             envelope = Envelope(Kind.ENTRY_NEWS, entry_news=news)
             asked_ms = self._ctx.clock.now_ms()
@@ -149,7 +155,8 @@
         if envelope.kind != Kind.ENTRY_NEWS or news is None:
             return
         self._take(news)
-        answer = self._compose(news.known_to or 0)
+        asked_from = None if news.known_to == NOTHING_ASKED else news.known_to
+        answer = self._compose(asked_from)
         known = self._answered_losses.get(news.sender, 0)
         if len(self._answered_losses) > MAX_NAMES:
             self._answered_losses.clear()
