End a fetch from a cache store after a few times the reading of its tokens

Change: the end of a fetch that goes out with a request is 80 ms and 0.04 ms a token from now on the stores' clock, if trust does not end before. The clock is told from the polls' answers, by the one that came fastest. Ruled out: learning slow stores from first tokens (an entry sends a store one or two requests a second, too few for 5 s). Tests: the bound of useful time, trust that ends first, a slow store against the objective, the clock from answers of unequal delay.

--- a/tests/gateway/test_cache_planner.py
+++ b/tests/gateway/test_cache_planner.py
@@ -5,6 +5,8 @@
 from tests.gateway.samples import make_target
 from tests.gateway.samples import make_team
 from wigeonmill.clock import ManualClock
+from wigeonmill.gateway.cache_planner import FETCH_FIXED_MS
+from wigeonmill.gateway.cache_planner import FETCH_MS_PER_TOKEN
 from wigeonmill.gateway.cache_planner import salt_of
 from wigeonmill.gateway.cache_planner import StorePlanner
 from wigeonmill.gateway.cache_salt import weights_of_salt
@@ -63,7 +65,7 @@
     assert plan_of(planner).save_to == (None, None, None)
 
 
-def test_whole_parts_are_fetched_with_the_end_of_trust():
+def test_whole_parts_are_fetched_within_the_time_that_is_useful():
     planner, watch = make_planner()
     plan = plan_of(planner)
     watch.hear(
@@ -74,7 +76,8 @@
     assert all(fetching.fetch_from[:-1])
     assert fetching.fetch_from[-1] is None
     assert fetching.fetched_tokens == 8_496
-    assert fetching.fetch_until_ms == watch.clock.now_ms() + TRUST_MS
+    useful_ms = FETCH_FIXED_MS + FETCH_MS_PER_TOKEN * 8_496
+    assert fetching.fetch_until_ms == int(watch.clock.now_ms() + useful_ms)
     req = make_request(generation=make_generation('s1'))
     assert planner.fetchable_tokens(req, None, 1) == 8_496
 
@@ -106,3 +109,28 @@
     first, second = plan_of(planner, None), plan_of(planner, None)
     assert first.salt != second.salt
     assert first.save_to == ()
+
+
+def test_a_fetch_never_lasts_longer_than_its_news_are_trusted():
+    planner, watch = make_planner()
+    plan = plan_of(planner)
+    watch.hear(CacheEvent(True, plan.salt, 's1', 8_000))
+    heard_ms = watch.clock.now_ms()
+    watch.clock.advance(TRUST_MS - 350.0)
+    fetching = plan_of(planner)
+    assert fetching.fetched_tokens == 8_000
+    assert fetching.fetch_until_ms == heard_ms + TRUST_MS
+
+
+def test_a_slow_store_holds_a_prompt_up_less_than_its_objective():
+    """Links of the stores are slow: the prompt is read instead in time."""
+    objective_ms = 800.0
+    planner, watch = make_planner()
+    plan = plan_of(planner)
+    watch.hear(
+        CacheEvent(True, plan.salt, 'common', 496),
+        CacheEvent(True, plan.salt, 's1', 8_000),
+    )
+    fetching = plan_of(planner)
+    waits_ms = fetching.fetch_until_ms - watch.clock.now_ms()
+    assert waits_ms <= objective_ms / 1.5
--- a/tests/gateway/test_store_view.py
+++ b/tests/gateway/test_store_view.py
@@ -159,3 +159,16 @@
         f'p{theirs.next - 1}',
         f'p{theirs.next}',
     ]
+
+
+def test_the_stores_clock_is_told_from_the_answer_that_came_fastest():
+    clock = ManualClock()
+    view = followed(clock)
+    ahead_ms = 50_000
+    for delay_ms in (400.0, 5.0, 300.0):
+        clock_ms = int(clock.now_ms()) + ahead_ms
+        clock.advance(delay_ms)
+        told = CacheNews(view.boot, view.next, False, clock_ms, ())
+        view.take_news(told, clock.now_ms() - delay_ms)
+    behind_ms = clock.now_ms() + ahead_ms - view.store_now_ms
+    assert 0.0 <= behind_ms <= 6.0
--- a/wigeonmill/gateway/cache_planner.py
+++ b/wigeonmill/gateway/cache_planner.py
@@ -1,5 +1,6 @@
 """Plans which cached prompt parts a request fetches and saves."""
 
+from collections.abc import Sequence
 import uuid
 
 from wigeonmill.gateway.cache_plan import CachePlan
@@ -18,6 +19,10 @@
 
 # Parts shorter than this are read faster than they are fetched.
 MIN_STORED_TOKENS = 64
+# Longest useful fetch: a few times what reading the tokens would take. A fetch
+# from a slow store is dropped then, and the prompt read.
+FETCH_FIXED_MS = 80.0
+FETCH_MS_PER_TOKEN = 0.04
 
 
 class StorePlanner:
@@ -60,7 +65,7 @@
             return CachePlan(salt=salt)
         fetch_from: list[str | None] = []
         save_to: list[str | None] = []
-        until_ms: int | None = None
+        views: list[StoreView] = []
         fetched = 0
         saved = 0
         for part in req.generation.parts:
@@ -71,9 +76,7 @@
                 continue
             held = view.holds(salt, part.id)
             if held:
-                until_ms = min(
-                    until_ms or view.fetch_until_ms, view.fetch_until_ms
-                )
+                views.append(view)
             fetch_from.append(view.address if held else None)
             saves = not held and self._saves(view, salt, part)
             save_to.append(view.address if saves else None)
@@ -85,7 +88,7 @@
             salt,
             tuple(fetch_from),
             tuple(save_to),
-            until_ms,
+            _fetch_until_ms(views, fetched),
             fetched,
             saved,
         )
@@ -115,6 +118,16 @@
         return self._watch.view(address)
 
 
+def _fetch_until_ms(views: Sequence[StoreView], tokens: int) -> int | None:
+    """Return the end of a fetch from stores, on the stores' clock."""
+    trusted_ms = min((view.fetch_until_ms for view in views), default=None)
+    if trusted_ms is None:
+        return None
+    now_ms = max(view.store_now_ms for view in views)
+    useful_ms = now_ms + FETCH_FIXED_MS + FETCH_MS_PER_TOKEN * tokens
+    return min(trusted_ms, int(useful_ms))
+
+
 def salt_of(
     req: CallerRequest, team: Team | None, version: int | None
 ) -> str | None:
--- a/wigeonmill/gateway/store_view.py
+++ b/wigeonmill/gateway/store_view.py
@@ -99,6 +99,7 @@
         '_told',
         '_told_from',
         '_clock_ms',
+        '_offset_ms',
         'address',
         'boot',
         'next',
@@ -119,6 +120,8 @@
         )
         self._told_from = 0
         self._clock_ms = 0
+        # Least by which the stores' clock is ahead of this process's.
+        self._offset_ms = float('-inf')
         self.address = address
         self.boot: int | None = None
         self.next = 0
@@ -153,6 +156,11 @@
         events = tuple(event for number, event in self._told if number > after)
         return SharedNews(boot, self.next, self._clock_ms, self.age_ms, events)
 
+    @property
+    def store_now_ms(self) -> float:
+        """The stores' clock now; behind by an answer's way at most."""
+        return self._clock.now_ms() + self._offset_ms
+
     @property
     def age_ms(self) -> float:
         """Time since the store was asked for what is known."""
@@ -219,6 +227,8 @@
         until_ms = known_ms + TRUST_MS
         self._trusted_until_ms = max(self._trusted_until_ms, until_ms)
         self._clock_ms = max(self._clock_ms, clock_ms)
+        offset_ms = clock_ms - self._clock.now_ms()
+        self._offset_ms = max(self._offset_ms, offset_ms)
         self.fetch_until_ms = self._clock_ms + TRUST_MS
 
     def _forget_lost_saves(self, now_ms: float) -> None:
