Add a fault soak of the gateway with real processes

Five gateways run as processes on loopback; the store, the targets and a proxy in front of each are stand-ins in one process. A seed draws faults that overlap: kills, planned stops, pauses, reloads, a store that is down, slow, forgetful, loses answers or is cut off from one gateway, targets that crash, drain, reset, cut answers or fall silent, and new desired states in series. From what callers and targets saw it checks: at most once, a true "not run", own team and request, answers of one's own target, streams in order and whole, drained targets left alone, nothing that nobody asked, and service that comes back. Clients use kept connections until the process is gone. Not in it yet: model engines with weights and cached parts, clocks that jump.

--- /dev/null
+++ b/tests/platform/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak of the gateway: real processes, faults from outside them."""
--- /dev/null
+++ b/tests/platform/soak/run.py
@@ -0,0 +1,119 @@
+"""Runs the soak: seeded faults on real processes, and the checks."""
+
+import argparse
+import asyncio
+import collections
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import field
+import json
+import random
+import shutil
+import signal
+import sys
+import time
+
+from tests.platform.soak.callers import Callers
+from tests.platform.soak.checks import Breach
+from tests.platform.soak.checks import breaches
+from tests.platform.soak.faults import Faults
+from tests.platform.soak.world import World
+
+CLIENTS = 12
+# Time for leases, drains and stops that are under way, then without faults.
+SETTLE_S = 4.0
+CALM_S = 3.0
+# Connections that callers still hold may outlast the stand-ins.
+CLOSE_S = 10.0
+
+
+@dataclass
+class Report:
+    """One run of the soak."""
+
+    seed: int
+    seconds: float
+    attempts: int = 0
+    ends: dict[str, int] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)
+    breaches: list[Breach] = field(default_factory=list)
+
+
+async def soak(seed, seconds, gateways=5, logs=None):
+    """Run one seed; `logs` is a folder for the logs of a failed run."""
+    rng = random.Random(seed)
+    report = Report(seed, seconds)
+    world = World(rng, gateways)
+    began = time.monotonic()
+
+    def note(fault):
+        report.faults.append(f'{time.monotonic() - began:.1f} {fault}')
+
+    loop = asyncio.get_running_loop()
+    task = asyncio.current_task()
+    # Its processes must end with the soak.
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        await world.start()
+        callers = Callers(
+            random.Random(seed + 1), world.entries, dict(world.teams)
+        )
+        calling = asyncio.ensure_future(callers.run(CLIENTS))
+        await Faults(rng, world, note).run(loop.time() + seconds)
+        await asyncio.sleep(SETTLE_S)
+        calm_from = time.monotonic()
+        await asyncio.sleep(CALM_S)
+        callers.stopped = True
+        await calling
+    except BaseException:
+        keep_logs(world, logs, seed)
+        raise
+    finally:
+        await asyncio.wait_for(world.close(), CLOSE_S)
+    report.attempts = len(callers.attempts)
+    report.ends = dict(
+        collections.Counter(
+            f'{a.end.value} {a.status}' for a in callers.attempts
+        )
+    )
+    report.breaches = breaches(callers.attempts, world.journal, calm_from)
+    if report.breaches:
+        keep_logs(world, logs, seed)
+    return report
+
+
+def keep_logs(world, logs, seed):
+    if logs is not None:
+        shutil.copytree(
+            world.folder, f'{logs}/seed-{seed}', dirs_exist_ok=True
+        )
+
+
+def main(argv):
+    """Run seeds from the command line; returns the exit code."""
+    parser = argparse.ArgumentParser(prog='bench soak')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument('--gateways', type=int, default=5)
+    parser.add_argument('--logs', help='folder for the logs of failed runs')
+    parser.add_argument('--json', action='store_true')
+    args = parser.parse_args(argv)
+    failed = 0
+    for seed in range(args.seed, args.seed + args.seeds):
+        report = asyncio.run(
+            soak(seed, args.seconds, args.gateways, args.logs)
+        )
+        failed += bool(report.breaches)
+        if args.json:
+            print(json.dumps(asdict(report)), flush=True)
+        else:
+            print(
+                f'seed {seed}: {report.attempts} attempts, '
+                f'{len(report.faults)} faults, '
+                f'{len(report.breaches)} promises broken',
+                flush=True,
+            )
+            for breach in report.breaches[:10]:
+                print(f'  {breach}', file=sys.stderr)
+    return 1 if failed else 0
--- /dev/null
+++ b/tests/platform/soak/world.py
@@ -0,0 +1,207 @@
+"""Gateways as processes, with the platform's stand-ins around them."""
+
+import asyncio
+import json
+import os
+from pathlib import Path
+import signal
+import subprocess
+import sys
+import tempfile
+
+from result import Err
+
+from bench.chaos_parts.ports import reserve_address
+from tests.platform.soak.store import start_store
+from tests.platform.soak.targets import Journal
+from tests.platform.soak.targets import Target
+from wigeonmill.clock import Clock
+from wigeonmill.standins.fault_proxy import ProxyOptions
+from wigeonmill.standins.fault_proxy import start_fault_proxy
+from wigeonmill.standins.memory_key_value import MemoryKeyValue
+
+ROOT = Path(__file__).parents[3]
+DOMAINS = ('d0', 'd1', 'd2')
+PLAIN = 'ledger'
+STREAMS = 'streams'
+GRACE_MS = 4_000
+READY_S = 15.0
+
+
+class Gateway:
+    """One entry process, and the proxy on its way to the store."""
+
+    def __init__(self, name, domain, folder, ports):
+        self.name = name
+        self.domain = domain
+        self.callers = reserve_address(ports)
+        self.ready = reserve_address(ports)
+        self.inner = reserve_address(ports)
+        self.metrics = reserve_address(ports)
+        self.store_proxy = None
+        self.log = folder / f'{name}.log'
+        self._settings = folder / f'{name}.json'
+        self._popen = None
+
+    async def prepare(self, store, seeds):
+        self.store_proxy = await start_fault_proxy(ProxyOptions(store))
+        settings = {
+            'process': self.name,
+            'failure_domain': self.domain,
+            'region': 'r',
+            'regions': dict.fromkeys(DOMAINS, 'r'),
+            'callers': self.callers,
+            'ready': self.ready,
+            'inner': self.inner,
+            'metrics': self.metrics,
+            'seeds': seeds,
+            'key_value': self.store_proxy.address,
+            'expected_entries': 3,
+            'grace_ms': GRACE_MS,
+        }
+        self._settings.write_text(json.dumps(settings))
+
+    def start(self):
+        env = os.environ | {'WIGEONMILL_CONFIG': str(self._settings)}
+        env['PYTHONPATH'] = str(ROOT)
+        with self.log.open('ab') as log:
+            self._popen = subprocess.Popen(
+                [sys.executable, 'platform/wigeonmilld.py'],
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def running(self):
+        return self._popen is not None and self._popen.poll() is None
+
+    def send(self, number):
+        if self.running:
+            self._popen.send_signal(number)
+
+    def reap(self):
+        """End the process, if it runs, and wait for its end."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self._popen is not None:
+            self._popen.wait()
+
+    async def ended(self):
+        while self.running:
+            await asyncio.sleep(0.02)
+
+    async def is_ready(self):
+        host, port = self.ready.split(':')
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b'GET /wigeonmill/readiness HTTP/1.1\r\nHost: h\r\n\r\n'
+            )
+            head = await asyncio.wait_for(reader.readline(), 1.0)
+            writer.close()
+        except (OSError, asyncio.TimeoutError):
+            return False
+        return b' 200 ' in head
+
+
+class World:
+    """The whole of a soak but for its callers."""
+
+    def __init__(self, rng, gateways=5):
+        self.rng = rng
+        self.keys = MemoryKeyValue(Clock())
+        self.journal = Journal()
+        self.targets = []
+        self.version = 0
+        self.teams = {'one': 'key-1', 'two': 'key-2'}
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = Path(self._folder.name)
+        ports = set()
+        self.gateways = [
+            Gateway(f'g{n}', DOMAINS[n % 3], self.folder, ports)
+            for n in range(gateways)
+        ]
+
+    @property
+    def entries(self):
+        return {gateway.name: gateway.callers for gateway in self.gateways}
+
+    async def start(self):
+        self._store = await start_store(self.keys)
+        await self.put_state()
+        for service, count in ((PLAIN, 3), (STREAMS, 3)):
+            for n in range(count):
+                await self.add_target(service, DOMAINS[n % 3])
+        seeds = [gateway.inner for gateway in self.gateways[:3]]
+        for gateway in self.gateways:
+            await gateway.prepare(self._store.address, seeds)
+            gateway.start()
+        for gateway in self.gateways:
+            await asyncio.wait_for(self._until_ready(gateway), READY_S)
+
+    async def _until_ready(self, gateway):
+        while not await gateway.is_ready():
+            await asyncio.sleep(0.05)
+
+    async def add_target(self, service, domain):
+        target = Target(
+            self.keys, self.journal, service, domain, service == STREAMS
+        )
+        self.targets.append(await target.start())
+        return target
+
+    async def put_state(self):
+        """Write the desired state anew under a higher version."""
+        self.version += self.rng.randint(1, 5)
+        routes = [
+            self._route('safe', PLAIN, 'safe', attempts=3),
+            self._route('unsafe', PLAIN, 'unsafe', attempts=3),
+            self._route(
+                'stream', STREAMS, 'streaming', attempts=3, canResume=True
+            ),
+        ]
+        state = {
+            'version': self.version,
+            'routes': routes,
+            'services': [{'name': PLAIN}, {'name': STREAMS}],
+            'tenants': [
+                {'name': name, 'apiKeys': [key]}
+                for name, key in self.teams.items()
+            ],
+        }
+        value = json.dumps(state).encode()
+        while True:
+            found = await self.keys.get('op/config')
+            if not isinstance(found, Err):
+                entry = found.ok_value
+                version = entry.version if entry else 0
+                written = await self.keys.compare_and_swap(
+                    'op/config', version, value
+                )
+                if not isinstance(written, Err):
+                    return
+            await asyncio.sleep(0.05)
+
+    def _route(self, name, service, kind, **more):
+        return {
+            'name': name,
+            'host': 'soak.example',
+            'prefix': f'/{name}/',
+            'kind': kind,
+            'timeoutMs': 4_000,
+            'sloMs': 400,
+            'service': service,
+            'gapAimMs': 400,
+        } | more
+
+    async def close(self):
+        for gateway in self.gateways:
+            gateway.reap()
+        for target in self.targets:
+            await target.stop()
+        for gateway in self.gateways:
+            if gateway.store_proxy is not None:
+                await gateway.store_proxy.stop()
+        await self._store.stop()
