Let the soak name weights and check orders to engines

The targets of the stream route are model engines now: they report, take orders under a fence and a count, and load. The operator names weights in series beside the other faults. Checked: fences only rise at an engine, a fence has one holder, and all engines have the newest weights 10 s after the last fault. One operator writes at a time, so that versions only rise. Tests: orders of two holders and of an old one are found.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -7,6 +7,8 @@
 import secrets
 import time
 
+from tests.platform.soak.targets import MODEL
+
 DEADLINE_MS = 4_000
 # A caller waits a little longer than it says.
 PATIENCE_S = 6.0
@@ -125,6 +127,12 @@
         # Only the system may say whose request it is.
         'Tenant: forged',
     ]
+    if attempt.kind is Kind.STREAM:
+        lines += [
+            f'Model: {MODEL}',
+            'Token-Usage: 2000,8',
+            f'Prefix-Hash: aa:500,{attempt.id[0]}:1200,{attempt.id}:300',
+        ]
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
 
 
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -39,6 +39,7 @@
         for promise, detail in _of_attempt(attempt, journal)
     ]
     found += _of_targets(attempts, journal)
+    found += _of_orders(journal)
     calm = [
         a
         for a in attempts
@@ -92,6 +93,19 @@
         yield 'whole streams only', len(complete)
 
 
+def _of_orders(journal):
+    last = {}
+    holders = {}
+    for order in journal.orders:
+        before = last.get(order.target)
+        last[order.target] = order
+        if before is not None and order.fence < before.fence:
+            yield Breach('fences only rise', '', f'{before} then {order}')
+        holder = holders.setdefault(order.fence, order.holder)
+        if holder != order.holder:
+            yield Breach('one holder a fence', '', f'{holder}, {order}')
+
+
 def _of_targets(attempts, journal):
     known = {attempt.id for attempt in attempts}
     for request_id, runs in journal.runs.items():
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -39,6 +39,8 @@
             self.silence_target,
             self.slow_target,
             self.change_state,
+            self.name_weights,
+            self.name_weights,
         ]
 
     async def run(self, until):
@@ -149,6 +151,9 @@
         await self._while(FAULT_S)
         faults.delay_ms = 0.0
 
+    async def name_weights(self):
+        await self.world.name_weights()
+
     async def change_state(self):
         for _turn in range(self.rng.randint(1, 5)):
             await self.world.put_state()
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -20,8 +20,9 @@
 from tests.platform.soak.world import World
 
 CLIENTS = 12
-# Time for leases, drains and stops that are under way, then without faults.
-SETTLE_S = 4.0
+# Time for leases, drains and stops that are under way, then without faults;
+# together as long as new weights may take to reach all engines.
+SETTLE_S = 7.0
 CALM_S = 3.0
 # Connections that callers still hold may outlast the stand-ins.
 CLOSE_S = 10.0
@@ -34,6 +35,7 @@
     seed: int
     seconds: float
     attempts: int = 0
+    orders: int = 0
     ends: dict[str, int] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
     breaches: list[Breach] = field(default_factory=list)
@@ -65,6 +67,11 @@
         await asyncio.sleep(CALM_S)
         callers.stopped = True
         await calling
+        behind = [
+            f'{t.id} has {t.version} of {world.journal.version}'
+            for t in world.targets
+            if t.streaming and t.version < world.journal.version
+        ]
     except BaseException:
         keep_logs(world, logs, seed)
         raise
@@ -77,6 +84,10 @@
         )
     )
     report.breaches = breaches(callers.attempts, world.journal, calm_from)
+    report.breaches += [
+        Breach('weights reach all engines', '', detail) for detail in behind
+    ]
+    report.orders = len(world.journal.orders)
     if report.breaches:
         keep_logs(world, logs, seed)
     return report
@@ -110,7 +121,7 @@
         else:
             print(
                 f'seed {seed}: {report.attempts} attempts, '
-                f'{len(report.faults)} faults, '
+                f'{len(report.faults)} faults, {report.orders} orders, '
                 f'{len(report.breaches)} promises broken',
                 flush=True,
             )
--- a/tests/platform/soak/targets.py
+++ b/tests/platform/soak/targets.py
@@ -1,4 +1,4 @@
-"""Targets that remember what they ran, and register themselves."""
+"""Targets that remember what they ran and were ordered, and register."""
 
 import asyncio
 from dataclasses import dataclass
@@ -15,6 +15,7 @@
 from tornado.web import RequestHandler
 
 from wigeonmill.standins.fault_proxy import ProxyOptions
+from wigeonmill.standins.fault_proxy import reset_stream
 from wigeonmill.standins.fault_proxy import start_fault_proxy
 
 HEARTBEAT_S = 0.4
@@ -24,6 +25,10 @@
 EVENT_S = 0.03
 EVENTS = 8
 QUEUE = 24
+MODEL = 'soak-model'
+LOAD_S = 0.4
+# How long an order waits for streams to end.
+QUEUE_S = 0.5
 # Share of plain requests that fail after they ran.
 FAILED_SHARE = 0.03
 
@@ -40,11 +45,24 @@
     from_event: int = 0
 
 
+@dataclass
+class Order:
+    """An order that an engine accepted."""
+
+    target: str
+    at: float
+    holder: str
+    fence: int
+    version: int
+
+
 @dataclass
 class Journal:
-    """What all targets ran."""
+    """What all targets ran and were ordered; the weights named last."""
 
     runs: dict[str, list[Run]] = field(default_factory=dict)
+    orders: list[Order] = field(default_factory=list)
+    version: int = 1
     # When a target was told to leave, by its id.
     left: dict[str, float] = field(default_factory=dict)
 
@@ -58,14 +76,18 @@
 
     async def _serve(self):
         target, headers = self.target, self.request.headers
+        if self.request.path.startswith('/wigeonmill/'):
+            self._control()
+            return
         request_id = headers.get('Request-Id', '')
         self.set_header('Request-Id', request_id)
         self.set_header('Server-Load', f'{target.open},0,{target.slots}')
-        if headers.get('Expect-Instance') not in (None, target.id):
+        version = headers.get('Expect-Version', str(target.version))
+        if not self._is_meant() or version != str(target.version):
             self.set_header('Not-Executed', '1')
             self.set_status(421)
             return
-        if target.open >= QUEUE:
+        if target.open >= QUEUE or target.loading:
             self.set_header('Not-Executed', '1')
             self.set_status(503)
             return
@@ -77,6 +99,26 @@
         finally:
             target.open -= 1
 
+    def _is_meant(self):
+        expected = self.request.headers.get('Expect-Instance')
+        return expected in (None, self.target.id)
+
+    def _control(self):
+        target = self.target
+        if not self._is_meant():
+            self.set_status(421)
+        elif self.request.path == '/wigeonmill/order':
+            self.set_status(target.take(json.loads(self.request.body)))
+        else:
+            report = {
+                'busy': target.loading,
+                'sequence': target.orders,
+                'born': target.born_ms,
+                'waiting': 0,
+                'models': target.models(),
+            }
+            self.write(json.dumps(report))
+
     async def _run(self, request_id):
         target, headers = self.target, self.request.headers
         begins = int(headers.get('Last-Event-Id', '0'))
@@ -91,6 +133,7 @@
             )
         )
         self.set_header('Server-Seal', f'{target.id}.{request_id}')
+        self.set_header('Weight-Versions', str(target.version))
         if 'stream' in self.request.path:
             self.set_header('Content-Type', 'text/event-stream')
             for number in range(begins + 1, EVENTS + 1):
@@ -121,9 +164,14 @@
         self.open = 0
         self.state = 'ready'
         self.sequence = 0
+        self.version = journal.version
+        self.loading = False
+        self.orders = 0
+        self.fence = 0
         self.proxy = None
         self._server = None
         self._task = None
+        self._loads = None
 
     async def start(self):
         sockets = bind_sockets(0, '127.0.0.1')
@@ -136,6 +184,45 @@
         self._task = asyncio.ensure_future(self._register())
         return self
 
+    def models(self):
+        if not self.streaming:
+            return []
+        return [{'name': MODEL, 'version': self.version}]
+
+    def take(self, order):
+        """Return the status of an order; an accepted one begins."""
+        if order['fence'] < self.fence:
+            return 412
+        if order['version'] == self.version:
+            return 200
+        if self.loading or order['expected'] != self.orders:
+            return 409
+        self.fence = order['fence']
+        self.orders += 1
+        self.loading = True
+        self.journal.orders.append(
+            Order(
+                self.id,
+                time.monotonic(),
+                order['holder'],
+                order['fence'],
+                order['version'],
+            )
+        )
+        self._loads = asyncio.ensure_future(self._load(order))
+        return 202
+
+    async def _load(self, order):
+        until = time.monotonic() + QUEUE_S
+        while self.open and time.monotonic() < until:
+            await asyncio.sleep(0.01)
+        # What still runs is cut.
+        for stream in list(self.proxy.state.open) if self.open else ():
+            reset_stream(stream)
+        await asyncio.sleep(LOAD_S)
+        self.version = order['version']
+        self.loading = False
+
     async def _register(self):
         lease = 0
         while True:
@@ -162,6 +249,7 @@
             'coldLeftMs': 0,
             'sequence': self.sequence,
             'born': self.born_ms,
+            'models': self.models(),
         }
         found = await self.keys.get(key)
         if isinstance(found, Err):
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -9,6 +9,7 @@
 from tests.platform.soak.checks import DRAIN_S
 from tests.platform.soak.targets import EVENTS
 from tests.platform.soak.targets import Journal
+from tests.platform.soak.targets import Order
 from tests.platform.soak.targets import Run
 
 CALM_FROM = 100.0
@@ -103,3 +104,18 @@
 def test_service_that_does_not_come_back():
     refused = make_attempt(status=503)
     assert 'recovery' in promises_broken(refused)
+
+
+def orders_broken(*orders):
+    journal = Journal(orders=list(orders))
+    journal.add(make_run())
+    found = breaches([make_attempt()], journal, CALM_FROM)
+    return {breach.promise for breach in found}
+
+
+def test_orders_of_two_holders_and_of_an_old_one():
+    first, second = Order('t1', 1.0, 'a', 5, 2), Order('t1', 2.0, 'b', 6, 3)
+    assert not orders_broken(first, second)
+    assert 'fences only rise' in orders_broken(second, first)
+    same = Order('t2', 2.0, 'b', 5, 2)
+    assert 'one holder a fence' in orders_broken(first, same)
--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -14,6 +14,7 @@
 from bench.chaos_parts.ports import reserve_address
 from tests.platform.soak.store import start_store
 from tests.platform.soak.targets import Journal
+from tests.platform.soak.targets import MODEL
 from tests.platform.soak.targets import Target
 from wigeonmill.clock import Clock
 from wigeonmill.standins.fault_proxy import ProxyOptions
@@ -25,6 +26,7 @@
 PLAIN = 'ledger'
 STREAMS = 'streams'
 GRACE_MS = 4_000
+WEIGHTS_MS = 10_000
 READY_S = 15.0
 
 
@@ -58,6 +60,7 @@
             'key_value': self.store_proxy.address,
             'expected_entries': 3,
             'grace_ms': GRACE_MS,
+            'weights_deadline_ms': WEIGHTS_MS,
         }
         self._settings.write_text(json.dumps(settings))
 
@@ -115,6 +118,8 @@
         self.journal = Journal()
         self.targets = []
         self.version = 0
+        # One operator writes at a time, so that versions only rise.
+        self._operator = asyncio.Lock()
         self.teams = {'one': 'key-1', 'two': 'key-2'}
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
@@ -154,6 +159,10 @@
 
     async def put_state(self):
         """Write the desired state anew under a higher version."""
+        async with self._operator:
+            await self._put('op/config', self._next_state())
+
+    def _next_state(self):
         self.version += self.rng.randint(1, 5)
         routes = [
             self._route('safe', PLAIN, 'safe', attempts=3),
@@ -162,24 +171,42 @@
                 'stream', STREAMS, 'streaming', attempts=3, canResume=True
             ),
         ]
-        state = {
+        return {
             'version': self.version,
             'routes': routes,
-            'services': [{'name': PLAIN}, {'name': STREAMS}],
+            'services': [
+                {'name': PLAIN},
+                {
+                    'name': STREAMS,
+                    'engine': {
+                        'capacity': 16,
+                        'kvTokens': 100_000,
+                        'kvBytes': 1_000,
+                    },
+                },
+            ],
             'tenants': [
                 {'name': name, 'apiKeys': [key]}
                 for name, key in self.teams.items()
             ],
         }
-        value = json.dumps(state).encode()
+
+    async def name_weights(self):
+        """Name newer weights for the model engines."""
+        async with self._operator:
+            version = self.journal.version + 1
+            value = {'model': MODEL, 'version': version}
+            await self._put(f'op/version/{MODEL}', value)
+            self.journal.version = version
+
+    async def _put(self, key, content):
+        value = json.dumps(content).encode()
         while True:
-            found = await self.keys.get('op/config')
+            found = await self.keys.get(key)
             if not isinstance(found, Err):
                 entry = found.ok_value
                 version = entry.version if entry else 0
-                written = await self.keys.compare_and_swap(
-                    'op/config', version, value
-                )
+                written = await self.keys.compare_and_swap(key, version, value)
                 if not isinstance(written, Err):
                     return
             await asyncio.sleep(0.05)
