Bound the rollout of weights by the time of the deployment

Cause: a rollout used fixed waits (700 ms for a queue, runs of any length in queue mode, 2.5 s until a lost order was given again) and one silent engine held up every step, whatever time the deployment allows.

Change: the time of the deployment is divided among the waves that are left; each engine drains within its share, then its streams are cut. Reports are polled in the background, an order that is not reflected is repeated after 1 s, a silent engine makes room for another one. An entry gives no run to older weights that would begin after the bound, and a run that has not begun by then leaves them; without any other target the request is refused as not run (old_weights). The age of a version that an entry did not see being set counts from its last contact with the store. A leader's record names the engines that its predecessor ordered until their delay is over.

--- /dev/null
+++ b/tests/gateway/test_context.py
@@ -0,0 +1,58 @@
+"""How long runs may still begin on weights that operators have replaced."""
+
+from tests.gateway.samples import MODEL
+from wigeonmill.clock import ManualClock
+from wigeonmill.gateway.context import DesiredConfig
+from wigeonmill.gateway.context import UNKNOWN_AGE_GRACE_MS
+
+DEADLINE_MS = 8_000.0
+
+
+def make_config():
+    clock = ManualClock(1_000_000.0)
+    return clock, DesiredConfig(clock, DEADLINE_MS)
+
+
+def test_a_watched_change_has_its_whole_time():
+    clock, config = make_config()
+    config.confirm()
+    clock.advance(1_800)
+    config.set_weight_version(MODEL, 2)
+    assert config.weight_version_age_ms(MODEL) == 0.0
+    assert config.old_weights_remaining_ms(MODEL) == DEADLINE_MS
+    clock.advance(DEADLINE_MS + 1)
+    assert config.old_weights_remaining_ms(MODEL) < 0
+
+
+def test_a_started_process_does_not_know_the_age_of_a_version():
+    """All entries restart: each learns the version from the store alone."""
+    clock, config = make_config()
+    config.set_weight_version(MODEL, 2)
+    assert config.weight_version_age_ms(MODEL) == float('inf')
+    assert config.old_weights_remaining_ms(MODEL) == UNKNOWN_AGE_GRACE_MS
+
+
+def test_a_change_made_while_the_entry_was_cut_off_is_as_old_as_the_gap():
+    clock, config = make_config()
+    config.confirm()
+    clock.advance(6_000)
+    config.set_weight_version(MODEL, 2)
+    assert config.weight_version_age_ms(MODEL) == 6_000
+    assert config.old_weights_remaining_ms(MODEL) == UNKNOWN_AGE_GRACE_MS
+    clock.advance(UNKNOWN_AGE_GRACE_MS)
+    assert config.old_weights_remaining_ms(MODEL) <= 0
+
+
+def test_a_model_without_a_named_version_has_no_bound():
+    _clock, config = make_config()
+    assert config.old_weights_remaining_ms(MODEL) == float('inf')
+
+
+def test_a_later_version_starts_its_own_time():
+    clock, config = make_config()
+    config.confirm()
+    config.set_weight_version(MODEL, 2)
+    clock.advance(5_000)
+    config.confirm()
+    config.set_weight_version(MODEL, 3)
+    assert config.old_weights_remaining_ms(MODEL) == DEADLINE_MS
--- a/tests/gateway/test_picker.py
+++ b/tests/gateway/test_picker.py
@@ -272,3 +272,43 @@
         for _turn in range(40)
     }
     assert len(picks) > 10
+
+
+def old_and_new_engines():
+    return [make_engine_record('e1'), make_engine_record('e2', version=2)]
+
+
+def test_old_weights_get_no_work_once_their_time_is_over():
+    fleet = Fleet(old_and_new_engines())
+    for remaining_ms in (0.0, -5_000.0):
+        picked = fleet.pick(
+            desired_version=2, old_weights_remaining_ms=remaining_ms
+        )
+        assert picked.target.id == 'e2'
+
+
+def test_old_weights_get_no_work_that_would_begin_after_their_time():
+    fleet = Fleet(engines())
+    demand = make_demand(desired_version=2, old_weights_remaining_ms=2_000.0)
+    assert fleet.picker.pick(demand).is_ok()
+    for id_ in ('e0', 'e1', 'e2', 'e3'):
+        fleet.target(id_).load.open(9_000, 200_000, 0)
+    refusal = fleet.picker.pick(demand).unwrap_err()
+    assert refusal.reason is Reason.OLD_WEIGHTS
+
+
+def test_a_model_without_new_weights_in_time_is_refused_as_not_run():
+    fleet = Fleet(engines())
+    demand = make_demand(desired_version=2, old_weights_remaining_ms=0.0)
+    refusal = fleet.picker.pick(demand).unwrap_err()
+    assert refusal.reason is Reason.OLD_WEIGHTS
+    assert refusal.status == 503
+    assert refusal.retry_after_ms >= 1_000.0
+
+
+def test_plain_services_do_not_depend_on_weights():
+    fleet = Fleet([make_record('t1')])
+    picked = fleet.pick(
+        service=LEDGER, generation=None, old_weights_remaining_ms=0.0
+    )
+    assert picked.target.id == 't1'
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -15,7 +15,9 @@
 from tests.gateway.samples import make_record
 from tests.gateway.samples import make_request
 from tests.gateway.samples import make_route
+from tests.gateway.samples import MODEL
 from wigeonmill.gateway.answers import Reason
+from wigeonmill.gateway.context import DEFAULT_WEIGHTS_DEADLINE_MS
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.desired import ServiceShare
 from wigeonmill.gateway.target_client import ExchangeEnd
@@ -326,3 +328,37 @@
         harness.run(req, stream_route(priority=priority))
         priorities.append(harness.client.sent[0][1].priority)
     assert priorities[0] < priorities[1]
+
+
+def queued_past_the_weights_deadline(harness, resumable):
+    """Run a stream that its first target does not begin in time."""
+    harness.ctx.desired.confirm()
+    harness.ctx.desired.set_weight_version(MODEL, 2)
+    harness.clock.advance(DEFAULT_WEIGHTS_DEADLINE_MS - 5_000.0)
+    return run_stream(harness, stream_route(resumable=resumable))
+
+
+def test_a_run_that_has_not_begun_leaves_expired_weights():
+    """A queued request must not begin once the bound has passed."""
+
+    def serve_others():
+        harness.clock.advance(400)
+        old.load.record_activity()
+
+    harness = engine_harness([[serve_others] * 40, stream(1)], count=2)
+    old, new = harness.ctx.directory.all()
+    started_ms = harness.clock.now_ms()
+    new.refusing_until_ms = started_ms + 12_000.0
+    new.weights[MODEL] = 2
+    channel = queued_past_the_weights_deadline(harness, resumable=True)
+    assert [sent[0] for sent in harness.client.sent] == [old.id, new.id]
+    assert harness.client.sent[0][2].cancelled
+    assert harness.clock.now_ms() - started_ms < DEFAULT_WEIGHTS_DEADLINE_MS
+    assert channel.finished
+
+
+def test_a_run_that_may_have_begun_on_expired_weights_is_not_called_not_run():
+    harness = engine_harness([fakes.SILENT])
+    channel = queued_past_the_weights_deadline(harness, resumable=False)
+    assert len(harness.client.sent) == 1
+    assert channel.status == 502
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -66,6 +66,7 @@
             random.Random(1),
             Metrics(),
             states.append,
+            lambda: None,
         )
         sync.start()
         try:
--- a/tests/gateway/test_weights_rollout.py
+++ b/tests/gateway/test_weights_rollout.py
@@ -3,14 +3,15 @@
 import asyncio
 import random
 
+import pytest
 from result import Err
 from result import Ok
 
 from tests.gateway.samples import make_engine_record
 from tests.gateway.samples import MODEL
+from tests.virtual_time import VirtualTimeLoop
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.allowances import RetryLimits
-from wigeonmill.gateway.context import FIRST_LISTING_MS
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.engine_orders import EngineReport
 from wigeonmill.gateway.engine_orders import OrderOutcome
@@ -41,6 +42,8 @@
         self.delay_orders = 0
         self.late_orders = []
         self.down = False
+        self.streams_end_ms = 0.0
+        self.ordered_ms = []
         self.cut = []
 
     def finish_loading(self):
@@ -54,7 +57,8 @@
             {MODEL: self.version},
             self.loading is not None,
             self.orders,
-            0,
+            waiting=0,
+            running=int(self.clock.now_ms() < self.streams_end_ms),
         )
 
     def accept(self, order):
@@ -69,6 +73,7 @@
         self.orders += 1
         self.loading = (order.version, self.clock.now_ms() + LOAD_MS)
         self.cut.append(order.cut_streams)
+        self.ordered_ms.append(self.clock.now_ms())
         return OrderOutcome.ACCEPTED
 
 
@@ -108,7 +113,7 @@
 
 
 class Harness:
-    def __init__(self, monkeypatch, count=9, just_started=False):
+    def __init__(self, count=9, just_started=False):
         self.clock = ManualClock()
         self.ctx = GatewayContext(
             self.clock, random.Random(1), Metrics(), RetryLimits(), lambda: 1
@@ -117,16 +122,12 @@
         for id_ in self.engines:
             self.ctx.directory.apply(make_engine_record(id_))
         if not just_started:
-            self.clock.advance(FIRST_LISTING_MS + 1)
+            self.ctx.desired.confirm()
         self.keys = MemoryKeyValue(self.clock, KvFaults())
         self.leader = FakeLeader()
         self.rollout = self.make_rollout()
         self.max_loading = 0
-
-        async def sleep(seconds):
-            self.clock.advance(seconds * 1000.0)
-
-        monkeypatch.setattr(asyncio, 'sleep', sleep)
+        self.loop = VirtualTimeLoop(self.clock)
 
     def make_rollout(self):
         return WeightsRollout(
@@ -139,12 +140,23 @@
         )
 
     def run_for(self, time_ms):
+        self.loop.run_until_complete(self._run_for(time_ms))
+
+    def step(self, rollout):
+        self.loop.run_until_complete(rollout.step())
+
+    def close(self):
+        self.rollout.close()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+
+    async def _run_for(self, time_ms):
         until_ms = self.clock.now_ms() + time_ms
         while self.clock.now_ms() < until_ms:
-            asyncio.run(self.rollout.step())
+            await self.rollout.step()
             loading = [e for e in self.engines.values() if e.loading]
             self.max_loading = max(self.max_loading, len(loading))
-            self.clock.advance(100)
+            await asyncio.sleep(0.1)
 
     def versions(self):
         for engine in self.engines.values():
@@ -152,8 +164,21 @@
         return {engine.version for engine in self.engines.values()}
 
 
-def test_at_most_a_third_of_the_engines_load_at_a_time(monkeypatch):
-    harness = Harness(monkeypatch)
+@pytest.fixture
+def make_harness():
+    harnesses = []
+
+    def make(**options):
+        harnesses.append(Harness(**options))
+        return harnesses[-1]
+
+    yield make
+    for harness in harnesses:
+        harness.close()
+
+
+def test_at_most_a_third_of_the_engines_load_at_a_time(make_harness):
+    harness = make_harness()
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(12_000)
     assert harness.versions() == {2}
@@ -161,8 +186,8 @@
     assert {engine.orders for engine in harness.engines.values()} == {1}
 
 
-def test_an_order_without_a_response_is_repeated_and_runs_once(monkeypatch):
-    harness = Harness(monkeypatch, count=1)
+def test_an_order_without_a_response_is_repeated_and_runs_once(make_harness):
+    harness = make_harness(count=1)
     engine = harness.engines['e0']
     engine.delay_orders = 1
     harness.ctx.desired.set_weight_version(MODEL, 2)
@@ -173,8 +198,8 @@
     assert engine.orders == 1
 
 
-def test_an_engine_that_restarts_while_loading_is_ordered_again(monkeypatch):
-    harness = Harness(monkeypatch, count=1)
+def test_an_engine_that_restarts_while_loading_is_ordered_again(make_harness):
+    harness = make_harness(count=1)
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(1_000)
     engine = harness.engines['e0']
@@ -184,8 +209,8 @@
     assert harness.versions() == {2}
 
 
-def test_an_unreachable_engine_does_not_delay_the_others(monkeypatch):
-    harness = Harness(monkeypatch, count=3)
+def test_an_unreachable_engine_does_not_delay_the_others(make_harness):
+    harness = make_harness(count=3)
     harness.engines['e1'].down = True
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(8_000)
@@ -195,8 +220,8 @@
     assert harness.versions() == {2}
 
 
-def test_a_new_leader_continues_and_a_fenced_leader_steps_down(monkeypatch):
-    harness = Harness(monkeypatch)
+def test_a_new_leader_continues_and_a_fenced_leader_steps_down(make_harness):
+    harness = make_harness()
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(2_000)
     old, old_leader = harness.rollout, harness.leader
@@ -213,9 +238,9 @@
 
 
 def test_a_leader_steps_down_when_an_engine_reports_a_higher_fence(
-    monkeypatch,
+    make_harness,
 ):
-    harness = Harness(monkeypatch, count=1)
+    harness = make_harness(count=1)
     harness.engines['e0'].fence = harness.leader.fence + 1
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(1_000)
@@ -223,11 +248,11 @@
 
 
 def test_a_new_leader_orders_engines_without_recent_orders_immediately(
-    monkeypatch,
+    make_harness,
 ):
     # A leader froze during a rollout. Waiting for the takeover delay before
     # ordering any engine took 3 s of the 10 s allowed for new weights.
-    harness = Harness(monkeypatch)
+    harness = make_harness()
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(300)
     ordered = {id_ for id_, e in harness.engines.items() if e.orders}
@@ -243,8 +268,8 @@
     assert harness.clock.now_ms() - takeover_ms < LEASE_MS
 
 
-def test_a_new_leader_waits_for_engines_its_predecessor_ordered(monkeypatch):
-    harness = Harness(monkeypatch)
+def test_a_new_leader_waits_for_engines_its_predecessor_ordered(make_harness):
+    harness = make_harness()
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(300)
     ordered = [e for e in harness.engines.values() if e.orders]
@@ -258,18 +283,18 @@
     assert harness.versions() == {3}
 
 
-def test_no_engine_is_ordered_before_the_record_names_it(monkeypatch):
-    harness = Harness(monkeypatch)
+def test_no_engine_is_ordered_before_the_record_names_it(make_harness):
+    harness = make_harness()
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.keys.faults.lose_requests = 1
-    asyncio.run(harness.rollout.step())
+    harness.step(harness.rollout)
     assert not any(engine.orders for engine in harness.engines.values())
     harness.run_for(12_000)
     assert harness.versions() == {2}
 
 
-def test_a_late_write_by_the_predecessor_fails(monkeypatch):
-    harness = Harness(monkeypatch)
+def test_a_late_write_by_the_predecessor_fails(make_harness):
+    harness = make_harness()
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(300)
     old = harness.rollout
@@ -277,12 +302,12 @@
     harness.rollout = harness.make_rollout()
     harness.run_for(300)
     counts = [engine.orders for engine in harness.engines.values()]
-    asyncio.run(old.step())
+    harness.step(old)
     assert counts == [engine.orders for engine in harness.engines.values()]
 
 
-def test_a_later_version_replaces_one_in_progress(monkeypatch):
-    harness = Harness(monkeypatch)
+def test_a_later_version_replaces_one_in_progress(make_harness):
+    harness = make_harness()
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(1_500)
     harness.ctx.desired.set_weight_version(MODEL, 3)
@@ -290,16 +315,20 @@
     assert harness.versions() == {3}
 
 
-def test_an_order_waits_for_streams_while_time_remains(monkeypatch):
-    harness = Harness(monkeypatch, count=1)
+def test_an_order_waits_for_streams_while_time_remains(make_harness):
+    harness = make_harness(count=1)
+    engine = harness.engines['e0']
+    engine.streams_end_ms = harness.clock.now_ms() + 2_000
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(4_000)
-    assert harness.engines['e0'].cut == [False]
+    assert engine.cut == [False]
+    assert engine.ordered_ms[0] >= engine.streams_end_ms
 
 
-def test_an_order_cuts_streams_when_little_time_remains(monkeypatch):
-    harness = Harness(monkeypatch, count=1)
+def test_an_order_cuts_streams_when_little_time_remains(make_harness):
+    harness = make_harness(count=1)
     harness.engines['e0'].down = True
+    harness.engines['e0'].streams_end_ms = float('inf')
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(DEADLINE_MS / 2)
     harness.engines['e0'].down = False
@@ -307,8 +336,9 @@
     assert harness.engines['e0'].cut == [True]
 
 
-def test_an_order_cuts_streams_when_the_version_age_is_unknown(monkeypatch):
-    harness = Harness(monkeypatch, count=1, just_started=True)
+def test_an_order_cuts_streams_when_the_version_age_is_unknown(make_harness):
+    harness = make_harness(count=1, just_started=True)
+    harness.engines['e0'].streams_end_ms = float('inf')
     harness.ctx.desired.set_weight_version(MODEL, 2)
     harness.run_for(4_000)
     assert harness.engines['e0'].cut == [True]
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -17,6 +17,7 @@
         'sequence': 3,
         'born': 99,
         'waiting': 4,
+        'running': 7,
         'models': [{'name': 'm', 'version': 1, 'adapters': []}],
     }
 
@@ -26,7 +27,7 @@
         engine = found.unwrap()
         assert (engine.busy, engine.orders, engine.started_ms) == (True, 3, 99)
         assert engine.versions == {'m': 1}
-        assert engine.waiting == 4
+        assert (engine.waiting, engine.running) == (4, 7)
         assert standin.calls[0].headers['Expect-Instance'] == 't1'
 
     with_standin(lambda call: Reply(body=report), check)
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -23,6 +23,8 @@
 
 # Interval of the stall check on a stream that sends nothing.
 STALL_CHECK_MS = 200.0
+# Interval at which a run that has not begun is checked for expired weights.
+BEGIN_CHECK_MS = 500.0
 # A resumable stream continues at another target after this time without
 # data, if its target sends nothing for any other request either.
 STALL_MS = 1_000.0
@@ -140,6 +142,14 @@
                 return timed_out()
             if self._can_fail_over:
                 until_ms = min(until_ms, now_ms + STALL_CHECK_MS)
+            if not self._in_flight.answered:
+                begin_by_ms = self._terms.begin_by_ms(self._target)
+                if now_ms >= begin_by_ms:
+                    return may_have_run(
+                        Reason.OLD_WEIGHTS,
+                        'not begun on old weights within their time',
+                    )
+                until_ms = min(until_ms, begin_by_ms, now_ms + BEGIN_CHECK_MS)
             part = await self._exchange.next(until_ms)
             if part is not None:
                 return part
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -13,8 +13,14 @@
 from wigeonmill.metrics import Metrics
 from wigeonmill.routing.circuit import CircuitBreakers
 
-# A starting process receives within this time what operators had set before.
-FIRST_LISTING_MS = 1_500.0
+# A running entry learns of a change at once while it watches the key-value
+# service. After a longer gap without a reply, a change that it learns of may
+# be as old as the gap.
+MAX_CONFIRMATION_GAP_MS = 2_500.0
+# Time for which an entry that can't know how old a weight version is still
+# sends work to older weights, while the first engines load the new ones.
+UNKNOWN_AGE_GRACE_MS = 2_500.0
+DEFAULT_WEIGHTS_DEADLINE_MS = 15_000.0
 
 
 class DesiredConfig:
@@ -26,18 +32,26 @@
         '_closed_domains',
         '_weight_versions',
         '_weights_set_ms',
+        '_weights_learned_ms',
+        '_weights_deadline_ms',
+        '_confirmed_ms',
         '_clock',
-        '_started_ms',
     )
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, weights_deadline_ms: float) -> None:
         self._clock = clock
         self.state: DesiredState | None = None
         self.table = RouteTable(())
         self._closed_domains: set[str] = set()
         self._weight_versions: dict[str, int] = {}
         self._weights_set_ms: dict[str, float] = {}
-        self._started_ms = clock.now_ms()
+        self._weights_learned_ms: dict[str, float] = {}
+        self._weights_deadline_ms = weights_deadline_ms
+        self._confirmed_ms = float('-inf')
+
+    def confirm(self) -> None:
+        """Record that the state is up to date as of now."""
+        self._confirmed_ms = self._clock.now_ms()
 
     def adopt(self, state: DesiredState) -> bool:
         """Put a configuration in force, unless it or a later one is."""
@@ -64,12 +78,10 @@
             return False
         self._weight_versions[model] = version
         now_ms = self._clock.now_ms()
-        # A version received while the process starts may have been set long
-        # before, so that it counts as old.
-        set_while_running = now_ms - self._started_ms > FIRST_LISTING_MS
-        self._weights_set_ms[model] = (
-            now_ms if set_while_running else float('-inf')
-        )
+        gap_ms = now_ms - self._confirmed_ms
+        watched = gap_ms <= MAX_CONFIRMATION_GAP_MS
+        self._weights_set_ms[model] = now_ms if watched else self._confirmed_ms
+        self._weights_learned_ms[model] = now_ms
         return True
 
     def weight_version(self, model: str) -> int | None:
@@ -77,9 +89,25 @@
         return self._weight_versions.get(model)
 
     def weight_version_age_ms(self, model: str) -> float:
-        """Return how long ago the newest weight version was set."""
+        """Return how long ago the newest weight version was set, at most.
+
+        The age is infinite if the process has just started.
+        """
         return self._clock.now_ms() - self._weights_set_ms.get(model, 0.0)
 
+    def old_weights_remaining_ms(self, model: str) -> float:
+        """Return how long runs may still begin on older weights.
+
+        The result is negative once the time for the newest version is over.
+        """
+        if model not in self._weight_versions:
+            return float('inf')
+        end_ms = max(
+            self._weights_set_ms[model] + self._weights_deadline_ms,
+            self._weights_learned_ms[model] + UNKNOWN_AGE_GRACE_MS,
+        )
+        return end_ms - self._clock.now_ms()
+
     @property
     def weight_versions(self) -> dict[str, int]:
         """The newest weight version set for each model that has one."""
@@ -109,11 +137,12 @@
         metrics: Metrics,
         retry_limits: RetryLimits,
         entry_count: Callable[[], int],
+        weights_deadline_ms: float = DEFAULT_WEIGHTS_DEADLINE_MS,
     ) -> None:
         self.clock = clock
         self.rng = rng
         self.metrics = metrics
-        self.desired = DesiredConfig(clock)
+        self.desired = DesiredConfig(clock, weights_deadline_ms)
         self.directory = Directory(clock)
         self.circuits = CircuitBreakers(clock, rng)
         self.crash_guard = CrashGuard(clock)
--- a/wigeonmill/gateway/engine_orders.py
+++ b/wigeonmill/gateway/engine_orders.py
@@ -33,7 +33,8 @@
     """The state of an engine.
 
     `started_ms` is the time of its start. `orders` counts the orders that it
-    accepted, `waiting` the requests that have not started to run.
+    accepted, `waiting` the requests that have not started to run and
+    `running` those that have.
     """
 
     started_ms: int
@@ -41,6 +42,7 @@
     busy: bool
     orders: int
     waiting: int
+    running: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -48,6 +48,10 @@
 FULL_SCAN_COST = 0.5
 # Time after which a refused caller can expect a warm target or a free slot.
 RETRY_AFTER_MS = 400.0
+# Time after which a refused caller can expect a target with new weights.
+WEIGHTS_RETRY_AFTER_MS = 1_000.0
+# Margin for a request to reach a target with old weights and begin to run.
+BEGIN_MARGIN_MS = 400.0
 # Jitter of the retry time, as a share, so that refused callers do not all
 # return at once.
 RETRY_JITTER = 0.5
@@ -60,7 +64,8 @@
     `avoid` names the targets that were already tried. If `regions` is empty,
     any region is allowed. `fetchable_tokens` of the prompt can be fetched
     from a cache store. `desired_version` is the newest weight version that
-    operators have set for the model.
+    operators have set for the model. No run may begin on older weights once
+    `old_weights_remaining_ms` have passed.
     """
 
     service: str
@@ -77,6 +82,7 @@
     fetchable_tokens: int = 0
     desired_version: int | None = None
     penalize_old_weights: bool = False
+    old_weights_remaining_ms: float = float('inf')
 
     @property
     def tokens(self) -> int:
@@ -135,7 +141,15 @@
             return Err(
                 self._refusal(Reason.NO_TARGET, 'no target is available')
             )
-        admissible = self._within_cold_rate(usable, demand)
+        current = self._without_expired_weights(usable, demand)
+        if not current:
+            message = 'the targets do not have the new weights yet'
+            return Err(
+                self._refusal(
+                    Reason.OLD_WEIGHTS, message, WEIGHTS_RETRY_AFTER_MS
+                )
+            )
+        admissible = self._within_cold_rate(current, demand)
         if not admissible:
             return Err(self._refusal(Reason.TARGETS_COLD, 'targets are cold'))
         healthy = [
@@ -174,6 +188,24 @@
             )
         ]
 
+    def _without_expired_weights(
+        self, usable: Sequence[Target], demand: Demand
+    ) -> list[Target]:
+        """Leave out old weights on which the run would begin too late."""
+        generation = demand.generation
+        if generation is None:
+            return list(usable)
+        latest_ms = demand.old_weights_remaining_ms - BEGIN_MARGIN_MS
+        return [
+            target
+            for target in usable
+            if not self._has_old_weights(target, demand)
+            or target.load.first_token_ms(
+                generation.prompt_tokens, demand.priority
+            )
+            <= latest_ms
+        ]
+
     def _within_cold_rate(
         self, usable: Sequence[Target], demand: Demand
     ) -> list[Target]:
@@ -299,6 +331,11 @@
         version = target.weights.get(demand.generation.model)
         return version is not None and version < demand.desired_version
 
-    def _refusal(self, reason: Reason, message: str) -> Refusal:
+    def _refusal(
+        self,
+        reason: Reason,
+        message: str,
+        retry_after_ms: float = RETRY_AFTER_MS,
+    ) -> Refusal:
         jitter = 1.0 + RETRY_JITTER * self._rng.random()
-        return Refusal(reason, message, RETRY_AFTER_MS * jitter)
+        return Refusal(reason, message, retry_after_ms * jitter)
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -167,6 +167,8 @@
             circuits.record_success(target.id)
             target.load.record_outcome(failed=False)
             return
+        if failure.reason is Reason.OLD_WEIGHTS:
+            return
         if failure.reason is Reason.TIMEOUT and not target.load.is_silent():
             return
         if not failure.arrived_at_service:
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -94,7 +94,12 @@
             settings.retry_window_ms,
         )
         self._ctx = GatewayContext(
-            clock, rng, self.metrics, limits, self._entries.count
+            clock,
+            rng,
+            self.metrics,
+            limits,
+            self._entries.count,
+            settings.weights_deadline_ms,
         )
         self._sync = MirrorSync(
             adapter.source,
@@ -103,6 +108,7 @@
             rng,
             self.metrics,
             self._on_connection_change,
+            self._ctx.desired.confirm,
         )
         self._registration = Registration(
             adapter.keys, clock, settings.process, settings.inner
--- a/wigeonmill/gateway/rollout_notice.py
+++ b/wigeonmill/gateway/rollout_notice.py
@@ -168,7 +168,10 @@
             for id_, at_ms in self._ordered_ms.items()
             if at_ms >= oldest_ms
         }
-        return sorted({*self._ordered_ms, *next_orders})
+        # A leader that succeeds this one before the takeover delay is over
+        # must wait for the engines of the predecessor, too.
+        held = () if self._leadership.may_order else self._held or ()
+        return sorted({*self._ordered_ms, *next_orders, *held})
 
     def _must_publish(self, record: RolloutRecord) -> bool:
         last = self._published
--- a/wigeonmill/gateway/rollout_plan.py
+++ b/wigeonmill/gateway/rollout_plan.py
@@ -5,8 +5,8 @@
 import math
 
 # Maximum fraction of the engines that load at the same time. The platform's
-# weight store serves about a third of a fleet without slowing down.
-MAX_LOADING_FRACTION = 1.0 / 3.0
+# weight store serves a little over a third of a fleet without slowing down.
+MAX_LOADING_FRACTION = 0.36
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +41,6 @@
     faster than all engines load them. Among these the least busy go first, so
     that the fewest requests have to wait.
     """
-    max_loading = max(1, math.floor(len(engines) * MAX_LOADING_FRACTION))
     loading = [engine.id for engine in engines if engine.ordered]
     waiting = [
         engine
@@ -51,6 +50,16 @@
         and not engine.held
     ]
     waiting.sort(key=lambda engine: (engine.version, engine.runs, engine.id))
-    available = max(0, max_loading - len(loading))
+    available = max(0, _max_loading(engines) - len(loading))
     start = tuple(engine.id for engine in waiting[:available])
     return Wave(start, (*loading, *start))
+
+
+def count_waves(engines: Sequence[EngineState], desired_version: int) -> int:
+    """Return the number of waves for the engines without the version."""
+    behind = sum(1 for e in engines if e.version < desired_version)
+    return math.ceil(behind / _max_loading(engines))
+
+
+def _max_loading(engines: Sequence[EngineState]) -> int:
+    return max(1, math.floor(len(engines) * MAX_LOADING_FRACTION))
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -17,6 +17,9 @@
 
 # Age of a new weight version at which answers by older weights cost credit.
 OLD_WEIGHTS_GRACE_MS = 1_500.0
+# Margin for a cancellation to reach a target before a run begins there on
+# weights that are no longer allowed.
+CANCEL_MARGIN_MS = 250.0
 # A request that is expected to lose this share of its credit gets a lower
 # priority than those that may still be answered in time.
 LATE_COST = 0.6
@@ -110,6 +113,7 @@
         spec = self._service_spec()
         newest_version = None
         weights_due = False
+        old_weights_ms = float('inf')
         fetchable = 0
         if generation is not None:
             newest_version = self._ctx.desired.weight_version(generation.model)
@@ -118,6 +122,9 @@
                 newest_version is not None
                 and age_ms >= OLD_WEIGHTS_GRACE_MS / 2
             )
+            old_weights_ms = self._ctx.desired.old_weights_remaining_ms(
+                generation.model
+            )
             fetchable = self._planner.fetchable_tokens(
                 self.req, self.team, newest_version
             )
@@ -138,8 +145,24 @@
             fetchable_tokens=fetchable,
             desired_version=newest_version,
             penalize_old_weights=weights_due,
+            old_weights_remaining_ms=old_weights_ms,
         )
 
+    def begin_by_ms(self, target: Target) -> float:
+        """Return the latest time at which a run may begin on `target`.
+
+        It is infinite if the target has the newest weights.
+        """
+        generation = self.req.generation
+        if generation is None:
+            return float('inf')
+        desired = self._ctx.desired
+        newest_version = desired.weight_version(generation.model) or 0
+        if target.weights.get(generation.model, 0) >= newest_version:
+            return float('inf')
+        remaining_ms = desired.old_weights_remaining_ms(generation.model)
+        return self._ctx.clock.now_ms() + remaining_ms - CANCEL_MARGIN_MS
+
     def instructions(self, target: Target, priority: int) -> Instructions:
         """Return the instructions to send to `target` with the request."""
         generation = self.req.generation
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -68,6 +68,7 @@
         rng: random.Random,
         metrics: Metrics,
         on_connection_change: Callable[[bool], None],
+        on_confirmed: Callable[[], None],
     ) -> None:
         self._source = source
         self._mirror = mirror
@@ -75,6 +76,7 @@
         self._rng = rng
         self._metrics = metrics
         self._on_connection_change = on_connection_change
+        self._on_confirmed = on_confirmed
         self._task: asyncio.Task[None] | None = None
         self.connected = False
 
@@ -146,6 +148,7 @@
             self._on_connection_change(False)
 
     def _record_success(self) -> None:
+        self._on_confirmed()
         if not self.connected:
             self.connected = True
             logger.info(
--- a/wigeonmill/gateway/weights_rollout.py
+++ b/wigeonmill/gateway/weights_rollout.py
@@ -1,46 +1,52 @@
 """Rolls out the weight versions that operators set, on the leader only."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
 import logging
 
-from result import Err
-
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.engine_orders import EngineOrders
 from wigeonmill.gateway.engine_orders import EngineReport
 from wigeonmill.gateway.engine_orders import OrderOutcome
 from wigeonmill.gateway.engine_orders import WeightsOrder
+from wigeonmill.gateway.engine_reports import ReportPoller
 from wigeonmill.gateway.leadership import Leadership
+from wigeonmill.gateway.rollout_budget import RolloutBudget
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
+from wigeonmill.gateway.rollout_plan import count_waves
 from wigeonmill.gateway.rollout_plan import EngineState
 from wigeonmill.gateway.rollout_plan import plan_wave
 from wigeonmill.gateway.targets import Target
 
 logger = logging.getLogger(__name__)
 
-# Time for the entries to learn that an engine gets no new work, and the
-# interval of the polls for requests that still wait there.
+# Time for the entries to learn that an engine gets no new work.
 PROPAGATION_MS = 80.0
-# Maximum time that an order waits for the engine's queued requests to start.
-QUEUE_DRAIN_TIMEOUT_MS = 700.0
-# Time for short runs to end, because they may not be resumed elsewhere.
-SHORT_RUN_WAIT_MS = 250.0
-# Fraction of the time for new weights after which an order no longer waits
-# for streams to end. Waiting makes a load take about twice as long.
-URGENT_FRACTION = 0.4
 # An order that is not reflected in the engine's report after this time is
 # given again. If the first one still arrives, the engine rejects it, because
 # its expected order count is outdated by then.
-ORDER_LOST_AFTER_MS = 2_500.0
+ORDER_LOST_AFTER_MS = 1_000.0
+# An engine that has been selected but has sent no report for this time makes
+# room for another one.
+SILENT_AFTER_MS = 1_500.0
 
 
 @dataclass(slots=True)
-class _PendingOrder:
+class _Load:
+    """The load of one engine: it drains, then it is ordered.
+
+    `started_ms` and `orders` are those of the engine's report when it was
+    ordered.
+    """
+
     version: int
-    started_ms: int
-    orders: int
-    sent_ms: float
+    selected_ms: float
+    drain_until_ms: float
+    reported_ms: float
+    ordered_ms: float | None = None
+    started_ms: int = 0
+    orders: int = 0
 
 
 class WeightsRollout:
@@ -56,34 +62,45 @@
         deadline_ms: float,
     ) -> None:
         self._ctx = ctx
-        self._deadline_ms = deadline_ms
         self._clock = ctx.clock
         self._leadership = leadership
         self._orders = orders
         self._publisher = publisher
         self._entry = entry
-        self._pending_orders: dict[str, _PendingOrder] = {}
+        self._budget = RolloutBudget(deadline_ms)
+        self._reports = ReportPoller(ctx.clock, orders)
+        self._loads: dict[str, _Load] = {}
+        self._order_calls: set[asyncio.Task[None]] = set()
 
     async def step(self) -> None:
         """Advance the rollout of each model, if this entry is the leader."""
         if not self._leadership.is_leader:
-            self._pending_orders.clear()
+            self.close()
             self._publisher.reset()
             return
         for model, version in self._ctx.desired.weight_versions.items():
             await self._step_model(model, version)
 
+    def close(self) -> None:
+        """Cancel the calls in progress, and discard this entry's term."""
+        self._reports.close()
+        for call in self._order_calls:
+            call.cancel()
+        self._order_calls.clear()
+        self._loads.clear()
+
     async def _step_model(self, model: str, desired_version: int) -> None:
         engines = [
             target
             for target in self._ctx.directory.all()
             if model in target.weights
         ]
+        self._forget_missing(engines)
         behind = [
             target
             for target in engines
             if target.weights[model] < desired_version
-            or target.id in self._pending_orders
+            or target.id in self._loads
         ]
         if not behind:
             if self._publisher.has_loading_engines:
@@ -93,144 +110,189 @@
             return
         if not any(self._publisher.may_order(target.id) for target in behind):
             return
-        reports = await asyncio.gather(
-            *(self._orders.report(target) for target in behind)
-        )
-        reported: dict[str, EngineReport] = {}
-        for target, outcome in zip(behind, reports):
-            if isinstance(outcome, Err):
-                continue
-            reported[target.id] = outcome.ok_value
-            self._process_report(target, model, outcome.ok_value)
-        await self._order_next_wave(model, desired_version, engines, reported)
+        await self._reports.poll(behind)
+        for target in behind:
+            self._process_report(target, model)
+        await self._start_next_wave(model, desired_version, engines)
+        for target in behind:
+            self._order_if_drained(target, model, desired_version)
 
-    def _process_report(
-        self, target: Target, model: str, report: EngineReport
-    ) -> None:
-        """Update the known version, and drop an order that has ended.
+    def _forget_missing(self, engines: Sequence[Target]) -> None:
+        """Drop the loads of engines that are gone."""
+        present = {target.id for target in engines}
+        for id_ in list(self._loads):
+            if id_ not in present:
+                del self._loads[id_]
+
+    def _process_report(self, target: Target, model: str) -> None:
+        """Update the known version, and drop a load that has ended.
 
-        An order ends when the engine has its version, has restarted or has
-        lost the order.
+        A load ends when the engine has its version, has restarted, has lost
+        the order or is silent before it was ordered.
         """
+        now_ms = self._clock.now_ms()
+        load = self._loads.get(target.id)
+        report = self._reports.latest(target.id)
+        if report is None:
+            if load is not None and load.ordered_ms is None:
+                if now_ms - load.reported_ms > SILENT_AFTER_MS:
+                    self._end_load(target, 'silent')
+            return
         version = report.versions.get(model, 0)
-        pending = self._pending_orders.get(target.id)
         if version >= target.weights.get(model, 0) and not report.busy:
             target.weights[model] = version
-        if pending is None:
+        if load is None:
+            return
+        load.reported_ms = now_ms
+        if load.ordered_ms is None:
+            if version >= load.version:
+                self._end_load(target, 'done before')
             return
-        age_ms = self._clock.now_ms() - pending.sent_ms
-        restarted = report.started_ms != pending.started_ms
-        done = version >= pending.version and not report.busy
-        lost = (
+        age_ms = now_ms - load.ordered_ms
+        if report.started_ms != load.started_ms:
+            self._end_load(target, 'restarted')
+        elif version >= load.version and not report.busy:
+            self._budget.record_load(age_ms)
+            self._end_load(target, 'done')
+        elif (
             not report.busy
-            and report.orders <= pending.orders
+            and report.orders <= load.orders
             and age_ms > ORDER_LOST_AFTER_MS
+        ):
+            self._end_load(target, 'order lost')
+
+    def _end_load(self, target: Target, outcome: str) -> None:
+        load = self._loads.pop(target.id)
+        logger.info(
+            'load ended',
+            extra={
+                'target': target.id,
+                'version': load.version,
+                'outcome': outcome,
+                'selected_ms_ago': round(
+                    self._clock.now_ms() - load.selected_ms
+                ),
+            },
         )
-        if done or lost or restarted:
-            del self._pending_orders[target.id]
-            logger.info(
-                'order settled',
-                extra={
-                    'target': target.id,
-                    'version': version,
-                    'outcome': 'done' if done else 'lost or restarted',
-                    'age_ms': round(age_ms),
-                },
-            )
 
-    async def _order_next_wave(
-        self,
-        model: str,
-        desired_version: int,
-        engines: list[Target],
-        reported: dict[str, EngineReport],
+    async def _start_next_wave(
+        self, model: str, desired_version: int, engines: list[Target]
     ) -> None:
-        reachable = [
-            EngineState(
-                target.id,
-                target.failure_domain,
-                target.weights[model],
-                target.id in self._pending_orders
-                or _is_busy(reported, target),
-                target.load.runs(),
-                held=not self._publisher.may_order(target.id),
-            )
+        """Select the next engines, publish them and let them drain."""
+        now_ms = self._clock.now_ms()
+        states = [
+            self._engine_state(target, model, now_ms)
             for target in engines
             if target.weights[model] >= desired_version
-            or target.id in reported
-            or target.id in self._pending_orders
+            or target.id in self._loads
+            or self._reports.latest(target.id) is not None
         ]
-        wave = plan_wave(reachable, desired_version)
+        wave = plan_wave(states, desired_version)
         loaded = {
             target.id: target.weights[model]
             for target in engines
             if target.weights[model] >= desired_version
         }
+        draining = [
+            id_ for id_, load in self._loads.items() if load.ordered_ms is None
+        ]
         published = await self._publisher.publish(
-            model, desired_version, wave.loading, loaded, wave.start
+            model,
+            desired_version,
+            wave.loading,
+            loaded,
+            (*draining, *wave.start),
         )
-        if not published:
+        if not published or not wave.start:
             return
-        if not wave.start:
-            return
-        by_id = {target.id: target for target in engines}
-        await asyncio.gather(
-            *(
-                self._order(by_id[id_], model, desired_version)
-                for id_ in wave.start
+        age_ms = self._ctx.desired.weight_version_age_ms(model)
+        drain_ms = self._budget.drain_ms(
+            age_ms, count_waves(states, desired_version)
+        )
+        now_ms = self._clock.now_ms()
+        for id_ in wave.start:
+            self._loads[id_] = _Load(
+                desired_version, now_ms, now_ms + drain_ms, now_ms
             )
+        logger.info(
+            'wave started',
+            extra={
+                'model': model,
+                'version': desired_version,
+                'age_ms': round(age_ms) if age_ms < float('inf') else None,
+                'targets': wave.start,
+                'drain_ms': round(drain_ms),
+            },
         )
 
-    async def _wait_for_empty_queue(
-        self, target: Target
-    ) -> EngineReport | None:
-        """Wait until no requests are queued; return the last report.
-
-        Return None if there was no report. The wait ends after
-        `QUEUE_DRAIN_TIMEOUT_MS`; the engine rejects the requests that are
-        still queued when it receives the order.
-        """
-        until_ms = self._clock.now_ms() + QUEUE_DRAIN_TIMEOUT_MS
-        found: EngineReport | None = None
-        while self._clock.now_ms() < until_ms:
-            await asyncio.sleep(PROPAGATION_MS / 1000.0)
-            report = await self._orders.report(target)
-            if isinstance(report, Err):
-                continue
-            found = report.ok_value
-            if found.waiting == 0:
-                await asyncio.sleep(SHORT_RUN_WAIT_MS / 1000.0)
-                break
-        return found
+    def _engine_state(
+        self, target: Target, model: str, now_ms: float
+    ) -> EngineState:
+        load = self._loads.get(target.id)
+        report = self._reports.latest(target.id)
+        silent = (
+            load is not None and now_ms - load.reported_ms > SILENT_AFTER_MS
+        )
+        return EngineState(
+            target.id,
+            target.failure_domain,
+            target.weights[model],
+            (load is not None and not silent)
+            or (report is not None and report.busy),
+            target.load.runs(),
+            held=silent or not self._publisher.may_order(target.id),
+        )
 
-    async def _order(
+    def _order_if_drained(
         self, target: Target, model: str, desired_version: int
     ) -> None:
-        report = await self._wait_for_empty_queue(target)
-        if report is None or not self._publisher.may_order(target.id):
+        load = self._loads.get(target.id)
+        report = self._reports.latest(target.id)
+        if load is None or load.ordered_ms is not None or report is None:
+            return
+        now_ms = self._clock.now_ms()
+        if now_ms < load.selected_ms + PROPAGATION_MS:
             return
+        idle = report.waiting == 0 and report.running == 0
+        if not idle and now_ms < load.drain_until_ms:
+            return
+        if report.busy or not self._publisher.may_order(target.id):
+            del self._loads[target.id]
+            return
+        load.version = desired_version
+        load.ordered_ms = now_ms
+        load.started_ms = report.started_ms
+        load.orders = report.orders
+        self._publisher.record_order(target.id)
+        call = asyncio.ensure_future(
+            self._order(target, model, load, report, cut_streams=not idle)
+        )
+        self._order_calls.add(call)
+        call.add_done_callback(self._order_calls.discard)
+
+    async def _order(
+        self,
+        target: Target,
+        model: str,
+        load: _Load,
+        report: EngineReport,
+        cut_streams: bool,
+    ) -> None:
         order = WeightsOrder(
             model,
-            desired_version,
+            load.version,
             self._entry,
             self._leadership.fence,
             report.orders,
-            self._is_urgent(model),
+            cut_streams,
         )
-        self._pending_orders[target.id] = _PendingOrder(
-            desired_version,
-            report.started_ms,
-            report.orders,
-            self._clock.now_ms(),
-        )
-        self._publisher.record_order(target.id)
         outcome = await self._orders.load_weights(target, order)
         logger.info(
             'order given',
             extra={
                 'target': target.id,
                 'model': model,
-                'version': desired_version,
+                'version': load.version,
                 'fence': order.fence,
                 'expected_orders': order.expected_orders,
                 'cut_streams': order.cut_streams,
@@ -240,22 +302,11 @@
         self._ctx.metrics.count('weight_orders', outcome.value)
         if outcome is OrderOutcome.FENCED:
             self._leadership.step_down('an engine saw a higher fencing token')
-        if outcome not in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN):
-            self._pending_orders.pop(target.id, None)
+        if (
+            outcome not in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN)
+            and self._loads.get(target.id) is load
+        ):
+            del self._loads[target.id]
         if outcome is OrderOutcome.ALREADY_DONE:
-            target.weights[model] = max(target.weights[model], desired_version)
-
-    def _is_urgent(self, model: str) -> bool:
-        """Whether too little time remains to wait for streams to end.
-
-        This is also the case in a process that has just started, because it
-        does not know the version's age.
-        """
-        age_ms = self._ctx.desired.weight_version_age_ms(model)
-        return age_ms >= URGENT_FRACTION * self._deadline_ms
-
-
-def _is_busy(reported: dict[str, EngineReport], target: Target) -> bool:
-    """Whether an engine executes an order, possibly of another leader."""
-    report = reported.get(target.id)
-    return report is not None and report.busy
+            known = target.weights[model]
+            target.weights[model] = max(known, load.version)
