Name an engine as ordered in the rollout record only when it is ordered

Cause: the schedules with streams that do not end showed five of 110 rollouts (6 engines, 8 s) that missed the bound: the leader was lost while the last wave drained, and its successor waited 3 s for engines that had never been ordered.

Change: the record is written once more when an engine has drained, before its order; until then it is only listed as loading. 0.8 of the time is planned for a rollout without faults.

--- a/wigeonmill/gateway/rollout_budget.py
+++ b/wigeonmill/gateway/rollout_budget.py
@@ -2,7 +2,7 @@
 
 # Share of the time for new weights in which a rollout without faults should
 # be complete. The rest is reserved for the loss of a leader or of an order.
-PLANNED_SHARE = 0.6
+PLANNED_SHARE = 0.8
 # Time in each wave besides the drain and the load: publishing the wave,
 # sending its orders and detecting its end.
 WAVE_OVERHEAD_MS = 400.0
--- a/wigeonmill/gateway/rollout_plan.py
+++ b/wigeonmill/gateway/rollout_plan.py
@@ -28,10 +28,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Wave:
-    """The engines to order now, and all that get no new work meanwhile."""
+    """The engines to select now, and all that get no new work meanwhile.
+
+    `waves_left` is the number of waves until all engines have the version.
+    """
 
     start: tuple[str, ...]
     loading: tuple[str, ...]
+    waves_left: int
 
 
 def plan_wave(engines: Sequence[EngineState], desired_version: int) -> Wave:
@@ -50,15 +54,12 @@
         and not engine.held
     ]
     waiting.sort(key=lambda engine: (engine.version, engine.runs, engine.id))
-    available = max(0, _max_loading(engines) - len(loading))
+    max_loading = _max_loading(engines)
+    available = max(0, max_loading - len(loading))
     start = tuple(engine.id for engine in waiting[:available])
-    return Wave(start, (*loading, *start))
-
-
-def count_waves(engines: Sequence[EngineState], desired_version: int) -> int:
-    """Return the number of waves for the engines without the version."""
     behind = sum(1 for e in engines if e.version < desired_version)
-    return math.ceil(behind / _max_loading(engines))
+    waves_left = math.ceil(behind / max_loading)
+    return Wave(start, (*loading, *start), waves_left)
 
 
 def _max_loading(engines: Sequence[EngineState]) -> int:
--- a/wigeonmill/gateway/weights_rollout.py
+++ b/wigeonmill/gateway/weights_rollout.py
@@ -14,9 +14,9 @@
 from wigeonmill.gateway.leadership import Leadership
 from wigeonmill.gateway.rollout_budget import RolloutBudget
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
-from wigeonmill.gateway.rollout_plan import count_waves
 from wigeonmill.gateway.rollout_plan import EngineState
 from wigeonmill.gateway.rollout_plan import plan_wave
+from wigeonmill.gateway.rollout_plan import Wave
 from wigeonmill.gateway.targets import Target
 
 logger = logging.getLogger(__name__)
@@ -113,9 +113,20 @@
         await self._reports.poll(behind)
         for target in behind:
             self._process_report(target, model)
-        await self._start_next_wave(model, desired_version, engines)
-        for target in behind:
-            self._order_if_drained(target, model, desired_version)
+        wave = self._plan_wave(model, desired_version, engines)
+        drained = [target for target in behind if self._is_drained(target)]
+        published = await self._publisher.publish(
+            model,
+            desired_version,
+            wave.loading,
+            _loaded(engines, model, desired_version),
+            [target.id for target in drained],
+        )
+        if not published:
+            return
+        self._start_wave(wave, model, desired_version)
+        for target in drained:
+            self._start_order(target, model, desired_version)
 
     def _forget_missing(self, engines: Sequence[Target]) -> None:
         """Drop the loads of engines that are gone."""
@@ -175,10 +186,10 @@
             },
         )
 
-    async def _start_next_wave(
-        self, model: str, desired_version: int, engines: list[Target]
-    ) -> None:
-        """Select the next engines, publish them and let them drain."""
+    def _plan_wave(
+        self, model: str, desired_version: int, engines: Sequence[Target]
+    ) -> Wave:
+        """Return the engines to select now, and all that are loading."""
         now_ms = self._clock.now_ms()
         states = [
             self._engine_state(target, model, now_ms)
@@ -187,28 +198,16 @@
             or target.id in self._loads
             or self._reports.latest(target.id) is not None
         ]
-        wave = plan_wave(states, desired_version)
-        loaded = {
-            target.id: target.weights[model]
-            for target in engines
-            if target.weights[model] >= desired_version
-        }
-        draining = [
-            id_ for id_, load in self._loads.items() if load.ordered_ms is None
-        ]
-        published = await self._publisher.publish(
-            model,
-            desired_version,
-            wave.loading,
-            loaded,
-            (*draining, *wave.start),
-        )
-        if not published or not wave.start:
+        return plan_wave(states, desired_version)
+
+    def _start_wave(
+        self, wave: Wave, model: str, desired_version: int
+    ) -> None:
+        """Let the next engines drain; the entries know that they will load."""
+        if not wave.start:
             return
         age_ms = self._ctx.desired.weight_version_age_ms(model)
-        drain_ms = self._budget.drain_ms(
-            age_ms, count_waves(states, desired_version)
-        )
+        drain_ms = self._budget.drain_ms(age_ms, wave.waves_left)
         now_ms = self._clock.now_ms()
         for id_ in wave.start:
             self._loads[id_] = _Load(
@@ -243,30 +242,34 @@
             held=silent or not self._publisher.may_order(target.id),
         )
 
-    def _order_if_drained(
-        self, target: Target, model: str, desired_version: int
-    ) -> None:
+    def _is_drained(self, target: Target) -> bool:
+        """Whether a selected engine can be ordered to load now."""
         load = self._loads.get(target.id)
         report = self._reports.latest(target.id)
         if load is None or load.ordered_ms is not None or report is None:
-            return
+            return False
         now_ms = self._clock.now_ms()
         if now_ms < load.selected_ms + PROPAGATION_MS:
-            return
-        idle = report.waiting == 0 and report.running == 0
-        if not idle and now_ms < load.drain_until_ms:
+            return False
+        return _is_idle(report) or now_ms >= load.drain_until_ms
+
+    def _start_order(
+        self, target: Target, model: str, desired_version: int
+    ) -> None:
+        """Order a drained engine that the published record names."""
+        load = self._loads.get(target.id)
+        report = self._reports.latest(target.id)
+        if load is None or report is None:
             return
         if report.busy or not self._publisher.may_order(target.id):
             del self._loads[target.id]
             return
         load.version = desired_version
-        load.ordered_ms = now_ms
+        load.ordered_ms = self._clock.now_ms()
         load.started_ms = report.started_ms
         load.orders = report.orders
         self._publisher.record_order(target.id)
-        call = asyncio.ensure_future(
-            self._order(target, model, load, report, cut_streams=not idle)
-        )
+        call = asyncio.ensure_future(self._order(target, model, load, report))
         self._order_calls.add(call)
         call.add_done_callback(self._order_calls.discard)
 
@@ -276,7 +279,6 @@
         model: str,
         load: _Load,
         report: EngineReport,
-        cut_streams: bool,
     ) -> None:
         order = WeightsOrder(
             model,
@@ -284,7 +286,7 @@
             self._entry,
             self._leadership.fence,
             report.orders,
-            cut_streams,
+            cut_streams=not _is_idle(report),
         )
         outcome = await self._orders.load_weights(target, order)
         logger.info(
@@ -310,3 +312,18 @@
         if outcome is OrderOutcome.ALREADY_DONE:
             known = target.weights[model]
             target.weights[model] = max(known, load.version)
+
+
+def _is_idle(report: EngineReport) -> bool:
+    return report.waiting == 0 and report.running == 0
+
+
+def _loaded(
+    engines: Sequence[Target], model: str, desired_version: int
+) -> dict[str, int]:
+    """Return the versions of the engines that have the desired one."""
+    return {
+        target.id: target.weights[model]
+        for target in engines
+        if target.weights[model] >= desired_version
+    }
