Bound the records of removed keys and the names of replaced entries

Change: 1,024 removals are kept. An entry that missed older ones gets all present records, marked as a listing; older entries ignore the mark and merge them as before. An older record of a forgotten key is not applied. Names are dropped with the end of their grace period.

--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -1,6 +1,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from wigeonmill.gateway.mirror import MAX_REMOVED_RECORDS
 from wigeonmill.gateway.mirror import MAX_SHARED_RECORDS
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
@@ -66,3 +67,41 @@
     assert mirror.get('a').revision == 7
     assert mirror.get('b').revision == 8
     assert mirror.get('c').revision == 6
+
+
+def replace_targets(mirror, count, first=0):
+    """Add and remove `count` targets, two revisions each."""
+    for number in range(first, first + count):
+        revision = 2 * number + 2
+        mirror.apply([Record(f'targets/{number}', revision, b't')])
+        mirror.apply([Record(f'targets/{number}', revision + 1, None)])
+        mirror.advance(revision + 1)
+
+
+def test_records_of_removed_keys_are_bounded():
+    """Targets are replaced for weeks; each has a new id."""
+    mirror = Mirror()
+    replace_targets(mirror, MAX_REMOVED_RECORDS + 500)
+    assert mirror.get('targets/0') is None
+    assert mirror.get(f'targets/{MAX_REMOVED_RECORDS}').value is None
+    records, _complete = mirror.changes_since(0)
+    assert len(records) <= MAX_SHARED_RECORDS
+
+
+def test_a_forgotten_removal_is_not_undone_by_an_older_record():
+    mirror = Mirror()
+    replace_targets(mirror, MAX_REMOVED_RECORDS + 1)
+    assert mirror.apply([Record('targets/0', 2, b't')]) == 0
+    assert not mirror.present()
+
+
+def test_an_entry_that_missed_forgotten_removals_needs_a_listing():
+    mine, theirs = Mirror(), Mirror()
+    theirs.apply([Record('targets/0', 2, b't')])
+    theirs.advance(2)
+    replace_targets(mine, MAX_REMOVED_RECORDS + 1)
+    assert mine.lacks_changes_since(theirs.complete)
+    assert not mine.lacks_changes_since(mine.complete)
+    theirs.replace(mine.present(), mine.complete)
+    assert not theirs.present()
+    assert theirs.complete == mine.complete
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -61,3 +61,16 @@
     assert set(entries.peers()) == {'b'}
     clock.advance(UNLISTED_GRACE_MS + 1)
     assert entries.count() == 2
+
+
+def test_names_of_replaced_entries_are_not_kept():
+    """Each replaced process registers under a new name."""
+    clock = ManualClock()
+    entries = EntryList(clock, 'a', min_count=1)
+    for number in range(1_000):
+        name = f'b{number}'
+        entries.update(make_record(name, '127.0.0.1:1', revision=number + 1))
+        entries.update(make_record(name, None, revision=number + 2))
+        clock.advance(1_000)
+        entries.count()
+    assert entries.tracked_names <= UNLISTED_GRACE_MS / 1_000 + 1
--- a/wigeonmill/gateway/mirror.py
+++ b/wigeonmill/gateway/mirror.py
@@ -8,9 +8,13 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
+import heapq
 
 # Maximum number of records in one message to another entry.
 MAX_SHARED_RECORDS = 256
+# Records of removed keys that are kept. An entry that missed older removals
+# gets all present records instead of the changes.
+MAX_REMOVED_RECORDS = 1_024
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,11 +32,21 @@
     `complete` is the revision up to which every change is known.
     """
 
-    __slots__ = ('_records', '_listeners', 'complete')
+    __slots__ = (
+        '_records',
+        '_listeners',
+        '_removed',
+        '_forgotten',
+        'complete',
+    )
 
     def __init__(self) -> None:
         self._records: dict[str, Record] = {}
         self._listeners: list[Callable[[Record], None]] = []
+        # Revisions of the kept removals by key, and the highest revision of
+        # a removal that is no longer kept.
+        self._removed: dict[str, int] = {}
+        self._forgotten = 0
         self.complete = 0
 
     def subscribe(self, listener: Callable[[Record], None]) -> None:
@@ -54,10 +68,16 @@
             known = self._records.get(record.key)
             if known is not None and known.revision >= record.revision:
                 continue
+            if known is None and self._is_forgotten(record):
+                continue
             self._records[record.key] = record
             count += 1
+            self._removed.pop(record.key, None)
+            if record.value is None:
+                self._removed[record.key] = record.revision
             for listener in self._listeners:
                 listener(record)
+        self._forget_removals()
         return count
 
     def advance(self, revision: int) -> None:
@@ -80,6 +100,10 @@
         self.advance(revision)
         return count
 
+    def lacks_changes_since(self, revision: int) -> bool:
+        """Whether removals after `revision` are no longer kept."""
+        return revision < self._forgotten
+
     def changes_since(self, revision: int) -> tuple[list[Record], int]:
         """Return a bounded number of changes after `revision`, oldest first.
 
@@ -100,3 +124,20 @@
         count = self.apply(records)
         self.advance(complete)
         return count
+
+    def _is_forgotten(self, record: Record) -> bool:
+        """Whether a record of an unknown key precedes its removal."""
+        return record.revision <= min(self._forgotten, self.complete)
+
+    def _forget_removals(self) -> None:
+        """Forget the oldest removals once there are too many of them."""
+        excess = len(self._removed) - MAX_REMOVED_RECORDS
+        if excess <= 0:
+            return
+        oldest = heapq.nsmallest(
+            excess, self._removed.items(), key=lambda item: item[1]
+        )
+        for key, revision in oldest:
+            del self._removed[key]
+            del self._records[key]
+            self._forgotten = max(self._forgotten, revision)
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -182,15 +182,21 @@
 
     def _build_update(self, known_to: int | None) -> EntryNews:
         records: list[Record] = []
+        listing = False
         complete = self._mirror.complete
         if known_to is not None and complete > known_to:
-            records, complete = self._mirror.changes_since(known_to)
+            listing = self._mirror.lacks_changes_since(known_to)
+            if listing:
+                records = self._mirror.present()
+            else:
+                records, complete = self._mirror.changes_since(known_to)
         return EntryNews(
             sender=self._name,
             known_to=self._mirror.complete,
             open_work=self._open_work(),
             records=[_to_wire(record) for record in records],
             records_to=complete if known_to is not None else 0,
+            listing=listing or None,
         )
 
     def _add_losses(self, update: EntryNews, known: int) -> int:
@@ -220,7 +226,10 @@
             self._ctx.crash_guard.record_remote(loss.fingerprint, loss.loss)
         if (update.records_to or 0) > self._mirror.complete:
             records = [_from_wire(record) for record in update.records or ()]
-            count = self._mirror.merge(records, update.records_to)
+            if update.listing:
+                count = self._mirror.replace(records, update.records_to)
+            else:
+                count = self._mirror.merge(records, update.records_to)
             if count:
                 logger.info(
                     'changes received from a peer',
--- a/wigeonmill/gateway/registration.py
+++ b/wigeonmill/gateway/registration.py
@@ -147,10 +147,18 @@
             self._selected[key, count] = known
         return known
 
+    @property
+    def tracked_names(self) -> int:
+        """The number of entries that are listed or recently were."""
+        return len(self._addresses) + len(self._unlisted_at_ms)
+
     def count(self) -> int:
         """Return how many entries may be alive, this one included."""
+        # Ordered by time, because an entry is appended when it is unlisted.
         oldest_ms = self._clock.now_ms() - UNLISTED_GRACE_MS
-        recent = [
-            ms for ms in self._unlisted_at_ms.values() if ms >= oldest_ms
-        ]
-        return max(len(self._addresses) + len(recent), self._min_count)
+        while self._unlisted_at_ms:
+            name = next(iter(self._unlisted_at_ms))
+            if self._unlisted_at_ms[name] >= oldest_ms:
+                break
+            del self._unlisted_at_ms[name]
+        return max(self.tracked_names, self._min_count)
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -3743,6 +3743,7 @@
      - records_to
      - cache_points
      - cache_updates
+     - listing
 
     """
 
@@ -3755,10 +3756,11 @@
         'records_to',
         'cache_points',
         'cache_updates',
+        'listing',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -3767,6 +3769,7 @@
         self.records_to = records_to
         self.cache_points = cache_points
         self.cache_updates = cache_updates
+        self.listing = listing
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3847,6 +3850,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.listing = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3904,6 +3912,10 @@
                 iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.listing is not None:
+            oprot.writeFieldBegin('listing', TType.BOOL, 9)
+            oprot.writeBool(self.listing)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4589,6 +4601,7 @@
     (6, TType.I64, 'records_to', None, None, ),  # 6
     (7, TType.LIST, 'cache_points', (TType.STRUCT, [CachePoint, None], False), None, ),  # 7
     (8, TType.LIST, 'cache_updates', (TType.STRUCT, [CacheUpdate, None], False), None, ),  # 8
+    (9, TType.BOOL, 'listing', None, None, ),  # 9
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -307,7 +307,9 @@
 
 // An update from one entry to another. known_to is the revision up to which
 // the sender knows every change of the key-value service. The answer holds the
-// records after the requester's known_to, complete up to records_to.
+// records after the requester's known_to, complete up to records_to. With
+// listing, they are all present records, because some removals after known_to
+// are no longer kept.
 struct EntryNews {
   1: string sender
   2: i64 known_to
@@ -317,6 +319,7 @@
   6: i64 records_to
   7: list<CachePoint> cache_points
   8: list<CacheUpdate> cache_updates
+  9: optional bool listing
 }
 
 // The only message type on the wire. stream matches answers to requests;
