--- a/tests/providers/test_transfers.py
+++ b/tests/providers/test_transfers.py
@@ -166,6 +166,46 @@
     with_server(ScriptedServer([reply_bytes], close_after=True), check)
 
 
+def test_an_interim_reply_with_fields_does_not_hide_the_final_head():
+    interim = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
+
+    async def check(loop, address):
+        reply = (await fetch(loop, make_call(address), 3_000)).unwrap()
+        assert reply.status == 200
+        assert reply.body == b'whole'
+
+    with_server(ScriptedServer([interim + REPLY]), check)
+
+
+def test_trailers_do_not_change_the_head():
+    chunked = (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'5\r\nwhole\r\n0\r\nX-Late: 1\r\n\r\n'
+    )
+    heads = []
+
+    class Sink:
+        def __init__(self):
+            self.ended = asyncio.Event()
+
+        def on_head(self, head):
+            heads.append(head.fields)
+
+        def on_data(self, data):
+            pass
+
+        def on_end(self, end, message):
+            self.ended.set()
+
+    async def check(loop, address):
+        sink = Sink()
+        loop.start(make_call(address), sink)
+        await sink.ended.wait()
+        assert heads == [(('Transfer-Encoding', 'chunked'),)]
+
+    with_server(ScriptedServer([chunked]), check)
+
+
 def test_body_without_length_ends_with_the_connection():
     reply_bytes = b'HTTP/1.1 200 OK\r\n\r\nall of it'
 
--- a/wigeonmill/agent/engine.py
+++ b/wigeonmill/agent/engine.py
@@ -144,6 +144,7 @@
         self._status = 0
         self._done_received = False
         self._cancelled = False
+        self._malformed = False
         self._end = EngineEnd(EngineEndKind.COMPLETED)
 
     def cancel(self) -> None:
@@ -166,6 +167,8 @@
 
     def failure_end(self, error: HTTPError) -> EngineEnd:
         """Return the end of a stream whose transfer failed."""
+        if self._malformed:
+            return EngineEnd(EngineEndKind.BROKEN, 'malformed event')
         if self._cancelled:
             return EngineEnd(EngineEndKind.CANCELLED)
         return EngineEnd(_failure_kind(error), str(error))
@@ -180,10 +183,10 @@
         return EngineEnd(EngineEndKind.BROKEN, 'stream ended without [DONE]')
 
     def _on_progress(self, *_sizes: int) -> int:
-        return 1 if self._cancelled else 0
+        return 1 if self._cancelled or self._malformed else 0
 
     def _on_data(self, data: bytes) -> int | None:
-        if self._cancelled:
+        if self._cancelled or self._malformed:
             return -1
         if self._status != 200:
             self._error_body += data[:MAX_ERROR_BYTES]
@@ -203,7 +206,7 @@
             chunk = self._decode(data)
         except msgspec.DecodeError:
             logger.warning('engine sent a malformed event')
-            self._cancelled = True
+            self._malformed = True
             return
         for choice in chunk.choices:
             self._on_choice(choice)
--- a/wigeonmill/entry/plain.py
+++ b/wigeonmill/entry/plain.py
@@ -105,7 +105,7 @@
             target = self._pick_target(routes, key, excluded)
             if target is None:
                 # A claimed call may have run on a target tried earlier.
-                self.refuse(_unknown_if_started(last_error, attempts))
+                self.refuse(final_error(last_error, attempts))
                 return
             excluded.add(target.name)
             result = await self._try_target(
@@ -121,7 +121,7 @@
             if result.reason in _FINAL_REASONS or not self._take_retry(
                 attempts, reason
             ):
-                self.refuse(result)
+                self.refuse(final_error(result, attempts))
                 return
             attempts.attempts += 1
 
@@ -224,7 +224,8 @@
     return 1 <= len(key) <= MAX_KEY_CHARS and key.isprintable()
 
 
-def _unknown_if_started(error: ApiError, attempts: Attempts) -> ApiError:
-    if not attempts.may_have_started:
+def final_error(error: ApiError, attempts: Attempts) -> ApiError:
+    """Return `error` unless it would deny that the call may have run."""
+    if not attempts.may_have_started or not error.not_run:
         return error
     return ApiError(Reason.OUTCOME_UNKNOWN, error.message, 0, False)
--- a/wigeonmill/entry/requests.py
+++ b/wigeonmill/entry/requests.py
@@ -17,6 +17,7 @@
 ALLOWED_PRIORITIES = range(0, 10)
 DEFAULT_PRIORITY = 5
 MAX_REQUEST_ID_CHARS = 128
+MAX_NUMBER_DIGITS = 12
 
 
 class Api(enum.Enum):
@@ -100,7 +101,7 @@
     max_tokens = _parse_max_tokens(parsed, limits)
     if max_tokens.is_err():
         return Err(max_tokens.unwrap_err())
-    priority = _parse_priority(
+    priority = parse_priority(
         headers.priority, 'X-Priority', ALLOWED_PRIORITIES
     )
     if priority.is_err():
@@ -161,12 +162,13 @@
     return Ok(requested)
 
 
-def _parse_priority(
+def parse_priority(
     text: str, name: str, allowed: range
 ) -> Result[int, ApiError]:
+    """Return the priority in a header, or the default if there is none."""
     if not text:
         return Ok(DEFAULT_PRIORITY)
-    if not text.isdecimal() or int(text[:9]) not in allowed:
+    if not text.isdecimal() or _parse_number(text) not in allowed:
         message = f'{name}: must be from {allowed.start} to {allowed.stop - 1}'
         return Err(_malformed(message))
     return Ok(int(text))
@@ -175,9 +177,17 @@
 def _parse_deadline_ms(text: str, limits: Limits) -> Result[int, ApiError]:
     if not text:
         return Ok(limits.default_deadline_ms)
-    if not text.isdecimal() or not 1 <= int(text[:12]):
+    if not text.isdecimal() or _parse_number(text) < 1:
         return Err(_malformed('X-Deadline-Ms: must be 1 or more milliseconds'))
-    return Ok(min(int(text[:12]), limits.max_deadline_ms))
+    return Ok(min(_parse_number(text), limits.max_deadline_ms))
+
+
+def _parse_number(digits: str) -> int:
+    """Return the value of decimal digits, at most 10**MAX_NUMBER_DIGITS."""
+    significant = digits.lstrip('0') or '0'
+    if len(significant) > MAX_NUMBER_DIGITS:
+        return 10**MAX_NUMBER_DIGITS
+    return int(significant)
 
 
 def _malformed(message: str) -> ApiError:
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -115,7 +115,7 @@
 
 
 class _HeaderReader:
-    """Collects header lines; a new status line discards the earlier ones."""
+    """Collects the header of the final reply; interim ones are discarded."""
 
     __slots__ = ('status', 'fields', 'complete')
 
@@ -125,24 +125,26 @@
         self.complete = False
 
     def feed(self, raw: bytes) -> bool:
-        """Process one line; returns whether it completed the final headers."""
+        """Process one line; returns whether it completed the final headers.
+
+        Lines after them are trailers, which are ignored.
+        """
+        if self.complete:
+            return False
         line = raw.decode('latin-1').rstrip('\r\n')
-        if line.startswith('HTTP/') and not self.incomplete:
+        if line.startswith('HTTP/') and not self.fields:
             self.status = _parse_status(line)
-            self.fields = []
-            self.complete = False
             return False
         if line:
             name, _, value = line.partition(':')
             self.fields.append((name.strip(), value.strip()))
             return False
-        self.complete = self.status >= 200
-        return self.complete
-
-    @property
-    def incomplete(self) -> bool:
-        """Whether fields have been read but not the end of the headers."""
-        return bool(self.status) and bool(self.fields) and not self.complete
+        if self.status < 200:
+            # An interim reply; the next status line starts the final one.
+            self.fields = []
+            return False
+        self.complete = True
+        return True
 
 
 class TransferLoop:
