Give each entry its own slots for a cold target

Change: with more entries than requests a second, each has one slot of 500 ms per interval. Slots are spread by the entries' positions in the list, counted from the time at which the target becomes warm, and expire unused, so at most 1.5 times the used share falls into any second.

The test of 30 entries allowed each entry a first request at once, which is the fault; it is replaced by one that bounds every second by the rule (1.5 x rate + 5) at 5, 30, 68 and 420 entries, with late knowledge.

--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -1,7 +1,10 @@
 """Tests of the shares of limits that all entries have in common."""
 
+import random
+
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.allowances import ColdAllowance
@@ -9,6 +12,7 @@
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.sliding_window import SlidingWindow
 
+COLD_PER_S = 17.0
 LIMITS = RetryLimits(ratio=0.2, slack=50.0, window_ms=10_000.0)
 
 
@@ -57,29 +61,64 @@
         assert retried <= LIMITS.ratio * requested + LIMITS.slack
 
 
-def test_all_entries_together_stay_within_the_rate_of_a_cold_target():
-    clock = ManualClock()
-    shares = [ColdAllowance(clock) for _entry in range(5)]
-    sent = 0
-    for _turn in range(100):
-        for share in shares:
-            if share.wait_ms(20.0, entry_count=5) <= 0:
-                share.record()
-                sent += 1
-        clock.advance(9.0)
-    assert 10 <= sent <= 20
+def busiest_second(times):
+    """Return the largest number of times within any second."""
+    return max(
+        sum(1 for ms in times if start_ms <= ms < start_ms + 1_000.0)
+        for start_ms in times
+    )
 
 
-def test_many_entries_share_a_rate_below_one_request_per_second_each():
-    clock = ManualClock()
-    shares = [ColdAllowance(clock) for _entry in range(30)]
-    sent = 0
-    for _turn in range(300):
-        for share in shares:
-            if share.wait_ms(12.0, entry_count=30) <= 0:
-                share.record()
+@pytest.mark.parametrize('entry_count', [5, 30, 68, 420])
+def test_all_entries_together_stay_within_the_rate_of_a_cold_target(
+    entry_count,
+):
+    """A target returns cold while every entry has requests for it."""
+    rng = random.Random(entry_count)
+    clock = ManualClock(1_000_000.0)
+    allowances = [ColdAllowance(clock) for _entry in range(entry_count)]
+    cold_ms = clock.now_ms() + 10_000.0
+    # The entries learn of the target with different delays.
+    delays_ms = [rng.uniform(0.0, 150.0) for _entry in range(entry_count)]
+    sent = []
+    for _request in range(5_250):
+        clock.advance(rng.expovariate(0.525))
+        number = rng.randrange(entry_count)
+        wait_ms = allowances[number].wait_ms(
+            COLD_PER_S,
+            entry_count,
+            number / entry_count,
+            cold_ms + delays_ms[number],
+        )
+        if wait_ms <= 0:
+            allowances[number].record()
+            sent.append(clock.now_ms())
+    assert busiest_second(sent) <= 1.5 * COLD_PER_S + 5
+    assert len(sent) >= 0.3 * COLD_PER_S * 10
+
+
+def test_a_cold_target_gets_no_burst_when_its_requests_arrive_together():
+    """Another target fails after a quiet time, and its load moves here."""
+    clock = ManualClock(1_000_000.0)
+    allowances = [ColdAllowance(clock) for _entry in range(68)]
+    cold_ms = clock.now_ms() + 8_000.0
+    for quiet_ms in (500.0, 1_000.0, 1_777.0, 2_400.0):
+        clock.advance(quiet_ms)
+        sent = 0
+        for number, allowance in enumerate(allowances):
+            if allowance.wait_ms(COLD_PER_S, 68, number / 68, cold_ms) <= 0:
+                allowance.record()
                 sent += 1
-        clock.advance(100.0)
-    # 30 seconds at 12 requests per second, of which only a share is used.
-    # Each entry may send its first request at once.
-    assert 30 * 12 * 0.5 <= sent <= 30 * 12 * 0.8 + 30
+        assert sent <= COLD_PER_S
+
+
+def test_the_wait_for_a_cold_target_ends_at_the_next_slot():
+    clock = ManualClock(1_000_000.0)
+    allowance = ColdAllowance(clock)
+    cold_ms = clock.now_ms() + 60_000.0
+    for _turn in range(5):
+        wait_ms = allowance.wait_ms(COLD_PER_S, 68, 0.5, cold_ms)
+        clock.advance(wait_ms)
+        assert allowance.wait_ms(COLD_PER_S, 68, 0.5, cold_ms) == 0.0
+        allowance.record()
+        assert allowance.wait_ms(COLD_PER_S, 68, 0.5, cold_ms) > 1_000.0
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -74,3 +74,14 @@
         clock.advance(1_000)
         entries.count()
     assert entries.tracked_names <= UNLISTED_GRACE_MS / 1_000 + 1
+
+
+def test_listed_entries_have_evenly_spread_positions():
+    clock = ManualClock()
+    positions = []
+    for own_name in 'abcd':
+        entries = EntryList(clock, own_name, min_count=1)
+        for revision, name in enumerate('abcd', start=1):
+            entries.update(make_record(name, '127.0.0.1:1', revision))
+        positions.append(entries.position())
+    assert positions == [0.0, 0.25, 0.5, 0.75]
--- a/wigeonmill/gateway/allowances.py
+++ b/wigeonmill/gateway/allowances.py
@@ -9,6 +9,9 @@
 # entries that have started but are not known to the others yet.
 USED_SHARE = 0.8
 COLD_WINDOW_MS = 1_000.0
+# Time for which an entry may use its slot for a cold target. Unused slots
+# expire, so that entries whose requests arrive together do not send together.
+COLD_SLOT_MS = 500.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +64,13 @@
 
 
 class ColdAllowance:
-    """The rate limit of this entry for requests to one cold target."""
+    """The rate limit of this entry for requests to one cold target.
+
+    If there are more entries than requests per second, each has one slot per
+    interval. The slots are spread evenly over the interval by the positions
+    of the entries, counted from the time at which the target becomes warm,
+    which is about the same for all entries.
+    """
 
     __slots__ = ('_clock', '_window', '_last_sent_ms')
 
@@ -70,16 +79,29 @@
         self._window = SlidingWindow(clock, COLD_WINDOW_MS)
         self._last_sent_ms = float('-inf')
 
-    def wait_ms(self, cold_per_s: float, entry_count: int) -> float:
-        """Return the time until a request may be sent (0: now)."""
+    def wait_ms(
+        self,
+        cold_per_s: float,
+        entry_count: int,
+        position: float,
+        cold_until_ms: float,
+    ) -> float:
+        """Return the time until a request may be sent (0: now).
+
+        `position` is that of this entry among `entry_count`, from 0 to 1.
+        """
         share = cold_per_s * USED_SHARE / max(1, entry_count)
         if share >= 1.0:
             return self._window.delay_ms(int(share))
-        # With this many entries, each has less than one request per second.
         interval_ms = COLD_WINDOW_MS / max(share, 1e-6)
-        return max(
-            0.0, self._last_sent_ms + interval_ms - self._clock.now_ms()
-        )
+        now_ms = self._clock.now_ms()
+        since_slot_ms = (
+            now_ms - cold_until_ms - position * interval_ms
+        ) % interval_ms
+        unused = now_ms - self._last_sent_ms >= interval_ms / 2
+        if since_slot_ms < COLD_SLOT_MS and unused:
+            return 0.0
+        return interval_ms - since_slot_ms
 
     def record(self) -> None:
         """Record a request that is being sent now."""
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -126,6 +126,7 @@
         'circuits',
         'crash_guard',
         'entry_count',
+        'entry_position',
         '_retry_limits',
         '_retries',
     )
@@ -138,6 +139,7 @@
         retry_limits: RetryLimits,
         entry_count: Callable[[], int],
         weights_deadline_ms: float = DEFAULT_WEIGHTS_DEADLINE_MS,
+        entry_position: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.clock = clock
         self.rng = rng
@@ -148,6 +150,8 @@
         self.crash_guard = CrashGuard(clock)
         # Returns the number of entries that may be alive.
         self.entry_count = entry_count
+        # Returns the position of this entry among them, from 0 to 1.
+        self.entry_position = entry_position
         self._retry_limits = retry_limits
         self._retries: dict[str, RetryAllowance] = {}
 
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -61,6 +61,7 @@
 class Demand:
     """The requirements of one request on a target.
 
+    `entry_position` is that of this entry among `entry_count`, from 0 to 1.
     `avoid` names the targets that were already tried. If `regions` is empty,
     any region is allowed. `fetchable_tokens` of the prompt can be fetched
     from a cache store. `desired_version` is the newest weight version that
@@ -83,6 +84,7 @@
     desired_version: int | None = None
     penalize_old_weights: bool = False
     old_weights_remaining_ms: float = float('inf')
+    entry_position: float = 0.0
 
     @property
     def tokens(self) -> int:
@@ -216,7 +218,10 @@
             if demand.cold_per_s <= 0
             or not target.is_cold(now_ms)
             or target.cold_allowance.wait_ms(
-                demand.cold_per_s, demand.entry_count
+                demand.cold_per_s,
+                demand.entry_count,
+                demand.entry_position,
+                target.cold_until_ms,
             )
             <= 0
         ]
--- a/wigeonmill/gateway/registration.py
+++ b/wigeonmill/gateway/registration.py
@@ -102,6 +102,7 @@
         '_unlisted_at_ms',
         '_min_count',
         '_selected',
+        '_position',
     )
 
     def __init__(self, clock: Clock, own_name: str, min_count: int) -> None:
@@ -112,11 +113,13 @@
         self._min_count = min_count
         # Results of `is_selected` for the current list, by its arguments.
         self._selected: dict[tuple[str, int], bool] = {}
+        self._position: float | None = None
 
     def update(self, record: Record) -> None:
         """Apply a changed record of an entry."""
         name = record.key.removeprefix(ENTRY_PREFIX)
         self._selected.clear()
+        self._position = None
         found = decode_own(record, EntryRecord)
         if found is None:
             if self._addresses.pop(name, None) is not None:
@@ -147,6 +150,14 @@
             self._selected[key, count] = known
         return known
 
+    def position(self) -> float:
+        """Return the position of this entry in the list, from 0 to 1."""
+        if self._position is None:
+            names = {*self._addresses, self._own_name}
+            before = sum(1 for name in names if name < self._own_name)
+            self._position = before / len(names)
+        return self._position
+
     @property
     def tracked_names(self) -> int:
         """The number of entries that are listed or recently were."""
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -100,6 +100,7 @@
             limits,
             self._entries.count,
             settings.weights_deadline_ms,
+            self._entries.position,
         )
         self._sync = MirrorSync(
             adapter.source,
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -134,6 +134,7 @@
             service=self.service,
             cold_per_s=spec.cold_per_s if spec else 0.0,
             entry_count=self._ctx.entry_count(),
+            entry_position=self._ctx.entry_position(),
             remaining_ms=self.remaining_ms,
             objective_ms=objective_ms,
             objective_remaining_ms=objective_remaining_ms,
