Pace the watches of the key-value service by the number of entries

Cause: every entry asks again at once after each change, and 81 targets write a heartbeat every 1.2 s, so the calls grow with entries times targets.

Change: after a watch that returned changes an entry pauses 4 ms for each entry, 0.4 s at most: all entries together make some 250 calls a second up to a hundred entries. The rollout waits that much longer for its notice to reach all entries.

--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -110,6 +110,7 @@
             self.metrics,
             self._on_connection_change,
             self._ctx.desired.confirm,
+            self._entries.count,
         )
         self._registration = Registration(
             adapter.keys, clock, settings.process, settings.inner
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -26,10 +26,20 @@
 # The first watch after a failure does not wait for changes: it shows
 # immediately whether the service responds again.
 RECONNECT_WAIT_MS = 1
+# Pause after a watch that returned changes, for each entry of the fleet, so
+# that the calls of all entries together do not grow with their number; and
+# its maximum, well within the time that changes may take to come into force.
+PAUSE_PER_ENTRY_MS = 4.0
+MAX_PAUSE_MS = 400.0
 FIRST_BACKOFF_MS = 50.0
 MAX_BACKOFF_MS = 500.0
 
 
+def watch_pause_ms(entry_count: int) -> float:
+    """Return the pause after changes, with `entry_count` entries in all."""
+    return min(MAX_PAUSE_MS, PAUSE_PER_ENTRY_MS * entry_count)
+
+
 @dataclass(frozen=True, slots=True)
 class Changes:
     """Current and removed records, complete up to `revision`."""
@@ -69,6 +79,7 @@
         metrics: Metrics,
         on_connection_change: Callable[[bool], None],
         on_confirmed: Callable[[], None],
+        entry_count: Callable[[], int],
     ) -> None:
         self._source = source
         self._mirror = mirror
@@ -77,6 +88,7 @@
         self._metrics = metrics
         self._on_connection_change = on_connection_change
         self._on_confirmed = on_confirmed
+        self._entry_count = entry_count
         self._task: asyncio.Task[None] | None = None
         self.connected = False
 
@@ -110,6 +122,9 @@
             self._record_success()
             backoff_ms = FIRST_BACKOFF_MS
             listed = True
+            if outcome.ok_value.records:
+                pause_ms = watch_pause_ms(self._entry_count())
+                await asyncio.sleep(pause_ms / 1000.0)
 
     async def _list_once(self) -> Result[Changes, KvError]:
         outcome = await self._source.listing()
