Wait for the first offers in tests that need them, and describe the changes

A stream that ends before its first event fails the test at once with its status, instead of after 30 s without one.

--- a/tests/features/harness.py
+++ b/tests/features/harness.py
@@ -187,6 +187,15 @@
         task = self.loop.create_task(self.prompt(prompt))
         return self.run(task).status == 200
 
+    def wait_for_first_offers(self):
+        """Wait until the first entry has offers, so that prompts are run."""
+        self.wait_until(lambda: self.is_answered('first offers'))
+
+    def wait_for_first_event(self, stream):
+        """Wait for a stream's first event; fail at once if it has ended."""
+        self.wait_until(lambda: stream.event_id or stream.task.done())
+        assert stream.event_id, (stream.status, stream.body)
+
     def finish_streams(self):
         """Wait until every stream has ended."""
         for stream in self.streams:
--- a/tests/features/test_answers.py
+++ b/tests/features/test_answers.py
@@ -23,11 +23,11 @@
 
 
 def open_streams(harness, count):
+    harness.wait_for_first_offers()
     for number in range(count):
         harness.open_stream(f'manifest {number}', ANSWER_TOKENS)
-    harness.wait_until(
-        lambda: all(stream.event_id for stream in harness.streams)
-    )
+    for stream in harness.streams:
+        harness.wait_for_first_event(stream)
 
 
 @when(parsers.parse('{count:d} answers are streamed through the first entry'))
@@ -110,9 +110,9 @@
 
 @when('a caller disconnects while a long answer is streamed')
 def caller_disconnects(harness):
-    harness.context['audit'] = len(harness.audit('engine-1')['requests'])
+    harness.wait_for_first_offers()
     stream = harness.open_stream('a long manifest', 4000)
-    harness.wait_until(lambda: stream.event_id)
+    harness.wait_for_first_event(stream)
     harness.http.close()
     harness.http = None
 
--- a/tests/features/test_crashing_prompts.py
+++ b/tests/features/test_crashing_prompts.py
@@ -44,6 +44,7 @@
 
 def test_a_prompt_that_crashed_its_only_engine_is_reported_as_run(harness):
     harness.start(entries=1, engines=1, ledgers=0)
+    harness.wait_for_first_offers()
     engine = harness.target('engine-1').standin
     set_faults(engine.address, crash_marker='marked')
     reply = harness.run(harness.prompt('marked note'))
