Keep an agent running when a store VM goes during a transfer

- A store VM that was removed from the document while a block was read from another one ended the import with a KeyError (agent/cache_manager).
Its turn is skipped now and counted as store_removed.
- A refused connection of a plain service was taken as a crash of the target, which blames every call in flight (agent/plain_service); it is an unreachable target.

--- a/wigeonmill/agent/cache_manager.py
+++ b/wigeonmill/agent/cache_manager.py
@@ -181,6 +181,10 @@
 
     async def _read_frame(self, anchor: bytes, key: bytes) -> bytes | None:
         for store_name in self._stores.for_read(anchor):
+            store = self._stores.get(store_name)
+            if store is None:
+                self._metrics.count('imports_cut_off', 'store_removed')
+                continue
             size = self._decider.block_bytes
             now_ms = self._clock.now_ms()
             transfer = self._decider.budget.grant(size, now_ms, urgent=True)
@@ -191,9 +195,7 @@
                 MIN_READ_TIMEOUT_MS,
                 self._estimator.prefill_ms(self._block_tokens),
             )
-            read = await self._stores.get(store_name).get(
-                frame_name(key), timeout_ms
-            )
+            read = await store.get(frame_name(key), timeout_ms)
             transferred_bytes = 0
             if isinstance(read, Ok):
                 transferred_bytes = min(len(read.ok_value.data), size)
@@ -214,15 +216,16 @@
         self._decider.stored.on_absent(key, self._clock.now_ms())
         for store_name in self._stores.for_read(anchor):
             store = self._stores.get(store_name)
-            await store.delete(frame_name(key), WRITE_TIMEOUT_MS)
+            if store is not None:
+                await store.delete(frame_name(key), WRITE_TIMEOUT_MS)
 
     async def _export(self, order: ExportOrder) -> None:
         transferred_bytes, complete = 0, False
         frame = await self._encode_block(order)
         store_name = self._stores.for_write(order.anchor, order.copy)
-        if frame is not None and store_name is not None:
+        store = self._stores.get(store_name) if store_name else None
+        if frame is not None and store_name and store is not None:
             transferred_bytes = len(frame)
-            store = self._stores.get(store_name)
             put = await store.put(
                 frame_name(order.key), frame, WRITE_TIMEOUT_MS
             )
--- a/wigeonmill/agent/plain_service.py
+++ b/wigeonmill/agent/plain_service.py
@@ -148,7 +148,7 @@
             return _refused(started.unwrap_err())
         remaining_ms = request.deadline_ms - self._context.clock.now_ms()
         end = await self._calls.send(call, remaining_ms)
-        admission.finished(ticket.id, RunOutcome(_outcome_kind(end)))
+        admission.finished(ticket.id, RunOutcome(call_outcome(end)))
         self.start_runnable()
         return await self._finish_call(end, claim)
 
@@ -215,11 +215,12 @@
             raise SystemExit(1) from task.exception()
 
 
-def _outcome_kind(end: CallEnd) -> OutcomeKind:
+def call_outcome(end: CallEnd) -> OutcomeKind:
+    """Return the outcome of a call for the admission."""
     if end.kind is CallEndKind.ANSWERED:
         return OutcomeKind.COMPLETED
     if end.kind is CallEndKind.UNREACHABLE:
-        return OutcomeKind.CRASHED
+        return OutcomeKind.UNREACHABLE
     return OutcomeKind.FAILED
 
 
--- a/wigeonmill/agent/store_pool.py
+++ b/wigeonmill/agent/store_pool.py
@@ -76,9 +76,10 @@
         places = places_for_read(anchor, self._states(), self._settings)
         return [place.name for place in places]
 
-    def get(self, name: str) -> HttpBlockStore:
-        """Return the client of a VM."""
-        return self._stores[name].store
+    def get(self, name: str) -> HttpBlockStore | None:
+        """Return the client of a VM, or None if it is no longer in service."""
+        store_vm = self._stores.get(name)
+        return store_vm.store if store_vm is not None else None
 
     def record_outcome(
         self, name: str, outcome: Result[None, TransferError]
