Let a few readers watch the key-value service for a large fleet

Change: with more than eight entries, eight selected readers watch the service; the others get the changes in the updates that entries exchange anyway. An entry whose copy is older than 2 s asks the service itself on a new connection. The pause after changes counts readers, not entries; the rollout waits a second more for its notice to spread. A change of weights learned from an old copy counts as old as the copy.

--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -9,14 +9,14 @@
 from wigeonmill.gateway.crash_guard import CrashGuard
 from wigeonmill.gateway.desired import DesiredState
 from wigeonmill.gateway.desired import RouteTable
+from wigeonmill.gateway.freshness import Freshness
 from wigeonmill.gateway.targets import Directory
 from wigeonmill.metrics import Metrics
 from wigeonmill.routing.circuit import CircuitBreakers
 
-# A running entry learns of a change at once while it watches the key-value
-# service. After a longer gap without a reply, a change that it learns of may
-# be as old as the gap.
-MAX_CONFIRMATION_GAP_MS = 2_500.0
+# A change that was learned within this time after the copy of the key-value
+# service was confirmed counts as new. Otherwise it may be as old as the copy.
+MAX_CONFIRMATION_GAP_MS = 500.0
 # Time for which an entry that can't know how old a weight version is still
 # sends work to older weights, while the first engines load the new ones.
 UNKNOWN_AGE_GRACE_MS = 2_500.0
@@ -34,12 +34,15 @@
         '_weights_set_ms',
         '_weights_learned_ms',
         '_weights_deadline_ms',
-        '_confirmed_ms',
+        '_freshness',
         '_clock',
     )
 
-    def __init__(self, clock: Clock, weights_deadline_ms: float) -> None:
+    def __init__(
+        self, clock: Clock, freshness: Freshness, weights_deadline_ms: float
+    ) -> None:
         self._clock = clock
+        self._freshness = freshness
         self.state: DesiredState | None = None
         self.table = RouteTable(())
         self._closed_domains: set[str] = set()
@@ -47,11 +50,6 @@
         self._weights_set_ms: dict[str, float] = {}
         self._weights_learned_ms: dict[str, float] = {}
         self._weights_deadline_ms = weights_deadline_ms
-        self._confirmed_ms = float('-inf')
-
-    def confirm(self) -> None:
-        """Record that the state is up to date as of now."""
-        self._confirmed_ms = self._clock.now_ms()
 
     def adopt(self, state: DesiredState) -> bool:
         """Put a configuration in force, unless it or a later one is."""
@@ -78,9 +76,9 @@
             return False
         self._weight_versions[model] = version
         now_ms = self._clock.now_ms()
-        gap_ms = now_ms - self._confirmed_ms
-        watched = gap_ms <= MAX_CONFIRMATION_GAP_MS
-        self._weights_set_ms[model] = now_ms if watched else self._confirmed_ms
+        gap_ms = self._freshness.age_ms
+        is_new = gap_ms <= MAX_CONFIRMATION_GAP_MS
+        self._weights_set_ms[model] = now_ms if is_new else now_ms - gap_ms
         self._weights_learned_ms[model] = now_ms
         return True
 
@@ -121,6 +119,7 @@
         'clock',
         'rng',
         'metrics',
+        'freshness',
         'desired',
         'directory',
         'circuits',
@@ -144,7 +143,10 @@
         self.clock = clock
         self.rng = rng
         self.metrics = metrics
-        self.desired = DesiredConfig(clock, weights_deadline_ms)
+        self.freshness = Freshness(clock)
+        self.desired = DesiredConfig(
+            clock, self.freshness, weights_deadline_ms
+        )
         self.directory = Directory(clock)
         self.circuits = CircuitBreakers(clock, rng)
         self.crash_guard = CrashGuard(clock)
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -153,6 +153,8 @@
                 answer = reply.ok_value.entry_news
                 self._sent_losses[address] = last_loss
                 self._apply_update(answer)
+                if ask:
+                    self._confirm_copy(answer, requested_ms)
                 self._caches.apply_updates(
                     answer.cache_updates or (), requested_ms
                 )
@@ -197,6 +199,7 @@
             records=[_to_wire(record) for record in records],
             records_to=complete if known_to is not None else 0,
             listing=listing or None,
+            copy_age_ms=self._ctx.freshness.age_ms,
         )
 
     def _add_losses(self, update: EntryNews, known: int) -> int:
@@ -240,6 +243,15 @@
                     },
                 )
 
+    def _confirm_copy(self, answer: EntryNews, requested_ms: float) -> None:
+        """Adopt the freshness of a peer, if this copy is as complete."""
+        if answer.copy_age_ms is None:
+            # Older entries do not send it.
+            return
+        if self._mirror.complete >= answer.known_to:
+            took_ms = self._ctx.clock.now_ms() - requested_ms
+            self._ctx.freshness.confirm(answer.copy_age_ms + took_ms)
+
     def _apply_open_work(self, update: EntryNews) -> None:
         now_ms = self._ctx.clock.now_ms()
         by_target = {work.target: work for work in update.open_work or ()}
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -109,8 +109,8 @@
             rng,
             self.metrics,
             self._on_connection_change,
-            self._ctx.desired.confirm,
-            self._entries.count,
+            self._ctx.freshness,
+            self._entries,
         )
         self._registration = Registration(
             adapter.keys, clock, settings.process, settings.inner
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -11,6 +11,7 @@
 from result import Result
 
 from wigeonmill.clock import Clock
+from wigeonmill.gateway.freshness import Freshness
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.supervision import run_supervised
@@ -21,23 +22,33 @@
 logger = logging.getLogger(__name__)
 
 # A watch is repeated at this interval, so that a silent connection is detected
-# well within the time that changes may take to come into force.
+# well within the time that changes may take to come into force. The other
+# entries depend on the readers of a large fleet, so they repeat it sooner.
 WATCH_WAIT_MS = 1_800
-# The first watch after a failure does not wait for changes: it shows
-# immediately whether the service responds again.
+READER_WAIT_MS = 700
+# A watch that took longer than this waited for the changes that it returned.
+WAITED_MS = 50.0
+# Number of entries that always watch the service. The others get the changes
+# from their peers and watch it only if their copy is older than the limit.
+READERS = 8
+STALE_COPY_MS = 2_000.0
+IDLE_MS = 100.0
+# The first watch after a failure, and that of an entry that is no reader, does
+# not wait for changes: it shows immediately whether the service responds.
 RECONNECT_WAIT_MS = 1
-# Pause after a watch that returned changes, for each entry of the fleet, so
-# that the calls of all entries together do not grow with their number; and
-# its maximum, well within the time that changes may take to come into force.
-PAUSE_PER_ENTRY_MS = 4.0
-MAX_PAUSE_MS = 400.0
+# Pause after a watch that returned changes, for each reader.
+PAUSE_PER_READER_MS = 4.0
+# Time in which changes reach the entries that do not watch the service.
+SPREAD_MS = 1_000.0
 FIRST_BACKOFF_MS = 50.0
 MAX_BACKOFF_MS = 500.0
+_READERS_KEY = 'key-value service'
 
 
-def watch_pause_ms(entry_count: int) -> float:
-    """Return the pause after changes, with `entry_count` entries in all."""
-    return min(MAX_PAUSE_MS, PAUSE_PER_ENTRY_MS * entry_count)
+def propagation_ms(entry_count: int) -> float:
+    """Return the time in which a change reaches most of the entries."""
+    pause_ms = PAUSE_PER_READER_MS * min(entry_count, READERS)
+    return pause_ms if entry_count <= READERS else pause_ms + SPREAD_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,10 +75,22 @@
         """
 
 
+class Readers(Protocol):
+    """The entries, of which some are selected to watch the service."""
+
+    def count(self) -> int:
+        """Return how many entries may be alive."""
+
+    def is_selected(self, key: str, count: int) -> bool:
+        """Whether this entry is one of `count` that are selected."""
+
+
 class MirrorSync:
     """Lists all records and then watches them until it is closed.
 
-    It lists them again if the service no longer has the next changes.
+    It lists them again if the service no longer has the next changes. In a
+    large fleet only the readers watch as long as the others' copies are
+    fresh.
     """
 
     def __init__(
@@ -78,8 +101,8 @@
         rng: random.Random,
         metrics: Metrics,
         on_connection_change: Callable[[bool], None],
-        on_confirmed: Callable[[], None],
-        entry_count: Callable[[], int],
+        freshness: Freshness,
+        entries: Readers,
     ) -> None:
         self._source = source
         self._mirror = mirror
@@ -87,8 +110,8 @@
         self._rng = rng
         self._metrics = metrics
         self._on_connection_change = on_connection_change
-        self._on_confirmed = on_confirmed
-        self._entry_count = entry_count
+        self._freshness = freshness
+        self._entries = entries
         self._task: asyncio.Task[None] | None = None
         self.connected = False
 
@@ -106,8 +129,12 @@
         listed = False
         failed = False
         while True:
+            watches = self._is_reader()
+            if listed and not (failed or watches or self._is_stale()):
+                await asyncio.sleep(IDLE_MS / 1000.0)
+                continue
             if listed:
-                outcome = await self._watch_once(failed)
+                outcome = await self._watch_once(failed or not watches)
             else:
                 outcome = await self._list_once()
             failed = isinstance(outcome, Err)
@@ -123,9 +150,20 @@
             backoff_ms = FIRST_BACKOFF_MS
             listed = True
             if outcome.ok_value.records:
-                pause_ms = watch_pause_ms(self._entry_count())
+                pause_ms = PAUSE_PER_READER_MS * min(
+                    self._entries.count(), READERS
+                )
                 await asyncio.sleep(pause_ms / 1000.0)
 
+    def _is_reader(self) -> bool:
+        """Whether this entry always watches the service."""
+        return self._entries.count() <= READERS or self._entries.is_selected(
+            _READERS_KEY, READERS
+        )
+
+    def _is_stale(self) -> bool:
+        return self._freshness.age_ms > STALE_COPY_MS
+
     async def _list_once(self) -> Result[Changes, KvError]:
         outcome = await self._source.listing()
         if not isinstance(outcome, Err):
@@ -136,12 +174,20 @@
     async def _watch_once(
         self, reconnecting: bool
     ) -> Result[Changes, KvError]:
-        wait_ms = RECONNECT_WAIT_MS if reconnecting else WATCH_WAIT_MS
+        wait_ms = WATCH_WAIT_MS
+        if self._entries.count() > READERS:
+            wait_ms = READER_WAIT_MS
+        if reconnecting:
+            wait_ms = RECONNECT_WAIT_MS
+        sent_ms = self._clock.now_ms()
         outcome = await self._source.changes(
             self._mirror.complete, wait_ms, fresh=reconnecting
         )
         if not isinstance(outcome, Err):
             found = outcome.ok_value
+            if self._clock.now_ms() - sent_ms > WAITED_MS:
+                # Nothing had changed until now.
+                self._freshness.confirm()
             self._mirror.apply(found.records)
             self._mirror.advance(found.revision)
         return outcome
@@ -163,7 +209,7 @@
             self._on_connection_change(False)
 
     def _record_success(self) -> None:
-        self._on_confirmed()
+        self._freshness.confirm()
         if not self.connected:
             self.connected = True
             logger.info(
--- a/wigeonmill/gateway/weights_rollout.py
+++ b/wigeonmill/gateway/weights_rollout.py
@@ -17,13 +17,13 @@
 from wigeonmill.gateway.rollout_plan import EngineState
 from wigeonmill.gateway.rollout_plan import plan_wave
 from wigeonmill.gateway.rollout_plan import Wave
-from wigeonmill.gateway.sync import watch_pause_ms
+from wigeonmill.gateway.sync import propagation_ms
 from wigeonmill.gateway.targets import Target
 
 logger = logging.getLogger(__name__)
 
 # Time for the entries to learn that an engine gets no new work, besides the
-# pause of their watches.
+# time in which changes spread.
 PROPAGATION_MS = 80.0
 # An order that is not reflected in the engine's report after this time is
 # given again. If the first one still arrives, the engine rejects it, because
@@ -251,10 +251,8 @@
         if load is None or load.ordered_ms is not None or report is None:
             return False
         now_ms = self._clock.now_ms()
-        propagation_ms = PROPAGATION_MS + watch_pause_ms(
-            self._ctx.entry_count()
-        )
-        if now_ms < load.selected_ms + propagation_ms:
+        notice_ms = PROPAGATION_MS + propagation_ms(self._ctx.entry_count())
+        if now_ms < load.selected_ms + notice_ms:
             return False
         return _is_idle(report) or now_ms >= load.drain_until_ms
 
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -3744,6 +3744,7 @@
      - cache_points
      - cache_updates
      - listing
+     - copy_age_ms
 
     """
 
@@ -3757,10 +3758,11 @@
         'cache_points',
         'cache_updates',
         'listing',
+        'copy_age_ms',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -3770,6 +3772,7 @@
         self.cache_points = cache_points
         self.cache_updates = cache_updates
         self.listing = listing
+        self.copy_age_ms = copy_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3855,6 +3858,11 @@
                     self.listing = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.copy_age_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3916,6 +3924,10 @@
             oprot.writeFieldBegin('listing', TType.BOOL, 9)
             oprot.writeBool(self.listing)
             oprot.writeFieldEnd()
+        if self.copy_age_ms is not None:
+            oprot.writeFieldBegin('copy_age_ms', TType.DOUBLE, 10)
+            oprot.writeDouble(self.copy_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4602,6 +4614,7 @@
     (7, TType.LIST, 'cache_points', (TType.STRUCT, [CachePoint, None], False), None, ),  # 7
     (8, TType.LIST, 'cache_updates', (TType.STRUCT, [CacheUpdate, None], False), None, ),  # 8
     (9, TType.BOOL, 'listing', None, None, ),  # 9
+    (10, TType.DOUBLE, 'copy_age_ms', None, None, ),  # 10
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -309,7 +309,8 @@
 // the sender knows every change of the key-value service. The answer holds the
 // records after the requester's known_to, complete up to records_to. With
 // listing, they are all present records, because some removals after known_to
-// are no longer kept.
+// are no longer kept. copy_age_ms is the time since the sender's copy of the
+// key-value service was known to be complete up to its known_to.
 struct EntryNews {
   1: string sender
   2: i64 known_to
@@ -320,6 +321,7 @@
   7: list<CachePoint> cache_points
   8: list<CacheUpdate> cache_updates
   9: optional bool listing
+  10: optional double copy_age_ms
 }
 
 // The only message type on the wire. stream matches answers to requests;
