Poll only engines whose turn it is, and keep models apart in a rollout

Cause, found by reading: with 37 engines the leader asked every engine without the new weights for its report ten times a second, each charged as a probe; and the loads of one model were dropped while another model's engines were planned.

Change: engines that wait are polled only while another one may load. A load carries its model.

Tests: polls of a rollout over 37 engines, and two models at once.

--- a/tests/gateway/test_weights_rollout.py
+++ b/tests/gateway/test_weights_rollout.py
@@ -32,8 +32,9 @@
 class FakeEngine:
     """Simulates loading time and checks fences and order counts."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, model=MODEL):
         self.clock = clock
+        self.model = model
         self.version = 1
         self.started_ms = 1_000
         self.orders = 0
@@ -54,7 +55,7 @@
         self.finish_loading()
         return EngineReport(
             self.started_ms,
-            {MODEL: self.version},
+            {self.model: self.version},
             self.loading is not None,
             self.orders,
             waiting=0,
@@ -80,8 +81,10 @@
 class FakeOrders:
     def __init__(self, engines):
         self.engines = engines
+        self.reports = 0
 
     async def report(self, target):
+        self.reports += 1
         engine = self.engines[target.id]
         if engine.down:
             return Err(FetchError('down', sent=False))
@@ -125,6 +128,7 @@
             self.ctx.freshness.confirm()
         self.keys = MemoryKeyValue(self.clock, KvFaults())
         self.leader = FakeLeader()
+        self.orders = FakeOrders(self.engines)
         self.rollout = self.make_rollout()
         self.max_loading = 0
         self.loop = VirtualTimeLoop(self.clock)
@@ -133,7 +137,7 @@
         return WeightsRollout(
             self.ctx,
             self.leader,
-            FakeOrders(self.engines),
+            self.orders,
             RolloutPublisher(self.ctx, self.leader, self.keys),
             'a',
             DEADLINE_MS,
@@ -186,6 +190,28 @@
     assert {engine.orders for engine in harness.engines.values()} == {1}
 
 
+def test_engines_that_wait_for_their_turn_are_not_polled(make_harness):
+    """Each report is charged as a probe."""
+    harness = make_harness(count=37)
+    harness.ctx.desired.set_weight_version(MODEL, 2)
+    harness.run_for(DEADLINE_MS)
+    assert harness.versions() == {2}
+    load_polls = 37 * (LOAD_MS + 1_000.0) / 100.0
+    assert harness.orders.reports <= load_polls + 10 * 37
+
+
+def test_two_models_roll_out_at_the_same_time(make_harness):
+    harness = make_harness(count=6)
+    other = make_engine_record('x0', weights={'other': 1})
+    harness.ctx.directory.apply(other)
+    harness.engines['x0'] = FakeEngine(harness.clock, 'other')
+    harness.ctx.desired.set_weight_version(MODEL, 2)
+    harness.ctx.desired.set_weight_version('other', 2)
+    harness.run_for(DEADLINE_MS)
+    assert harness.versions() == {2}
+    assert {engine.orders for engine in harness.engines.values()} == {1}
+
+
 def test_an_order_without_a_response_is_repeated_and_runs_once(make_harness):
     harness = make_harness(count=1)
     engine = harness.engines['e0']
--- a/wigeonmill/gateway/rollout_plan.py
+++ b/wigeonmill/gateway/rollout_plan.py
@@ -54,13 +54,14 @@
         and not engine.held
     ]
     waiting.sort(key=lambda engine: (engine.version, engine.runs, engine.id))
-    max_loading = _max_loading(engines)
-    available = max(0, max_loading - len(loading))
+    limit = max_loading(len(engines))
+    available = max(0, limit - len(loading))
     start = tuple(engine.id for engine in waiting[:available])
     behind = sum(1 for e in engines if e.version < desired_version)
-    waves_left = math.ceil(behind / max_loading)
+    waves_left = math.ceil(behind / limit)
     return Wave(start, (*loading, *start), waves_left)
 
 
-def _max_loading(engines: Sequence[EngineState]) -> int:
-    return max(1, math.floor(len(engines) * MAX_LOADING_FRACTION))
+def max_loading(engine_count: int) -> int:
+    """Return how many of `engine_count` engines may load at a time."""
+    return max(1, math.floor(engine_count * MAX_LOADING_FRACTION))
--- a/wigeonmill/gateway/weights_rollout.py
+++ b/wigeonmill/gateway/weights_rollout.py
@@ -15,6 +15,7 @@
 from wigeonmill.gateway.rollout_budget import RolloutBudget
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
 from wigeonmill.gateway.rollout_plan import EngineState
+from wigeonmill.gateway.rollout_plan import max_loading
 from wigeonmill.gateway.rollout_plan import plan_wave
 from wigeonmill.gateway.rollout_plan import Wave
 from wigeonmill.gateway.sync import propagation_ms
@@ -42,6 +43,7 @@
     ordered.
     """
 
+    model: str
     version: int
     selected_ms: float
     drain_until_ms: float
@@ -80,6 +82,7 @@
             self.close()
             self._publisher.reset()
             return
+        self._forget_missing()
         for model, version in self._ctx.desired.weight_versions.items():
             await self._step_model(model, version)
 
@@ -97,12 +100,11 @@
             for target in self._ctx.directory.all()
             if model in target.weights
         ]
-        self._forget_missing(engines)
         behind = [
             target
             for target in engines
             if target.weights[model] < desired_version
-            or target.id in self._loads
+            or self._load_of(target, model) is not None
         ]
         if not behind:
             if self._publisher.has_loading_engines:
@@ -112,11 +114,11 @@
             return
         if not any(self._publisher.may_order(target.id) for target in behind):
             return
-        await self._reports.poll(behind)
+        await self._reports.poll(self._engines_to_poll(engines, behind))
         for target in behind:
             self._process_report(target, model)
         wave = self._plan_wave(model, desired_version, engines)
-        drained = [target for target in behind if self._is_drained(target)]
+        drained = [t for t in behind if self._is_drained(t, model)]
         published = await self._publisher.publish(
             model,
             desired_version,
@@ -130,13 +132,29 @@
         for target in drained:
             self._start_order(target, model, desired_version)
 
-    def _forget_missing(self, engines: Sequence[Target]) -> None:
+    def _forget_missing(self) -> None:
         """Drop the loads of engines that are gone."""
-        present = {target.id for target in engines}
+        present = {target.id for target in self._ctx.directory.all()}
         for id_ in list(self._loads):
             if id_ not in present:
                 del self._loads[id_]
 
+    def _load_of(self, target: Target, model: str) -> _Load | None:
+        """Return the load of a model on an engine, if there is one."""
+        load = self._loads.get(target.id)
+        return load if load is not None and load.model == model else None
+
+    def _engines_to_poll(
+        self, engines: Sequence[Target], behind: Sequence[Target]
+    ) -> Sequence[Target]:
+        """Return the engines whose reports matter now.
+
+        Those that wait are left out while no other engine may load.
+        """
+        if len(self._loads) < max_loading(len(engines)):
+            return behind
+        return [target for target in behind if target.id in self._loads]
+
     def _process_report(self, target: Target, model: str) -> None:
         """Update the known version, and drop a load that has ended.
 
@@ -144,12 +162,15 @@
         the order or is silent before it was ordered.
         """
         now_ms = self._clock.now_ms()
-        load = self._loads.get(target.id)
+        load = self._load_of(target, model)
         report = self._reports.latest(target.id)
         if report is None:
-            if load is not None and load.ordered_ms is None:
-                if now_ms - load.reported_ms > SILENT_AFTER_MS:
-                    self._end_load(target, 'silent')
+            if (
+                load is not None
+                and load.ordered_ms is None
+                and now_ms - load.reported_ms > SILENT_AFTER_MS
+            ):
+                self._end_load(target, 'silent')
             return
         version = report.versions.get(model, 0)
         if version >= target.weights.get(model, 0) and not report.busy:
@@ -213,7 +234,7 @@
         now_ms = self._clock.now_ms()
         for id_ in wave.start:
             self._loads[id_] = _Load(
-                desired_version, now_ms, now_ms + drain_ms, now_ms
+                model, desired_version, now_ms, now_ms + drain_ms, now_ms
             )
         logger.info(
             'wave started',
@@ -244,9 +265,9 @@
             held=silent or not self._publisher.may_order(target.id),
         )
 
-    def _is_drained(self, target: Target) -> bool:
+    def _is_drained(self, target: Target, model: str) -> bool:
         """Whether a selected engine can be ordered to load now."""
-        load = self._loads.get(target.id)
+        load = self._load_of(target, model)
         report = self._reports.latest(target.id)
         if load is None or load.ordered_ms is not None or report is None:
             return False
@@ -260,7 +281,7 @@
         self, target: Target, model: str, desired_version: int
     ) -> None:
         """Order a drained engine that the published record names."""
-        load = self._loads.get(target.id)
+        load = self._load_of(target, model)
         report = self._reports.latest(target.id)
         if load is None or report is None:
             return
