Expect the wait for a slot, and learn prefill speed from the whole service

Cause: with 16 slots an engine is full of slots long before its memory, but the expected first token followed from memory and unread tokens alone; and with 68 entries before 37 engines an entry sends an engine a request every five seconds, so the estimates of each engine were hardly learned.

Change: the expected first token includes the wait for a slot, from the open requests known, at least those that the engine reported within 0.4 s, and the mean time for which a run holds its slot; more urgent requests overtake. Until a target has 20 samples, speed and runs are those of its service.

Tests name the loads: a home without free slots, a burst over full engines, urgent requests behind a queue of less urgent ones, load that only the engine reports.

--- a/tests/gateway/test_picker.py
+++ b/tests/gateway/test_picker.py
@@ -13,6 +13,7 @@
 from wigeonmill.gateway.picker import Demand
 from wigeonmill.gateway.picker import Picker
 from wigeonmill.gateway.target_load import PeerLoad
+from wigeonmill.gateway.target_load import REPORTED_LOAD_TTL_MS
 from wigeonmill.gateway.target_load import SILENCE_MS
 from wigeonmill.gateway.targets import Directory
 from wigeonmill.gateway.targets import Loading
@@ -312,3 +313,56 @@
         service=LEDGER, generation=None, old_weights_remaining_ms=0.0
     )
     assert picked.target.id == 't1'
+
+
+def small_engines(count=3):
+    """Engines with few slots, which are full long before their memory."""
+    return [make_engine_record(f'e{n}', slots=16) for n in range(count)]
+
+
+def fill_slots(target, runs, tokens=2_500):
+    """Start runs that have their first token already."""
+    for _run in range(runs):
+        request = target.load.open(tokens, tokens, 0)
+        target.load.record_first_token(request)
+
+
+def test_an_engine_without_free_slots_yields_to_one_with_some():
+    """Long runs take all slots of the home while its memory is free."""
+    fleet = Fleet(small_engines())
+    home = fleet.pick().target
+    fill_slots(home, 20)
+    assert fleet.pick(cache_tokens=100_000).target is not home
+
+
+def test_a_burst_over_full_engines_is_expected_to_be_late():
+    """Twice the slots of all engines are taken, and requests keep coming."""
+    fleet = Fleet(small_engines())
+    for target in fleet.directory.all():
+        fill_slots(target, 16)
+        for _request in range(16):
+            target.load.open(2_500, 2_500, 1)
+    pick = fleet.pick(priority=1)
+    assert pick.expected_ms > OBJECTIVE_MS
+    assert pick.waits
+
+
+def test_an_urgent_request_does_not_wait_behind_less_urgent_ones():
+    fleet = Fleet(small_engines())
+    for target in fleet.directory.all():
+        fill_slots(target, 16)
+        for _request in range(8):
+            target.load.open(12_000, 12_000, 5)
+    urgent = fleet.pick(priority=0).expected_ms
+    assert urgent < OBJECTIVE_MS
+    assert fleet.pick(priority=5).expected_ms > 2 * urgent
+
+
+def test_the_load_that_an_engine_reports_counts_although_no_entry_told_it():
+    """With 68 entries, an entry hears from each other one too rarely."""
+    fleet = Fleet(small_engines())
+    home = fleet.pick().target
+    home.load.record_reported(24)
+    assert fleet.pick().target is not home
+    fleet.clock.advance(REPORTED_LOAD_TTL_MS + 1)
+    assert fleet.pick().target is home
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -201,6 +201,9 @@
 
     def _record_head(self, head: TargetHead) -> None:
         if head.load is not None:
+            self._target.load.record_reported(
+                head.load.running + head.load.waiting
+            )
             self.reported_load = f'{head.load.running},{head.load.waiting}'
         generation = self._terms.req.generation
         if generation is not None and head.weight_version is not None:
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -98,6 +98,7 @@
 
     `cost` is the share of the credit that is expected to be lost, and
     `lateness_cost` the part of it that the expected time alone causes.
+    `waits` is set if the request has to wait for memory or a slot.
     """
 
     target: Target
@@ -105,7 +106,7 @@
     prefill_tokens: int
     cost: float
     lateness_cost: float
-    waits_for_memory: bool = False
+    waits: bool = False
 
 
 class Picker:
@@ -203,7 +204,7 @@
             for target in usable
             if not self._has_old_weights(target, demand)
             or target.load.first_token_ms(
-                generation.prompt_tokens, demand.priority
+                generation.prompt_tokens, demand.priority, target.slots
             )
             <= latest_ms
         ]
@@ -280,14 +281,17 @@
     def _evaluate(self, target: Target, demand: Demand, home_id: str) -> Pick:
         load = target.load
         prefill = 0
-        memory_ms = 0.0
+        slot_ms = memory_ms = 0.0
         if demand.generation is None:
             expected_ms = load.whole_answer_ms(target.slots)
         else:
             prefill, fetch_ms = self._prefill_and_fetch(
                 target, demand, home_id
             )
-            expected_ms = load.first_token_ms(prefill, demand.priority)
+            expected_ms = load.first_token_ms(
+                prefill, demand.priority, target.slots
+            )
+            slot_ms = load.slot_wait_ms(demand.priority, target.slots)
             memory_ms = load.memory_wait_ms(
                 demand.tokens, demand.priority, demand.cache_tokens
             )
@@ -297,7 +301,12 @@
         )
         cost = lateness + self._extra_cost(target, demand)
         return Pick(
-            target, expected_ms, prefill, cost, lateness, memory_ms > 0
+            target,
+            expected_ms,
+            prefill,
+            cost,
+            lateness,
+            memory_ms > 0 or slot_ms > 0,
         )
 
     def _extra_cost(self, target: Target, demand: Demand) -> float:
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -100,7 +100,9 @@
         if generation is None or not self._terms.is_late(pick):
             return None
         load = pick.target.load
-        starts_ms = load.first_token_ms(pick.prefill_tokens, LATE_PRIORITY)
+        starts_ms = load.first_token_ms(
+            pick.prefill_tokens, LATE_PRIORITY, pick.target.slots
+        )
         starts_ms += load.memory_wait_ms(
             generation.tokens, LATE_PRIORITY, self._terms.cache_tokens
         )
@@ -127,7 +129,7 @@
             generation.tokens if generation else 0,
             pick.prefill_tokens,
             priority,
-            delayed=priority == LATE_PRIORITY or pick.waits_for_memory,
+            delayed=priority == LATE_PRIORITY or pick.waits,
         )
         exchange = self._client.send(
             self._req,
--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -3,20 +3,12 @@
 from collections.abc import Sequence
 
 from wigeonmill.clock import Clock
-from wigeonmill.routing.linear_fit import LinearFit
-
-# Initial estimates, used until a target has been measured.
-INITIAL_FIXED_MS = 25.0
-INITIAL_MS_PER_TOKEN = 0.015
-TYPICAL_PROMPT_TOKENS = 8_000.0
-INITIAL_RUN_MS = 2_000.0
-INITIAL_RUN_TOKENS = 6_000.0
-# Bounds of the fitted line, so that a slow period does not distort the
-# estimate for long. The fastest engines prefill a few hundred tokens per
-# millisecond, the slowest about twenty.
-MAX_FIXED_MS = 150.0
-MIN_MS_PER_TOKEN = 0.004
-MAX_MS_PER_TOKEN = 0.05
+from wigeonmill.gateway.estimates import Estimates
+from wigeonmill.gateway.estimates import TargetEstimates
+
+# Time for which a target's own report of its load is used.
+REPORTED_LOAD_TTL_MS = 400.0
+# Initial estimate of a whole answer, until a target has been measured.
 INITIAL_ANSWER_MS = 90.0
 # Weight of a new sample in a moving average.
 SAMPLE_WEIGHT = 0.1
@@ -163,10 +155,10 @@
         '_clock',
         '_open',
         '_peers',
-        '_fit',
+        '_estimates',
         '_mean_answer_ms',
-        '_mean_run_tokens',
-        '_mean_token_ms',
+        '_reported_runs',
+        '_reported_ms',
         '_failure_share',
         '_last_outcome_ms',
         'last_activity_ms',
@@ -175,17 +167,15 @@
         'keep_alive_s',
     )
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, service: Estimates | None = None) -> None:
         self._clock = clock
         self._open: dict[InFlightRequest, None] = {}
         self._peers = PeerLoads(clock)
-        self._fit = LinearFit(
-            INITIAL_FIXED_MS, INITIAL_MS_PER_TOKEN, TYPICAL_PROMPT_TOKENS
-        )
+        self._estimates = TargetEstimates(service)
         self._mean_answer_ms = INITIAL_ANSWER_MS
-        # Moving averages of a run's memory, and of memory times duration.
-        self._mean_run_tokens = INITIAL_RUN_TOKENS
-        self._mean_token_ms = INITIAL_RUN_TOKENS * INITIAL_RUN_MS
+        # The runs and waiting requests that the target reported last.
+        self._reported_runs = 0
+        self._reported_ms = float('-inf')
         self._failure_share = 0.0
         self._last_outcome_ms = clock.now_ms()
         self.last_activity_ms = clock.now_ms()
@@ -230,21 +220,14 @@
         self.waiting_tokens[request.priority] -= request.prefill_tokens
         if not request.delayed:
             took_ms = self._clock.now_ms() - request.sent_ms
-            self._fit.add(
+            self._estimates.add_first_token(
                 request.tokens_ahead + request.prefill_tokens, took_ms
             )
 
     def record_run_end(self, request: InFlightRequest) -> None:
-        """Update the mean run duration, weighted by memory.
-
-        Only complete runs are recorded.
-        """
+        """Update the estimates with a complete run."""
         took_ms = self._clock.now_ms() - request.sent_ms
-        self._mean_run_tokens += SAMPLE_WEIGHT * (
-            request.tokens - self._mean_run_tokens
-        )
-        sample = float(request.tokens) * took_ms
-        self._mean_token_ms += SAMPLE_WEIGHT * (sample - self._mean_token_ms)
+        self._estimates.add_run(request.tokens, took_ms, request.delayed)
 
     def record_whole_answer(
         self, request: InFlightRequest, slots: int
@@ -290,6 +273,31 @@
         """Return the number of open requests of all entries."""
         return len(self._open) + self._peers.runs()
 
+    def record_reported(self, runs: int) -> None:
+        """Store the runs and waiting requests that the target reported."""
+        self._reported_runs = runs
+        self._reported_ms = self._clock.now_ms()
+
+    def occupied(self) -> int:
+        """Return the open requests, at least those that it just reported."""
+        age_ms = self._clock.now_ms() - self._reported_ms
+        reported = self._reported_runs if age_ms < REPORTED_LOAD_TTL_MS else 0
+        return max(self.runs(), reported)
+
+    def slot_wait_ms(self, priority: int, slots: int) -> float:
+        """Return the expected time that a new request waits for a slot.
+
+        Slots become free evenly over the mean duration of a run. Waiting
+        requests of less urgent priorities are overtaken.
+        """
+        excess: float = self.occupied() - slots
+        if slots <= 0 or excess < 0:
+            return 0.0
+        waiting_tokens = self._tokens_ahead(PRIORITIES - 1)
+        if waiting_tokens > 0:
+            excess = excess * self._tokens_ahead(priority) / waiting_tokens
+        return self._estimates.runs.run_ms * (excess + 1.0) / slots
+
     def own_runs(self) -> int:
         """Return the number of open requests of this entry."""
         return len(self._open)
@@ -305,7 +313,7 @@
         shortfall = self.memory_shortfall(tokens, priority, capacity)
         if shortfall <= 0 or capacity <= 0:
             return 0.0
-        run_ms = self._mean_token_ms / max(1.0, self._mean_run_tokens)
+        run_ms = self._estimates.runs.duration_by_memory_ms()
         return run_ms * shortfall / capacity
 
     def memory_shortfall(
@@ -329,18 +337,24 @@
         since_ms = max(self.last_activity_ms, min(waiting))
         return self._clock.now_ms() - since_ms > SILENCE_MS
 
-    def first_token_ms(self, prefill_tokens: int, priority: int) -> float:
-        """Return the expected time to the first token of a new request."""
-        fixed_ms, slope = self._fit.line()
-        fixed_ms = min(fixed_ms, MAX_FIXED_MS)
-        slope = min(max(slope, MIN_MS_PER_TOKEN), MAX_MS_PER_TOKEN)
-        return fixed_ms + slope * (
-            self._tokens_ahead(priority) + prefill_tokens
+    def first_token_ms(
+        self, prefill_tokens: int, priority: int, slots: int
+    ) -> float:
+        """Return the expected time to the first token of a new request.
+
+        Requests that wait for a slot are prefilled as slots become free, so
+        the longer of both waits counts.
+        """
+        fixed_ms, slope = self._estimates.line()
+        wait_ms = max(
+            slope * self._tokens_ahead(priority),
+            self.slot_wait_ms(priority, slots),
         )
+        return fixed_ms + slope * prefill_tokens + wait_ms
 
     def whole_answer_ms(self, slots: int) -> float:
         """Return the expected time to a whole answer of a new request."""
-        return self._mean_answer_ms * _slot_rounds(self.runs(), slots)
+        return self._mean_answer_ms * _slot_rounds(self.occupied(), slots)
 
     def _tokens_ahead(self, priority: int) -> int:
         """Return the waiting tokens that precede a new request."""
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -8,6 +8,7 @@
 
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.allowances import ColdAllowance
+from wigeonmill.gateway.estimates import Estimates
 from wigeonmill.gateway.target_load import TargetLoad
 
 logger = logging.getLogger(__name__)
@@ -74,7 +75,12 @@
         'load',
     )
 
-    def __init__(self, record: TargetRecord, clock: Clock) -> None:
+    def __init__(
+        self,
+        record: TargetRecord,
+        clock: Clock,
+        estimates: Estimates | None = None,
+    ) -> None:
         self.id = record.id
         self.started_at_ms = record.started_at_ms
         self.service = record.service
@@ -91,7 +97,7 @@
         self.weights = dict(record.weights)
         self.refusing_until_ms = 0.0
         self.loading: Loading | None = None
-        self.load = TargetLoad(clock)
+        self.load = TargetLoad(clock, estimates)
 
     @property
     def leaving(self) -> bool:
@@ -136,12 +142,15 @@
         '_key_value_down',
         '_recovered_ms',
         '_by_service',
+        '_estimates',
     )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
+        # The estimates of each service as a whole.
+        self._estimates: dict[str, Estimates] = {}
         self._key_value_down = False
         self._recovered_ms = float('-inf')
 
@@ -234,7 +243,8 @@
                 del self._targets[target.id]
 
     def _add(self, record: TargetRecord) -> None:
-        target = Target(record, self._clock)
+        estimates = self._estimates.setdefault(record.service, Estimates())
+        target = Target(record, self._clock, estimates)
         self._targets[record.id] = target
         self._rebuild_index()
         logger.info(
