Keep old weights in use while the key-value service is out of reach

Cause, found by reading the bound on old weights again: while the service is away no leader can order an engine to load. After the bound every entry would have refused the engines with old weights, so an outage right after a version is named would have left a third of the engines, or none, for all callers. The platform's bound counts only while the service is stable.

Change: the time for old weights does not end while nothing has been heard of the service for 3 s, neither directly nor from peers, and not before 2.5 s after that.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -78,6 +78,9 @@
         self._scripts = list(scripts)
         self.sent = []
 
+    def set_scripts(self, scripts):
+        self._scripts = list(scripts)
+
     def send(self, req, target, instructions, idempotent):
         turn = min(len(self.sent), len(self._scripts) - 1)
         exchange = FakeExchange(self._clock, target, self._scripts[turn])
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -18,7 +18,9 @@
 # service was confirmed counts as new. Otherwise it may be as old as the copy.
 MAX_CONFIRMATION_GAP_MS = 500.0
 # Time for which an entry that can't know how old a weight version is still
-# sends work to older weights, while the first engines load the new ones.
+# sends work to older weights, while the first engines load the new ones. The
+# same applies once the key-value service is back, without which no engine can
+# be ordered to load.
 UNKNOWN_AGE_GRACE_MS = 2_500.0
 DEFAULT_WEIGHTS_DEADLINE_MS = 15_000.0
 
@@ -97,14 +99,16 @@
         """Return how long runs may still begin on older weights.
 
         The result is negative once the time for the newest version is over.
+        The time does not end while the key-value service is out of reach.
         """
-        if model not in self._weight_versions:
+        if model not in self._weight_versions or self._freshness.out_of_reach:
             return float('inf')
-        end_ms = max(
-            self._weights_set_ms[model] + self._weights_deadline_ms,
-            self._weights_learned_ms[model] + UNKNOWN_AGE_GRACE_MS,
+        now_ms = self._clock.now_ms()
+        return max(
+            self._weights_set_ms[model] + self._weights_deadline_ms - now_ms,
+            self._weights_learned_ms[model] + UNKNOWN_AGE_GRACE_MS - now_ms,
+            UNKNOWN_AGE_GRACE_MS - self._freshness.since_restored_ms,
         )
-        return end_ms - self._clock.now_ms()
 
     @property
     def weight_versions(self) -> dict[str, int]:
--- a/wigeonmill/gateway/freshness.py
+++ b/wigeonmill/gateway/freshness.py
@@ -2,6 +2,10 @@
 
 from wigeonmill.clock import Clock
 
+# Age from which the service counts as out of reach, for this entry and for
+# the peers that it hears from.
+OUT_OF_REACH_MS = 3_000.0
+
 
 class Freshness:
     """The last time at which the copy was known to be complete.
@@ -9,18 +13,31 @@
     The clock includes the time for which the process was suspended.
     """
 
-    __slots__ = ('_clock', '_confirmed_ms')
+    __slots__ = ('_clock', '_confirmed_ms', '_restored_ms')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._confirmed_ms = float('-inf')
+        self._restored_ms = float('-inf')
 
     def confirm(self, age_ms: float = 0.0) -> None:
         """Record that the copy was complete `age_ms` ago."""
         confirmed_ms = self._clock.boot_ms() - age_ms
+        if self.out_of_reach and age_ms < OUT_OF_REACH_MS:
+            self._restored_ms = self._clock.boot_ms()
         self._confirmed_ms = max(self._confirmed_ms, confirmed_ms)
 
     @property
     def age_ms(self) -> float:
         """The time since then; infinite if the copy never was complete."""
         return self._clock.boot_ms() - self._confirmed_ms
+
+    @property
+    def out_of_reach(self) -> bool:
+        """Whether nothing has been heard of the service for some time."""
+        return self.age_ms > OUT_OF_REACH_MS
+
+    @property
+    def since_restored_ms(self) -> float:
+        """The time since the service came into reach (infinite: never)."""
+        return self._clock.boot_ms() - self._restored_ms
