--- a/tests/gateway/rollout_world.py
+++ b/tests/gateway/rollout_world.py
@@ -139,8 +139,6 @@
     def __init__(self, world, name):
         self.world = world
         self.name = name
-        self.started_ms = world.clock.now_ms()
-        self.thawed_ms = self.started_ms
         self.running = asyncio.Event()
         self.running.set()
         self.cut = False
@@ -183,14 +181,12 @@
     async def freeze(self, time_s):
         self.running.clear()
         await asyncio.sleep(time_s)
-        self.thawed_ms = self.world.clock.now_ms()
         self.running.set()
 
     async def be_cut(self, time_s):
         self.cut = True
         await asyncio.sleep(time_s)
         self.cut = False
-        self.thawed_ms = self.world.clock.now_ms()
 
     async def io(self, call):
         """Make a call; the reply is read once the process runs."""
