Take a target without listed weights as current in both places

Cause, found by reading the diff: the choice of a target allows one that lists no version of the model, but the check of runs that have not begun took it as outdated and cancelled them at the bound.

Also: names and comments of the readers' constants.

--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -372,3 +372,12 @@
     channel = queued_past_the_weights_deadline(harness, resumable=False)
     assert len(harness.client.sent) == 1
     assert channel.status == 502
+
+
+def test_a_target_that_lists_no_weights_is_not_taken_as_outdated():
+    harness = engine_harness([], count=1)
+    harness.client.set_scripts([[*serving_others(harness)[:20], *stream(1)]])
+    (target,) = harness.ctx.directory.all()
+    target.weights.clear()
+    channel = queued_past_the_weights_deadline(harness, resumable=False)
+    assert channel.finished
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -152,14 +152,15 @@
     def begin_by_ms(self, target: Target) -> float:
         """Return the latest time at which a run may begin on `target`.
 
-        It is infinite if the target has the newest weights.
+        It is infinite unless the target is known to have older weights.
         """
         generation = self.req.generation
         if generation is None:
             return float('inf')
         desired = self._ctx.desired
         newest_version = desired.weight_version(generation.model) or 0
-        if target.weights.get(generation.model, 0) >= newest_version:
+        version = target.weights.get(generation.model)
+        if version is None or version >= newest_version:
             return float('inf')
         remaining_ms = desired.old_weights_remaining_ms(generation.model)
         return self._ctx.clock.now_ms() + remaining_ms - CANCEL_MARGIN_MS
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -22,17 +22,19 @@
 logger = logging.getLogger(__name__)
 
 # A watch is repeated at this interval, so that a silent connection is detected
-# well within the time that changes may take to come into force. The other
-# entries depend on the readers of a large fleet, so they repeat it sooner.
+# well within the time that changes may take to come into force.
 WATCH_WAIT_MS = 1_800
+# The interval of the readers in a large fleet. It is shorter, because the
+# copies of the other entries are only as fresh as theirs.
 READER_WAIT_MS = 700
 # A watch that took longer than this waited for the changes that it returned.
 WAITED_MS = 50.0
 # Number of entries that always watch the service. The others get the changes
-# from their peers and watch it only if their copy is older than the limit.
+# from their peers, and check at an interval whether their copy is still fresh
+# enough. If it is not, they ask the service themselves.
 READERS = 8
 STALE_COPY_MS = 2_000.0
-IDLE_MS = 100.0
+FRESHNESS_CHECK_MS = 100.0
 # The first watch after a failure, and that of an entry that is no reader, does
 # not wait for changes: it shows immediately whether the service responds.
 RECONNECT_WAIT_MS = 1
@@ -75,7 +77,7 @@
         """
 
 
-class Readers(Protocol):
+class FleetEntries(Protocol):
     """The entries, of which some are selected to watch the service."""
 
     def count(self) -> int:
@@ -102,7 +104,7 @@
         metrics: Metrics,
         on_connection_change: Callable[[bool], None],
         freshness: Freshness,
-        entries: Readers,
+        entries: FleetEntries,
     ) -> None:
         self._source = source
         self._mirror = mirror
@@ -131,7 +133,7 @@
         while True:
             watches = self._is_reader()
             if listed and not (failed or watches or self._is_stale()):
-                await asyncio.sleep(IDLE_MS / 1000.0)
+                await asyncio.sleep(FRESHNESS_CHECK_MS / 1000.0)
                 continue
             if listed:
                 outcome = await self._watch_once(failed or not watches)
