--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -69,8 +69,36 @@
     )
 
 
+def test_all_entries_together_stay_within_the_rate_of_a_cold_target():
+    clock = ManualClock()
+    shares = [ColdAllowance(clock) for _entry in range(5)]
+    sent = 0
+    for _turn in range(100):
+        for number, share in enumerate(shares):
+            if share.wait_ms(20.0, 5, number / 5, 60_000.0) <= 0:
+                share.record()
+                sent += 1
+        clock.advance(9.0)
+    assert 10 <= sent <= 20
+
+
+def test_many_entries_share_a_rate_below_one_request_per_second_each():
+    clock = ManualClock()
+    shares = [ColdAllowance(clock) for _entry in range(30)]
+    sent = 0
+    for _turn in range(300):
+        for number, share in enumerate(shares):
+            if share.wait_ms(12.0, 30, number / 30, 60_000.0) <= 0:
+                share.record()
+                sent += 1
+        clock.advance(100.0)
+    # 30 seconds at 12 requests per second, of which only a share is used.
+    # The first interval may hold one request of each entry.
+    assert 30 * 12 * 0.5 <= sent <= 30 * 12 * 0.8 + 30
+
+
 @pytest.mark.parametrize('entry_count', [5, 30, 68, 420])
-def test_all_entries_together_stay_within_the_rate_of_a_cold_target(
+def test_a_target_that_returns_cold_gets_no_burst_from_all_entries(
     entry_count,
 ):
     """A target returns cold while every entry has requests for it."""
--- a/wigeonmill/gateway/estimates.py
+++ b/wigeonmill/gateway/estimates.py
@@ -7,7 +7,7 @@
 
 from wigeonmill.routing.linear_fit import LinearFit
 
-# Initial estimates, used until a target has been measured.
+# Estimates without any sample.
 INITIAL_FIXED_MS = 25.0
 INITIAL_MS_PER_TOKEN = 0.015
 TYPICAL_PROMPT_TOKENS = 8_000.0
--- a/wigeonmill/gateway/rollout_budget.py
+++ b/wigeonmill/gateway/rollout_budget.py
@@ -10,7 +10,7 @@
 # cuts its streams. Short runs end within the minimum.
 MIN_DRAIN_MS = 330.0
 MAX_DRAIN_MS = 3_000.0
-# Estimate of a load's duration until one has been measured.
+# Expected duration of the first load.
 INITIAL_LOAD_MS = 1_000.0
 # Weight of a new sample in the mean duration of a load.
 SAMPLE_WEIGHT = 0.3
--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -8,7 +8,7 @@
 
 # Time for which a target's own report of its load is used.
 REPORTED_LOAD_TTL_MS = 400.0
-# Initial estimate of a whole answer, until a target has been measured.
+# Expected time of the first whole answer.
 INITIAL_ANSWER_MS = 90.0
 # Weight of a new sample in a moving average.
 SAMPLE_WEIGHT = 0.1
