Test that a restart does not extend the time of old weights

An entry that learns a weight version from a listing lets runs begin on older weights for 2.5 s from then on, whatever the bound and however long its start took: 1,000 ms are left at the moment from which the platform's rules bind it again (start of 1.5 s, contact time of 3 s), and 1,400 ms after a bound of 4 s at an entry that never was out of touch.

--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -7,12 +7,14 @@
 from wigeonmill.gateway.freshness import Freshness
 
 DEADLINE_MS = 8_000.0
+# The platform's time after a start from which an entry is bound by the rules.
+CONTACT_MS = 3_000.0
 
 
-def make_config():
+def make_config(deadline_ms=DEADLINE_MS):
     clock = ManualClock(1_000_000.0)
     freshness = Freshness(clock)
-    return clock, freshness, DesiredConfig(clock, freshness, DEADLINE_MS)
+    return clock, freshness, DesiredConfig(clock, freshness, deadline_ms)
 
 
 def test_a_watched_change_has_its_whole_time():
@@ -87,3 +89,28 @@
     clock.advance(DEADLINE_MS)
     freshness.confirm(age_ms=4_000.0)
     assert config.old_weights_remaining_ms(MODEL) == float('inf')
+
+
+# Guards against VERSION: after a restart of all entries, a run began on
+# replaced weights after the bound, at an entry that was in touch again.
+def test_a_slow_start_does_not_extend_the_time_of_old_weights():
+    clock, freshness, config = make_config()
+    clock.advance(CONTACT_MS / 2)
+    config.set_weight_version(MODEL, 2)
+    freshness.confirm()
+    clock.advance(CONTACT_MS / 2)
+    freshness.confirm()
+    assert config.old_weights_remaining_ms(MODEL) <= 0
+
+
+# Guards against VERSION: a listing that is read late gives old weights a time
+# of its own beyond the bound, at an entry that was in touch all along.
+def test_a_late_listing_does_not_extend_the_time_of_old_weights():
+    clock, freshness, config = make_config(deadline_ms=4_000.0)
+    freshness.confirm()
+    clock.advance(2_900)
+    config.set_weight_version(MODEL, 2)
+    freshness.confirm()
+    clock.advance(1_100)
+    freshness.confirm()
+    assert config.old_weights_remaining_ms(MODEL) <= 0
