Count the time for old weights from the start of the process

All entries had been killed at 35 s; the request was sent on by one that was up again for 2 to 3 s.

Cause: the age of a version does not outlive the processes. An entry that has started knows none, and allowed old weights for a constant 2.5 s from the moment at which it learned of the version. A slower start or a shorter contactMs breaks the bound. The same constant applied to every version that was read late, also at an entry that was in touch all along.

Change: the setting contact_ms, from bounds.contactMs. The time of an entry that knows no age ends 0.5 s before contact_ms after its start, which counts from the processor time that it has used. That after an outage of the key-value service follows the same figure; the first copy of a process counts as the end of an outage only if it took as long as one. A version that was read late has the bound from the last copy, and nothing on top.

The older tests of the grace time keep their bounds: 2,500 ms with a contact time of 3 s.

--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -2,19 +2,23 @@
 
 from tests.gateway.samples import MODEL
 from wigeonmill.clock import ManualClock
+from wigeonmill.gateway.context import CONTACT_MARGIN_MS
 from wigeonmill.gateway.context import DesiredConfig
-from wigeonmill.gateway.context import UNKNOWN_AGE_GRACE_MS
 from wigeonmill.gateway.freshness import Freshness
 
 DEADLINE_MS = 8_000.0
 # The platform's time after a start from which an entry is bound by the rules.
 CONTACT_MS = 3_000.0
+GRACE_MS = CONTACT_MS - CONTACT_MARGIN_MS
 
 
 def make_config(deadline_ms=DEADLINE_MS):
     clock = ManualClock(1_000_000.0)
     freshness = Freshness(clock)
-    return clock, freshness, DesiredConfig(clock, freshness, deadline_ms)
+    config = DesiredConfig(
+        clock, freshness, deadline_ms, CONTACT_MS, uptime_ms=0.0
+    )
+    return clock, freshness, config
 
 
 def test_a_watched_change_has_its_whole_time():
@@ -36,7 +40,7 @@
     config.set_weight_version(MODEL, 2)
     freshness.confirm()
     assert config.weight_version_age_ms(MODEL) == float('inf')
-    assert config.old_weights_remaining_ms(MODEL) == UNKNOWN_AGE_GRACE_MS
+    assert config.old_weights_remaining_ms(MODEL) == GRACE_MS
 
 
 def test_a_change_made_while_the_entry_was_cut_off_is_as_old_as_the_gap():
@@ -46,8 +50,8 @@
     config.set_weight_version(MODEL, 2)
     freshness.confirm()
     assert config.weight_version_age_ms(MODEL) == 6_000
-    assert config.old_weights_remaining_ms(MODEL) == UNKNOWN_AGE_GRACE_MS
-    clock.advance(UNKNOWN_AGE_GRACE_MS)
+    assert config.old_weights_remaining_ms(MODEL) == GRACE_MS
+    clock.advance(GRACE_MS)
     freshness.confirm()
     assert config.old_weights_remaining_ms(MODEL) <= 0
 
@@ -75,9 +79,9 @@
     clock.advance(DEADLINE_MS + 5_000)
     assert config.old_weights_remaining_ms(MODEL) == float('inf')
     freshness.confirm()
-    assert config.old_weights_remaining_ms(MODEL) == UNKNOWN_AGE_GRACE_MS
+    assert config.old_weights_remaining_ms(MODEL) == GRACE_MS
     for _turn in range(5):
-        clock.advance(UNKNOWN_AGE_GRACE_MS / 4)
+        clock.advance(GRACE_MS / 4)
         freshness.confirm()
     assert config.old_weights_remaining_ms(MODEL) < 0
 
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -17,12 +17,11 @@
 # A change that was learned within this time after the copy of the key-value
 # service was confirmed counts as new. Otherwise it may be as old as the copy.
 MAX_CONFIRMATION_GAP_MS = 500.0
-# Time for which an entry that can't know how old a weight version is still
-# sends work to older weights, while the first engines load the new ones. The
-# same applies once the key-value service is back, without which no engine can
-# be ordered to load.
-UNKNOWN_AGE_GRACE_MS = 2_500.0
 DEFAULT_WEIGHTS_DEADLINE_MS = 15_000.0
+DEFAULT_CONTACT_MS = 3_000.0
+# Part of the contact time in which an entry does not yet know that it is over:
+# the start of the process, or the delay until a lost connection is restored.
+CONTACT_MARGIN_MS = 500.0
 
 
 class DesiredConfig:
@@ -34,14 +33,20 @@
         '_closed_domains',
         '_weight_versions',
         '_weights_set_ms',
-        '_weights_learned_ms',
         '_weights_deadline_ms',
+        '_grace_ms',
+        '_started_ms',
         '_freshness',
         '_clock',
     )
 
     def __init__(
-        self, clock: Clock, freshness: Freshness, weights_deadline_ms: float
+        self,
+        clock: Clock,
+        freshness: Freshness,
+        weights_deadline_ms: float,
+        contact_ms: float,
+        uptime_ms: float,
     ) -> None:
         self._clock = clock
         self._freshness = freshness
@@ -50,8 +55,9 @@
         self._closed_domains: set[str] = set()
         self._weight_versions: dict[str, int] = {}
         self._weights_set_ms: dict[str, float] = {}
-        self._weights_learned_ms: dict[str, float] = {}
         self._weights_deadline_ms = weights_deadline_ms
+        self._grace_ms = max(0.0, contact_ms - CONTACT_MARGIN_MS)
+        self._started_ms = clock.now_ms() - uptime_ms
 
     def adopt(self, state: DesiredState) -> bool:
         """Put a configuration in force, unless it or a later one is."""
@@ -81,7 +87,6 @@
         gap_ms = self._freshness.age_ms
         is_new = gap_ms <= MAX_CONFIRMATION_GAP_MS
         self._weights_set_ms[model] = now_ms if is_new else now_ms - gap_ms
-        self._weights_learned_ms[model] = now_ms
         return True
 
     def weight_version(self, model: str) -> int | None:
@@ -99,15 +104,18 @@
         """Return how long runs may still begin on older weights.
 
         The result is negative once the time for the newest version is over.
-        The time does not end while the key-value service is out of reach.
+        The time does not end while the key-value service is out of reach,
+        without which no engine can be ordered to load, and for the grace time
+        after that. A process that has just started does not know how old a
+        version is; it has the grace time from its start.
         """
         if model not in self._weight_versions or self._freshness.out_of_reach:
             return float('inf')
         now_ms = self._clock.now_ms()
         return max(
             self._weights_set_ms[model] + self._weights_deadline_ms - now_ms,
-            self._weights_learned_ms[model] + UNKNOWN_AGE_GRACE_MS - now_ms,
-            UNKNOWN_AGE_GRACE_MS - self._freshness.since_restored_ms,
+            self._started_ms + self._grace_ms - now_ms,
+            self._grace_ms - self._freshness.since_restored_ms,
         )
 
     @property
@@ -143,13 +151,24 @@
         entry_count: Callable[[], int],
         weights_deadline_ms: float = DEFAULT_WEIGHTS_DEADLINE_MS,
         entry_position: Callable[[], float] = lambda: 0.0,
+        contact_ms: float = DEFAULT_CONTACT_MS,
+        uptime_ms: float = 0.0,
     ) -> None:
+        """Create the state of a process that has run for `uptime_ms`.
+
+        `contact_ms` is the time after a start or an outage from which the
+        platform's rules bind an entry.
+        """
         self.clock = clock
         self.rng = rng
         self.metrics = metrics
         self.freshness = Freshness(clock)
         self.desired = DesiredConfig(
-            clock, self.freshness, weights_deadline_ms
+            clock,
+            self.freshness,
+            weights_deadline_ms,
+            contact_ms,
+            uptime_ms,
         )
         self.directory = Directory(clock)
         self.circuits = CircuitBreakers(clock, rng)
--- a/wigeonmill/gateway/freshness.py
+++ b/wigeonmill/gateway/freshness.py
@@ -13,10 +13,11 @@
     The clock includes the time for which the process was suspended.
     """
 
-    __slots__ = ('_clock', '_confirmed_ms', '_restored_ms')
+    __slots__ = ('_clock', '_started_ms', '_confirmed_ms', '_restored_ms')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._started_ms = clock.boot_ms()
         self._confirmed_ms = float('-inf')
         self._restored_ms = float('-inf')
 
@@ -35,7 +36,8 @@
     @property
     def out_of_reach(self) -> bool:
         """Whether nothing has been heard of the service for some time."""
-        return self.age_ms > OUT_OF_REACH_MS
+        heard_ms = max(self._confirmed_ms, self._started_ms)
+        return self._clock.boot_ms() - heard_ms > OUT_OF_REACH_MS
 
     @property
     def since_restored_ms(self) -> float:
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -101,6 +101,9 @@
             self._entries.count,
             settings.weights_deadline_ms,
             self._entries.position,
+            settings.contact_ms,
+            # The process has run at least as long as it has used a processor.
+            uptime_ms=time.process_time() * 1_000.0,
         )
         self._sync = MirrorSync(
             adapter.source,
