--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -118,3 +118,35 @@
     clock.advance(1_100)
     freshness.confirm()
     assert config.old_weights_remaining_ms(MODEL) <= 0
+
+
+class SuspendedClock(ManualClock):
+    """A clock whose monotonic time stands still while it is suspended."""
+
+    __slots__ = ('suspended_ms',)
+
+    def __init__(self):
+        super().__init__(1_000_000.0)
+        self.suspended_ms = 0.0
+
+    def boot_ms(self):
+        return self.now_ms() + self.suspended_ms
+
+
+# Guards against VERSION: an entry that was frozen in a rollout took weights to
+# be younger by that time, and sent runs to old ones after the bound.
+def test_the_time_of_old_weights_goes_on_while_the_process_is_frozen():
+    clock = SuspendedClock()
+    freshness = Freshness(clock)
+    config = DesiredConfig(
+        clock, freshness, DEADLINE_MS, CONTACT_MS, uptime_ms=0.0
+    )
+    freshness.confirm()
+    config.set_weight_version(MODEL, 2)
+    clock.suspended_ms = DEADLINE_MS - CONTACT_MS
+    freshness.confirm()
+    for _turn in range(4):
+        clock.advance(CONTACT_MS / 4)
+        freshness.confirm()
+    assert config.weight_version_age_ms(MODEL) == DEADLINE_MS
+    assert config.old_weights_remaining_ms(MODEL) <= 0
