Count time spent frozen in the age of weights

What callers would have seen: runs that begin on replaced weights after the bound (VERSION), at an entry that was frozen while the rollout went on.

The age of a version was measured on the monotonic clock, which stands still while the process is suspended, so an entry frozen for 5 s believed the version to be 5 s younger. The age of the copy of the key-value service already counted that time.

Change: the age, the bound and the time since the start count on the clock that includes suspension.

--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -25,7 +25,10 @@
 
 
 class DesiredConfig:
-    """What operators have set last; versions never decrease."""
+    """What operators have set last; versions never decrease.
+
+    The age of a weight version includes time spent suspended.
+    """
 
     __slots__ = (
         'state',
@@ -57,7 +60,7 @@
         self._weights_set_ms: dict[str, float] = {}
         self._weights_deadline_ms = weights_deadline_ms
         self._grace_ms = max(0.0, contact_ms - CONTACT_MARGIN_MS)
-        self._started_ms = clock.now_ms() - uptime_ms
+        self._started_ms = clock.boot_ms() - uptime_ms
 
     def adopt(self, state: DesiredState) -> bool:
         """Put a configuration in force, unless it or a later one is."""
@@ -83,7 +86,7 @@
         if version <= self._weight_versions.get(model, 0):
             return False
         self._weight_versions[model] = version
-        now_ms = self._clock.now_ms()
+        now_ms = self._clock.boot_ms()
         gap_ms = self._freshness.age_ms
         is_new = gap_ms <= MAX_CONFIRMATION_GAP_MS
         self._weights_set_ms[model] = now_ms if is_new else now_ms - gap_ms
@@ -98,7 +101,7 @@
 
         The age is infinite if the process has just started.
         """
-        return self._clock.now_ms() - self._weights_set_ms.get(model, 0.0)
+        return self._clock.boot_ms() - self._weights_set_ms.get(model, 0.0)
 
     def old_weights_remaining_ms(self, model: str) -> float:
         """Return how long runs may still begin on older weights.
@@ -111,7 +114,7 @@
         """
         if model not in self._weight_versions or self._freshness.out_of_reach:
             return float('inf')
-        now_ms = self._clock.now_ms()
+        now_ms = self._clock.boot_ms()
         return max(
             self._weights_set_ms[model] + self._weights_deadline_ms - now_ms,
             self._started_ms + self._grace_ms - now_ms,
