Log what an entry knows of the age of a weight version

An entry said which version it had learned of, not how old it took it to be, from how old a copy, nor how long old weights stayed allowed; a request's last line had the version that it ran on, not whether that was still in time.

Test: the last line of a run on old weights has the time that was left.

--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -150,3 +150,12 @@
         freshness.confirm()
     assert config.weight_version_age_ms(MODEL) == DEADLINE_MS
     assert config.old_weights_remaining_ms(MODEL) <= 0
+
+
+def test_the_time_since_the_start_includes_what_passed_before():
+    clock = ManualClock(1_000_000.0)
+    config = DesiredConfig(
+        clock, Freshness(clock), DEADLINE_MS, CONTACT_MS, uptime_ms=700.0
+    )
+    clock.advance(300)
+    assert config.uptime_ms == 1_000.0
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -1,6 +1,7 @@
 """Tests what callers get and what targets see, however attempts end."""
 
 import itertools
+import logging
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -381,3 +382,14 @@
     target.weights.clear()
     channel = queued_past_the_weights_deadline(harness, resumable=False)
     assert channel.finished
+
+
+def test_the_log_has_the_time_that_was_left_for_old_weights(caplog):
+    caplog.set_level(logging.INFO)
+    harness = engine_harness([stream(1)], count=1)
+    harness.ctx.freshness.confirm()
+    harness.ctx.desired.set_weight_version(MODEL, 2)
+    run_stream(harness, stream_route())
+    line = [r for r in caplog.records if r.msg == 'request finished'][-1]
+    assert line.weights == 1
+    assert line.old_weights_remaining_ms == DEFAULT_WEIGHTS_DEADLINE_MS
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -103,6 +103,11 @@
         """
         return self._clock.boot_ms() - self._weights_set_ms.get(model, 0.0)
 
+    @property
+    def uptime_ms(self) -> float:
+        """The time since the start of the process, at least."""
+        return self._clock.boot_ms() - self._started_ms
+
     def old_weights_remaining_ms(self, model: str) -> float:
         """Return how long runs may still begin on older weights.
 
--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -23,6 +23,7 @@
 from wigeonmill.gateway.registration import EntryList
 from wigeonmill.gateway.rollout_notice import apply_rollout
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
+from wigeonmill.log import loggable_ms
 
 logger = logging.getLogger(__name__)
 
@@ -90,11 +91,9 @@
                         extra={'version': state.version},
                     )
             case DesiredWeightsChanged(model, version):
+                copy_age_ms = self._ctx.freshness.age_ms
                 if desired.set_weight_version(model, version):
-                    logger.info(
-                        'weight version requested',
-                        extra={'model': model, 'version': version},
-                    )
+                    self._log_weight_version(model, version, copy_age_ms)
             case DomainServiceChanged(domain, is_open):
                 desired.set_domain_open(domain, is_open)
                 logger.info(
@@ -107,3 +106,21 @@
                 self._ctx.directory.apply(target)
             case TargetUnlisted(target_id):
                 self._ctx.directory.remove(target_id)
+
+    def _log_weight_version(
+        self, model: str, version: int, copy_age_ms: float
+    ) -> None:
+        desired = self._ctx.desired
+        logger.info(
+            'weight version requested',
+            extra={
+                'model': model,
+                'version': version,
+                'age_ms': loggable_ms(desired.weight_version_age_ms(model)),
+                'copy_age_ms': loggable_ms(copy_age_ms),
+                'uptime_ms': loggable_ms(desired.uptime_ms),
+                'old_weights_remaining_ms': loggable_ms(
+                    desired.old_weights_remaining_ms(model)
+                ),
+            },
+        )
--- a/wigeonmill/gateway/run_log.py
+++ b/wigeonmill/gateway/run_log.py
@@ -8,6 +8,7 @@
 from wigeonmill.gateway.picker import Pick
 from wigeonmill.gateway.relay import Relay
 from wigeonmill.gateway.run_terms import RunTerms
+from wigeonmill.log import loggable_ms
 
 logger = logging.getLogger(__name__)
 
@@ -101,6 +102,9 @@
             'fetched_tokens': terms.plan.fetched_tokens,
             'saved_tokens': terms.plan.saved_tokens,
         }
+        old_weights_ms = terms.old_weights_remaining_ms
+        if old_weights_ms is not None:
+            extra['old_weights_remaining_ms'] = loggable_ms(old_weights_ms)
         if self._pick is not None:
             extra['expected_ms'] = round(self._pick.expected_ms, 1)
             extra['prefill_tokens'] = self._pick.prefill_tokens
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -45,6 +45,7 @@
         'deadline_ms',
         'plan',
         'weight_version',
+        'old_weights_remaining_ms',
     )
 
     def __init__(
@@ -68,6 +69,8 @@
         )
         self.plan = CachePlan()
         self.weight_version: int | None = None
+        # Set while the last target has older weights than operators want.
+        self.old_weights_remaining_ms: float | None = None
 
     @property
     def remaining_ms(self) -> float:
@@ -155,14 +158,11 @@
         It is infinite unless the target is known to have older weights.
         """
         generation = self.req.generation
-        if generation is None:
-            return float('inf')
-        desired = self._ctx.desired
-        newest_version = desired.weight_version(generation.model) or 0
-        version = target.weights.get(generation.model)
-        if version is None or version >= newest_version:
+        if generation is None or not self._has_old_weights(target):
             return float('inf')
-        remaining_ms = desired.old_weights_remaining_ms(generation.model)
+        remaining_ms = self._ctx.desired.old_weights_remaining_ms(
+            generation.model
+        )
         return self._ctx.clock.now_ms() + remaining_ms - CANCEL_MARGIN_MS
 
     def instructions(self, target: Target, priority: int) -> Instructions:
@@ -173,6 +173,11 @@
             return Instructions(target.id, self.remaining_ms, team)
         version = target.weights.get(generation.model)
         self.weight_version = version
+        self.old_weights_remaining_ms = None
+        if self._has_old_weights(target):
+            self.old_weights_remaining_ms = (
+                self._ctx.desired.old_weights_remaining_ms(generation.model)
+            )
         self.plan = self._planner.plan(self.req, self.team, target, version)
         return Instructions(
             target.id,
@@ -187,6 +192,15 @@
             last_event_id=self._relay.last_event_id,
         )
 
+    def _has_old_weights(self, target: Target) -> bool:
+        """Whether `target` is known to have older weights than desired."""
+        generation = self.req.generation
+        if generation is None:
+            return False
+        newest_version = self._ctx.desired.weight_version(generation.model)
+        version = target.weights.get(generation.model)
+        return version is not None and version < (newest_version or 0)
+
     def _objective(self) -> tuple[float, float]:
         """Return the objective and its remaining time, in ms.
 
--- a/wigeonmill/gateway/weights_rollout.py
+++ b/wigeonmill/gateway/weights_rollout.py
@@ -20,6 +20,7 @@
 from wigeonmill.gateway.rollout_plan import Wave
 from wigeonmill.gateway.sync import propagation_ms
 from wigeonmill.gateway.targets import Target
+from wigeonmill.log import loggable_ms
 
 logger = logging.getLogger(__name__)
 
@@ -241,7 +242,7 @@
             extra={
                 'model': model,
                 'version': desired_version,
-                'age_ms': round(age_ms) if age_ms < float('inf') else None,
+                'age_ms': loggable_ms(age_ms),
                 'targets': wave.start,
                 'drain_ms': round(drain_ms),
             },
--- a/wigeonmill/log.py
+++ b/wigeonmill/log.py
@@ -8,6 +8,7 @@
 
 import json
 import logging
+import math
 import os
 import sys
 import time
@@ -106,3 +107,8 @@
     root.setLevel(level)
     # The gateway logs callers' requests itself.
     logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
+
+
+def loggable_ms(duration_ms: float) -> int | None:
+    """Return a time in whole ms, or None if it is infinite, as in JSON."""
+    return round(duration_ms) if math.isfinite(duration_ms) else None
