--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -2,17 +2,23 @@
 
 from tests.gateway.samples import MODEL
 from wigeonmill.clock import ManualClock
+from wigeonmill.gateway.context import CONTACT_MARGIN_MS
 from wigeonmill.gateway.context import DesiredConfig
-from wigeonmill.gateway.context import UNKNOWN_AGE_GRACE_MS
 from wigeonmill.gateway.freshness import Freshness
 
 DEADLINE_MS = 8_000.0
+# The platform's time after a start from which an entry is bound by the rules.
+CONTACT_MS = 3_000.0
+GRACE_MS = CONTACT_MS - CONTACT_MARGIN_MS
 
 
-def make_config():
+def make_config(deadline_ms=DEADLINE_MS):
     clock = ManualClock(1_000_000.0)
     freshness = Freshness(clock)
-    return clock, freshness, DesiredConfig(clock, freshness, DEADLINE_MS)
+    config = DesiredConfig(
+        clock, freshness, deadline_ms, CONTACT_MS, uptime_ms=0.0
+    )
+    return clock, freshness, config
 
 
 def test_a_watched_change_has_its_whole_time():
@@ -34,7 +40,7 @@
     config.set_weight_version(MODEL, 2)
     freshness.confirm()
     assert config.weight_version_age_ms(MODEL) == float('inf')
-    assert config.old_weights_remaining_ms(MODEL) == UNKNOWN_AGE_GRACE_MS
+    assert config.old_weights_remaining_ms(MODEL) == GRACE_MS
 
 
 def test_a_change_made_while_the_entry_was_cut_off_is_as_old_as_the_gap():
@@ -44,8 +50,8 @@
     config.set_weight_version(MODEL, 2)
     freshness.confirm()
     assert config.weight_version_age_ms(MODEL) == 6_000
-    assert config.old_weights_remaining_ms(MODEL) == UNKNOWN_AGE_GRACE_MS
-    clock.advance(UNKNOWN_AGE_GRACE_MS)
+    assert config.old_weights_remaining_ms(MODEL) == GRACE_MS
+    clock.advance(GRACE_MS)
     freshness.confirm()
     assert config.old_weights_remaining_ms(MODEL) <= 0
 
@@ -73,9 +79,9 @@
     clock.advance(DEADLINE_MS + 5_000)
     assert config.old_weights_remaining_ms(MODEL) == float('inf')
     freshness.confirm()
-    assert config.old_weights_remaining_ms(MODEL) == UNKNOWN_AGE_GRACE_MS
+    assert config.old_weights_remaining_ms(MODEL) == GRACE_MS
     for _turn in range(5):
-        clock.advance(UNKNOWN_AGE_GRACE_MS / 4)
+        clock.advance(GRACE_MS / 4)
         freshness.confirm()
     assert config.old_weights_remaining_ms(MODEL) < 0
 
@@ -87,3 +93,69 @@
     clock.advance(DEADLINE_MS)
     freshness.confirm(age_ms=4_000.0)
     assert config.old_weights_remaining_ms(MODEL) == float('inf')
+
+
+# Guards against VERSION: after a restart of all entries, a run began on
+# replaced weights after the bound, at an entry that was in touch again.
+def test_a_slow_start_does_not_extend_the_time_of_old_weights():
+    clock, freshness, config = make_config()
+    clock.advance(CONTACT_MS / 2)
+    config.set_weight_version(MODEL, 2)
+    freshness.confirm()
+    clock.advance(CONTACT_MS / 2)
+    freshness.confirm()
+    assert config.old_weights_remaining_ms(MODEL) <= 0
+
+
+# Guards against VERSION: a listing that is read late gives old weights a time
+# of its own beyond the bound, at an entry that was in touch all along.
+def test_a_late_listing_does_not_extend_the_time_of_old_weights():
+    clock, freshness, config = make_config(deadline_ms=4_000.0)
+    freshness.confirm()
+    clock.advance(2_900)
+    config.set_weight_version(MODEL, 2)
+    freshness.confirm()
+    clock.advance(1_100)
+    freshness.confirm()
+    assert config.old_weights_remaining_ms(MODEL) <= 0
+
+
+class SuspendedClock(ManualClock):
+    """A clock whose monotonic time stands still while it is suspended."""
+
+    __slots__ = ('suspended_ms',)
+
+    def __init__(self):
+        super().__init__(1_000_000.0)
+        self.suspended_ms = 0.0
+
+    def boot_ms(self):
+        return self.now_ms() + self.suspended_ms
+
+
+# Guards against VERSION: an entry that was frozen in a rollout took weights to
+# be younger by that time, and sent runs to old ones after the bound.
+def test_the_time_of_old_weights_goes_on_while_the_process_is_frozen():
+    clock = SuspendedClock()
+    freshness = Freshness(clock)
+    config = DesiredConfig(
+        clock, freshness, DEADLINE_MS, CONTACT_MS, uptime_ms=0.0
+    )
+    freshness.confirm()
+    config.set_weight_version(MODEL, 2)
+    clock.suspended_ms = DEADLINE_MS - CONTACT_MS
+    freshness.confirm()
+    for _turn in range(4):
+        clock.advance(CONTACT_MS / 4)
+        freshness.confirm()
+    assert config.weight_version_age_ms(MODEL) == DEADLINE_MS
+    assert config.old_weights_remaining_ms(MODEL) <= 0
+
+
+def test_the_time_since_the_start_includes_what_passed_before():
+    clock = ManualClock(1_000_000.0)
+    config = DesiredConfig(
+        clock, Freshness(clock), DEADLINE_MS, CONTACT_MS, uptime_ms=700.0
+    )
+    clock.advance(300)
+    assert config.uptime_ms == 1_000.0
