Judge each weight version from its own time

What callers would have seen (VERSION): runs that begin on version 1 up to a whole bound after it was over, at entries that nothing disturbed, when version 3 is named before all targets have version 2.

Cause: an entry kept the time of the newest version only, so that naming one restarted the time of all older weights. The leader planned the drains of the oldest targets with the newest version's age, too.

Change: the time of each version is kept until that of a later one is over. A run on a version may begin until the first of the later versions has used up its bound; a wave's drains are planned for its oldest weights.

Tests: a run on version 1, 1 s after the bound of version 2, was sent before and is refused now. That test confirms the copy every second, since a gap of 12 s is an outage with its own time. The tests of the choice pass the time by version; that of a later version checks version 2 as before, and version 1 too.

--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -27,11 +27,11 @@
     clock.advance(400)
     config.set_weight_version(MODEL, 2)
     assert config.weight_version_age_ms(MODEL) == 0.0
-    assert config.old_weights_remaining_ms(MODEL) == DEADLINE_MS
+    assert config.old_weights_remaining_ms(MODEL, 1) == DEADLINE_MS
     for _turn in range(9):
         clock.advance(DEADLINE_MS / 8)
         freshness.confirm()
-    assert config.old_weights_remaining_ms(MODEL) < 0
+    assert config.old_weights_remaining_ms(MODEL, 1) < 0
 
 
 def test_a_started_process_does_not_know_the_age_of_a_version():
@@ -40,7 +40,7 @@
     config.set_weight_version(MODEL, 2)
     freshness.confirm()
     assert config.weight_version_age_ms(MODEL) == float('inf')
-    assert config.old_weights_remaining_ms(MODEL) == GRACE_MS
+    assert config.old_weights_remaining_ms(MODEL, 1) == GRACE_MS
 
 
 def test_a_change_made_while_the_entry_was_cut_off_is_as_old_as_the_gap():
@@ -50,15 +50,15 @@
     config.set_weight_version(MODEL, 2)
     freshness.confirm()
     assert config.weight_version_age_ms(MODEL) == 6_000
-    assert config.old_weights_remaining_ms(MODEL) == GRACE_MS
+    assert config.old_weights_remaining_ms(MODEL, 1) == GRACE_MS
     clock.advance(GRACE_MS)
     freshness.confirm()
-    assert config.old_weights_remaining_ms(MODEL) <= 0
+    assert config.old_weights_remaining_ms(MODEL, 1) <= 0
 
 
 def test_a_model_without_a_named_version_has_no_bound():
     _clock, _freshness, config = make_config()
-    assert config.old_weights_remaining_ms(MODEL) == float('inf')
+    assert config.old_weights_remaining_ms(MODEL, 1) == float('inf')
 
 
 def test_a_later_version_starts_its_own_time():
@@ -68,7 +68,8 @@
     clock.advance(5_000)
     freshness.confirm()
     config.set_weight_version(MODEL, 3)
-    assert config.old_weights_remaining_ms(MODEL) == DEADLINE_MS
+    assert config.old_weights_remaining_ms(MODEL, 2) == DEADLINE_MS
+    assert config.old_weights_remaining_ms(MODEL, 1) == DEADLINE_MS - 5_000
 
 
 def test_old_weights_stay_in_use_while_no_engine_can_be_ordered():
@@ -77,13 +78,13 @@
     freshness.confirm()
     config.set_weight_version(MODEL, 2)
     clock.advance(DEADLINE_MS + 5_000)
-    assert config.old_weights_remaining_ms(MODEL) == float('inf')
+    assert config.old_weights_remaining_ms(MODEL, 1) == float('inf')
     freshness.confirm()
-    assert config.old_weights_remaining_ms(MODEL) == GRACE_MS
+    assert config.old_weights_remaining_ms(MODEL, 1) == GRACE_MS
     for _turn in range(5):
         clock.advance(GRACE_MS / 4)
         freshness.confirm()
-    assert config.old_weights_remaining_ms(MODEL) < 0
+    assert config.old_weights_remaining_ms(MODEL, 1) < 0
 
 
 def test_an_old_copy_of_a_peer_does_not_bring_the_service_into_reach():
@@ -92,7 +93,7 @@
     config.set_weight_version(MODEL, 2)
     clock.advance(DEADLINE_MS)
     freshness.confirm(age_ms=4_000.0)
-    assert config.old_weights_remaining_ms(MODEL) == float('inf')
+    assert config.old_weights_remaining_ms(MODEL, 1) == float('inf')
 
 
 # Guards against VERSION: after a restart of all entries, a run began on
@@ -104,7 +105,7 @@
     freshness.confirm()
     clock.advance(CONTACT_MS / 2)
     freshness.confirm()
-    assert config.old_weights_remaining_ms(MODEL) <= 0
+    assert config.old_weights_remaining_ms(MODEL, 1) <= 0
 
 
 # Guards against VERSION: a listing that is read late gives old weights a time
@@ -117,7 +118,7 @@
     freshness.confirm()
     clock.advance(1_100)
     freshness.confirm()
-    assert config.old_weights_remaining_ms(MODEL) <= 0
+    assert config.old_weights_remaining_ms(MODEL, 1) <= 0
 
 
 class SuspendedClock(ManualClock):
@@ -149,7 +150,7 @@
         clock.advance(CONTACT_MS / 4)
         freshness.confirm()
     assert config.weight_version_age_ms(MODEL) == DEADLINE_MS
-    assert config.old_weights_remaining_ms(MODEL) <= 0
+    assert config.old_weights_remaining_ms(MODEL, 1) <= 0
 
 
 def test_the_time_since_the_start_includes_what_passed_before():
@@ -159,3 +160,14 @@
     )
     clock.advance(300)
     assert config.uptime_ms == 1_000.0
+
+
+def test_versions_whose_time_is_over_are_dropped():
+    clock, freshness, config = make_config()
+    for version in range(2, 60):
+        freshness.confirm()
+        config.set_weight_version(MODEL, version)
+        clock.advance(1_000)
+    assert config.old_weights_remaining_ms(MODEL, 1) < 0
+    assert config.old_weights_remaining_ms(MODEL, 58) == DEADLINE_MS - 1_000
+    assert len(config._weights_set_ms[MODEL]) <= DEADLINE_MS / 1_000 + 2
--- a/tests/gateway/test_picker.py
+++ b/tests/gateway/test_picker.py
@@ -283,14 +283,16 @@
     fleet = Fleet(old_and_new_engines())
     for remaining_ms in (0.0, -5_000.0):
         picked = fleet.pick(
-            desired_version=2, old_weights_remaining_ms=remaining_ms
+            desired_version=2, old_weights_remaining_ms={1: remaining_ms}.get
         )
         assert picked.target.id == 'e2'
 
 
 def test_old_weights_get_no_work_that_would_begin_after_their_time():
     fleet = Fleet(engines())
-    demand = make_demand(desired_version=2, old_weights_remaining_ms=2_000.0)
+    demand = make_demand(
+        desired_version=2, old_weights_remaining_ms={1: 2_000.0}.get
+    )
     assert fleet.picker.pick(demand).is_ok()
     for id_ in ('e0', 'e1', 'e2', 'e3'):
         fleet.target(id_).load.open(9_000, 200_000, 0)
@@ -298,9 +300,21 @@
     assert refusal.reason is Reason.OLD_WEIGHTS
 
 
+def test_each_version_of_old_weights_has_its_own_time():
+    records = [make_engine_record(f'e{n}', version=n) for n in (1, 2)]
+    fleet = Fleet(records)
+    picked = fleet.pick(
+        desired_version=3,
+        old_weights_remaining_ms={1: 0.0, 2: 5_000.0}.get,
+    )
+    assert picked.target.id == 'e2'
+
+
 def test_a_model_without_new_weights_in_time_is_refused_as_not_run():
     fleet = Fleet(engines())
-    demand = make_demand(desired_version=2, old_weights_remaining_ms=0.0)
+    demand = make_demand(
+        desired_version=2, old_weights_remaining_ms={1: 0.0}.get
+    )
     refusal = fleet.picker.pick(demand).unwrap_err()
     assert refusal.reason is Reason.OLD_WEIGHTS
     assert refusal.status == 503
@@ -310,7 +324,7 @@
 def test_plain_services_do_not_depend_on_weights():
     fleet = Fleet([make_record('t1')])
     picked = fleet.pick(
-        service=LEDGER, generation=None, old_weights_remaining_ms=0.0
+        service=LEDGER, generation=None, old_weights_remaining_ms={1: 0.0}.get
     )
     assert picked.target.id == 't1'
 
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -393,3 +393,20 @@
     line = [r for r in caplog.records if r.msg == 'request finished'][-1]
     assert line.weights == 1
     assert line.old_weights_remaining_ms == DEFAULT_WEIGHTS_DEADLINE_MS
+
+
+# Guards against VERSION: naming a third version prolonged the time of the
+# first, although the time for the second was over.
+def test_a_later_version_does_not_extend_the_time_of_the_oldest_weights():
+    harness = engine_harness([stream(1)], count=1)
+    harness.ctx.freshness.confirm()
+    harness.ctx.desired.set_weight_version(MODEL, 2)
+    harness.clock.advance(4_000)
+    harness.ctx.freshness.confirm()
+    harness.ctx.desired.set_weight_version(MODEL, 3)
+    for _turn in range(12):
+        harness.clock.advance((DEFAULT_WEIGHTS_DEADLINE_MS - 3_000) / 12)
+        harness.ctx.freshness.confirm()
+    channel = run_stream(harness)
+    assert not harness.client.sent
+    assert channel.status == 503
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -34,7 +34,6 @@
         'state',
         'table',
         '_closed_domains',
-        '_weight_versions',
         '_weights_set_ms',
         '_weights_deadline_ms',
         '_grace_ms',
@@ -56,8 +55,8 @@
         self.state: DesiredState | None = None
         self.table = RouteTable(())
         self._closed_domains: set[str] = set()
-        self._weight_versions: dict[str, int] = {}
-        self._weights_set_ms: dict[str, float] = {}
+        # By model, the versions that were set and when, in ascending order.
+        self._weights_set_ms: dict[str, dict[int, float]] = {}
         self._weights_deadline_ms = weights_deadline_ms
         self._grace_ms = max(0.0, contact_ms - CONTACT_MARGIN_MS)
         self._started_ms = clock.boot_ms() - uptime_ms
@@ -83,53 +82,74 @@
 
     def set_weight_version(self, model: str, version: int) -> bool:
         """Set a model's weight version, unless it or a later one was set."""
-        if version <= self._weight_versions.get(model, 0):
+        if version <= (self.weight_version(model) or 0):
             return False
-        self._weight_versions[model] = version
         now_ms = self._clock.boot_ms()
         gap_ms = self._freshness.age_ms
         is_new = gap_ms <= MAX_CONFIRMATION_GAP_MS
-        self._weights_set_ms[model] = now_ms if is_new else now_ms - gap_ms
+        set_ms = self._weights_set_ms.setdefault(model, {})
+        set_ms[version] = now_ms if is_new else now_ms - gap_ms
+        self._drop_expired(set_ms)
         return True
 
+    def _drop_expired(self, set_ms: dict[int, float]) -> None:
+        """Drop versions after which a later one has expired, too."""
+        oldest_ms = self._clock.boot_ms() - self._weights_deadline_ms
+        versions = list(set_ms)
+        for version, next_version in zip(versions, versions[1:], strict=False):
+            if set_ms[next_version] < oldest_ms:
+                del set_ms[version]
+
     def weight_version(self, model: str) -> int | None:
         """Return the newest weight version set for a model, or None."""
-        return self._weight_versions.get(model)
+        return max(self._weights_set_ms.get(model, ()), default=None)
 
-    def weight_version_age_ms(self, model: str) -> float:
+    def weight_version_age_ms(
+        self, model: str, loaded: int | None = None
+    ) -> float:
         """Return how long ago the newest weight version was set, at most.
 
-        The age is infinite if the process has just started.
+        With `loaded`, the oldest of the versions after that one counts. The
+        age is infinite if the process has just started.
         """
-        return self._clock.boot_ms() - self._weights_set_ms.get(model, 0.0)
+        set_ms = self._weights_set_ms.get(model, {})
+        if loaded is None:
+            loaded = (self.weight_version(model) or 0) - 1
+        later_ms = [at for version, at in set_ms.items() if version > loaded]
+        return self._clock.boot_ms() - min(later_ms, default=0.0)
 
     @property
     def uptime_ms(self) -> float:
         """The time since the start of the process, at least."""
         return self._clock.boot_ms() - self._started_ms
 
-    def old_weights_remaining_ms(self, model: str) -> float:
-        """Return how long runs may still begin on older weights.
+    def old_weights_remaining_ms(self, model: str, loaded: int) -> float:
+        """Return how long runs may still begin on version `loaded`.
 
-        The result is negative once the time for the newest version is over.
+        It ends once the time for any later version is over, and is negative
+        from then on.
         The time does not end while the key-value service is out of reach,
         without which no engine can be ordered to load, and for the grace time
         after that. A process that has just started does not know how old a
         version is; it has the grace time from its start.
         """
-        if model not in self._weight_versions or self._freshness.out_of_reach:
+        newest_version = self.weight_version(model) or 0
+        if loaded >= newest_version or self._freshness.out_of_reach:
             return float('inf')
-        now_ms = self._clock.boot_ms()
+        age_ms = self.weight_version_age_ms(model, loaded)
         return max(
-            self._weights_set_ms[model] + self._weights_deadline_ms - now_ms,
-            self._started_ms + self._grace_ms - now_ms,
+            self._weights_deadline_ms - age_ms,
+            self._grace_ms - self.uptime_ms,
             self._grace_ms - self._freshness.since_restored_ms,
         )
 
     @property
     def weight_versions(self) -> dict[str, int]:
         """The newest weight version set for each model that has one."""
-        return dict(self._weight_versions)
+        return {
+            model: max(versions)
+            for model, versions in self._weights_set_ms.items()
+        }
 
 
 class GatewayContext:
--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -120,7 +120,7 @@
                 'copy_age_ms': loggable_ms(copy_age_ms),
                 'uptime_ms': loggable_ms(desired.uptime_ms),
                 'old_weights_remaining_ms': loggable_ms(
-                    desired.old_weights_remaining_ms(model)
+                    desired.old_weights_remaining_ms(model, version - 1)
                 ),
             },
         )
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import inf
 import random
 
 from result import Err
@@ -65,8 +66,8 @@
     `avoid` names the targets that were already tried. If `regions` is empty,
     any region is allowed. `fetchable_tokens` of the prompt can be fetched
     from a cache store. `desired_version` is the newest weight version that
-    operators have set for the model. No run may begin on older weights once
-    `old_weights_remaining_ms` have passed.
+    operators have set for the model. No run may begin on an older version
+    once the time that `old_weights_remaining_ms` returns for it has passed.
     """
 
     service: str
@@ -83,7 +84,7 @@
     fetchable_tokens: int = 0
     desired_version: int | None = None
     penalize_old_weights: bool = False
-    old_weights_remaining_ms: float = float('inf')
+    old_weights_remaining_ms: Callable[[int], float] = lambda _loaded: inf
     entry_position: float = 0.0
 
     @property
@@ -198,7 +199,6 @@
         generation = demand.generation
         if generation is None:
             return list(usable)
-        latest_ms = demand.old_weights_remaining_ms - BEGIN_MARGIN_MS
         return [
             target
             for target in usable
@@ -206,7 +206,10 @@
             or target.load.first_token_ms(
                 generation.prompt_tokens, demand.priority, target.slots
             )
-            <= latest_ms
+            <= demand.old_weights_remaining_ms(
+                target.weights[generation.model]
+            )
+            - BEGIN_MARGIN_MS
         ]
 
     def _within_cold_rate(
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -116,7 +116,6 @@
         spec = self._service_spec()
         newest_version = None
         weights_due = False
-        old_weights_ms = float('inf')
         fetchable = 0
         if generation is not None:
             newest_version = self._ctx.desired.weight_version(generation.model)
@@ -125,9 +124,6 @@
                 newest_version is not None
                 and age_ms >= OLD_WEIGHTS_GRACE_MS / 2
             )
-            old_weights_ms = self._ctx.desired.old_weights_remaining_ms(
-                generation.model
-            )
             fetchable = self._planner.fetchable_tokens(
                 self.req, self.team, newest_version
             )
@@ -149,7 +145,7 @@
             fetchable_tokens=fetchable,
             desired_version=newest_version,
             penalize_old_weights=weights_due,
-            old_weights_remaining_ms=old_weights_ms,
+            old_weights_remaining_ms=self._old_weights_remaining_ms,
         )
 
     def begin_by_ms(self, target: Target) -> float:
@@ -157,12 +153,9 @@
 
         It is infinite unless the target is known to have older weights.
         """
-        generation = self.req.generation
-        if generation is None or not self._has_old_weights(target):
+        if not self._has_old_weights(target):
             return float('inf')
-        remaining_ms = self._ctx.desired.old_weights_remaining_ms(
-            generation.model
-        )
+        remaining_ms = self._target_remaining_ms(target)
         return self._ctx.clock.now_ms() + remaining_ms - CANCEL_MARGIN_MS
 
     def instructions(self, target: Target, priority: int) -> Instructions:
@@ -175,9 +168,7 @@
         self.weight_version = version
         self.old_weights_remaining_ms = None
         if self._has_old_weights(target):
-            self.old_weights_remaining_ms = (
-                self._ctx.desired.old_weights_remaining_ms(generation.model)
-            )
+            self.old_weights_remaining_ms = self._target_remaining_ms(target)
         self.plan = self._planner.plan(self.req, self.team, target, version)
         return Instructions(
             target.id,
@@ -201,6 +192,21 @@
         version = target.weights.get(generation.model)
         return version is not None and version < (newest_version or 0)
 
+    def _target_remaining_ms(self, target: Target) -> float:
+        """Return how long the run may still begin on `target`'s weights."""
+        generation = self.req.generation
+        if generation is None:
+            return float('inf')
+        return self._old_weights_remaining_ms(target.weights[generation.model])
+
+    def _old_weights_remaining_ms(self, loaded: int) -> float:
+        generation = self.req.generation
+        if generation is None:
+            return float('inf')
+        return self._ctx.desired.old_weights_remaining_ms(
+            generation.model, loaded
+        )
+
     def _objective(self) -> tuple[float, float]:
         """Return the objective and its remaining time, in ms.
 
--- a/wigeonmill/gateway/weights_rollout.py
+++ b/wigeonmill/gateway/weights_rollout.py
@@ -129,7 +129,7 @@
         )
         if not published:
             return
-        self._start_wave(wave, model, desired_version)
+        self._start_wave(wave, model, desired_version, engines)
         for target in drained:
             self._start_order(target, model, desired_version)
 
@@ -225,12 +225,21 @@
         return plan_wave(states, desired_version)
 
     def _start_wave(
-        self, wave: Wave, model: str, desired_version: int
+        self,
+        wave: Wave,
+        model: str,
+        desired_version: int,
+        engines: Sequence[Target],
     ) -> None:
         """Let the next engines drain; the entries know that they will load."""
         if not wave.start:
             return
-        age_ms = self._ctx.desired.weight_version_age_ms(model)
+        oldest = min(
+            target.weights[model]
+            for target in engines
+            if target.id in wave.start
+        )
+        age_ms = self._ctx.desired.weight_version_age_ms(model, oldest)
         drain_ms = self._budget.drain_ms(age_ms, wave.waves_left)
         now_ms = self._clock.now_ms()
         for id_ in wave.start:
