Take a start in an outage as an outage

What callers would have seen: an entry that starts while the key-value service is away, and gets a peer's copy, refuses all targets with older weights until 3 s after its start, although no engine can be ordered to load. Brought in by: the service counted as within reach for 3 s from the start even if the only copy was older.

Change: the time of the start counts only while nothing was heard at all. Test: failed (the time left was negative), passes now.

--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -171,3 +171,14 @@
     assert config.old_weights_remaining_ms(MODEL, 1) < 0
     assert config.old_weights_remaining_ms(MODEL, 58) == DEADLINE_MS - 1_000
     assert len(config._weights_set_ms[MODEL]) <= DEADLINE_MS / 1_000 + 2
+
+
+# Guards against refusals without need: an entry that starts in an outage gets
+# an old copy from a peer, and no engine can be ordered to load yet.
+def test_a_start_in_an_outage_leaves_old_weights_in_use():
+    clock, freshness, config = make_config()
+    clock.advance(100)
+    config.set_weight_version(MODEL, 2)
+    freshness.confirm(age_ms=4_000.0)
+    clock.advance(GRACE_MS)
+    assert config.old_weights_remaining_ms(MODEL, 1) == float('inf')
--- a/wigeonmill/gateway/freshness.py
+++ b/wigeonmill/gateway/freshness.py
@@ -36,7 +36,9 @@
     @property
     def out_of_reach(self) -> bool:
         """Whether nothing has been heard of the service for some time."""
-        heard_ms = max(self._confirmed_ms, self._started_ms)
+        heard_ms = self._confirmed_ms
+        if heard_ms == float('-inf'):
+            heard_ms = self._started_ms
         return self._clock.boot_ms() - heard_ms > OUT_OF_REACH_MS
 
     @property
