Measure the start of a process on the clock, not by its processor time

The bound on old weights was kept, the time of grace was not.

Tests: a processor clock of 40,000 s gave as much uptime before, and has no effect now; the time passed on counts.

--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -76,7 +76,9 @@
         clock: Clock,
         rng: random.Random,
         load_settings: LoadSettings,
+        uptime_ms: float = 0.0,
     ) -> None:
+        """Create the role of a process that has run for `uptime_ms`."""
         self._settings = settings
         self._load_settings = load_settings
         self._adapter = adapter
@@ -102,8 +104,7 @@
             settings.weights_deadline_ms,
             self._entries.position,
             settings.contact_ms,
-            # The process has run at least as long as it has used a processor.
-            uptime_ms=time.process_time() * 1_000.0,
+            uptime_ms,
         )
         self._sync = MirrorSync(
             adapter.source,
