Count a weight version from the last complete copy, however recent

What callers would have seen (VERSION): a queued run that begins up to 200 ms after the bound at an entry that learned of the version from a peer. A version that came within 500 ms of the last confirmed copy counted as new, which is longer than the 250 ms that are left for a cancellation.

Change: the age is always that of the copy. A watch confirms the copy before its changes are applied, so the versions that it brings are as new as before.

The test of a watched change had 400 ms between the copy and the change, which is no watch; it has none now, and the new test stands for that case with the stricter bound.

--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -24,7 +24,6 @@
 def test_a_watched_change_has_its_whole_time():
     clock, freshness, config = make_config()
     freshness.confirm()
-    clock.advance(400)
     config.set_weight_version(MODEL, 2)
     assert config.weight_version_age_ms(MODEL) == 0.0
     assert config.old_weights_remaining_ms(MODEL, 1) == DEADLINE_MS
@@ -34,6 +33,17 @@
     assert config.old_weights_remaining_ms(MODEL, 1) < 0
 
 
+# Guards against VERSION: a version that came from a peer 400 ms after the copy
+# was confirmed counted as new, and runs began up to that much after the bound.
+def test_a_change_may_be_as_old_as_the_last_copy():
+    clock, freshness, config = make_config()
+    freshness.confirm()
+    clock.advance(400)
+    config.set_weight_version(MODEL, 2)
+    assert config.weight_version_age_ms(MODEL) == 400
+    assert config.old_weights_remaining_ms(MODEL, 1) == DEADLINE_MS - 400
+
+
 def test_a_started_process_does_not_know_the_age_of_a_version():
     """All entries restart: each learns the version from the store alone."""
     clock, freshness, config = make_config()
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -14,9 +14,6 @@
 from wigeonmill.metrics import Metrics
 from wigeonmill.routing.circuit import CircuitBreakers
 
-# A change that was learned within this time after the copy of the key-value
-# service was confirmed counts as new. Otherwise it may be as old as the copy.
-MAX_CONFIRMATION_GAP_MS = 500.0
 DEFAULT_WEIGHTS_DEADLINE_MS = 15_000.0
 DEFAULT_CONTACT_MS = 3_000.0
 # Part of the contact time in which an entry does not yet know that it is over:
@@ -84,11 +81,9 @@
         """Set a model's weight version, unless it or a later one was set."""
         if version <= (self.weight_version(model) or 0):
             return False
-        now_ms = self._clock.boot_ms()
-        gap_ms = self._freshness.age_ms
-        is_new = gap_ms <= MAX_CONFIRMATION_GAP_MS
         set_ms = self._weights_set_ms.setdefault(model, {})
-        set_ms[version] = now_ms if is_new else now_ms - gap_ms
+        # The version was not in the last copy that was known to be complete.
+        set_ms[version] = self._clock.boot_ms() - self._freshness.age_ms
         self._drop_expired(set_ms)
         return True
 
