Know the software version of a target and the request a caller resumes

Targets of several software versions may serve side by side in a service, and what two versions write does not fit together. The record of a target states its version, and a caller that resumes a stream names the request that began it; neither was decoded.

No behaviour changes yet: nothing selects targets by it.

--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -34,11 +34,13 @@
         Prefix_Hash='5c1e:800,91bd:410, e440:250',
         Length_Hint='33',
         Last_Event_Id='12',
+        Resumes='q0',
     )
     req = decode(headers, b'body').unwrap()
     assert (req.id, req.key, req.deadline_ms) == ('q1', 'secret', 3000.0)
     assert (req.method, req.target, req.path) == ('POST', '/a/b?c=d', '/a/b')
     assert req.last_event_id == 12
+    assert req.resumed_id == 'q0'
     assert req.generation.prompt_tokens == 1460
     assert req.generation.max_answer_tokens == 80
     assert [part.tokens for part in req.generation.parts] == [800, 410, 250]
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -94,6 +94,17 @@
     )
     assert target.weights == {'m': 3}
     assert target.cold_remaining_ms == 250.0
+    assert target.software_version == 'v1'
+
+
+@pytest.mark.parametrize(
+    ('listed', 'expected'),
+    [('v1.2', 'v1.2'), (3, '3'), (None, ''), (True, ''), (['v1'], '')],
+)
+def test_a_target_may_state_no_usable_software_version(listed, expected):
+    change = decode('servers/i-1', TARGET | {'version': listed})
+    assert isinstance(change, TargetListed)
+    assert change.target.software_version == expected
 
 
 @pytest.mark.parametrize(
--- a/wigeonmill/gateway/request.py
+++ b/wigeonmill/gateway/request.py
@@ -51,7 +51,8 @@
     `target` is the path and query of the request line as sent. `fields` are
     the header fields to pass on unchanged. `deadline_ms` is how long the
     caller waits, counted from `arrived_ms`. `last_event_id` is set if the
-    caller resumes a stream.
+    caller resumes a stream, and `resumed_id` is then the id of the request
+    that began it, if the caller states it.
     """
 
     id: str
@@ -65,6 +66,7 @@
     body: bytes = b''
     generation: Generation | None = None
     last_event_id: int | None = None
+    resumed_id: str = ''
 
     @property
     def path(self) -> str:
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -28,7 +28,8 @@
 
     `id` and `started_at_ms`, the wall time of its start, identify a lifetime.
     `heartbeat` orders the records of one lifetime. `weights` maps the models
-    to their weight versions.
+    to their weight versions. `software_version` is empty if the target does
+    not state that of its software.
     """
 
     id: str
@@ -41,6 +42,7 @@
     cold_remaining_ms: float
     heartbeat: int
     weights: dict[str, int] = field(default_factory=dict)
+    software_version: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,7 @@
         'service',
         'address',
         'failure_domain',
+        'software_version',
         'slots',
         'heartbeat',
         'draining',
@@ -86,6 +89,7 @@
         self.service = record.service
         self.address = record.address
         self.failure_domain = record.failure_domain
+        self.software_version = record.software_version
         self.slots = record.slots
         self.heartbeat = record.heartbeat
         self.draining = record.draining
