Test that a stream goes on only at the software that began it

The tests show both ways: within one answer after a target broke off, and when the caller comes back, with an origin that the entry knows or does not know.

--- /dev/null
+++ b/tests/gateway/test_software_versions.py
@@ -0,0 +1,109 @@
+"""Tests where a stream goes on while a service has several versions."""
+
+import pytest
+
+from tests.gateway.fakes import FakeChannel
+from tests.gateway.fakes import Harness
+from tests.gateway.fakes import make_head
+from tests.gateway.samples import ENGINES
+from tests.gateway.samples import make_engine_record
+from tests.gateway.samples import make_generation
+from tests.gateway.samples import make_request
+from tests.gateway.samples import make_route
+from wigeonmill.gateway.desired import RouteKind
+from wigeonmill.gateway.desired import ServiceShare
+from wigeonmill.gateway.target_client import ExchangeEnd
+
+
+def harness_of(versions, scripts):
+    """Return a harness with an engine of each of `versions`."""
+    records = [
+        make_engine_record(f'e{n}', software_version=version)
+        for n, version in enumerate(versions)
+    ]
+    return Harness(scripts, records)
+
+
+def events(*numbers):
+    return b''.join(b'id: %d\ndata: x\n\n' % number for number in numbers)
+
+
+def broken_after(*numbers):
+    return (make_head(), events(*numbers), ExchangeEnd.BROKEN)
+
+
+def complete(*numbers):
+    return (make_head(), events(*numbers), ExchangeEnd.COMPLETE)
+
+
+def run_stream(harness, id_='q1', max_targets=3, **changes):
+    route = make_route(
+        kind=RouteKind.STREAMING,
+        resumable=True,
+        shares=(ServiceShare(ENGINES, 1.0),),
+        timeout_ms=15_000.0,
+        gap_objective_ms=400.0,
+        objective_ms=800.0,
+        max_targets=max_targets,
+    )
+    req = make_request(
+        id=id_,
+        arrived_ms=harness.clock.now_ms(),
+        generation=make_generation(),
+        deadline_ms=15_000.0,
+        **changes,
+    )
+    harness.channel = FakeChannel()
+    return harness.run(req, route)
+
+
+def versions_sent_to(harness):
+    directory = harness.ctx.directory
+    return [
+        directory.get(target_id).software_version
+        for target_id, _instructions, _exchange in harness.client.sent
+    ]
+
+
+# Guards against ORDER: the entry sent a started stream on to a target of
+# another software version when its own broke off.
+@pytest.mark.parametrize(
+    'others', [['v2'], [''], ['v1', 'v2', 'v2', 'v2'], ['', 'v1', '', '']]
+)
+def test_a_broken_stream_goes_on_only_at_the_software_that_began_it(others):
+    harness = harness_of(['v1'], [broken_after(1), complete(2)])
+    for turn, version in enumerate(others):
+        record = make_engine_record(f'n{turn}', software_version=version)
+        harness.ctx.directory.apply(record)
+        harness.ctx.directory.get(f'n{turn}').refusing_until_ms = (
+            harness.clock.now_ms() + 1.0
+        )
+    channel = run_stream(harness)
+    assert set(versions_sent_to(harness)) == {'v1'}
+    assert channel.finished == ('v1' in others)
+    assert channel.aborted != channel.finished
+
+
+# Guards against ORDER: a caller came back with a stream, and the entry sent it
+# on to any target of the service.
+def test_a_resumed_stream_of_unknown_origin_is_refused_beside_two_versions():
+    harness = harness_of(['v1', 'v1', 'v2'], [complete(9)])
+    channel = run_stream(harness, last_event_id=8)
+    assert channel.status == 503
+    assert harness.client.sent == []
+
+
+# Guards against ORDER: the same, with an origin that the entry knows.
+def test_a_resumed_stream_goes_on_at_the_software_that_began_it():
+    versions = ['v1', 'v2', 'v1', 'v2']
+    harness = harness_of(versions, [broken_after(1)] * 3)
+    run_stream(harness, max_targets=1)
+    (began,) = set(versions_sent_to(harness))
+    harness.client.sent.clear()
+    harness.client.set_scripts([complete(2)])
+    for turn in range(12):
+        channel = run_stream(
+            harness, f'r{turn}', last_event_id=1, resumed_id='q1'
+        )
+        assert channel.finished
+    assert set(versions_sent_to(harness)) == {began}
