Keep the origins of streams in each entry

The software that began a stream has to be known when its caller comes back. This is the part that one entry knows by itself: the last target that it sent each stream to, bounded to 20,000 streams. Nothing reads it yet.

--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -10,6 +10,8 @@
 from wigeonmill.gateway.desired import DesiredState
 from wigeonmill.gateway.desired import RouteTable
 from wigeonmill.gateway.freshness import Freshness
+from wigeonmill.gateway.stream_origins import LocalStreamOrigins
+from wigeonmill.gateway.stream_origins import StreamOrigins
 from wigeonmill.gateway.targets import Directory
 from wigeonmill.metrics import Metrics
 from wigeonmill.routing.circuit import CircuitBreakers
@@ -128,6 +130,7 @@
         'directory',
         'circuits',
         'crash_guard',
+        'origins',
         'entry_count',
         'entry_position',
         '_retry_limits',
@@ -154,6 +157,7 @@
         self.directory = Directory(clock)
         self.circuits = CircuitBreakers(clock, rng)
         self.crash_guard = CrashGuard(clock)
+        self.origins: StreamOrigins = LocalStreamOrigins()
         # Returns the number of entries that may be alive.
         self.entry_count = entry_count
         # Returns the position of this entry among them, from 0 to 1.
--- a/wigeonmill/gateway/stream_origins.py
+++ b/wigeonmill/gateway/stream_origins.py
@@ -1,10 +1,14 @@
 """Which software began a stream, so that only the same software resumes it."""
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import Protocol
 
 from wigeonmill.gateway.targets import Target
 
+# Limit of the origins that an entry keeps; the oldest are dropped first.
+MAX_ORIGINS = 20_000
+
 
 @dataclass(frozen=True, slots=True)
 class StreamOrigin:
@@ -54,3 +58,31 @@
         target.id,
         target.started_at_ms,
     )
+
+
+class LocalStreamOrigins:
+    """The origins of the streams that this entry has sent to targets."""
+
+    __slots__ = ('_by_request',)
+
+    def __init__(self) -> None:
+        self._by_request: OrderedDict[str, StreamOrigin] = OrderedDict()
+
+    def record(self, request_id: str, target: Target) -> None:
+        """Record that a stream is sent to `target` to begin there."""
+        self.add(request_id, origin_of(target))
+
+    def add(self, request_id: str, origin: StreamOrigin) -> None:
+        """Record an origin; it replaces an earlier one of the request."""
+        self._by_request[request_id] = origin
+        self._by_request.move_to_end(request_id)
+        if len(self._by_request) > MAX_ORIGINS:
+            self._by_request.popitem(last=False)
+
+    def get(self, request_id: str) -> StreamOrigin | None:
+        """Return the recorded origin of a stream, if there is one."""
+        return self._by_request.get(request_id)
+
+    async def find(self, request_id: str, service: str) -> StreamOrigin | None:
+        """Return the origin of a stream, or None if it is unknown."""
+        return self.get(request_id)
