Let a stream go on only at the software that began it

Cause: the product had no notion of a target's software. A target was chosen for the rest of a stream like for a new one, by the entry itself when a target broke off or stalled, and when the caller came back.

Change: the origin of a stream (service, software version, lifetime of the target) is recorded when it is sent out, and bound to the request with the first event. From then on the choice leaves out all targets of other software, within the answer and for a caller that resumes. An unknown version equals no other, except that of the same lifetime. A resumed stream returns to the service that began it if its route is split. If no target runs that software, or its origin is unknown, the caller is told at once, as not run and without a time to return, since it can't go on later either. A stalled stream is left only if another target would take it: otherwise leaving it broke it off.

An entry knows only the origins of streams that it sent out itself, so far; a caller that comes back elsewhere is refused.

The sample record of an engine states a software version, as the platform's do, and the test of a caller that resumes names the request that it resumes; their checks are the same.

--- a/tests/gateway/samples.py
+++ b/tests/gateway/samples.py
@@ -69,7 +69,12 @@
 
 
 def make_engine_record(id_='e1', version=1, **changes):
-    values = {'service': ENGINES, 'slots': 128, 'weights': {MODEL: version}}
+    values = {
+        'service': ENGINES,
+        'slots': 128,
+        'weights': {MODEL: version},
+        'software_version': 'v1',
+    }
     return make_record(id_, **(values | changes))
 
 
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -223,7 +223,9 @@
 
 def test_a_resuming_caller_gets_only_the_missing_events():
     harness = engine_harness([stream(8, 9)])
-    channel = run_stream(harness, last_event_id=8)
+    (began_at, *_others) = harness.ctx.directory.all()
+    harness.ctx.origins.record('q0', began_at)
+    channel = run_stream(harness, last_event_id=8, resumed_id='q0')
     assert channel.body == event(9)
     assert harness.client.sent[0][1].last_event_id == 8
 
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -10,6 +10,7 @@
 from tests.gateway.samples import make_generation
 from tests.gateway.samples import make_request
 from tests.gateway.samples import make_route
+from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.desired import ServiceShare
 from wigeonmill.gateway.target_client import ExchangeEnd
@@ -32,15 +33,22 @@
     return (make_head(), events(*numbers), ExchangeEnd.BROKEN)
 
 
-def complete(*numbers):
-    return (make_head(), events(*numbers), ExchangeEnd.COMPLETE)
+def complete(*numbers, request_id='q1'):
+    head = make_head(request_id=request_id)
+    return (head, events(*numbers), ExchangeEnd.COMPLETE)
 
 
-def run_stream(harness, id_='q1', max_targets=3, **changes):
+def run_stream(
+    harness,
+    id_='q1',
+    max_targets=3,
+    shares=(ServiceShare(ENGINES, 1.0),),
+    **changes,
+):
     route = make_route(
         kind=RouteKind.STREAMING,
         resumable=True,
-        shares=(ServiceShare(ENGINES, 1.0),),
+        shares=shares,
         timeout_ms=15_000.0,
         gap_objective_ms=400.0,
         objective_ms=800.0,
@@ -100,10 +108,53 @@
     run_stream(harness, max_targets=1)
     (began,) = set(versions_sent_to(harness))
     harness.client.sent.clear()
-    harness.client.set_scripts([complete(2)])
-    for turn in range(12):
-        channel = run_stream(
-            harness, f'r{turn}', last_event_id=1, resumed_id='q1'
-        )
+    ids = [f'r{turn}' for turn in range(12)]
+    harness.client.set_scripts([complete(2, request_id=id_) for id_ in ids])
+    for id_ in ids:
+        channel = run_stream(harness, id_, last_event_id=1, resumed_id='q1')
         assert channel.finished
     assert set(versions_sent_to(harness)) == {began}
+
+
+def test_a_resumed_stream_returns_to_the_service_that_began_it():
+    """A route that is split between services chooses one for each request."""
+    harness = harness_of(['v1', 'v1'], [complete(2)])
+    for number in range(2):
+        record = make_engine_record(f'o{number}', service='other')
+        harness.ctx.directory.apply(record)
+    shares = (ServiceShare(ENGINES, 1.0), ServiceShare('other', 1_000.0))
+    harness.ctx.origins.record('q0', harness.ctx.directory.get('e0'))
+    channel = run_stream(
+        harness, shares=shares, last_event_id=1, resumed_id='q0'
+    )
+    assert channel.finished
+    assert harness.client.sent[0][0] in ('e0', 'e1')
+
+
+def test_a_stream_whose_software_is_gone_is_refused_without_a_time():
+    """It can't go on later either, so its caller must begin anew."""
+    harness = harness_of(['v1', 'v2'], [complete(2)])
+    harness.ctx.origins.record('q0', harness.ctx.directory.get('e0'))
+    harness.ctx.directory.remove('e0')
+    channel = run_stream(harness, last_event_id=1, resumed_id='q0')
+    assert channel.refusal.reason is Reason.OTHER_SOFTWARE
+    assert channel.refusal.retry_after_ms is None
+    assert harness.client.sent == []
+
+
+def test_a_stalled_stream_is_kept_while_no_target_runs_its_software():
+    """Leaving it could only break it off."""
+
+    def late_event():
+        harness.clock.advance(4_000)
+        return events(2)
+
+    first = (make_head(), events(1), late_event, ExchangeEnd.COMPLETE)
+    harness = harness_of(['v1'], [first])
+    harness.ctx.directory.apply(
+        make_engine_record('n1', software_version='v2')
+    )
+    harness.ctx.directory.get('n1').refusing_until_ms = float('inf')
+    channel = run_stream(harness)
+    assert channel.finished
+    assert channel.body == events(1, 2)
--- a/wigeonmill/gateway/answers.py
+++ b/wigeonmill/gateway/answers.py
@@ -19,6 +19,8 @@
     TARGETS_FULL = 'targets_full'
     TARGETS_COLD = 'targets_cold'
     OLD_WEIGHTS = 'old_weights'
+    OTHER_SOFTWARE = 'other_software'
+    ORIGIN_UNKNOWN = 'origin_unknown'
     TOO_LATE = 'too_late'
     CRASHES_TARGETS = 'crashes_targets'
     RETRIES_SPENT = 'retries_spent'
@@ -40,6 +42,8 @@
     Reason.TARGETS_FULL: 503,
     Reason.TARGETS_COLD: 503,
     Reason.OLD_WEIGHTS: 503,
+    Reason.OTHER_SOFTWARE: 503,
+    Reason.ORIGIN_UNKNOWN: 503,
     Reason.TOO_LATE: 503,
     Reason.CRASHES_TARGETS: 503,
     Reason.RETRIES_SPENT: 503,
@@ -49,6 +53,9 @@
     Reason.BROKEN_OFF: 502,
 }
 
+# Refusals of a stream that can't go on, so the caller must begin it anew.
+UNRESUMABLE_REASONS = frozenset((Reason.OTHER_SOFTWARE, Reason.ORIGIN_UNKNOWN))
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -1,5 +1,7 @@
 """One attempt of a request at one target, up to its answer or failure."""
 
+from collections.abc import Callable
+
 from wigeonmill.gateway.answers import AnswerHead
 from wigeonmill.gateway.answers import CallerChannel
 from wigeonmill.gateway.answers import NOT_RUN_STATUSES
@@ -15,6 +17,7 @@
 from wigeonmill.gateway.failures import transfer_failed
 from wigeonmill.gateway.relay import Relay
 from wigeonmill.gateway.run_terms import RunTerms
+from wigeonmill.gateway.stream_origins import origin_of
 from wigeonmill.gateway.target_client import Exchange
 from wigeonmill.gateway.target_client import ExchangeEnd
 from wigeonmill.gateway.target_client import TargetHead
@@ -38,7 +41,8 @@
 class Attempt:
     """Reads the answer of one target and passes it on if it is valid.
 
-    `can_fail_over` tells whether the request may continue at another target.
+    `can_fail_over` tells whether the request may continue at another target,
+    and `has_alternative` whether one would take it now.
     """
 
     __slots__ = (
@@ -50,6 +54,7 @@
         '_exchange',
         '_in_flight',
         '_can_fail_over',
+        '_has_alternative',
         'reported_load',
     )
 
@@ -63,6 +68,7 @@
         exchange: Exchange,
         in_flight: InFlightRequest,
         can_fail_over: bool,
+        has_alternative: Callable[[], bool],
     ) -> None:
         self._ctx = ctx
         self._terms = terms
@@ -72,6 +78,7 @@
         self._exchange = exchange
         self._in_flight = in_flight
         self._can_fail_over = can_fail_over
+        self._has_alternative = has_alternative
         self.reported_load = ''
 
     async def run(self) -> Failure | None:
@@ -120,6 +127,7 @@
                 if events:
                     self._target.load.record_first_token(self._in_flight)
                 self._relay.forward(head, events)
+                self._record_origin()
             elif isinstance(part, bytes):
                 body += part
             elif part is ExchangeEnd.COMPLETE and head is not None:
@@ -131,6 +139,10 @@
             else:
                 return transfer_failed(part, self._exchange.message)
 
+    def _record_origin(self) -> None:
+        if self._relay.started and self._terms.origin is None:
+            self._terms.origin = origin_of(self._target)
+
     async def _next_stream_part(
         self,
     ) -> TargetHead | bytes | ExchangeEnd | Failure:
@@ -153,7 +165,11 @@
             part = await self._exchange.next(until_ms)
             if part is not None:
                 return part
-            if self._can_fail_over and self._stalled(quiet_since_ms):
+            if (
+                self._can_fail_over
+                and self._stalled(quiet_since_ms)
+                and self._has_alternative()
+            ):
                 return may_have_run(
                     Reason.BROKEN_OFF, 'the target stopped sending'
                 )
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -20,6 +20,7 @@
 from wigeonmill.gateway.credit import lateness_cost
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
 from wigeonmill.gateway.request import Generation
+from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.gateway.targets import Directory
 from wigeonmill.gateway.targets import Target
@@ -66,7 +67,8 @@
     any region is allowed. `fetchable_tokens` of the prompt can be fetched
     from a cache store. `desired_version` is the newest weight version that
     operators have set for the model. No run may begin on older weights once
-    `old_weights_remaining_ms` have passed.
+    `old_weights_remaining_ms` have passed. A stream with an `origin` may go
+    on only at the software that began it.
     """
 
     service: str
@@ -85,6 +87,7 @@
     penalize_old_weights: bool = False
     old_weights_remaining_ms: float = float('inf')
     entry_position: float = 0.0
+    origin: StreamOrigin | None = None
 
     @property
     def tokens(self) -> int:
@@ -141,9 +144,7 @@
         """Return the best target, or why there is none."""
         usable = self._usable(demand)
         if not usable:
-            return Err(
-                self._refusal(Reason.NO_TARGET, 'no target is available')
-            )
+            return Err(self._no_target(demand))
         current = self._without_expired_weights(usable, demand)
         if not current:
             message = 'the targets do not have the new weights yet'
@@ -170,7 +171,7 @@
         loading weights or refuse requests, unless no others remain.
         """
         now_ms = self._clock.now_ms()
-        usable = self._in_service(demand)
+        usable = self._same_software(demand)
         untried = [t for t in usable if t.id not in demand.avoid]
         not_loading = [
             t for t in untried if not t.is_loading(now_ms)
@@ -191,6 +192,22 @@
             )
         ]
 
+    def _same_software(self, demand: Demand) -> list[Target]:
+        """Return the targets in service that may go on with a stream."""
+        in_service = self._in_service(demand)
+        origin = demand.origin
+        if origin is None:
+            return in_service
+        return [t for t in in_service if origin.may_resume_at(t)]
+
+    def _no_target(self, demand: Demand) -> Refusal:
+        if self._in_service(demand) and not self._same_software(demand):
+            return Refusal(
+                Reason.OTHER_SOFTWARE,
+                'no target runs the software that began the stream',
+            )
+        return self._refusal(Reason.NO_TARGET, 'no target is available')
+
     def _without_expired_weights(
         self, usable: Sequence[Target], demand: Demand
     ) -> list[Target]:
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -9,6 +9,7 @@
 from wigeonmill.gateway.answers import NOT_RUN_STATUSES
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import Refusal
+from wigeonmill.gateway.answers import UNRESUMABLE_REASONS
 from wigeonmill.gateway.attempt import Attempt
 from wigeonmill.gateway.cache_plan import CachePlanner
 from wigeonmill.gateway.context import GatewayContext
@@ -72,6 +73,11 @@
         if self._ctx.crash_guard.refuses(self._fingerprint):
             self._refuse(Reason.CRASHES_TARGETS, 'request crashed its targets')
             return
+        if not await self._find_origin():
+            self._refuse(
+                Reason.ORIGIN_UNKNOWN, 'the software that began it is unknown'
+            )
+            return
         self._ctx.retries(self._terms.service).record_request()
         while True:
             failure = await self._attempt_once()
@@ -83,6 +89,21 @@
                 self._give_up(failure)
                 return
 
+    async def _find_origin(self) -> bool:
+        """Find what began a resumed stream; return False if it is unknown."""
+        if not self._route.resumable or self._req.last_event_id is None:
+            return True
+        services = self._terms.services
+        # The stream may have begun at another service of the route.
+        only_service = services[0] if len(services) == 1 else ''
+        origin = await self._ctx.origins.find(
+            self._req.resumed_id, only_service
+        )
+        if origin is None:
+            return False
+        self._terms.resume(origin)
+        return True
+
     async def _attempt_once(self) -> Failure | None:
         self._attempts += 1
         picked = self._picker.pick(self._terms.demand(self._tried_ids))
@@ -124,6 +145,8 @@
         self._ctx.circuits.record_dispatch(target.id)
         priority = self._terms.priority(pick)
         self._log.record_attempt(pick, priority)
+        if self._route.resumable and self._terms.origin is None:
+            self._ctx.origins.record(self._req.id, target)
         generation = self._req.generation
         in_flight = target.load.open(
             generation.tokens if generation else 0,
@@ -146,6 +169,7 @@
             exchange,
             in_flight,
             self._can_fail_over(),
+            self._has_alternative,
         )
         try:
             failure = await attempt.run()
@@ -162,6 +186,11 @@
             return False
         return self._targets_reached + 1 < self._terms.max_targets
 
+    def _has_alternative(self) -> bool:
+        """Whether a target would take the request if it left its own."""
+        demand = self._terms.demand(self._tried_ids)
+        return self._picker.pick(demand).is_ok()
+
     def _record_outcome(self, target: Target, failure: Failure | None) -> None:
         """Update the health of a target with the outcome of an attempt."""
         circuits = self._ctx.circuits
@@ -256,7 +285,11 @@
         self, reason: Reason, message: str, retry_after_ms: float | None = None
     ) -> None:
         refusal = Refusal(reason, message, retry_after_ms)
-        if refusal.status in NOT_RUN_STATUSES and retry_after_ms is None:
+        if (
+            refusal.status in NOT_RUN_STATUSES
+            and reason not in UNRESUMABLE_REASONS
+            and retry_after_ms is None
+        ):
             refusal = Refusal(reason, message, DEFAULT_RETRY_AFTER_MS)
         self._count_refusal(reason)
         self._channel.refuse(refusal)
--- a/wigeonmill/gateway/run_log.py
+++ b/wigeonmill/gateway/run_log.py
@@ -95,6 +95,9 @@
             'config': terms.config_version,
             'target': self._target_id(),
             'weights': terms.weight_version,
+            'software': self._pick.target.software_version
+            if self._pick
+            else '',
             'tries': attempts,
             'took_ms': round(elapsed_ms, 1),
             'first_ms': round(first_ms, 1),
@@ -102,6 +105,11 @@
             'fetched_tokens': terms.plan.fetched_tokens,
             'saved_tokens': terms.plan.saved_tokens,
         }
+        if terms.req.last_event_id is not None:
+            extra['resumed_id'] = terms.req.resumed_id
+            extra['began_at'] = (
+                terms.origin.software_version if terms.origin else None
+            )
         old_weights_ms = terms.old_weights_remaining_ms
         if old_weights_ms is not None:
             extra['old_weights_remaining_ms'] = loggable_ms(old_weights_ms)
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -12,6 +12,7 @@
 from wigeonmill.gateway.picker import Pick
 from wigeonmill.gateway.relay import Relay
 from wigeonmill.gateway.request import CallerRequest
+from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.target_client import Instructions
 from wigeonmill.gateway.targets import Target
 
@@ -46,6 +47,7 @@
         'plan',
         'weight_version',
         'old_weights_remaining_ms',
+        'origin',
     )
 
     def __init__(
@@ -71,6 +73,8 @@
         self.weight_version: int | None = None
         # Set while the last target has older weights than operators want.
         self.old_weights_remaining_ms: float | None = None
+        # Set once the caller has an event of the stream.
+        self.origin: StreamOrigin | None = None
 
     @property
     def remaining_ms(self) -> float:
@@ -94,6 +98,17 @@
         state = self._ctx.desired.state
         return state.version if state else None
 
+    @property
+    def services(self) -> list[str]:
+        """The services that the route sends requests to."""
+        return [s.service for s in self.route.shares if s.weight > 0]
+
+    def resume(self, origin: StreamOrigin) -> None:
+        """Go on with a stream at the service that began it, if possible."""
+        self.origin = origin
+        if origin.service in self.services:
+            self.service = origin.service
+
     def is_late(self, pick: Pick) -> bool:
         """Whether a model request is expected to miss its objective."""
         if self.req.generation is None or self._relay.started:
@@ -150,6 +165,7 @@
             desired_version=newest_version,
             penalize_old_weights=weights_due,
             old_weights_remaining_ms=old_weights_ms,
+            origin=self.origin,
         )
 
     def begin_by_ms(self, target: Target) -> float:
--- a/wigeonmill/gateway/stream_origins.py
+++ b/wigeonmill/gateway/stream_origins.py
@@ -46,7 +46,8 @@
         """Return the origin of a stream, or None if it is unknown.
 
         `request_id` is that of the request that began the stream, and empty
-        if the caller does not state it.
+        if the caller does not state it. `service` is the only one that can
+        have begun the stream, and empty if there are several.
         """
 
 
