Play two software versions and resumed streams in the soak

Targets have two versions in turn now. A caller whose stream was cut goes on at any entry and names the first request. A new check compares the software of all targets that brought a part of one stream.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -49,6 +49,18 @@
     ended_at: float = 0.0
     # The caller disconnected on purpose before the answer.
     disconnected: bool = False
+    # The attempt that brought the first event of a resumed stream.
+    resumes: 'Attempt | None' = None
+
+    @property
+    def from_event(self):
+        """The last event that the caller had before this attempt."""
+        return self.resumes.last_event if self.resumes else 0
+
+    @property
+    def last_event(self):
+        """The last complete event that the caller has after this attempt."""
+        return self.from_event + self.body.count(b'\n\n')
 
 
 class Connection:
@@ -133,6 +145,11 @@
             'Token-Usage: 2000,8',
             f'Prefix-Hash: aa:500,{attempt.id[0]}:1200,{attempt.id}:300',
         ]
+    if attempt.resumes:
+        lines += [
+            f'Last-Event-Id: {attempt.from_event}',
+            f'Resumes: {attempt.resumes.id}',
+        ]
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
 
 
@@ -171,8 +188,29 @@
             name,
             time.monotonic(),
         )
-        self.attempts.append(attempt)
         disconnects = self.rng.random() < self.disconnect_share
+        await self._send(conn, attempt, key, disconnects)
+        if attempt.outcome is Outcome.CUT and attempt.last_event:
+            await self._resume(attempt, key)
+
+    async def _resume(self, cut, key):
+        """Take a stream that was cut up again at any entry."""
+        name, address = self.rng.choice(list(self.entries.items()))
+        attempt = Attempt(
+            secrets.token_hex(8),
+            cut.kind,
+            cut.path,
+            cut.team,
+            name,
+            time.monotonic(),
+            resumes=cut,
+        )
+        conn = Connection(address)
+        await self._send(conn, attempt, key, disconnects=False)
+        conn.close()
+
+    async def _send(self, conn, attempt, key, disconnects):
+        self.attempts.append(attempt)
         timeout_s = (
             self.rng.uniform(0.0, 0.2) if disconnects else CALLER_TIMEOUT_S
         )
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -74,6 +74,7 @@
         yield from _check_success(attempt, runs)
     if attempt.kind is Kind.STREAM and attempt.body:
         yield from _check_stream(attempt, whole)
+        yield from _check_software(attempt, runs, journal)
 
 
 def _check_success(attempt, runs):
@@ -92,15 +93,29 @@
         return
     events = attempt.body.decode().split('\n\n')
     expected = [
-        f'id: {n}\ndata: {attempt.id} {n}' for n in range(1, EVENT_COUNT + 1)
+        f'id: {n}\ndata: {attempt.id} {n}'
+        for n in range(attempt.from_event + 1, EVENT_COUNT + 1)
     ]
     complete = events[:-1]
     if complete != expected[: len(complete)]:
         yield 'events in order', complete
-    if whole and len(complete) != EVENT_COUNT:
+    if whole and attempt.last_event != EVENT_COUNT:
         yield 'whole streams only', len(complete)
 
 
+def _check_software(attempt, runs, journal):
+    """Check that a stream goes on at the software that began it."""
+    if attempt.status != 200:
+        return
+    first = attempt.resumes or attempt
+    began_at = first.headers.get('server-seal', '').partition('.')[0]
+    versions = {journal.software.get(began_at)} | {
+        journal.software.get(run.target) for run in runs if run.from_event
+    }
+    if len(versions) > 1:
+        yield 'one software version', sorted(map(str, versions))
+
+
 def _check_orders(journal):
     last = {}
     holders = {}
--- a/tests/platform/soak/targets.py
+++ b/tests/platform/soak/targets.py
@@ -66,6 +66,8 @@
     version: int = 1
     # The time at which a target was listed as draining, by its id.
     drained_at: dict[str, float] = field(default_factory=dict)
+    # The software versions of all targets, by their ids.
+    software: dict[str, str] = field(default_factory=dict)
 
     def add(self, run):
         self.runs.setdefault(run.request_id, []).append(run)
@@ -168,6 +170,9 @@
         self.state = 'ready'
         self.sequence = 0
         self.version = journal.version
+        # Targets of two software versions serve side by side.
+        self.software = f'v{1 + len(journal.software) % 2}'
+        journal.software[self.id] = self.software
         self.loading = False
         self.orders = 0
         self.fence = 0
@@ -248,7 +253,7 @@
             'service': self.service,
             'address': self.proxy.address,
             'zone': self.domain,
-            'version': 1,
+            'version': self.software,
             'capacity': self.slots,
             'state': self.state,
             'coldLeftMs': 0,
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -41,8 +41,8 @@
     )
 
 
-def find_broken_promises(attempt, *runs, drained_at=None):
-    journal = Journal(drained_at=drained_at or {})
+def find_broken_promises(attempt, *runs, drained_at=None, software=None):
+    journal = Journal(drained_at=drained_at or {}, software=software or {})
     for run in runs:
         journal.add(run)
     found = find_breaches([attempt], journal, FAULT_FREE_FROM)
@@ -129,3 +129,31 @@
     assert 'fences only rise' in find_broken_order_promises(second, first)
     same = Order('t2', 2.0, 'b', 5, 2)
     assert 'one holder a fence' in find_broken_order_promises(first, same)
+
+
+def test_finds_a_stream_that_goes_on_at_other_software():
+    software = {'t1': 'v1', 't2': 'v2', 't3': 'v1'}
+    stream = make_attempt(Kind.STREAM)
+    runs = [make_run(), make_run('t2', from_event=3)]
+    assert 'one software version' in find_broken_promises(
+        stream, *runs, software=software
+    )
+    runs = [make_run('t2'), make_run(), make_run('t3', from_event=3)]
+    assert not find_broken_promises(stream, *runs, software=software)
+
+
+def test_finds_a_resumed_stream_at_other_software():
+    software = {'t1': 'v1', 't2': 'v2', 't3': 'v1'}
+    cut = make_attempt(Kind.STREAM, body=events(3), outcome=Outcome.CUT)
+    rest = events(EVENT_COUNT, 'q2').split(b'id: 4', 1)[1]
+    for target, broken in (('t2', True), ('t3', False)):
+        resumed = make_attempt(
+            Kind.STREAM,
+            id='q2',
+            resumes=cut,
+            body=b'id: 4' + rest,
+            headers={'server-seal': f'{target}.q2'},
+        )
+        run = make_run(target, request_id='q2', from_event=3)
+        found = find_broken_promises(resumed, run, software=software)
+        assert found == ({'one software version'} if broken else set())
