Tell other entries which software began a stream

Callers that came back for a stream had it go on at another software version than the one that began it, and an entry that did not begin the stream itself could not know better: mostly the caller comes back at another entry, often because the first one was killed. Knowing the origin in one entry is therefore not enough.

The messages use the connections of the entry updates. An entry of an older build reads the envelope, ignores the kind and keeps the connection (test_a_peer_of_an_older_build_keeps_its_connection); a time-out of a question closes nothing.

Callers still get no stream resumed by it: nothing asks for origins yet.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -10,12 +10,15 @@
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
+from wigeonmill.gateway.origin_exchange import SharedStreamOrigins
 from wigeonmill.gateway.peers import Peers
 from wigeonmill.gateway.store_view import CacheEvent
 from wigeonmill.gateway.store_view import CacheEventBatch
 from wigeonmill.gateway.store_view import CacheListing
 from wigeonmill.gateway.store_view import StoreView
+from wigeonmill.gateway.stream_origins import origin_of
 from wigeonmill.metrics import Metrics
+from wigeonmill.protocol.gen.inner.ttypes import Kind
 from wigeonmill.protocol.handshake import InnerKeys
 
 KEYS = InnerKeys((b'k' * 32,))
@@ -194,3 +197,44 @@
         assert sum(other.mirror.request_count for other in others) == 1
 
     run_with_entries(check, 5, KEYS)
+
+
+def share_origins(entry, name):
+    origins = SharedStreamOrigins(
+        entry.ctx.clock, entry.ctx.metrics, name, entry.peers
+    )
+    entry.peers.handle(Kind.STREAM_ORIGINS, origins.answer)
+    return origins
+
+
+def test_an_entry_learns_the_origin_of_a_stream_from_a_peer():
+    async def check(first, second):
+        mine = share_origins(first, 'a')
+        theirs = share_origins(second, 'b')
+        target = first.ctx.directory.get('e0')
+        mine.record('q1', target)
+        second_knows = theirs._local.get
+        await wait_until(lambda: second_knows('q1') is not None)
+        theirs.record('q2', target)
+        assert await mine.find('q2', target.service) == origin_of(target)
+
+    run_with_two(check)
+
+
+def test_a_peer_of_an_older_build_keeps_its_connection():
+    """An older build ignores the messages about origins."""
+
+    async def check(first, second):
+        mine = share_origins(first, 'a')
+        target = first.ctx.directory.get('e0')
+        await wait_until(lambda: first.peers.is_connected(second.address))
+        client = first.peers._pool.get(second.address)
+        conn = client._conn
+        mine.record('q1', target)
+        assert await mine.find('q2', target.service) is None
+        second.ctx.crash_guard.record(b'print', 'q1 e0')
+        await wait_until(lambda: first.ctx.crash_guard.count(b'print') == 1)
+        assert first.peers._pool.get(second.address) is client
+        assert client._conn is conn and not conn.closed
+
+    run_with_two(check)
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -12,6 +12,7 @@
 import random
 
 from result import Err
+from result import Result
 
 from wigeonmill.addresses import split_address
 from wigeonmill.gateway.cache_event_exchange import CacheEventExchange
@@ -21,6 +22,7 @@
 from wigeonmill.gateway.target_load import PeerLoad
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.protocol.client import PeerClient
+from wigeonmill.protocol.client import PeerError
 from wigeonmill.protocol.client import PeerPool
 from wigeonmill.protocol.conn import Conn
 from wigeonmill.protocol.gen.inner.ttypes import EntryNews
@@ -46,6 +48,9 @@
 # Limit of the entries for which the last loss sent in a reply is tracked.
 MAX_TRACKED_ENTRIES = 4_096
 
+# Returns the reply to a message, or None if there is none.
+Handler = Callable[[Envelope], Envelope | None]
+
 
 class Peers:
     """Exchanges updates with the other entries over the inner protocol."""
@@ -74,6 +79,7 @@
         # by address, in replies by entry name.
         self._sent_losses: dict[str, int] = {}
         self._replied_losses: dict[str, int] = {}
+        self._handlers: dict[int, Handler] = {}
         self._pool = PeerPool(self._make_client)
         self._server = InnerServer(
             name, ROLE, 0, keys, self._on_envelope, ctx.metrics
@@ -89,6 +95,40 @@
         self._server.close_all()
         self._pool.close()
 
+    def handle(self, kind: int, handler: Handler) -> None:
+        """Pass messages of another kind to `handler`."""
+        self._handlers[kind] = handler
+
+    def addresses(self) -> Iterable[str]:
+        """Return the inner addresses of the other entries."""
+        return self._addresses()
+
+    def is_connected(self, address: str) -> bool:
+        """Whether there is a connection to a peer."""
+        return self._pool.get(address).connected
+
+    async def connect(self, address: str) -> bool:
+        """Connect if necessary; return whether there is a connection."""
+        return await self._pool.get(address).connect()
+
+    def notify(self, address: str, envelope: Envelope) -> bool:
+        """Send a message without an answer; return False if it can't be."""
+        client = self._pool.get(address)
+        if not client.connected or client.congested:
+            return False
+        client.notify(envelope)
+        return True
+
+    async def request(
+        self, address: str, envelope: Envelope, timeout_ms: float
+    ) -> Result[Envelope, PeerError]:
+        """Return the answer of a peer.
+
+        The connection stays open without an answer, because older entries
+        ignore messages of a kind that they don't know.
+        """
+        return await self._pool.get(address).request(envelope, timeout_ms)
+
     async def run(self) -> None:
         """Send updates to the peers until cancelled."""
         while True:
@@ -162,6 +202,12 @@
             self._in_flight.discard(address)
 
     def _on_envelope(self, conn: Conn, envelope: Envelope) -> None:
+        handler = self._handlers.get(envelope.kind)
+        if handler is not None:
+            reply = handler(envelope)
+            if reply is not None:
+                conn.send(reply)
+            return
         update = envelope.entry_news
         if envelope.kind != Kind.ENTRY_NEWS or update is None:
             return
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -23,6 +23,7 @@
 from wigeonmill.gateway.intake import RecordIntake
 from wigeonmill.gateway.leadership import Leadership
 from wigeonmill.gateway.mirror import Mirror
+from wigeonmill.gateway.origin_exchange import SharedStreamOrigins
 from wigeonmill.gateway.own_records import ENTRY_PREFIX
 from wigeonmill.gateway.own_records import LEADER_KEY
 from wigeonmill.gateway.peers import Peers
@@ -39,6 +40,7 @@
 from wigeonmill.gateway.target_client import TargetClient
 from wigeonmill.gateway.weights_rollout import WeightsRollout
 from wigeonmill.metrics import Metrics
+from wigeonmill.protocol.gen.inner.ttypes import Kind
 from wigeonmill.providers.key_value import KvEntry
 from wigeonmill.providers.transfers import TransferLoop
 from wigeonmill.settings_fault import SettingsFault
@@ -144,6 +146,11 @@
             CacheEventExchange(self._stores),
             rng,
         )
+        origins = SharedStreamOrigins(
+            clock, self.metrics, settings.process, self._peers
+        )
+        self._peers.handle(Kind.STREAM_ORIGINS, origins.answer)
+        self._ctx.origins = origins
         self._cleaner = CacheCleaner(
             self._ctx, self._leadership, adapter.caches, self._stores
         )
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -134,6 +134,20 @@
         self._streams: dict[int, PeerStream] = {}
         self._next_stream = 1
 
+    @property
+    def connected(self) -> bool:
+        """Whether there is a connection."""
+        return self._conn is not None and not self._conn.closed
+
+    @property
+    def congested(self) -> bool:
+        """Whether too much is waiting to be sent."""
+        return self._conn is not None and self._conn.congested
+
+    async def connect(self) -> bool:
+        """Connect if necessary; return whether there is a connection."""
+        return self.connected or await self._connect_once() is not None
+
     async def open(self, envelope: Envelope) -> Result[PeerStream, PeerError]:
         """Send `envelope` on a new stream."""
         conn = self._conn
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -42,6 +42,8 @@
     STATUS = 51
     ENTRY_NEWS = 60
     ENTRY_NEWS_REPLY = 61
+    STREAM_ORIGINS = 62
+    STREAM_ORIGINS_REPLY = 63
 
     _VALUES_TO_NAMES = {
         1: "CHALLENGE",
@@ -69,6 +71,8 @@
         51: "STATUS",
         60: "ENTRY_NEWS",
         61: "ENTRY_NEWS_REPLY",
+        62: "STREAM_ORIGINS",
+        63: "STREAM_ORIGINS_REPLY",
     }
 
     _NAMES_TO_VALUES = {
@@ -97,6 +101,8 @@
         "STATUS": 51,
         "ENTRY_NEWS": 60,
         "ENTRY_NEWS_REPLY": 61,
+        "STREAM_ORIGINS": 62,
+        "STREAM_ORIGINS_REPLY": 63,
     }
 
 
@@ -3953,6 +3959,231 @@
         return not (self == other)
 
 
+class StreamOrigin(object):
+    """
+    Attributes:
+     - request
+     - service
+     - software_version
+     - target
+     - started_at_ms
+
+    """
+
+    __slots__ = (
+        'request',
+        'service',
+        'software_version',
+        'target',
+        'started_at_ms',
+    )
+
+
+    def __init__(self, request=None, service=None, software_version=None, target=None, started_at_ms=None,):
+        self.request = request
+        self.service = service
+        self.software_version = software_version
+        self.target = target
+        self.started_at_ms = started_at_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.started_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOrigin')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.service is not None:
+            oprot.writeFieldBegin('service', TType.STRING, 2)
+            oprot.writeString(self.service.encode('utf-8') if sys.version_info[0] == 2 else self.service)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 3)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 4)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.started_at_ms is not None:
+            oprot.writeFieldBegin('started_at_ms', TType.I64, 5)
+            oprot.writeI64(self.started_at_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamOrigins(object):
+    """
+    Attributes:
+     - sender
+     - begun
+     - wanted
+
+    """
+
+    __slots__ = (
+        'sender',
+        'begun',
+        'wanted',
+    )
+
+
+    def __init__(self, sender=None, begun=None, wanted=None,):
+        self.sender = sender
+        self.begun = begun
+        self.wanted = wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.begun = []
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = StreamOrigin()
+                        _elem131.read(iprot)
+                        self.begun.append(_elem131)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.wanted = []
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted.append(_elem137)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOrigins')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 1)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+            oprot.writeFieldEnd()
+        if self.begun is not None:
+            oprot.writeFieldBegin('begun', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.begun))
+            for iter138 in self.begun:
+                iter138.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.wanted))
+            for iter139 in self.wanted:
+                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -3981,6 +4212,7 @@
      - status_request
      - status
      - entry_news
+     - stream_origins
 
     """
 
@@ -4010,10 +4242,11 @@
         'claim_call',
         'claim_reply',
         'entry_news',
+        'stream_origins',
     )
 
 
-    def __init__(self, kind=None, stream=None, config_serial=None, challenge=None, hello=None, welcome=None, offer_request=None, offer=None, release=None, run=None, run_accepted=None, chunk=None, run_end=None, refused=None, cancel=None, resume=None, ack=None, call=None, call_reply=None, claim_call=None, claim_reply=None, gossip=None, status_request=None, status=None, entry_news=None,):
+    def __init__(self, kind=None, stream=None, config_serial=None, challenge=None, hello=None, welcome=None, offer_request=None, offer=None, release=None, run=None, run_accepted=None, chunk=None, run_end=None, refused=None, cancel=None, resume=None, ack=None, call=None, call_reply=None, claim_call=None, claim_reply=None, gossip=None, status_request=None, status=None, entry_news=None, stream_origins=None,):
         self.kind = kind
         self.stream = stream
         self.config_serial = config_serial
@@ -4039,6 +4272,7 @@
         self.status_request = status_request
         self.status = status
         self.entry_news = entry_news
+        self.stream_origins = stream_origins
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4196,6 +4430,12 @@
                     self.entry_news.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.STRUCT:
+                    self.stream_origins = StreamOrigins()
+                    self.stream_origins.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4306,6 +4546,10 @@
             oprot.writeFieldBegin('entry_news', TType.STRUCT, 31)
             self.entry_news.write(oprot)
             oprot.writeFieldEnd()
+        if self.stream_origins is not None:
+            oprot.writeFieldBegin('stream_origins', TType.STRUCT, 32)
+            self.stream_origins.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4616,6 +4860,22 @@
     (9, TType.BOOL, 'listing', None, None, ),  # 9
     (10, TType.DOUBLE, 'copy_age_ms', None, None, ),  # 10
 )
+all_structs.append(StreamOrigin)
+StreamOrigin.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'software_version', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'target', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'started_at_ms', None, None, ),  # 5
+)
+all_structs.append(StreamOrigins)
+StreamOrigins.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'begun', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 2
+    (3, TType.LIST, 'wanted', (TType.STRING, 'UTF8', False), None, ),  # 3
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -4650,6 +4910,7 @@
     (29, TType.STRUCT, 'claim_call', [ClaimCall, None], None, ),  # 29
     (30, TType.STRUCT, 'claim_reply', [ClaimReply, None], None, ),  # 30
     (31, TType.STRUCT, 'entry_news', [EntryNews, None], None, ),  # 31
+    (32, TType.STRUCT, 'stream_origins', [StreamOrigins, None], None, ),  # 32
 )
 fix_spec(all_structs)
 del all_structs
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -30,6 +30,8 @@
   STATUS = 51
   ENTRY_NEWS = 60
   ENTRY_NEWS_REPLY = 61
+  STREAM_ORIGINS = 62
+  STREAM_ORIGINS_REPLY = 63
 }
 
 // First message of the accepting side: the nonce for the client's proof.
@@ -324,6 +326,25 @@
   10: optional double copy_age_ms
 }
 
+// The target that a request's stream was sent to, to begin there. The target's
+// start identifies the lifetime that began the stream.
+struct StreamOrigin {
+  1: string request
+  2: string service
+  3: string software_version
+  4: string target
+  5: i64 started_at_ms
+}
+
+// Origins of streams. The receiver keeps those in begun, which replace earlier
+// ones of the same requests. It answers with those that it knows of the
+// requests in wanted; without any in wanted there is no answer.
+struct StreamOrigins {
+  1: string sender
+  2: list<StreamOrigin> begun
+  3: list<string> wanted
+}
+
 // The only message type on the wire. stream matches answers to requests;
 // config_serial is the serial of the sender's configuration (0: none).
 struct Envelope {
@@ -352,4 +373,5 @@
   27: optional StatusRequest status_request
   28: optional Status status
   31: optional EntryNews entry_news
+  32: optional StreamOrigins stream_origins
 }
