--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -1,160 +1,340 @@
-"""Tests where a stream goes on while a service has several versions."""
+"""Tests when a service's only software version tells who began a stream."""
 
-import pytest
+import asyncio
+import random
+
+import msgspec
 
-from tests.gateway.fakes import FakeChannel
-from tests.gateway.fakes import Harness
-from tests.gateway.fakes import make_head
-from tests.gateway.samples import ENGINES
 from tests.gateway.samples import make_engine_record
-from tests.gateway.samples import make_generation
-from tests.gateway.samples import make_request
-from tests.gateway.samples import make_route
-from wigeonmill.gateway.answers import Reason
-from wigeonmill.gateway.desired import RouteKind
-from wigeonmill.gateway.desired import ServiceShare
-from wigeonmill.gateway.target_client import ExchangeEnd
-
-
-def harness_of(versions, scripts):
-    """Return a harness with an engine of each of `versions`."""
-    records = [
-        make_engine_record(f'e{n}', software_version=version)
-        for n, version in enumerate(versions)
-    ]
-    return Harness(scripts, records)
-
-
-def events(*numbers):
-    return b''.join(b'id: %d\ndata: x\n\n' % number for number in numbers)
-
-
-def broken_after(*numbers):
-    return (make_head(), events(*numbers), ExchangeEnd.BROKEN)
-
-
-def complete(*numbers, request_id='q1'):
-    head = make_head(request_id=request_id)
-    return (head, events(*numbers), ExchangeEnd.COMPLETE)
-
-
-def run_stream(
-    harness,
-    id_='q1',
-    max_targets=3,
-    shares=(ServiceShare(ENGINES, 1.0),),
-    **changes,
-):
-    route = make_route(
-        kind=RouteKind.STREAMING,
-        resumable=True,
-        shares=shares,
-        timeout_ms=15_000.0,
-        gap_objective_ms=400.0,
-        objective_ms=800.0,
-        max_targets=max_targets,
-    )
-    req = make_request(
-        id=id_,
-        arrived_ms=harness.clock.now_ms(),
-        generation=make_generation(),
-        deadline_ms=15_000.0,
-        **changes,
-    )
-    harness.channel = FakeChannel()
-    return harness.run(req, route)
-
-
-def versions_sent_to(harness):
-    directory = harness.ctx.directory
-    return [
-        directory.get(target_id).software_version
-        for target_id, _instructions, _exchange in harness.client.sent
-    ]
-
-
-# Guards against ORDER: the entry sent a started stream on to a target of
-# another software version when its own broke off.
-@pytest.mark.parametrize(
-    'others', [['v2'], [''], ['v1', 'v2', 'v2', 'v2'], ['', 'v1', '', '']]
-)
-def test_a_broken_stream_goes_on_only_at_the_software_that_began_it(others):
-    harness = harness_of(['v1'], [broken_after(1), complete(2)])
-    for turn, version in enumerate(others):
-        record = make_engine_record(f'n{turn}', software_version=version)
-        harness.ctx.directory.apply(record)
-        harness.ctx.directory.get(f'n{turn}').refusing_until_ms = (
-            harness.clock.now_ms() + 1.0
+from wigeonmill.clock import ManualClock
+from wigeonmill.gateway.allowances import RetryLimits
+from wigeonmill.gateway.context import GatewayContext
+from wigeonmill.gateway.freshness import OUT_OF_REACH_MS
+from wigeonmill.gateway.mirror import Record
+from wigeonmill.gateway.origin_exchange import SharedStreamOrigins
+from wigeonmill.gateway.own_records import SOFTWARE_VERSIONS_KEY
+from wigeonmill.gateway.own_records import SoftwareVersionsRecord
+from wigeonmill.gateway.software_versions import RETENTION_MS
+from wigeonmill.gateway.software_versions import RETRY_MS
+from wigeonmill.gateway.software_versions import SoftwareVersions
+from wigeonmill.gateway.software_versions import SoftwareVersionsPublisher
+from wigeonmill.gateway.stream_origins import StreamOrigin
+from wigeonmill.metrics import Metrics
+from wigeonmill.standins.memory_key_value import KvFaults
+from wigeonmill.standins.memory_key_value import MemoryKeyValue
+
+SERVICE = 'engines'
+STEP_MS = 100.0
+
+
+class Leadership:
+    is_leader = False
+
+
+class Entry:
+    """The part of an entry that knows the targets and their versions."""
+
+    def __init__(self, world):
+        self.ctx = GatewayContext(
+            world.clock, random.Random(1), Metrics(), RetryLimits(), lambda: 2
         )
-    channel = run_stream(harness)
-    assert set(versions_sent_to(harness)) == {'v1'}
-    assert channel.finished == ('v1' in others)
-    assert channel.aborted != channel.finished
-
-
-# Guards against ORDER: a caller came back with a stream, and the entry sent it
-# on to any target of the service.
-def test_a_resumed_stream_of_unknown_origin_is_refused_beside_two_versions():
-    harness = harness_of(['v1', 'v1', 'v2'], [complete(9)])
-    channel = run_stream(harness, last_event_id=8)
-    assert channel.status == 503
-    assert harness.client.sent == []
-
-
-# Guards against ORDER: the same, with an origin that the entry knows.
-def test_a_resumed_stream_goes_on_at_the_software_that_began_it():
-    versions = ['v1', 'v2', 'v1', 'v2']
-    harness = harness_of(versions, [broken_after(1)] * 3)
-    run_stream(harness, max_targets=1)
-    (began,) = set(versions_sent_to(harness))
-    harness.client.sent.clear()
-    ids = [f'r{turn}' for turn in range(12)]
-    harness.client.set_scripts([complete(2, request_id=id_) for id_ in ids])
-    for id_ in ids:
-        channel = run_stream(harness, id_, last_event_id=1, resumed_id='q1')
-        assert channel.finished
-    assert set(versions_sent_to(harness)) == {began}
-
-
-def test_a_resumed_stream_returns_to_the_service_that_began_it():
-    """A route that is split between services chooses one for each request."""
-    harness = harness_of(['v1', 'v1'], [complete(2)])
-    for number in range(2):
-        record = make_engine_record(f'o{number}', service='other')
-        harness.ctx.directory.apply(record)
-    shares = (ServiceShare(ENGINES, 1.0), ServiceShare('other', 1_000.0))
-    harness.ctx.origins.record('q0', harness.ctx.directory.get('e0'))
-    channel = run_stream(
-        harness, shares=shares, last_event_id=1, resumed_id='q0'
-    )
-    assert channel.finished
-    assert harness.client.sent[0][0] in ('e0', 'e1')
+        self.versions = SoftwareVersions(
+            world.clock, self.ctx.directory, self.ctx.freshness
+        )
+        self.leadership = Leadership()
+        self.heard_to = 0
+        self.publisher = SoftwareVersionsPublisher(
+            world.clock, self.versions, self.leadership, world.keys
+        )
+
+    def only_version(self):
+        return self.versions.only_version(SERVICE)
+
+
+class NoPeers:
+    def addresses(self):
+        return []
+
+
+class World:
+    """Entries that follow the targets and the key-value service.
+
+    The first entry leads. `connected` says whether entries hear of changes.
+    """
+
+    def __init__(self, *versions):
+        self.clock = ManualClock(1_000.0)
+        self.faults = KvFaults()
+        self.keys = MemoryKeyValue(self.clock, self.faults)
+        self.targets = {}
+        self.connected = True
+        self.entries = []
+        for number, version in enumerate(versions):
+            self.start_target(f'e{number}', version)
+        self.restart_entries()
+
+    @property
+    def leader(self):
+        return self.entries[0]
+
+    def restart_entries(self):
+        self.entries = [Entry(self), Entry(self)]
+        self.leader.leadership.is_leader = True
+
+    def lead(self, index):
+        for number, entry in enumerate(self.entries):
+            entry.leadership.is_leader = number == index
+
+    def start_target(self, id_, version):
+        started_ms = int(self.clock.now_ms())
+        self.targets[id_] = make_engine_record(
+            id_, software_version=version, started_at_ms=started_ms
+        )
+
+    def record(self):
+        return asyncio.run(self.keys.get(SOFTWARE_VERSIONS_KEY)).unwrap()
+
+    def published(self):
+        entry = self.record()
+        return entry and msgspec.json.decode(entry.value)['versions']
+
+    def write(self, value):
+        entry = self.record()
+        version = entry.version if entry else 0
+        put = self.keys.compare_and_swap(SOFTWARE_VERSIONS_KEY, version, value)
+        asyncio.run(put).unwrap()
+
+    @property
+    def writes(self):
+        return self.keys.calls.get('cas', 0)
+
+    def listen(self, entry):
+        directory = entry.ctx.directory
+        for target in list(directory.all()):
+            if target.id not in self.targets:
+                directory.remove(target.id)
+        for record in self.targets.values():
+            directory.apply(record)
+        found = self.record()
+        if found is not None and found.version > entry.heard_to:
+            entry.heard_to = found.version
+            entry.versions.update(
+                Record(found.key, found.version, found.value)
+            )
+        entry.ctx.freshness.confirm()
+
+    def run(self, duration_ms=2 * STEP_MS):
+        for _step in range(int(duration_ms / STEP_MS)):
+            for entry in self.entries:
+                if self.connected:
+                    self.listen(entry)
+                entry.versions.observe()
+                asyncio.run(entry.publisher.step())
+            self.clock.advance(STEP_MS)
+
+
+def test_streams_go_on_at_the_only_version_after_all_entries_restart():
+    world = World('v1', 'v1')
+    world.run()
+    world.restart_entries()
+    assert world.entries[1].only_version() is None
+    world.run(STEP_MS)
+    for entry in world.entries:
+        assert entry.only_version() == 'v1'
+
+
+def test_no_version_is_known_for_a_service_without_targets():
+    world = World('v1')
+    world.run()
+    assert world.leader.versions.only_version('other') is None
+
+
+# Entries that restart while targets are replaced must not take the newer
+# version for the one that began all streams.
+def test_a_version_counts_for_the_retention_time_after_its_last_target():
+    world = World('v1', 'v1')
+    world.run()
+    world.start_target('e0', 'v2')
+    world.run()
+    world.restart_entries()
+    world.run()
+    del world.targets['e1']
+    world.run(RETENTION_MS / 2)
+    for _restart in range(2):
+        assert world.published() == {SERVICE: ['v1', 'v2']}
+        for entry in world.entries:
+            assert entry.only_version() is None
+        world.restart_entries()
+        world.run(RETENTION_MS / 2)
+    world.run(RETENTION_MS / 2 + 4 * STEP_MS)
+    assert world.published() == {SERVICE: ['v2']}
+    for entry in world.entries:
+        assert entry.only_version() == 'v2'
+
+
+def test_two_versions_side_by_side_are_not_the_only_one():
+    world = World('v1', 'v2')
+    world.run(2 * RETENTION_MS)
+    assert world.leader.only_version() is None
+
+
+def test_a_target_without_a_version_leaves_the_version_unknown():
+    world = World('v1', '')
+    world.run()
+    assert world.leader.only_version() is None
+    alone = World('')
+    alone.run()
+    assert alone.leader.only_version() is None
+
+
+def test_a_version_seen_by_one_entry_counts_there_before_it_is_published():
+    world = World('v1')
+    world.run()
+    world.lead(None)
+    world.start_target('e1', 'v2')
+    world.run(STEP_MS)
+    assert world.published() == {SERVICE: ['v1']}
+    for entry in world.entries:
+        assert entry.only_version() is None
+
+
+def test_only_changes_are_written():
+    world = World('v1', 'v1', 'v1')
+    world.run(3 * RETENTION_MS)
+    assert world.writes == 1
+    for number in range(3):
+        world.start_target(f'e{number}', 'v2')
+        world.run(1_000.0)
+    assert world.writes == 2
+    world.run(2 * RETENTION_MS)
+    assert world.writes == 3
+    world.restart_entries()
+    world.run(2 * RETENTION_MS)
+    assert world.writes == 3
+
+
+def test_only_the_leader_writes():
+    world = World('v1')
+    world.lead(None)
+    world.run()
+    assert world.writes == 0
+
+
+# A new leader knows of a version only from its predecessor's record; its
+# targets may have been lost just before.
+def test_a_new_leader_keeps_a_version_until_it_has_watched_long_enough():
+    world = World('v2')
+    record = SoftwareVersionsRecord({SERVICE: ['v1', 'v2']})
+    world.write(msgspec.json.encode(record))
+    world.run(RETENTION_MS)
+    assert world.published() == {SERVICE: ['v1', 'v2']}
+    assert world.leader.only_version() is None
+    world.run(4 * STEP_MS)
+    assert world.published() == {SERVICE: ['v2']}
+    assert world.leader.only_version() == 'v2'
+
+
+def test_the_time_without_the_key_value_service_does_not_count():
+    world = World('v2')
+    record = SoftwareVersionsRecord({SERVICE: ['v1', 'v2']})
+    world.write(msgspec.json.encode(record))
+    world.run(RETENTION_MS / 2)
+    world.connected = False
+    world.run(OUT_OF_REACH_MS + RETENTION_MS)
+    assert world.leader.only_version() is None
+    world.connected = True
+    world.run(RETENTION_MS / 2)
+    assert world.published() == {SERVICE: ['v1', 'v2']}
+    world.run(RETENTION_MS)
+    assert world.published() == {SERVICE: ['v2']}
+
+
+def test_the_time_of_a_suspended_process_does_not_count():
+    world = World('v2')
+    record = SoftwareVersionsRecord({SERVICE: ['v1', 'v2']})
+    world.write(msgspec.json.encode(record))
+    world.run()
+    world.clock.advance(2 * RETENTION_MS)
+    world.run(RETENTION_MS / 2)
+    assert world.published() == {SERVICE: ['v1', 'v2']}
+    assert world.leader.only_version() is None
+
+
+def test_an_entry_out_of_touch_does_not_know_the_only_version():
+    world = World('v1')
+    world.run()
+    world.connected = False
+    world.run(OUT_OF_REACH_MS + 4 * STEP_MS)
+    assert world.leader.only_version() is None
+
+
+def test_without_a_record_an_entry_has_to_watch_first():
+    world = World('v1')
+    world.lead(None)
+    world.run(RETENTION_MS - STEP_MS)
+    assert world.leader.only_version() is None
+    world.run(2 * STEP_MS)
+    assert world.leader.only_version() == 'v1'
+
+
+def test_a_malformed_record_is_replaced_once_the_versions_are_known():
+    world = World('v1')
+    world.write(b'{"versions": 7}')
+    world.run(RETENTION_MS - STEP_MS)
+    assert world.leader.only_version() is None
+    assert world.record().value == b'{"versions": 7}'
+    world.run(4 * STEP_MS)
+    assert world.leader.only_version() == 'v1'
+    assert world.published() == {SERVICE: ['v1']}
+
+
+def test_a_removed_record_is_not_trusted():
+    world = World('v1')
+    world.run()
+    entry = world.entries[1]
+    revision = entry.versions.revision
+    entry.versions.update(Record(SOFTWARE_VERSIONS_KEY, revision + 1, None))
+    assert entry.only_version() is None
+    assert entry.versions.to_publish() is None
 
 
-def test_a_stream_whose_software_is_gone_is_refused_without_a_time():
-    """It can't go on later either, so its caller must begin anew."""
-    harness = harness_of(['v1', 'v2'], [complete(2)])
-    harness.ctx.origins.record('q0', harness.ctx.directory.get('e0'))
-    harness.ctx.directory.remove('e0')
-    channel = run_stream(harness, last_event_id=1, resumed_id='q0')
-    assert channel.refusal.reason is Reason.OTHER_SOFTWARE
-    assert channel.refusal.retry_after_ms is None
-    assert harness.client.sent == []
+def test_the_record_of_an_earlier_leader_is_not_overwritten_unread():
+    world = World('v2')
+    world.run(STEP_MS)
+    world.start_target('e1', 'v3')
+    world.connected = False
+    record = SoftwareVersionsRecord({SERVICE: ['v1', 'v2']})
+    world.write(msgspec.json.encode(record))
+    world.leader.ctx.directory.apply(world.targets['e1'])
+    world.run(STEP_MS)
+    assert world.published() == {SERVICE: ['v1', 'v2']}
+    world.connected = True
+    world.run(RETRY_MS + 2 * STEP_MS)
+    assert world.published() == {SERVICE: ['v1', 'v2', 'v3']}
 
 
-def test_a_stalled_stream_is_kept_while_no_target_runs_its_software():
-    """Leaving it could only break it off."""
+def test_a_write_that_fails_is_repeated_after_a_delay():
+    world = World('v1')
+    world.faults.lose_replies = 1
+    world.run(RETRY_MS)
+    assert world.writes == 1
+    world.run(RETRY_MS)
+    assert world.published() == {SERVICE: ['v1']}
 
-    def late_event():
-        harness.clock.advance(4_000)
-        return events(2)
 
-    first = (make_head(), events(1), late_event, ExchangeEnd.COMPLETE)
-    harness = harness_of(['v1'], [first])
-    harness.ctx.directory.apply(
-        make_engine_record('n1', software_version='v2')
+def test_a_stream_of_unknown_origin_goes_on_at_the_only_version():
+    world = World('v1')
+    world.run()
+    entry = world.entries[1]
+    origins = SharedStreamOrigins(
+        world.clock,
+        entry.ctx.metrics,
+        'b',
+        NoPeers(),
+        entry.versions.only_version,
     )
-    harness.ctx.directory.get('n1').refusing_until_ms = float('inf')
-    channel = run_stream(harness)
-    assert channel.finished
-    assert channel.body == events(1, 2)
+    for request_id in ('q1', ''):
+        found = asyncio.run(origins.find(request_id, SERVICE))
+        assert found == StreamOrigin(SERVICE, 'v1')
+    value = entry.ctx.metrics.value
+    assert value('stream_origins_found', 'only_version') == 2
