Know which software began a stream if it can only be one

When all entries restart at once, nobody remembers which software began the streams whose callers come back, and every one of them would be refused. A caller that does not name the request would be, too. Mostly a service has run one software version for long, and then there is no doubt.

Each entry now keeps, per service, the versions that its targets had within the last 60 s, and the leader publishes them in one record of the key-value service, with a compare-and-swap and only when the set changes. An entry that has just started reads there what ran before. If the record and what the entry has seen make up a single version, `find` returns it when neither this entry nor a peer knows the exact origin; `stream_origins_found` counts this as `only_version`.

It has to be sound rather than frequent. A version without targets counts for 60 s more. A version learned from the record counts as seen at that time, and time out of touch, suspended or before the start does not count, so a new leader does not drop a version whose last target it cannot have watched go. A target without a version, a copy that is out of reach, and a record that is missing, removed or malformed make the answer unknown; without a record an entry has to follow the targets for 60 s itself. In the tests a release of one service costs two writes, and a restart of all entries none.

A version is missed if its targets come, begin streams and go before the leader has written the record, and every entry that saw them restarts.

--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -20,9 +20,11 @@
 from wigeonmill.gateway.own_records import PREFIX
 from wigeonmill.gateway.own_records import ROLLOUT_KEY
 from wigeonmill.gateway.own_records import RolloutRecord
+from wigeonmill.gateway.own_records import SOFTWARE_VERSIONS_KEY
 from wigeonmill.gateway.registration import EntryList
 from wigeonmill.gateway.rollout_notice import apply_rollout
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
+from wigeonmill.gateway.software_versions import SoftwareVersions
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +42,7 @@
         '_entries',
         '_inner_key',
         '_publisher',
+        '_versions',
         '_on_desired_state',
     )
 
@@ -50,6 +53,7 @@
         entries: EntryList,
         inner_key: SharedInnerKey,
         publisher: RolloutPublisher,
+        versions: SoftwareVersions,
         on_desired_state: Callable[[DesiredState], None],
     ) -> None:
         self._ctx = ctx
@@ -57,6 +61,7 @@
         self._entries = entries
         self._inner_key = inner_key
         self._publisher = publisher
+        self._versions = versions
         self._on_desired_state = on_desired_state
 
     def apply_record(self, record: Record) -> None:
@@ -73,6 +78,8 @@
             self._entries.update(record)
         elif record.key == INNER_KEY:
             self._inner_key.update(record)
+        elif record.key == SOFTWARE_VERSIONS_KEY:
+            self._versions.update(record)
         elif record.key == ROLLOUT_KEY:
             self._publisher.update_revision(record)
             found = decode_own(record, RolloutRecord)
--- a/wigeonmill/gateway/origin_exchange.py
+++ b/wigeonmill/gateway/origin_exchange.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
 import logging
@@ -77,16 +78,24 @@
     """The origins of the streams of all entries.
 
     Origins are sent to the peers that rank first for the request. A peer that
-    is not connected is used only if there are too few others.
+    is not connected is used only if there are too few others. `only_version`
+    returns the version that began every stream of a service, if it is known
+    and there is just one.
     """
 
     def __init__(
-        self, clock: Clock, metrics: Metrics, name: str, links: PeerLinks
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        name: str,
+        links: PeerLinks,
+        only_version: Callable[[str], str | None] = lambda service: None,
     ) -> None:
         self._clock = clock
         self._metrics = metrics
         self._name = name
         self._links = links
+        self._only_version = only_version
         self._local = LocalStreamOrigins()
         # Peers that have been sent the origin of a request. They also get
         # its replacement.
@@ -128,6 +137,11 @@
         if inquiry.origin is None and self._is_usable(request_id):
             await self._ask_peers(request_id, inquiry)
             source = 'peer'
+        if inquiry.origin is None:
+            version = self._only_version(service)
+            if version is not None:
+                inquiry.origin = StreamOrigin(service, version)
+                source = 'only_version'
         if inquiry.origin is None:
             source = 'unknown'
             logger.info(
--- a/wigeonmill/gateway/own_records.py
+++ b/wigeonmill/gateway/own_records.py
@@ -16,6 +16,7 @@
 LEADER_KEY = 'wigeonmill/leader'
 ROLLOUT_KEY = 'wigeonmill/rollout'
 INNER_KEY = 'wigeonmill/inner-key'
+SOFTWARE_VERSIONS_KEY = 'wigeonmill/software-versions'
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
@@ -47,6 +48,15 @@
     fence: int = 0
 
 
+class SoftwareVersionsRecord(msgspec.Struct, frozen=True):
+    """The software versions that each service's targets had recently.
+
+    A target that states no version is listed as an empty one.
+    """
+
+    versions: dict[str, list[str]]
+
+
 def decode_own(record: Record, kind: type[T]) -> T | None:
     """Return a record's value, or None if it is removed or malformed."""
     if record.value is None:
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -33,6 +33,8 @@
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
 from wigeonmill.gateway.server import GatewayServer
 from wigeonmill.gateway.settings import GatewaySettings
+from wigeonmill.gateway.software_versions import SoftwareVersions
+from wigeonmill.gateway.software_versions import SoftwareVersionsPublisher
 from wigeonmill.gateway.status_server import StatusServer
 from wigeonmill.gateway.store_watch import StoreWatch
 from wigeonmill.gateway.supervision import run_supervised
@@ -146,8 +148,18 @@
             CacheEventExchange(self._stores),
             rng,
         )
+        self._versions = SoftwareVersions(
+            clock, self._ctx.directory, self._ctx.freshness
+        )
+        self._versions_publisher = SoftwareVersionsPublisher(
+            clock, self._versions, self._leadership, adapter.keys
+        )
         origins = SharedStreamOrigins(
-            clock, self.metrics, settings.process, self._peers
+            clock,
+            self.metrics,
+            settings.process,
+            self._peers,
+            self._versions.only_version,
         )
         self._peers.handle(Kind.STREAM_ORIGINS, origins.answer)
         self._ctx.origins = origins
@@ -161,6 +173,7 @@
             self._entries,
             self._inner_key,
             publisher,
+            self._versions,
             self._on_desired_state,
         )
         self._mirror.subscribe(intake.apply_record)
@@ -193,6 +206,7 @@
                 self._run_registration,
                 self._run_leadership,
                 self._run_rollout,
+                self._run_versions_publisher,
                 self._run_cache_cleaner,
                 self._ensure_inner_key,
                 self._peers.run,
@@ -263,6 +277,7 @@
             await asyncio.sleep(TICK_MS / 1000.0)
             lag.record(max(0.0, self._clock.now_ms() - due_ms))
             self._ctx.directory.expire()
+            self._versions.observe()
             if self._clock.now_ms() - logged_ms >= COUNTERS_INTERVAL_MS:
                 logged_ms = self._clock.now_ms()
                 self._log_counters()
@@ -306,6 +321,11 @@
             await self._rollout.step()
             await asyncio.sleep(TICK_MS / 1000.0)
 
+    async def _run_versions_publisher(self) -> None:
+        while True:
+            await self._versions_publisher.step()
+            await asyncio.sleep(TICK_MS / 1000.0)
+
     async def _run_cache_cleaner(self) -> None:
         while True:
             await self._cleaner.step()
