--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -234,6 +234,18 @@
     assert world.leader.only_version() == 'v2'
 
 
+def test_a_published_version_counts_until_the_leader_drops_it():
+    world = World('v2')
+    world.lead(None)
+    record = SoftwareVersionsRecord({SERVICE: ['v1', 'v2']})
+    world.write(msgspec.json.encode(record))
+    world.run(RETENTION_MS + 4 * STEP_MS)
+    assert world.leader.only_version() is None
+    world.lead(1)
+    world.run()
+    assert world.leader.only_version() == 'v2'
+
+
 def test_the_time_without_the_key_value_service_does_not_count():
     world = World('v2')
     record = SoftwareVersionsRecord({SERVICE: ['v1', 'v2']})
