Count how long the key-value service was followed from the first copy

An entry that had just started took what it saw to be complete for a minute.

Change: the freshness of the copy tells how long the service has been followed without an outage, from the first copy on.

--- a/wigeonmill/gateway/freshness.py
+++ b/wigeonmill/gateway/freshness.py
@@ -13,19 +13,29 @@
     The clock includes the time for which the process was suspended.
     """
 
-    __slots__ = ('_clock', '_started_ms', '_confirmed_ms', '_restored_ms')
+    __slots__ = (
+        '_clock',
+        '_started_ms',
+        '_confirmed_ms',
+        '_restored_ms',
+        '_followed_ms',
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._started_ms = clock.boot_ms()
         self._confirmed_ms = float('-inf')
         self._restored_ms = float('-inf')
+        self._followed_ms = float('inf')
 
     def confirm(self, age_ms: float = 0.0) -> None:
         """Record that the copy was complete `age_ms` ago."""
-        confirmed_ms = self._clock.boot_ms() - age_ms
-        if self.out_of_reach and age_ms < OUT_OF_REACH_MS:
-            self._restored_ms = self._clock.boot_ms()
+        now_ms = self._clock.boot_ms()
+        confirmed_ms = now_ms - age_ms
+        if age_ms < OUT_OF_REACH_MS:
+            if self.out_of_reach:
+                self._restored_ms = self._followed_ms = now_ms
+            self._followed_ms = min(self._followed_ms, now_ms)
         self._confirmed_ms = max(self._confirmed_ms, confirmed_ms)
 
     @property
@@ -43,5 +53,13 @@
 
     @property
     def since_restored_ms(self) -> float:
-        """The time since the service came into reach (infinite: never)."""
+        """The time since the last outage (infinite: there was none)."""
         return self._clock.boot_ms() - self._restored_ms
+
+    @property
+    def followed_ms(self) -> float:
+        """How long this process has followed the service without an outage.
+
+        It is negative infinity before the first copy.
+        """
+        return self._clock.boot_ms() - self._followed_ms
--- a/wigeonmill/gateway/software_versions.py
+++ b/wigeonmill/gateway/software_versions.py
@@ -144,7 +144,7 @@
             return False
         return (
             self._published is not None
-            or self._freshness.since_restored_ms >= RETENTION_MS
+            or self._freshness.followed_ms >= RETENTION_MS
         )
 
     def _mark_seen(self, service: str, versions: Iterable[str]) -> None:
