--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -23,6 +23,7 @@
 from wigeonmill.gateway.intake import RecordIntake
 from wigeonmill.gateway.leadership import Leadership
 from wigeonmill.gateway.mirror import Mirror
+from wigeonmill.gateway.origin_exchange import SharedStreamOrigins
 from wigeonmill.gateway.own_records import ENTRY_PREFIX
 from wigeonmill.gateway.own_records import LEADER_KEY
 from wigeonmill.gateway.peers import Peers
@@ -32,6 +33,8 @@
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
 from wigeonmill.gateway.server import GatewayServer
 from wigeonmill.gateway.settings import GatewaySettings
+from wigeonmill.gateway.software_versions import SoftwareVersions
+from wigeonmill.gateway.software_versions import SoftwareVersionsPublisher
 from wigeonmill.gateway.status_server import StatusServer
 from wigeonmill.gateway.store_watch import StoreWatch
 from wigeonmill.gateway.supervision import run_supervised
@@ -39,6 +42,7 @@
 from wigeonmill.gateway.target_client import TargetClient
 from wigeonmill.gateway.weights_rollout import WeightsRollout
 from wigeonmill.metrics import Metrics
+from wigeonmill.protocol.gen.inner.ttypes import Kind
 from wigeonmill.providers.key_value import KvEntry
 from wigeonmill.providers.transfers import TransferLoop
 from wigeonmill.settings_fault import SettingsFault
@@ -148,6 +152,21 @@
             CacheEventExchange(self._stores),
             rng,
         )
+        self._versions = SoftwareVersions(
+            clock, self._ctx.directory, self._ctx.freshness
+        )
+        self._versions_publisher = SoftwareVersionsPublisher(
+            clock, self._versions, self._leadership, adapter.keys
+        )
+        origins = SharedStreamOrigins(
+            clock,
+            self.metrics,
+            settings.process,
+            self._peers,
+            self._versions.only_version,
+        )
+        self._peers.handle(Kind.STREAM_ORIGINS, origins.answer)
+        self._ctx.origins = origins
         self._cleaner = CacheCleaner(
             self._ctx, self._leadership, adapter.caches, self._stores
         )
@@ -158,6 +177,7 @@
             self._entries,
             self._inner_key,
             publisher,
+            self._versions,
             self._on_desired_state,
         )
         self._mirror.subscribe(intake.apply_record)
@@ -190,6 +210,7 @@
                 self._run_registration,
                 self._run_leadership,
                 self._run_rollout,
+                self._run_versions_publisher,
                 self._run_cache_cleaner,
                 self._ensure_inner_key,
                 self._peers.run,
@@ -260,6 +281,7 @@
             await asyncio.sleep(TICK_MS / 1000.0)
             lag.record(max(0.0, self._clock.now_ms() - due_ms))
             self._ctx.directory.expire()
+            self._versions.observe()
             if self._clock.now_ms() - logged_ms >= COUNTERS_INTERVAL_MS:
                 logged_ms = self._clock.now_ms()
                 self._log_counters()
@@ -303,6 +325,11 @@
             await self._rollout.step()
             await asyncio.sleep(TICK_MS / 1000.0)
 
+    async def _run_versions_publisher(self) -> None:
+        while True:
+            await self._versions_publisher.step()
+            await asyncio.sleep(TICK_MS / 1000.0)
+
     async def _run_cache_cleaner(self) -> None:
         while True:
             await self._cleaner.step()
