Stop sending to a target that states in an answer that it leaves

A target that leaves says so in all its answers. The gateway read this only from the target's record, so that while the key-value service is away, or for a target that is never listed as draining, callers' requests went on to a target that was about to exit.

The adapter decodes the header into a notice of the answer's head, for answers to requests of every status and for those to reports and orders. The first such notice marks that lifetime as draining, from the head on. Targets are chosen at the moment of sending, without a queue in between, so second tries and resumed streams obey it. Records of the same lifetime never take a drain back; a later start, or another id at the address, is a new lifetime. An answer that names another target, which has taken over the address, is not counted against this one.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
 import json
 
 from tornado.httpserver import HTTPServer
@@ -33,6 +34,7 @@
     status: int = 200
     body: dict | str | None = None
     lost: bool = False
+    headers: dict[str, str] = field(default_factory=dict)
 
 
 class _Handler(RequestHandler):
@@ -49,6 +51,8 @@
         if reply.lost:
             await asyncio.sleep(TIMEOUT_S)
         self.set_status(reply.status)
+        for name, value in reply.headers.items():
+            self.set_header(name, value)
         text = reply.body
         self.finish(text if isinstance(text, str) else json.dumps(text))
 
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -115,3 +115,24 @@
         assert (await caches.free(standin.address, [('s', 'p')], 4)).is_err()
 
     with_standin(lambda call: Reply(202, {}), check)
+
+
+# Guards against a leaving engine that says so in reports and orders only.
+@pytest.mark.parametrize('status', [200, 409, 503])
+def test_notices_in_answers_to_reports_and_orders_are_passed_on(status):
+    headers = {'Server-Leaving': '1', 'Instance-Id': 't1'}
+    seen = []
+
+    async def check(standin, transfers):
+        target = make_target(address=standin.address)
+        engines = AllianceEngines(transfers)
+        engines.subscribe(
+            lambda target, notice, kind: seen.append(
+                (target.id, notice.leaving, notice.target_id, kind)
+            )
+        )
+        await engines.report(target)
+        await engines.load_weights(target, ORDER)
+
+    with_standin(lambda call: Reply(status, {}, headers=headers), check)
+    assert seen == [('t1', True, 't1', 'report'), ('t1', True, 't1', 'order')]
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -1,3 +1,5 @@
+import pytest
+
 from alliance.targets import AllianceTargets
 from tests.gateway.samples import make_request
 from wigeonmill.gateway.target_client import Instructions
@@ -80,3 +82,17 @@
 def test_content_encoding_marks_the_body_as_encoded():
     assert decode_head(Content_Encoding='gzip').encoded
     assert not decode_head(Content_Encoding='identity').encoded
+
+
+# Guards against a leaving target whose statement is lost in an answer.
+@pytest.mark.parametrize('status', [200, 400, 421, 429, 500, 503])
+def test_leaving_is_decoded_from_answers_of_every_status(status):
+    assert decode_head(status, Server_Leaving=1).notice.leaving
+    assert decode_head(status, server_leaving=' 1 ').notice.leaving
+    assert not decode_head(status).notice.leaving
+    assert not decode_head(status, Server_Leaving=0).notice.leaving
+
+
+def test_a_notice_names_the_target_that_answered():
+    head = decode_head(421, Instance_Id='i-2', Server_Leaving=1)
+    assert head.notice.target_id == 'i-2'
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -10,6 +10,7 @@
 from wigeonmill.gateway.desired import DesiredState
 from wigeonmill.gateway.desired import RouteTable
 from wigeonmill.gateway.freshness import Freshness
+from wigeonmill.gateway.target_notices import TargetNotices
 from wigeonmill.gateway.targets import Directory
 from wigeonmill.metrics import Metrics
 from wigeonmill.routing.circuit import CircuitBreakers
@@ -127,6 +128,7 @@
         'desired',
         'directory',
         'circuits',
+        'notices',
         'crash_guard',
         'entry_count',
         'entry_position',
@@ -153,6 +155,7 @@
         )
         self.directory = Directory(clock)
         self.circuits = CircuitBreakers(clock, rng)
+        self.notices = TargetNotices(metrics)
         self.crash_guard = CrashGuard(clock)
         # Returns the number of entries that may be alive.
         self.entry_count = entry_count
--- a/wigeonmill/gateway/engine_orders.py
+++ b/wigeonmill/gateway/engine_orders.py
@@ -6,6 +6,7 @@
 
 from result import Result
 
+from wigeonmill.gateway.target_notices import NoticeSink
 from wigeonmill.gateway.targets import Target
 from wigeonmill.providers.fetch import FetchError
 
@@ -64,6 +65,9 @@
 class EngineOrders(Protocol):
     """Fetches engine reports and sends orders."""
 
+    def subscribe(self, on_notice: NoticeSink) -> None:
+        """Pass the notice in each answer of an engine to `on_notice`."""
+
     async def report(self, target: Target) -> Result[EngineReport, FetchError]:
         """Return the engine's report."""
 
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -122,6 +122,7 @@
             term_ms=max(LEADER_TERM_MS, settings.key_value_ttl_min_ms),
             takeover_delay_ms=settings.lease_ms,
         )
+        adapter.engines.subscribe(self._ctx.notices.record)
         publisher = RolloutPublisher(self._ctx, self._leadership, adapter.keys)
         self._rollout = WeightsRollout(
             self._ctx,
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -9,6 +9,7 @@
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.request import CallerRequest
 from wigeonmill.gateway.request import HeaderFields
+from wigeonmill.gateway.target_notices import Notice
 from wigeonmill.gateway.targets import Target
 from wigeonmill.providers.transfers import ReplyHead
 from wigeonmill.providers.transfers import Transfer
@@ -61,7 +62,7 @@
 
     `sealed` is set if the target confirms the answer by a seal, and `not_run`
     if it states that it has not run the request. `fields` are passed on to
-    the caller.
+    the caller. `notice` is what the target states about itself.
     """
 
     status: int
@@ -74,6 +75,7 @@
     weight_version: int | None = None
     keep_alive_s: int | None = None
     encoded: bool = False
+    notice: Notice = Notice()
 
     @property
     def succeeded(self) -> bool:
