Send nothing to a target that refused with a time until it is over

A target that turns a request away with 503 may state for how long it wants no requests.

The target is closed to requests from the head of that answer on. A shorter time that another refusal states later does not open it earlier, and only a new lifetime is open again. Closed targets are left out at each pick without exception. Callers are refused at once if all targets of the service are closed (targets_closed), with the time until the first one opens; a request that was itself refused last gets that time too. Numbers beyond max_closed_ms are cut, and text that is no number of seconds is ignored; both are logged or counted.

The entries open a target one after the other, by their positions, over a quarter of the stated time and 1 s at most. The jitter of a Retry-After is now a share of 2 s at most, so that a long time stays true.

--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -1,5 +1,6 @@
 """Tests what an entry does after a target has said something of itself."""
 
+import functools
 import logging
 
 import pytest
@@ -14,12 +15,20 @@
 from tests.gateway.samples import make_record
 from tests.gateway.samples import make_request
 from tests.gateway.samples import make_route
+from tests.gateway.samples import make_target
+from wigeonmill.clock import ManualClock
+from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.desired import ServiceShare
 from wigeonmill.gateway.target_client import ExchangeEnd
+from wigeonmill.gateway.target_notices import DEFAULT_MAX_CLOSED_MS
 from wigeonmill.gateway.target_notices import Notice
+from wigeonmill.gateway.target_notices import OPENING_SPREAD
+from wigeonmill.gateway.target_notices import TargetNotices
+from wigeonmill.metrics import Metrics
 
 LEAVING = Notice(leaving=True)
+CLOSED_MS = 2_000.0
 EVENT = b'id: %d\ndata: x\n\n'
 
 
@@ -27,6 +36,13 @@
     return (make_head(**changes), b'whole', end)
 
 
+def closed(closed_ms=CLOSED_MS, **changes):
+    notice = Notice(closed_ms=closed_ms)
+    return whole(
+        status=503, sealed=False, not_run=True, notice=notice, **changes
+    )
+
+
 def ledgers(scripts, count=2):
     return Harness(scripts, [make_record(f't{n}') for n in range(count)])
 
@@ -191,3 +207,165 @@
         't0',
         'answer',
     )
+
+
+# Guards against requests to a target within the time that it asked for.
+@pytest.mark.parametrize(
+    'script',
+    [closed(), closed(end=ExchangeEnd.BROKEN), closed(request_id=None)],
+)
+def test_a_closed_target_gets_nothing_until_its_time_is_over(script):
+    harness = ledgers([script, fakes.GOOD])
+    run_ledger(harness)
+    refused_id = sent_ids(harness)[0]
+    other = next(t for t in harness.ctx.directory.all() if t.id != refused_id)
+    until_ms = harness.clock.now_ms() + CLOSED_MS
+    while harness.clock.now_ms() < until_ms:
+        # The closed target has the lower cost.
+        other.load.record_outcome(failed=True)
+        assert run_ledger(harness).status == 200
+        harness.clock.advance(20)
+    assert refused_id not in sent_ids(harness)[1:]
+    harness.ctx.notices.record(other, LEAVING, 'answer')
+    assert run_ledger(harness).status == 200
+    assert sent_ids(harness)[-1] == refused_id
+
+
+# Guards against the fallback to a refusing target when none else remains.
+def test_all_targets_closed_is_refused_at_once_with_the_earliest_time():
+    harness = ledgers([closed(8_000.0), closed(3_000.0)])
+    channel = run_ledger(harness, max_targets=5)
+    assert len(harness.client.sent) == 2
+    assert channel.refusal.reason is Reason.TARGETS_CLOSED
+    assert 3_000.0 <= channel.refusal.retry_after_ms <= 4_000.0
+    for turn in range(1, 60):
+        harness.clock.advance(50)
+        refused_ms = harness.clock.now_ms()
+        refusal = run_ledger(harness).refusal
+        assert refusal.status == 503
+        assert refusal.retry_after_ms >= 3_000.0 - 50.0 * turn
+        assert harness.clock.now_ms() == refused_ms
+    assert len(harness.client.sent) == 2
+    harness.clock.advance(100)
+    harness.client.set_scripts([fakes.GOOD])
+    assert run_ledger(harness).status == 200
+
+
+# Guards against callers that return too early, or all at the same moment.
+def test_callers_whose_request_was_refused_last_get_the_time_too():
+    harness = ledgers([closed()], count=1)
+    times_ms = set()
+    for _turn in range(10):
+        harness.ctx.directory.get('t0').closed_until_ms = 0.0
+        refusal = run_ledger(harness, max_targets=1).refusal
+        assert refusal.reason is Reason.NOT_RUN
+        assert refusal.retry_after_ms >= CLOSED_MS
+        times_ms.add(refusal.retry_after_ms)
+    assert len(times_ms) == 10
+
+
+# Guards against a refusal to the caller while another target has room.
+def test_a_refusal_with_a_time_is_retried_at_a_target_with_room():
+    harness = ledgers([closed(), fakes.GOOD], count=2)
+    for _turn in range(40):
+        assert run_ledger(harness).status == 200
+    assert len(harness.client.sent) == 41
+
+
+# Guards against a long Retry-After where a target has room, but was tried.
+def test_the_retry_time_is_short_if_a_target_is_open():
+    harness = ledgers([fakes.FULL, closed()])
+    refusal = run_ledger(harness, max_targets=5).refusal
+    assert refusal.reason is Reason.NO_TARGET
+    assert refusal.retry_after_ms < CLOSED_MS
+
+
+# Guards against requests that were under way and reopen the target earlier.
+def test_forty_requests_under_way_do_not_shorten_the_time():
+    harness = ledgers([], count=2)
+    target = harness.ctx.directory.get('t0')
+    for turn in range(40):
+        notice = Notice(closed_ms=CLOSED_MS if turn == 0 else 10.0)
+        harness.ctx.notices.record(target, notice, 'answer', f'q{turn}')
+        harness.clock.advance(5)
+    harness.client.set_scripts([fakes.GOOD])
+    while harness.clock.now_ms() < target.closed_until_ms:
+        run_ledger(harness)
+        harness.clock.advance(10)
+    assert set(sent_ids(harness)) == {'t1'}
+    assert harness.clock.now_ms() >= 1_010_000.0 + CLOSED_MS
+
+
+# Guards against values that close a target for good or stop the entry.
+@pytest.mark.parametrize('stated_ms', [1e23, float('inf')])
+def test_a_huge_time_is_capped_and_counted(stated_ms, caplog):
+    caplog.set_level(logging.INFO)
+    harness = ledgers([closed(stated_ms)], count=1)
+    run_ledger(harness)
+    target = harness.ctx.directory.get('t0')
+    now_ms = harness.clock.now_ms()
+    assert target.closed_until_ms - now_ms == DEFAULT_MAX_CLOSED_MS
+    counts = harness.ctx.metrics.reasons('target_notices')
+    assert counts == {'closed': 1, 'capped': 1}
+    line = next(r for r in caplog.records if r.message == 'target closed')
+    assert (line.request_id, line.target, line.source, line.closed_ms) == (
+        'q1',
+        't0',
+        'answer',
+        DEFAULT_MAX_CLOSED_MS,
+    )
+
+
+def test_a_malformed_time_is_logged_and_counted_and_closes_nothing(caplog):
+    caplog.set_level(logging.INFO)
+    notice = Notice(malformed='-3')
+    harness = ledgers([whole(status=503, not_run=True, notice=notice)])
+    run_ledger(harness, max_targets=1)
+    counts = harness.ctx.metrics.reasons('target_notices')
+    assert counts == {'malformed': 1}
+    now_ms = harness.clock.now_ms()
+    assert not any(t.is_closed(now_ms) for t in harness.ctx.directory.all())
+    line = next(r for r in caplog.records if r.message == 'malformed notice')
+    assert (line.request_id, line.value) == ('q1', '-3')
+
+
+# Guards against a rush of all entries at the end of the time.
+def test_many_entries_open_a_target_one_after_the_other():
+    clock = ManualClock()
+    entries = 20
+    until_ms = []
+    for number in range(entries):
+        position = functools.partial(float, number / entries)
+        notices = TargetNotices(clock, Metrics(), position)
+        target = make_target(clock)
+        notices.record(target, Notice(closed_ms=CLOSED_MS), 'answer')
+        until_ms.append(target.closed_until_ms - clock.now_ms())
+    assert min(until_ms) == CLOSED_MS
+    assert max(until_ms) <= CLOSED_MS * (1.0 + OPENING_SPREAD)
+    gaps = [b - a for a, b in zip(until_ms, until_ms[1:])]
+    assert min(gaps) > 0.5 * CLOSED_MS * OPENING_SPREAD / entries
+
+
+# Guards against a reborn target that stays closed.
+def test_a_new_lifetime_is_not_closed():
+    harness = ledgers([closed(), fakes.GOOD], count=1)
+    run_ledger(harness)
+    harness.ctx.directory.apply(make_record('t0', started_at_ms=2_000))
+    assert run_ledger(harness).status == 200
+
+
+# Guards against a resumed stream at a target within its time.
+def test_a_stream_is_not_resumed_at_a_closed_target():
+    harness = engines([])
+
+    def other_closes():
+        for target in harness.ctx.directory.all():
+            if target.id != sent_ids(harness)[0]:
+                notice = Notice(closed_ms=CLOSED_MS)
+                harness.ctx.notices.record(target, notice, 'answer', 'q2')
+        return EVENT % 1
+
+    script = (make_head(), other_closes, ExchangeEnd.BROKEN)
+    channel = run_stream(harness, [script])
+    assert len(harness.client.sent) == 1
+    assert channel.aborted
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -96,3 +96,38 @@
 def test_a_notice_names_the_target_that_answered():
     head = decode_head(421, Instance_Id='i-2', Server_Leaving=1)
     assert head.notice.target_id == 'i-2'
+
+
+# Guards against a stated time that is misread or stops the decoding.
+@pytest.mark.parametrize(
+    ('text', 'closed_ms'),
+    [
+        ('2', 2_000.0),
+        (' 0.25 ', 250.0),
+        ('.5', 500.0),
+        ('0', 0.0),
+        ('9' * 20, 1e23),
+        ('9' * 400, float('inf')),
+    ],
+)
+def test_the_time_of_a_refusal_is_decoded(text, closed_ms):
+    notice = decode_head(503, Not_Executed=1, Retry_After=text).notice
+    assert notice.closed_ms == pytest.approx(closed_ms)
+    assert notice.malformed is None
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['', '-3', '+3', '1e3', 'nan', 'inf', '1,5', '0x10', '1 2', '\u0663', '.']
+    + ['Fri, 04 Dec 2026 09:00:00 GMT'],
+)
+def test_a_malformed_time_of_a_refusal_is_ignored_and_reported(text):
+    notice = decode_head(503, Not_Executed=1, Retry_After=text).notice
+    assert (notice.closed_ms, notice.malformed) == (None, text)
+
+
+@pytest.mark.parametrize('status', [200, 421, 429, 500])
+def test_only_a_503_closes_its_target(status):
+    notice = decode_head(status, Retry_After='x').notice
+    assert (notice.closed_ms, notice.malformed) == (None, None)
+    assert decode_head(status, Retry_After=2).notice.closed_ms is None
--- a/wigeonmill/gateway/answers.py
+++ b/wigeonmill/gateway/answers.py
@@ -18,6 +18,7 @@
     NO_TARGET = 'no_target'
     TARGETS_FULL = 'targets_full'
     TARGETS_COLD = 'targets_cold'
+    TARGETS_CLOSED = 'targets_closed'
     OLD_WEIGHTS = 'old_weights'
     TOO_LATE = 'too_late'
     CRASHES_TARGETS = 'crashes_targets'
@@ -39,6 +40,7 @@
     Reason.NO_TARGET: 503,
     Reason.TARGETS_FULL: 503,
     Reason.TARGETS_COLD: 503,
+    Reason.TARGETS_CLOSED: 503,
     Reason.OLD_WEIGHTS: 503,
     Reason.TOO_LATE: 503,
     Reason.CRASHES_TARGETS: 503,
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -10,6 +10,7 @@
 from wigeonmill.gateway.desired import DesiredState
 from wigeonmill.gateway.desired import RouteTable
 from wigeonmill.gateway.freshness import Freshness
+from wigeonmill.gateway.target_notices import DEFAULT_MAX_CLOSED_MS
 from wigeonmill.gateway.target_notices import TargetNotices
 from wigeonmill.gateway.targets import Directory
 from wigeonmill.metrics import Metrics
@@ -145,6 +146,7 @@
         entry_count: Callable[[], int],
         weights_deadline_ms: float = DEFAULT_WEIGHTS_DEADLINE_MS,
         entry_position: Callable[[], float] = lambda: 0.0,
+        max_closed_ms: float = DEFAULT_MAX_CLOSED_MS,
     ) -> None:
         self.clock = clock
         self.rng = rng
@@ -155,7 +157,9 @@
         )
         self.directory = Directory(clock)
         self.circuits = CircuitBreakers(clock, rng)
-        self.notices = TargetNotices(metrics)
+        self.notices = TargetNotices(
+            clock, metrics, entry_position, max_closed_ms
+        )
         self.crash_guard = CrashGuard(clock)
         # Returns the number of entries that may be alive.
         self.entry_count = entry_count
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -53,8 +53,9 @@
 # Margin for a request to reach a target with old weights and begin to run.
 BEGIN_MARGIN_MS = 400.0
 # Jitter of the retry time, as a share, so that refused callers do not all
-# return at once.
+# return at once, and the longest time of which it is a share.
 RETRY_JITTER = 0.5
+MAX_JITTERED_MS = 2_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,9 +142,7 @@
         """Return the best target, or why there is none."""
         usable = self._usable(demand)
         if not usable:
-            return Err(
-                self._refusal(Reason.NO_TARGET, 'no target is available')
-            )
+            return Err(self._no_target(demand))
         current = self._without_expired_weights(usable, demand)
         if not current:
             message = 'the targets do not have the new weights yet'
@@ -163,15 +162,43 @@
         best = self._best(healthy or admissible, demand)
         return Ok(best)
 
+    def retry_after_ms(self, demand: Demand) -> float:
+        """Return the time after which a refused caller may return.
+
+        The result is 0 unless all targets in service are closed.
+        """
+        return self._with_jitter(self._opens_in_ms(demand))
+
+    def _opens_in_ms(self, demand: Demand) -> float:
+        """Return the time until the first target opens (0: now)."""
+        now_ms = self._clock.now_ms()
+        closed_ms = [
+            target.closed_until_ms - now_ms
+            for target in self._in_service(demand)
+        ]
+        return max(0.0, min(closed_ms, default=0.0))
+
+    def _no_target(self, demand: Demand) -> Refusal:
+        opens_in_ms = self._opens_in_ms(demand)
+        if opens_in_ms > 0:
+            return self._refusal(
+                Reason.TARGETS_CLOSED, 'all targets are closed', opens_in_ms
+            )
+        return self._refusal(Reason.NO_TARGET, 'no target is available')
+
     def _usable(self, demand: Demand) -> list[Target]:
         """Return the targets in service that are expected to accept work.
 
-        Targets that were tried already are left out. So are those that are
-        loading weights or refuse requests, unless no others remain.
+        Targets that are closed or were tried already are left out. So are
+        those that are loading weights or refuse requests, unless no others
+        remain.
         """
         now_ms = self._clock.now_ms()
-        usable = self._in_service(demand)
-        untried = [t for t in usable if t.id not in demand.avoid]
+        untried = [
+            target
+            for target in self._in_service(demand)
+            if target.id not in demand.avoid and not target.is_closed(now_ms)
+        ]
         not_loading = [
             t for t in untried if not t.is_loading(now_ms)
         ] or untried
@@ -351,5 +378,8 @@
         message: str,
         retry_after_ms: float = RETRY_AFTER_MS,
     ) -> Refusal:
-        jitter = 1.0 + RETRY_JITTER * self._rng.random()
-        return Refusal(reason, message, retry_after_ms * jitter)
+        return Refusal(reason, message, self._with_jitter(retry_after_ms))
+
+    def _with_jitter(self, time_ms: float) -> float:
+        jitter_ms = RETRY_JITTER * min(time_ms, MAX_JITTERED_MS)
+        return time_ms + jitter_ms * self._rng.random()
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -257,7 +257,11 @@
     ) -> None:
         refusal = Refusal(reason, message, retry_after_ms)
         if refusal.status in NOT_RUN_STATUSES and retry_after_ms is None:
-            refusal = Refusal(reason, message, DEFAULT_RETRY_AFTER_MS)
+            retry_after_ms = max(
+                DEFAULT_RETRY_AFTER_MS,
+                self._picker.retry_after_ms(self._terms.demand(())),
+            )
+            refusal = Refusal(reason, message, retry_after_ms)
         self._count_refusal(reason)
         self._channel.refuse(refusal)
         self._log.log_refusal(refusal, self._attempts)
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -101,6 +101,7 @@
             self._entries.count,
             settings.weights_deadline_ms,
             self._entries.position,
+            settings.max_closed_ms,
         )
         self._sync = MirrorSync(
             adapter.source,
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -45,6 +45,7 @@
     retry_window_ms: Milliseconds = 10_000.0
     lease_ms: Milliseconds = 3_000.0
     weights_deadline_ms: Milliseconds = 15_000.0
+    max_closed_ms: Milliseconds = 300_000.0
     log_level: str = 'INFO'
 
 
--- a/wigeonmill/gateway/target_notices.py
+++ b/wigeonmill/gateway/target_notices.py
@@ -1,25 +1,38 @@
 """What targets state about themselves in their answers."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
 import logging
 
+from wigeonmill.clock import Clock
 from wigeonmill.gateway.targets import Target
 from wigeonmill.metrics import Metrics
 
 logger = logging.getLogger(__name__)
 
+DEFAULT_MAX_CLOSED_MS = 300_000.0
+# Time over which the entries open a closed target again, as a share of the
+# time that it asked for. Otherwise all of them would send to it at once.
+OPENING_SPREAD = 0.25
+MAX_OPENING_SPREAD_MS = 1_000.0
+MAX_LOGGED_CHARS = 40
+
 
 @dataclass(frozen=True, slots=True)
 class Notice:
     """What an answer states about the target that sent it.
 
     `target_id` is the id of that target, or None if the answer does not name
-    it. `leaving` is set if it accepts no new requests until its end.
+    it. `leaving` is set if it accepts no new requests until its end, and
+    `closed_ms` if it accepts none for that time. `malformed` is a statement
+    that could not be parsed.
     """
 
     target_id: str | None = None
     leaving: bool = False
+    closed_ms: float | None = None
+    malformed: str | None = None
 
 
 # Called with a target, the notice in its answer and the kind of the call.
@@ -29,10 +42,19 @@
 class TargetNotices:
     """Applies the notices in answers to the state of their targets."""
 
-    __slots__ = ('_metrics',)
+    __slots__ = ('_clock', '_metrics', '_entry_position', '_max_closed_ms')
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        entry_position: Callable[[], float],
+        max_closed_ms: float = DEFAULT_MAX_CLOSED_MS,
+    ) -> None:
+        self._clock = clock
         self._metrics = metrics
+        self._entry_position = entry_position
+        self._max_closed_ms = max_closed_ms
 
     def record(
         self, target: Target, notice: Notice, source: str, request_id: str = ''
@@ -46,24 +68,42 @@
             return
         if notice.leaving and not target.draining:
             target.draining = True
-            self._report('leaving', target, source, request_id, {})
-
-    def _report(
-        self,
-        kind: str,
-        target: Target,
-        source: str,
-        request_id: str,
-        details: dict[str, object],
+            self._metrics.count('target_notices', 'leaving')
+            _log('target leaving', target, source, request_id, {})
+        if notice.malformed is not None:
+            self._metrics.count('target_notices', 'malformed')
+            details = {'value': notice.malformed[:MAX_LOGGED_CHARS]}
+            _log('malformed notice', target, source, request_id, details)
+        if notice.closed_ms:
+            self._close(target, notice.closed_ms, source, request_id)
+
+    def _close(
+        self, target: Target, stated_ms: float, source: str, request_id: str
     ) -> None:
-        self._metrics.count('target_notices', kind)
-        logger.info(
-            f'target {kind}',
-            extra={
-                'request_id': request_id,
-                'target': target.id,
-                'born_ms': target.started_at_ms,
-                'source': source,
-            }
-            | details,
-        )
+        """Close a target; the entries open it one after the other."""
+        closed_ms = min(stated_ms, self._max_closed_ms)
+        if closed_ms < stated_ms:
+            self._metrics.count('target_notices', 'capped')
+        spread_ms = min(OPENING_SPREAD * closed_ms, MAX_OPENING_SPREAD_MS)
+        closed_ms += spread_ms * self._entry_position()
+        until_ms = self._clock.now_ms() + closed_ms
+        target.closed_until_ms = max(target.closed_until_ms, until_ms)
+        self._metrics.count('target_notices', 'closed')
+        details = {'closed_ms': round(closed_ms)}
+        _log('target closed', target, source, request_id, details)
+
+
+def _log(
+    message: str,
+    target: Target,
+    source: str,
+    request_id: str,
+    details: Mapping[str, object],
+) -> None:
+    extra = {
+        'request_id': request_id,
+        'target': target.id,
+        'born_ms': target.started_at_ms,
+        'source': source,
+    }
+    logger.info(message, extra=extra | dict(details))
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -71,6 +71,7 @@
         'cold_allowance',
         'weights',
         'refusing_until_ms',
+        'closed_until_ms',
         'loading',
         'load',
     )
@@ -95,7 +96,10 @@
         self.cold_until_ms = clock.now_ms() + record.cold_remaining_ms
         self.cold_allowance = ColdAllowance(clock)
         self.weights = dict(record.weights)
+        # Until then the target is avoided if others remain.
         self.refusing_until_ms = 0.0
+        # Until then the target must not get new requests.
+        self.closed_until_ms = 0.0
         self.loading: Loading | None = None
         self.load = TargetLoad(clock, estimates)
 
@@ -108,6 +112,10 @@
         """Whether the target accepts only the rate of a cold target."""
         return now_ms < self.cold_until_ms
 
+    def is_closed(self, now_ms: float) -> bool:
+        """Whether the target asked for no requests until a later time."""
+        return now_ms < self.closed_until_ms
+
     def is_loading(self, now_ms: float) -> bool:
         """Whether the target is loading weights that it does not have yet."""
         loading = self.loading
