Draw targets that leave or ask for time in the soak

The stand-in of a target says in its answers that it leaves, without listing it, and refuses with a time. Both are drawn beside the other faults, whose list stays as it was, from a generator of their own. Faults no longer pick a target that is leaving, as its stop is already under way.

Two more checks look at what callers and targets saw: an entry sends a target nothing after it has passed on that the target leaves, and not more than two requests into the time for which a target refused. Restarts and pauses of the entry since then are excused, and for a refusal also faults on the connections of the target, which may have lost the answer.

--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 import json
+import math
 
 from tests.platform.soak.callers import Attempt
 from tests.platform.soak.callers import Kind
@@ -14,6 +15,13 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # A target gets no request later than this after it was listed as draining.
 DRAIN_S = 3.0
+# A caller's request that is sent later than this after its entry has passed
+# on that a target leaves does not reach the target.
+LEAVING_S = 0.5
+# An entry sends a target no more than this many requests later than
+# `CLOSING_S` after its first refusal with a time, until the time is over.
+CLOSING_S = 0.5
+MAX_WHILE_CLOSED = 2
 # The minimum share of successful attempts after the last fault. A few attempts
 # fail because of their targets.
 MIN_SERVED_SHARE = 0.85
@@ -40,6 +48,8 @@
     ]
     found += _check_targets(attempts, journal)
     found += _check_orders(journal)
+    found += _check_leaving(attempts, journal)
+    found += _check_closings(attempts, journal)
     final_attempts = [
         a
         for a in attempts
@@ -127,3 +137,46 @@
             ):
                 late_s = run.started_at - drained_at
                 yield Breach('drained', request_id, f'{late_s:.1f} s late')
+
+
+def _check_leaving(attempts, journal):
+    passed_on = {}
+    for attempt in attempts:
+        if attempt.outcome is Outcome.COMPLETE and (
+            attempt.headers.get('server-leaving') == '1'
+        ):
+            # A resumed stream has the head of its first target.
+            target, _, _id = attempt.headers['server-seal'].rpartition('.')
+            at = passed_on.get((attempt.entry, target), attempt.ended_at)
+            passed_on[attempt.entry, target] = min(at, attempt.ended_at)
+    for attempt in attempts:
+        for run in journal.runs.get(attempt.id, []):
+            at = passed_on.get((attempt.entry, run.target), math.inf)
+            if attempt.sent_at <= at + LEAVING_S:
+                continue
+            if not _had_fault(journal, attempt.entry, at, run.started_at):
+                late_s = attempt.sent_at - at
+                yield Breach('left alone', attempt.id, f'{late_s:.1f} s late')
+
+
+def _check_closings(attempts, journal):
+    entries = {attempt.id: attempt.entry for attempt in attempts}
+    arrivals = {}
+    for closing in journal.closings:
+        key = entries.get(closing.request_id), closing.target, closing.until
+        arrivals.setdefault(key, []).append(closing)
+    for (entry, target, until), closings in arrivals.items():
+        first_at = closings[0].refused_at
+        late = [c for c in closings if c.refused_at > first_at + CLOSING_S]
+        if len(late) > MAX_WHILE_CLOSED and not (
+            _had_fault(journal, entry, first_at, until)
+            or _had_fault(journal, target, first_at, until)
+        ):
+            yield Breach('closed', late[-1].request_id, f'{len(late)} came')
+
+
+def _had_fault(journal, name, start, end):
+    return any(
+        fault_start <= end and fault_end >= start
+        for fault_start, fault_end in journal.faults.get(name, ())
+    )
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 
 from tests.platform.soak.environment import DOMAINS
 from tests.platform.soak.environment import PLAIN_SERVICE
@@ -11,6 +12,8 @@
 
 DOWN_RANGE_S = (0.1, 1.0)
 FAULT_RANGE_S = (0.5, 3.0)
+# Time from the moment at which a target leaves to its end.
+LEAVING_S = 4.0
 INTERVAL_RANGE_S = (0.2, 1.2)
 
 
@@ -62,33 +65,49 @@
     async def _wait(self, range_s):
         await asyncio.sleep(self.rng.uniform(*range_s))
 
+    def _begin(self, name):
+        return self.environment.journal.begin_fault(name)
+
+    def _end(self, span):
+        span[1] = time.monotonic()
+
     def _pick_gateway(self):
         return self.rng.choice(self.environment.gateways)
 
     def _pick_target(self):
-        ready = [t for t in self.environment.targets if t.state == 'ready']
+        ready = [
+            t
+            for t in self.environment.targets
+            if t.state == 'ready' and not t.leaving
+        ]
         return self.rng.choice(ready)
 
     async def kill(self):
         gateway = self._pick_gateway()
+        span = self._begin(gateway.name)
         gateway.kill_and_wait()
         await self._wait(DOWN_RANGE_S)
         if not gateway.running:
             gateway.start()
+        self._end(span)
 
     async def stop_and_start(self):
         gateway = self._pick_gateway()
+        span = self._begin(gateway.name)
         gateway.signal_process(signal.SIGTERM)
         await gateway.wait_until_exited()
         await self._wait(DOWN_RANGE_S)
         if not gateway.running:
             gateway.start()
+        self._end(span)
 
     async def pause(self):
         gateway = self._pick_gateway()
+        span = self._begin(gateway.name)
         gateway.signal_process(signal.SIGSTOP)
         await self._wait(FAULT_RANGE_S)
         gateway.signal_process(signal.SIGCONT)
+        self._end(span)
 
     async def reload(self):
         self._pick_gateway().signal_process(signal.SIGHUP)
@@ -133,30 +152,42 @@
         target.state = 'draining'
         service = STREAM_SERVICE if target.streaming else PLAIN_SERVICE
         await self.environment.add_target(service, self.rng.choice(DOMAINS))
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(LEAVING_S)
         await target.stop()
         self.environment.targets.remove(target)
 
     async def reset_target(self):
-        for stream in list(self._pick_target().proxy.state.open_streams):
+        target = self._pick_target()
+        span = self._begin(target.id)
+        for stream in list(target.proxy.state.open_streams):
             reset_stream(stream)
+        self._end(span)
 
     async def cut_target_answers(self):
-        faults = self._pick_target().proxy.state.faults
+        target = self._pick_target()
+        # It ends with the last of the cuts, whenever that is.
+        self._begin(target.id)
+        faults = target.proxy.state.faults
         faults.cut_after_bytes = self.rng.randint(1, 400)
         faults.cuts = self.rng.randint(1, 10)
 
     async def silence_target(self):
-        faults = self._pick_target().proxy.state.faults
+        target = self._pick_target()
+        span = self._begin(target.id)
+        faults = target.proxy.state.faults
         faults.stall = self.rng.choice(list(Direction))
         await self._wait(FAULT_RANGE_S)
         faults.stall = None
+        self._end(span)
 
     async def slow_target(self):
-        faults = self._pick_target().proxy.state.faults
+        target = self._pick_target()
+        span = self._begin(target.id)
+        faults = target.proxy.state.faults
         faults.delay_ms = self.rng.uniform(20, 300)
         await self._wait(FAULT_RANGE_S)
         faults.delay_ms = 0.0
+        self._end(span)
 
     async def name_weights(self):
         await self.environment.publish_weights()
@@ -165,3 +196,27 @@
         for _ in range(self.rng.randint(1, 5)):
             await self.environment.put_state()
             await asyncio.sleep(self.rng.uniform(0.0, 0.2))
+
+
+class NoticeFaults(Faults):
+    """Targets that leave or ask for time, and say so in answers only.
+
+    They are drawn beside the other faults, whose list stays as it was.
+    """
+
+    def __init__(self, rng, environment, record_fault):
+        super().__init__(rng, environment, record_fault)
+        self._kinds = [self.leave_target, self.close_target]
+
+    async def leave_target(self):
+        target = self._pick_target()
+        target.leaving = True
+        await self.environment.add_target(target.service, target.domain)
+        await asyncio.sleep(LEAVING_S)
+        await target.stop()
+        self.environment.targets.remove(target)
+
+    async def close_target(self):
+        time_s = self.rng.uniform(*FAULT_RANGE_S)
+        self._pick_target().closed_until = time.monotonic() + time_s
+        await asyncio.sleep(time_s)
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -18,6 +18,7 @@
 from tests.platform.soak.checks import find_breaches
 from tests.platform.soak.environment import Environment
 from tests.platform.soak.faults import Faults
+from tests.platform.soak.faults import NoticeFaults
 
 CLIENTS = 12
 # The time for leases, drains and stops in progress to end, and then the time
@@ -65,7 +66,12 @@
             dict(environment.teams),
         )
         calling = asyncio.ensure_future(callers.run(CLIENTS))
-        await Faults(rng, environment, record_fault).run(loop.time() + seconds)
+        until = loop.time() + seconds
+        notice_rng = random.Random(seed + 2)
+        await asyncio.gather(
+            Faults(rng, environment, record_fault).run(until),
+            NoticeFaults(notice_rng, environment, record_fault).run(until),
+        )
         await asyncio.sleep(SETTLE_S)
         fault_free_from = time.monotonic()
         await asyncio.sleep(FAULT_FREE_S)
--- a/tests/platform/soak/targets.py
+++ b/tests/platform/soak/targets.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import json
+import math
 import secrets
 import time
 
@@ -57,19 +58,38 @@
     version: int
 
 
+@dataclass
+class Closing:
+    """A request that a target refused as it asked for none until later."""
+
+    request_id: str
+    target: str
+    refused_at: float
+    until: float
+
+
 @dataclass
 class Journal:
-    """The runs and orders of all targets, and the newest weight version."""
+    """What all targets have seen, and the newest weight version."""
 
     runs: dict[str, list[Run]] = field(default_factory=dict)
     orders: list[Order] = field(default_factory=list)
     version: int = 1
     # The time at which a target was listed as draining, by its id.
     drained_at: dict[str, float] = field(default_factory=dict)
+    closings: list[Closing] = field(default_factory=list)
+    # Times of faults by the entry or target that they hit: start and end.
+    faults: dict[str, list[list[float]]] = field(default_factory=dict)
 
     def add(self, run):
         self.runs.setdefault(run.request_id, []).append(run)
 
+    def begin_fault(self, name):
+        """Record a fault; the caller replaces its end when it is over."""
+        span = [time.monotonic(), math.inf]
+        self.faults.setdefault(name, []).append(span)
+        return span
+
 
 class TargetHandler(RequestHandler):
     def initialize(self, target):
@@ -77,6 +97,8 @@
 
     async def _serve(self):
         target, headers = self.target, self.request.headers
+        if target.leaving:
+            self.set_header('Server-Leaving', '1')
         if self.request.path.startswith('/wigeonmill/'):
             self._serve_control()
             return
@@ -90,6 +112,14 @@
             self.set_header('Not-Executed', '1')
             self.set_status(421)
             return
+        now = time.monotonic()
+        if now < target.closed_until:
+            closing = Closing(request_id, target.id, now, target.closed_until)
+            target.journal.closings.append(closing)
+            self.set_header('Retry-After', f'{closing.until - now:.3f}')
+            self.set_header('Not-Executed', '1')
+            self.set_status(503)
+            return
         if target.open_requests >= MAX_OPEN_REQUESTS or target.loading:
             self.set_header('Not-Executed', '1')
             self.set_status(503)
@@ -166,6 +196,9 @@
         self.slots = 16
         self.open_requests = 0
         self.state = 'ready'
+        # Stated in the answers only, not in the record.
+        self.leaving = False
+        self.closed_until = 0.0
         self.sequence = 0
         self.version = journal.version
         self.loading = False
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -5,8 +5,11 @@
 from tests.platform.soak.callers import Attempt
 from tests.platform.soak.callers import Kind
 from tests.platform.soak.callers import Outcome
+from tests.platform.soak.checks import CLOSING_S
 from tests.platform.soak.checks import DRAIN_S
 from tests.platform.soak.checks import find_breaches
+from tests.platform.soak.checks import LEAVING_S
+from tests.platform.soak.targets import Closing
 from tests.platform.soak.targets import EVENT_COUNT
 from tests.platform.soak.targets import Journal
 from tests.platform.soak.targets import Order
@@ -129,3 +132,51 @@
     assert 'fences only rise' in find_broken_order_promises(second, first)
     same = Order('t2', 2.0, 'b', 5, 2)
     assert 'one holder a fence' in find_broken_order_promises(first, same)
+
+
+def leaving_attempts(sent_at, entry='g0'):
+    told = make_attempt(Kind.SAFE, sent_at=99.0, ended_at=100.0)
+    told.headers = told.headers | {'server-leaving': '1'}
+    later = make_attempt(Kind.SAFE, id='q2', sent_at=sent_at, entry=entry)
+    later.headers = {'server-seal': 't1.q2'}
+    later.body = json.dumps({'id': 'q2'}).encode()
+    return [told, later]
+
+
+def leaving_breaches(sent_at, entry='g0', fault=None):
+    journal = Journal()
+    journal.add(make_run(started_at=99.0))
+    journal.add(make_run(request_id='q2', started_at=sent_at))
+    if fault is not None:
+        journal.faults['g0'] = [list(fault)]
+    found = find_breaches(leaving_attempts(sent_at, entry), journal, 0.0)
+    return {breach.promise for breach in found}
+
+
+def test_finds_a_request_to_a_target_that_said_it_leaves():
+    assert 'left alone' in leaving_breaches(100.0 + LEAVING_S + 0.1)
+    assert 'left alone' not in leaving_breaches(100.0 + LEAVING_S - 0.1)
+    assert 'left alone' not in leaving_breaches(110.0, entry='g1')
+    assert 'left alone' not in leaving_breaches(110.0, fault=(104.0, 105.0))
+    assert 'left alone' in leaving_breaches(110.0, fault=(98.0, 99.0))
+
+
+def closing_breaches(times, fault=None):
+    attempts = [make_attempt(id=f'q{n}', status=503) for n in range(9)]
+    journal = Journal()
+    journal.closings = [
+        Closing(f'q{n}', 't1', at, 110.0) for n, at in enumerate(times)
+    ]
+    if fault is not None:
+        journal.faults['t1'] = [list(fault)]
+    found = find_breaches(attempts, journal, 0.0)
+    return {breach.promise for breach in found}
+
+
+def test_finds_requests_to_a_target_that_asked_for_time():
+    late = 100.0 + CLOSING_S + 0.1
+    assert 'closed' in closing_breaches([100.0, late, late, late])
+    assert 'closed' not in closing_breaches([100.0, 100.1, late, late])
+    assert 'closed' not in closing_breaches(
+        [100.0, late, late, late], (99.0, 101.0)
+    )
