--- a/tests/platform/soak/targets.py
+++ b/tests/platform/soak/targets.py
@@ -80,6 +80,8 @@
     closings: list[Closing] = field(default_factory=list)
     # Times of faults by the entry or target that they hit: start and end.
     faults: dict[str, list[list[float]]] = field(default_factory=dict)
+    # The software versions of all targets, by their ids.
+    software: dict[str, str] = field(default_factory=dict)
 
     def add(self, run):
         self.runs.setdefault(run.request_id, []).append(run)
@@ -201,6 +203,9 @@
         self.closed_until = 0.0
         self.sequence = 0
         self.version = journal.version
+        # Targets of two software versions serve side by side.
+        self.software = f'v{1 + len(journal.software) % 2}'
+        journal.software[self.id] = self.software
         self.loading = False
         self.orders = 0
         self.fence = 0
@@ -281,7 +286,7 @@
             'service': self.service,
             'address': self.proxy.address,
             'zone': self.domain,
-            'version': 1,
+            'version': self.software,
             'capacity': self.slots,
             'state': self.state,
             'coldLeftMs': 0,
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -44,8 +44,8 @@
     )
 
 
-def find_broken_promises(attempt, *runs, drained_at=None):
-    journal = Journal(drained_at=drained_at or {})
+def find_broken_promises(attempt, *runs, drained_at=None, software=None):
+    journal = Journal(drained_at=drained_at or {}, software=software or {})
     for run in runs:
         journal.add(run)
     found = find_breaches([attempt], journal, FAULT_FREE_FROM)
@@ -180,3 +180,31 @@
     assert 'closed' not in closing_breaches(
         [100.0, late, late, late], (99.0, 101.0)
     )
+
+
+def test_finds_a_stream_that_goes_on_at_other_software():
+    software = {'t1': 'v1', 't2': 'v2', 't3': 'v1'}
+    stream = make_attempt(Kind.STREAM)
+    runs = [make_run(), make_run('t2', from_event=3)]
+    assert 'one software version' in find_broken_promises(
+        stream, *runs, software=software
+    )
+    runs = [make_run('t2'), make_run(), make_run('t3', from_event=3)]
+    assert not find_broken_promises(stream, *runs, software=software)
+
+
+def test_finds_a_resumed_stream_at_other_software():
+    software = {'t1': 'v1', 't2': 'v2', 't3': 'v1'}
+    cut = make_attempt(Kind.STREAM, body=events(3), outcome=Outcome.CUT)
+    rest = events(EVENT_COUNT, 'q2').split(b'id: 4', 1)[1]
+    for target, broken in (('t2', True), ('t3', False)):
+        resumed = make_attempt(
+            Kind.STREAM,
+            id='q2',
+            resumes=cut,
+            body=b'id: 4' + rest,
+            headers={'server-seal': f'{target}.q2'},
+        )
+        run = make_run(target, request_id='q2', from_event=3)
+        found = find_broken_promises(resumed, run, software=software)
+        assert found == ({'one software version'} if broken else set())
--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -20,9 +20,12 @@
 from wigeonmill.gateway.own_records import PREFIX
 from wigeonmill.gateway.own_records import ROLLOUT_KEY
 from wigeonmill.gateway.own_records import RolloutRecord
+from wigeonmill.gateway.own_records import SOFTWARE_VERSIONS_KEY
 from wigeonmill.gateway.registration import EntryList
 from wigeonmill.gateway.rollout_notice import apply_rollout
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
+from wigeonmill.gateway.software_versions import SoftwareVersions
+from wigeonmill.log import loggable_ms
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +43,7 @@
         '_entries',
         '_inner_key',
         '_publisher',
+        '_versions',
         '_on_desired_state',
     )
 
@@ -50,6 +54,7 @@
         entries: EntryList,
         inner_key: SharedInnerKey,
         publisher: RolloutPublisher,
+        versions: SoftwareVersions,
         on_desired_state: Callable[[DesiredState], None],
     ) -> None:
         self._ctx = ctx
@@ -57,6 +62,7 @@
         self._entries = entries
         self._inner_key = inner_key
         self._publisher = publisher
+        self._versions = versions
         self._on_desired_state = on_desired_state
 
     def apply_record(self, record: Record) -> None:
@@ -73,6 +79,8 @@
             self._entries.update(record)
         elif record.key == INNER_KEY:
             self._inner_key.update(record)
+        elif record.key == SOFTWARE_VERSIONS_KEY:
+            self._versions.update(record)
         elif record.key == ROLLOUT_KEY:
             self._publisher.update_revision(record)
             found = decode_own(record, RolloutRecord)
@@ -90,11 +98,9 @@
                         extra={'version': state.version},
                     )
             case DesiredWeightsChanged(model, version):
+                copy_age_ms = self._ctx.freshness.age_ms
                 if desired.set_weight_version(model, version):
-                    logger.info(
-                        'weight version requested',
-                        extra={'model': model, 'version': version},
-                    )
+                    self._log_weight_version(model, version, copy_age_ms)
             case DomainServiceChanged(domain, is_open):
                 desired.set_domain_open(domain, is_open)
                 logger.info(
@@ -107,3 +113,21 @@
                 self._ctx.directory.apply(target)
             case TargetUnlisted(target_id):
                 self._ctx.directory.remove(target_id)
+
+    def _log_weight_version(
+        self, model: str, version: int, copy_age_ms: float
+    ) -> None:
+        desired = self._ctx.desired
+        logger.info(
+            'weight version requested',
+            extra={
+                'model': model,
+                'version': version,
+                'age_ms': loggable_ms(desired.weight_version_age_ms(model)),
+                'copy_age_ms': loggable_ms(copy_age_ms),
+                'uptime_ms': loggable_ms(desired.uptime_ms),
+                'old_weights_remaining_ms': loggable_ms(
+                    desired.old_weights_remaining_ms(model, version - 1)
+                ),
+            },
+        )
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import inf
 import random
 
 from result import Err
@@ -20,6 +21,7 @@
 from wigeonmill.gateway.credit import lateness_cost
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
 from wigeonmill.gateway.request import Generation
+from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.gateway.targets import Directory
 from wigeonmill.gateway.targets import Target
@@ -66,8 +68,9 @@
     `avoid` names the targets that were already tried. If `regions` is empty,
     any region is allowed. `fetchable_tokens` of the prompt can be fetched
     from a cache store. `desired_version` is the newest weight version that
-    operators have set for the model. No run may begin on older weights once
-    `old_weights_remaining_ms` have passed.
+    operators have set for the model. No run may begin on an older version
+    once the time that `old_weights_remaining_ms` returns for it has passed. A
+    stream with an `origin` may go on only at the software that began it.
     """
 
     service: str
@@ -84,8 +87,9 @@
     fetchable_tokens: int = 0
     desired_version: int | None = None
     penalize_old_weights: bool = False
-    old_weights_remaining_ms: float = float('inf')
+    old_weights_remaining_ms: Callable[[int], float] = lambda _loaded: inf
     entry_position: float = 0.0
+    origin: StreamOrigin | None = None
 
     @property
     def tokens(self) -> int:
@@ -174,18 +178,10 @@
         now_ms = self._clock.now_ms()
         closed_ms = [
             target.closed_until_ms - now_ms
-            for target in self._in_service(demand)
+            for target in self._same_software(demand)
         ]
         return max(0.0, min(closed_ms, default=0.0))
 
-    def _no_target(self, demand: Demand) -> Refusal:
-        opens_in_ms = self._opens_in_ms(demand)
-        if opens_in_ms > 0:
-            return self._refusal(
-                Reason.TARGETS_CLOSED, 'all targets are closed', opens_in_ms
-            )
-        return self._refusal(Reason.NO_TARGET, 'no target is available')
-
     def _usable(self, demand: Demand) -> list[Target]:
         """Return the targets in service that are expected to accept work.
 
@@ -196,7 +192,7 @@
         now_ms = self._clock.now_ms()
         untried = [
             target
-            for target in self._in_service(demand)
+            for target in self._same_software(demand)
             if target.id not in demand.avoid and not target.is_closed(now_ms)
         ]
         not_loading = [
@@ -218,6 +214,27 @@
             )
         ]
 
+    def _same_software(self, demand: Demand) -> list[Target]:
+        """Return the targets in service that may go on with a stream."""
+        in_service = self._in_service(demand)
+        origin = demand.origin
+        if origin is None:
+            return in_service
+        return [t for t in in_service if origin.may_resume_at(t)]
+
+    def _no_target(self, demand: Demand) -> Refusal:
+        if self._in_service(demand) and not self._same_software(demand):
+            return Refusal(
+                Reason.OTHER_SOFTWARE,
+                'no target runs the software that began the stream',
+            )
+        opens_in_ms = self._opens_in_ms(demand)
+        if opens_in_ms > 0:
+            return self._refusal(
+                Reason.TARGETS_CLOSED, 'all targets are closed', opens_in_ms
+            )
+        return self._refusal(Reason.NO_TARGET, 'no target is available')
+
     def _without_expired_weights(
         self, usable: Sequence[Target], demand: Demand
     ) -> list[Target]:
@@ -225,7 +242,6 @@
         generation = demand.generation
         if generation is None:
             return list(usable)
-        latest_ms = demand.old_weights_remaining_ms - BEGIN_MARGIN_MS
         return [
             target
             for target in usable
@@ -233,7 +249,10 @@
             or target.load.first_token_ms(
                 generation.prompt_tokens, demand.priority, target.slots
             )
-            <= latest_ms
+            <= demand.old_weights_remaining_ms(
+                target.weights[generation.model]
+            )
+            - BEGIN_MARGIN_MS
         ]
 
     def _within_cold_rate(
--- a/wigeonmill/gateway/run_log.py
+++ b/wigeonmill/gateway/run_log.py
@@ -8,6 +8,7 @@
 from wigeonmill.gateway.picker import Pick
 from wigeonmill.gateway.relay import Relay
 from wigeonmill.gateway.run_terms import RunTerms
+from wigeonmill.log import loggable_ms
 
 logger = logging.getLogger(__name__)
 
@@ -94,6 +95,9 @@
             'config': terms.config_version,
             'target': self._target_id(),
             'weights': terms.weight_version,
+            'software': self._pick.target.software_version
+            if self._pick
+            else '',
             'tries': attempts,
             'took_ms': round(elapsed_ms, 1),
             'first_ms': round(first_ms, 1),
@@ -101,6 +105,14 @@
             'fetched_tokens': terms.plan.fetched_tokens,
             'saved_tokens': terms.plan.saved_tokens,
         }
+        if terms.req.last_event_id is not None:
+            extra['resumed_id'] = terms.req.resumed_id
+            extra['began_at'] = (
+                terms.origin.software_version if terms.origin else None
+            )
+        old_weights_ms = terms.old_weights_remaining_ms
+        if old_weights_ms is not None:
+            extra['old_weights_remaining_ms'] = loggable_ms(old_weights_ms)
         if self._pick is not None:
             extra['expected_ms'] = round(self._pick.expected_ms, 1)
             extra['prefill_tokens'] = self._pick.prefill_tokens
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -46,6 +46,7 @@
     lease_ms: Milliseconds = 3_000.0
     weights_deadline_ms: Milliseconds = 15_000.0
     max_closed_ms: Milliseconds = 300_000.0
+    contact_ms: Milliseconds = 3_000.0
     log_level: str = 'INFO'
 
 
