Confirm the copy of the store as of when its reply came

What callers would have seen: runs that begin on replaced weights after the bound (VERSION), at an entry that was frozen while it watched the key-value service.

Cause: a watch that took over 50 ms confirmed the copy as of the moment at which its reply was read, before its changes were applied. The process may have been frozen between the two: then a version named at the start of the freeze counted as new. The same with an empty reply: it was as old as the freeze, and the next change counted as new.

Ruled out: the difference between the clock that includes suspension and the one that doesn't. It is 0 for a process that was stopped while both went on.

Change: while a reply is awaited, the process wakes each 100 ms. The time of wake-ups that are over 100 ms late, on the clock that includes suspension, is how old the reply may be, and the copy is confirmed as of then.

Tests: a change read after a suspension, a change read after a stop, and an empty reply read after a suspension.

--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import random
+import time
 
 from result import Err
 from result import Ok
 
+from tests.gateway.samples import MODEL
 from wigeonmill.clock import Clock
+from wigeonmill.gateway.context import DesiredConfig
 from wigeonmill.gateway.freshness import Freshness
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
@@ -141,3 +144,100 @@
         await until(lambda: value(mirror, 'op/a') is None)
 
     with_sync(check)
+
+
+FROZEN_MS = 5_000.0
+STOPPED_MS = 800.0
+
+
+class SuspendedClock(Clock):
+    """The clock of a process that was suspended for `suspended_ms`."""
+
+    def __init__(self):
+        self.suspended_ms = 0.0
+
+    def boot_ms(self):
+        return super().boot_ms() + self.suspended_ms
+
+    def suspend(self):
+        self.suspended_ms += FROZEN_MS
+
+
+class FrozenReader(FakeSource):
+    """The process is frozen while its first watch waits for a change."""
+
+    def __init__(self, freeze):
+        super().__init__()
+        self.freeze = freeze
+
+    async def changes(self, after, wait_ms, fresh):
+        if not self.records:
+            await asyncio.sleep(0.1)
+            self.put('op/a', b'2')
+            self.freeze()
+        return await super().changes(after, wait_ms, fresh)
+
+
+class EmptyReplyReader(FrozenReader):
+    """The reply that waits to be read has no changes; then there is one."""
+
+    async def changes(self, after, wait_ms, fresh):
+        if self.records:
+            return await super().changes(after, wait_ms, fresh)
+        await asyncio.sleep(0.1)
+        reply = Ok(Changes((), self.revision))
+        self.freeze()
+        self.put('op/a', b'2')
+        return reply
+
+
+def age_of_learned_version(source, clock):
+    """Return how old a weight version in `source` is taken to be."""
+    mirror = Mirror()
+    freshness = Freshness(clock)
+    desired = DesiredConfig(clock, freshness, 10_000.0, 3_000.0, 0.0)
+    mirror.subscribe(lambda record: desired.set_weight_version(MODEL, 2))
+    sync = MirrorSync(
+        source,
+        mirror,
+        clock,
+        random.Random(1),
+        Metrics(),
+        lambda connected: None,
+        freshness,
+        OneEntry(),
+    )
+
+    async def run():
+        sync.start()
+        try:
+            learned = until(lambda: desired.weight_version(MODEL) == 2)
+            await asyncio.wait_for(learned, TIMEOUT_S)
+        finally:
+            sync.close()
+
+    asyncio.run(run())
+    return desired.weight_version_age_ms(MODEL)
+
+
+# Guards against VERSION: an entry frozen in a watch takes a version that was
+# named meanwhile to be new, and gives old weights their whole time again.
+def test_a_change_read_after_a_freeze_may_be_as_old_as_the_freeze():
+    clock = SuspendedClock()
+    source = FrozenReader(clock.suspend)
+    assert age_of_learned_version(source, clock) >= FROZEN_MS
+
+
+# Guards against VERSION: an entry frozen while its clocks go on, as a stopped
+# process is, takes a version that was named meanwhile to be new.
+def test_a_change_read_after_a_stop_may_be_as_old_as_the_stop():
+    source = FrozenReader(lambda: time.sleep(STOPPED_MS / 1000.0))
+    assert age_of_learned_version(source, Clock()) >= STOPPED_MS
+
+
+# Guards against VERSION: an empty reply that is read after a freeze makes a
+# version that was named during the freeze new.
+def test_a_change_after_an_empty_reply_may_be_as_old_as_the_freeze():
+    clock = SuspendedClock()
+    source = EmptyReplyReader(clock.suspend)
+    assert age_of_learned_version(source, clock) >= FROZEN_MS
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 from dataclasses import dataclass
 import logging
 import random
+from typing import Any
 from typing import Protocol
 
 from result import Err
@@ -35,6 +37,10 @@
 READERS = 8
 STALE_COPY_MS = 2_000.0
 FRESHNESS_CHECK_MS = 100.0
+# While a reply is awaited, the process wakes at this interval. A wake-up that
+# is late by more than the tolerance shows that it was frozen or starved.
+WAKE_INTERVAL_MS = 100.0
+WAKE_TOLERANCE_MS = 100.0
 # The first watch after a failure, and that of an entry that is no reader, does
 # not wait for changes: it shows immediately whether the service responds.
 RECONNECT_WAIT_MS = 1
@@ -136,9 +142,11 @@
                 await asyncio.sleep(FRESHNESS_CHECK_MS / 1000.0)
                 continue
             if listed:
-                outcome = await self._watch_once(failed or not watches)
+                outcome, stalled_ms = await self._watch_once(
+                    failed or not watches
+                )
             else:
-                outcome = await self._list_once()
+                outcome, stalled_ms = await self._list_once()
             failed = isinstance(outcome, Err)
             if isinstance(outcome, Err):
                 error = outcome.err_value
@@ -148,7 +156,7 @@
                 await asyncio.sleep(pause_ms / 1000.0)
                 backoff_ms = min(MAX_BACKOFF_MS, backoff_ms * 2)
                 continue
-            self._record_success()
+            self._record_success(stalled_ms)
             backoff_ms = FIRST_BACKOFF_MS
             listed = True
             if outcome.ok_value.records:
@@ -166,33 +174,57 @@
     def _is_stale(self) -> bool:
         return self._freshness.age_ms > STALE_COPY_MS
 
-    async def _list_once(self) -> Result[Changes, KvError]:
-        outcome = await self._source.listing()
+    async def _list_once(self) -> tuple[Result[Changes, KvError], float]:
+        outcome, stalled_ms = await self._call(self._source.listing())
         if not isinstance(outcome, Err):
             found = outcome.ok_value
             self._mirror.replace(found.records, found.revision)
-        return outcome
+        return outcome, stalled_ms
 
     async def _watch_once(
         self, reconnecting: bool
-    ) -> Result[Changes, KvError]:
+    ) -> tuple[Result[Changes, KvError], float]:
         wait_ms = WATCH_WAIT_MS
         if self._entries.count() > READERS:
             wait_ms = READER_WAIT_MS
         if reconnecting:
             wait_ms = RECONNECT_WAIT_MS
         sent_ms = self._clock.now_ms()
-        outcome = await self._source.changes(
-            self._mirror.complete, wait_ms, fresh=reconnecting
+        outcome, stalled_ms = await self._call(
+            self._source.changes(
+                self._mirror.complete, wait_ms, fresh=reconnecting
+            )
         )
         if not isinstance(outcome, Err):
             found = outcome.ok_value
             if self._clock.now_ms() - sent_ms > WAITED_MS:
-                # Nothing had changed until now.
-                self._freshness.confirm()
+                # Nothing had changed until the reply was sent.
+                self._freshness.confirm(stalled_ms)
             self._mirror.apply(found.records)
             self._mirror.advance(found.revision)
-        return outcome
+        return outcome, stalled_ms
+
+    async def _call(
+        self, call: Coroutine[Any, Any, Result[Changes, KvError]]
+    ) -> tuple[Result[Changes, KvError], float]:
+        """Return the outcome and for how long the process stood still.
+
+        A reply may have been waiting to be read for that time. Whether the
+        monotonic clock stops in a freeze depends on the kind of freeze, so
+        the time is taken from late wake-ups, on the clock that never stops.
+        """
+        stalled_ms = 0.0
+        task = asyncio.ensure_future(call)
+        try:
+            while not task.done():
+                slept_ms = self._clock.boot_ms()
+                await asyncio.wait([task], timeout=WAKE_INTERVAL_MS / 1000.0)
+                late_ms = self._clock.boot_ms() - slept_ms - WAKE_INTERVAL_MS
+                if late_ms > WAKE_TOLERANCE_MS:
+                    stalled_ms += late_ms + WAKE_INTERVAL_MS
+        finally:
+            task.cancel()
+        return task.result(), stalled_ms
 
     def _record_failure(self, error: KvError) -> None:
         self._metrics.count('key_value_failures', error.kind.value)
@@ -210,8 +242,8 @@
             )
             self._on_connection_change(False)
 
-    def _record_success(self) -> None:
-        self._freshness.confirm()
+    def _record_success(self, stalled_ms: float) -> None:
+        self._freshness.confirm(stalled_ms)
         if not self.connected:
             self.connected = True
             logger.info(
