Take the changes of a first watch to be as old as the copy

What callers would have seen: runs that begin on replaced weights after the bound (VERSION), at an entry that was frozen between two watches, turned away for a time, or no reader, while the key-value service or the way to it was slow.

Cause: a watch that took over 50 ms counted as one that waited for its changes, so that they were new. The first watch after a failure and that of an entry that is no reader wait for nothing (1 ms), and a reply that takes longer is a slow one. After a freeze between two watches the next one could wait, and its changes could not be told from older ones.

Change: a watch that doesn't wait never makes its changes new, and the first watch doesn't wait either if the copy is over 500 ms old, the limit from which a change counts as old.

Tests: two with replies that take 100 ms, after a freeze of 5 s between two watches and after an outage of 1.2 s.

--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -15,6 +15,7 @@
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.sync import Changes
 from wigeonmill.gateway.sync import MirrorSync
+from wigeonmill.gateway.sync import WAITED_MS
 from wigeonmill.metrics import Metrics
 from wigeonmill.providers.key_value import KvError
 from wigeonmill.providers.key_value import KvErrorKind
@@ -148,6 +149,7 @@
 
 FROZEN_MS = 5_000.0
 STOPPED_MS = 800.0
+OUTAGE_MS = 1_200.0
 
 
 class SuspendedClock(Clock):
@@ -191,12 +193,58 @@
         return reply
 
 
+class SlowSource(FakeSource):
+    """A service whose replies all take longer than a watch that waited."""
+
+    async def changes(self, after, wait_ms, fresh):
+        await asyncio.sleep(2 * WAITED_MS / 1000.0)
+        return await super().changes(after, wait_ms, fresh)
+
+
+class FrozenBetweenWatches(SlowSource):
+    """The process is frozen in the pause after a watch with changes."""
+
+    def __init__(self, freeze):
+        super().__init__()
+        self.freeze = freeze
+
+    async def changes(self, after, wait_ms, fresh):
+        if not self.records:
+            self.put('op/b', b'1')
+            asyncio.get_running_loop().call_later(0.001, self.thaw)
+            return Ok(Changes(tuple(self.records.values()), self.revision))
+        return await super().changes(after, wait_ms, fresh)
+
+    def thaw(self):
+        self.freeze()
+        self.put('op/a', b'2')
+
+
+class OutOfReachSource(SlowSource):
+    """The service turns the entry away for a time, then has a change."""
+
+    async def changes(self, after, wait_ms, fresh):
+        if not self.records:
+            loop = asyncio.get_running_loop()
+            self.error = KvError(KvErrorKind.UNAVAILABLE, 'down')
+            self.put('op/a', b'2')
+            loop.call_later(OUTAGE_MS / 1000.0, self.recover)
+        return await super().changes(after, wait_ms, fresh)
+
+    def recover(self):
+        self.error = None
+
+
 def age_of_learned_version(source, clock):
     """Return how old a weight version in `source` is taken to be."""
     mirror = Mirror()
     freshness = Freshness(clock)
     desired = DesiredConfig(clock, freshness, 10_000.0, 3_000.0, 0.0)
-    mirror.subscribe(lambda record: desired.set_weight_version(MODEL, 2))
+    mirror.subscribe(
+        lambda record: (
+            record.key == 'op/a' and desired.set_weight_version(MODEL, 2)
+        )
+    )
     sync = MirrorSync(
         source,
         mirror,
@@ -241,3 +289,17 @@
     clock = SuspendedClock()
     source = EmptyReplyReader(clock.suspend)
     assert age_of_learned_version(source, clock) >= FROZEN_MS
+
+
+# Guards against VERSION: a slow reply to the first watch after a freeze makes
+# a version that was named during the freeze new.
+def test_a_slow_reply_after_a_freeze_may_be_as_old_as_the_freeze():
+    clock = SuspendedClock()
+    source = FrozenBetweenWatches(clock.suspend)
+    assert age_of_learned_version(source, clock) >= FROZEN_MS
+
+
+# Guards against VERSION: a slow reply to the first watch after an outage makes
+# a version that was named during the outage new.
+def test_a_slow_reply_after_an_outage_may_be_as_old_as_the_outage():
+    assert age_of_learned_version(OutOfReachSource(), Clock()) >= OUTAGE_MS
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -13,6 +13,7 @@
 from result import Result
 
 from wigeonmill.clock import Clock
+from wigeonmill.gateway.context import MAX_CONFIRMATION_GAP_MS
 from wigeonmill.gateway.freshness import Freshness
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
@@ -41,8 +42,9 @@
 # is late by more than the tolerance shows that it was frozen or starved.
 WAKE_INTERVAL_MS = 100.0
 WAKE_TOLERANCE_MS = 100.0
-# The first watch after a failure, and that of an entry that is no reader, does
-# not wait for changes: it shows immediately whether the service responds.
+# The first watch after a failure or a freeze, and that of an entry that is no
+# reader, does not wait for changes: it shows immediately whether the service
+# responds. Its changes may be as old as the copy, however long it takes.
 RECONNECT_WAIT_MS = 1
 # Pause after a watch that returned changes, for each reader.
 PAUSE_PER_READER_MS = 4.0
@@ -143,7 +145,7 @@
                 continue
             if listed:
                 outcome, stalled_ms = await self._watch_once(
-                    failed or not watches
+                    failed or not watches or self._has_gap()
                 )
             else:
                 outcome, stalled_ms = await self._list_once()
@@ -174,6 +176,10 @@
     def _is_stale(self) -> bool:
         return self._freshness.age_ms > STALE_COPY_MS
 
+    def _has_gap(self) -> bool:
+        """Whether changes may have come since the last watch ended."""
+        return self._freshness.age_ms > MAX_CONFIRMATION_GAP_MS
+
     async def _list_once(self) -> tuple[Result[Changes, KvError], float]:
         outcome, stalled_ms = await self._call(self._source.listing())
         if not isinstance(outcome, Err):
@@ -197,7 +203,8 @@
         )
         if not isinstance(outcome, Err):
             found = outcome.ok_value
-            if self._clock.now_ms() - sent_ms > WAITED_MS:
+            took_ms = self._clock.now_ms() - sent_ms
+            if took_ms > WAITED_MS and not reconnecting:
                 # Nothing had changed until the reply was sent.
                 self._freshness.confirm(stalled_ms)
             self._mirror.apply(found.records)
