Know an outage of the store that the start falls into

What callers would have seen: refusals without need, at an entry that starts while the key-value service is away or turns it away. Once the service is back the entry drops targets whose records expired meanwhile, while they register again within about two seconds.

Cause: only a connection that had been there was reported as lost. An entry that has just started was told that the service had come back, never that it was away, so its directory gave no time to register.

Change: the first failure of a process is reported too. The directory alone listens to it; it takes targets that are not listed to be missing, and gone after 2 s, as after any other outage. The log has "key-value service not reachable" at such a start.

Test: an entry whose listing fails at its start is told of the outage and of its end. It failed before ([True] instead of [False, True]) and passes now.

--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -69,9 +69,10 @@
         return True
 
 
-def with_sync(check):
+def with_sync(check, error=None):
     async def run():
         source = FakeSource()
+        source.error = error
         mirror = Mirror()
         states = []
         sync = MirrorSync(
@@ -303,3 +304,15 @@
 # a version that was named during the outage new.
 def test_a_slow_reply_after_an_outage_may_be_as_old_as_the_outage():
     assert age_of_learned_version(OutOfReachSource(), Clock()) >= OUTAGE_MS
+
+
+# Guards against refusals without need: an entry that starts in an outage
+# drops targets whose records expired as gone, without the time to register.
+def test_a_start_in_an_outage_is_known_as_one():
+    async def check(source, mirror, states):
+        await until(lambda: source.listings >= 2)
+        source.error = None
+        await until(lambda: states and states[-1])
+        assert states == [False, True]
+
+    with_sync(check, error=KvError(KvErrorKind.UNAVAILABLE, 'down'))
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -123,7 +123,8 @@
         self._freshness = freshness
         self._entries = entries
         self._task: asyncio.Task[None] | None = None
-        self.connected = False
+        # None until the service has replied or failed for the first time.
+        self._connected: bool | None = None
 
     def start(self) -> None:
         """Start listing and watching the records."""
@@ -241,8 +242,8 @@
                 extra={'detail': error.message},
             )
             return
-        if self.connected:
-            self.connected = False
+        if self._connected is not False:
+            self._connected = False
             logger.warning(
                 'key-value service not reachable',
                 extra={'detail': error.message},
@@ -251,8 +252,8 @@
 
     def _record_success(self, stalled_ms: float) -> None:
         self._freshness.confirm(stalled_ms)
-        if not self.connected:
-            self.connected = True
+        if not self._connected:
+            self._connected = True
             logger.info(
                 'key-value service reachable',
                 extra={'complete': self._mirror.complete},
