Count time suspended in how long a peer took to reply

What callers would have seen: runs that begin on replaced weights after the bound (VERSION), at an entry that was suspended while it waited for a peer.

Cause: the age that a peer states for its copy of the store was added to the time that its reply took, on the monotonic clock. That clock stands still in a suspension, so a reply read after 5 s confirmed the copy as of a few ms ago, and the next version counted as new.

Change: this time is taken from the clock that includes suspension. Updates of the cache stores go on using the monotonic clock, like all ages there.

Test: a reply read after a suspension of 5 s is that old.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -37,8 +37,8 @@
 class Entry:
     """The peer exchange of one entry, with its mirror and targets."""
 
-    def __init__(self, name, addresses, keys=KEYS):
-        clock = Clock()
+    def __init__(self, name, addresses, keys=KEYS, clock=None):
+        clock = clock or Clock()
         self.ctx = GatewayContext(
             clock, random.Random(1), Metrics(), RetryLimits(), lambda: 2
         )
@@ -194,3 +194,50 @@
         assert sum(other.mirror.request_count for other in others) == 1
 
     run_with_entries(check, 5, KEYS)
+
+
+FROZEN_MS = 5_000.0
+
+
+class SuspendedClock(Clock):
+    """The clock of a process that was suspended for `suspended_ms`."""
+
+    def __init__(self):
+        self.suspended_ms = 0.0
+
+    def boot_ms(self):
+        return super().boot_ms() + self.suspended_ms
+
+
+class FreshCopy:
+    """The copy of a peer; the caller is frozen before it gets the reply."""
+
+    def __init__(self, clock):
+        self.clock = clock
+
+    @property
+    def age_ms(self):
+        self.clock.suspended_ms += FROZEN_MS
+        return 0.0
+
+
+# Guards against VERSION: a reply that was read after a freeze makes a copy as
+# fresh as if it had just come, and what it lacks counts as new.
+def test_a_reply_read_after_a_freeze_is_as_old_as_the_freeze():
+    async def run():
+        clock = SuspendedClock()
+        addresses = []
+        first = Entry('a', addresses, clock=clock)
+        second = Entry('b', [])
+        second.ctx.freshness = FreshCopy(clock)
+        addresses.append(second.address)
+        task = asyncio.ensure_future(first.peers.run())
+        try:
+            await wait_until(lambda: first.ctx.freshness.age_ms < float('inf'))
+            assert first.ctx.freshness.age_ms >= FROZEN_MS
+        finally:
+            task.cancel()
+            first.peers.close()
+            second.peers.close()
+
+    asyncio.run(run())
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -141,6 +141,7 @@
                 update.cache_points = self._caches.stale_points()
             envelope = Envelope(Kind.ENTRY_NEWS, entry_news=update)
             requested_ms = self._ctx.clock.now_ms()
+            requested_boot_ms = self._ctx.clock.boot_ms()
             client = self._pool.get(address)
             reply = await client.request(envelope, UPDATE_TIMEOUT_MS)
             if isinstance(reply, Err):
@@ -154,7 +155,7 @@
                 self._sent_losses[address] = last_loss
                 self._apply_update(answer)
                 if ask:
-                    self._confirm_copy(answer, requested_ms)
+                    self._confirm_copy(answer, requested_boot_ms)
                 self._caches.apply_updates(
                     answer.cache_updates or (), requested_ms
                 )
@@ -243,13 +244,16 @@
                     },
                 )
 
-    def _confirm_copy(self, answer: EntryNews, requested_ms: float) -> None:
+    def _confirm_copy(
+        self, answer: EntryNews, requested_boot_ms: float
+    ) -> None:
         """Adopt the freshness of a peer, if this copy is as complete."""
         if answer.copy_age_ms is None:
             # Older entries do not send it.
             return
         if self._mirror.complete >= answer.known_to:
-            took_ms = self._ctx.clock.now_ms() - requested_ms
+            # The reply may have been waiting while the process was suspended.
+            took_ms = self._ctx.clock.boot_ms() - requested_boot_ms
             self._ctx.freshness.confirm(answer.copy_age_ms + took_ms)
 
     def _apply_open_work(self, update: EntryNews) -> None:
