Tell an entry that has restarted of the losses of targets again

What callers would have seen: a request that crashes its targets runs on up to three more (BUDGET) at an entry that has restarted.

Cause: entries tell each other of each loss once, and remember up to which one by the peer's address in requests and by its name in replies. Both outlive a restart of the peer, which knows no loss then.

Change: a peer's new process is told anew. In requests it is known by the incarnation in its welcome, a field that was there and always 0; it is random for each process now, so a lost connection alone repeats nothing. Entries of older software send 0 and are told as before. A lower revision of the peer's copy would not do: a process may have listed the store before its first update, and most updates have none.

Tests: the entry that asks restarts, and the entry that is asked restarts at the same address. Both failed before (nothing learned within 5 s) and pass now.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -37,7 +37,9 @@
 class Entry:
     """The peer exchange of one entry, with its mirror and targets."""
 
-    def __init__(self, name, addresses, keys=KEYS, clock=None):
+    def __init__(
+        self, name, addresses, keys=KEYS, clock=None, address='127.0.0.1:0'
+    ):
         clock = clock or Clock()
         self.ctx = GatewayContext(
             clock, random.Random(1), Metrics(), RetryLimits(), lambda: 2
@@ -54,7 +56,7 @@
             CacheEventExchange(self),
             random.Random(2),
         )
-        self.address = self.peers.listen('127.0.0.1:0')
+        self.address = self.peers.listen(address)
 
     def views(self):
         return [self.view]
@@ -241,3 +243,59 @@
             second.peers.close()
 
     asyncio.run(run())
+
+
+async def learn_loss(entry):
+    await wait_until(lambda: entry.ctx.crash_guard.count(b'f'))
+
+
+# Guards against BUDGET: an entry that has restarted does not learn which
+# requests crash their targets, so it runs them on three more.
+def test_a_restarted_entry_learns_the_losses_again():
+    addresses = []
+
+    async def learn_losses():
+        entry = Entry('a', addresses)
+        task = asyncio.ensure_future(entry.peers.run())
+        try:
+            await wait_until(lambda: entry.ctx.crash_guard.count(b'f'))
+        finally:
+            task.cancel()
+            entry.peers.close()
+
+    async def run():
+        other = Entry('b', [])
+        addresses.append(other.address)
+        other.ctx.crash_guard.record(b'f', 'r1 t1')
+        try:
+            for _start in range(2):
+                await learn_losses()
+        finally:
+            other.peers.close()
+
+    asyncio.run(run())
+
+
+# Guards against BUDGET: an entry that has restarted at the same address is
+# not told again which requests crash their targets.
+def test_a_restarted_entry_is_told_the_losses_again():
+    async def run():
+        addresses = []
+        first = Entry('a', addresses)
+        first.ctx.crash_guard.record(b'f', 'r1 t1')
+        task = asyncio.ensure_future(first.peers.run())
+        address = '127.0.0.1:0'
+        try:
+            for _start in range(2):
+                other = Entry('b', [], address=address)
+                address = other.address
+                addresses[:] = [address]
+                try:
+                    await learn_loss(other)
+                finally:
+                    other.peers.close()
+        finally:
+            task.cancel()
+            first.peers.close()
+
+    asyncio.run(run())
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 import logging
 import random
+import secrets
 
 from result import Err
 
@@ -71,12 +72,18 @@
         # Addresses that have not yet had their turn in the current rotation.
         self._round_peers: list[str] = []
         # The number of the last target loss sent to each entry: in requests
-        # by address, in replies by entry name.
-        self._sent_losses: dict[str, int] = {}
-        self._replied_losses: dict[str, int] = {}
+        # by address, in replies by entry name. A process that has restarted
+        # has none of them: it has another incarnation and connects anew.
+        self._sent_losses: dict[str, tuple[int, int]] = {}
+        self._replied_losses: dict[str, tuple[Conn, int]] = {}
         self._pool = PeerPool(self._make_client)
         self._server = InnerServer(
-            name, ROLE, 0, keys, self._on_envelope, ctx.metrics
+            name,
+            ROLE,
+            secrets.randbits(62) + 1,
+            keys,
+            self._on_envelope,
+            ctx.metrics,
         )
 
     def listen(self, address: str) -> str:
@@ -106,8 +113,8 @@
         """
         known = set(self._addresses())
         self._sent_losses = {
-            peer: number
-            for peer, number in self._sent_losses.items()
+            peer: sent
+            for peer, sent in self._sent_losses.items()
             if peer in known
         }
         chosen: list[str] = []
@@ -132,9 +139,8 @@
         self._in_flight.add(address)
         try:
             update = self._build_update(None)
-            last_loss = self._add_losses(
-                update, self._sent_losses.get(address, 0)
-            )
+            told, known = self._sent_losses.get(address, (None, 0))
+            last_loss = self._add_losses(update, known)
             update.known_to = NO_REVISION
             if ask:
                 update.known_to = self._mirror.complete
@@ -152,7 +158,10 @@
                 self._pool.drop(address)
             elif reply.ok_value.entry_news is not None:
                 answer = reply.ok_value.entry_news
-                self._sent_losses[address] = last_loss
+                process = client.incarnation
+                if told not in (None, process):
+                    last_loss = 0
+                self._sent_losses[address] = (process, last_loss)
                 self._apply_update(answer)
                 if ask:
                     self._confirm_copy(answer, requested_boot_ms)
@@ -171,10 +180,13 @@
             None if update.known_to == NO_REVISION else update.known_to
         )
         answer = self._build_update(changes_after)
-        known = self._replied_losses.get(update.sender, 0)
+        told, known = self._replied_losses.get(update.sender, (conn, 0))
+        if told is not conn:
+            known = 0
         if len(self._replied_losses) > MAX_TRACKED_ENTRIES:
             self._replied_losses.clear()
-        self._replied_losses[update.sender] = self._add_losses(answer, known)
+        last_loss = self._add_losses(answer, known)
+        self._replied_losses[update.sender] = (conn, last_loss)
         answer.cache_updates = self._caches.updates_after(
             update.cache_points or ()
         )
