Tell an entry that has started of all losses that still count

What callers would have seen: a request that crashes its targets runs on up to three more (BUDGET), at an entry that has restarted or was away for over 10 s.

Cause: a loss counts for 120 s, but was passed on only for 10 s, and only by the entry that observed it. So an entry that restarted was not told of its own losses, and a process of an entry that was away longer not of the others'.

Change: losses are passed on as long as they count, the latest 4,096 at most and 32 in an update as before. In its requests an entry also tells a new process of those that others observed, up to the time of its first contact; later ones come from their observers, once. In replies each entry tells only its own, so a lost connection does not repeat those of the whole fleet. The message has no age of a loss: an entry that is told counts 120 s from then.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -299,3 +299,26 @@
             first.peers.close()
 
     asyncio.run(run())
+
+
+# Guards against BUDGET: an entry that has restarted is not told of the losses
+# that it had observed itself before.
+def test_a_restarted_entry_is_told_of_its_own_losses():
+    async def run():
+        addresses = []
+        first = Entry('a', addresses)
+        task = asyncio.ensure_future(first.peers.run())
+        other = Entry('b', [])
+        other.ctx.crash_guard.record(b'f', 'r1 t1')
+        addresses.append(other.address)
+        try:
+            await learn_loss(first)
+            other.peers.close()
+            other = Entry('b', [], address=other.address)
+            await learn_loss(other)
+        finally:
+            task.cancel()
+            other.peers.close()
+            first.peers.close()
+
+    asyncio.run(run())
--- a/wigeonmill/gateway/crash_guard.py
+++ b/wigeonmill/gateway/crash_guard.py
@@ -2,7 +2,6 @@
 
 import collections
 from dataclasses import dataclass
-import itertools
 
 import xxhash
 
@@ -15,21 +14,25 @@
 # Time for which the loss of a target counts against a request.
 LOSS_TTL_MS = 120_000.0
 MAX_FINGERPRINTS = 4096
-# Losses seen by this entry are sent to its peers for this time, and only so
-# many per update: when many targets end at once, their losses would fill a
-# slow link.
-ADVERTISE_MS = 10_000.0
+# Losses are passed on to peers as long as they count, the latest ones if there
+# are more, and only so many per update: when many targets end at once, their
+# losses would fill a slow link.
+MAX_KNOWN_LOSSES = 4096
 MAX_LOSSES_PER_UPDATE = 32
 
 
 @dataclass(frozen=True, slots=True)
-class LocalLoss:
-    """A loss that this entry observed; the numbers increase."""
+class KnownLoss:
+    """A loss that this entry observed (`local`) or was told of.
+
+    The numbers increase.
+    """
 
     number: int
     at_ms: float
     fingerprint: bytes
     loss: str
+    local: bool
 
 
 class CrashGuard:
@@ -39,33 +42,36 @@
     counts once, although entries report it to each other.
     """
 
-    __slots__ = ('_clock', '_losses', '_local', '_last_number')
+    __slots__ = ('_clock', '_losses', '_log', 'last_number')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._losses: dict[bytes, dict[str, float]] = {}
-        self._local: collections.deque[LocalLoss] = collections.deque()
-        self._last_number = 0
+        self._log: collections.deque[KnownLoss] = collections.deque(
+            maxlen=MAX_KNOWN_LOSSES
+        )
+        self.last_number = 0
 
     def record(self, fingerprint: bytes, loss: str) -> bool:
         """Record a loss that this entry observed; return whether it is new."""
-        if not self.record_remote(fingerprint, loss):
-            return False
-        self._last_number += 1
-        now_ms = self._clock.now_ms()
-        self._local.append(
-            LocalLoss(self._last_number, now_ms, fingerprint, loss)
-        )
-        return True
+        return self._record(fingerprint, loss, local=True)
 
     def record_remote(self, fingerprint: bytes, loss: str) -> bool:
         """Record a loss that any entry observed; return whether it is new."""
+        return self._record(fingerprint, loss, local=False)
+
+    def _record(self, fingerprint: bytes, loss: str, local: bool) -> bool:
         losses = self._losses.setdefault(fingerprint, {})
         if loss in losses:
             return False
-        losses[loss] = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        losses[loss] = now_ms
         while len(self._losses) > MAX_FINGERPRINTS:
             del self._losses[next(iter(self._losses))]
+        self.last_number += 1
+        self._log.append(
+            KnownLoss(self.last_number, now_ms, fingerprint, loss, local)
+        )
         return True
 
     def count(self, fingerprint: bytes) -> int:
@@ -80,13 +86,23 @@
         """Whether the request must not run any more."""
         return self.count(fingerprint) >= MAX_LOST_TARGETS
 
-    def local_losses_after(self, number: int) -> list[LocalLoss]:
-        """Return the next losses for a peer that has them up to `number`."""
-        oldest_ms = self._clock.now_ms() - ADVERTISE_MS
-        while self._local and self._local[0].at_ms < oldest_ms:
-            self._local.popleft()
-        later = (loss for loss in self._local if loss.number > number)
-        return list(itertools.islice(later, MAX_LOSSES_PER_UPDATE))
+    def losses_after(self, number: int, all_to: int = 0) -> list[KnownLoss]:
+        """Return the next losses for a peer that has them up to `number`.
+
+        Up to number `all_to` they include those that others observed, which
+        a process that has just started was not told of by them.
+        """
+        oldest_ms = self._clock.now_ms() - LOSS_TTL_MS
+        while self._log and self._log[0].at_ms < oldest_ms:
+            self._log.popleft()
+        later: list[KnownLoss] = []
+        for loss in reversed(self._log):
+            if loss.number <= number:
+                break
+            if loss.local or loss.number <= all_to:
+                later.append(loss)
+        later.reverse()
+        return later[:MAX_LOSSES_PER_UPDATE]
 
 
 def request_fingerprint(req: CallerRequest, team: str) -> bytes:
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -73,8 +73,9 @@
         self._round_peers: list[str] = []
         # The number of the last target loss sent to each entry: in requests
         # by address, in replies by entry name. A process that has restarted
-        # has none of them: it has another incarnation and connects anew.
-        self._sent_losses: dict[str, tuple[int, int]] = {}
+        # has none of them: it has another incarnation and connects anew. In
+        # requests it is also sent what others observed, up to the last number.
+        self._sent_losses: dict[str, tuple[int, int, int]] = {}
         self._replied_losses: dict[str, tuple[Conn, int]] = {}
         self._pool = PeerPool(self._make_client)
         self._server = InnerServer(
@@ -139,8 +140,11 @@
         self._in_flight.add(address)
         try:
             update = self._build_update(None)
-            told, known = self._sent_losses.get(address, (None, 0))
-            last_loss = self._add_losses(update, known)
+            last_number = self._ctx.crash_guard.last_number
+            told, known, all_to = self._sent_losses.get(
+                address, (None, 0, last_number)
+            )
+            last_loss = self._add_losses(update, known, all_to)
             update.known_to = NO_REVISION
             if ask:
                 update.known_to = self._mirror.complete
@@ -160,8 +164,8 @@
                 answer = reply.ok_value.entry_news
                 process = client.incarnation
                 if told not in (None, process):
-                    last_loss = 0
-                self._sent_losses[address] = (process, last_loss)
+                    last_loss, all_to = 0, last_number
+                self._sent_losses[address] = (process, last_loss, all_to)
                 self._apply_update(answer)
                 if ask:
                     self._confirm_copy(answer, requested_boot_ms)
@@ -215,9 +219,11 @@
             copy_age_ms=self._ctx.freshness.age_ms,
         )
 
-    def _add_losses(self, update: EntryNews, known: int) -> int:
+    def _add_losses(
+        self, update: EntryNews, known: int, all_to: int = 0
+    ) -> int:
         """Add the losses after number `known`; return the last number."""
-        losses = self._ctx.crash_guard.local_losses_after(known)
+        losses = self._ctx.crash_guard.losses_after(known, all_to)
         update.losses = [
             TargetLoss(item.fingerprint, item.loss) for item in losses
         ]
