--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -40,8 +40,10 @@
 class Entry:
     """The peer exchange of one entry, with its mirror and targets."""
 
-    def __init__(self, name, addresses, keys=KEYS):
-        clock = Clock()
+    def __init__(
+        self, name, addresses, keys=KEYS, clock=None, address='127.0.0.1:0'
+    ):
+        clock = clock or Clock()
         self.ctx = GatewayContext(
             clock, random.Random(1), Metrics(), RetryLimits(), lambda: 2
         )
@@ -57,7 +59,7 @@
             CacheEventExchange(self),
             random.Random(2),
         )
-        self.address = self.peers.listen('127.0.0.1:0')
+        self.address = self.peers.listen(address)
 
     def views(self):
         return [self.view]
@@ -238,3 +240,129 @@
         assert client._conn is conn and not conn.closed
 
     run_with_two(check)
+
+
+FROZEN_MS = 5_000.0
+
+
+class SuspendedClock(Clock):
+    """The clock of a process that was suspended for `suspended_ms`."""
+
+    def __init__(self):
+        self.suspended_ms = 0.0
+
+    def boot_ms(self):
+        return super().boot_ms() + self.suspended_ms
+
+
+class FreshCopy:
+    """The copy of a peer; the caller is frozen before it gets the reply."""
+
+    def __init__(self, clock):
+        self.clock = clock
+
+    @property
+    def age_ms(self):
+        self.clock.suspended_ms += FROZEN_MS
+        return 0.0
+
+
+# Guards against VERSION: a reply that was read after a freeze makes a copy as
+# fresh as if it had just come, and what it lacks counts as new.
+def test_a_reply_read_after_a_freeze_is_as_old_as_the_freeze():
+    async def run():
+        clock = SuspendedClock()
+        addresses = []
+        first = Entry('a', addresses, clock=clock)
+        second = Entry('b', [])
+        second.ctx.freshness = FreshCopy(clock)
+        addresses.append(second.address)
+        task = asyncio.ensure_future(first.peers.run())
+        try:
+            await wait_until(lambda: first.ctx.freshness.age_ms < float('inf'))
+            assert first.ctx.freshness.age_ms >= FROZEN_MS
+        finally:
+            task.cancel()
+            first.peers.close()
+            second.peers.close()
+
+    asyncio.run(run())
+
+
+async def learn_loss(entry):
+    await wait_until(lambda: entry.ctx.crash_guard.count(b'f'))
+
+
+# Guards against BUDGET: an entry that has restarted does not learn which
+# requests crash their targets, so it runs them on three more.
+def test_a_restarted_entry_learns_the_losses_again():
+    addresses = []
+
+    async def learn_losses():
+        entry = Entry('a', addresses)
+        task = asyncio.ensure_future(entry.peers.run())
+        try:
+            await wait_until(lambda: entry.ctx.crash_guard.count(b'f'))
+        finally:
+            task.cancel()
+            entry.peers.close()
+
+    async def run():
+        other = Entry('b', [])
+        addresses.append(other.address)
+        other.ctx.crash_guard.record(b'f', 'r1 t1')
+        try:
+            for _start in range(2):
+                await learn_losses()
+        finally:
+            other.peers.close()
+
+    asyncio.run(run())
+
+
+# Guards against BUDGET: an entry that has restarted at the same address is
+# not told again which requests crash their targets.
+def test_a_restarted_entry_is_told_the_losses_again():
+    async def run():
+        addresses = []
+        first = Entry('a', addresses)
+        first.ctx.crash_guard.record(b'f', 'r1 t1')
+        task = asyncio.ensure_future(first.peers.run())
+        address = '127.0.0.1:0'
+        try:
+            for _start in range(2):
+                other = Entry('b', [], address=address)
+                address = other.address
+                addresses[:] = [address]
+                try:
+                    await learn_loss(other)
+                finally:
+                    other.peers.close()
+        finally:
+            task.cancel()
+            first.peers.close()
+
+    asyncio.run(run())
+
+
+# Guards against BUDGET: an entry that has restarted is not told of the losses
+# that it had observed itself before.
+def test_a_restarted_entry_is_told_of_its_own_losses():
+    async def run():
+        addresses = []
+        first = Entry('a', addresses)
+        task = asyncio.ensure_future(first.peers.run())
+        other = Entry('b', [])
+        other.ctx.crash_guard.record(b'f', 'r1 t1')
+        addresses.append(other.address)
+        try:
+            await learn_loss(first)
+            other.peers.close()
+            other = Entry('b', [], address=other.address)
+            await learn_loss(other)
+        finally:
+            task.cancel()
+            other.peers.close()
+            first.peers.close()
+
+    asyncio.run(run())
