--- a/wigeonmill/gateway/answers.py
+++ b/wigeonmill/gateway/answers.py
@@ -18,6 +18,7 @@
     NO_TARGET = 'no_target'
     TARGETS_FULL = 'targets_full'
     TARGETS_COLD = 'targets_cold'
+    TARGETS_CLOSED = 'targets_closed'
     OLD_WEIGHTS = 'old_weights'
     OTHER_SOFTWARE = 'other_software'
     ORIGIN_UNKNOWN = 'origin_unknown'
@@ -41,6 +42,7 @@
     Reason.NO_TARGET: 503,
     Reason.TARGETS_FULL: 503,
     Reason.TARGETS_COLD: 503,
+    Reason.TARGETS_CLOSED: 503,
     Reason.OLD_WEIGHTS: 503,
     Reason.OTHER_SOFTWARE: 503,
     Reason.ORIGIN_UNKNOWN: 503,
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -12,6 +12,8 @@
 from wigeonmill.gateway.freshness import Freshness
 from wigeonmill.gateway.stream_origins import LocalStreamOrigins
 from wigeonmill.gateway.stream_origins import StreamOrigins
+from wigeonmill.gateway.target_notices import DEFAULT_MAX_CLOSED_MS
+from wigeonmill.gateway.target_notices import TargetNotices
 from wigeonmill.gateway.targets import Directory
 from wigeonmill.metrics import Metrics
 from wigeonmill.routing.circuit import CircuitBreakers
@@ -160,6 +162,7 @@
         'desired',
         'directory',
         'circuits',
+        'notices',
         'crash_guard',
         'origins',
         'entry_count',
@@ -179,6 +182,7 @@
         entry_position: Callable[[], float] = lambda: 0.0,
         contact_ms: float = DEFAULT_CONTACT_MS,
         uptime_ms: float = 0.0,
+        max_closed_ms: float = DEFAULT_MAX_CLOSED_MS,
     ) -> None:
         """Create the state of a process that has run for `uptime_ms`.
 
@@ -198,6 +202,9 @@
         )
         self.directory = Directory(clock)
         self.circuits = CircuitBreakers(clock, rng)
+        self.notices = TargetNotices(
+            clock, metrics, entry_position, max_closed_ms
+        )
         self.crash_guard = CrashGuard(clock)
         self.origins: StreamOrigins = LocalStreamOrigins()
         # Returns the number of entries that may be alive.
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -290,7 +290,11 @@
             and reason not in UNRESUMABLE_REASONS
             and retry_after_ms is None
         ):
-            refusal = Refusal(reason, message, DEFAULT_RETRY_AFTER_MS)
+            retry_after_ms = max(
+                DEFAULT_RETRY_AFTER_MS,
+                self._picker.retry_after_ms(self._terms.demand(())),
+            )
+            refusal = Refusal(reason, message, retry_after_ms)
         self._count_refusal(reason)
         self._channel.refuse(refusal)
         self._log.log_refusal(refusal, self._attempts)
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -109,6 +109,7 @@
             self._entries.position,
             settings.contact_ms,
             uptime_ms,
+            settings.max_closed_ms,
         )
         self._sync = MirrorSync(
             adapter.source,
@@ -130,6 +131,7 @@
             term_ms=max(LEADER_TERM_MS, settings.key_value_ttl_min_ms),
             takeover_delay_ms=settings.lease_ms,
         )
+        adapter.engines.subscribe(self._ctx.notices.record)
         publisher = RolloutPublisher(self._ctx, self._leadership, adapter.keys)
         self._rollout = WeightsRollout(
             self._ctx,
