Know the only software version while the key-value service is away for all

What callers would have seen: while the service is away for longer than 3 s, a stream whose exact origin is not known is refused, also if its service has one software version only.

Cause: an entry whose copy is older than 3 s took its view of the versions for incomplete. Targets register in that service alone, so if the peers that it hears have no newer copy, no entry knows of another version either.

Change: the view is incomplete only if neither the service nor a peer with an equal copy was heard of for 3 s.

--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -280,6 +280,22 @@
     assert world.leader.only_version() is None
 
 
+# Guards against needless refusals: while the key-value service was away for
+# all entries, no stream was resumed without its exact origin.
+def test_the_only_version_holds_while_no_entry_reaches_the_service():
+    """Peers answer with copies that are as old, so no one knows more."""
+    world = World('v1', 'v1')
+    world.run(RETENTION_MS)
+    world.connected = False
+    entry = world.entries[1]
+    for second in range(1, 9):
+        world.run(1_000)
+        entry.ctx.freshness.confirm(age_ms=second * 1_000.0)
+        assert entry.only_version() == 'v1'
+    world.run(OUT_OF_REACH_MS + 1_000)
+    assert entry.only_version() is None
+
+
 def test_without_a_record_an_entry_has_to_watch_first():
     world = World('v1')
     world.lead(None)
--- a/wigeonmill/gateway/freshness.py
+++ b/wigeonmill/gateway/freshness.py
@@ -19,6 +19,7 @@
         '_confirmed_ms',
         '_restored_ms',
         '_followed_ms',
+        '_heard_ms',
     )
 
     def __init__(self, clock: Clock) -> None:
@@ -27,10 +28,12 @@
         self._confirmed_ms = float('-inf')
         self._restored_ms = float('-inf')
         self._followed_ms = float('inf')
+        self._heard_ms = float('-inf')
 
     def confirm(self, age_ms: float = 0.0) -> None:
         """Record that the copy was complete `age_ms` ago."""
         now_ms = self._clock.boot_ms()
+        self._heard_ms = now_ms
         confirmed_ms = now_ms - age_ms
         if age_ms < OUT_OF_REACH_MS:
             if self.out_of_reach:
@@ -51,6 +54,15 @@
             heard_ms = self._started_ms
         return self._clock.boot_ms() - heard_ms > OUT_OF_REACH_MS
 
+    @property
+    def cut_off(self) -> bool:
+        """Whether neither the service nor a peer has been heard of lately.
+
+        Unlike an entry that is only out of reach of the service, others may
+        then have a newer copy.
+        """
+        return self._clock.boot_ms() - self._heard_ms > OUT_OF_REACH_MS
+
     @property
     def since_restored_ms(self) -> float:
         """The time since the last outage (infinite: there was none)."""
--- a/wigeonmill/gateway/software_versions.py
+++ b/wigeonmill/gateway/software_versions.py
@@ -140,7 +140,7 @@
     @property
     def _is_complete(self) -> bool:
         """Whether all versions within the retention time are known."""
-        if self._freshness.out_of_reach:
+        if self._freshness.cut_off:
             return False
         return (
             self._published is not None
