--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -20,9 +20,11 @@
 from wigeonmill.gateway.own_records import PREFIX
 from wigeonmill.gateway.own_records import ROLLOUT_KEY
 from wigeonmill.gateway.own_records import RolloutRecord
+from wigeonmill.gateway.own_records import SOFTWARE_VERSIONS_KEY
 from wigeonmill.gateway.registration import EntryList
 from wigeonmill.gateway.rollout_notice import apply_rollout
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
+from wigeonmill.gateway.software_versions import SoftwareVersions
 from wigeonmill.log import loggable_ms
 
 logger = logging.getLogger(__name__)
@@ -41,6 +43,7 @@
         '_entries',
         '_inner_key',
         '_publisher',
+        '_versions',
         '_on_desired_state',
     )
 
@@ -51,6 +54,7 @@
         entries: EntryList,
         inner_key: SharedInnerKey,
         publisher: RolloutPublisher,
+        versions: SoftwareVersions,
         on_desired_state: Callable[[DesiredState], None],
     ) -> None:
         self._ctx = ctx
@@ -58,6 +62,7 @@
         self._entries = entries
         self._inner_key = inner_key
         self._publisher = publisher
+        self._versions = versions
         self._on_desired_state = on_desired_state
 
     def apply_record(self, record: Record) -> None:
@@ -74,6 +79,8 @@
             self._entries.update(record)
         elif record.key == INNER_KEY:
             self._inner_key.update(record)
+        elif record.key == SOFTWARE_VERSIONS_KEY:
+            self._versions.update(record)
         elif record.key == ROLLOUT_KEY:
             self._publisher.update_revision(record)
             found = decode_own(record, RolloutRecord)
@@ -120,7 +127,7 @@
                 'copy_age_ms': loggable_ms(copy_age_ms),
                 'uptime_ms': loggable_ms(desired.uptime_ms),
                 'old_weights_remaining_ms': loggable_ms(
-                    desired.old_weights_remaining_ms(model)
+                    desired.old_weights_remaining_ms(model, version - 1)
                 ),
             },
         )
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -10,8 +10,10 @@
 from collections.abc import Sequence
 import logging
 import random
+import secrets
 
 from result import Err
+from result import Result
 
 from wigeonmill.addresses import split_address
 from wigeonmill.gateway.cache_event_exchange import CacheEventExchange
@@ -21,6 +23,7 @@
 from wigeonmill.gateway.target_load import PeerLoad
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.protocol.client import PeerClient
+from wigeonmill.protocol.client import PeerError
 from wigeonmill.protocol.client import PeerPool
 from wigeonmill.protocol.conn import Conn
 from wigeonmill.protocol.gen.inner.ttypes import EntryNews
@@ -46,6 +49,9 @@
 # Limit of the entries for which the last loss sent in a reply is tracked.
 MAX_TRACKED_ENTRIES = 4_096
 
+# Returns the reply to a message, or None if there is none.
+Handler = Callable[[Envelope], Envelope | None]
+
 
 class Peers:
     """Exchanges updates with the other entries over the inner protocol."""
@@ -71,12 +77,20 @@
         # Addresses that have not yet had their turn in the current rotation.
         self._round_peers: list[str] = []
         # The number of the last target loss sent to each entry: in requests
-        # by address, in replies by entry name.
-        self._sent_losses: dict[str, int] = {}
-        self._replied_losses: dict[str, int] = {}
+        # by address, in replies by entry name. A process that has restarted
+        # has none of them: it has another incarnation and connects anew. In
+        # requests it is also sent what others observed, up to the last number.
+        self._sent_losses: dict[str, tuple[int, int, int]] = {}
+        self._replied_losses: dict[str, tuple[Conn, int]] = {}
+        self._handlers: dict[int, Handler] = {}
         self._pool = PeerPool(self._make_client)
         self._server = InnerServer(
-            name, ROLE, 0, keys, self._on_envelope, ctx.metrics
+            name,
+            ROLE,
+            secrets.randbits(62) + 1,
+            keys,
+            self._on_envelope,
+            ctx.metrics,
         )
 
     def listen(self, address: str) -> str:
@@ -89,6 +103,40 @@
         self._server.close_all()
         self._pool.close()
 
+    def handle(self, kind: int, handler: Handler) -> None:
+        """Pass messages of another kind to `handler`."""
+        self._handlers[kind] = handler
+
+    def addresses(self) -> Iterable[str]:
+        """Return the inner addresses of the other entries."""
+        return self._addresses()
+
+    def is_connected(self, address: str) -> bool:
+        """Whether there is a connection to a peer."""
+        return self._pool.get(address).connected
+
+    async def connect(self, address: str) -> bool:
+        """Connect if necessary; return whether there is a connection."""
+        return await self._pool.get(address).connect()
+
+    def notify(self, address: str, envelope: Envelope) -> bool:
+        """Send a message without an answer; return False if it can't be."""
+        client = self._pool.get(address)
+        if not client.connected or client.congested:
+            return False
+        client.notify(envelope)
+        return True
+
+    async def request(
+        self, address: str, envelope: Envelope, timeout_ms: float
+    ) -> Result[Envelope, PeerError]:
+        """Return the answer of a peer.
+
+        The connection stays open without an answer, because older entries
+        ignore messages of a kind that they don't know.
+        """
+        return await self._pool.get(address).request(envelope, timeout_ms)
+
     async def run(self) -> None:
         """Send updates to the peers until cancelled."""
         while True:
@@ -106,8 +154,8 @@
         """
         known = set(self._addresses())
         self._sent_losses = {
-            peer: number
-            for peer, number in self._sent_losses.items()
+            peer: sent
+            for peer, sent in self._sent_losses.items()
             if peer in known
         }
         chosen: list[str] = []
@@ -132,15 +180,18 @@
         self._in_flight.add(address)
         try:
             update = self._build_update(None)
-            last_loss = self._add_losses(
-                update, self._sent_losses.get(address, 0)
+            last_number = self._ctx.crash_guard.last_number
+            told, known, all_to = self._sent_losses.get(
+                address, (None, 0, last_number)
             )
+            last_loss = self._add_losses(update, known, all_to)
             update.known_to = NO_REVISION
             if ask:
                 update.known_to = self._mirror.complete
                 update.cache_points = self._caches.stale_points()
             envelope = Envelope(Kind.ENTRY_NEWS, entry_news=update)
             requested_ms = self._ctx.clock.now_ms()
+            requested_boot_ms = self._ctx.clock.boot_ms()
             client = self._pool.get(address)
             reply = await client.request(envelope, UPDATE_TIMEOUT_MS)
             if isinstance(reply, Err):
@@ -151,10 +202,13 @@
                 self._pool.drop(address)
             elif reply.ok_value.entry_news is not None:
                 answer = reply.ok_value.entry_news
-                self._sent_losses[address] = last_loss
+                process = client.incarnation
+                if told not in (None, process):
+                    last_loss, all_to = 0, last_number
+                self._sent_losses[address] = (process, last_loss, all_to)
                 self._apply_update(answer)
                 if ask:
-                    self._confirm_copy(answer, requested_ms)
+                    self._confirm_copy(answer, requested_boot_ms)
                 self._caches.apply_updates(
                     answer.cache_updates or (), requested_ms
                 )
@@ -162,6 +216,12 @@
             self._in_flight.discard(address)
 
     def _on_envelope(self, conn: Conn, envelope: Envelope) -> None:
+        handler = self._handlers.get(envelope.kind)
+        if handler is not None:
+            reply = handler(envelope)
+            if reply is not None:
+                conn.send(reply)
+            return
         update = envelope.entry_news
         if envelope.kind != Kind.ENTRY_NEWS or update is None:
             return
@@ -170,10 +230,13 @@
             None if update.known_to == NO_REVISION else update.known_to
         )
         answer = self._build_update(changes_after)
-        known = self._replied_losses.get(update.sender, 0)
+        told, known = self._replied_losses.get(update.sender, (conn, 0))
+        if told is not conn:
+            known = 0
         if len(self._replied_losses) > MAX_TRACKED_ENTRIES:
             self._replied_losses.clear()
-        self._replied_losses[update.sender] = self._add_losses(answer, known)
+        last_loss = self._add_losses(answer, known)
+        self._replied_losses[update.sender] = (conn, last_loss)
         answer.cache_updates = self._caches.updates_after(
             update.cache_points or ()
         )
@@ -202,9 +265,11 @@
             copy_age_ms=self._ctx.freshness.age_ms,
         )
 
-    def _add_losses(self, update: EntryNews, known: int) -> int:
+    def _add_losses(
+        self, update: EntryNews, known: int, all_to: int = 0
+    ) -> int:
         """Add the losses after number `known`; return the last number."""
-        losses = self._ctx.crash_guard.local_losses_after(known)
+        losses = self._ctx.crash_guard.losses_after(known, all_to)
         update.losses = [
             TargetLoss(item.fingerprint, item.loss) for item in losses
         ]
@@ -243,13 +308,16 @@
                     },
                 )
 
-    def _confirm_copy(self, answer: EntryNews, requested_ms: float) -> None:
+    def _confirm_copy(
+        self, answer: EntryNews, requested_boot_ms: float
+    ) -> None:
         """Adopt the freshness of a peer, if this copy is as complete."""
         if answer.copy_age_ms is None:
             # Older entries do not send it.
             return
         if self._mirror.complete >= answer.known_to:
-            took_ms = self._ctx.clock.now_ms() - requested_ms
+            # The reply may have been waiting while the process was suspended.
+            took_ms = self._ctx.clock.boot_ms() - requested_boot_ms
             self._ctx.freshness.confirm(answer.copy_age_ms + took_ms)
 
     def _apply_open_work(self, update: EntryNews) -> None:
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import inf
 import random
 
 from result import Err
@@ -20,6 +21,7 @@
 from wigeonmill.gateway.credit import lateness_cost
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
 from wigeonmill.gateway.request import Generation
+from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.gateway.targets import Directory
 from wigeonmill.gateway.targets import Target
@@ -53,8 +55,9 @@
 # Margin for a request to reach a target with old weights and begin to run.
 BEGIN_MARGIN_MS = 400.0
 # Jitter of the retry time, as a share, so that refused callers do not all
-# return at once.
+# return at once, and the longest time of which it is a share.
 RETRY_JITTER = 0.5
+MAX_JITTERED_MS = 2_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,8 +68,9 @@
     `avoid` names the targets that were already tried. If `regions` is empty,
     any region is allowed. `fetchable_tokens` of the prompt can be fetched
     from a cache store. `desired_version` is the newest weight version that
-    operators have set for the model. No run may begin on older weights once
-    `old_weights_remaining_ms` have passed.
+    operators have set for the model. No run may begin on an older version
+    once the time that `old_weights_remaining_ms` returns for it has passed. A
+    stream with an `origin` may go on only at the software that began it.
     """
 
     service: str
@@ -83,8 +87,9 @@
     fetchable_tokens: int = 0
     desired_version: int | None = None
     penalize_old_weights: bool = False
-    old_weights_remaining_ms: float = float('inf')
+    old_weights_remaining_ms: Callable[[int], float] = lambda _loaded: inf
     entry_position: float = 0.0
+    origin: StreamOrigin | None = None
 
     @property
     def tokens(self) -> int:
@@ -141,9 +146,7 @@
         """Return the best target, or why there is none."""
         usable = self._usable(demand)
         if not usable:
-            return Err(
-                self._refusal(Reason.NO_TARGET, 'no target is available')
-            )
+            return Err(self._no_target(demand))
         current = self._without_expired_weights(usable, demand)
         if not current:
             message = 'the targets do not have the new weights yet'
@@ -163,15 +166,35 @@
         best = self._best(healthy or admissible, demand)
         return Ok(best)
 
+    def retry_after_ms(self, demand: Demand) -> float:
+        """Return the time after which a refused caller may return.
+
+        The result is 0 unless all targets in service are closed.
+        """
+        return self._with_jitter(self._opens_in_ms(demand))
+
+    def _opens_in_ms(self, demand: Demand) -> float:
+        """Return the time until the first target opens (0: now)."""
+        now_ms = self._clock.now_ms()
+        closed_ms = [
+            target.closed_until_ms - now_ms
+            for target in self._same_software(demand)
+        ]
+        return max(0.0, min(closed_ms, default=0.0))
+
     def _usable(self, demand: Demand) -> list[Target]:
         """Return the targets in service that are expected to accept work.
 
-        Targets that were tried already are left out. So are those that are
-        loading weights or refuse requests, unless no others remain.
+        Targets that are closed or were tried already are left out. So are
+        those that are loading weights or refuse requests, unless no others
+        remain.
         """
         now_ms = self._clock.now_ms()
-        usable = self._in_service(demand)
-        untried = [t for t in usable if t.id not in demand.avoid]
+        untried = [
+            target
+            for target in self._same_software(demand)
+            if target.id not in demand.avoid and not target.is_closed(now_ms)
+        ]
         not_loading = [
             t for t in untried if not t.is_loading(now_ms)
         ] or untried
@@ -191,6 +214,27 @@
             )
         ]
 
+    def _same_software(self, demand: Demand) -> list[Target]:
+        """Return the targets in service that may go on with a stream."""
+        in_service = self._in_service(demand)
+        origin = demand.origin
+        if origin is None:
+            return in_service
+        return [t for t in in_service if origin.may_resume_at(t)]
+
+    def _no_target(self, demand: Demand) -> Refusal:
+        if self._in_service(demand) and not self._same_software(demand):
+            return Refusal(
+                Reason.OTHER_SOFTWARE,
+                'no target runs the software that began the stream',
+            )
+        opens_in_ms = self._opens_in_ms(demand)
+        if opens_in_ms > 0:
+            return self._refusal(
+                Reason.TARGETS_CLOSED, 'all targets are closed', opens_in_ms
+            )
+        return self._refusal(Reason.NO_TARGET, 'no target is available')
+
     def _without_expired_weights(
         self, usable: Sequence[Target], demand: Demand
     ) -> list[Target]:
@@ -198,7 +242,6 @@
         generation = demand.generation
         if generation is None:
             return list(usable)
-        latest_ms = demand.old_weights_remaining_ms - BEGIN_MARGIN_MS
         return [
             target
             for target in usable
@@ -206,7 +249,10 @@
             or target.load.first_token_ms(
                 generation.prompt_tokens, demand.priority, target.slots
             )
-            <= latest_ms
+            <= demand.old_weights_remaining_ms(
+                target.weights[generation.model]
+            )
+            - BEGIN_MARGIN_MS
         ]
 
     def _within_cold_rate(
@@ -351,5 +397,8 @@
         message: str,
         retry_after_ms: float = RETRY_AFTER_MS,
     ) -> Refusal:
-        jitter = 1.0 + RETRY_JITTER * self._rng.random()
-        return Refusal(reason, message, retry_after_ms * jitter)
+        return Refusal(reason, message, self._with_jitter(retry_after_ms))
+
+    def _with_jitter(self, time_ms: float) -> float:
+        jitter_ms = RETRY_JITTER * min(time_ms, MAX_JITTERED_MS)
+        return time_ms + jitter_ms * self._rng.random()
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -28,7 +28,8 @@
 
     `id` and `started_at_ms`, the wall time of its start, identify a lifetime.
     `heartbeat` orders the records of one lifetime. `weights` maps the models
-    to their weight versions.
+    to their weight versions. `software_version` is empty if the target does
+    not state that of its software.
     """
 
     id: str
@@ -41,6 +42,7 @@
     cold_remaining_ms: float
     heartbeat: int
     weights: dict[str, int] = field(default_factory=dict)
+    software_version: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,7 @@
         'service',
         'address',
         'failure_domain',
+        'software_version',
         'slots',
         'heartbeat',
         'draining',
@@ -71,6 +74,7 @@
         'cold_allowance',
         'weights',
         'refusing_until_ms',
+        'closed_until_ms',
         'loading',
         'load',
     )
@@ -86,6 +90,7 @@
         self.service = record.service
         self.address = record.address
         self.failure_domain = record.failure_domain
+        self.software_version = record.software_version
         self.slots = record.slots
         self.heartbeat = record.heartbeat
         self.draining = record.draining
@@ -95,7 +100,10 @@
         self.cold_until_ms = clock.now_ms() + record.cold_remaining_ms
         self.cold_allowance = ColdAllowance(clock)
         self.weights = dict(record.weights)
+        # Until then the target is avoided if others remain.
         self.refusing_until_ms = 0.0
+        # Until then the target must not get new requests.
+        self.closed_until_ms = 0.0
         self.loading: Loading | None = None
         self.load = TargetLoad(clock, estimates)
 
@@ -108,6 +116,10 @@
         """Whether the target accepts only the rate of a cold target."""
         return now_ms < self.cold_until_ms
 
+    def is_closed(self, now_ms: float) -> bool:
+        """Whether the target asked for no requests until a later time."""
+        return now_ms < self.closed_until_ms
+
     def is_loading(self, now_ms: float) -> bool:
         """Whether the target is loading weights that it does not have yet."""
         loading = self.loading
