Look up the origin of every stream that its caller resumes

What callers would have seen (ORDER): a stream that goes on at other software after operators took canResume back from its route. Found in a review: the lookup was left out for a route that may not be resumed, while the event id was passed on. Test: failed (the request was sent), passes.

--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -158,3 +158,22 @@
     channel = run_stream(harness)
     assert channel.finished
     assert channel.body == events(1, 2)
+
+
+# Guards against ORDER: a stream was resumed at any target once operators had
+# taken the leave to resume back from its route.
+def test_a_stream_is_not_resumed_anywhere_once_its_route_forbids_it():
+    harness = harness_of(['v2'], [complete(2)])
+    shares = (ServiceShare(ENGINES, 1.0),)
+    route = make_route(
+        kind=RouteKind.STREAMING, resumable=False, shares=shares
+    )
+    req = make_request(
+        arrived_ms=harness.clock.now_ms(),
+        generation=make_generation(),
+        last_event_id=1,
+        resumed_id='q0',
+    )
+    harness.channel = FakeChannel()
+    harness.run(req, route)
+    assert harness.client.sent == []
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -15,6 +15,7 @@
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.crash_guard import request_fingerprint
 from wigeonmill.gateway.desired import Route
+from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.desired import Team
 from wigeonmill.gateway.failures import Failure
 from wigeonmill.gateway.picker import Pick
@@ -91,7 +92,10 @@
 
     async def _find_origin(self) -> bool:
         """Find what began a resumed stream; return False if it is unknown."""
-        if not self._route.resumable or self._req.last_event_id is None:
+        if (
+            self._route.kind is not RouteKind.STREAMING
+            or self._req.last_event_id is None
+        ):
             return True
         services = self._terms.services
         # The stream may have begun at another service of the route.
