Take a malformed peer address as unreachable

What callers would have seen (LOST): one such record of an entry made every search for an origin raise, and the caller's connection was aborted. Found in a review. Test: failed with ValueError, passes.

--- a/tests/protocol/test_client.py
+++ b/tests/protocol/test_client.py
@@ -33,3 +33,13 @@
             assert outcome.unwrap_err().kind is PeerErrorKind.UNREACHABLE
 
     asyncio.run(scenario())
+
+
+# Guards against a refusal of every resumed stream: an address in the list of
+# entries that is not one raised an exception in the search for an origin.
+def test_a_malformed_address_is_unreachable():
+    async def scenario():
+        for address in ('nonsense', '127.0.0.1:x'):
+            assert not await make_client(address).connect()
+
+    asyncio.run(scenario())
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -206,7 +206,13 @@
     async def _connect(self) -> Conn | None:
         try:
             return await asyncio.wait_for(self._dial(), CONNECT_TIMEOUT_S)
-        except (OSError, StreamClosedError, asyncio.TimeoutError):
+        except (
+            OSError,
+            StreamClosedError,
+            asyncio.TimeoutError,
+            # The address is malformed.
+            ValueError,
+        ):
             return None
 
     async def _dial(self) -> Conn | None:
