--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -101,3 +101,9 @@
     assert dict(fields)['Retry-After'] == '0.42'
     assert dict(fields)['Request-Id'] == 'q1'
     assert b'targets_full' in body
+
+
+# Guards against a crash of the reader of requests: a number of more digits
+# than Python converts raised an exception.
+def test_an_event_id_with_too_many_digits_raises_nothing():
+    decode(make_headers(**{'Last-Event-Id': '1' * 5_000}))
