Keep no origin under an id that is over the limit

Ids of up to 64 KiB were kept for 20,000 streams, more than the memory of a process, though peers ignore those over 256 characters and find asks no one for them. Found in a review. Test: failed (the origin was found), passes.

--- a/tests/gateway/test_origin_exchange.py
+++ b/tests/gateway/test_origin_exchange.py
@@ -13,6 +13,7 @@
 from wigeonmill.gateway.origin_exchange import FIND_TIMEOUT_MS
 from wigeonmill.gateway.origin_exchange import MAX_ASKED_PEERS
 from wigeonmill.gateway.origin_exchange import MAX_PENDING
+from wigeonmill.gateway.origin_exchange import MAX_REQUEST_ID_LENGTH
 from wigeonmill.gateway.origin_exchange import REPLICAS
 from wigeonmill.gateway.origin_exchange import SharedStreamOrigins
 from wigeonmill.gateway.stream_origins import MAX_ORIGINS
@@ -369,3 +370,18 @@
         assert found.may_resume_at(target)
 
     fleet.run(check)
+
+
+# Guards against running out of memory: ids of any length were kept, although
+# no entry looks up one over the limit.
+def test_an_id_over_the_limit_is_not_kept():
+    fleet = Fleet(2)
+    first = fleet.listed[0]
+    long_id = 'q' * (MAX_REQUEST_ID_LENGTH + 1)
+
+    async def check():
+        fleet.entries[first].record(long_id, V1)
+        await settle()
+        assert await fleet.entries[first].find(long_id, SERVICE) is None
+
+    fleet.run(check)
--- a/wigeonmill/gateway/origin_exchange.py
+++ b/wigeonmill/gateway/origin_exchange.py
@@ -109,6 +109,8 @@
 
     def record(self, request_id: str, target: Target) -> None:
         """Record that a stream is sent to `target` to begin there."""
+        if not self._is_usable(request_id):
+            return
         origin = origin_of(target)
         self._local.add(request_id, origin)
         earlier = self._replicas.pop(request_id, ())
