--- a/tests/gateway/test_origin_exchange.py
+++ b/tests/gateway/test_origin_exchange.py
@@ -384,4 +384,22 @@
         await settle()
         assert await fleet.entries[first].find(long_id, SERVICE) is None
 
+
+# Guards against ORDER: a replica that missed the replacement of an origin
+# resumed the stream at the target that never brought an event.
+def test_a_replica_that_missed_a_replacement_does_not_resume_the_stream():
+    fleet = Fleet(4)
+    first, stale = fleet.listed[:2]
+
+    async def check():
+        fleet.entries[first].record('q1', V1)
+        await settle()
+        fleet.silent.add(stale)
+        fleet.entries[first].record('q1', V2)
+        await settle()
+        fleet.silent.clear()
+        fleet.kill(first)
+        found = await fleet.entries[stale].find('q1', SERVICE)
+        assert found in (None, origin_of(V2))
+
     fleet.run(check)
