Log what was received of an answer

A request that was answered and one whose answer broke off looked the same in the log: neither the framing of the target's answer nor the bytes after the last complete event were in it. The line 'request finished' has both now, so that a log shows whether a stream without a length ended inside an event.

--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -22,6 +22,7 @@
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.desired import ServiceShare
 from wigeonmill.gateway.target_client import ExchangeEnd
+from wigeonmill.providers.transfers import Framing
 
 MAY_HAVE_RUN = [
     fakes.CUT_BEFORE_HEAD,
@@ -399,6 +400,18 @@
 
 # Guards against VERSION: naming a third version prolonged the time of the
 # first, although the time for the second was over.
+def test_the_log_has_what_was_received_of_a_stream(caplog):
+    head = make_head(framing=Framing.CLOSE)
+    data = event(1) + b'id: 2\nda'
+    harness = engine_harness([(head, data, ExchangeEnd.BROKEN)])
+    with caplog.at_level(logging.INFO):
+        run_stream(harness, stream_route(resumable=False))
+    (line,) = [r for r in caplog.records if r.message == 'request finished']
+    assert line.framing == 'close'
+    assert line.events == 1
+    assert line.trailing_bytes == len(b'id: 2\nda')
+
+
 def test_a_later_version_does_not_extend_the_time_of_the_oldest_weights():
     harness = engine_harness([stream(1)], count=1)
     harness.ctx.freshness.confirm()
--- a/tests/providers/test_transfers.py
+++ b/tests/providers/test_transfers.py
@@ -5,6 +5,8 @@
 import pytest
 
 from wigeonmill.providers.fetch import fetch
+from wigeonmill.providers.transfers import Framing
+from wigeonmill.providers.transfers import ReplyHead
 from wigeonmill.providers.transfers import TransferCall
 from wigeonmill.providers.transfers import TransferLoop
 
@@ -216,6 +218,18 @@
     with_server(ScriptedServer([reply_bytes], close_after=True), check)
 
 
+@pytest.mark.parametrize(
+    ('fields', 'framing'),
+    [
+        ((('Content-Length', '5'),), Framing.LENGTH),
+        ((('Transfer-Encoding', 'chunked'),), Framing.CHUNKED),
+        ((('Connection', 'close'),), Framing.CLOSE),
+    ],
+)
+def test_a_head_tells_what_marks_the_end_of_its_body(fields, framing):
+    assert ReplyHead(200, fields).framing is framing
+
+
 def test_early_reply_to_a_long_body_does_not_affect_later_requests():
     """The unread rest of a body must not be parsed as the next request."""
     early = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one target, up to its answer or failure."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from wigeonmill.gateway.answers import AnswerHead
 from wigeonmill.gateway.answers import CallerChannel
@@ -23,6 +24,7 @@
 from wigeonmill.gateway.target_client import TargetHead
 from wigeonmill.gateway.target_load import InFlightRequest
 from wigeonmill.gateway.targets import Target
+from wigeonmill.providers.transfers import Framing
 
 # Interval of the stall check on a stream that sends nothing.
 STALL_CHECK_MS = 200.0
@@ -38,6 +40,18 @@
 WRONG_TARGET_PAUSE_MS = 1_000.0
 
 
+@dataclass(slots=True)
+class AnswerReceipt:
+    """How much of an answer was received, for the log.
+
+    `trailing_bytes` are those after the last complete event of a stream.
+    """
+
+    framing: Framing | None = None
+    events: int = 0
+    trailing_bytes: int = 0
+
+
 class Attempt:
     """Reads the answer of one target and passes it on if it is valid.
 
@@ -56,6 +70,7 @@
         '_can_fail_over',
         '_has_alternative',
         'reported_load',
+        'receipt',
     )
 
     def __init__(
@@ -80,6 +95,7 @@
         self._can_fail_over = can_fail_over
         self._has_alternative = has_alternative
         self.reported_load = ''
+        self.receipt = AnswerReceipt()
 
     async def run(self) -> Failure | None:
         """Pass the answer on, or return why there is none to pass on."""
@@ -124,6 +140,8 @@
             elif isinstance(part, bytes) and streaming:
                 assert head is not None
                 events = splitter.feed(part)
+                self.receipt.events += len(events)
+                self.receipt.trailing_bytes = len(splitter.remainder)
                 if events:
                     self._target.load.record_first_token(self._in_flight)
                 self._relay.forward(head, events)
@@ -216,6 +234,7 @@
         )
 
     def _record_head(self, head: TargetHead) -> None:
+        self.receipt.framing = head.framing
         self._ctx.notices.record(
             self._target, head.notice, 'answer', self._terms.req.id
         )
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -181,6 +181,7 @@
             exchange.cancel()
             target.load.close(in_flight)
         self._log.reported_load = attempt.reported_load
+        self._log.receipt = attempt.receipt
         self._record_outcome(target, failure)
         return failure
 
--- a/wigeonmill/gateway/run_log.py
+++ b/wigeonmill/gateway/run_log.py
@@ -3,6 +3,7 @@
 import logging
 
 from wigeonmill.gateway.answers import Refusal
+from wigeonmill.gateway.attempt import AnswerReceipt
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.failures import Failure
 from wigeonmill.gateway.picker import Pick
@@ -23,6 +24,7 @@
         '_pick',
         '_priority',
         'reported_load',
+        'receipt',
     )
 
     def __init__(
@@ -34,6 +36,7 @@
         self._pick: Pick | None = None
         self._priority = 0
         self.reported_load = ''
+        self.receipt = AnswerReceipt()
 
     def record_attempt(self, pick: Pick, priority: int) -> None:
         """Record the target and the priority of an attempt."""
@@ -105,6 +108,10 @@
             'fetched_tokens': terms.plan.fetched_tokens,
             'saved_tokens': terms.plan.saved_tokens,
         }
+        if self.receipt.framing is not None:
+            extra['framing'] = self.receipt.framing.value
+            extra['events'] = self.receipt.events
+            extra['trailing_bytes'] = self.receipt.trailing_bytes
         if terms.req.last_event_id is not None:
             extra['resumed_id'] = terms.req.resumed_id
             extra['began_at'] = (
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -11,6 +11,7 @@
 from wigeonmill.gateway.request import HeaderFields
 from wigeonmill.gateway.target_notices import Notice
 from wigeonmill.gateway.targets import Target
+from wigeonmill.providers.transfers import Framing
 from wigeonmill.providers.transfers import ReplyHead
 from wigeonmill.providers.transfers import Transfer
 from wigeonmill.providers.transfers import TransferCall
@@ -76,6 +77,7 @@
     keep_alive_s: int | None = None
     encoded: bool = False
     notice: Notice = Notice()
+    framing: Framing = Framing.LENGTH
 
     @property
     def succeeded(self) -> bool:
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -41,6 +41,15 @@
     BROKEN = 'broken'
 
 
+class Framing(enum.Enum):
+    """What marks the end of a reply's body."""
+
+    CHUNKED = 'chunked'
+    LENGTH = 'length'
+    # Neither chunks nor a length, so the body ends with the connection.
+    CLOSE = 'close'
+
+
 @dataclass(frozen=True, slots=True)
 class ReplyHead:
     """Status and header fields of a reply, in the order received."""
@@ -48,6 +57,15 @@
     status: int
     fields: tuple[tuple[str, str], ...]
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the body (RFC 9112, section 6.3)."""
+        if self.get('transfer-encoding') is not None:
+            return Framing.CHUNKED
+        if self.get('content-length') is not None:
+            return Framing.LENGTH
+        return Framing.CLOSE
+
     def get(self, name: str) -> str | None:
         """Return the last value of a header field by its lower-case name."""
         last_value = None
