Test streams that end inside an event

A stream that ended in an orderly way inside an event, or without any length before its first event, reached its caller as complete. The tests fail and are listed in KNOWN-RED.txt.

--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -215,6 +215,69 @@
     assert channel.status == 502
 
 
+# Received bytes of a stream that ended, though orderly, inside an event.
+ENDS_INSIDE_AN_EVENT = {
+    'in-first-event': b'id: 1\nda',
+    'in-second-event': event(1) + b'id: 2\nda',
+    'between-lines': event(1) + b'id: 2\n',
+    'before-blank-line': event(1) + event(2)[:-1],
+}
+
+
+@pytest.mark.parametrize('framing', list(Framing))
+@pytest.mark.parametrize('ends', list(ENDS_INSIDE_AN_EVENT))
+def test_a_stream_that_ends_inside_an_event_is_not_finished(ends, framing):
+    """A stream that had been broken off reached its caller as complete."""
+    data = ENDS_INSIDE_AN_EVENT[ends]
+    script = (make_head(framing=framing), data, ExchangeEnd.COMPLETE)
+    harness = engine_harness([script])
+    channel = run_stream(harness, stream_route(resumable=False))
+    assert not channel.finished
+    assert channel.aborted or channel.status == 502
+    assert channel.aborted == data.startswith(event(1))
+
+
+def test_a_stream_without_length_that_ends_before_its_first_event_failed():
+    """An empty stream whose connection closed was passed on as complete."""
+    script = (make_head(framing=Framing.CLOSE), ExchangeEnd.COMPLETE)
+    harness = engine_harness([script])
+    channel = run_stream(harness, stream_route(resumable=False))
+    assert channel.status == 502
+
+
+@pytest.mark.parametrize('ends', list(ENDS_INSIDE_AN_EVENT))
+def test_a_resumable_stream_that_ends_inside_an_event_goes_on(ends):
+    """A stream that had been broken off reached its caller as complete."""
+    data = ENDS_INSIDE_AN_EVENT[ends]
+    head = make_head(framing=Framing.CLOSE)
+    rest = stream(*range(1 + data.count(event(1)), 4))
+    harness = engine_harness([(head, data, ExchangeEnd.COMPLETE), rest])
+    channel = run_stream(harness)
+    assert channel.finished
+    assert channel.body == b''.join(event(n) for n in (1, 2, 3))
+
+
+@pytest.mark.parametrize('tail', [b'', b'\n', b'\r\n', b': done\n'])
+def test_a_stream_may_end_with_its_connection_after_an_event(tail):
+    head = make_head(framing=Framing.CLOSE)
+    data = event(1) + event(2) + tail
+    harness = engine_harness([(head, data, ExchangeEnd.COMPLETE)])
+    channel = run_stream(harness, stream_route(resumable=False))
+    assert channel.finished
+    assert channel.body == data
+
+
+def test_a_target_that_ends_a_stream_inside_an_event_counts_as_failed():
+    script = (make_head(), event(1) + b'id: 2\n', ExchangeEnd.COMPLETE)
+    harness = engine_harness([script], count=1)
+    run_stream(harness, stream_route(resumable=False))
+    (target,) = harness.ctx.directory.all()
+    broken = harness.ctx.metrics.reasons('gateway_answers_broken')
+    assert broken == {'inside_event': 1}
+    assert harness.ctx.crash_guard.last_number == 1
+    assert target.load.failure_share() > 0
+
+
 def test_a_stalled_stream_moves_to_another_target_in_time():
     harness = engine_harness([fakes.SILENT, stream(1)])
     channel = run_stream(harness)
