Treat a stream that ends inside an event as broken off

A target's answer may have neither a length nor chunks and end with its connection. Then curl reports every orderly close as the end of the answer, whether the target was done or had stopped. The relay took it for the end, sent the caller what had come of the next event and finished the caller's answer.

A stream that ends inside an event, whatever its framing, and one without a length that ends before its first event, now end like a lost connection: the request goes on at another target if it may, else the caller's answer is aborted, or 502 if nothing was sent. The target's health counts a failure. Blank lines and comments may still follow the last event. An orderly close between two events can't be told from the end of the stream.

Each such end is counted in gateway_answers_broken.

--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -1,5 +1,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from wigeonmill.gateway.event_stream import EventSplitter
 
@@ -27,3 +28,24 @@
 def test_carriage_returns_end_lines_too():
     events = EventSplitter().feed(b'id:3\r\ndata: x\r\n\r\n')
     assert [event.id for event in events] == [3]
+
+
+@pytest.mark.parametrize(
+    ('data', 'inside'),
+    [
+        (b'', False),
+        (b'id: 1\n\n', False),
+        (b'id: 1\n\n\n', False),
+        (b'id: 1\r\n\r\n\r\n', False),
+        (b'id: 1\n\n: note\n', False),
+        (b'id: 1\n\n: no', True),
+        (b'id: 1\n\ni', True),
+        (b'id: 1\n\n: note\nid: 2\n', True),
+        (b'id: 1\n', True),
+        (b'id: 1\r', True),
+    ],
+)
+def test_only_blank_lines_and_comments_may_follow_the_last_event(data, inside):
+    splitter = EventSplitter()
+    splitter.feed(data)
+    assert splitter.inside_event is inside
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -122,7 +122,7 @@
                 )
                 return self._process_answer(head, bytes(body))
             else:
-                return transfer_failed(part, self._exchange.message)
+                return self._transfer_failure(part)
 
     async def _receive_stream(self) -> Failure | None:
         head: TargetHead | None = None
@@ -151,11 +151,35 @@
             elif part is ExchangeEnd.COMPLETE and head is not None:
                 if not streaming:
                     return self._process_answer(head, bytes(body))
-                self._relay.finish(head, splitter.remainder)
-                self._target.load.record_run_end(self._in_flight)
-                return None
+                return self._end_stream(head, splitter)
             else:
-                return transfer_failed(part, self._exchange.message)
+                return self._transfer_failure(part)
+
+    def _transfer_failure(self, end: ExchangeEnd) -> Failure:
+        if end is not ExchangeEnd.NOT_SENT:
+            self._ctx.metrics.count('gateway_answers_broken', 'connection')
+        return transfer_failed(end, self._exchange.message)
+
+    def _end_stream(
+        self, head: TargetHead, splitter: EventSplitter
+    ) -> Failure | None:
+        """Finish a stream that ended in an orderly way, if it is complete.
+
+        The end of the connection looks the same whether the target was done
+        or had broken off.
+        """
+        cut = ''
+        if splitter.inside_event:
+            cut = 'inside_event'
+        elif head.framing is Framing.CLOSE and not self.receipt.events:
+            cut = 'before_first_event'
+        if cut:
+            self._ctx.metrics.count('gateway_answers_broken', cut)
+            message = f'the stream ended {cut.replace("_", " ")}'
+            return transfer_failed(ExchangeEnd.BROKEN, message)
+        self._relay.finish(head, splitter.remainder)
+        self._target.load.record_run_end(self._in_flight)
+        return None
 
     def _record_origin(self) -> None:
         if self._relay.started and self._terms.origin is None:
--- a/wigeonmill/gateway/event_stream.py
+++ b/wigeonmill/gateway/event_stream.py
@@ -1,10 +1,12 @@
 """Splits a text/event-stream into complete events."""
 
 from dataclasses import dataclass
+import re
 
 # A blank line ends an event. Targets may use any of the three line endings.
 _EVENT_TERMINATORS = (b'\n\n', b'\r\n\r\n', b'\r\r')
 _ID_PREFIX = b'id:'
+_LINE_BREAK = re.compile(rb'\r\n|\n|\r')
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +30,17 @@
         """The bytes of the event that is still incomplete."""
         return self._remainder
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether the stream would be cut inside an event if it ended here.
+
+        Blank lines and whole comments may follow the last event.
+        """
+        *lines, last_line = _LINE_BREAK.split(self._remainder)
+        if last_line:
+            return True
+        return any(line and not line.startswith(b':') for line in lines)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append `data` and return the events that it completes."""
         self._remainder += data
