Reset the connection of a caller without chunks to abort its answer

A stream to an HTTP/1.0 caller has neither a length nor chunks, so its end is the end of the connection, and an abort closed that in an orderly way: the part that had come looked like the whole answer. One that asked for keep-alive was told that the connection stays open and never saw the end of its stream.

An abort now resets such a connection, and a finished stream closes it.

--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 
+import pytest
 from result import Ok
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import RequestStartLine
@@ -150,6 +151,34 @@
     run_with_server(check)
 
 
+@pytest.mark.parametrize('connection', [b'', b'Connection: keep-alive\r\n'])
+def test_an_aborted_answer_to_http_1_0_does_not_look_complete(connection):
+    """Without chunks, an orderly close looked like the end of the answer."""
+
+    async def check(server, forwarder, port):
+        forwarder.may_finish.set()
+        reader, writer = await connect(port)
+        writer.write(b'GET /a/broken HTTP/1.0\r\n' + connection + b'\r\n')
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+
+    run_with_server(check)
+
+
+@pytest.mark.parametrize('connection', [b'', b'Connection: keep-alive\r\n'])
+def test_a_stream_to_http_1_0_ends_with_its_connection(connection):
+    """The caller could not see the end of a stream that was kept alive."""
+
+    async def check(server, forwarder, port):
+        forwarder.may_finish.set()
+        reader, writer = await connect(port)
+        writer.write(b'GET /a/stream HTTP/1.0\r\n' + connection + b'\r\n')
+        answer = await reader.read()
+        assert answer.endswith(b'\r\n\r\npart')
+
+    run_with_server(check)
+
+
 def test_a_body_with_two_lengths_is_refused():
     """Content-Length with chunked encoding allows request smuggling."""
 
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -4,6 +4,7 @@
 import logging
 import math
 import socket
+import struct
 from typing import Protocol
 import weakref
 
@@ -39,6 +40,8 @@
 # server waits a little longer, so that it does not close a connection while a
 # request is on its way.
 IDLE_SLACK_MS = 2_000.0
+# SO_LINGER with a time of 0 s: a close resets the connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class CallerCodec(Protocol):
@@ -162,7 +165,7 @@
             logger.info('request dropped on a closed connection')
             return
         server.last_request_ms = server.clock.now_ms()
-        channel = _Channel(server, self._conn)
+        channel = _Channel(server, self._conn, self._start.version)
         decoded = server.codec.request(
             self._start,
             self._headers,
@@ -189,11 +192,18 @@
         '_request_id',
         '_finished',
         '_caller_disconnected',
+        '_has_chunks',
+        '_ends_with_conn',
     )
 
-    def __init__(self, server: GatewayServer, conn: HTTP1Connection) -> None:
+    def __init__(
+        self, server: GatewayServer, conn: HTTP1Connection, http_version: str
+    ) -> None:
         self._server = server
         self._conn = conn
+        # Without chunks an answer in parts ends with its connection.
+        self._has_chunks = http_version != 'HTTP/1.0'
+        self._ends_with_conn = False
         self._task: asyncio.Task[None] | None = None
         self._request_id = ''
         self._finished = False
@@ -234,6 +244,7 @@
         """Send the head of an answer whose body follows in parts."""
         if not self.closed:
             headers = self._headers(head)
+            self._ends_with_conn = not self._has_chunks
             self._conn.write_headers(_start_line(head.status), headers)
 
     def send(self, data: bytes) -> None:
@@ -247,7 +258,7 @@
         if self.closed:
             return
         self._conn.finish()
-        if self._server.draining:
+        if self._server.draining or self._ends_with_conn:
             # The head may have been sent before the drain started, so that
             # the caller does not know that the connection will be closed.
             asyncio.ensure_future(_close_after_flush(self._conn))
@@ -255,6 +266,11 @@
     def abort(self) -> None:
         """Close the connection, so that the answer does not look complete."""
         self._finished = True
+        if self._ends_with_conn and not self.closed:
+            # An orderly close would mark the end of the answer.
+            self._conn.stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
         self._conn.close()
 
     def _headers(self, head: AnswerHead) -> HTTPHeaders:
