Bound what is held of an answer without end

Events without end were queued for a caller that does not read.

Each has a limit now, as a checked setting in bytes (max_answer_bytes, max_event_bytes, max_reply_bytes, max_unsent_bytes). At the limit the connection is closed and the answer counts as broken off, in gateway_answers_broken by reason and in the target's health; a caller that is too slow isn't held against the target.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -93,6 +93,7 @@
 
     def __init__(self):
         self.closed = False
+        self.unsent_bytes = 0
         self.status = None
         self.refusal = None
         self.body = b''
--- a/wigeonmill/gateway/answers.py
+++ b/wigeonmill/gateway/answers.py
@@ -29,6 +29,7 @@
     MAY_HAVE_RUN = 'may_have_run'
     TIMEOUT = 'timeout'
     BROKEN_OFF = 'broken_off'
+    CALLER_TOO_SLOW = 'caller_too_slow'
 
 
 # Statuses that guarantee that a request has not run and never will.
@@ -53,6 +54,7 @@
     Reason.MAY_HAVE_RUN: 502,
     Reason.TIMEOUT: 504,
     Reason.BROKEN_OFF: 502,
+    Reason.CALLER_TOO_SLOW: 502,
 }
 
 # Refusals of a stream that can't go on, so the caller must begin it anew.
@@ -91,6 +93,10 @@
     def closed(self) -> bool:
         """Whether the caller has disconnected."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The most that may be held of an answer that the caller must read."""
+
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal of the gateway."""
 
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -10,6 +10,7 @@
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.event_stream import EventSplitter
+from wigeonmill.gateway.failures import caller_too_slow
 from wigeonmill.gateway.failures import ErrorAnswer
 from wigeonmill.gateway.failures import Failure
 from wigeonmill.gateway.failures import may_have_run
@@ -115,6 +116,8 @@
                 self._record_head(head)
             elif isinstance(part, bytes):
                 body += part
+                if len(body) > self._ctx.answer_limits.body:
+                    return self._overlong('body')
             elif part is ExchangeEnd.COMPLETE and head is not None:
                 self._in_flight.answered = True
                 self._target.load.record_whole_answer(
@@ -146,8 +149,14 @@
                     self._target.load.record_first_token(self._in_flight)
                 self._relay.forward(head, events)
                 self._record_origin()
+                if len(splitter.remainder) > self._ctx.answer_limits.event:
+                    return self._overlong('event')
+                if self._channel.unsent_bytes > self._ctx.answer_limits.unsent:
+                    return self._unread()
             elif isinstance(part, bytes):
                 body += part
+                if len(body) > self._ctx.answer_limits.body:
+                    return self._overlong('body')
             elif part is ExchangeEnd.COMPLETE and head is not None:
                 if not streaming:
                     return self._process_answer(head, bytes(body))
@@ -160,6 +169,20 @@
             self._ctx.metrics.count('gateway_answers_broken', 'connection')
         return transfer_failed(end, self._exchange.message)
 
+    def _overlong(self, what: str) -> Failure:
+        """Return the failure of an answer with a body or event over a limit.
+
+        The target may send bytes without end, which must not fill the memory.
+        """
+        self._ctx.metrics.count('gateway_answers_broken', f'{what}_too_long')
+        message = f'the {what} of the answer is too long'
+        return transfer_failed(ExchangeEnd.BROKEN, message)
+
+    def _unread(self) -> Failure:
+        """Return the failure of a stream whose caller does not read it."""
+        self._ctx.metrics.count('gateway_answers_broken', 'caller_too_slow')
+        return caller_too_slow()
+
     def _end_stream(
         self, head: TargetHead, splitter: EventSplitter
     ) -> Failure | None:
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -1,6 +1,7 @@
 """Holds the state that the parts of a gateway process share."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 import random
 
 from wigeonmill.clock import Clock
@@ -151,6 +152,20 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerLimits:
+    """Limits of what is held of one answer, in bytes.
+
+    `body` applies to an answer that is read completely before it is passed
+    on, `event` to one event of a stream, and `unsent` to what the caller of a
+    stream has not read yet.
+    """
+
+    body: int = 4 * 1024 * 1024
+    event: int = 256 * 1024
+    unsent: int = 1024 * 1024
+
+
 class GatewayContext:
     """The clock, the shared state and the budgets of a gateway process."""
 
@@ -164,6 +179,7 @@
         'circuits',
         'notices',
         'crash_guard',
+        'answer_limits',
         'origins',
         'entry_count',
         'entry_position',
@@ -183,6 +199,7 @@
         contact_ms: float = DEFAULT_CONTACT_MS,
         uptime_ms: float = 0.0,
         max_closed_ms: float = DEFAULT_MAX_CLOSED_MS,
+        answer_limits: AnswerLimits = AnswerLimits(),
     ) -> None:
         """Create the state of a process that has run for `uptime_ms`.
 
@@ -206,6 +223,7 @@
             clock, metrics, entry_position, max_closed_ms
         )
         self.crash_guard = CrashGuard(clock)
+        self.answer_limits = answer_limits
         self.origins: StreamOrigins = LocalStreamOrigins()
         # Returns the number of entries that may be alive.
         self.entry_count = entry_count
--- a/wigeonmill/gateway/failures.py
+++ b/wigeonmill/gateway/failures.py
@@ -47,6 +47,17 @@
     )
 
 
+def caller_too_slow() -> Failure:
+    """Return the failure of a stream that its caller does not read."""
+    return Failure(
+        Reason.CALLER_TOO_SLOW,
+        'the caller reads too slowly',
+        reached=True,
+        may_have_run=True,
+        final=True,
+    )
+
+
 def not_run(message: str, reached: bool = True) -> Failure:
     """Return the failure of a request that the target has not run."""
     return Failure(Reason.NOT_RUN, message, reached, may_have_run=False)
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -203,7 +203,7 @@
             circuits.record_success(target.id)
             target.load.record_outcome(failed=False)
             return
-        if failure.reason is Reason.OLD_WEIGHTS:
+        if failure.reason in (Reason.OLD_WEIGHTS, Reason.CALLER_TOO_SLOW):
             return
         if failure.reason is Reason.TIMEOUT and not target.load.is_silent():
             return
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -16,6 +16,7 @@
 from wigeonmill.gateway.cache_cleaner import CacheCleaner
 from wigeonmill.gateway.cache_event_exchange import CacheEventExchange
 from wigeonmill.gateway.cache_planner import StorePlanner
+from wigeonmill.gateway.context import AnswerLimits
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.desired import DesiredState
 from wigeonmill.gateway.forwarder import Forwarder
@@ -110,6 +111,11 @@
             settings.contact_ms,
             uptime_ms,
             settings.max_closed_ms,
+            AnswerLimits(
+                body=settings.max_answer_bytes,
+                event=settings.max_event_bytes,
+                unsent=settings.max_unsent_bytes,
+            ),
         )
         self._sync = MirrorSync(
             adapter.source,
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -194,6 +194,7 @@
         '_caller_disconnected',
         '_has_chunks',
         '_ends_with_conn',
+        '_unsent_bytes',
     )
 
     def __init__(
@@ -204,6 +205,7 @@
         # Without chunks an answer in parts ends with its connection.
         self._has_chunks = http_version != 'HTTP/1.0'
         self._ends_with_conn = False
+        self._unsent_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._request_id = ''
         self._finished = False
@@ -214,6 +216,11 @@
         """Whether the caller has disconnected."""
         return self._caller_disconnected or self._conn.stream.closed()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes written since the kernel had last taken all of them."""
+        return self._unsent_bytes if self._conn.stream.writing() else 0
+
     def serve(self, req: CallerRequest) -> None:
         """Start to serve the request; its answer uses this channel."""
         self._request_id = req.id
@@ -250,6 +257,7 @@
     def send(self, data: bytes) -> None:
         """Send the next part of the body."""
         if not self.closed:
+            self._unsent_bytes = self.unsent_bytes + len(data)
             self._conn.write(data)
 
     def finish(self) -> None:
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -12,6 +12,7 @@
 from wigeonmill.settings_fault import SettingsFault
 
 Milliseconds = Annotated[float, msgspec.Meta(gt=0)]
+ByteLimit = Annotated[int, msgspec.Meta(ge=1024)]
 
 
 class GatewaySettings(
@@ -23,7 +24,7 @@
     forwards, `ready` its readiness checks, `inner` the connections of other
     entries, and `metrics` counters and histograms (if empty, only `ready`
     serves them). `seeds` are inner addresses of other entries. Times are in
-    ms.
+    ms, sizes in bytes.
     """
 
     process: str
@@ -46,6 +47,10 @@
     lease_ms: Milliseconds = 3_000.0
     weights_deadline_ms: Milliseconds = 15_000.0
     max_closed_ms: Milliseconds = 300_000.0
+    max_answer_bytes: ByteLimit = 4_194_304
+    max_event_bytes: ByteLimit = 262_144
+    max_unsent_bytes: ByteLimit = 1_048_576
+    max_reply_bytes: ByteLimit = 8_388_608
     contact_ms: Milliseconds = 3_000.0
     log_level: str = 'INFO'
 
--- a/wigeonmill/providers/fetch.py
+++ b/wigeonmill/providers/fetch.py
@@ -37,9 +37,12 @@
 class _Collector:
     """A sink that collects the complete reply."""
 
-    __slots__ = ('head', 'body', 'ended', 'message')
+    __slots__ = ('head', 'body', 'ended', 'message', '_max_bytes')
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, max_bytes: int
+    ) -> None:
+        self._max_bytes = max_bytes
         self.head: ReplyHead | None = None
         self.body = bytearray()
         self.ended: asyncio.Future[TransferEnd] = loop.create_future()
@@ -49,19 +52,26 @@
         self.head = head
 
     def on_data(self, data: bytes) -> None:
+        if len(self.body) + len(data) > self._max_bytes:
+            message = f'the reply is longer than {self._max_bytes} bytes'
+            self.on_end(TransferEnd.BROKEN, message)
+            return
         self.body += data
 
     def on_end(self, end: TransferEnd, message: str) -> None:
-        self.message = message
         if not self.ended.done():
+            self.message = message
             self.ended.set_result(end)
 
 
 async def fetch(
     loop: TransferLoop, call: TransferCall, timeout_ms: float
 ) -> Result[FetchedReply, FetchError]:
-    """Make one call; raises nothing but CancelledError."""
-    collector = _Collector(asyncio.get_running_loop())
+    """Make one call; raises nothing but CancelledError.
+
+    A reply that is longer than the loop's limit is an error.
+    """
+    collector = _Collector(asyncio.get_running_loop(), loop.max_reply_bytes)
     transfer = loop.start(call, collector)
     try:
         end = await asyncio.wait_for(collector.ended, timeout_ms / 1000.0)
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -18,6 +18,8 @@
 # Limit of curl easy handles kept for reuse; each holds a receive buffer.
 MAX_IDLE_HANDLES = 64
 RECEIVE_BUFFER_BYTES = 16 * 1024
+# Limit of the body of a reply that is collected completely.
+MAX_REPLY_BYTES = 8 * 1024 * 1024
 # TCP keep-alive: idle seconds before the first probe, seconds between probes,
 # and the number of unanswered probes after which the connection is closed.
 KEEP_ALIVE_IDLE_S = 1
@@ -175,9 +177,16 @@
         '_idle_handles',
         '_active',
         '_closed',
+        'max_reply_bytes',
     )
 
-    def __init__(self, max_idle_conns: int = MAX_IDLE_CONNS) -> None:
+    def __init__(
+        self,
+        max_idle_conns: int = MAX_IDLE_CONNS,
+        max_reply_bytes: int = MAX_REPLY_BYTES,
+    ) -> None:
+        """Create a loop; `max_reply_bytes` limits whole replies only."""
+        self.max_reply_bytes = max_reply_bytes
         self._loop = asyncio.get_running_loop()
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
