--- /dev/null
+++ b/tests/gateway/test_crashing_parts.py
@@ -0,0 +1,78 @@
+"""Requests with a prompt part that crashes targets stop reaching them."""
+
+import pytest
+
+from tests.gateway import fakes
+from tests.gateway.fakes import make_head
+from tests.gateway.samples import make_engine_record
+from tests.gateway.samples import MODEL
+from tests.gateway.test_request_run import engine_harness
+from tests.gateway.test_request_run import event
+from tests.gateway.test_request_run import run_stream
+from tests.gateway.test_request_run import stream_route
+from wigeonmill.gateway.request import Generation
+from wigeonmill.gateway.request import PromptPart
+from wigeonmill.gateway.target_client import ExchangeEnd
+
+BAD = 'bad'
+CRASH = (ExchangeEnd.BROKEN,)
+INTERVAL_MS = 1_000.0
+# The platform allows this many requests after the fifth crash.
+MAX_CRASHES = 5 + 3
+
+
+class Fleet:
+    """One entry whose targets crash under requests with the part `bad`."""
+
+    def __init__(self):
+        self.harness = engine_harness([fakes.SILENT], count=8)
+        self.requests = 0
+        self.crashes = 0
+
+    def send(self, *shared, model=MODEL, script=None):
+        """Send a request with these shared parts; return its channel."""
+        self.requests += 1
+        own = f'own {self.requests}'
+        parts = tuple(PromptPart(part, 500) for part in (*shared, own))
+        generation = Generation(model, 500 * len(parts), 64, parts)
+        if script is None:
+            head = make_head(request_id=f'q{self.requests}')
+            whole = (head, event(1), ExchangeEnd.COMPLETE)
+            script = CRASH if BAD in shared else whole
+        harness = self.harness
+        harness.client.set_scripts([script])
+        sent_before = len(harness.client.sent)
+        harness.channel = fakes.FakeChannel()
+        channel = run_stream(
+            harness,
+            stream_route(resumable=False),
+            id=f'q{self.requests}',
+            body=b'%d' % self.requests,
+            generation=generation,
+        )
+        if len(harness.client.sent) > sent_before and script == CRASH:
+            self._restart(harness.client.sent[-1][0])
+        harness.clock.advance(INTERVAL_MS)
+        return channel
+
+    def _restart(self, target_id):
+        self.crashes += 1
+        record = make_engine_record(
+            target_id, started_at_ms=1_000 + self.crashes
+        )
+        self.harness.ctx.directory.apply(record)
+
+
+# Guards against BUDGET: no two requests with the part were alike, so each of
+# them crashed one more target.
+@pytest.mark.parametrize('position', [0, 1])
+def test_requests_that_share_a_crashing_part_stop_reaching_targets(position):
+    fleet = Fleet()
+    statuses = []
+    for number in range(50):
+        shared = [f'other {number}']
+        shared.insert(position, BAD)
+        statuses.append(fleet.send(*shared).status)
+        fleet.send(f'other {number}', 'sound')
+    assert fleet.crashes <= MAX_CRASHES
+    assert statuses[-40:] == [503] * 40
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -162,9 +162,8 @@
 
 
 def run_stream(harness, route=None, **changes):
-    req = request_at(
-        harness, generation=make_generation(), deadline_ms=15_000.0, **changes
-    )
+    values = {'generation': make_generation(), 'deadline_ms': 15_000.0}
+    req = request_at(harness, **(values | changes))
     return harness.run(req, route or stream_route())
 
 
