Keep quarantines of prompt parts when all entries start again

The leader now publishes them in one record of the key-value service on changes, with the wall time of their start; entries adopt it when they read it, and a part that was served since is neither adopted nor published any more. Without the key-value service they are still lost when all entries start again.

--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -17,10 +17,12 @@
 from wigeonmill.gateway.own_records import decode_own
 from wigeonmill.gateway.own_records import ENTRY_PREFIX
 from wigeonmill.gateway.own_records import INNER_KEY
+from wigeonmill.gateway.own_records import PART_QUARANTINES_KEY
 from wigeonmill.gateway.own_records import PREFIX
 from wigeonmill.gateway.own_records import ROLLOUT_KEY
 from wigeonmill.gateway.own_records import RolloutRecord
 from wigeonmill.gateway.own_records import SOFTWARE_VERSIONS_KEY
+from wigeonmill.gateway.part_records import PartQuarantines
 from wigeonmill.gateway.registration import EntryList
 from wigeonmill.gateway.rollout_notice import apply_rollout
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
@@ -44,6 +46,7 @@
         '_inner_key',
         '_publisher',
         '_versions',
+        '_quarantines',
         '_on_desired_state',
     )
 
@@ -55,6 +58,7 @@
         inner_key: SharedInnerKey,
         publisher: RolloutPublisher,
         versions: SoftwareVersions,
+        quarantines: PartQuarantines,
         on_desired_state: Callable[[DesiredState], None],
     ) -> None:
         self._ctx = ctx
@@ -63,6 +67,7 @@
         self._inner_key = inner_key
         self._publisher = publisher
         self._versions = versions
+        self._quarantines = quarantines
         self._on_desired_state = on_desired_state
 
     def apply_record(self, record: Record) -> None:
@@ -81,6 +86,8 @@
             self._inner_key.update(record)
         elif record.key == SOFTWARE_VERSIONS_KEY:
             self._versions.update(record)
+        elif record.key == PART_QUARANTINES_KEY:
+            self._quarantines.update(record)
         elif record.key == ROLLOUT_KEY:
             self._publisher.update_revision(record)
             found = decode_own(record, RolloutRecord)
--- a/wigeonmill/gateway/own_records.py
+++ b/wigeonmill/gateway/own_records.py
@@ -17,6 +17,7 @@
 ROLLOUT_KEY = 'wigeonmill/rollout'
 INNER_KEY = 'wigeonmill/inner-key'
 SOFTWARE_VERSIONS_KEY = 'wigeonmill/software-versions'
+PART_QUARANTINES_KEY = 'wigeonmill/part-quarantines'
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
@@ -57,6 +58,19 @@
     versions: dict[str, list[str]]
 
 
+class PartQuarantineRecord(msgspec.Struct, frozen=True):
+    """Parts of a quarantine, as hexadecimal keys, and its wall time."""
+
+    parts: list[str]
+    since_unix_ms: int
+
+
+class PartQuarantinesRecord(msgspec.Struct, frozen=True):
+    """The quarantined prompt parts."""
+
+    quarantines: list[PartQuarantineRecord]
+
+
 def decode_own(record: Record, kind: type[T]) -> T | None:
     """Return a record's value, or None if it is removed or malformed."""
     if record.value is None:
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -27,6 +27,8 @@
 from wigeonmill.gateway.origin_exchange import SharedStreamOrigins
 from wigeonmill.gateway.own_records import ENTRY_PREFIX
 from wigeonmill.gateway.own_records import LEADER_KEY
+from wigeonmill.gateway.part_records import PartQuarantines
+from wigeonmill.gateway.part_records import PartQuarantinesPublisher
 from wigeonmill.gateway.peers import Peers
 from wigeonmill.gateway.picker import Picker
 from wigeonmill.gateway.registration import EntryList
@@ -166,6 +168,10 @@
         self._versions_publisher = SoftwareVersionsPublisher(
             clock, self._versions, self._leadership, adapter.keys
         )
+        quarantines = PartQuarantines(clock, self._ctx.part_guard)
+        self._quarantines_publisher = PartQuarantinesPublisher(
+            clock, quarantines, self._leadership, adapter.keys
+        )
         origins = SharedStreamOrigins(
             clock,
             self.metrics,
@@ -186,6 +192,7 @@
             self._inner_key,
             publisher,
             self._versions,
+            quarantines,
             self._on_desired_state,
         )
         self._mirror.subscribe(intake.apply_record)
@@ -219,6 +226,7 @@
                 self._run_leadership,
                 self._run_rollout,
                 self._run_versions_publisher,
+                self._run_quarantines_publisher,
                 self._run_cache_cleaner,
                 self._ensure_inner_key,
                 self._peers.run,
@@ -338,6 +346,11 @@
             await self._versions_publisher.step()
             await asyncio.sleep(TICK_MS / 1000.0)
 
+    async def _run_quarantines_publisher(self) -> None:
+        while True:
+            await self._quarantines_publisher.step()
+            await asyncio.sleep(TICK_MS / 1000.0)
+
     async def _run_cache_cleaner(self) -> None:
         while True:
             await self._cleaner.step()
