Blame a prompt part only beside runs that were served without it

A part of all requests could be quarantined after three outages of all targets, and then nothing could clear it. Targets that ended within 0.4 s counted as one crash, so a request that went on at the next target at once could end three targets and count once. An entry that was told of a quarantine did not know which crashes it explains, and could blame them on the other parts too.

The chance that a sound part was lost as often is now 1 until runs without it were served, which also covers outages, so crashes need no interval. It is judged again before a request with such a part is sent. A quarantine explains all lifetimes that were lost under all of its parts. Tests for each; the simulation now also sends requests on, at up to three targets: 48 cases.

--- a/tests/gateway/test_part_guard.py
+++ b/tests/gateway/test_part_guard.py
@@ -55,9 +55,12 @@
     return clock, [Entry(clock) for _ in range(count)]
 
 
-def crash(clock, entry, *keys, lifetime, after_ms=1_000.0):
+def crash(clock, entry, *keys, lifetime, after_ms=1_000.0, others=20):
+    """End a target; then `others` requests without these parts are served."""
     entry.guard.record_lost(keys, lifetime)
     clock.advance(after_ms)
+    for _ in range(others):
+        entry.guard.record_served((b'sound',))
 
 
 def test_keys_leave_the_last_part_out_and_differ_by_model():
@@ -96,6 +99,21 @@
     assert not any(entry.guard.find((BAD,)) for entry in entries)
 
 
+# Guards against LOST: an entry that was told of a quarantine blamed the
+# crashes on the other parts as well.
+def test_a_quarantine_that_is_told_explains_the_crashes():
+    clock, entries = make_entries(2)
+    for number in range(3):
+        crash(clock, entries[0], b'shared', BAD, lifetime=f't{number}')
+        for _ in range(20):
+            entries[1].guard.record_served((b'sound',))
+    exchange(entries)
+    for entry in entries:
+        assert entry.guard.find((b'shared', BAD))
+        entry.guard.record_lost((b'shared', b'sound'), 't own end')
+        assert not entry.guard.find((b'shared', b'sound'))
+
+
 # Guards against LOST: requests that shared all other parts were refused too.
 def test_a_sound_request_that_shares_all_other_parts_is_sent():
     clock, (entry,) = make_entries()
@@ -139,13 +157,38 @@
 
 
 # Guards against LOST: a part of all requests was refused after an outage.
-def test_targets_that_end_at_the_same_time_count_as_one_crash():
+def test_no_part_is_blamed_if_nothing_is_served_without_it():
     clock, (entry,) = make_entries()
     for number in range(9):
-        crash(clock, entry, b'shared', lifetime=f't{number}', after_ms=20.0)
+        crash(clock, entry, b'shared', lifetime=f't{number}', others=0)
     assert not entry.guard.find((b'shared',))
 
 
+# Guards against LOST: a part of most requests was refused after an outage.
+def test_targets_that_end_together_are_not_blamed_on_a_common_part():
+    clock, (entry,) = make_entries()
+    for number in range(9):
+        for other in range(10):
+            keys = (b'shared', b'subject %d' % other)
+            entry.guard.record_lost(keys, f't{number}')
+            entry.guard.record_lost((b'part %d' % other,), f't{number}')
+        clock.advance(20.0)
+    for _ in range(50):
+        entry.guard.record_served((b'sound',))
+    assert not entry.guard.find((b'shared', b'subject 1'))
+
+
+# Guards against BUDGET: crashes in quick succession showed nothing yet, and
+# the next request with the part was sent.
+def test_crashes_in_quick_succession_are_judged_before_the_next_request():
+    clock, (entry,) = make_entries()
+    for number in range(5):
+        crash(clock, entry, BAD, lifetime=f't{number}', after_ms=5, others=0)
+    for _ in range(20):
+        entry.guard.record_served((b'sound',))
+    assert entry.guard.find((BAD, b'new'))
+
+
 def test_no_part_is_blamed_while_hardly_any_run_is_served():
     clock, (entry,) = make_entries()
     for number in range(10):
@@ -244,14 +287,15 @@
     BEGINS_MS = 100.0
     RUN_MS = 300.0
 
-    def __init__(self, seed, entries, own_ends_per_s, restarts):
+    def __init__(self, seed, entries, own_ends_per_s, restarts, attempts):
+        self.attempts = attempts
         self.rng = random.Random(seed)
         self.clock, self.entries = make_entries(entries)
         self.own_ends_per_s = own_ends_per_s
         self.restarts = restarts
         self.lifetimes = [0] * self.TARGETS
         self.down_until_ms = [0.0] * self.TARGETS
-        # Of each run: entry, target, lifetime, keys and the start.
+        # Of each run: entry, target, lifetime, keys, start and attempt.
         self.runs = []
         self.bad_crashes_ms = []
         self.bad_sent_ms = []
@@ -280,8 +324,8 @@
         if step in self.restarts:
             self.entries[0] = Entry(self.clock)
 
-    def _send(self, keys, outcomes=None):
-        entry = self.rng.choice(self.entries)
+    def _send(self, keys, outcomes=None, entry=None, attempt=1):
+        entry = entry or self.rng.choice(self.entries)
         refused = entry.guard.find(keys) is not None
         if outcomes is not None:
             outcomes.append((self.clock.now_ms(), refused))
@@ -297,21 +341,23 @@
             self.bad_sent_ms.append(now_ms)
         target = self.rng.choice(ready)
         lifetime = self.lifetimes[target]
-        self.runs.append((entry, target, lifetime, keys, now_ms))
+        self.runs.append((entry, target, lifetime, keys, now_ms, attempt))
 
     def _end(self, target):
         lifetime = self.lifetimes[target]
         self.lifetimes[target] += 1
         self.down_until_ms[target] = self.clock.now_ms() + self.RESTART_MS
         lost = [run for run in self.runs if run[1:3] == (target, lifetime)]
-        for entry, _target, _lifetime, keys, _sent_ms in lost:
-            entry.guard.record_lost(keys, f't{target}@{lifetime}')
         self.runs = [run for run in self.runs if run not in lost]
+        for entry, _target, _lifetime, keys, _sent_ms, attempt in lost:
+            entry.guard.record_lost(keys, f't{target}@{lifetime}')
+            if attempt < self.attempts:
+                self._send(keys, entry=entry, attempt=attempt + 1)
 
     def _advance_runs(self):
         now_ms = self.clock.now_ms()
         for run in list(self.runs):
-            entry, target, _lifetime, keys, sent_ms = run
+            entry, target, _lifetime, keys, sent_ms, _attempt = run
             if run not in self.runs:
                 continue
             if BAD in keys and now_ms >= sent_ms + self.BEGINS_MS:
@@ -324,12 +370,15 @@
 
 # Guards against BUDGET and LOST: which part is to blame is found within the
 # fifth crash, and requests that share its other parts are served.
+@pytest.mark.parametrize('attempts', [1, 3])
 @pytest.mark.parametrize('entries', [1, 5])
 @pytest.mark.parametrize('own_ends_per_s', [0.0, 0.5, 3.0])
-@pytest.mark.parametrize('seed', range(6))
-def test_crashes_are_blamed_on_their_part(seed, own_ends_per_s, entries):
+@pytest.mark.parametrize('seed', range(4))
+def test_crashes_are_blamed_on_their_part(
+    seed, own_ends_per_s, entries, attempts
+):
     restarts = {200, 400} if entries > 1 else ()
-    fleet = Fleet(seed, entries, own_ends_per_s, restarts).play(40)
+    fleet = Fleet(seed, entries, own_ends_per_s, restarts, attempts).play(40)
     fifth_ms = (fleet.bad_crashes_ms + [float('inf')] * 5)[4]
     late = [at for at in fleet.bad_sent_ms if at > fifth_ms + CONTACT_MS]
     assert len(late) <= 3
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -11,7 +11,6 @@
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.origin_exchange import SharedStreamOrigins
-from wigeonmill.gateway.part_guard import CRASH_INTERVAL_MS
 from wigeonmill.gateway.peers import Peers
 from wigeonmill.gateway.store_view import CacheEvent
 from wigeonmill.gateway.store_view import CacheEventBatch
@@ -154,6 +153,11 @@
     run_with_two(check)
 
 
+def serve_others(entry):
+    for _ in range(20):
+        entry.ctx.part_guard.record_served((b'sound',))
+
+
 # Guards against BUDGET: requests without anything in common but one part went
 # on at entries that had not seen the crashes.
 def test_crashing_prompt_parts_are_reported():
@@ -161,7 +165,8 @@
         guard = second.ctx.part_guard
         for number in range(2):
             guard.record_lost((b'shared', b'bad'), f'e{number}@1')
-            await asyncio.sleep(CRASH_INTERVAL_MS / 1000.0)
+        for entry in (first, second):
+            serve_others(entry)
         first.ctx.part_guard.record_lost((b'other', b'bad'), 'e2@1')
         await wait_until(lambda: first.ctx.part_guard.find((b'bad',)))
         await wait_until(lambda: guard.find((b'bad',)))
--- a/wigeonmill/gateway/part_guard.py
+++ b/wigeonmill/gateway/part_guard.py
@@ -23,16 +23,9 @@
 logger = logging.getLogger(__name__)
 
 # A part is quarantined after at least this many crashes without a run that was
-# served. Targets that are lost within the interval count as one crash, because
-# a power loss ends many at once.
+# served, and if the chance that a sound part was lost as often is this small.
 MIN_CRASHES = 3
-CRASH_INTERVAL_MS = 400.0
-# The chance at which a sound part would have been lost as often.
 MAX_CHANCE = 0.002
-# Runs that are assumed in addition to those observed, and how many of them
-# were lost.
-PRIOR_RUNS = 10
-PRIOR_LOSSES = 1
 # Of several parts that were lost together, one is blamed alone if it crashes
 # this many more targets without the others.
 MIN_CRASHES_ALONE = 2
@@ -119,7 +112,9 @@
 
     def find(self, keys: Collection[bytes]) -> Quarantine | None:
         """Return the quarantine that forbids a request with these parts."""
-        if not self._quarantines or not keys:
+        if any(self._is_suspicious(key) for key in keys):
+            self._judge(tuple(keys))
+        if not self._quarantines:
             return None
         self._expire()
         for quarantine in self._quarantines:
@@ -127,6 +122,10 @@
                 return quarantine
         return None
 
+    def _is_suspicious(self, key: bytes) -> bool:
+        suspect = self._suspects.get(key)
+        return suspect is not None and len(suspect.losses) >= MIN_CRASHES
+
     def remaining_ms(self, quarantine: Quarantine) -> float:
         """Return the time until a quarantine ends."""
         return quarantine.since_ms + QUARANTINE_MS - self._clock.now_ms()
@@ -202,7 +201,17 @@
         for quarantine in self._quarantines:
             if quarantine.parts.issubset(outcome.keys):
                 quarantine.lifetimes.add(outcome.lifetime)
-        self._judge(outcome.keys)
+        if not self._renews_quarantine(outcome.keys):
+            self._judge(outcome.keys)
+
+    def _renews_quarantine(self, keys: tuple[bytes, ...]) -> bool:
+        """Quarantine again what was lost in its probation."""
+        now_ms = self._clock.now_ms()
+        for group, until_ms in self._probations.items():
+            if group.issubset(keys) and now_ms < until_ms:
+                self._quarantine(Quarantine(group, now_ms), 'probation')
+                return True
+        return False
 
     def _add_loss(
         self, key: bytes, lifetime: str, at_ms: float, local: bool
@@ -240,17 +249,18 @@
                 break
         del self._suspects[evicted]
 
-    def _counting_losses(self, suspect: _Suspect) -> dict[str, float]:
-        """Return the losses since the part was served that have not expired.
+    def _counting_losses(self, suspect: _Suspect) -> set[str]:
+        """Return the lifetimes that count against a part.
 
-        Those that a quarantined part explains do not count.
+        They were lost since it was served and have not expired, and no
+        quarantined part explains their loss.
         """
         oldest_ms = self._clock.now_ms() - LOSS_TTL_MS
         explained: set[str] = set()
         for quarantine in self._quarantines:
             explained |= quarantine.lifetimes
         return {
-            lifetime: at_ms
+            lifetime
             for lifetime, at_ms in suspect.losses.items()
             if at_ms > suspect.served_ms
             and at_ms >= oldest_ms
@@ -259,51 +269,35 @@
 
     def _judge(self, keys: tuple[bytes, ...]) -> None:
         """Quarantine the parts of a lost request that are to blame."""
-        for group, until_ms in self._probations.items():
-            if group.issubset(keys) and self._clock.now_ms() < until_ms:
-                self._quarantine(
-                    Quarantine(group, self._clock.now_ms()), 'probation'
-                )
-                return
         blamed = {
-            key: losses
+            key: lifetimes
             for key in keys
-            if (losses := self._blaming_losses(key, keys))
+            if (lifetimes := self._blamed_for(key, keys))
         }
         if not blamed:
             return
         worst = max(blamed, key=lambda key: (len(blamed[key]), key))
         group = frozenset(
             key
-            for key, losses in blamed.items()
-            if key == worst
-            or _crash_count(
-                losses[lifetime]
-                for lifetime in losses.keys() & blamed[worst].keys()
-            )
-            >= MIN_CRASHES
-        )
-        quarantine = Quarantine(
-            group, self._clock.now_ms(), set(blamed[worst])
+            for key, lifetimes in blamed.items()
+            if key == worst or len(lifetimes & blamed[worst]) >= MIN_CRASHES
         )
+        quarantine = Quarantine(group, self._clock.now_ms())
         self._quarantine(quarantine, 'crashes')
 
-    def _blaming_losses(
-        self, key: bytes, keys: tuple[bytes, ...]
-    ) -> dict[str, float]:
-        """Return the losses for which a part is to blame, if it is."""
+    def _blamed_for(self, key: bytes, keys: tuple[bytes, ...]) -> set[str]:
+        """Return the lifetimes that a part has ended, if it is to blame."""
         suspect = self._suspects.get(key)
         if suspect is None:
-            return {}
-        losses = self._counting_losses(suspect)
-        crashes = _crash_count(losses.values())
+            return set()
+        lifetimes = self._counting_losses(suspect)
         if self._is_lost_without_others(key, keys):
-            return losses if crashes >= MIN_CRASHES_ALONE else {}
-        if crashes < MIN_CRASHES:
-            return {}
-        if self._chance(suspect, crashes) > MAX_CHANCE:
-            return {}
-        return losses
+            return lifetimes if len(lifetimes) >= MIN_CRASHES_ALONE else set()
+        if len(lifetimes) < MIN_CRASHES:
+            return set()
+        if self._chance(suspect, len(lifetimes)) > MAX_CHANCE:
+            return set()
+        return lifetimes
 
     def _is_lost_without_others(
         self, key: bytes, keys: tuple[bytes, ...]
@@ -315,17 +309,24 @@
         )
 
     def _chance(self, suspect: _Suspect, crashes: int) -> float:
-        """Return the chance that a sound part would be lost as often."""
+        """Return the chance that a sound part would be lost as often.
+
+        It is 1 if no other runs were served since the first of the losses:
+        then nothing tells this part from the others.
+        """
         lost = self._runs_lost - suspect.runs_lost - suspect.own_losses
         served = self._runs_served - suspect.runs_served
-        lost = max(0, lost) + PRIOR_LOSSES
-        runs = lost + served + PRIOR_RUNS - PRIOR_LOSSES
-        return float((lost / runs) ** crashes)
+        lost = max(0, lost) + 1
+        return float((lost / (lost + served)) ** crashes)
 
     def _quarantine(self, quarantine: Quarantine, source: str) -> None:
         group = quarantine.parts
         if any(known.parts <= group for known in self._quarantines):
             return
+        for known in self._quarantines:
+            if known.parts > group:
+                quarantine.lifetimes |= known.lifetimes
+        quarantine.lifetimes |= self._common_lifetimes(group)
         self._quarantines = [
             known for known in self._quarantines if not known.parts > group
         ]
@@ -345,6 +346,14 @@
             },
         )
 
+    def _common_lifetimes(self, group: frozenset[bytes]) -> set[str]:
+        """Return the lifetimes that were lost under all of some parts."""
+        lost = [
+            set(self._suspects[key].losses) if key in self._suspects else set()
+            for key in group
+        ]
+        return set.intersection(*lost)
+
     def _clear(self, key: bytes, suspect: _Suspect, at_ms: float) -> None:
         """Clear a part of its losses up to a run that was served."""
         suspect.served_ms = max(suspect.served_ms, at_ms)
@@ -377,14 +386,3 @@
         for group, until_ms in list(self._probations.items()):
             if now_ms >= until_ms:
                 del self._probations[group]
-
-
-def _crash_count(times_ms: Iterable[float]) -> int:
-    """Return how many crashes at least `CRASH_INTERVAL_MS` apart there are."""
-    count = 0
-    last_ms = float('-inf')
-    for at_ms in sorted(times_ms):
-        if at_ms - last_ms >= CRASH_INTERVAL_MS:
-            count += 1
-            last_ms = at_ms
-    return count
