Reserve the ports of processes that run side by side in blocks

The ports are drawn below the range of outgoing connections, but each soak drew from the same range, so that two took the same one.

A process draws from a block of 512 ports that its process id selects.

--- a/bench/chaos_parts/ports.py
+++ b/bench/chaos_parts/ports.py
@@ -1,10 +1,12 @@
 """Reserves addresses that stay free while their process is down."""
 
+import os
 from pathlib import Path
 import random
 import socket
 
 LOWEST_PORT = 12_000
+PORTS_PER_PROCESS = 512
 RANGE_FILE = Path('/proc/sys/net/ipv4/ip_local_port_range')
 # Used if the system does not report its ephemeral range.
 DEFAULT_EPHEMERAL_START = 32_768
@@ -17,8 +19,11 @@
     that are reserved already; the new one is added to it.
     """
     rng = random.SystemRandom()
+    # Processes that run side by side reserve from different blocks.
+    blocks = (_ephemeral_start() - LOWEST_PORT) // PORTS_PER_PROCESS
+    first = LOWEST_PORT + os.getpid() % blocks * PORTS_PER_PROCESS
     while True:
-        port = rng.randrange(LOWEST_PORT, _ephemeral_start())
+        port = rng.randrange(first, first + PORTS_PER_PROCESS)
         if port not in taken and _is_free(port):
             taken.add(port)
             return f'127.0.0.1:{port}'
