Soak answers that end early or never, and a part that crashes targets

Targets now write some answers without a length, end streams inside an event, and send heads and bodies without end; one prompt part crashes each target that begins to write, beside sound requests that share its other parts. Checks: whole streams only (as before), peak memory of each gateway under the 150 MB of the smallest machine, at most three late arrivals after the fifth crash, and sound requests served at least half as often as others.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -7,12 +7,19 @@
 import secrets
 import time
 
+from tests.platform.soak.targets import CRASHING_PART
 from tests.platform.soak.targets import MODEL
 
 DEADLINE_MS = 4_000
 # A caller waits a little longer than the deadline that it sends.
 CALLER_TIMEOUT_S = 6.0
 HOST = 'soak.example'
+# Another part in the same place as the crashing one.
+SOUND_PART = 'bad1'
+# Pauses between requests with the crashing part, and between sound ones that
+# share their other parts.
+CRASHING_RANGE_S = (0.3, 1.2)
+SOUND_RANGE_S = (0.05, 0.2)
 
 
 class Kind(enum.Enum):
@@ -51,6 +58,8 @@
     disconnected: bool = False
     # The attempt that brought the first event of a resumed stream.
     resumes: 'Attempt | None' = None
+    # The middle part of the prompt of a stream.
+    part: str = ''
 
     @property
     def from_event(self):
@@ -143,7 +152,8 @@
         lines += [
             f'Model: {MODEL}',
             'Token-Usage: 2000,8',
-            f'Prefix-Hash: aa:500,{attempt.id[0]}:1200,{attempt.id}:300',
+            f'Prefix-Hash: aa:500,{attempt.part or attempt.id[0]}:1200,'
+            f'{attempt.id}:300',
         ]
     if attempt.resumes:
         lines += [
@@ -167,6 +177,30 @@
     async def run(self, count):
         await asyncio.gather(*(self._client() for _ in range(count)))
 
+    async def run_crashing(self):
+        """Send requests with the crashing part, and sound ones beside them."""
+        await asyncio.gather(
+            self._client_of_part(CRASHING_PART, CRASHING_RANGE_S),
+            self._client_of_part(SOUND_PART, SOUND_RANGE_S),
+        )
+
+    async def _client_of_part(self, part, range_s):
+        while not self.stopped:
+            await asyncio.sleep(self.rng.uniform(*range_s))
+            name, address = self.rng.choice(list(self.entries.items()))
+            attempt = Attempt(
+                secrets.token_hex(8),
+                Kind.STREAM,
+                f'/stream/{secrets.token_hex(3)}',
+                'one',
+                name,
+                time.monotonic(),
+                part=part,
+            )
+            conn = Connection(address)
+            await self._send(conn, attempt, self.teams['one'], False)
+            conn.close()
+
     async def _client(self):
         connections = {}
         while not self.stopped:
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -8,6 +8,8 @@
 from tests.platform.soak.callers import Attempt
 from tests.platform.soak.callers import Kind
 from tests.platform.soak.callers import Outcome
+from tests.platform.soak.callers import SOUND_PART
+from tests.platform.soak.targets import CRASHING_PART
 from tests.platform.soak.targets import EVENT_COUNT
 from tests.platform.soak.targets import Journal
 
@@ -25,6 +27,16 @@
 # The minimum share of successful attempts after the last fault. A few attempts
 # fail because of their targets.
 MIN_SERVED_SHARE = 0.85
+# Later than this after the fifth crash under a part, no more than
+# `MAX_LATE_ARRIVALS` requests with it reach targets, from entries that had no
+# fault for this time.
+CONTACT_S = 3.0
+MAX_CRASHES = 5
+MAX_LATE_ARRIVALS = 3
+# After twice that time, sound requests that share its other parts are served
+# at least this much as often as others, if there are enough of both.
+MIN_SOUND_SHARE = 0.5
+MIN_SOUND_COUNT = 20
 
 
 @dataclass(frozen=True)
@@ -50,10 +62,12 @@
     found += _check_orders(journal)
     found += _check_leaving(attempts, journal)
     found += _check_closings(attempts, journal)
+    found += _check_crashing_part(attempts, journal)
     final_attempts = [
         a
         for a in attempts
-        if a.sent_at >= fault_free_from
+        if a.part != CRASHING_PART
+        and a.sent_at >= fault_free_from
         and not a.disconnected
         and a.outcome is not Outcome.TIMED_OUT
     ]
@@ -190,6 +204,45 @@
             yield Breach('closed', late[-1].request_id, f'{len(late)} came')
 
 
+def _check_crashing_part(attempts, journal):
+    if len(journal.part_crashes) < MAX_CRASHES:
+        return
+    fifth_at = journal.part_crashes[MAX_CRASHES - 1]
+    late = [
+        run
+        for attempt in attempts
+        if attempt.part == CRASHING_PART
+        for run in journal.runs.get(attempt.id, [])
+        if run.started_at > fifth_at + CONTACT_S
+        and not _had_fault(
+            journal,
+            attempt.entry,
+            run.started_at - CONTACT_S,
+            run.started_at,
+        )
+    ]
+    if len(late) > MAX_LATE_ARRIVALS:
+        yield Breach('crashing part', late[-1].request_id, f'{len(late)} came')
+    streams = [
+        a
+        for a in attempts
+        if a.kind is Kind.STREAM
+        and a.sent_at > fifth_at + 2 * CONTACT_S
+        and not a.disconnected
+        and a.resumes is None
+    ]
+    sound = [a for a in streams if a.part == SOUND_PART]
+    others = [a for a in streams if not a.part]
+    if min(len(sound), len(others)) < MIN_SOUND_COUNT:
+        return
+    shares = [
+        sum(a.status == 200 for a in group) / len(group)
+        for group in (sound, others)
+    ]
+    if shares[0] < MIN_SOUND_SHARE * shares[1]:
+        yield Breach('sound requests beside a crashing part', '', shares)
+
+
 def _had_fault(journal, name, start, end):
     return any(
         fault_start <= end and fault_end >= start
--- a/tests/platform/soak/environment.py
+++ b/tests/platform/soak/environment.py
@@ -28,6 +28,8 @@
 GRACE_MS = 4_000
 WEIGHTS_DEADLINE_MS = 10_000
 READY_TIMEOUT_S = 15.0
+# Time after which a target is back that crashed under a prompt part.
+RESTART_S = 0.5
 
 
 class Gateway:
@@ -91,6 +93,18 @@
         if self._popen is not None:
             self._popen.wait()
 
+    def peak_memory_mb(self):
+        """Return the peak memory of the process, 0 if it is not running."""
+        if not self.running:
+            return 0.0
+        status = Path(f'/proc/{self._popen.pid}/status').read_text()
+        (peak,) = [
+            line.split()[1]
+            for line in status.splitlines()
+            if line.startswith('VmHWM:')
+        ]
+        return int(peak) / 1024.0
+
     async def wait_until_exited(self):
         while self.running:
             await asyncio.sleep(0.02)
@@ -118,6 +132,7 @@
         self.journal = Journal()
         self.targets = []
         self.version = 0
+        self._replacing = set()
         # Only one operator writes at a time, so that versions only increase.
         self._operator_lock = asyncio.Lock()
         self.teams = {'one': 'key-1', 'two': 'key-2'}
@@ -158,9 +173,26 @@
             domain,
             service == STREAM_SERVICE,
         )
+        target.on_crash = self._replace_crashed
         self.targets.append(await target.start())
         return target
 
+    async def remove_target(self, target):
+        """Stop a target, unless it has ended already."""
+        if target in self.targets:
+            self.targets.remove(target)
+            await target.stop()
+
+    def _replace_crashed(self, target):
+        task = asyncio.ensure_future(self._stop_and_replace(target))
+        self._replacing.add(task)
+        task.add_done_callback(self._replacing.discard)
+
+    async def _stop_and_replace(self, target):
+        await self.remove_target(target)
+        await asyncio.sleep(RESTART_S)
+        await self.add_target(target.service, target.domain)
+
     async def put_state(self):
         """Write the desired state again with a higher version."""
         async with self._operator_lock:
@@ -234,10 +266,12 @@
         } | extra
 
     async def close(self):
+        if self._replacing:
+            await asyncio.gather(*self._replacing)
         for gateway in self.gateways:
             gateway.kill_and_wait()
-        for target in self.targets:
-            await target.stop()
+        for target in list(self.targets):
+            await self.remove_target(target)
         for gateway in self.gateways:
             if gateway.store_proxy is not None:
                 await gateway.store_proxy.stop()
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -7,6 +7,7 @@
 from tests.platform.soak.environment import DOMAINS
 from tests.platform.soak.environment import PLAIN_SERVICE
 from tests.platform.soak.environment import STREAM_SERVICE
+from tests.platform.soak.targets import AnswerForm
 from wigeonmill.standins.fault_proxy import Direction
 from wigeonmill.standins.fault_proxy import reset_stream
 
@@ -142,10 +143,9 @@
     async def crash_target(self):
         target = self._pick_target()
         target.state = 'gone'
-        await target.stop()
+        await self.environment.remove_target(target)
         await self._wait(DOWN_RANGE_S)
         await self.environment.add_target(target.service, target.domain)
-        self.environment.targets.remove(target)
 
     async def drain_target(self):
         target = self._pick_target()
@@ -153,8 +153,7 @@
         service = STREAM_SERVICE if target.streaming else PLAIN_SERVICE
         await self.environment.add_target(service, self.rng.choice(DOMAINS))
         await asyncio.sleep(LEAVING_S)
-        await target.stop()
-        self.environment.targets.remove(target)
+        await self.environment.remove_target(target)
 
     async def reset_target(self):
         target = self._pick_target()
@@ -165,6 +164,10 @@
 
     async def cut_target_answers(self):
         target = self._pick_target()
+        if target.answer_form is not None:
+            # An orderly cut between two events of a stream without a length
+            # can't be told from its end.
+            return
         # It ends with the last of the cuts, whenever that is.
         self._begin(target.id)
         faults = target.proxy.state.faults
@@ -198,6 +201,22 @@
             await asyncio.sleep(self.rng.uniform(0.0, 0.2))
 
 
+class AnswerFaults(Faults):
+    """Targets that end answers early or never, drawn beside the others."""
+
+    def __init__(self, rng, environment, record_fault):
+        super().__init__(rng, environment, record_fault)
+        self._kinds = [self.spoil_answers]
+
+    async def spoil_answers(self):
+        target = self._pick_target()
+        if target.answer_form is not None or target.proxy.state.faults.cuts:
+            return
+        target.answer_form = self.rng.choice(list(AnswerForm))
+        await self._wait(FAULT_RANGE_S)
+        target.answer_form = None
+
+
 class NoticeFaults(Faults):
     """Targets that leave or ask for time, and say so in answers only.
 
@@ -213,8 +232,7 @@
         target.leaving = True
         await self.environment.add_target(target.service, target.domain)
         await asyncio.sleep(LEAVING_S)
-        await target.stop()
-        self.environment.targets.remove(target)
+        await self.environment.remove_target(target)
 
     async def close_target(self):
         time_s = self.rng.uniform(*FAULT_RANGE_S)
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -17,6 +17,7 @@
 from tests.platform.soak.checks import Breach
 from tests.platform.soak.checks import find_breaches
 from tests.platform.soak.environment import Environment
+from tests.platform.soak.faults import AnswerFaults
 from tests.platform.soak.faults import Faults
 from tests.platform.soak.faults import NoticeFaults
 
@@ -29,6 +30,8 @@
 # Closing has a time limit, because connections that callers still hold may
 # outlast the stand-ins.
 CLOSE_S = 10.0
+# The memory of the smallest machine that runs a gateway.
+MAX_MEMORY_MB = 150.0
 
 
 @dataclass
@@ -40,6 +43,8 @@
     attempts: int = 0
     orders: int = 0
     ends: dict[str, int] = field(default_factory=dict)
+    # Crashes of targets under the crashing part.
+    part_crashes: int = 0
     faults: list[str] = field(default_factory=list)
     breaches: list[Breach] = field(default_factory=list)
 
@@ -65,18 +70,22 @@
             environment.entries,
             dict(environment.teams),
         )
-        calling = asyncio.ensure_future(callers.run(CLIENTS))
+        calling = asyncio.gather(callers.run(CLIENTS), callers.run_crashing())
         until = loop.time() + seconds
         notice_rng = random.Random(seed + 2)
         await asyncio.gather(
             Faults(rng, environment, record_fault).run(until),
             NoticeFaults(notice_rng, environment, record_fault).run(until),
+            AnswerFaults(
+                random.Random(seed + 3), environment, record_fault
+            ).run(until),
         )
         await asyncio.sleep(SETTLE_S)
         fault_free_from = time.monotonic()
         await asyncio.sleep(FAULT_FREE_S)
         callers.stopped = True
         await calling
+        memory_mb = {g.name: g.peak_memory_mb() for g in environment.gateways}
         outdated = [
             f'{t.id} has {t.version} of {environment.journal.version}'
             for t in environment.targets
@@ -99,6 +108,12 @@
     report.breaches += [
         Breach('weights reach all engines', '', detail) for detail in outdated
     ]
+    report.breaches += [
+        Breach('bounded memory', '', f'{name}: {used:.0f} MB')
+        for name, used in memory_mb.items()
+        if used > MAX_MEMORY_MB
+    ]
+    report.part_crashes = len(environment.journal.part_crashes)
     report.orders = len(environment.journal.orders)
     if report.breaches:
         copy_logs(environment, logs, seed)
--- a/tests/platform/soak/targets.py
+++ b/tests/platform/soak/targets.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import dataclass
 from dataclasses import field
+import enum
+import itertools
 import json
 import math
 import secrets
@@ -33,6 +35,22 @@
 ORDER_WAIT_S = 0.5
 # The share of plain requests that fail after they were run.
 FAILED_SHARE = 0.03
+# The share of answers that a target in trouble spoils.
+SPOILED_SHARE = 0.3
+ENDLESS_PART = b'z' * 65_536
+# A prompt part under which targets crash when they begin to write.
+CRASHING_PART = 'bad0'
+
+
+class AnswerForm(enum.Enum):
+    """How a target in trouble writes some of its answers."""
+
+    # A whole answer that ends with its connection.
+    WITHOUT_LENGTH = 'without length'
+    # The same for a stream, but it ends inside an event.
+    INSIDE_EVENT = 'inside an event'
+    ENDLESS_HEAD = 'endless head'
+    ENDLESS_BODY = 'endless body'
 
 
 @dataclass
@@ -82,6 +100,8 @@
     faults: dict[str, list[list[float]]] = field(default_factory=dict)
     # The software versions of all targets, by their ids.
     software: dict[str, str] = field(default_factory=dict)
+    # The times at which targets crashed under the crashing part.
+    part_crashes: list[float] = field(default_factory=list)
 
     def add(self, run):
         self.runs.setdefault(run.request_id, []).append(run)
@@ -169,6 +189,15 @@
         )
         self.set_header('Server-Seal', f'{target.id}.{request_id}')
         self.set_header('Weight-Versions', str(target.version))
+        if CRASHING_PART in headers.get('Prefix-Hash', ''):
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            target.crash()
+            reset_stream(self.detach())
+            return
+        form = target.answer_form
+        if form and secrets.randbelow(1000) < SPOILED_SHARE * 1000:
+            await self._write_raw(form, request_id, last_event)
+            return
         if 'stream' in self.request.path:
             self.set_header('Content-Type', 'text/event-stream')
             for number in range(last_event + 1, EVENT_COUNT + 1):
@@ -181,6 +210,44 @@
             self.set_status(500)
         self.write(json.dumps({'id': request_id, 'by': target.id}))
 
+    async def _write_raw(self, form, request_id, last_event):
+        """Write an answer without a length, or one without end."""
+        head = b'HTTP/1.1 200 OK\r\n' + b''.join(
+            f'{name}: {value}\r\n'.encode()
+            for name, value in self._headers.get_all()
+            if name not in ('Content-Length', 'Transfer-Encoding')
+        )
+        stream = self.detach()
+        self.target.raw_streams.add(stream)
+        try:
+            if form is AnswerForm.ENDLESS_HEAD:
+                await stream.write(head)
+                for number in itertools.count():
+                    await stream.write(b'X-%d: y\r\n' % number * 100)
+            await stream.write(head + b'\r\n')
+            if form is AnswerForm.ENDLESS_BODY:
+                while True:
+                    await stream.write(ENDLESS_PART)
+            if 'stream' not in self.request.path:
+                await asyncio.sleep(PLAIN_RUN_S)
+                body = {'id': request_id, 'by': self.target.id}
+                await stream.write(json.dumps(body).encode())
+                return
+            for number in range(last_event + 1, EVENT_COUNT + 1):
+                await asyncio.sleep(EVENT_INTERVAL_S)
+                event = f'id: {number}\ndata: {request_id} {number}\n\n'
+                if (
+                    form is AnswerForm.INSIDE_EVENT
+                    and secrets.randbelow(4) < 1
+                ):
+                    cut = 1 + secrets.randbelow(len(event) - 1)
+                    await stream.write(event[:cut].encode())
+                    return
+                await stream.write(event.encode())
+        finally:
+            self.target.raw_streams.discard(stream)
+            stream.close()
+
     get = post = _serve
 
 
@@ -206,6 +273,10 @@
         # Targets of two software versions serve side by side.
         self.software = f'v{1 + len(journal.software) % 2}'
         journal.software[self.id] = self.software
+        # How some answers are written for a time; None: all as usual.
+        self.answer_form = None
+        self.raw_streams = set()
+        self.on_crash = lambda target: None
         self.loading = False
         self.orders = 0
         self.fence = 0
@@ -225,6 +296,13 @@
         self._register_task = asyncio.ensure_future(self._register())
         return self
 
+    def crash(self):
+        """End under a request; the first one decides."""
+        if self.state != 'gone':
+            self.state = 'gone'
+            self.journal.part_crashes.append(time.monotonic())
+            self.on_crash(self)
+
     def models(self):
         if not self.streaming:
             return []
@@ -309,5 +387,7 @@
         """Stop at once, as in a crash."""
         self._register_task.cancel()
         await self.proxy.stop()
+        for stream in list(self.raw_streams):
+            reset_stream(stream)
         self._server.stop()
         await self._server.close_all_connections()
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -5,11 +5,15 @@
 from tests.platform.soak.callers import Attempt
 from tests.platform.soak.callers import Kind
 from tests.platform.soak.callers import Outcome
+from tests.platform.soak.callers import SOUND_PART
 from tests.platform.soak.checks import CLOSING_S
+from tests.platform.soak.checks import CONTACT_S
 from tests.platform.soak.checks import DRAIN_S
 from tests.platform.soak.checks import find_breaches
 from tests.platform.soak.checks import LEAVING_S
+from tests.platform.soak.checks import MIN_SOUND_COUNT
 from tests.platform.soak.targets import Closing
+from tests.platform.soak.targets import CRASHING_PART
 from tests.platform.soak.targets import EVENT_COUNT
 from tests.platform.soak.targets import Journal
 from tests.platform.soak.targets import Order
@@ -208,3 +212,55 @@
         run = make_run(target, request_id='q2', from_event=3)
         found = find_broken_promises(resumed, run, software=software)
         assert found == ({'one software version'} if broken else set())
+
+
+def crashing_breaches(times, fault=None):
+    """Let requests with the crashing part arrive at these times."""
+    journal = Journal(part_crashes=[95.0, 96.0, 97.0, 98.0, 99.0])
+    attempts = []
+    for number, at in enumerate(times):
+        name = f'q{number}'
+        attempts.append(
+            make_attempt(
+                Kind.STREAM, id=name, part=CRASHING_PART, status=502, body=b''
+            )
+        )
+        journal.add(make_run(request_id=name, started_at=at))
+    if fault is not None:
+        journal.faults['g0'] = [list(fault)]
+    found = find_breaches(attempts, journal, 0.0)
+    return {breach.promise for breach in found}
+
+
+def test_finds_requests_with_a_part_that_crashed_five_targets():
+    late = 99.0 + CONTACT_S + 0.1
+    assert 'crashing part' in crashing_breaches([late] * 4)
+    assert 'crashing part' not in crashing_breaches([late] * 3)
+    assert 'crashing part' not in crashing_breaches([late - 0.2] * 4)
+    near, far = (late - 1.0, late - 0.5), (90.0, 91.0)
+    assert 'crashing part' not in crashing_breaches([late] * 4, near)
+    assert 'crashing part' in crashing_breaches([late] * 4, far)
+
+
+def sound_breaches(status, count):
+    journal = Journal(part_crashes=[80.0, 81.0, 82.0, 83.0, 84.0])
+    attempts = [
+        make_attempt(
+            Kind.STREAM,
+            id=f'{part}{number}',
+            part=part,
+            status=status if part else 200,
+            body=b'',
+        )
+        for part in (SOUND_PART, '')
+        for number in range(count)
+    ]
+    found = find_breaches(attempts, journal, FAULT_FREE_FROM)
+    return {breach.promise for breach in found}
+
+
+def test_finds_that_requests_beside_a_crashing_part_are_refused():
+    promise = 'sound requests beside a crashing part'
+    assert promise in sound_breaches(503, MIN_SOUND_COUNT)
+    assert promise not in sound_breaches(503, MIN_SOUND_COUNT - 1)
+    assert promise not in sound_breaches(200, MIN_SOUND_COUNT)
