Probe a quarantined prompt part once, and judge it by its own losses

A part that was blamed wrongly stayed so for ten minutes, since no request with it was sent that could clear it. Bystanders of crashes whose cause had not been told yet were blamed after two, without a look at the chance. What a wrongly quarantined part 'explained' hid the part that was to blame. An entry that had restarted judged losses from before its start without knowing what had been served after them.

The first of all entries sends one request with a quarantined part after 2 s. Parts that were lost together are blamed alone by chance as well. A loss is explained only by parts of the same requests. Losses from before the start of a process are not judged by it; its peers tell it the result.

--- a/tests/gateway/test_part_guard.py
+++ b/tests/gateway/test_part_guard.py
@@ -12,6 +12,7 @@
 from wigeonmill.gateway.part_guard import part_keys
 from wigeonmill.gateway.part_guard import PartGuard
 from wigeonmill.gateway.part_guard import PROBATION_MS
+from wigeonmill.gateway.part_guard import PROBE_AFTER_MS
 from wigeonmill.gateway.part_guard import QUARANTINE_MS
 from wigeonmill.gateway.request import Generation
 from wigeonmill.gateway.request import PromptPart
@@ -24,10 +25,10 @@
 class Entry:
     """The guard of one entry and what it has told the others."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, probes=False):
         self.clock = clock
         self.log = LossLog(clock)
-        self.guard = PartGuard(clock, Metrics(), self.log)
+        self.guard = PartGuard(clock, Metrics(), self.log, lambda: probes)
         self.told = {}
 
     def tell(self, other):
@@ -52,7 +53,7 @@
 
 def make_entries(count=1):
     clock = ManualClock(1_000_000.0)
-    return clock, [Entry(clock) for _ in range(count)]
+    return clock, [Entry(clock, probes=n == 0) for n in range(count)]
 
 
 def crash(clock, entry, *keys, lifetime, after_ms=1_000.0, others=20):
@@ -226,8 +227,23 @@
     assert started.guard.find((BAD,))
 
 
+# Guards against LOST: an entry that had restarted was told of old losses, but
+# not of what was served after them.
+def test_losses_before_the_start_of_a_process_are_not_judged():
+    clock, (entry,) = make_entries()
+    for number in range(5):
+        crash(clock, entry, b'shared', lifetime=f't{number}')
+        entry.guard.record_served((b'shared',))
+    started = Entry(clock)
+    entry.tell(started)
+    for _ in range(100):
+        started.guard.record_served((b'sound',))
+    assert not started.guard.find((b'shared',))
+
+
 def test_an_older_loss_arrives_after_the_part_was_served():
     clock, (entry,) = make_entries()
+    clock.advance(10.0)
     entry.guard.record_lost((b'shared',), 't0')
     clock.advance(2_000.0)
     entry.guard.record_served((b'shared',))
@@ -263,6 +279,34 @@
     assert not entry.guard.find((BAD,))
 
 
+# Guards against LOST: a part that was blamed wrongly could not be cleared, as
+# no request with it was sent.
+def test_one_request_is_sent_to_probe_a_quarantine():
+    clock, entries = make_entries(2)
+    for number in range(3):
+        crash(clock, entries[0], b'shared', lifetime=f't{number}')
+    exchange(entries)
+    first, second = (entry.guard for entry in entries)
+    assert first.admit((b'shared',))
+    clock.advance(PROBE_AFTER_MS)
+    assert second.admit((b'shared',))
+    assert not first.admit((b'shared',))
+    assert first.admit((b'shared',))
+    first.record_served((b'shared',))
+    exchange(entries)
+    assert not second.find((b'shared',))
+
+
+def test_a_probe_that_crashes_its_target_is_the_only_one():
+    clock, (entry,) = make_entries()
+    for number in range(3):
+        crash(clock, entry, BAD, lifetime=f't{number}')
+    clock.advance(PROBE_AFTER_MS)
+    assert not entry.guard.admit((BAD,))
+    crash(clock, entry, BAD, lifetime='t9')
+    assert entry.guard.admit((BAD,))
+
+
 def test_made_up_parts_neither_fill_the_memory_nor_hide_a_crashing_part():
     clock, (entry,) = make_entries()
     for number in range(2):
@@ -270,7 +314,7 @@
     for other in range(2 * MAX_SUSPECTS // 64):
         made_up = [b'%d %d' % (other, n) for n in range(64)]
         entry.guard.record_lost(made_up, 't2')
-    for _ in range(1_000):
+    for _ in range(2_000):
         entry.guard.record_served((b'sound',))
     crash(clock, entry, BAD, lifetime='t3')
     assert len(entry.guard._suspects) <= MAX_SUSPECTS
@@ -322,11 +366,12 @@
         if step % int(self.EXCHANGE_MS / self.STEP_MS) == 0:
             exchange(self.entries)
         if step in self.restarts:
-            self.entries[0] = Entry(self.clock)
+            self.entries[0] = Entry(self.clock, probes=True)
 
     def _send(self, keys, outcomes=None, entry=None, attempt=1):
         entry = entry or self.rng.choice(self.entries)
-        refused = entry.guard.find(keys) is not None
+        check = entry.guard.admit if attempt == 1 else entry.guard.find
+        refused = check(keys) is not None
         if outcomes is not None:
             outcomes.append((self.clock.now_ms(), refused))
         now_ms = self.clock.now_ms()
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -228,7 +228,9 @@
         )
         self.loss_log = LossLog(clock)
         self.crash_guard = CrashGuard(clock, self.loss_log)
-        self.part_guard = PartGuard(clock, metrics, self.loss_log)
+        self.part_guard = PartGuard(
+            clock, metrics, self.loss_log, lambda: entry_position() == 0.0
+        )
         self.answer_limits = answer_limits
         self.origins: StreamOrigins = LocalStreamOrigins()
         # Returns the number of entries that may be alive.
--- a/wigeonmill/gateway/part_guard.py
+++ b/wigeonmill/gateway/part_guard.py
@@ -5,6 +5,7 @@
 targets is only lost, at one target after the other.
 """
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -29,7 +30,11 @@
 # Of several parts that were lost together, one is blamed alone if it crashes
 # this many more targets without the others.
 MIN_CRASHES_ALONE = 2
+MAX_CHANCE_ALONE = 0.005
 QUARANTINE_MS = 600_000.0
+# Age of a quarantine at which one request with its parts is sent.
+PROBE_AFTER_MS = 2_000.0
+PROBE_BEFORE_MS = 60_000.0
 # After a quarantine, a single crash quarantines again within this time.
 PROBATION_MS = 600_000.0
 MAX_SUSPECTS = 4096
@@ -55,15 +60,26 @@
     return tuple(dict.fromkeys(keys))
 
 
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """The loss of a target under a part.
+
+    `keys` are the parts of the requests with this one that it was running.
+    """
+
+    at_ms: float
+    keys: frozenset[bytes]
+
+
 @dataclass(slots=True)
 class _Suspect:
-    """A part under which targets were lost, at the times of `losses`.
+    """A part under which targets were lost, by their lifetimes.
 
     `runs_lost` and `runs_served` are the entry's numbers of runs before the
     first loss that counts; `own_losses` are those of this part since then.
     """
 
-    losses: dict[str, float] = field(default_factory=dict)
+    losses: dict[str, _Loss] = field(default_factory=dict)
     served_ms: float = float('-inf')
     told_ms: float = float('-inf')
     runs_lost: int = 0
@@ -77,12 +93,13 @@
 
     If several parts were always lost together, `parts` holds all of them, and
     requests with only some of them are still sent. `lifetimes` are the targets
-    that were lost.
+    that were lost. `probed` is set once a request was sent in spite of it.
     """
 
     parts: frozenset[bytes]
     since_ms: float
     lifetimes: set[str] = field(default_factory=set)
+    probed: bool = False
 
 
 class PartGuard:
@@ -97,10 +114,25 @@
         '_probations',
         '_runs_lost',
         '_runs_served',
+        '_may_probe',
+        '_started_ms',
     )
 
-    def __init__(self, clock: Clock, metrics: Metrics, log: LossLog) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        log: LossLog,
+        may_probe: Callable[[], bool],
+    ) -> None:
+        """Create the guard of an entry.
+
+        `may_probe` tells whether it is the one of all entries that probes
+        quarantined parts.
+        """
+        self._may_probe = may_probe
         self._clock = clock
+        self._started_ms = clock.now_ms()
         self._metrics = metrics
         self._log = log
         self._suspects: dict[bytes, _Suspect] = {}
@@ -122,6 +154,27 @@
                 return quarantine
         return None
 
+    def admit(self, keys: Collection[bytes]) -> Quarantine | None:
+        """Return the quarantine that forbids a new request, if any does.
+
+        The first request at one of the entries in the time for probes is
+        admitted. If its parts were blamed wrongly, it is served and releases
+        them; nothing else could, because no request with them is sent.
+        """
+        quarantine = self.find(keys)
+        if quarantine is None or quarantine.probed or not self._may_probe():
+            return quarantine
+        age_ms = self._clock.now_ms() - quarantine.since_ms
+        if not PROBE_AFTER_MS <= age_ms < PROBE_BEFORE_MS:
+            return quarantine
+        quarantine.probed = True
+        self._metrics.count('gateway_part_quarantines', 'probed')
+        logger.info(
+            'prompt parts probed',
+            extra={'parts': sorted(key.hex() for key in quarantine.parts)},
+        )
+        return None
+
     def _is_suspicious(self, key: bytes) -> bool:
         suspect = self._suspects.get(key)
         return suspect is not None and len(suspect.losses) >= MIN_CRASHES
@@ -150,7 +203,7 @@
             suspect = self._suspects.get(key)
             if suspect is None:
                 continue
-            last_loss_ms = max(suspect.losses.values())
+            last_loss_ms = max(x.at_ms for x in suspect.losses.values())
             self._clear(key, suspect, now_ms)
             # A part that was lost once is not quarantined soon.
             if len(suspect.losses) > 1 and last_loss_ms > suspect.told_ms:
@@ -193,14 +246,12 @@
         self, outcome: RunOutcome, at_ms: float, local: bool
     ) -> None:
         new = False
+        loss = _Loss(at_ms, frozenset(outcome.keys))
         for key in outcome.keys:
-            new = self._add_loss(key, outcome.lifetime, at_ms, local) or new
+            new = self._add_loss(key, outcome.lifetime, loss, local) or new
         if not new:
             return
         self._log.add_parts(outcome, at_ms, local)
-        for quarantine in self._quarantines:
-            if quarantine.parts.issubset(outcome.keys):
-                quarantine.lifetimes.add(outcome.lifetime)
         if not self._renews_quarantine(outcome.keys):
             self._judge(outcome.keys)
 
@@ -214,15 +265,22 @@
         return False
 
     def _add_loss(
-        self, key: bytes, lifetime: str, at_ms: float, local: bool
+        self, key: bytes, lifetime: str, loss: _Loss, local: bool
     ) -> bool:
         """Record the loss of a target under one part, unless it is known."""
-        if at_ms < self._clock.now_ms() - LOSS_TTL_MS:
+        # A process that has just started does not know what was served after
+        # earlier losses. Its peers tell it which parts are to blame.
+        oldest_ms = max(self._started_ms, self._clock.now_ms() - LOSS_TTL_MS)
+        if loss.at_ms < oldest_ms:
             return False
         suspect = self._suspects.pop(key, None) or _Suspect()
         self._suspects[key] = suspect
         self._evict()
-        if lifetime in suspect.losses:
+        known = suspect.losses.get(lifetime)
+        if known is not None:
+            if len(known.keys) < MAX_PARTS and not loss.keys <= known.keys:
+                keys = known.keys | loss.keys
+                suspect.losses[lifetime] = _Loss(known.at_ms, keys)
             return False
         if not self._counting_losses(suspect):
             suspect.runs_lost = self._runs_lost
@@ -230,7 +288,7 @@
             suspect.own_losses = 0
         elif local:
             suspect.own_losses += 1
-        suspect.losses[lifetime] = at_ms
+        suspect.losses[lifetime] = loss
         if len(suspect.losses) > MAX_LIFETIMES:
             del suspect.losses[next(iter(suspect.losses))]
         return True
@@ -252,21 +310,24 @@
     def _counting_losses(self, suspect: _Suspect) -> set[str]:
         """Return the lifetimes that count against a part.
 
-        They were lost since it was served and have not expired, and no
-        quarantined part explains their loss.
+        They were lost since it was served and have not expired, and were not
+        lost together with parts that are quarantined.
         """
         oldest_ms = self._clock.now_ms() - LOSS_TTL_MS
-        explained: set[str] = set()
-        for quarantine in self._quarantines:
-            explained |= quarantine.lifetimes
         return {
             lifetime
-            for lifetime, at_ms in suspect.losses.items()
-            if at_ms > suspect.served_ms
-            and at_ms >= oldest_ms
-            and lifetime not in explained
+            for lifetime, loss in suspect.losses.items()
+            if loss.at_ms > suspect.served_ms
+            and loss.at_ms >= oldest_ms
+            and not self._is_explained(loss)
         }
 
+    def _is_explained(self, loss: _Loss) -> bool:
+        """Whether quarantined parts were lost with the target, too."""
+        return any(
+            quarantine.parts <= loss.keys for quarantine in self._quarantines
+        )
+
     def _judge(self, keys: tuple[bytes, ...]) -> None:
         """Quarantine the parts of a lost request that are to blame."""
         blamed = {
@@ -291,11 +352,12 @@
         if suspect is None:
             return set()
         lifetimes = self._counting_losses(suspect)
+        needed, max_chance = MIN_CRASHES, MAX_CHANCE
         if self._is_lost_without_others(key, keys):
-            return lifetimes if len(lifetimes) >= MIN_CRASHES_ALONE else set()
-        if len(lifetimes) < MIN_CRASHES:
+            needed, max_chance = MIN_CRASHES_ALONE, MAX_CHANCE_ALONE
+        if len(lifetimes) < needed:
             return set()
-        if self._chance(suspect, len(lifetimes)) > MAX_CHANCE:
+        if self._chance(suspect, len(lifetimes)) > max_chance:
             return set()
         return lifetimes
 
@@ -323,9 +385,6 @@
         group = quarantine.parts
         if any(known.parts <= group for known in self._quarantines):
             return
-        for known in self._quarantines:
-            if known.parts > group:
-                quarantine.lifetimes |= known.lifetimes
         quarantine.lifetimes |= self._common_lifetimes(group)
         self._quarantines = [
             known for known in self._quarantines if not known.parts > group
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -18,6 +18,7 @@
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.desired import Team
 from wigeonmill.gateway.failures import Failure
+from wigeonmill.gateway.part_guard import Quarantine
 from wigeonmill.gateway.picker import Pick
 from wigeonmill.gateway.picker import Picker
 from wigeonmill.gateway.relay import Relay
@@ -74,15 +75,17 @@
         if self._ctx.crash_guard.refuses(self._fingerprint):
             self._refuse(Reason.CRASHES_TARGETS, 'request crashed its targets')
             return
-        blocked = self._part_refusal()
-        if blocked is not None:
+        if not await self._find_origin():
             self._refuse(
-                blocked.reason, blocked.message, blocked.retry_after_ms
+                Reason.ORIGIN_UNKNOWN, 'the software that began it is unknown'
             )
             return
-        if not await self._find_origin():
+        guard = self._ctx.part_guard
+        quarantine = guard.admit(self._terms.part_keys)
+        if quarantine is not None:
+            blocked = self._part_refusal(quarantine)
             self._refuse(
-                Reason.ORIGIN_UNKNOWN, 'the software that began it is unknown'
+                blocked.reason, blocked.message, blocked.retry_after_ms
             )
             return
         self._ctx.retries(self._terms.service).record_request()
@@ -116,10 +119,6 @@
 
     async def _attempt_once(self) -> Failure | None:
         self._attempts += 1
-        # The origin of a resumed stream may have taken a while to find.
-        blocked = self._part_refusal()
-        if blocked is not None:
-            return _not_sent(blocked)
         picked = self._picker.pick(self._terms.demand(self._tried_ids))
         if isinstance(picked, Err):
             return _not_sent(picked.err_value)
@@ -129,17 +128,13 @@
             return _not_sent(refusal)
         return await self._send(pick)
 
-    def _part_refusal(self) -> Refusal | None:
-        """Return a refusal if a part of the prompt crashes targets."""
-        guard = self._ctx.part_guard
-        quarantine = guard.find(self._terms.part_keys)
-        if quarantine is None:
-            return None
+    def _part_refusal(self, quarantine: Quarantine) -> Refusal:
+        """Return the refusal of a prompt with parts that crash targets."""
         parts = ', '.join(sorted(key.hex() for key in quarantine.parts))
         return Refusal(
             Reason.PART_CRASHES_TARGETS,
             f'prompt part crashes targets: {parts}',
-            guard.remaining_ms(quarantine),
+            self._ctx.part_guard.remaining_ms(quarantine),
         )
 
     def _deadline_refusal(self, pick: Pick) -> Refusal | None:
