Release an adopted quarantine that the entry has no losses of

Both cases of the new test failed before.

A served run releases a quarantine whether losses are known or not, and the time is kept, so that peers that have not been told yet don't bring it back.

--- a/tests/gateway/test_part_guard.py
+++ b/tests/gateway/test_part_guard.py
@@ -241,6 +241,25 @@
     assert not started.guard.find((b'shared',))
 
 
+# Guards against LOST: an entry that had restarted kept a quarantine that it
+# was told of, although the others had released the part.
+@pytest.mark.parametrize('served_by', ['started', 'other'])
+def test_an_entry_that_has_just_started_releases_a_part(served_by):
+    clock, entries = make_entries(2)
+    for number in range(3):
+        crash(clock, entries[0], b'shared', lifetime=f't{number}')
+    exchange(entries)
+    entries[1] = Entry(clock)
+    exchange(entries)
+    assert entries[1].guard.find((b'shared',))
+    clock.advance(100.0)
+    server = entries[1] if served_by == 'started' else entries[0]
+    server.guard.record_served((b'shared',))
+    for _ in range(3):
+        exchange(entries)
+    assert not any(entry.guard.find((b'shared',)) for entry in entries)
+
+
 def test_an_older_loss_arrives_after_the_part_was_served():
     clock, (entry,) = make_entries()
     clock.advance(10.0)
--- a/wigeonmill/gateway/part_guard.py
+++ b/wigeonmill/gateway/part_guard.py
@@ -86,6 +86,12 @@
     runs_served: int = 0
     own_losses: int = 0
 
+    @property
+    def last_ms(self) -> float:
+        """The time of the last loss."""
+        times = (loss.at_ms for loss in self.losses.values())
+        return max(times, default=float('-inf'))
+
 
 @dataclass(slots=True)
 class Quarantine:
@@ -200,13 +206,13 @@
         now_ms = self._clock.now_ms()
         to_tell = []
         for key in keys:
+            released = self._clear(key, now_ms)
             suspect = self._suspects.get(key)
             if suspect is None:
                 continue
-            last_loss_ms = max(x.at_ms for x in suspect.losses.values())
-            self._clear(key, suspect, now_ms)
             # A part that was lost once is not quarantined soon.
-            if len(suspect.losses) > 1 and last_loss_ms > suspect.told_ms:
+            repeated = len(suspect.losses) > 1
+            if released or (repeated and suspect.last_ms > suspect.told_ms):
                 suspect.told_ms = now_ms
                 to_tell.append(key)
         if to_tell:
@@ -218,15 +224,14 @@
         if outcome.lifetime:
             self._add_losses(outcome, at_ms, local=False)
             return
-        served = [
-            key
-            for key in outcome.keys
-            if key in self._suspects and self._suspects[key].served_ms < at_ms
-        ]
-        for key in served:
-            self._clear(key, self._suspects[key], at_ms)
-        if served:
-            self._log.add_parts(RunOutcome(tuple(served)), at_ms, False)
+        cleared = []
+        for key in outcome.keys:
+            suspect = self._suspects.get(key)
+            is_news = suspect is not None and suspect.served_ms < at_ms
+            if self._clear(key, at_ms) or is_news:
+                cleared.append(key)
+        if cleared:
+            self._log.add_parts(RunOutcome(tuple(cleared)), at_ms, False)
 
     def adopt(
         self, parts: Iterable[bytes], age_ms: float, source: str
@@ -281,6 +286,7 @@
             if len(known.keys) < MAX_PARTS and not loss.keys <= known.keys:
                 keys = known.keys | loss.keys
                 suspect.losses[lifetime] = _Loss(known.at_ms, keys)
+            suspect.own_losses += local
             return False
         if not self._counting_losses(suspect):
             suspect.runs_lost = self._runs_lost
@@ -302,7 +308,7 @@
         )
         evicted = oldest[0][1]
         for _number, key in oldest:
-            if len(self._suspects[key].losses) == 1:
+            if len(self._suspects[key].losses) <= 1:
                 evicted = key
                 break
         del self._suspects[evicted]
@@ -413,14 +419,21 @@
         ]
         return set.intersection(*lost)
 
-    def _clear(self, key: bytes, suspect: _Suspect, at_ms: float) -> None:
-        """Clear a part of its losses up to a run that was served."""
-        suspect.served_ms = max(suspect.served_ms, at_ms)
+    def _clear(self, key: bytes, at_ms: float) -> bool:
+        """Clear a part of its losses up to a run that was served.
+
+        Return whether this releases it from a quarantine.
+        """
+        suspect = self._suspects.get(key)
+        if suspect is not None:
+            suspect.served_ms = max(suspect.served_ms, at_ms)
+        released = False
         for group in [g for g in self._probations if key in g]:
             del self._probations[group]
         for quarantine in list(self._quarantines):
             if key not in quarantine.parts or quarantine.since_ms > at_ms:
                 continue
+            released = True
             self._quarantines.remove(quarantine)
             rest = quarantine.parts - {key}
             if rest:
@@ -435,6 +448,11 @@
                     'parts': sorted(other.hex() for other in rest),
                 },
             )
+        if released:
+            # Peers that have not been told yet still report the quarantine.
+            suspect = self._suspects.setdefault(key, _Suspect())
+            suspect.served_ms = max(suspect.served_ms, at_ms)
+        return released
 
     def _expire(self) -> None:
         now_ms = self._clock.now_ms()
