Clear prompt parts only by answers that a target wrote

Parts are cleared by a verified success alone: a whole answer, a stream with an event that ended as complete, or one that has been written for a second.

--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -55,6 +55,10 @@
         harness.clock.advance(INTERVAL_MS)
         return channel
 
+    def restart_all(self):
+        for target in list(self.harness.ctx.directory.all()):
+            self._restart(target.id)
+
     def _restart(self, target_id):
         self.crashes += 1
         record = make_engine_record(
@@ -76,3 +80,42 @@
         fleet.send(f'other {number}', 'sound')
     assert fleet.crashes <= MAX_CRASHES
     assert statuses[-40:] == [503] * 40
+
+
+# Guards against BUDGET: an answer that was no run cleared the part.
+@pytest.mark.parametrize(
+    'answer',
+    [
+        (make_head(400, 'q4', sealed=False), b'no', ExchangeEnd.COMPLETE),
+        (make_head(503, 'q4', not_run=True), b'', ExchangeEnd.COMPLETE),
+        (make_head(500, 'q4'), b'error', ExchangeEnd.COMPLETE),
+        (make_head(200, 'q4'), ExchangeEnd.COMPLETE),
+    ],
+)
+def test_an_answer_without_a_run_does_not_clear_a_part(answer):
+    fleet = Fleet()
+    for number in range(3):
+        fleet.send(f'other {number}', BAD)
+    fleet.send('other 3', BAD, script=answer)
+    for number in range(20):
+        fleet.send(f'other {number}', 'sound')
+    assert fleet.send('other 4', BAD).status == 503
+
+
+@pytest.mark.parametrize('survives', [True, False])
+def test_a_stream_that_breaks_off_late_clears_its_parts(survives):
+    fleet = Fleet()
+
+    def wait():
+        fleet.harness.clock.advance(2_000.0 if survives else 0.0)
+        return event(2)
+
+    for _ in range(3):
+        for number in range(10):
+            fleet.send(f'other {number}', 'sound')
+        head = make_head(request_id=f'q{fleet.requests + 1}')
+        script = (head, event(1), wait, ExchangeEnd.BROKEN)
+        fleet.send('shared', 'subject', script=script)
+        fleet.restart_all()
+    status = fleet.send('shared', 'subject').status
+    assert status == (200 if survives else 503)
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -101,7 +101,7 @@
         self._has_alternative = has_alternative
         self.reported_load = ''
         self.receipt = AnswerReceipt()
-        # Whether the target lived on while it wrote a stream.
+        # Whether the target lived on while it wrote the answer.
         self.served = False
         self._first_event_ms: float | None = None
 
@@ -208,6 +208,8 @@
             self._ctx.metrics.count('gateway_answers_broken', cut)
             message = f'the stream ended {cut.replace("_", " ")}'
             return transfer_failed(ExchangeEnd.BROKEN, message)
+        if self.receipt.events:
+            self._record_served()
         self._relay.finish(head, splitter.remainder)
         self._target.load.record_run_end(self._in_flight)
         return None
@@ -220,7 +222,11 @@
         now_ms = self._ctx.clock.now_ms()
         if self._first_event_ms is None:
             self._first_event_ms = now_ms
-        if not self.served and now_ms >= self._first_event_ms + SERVED_MS:
+        if now_ms >= self._first_event_ms + SERVED_MS:
+            self._record_served()
+
+    def _record_served(self) -> None:
+        if not self.served:
             self.served = True
             self._ctx.part_guard.record_served(self._terms.part_keys)
 
@@ -288,6 +294,8 @@
             message = f'failed with status {head.status}'
             answer = ErrorAnswer(head, body)
             return may_have_run(Reason.MAY_HAVE_RUN, message, answer)
+        if head.succeeded:
+            self._record_served()
         self._channel.answer(AnswerHead(head.status, head.fields), body)
         return None
 
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -201,8 +201,8 @@
         self._log.reported_load = attempt.reported_load
         self._log.receipt = attempt.receipt
         self._record_outcome(target, failure)
-        if not attempt.served:
-            self._record_parts(target, failure)
+        if failure is not None and not attempt.served:
+            self._record_lost_parts(target, failure)
         return failure
 
     def _can_fail_over(self) -> bool:
@@ -239,13 +239,12 @@
             circuits.record_failure(target.id)
             self._record_loss(target)
 
-    def _record_parts(self, target: Target, failure: Failure | None) -> None:
-        """Record whether the target lived on while it ran the prompt."""
-        keys = self._terms.part_keys
-        if failure is None:
-            self._ctx.part_guard.record_served(keys)
-        elif failure.target_lost and failure.arrived_at_service:
-            self._ctx.part_guard.record_lost(keys, target.lifetime)
+    def _record_lost_parts(self, target: Target, failure: Failure) -> None:
+        """Record the parts of the prompt if their target may have ended."""
+        if failure.target_lost and failure.arrived_at_service:
+            self._ctx.part_guard.record_lost(
+                self._terms.part_keys, target.lifetime
+            )
 
     def _record_loss(self, target: Target) -> None:
         loss = f'{self._req.id} {target.id}'
