Answer a request after an internal error instead of closing its connection

What callers saw: an exception while a request was decoded, started, served or refused closed its connection. The caller got neither an answer nor a refusal. A request whose forwarder was cancelled from inside, or returned without an answer, and a stream whose end could not be written kept their connections open and were never answered.

Cause: the channel of a request aborted on every exception, also while nothing was written, and exceptions before its task were left to the HTTP server, which closes the connection.

Every whole request now ends in the channel: an error before the answer is a whole 500 (reason `internal`), also if the codec of refusals is what is broken; after a part of the answer it is an abort, as it must not look complete; after the answer it is only logged. Status 500 promises nothing, so that it is true whether or not a target has run the request.

--- a/wigeonmill/gateway/answers.py
+++ b/wigeonmill/gateway/answers.py
@@ -31,6 +31,7 @@
     TIMEOUT = 'timeout'
     BROKEN_OFF = 'broken_off'
     CALLER_TOO_SLOW = 'caller_too_slow'
+    INTERNAL = 'internal'
 
 
 # Statuses that guarantee that a request has not run and never will.
@@ -57,6 +58,7 @@
     Reason.TIMEOUT: 504,
     Reason.BROKEN_OFF: 502,
     Reason.CALLER_TOO_SLOW: 502,
+    Reason.INTERNAL: 500,
 }
 
 # Refusals of a stream that can't go on, so the caller must begin it anew.
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -25,6 +25,7 @@
 from wigeonmill.addresses import split_address
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.answers import AnswerHead
+from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.forwarder import Forwarder
 from wigeonmill.gateway.request import CallerRequest
@@ -42,6 +43,7 @@
 IDLE_SLACK_MS = 2_000.0
 # SO_LINGER with a time of 0 s: a close resets the connection.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_INTERNAL_ERROR = Refusal(Reason.INTERNAL, 'internal error')
 
 
 class CallerCodec(Protocol):
@@ -166,16 +168,22 @@
             return
         server.last_request_ms = server.clock.now_ms()
         channel = _Channel(server, self._conn, self._start.version)
+        try:
+            self._start_serving(channel, self._start)
+        except Exception as exc:
+            channel.fail(exc)
+
+    def _start_serving(
+        self, channel: '_Channel', start: RequestStartLine
+    ) -> None:
+        server = self._server
         decoded = server.codec.request(
-            self._start,
-            self._headers,
-            b''.join(self._body),
-            server.last_request_ms,
+            start, self._headers, b''.join(self._body), server.last_request_ms
         )
         if isinstance(decoded, Err):
             channel.refuse(decoded.err_value)
-            return
-        channel.serve(decoded.ok_value)
+        else:
+            channel.serve(decoded.ok_value)
 
     def on_connection_close(self) -> None:
         self._server.remove_idle(self._conn)
@@ -190,6 +198,7 @@
         '_conn',
         '_task',
         '_request_id',
+        '_begun',
         '_finished',
         '_caller_disconnected',
         '_has_chunks',
@@ -208,6 +217,8 @@
         self._unsent_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._request_id = ''
+        # Whether a part of the answer was written.
+        self._begun = False
         self._finished = False
         self._caller_disconnected = False
 
@@ -224,13 +235,13 @@
     def serve(self, req: CallerRequest) -> None:
         """Start to serve the request; its answer uses this channel."""
         self._request_id = req.id
-        self._server.open_requests += 1
         self._conn.stream.set_nodelay(True)
-        self._conn.set_close_callback(self._on_close)
         self._task = asyncio.ensure_future(
             self._server.forwarder.serve(req, self)
         )
+        self._server.open_requests += 1
         self._task.add_done_callback(self._on_done)
+        self._conn.set_close_callback(self._on_close)
 
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal of the gateway."""
@@ -240,11 +251,13 @@
     def answer(self, head: AnswerHead, body: bytes) -> None:
         """Send a complete answer."""
         if self.closed:
+            self._finished = True
             return
         headers = self._headers(head)
         if head.status not in (204, 304):
             headers['Content-Length'] = str(len(body))
         self._conn.write_headers(_start_line(head.status), headers, body)
+        self._begun = True
         self.finish()
 
     def begin(self, head: AnswerHead) -> None:
@@ -253,6 +266,7 @@
             headers = self._headers(head)
             self._ends_with_conn = not self._has_chunks
             self._conn.write_headers(_start_line(head.status), headers)
+            self._begun = True
 
     def send(self, data: bytes) -> None:
         """Send the next part of the body."""
@@ -262,10 +276,11 @@
 
     def finish(self) -> None:
         """End the body as complete."""
-        self._finished = True
         if self.closed:
+            self._finished = True
             return
         self._conn.finish()
+        self._finished = True
         if self._server.draining or self._ends_with_conn:
             # The head may have been sent before the drain started, so that
             # the caller does not know that the connection will be closed.
@@ -281,6 +296,37 @@
             )
         self._conn.close()
 
+    def fail(self, exc: BaseException) -> None:
+        """End the request after an internal error.
+
+        The caller gets a whole answer if nothing was written before.
+        """
+        logger.error(
+            'internal error while serving a request',
+            extra={'request_id': self._request_id},
+            exc_info=exc,
+        )
+        if self._finished:
+            return
+        try:
+            if not self._begun:
+                self._refuse_after_error()
+        except Exception:
+            logger.exception('answer to an internal error not sent')
+        finally:
+            if not self._finished:
+                self.abort()
+
+    def _refuse_after_error(self) -> None:
+        try:
+            self.refuse(_INTERNAL_ERROR)
+        except Exception:
+            # The codec of refusals may be what is broken.
+            if self._begun:
+                raise
+            body = _INTERNAL_ERROR.message.encode()
+            self.answer(AnswerHead(_INTERNAL_ERROR.status, ()), body)
+
     def _headers(self, head: AnswerHead) -> HTTPHeaders:
         headers = HTTPHeaders()
         for name, value in head.fields:
@@ -296,21 +342,20 @@
 
     def _on_done(self, task: 'asyncio.Task[None]') -> None:
         self._server.open_requests -= 1
-        if task.cancelled():
+        exc: BaseException | None = None
+        if not task.cancelled():
+            exc = task.exception()
+        elif self._caller_disconnected:
             logger.info(
                 'caller disconnected', extra={'request_id': self._request_id}
             )
             return
-        exc = task.exception()
-        if exc is None:
-            return
-        logger.error(
-            'internal error while serving a request',
-            extra={'request_id': self._request_id},
-            exc_info=exc,
-        )
-        if not self._finished:
-            self.abort()
+        else:
+            exc = asyncio.CancelledError('cancelled by a component')
+        if exc is None and not self._finished:
+            exc = RuntimeError('the request has ended without an answer')
+        if exc is not None:
+            self.fail(exc)
 
 
 async def _close_after_flush(conn: HTTP1Connection) -> None:
