Answer HEAD requests without a body instead of losing their connection

What callers saw: a HEAD request that was refused, answered with a body or streamed got a closed connection: no answer and no refusal.

Cause: the HTTP server takes no body for HEAD and closes the connection when it is given one. The channel wrote the body of every refusal. It does not write one for HEAD and for the statuses 204 and 304 any more; `Content-Length` of a HEAD request is that of the body that is left out, if it is known.

The test failed before in 3 of 3 cases (tests/gateway/test_server.py).

--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -11,6 +11,8 @@
 from tests.gateway.samples import make_request
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.answers import AnswerHead
+from wigeonmill.gateway.answers import Reason
+from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.server import GatewayServer
 
 REQUEST = b'GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n'
@@ -34,6 +36,9 @@
         self.cancelled = False
 
     async def serve(self, req, channel):
+        if req.path.endswith('refused'):
+            channel.refuse(Refusal(Reason.NO_TARGET, ''))
+            return
         if req.path.endswith('stream'):
             channel.begin(AnswerHead(200, ()))
             channel.send(b'part')
@@ -246,3 +251,22 @@
         assert not server._idle
 
     run_with_server(check)
+
+
+# Guards against LOST: a HEAD request that was refused, or that ended a stream,
+# lost its connection, as the HTTP server takes no body for it.
+@pytest.mark.parametrize(
+    ('path', 'status'),
+    [(b'refused', b'503'), (b'x', b'200'), (b'stream', b'200')],
+)
+def test_a_head_request_is_answered_without_a_body(path, status):
+    async def check(server, forwarder, port):
+        forwarder.may_finish.set()
+        reader, writer = await connect(port)
+        for _turn in range(2):
+            writer.write(b'HEAD /a/' + path + b' HTTP/1.1\r\nHost: h\r\n\r\n')
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 ' + status)
+        writer.close()
+
+    run_with_server(check)
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -43,6 +43,7 @@
 IDLE_SLACK_MS = 2_000.0
 # SO_LINGER with a time of 0 s: a close resets the connection.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_STATUSES_WITHOUT_BODY = (204, 304)
 _INTERNAL_ERROR = Refusal(Reason.INTERNAL, 'internal error')
 
 
@@ -167,7 +168,7 @@
             logger.info('request dropped on a closed connection')
             return
         server.last_request_ms = server.clock.now_ms()
-        channel = _Channel(server, self._conn, self._start.version)
+        channel = _Channel(server, self._conn, self._start)
         try:
             self._start_serving(channel, self._start)
         except Exception as exc:
@@ -202,17 +203,22 @@
         '_finished',
         '_caller_disconnected',
         '_has_chunks',
+        '_is_head',
         '_ends_with_conn',
         '_unsent_bytes',
     )
 
     def __init__(
-        self, server: GatewayServer, conn: HTTP1Connection, http_version: str
+        self,
+        server: GatewayServer,
+        conn: HTTP1Connection,
+        start: RequestStartLine,
     ) -> None:
         self._server = server
         self._conn = conn
         # Without chunks an answer in parts ends with its connection.
-        self._has_chunks = http_version != 'HTTP/1.0'
+        self._has_chunks = start.version != 'HTTP/1.0'
+        self._is_head = start.method == 'HEAD'
         self._ends_with_conn = False
         self._unsent_bytes = 0
         self._task: asyncio.Task[None] | None = None
@@ -254,8 +260,12 @@
             self._finished = True
             return
         headers = self._headers(head)
-        if head.status not in (204, 304):
+        if head.status in _STATUSES_WITHOUT_BODY:
+            body = b''
+        elif body or not self._is_head:
             headers['Content-Length'] = str(len(body))
+        if self._is_head:
+            body = b''
         self._conn.write_headers(_start_line(head.status), headers, body)
         self._begun = True
         self.finish()
@@ -270,7 +280,7 @@
 
     def send(self, data: bytes) -> None:
         """Send the next part of the body."""
-        if not self.closed:
+        if not self.closed and not self._is_head:
             self._unsent_bytes = self.unsent_bytes + len(data)
             self._conn.write(data)
 
