Log how each request ended for its caller, with its state and cause

A request whose connection closed left the line `caller disconnected` with its id: no age, no state, no time left and no cause, so that a caller that left could not be told from a connection that the gateway closed, and a refused malformed request left no line and no count.

Each request that was read whole now ends in one line `request finished`. Those whose run does not write it (the caller closed, an internal error, a request that could not be decoded) get state, target, age, time left and the error of the connection. `gateway_requests_ended` counts the outcomes, and a request dropped on a closed connection tells who closed it (`gateway_requests_dropped`).

--- a/tests/gateway/raw_caller.py
+++ b/tests/gateway/raw_caller.py
@@ -4,6 +4,7 @@
 
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.server import GatewayServer
+from wigeonmill.metrics import Metrics
 
 TIMEOUT_S = 5.0
 REQUEST = b'GET /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q1\r\n\r\n'
@@ -14,7 +15,7 @@
 
     async def run():
         forwarder = make_forwarder()
-        server = GatewayServer(forwarder, codec, clock or Clock())
+        server = GatewayServer(forwarder, codec, clock or Clock(), Metrics())
         server.listen('127.0.0.1:0', 15_000.0)
         try:
             await asyncio.wait_for(check(server, forwarder), TIMEOUT_S)
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -14,6 +14,7 @@
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.server import GatewayServer
+from wigeonmill.metrics import Metrics
 
 REQUEST = b'GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n'
 TIMEOUT_S = 5.0
@@ -62,7 +63,7 @@
 def run_with_server(check):
     async def run():
         forwarder = Forwarder()
-        server = GatewayServer(forwarder, Codec(), Clock())
+        server = GatewayServer(forwarder, Codec(), Clock(), Metrics())
         server.listen('127.0.0.1:0', 15_000.0)
         port = server.port
         try:
--- a/wigeonmill/gateway/answers.py
+++ b/wigeonmill/gateway/answers.py
@@ -1,5 +1,6 @@
 """Defines answers to callers: those of targets and the gateway's refusals."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 import enum
 from typing import Protocol
@@ -90,6 +91,26 @@
     fields: HeaderFields
 
 
+class RequestState(enum.Enum):
+    """How far a request has come."""
+
+    WAITING = 'waiting'
+    SENT = 'sent'
+    STREAMING = 'streaming'
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """The state of a request that has not ended.
+
+    `target_id` is the target that it was last sent to, or ''.
+    """
+
+    state: RequestState
+    target_id: str
+    remaining_ms: float
+
+
 class CallerChannel(Protocol):
     """Writes one answer to a caller; calls have no effect after a close."""
 
@@ -101,6 +122,9 @@
     def unsent_bytes(self) -> int:
         """The most that may be held of an answer that the caller must read."""
 
+    def track(self, progress: Callable[[], Progress]) -> None:
+        """Set what returns the state of the request, for its log."""
+
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal of the gateway."""
 
--- a/wigeonmill/gateway/forwarder.py
+++ b/wigeonmill/gateway/forwarder.py
@@ -70,6 +70,7 @@
             team,
             channel,
         )
+        channel.track(run.progress)
         await run.run()
 
     def _admit(self, req: CallerRequest) -> Result[Admission, Refusal]:
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -7,8 +7,10 @@
 from wigeonmill.gateway.answers import AnswerHead
 from wigeonmill.gateway.answers import CallerChannel
 from wigeonmill.gateway.answers import NOT_RUN_STATUSES
+from wigeonmill.gateway.answers import Progress
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import Refusal
+from wigeonmill.gateway.answers import RequestState
 from wigeonmill.gateway.answers import UNRESUMABLE_REASONS
 from wigeonmill.gateway.attempt import Attempt
 from wigeonmill.gateway.cache_plan import CachePlanner
@@ -70,6 +72,16 @@
         self._may_have_run = False
         self._tried_ids: list[str] = []
 
+    def progress(self) -> Progress:
+        """Return how far the request has come."""
+        state = RequestState.WAITING
+        if self._relay.started:
+            state = RequestState.STREAMING
+        elif self._tried_ids:
+            state = RequestState.SENT
+        target_id = self._tried_ids[-1] if self._tried_ids else ''
+        return Progress(state, target_id, self._terms.remaining_ms)
+
     async def run(self) -> None:
         """Run the request until its channel is answered or aborted."""
         if self._ctx.crash_guard.refuses(self._fingerprint):
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -388,7 +388,9 @@
         forwarder = Forwarder(
             ctx, client, picker, StorePlanner(self._stores, self.metrics)
         )
-        return GatewayServer(forwarder, self._adapter.callers, self._clock)
+        return GatewayServer(
+            forwarder, self._adapter.callers, self._clock, self.metrics
+        )
 
     def _install_signals(self) -> None:
         loop = asyncio.get_running_loop()
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -1,6 +1,8 @@
 """Serves callers: tornado's HTTP server in front of a forwarder."""
 
 import asyncio
+from collections.abc import Callable
+import enum
 import logging
 import math
 import socket
@@ -25,11 +27,15 @@
 from wigeonmill.addresses import split_address
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.answers import AnswerHead
+from wigeonmill.gateway.answers import Progress
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import Refusal
+from wigeonmill.gateway.answers import RequestState
 from wigeonmill.gateway.forwarder import Forwarder
 from wigeonmill.gateway.request import CallerRequest
 from wigeonmill.gateway.request import HeaderFields
+from wigeonmill.log import loggable_ms
+from wigeonmill.metrics import Metrics
 
 logger = logging.getLogger(__name__)
 
@@ -47,6 +53,23 @@
 _INTERNAL_ERROR = Refusal(Reason.INTERNAL, 'internal error')
 
 
+class RequestEnd(enum.Enum):
+    """How a request ended for its caller; each has a counter."""
+
+    ANSWERED = 'answered'
+    REFUSED = 'refused'
+    BROKEN_OFF = 'broken_off'
+    CALLER_CLOSED = 'caller_closed'
+    INTERNAL_ERROR = 'internal_error'
+
+
+class CloseReason(enum.Enum):
+    """Why a connection was closed before its request started."""
+
+    CALLER = 'caller'
+    DRAIN = 'drain'
+
+
 class CallerCodec(Protocol):
     """Decodes callers' requests and encodes the gateway's refusals."""
 
@@ -69,17 +92,25 @@
     """Accepts callers' connections and counts open requests."""
 
     def __init__(
-        self, forwarder: Forwarder, codec: CallerCodec, clock: Clock
+        self,
+        forwarder: Forwarder,
+        codec: CallerCodec,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self.forwarder = forwarder
         self.codec = codec
         self.clock = clock
+        self.metrics = metrics
         self.draining = False
         self.port = 0
         self.open_requests = 0
         # Connections on which no request has started. Tornado does not report
         # when one of them closes, so they are held by weak references only.
         self._idle: weakref.WeakSet[HTTP1Connection] = weakref.WeakSet()
+        self._close_reasons: weakref.WeakKeyDictionary[
+            HTTP1Connection, CloseReason
+        ] = weakref.WeakKeyDictionary()
         self.last_request_ms = clock.now_ms()
         self._server: HTTPServer | None = None
 
@@ -110,6 +141,10 @@
         """Remove a connection that has a request or that was closed."""
         self._idle.discard(conn)
 
+    def close_reason(self, conn: HTTP1Connection) -> CloseReason:
+        """Return why a closed connection was closed."""
+        return self._close_reasons.get(conn, CloseReason.CALLER)
+
     def stop_accepting(self) -> None:
         """Stop accepting new connections."""
         if self._server is not None:
@@ -119,10 +154,14 @@
         """Close the connections without a request; return their number."""
         idle = [conn for conn in self._idle if _has_no_input(conn)]
         for conn in idle:
-            self._idle.discard(conn)
-            conn.close()
+            self._close_idle(conn, CloseReason.DRAIN)
         return len(idle)
 
+    def _close_idle(self, conn: HTTP1Connection, reason: CloseReason) -> None:
+        self._idle.discard(conn)
+        self._close_reasons[conn] = reason
+        conn.close()
+
     def set_idle_time(self, idle_ms: float) -> None:
         """Set how long callers may reuse idle connections."""
         if self._server is not None:
@@ -145,6 +184,7 @@
         self._start: RequestStartLine | None = None
         self._headers = HTTPHeaders()
         self._body: list[bytes] = []
+        self._received_ms = server.clock.now_ms()
 
     def headers_received(
         self,
@@ -155,37 +195,55 @@
         self._server.remove_idle(self._conn)
         self._start = start_line
         self._headers = headers
+        self._received_ms = self._server.clock.now_ms()
 
     def data_received(self, chunk: bytes) -> None:
         self._body.append(chunk)
+        self._received_ms = self._server.clock.now_ms()
 
     def finish(self) -> None:
-        server = self._server
         assert self._start is not None
-        if self._conn.stream.closed():
-            # The caller has disconnected, or the server closed the connection
-            # while the request was on its way.
-            logger.info('request dropped on a closed connection')
-            return
-        server.last_request_ms = server.clock.now_ms()
-        channel = _Channel(server, self._conn, self._start)
+        channel = _Channel(self._server, self._conn, self._start)
         try:
             self._start_serving(channel, self._start)
         except Exception as exc:
-            channel.fail(exc)
+            channel.fail_to_start(exc)
 
     def _start_serving(
         self, channel: '_Channel', start: RequestStartLine
     ) -> None:
         server = self._server
+        now_ms = server.clock.now_ms()
         decoded = server.codec.request(
-            start, self._headers, b''.join(self._body), server.last_request_ms
+            start, self._headers, b''.join(self._body), now_ms
         )
+        if self._conn.stream.closed():
+            # The caller has disconnected, or the server closed the connection
+            # while the request was on its way.
+            self._log_dropped(decoded, now_ms)
+            return
+        server.last_request_ms = now_ms
         if isinstance(decoded, Err):
-            channel.refuse(decoded.err_value)
+            channel.refuse_undecoded(decoded.err_value)
         else:
             channel.serve(decoded.ok_value)
 
+    def _log_dropped(
+        self, decoded: Result[CallerRequest, Refusal], now_ms: float
+    ) -> None:
+        reason = self._server.close_reason(self._conn)
+        self._server.metrics.count('gateway_requests_dropped', reason.value)
+        req = decoded.ok()
+        logger.info(
+            'request dropped on a closed connection',
+            extra={
+                'request_id': req.id if req else '',
+                'closed_by': reason.value,
+                'since_last_byte_ms': loggable_ms(now_ms - self._received_ms),
+                'error': repr(self._conn.stream.error),
+            },
+        )
+
     def on_connection_close(self) -> None:
         self._server.remove_idle(self._conn)
         self._body.clear()
@@ -198,7 +256,9 @@
         '_server',
         '_conn',
         '_task',
-        '_request_id',
+        '_req',
+        '_progress',
+        '_end',
         '_begun',
         '_finished',
         '_caller_disconnected',
@@ -222,7 +282,9 @@
         self._ends_with_conn = False
         self._unsent_bytes = 0
         self._task: asyncio.Task[None] | None = None
-        self._request_id = ''
+        self._req: CallerRequest | None = None
+        self._progress: Callable[[], Progress] | None = None
+        self._end = RequestEnd.BROKEN_OFF
         # Whether a part of the answer was written.
         self._begun = False
         self._finished = False
@@ -240,7 +302,7 @@
 
     def serve(self, req: CallerRequest) -> None:
         """Start to serve the request; its answer uses this channel."""
-        self._request_id = req.id
+        self._req = req
         self._conn.stream.set_nodelay(True)
         self._task = asyncio.ensure_future(
             self._server.forwarder.serve(req, self)
@@ -249,15 +311,38 @@
         self._task.add_done_callback(self._on_done)
         self._conn.set_close_callback(self._on_close)
 
+    def track(self, progress: Callable[[], Progress]) -> None:
+        """Set what returns the state of the request, for its log."""
+        self._progress = progress
+
+    def refuse_undecoded(self, refusal: Refusal) -> None:
+        """Refuse a request that could not be decoded."""
+        self.refuse(refusal)
+        self._server.metrics.count('gateway_refusals', refusal.reason.value)
+        self._count_end()
+        logger.info(
+            'request finished',
+            extra={
+                'outcome': self._end.value,
+                'reason': refusal.reason.value,
+                'detail': refusal.message,
+            },
+        )
+
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal of the gateway."""
-        fields, body = self._server.codec.refusal(refusal, self._request_id)
-        self.answer(AnswerHead(refusal.status, fields), body)
+        request_id = self._req.id if self._req else ''
+        fields, body = self._server.codec.refusal(refusal, request_id)
+        self._write_whole(AnswerHead(refusal.status, fields), body)
+        self._finish_as(RequestEnd.REFUSED)
 
     def answer(self, head: AnswerHead, body: bytes) -> None:
         """Send a complete answer."""
+        self._write_whole(head, body)
+        self._finish_as(RequestEnd.ANSWERED)
+
+    def _write_whole(self, head: AnswerHead, body: bytes) -> None:
         if self.closed:
-            self._finished = True
             return
         headers = self._headers(head)
         if head.status in _STATUSES_WITHOUT_BODY:
@@ -268,7 +353,6 @@
             body = b''
         self._conn.write_headers(_start_line(head.status), headers, body)
         self._begun = True
-        self.finish()
 
     def begin(self, head: AnswerHead) -> None:
         """Send the head of an answer whose body follows in parts."""
@@ -286,11 +370,16 @@
 
     def finish(self) -> None:
         """End the body as complete."""
+        self._finish_as(RequestEnd.ANSWERED)
+
+    def _finish_as(self, end: RequestEnd) -> None:
         if self.closed:
             self._finished = True
+            self._end = RequestEnd.CALLER_CLOSED
             return
         self._conn.finish()
         self._finished = True
+        self._end = end
         if self._server.draining or self._ends_with_conn:
             # The head may have been sent before the drain started, so that
             # the caller does not know that the connection will be closed.
@@ -306,17 +395,24 @@
             )
         self._conn.close()
 
+    def fail_to_start(self, exc: Exception) -> None:
+        """End a request that could not be served because of an error."""
+        try:
+            self.fail(exc)
+        finally:
+            self._count_end()
+
     def fail(self, exc: BaseException) -> None:
         """End the request after an internal error.
 
         The caller gets a whole answer if nothing was written before.
         """
-        logger.error(
-            'internal error while serving a request',
-            extra={'request_id': self._request_id},
-            exc_info=exc,
-        )
         if self._finished:
+            logger.error(
+                'internal error after an answer',
+                extra={'request_id': self._req.id if self._req else ''},
+                exc_info=exc,
+            )
             return
         try:
             if not self._begun:
@@ -326,6 +422,10 @@
         finally:
             if not self._finished:
                 self.abort()
+        self._end = RequestEnd.INTERNAL_ERROR
+        reason = _INTERNAL_ERROR.reason.value
+        self._server.metrics.count('gateway_refusals', reason)
+        self._log_end(exc)
 
     def _refuse_after_error(self) -> None:
         try:
@@ -337,6 +437,32 @@
             body = _INTERNAL_ERROR.message.encode()
             self.answer(AnswerHead(_INTERNAL_ERROR.status, ()), body)
 
+    def _count_end(self) -> None:
+        self._server.metrics.count('gateway_requests_ended', self._end.value)
+
+    def _log_end(self, exc: BaseException | None = None) -> None:
+        """Log the end of a request whose run did not log it."""
+        extra: dict[str, object] = {'outcome': self._end.value}
+        req = self._req
+        if req is not None:
+            took_ms = self._server.clock.now_ms() - req.arrived_ms
+            progress = Progress(
+                RequestState.WAITING, '', req.deadline_ms - took_ms
+            )
+            if self._progress is not None:
+                progress = self._progress()
+            extra |= {
+                'request_id': req.id,
+                'state': progress.state.value,
+                'target': progress.target_id,
+                'took_ms': round(took_ms, 1),
+                'remaining_ms': loggable_ms(progress.remaining_ms),
+            }
+        if self._conn.stream.error is not None:
+            extra['error'] = repr(self._conn.stream.error)
+        level = logging.INFO if exc is None else logging.ERROR
+        logger.log(level, 'request finished', extra=extra, exc_info=exc)
+
     def _headers(self, head: AnswerHead) -> HTTPHeaders:
         headers = HTTPHeaders()
         for name, value in head.fields:
@@ -352,20 +478,21 @@
 
     def _on_done(self, task: 'asyncio.Task[None]') -> None:
         self._server.open_requests -= 1
-        exc: BaseException | None = None
-        if not task.cancelled():
-            exc = task.exception()
-        elif self._caller_disconnected:
-            logger.info(
-                'caller disconnected', extra={'request_id': self._request_id}
-            )
-            return
-        else:
-            exc = asyncio.CancelledError('cancelled by a component')
-        if exc is None and not self._finished:
-            exc = RuntimeError('the request has ended without an answer')
-        if exc is not None:
+        try:
+            self._conclude(task)
+        finally:
+            self._count_end()
+
+    def _conclude(self, task: 'asyncio.Task[None]') -> None:
+        if task.cancelled() and self._caller_disconnected:
+            self._end = RequestEnd.CALLER_CLOSED
+            self._log_end()
+        elif task.cancelled():
+            self.fail(asyncio.CancelledError('cancelled by a component'))
+        elif (exc := task.exception()) is not None:
             self.fail(exc)
+        elif not self._finished:
+            self.fail(RuntimeError('the request ended without an answer'))
 
 
 async def _close_after_flush(conn: HTTP1Connection) -> None:
