--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -1,11 +1,20 @@
-"""A process knows how long it has run on the platform's clocks."""
+"""The start of a process: its clocks, its signals and its settings."""
 
 import asyncio
+import os
+from pathlib import Path
 import random
+import subprocess
+import sys
 import time
 
+import msgspec
+from result import Ok
+
 from alliance.caches import AllianceCaches
 from alliance.callers import AllianceCallers
+from alliance.daemon import EXIT_SETTINGS
+from alliance.daemon import SETTINGS_VARIABLE
 from alliance.engines import AllianceEngines
 from alliance.records import AllianceRecords
 from alliance.store import AllianceStore
@@ -21,16 +30,30 @@
     failure_domain='d1',
     region='r1',
     regions={'d1': 'r1'},
-    callers='127.0.0.1:1',
-    ready='127.0.0.1:2',
-    inner='127.0.0.1:3',
+    callers='127.0.0.1:0',
+    ready='127.0.0.1:0',
+    inner='127.0.0.1:0',
     key_value='127.0.0.1:4',
 )
+ROOT = Path(__file__).parents[2]
+# Runs the main program and sends SIGHUP as its first module is imported.
+HANGUP_DURING_START = """
+import os, runpy, signal, sys
+
+class Hangup:
+    def find_spec(self, name, path=None, target=None):
+        if name == 'alliance':
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Hangup())
+sys.path.insert(0, 'platform')
+runpy.run_path('platform/wigeonmilld.py', run_name='__main__')
+"""
 # The platform's processor clock of a process that has just started.
 PROCESSOR_S = 40_000.0
 
 
-async def make_role(uptime_ms=0.0):
+async def make_role(uptime_ms=0.0, load_settings=lambda: Ok(SETTINGS)):
     transfers = TransferLoop()
     store = AllianceStore(SETTINGS.key_value, transfers)
     return GatewayRole(
@@ -48,7 +71,7 @@
         transfers,
         Clock(),
         random.Random(1),
-        lambda: None,
+        load_settings,
         uptime_ms,
     )
 
@@ -66,3 +89,36 @@
 def test_the_imports_count_as_part_of_the_start():
     role = asyncio.run(make_role(uptime_ms=700.0))
     assert 700.0 <= role._ctx.desired.uptime_ms < 1_700.0
+
+
+# Guards against LOST: SIGHUP ended a process that was still importing.
+def test_a_hangup_during_the_start_does_not_end_the_process():
+    env = os.environ | {'PYTHONPATH': str(ROOT), SETTINGS_VARIABLE: ''}
+    done = subprocess.run(
+        [sys.executable, '-c', HANGUP_DURING_START], cwd=ROOT, env=env
+    )
+    assert done.returncode == EXIT_SETTINGS
+
+
+def run_role(load_settings, check):
+    async def run():
+        role = await make_role(load_settings=load_settings)
+        task = asyncio.ensure_future(role.run())
+        await asyncio.sleep(0.05)
+        try:
+            await check(role)
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+# Guards against the loss of a SIGHUP that came before its handler was set.
+def test_settings_that_changed_during_the_start_are_in_force():
+    changed = msgspec.structs.replace(SETTINGS, seeds=['127.0.0.1:5'])
+
+    async def check(role):
+        assert role._settings.seeds == ['127.0.0.1:5']
+
+    run_role(lambda: Ok(changed), check)
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -216,6 +216,8 @@
             },
         )
         self._install_signals()
+        # They may have changed since the process read them.
+        self._reload()
         self._listen()
         self._sync.start()
         tasks = [
