Read settings again that were being written, and change only what can change

A reload that met a half-written file kept the old settings until the next SIGHUP, and one that succeeded replaced all settings, also the name of the process and the address of its own that only a restart can apply: the entry would have registered under a name whose lease it does not hold, and taken itself for a peer.

A reload that fails is tried again every 250 ms for five seconds.

Both tests failed before (tests/platform/test_start.py): the settings were not read again, and `process` and `inner` were replaced.

--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -9,6 +9,7 @@
 import time
 
 import msgspec
+from result import Err
 from result import Ok
 
 from alliance.caches import AllianceCaches
@@ -24,6 +25,7 @@
 from wigeonmill.gateway.role import GatewayRole
 from wigeonmill.gateway.settings import GatewaySettings
 from wigeonmill.providers.transfers import TransferLoop
+from wigeonmill.settings_fault import SettingsFault
 
 SETTINGS = GatewaySettings(
     process='entry-1',
@@ -122,3 +124,46 @@
         assert role._settings.seeds == ['127.0.0.1:5']
 
     run_role(lambda: Ok(changed), check)
+
+
+# Guards against settings that stay old: SIGHUP came while the file was being
+# written, and nothing read it again.
+def test_settings_that_are_being_written_are_read_again(monkeypatch):
+    monkeypatch.setattr('wigeonmill.gateway.role.RELOAD_RETRY_MS', 10.0)
+    changed = msgspec.structs.replace(SETTINGS, seeds=['127.0.0.1:5'])
+    loads = [Ok(SETTINGS)]
+    truncated = Err([SettingsFault('settings file', 'x', 'truncated')])
+
+    def load():
+        return loads.pop(0) if len(loads) > 1 else loads[0]
+
+    async def check(role):
+        loads[:] = [truncated, truncated, Ok(changed)]
+        role._reload()
+        assert role._settings == SETTINGS
+        await asyncio.sleep(0.1)
+        assert role._settings.seeds == ['127.0.0.1:5']
+
+    run_role(load, check)
+
+
+# Guards against an entry that calls itself a peer or registers twice: all
+# settings were replaced, also those that only a restart can apply.
+def test_a_reload_changes_only_what_can_change_at_run_time():
+    changed = msgspec.structs.replace(
+        SETTINGS,
+        process='other',
+        inner='127.0.0.1:9',
+        seeds=['127.0.0.1:5'],
+        grace_ms=5_000.0,
+    )
+    loads = [SETTINGS]
+
+    async def check(role):
+        loads[0] = changed
+        role._reload()
+        assert role._settings == msgspec.structs.replace(
+            SETTINGS, seeds=['127.0.0.1:5'], grace_ms=5_000.0
+        )
+
+    run_role(lambda: Ok(loads[0]), check)
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -7,6 +7,7 @@
 import signal
 import time
 
+import msgspec
 from result import Err
 from result import Result
 
@@ -55,6 +56,9 @@
 TICK_MS = 100.0
 CACHE_CLEAN_INTERVAL_MS = 500.0
 COUNTERS_INTERVAL_MS = 10_000.0
+# A settings file that can't be read may be in the middle of being written.
+RELOAD_RETRY_MS = 250.0
+MAX_RELOAD_RETRIES = 20
 # After SIGTERM the balancer may still send callers until two readiness checks
 # have failed. A request that arrives later than three seconds after SIGTERM
 # might not be finished in time.
@@ -87,6 +91,7 @@
     ) -> None:
         """Create the role of a process that has run for `uptime_ms`."""
         self._settings = settings
+        self._reload_timer: asyncio.TimerHandle | None = None
         self._load_settings = load_settings
         self._adapter = adapter
         self._clock = clock
@@ -400,14 +405,26 @@
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
-    def _reload(self) -> None:
-        """Reload the settings; only the seeds can change at run time."""
+    def _reload(self, retries: int = MAX_RELOAD_RETRIES) -> None:
+        """Reload the settings that can change at run time."""
+        if self._reload_timer is not None:
+            self._reload_timer.cancel()
+            self._reload_timer = None
         loaded = self._load_settings()
         if isinstance(loaded, Err):
             for fault in loaded.err_value:
                 logger.error(
                     'settings not reloaded', extra={'fault': str(fault)}
                 )
+            if retries > 0:
+                self._reload_timer = asyncio.get_running_loop().call_later(
+                    RELOAD_RETRY_MS / 1000.0, self._reload, retries - 1
+                )
             return
-        self._settings = loaded.ok_value
-        logger.info('settings reloaded', extra={'seeds': self._settings.seeds})
+        seeds, grace_ms = loaded.ok_value.seeds, loaded.ok_value.grace_ms
+        self._settings = msgspec.structs.replace(
+            self._settings, seeds=seeds, grace_ms=grace_ms
+        )
+        logger.info(
+            'settings reloaded', extra={'seeds': seeds, 'grace_ms': grace_ms}
+        )
