Close idle connections by the limit in force, and not those with a request

What callers saw: two kinds of dropped requests beside a change of the configuration, without an answer or a refusal. - Once `idleMs` was raised, callers reused connections up to four fifths of the new limit, but those that already waited were closed by the old one. - A request that arrived while the loop was busy, for example with a new document, was dropped if the idle time of its connection ended meanwhile.

Cause: the HTTP server arms one timer a connection, with the limit of that moment, and closes when it fires without a look at what has arrived.

Connections that wait are now checked by a class of our own every 250 ms. It follows the limit in force (a shorter one only for connections that begin to wait later, as the callers of the others reckon with the limit before), and looks at the socket before it closes. A head that is never complete does not hold its connection longer: it ends with the idle time, or 12 checks later if bytes keep arriving.

--- /dev/null
+++ b/wigeonmill/gateway/idle_conns.py
@@ -0,0 +1,97 @@
+"""Connections of callers on which no request has started."""
+
+from collections.abc import Iterator
+import socket
+import weakref
+
+from tornado.http1connection import HTTP1Connection
+
+from wigeonmill.clock import Clock
+
+# Maximum number of checks by which a connection outlasts its time because
+# bytes keep arriving.
+MAX_OVERDUE_CHECKS = 12
+
+
+class _Wait:
+    """How long one connection waits, and may wait, in ms."""
+
+    __slots__ = ('since_ms', 'limit_ms', 'overdue_checks')
+
+    def __init__(self, since_ms: float, limit_ms: float) -> None:
+        self.since_ms = since_ms
+        self.limit_ms = limit_ms
+        self.overdue_checks = 0
+
+
+class IdleConns:
+    """Finds the connections that have waited for a request too long.
+
+    `limit_ms` can change while they wait. A longer limit holds for all of
+    them, a shorter one only for those that begin to wait later, because the
+    callers of the others reckon with the limit before. Tornado does not
+    report when a connection closes, so they are held by weak references.
+    """
+
+    __slots__ = ('_clock', '_waits', 'limit_ms')
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._waits: weakref.WeakKeyDictionary[HTTP1Connection, _Wait] = (
+            weakref.WeakKeyDictionary()
+        )
+        self.limit_ms = float('inf')
+
+    def __len__(self) -> int:
+        return len(self._waits)
+
+    def __iter__(self) -> Iterator[HTTP1Connection]:
+        return iter(list(self._waits))
+
+    def add(self, conn: HTTP1Connection) -> None:
+        """Add a connection that begins to wait for a request."""
+        self._waits[conn] = _Wait(self._clock.now_ms(), self.limit_ms)
+
+    def remove(self, conn: HTTP1Connection) -> None:
+        """Remove a connection that has a request or that was closed."""
+        self._waits.pop(conn, None)
+
+    def without_input(self) -> list[HTTP1Connection]:
+        """Return the connections on which nothing has arrived."""
+        return [conn for conn in self if has_no_input(conn)]
+
+    def expired(self) -> list[HTTP1Connection]:
+        """Return the connections whose time is over.
+
+        One with input gets some more checks, so that a request is served
+        that arrived while the process was busy or stopped.
+        """
+        found = []
+        now_ms = self._clock.now_ms()
+        for conn, wait in list(self._waits.items()):
+            wait.limit_ms = max(wait.limit_ms, self.limit_ms)
+            if now_ms - wait.since_ms < wait.limit_ms:
+                continue
+            wait.overdue_checks += 1
+            if wait.overdue_checks > MAX_OVERDUE_CHECKS or has_no_input(conn):
+                found.append(conn)
+        return found
+
+
+def has_no_input(conn: HTTP1Connection) -> bool:
+    """Whether no part of a request has arrived on a connection.
+
+    Tornado delivers a request one loop iteration after it was read, and its
+    stream is not reading in between.
+    """
+    stream = conn.stream
+    if stream.closed():
+        return True
+    if not stream.reading():
+        return False
+    try:
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        return not stream.socket.recv(1, flags)
+    except OSError:
+        # Nothing to read, or the connection is broken.
+        return True
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -21,6 +21,7 @@
 from tornado.httputil import RequestStartLine
 from tornado.httputil import responses
 from tornado.httputil import ResponseStartLine
+from tornado.ioloop import PeriodicCallback
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
@@ -32,6 +33,7 @@
 from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.answers import RequestState
 from wigeonmill.gateway.forwarder import Forwarder
+from wigeonmill.gateway.idle_conns import IdleConns
 from wigeonmill.gateway.request import CallerRequest
 from wigeonmill.gateway.request import HeaderFields
 from wigeonmill.log import loggable_ms
@@ -47,6 +49,7 @@
 # server waits a little longer, so that it does not close a connection while a
 # request is on its way.
 IDLE_SLACK_MS = 2_000.0
+IDLE_CHECK_MS = 250.0
 # SO_LINGER with a time of 0 s: a close resets the connection.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _STATUSES_WITHOUT_BODY = (204, 304)
@@ -67,6 +70,7 @@
     """Why a connection was closed before its request started."""
 
     CALLER = 'caller'
+    IDLE = 'idle'
     DRAIN = 'drain'
 
 
@@ -105,9 +109,8 @@
         self.draining = False
         self.port = 0
         self.open_requests = 0
-        # Connections on which no request has started. Tornado does not report
-        # when one of them closes, so they are held by weak references only.
-        self._idle: weakref.WeakSet[HTTP1Connection] = weakref.WeakSet()
+        self._idle = IdleConns(clock)
+        self._idle_check = PeriodicCallback(self._close_expired, IDLE_CHECK_MS)
         self._close_reasons: weakref.WeakKeyDictionary[
             HTTP1Connection, CloseReason
         ] = weakref.WeakKeyDictionary()
@@ -123,9 +126,13 @@
             self,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=(idle_ms + IDLE_SLACK_MS) / 1000.0,
         )
+        # Its timer keeps the limit that it was started with and does not see
+        # what has arrived when it fires.
+        self._server.conn_params.header_timeout = None
         self._server.add_sockets(sockets)
+        self.set_idle_time(idle_ms)
+        self._idle_check.start()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -139,7 +146,7 @@
 
     def remove_idle(self, conn: HTTP1Connection) -> None:
         """Remove a connection that has a request or that was closed."""
-        self._idle.discard(conn)
+        self._idle.remove(conn)
 
     def close_reason(self, conn: HTTP1Connection) -> CloseReason:
         """Return why a closed connection was closed."""
@@ -152,24 +159,27 @@
 
     def close_idle(self) -> int:
         """Close the connections without a request; return their number."""
-        idle = [conn for conn in self._idle if _has_no_input(conn)]
+        idle = self._idle.without_input()
         for conn in idle:
             self._close_idle(conn, CloseReason.DRAIN)
         return len(idle)
 
+    def _close_expired(self) -> None:
+        for conn in self._idle.expired():
+            self._close_idle(conn, CloseReason.IDLE)
+
     def _close_idle(self, conn: HTTP1Connection, reason: CloseReason) -> None:
-        self._idle.discard(conn)
+        self._idle.remove(conn)
         self._close_reasons[conn] = reason
         conn.close()
 
     def set_idle_time(self, idle_ms: float) -> None:
         """Set how long callers may reuse idle connections."""
-        if self._server is not None:
-            params = self._server.conn_params
-            params.header_timeout = (idle_ms + IDLE_SLACK_MS) / 1000.0
+        self._idle.limit_ms = idle_ms + IDLE_SLACK_MS
 
     async def close(self) -> None:
         """Stop accepting and close every connection."""
+        self._idle_check.stop()
         if self._server is not None:
             self._server.stop()
             await self._server.close_all_connections()
@@ -504,25 +514,6 @@
     conn.close()
 
 
-def _has_no_input(conn: HTTP1Connection) -> bool:
-    """Whether no part of a request has arrived on a connection.
-
-    Tornado delivers a request one loop iteration after it was read, and its
-    stream is not reading in between.
-    """
-    stream = conn.stream
-    if stream.closed():
-        return True
-    if not stream.reading():
-        return False
-    try:
-        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-        return not stream.socket.recv(1, flags)
-    except OSError:
-        # Nothing to read, or the connection is broken.
-        return True
-
-
 def retry_after_s(retry_after_ms: float) -> str:
     """Return a Retry-After value in seconds, rounded up to hundredths."""
     return f'{math.ceil(retry_after_ms / 10.0) / 100.0:.2f}'
