Answer the requests that are open when a drain ends

What callers saw: after SIGTERM, a request that was still open at the end of the drain, or whose last byte came while the leases were released (up to 0.3 s), got a closed connection: no answer and no refusal, although it had been read whole.

Cause: between the end of the drain and the end of the process, the server went on to start requests, and closing it was the only end that it had for those that were open.

The drain now ends with the requests. Each open one gets a whole answer: 503 if it was not sent to a target, and its task is cancelled, so that it never will be; 502 if it was. A stream that has begun is aborted. Requests read from then on are refused with 503 (`shutting_down`) and `Connection: close`. All of it happens in one turn of the loop, before the leases are released, so that what is written is sent before the connections close.

The tests failed before, 4 of 4 (tests/platform/test_drain.py): three got a bare close, and the aborted stream was counted as closed by its caller.

--- /dev/null
+++ b/tests/platform/test_drain.py
@@ -0,0 +1,124 @@
+"""Requests that were read whole are answered while a process drains."""
+
+import asyncio
+
+import pytest
+from result import Ok
+
+from tests.gateway.raw_caller import connect
+from tests.gateway.raw_caller import read_answer
+from tests.platform.test_start import run_role
+from tests.platform.test_start import SETTINGS
+from wigeonmill.gateway.answers import AnswerHead
+from wigeonmill.gateway.answers import Progress
+from wigeonmill.gateway.answers import RequestState
+
+HEAD = (
+    b'POST /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q1\r\n'
+    b'Content-Length: 4\r\n\r\n'
+)
+# More than the kernel takes for a caller that does not read.
+LARGE = b'x' * 12_000_000
+RELEASE_S = 0.4
+
+
+class Forwarder:
+    """Serves requests that never end, in a given state, or a large answer."""
+
+    def __init__(self, state=None, body=None):
+        self._state = state
+        self._body = body
+        self.cancelled = False
+
+    async def serve(self, req, channel):
+        if self._body is not None:
+            channel.answer(AnswerHead(200, ()), self._body)
+            return
+        channel.track(lambda: Progress(self._state, 't1', 500.0))
+        if self._state is RequestState.STREAMING:
+            channel.begin(AnswerHead(200, ()))
+            channel.send(b'part')
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            self.cancelled = True
+            raise
+
+
+@pytest.fixture(autouse=True)
+def _short_drain(monkeypatch):
+    role = 'wigeonmill.gateway.role.'
+    monkeypatch.setattr(role + 'CLOSE_IDLE_AFTER_MS', 100.0)
+    monkeypatch.setattr(role + 'STOP_ACCEPTING_AFTER_MS', 100.0)
+    monkeypatch.setattr(role + 'DRAIN_FRACTION', 0.1)
+
+    async def release(role):
+        await asyncio.sleep(RELEASE_S)
+
+    monkeypatch.setattr(
+        'wigeonmill.gateway.role.GatewayRole._release_leases', release
+    )
+
+
+def run(check):
+    run_role(lambda: Ok(SETTINGS), check)
+
+
+# Guards against LOST: at the end of the drain, connections were closed under
+# requests that had neither an answer nor a refusal.
+@pytest.mark.parametrize(
+    ('state', 'status'),
+    [(RequestState.WAITING, 503), (RequestState.SENT, 502)],
+)
+def test_the_end_of_a_drain_answers_open_requests(state, status):
+    async def check(role):
+        forwarder = role._server.forwarder = Forwarder(state)
+        reader, writer = await connect(role._server)
+        writer.write(HEAD + b'body')
+        await asyncio.sleep(0.05)
+        role._stop.set()
+        answer = await read_answer(reader)
+        assert answer[0] == status
+        assert forwarder.cancelled
+        assert await reader.read() == b''
+        ends = role.metrics.reasons('gateway_requests_ended')
+        assert ends == {'drain_ended': 1}
+        writer.close()
+
+    run(check)
+
+
+def test_the_end_of_a_drain_aborts_open_streams():
+    async def check(role):
+        role._server.forwarder = Forwarder(RequestState.STREAMING)
+        reader, writer = await connect(role._server)
+        writer.write(HEAD + b'body')
+        await asyncio.sleep(0.05)
+        role._stop.set()
+        answer = await reader.read()
+        assert b'part' in answer
+        assert not answer.endswith(b'0\r\n\r\n')
+        ends = role.metrics.reasons('gateway_requests_ended')
+        assert ends == {'drain_ended': 1}
+        writer.close()
+
+    run(check)
+
+
+# Guards against LOST: a request whose last byte came after the drain, while
+# leases were released, was started and then cut.
+def test_a_request_read_after_the_drain_is_refused():
+    async def check(role):
+        forwarder = role._server.forwarder = Forwarder(RequestState.WAITING)
+        reader, writer = await connect(role._server)
+        writer.write(HEAD + b'bo')
+        role._stop.set()
+        await asyncio.sleep(0.4)
+        writer.write(b'dy')
+        status, _body = await read_answer(reader)
+        assert status == 503
+        assert not forwarder.cancelled
+        assert await reader.read() == b''
+        writer.close()
+
+    run(check)
--- a/wigeonmill/gateway/answers.py
+++ b/wigeonmill/gateway/answers.py
@@ -33,6 +33,7 @@
     BROKEN_OFF = 'broken_off'
     CALLER_TOO_SLOW = 'caller_too_slow'
     INTERNAL = 'internal'
+    SHUTTING_DOWN = 'shutting_down'
 
 
 # Statuses that guarantee that a request has not run and never will.
@@ -60,6 +61,7 @@
     Reason.BROKEN_OFF: 502,
     Reason.CALLER_TOO_SLOW: 502,
     Reason.INTERNAL: 500,
+    Reason.SHUTTING_DOWN: 503,
 }
 
 # Refusals of a stream that can't go on, so the caller must begin it anew.
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -241,6 +241,7 @@
         ]
         await self._stop.wait()
         await self._drain()
+        self._server.end_requests()
         for task in tasks:
             task.cancel()
         await self._release_leases()
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -54,6 +54,13 @@
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _STATUSES_WITHOUT_BODY = (204, 304)
 _INTERNAL_ERROR = Refusal(Reason.INTERNAL, 'internal error')
+# Another entry can serve the request at once.
+_SHUTTING_DOWN = Refusal(
+    Reason.SHUTTING_DOWN, 'this entry is shutting down', 50.0
+)
+_CUT_BY_SHUTDOWN = Refusal(
+    Reason.MAY_HAVE_RUN, 'this entry was shut down before the answer came'
+)
 
 
 class RequestEnd(enum.Enum):
@@ -63,6 +70,7 @@
     REFUSED = 'refused'
     BROKEN_OFF = 'broken_off'
     CALLER_CLOSED = 'caller_closed'
+    DRAIN_ENDED = 'drain_ended'
     INTERNAL_ERROR = 'internal_error'
 
 
@@ -107,8 +115,10 @@
         self.clock = clock
         self.metrics = metrics
         self.draining = False
+        # Whether requests are refused because the process is about to stop.
+        self.refusing = False
         self.port = 0
-        self.open_requests = 0
+        self._open: set[_Channel] = set()
         self._idle = IdleConns(clock)
         self._idle_check = PeriodicCallback(self._close_expired, IDLE_CHECK_MS)
         self._close_reasons: weakref.WeakKeyDictionary[
@@ -117,6 +127,28 @@
         self.last_request_ms = clock.now_ms()
         self._server: HTTPServer | None = None
 
+    @property
+    def open_requests(self) -> int:
+        """The number of requests that are being served."""
+        return len(self._open)
+
+    def add_open(self, channel: '_Channel') -> None:
+        """Add the channel of a request that is being served."""
+        self._open.add(channel)
+
+    def remove_open(self, channel: '_Channel') -> None:
+        """Remove the channel of a request that has ended."""
+        self._open.discard(channel)
+
+    def end_requests(self) -> None:
+        """End the open requests and refuse those that are read later.
+
+        Callers get a whole answer unless a part of one was written.
+        """
+        self.refusing = True
+        for channel in list(self._open):
+            channel.end_by_shutdown()
+
     def listen(self, address: str, idle_ms: float) -> None:
         """Listen at an IP:port address."""
         host, port = split_address(address)
@@ -234,7 +266,9 @@
             return
         server.last_request_ms = now_ms
         if isinstance(decoded, Err):
-            channel.refuse_undecoded(decoded.err_value)
+            channel.refuse_unserved(decoded.err_value)
+        elif server.refusing:
+            channel.refuse_unserved(_SHUTTING_DOWN, decoded.ok_value)
         else:
             channel.serve(decoded.ok_value)
 
@@ -317,7 +351,7 @@
         self._task = asyncio.ensure_future(
             self._server.forwarder.serve(req, self)
         )
-        self._server.open_requests += 1
+        self._server.add_open(self)
         self._task.add_done_callback(self._on_done)
         self._conn.set_close_callback(self._on_close)
 
@@ -325,14 +359,21 @@
         """Set what returns the state of the request, for its log."""
         self._progress = progress
 
-    def refuse_undecoded(self, refusal: Refusal) -> None:
-        """Refuse a request that could not be decoded."""
+    def refuse_unserved(
+        self, refusal: Refusal, req: CallerRequest | None = None
+    ) -> None:
+        """Refuse a request before a forwarder has it.
+
+        `req` is None if it could not be decoded.
+        """
+        self._req = req
         self.refuse(refusal)
-        self._server.metrics.count('gateway_refusals', refusal.reason.value)
+        self._count_refusal(refusal)
         self._count_end()
         logger.info(
             'request finished',
             extra={
+                'request_id': req.id if req else '',
                 'outcome': self._end.value,
                 'reason': refusal.reason.value,
                 'detail': refusal.message,
@@ -405,6 +446,24 @@
             )
         self._conn.close()
 
+    def end_by_shutdown(self) -> None:
+        """End a request for which the process has no time left."""
+        if self._finished or self.closed or self._task is None:
+            return
+        try:
+            if self._begun:
+                self.abort()
+            elif self._read_progress().state is RequestState.WAITING:
+                self._count_refusal(_SHUTTING_DOWN)
+                self.refuse(_SHUTTING_DOWN)
+            else:
+                self._count_refusal(_CUT_BY_SHUTDOWN)
+                self.refuse(_CUT_BY_SHUTDOWN)
+        except Exception as exc:
+            self.fail(exc)
+        self._end = RequestEnd.DRAIN_ENDED
+        self._task.cancel()
+
     def fail_to_start(self, exc: Exception) -> None:
         """End a request that could not be served because of an error."""
         try:
@@ -433,8 +492,7 @@
             if not self._finished:
                 self.abort()
         self._end = RequestEnd.INTERNAL_ERROR
-        reason = _INTERNAL_ERROR.reason.value
-        self._server.metrics.count('gateway_refusals', reason)
+        self._count_refusal(_INTERNAL_ERROR)
         self._log_end(exc)
 
     def _refuse_after_error(self) -> None:
@@ -447,6 +505,18 @@
             body = _INTERNAL_ERROR.message.encode()
             self.answer(AnswerHead(_INTERNAL_ERROR.status, ()), body)
 
+    def _count_refusal(self, refusal: Refusal) -> None:
+        self._server.metrics.count('gateway_refusals', refusal.reason.value)
+
+    def _read_progress(self) -> Progress:
+        assert self._req is not None
+        if self._progress is not None:
+            return self._progress()
+        took_ms = self._server.clock.now_ms() - self._req.arrived_ms
+        return Progress(
+            RequestState.WAITING, '', self._req.deadline_ms - took_ms
+        )
+
     def _count_end(self) -> None:
         self._server.metrics.count('gateway_requests_ended', self._end.value)
 
@@ -456,11 +526,7 @@
         req = self._req
         if req is not None:
             took_ms = self._server.clock.now_ms() - req.arrived_ms
-            progress = Progress(
-                RequestState.WAITING, '', req.deadline_ms - took_ms
-            )
-            if self._progress is not None:
-                progress = self._progress()
+            progress = self._read_progress()
             extra |= {
                 'request_id': req.id,
                 'state': progress.state.value,
@@ -487,14 +553,16 @@
             self._task.cancel()
 
     def _on_done(self, task: 'asyncio.Task[None]') -> None:
-        self._server.open_requests -= 1
+        self._server.remove_open(self)
         try:
             self._conclude(task)
         finally:
             self._count_end()
 
     def _conclude(self, task: 'asyncio.Task[None]') -> None:
-        if task.cancelled() and self._caller_disconnected:
+        if self._end is RequestEnd.DRAIN_ENDED:
+            self._log_end()
+        elif task.cancelled() and self._caller_disconnected:
             self._end = RequestEnd.CALLER_CLOSED
             self._log_end()
         elif task.cancelled():
