Let a drain wait until its answers are sent

What callers saw: a caller that reads slowly got its answer cut after SIGTERM: the drain ended as soon as no request was open, and closed the connections while parts of answers were still in their buffers.

A request is done for its run once its answer is written to the buffer of the connection. The drain now also waits for the connections whose answers the kernel has not taken, within the same limit.

--- a/tests/platform/test_drain.py
+++ b/tests/platform/test_drain.py
@@ -122,3 +122,22 @@
         writer.close()
 
     run(check)
+
+
+# Guards against LOST: the drain counted an answer as done that its caller had
+# not read yet, and its connection was closed inside it.
+def test_a_drain_waits_until_answers_are_sent(monkeypatch):
+    monkeypatch.setattr('wigeonmill.gateway.role.DRAIN_FRACTION', 0.5)
+
+    async def check(role):
+        role._server.forwarder = Forwarder(body=LARGE)
+        reader, writer = await connect(role._server)
+        writer.write(HEAD + b'body')
+        await asyncio.sleep(0.05)
+        role._stop.set()
+        await asyncio.sleep(1.0)
+        status, body = await read_answer(reader)
+        assert (status, len(body)) == (200, len(LARGE))
+        writer.close()
+
+    run(check)
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -282,7 +282,8 @@
                 self._server.stop_accepting()
             if elapsed_ms >= limit_ms:
                 break
-            if not accepting and self._server.open_requests == 0:
+            busy = self._server.open_requests > 0 or self._server.has_unsent
+            if not accepting and not busy:
                 break
         logger.info('drained', extra={'open': self._server.open_requests})
 
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -119,6 +119,8 @@
         self.refusing = False
         self.port = 0
         self._open: set[_Channel] = set()
+        # Connections with an answer that the kernel has not taken yet.
+        self._unsent: weakref.WeakSet[HTTP1Connection] = weakref.WeakSet()
         self._idle = IdleConns(clock)
         self._idle_check = PeriodicCallback(self._close_expired, IDLE_CHECK_MS)
         self._close_reasons: weakref.WeakKeyDictionary[
@@ -132,6 +134,15 @@
         """The number of requests that are being served."""
         return len(self._open)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether an answer is still being sent."""
+        return any(conn.stream.writing() for conn in self._unsent)
+
+    def add_unsent(self, conn: HTTP1Connection) -> None:
+        """Add a connection on which an answer is still being sent."""
+        self._unsent.add(conn)
+
     def add_open(self, channel: '_Channel') -> None:
         """Add the channel of a request that is being served."""
         self._open.add(channel)
@@ -431,6 +442,8 @@
         self._conn.finish()
         self._finished = True
         self._end = end
+        if self._conn.stream.writing():
+            self._server.add_unsent(self._conn)
         if self._server.draining or self._ends_with_conn:
             # The head may have been sent before the drain started, so that
             # the caller does not know that the connection will be closed.
