--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -35,8 +35,10 @@
         self.may_finish = asyncio.Event()
         self.stream_started = asyncio.Event()
         self.cancelled = False
+        self.served = 0
 
     async def serve(self, req, channel):
+        self.served += 1
         if req.path.endswith('refused'):
             channel.refuse(Refusal(Reason.NO_TARGET, ''))
             return
@@ -271,3 +273,18 @@
         writer.close()
 
     run_with_server(check)
+
+
+# Its connection is closed after the stream, so it must not reach a target.
+def test_a_request_behind_a_stream_that_ends_in_a_drain_does_not_start():
+    async def check(server, forwarder, port):
+        reader, writer = await connect(port)
+        writer.write(b'GET /a/stream HTTP/1.1\r\nHost: h\r\n\r\n' + REQUEST)
+        await forwarder.stream_started.wait()
+        server.draining = True
+        forwarder.may_finish.set()
+        answer = await reader.read()
+        assert answer.endswith(b'0\r\n\r\n')
+        assert forwarder.served == 1
+
+    run_with_server(check)
