--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -11,7 +11,10 @@
 from tests.gateway.samples import make_request
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.answers import AnswerHead
+from wigeonmill.gateway.answers import Reason
+from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.server import GatewayServer
+from wigeonmill.metrics import Metrics
 
 REQUEST = b'GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n'
 TIMEOUT_S = 5.0
@@ -32,8 +35,13 @@
         self.may_finish = asyncio.Event()
         self.stream_started = asyncio.Event()
         self.cancelled = False
+        self.served = 0
 
     async def serve(self, req, channel):
+        self.served += 1
+        if req.path.endswith('refused'):
+            channel.refuse(Refusal(Reason.NO_TARGET, ''))
+            return
         if req.path.endswith('stream'):
             channel.begin(AnswerHead(200, ()))
             channel.send(b'part')
@@ -57,7 +65,7 @@
 def run_with_server(check):
     async def run():
         forwarder = Forwarder()
-        server = GatewayServer(forwarder, Codec(), Clock())
+        server = GatewayServer(forwarder, Codec(), Clock(), Metrics())
         server.listen('127.0.0.1:0', 15_000.0)
         port = server.port
         try:
@@ -246,3 +254,37 @@
         assert not server._idle
 
     run_with_server(check)
+
+
+# Guards against LOST: a HEAD request that was refused, or that ended a stream,
+# lost its connection, as the HTTP server takes no body for it.
+@pytest.mark.parametrize(
+    ('path', 'status'),
+    [(b'refused', b'503'), (b'x', b'200'), (b'stream', b'200')],
+)
+def test_a_head_request_is_answered_without_a_body(path, status):
+    async def check(server, forwarder, port):
+        forwarder.may_finish.set()
+        reader, writer = await connect(port)
+        for _turn in range(2):
+            writer.write(b'HEAD /a/' + path + b' HTTP/1.1\r\nHost: h\r\n\r\n')
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 ' + status)
+        writer.close()
+
+    run_with_server(check)
+
+
+# Its connection is closed after the stream, so it must not reach a target.
+def test_a_request_behind_a_stream_that_ends_in_a_drain_does_not_start():
+    async def check(server, forwarder, port):
+        reader, writer = await connect(port)
+        writer.write(b'GET /a/stream HTTP/1.1\r\nHost: h\r\n\r\n' + REQUEST)
+        await forwarder.stream_started.wait()
+        server.draining = True
+        forwarder.may_finish.set()
+        answer = await reader.read()
+        assert answer.endswith(b'0\r\n\r\n')
+        assert forwarder.served == 1
+
+    run_with_server(check)
--- a/wigeonmill/gateway/answers.py
+++ b/wigeonmill/gateway/answers.py
@@ -1,5 +1,6 @@
 """Defines answers to callers: those of targets and the gateway's refusals."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 import enum
 from typing import Protocol
@@ -31,6 +32,8 @@
     TIMEOUT = 'timeout'
     BROKEN_OFF = 'broken_off'
     CALLER_TOO_SLOW = 'caller_too_slow'
+    INTERNAL = 'internal'
+    SHUTTING_DOWN = 'shutting_down'
 
 
 # Statuses that guarantee that a request has not run and never will.
@@ -57,6 +60,8 @@
     Reason.TIMEOUT: 504,
     Reason.BROKEN_OFF: 502,
     Reason.CALLER_TOO_SLOW: 502,
+    Reason.INTERNAL: 500,
+    Reason.SHUTTING_DOWN: 503,
 }
 
 # Refusals of a stream that can't go on, so the caller must begin it anew.
@@ -88,6 +93,26 @@
     fields: HeaderFields
 
 
+class RequestState(enum.Enum):
+    """How far a request has come."""
+
+    WAITING = 'waiting'
+    SENT = 'sent'
+    STREAMING = 'streaming'
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """The state of a request that has not ended.
+
+    `target_id` is the target that it was last sent to, or ''.
+    """
+
+    state: RequestState
+    target_id: str
+    remaining_ms: float
+
+
 class CallerChannel(Protocol):
     """Writes one answer to a caller; calls have no effect after a close."""
 
@@ -99,6 +124,9 @@
     def unsent_bytes(self) -> int:
         """The most that may be held of an answer that the caller must read."""
 
+    def track(self, progress: Callable[[], Progress]) -> None:
+        """Set what returns the state of the request, for its log."""
+
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal of the gateway."""
 
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -1,6 +1,8 @@
 """Serves callers: tornado's HTTP server in front of a forwarder."""
 
 import asyncio
+from collections.abc import Callable
+import enum
 import logging
 import math
 import socket
@@ -19,16 +21,23 @@
 from tornado.httputil import RequestStartLine
 from tornado.httputil import responses
 from tornado.httputil import ResponseStartLine
+from tornado.ioloop import PeriodicCallback
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
 from wigeonmill.addresses import split_address
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.answers import AnswerHead
+from wigeonmill.gateway.answers import Progress
+from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import Refusal
+from wigeonmill.gateway.answers import RequestState
 from wigeonmill.gateway.forwarder import Forwarder
+from wigeonmill.gateway.idle_conns import IdleConns
 from wigeonmill.gateway.request import CallerRequest
 from wigeonmill.gateway.request import HeaderFields
+from wigeonmill.log import loggable_ms
+from wigeonmill.metrics import Metrics
 
 logger = logging.getLogger(__name__)
 
@@ -40,8 +49,37 @@
 # server waits a little longer, so that it does not close a connection while a
 # request is on its way.
 IDLE_SLACK_MS = 2_000.0
+IDLE_CHECK_MS = 250.0
 # SO_LINGER with a time of 0 s: a close resets the connection.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_STATUSES_WITHOUT_BODY = (204, 304)
+_INTERNAL_ERROR = Refusal(Reason.INTERNAL, 'internal error')
+# Another entry can serve the request at once.
+_SHUTTING_DOWN = Refusal(
+    Reason.SHUTTING_DOWN, 'this entry is shutting down', 50.0
+)
+_CUT_BY_SHUTDOWN = Refusal(
+    Reason.MAY_HAVE_RUN, 'this entry was shut down before the answer came'
+)
+
+
+class RequestEnd(enum.Enum):
+    """How a request ended for its caller; each has a counter."""
+
+    ANSWERED = 'answered'
+    REFUSED = 'refused'
+    BROKEN_OFF = 'broken_off'
+    CALLER_CLOSED = 'caller_closed'
+    DRAIN_ENDED = 'drain_ended'
+    INTERNAL_ERROR = 'internal_error'
+
+
+class CloseReason(enum.Enum):
+    """Why a connection was closed before its request started."""
+
+    CALLER = 'caller'
+    IDLE = 'idle'
+    DRAIN = 'drain'
 
 
 class CallerCodec(Protocol):
@@ -66,20 +104,62 @@
     """Accepts callers' connections and counts open requests."""
 
     def __init__(
-        self, forwarder: Forwarder, codec: CallerCodec, clock: Clock
+        self,
+        forwarder: Forwarder,
+        codec: CallerCodec,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self.forwarder = forwarder
         self.codec = codec
         self.clock = clock
+        self.metrics = metrics
         self.draining = False
+        # Whether requests are refused because the process is about to stop.
+        self.refusing = False
         self.port = 0
-        self.open_requests = 0
-        # Connections on which no request has started. Tornado does not report
-        # when one of them closes, so they are held by weak references only.
-        self._idle: weakref.WeakSet[HTTP1Connection] = weakref.WeakSet()
+        self._open: set[_Channel] = set()
+        # Connections with an answer that the kernel has not taken yet.
+        self._unsent: weakref.WeakSet[HTTP1Connection] = weakref.WeakSet()
+        self._idle = IdleConns(clock)
+        self._idle_check = PeriodicCallback(self._close_expired, IDLE_CHECK_MS)
+        self._close_reasons: weakref.WeakKeyDictionary[
+            HTTP1Connection, CloseReason
+        ] = weakref.WeakKeyDictionary()
         self.last_request_ms = clock.now_ms()
         self._server: HTTPServer | None = None
 
+    @property
+    def open_requests(self) -> int:
+        """The number of requests that are being served."""
+        return len(self._open)
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether an answer is still being sent."""
+        return any(conn.stream.writing() for conn in self._unsent)
+
+    def add_unsent(self, conn: HTTP1Connection) -> None:
+        """Add a connection on which an answer is still being sent."""
+        self._unsent.add(conn)
+
+    def add_open(self, channel: '_Channel') -> None:
+        """Add the channel of a request that is being served."""
+        self._open.add(channel)
+
+    def remove_open(self, channel: '_Channel') -> None:
+        """Remove the channel of a request that has ended."""
+        self._open.discard(channel)
+
+    def end_requests(self) -> None:
+        """End the open requests and refuse those that are read later.
+
+        Callers get a whole answer unless a part of one was written.
+        """
+        self.refusing = True
+        for channel in list(self._open):
+            channel.end_by_shutdown()
+
     def listen(self, address: str, idle_ms: float) -> None:
         """Listen at an IP:port address."""
         host, port = split_address(address)
@@ -89,9 +169,13 @@
             self,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=(idle_ms + IDLE_SLACK_MS) / 1000.0,
         )
+        # Its timer keeps the limit that it was started with and does not see
+        # what has arrived when it fires.
+        self._server.conn_params.header_timeout = None
         self._server.add_sockets(sockets)
+        self.set_idle_time(idle_ms)
+        self._idle_check.start()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -105,7 +189,11 @@
 
     def remove_idle(self, conn: HTTP1Connection) -> None:
         """Remove a connection that has a request or that was closed."""
-        self._idle.discard(conn)
+        self._idle.remove(conn)
+
+    def close_reason(self, conn: HTTP1Connection) -> CloseReason:
+        """Return why a closed connection was closed."""
+        return self._close_reasons.get(conn, CloseReason.CALLER)
 
     def stop_accepting(self) -> None:
         """Stop accepting new connections."""
@@ -114,20 +202,27 @@
 
     def close_idle(self) -> int:
         """Close the connections without a request; return their number."""
-        idle = [conn for conn in self._idle if _has_no_input(conn)]
+        idle = self._idle.without_input()
         for conn in idle:
-            self._idle.discard(conn)
-            conn.close()
+            self._close_idle(conn, CloseReason.DRAIN)
         return len(idle)
 
+    def _close_expired(self) -> None:
+        for conn in self._idle.expired():
+            self._close_idle(conn, CloseReason.IDLE)
+
+    def _close_idle(self, conn: HTTP1Connection, reason: CloseReason) -> None:
+        self._idle.remove(conn)
+        self._close_reasons[conn] = reason
+        conn.close()
+
     def set_idle_time(self, idle_ms: float) -> None:
         """Set how long callers may reuse idle connections."""
-        if self._server is not None:
-            params = self._server.conn_params
-            params.header_timeout = (idle_ms + IDLE_SLACK_MS) / 1000.0
+        self._idle.limit_ms = idle_ms + IDLE_SLACK_MS
 
     async def close(self) -> None:
         """Stop accepting and close every connection."""
+        self._idle_check.stop()
         if self._server is not None:
             self._server.stop()
             await self._server.close_all_connections()
@@ -142,6 +237,7 @@
         self._start: RequestStartLine | None = None
         self._headers = HTTPHeaders()
         self._body: list[bytes] = []
+        self._received_ms = server.clock.now_ms()
 
     def headers_received(
         self,
@@ -152,30 +248,56 @@
         self._server.remove_idle(self._conn)
         self._start = start_line
         self._headers = headers
+        self._received_ms = self._server.clock.now_ms()
 
     def data_received(self, chunk: bytes) -> None:
         self._body.append(chunk)
+        self._received_ms = self._server.clock.now_ms()
 
     def finish(self) -> None:
-        server = self._server
         assert self._start is not None
+        channel = _Channel(self._server, self._conn, self._start)
+        try:
+            self._start_serving(channel, self._start)
+        except Exception as exc:
+            channel.fail_to_start(exc)
+
+    def _start_serving(
+        self, channel: '_Channel', start: RequestStartLine
+    ) -> None:
+        server = self._server
+        now_ms = server.clock.now_ms()
+        decoded = server.codec.request(
+            start, self._headers, b''.join(self._body), now_ms
+        )
         if self._conn.stream.closed():
             # The caller has disconnected, or the server closed the connection
             # while the request was on its way.
-            logger.info('request dropped on a closed connection')
+            self._log_dropped(decoded, now_ms)
             return
-        server.last_request_ms = server.clock.now_ms()
-        channel = _Channel(server, self._conn, self._start.version)
-        decoded = server.codec.request(
-            self._start,
-            self._headers,
-            b''.join(self._body),
-            server.last_request_ms,
-        )
+        server.last_request_ms = now_ms
         if isinstance(decoded, Err):
-            channel.refuse(decoded.err_value)
-            return
-        channel.serve(decoded.ok_value)
+            channel.refuse_unserved(decoded.err_value)
+        elif server.refusing:
+            channel.refuse_unserved(_SHUTTING_DOWN, decoded.ok_value)
+        else:
+            channel.serve(decoded.ok_value)
+
+    def _log_dropped(
+        self, decoded: Result[CallerRequest, Refusal], now_ms: float
+    ) -> None:
+        reason = self._server.close_reason(self._conn)
+        self._server.metrics.count('gateway_requests_dropped', reason.value)
+        req = decoded.ok()
+        logger.info(
+            'request dropped on a closed connection',
+            extra={
+                'request_id': req.id if req else '',
+                'closed_by': reason.value,
+                'since_last_byte_ms': loggable_ms(now_ms - self._received_ms),
+                'error': repr(self._conn.stream.error),
+            },
+        )
 
     def on_connection_close(self) -> None:
         self._server.remove_idle(self._conn)
@@ -189,25 +311,37 @@
         '_server',
         '_conn',
         '_task',
-        '_request_id',
+        '_req',
+        '_progress',
+        '_end',
+        '_begun',
         '_finished',
         '_caller_disconnected',
         '_has_chunks',
+        '_is_head',
         '_ends_with_conn',
         '_unsent_bytes',
     )
 
     def __init__(
-        self, server: GatewayServer, conn: HTTP1Connection, http_version: str
+        self,
+        server: GatewayServer,
+        conn: HTTP1Connection,
+        start: RequestStartLine,
     ) -> None:
         self._server = server
         self._conn = conn
         # Without chunks an answer in parts ends with its connection.
-        self._has_chunks = http_version != 'HTTP/1.0'
+        self._has_chunks = start.version != 'HTTP/1.0'
+        self._is_head = start.method == 'HEAD'
         self._ends_with_conn = False
         self._unsent_bytes = 0
         self._task: asyncio.Task[None] | None = None
-        self._request_id = ''
+        self._req: CallerRequest | None = None
+        self._progress: Callable[[], Progress] | None = None
+        self._end = RequestEnd.BROKEN_OFF
+        # Whether a part of the answer was written.
+        self._begun = False
         self._finished = False
         self._caller_disconnected = False
 
@@ -223,29 +357,64 @@
 
     def serve(self, req: CallerRequest) -> None:
         """Start to serve the request; its answer uses this channel."""
-        self._request_id = req.id
-        self._server.open_requests += 1
+        self._req = req
         self._conn.stream.set_nodelay(True)
-        self._conn.set_close_callback(self._on_close)
         self._task = asyncio.ensure_future(
             self._server.forwarder.serve(req, self)
         )
+        self._server.add_open(self)
         self._task.add_done_callback(self._on_done)
+        self._conn.set_close_callback(self._on_close)
+
+    def track(self, progress: Callable[[], Progress]) -> None:
+        """Set what returns the state of the request, for its log."""
+        self._progress = progress
+
+    def refuse_unserved(
+        self, refusal: Refusal, req: CallerRequest | None = None
+    ) -> None:
+        """Refuse a request before a forwarder has it.
+
+        `req` is None if it could not be decoded.
+        """
+        self._req = req
+        self.refuse(refusal)
+        self._count_refusal(refusal)
+        self._count_end()
+        logger.info(
+            'request finished',
+            extra={
+                'request_id': req.id if req else '',
+                'outcome': self._end.value,
+                'reason': refusal.reason.value,
+                'detail': refusal.message,
+            },
+        )
 
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal of the gateway."""
-        fields, body = self._server.codec.refusal(refusal, self._request_id)
-        self.answer(AnswerHead(refusal.status, fields), body)
+        request_id = self._req.id if self._req else ''
+        fields, body = self._server.codec.refusal(refusal, request_id)
+        self._write_whole(AnswerHead(refusal.status, fields), body)
+        self._finish_as(RequestEnd.REFUSED)
 
     def answer(self, head: AnswerHead, body: bytes) -> None:
         """Send a complete answer."""
+        self._write_whole(head, body)
+        self._finish_as(RequestEnd.ANSWERED)
+
+    def _write_whole(self, head: AnswerHead, body: bytes) -> None:
         if self.closed:
             return
         headers = self._headers(head)
-        if head.status not in (204, 304):
+        if head.status in _STATUSES_WITHOUT_BODY:
+            body = b''
+        elif body or not self._is_head:
             headers['Content-Length'] = str(len(body))
+        if self._is_head:
+            body = b''
         self._conn.write_headers(_start_line(head.status), headers, body)
-        self.finish()
+        self._begun = True
 
     def begin(self, head: AnswerHead) -> None:
         """Send the head of an answer whose body follows in parts."""
@@ -253,19 +422,28 @@
             headers = self._headers(head)
             self._ends_with_conn = not self._has_chunks
             self._conn.write_headers(_start_line(head.status), headers)
+            self._begun = True
 
     def send(self, data: bytes) -> None:
         """Send the next part of the body."""
-        if not self.closed:
+        if not self.closed and not self._is_head:
             self._unsent_bytes = self.unsent_bytes + len(data)
             self._conn.write(data)
 
     def finish(self) -> None:
         """End the body as complete."""
-        self._finished = True
+        self._finish_as(RequestEnd.ANSWERED)
+
+    def _finish_as(self, end: RequestEnd) -> None:
         if self.closed:
+            self._finished = True
+            self._end = RequestEnd.CALLER_CLOSED
             return
         self._conn.finish()
+        self._finished = True
+        self._end = end
+        if self._conn.stream.writing():
+            self._server.add_unsent(self._conn)
         if self._server.draining or self._ends_with_conn:
             # The head may have been sent before the drain started, so that
             # the caller does not know that the connection will be closed.
@@ -281,6 +459,99 @@
             )
         self._conn.close()
 
+    def end_by_shutdown(self) -> None:
+        """End a request for which the process has no time left."""
+        if self._finished or self.closed or self._task is None:
+            return
+        try:
+            if self._begun:
+                self.abort()
+            elif self._read_progress().state is RequestState.WAITING:
+                self._count_refusal(_SHUTTING_DOWN)
+                self.refuse(_SHUTTING_DOWN)
+            else:
+                self._count_refusal(_CUT_BY_SHUTDOWN)
+                self.refuse(_CUT_BY_SHUTDOWN)
+        except Exception as exc:
+            self.fail(exc)
+        self._end = RequestEnd.DRAIN_ENDED
+        self._task.cancel()
+
+    def fail_to_start(self, exc: Exception) -> None:
+        """End a request that could not be served because of an error."""
+        try:
+            self.fail(exc)
+        finally:
+            self._count_end()
+
+    def fail(self, exc: BaseException) -> None:
+        """End the request after an internal error.
+
+        The caller gets a whole answer if nothing was written before.
+        """
+        if self._finished:
+            logger.error(
+                'internal error after an answer',
+                extra={'request_id': self._req.id if self._req else ''},
+                exc_info=exc,
+            )
+            return
+        try:
+            if not self._begun:
+                self._refuse_after_error()
+        except Exception:
+            logger.exception('answer to an internal error not sent')
+        finally:
+            if not self._finished:
+                self.abort()
+        self._end = RequestEnd.INTERNAL_ERROR
+        self._count_refusal(_INTERNAL_ERROR)
+        self._log_end(exc)
+
+    def _refuse_after_error(self) -> None:
+        try:
+            self.refuse(_INTERNAL_ERROR)
+        except Exception:
+            # The codec of refusals may be what is broken.
+            if self._begun:
+                raise
+            body = _INTERNAL_ERROR.message.encode()
+            self.answer(AnswerHead(_INTERNAL_ERROR.status, ()), body)
+
+    def _count_refusal(self, refusal: Refusal) -> None:
+        self._server.metrics.count('gateway_refusals', refusal.reason.value)
+
+    def _read_progress(self) -> Progress:
+        assert self._req is not None
+        if self._progress is not None:
+            return self._progress()
+        took_ms = self._server.clock.now_ms() - self._req.arrived_ms
+        return Progress(
+            RequestState.WAITING, '', self._req.deadline_ms - took_ms
+        )
+
+    def _count_end(self) -> None:
+        self._server.metrics.count('gateway_requests_ended', self._end.value)
+
+    def _log_end(self, exc: BaseException | None = None) -> None:
+        """Log the end of a request whose run did not log it."""
+        extra: dict[str, object] = {'outcome': self._end.value}
+        req = self._req
+        if req is not None:
+            took_ms = self._server.clock.now_ms() - req.arrived_ms
+            progress = self._read_progress()
+            extra |= {
+                'request_id': req.id,
+                'state': progress.state.value,
+                'target': progress.target_id,
+                'took_ms': round(took_ms, 1),
+                'remaining_ms': loggable_ms(progress.remaining_ms),
+            }
+        if self._conn.stream.error is not None:
+            extra['error'] = repr(self._conn.stream.error)
+        level = logging.INFO if exc is None else logging.ERROR
+        logger.log(level, 'request finished', extra=extra, exc_info=exc)
+
     def _headers(self, head: AnswerHead) -> HTTPHeaders:
         headers = HTTPHeaders()
         for name, value in head.fields:
@@ -295,22 +566,24 @@
             self._task.cancel()
 
     def _on_done(self, task: 'asyncio.Task[None]') -> None:
-        self._server.open_requests -= 1
-        if task.cancelled():
-            logger.info(
-                'caller disconnected', extra={'request_id': self._request_id}
-            )
-            return
-        exc = task.exception()
-        if exc is None:
-            return
-        logger.error(
-            'internal error while serving a request',
-            extra={'request_id': self._request_id},
-            exc_info=exc,
-        )
-        if not self._finished:
-            self.abort()
+        self._server.remove_open(self)
+        try:
+            self._conclude(task)
+        finally:
+            self._count_end()
+
+    def _conclude(self, task: 'asyncio.Task[None]') -> None:
+        if self._end is RequestEnd.DRAIN_ENDED:
+            self._log_end()
+        elif task.cancelled() and self._caller_disconnected:
+            self._end = RequestEnd.CALLER_CLOSED
+            self._log_end()
+        elif task.cancelled():
+            self.fail(asyncio.CancelledError('cancelled by a component'))
+        elif (exc := task.exception()) is not None:
+            self.fail(exc)
+        elif not self._finished:
+            self.fail(RuntimeError('the request ended without an answer'))
 
 
 async def _close_after_flush(conn: HTTP1Connection) -> None:
@@ -322,25 +595,6 @@
     conn.close()
 
 
-def _has_no_input(conn: HTTP1Connection) -> bool:
-    """Whether no part of a request has arrived on a connection.
-
-    Tornado delivers a request one loop iteration after it was read, and its
-    stream is not reading in between.
-    """
-    stream = conn.stream
-    if stream.closed():
-        return True
-    if not stream.reading():
-        return False
-    try:
-        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-        return not stream.socket.recv(1, flags)
-    except OSError:
-        # Nothing to read, or the connection is broken.
-        return True
-
-
 def retry_after_s(retry_after_ms: float) -> str:
     """Return a Retry-After value in seconds, rounded up to hundredths."""
     return f'{math.ceil(retry_after_ms / 10.0) / 100.0:.2f}'
