Never write a whole answer into a stream that has started

What callers saw: the events of a stream, then a second head and the body of another answer inside it, on a connection that looked sound (MIXED).

Cause: a stream that goes on at a second target may be rejected there, with a 4xx or 3xx. Such an answer is final for a request that has not been answered, and was written as one, though the head of the stream had been sent.

Now a whole answer to a resumption is a failed attempt like any other.

Evidence: the test, with the statuses 200, 204, 301, 400 and 404, fails without the change for 301, 400 and 404 and passes with it.

--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -177,6 +177,21 @@
     assert resumed.last_event_id == 2
 
 
+# Guards against MIXED: the rejection of a resumption was written, with a head
+# of its own, into the stream that the caller was reading.
+@pytest.mark.parametrize('status', [200, 204, 301, 400, 404])
+def test_a_whole_answer_to_a_resumption_is_not_written_into_the_stream(status):
+    rejection = (make_head(status), b'what?', ExchangeEnd.COMPLETE)
+    if status == 200:
+        rejection = (make_head(encoded=True), b'what?', ExchangeEnd.COMPLETE)
+    first = stream(1, end=ExchangeEnd.BROKEN)
+    harness = engine_harness([first, rejection])
+    channel = run_stream(harness)
+    assert channel.body == event(1)
+    assert channel.aborted
+    assert not channel.finished
+
+
 def test_events_already_relayed_are_not_sent_again():
     first = stream(1, 2, end=ExchangeEnd.BROKEN)
     harness = engine_harness([first, stream(2, 3)])
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -294,6 +294,11 @@
             message = f'failed with status {head.status}'
             answer = ErrorAnswer(head, body)
             return may_have_run(Reason.MAY_HAVE_RUN, message, answer)
+        if self._relay.started:
+            # Only a stream can go on with a stream.
+            return may_have_run(
+                Reason.MAY_HAVE_RUN, f'status {head.status} to a resumption'
+            )
         if head.succeeded:
             self._record_served()
         self._channel.answer(AnswerHead(head.status, head.fields), body)
