Keep a silent target's stream until another target has written more

Cause: a target that had sent nothing for 1 s was left as soon as the picker knew another one. Only then were the retry budget, the number of attempts and the quarantines asked, and only then did the other target refuse, fail, or break off. By that time nobody was working on the stream any more. Silence was taken as proof of a loss.

Now the second target is asked beside the silent one, after everything that may forbid a retry, and at most one at a time. The first of them to deliver something that the caller does not have goes on, and the other is cancelled before it is passed on. If one fails the other goes on alone. So an answer ends because of a connection, a deadline or the caller, and not because of silence. Both count as targets of the request, and the second as a retry. The origin of the stream is recorded for the target that writes.

The fakes sleep in virtual time now, as two attempts have to take turns.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -4,6 +4,7 @@
 import random
 
 from tests.gateway.samples import make_state
+from tests.virtual_time import run_virtual
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.cache_plan import CachePlan
@@ -45,6 +46,13 @@
 SILENT = ()
 
 
+class Pause:
+    """A part of a script: nothing arrives for `ms`."""
+
+    def __init__(self, ms):
+        self.ms = ms
+
+
 class FakeExchange:
     """Returns scripted parts, then nothing until the deadline."""
 
@@ -52,10 +60,20 @@
         self._clock = clock
         self._target = target
         self._parts = list(parts)
+        self._silent_until_ms = None
         self.message = ''
         self.cancelled = False
 
     async def next(self, until_ms):
+        if self._parts and isinstance(self._parts[0], Pause):
+            now_ms = self._clock.now_ms()
+            if self._silent_until_ms is None:
+                self._silent_until_ms = now_ms + self._parts[0].ms
+            await self._sleep(min(until_ms, self._silent_until_ms))
+            if self._clock.now_ms() < self._silent_until_ms:
+                return None
+            self._silent_until_ms = None
+            self._parts.pop(0)
         if self._parts:
             part = self._parts.pop(0)
             if callable(part):
@@ -63,9 +81,14 @@
             if not isinstance(part, ExchangeEnd):
                 self._target.load.record_activity()
             return part
-        self._clock.set_ms(max(until_ms, self._clock.now_ms()))
+        await self._sleep(until_ms)
         return None
 
+    async def _sleep(self, until_ms):
+        wait_ms = until_ms - self._clock.now_ms()
+        if wait_ms > 0:
+            await asyncio.sleep(wait_ms / 1000.0)
+
     def cancel(self):
         self.cancelled = True
 
@@ -163,6 +186,10 @@
         )
 
     def run(self, req, route, team=None):
+        run_virtual(self.clock, self.start(req, route, team))
+        return self.channel
+
+    async def start(self, req, route, team=None):
         run = RequestRun(
             self.ctx,
             self.client,
@@ -173,5 +200,4 @@
             team,
             self.channel,
         )
-        asyncio.run(run.run())
-        return self.channel
+        await run.run()
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -31,8 +31,8 @@
 STALL_CHECK_MS = 200.0
 # Interval at which a run that has not begun is checked for expired weights.
 BEGIN_CHECK_MS = 500.0
-# A resumable stream continues at another target after this time without
-# data, if its target sends nothing for any other request either.
+# A target is silent if it has sent nothing for a stream for this time, nor
+# for any other request.
 STALL_MS = 1_000.0
 # A target that has written a stream for this time does not crash under it.
 SERVED_MS = 1_000.0
@@ -58,8 +58,9 @@
 class Attempt:
     """Reads the answer of one target and passes it on if it is valid.
 
-    `can_fail_over` tells whether the request may continue at another target,
-    and `has_alternative` whether one would take it now.
+    `on_lead` is called before anything new is written to the caller, and
+    `on_stall` at intervals while the target is silent. If nothing may be done
+    about a silent target, `watches_stalls` is not set.
     """
 
     __slots__ = (
@@ -67,15 +68,17 @@
         '_terms',
         '_channel',
         '_relay',
-        '_target',
         '_exchange',
         '_in_flight',
-        '_can_fail_over',
-        '_has_alternative',
+        '_watches_stalls',
+        'target',
+        'on_lead',
+        'on_stall',
         'reported_load',
         'receipt',
         'served',
         '_first_event_ms',
+        '_quiet_since_ms',
     )
 
     def __init__(
@@ -87,23 +90,24 @@
         target: Target,
         exchange: Exchange,
         in_flight: InFlightRequest,
-        can_fail_over: bool,
-        has_alternative: Callable[[], bool],
+        watches_stalls: bool,
     ) -> None:
         self._ctx = ctx
         self._terms = terms
         self._channel = channel
         self._relay = relay
-        self._target = target
+        self.target = target
         self._exchange = exchange
         self._in_flight = in_flight
-        self._can_fail_over = can_fail_over
-        self._has_alternative = has_alternative
+        self._watches_stalls = watches_stalls
+        self.on_lead: Callable[[Attempt], None] = _ignore
+        self.on_stall: Callable[[Attempt], None] = _ignore
         self.reported_load = ''
         self.receipt = AnswerReceipt()
         # Whether the target lived on while it wrote the answer.
         self.served = False
         self._first_event_ms: float | None = None
+        self._quiet_since_ms = ctx.clock.now_ms()
 
     async def run(self) -> Failure | None:
         """Pass the answer on, or return why there is none to pass on."""
@@ -111,6 +115,18 @@
             return await self._receive_stream()
         return await self._receive_whole()
 
+    def close(self) -> None:
+        """Cancel the request at the target, unless it is complete."""
+        self._exchange.cancel()
+        self.target.load.close(self._in_flight)
+
+    @property
+    def silent_ms(self) -> float:
+        """The time for which the target has sent nothing at all."""
+        now_ms = self._ctx.clock.now_ms()
+        since_ms = max(self._quiet_since_ms, self.target.load.last_activity_ms)
+        return now_ms - since_ms
+
     async def _receive_whole(self) -> Failure | None:
         head: TargetHead | None = None
         body = bytearray()
@@ -127,8 +143,8 @@
                     return self._overlong('body')
             elif part is ExchangeEnd.COMPLETE and head is not None:
                 self._in_flight.answered = True
-                self._target.load.record_whole_answer(
-                    self._in_flight, self._target.slots
+                self.target.load.record_whole_answer(
+                    self._in_flight, self.target.slots
                 )
                 return self._process_answer(head, bytes(body))
             else:
@@ -153,10 +169,12 @@
                 self.receipt.events += len(events)
                 self.receipt.trailing_bytes = len(splitter.remainder)
                 if events:
-                    self._target.load.record_first_token(self._in_flight)
+                    self.target.load.record_first_token(self._in_flight)
                     self._record_progress()
-                self._relay.forward(head, events)
-                self._record_origin()
+                if self._relay.has_new(events):
+                    self.on_lead(self)
+                    self._relay.forward(head, events)
+                    self._record_origin()
                 if len(splitter.remainder) > self._ctx.answer_limits.event:
                     return self._overlong('event')
                 if self._channel.unsent_bytes > self._ctx.answer_limits.unsent:
@@ -210,8 +228,9 @@
             return transfer_failed(ExchangeEnd.BROKEN, message)
         if self.receipt.events:
             self._record_served()
+        self.on_lead(self)
         self._relay.finish(head, splitter.remainder)
-        self._target.load.record_run_end(self._in_flight)
+        self.target.load.record_run_end(self._in_flight)
         return None
 
     def _record_progress(self) -> None:
@@ -232,21 +251,21 @@
 
     def _record_origin(self) -> None:
         if self._relay.started and self._terms.origin is None:
-            self._terms.origin = origin_of(self._target)
+            self._terms.origin = origin_of(self.target)
 
     async def _next_stream_part(
         self,
     ) -> TargetHead | bytes | ExchangeEnd | Failure:
-        quiet_since_ms = self._ctx.clock.now_ms()
+        self._quiet_since_ms = self._ctx.clock.now_ms()
         while True:
             now_ms = self._ctx.clock.now_ms()
             until_ms = self._terms.deadline_ms
             if now_ms >= until_ms:
                 return timed_out()
-            if self._can_fail_over:
+            if self._watches_stalls:
                 until_ms = min(until_ms, now_ms + STALL_CHECK_MS)
             if not self._in_flight.answered:
-                begin_by_ms = self._terms.begin_by_ms(self._target)
+                begin_by_ms = self._terms.begin_by_ms(self.target)
                 if now_ms >= begin_by_ms:
                     return may_have_run(
                         Reason.OLD_WEIGHTS,
@@ -256,29 +275,17 @@
             part = await self._exchange.next(until_ms)
             if part is not None:
                 return part
-            if (
-                self._can_fail_over
-                and self._stalled(quiet_since_ms)
-                and self._has_alternative()
-            ):
-                return may_have_run(
-                    Reason.BROKEN_OFF, 'the target stopped sending'
-                )
-
-    def _stalled(self, quiet_since_ms: float) -> bool:
-        now_ms = self._ctx.clock.now_ms()
-        if now_ms - quiet_since_ms < STALL_MS:
-            return False
-        return now_ms - self._target.load.last_activity_ms >= STALL_MS
+            if self._watches_stalls and self.silent_ms >= STALL_MS:
+                self.on_stall(self)
 
     def _process_answer(self, head: TargetHead, body: bytes) -> Failure | None:
         """Pass a complete answer on, or return why it is not valid."""
         now_ms = self._ctx.clock.now_ms()
         if head.wrong_target:
-            self._target.refusing_until_ms = now_ms + WRONG_TARGET_PAUSE_MS
+            self.target.refusing_until_ms = now_ms + WRONG_TARGET_PAUSE_MS
             return not_run('wrong target or weight version', reached=False)
         if head.not_run:
-            self._target.refusing_until_ms = now_ms + FULL_PAUSE_MS
+            self.target.refusing_until_ms = now_ms + FULL_PAUSE_MS
             return not_run(f'refused with status {head.status}')
         if head.succeeded and not self._is_verified(head):
             return may_have_run(
@@ -301,6 +308,7 @@
             )
         if head.succeeded:
             self._record_served()
+        self.on_lead(self)
         self._channel.answer(AnswerHead(head.status, head.fields), body)
         return None
 
@@ -316,15 +324,19 @@
     def _record_head(self, head: TargetHead) -> None:
         self.receipt.framing = head.framing
         self._ctx.notices.record(
-            self._target, head.notice, 'answer', self._terms.req.id
+            self.target, head.notice, 'answer', self._terms.req.id
         )
         if head.load is not None:
-            self._target.load.record_reported(
+            self.target.load.record_reported(
                 head.load.running + head.load.waiting
             )
             self.reported_load = f'{head.load.running},{head.load.waiting}'
         generation = self._terms.req.generation
         if generation is not None and head.weight_version is not None:
-            weights = self._target.weights
+            weights = self.target.weights
             known = weights.get(generation.model, 0)
             weights[generation.model] = max(known, head.weight_version)
+
+
+def _ignore(attempt: Attempt) -> None:
+    pass
--- a/wigeonmill/gateway/failures.py
+++ b/wigeonmill/gateway/failures.py
@@ -58,6 +58,11 @@
     )
 
 
+def stalled() -> Failure:
+    """Return the failure of an attempt that another one has overtaken."""
+    return may_have_run(Reason.BROKEN_OFF, 'the target stopped sending')
+
+
 def not_run(message: str, reached: bool = True) -> Failure:
     """Return the failure of a request that the target has not run."""
     return Failure(Reason.NOT_RUN, message, reached, may_have_run=False)
--- a/wigeonmill/gateway/relay.py
+++ b/wigeonmill/gateway/relay.py
@@ -29,13 +29,16 @@
         """Whether the caller has been sent anything."""
         return self.started_ms is not None
 
+    def has_new(self, events: list[StreamEvent]) -> bool:
+        """Whether the caller does not have one of `events` yet."""
+        return any(self._is_new(event) for event in events)
+
     def forward(self, head: TargetHead, events: list[StreamEvent]) -> None:
         """Send the events that the caller does not have yet."""
         for event in events:
+            if not self._is_new(event):
+                continue
             if event.id is not None:
-                last = self.last_event_id
-                if last is not None and event.id <= last:
-                    continue
                 self.last_event_id = event.id
             self._start_answer(head)
             self._channel.send(event.data)
@@ -47,6 +50,11 @@
             self._channel.send(remainder)
         self._channel.finish()
 
+    def _is_new(self, event: StreamEvent) -> bool:
+        if event.id is None or self.last_event_id is None:
+            return True
+        return event.id > self.last_event_id
+
     def _start_answer(self, head: TargetHead) -> None:
         if not self.started:
             self.started_ms = self._clock.now_ms()
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -17,7 +17,9 @@
 from wigeonmill.gateway.desired import Route
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.desired import Team
+from wigeonmill.gateway.failover import Failover
 from wigeonmill.gateway.failures import Failure
+from wigeonmill.gateway.failures import stalled
 from wigeonmill.gateway.part_guard import Quarantine
 from wigeonmill.gateway.picker import Pick
 from wigeonmill.gateway.picker import Picker
@@ -66,7 +68,15 @@
         self._log = RunLog(ctx, self._terms, self._relay)
         self._fingerprint = request_fingerprint(req, team.name if team else '')
         self._attempts = 0
+        # Attempts that may have arrived at the service, and how many of them
+        # the retry budget has been asked for.
+        self._arrivals = 0
+        self._retries_acquired = 0
         self._targets_reached = 0
+        self._began_at: Target | None = None
+        # The attempt that was started beside another one, while both run.
+        self._second: Attempt | None = None
+        self._second_denials: set[str] = set()
         self._may_have_run = False
         self._tried_ids: list[str] = []
 
@@ -94,7 +104,6 @@
             if failure is None:
                 self._log.log_end('answered', self._attempts)
                 return
-            self._track_failure(failure)
             if not self._may_retry(failure):
                 self._give_up(failure)
                 return
@@ -160,15 +169,26 @@
         )
 
     async def _send(self, pick: Pick) -> Failure | None:
+        attempt = self._begin(pick)
+        if self._can_fail_over():
+            return await Failover(self).run(attempt)
+        try:
+            failure = await attempt.run()
+        finally:
+            attempt.close()
+        self.on_end(attempt, failure)
+        return failure
+
+    def _begin(self, pick: Pick) -> Attempt:
+        """Send the request to a target."""
         target = pick.target
         self._tried_ids.append(target.id)
+        self._arrivals += 1
         if target.is_cold(self._ctx.clock.now_ms()):
             target.cold_allowance.record()
         self._ctx.circuits.record_dispatch(target.id)
         priority = self._terms.priority(pick)
-        self._log.record_attempt(pick, priority)
-        if self._route.resumable and self._terms.origin is None:
-            self._ctx.origins.record(self._req.id, target)
+        self._record_origin(target)
         generation = self._req.generation
         in_flight = target.load.open(
             generation.tokens if generation else 0,
@@ -191,30 +211,88 @@
             exchange,
             in_flight,
             self._can_fail_over(),
-            self._has_alternative,
         )
-        try:
-            failure = await attempt.run()
-        finally:
-            exchange.cancel()
-            target.load.close(in_flight)
-        self._log.reported_load = attempt.reported_load
-        self._log.receipt = attempt.receipt
-        self._record_outcome(target, failure)
-        if failure is not None and not attempt.served:
-            self._record_lost_parts(target, failure)
-        return failure
+        self._log.record_attempt(attempt, pick, priority)
+        return attempt
 
     def _can_fail_over(self) -> bool:
-        """Whether the request may continue at another target."""
-        if not self._route.idempotent or self._attempts >= MAX_ATTEMPTS:
-            return False
-        return self._targets_reached + 1 < self._terms.max_targets
+        """Whether another target may be tried while one is silent."""
+        return (
+            self._route.kind is RouteKind.STREAMING and self._route.idempotent
+        )
 
-    def _has_alternative(self) -> bool:
-        """Whether a target would take the request if it left its own."""
-        demand = self._terms.demand(self._tried_ids)
-        return self._picker.pick(demand).is_ok()
+    def start_second(self, first: Attempt) -> Attempt | None:
+        """Start an attempt beside `first`, or return None if none may be."""
+        picked = self._picker.pick(self._terms.demand(self._tried_ids))
+        if isinstance(picked, Err):
+            return None
+        pick = picked.ok_value
+        if self._deadline_refusal(pick) is not None:
+            return None
+        denial = self._retry_denial(running=1)
+        if denial:
+            self._record_second_denial(first, denial)
+            return None
+        self._attempts += 1
+        self._second = self._begin(pick)
+        self._record_second('started', first, self._second)
+        return self._second
+
+    def on_lead(self, attempt: Attempt, overtaken: Attempt | None) -> None:
+        """Record where the stream goes on, before the caller gets more."""
+        self._record_origin(attempt.target)
+        if overtaken is None:
+            return
+        self._track_failure(stalled())
+        if overtaken is self._second:
+            self._record_second('first_went_on', attempt, overtaken)
+        else:
+            self._record_outcome(overtaken.target, stalled())
+            self._record_second('took_over', overtaken, attempt)
+        self._second = None
+
+    def on_end(self, attempt: Attempt, failure: Failure | None) -> None:
+        """Record how an attempt ended."""
+        self._log.record_end(attempt)
+        self._record_outcome(attempt.target, failure)
+        if failure is None:
+            return
+        self._track_failure(failure)
+        if not attempt.served:
+            self._record_lost_parts(attempt.target, failure)
+        if self._second is not None:
+            outcome = 'failed' if attempt is self._second else 'first_failed'
+            self._record_second(outcome, attempt, self._second, failure)
+            self._second = None
+
+    def _record_second(
+        self,
+        outcome: str,
+        attempt: Attempt,
+        second: Attempt,
+        failure: Failure | None = None,
+    ) -> None:
+        """Record what became of an attempt beside a silent target.
+
+        `attempt` is the other one, or the one that failed.
+        """
+        self._ctx.metrics.count('gateway_second_attempts', outcome)
+        self._log.log_second(outcome, attempt, second, failure)
+
+    def _record_second_denial(self, first: Attempt, denial: str) -> None:
+        """Record once why no attempt may be started beside `first`."""
+        if denial not in self._second_denials:
+            self._second_denials.add(denial)
+            self._ctx.metrics.count('gateway_second_attempts', denial)
+            self._log.log_second(denial, first, None)
+
+    def _record_origin(self, target: Target) -> None:
+        """Record where the stream begins, before the caller can resume it."""
+        if not self._route.resumable or self._terms.origin is not None:
+            return
+        if target is not self._began_at:
+            self._began_at = target
+            self._ctx.origins.record(self._req.id, target)
 
     def _record_outcome(self, target: Target, failure: Failure | None) -> None:
         """Update the health of a target with the outcome of an attempt."""
@@ -255,12 +333,14 @@
             )
 
     def _track_failure(self, failure: Failure) -> None:
+        if not failure.arrived_at_service:
+            self._arrivals -= 1
         if failure.reached:
             self._targets_reached += 1
         self._may_have_run = self._may_have_run or failure.may_have_run
 
     def _may_retry(self, failure: Failure) -> bool:
-        denial = self._retry_denial(failure)
+        denial = 'final' if failure.final else self._retry_denial(running=0)
         if denial:
             self._ctx.metrics.count('gateway_retries_denied', denial)
             return False
@@ -268,10 +348,11 @@
         self._log.log_retry(failure, self._attempts)
         return True
 
-    def _retry_denial(self, failure: Failure) -> str:
-        """Return why the request must not be retried, or '' if it may be."""
-        if failure.final:
-            return 'final'
+    def _retry_denial(self, running: int) -> str:
+        """Return why no target may be tried besides the `running` ones.
+
+        It is empty if one may be; the retry budget has been used then.
+        """
         if self._may_have_run and not self._route.idempotent:
             return 'may_have_run'
         if self._channel.closed:
@@ -280,7 +361,7 @@
             return 'deadline'
         if (
             self._attempts >= MAX_ATTEMPTS
-            or self._targets_reached >= self._terms.max_targets
+            or self._targets_reached + running >= self._terms.max_targets
         ):
             return 'attempts'
         if self._ctx.crash_guard.refuses(self._fingerprint):
@@ -289,10 +370,11 @@
             return 'part_crashes_targets'
         # The retry budget counts arrivals at the service. An attempt that did
         # not leave this process is not one.
-        if failure.arrived_at_service:
+        if self._retries_acquired < self._arrivals:
             allowance = self._ctx.retries(self._terms.service)
             if not allowance.try_acquire(self._ctx.entry_count()):
                 return 'budget'
+            self._retries_acquired += 1
         return ''
 
     def _give_up(self, failure: Failure) -> None:
--- a/wigeonmill/gateway/run_log.py
+++ b/wigeonmill/gateway/run_log.py
@@ -4,6 +4,7 @@
 
 from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.attempt import AnswerReceipt
+from wigeonmill.gateway.attempt import Attempt
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.failures import Failure
 from wigeonmill.gateway.picker import Pick
@@ -23,8 +24,9 @@
         '_relay',
         '_pick',
         '_priority',
-        'reported_load',
-        'receipt',
+        '_sent',
+        '_reported_load',
+        '_receipt',
     )
 
     def __init__(
@@ -35,13 +37,45 @@
         self._relay = relay
         self._pick: Pick | None = None
         self._priority = 0
-        self.reported_load = ''
-        self.receipt = AnswerReceipt()
+        self._sent: dict[Attempt, tuple[Pick, int]] = {}
+        self._reported_load = ''
+        self._receipt = AnswerReceipt()
 
-    def record_attempt(self, pick: Pick, priority: int) -> None:
+    def record_attempt(
+        self, attempt: Attempt, pick: Pick, priority: int
+    ) -> None:
         """Record the target and the priority of an attempt."""
-        self._pick = pick
-        self._priority = priority
+        self._sent[attempt] = (pick, priority)
+
+    def record_end(self, attempt: Attempt) -> None:
+        """Record the attempt that has ended last."""
+        self._pick, self._priority = self._sent[attempt]
+        self._reported_load = attempt.reported_load
+        self._receipt = attempt.receipt
+
+    def log_second(
+        self,
+        outcome: str,
+        attempt: Attempt,
+        second: Attempt | None,
+        failure: Failure | None = None,
+    ) -> None:
+        """Log what becomes of a second attempt beside a silent target."""
+        terms = self._terms
+        allowance = self._ctx.retries(terms.service)
+        logger.info(
+            'second attempt',
+            extra={
+                'request_id': terms.req.id,
+                'outcome': outcome,
+                'target': attempt.target.id,
+                'second_target': second.target.id if second else '',
+                'silent_ms': round(attempt.silent_ms, 1),
+                'remaining_ms': round(terms.remaining_ms, 1),
+                'budget': round(allowance.available(self._ctx.entry_count())),
+                'detail': failure.message if failure else '',
+            },
+        )
 
     def log_retry(self, failure: Failure, attempts: int) -> None:
         """Log that the request is retried at another target."""
@@ -104,14 +138,14 @@
             'tries': attempts,
             'took_ms': round(elapsed_ms, 1),
             'first_ms': round(first_ms, 1),
-            'load': self.reported_load,
+            'load': self._reported_load,
             'fetched_tokens': terms.plan.fetched_tokens,
             'saved_tokens': terms.plan.saved_tokens,
         }
-        if self.receipt.framing is not None:
-            extra['framing'] = self.receipt.framing.value
-            extra['events'] = self.receipt.events
-            extra['trailing_bytes'] = self.receipt.trailing_bytes
+        if self._receipt.framing is not None:
+            extra['framing'] = self._receipt.framing.value
+            extra['events'] = self._receipt.events
+            extra['trailing_bytes'] = self._receipt.trailing_bytes
         if terms.req.last_event_id is not None:
             extra['resumed_id'] = terms.req.resumed_id
             extra['began_at'] = (
