Keep connections to targets that stand still for seconds

What callers saw: a request that had been sent ended without its answer, with a 502, or its stream was broken off, though the target went on 2.5 s later (LOST).

Cause: TCP_USER_TIMEOUT of 2 s, and keep-alive probes for 3 s. The kernel applies the time not only to data that nobody acknowledges: it also closes the connection of a peer that acknowledges everything and reads nothing, such as a process that stands still while it reads a long body.

Evidence: in the test a server reads nothing of a body of 72,000 bytes for 2.5 s.

Now either takes 5 s.

Not run: a link that drops all packets, which needs a network of its own; for that case the test checks the options of the socket.

--- a/tests/providers/test_transfers.py
+++ b/tests/providers/test_transfers.py
@@ -1,16 +1,20 @@
 """Tests transfers against a server that sends scripted bytes."""
 
 import asyncio
+import socket
 
 import pytest
 
 from wigeonmill.providers.fetch import fetch
 from wigeonmill.providers.transfers import Framing
+from wigeonmill.providers.transfers import open_socket
 from wigeonmill.providers.transfers import ReplyHead
 from wigeonmill.providers.transfers import TransferCall
 from wigeonmill.providers.transfers import TransferLoop
 
 TIMEOUT_S = 10.0
+# A sound target may stand still for this time.
+LONGEST_SILENCE_S = 2.5
 REPLY = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: 1\r\n\r\nwhole'
 
 
@@ -260,6 +264,65 @@
     with_server(server, check)
 
 
+# Guards against LOST: a target that stood still while it read a long body
+# lost the request, because its connection was closed after 2 s.
+@pytest.mark.parametrize('pause_s', [1.5, 2.5])
+def test_a_server_that_stands_still_keeps_its_request(pause_s):
+    body = b'x' * 72_000
+
+    async def check(address_loop):
+        listener = socket.create_server(('127.0.0.1', 0))
+        # The buffer must not hold the body, so that the server must read.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        listener.setblocking(False)
+
+        async def serve():
+            event_loop = asyncio.get_running_loop()
+            conn, _address = await event_loop.sock_accept(listener)
+            reader, writer = await asyncio.open_connection(sock=conn)
+            writer.transport.pause_reading()
+            await asyncio.sleep(pause_s)
+            writer.transport.resume_reading()
+            await reader.readexactly(len(body))
+            writer.write(REPLY)
+
+        server = asyncio.ensure_future(serve())
+        address = '127.0.0.1:%d' % listener.getsockname()[1]
+        try:
+            call = make_call(address, body=body)
+            reply = await fetch(address_loop, call, 8_000)
+            assert reply.unwrap().body == b'whole'
+        finally:
+            server.cancel()
+            listener.close()
+
+    async def run():
+        loop = TransferLoop()
+        try:
+            await asyncio.wait_for(check(loop), TIMEOUT_S)
+        finally:
+            loop.close()
+
+    asyncio.run(run())
+
+
+def test_a_connection_survives_a_silence_of_its_peer():
+    sock = open_socket(0, (socket.AF_INET, socket.SOCK_STREAM, 0))
+    with sock:
+        level = socket.IPPROTO_TCP
+        idle_s, interval_s, probes, timeout_ms = (
+            sock.getsockopt(level, option)
+            for option in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_KEEPCNT,
+                socket.TCP_USER_TIMEOUT,
+            )
+        )
+    assert idle_s + interval_s * probes > LONGEST_SILENCE_S
+    assert timeout_ms > 1_000 * LONGEST_SILENCE_S
+
+
 def test_cancelled_transfer_closes_its_connection():
     events = []
 
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -24,9 +24,10 @@
 # and the number of unanswered probes after which the connection is closed.
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
-KEEP_ALIVE_PROBES = 2
-# Time after which a connection with unacknowledged data is closed.
-TCP_USER_TIMEOUT_MS = 2_000
+KEEP_ALIVE_PROBES = 4
+# Time after which a connection with unacknowledged data is closed, also if
+# its peer acknowledges but reads nothing.
+TCP_USER_TIMEOUT_MS = 5_000
 
 _TCP_KEEPCNT = getattr(socket, 'TCP_KEEPCNT', 6)
 _TCP_USER_TIMEOUT = getattr(socket, 'TCP_USER_TIMEOUT', 18)
@@ -339,7 +340,7 @@
     curl.setopt(pycurl.PROXY, '')
     curl.setopt(pycurl.BUFFERSIZE, RECEIVE_BUFFER_BYTES)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(call.connect_timeout_ms)))
-    curl.setopt(pycurl.OPENSOCKETFUNCTION, _open_socket)
+    curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
     if call.max_idle_s > 0:
         curl.setopt(pycurl.MAXAGE_CONN, call.max_idle_s)
     else:
@@ -386,7 +387,8 @@
     return [line.encode('latin-1') for line in lines]
 
 
-def _open_socket(_purpose: int, address: object) -> socket.socket | int:
+def open_socket(_purpose: int, address: object) -> socket.socket | int:
+    """Return a socket for curl that notices a lost peer."""
     family, kind, protocol = address[0], address[1], address[2]  # type: ignore
     sock = socket.socket(family, kind, protocol)
     sock.setblocking(False)
