Log why no second target is asked beside a silent one

Attempts, deadline and quarantines are checked before a target is chosen, so a silent stream that may not be retried costs no choice of a target every 200 ms, and a stream for which none can be chosen shows why. Routes with one target never watch for silence.

--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -3,6 +3,7 @@
 import logging
 
 from result import Err
+from result import Result
 
 from wigeonmill.gateway.answers import AnswerHead
 from wigeonmill.gateway.answers import CallerChannel
@@ -128,14 +129,18 @@
 
     async def _attempt_once(self) -> Failure | None:
         self._attempts += 1
-        picked = self._picker.pick(self._terms.demand(self._tried_ids))
+        picked = self._pick()
         if isinstance(picked, Err):
             return _not_sent(picked.err_value)
-        pick = picked.ok_value
-        refusal = self._deadline_refusal(pick)
-        if refusal is not None:
-            return _not_sent(refusal)
-        return await self._send(pick)
+        return await self._send(picked.ok_value)
+
+    def _pick(self) -> Result[Pick, Refusal]:
+        """Return a target that was not tried, if one can start in time."""
+        picked = self._picker.pick(self._terms.demand(self._tried_ids))
+        if isinstance(picked, Err):
+            return picked
+        refusal = self._deadline_refusal(picked.ok_value)
+        return picked if refusal is None else Err(refusal)
 
     def _part_refusal(self, quarantine: Quarantine) -> Refusal:
         """Return the refusal of a prompt with parts that crash targets."""
@@ -218,23 +223,27 @@
     def _can_fail_over(self) -> bool:
         """Whether another target may be tried while one is silent."""
         return (
-            self._route.kind is RouteKind.STREAMING and self._route.idempotent
+            self._route.kind is RouteKind.STREAMING
+            and self._route.idempotent
+            and self._terms.max_targets > 1
         )
 
     def start_second(self, first: Attempt) -> Attempt | None:
         """Start an attempt beside `first`, or return None if none may be."""
-        picked = self._picker.pick(self._terms.demand(self._tried_ids))
-        if isinstance(picked, Err):
-            return None
-        pick = picked.ok_value
-        if self._deadline_refusal(pick) is not None:
-            return None
         denial = self._retry_denial(running=1)
+        if denial:
+            self._record_second_denial(first, denial)
+            return None
+        picked = self._pick()
+        if isinstance(picked, Err):
+            denial = picked.err_value.reason.value
+        elif not self._acquire_retry():
+            denial = 'budget'
         if denial:
             self._record_second_denial(first, denial)
             return None
         self._attempts += 1
-        self._second = self._begin(pick)
+        self._second = self._begin(picked.unwrap())
         self._record_second('started', first, self._second)
         return self._second
 
@@ -341,6 +350,8 @@
 
     def _may_retry(self, failure: Failure) -> bool:
         denial = 'final' if failure.final else self._retry_denial(running=0)
+        if not denial and not self._acquire_retry():
+            denial = 'budget'
         if denial:
             self._ctx.metrics.count('gateway_retries_denied', denial)
             return False
@@ -351,7 +362,7 @@
     def _retry_denial(self, running: int) -> str:
         """Return why no target may be tried besides the `running` ones.
 
-        It is empty if one may be; the retry budget has been used then.
+        It is empty if one may be, as far as the retry budget allows it.
         """
         if self._may_have_run and not self._route.idempotent:
             return 'may_have_run'
@@ -368,15 +379,22 @@
             return 'crashes_targets'
         if self._ctx.part_guard.find(self._terms.part_keys):
             return 'part_crashes_targets'
-        # The retry budget counts arrivals at the service. An attempt that did
-        # not leave this process is not one.
-        if self._retries_acquired < self._arrivals:
-            allowance = self._ctx.retries(self._terms.service)
-            if not allowance.try_acquire(self._ctx.entry_count()):
-                return 'budget'
-            self._retries_acquired += 1
         return ''
 
+    def _acquire_retry(self) -> bool:
+        """Use the retry budget for one more attempt, if it allows one.
+
+        The budget counts arrivals at the service. An attempt that did not
+        leave this process is not one.
+        """
+        if self._retries_acquired >= self._arrivals:
+            return True
+        allowance = self._ctx.retries(self._terms.service)
+        if not allowance.try_acquire(self._ctx.entry_count()):
+            return False
+        self._retries_acquired += 1
+        return True
+
     def _give_up(self, failure: Failure) -> None:
         if self._relay.started:
             self._channel.abort()
