Keep an error in one record from stopping the others

A record whose bytes are nested deeper than the decoder goes, or that a component could not apply, raised out of the mirror: the records that came with it, such as a new configuration, were applied only after the sync had been started again half a second later, and the record itself never, as the mirror already had it.

An error now concerns its record alone; it is logged and counted (`records_not_applied`).

--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -154,3 +154,12 @@
     assert decode('op/evacuate/z', {}) == DomainServiceChanged('z', False)
     assert decode('op/evacuate/z', None) == DomainServiceChanged('z', True)
     assert decode('op/unknown', {}) is None
+
+
+# Guards against an intake that stops: bytes that can't be read may be nested
+# deeper than the decoder goes.
+@pytest.mark.parametrize('key', ['servers/t1', 'op/config', 'op/version/m'])
+def test_a_record_that_is_nested_too_deeply_is_malformed(key):
+    record = Record(key, 1, b'{"a":' * 100_000)
+    change = AllianceRecords().decode(record)
+    assert change is None or change == TargetUnlisted('t1')
--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -71,7 +71,17 @@
         self._on_desired_state = on_desired_state
 
     def apply_record(self, record: Record) -> None:
-        """Apply a changed record."""
+        """Apply a changed record; an error concerns this record alone."""
+        try:
+            self._apply(record)
+        except Exception:
+            self._ctx.metrics.count('records_not_applied')
+            logger.exception(
+                'record not applied',
+                extra={'key': record.key, 'revision': record.revision},
+            )
+
+    def _apply(self, record: Record) -> None:
         if record.key.startswith(PREFIX):
             self._apply_own_record(record)
             return
