Read requests up to the limits of the configuration

What callers saw: where a configuration allows heads over 64 KiB or bodies over 16 MiB, a request within its limits got a closed connection (head) or status 400 (body), from fixed limits of the server; a head that is too large got no answer.

Limits of bodies now follow the configuration, also on connections that wait. Heads are read up to 1 MiB; those over the limit are answered with status 431 (`headers_too_large`). The lower limits of a configuration are unchanged.

The tests failed before: 17,000,000 bytes allowed by the configuration got 400, and a head of 70,000 bytes a bare close, allowed or not (tests/gateway/ test_server.py).

--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -13,6 +13,7 @@
 from wigeonmill.gateway.answers import AnswerHead
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import Refusal
+from wigeonmill.gateway.desired import RequestLimits
 from wigeonmill.gateway.server import GatewayServer
 from wigeonmill.metrics import Metrics
 
@@ -288,3 +289,48 @@
         assert forwarder.served == 1
 
     run_with_server(check)
+
+
+LARGE_BODY = b'x' * 17_000_000
+REQUEST_WITH_LARGE_BODY = (
+    b'POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 17000000\r\n\r\n'
+    + LARGE_BODY
+)
+REQUEST_WITH_LARGE_HEAD = (
+    b'GET /a/x HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * 70_000 + b'\r\n\r\n'
+)
+
+
+# Guards against LOST beside a change of the configuration: requests within its
+# limits met the smaller ones of the server, and a close or status 400.
+@pytest.mark.parametrize(
+    'request_bytes', [REQUEST_WITH_LARGE_BODY, REQUEST_WITH_LARGE_HEAD]
+)
+def test_limits_that_are_raised_hold_for_connections_that_wait(request_bytes):
+    async def check(server, forwarder, port):
+        forwarder.may_finish.set()
+        reader, writer = await connect(port)
+        writer.write(REQUEST)
+        await reader.readuntil(b'whole')
+        limits = RequestLimits(header_bytes=80_000, body_bytes=20_000_000)
+        server.set_limits(limits)
+        writer.write(request_bytes)
+        answer = await reader.readuntil(b'whole')
+        assert answer.startswith(b'HTTP/1.1 200')
+        writer.close()
+
+    run_with_server(check)
+
+
+def test_a_head_that_is_too_large_is_refused():
+    """Its connection was closed without an answer."""
+
+    async def check(server, forwarder, port):
+        reader, writer = await connect(port)
+        writer.write(REQUEST_WITH_LARGE_HEAD)
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 431')
+        assert server.open_requests == 0
+        writer.close()
+
+    run_with_server(check)
--- a/wigeonmill/gateway/answers.py
+++ b/wigeonmill/gateway/answers.py
@@ -16,6 +16,7 @@
     UNKNOWN_KEY = 'unknown_key'
     MALFORMED = 'malformed'
     BODY_TOO_LARGE = 'body_too_large'
+    HEADERS_TOO_LARGE = 'headers_too_large'
     NO_TARGET = 'no_target'
     TARGETS_FULL = 'targets_full'
     TARGETS_COLD = 'targets_cold'
@@ -44,6 +45,7 @@
     Reason.UNKNOWN_KEY: 401,
     Reason.MALFORMED: 400,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.HEADERS_TOO_LARGE: 431,
     Reason.NO_TARGET: 503,
     Reason.TARGETS_FULL: 503,
     Reason.TARGETS_COLD: 503,
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -373,7 +373,7 @@
 
     def _on_desired_state(self, state: DesiredState) -> None:
         self._stores.set_stores(state.stores)
-        self._server.set_idle_time(state.limits.idle_ms)
+        self._server.set_limits(state.limits)
 
     def _on_connection_change(self, connected: bool) -> None:
         if connected:
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -32,6 +32,7 @@
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.answers import RequestState
+from wigeonmill.gateway.desired import RequestLimits
 from wigeonmill.gateway.forwarder import Forwarder
 from wigeonmill.gateway.idle_conns import IdleConns
 from wigeonmill.gateway.request import CallerRequest
@@ -41,7 +42,11 @@
 
 logger = logging.getLogger(__name__)
 
+# Limits of what is read of a request. The configuration may raise them, and
+# its own lower ones apply to requests that were read.
 MAX_HEADER_BYTES = 64 * 1024
+# A longer head is not read to its end and gets no answer.
+MAX_READ_HEADER_BYTES = 1024 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Maximum number of connections that wait to be accepted.
 BACKLOG = 1024
@@ -54,6 +59,9 @@
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _STATUSES_WITHOUT_BODY = (204, 304)
 _INTERNAL_ERROR = Refusal(Reason.INTERNAL, 'internal error')
+_HEADERS_TOO_LARGE = Refusal(
+    Reason.HEADERS_TOO_LARGE, 'the header fields are too large'
+)
 # Another entry can serve the request at once.
 _SHUTTING_DOWN = Refusal(
     Reason.SHUTTING_DOWN, 'this entry is shutting down', 50.0
@@ -117,6 +125,8 @@
         self.draining = False
         # Whether requests are refused because the process is about to stop.
         self.refusing = False
+        self.max_body_bytes = MAX_BODY_BYTES
+        self.max_header_bytes = MAX_HEADER_BYTES
         self.port = 0
         self._open: set[_Channel] = set()
         # Connections with an answer that the kernel has not taken yet.
@@ -167,7 +177,7 @@
         self.port = sockets[0].getsockname()[1]
         self._server = HTTPServer(
             self,
-            max_header_size=MAX_HEADER_BYTES,
+            max_header_size=MAX_READ_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
         )
         # Its timer keeps the limit that it was started with and does not see
@@ -216,6 +226,12 @@
         self._close_reasons[conn] = reason
         conn.close()
 
+    def set_limits(self, limits: RequestLimits) -> None:
+        """Set the limits of requests, also on connections that are open."""
+        self.set_idle_time(limits.idle_ms)
+        self.max_body_bytes = max(MAX_BODY_BYTES, limits.body_bytes)
+        self.max_header_bytes = max(MAX_HEADER_BYTES, limits.header_bytes)
+
     def set_idle_time(self, idle_ms: float) -> None:
         """Set how long callers may reuse idle connections."""
         self._idle.limit_ms = idle_ms + IDLE_SLACK_MS
@@ -246,6 +262,7 @@
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
         self._server.remove_idle(self._conn)
+        self._conn.set_max_body_size(self._server.max_body_bytes)
         self._start = start_line
         self._headers = headers
         self._received_ms = self._server.clock.now_ms()
@@ -278,6 +295,8 @@
         server.last_request_ms = now_ms
         if isinstance(decoded, Err):
             channel.refuse_unserved(decoded.err_value)
+        elif _size(self._headers) > server.max_header_bytes:
+            channel.refuse_unserved(_HEADERS_TOO_LARGE, decoded.ok_value)
         elif server.refusing:
             channel.refuse_unserved(_SHUTTING_DOWN, decoded.ok_value)
         else:
@@ -595,6 +614,10 @@
     conn.close()
 
 
+def _size(headers: HTTPHeaders) -> int:
+    return sum(len(name) + len(value) for name, value in headers.get_all())
+
+
 def retry_after_s(retry_after_ms: float) -> str:
     """Return a Retry-After value in seconds, rounded up to hundredths."""
     return f'{math.ceil(retry_after_ms / 10.0) / 100.0:.2f}'
