--- a/wigeonmill/gateway/adapter.py
+++ b/wigeonmill/gateway/adapter.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
+from wigeonmill.gateway.caller_codec import CallerCodec
 from wigeonmill.gateway.changes import RecordDecoder
 from wigeonmill.gateway.engine_orders import EngineOrders
-from wigeonmill.gateway.server import CallerCodec
 from wigeonmill.gateway.store_watch import CacheStores
 from wigeonmill.gateway.sync import RecordSource
 from wigeonmill.gateway.target_client import TargetCodec
