Refuse requests that are read when an entry accepts no more

What callers saw: a request whose last byte came late in a drain, on a connection that was half read when accepting stopped, was started like any other. Its stream was cut at the end of the drain, which is excused only for requests sent shortly after SIGTERM.

From the moment at which no connections are accepted, requests that are read get 503 (`shutting_down`) with `Connection: close`, so that their callers go to another entry at once. Those that were read before are served on.

The test failed before (tests/platform/test_drain.py): the stream was started.

--- a/tests/platform/test_drain.py
+++ b/tests/platform/test_drain.py
@@ -141,3 +141,27 @@
         writer.close()
 
     run(check)
+
+
+# Guards against LOST: a request that was read when the time to accept was over
+# could still be open at the end of the drain, and its stream was cut.
+def test_a_request_read_when_no_more_are_accepted_is_refused(monkeypatch):
+    monkeypatch.setattr('wigeonmill.gateway.role.DRAIN_FRACTION', 0.5)
+
+    async def check(role):
+        role._server.forwarder = Forwarder(RequestState.STREAMING)
+        _reader, open_writer = await connect(role._server)
+        open_writer.write(HEAD + b'body')
+        reader, writer = await connect(role._server)
+        writer.write(HEAD + b'bo')
+        await asyncio.sleep(0.05)
+        role._stop.set()
+        await asyncio.sleep(0.5)
+        writer.write(b'dy')
+        status, _body = await read_answer(reader)
+        assert status == 503
+        assert role._server.open_requests == 1
+        writer.close()
+        open_writer.close()
+
+    run(check)
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -75,7 +75,7 @@
         self.clock = clock
         self.metrics = metrics
         self.draining = False
-        # Whether requests are refused because the process is about to stop.
+        # Whether new requests are refused because the process will stop.
         self.refusing = False
         self.max_body_bytes = MAX_BODY_BYTES
         self.max_header_bytes = MAX_HEADER_BYTES
@@ -158,7 +158,8 @@
         return self._close_reasons.get(conn, CloseReason.CALLER)
 
     def stop_accepting(self) -> None:
-        """Stop accepting new connections."""
+        """Stop accepting new connections and requests."""
+        self.refusing = True
         if self._server is not None:
             self._server.stop()
 
