--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -6,6 +6,7 @@
 import random
 import subprocess
 import sys
+import threading
 import time
 
 import msgspec
@@ -15,6 +16,7 @@
 from alliance.caches import AllianceCaches
 from alliance.callers import AllianceCallers
 from alliance.daemon import EXIT_SETTINGS
+from alliance.daemon import main
 from alliance.daemon import SETTINGS_VARIABLE
 from alliance.engines import AllianceEngines
 from alliance.records import AllianceRecords
@@ -167,3 +169,39 @@
         )
 
     run_role(lambda: Ok(loads[0]), check)
+
+
+def start_with(path, monkeypatch):
+    """Run the main program up to its loop; return the exit code."""
+    started = []
+
+    async def run(settings, path, started_boot_ms):
+        started.append(settings)
+
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    monkeypatch.setattr('alliance.daemon.run', run)
+    monkeypatch.setattr('alliance.daemon.configure_logs', lambda *args: None)
+    code = main(0.0)
+    return code, started
+
+
+# Guards against a process that does not start: it met its settings while they
+# were being written, and ended.
+def test_a_process_waits_for_settings_that_are_being_written(
+    tmp_path, monkeypatch
+):
+    path = tmp_path / 'settings.json'
+    whole = msgspec.json.encode(SETTINGS)
+    path.write_bytes(whole[:40])
+    timer = threading.Timer(0.2, path.write_bytes, [whole])
+    timer.start()
+    code, started = start_with(path, monkeypatch)
+    timer.join()
+    assert (code, started) == (0, [SETTINGS])
+
+
+def test_a_process_ends_if_its_settings_stay_malformed(tmp_path, monkeypatch):
+    monkeypatch.setattr('alliance.daemon.SETTINGS_RETRY_S', 0.0)
+    path = tmp_path / 'settings.json'
+    path.write_bytes(b'{')
+    assert start_with(path, monkeypatch) == (EXIT_SETTINGS, [])
