End a transfer whose reply can't be handled, and no other

What callers could see: if the handling of one part of a target's reply raised, the part was dropped and the transfer still ended as complete (an answer with a piece missing, or one without its head), and what other transfers had received in the same moment was left until curl called again. No reply of the users' is known to have done it.

Such a transfer is now cancelled and ends as broken, with a traceback in the log; the delivery goes on with the others.

--- a/tests/providers/test_transfers.py
+++ b/tests/providers/test_transfers.py
@@ -8,6 +8,7 @@
 from wigeonmill.providers.transfers import Framing
 from wigeonmill.providers.transfers import ReplyHead
 from wigeonmill.providers.transfers import TransferCall
+from wigeonmill.providers.transfers import TransferEnd
 from wigeonmill.providers.transfers import TransferLoop
 
 TIMEOUT_S = 10.0
@@ -277,3 +278,45 @@
             await asyncio.sleep(0.01)
 
     with_server(SilentServer(), check)
+
+
+class BrokenSink:
+    """Fails in one callback and records the ends that it is told of."""
+
+    def __init__(self, broken):
+        self._broken = broken
+        self.ends = []
+
+    def _handle(self, callback):
+        if callback == self._broken:
+            raise ValueError(callback)
+
+    def on_head(self, head):
+        self._handle('on_head')
+
+    def on_data(self, data):
+        self._handle('on_data')
+
+    def on_end(self, end, message):
+        self.ends.append(end)
+        self._handle('on_end')
+
+
+# Guards against requests without an answer: an error in the handling of one
+# reply dropped its rest, and the ends of other transfers of the same moment.
+@pytest.mark.parametrize('broken', ['on_head', 'on_data', 'on_end'])
+def test_an_error_in_one_sink_does_not_reach_other_transfers(broken):
+    async def check(loop, address):
+        sinks = [BrokenSink(broken) for _ in range(4)]
+        for sink in sinks:
+            loop.start(make_call(address), sink)
+        outcomes = await asyncio.gather(
+            *(fetch(loop, make_call(address), 2_000) for _ in range(4))
+        )
+        assert all(outcome.is_ok() for outcome in outcomes)
+        end = (
+            TransferEnd.COMPLETE if broken == 'on_end' else TransferEnd.BROKEN
+        )
+        assert [sink.ends for sink in sinks] == [[end]] * 4
+
+    with_server(ScriptedServer([REPLY] * 8), check)
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -8,11 +8,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 import enum
+import logging
 import socket
 from typing import Protocol
 
 import pycurl
 
+logger = logging.getLogger(__name__)
+
 # Limit of open idle connections to all addresses; the oldest is closed first.
 MAX_IDLE_CONNS = 256
 # Limit of curl easy handles kept for reuse; each holds a receive buffer.
@@ -293,7 +296,7 @@
         if errno == 0 and not curl.getinfo(pycurl.RESPONSE_CODE):
             end, message = TransferEnd.BROKEN, 'the reply has no status line'
         self._release(transfer, curl)
-        transfer.sink.on_end(end, message or f'curl error {errno}')
+        _deliver_end(transfer, end, message or f'curl error {errno}')
 
 
 def _deliver_pending(transfer: Transfer) -> None:
@@ -301,7 +304,26 @@
     for callback in pending:
         if transfer.curl is None:
             return
-        callback()
+        try:
+            callback()
+        except Exception:
+            # The rest of the reply is of no use, but other transfers go on.
+            logger.exception(
+                'reply not handled', extra={'address': transfer.call.address}
+            )
+            transfer.cancel()
+            message = 'internal error while handling the reply'
+            _deliver_end(transfer, TransferEnd.BROKEN, message)
+
+
+def _deliver_end(transfer: Transfer, end: TransferEnd, message: str) -> None:
+    try:
+        transfer.sink.on_end(end, message)
+    except Exception:
+        logger.exception(
+            'end of a reply not handled',
+            extra={'address': transfer.call.address},
+        )
 
 
 def _classify_end(curl: pycurl.Curl, errno: int) -> TransferEnd:
