--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -2,7 +2,9 @@
 
 from alliance.targets import AllianceTargets
 from tests.gateway.samples import make_request
+from wigeonmill.gateway.target_client import DEFAULT_IDLE_S
 from wigeonmill.gateway.target_client import Instructions
+from wigeonmill.gateway.target_client import usable_idle_s
 from wigeonmill.providers.transfers import ReplyHead
 
 
@@ -131,3 +133,12 @@
     notice = decode_head(status, Retry_After='x').notice
     assert (notice.closed_ms, notice.malformed) == (None, None)
     assert decode_head(status, Retry_After=2).notice.closed_ms is None
+
+
+# Guards against requests that end in an internal error: the time could not be
+# used as a number, and each later request to that target met it.
+@pytest.mark.parametrize('digits', [19, 400, 5_000])
+def test_a_keep_alive_time_that_is_no_number_is_ignored(digits):
+    head = decode_head(Keep_Alive='timeout=' + '9' * digits)
+    assert head.keep_alive_s is None
+    assert usable_idle_s(head.keep_alive_s, True) == DEFAULT_IDLE_S
