Send request targets with bytes beyond ASCII

What callers saw: a request whose path or query has bytes beyond ASCII was read whole and got a closed connection (with the channel's answer to internal errors, status 500): no answer and no refusal.

Cause: the target was handed to curl as a text, which takes ASCII alone. It is handed over as the bytes that the caller sent.

The test failed before (tests/providers/test_transfers.py, UnicodeEncodeError).

--- a/tests/providers/test_transfers.py
+++ b/tests/providers/test_transfers.py
@@ -320,3 +320,17 @@
         assert [sink.ends for sink in sinks] == [[end]] * 4
 
     with_server(ScriptedServer([REPLY] * 8), check)
+
+
+# Guards against LOST: a request line with bytes beyond ASCII raised before it
+# was sent, and its caller got a closed connection.
+def test_a_request_target_with_any_bytes_is_sent_unchanged():
+    server = ScriptedServer([REPLY])
+
+    async def check(loop, address):
+        call = make_call(address, target='/a/\xe9?b=\xff')
+        assert (await fetch(loop, call, 1_000)).is_ok()
+
+    with_server(server, check)
+    ((head, _body),) = server.requests
+    assert head.startswith(b'POST /a/\xe9?b=\xff HTTP/1.1\r\n')
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -349,7 +349,7 @@
         owner.pending.append(lambda: transfer.sink.on_data(data))
 
     curl.setopt(pycurl.URL, f'http://{call.address}/')
-    curl.setopt(pycurl.REQUEST_TARGET, call.target)
+    curl.setopt(pycurl.REQUEST_TARGET, call.target.encode('latin-1'))
     curl.setopt(pycurl.PATH_AS_IS, 1)
     curl.setopt(pycurl.CUSTOMREQUEST, call.method)
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
