--- a/tests/platform/test_drain.py
+++ b/tests/platform/test_drain.py
@@ -1,6 +1,9 @@
 """Requests that were read whole are answered while a process drains."""
 
 import asyncio
+import os
+import signal
+import time
 
 import pytest
 from result import Ok
@@ -165,3 +168,21 @@
         open_writer.close()
 
     run(check)
+
+
+def test_signals_in_series_do_not_prolong_or_end_a_drain():
+    async def check(role):
+        role._server.forwarder = Forwarder(RequestState.WAITING)
+        reader, writer = await connect(role._server)
+        writer.write(HEAD + b'body')
+        await asyncio.sleep(0.05)
+        started_s = time.monotonic()
+        for number in (signal.SIGTERM, signal.SIGHUP) * 5:
+            os.kill(os.getpid(), number)
+            await asyncio.sleep(0.1)
+        status, _body = await read_answer(reader)
+        assert status == 503
+        assert time.monotonic() - started_s < 2.0
+        writer.close()
+
+    run(check)
