Apply what an answer states of its target when its head arrives

Callers saw: a target that had refused with 503 and Retry-After, or had stated that it leaves, got further requests from the same entry.

Cause: the statement was applied by whoever read the answer, not when it arrived. An answer whose attempt had ended, because the caller had left or the deadline had passed, was never read. A report or an order whose reply broke off or stalled after its head was an error without a head.

Exchange.on_head and the collector of fetch apply it now, once, and from the time at which it arrived; the attempt no longer does. The fake exchange of the tests hands its heads to the notices in the same way.

The tests come with the fix.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -48,9 +48,10 @@
 class FakeExchange:
     """Returns scripted parts, then nothing until the deadline."""
 
-    def __init__(self, clock, target, parts):
+    def __init__(self, clock, target, parts, on_head):
         self._clock = clock
         self._target = target
+        self._on_head = on_head
         self._parts = list(parts)
         self.message = ''
         self.cancelled = False
@@ -62,6 +63,8 @@
                 return part()
             if not isinstance(part, ExchangeEnd):
                 self._target.load.record_activity()
+            if isinstance(part, TargetHead):
+                self._on_head(part)
             return part
         self._clock.set_ms(max(until_ms, self._clock.now_ms()))
         return None
@@ -73,8 +76,9 @@
 class FakeClient:
     """Uses the next of `scripts` for each request; the last one repeats."""
 
-    def __init__(self, clock, scripts):
+    def __init__(self, clock, scripts, notices):
         self._clock = clock
+        self._notices = notices
         self._scripts = list(scripts)
         self.sent = []
 
@@ -83,7 +87,13 @@
 
     def send(self, req, target, instructions, idempotent):
         turn = min(len(self.sent), len(self._scripts) - 1)
-        exchange = FakeExchange(self._clock, target, self._scripts[turn])
+
+        def on_head(head):
+            self._notices.record(target, head.notice, 'answer', req.id)
+
+        exchange = FakeExchange(
+            self._clock, target, self._scripts[turn], on_head
+        )
         self.sent.append((target.id, instructions, exchange))
         return exchange
 
@@ -152,7 +162,7 @@
         self.clock.advance(limits.window_ms)
         for record in records:
             self.ctx.directory.apply(record)
-        self.client = FakeClient(self.clock, scripts)
+        self.client = FakeClient(self.clock, scripts, self.ctx.notices)
         self.channel = FakeChannel()
         self.picker = Picker(
             self.clock,
--- /dev/null
+++ b/tests/gateway/test_target_client.py
@@ -0,0 +1,96 @@
+"""Tests of the exchange with a target, without a network."""
+
+import asyncio
+
+import pytest
+
+from tests.gateway.fakes import make_head
+from tests.gateway.samples import make_request
+from tests.gateway.samples import make_target
+from wigeonmill.clock import ManualClock
+from wigeonmill.gateway.target_client import Instructions
+from wigeonmill.gateway.target_client import TargetClient
+from wigeonmill.gateway.target_notices import Notice
+from wigeonmill.gateway.target_notices import TargetNotices
+from wigeonmill.metrics import Metrics
+from wigeonmill.providers.transfers import ReplyHead
+from wigeonmill.providers.transfers import TransferEnd
+
+CLOSED_MS = 2_000.0
+RESTING = Notice(closed_ms=CLOSED_MS)
+
+
+class FakeTransfers:
+    """Keeps the sink of each transfer; nothing is sent."""
+
+    def __init__(self):
+        self.sinks = []
+
+    def start(self, call, sink):
+        self.sinks.append(sink)
+        return self
+
+    def cancel(self):
+        pass
+
+
+class FakeCodec:
+    """Decodes every head as a refusal with one notice."""
+
+    def __init__(self, notice):
+        self._notice = notice
+
+    def request_fields(self, req, instructions):
+        return ()
+
+    def answer_head(self, head):
+        return make_head(head.status, notice=self._notice)
+
+
+class World:
+    """A client with one target whose answers carry `notice`."""
+
+    def __init__(self, notice=RESTING):
+        self.clock = ManualClock(1_000.0)
+        self.metrics = Metrics()
+        self.transfers = FakeTransfers()
+        notices = TargetNotices(self.clock, self.metrics, lambda: 0.0)
+        codec = FakeCodec(notice)
+        self.client = TargetClient(self.transfers, codec, self.clock, notices)
+        self.target = make_target(self.clock)
+
+    def send(self):
+        return self.client.send(
+            make_request(), self.target, Instructions('t1', 500.0), True
+        )
+
+    def receive_head(self, status=503):
+        self.transfers.sinks[-1].on_head(ReplyHead(status, ()))
+
+    @property
+    def closed_for_ms(self):
+        return max(0.0, self.target.closed_until_ms - self.clock.now_ms())
+
+
+# Guards against a notice that is lost because nobody reads the answer.
+@pytest.mark.parametrize('end', [None, TransferEnd.BROKEN])
+def test_a_notice_counts_although_its_answer_is_never_read(end):
+    world = World()
+    exchange = world.send()
+    world.receive_head()
+    if end is not None:
+        world.transfers.sinks[-1].on_end(end, 'reset')
+    exchange.cancel()
+    assert world.closed_for_ms == CLOSED_MS
+    assert world.metrics.reasons('target_notices') == {'closed': 1}
+
+
+# Guards against a time that begins anew when the answer is read.
+def test_a_notice_is_applied_once_at_its_arrival():
+    world = World()
+    exchange = world.send()
+    world.receive_head()
+    world.clock.advance(500.0)
+    asyncio.run(exchange.next(world.clock.now_ms() + 1.0))
+    assert world.closed_for_ms == CLOSED_MS - 500.0
+    assert world.metrics.reasons('target_notices') == {'closed': 1}
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import pytest
 
 from alliance.caches import AllianceCaches
@@ -7,6 +9,7 @@
 from tests.platform.standin import with_standin
 from wigeonmill.gateway.engine_orders import OrderOutcome
 from wigeonmill.gateway.engine_orders import WeightsOrder
+from wigeonmill.providers.transfers import TransferLoop
 
 ORDER = WeightsOrder('m', 2, 'entry', 41, 3, cut_streams=False)
 
@@ -136,3 +139,38 @@
 
     with_standin(lambda call: Reply(status, {}, headers=headers), check)
     assert seen == [('t1', True, 't1', 'report'), ('t1', True, 't1', 'order')]
+
+
+# Guards against a notice that is lost when its reply breaks off or stalls.
+@pytest.mark.parametrize('stalls', [False, True])
+def test_the_notice_of_an_incomplete_reply_is_passed_on_once(
+    stalls, monkeypatch
+):
+    monkeypatch.setattr('alliance.engines.CALL_TIMEOUT_MS', 200.0)
+    head = b'HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 9\r\n\r\n'
+    seen = []
+
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head + b'part')
+        if stalls:
+            await reader.read()
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        transfers = TransferLoop()
+        engines = AllianceEngines(transfers)
+        engines.subscribe(
+            lambda target, notice, kind: seen.append((notice.closed_ms, kind))
+        )
+        try:
+            target = make_target(address=f'127.0.0.1:{port}')
+            assert (await engines.report(target)).is_err()
+        finally:
+            transfers.close()
+            server.close()
+
+    asyncio.run(asyncio.wait_for(run(), 10.0))
+    assert seen == [(3_000.0, 'report')]
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -310,9 +310,6 @@
 
     def _record_head(self, head: TargetHead) -> None:
         self.receipt.framing = head.framing
-        self._ctx.notices.record(
-            self._target, head.notice, 'answer', self._terms.req.id
-        )
         if head.load is not None:
             self._target.load.record_reported(
                 head.load.running + head.load.waiting
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -383,7 +383,7 @@
             self._settings.regions,
         )
         client = TargetClient(
-            self._transfers, self._adapter.targets, self._clock
+            self._transfers, self._adapter.targets, self._clock, ctx.notices
         )
         forwarder = Forwarder(
             ctx, client, picker, StorePlanner(self._stores, self.metrics)
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -10,6 +10,7 @@
 from wigeonmill.gateway.request import CallerRequest
 from wigeonmill.gateway.request import HeaderFields
 from wigeonmill.gateway.target_notices import Notice
+from wigeonmill.gateway.target_notices import TargetNotices
 from wigeonmill.gateway.targets import Target
 from wigeonmill.providers.transfers import Framing
 from wigeonmill.providers.transfers import ReplyHead
@@ -120,7 +121,9 @@
     __slots__ = (
         '_codec',
         '_clock',
+        '_notices',
         '_target',
+        '_request_id',
         '_parts',
         '_waiter',
         '_transfer',
@@ -129,11 +132,18 @@
     )
 
     def __init__(
-        self, codec: TargetCodec, clock: Clock, target: Target
+        self,
+        codec: TargetCodec,
+        clock: Clock,
+        notices: TargetNotices,
+        target: Target,
+        request_id: str,
     ) -> None:
         self._codec = codec
         self._clock = clock
+        self._notices = notices
         self._target = target
+        self._request_id = request_id
         self._parts: collections.deque[AnswerPart] = collections.deque()
         self._waiter: asyncio.Future[None] | None = None
         self._transfer: Transfer | None = None
@@ -160,6 +170,11 @@
 
     def on_head(self, head: ReplyHead) -> None:
         decoded = self._codec.answer_head(head)
+        # Applied here because an answer may never be read: its caller may
+        # have left, or its time may be over.
+        self._notices.record(
+            self._target, decoded.notice, 'answer', self._request_id
+        )
         if decoded.keep_alive_s is not None:
             self._target.load.keep_alive_s = decoded.keep_alive_s
         self._add(decoded)
@@ -193,14 +208,19 @@
 class TargetClient:
     """Sends requests to targets over persistent connections."""
 
-    __slots__ = ('_loop', '_codec', '_clock')
+    __slots__ = ('_loop', '_codec', '_clock', '_notices')
 
     def __init__(
-        self, loop: TransferLoop, codec: TargetCodec, clock: Clock
+        self,
+        loop: TransferLoop,
+        codec: TargetCodec,
+        clock: Clock,
+        notices: TargetNotices,
     ) -> None:
         self._loop = loop
         self._codec = codec
         self._clock = clock
+        self._notices = notices
 
     def send(
         self,
@@ -222,7 +242,9 @@
             ),
             max_idle_s=usable_idle_s(target.load.keep_alive_s, idempotent),
         )
-        exchange = Exchange(self._codec, self._clock, target)
+        exchange = Exchange(
+            self._codec, self._clock, self._notices, target, req.id
+        )
         exchange.start(self._loop, call)
         return exchange
 
--- a/wigeonmill/providers/fetch.py
+++ b/wigeonmill/providers/fetch.py
@@ -1,6 +1,7 @@
 """Single HTTP calls on a transfer loop, with errors as values."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from result import Err
@@ -37,12 +38,23 @@
 class _Collector:
     """A sink that collects the complete reply."""
 
-    __slots__ = ('head', 'body', 'ended', 'message', '_max_bytes')
+    __slots__ = (
+        'head',
+        'body',
+        'ended',
+        'message',
+        '_max_bytes',
+        '_on_head',
+    )
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, max_bytes: int
+        self,
+        loop: asyncio.AbstractEventLoop,
+        max_bytes: int,
+        on_head: Callable[[ReplyHead], None] | None,
     ) -> None:
         self._max_bytes = max_bytes
+        self._on_head = on_head
         self.head: ReplyHead | None = None
         self.body = bytearray()
         self.ended: asyncio.Future[TransferEnd] = loop.create_future()
@@ -50,6 +62,8 @@
 
     def on_head(self, head: ReplyHead) -> None:
         self.head = head
+        if self._on_head is not None:
+            self._on_head(head)
 
     def on_data(self, data: bytes) -> None:
         if len(self.body) + len(data) > self._max_bytes:
@@ -65,13 +79,19 @@
 
 
 async def fetch(
-    loop: TransferLoop, call: TransferCall, timeout_ms: float
+    loop: TransferLoop,
+    call: TransferCall,
+    timeout_ms: float,
+    on_head: Callable[[ReplyHead], None] | None = None,
 ) -> Result[FetchedReply, FetchError]:
     """Make one call; raises nothing but CancelledError.
 
-    A reply that is longer than the loop's limit is an error.
+    A reply that is longer than the loop's limit is an error. `on_head` gets
+    the head as it arrives, also if the rest of the reply never does.
     """
-    collector = _Collector(asyncio.get_running_loop(), loop.max_reply_bytes)
+    collector = _Collector(
+        asyncio.get_running_loop(), loop.max_reply_bytes, on_head
+    )
     transfer = loop.start(call, collector)
     try:
         end = await asyncio.wait_for(collector.ended, timeout_ms / 1000.0)
