Count a target's notice for the target that it names

Callers saw: requests went on to a target that had asked for rest or had stated that it leaves, if its answer came by the address of another one, as addresses are used again and records arrive late.

Cause: a notice with the id of a target other than the one called was dropped without a trace, also if the directory knew that target.

It is applied to the target that it names now. Without an id it is that of the target called, as before. One that names a target without a record is counted (target_notices{ignored}) and logged as "notice ignored" with the target called, the id named and the time.

Found by review.

--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -1,5 +1,6 @@
 """Tests what an entry does after a target has said something of itself."""
 
+import dataclasses
 import functools
 import logging
 
@@ -194,6 +195,34 @@
     assert open_ids(harness) == ['t0', 't1']
 
 
+# Guards against requests to a target that answered at a stale address.
+@pytest.mark.parametrize('notice', [LEAVING, Notice(closed_ms=CLOSED_MS)])
+def test_a_notice_counts_for_the_target_that_it_names(notice):
+    harness = ledgers([fakes.GOOD], count=3)
+    asked = harness.ctx.directory.get('t0')
+    named = dataclasses.replace(notice, target_id='t1')
+    harness.ctx.notices.record(asked, named, 'answer', 'q1')
+    for _turn in range(40):
+        run_ledger(harness)
+    assert 't1' not in sent_ids(harness)
+    assert not asked.leaving
+    assert not asked.is_closed(harness.clock.now_ms())
+
+
+# Guards against a notice that disappears without a trace.
+def test_an_ignored_notice_is_logged_and_counted(caplog):
+    caplog.set_level(logging.INFO)
+    harness = ledgers([fakes.GOOD])
+    asked = harness.ctx.directory.get('t0')
+    other = Notice(target_id='t9', closed_ms=CLOSED_MS)
+    harness.ctx.notices.record(asked, other, 'report')
+    harness.ctx.notices.record(asked, Notice(target_id='t9'), 'report')
+    counts = harness.ctx.metrics.reasons('target_notices')
+    assert counts == {'ignored': 1}
+    line = next(r for r in caplog.records if r.message == 'notice ignored')
+    assert (line.target, line.named, line.closed_ms) == ('t0', 't9', 2_000)
+
+
 def test_leaving_is_logged_once_with_request_target_and_source(caplog):
     caplog.set_level(logging.INFO)
     harness = ledgers([whole(notice=LEAVING)], count=1)
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -224,7 +224,11 @@
         self.directory = Directory(clock)
         self.circuits = CircuitBreakers(clock, rng)
         self.notices = TargetNotices(
-            clock, metrics, entry_position, max_closed_ms
+            clock,
+            metrics,
+            entry_position,
+            max_closed_ms,
+            self.directory.get,
         )
         self.loss_log = LossLog(clock)
         self.crash_guard = CrashGuard(clock, self.loss_log)
--- a/wigeonmill/gateway/target_notices.py
+++ b/wigeonmill/gateway/target_notices.py
@@ -7,6 +7,7 @@
 
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.targets import Target
+from wigeonmill.log import loggable_ms
 from wigeonmill.metrics import Metrics
 
 logger = logging.getLogger(__name__)
@@ -42,7 +43,13 @@
 class TargetNotices:
     """Applies the notices in answers to the state of their targets."""
 
-    __slots__ = ('_clock', '_metrics', '_entry_position', '_max_closed_ms')
+    __slots__ = (
+        '_clock',
+        '_metrics',
+        '_entry_position',
+        '_max_closed_ms',
+        '_find_target',
+    )
 
     def __init__(
         self,
@@ -50,22 +57,29 @@
         metrics: Metrics,
         entry_position: Callable[[], float],
         max_closed_ms: float = DEFAULT_MAX_CLOSED_MS,
+        find_target: Callable[[str], Target | None] = lambda _id: None,
     ) -> None:
         self._clock = clock
         self._metrics = metrics
         self._entry_position = entry_position
         self._max_closed_ms = max_closed_ms
+        self._find_target = find_target
 
     def record(
         self, target: Target, notice: Notice, source: str, request_id: str = ''
     ) -> None:
         """Apply a notice in an answer to a call of `target`.
 
-        `source` names the kind of call. The notice of another target, which
-        has taken over the address, is ignored.
+        `source` names the kind of call. If another target has answered at
+        the address, the notice is that target's; without an id it is that of
+        the target that was called.
         """
         if notice.target_id not in (None, target.id):
-            return
+            named = self._find_target(notice.target_id)
+            if named is None:
+                self._ignore(target, notice, source, request_id)
+                return
+            target = named
         if notice.leaving and not target.draining:
             target.draining = True
             self._metrics.count('target_notices', 'leaving')
@@ -77,6 +91,20 @@
         if notice.closed_ms:
             self._close(target, notice.closed_ms, source, request_id)
 
+    def _ignore(
+        self, target: Target, notice: Notice, source: str, request_id: str
+    ) -> None:
+        """Report a notice of a target that is not in the directory."""
+        if not notice.leaving and not notice.closed_ms:
+            return
+        self._metrics.count('target_notices', 'ignored')
+        details = {
+            'named': notice.target_id,
+            'leaving': notice.leaving,
+            'closed_ms': loggable_ms(notice.closed_ms or 0.0),
+        }
+        _log('notice ignored', target, source, request_id, details)
+
     def _close(
         self, target: Target, stated_ms: float, source: str, request_id: str
     ) -> None:
