Keep a target closed when a late record replaces its lifetime

Callers saw: a target that had asked for rest got requests within that time, after a record of it with another start had arrived.

Cause: a record with a later start makes a new Target, and the time was that of the old one. A process that restarts under its id answers before its record is known, above all in an outage of the key-value service; a start may also be corrected. An answer to a request that such a record overtook closed the old object only.

The directory keeps the time if the start is not later than the wall time of the answer: that process was up already. A later start is a new lifetime and is open, as before. An answer closes the present lifetime of its target also. Both err by at most the time asked for, if clocks differ. Leaving, which does not end, is not handed on; a target repeats it in all answers.

The two tests come with the fix and failed on the code before. In test_a_new_lifetime_is_not_closed the new process had started 998 s before it asked for rest, so the case was no restart; its start is now 1 ms after the answer, and the claim is the same.

--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -379,10 +379,41 @@
 def test_a_new_lifetime_is_not_closed():
     harness = ledgers([closed(), fakes.GOOD], count=1)
     run_ledger(harness)
-    harness.ctx.directory.apply(make_record('t0', started_at_ms=2_000))
+    restarted_ms = harness.clock.wall_ms() + 1
+    harness.ctx.directory.apply(make_record('t0', started_at_ms=restarted_ms))
     assert run_ledger(harness).status == 200
 
 
+# Guards against a late record that opens a target within its time.
+def test_a_record_of_the_process_that_closed_does_not_open_it():
+    harness = ledgers([closed(), fakes.GOOD], count=1)
+    started_ms = harness.clock.wall_ms() - 1_000
+    run_ledger(harness)
+    until_ms = harness.ctx.directory.get('t0').closed_until_ms
+    # The target had restarted during an outage of the key-value service.
+    harness.ctx.directory.apply(make_record('t0', started_at_ms=started_ms))
+    while harness.clock.now_ms() < until_ms:
+        assert run_ledger(harness).refusal.reason is Reason.TARGETS_CLOSED
+        harness.clock.advance(100)
+    assert len(harness.client.sent) == 1
+    assert run_ledger(harness).status == 200
+
+
+# Guards against an answer to a request that a later record has overtaken.
+def test_an_answer_closes_the_present_lifetime_of_its_target():
+    harness = ledgers([fakes.GOOD], count=1)
+    directory = harness.ctx.directory
+    asked = directory.get('t0')
+    directory.apply(make_record('t0', started_at_ms=2_000))
+    notice = Notice(target_id='t0', closed_ms=CLOSED_MS, leaving=True)
+    harness.ctx.notices.record(asked, notice, 'answer', 'q1')
+    present = directory.get('t0')
+    assert present is not asked
+    assert present.closed_until_ms == harness.clock.now_ms() + CLOSED_MS
+    # The answer may be one that the earlier lifetime has left behind.
+    assert not present.leaving
+
+
 # Guards against a resumed stream at a target within its time.
 def test_a_stream_is_not_resumed_at_a_closed_target():
     harness = engines([])
--- a/wigeonmill/gateway/target_notices.py
+++ b/wigeonmill/gateway/target_notices.py
@@ -115,7 +115,13 @@
         spread_ms = min(OPENING_SPREAD * closed_ms, MAX_OPENING_SPREAD_MS)
         closed_ms += spread_ms * self._entry_position()
         until_ms = self._clock.now_ms() + closed_ms
-        target.closed_until_ms = max(target.closed_until_ms, until_ms)
+        wall_ms = self._clock.wall_ms()
+        target.close(until_ms, wall_ms)
+        # A later record may have replaced the target since the request. The
+        # time is short, so it does no harm if an earlier lifetime asked.
+        present = self._find_target(target.id)
+        if present is not None and present is not target:
+            present.close(until_ms, wall_ms)
         self._metrics.count('target_notices', 'closed')
         details = {'closed_ms': round(closed_ms)}
         _log('target closed', target, source, request_id, details)
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -75,6 +75,7 @@
         'weights',
         'refusing_until_ms',
         'closed_until_ms',
+        'closed_at_wall_ms',
         'loading',
         'load',
     )
@@ -104,6 +105,8 @@
         self.refusing_until_ms = 0.0
         # Until then the target must not get new requests.
         self.closed_until_ms = 0.0
+        # Wall time at which it asked for that.
+        self.closed_at_wall_ms = 0
         self.loading: Loading | None = None
         self.load = TargetLoad(clock, estimates)
 
@@ -125,6 +128,11 @@
         """Whether the target asked for no requests until a later time."""
         return now_ms < self.closed_until_ms
 
+    def close(self, until_ms: float, wall_ms: int) -> None:
+        """Send nothing until then, as the target asked for at `wall_ms`."""
+        self.closed_until_ms = max(self.closed_until_ms, until_ms)
+        self.closed_at_wall_ms = max(self.closed_at_wall_ms, wall_ms)
+
     def is_loading(self, now_ms: float) -> bool:
         """Whether the target is loading weights that it does not have yet."""
         loading = self.loading
@@ -262,6 +270,14 @@
     def _add(self, record: TargetRecord) -> None:
         estimates = self._estimates.setdefault(record.service, Estimates())
         target = Target(record, self._clock, estimates)
+        previous = self._targets.get(record.id)
+        if (
+            previous is not None
+            and record.started_at_ms <= previous.closed_at_wall_ms
+        ):
+            # The process was already up when it asked for the time; only its
+            # record is late.
+            target.close(previous.closed_until_ms, previous.closed_at_wall_ms)
         self._targets[record.id] = target
         self._rebuild_index()
         logger.info(
