Count requests that go to a target which wants none, and log stated times

The log could not tell a target that had asked for no time from one whose time was lost, nor show that no request went out within it.

"target closed" has the time that the target stated besides the one that this gateway keeps.

--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -94,3 +94,23 @@
     asyncio.run(exchange.next(world.clock.now_ms() + 1.0))
     assert world.closed_for_ms == CLOSED_MS - 500.0
     assert world.metrics.reasons('target_notices') == {'closed': 1}
+
+
+# Guards against a way to a target that no choice of targets has checked.
+def test_a_request_to_a_target_that_wants_none_is_counted_and_logged(caplog):
+    world = World()
+    world.send()
+    assert world.metrics.reasons('requests_unwanted') == {}
+    world.receive_head()
+    world.send()
+    world.clock.advance(CLOSED_MS)
+    world.send()
+    world.target.draining = True
+    world.send()
+    counts = world.metrics.reasons('requests_unwanted')
+    assert counts == {'closed': 1, 'leaving': 1}
+    lines = [r for r in caplog.records if r.message == 'request unwanted']
+    assert [(r.target, r.why) for r in lines] == [
+        ('t1', 'closed'),
+        ('t1', 'leaving'),
+    ]
--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import logging
+import math
 
 import pytest
 
@@ -343,6 +344,8 @@
         'answer',
         DEFAULT_MAX_CLOSED_MS,
     )
+    finite = math.isfinite(stated_ms)
+    assert line.stated_ms == (stated_ms if finite else None)
 
 
 def test_a_malformed_time_is_logged_and_counted_and_closes_nothing(caplog):
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -230,6 +230,7 @@
         idempotent: bool,
     ) -> Exchange:
         """Send `req` to `target`; `Exchange.next` returns the answer."""
+        self._notices.record_sent(target, req.id)
         call = TransferCall(
             address=target.address,
             method=req.method,
--- a/wigeonmill/gateway/target_notices.py
+++ b/wigeonmill/gateway/target_notices.py
@@ -91,6 +91,22 @@
         if notice.closed_ms:
             self._close(target, notice.closed_ms, source, request_id)
 
+    def record_sent(self, target: Target, request_id: str) -> None:
+        """Report a request to a target that wants none; there must be none."""
+        if target.leaving:
+            reason = 'leaving'
+        elif target.is_closed(self._clock.now_ms()):
+            reason = 'closed'
+        else:
+            return
+        self._metrics.count('requests_unwanted', reason)
+        extra = {
+            'request_id': request_id,
+            'target': target.id,
+            'why': reason,
+        }
+        logger.warning('request unwanted', extra=extra)
+
     def _ignore(
         self, target: Target, notice: Notice, source: str, request_id: str
     ) -> None:
@@ -123,7 +139,10 @@
         if present is not None and present is not target:
             present.close(until_ms, wall_ms)
         self._metrics.count('target_notices', 'closed')
-        details = {'closed_ms': round(closed_ms)}
+        details = {
+            'stated_ms': loggable_ms(stated_ms),
+            'closed_ms': round(closed_ms),
+        }
         _log('target closed', target, source, request_id, details)
 
 
