--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -326,6 +326,28 @@
     assert harness.clock.now_ms() >= 1_010_000.0 + CLOSED_MS
 
 
+# Guards against an answer that shortens the time of an earlier one.
+@pytest.mark.parametrize(
+    ('stated_ms', 'closed_ms'),
+    [
+        ((3_000.0, 1_000.0), 3_000.0),
+        ((1_000.0, 3_000.0), 3_000.0),
+        ((3_000.0, 0.0), 3_000.0),
+        ((3_000.0, None), 3_000.0),
+        ((0.0, 250.0), 250.0),
+        ((0.0, None), 0.0),
+    ],
+)
+def test_the_latest_end_of_all_answers_counts(stated_ms, closed_ms):
+    clock = ManualClock(5_000.0)
+    notices = TargetNotices(clock, Metrics(), lambda: 0.0)
+    target = make_target(clock)
+    for time_ms in stated_ms:
+        notices.record(target, Notice(closed_ms=time_ms), 'answer')
+    assert target.is_closed(5_000.0 + closed_ms - 1) == (closed_ms > 0)
+    assert not target.is_closed(5_000.0 + closed_ms)
+
+
 # Guards against values that close a target for good or stop the entry.
 @pytest.mark.parametrize('stated_ms', [1e23, float('inf')])
 def test_a_huge_time_is_capped_and_counted(stated_ms, caplog):
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -143,8 +143,9 @@
 
 # Guards against a notice that is lost when its reply breaks off or stalls.
 @pytest.mark.parametrize('stalls', [False, True])
+@pytest.mark.parametrize('interim', [b'', b'HTTP/1.1 103 Hints\r\n\r\n'])
 def test_the_notice_of_an_incomplete_reply_is_passed_on_once(
-    stalls, monkeypatch
+    stalls, interim, monkeypatch
 ):
     monkeypatch.setattr('alliance.engines.CALL_TIMEOUT_MS', 200.0)
     head = b'HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 9\r\n\r\n'
@@ -152,7 +153,7 @@
 
     async def answer(reader, writer):
         await reader.readuntil(b'\r\n\r\n')
-        writer.write(head + b'part')
+        writer.write(interim + head + b'part')
         if stalls:
             await reader.read()
         writer.close()
