Send no reports and orders to an engine that asked for rest

An engine that turns a request away with Retry-After wants nothing from that machine for so long.

The poller leaves out closed engines and the rollout orders none. Its weights come after its time; all three cases end within the deadline.

--- a/tests/gateway/test_weights_rollout.py
+++ b/tests/gateway/test_weights_rollout.py
@@ -18,6 +18,7 @@
 from wigeonmill.gateway.own_records import RolloutRecord
 from wigeonmill.gateway.rollout_notice import apply_rollout
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
+from wigeonmill.gateway.target_notices import Notice
 from wigeonmill.gateway.weights_rollout import WeightsRollout
 from wigeonmill.metrics import Metrics
 from wigeonmill.providers.fetch import FetchError
@@ -82,15 +83,19 @@
     def __init__(self, engines):
         self.engines = engines
         self.reports = 0
+        # The target and the time of each call.
+        self.calls = []
 
     async def report(self, target):
         self.reports += 1
+        self._record_call(target)
         engine = self.engines[target.id]
         if engine.down:
             return Err(FetchError('down', sent=False))
         return Ok(engine.report())
 
     async def load_weights(self, target, order):
+        self._record_call(target)
         engine = self.engines[target.id]
         if engine.delay_orders:
             engine.delay_orders -= 1
@@ -98,6 +103,10 @@
             return OrderOutcome.UNKNOWN
         return engine.accept(order)
 
+    def _record_call(self, target):
+        now_ms = self.engines[target.id].clock.now_ms()
+        self.calls.append((target.id, now_ms))
+
 
 class FakeLeader:
     def __init__(self, fence=5, delay_over=True):
@@ -246,6 +255,28 @@
     assert harness.versions() == {2}
 
 
+# Guards against reports and orders to an engine that asked for rest.
+@pytest.mark.parametrize('closes_at_ms', [0, 300, 1_500])
+def test_an_engine_that_rests_gets_no_calls_and_its_weights_later(
+    make_harness, closes_at_ms
+):
+    harness = make_harness(count=3)
+    harness.ctx.desired.set_weight_version(MODEL, 2)
+    if closes_at_ms:
+        harness.run_for(closes_at_ms)
+    now_ms = harness.clock.now_ms()
+    closed = Notice(closed_ms=3_000.0)
+    target = harness.ctx.directory.get('e0')
+    harness.ctx.notices.record(target, closed, 'answer')
+    harness.orders.calls.clear()
+    harness.run_for(3_000)
+    resting = [t for id_, t in harness.orders.calls if id_ == 'e0']
+    assert [t for t in resting if now_ms <= t < now_ms + 3_000.0] == []
+    harness.run_for(DEADLINE_MS - harness.clock.now_ms())
+    assert harness.versions() == {2}
+    assert {engine.orders for engine in harness.engines.values()} == {1}
+
+
 def test_a_new_leader_continues_and_a_fenced_leader_steps_down(make_harness):
     harness = make_harness()
     harness.ctx.desired.set_weight_version(MODEL, 2)
--- a/wigeonmill/gateway/engine_reports.py
+++ b/wigeonmill/gateway/engine_reports.py
@@ -36,9 +36,13 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     async def poll(self, engines: Iterable[Target]) -> None:
-        """Request the reports of `engines`; wait briefly for the replies."""
+        """Request the reports of `engines`; wait briefly for the replies.
+
+        An engine that asked for no requests for a time is left out until then.
+        """
+        now_ms = self._clock.now_ms()
         for engine in engines:
-            if engine.id not in self._tasks:
+            if engine.id not in self._tasks and not engine.is_closed(now_ms):
                 task = asyncio.ensure_future(self._fetch(engine))
                 self._tasks[engine.id] = task
         if self._tasks:
--- a/wigeonmill/gateway/weights_rollout.py
+++ b/wigeonmill/gateway/weights_rollout.py
@@ -282,6 +282,8 @@
         if load is None or load.ordered_ms is not None or report is None:
             return False
         now_ms = self._clock.now_ms()
+        if target.is_closed(now_ms):
+            return False
         notice_ms = PROPAGATION_MS + propagation_ms(self._ctx.entry_count())
         if now_ms < load.selected_ms + notice_ms:
             return False
