Read the notice of a refusal that comes at a request's deadline

Callers saw: a target that had asked for rest got requests within that time.

Cause: a target refuses what is still in its queue when the time of the request is over. At that very moment the entry gave the request up and closed the connection, so the head, and the time in it, was never read.

A request that is given up with less than 100 ms left keeps its connection until the head comes, for 200 ms at most, and nothing but its notice is used. The target stops by itself at the deadline, so it does no more work. A request that is given up earlier is cancelled at once, as before.

The tests come with the fix.

--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -7,8 +7,11 @@
 from tests.gateway.fakes import make_head
 from tests.gateway.samples import make_request
 from tests.gateway.samples import make_target
+from tests.virtual_time import VirtualTimeLoop
 from wigeonmill.clock import ManualClock
+from wigeonmill.gateway.target_client import DEADLINE_MARGIN_MS
 from wigeonmill.gateway.target_client import Instructions
+from wigeonmill.gateway.target_client import LATE_HEAD_MS
 from wigeonmill.gateway.target_client import TargetClient
 from wigeonmill.gateway.target_notices import Notice
 from wigeonmill.gateway.target_notices import TargetNotices
@@ -17,6 +20,7 @@
 from wigeonmill.providers.transfers import TransferEnd
 
 CLOSED_MS = 2_000.0
+TIME_MS = 500.0
 RESTING = Notice(closed_ms=CLOSED_MS)
 
 
@@ -25,13 +29,14 @@
 
     def __init__(self):
         self.sinks = []
+        self.done = False
 
     def start(self, call, sink):
         self.sinks.append(sink)
         return self
 
     def cancel(self):
-        pass
+        self.done = True
 
 
 class FakeCodec:
@@ -61,7 +66,7 @@
 
     def send(self):
         return self.client.send(
-            make_request(), self.target, Instructions('t1', 500.0), True
+            make_request(), self.target, Instructions('t1', TIME_MS), True
         )
 
     def receive_head(self, status=503):
@@ -114,3 +119,35 @@
         ('t1', 'closed'),
         ('t1', 'leaving'),
     ]
+
+
+# Guards against work at a target for a caller that has left.
+def test_a_request_given_up_early_is_cancelled_at_once():
+    world = World()
+    exchange = world.send()
+    world.clock.advance(TIME_MS - DEADLINE_MARGIN_MS - 1.0)
+    exchange.cancel()
+    assert world.transfers.done
+
+
+# Guards against a notice that comes as the time of its request is over.
+@pytest.mark.parametrize('answers', [True, False])
+def test_a_request_given_up_at_its_deadline_may_still_be_refused(answers):
+    world = World()
+    loop = VirtualTimeLoop(world.clock)
+
+    async def run():
+        exchange = world.send()
+        await asyncio.sleep(TIME_MS / 1_000.0)
+        exchange.cancel()
+        assert not world.transfers.done
+        if answers:
+            world.receive_head()
+            return
+        await asyncio.sleep(LATE_HEAD_MS / 1_000.0 + 0.01)
+
+    loop.run_until_complete(run())
+    loop.close()
+    assert world.transfers.done
+    expected_ms = CLOSED_MS if answers else 0.0
+    assert world.closed_for_ms == pytest.approx(expected_ms)
--- a/tests/platform/test_resting_targets.py
+++ b/tests/platform/test_resting_targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 
 import pytest
 
@@ -32,7 +33,11 @@
 
 
 class RestingTarget:
-    """Asks for rest in each answer and keeps the times of the requests."""
+    """Asks for rest in each answer and keeps the times of the requests.
+
+    If its `ending` is 'late', it answers when the time for the request is
+    over, as a target does that finds it in its queue then.
+    """
 
     def __init__(self, clock, ending):
         self._clock = clock
@@ -42,9 +47,13 @@
 
     async def serve(self, reader, writer):
         try:
-            while await reader.readuntil(b'\r\n\r\nbody'):
+            while head := await reader.readuntil(b'\r\n\r\nbody'):
                 self.arrived_ms.append(self._clock.now_ms())
-                writer.write(REFUSAL % (0 if self._ending == 'whole' else 9))
+                if self._ending == 'late':
+                    deadline_ms = re.search(rb'Deadline-Ms: (\d+)', head)
+                    await asyncio.sleep(int(deadline_ms[1]) / 1_000.0)
+                is_whole = self._ending in ('whole', 'late')
+                writer.write(REFUSAL % (0 if is_whole else 9))
                 await writer.drain()
                 if self.answered_ms is None:
                     self.answered_ms = self._clock.now_ms()
@@ -98,7 +107,7 @@
 
 
 # Guards against further requests to a target that asked for rest.
-@pytest.mark.parametrize('ending', ['whole', 'stalled', 'reset'])
+@pytest.mark.parametrize('ending', ['whole', 'stalled', 'reset', 'late'])
 def test_a_target_that_asks_for_rest_gets_it(ending):
     clock = Clock()
     target = RestingTarget(clock, ending)
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -22,6 +22,10 @@
 # Allows two round trips between failure domains, but no lost packet. A target
 # that has not accepted by then is considered unreachable.
 CONNECT_TIMEOUT_MS = 350.0
+# A request is over at its target if less than this time is left to it.
+DEADLINE_MARGIN_MS = 100.0
+# Time for the target's refusal to arrive after the deadline.
+LATE_HEAD_MS = 200.0
 # Maximum idle time of a connection that is reused, if the target does not
 # state a keep-alive time, and the share of a stated time that is used.
 DEFAULT_IDLE_S = 2
@@ -124,6 +128,9 @@
         '_notices',
         '_target',
         '_request_id',
+        '_deadline_ms',
+        '_has_head',
+        '_abandoned',
         '_parts',
         '_waiter',
         '_transfer',
@@ -138,6 +145,7 @@
         notices: TargetNotices,
         target: Target,
         request_id: str,
+        remaining_ms: float,
     ) -> None:
         self._codec = codec
         self._clock = clock
@@ -148,6 +156,9 @@
         self._waiter: asyncio.Future[None] | None = None
         self._transfer: Transfer | None = None
         self.sent_ms = clock.now_ms()
+        self._deadline_ms = self.sent_ms + remaining_ms
+        self._has_head = False
+        self._abandoned = False
         self.message = ''
 
     def start(self, loop: TransferLoop, call: TransferCall) -> None:
@@ -164,17 +175,32 @@
         return self._parts.popleft()
 
     def cancel(self) -> None:
-        """Stop the request at the target by closing its connection."""
-        if self._transfer is not None:
+        """Stop the request at the target by closing its connection.
+
+        At its deadline a target stops by itself, and may refuse the request
+        with a notice. The connection then stays open for its head.
+        """
+        if self._transfer is None or self._transfer.done:
+            return
+        now_ms = self._clock.now_ms()
+        if self._has_head or now_ms < self._deadline_ms - DEADLINE_MARGIN_MS:
             self._transfer.cancel()
+            return
+        self._abandoned = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(LATE_HEAD_MS / 1000.0, self._transfer.cancel)
 
     def on_head(self, head: ReplyHead) -> None:
         decoded = self._codec.answer_head(head)
+        self._has_head = True
         # Applied here because an answer may never be read: its caller may
         # have left, or its time may be over.
         self._notices.record(
             self._target, decoded.notice, 'answer', self._request_id
         )
+        if self._abandoned:
+            self.cancel()
+            return
         if decoded.keep_alive_s is not None:
             self._target.load.keep_alive_s = decoded.keep_alive_s
         self._add(decoded)
@@ -244,7 +270,12 @@
             max_idle_s=usable_idle_s(target.load.keep_alive_s, idempotent),
         )
         exchange = Exchange(
-            self._codec, self._clock, self._notices, target, req.id
+            self._codec,
+            self._clock,
+            self._notices,
+            target,
+            req.id,
+            instructions.deadline_ms,
         )
         exchange.start(self._loop, call)
         return exchange
