--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -1,7 +1,9 @@
 """Tests what an entry does after a target has said something of itself."""
 
+import dataclasses
 import functools
 import logging
+import math
 
 import pytest
 
@@ -194,6 +196,34 @@
     assert open_ids(harness) == ['t0', 't1']
 
 
+# Guards against requests to a target that answered at a stale address.
+@pytest.mark.parametrize('notice', [LEAVING, Notice(closed_ms=CLOSED_MS)])
+def test_a_notice_counts_for_the_target_that_it_names(notice):
+    harness = ledgers([fakes.GOOD], count=3)
+    asked = harness.ctx.directory.get('t0')
+    named = dataclasses.replace(notice, target_id='t1')
+    harness.ctx.notices.record(asked, named, 'answer', 'q1')
+    for _turn in range(40):
+        run_ledger(harness)
+    assert 't1' not in sent_ids(harness)
+    assert not asked.leaving
+    assert not asked.is_closed(harness.clock.now_ms())
+
+
+# Guards against a notice that disappears without a trace.
+def test_an_ignored_notice_is_logged_and_counted(caplog):
+    caplog.set_level(logging.INFO)
+    harness = ledgers([fakes.GOOD])
+    asked = harness.ctx.directory.get('t0')
+    other = Notice(target_id='t9', closed_ms=CLOSED_MS)
+    harness.ctx.notices.record(asked, other, 'report')
+    harness.ctx.notices.record(asked, Notice(target_id='t9'), 'report')
+    counts = harness.ctx.metrics.reasons('target_notices')
+    assert counts == {'ignored': 1}
+    line = next(r for r in caplog.records if r.message == 'notice ignored')
+    assert (line.target, line.named, line.closed_ms) == ('t0', 't9', 2_000)
+
+
 def test_leaving_is_logged_once_with_request_target_and_source(caplog):
     caplog.set_level(logging.INFO)
     harness = ledgers([whole(notice=LEAVING)], count=1)
@@ -296,6 +326,28 @@
     assert harness.clock.now_ms() >= 1_010_000.0 + CLOSED_MS
 
 
+# Guards against an answer that shortens the time of an earlier one.
+@pytest.mark.parametrize(
+    ('stated_ms', 'closed_ms'),
+    [
+        ((3_000.0, 1_000.0), 3_000.0),
+        ((1_000.0, 3_000.0), 3_000.0),
+        ((3_000.0, 0.0), 3_000.0),
+        ((3_000.0, None), 3_000.0),
+        ((0.0, 250.0), 250.0),
+        ((0.0, None), 0.0),
+    ],
+)
+def test_the_latest_end_of_all_answers_counts(stated_ms, closed_ms):
+    clock = ManualClock(5_000.0)
+    notices = TargetNotices(clock, Metrics(), lambda: 0.0)
+    target = make_target(clock)
+    for time_ms in stated_ms:
+        notices.record(target, Notice(closed_ms=time_ms), 'answer')
+    assert target.is_closed(5_000.0 + closed_ms - 1) == (closed_ms > 0)
+    assert not target.is_closed(5_000.0 + closed_ms)
+
+
 # Guards against values that close a target for good or stop the entry.
 @pytest.mark.parametrize('stated_ms', [1e23, float('inf')])
 def test_a_huge_time_is_capped_and_counted(stated_ms, caplog):
@@ -314,6 +366,8 @@
         'answer',
         DEFAULT_MAX_CLOSED_MS,
     )
+    finite = math.isfinite(stated_ms)
+    assert line.stated_ms == (stated_ms if finite else None)
 
 
 def test_a_malformed_time_is_logged_and_counted_and_closes_nothing(caplog):
@@ -350,10 +404,41 @@
 def test_a_new_lifetime_is_not_closed():
     harness = ledgers([closed(), fakes.GOOD], count=1)
     run_ledger(harness)
-    harness.ctx.directory.apply(make_record('t0', started_at_ms=2_000))
+    restarted_ms = harness.clock.wall_ms() + 1
+    harness.ctx.directory.apply(make_record('t0', started_at_ms=restarted_ms))
+    assert run_ledger(harness).status == 200
+
+
+# Guards against a late record that opens a target within its time.
+def test_a_record_of_the_process_that_closed_does_not_open_it():
+    harness = ledgers([closed(), fakes.GOOD], count=1)
+    started_ms = harness.clock.wall_ms() - 1_000
+    run_ledger(harness)
+    until_ms = harness.ctx.directory.get('t0').closed_until_ms
+    # The target had restarted during an outage of the key-value service.
+    harness.ctx.directory.apply(make_record('t0', started_at_ms=started_ms))
+    while harness.clock.now_ms() < until_ms:
+        assert run_ledger(harness).refusal.reason is Reason.TARGETS_CLOSED
+        harness.clock.advance(100)
+    assert len(harness.client.sent) == 1
     assert run_ledger(harness).status == 200
 
 
+# Guards against an answer to a request that a later record has overtaken.
+def test_an_answer_closes_the_present_lifetime_of_its_target():
+    harness = ledgers([fakes.GOOD], count=1)
+    directory = harness.ctx.directory
+    asked = directory.get('t0')
+    directory.apply(make_record('t0', started_at_ms=2_000))
+    notice = Notice(target_id='t0', closed_ms=CLOSED_MS, leaving=True)
+    harness.ctx.notices.record(asked, notice, 'answer', 'q1')
+    present = directory.get('t0')
+    assert present is not asked
+    assert present.closed_until_ms == harness.clock.now_ms() + CLOSED_MS
+    # The answer may be one that the earlier lifetime has left behind.
+    assert not present.leaving
+
+
 # Guards against a resumed stream at a target within its time.
 def test_a_stream_is_not_resumed_at_a_closed_target():
     harness = engines([])
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -323,9 +323,6 @@
 
     def _record_head(self, head: TargetHead) -> None:
         self.receipt.framing = head.framing
-        self._ctx.notices.record(
-            self.target, head.notice, 'answer', self._terms.req.id
-        )
         if head.load is not None:
             self.target.load.record_reported(
                 head.load.running + head.load.waiting
--- a/wigeonmill/gateway/target_notices.py
+++ b/wigeonmill/gateway/target_notices.py
@@ -7,6 +7,7 @@
 
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.targets import Target
+from wigeonmill.log import loggable_ms
 from wigeonmill.metrics import Metrics
 
 logger = logging.getLogger(__name__)
@@ -42,7 +43,13 @@
 class TargetNotices:
     """Applies the notices in answers to the state of their targets."""
 
-    __slots__ = ('_clock', '_metrics', '_entry_position', '_max_closed_ms')
+    __slots__ = (
+        '_clock',
+        '_metrics',
+        '_entry_position',
+        '_max_closed_ms',
+        '_find_target',
+    )
 
     def __init__(
         self,
@@ -50,22 +57,29 @@
         metrics: Metrics,
         entry_position: Callable[[], float],
         max_closed_ms: float = DEFAULT_MAX_CLOSED_MS,
+        find_target: Callable[[str], Target | None] = lambda _id: None,
     ) -> None:
         self._clock = clock
         self._metrics = metrics
         self._entry_position = entry_position
         self._max_closed_ms = max_closed_ms
+        self._find_target = find_target
 
     def record(
         self, target: Target, notice: Notice, source: str, request_id: str = ''
     ) -> None:
         """Apply a notice in an answer to a call of `target`.
 
-        `source` names the kind of call. The notice of another target, which
-        has taken over the address, is ignored.
+        `source` names the kind of call. If another target has answered at
+        the address, the notice is that target's; without an id it is that of
+        the target that was called.
         """
         if notice.target_id not in (None, target.id):
-            return
+            named = self._find_target(notice.target_id)
+            if named is None:
+                self._ignore(target, notice, source, request_id)
+                return
+            target = named
         if notice.leaving and not target.draining:
             target.draining = True
             self._metrics.count('target_notices', 'leaving')
@@ -77,6 +91,36 @@
         if notice.closed_ms:
             self._close(target, notice.closed_ms, source, request_id)
 
+    def record_sent(self, target: Target, request_id: str) -> None:
+        """Report a request to a target that wants none; there must be none."""
+        if target.leaving:
+            reason = 'leaving'
+        elif target.is_closed(self._clock.now_ms()):
+            reason = 'closed'
+        else:
+            return
+        self._metrics.count('requests_unwanted', reason)
+        extra = {
+            'request_id': request_id,
+            'target': target.id,
+            'why': reason,
+        }
+        logger.warning('request unwanted', extra=extra)
+
+    def _ignore(
+        self, target: Target, notice: Notice, source: str, request_id: str
+    ) -> None:
+        """Report a notice of a target that is not in the directory."""
+        if not notice.leaving and not notice.closed_ms:
+            return
+        self._metrics.count('target_notices', 'ignored')
+        details = {
+            'named': notice.target_id,
+            'leaving': notice.leaving,
+            'closed_ms': loggable_ms(notice.closed_ms or 0.0),
+        }
+        _log('notice ignored', target, source, request_id, details)
+
     def _close(
         self, target: Target, stated_ms: float, source: str, request_id: str
     ) -> None:
@@ -87,9 +131,18 @@
         spread_ms = min(OPENING_SPREAD * closed_ms, MAX_OPENING_SPREAD_MS)
         closed_ms += spread_ms * self._entry_position()
         until_ms = self._clock.now_ms() + closed_ms
-        target.closed_until_ms = max(target.closed_until_ms, until_ms)
+        wall_ms = self._clock.wall_ms()
+        target.close(until_ms, wall_ms)
+        # A later record may have replaced the target since the request. The
+        # time is short, so it does no harm if an earlier lifetime asked.
+        present = self._find_target(target.id)
+        if present is not None and present is not target:
+            present.close(until_ms, wall_ms)
         self._metrics.count('target_notices', 'closed')
-        details = {'closed_ms': round(closed_ms)}
+        details = {
+            'stated_ms': loggable_ms(stated_ms),
+            'closed_ms': round(closed_ms),
+        }
         _log('target closed', target, source, request_id, details)
 
 
