--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -7,7 +7,7 @@
 import secrets
 import time
 
-from tests.platform.soak.targets import CRASHING_PART
+from tests.platform.soak.handlers import CRASHING_PART
 from tests.platform.soak.targets import MODEL
 
 DEADLINE_MS = 4_000
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -9,9 +9,9 @@
 from tests.platform.soak.callers import Kind
 from tests.platform.soak.callers import Outcome
 from tests.platform.soak.callers import SOUND_PART
-from tests.platform.soak.targets import CRASHING_PART
-from tests.platform.soak.targets import EVENT_COUNT
-from tests.platform.soak.targets import Journal
+from tests.platform.soak.handlers import CRASHING_PART
+from tests.platform.soak.handlers import EVENT_COUNT
+from tests.platform.soak.journal import Journal
 
 # Statuses that guarantee that a request was not run and never will be.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
--- a/tests/platform/soak/environment.py
+++ b/tests/platform/soak/environment.py
@@ -12,8 +12,8 @@
 from result import Err
 
 from bench.chaos_parts.ports import reserve_address
+from tests.platform.soak.journal import Journal
 from tests.platform.soak.store import start_store
-from tests.platform.soak.targets import Journal
 from tests.platform.soak.targets import MODEL
 from tests.platform.soak.targets import Target
 from wigeonmill.clock import Clock
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -7,7 +7,7 @@
 from tests.platform.soak.environment import DOMAINS
 from tests.platform.soak.environment import PLAIN_SERVICE
 from tests.platform.soak.environment import STREAM_SERVICE
-from tests.platform.soak.targets import AnswerForm
+from tests.platform.soak.handlers import AnswerForm
 from wigeonmill.standins.fault_proxy import Direction
 from wigeonmill.standins.fault_proxy import reset_stream
 
--- /dev/null
+++ b/tests/platform/soak/journal.py
@@ -0,0 +1,66 @@
+"""What targets, faults and the operator of a soak have seen and done."""
+
+from dataclasses import dataclass
+from dataclasses import field
+import math
+import time
+
+
+@dataclass
+class Run:
+    """A request that a target started to run."""
+
+    request_id: str
+    target: str
+    started_at: float
+    path: str
+    team: str | None
+    from_event: int = 0
+
+
+@dataclass
+class Order:
+    """An order that an engine accepted."""
+
+    target: str
+    accepted_at: float
+    holder: str
+    fence: int
+    version: int
+
+
+@dataclass
+class Closing:
+    """A request that a target refused as it asked for none until later."""
+
+    request_id: str
+    target: str
+    refused_at: float
+    until: float
+
+
+@dataclass
+class Journal:
+    """What all targets have seen, and the newest weight version."""
+
+    runs: dict[str, list[Run]] = field(default_factory=dict)
+    orders: list[Order] = field(default_factory=list)
+    version: int = 1
+    # The time at which a target was listed as draining, by its id.
+    drained_at: dict[str, float] = field(default_factory=dict)
+    closings: list[Closing] = field(default_factory=list)
+    # Times of faults by the entry or target that they hit: start and end.
+    faults: dict[str, list[list[float]]] = field(default_factory=dict)
+    # The software versions of all targets, by their ids.
+    software: dict[str, str] = field(default_factory=dict)
+    # The times at which targets crashed under the crashing part.
+    part_crashes: list[float] = field(default_factory=list)
+
+    def add(self, run):
+        self.runs.setdefault(run.request_id, []).append(run)
+
+    def begin_fault(self, name):
+        """Record a fault; the caller replaces its end when it is over."""
+        span = [time.monotonic(), math.inf]
+        self.faults.setdefault(name, []).append(span)
+        return span
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -12,12 +12,12 @@
 from tests.platform.soak.checks import find_breaches
 from tests.platform.soak.checks import LEAVING_S
 from tests.platform.soak.checks import MIN_SOUND_COUNT
-from tests.platform.soak.targets import Closing
-from tests.platform.soak.targets import CRASHING_PART
-from tests.platform.soak.targets import EVENT_COUNT
-from tests.platform.soak.targets import Journal
-from tests.platform.soak.targets import Order
-from tests.platform.soak.targets import Run
+from tests.platform.soak.handlers import CRASHING_PART
+from tests.platform.soak.handlers import EVENT_COUNT
+from tests.platform.soak.journal import Closing
+from tests.platform.soak.journal import Journal
+from tests.platform.soak.journal import Order
+from tests.platform.soak.journal import Run
 
 FAULT_FREE_FROM = 100.0
 
