Let sound targets of the soak fall silent and go on

A target stands still for 0.8 to 2.5 s, closes nothing and goes on: with all its connections, reports and heartbeats, or only before a head, before a body, between events or inside one. Drawn with a random generator of its own, so that the other faults of a seed stay as they were.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -8,11 +8,12 @@
 from tests.platform.soak.environment import PLAIN_SERVICE
 from tests.platform.soak.environment import STREAM_SERVICE
 from tests.platform.soak.handlers import AnswerForm
+from tests.platform.soak.handlers import SilenceForm
 from wigeonmill.standins.fault_proxy import Direction
-from wigeonmill.standins.fault_proxy import reset_stream
 
 DOWN_RANGE_S = (0.1, 1.0)
 FAULT_RANGE_S = (0.5, 3.0)
+SILENCE_RANGE_S = (0.8, 2.5)
 # Time from the moment at which a target leaves to its end.
 LEAVING_S = 4.0
 INTERVAL_RANGE_S = (0.2, 1.2)
@@ -158,8 +159,7 @@
     async def reset_target(self):
         target = self._pick_target()
         span = self._begin(target.id)
-        for stream in list(target.proxy.state.open_streams):
-            reset_stream(stream)
+        target.reset_connections()
         self._end(span)
 
     async def cut_target_answers(self):
@@ -238,3 +238,26 @@
         time_s = self.rng.uniform(*FAULT_RANGE_S)
         self._pick_target().closed_until = time.monotonic() + time_s
         await asyncio.sleep(time_s)
+
+
+class SilenceFaults(Faults):
+    """Sound targets that are silent for a time and go on.
+
+    They are drawn beside the other faults, whose list stays as it was.
+    """
+
+    def __init__(self, rng, environment, record_fault):
+        super().__init__(rng, environment, record_fault)
+        self._kinds = [self.hold_target]
+
+    async def hold_target(self):
+        target = self._pick_target()
+        form = self.rng.choice(list(SilenceForm))
+        time_s = self.rng.uniform(*SILENCE_RANGE_S)
+        if target.silence is not None:
+            return
+        span = self.environment.journal.begin_silence(target.id, form.value)
+        target.fall_silent(form)
+        await asyncio.sleep(time_s)
+        target.go_on()
+        span.ended_at = time.monotonic()
--- a/tests/platform/soak/handlers.py
+++ b/tests/platform/soak/handlers.py
@@ -38,12 +38,26 @@
     ENDLESS_BODY = 'endless body'
 
 
+class SilenceForm(enum.Enum):
+    """Where the requests to a sound target stand still for a time."""
+
+    # Everything of the target: connections, reports and heartbeats.
+    FROZEN = 'frozen'
+    # Each request and report before it is looked at, and each stream.
+    REQUESTS = 'requests'
+    BEFORE_HEAD = 'before the head'
+    BEFORE_BODY = 'before the body'
+    BETWEEN_EVENTS = 'between events'
+    INSIDE_EVENT = 'inside an event'
+
+
 class TargetHandler(RequestHandler):
     def initialize(self, target):
         self.target = target
 
     async def _serve(self):
         target, headers = self.target, self.request.headers
+        await target.wait_for(SilenceForm.REQUESTS)
         if target.leaving:
             self.set_header('Server-Leaving', '1')
         if self.request.path.startswith('/wigeonmill/'):
@@ -119,6 +133,7 @@
             target.crash()
             reset_stream(self.detach())
             return
+        await target.wait_for(SilenceForm.BEFORE_HEAD)
         form = target.answer_form
         if form and secrets.randbelow(1000) < SPOILED_SHARE * 1000:
             await self._write_raw(form, request_id, last_event)
@@ -126,14 +141,35 @@
         if 'stream' in self.request.path:
             self.set_header('Content-Type', 'text/event-stream')
             for number in range(last_event + 1, EVENT_COUNT + 1):
-                await asyncio.sleep(EVENT_INTERVAL_S)
-                self.write(f'id: {number}\ndata: {request_id} {number}\n\n')
-                await self.flush()
+                await self._write_event(number, request_id)
             return
         await asyncio.sleep(PLAIN_RUN_S)
         if secrets.randbelow(1000) < FAILED_SHARE * 1000:
             self.set_status(500)
-        self.write(json.dumps({'id': request_id, 'by': target.id}))
+        body = json.dumps({'id': request_id, 'by': target.id})
+        if target.is_silent(SilenceForm.BEFORE_BODY):
+            self.set_header('Content-Length', str(len(body)))
+            await self.flush()
+            await target.wait_for(SilenceForm.BEFORE_BODY)
+        self.write(body)
+
+    async def _write_event(self, number, request_id):
+        target = self.target
+        event = f'id: {number}\ndata: {request_id} {number}\n\n'
+        await asyncio.sleep(EVENT_INTERVAL_S)
+        if target.is_silent(SilenceForm.BEFORE_BODY):
+            await self.flush()
+            await target.wait_for(SilenceForm.BEFORE_BODY)
+        await target.wait_for(SilenceForm.REQUESTS)
+        await target.wait_for(SilenceForm.BETWEEN_EVENTS)
+        if target.is_silent(SilenceForm.INSIDE_EVENT):
+            cut = 1 + secrets.randbelow(len(event) - 1)
+            self.write(event[:cut])
+            await self.flush()
+            await target.wait_for(SilenceForm.INSIDE_EVENT)
+            event = event[cut:]
+        self.write(event)
+        await self.flush()
 
     async def _write_raw(self, form, request_id, last_event):
         """Write an answer without a length, or one without end."""
@@ -144,6 +180,8 @@
         )
         stream = self.detach()
         self.target.raw_streams.add(stream)
+        if form in (AnswerForm.ENDLESS_HEAD, AnswerForm.ENDLESS_BODY):
+            self.target.journal.record_break(self.target.id, request_id)
         try:
             if form is AnswerForm.ENDLESS_HEAD:
                 await stream.write(head)
@@ -166,6 +204,9 @@
                     and secrets.randbelow(4) < 1
                 ):
                     cut = 1 + secrets.randbelow(len(event) - 1)
+                    self.target.journal.record_break(
+                        self.target.id, request_id
+                    )
                     await stream.write(event[:cut].encode())
                     return
                 await stream.write(event.encode())
--- a/tests/platform/soak/journal.py
+++ b/tests/platform/soak/journal.py
@@ -39,6 +39,34 @@
     until: float
 
 
+@dataclass
+class Break:
+    """A moment at which a target broke off its runs, or only one of them."""
+
+    target: str
+    at: float
+    request_id: str | None = None
+
+
+@dataclass
+class Silence:
+    """A span in which a sound target was silent, and how."""
+
+    target: str
+    began_at: float
+    form: str
+    ended_at: float = math.inf
+
+
+@dataclass
+class Work:
+    """Planned work: a signal to an entry, or a change ('' as its entry)."""
+
+    at: float
+    kind: str
+    entry: str = ''
+
+
 @dataclass
 class Journal:
     """What all targets have seen, and the newest weight version."""
@@ -55,10 +83,36 @@
     software: dict[str, str] = field(default_factory=dict)
     # The times at which targets crashed under the crashing part.
     part_crashes: list[float] = field(default_factory=list)
+    breaks: list[Break] = field(default_factory=list)
+    silences: list[Silence] = field(default_factory=list)
+    works: list[Work] = field(default_factory=list)
+    # Spans in which a process was killed or paused, or its grace ran out, by
+    # its entry.
+    interrupted: dict[str, list[list[float]]] = field(default_factory=dict)
+    # The time limits of the routes in seconds, and when they were sent.
+    timeouts: list[tuple[float, float]] = field(default_factory=list)
 
     def add(self, run):
         self.runs.setdefault(run.request_id, []).append(run)
 
+    def record_break(self, target, request_id=None):
+        self.breaks.append(Break(target, time.monotonic(), request_id))
+
+    def record_work(self, kind, entry=''):
+        self.works.append(Work(time.monotonic(), kind, entry))
+
+    def begin_silence(self, target, form):
+        """Record a silence; the caller replaces its end when it is over."""
+        silence = Silence(target, time.monotonic(), form)
+        self.silences.append(silence)
+        return silence
+
+    def interrupt(self, entry, start, end=math.inf):
+        """Record a span in which an entry's requests may get no answer."""
+        span = [start, end]
+        self.interrupted.setdefault(entry, []).append(span)
+        return span
+
     def begin_fault(self, name):
         """Record a fault; the caller replaces its end when it is over."""
         span = [time.monotonic(), math.inf]
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -20,6 +20,7 @@
 from tests.platform.soak.faults import AnswerFaults
 from tests.platform.soak.faults import Faults
 from tests.platform.soak.faults import NoticeFaults
+from tests.platform.soak.faults import SilenceFaults
 
 CLIENTS = 12
 # The time for leases, drains and stops in progress to end, and then the time
@@ -79,6 +80,9 @@
             AnswerFaults(
                 random.Random(seed + 3), environment, record_fault
             ).run(until),
+            SilenceFaults(
+                random.Random(seed + 4), environment, record_fault
+            ).run(until),
         )
         await asyncio.sleep(SETTLE_S)
         fault_free_from = time.monotonic()
--- a/tests/platform/soak/targets.py
+++ b/tests/platform/soak/targets.py
@@ -10,6 +10,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
+from tests.platform.soak.handlers import SilenceForm
 from tests.platform.soak.handlers import TargetHandler
 from tests.platform.soak.journal import Order
 from wigeonmill.standins.fault_proxy import ProxyOptions
@@ -24,6 +25,7 @@
 LOAD_DURATION_S = 0.4
 # The time that an order waits for open streams to end.
 ORDER_WAIT_S = 0.5
+SILENCE_POLL_S = 0.01
 
 
 class Target:
@@ -51,6 +53,8 @@
         # How some answers are written for a time; None: all as usual.
         self.answer_form = None
         self.raw_streams = set()
+        # Where requests stand still; None: nowhere.
+        self.silence = None
         self.on_crash = lambda target: None
         self.loading = False
         self.orders = 0
@@ -68,13 +72,34 @@
         self._server = HTTPServer(app)
         self._server.add_sockets(sockets)
         self.proxy = await start_fault_proxy(ProxyOptions(f'127.0.0.1:{port}'))
+        self.proxy.state.on_cut = lambda: self.journal.record_break(self.id)
         self._register_task = asyncio.ensure_future(self._register())
         return self
 
+    def is_silent(self, form):
+        """Whether requests stand still at this point now."""
+        return self.silence is form
+
+    async def wait_for(self, form):
+        """Stand still while the target is silent in this form."""
+        while self.silence is form:
+            await asyncio.sleep(SILENCE_POLL_S)
+
+    def fall_silent(self, form):
+        """Stand still in this form until `go_on`, closing nothing."""
+        self.silence = form
+        self.proxy.state.faults.hold = form is SilenceForm.FROZEN
+
+    def go_on(self):
+        """End the silence."""
+        self.silence = None
+        self.proxy.state.faults.hold = False
+
     def crash(self):
         """End under a request; the first one decides."""
         if self.state != 'gone':
             self.state = 'gone'
+            self.journal.record_break(self.id)
             self.journal.part_crashes.append(time.monotonic())
             self.on_crash(self)
 
@@ -111,17 +136,21 @@
         while self.open_requests and time.monotonic() < deadline:
             await asyncio.sleep(0.01)
         # The connections of runs that are still open are reset.
-        for stream in (
-            list(self.proxy.state.open_streams) if self.open_requests else ()
-        ):
-            reset_stream(stream)
+        if self.open_requests:
+            self.reset_connections()
         await asyncio.sleep(LOAD_DURATION_S)
         self.version = order['version']
         self.loading = False
 
+    def reset_connections(self):
+        self.journal.record_break(self.id)
+        for stream in list(self.proxy.state.open_streams):
+            reset_stream(stream)
+
     async def _register(self):
         lease = 0
         while True:
+            await self.wait_for(SilenceForm.FROZEN)
             self.sequence += 1
             if lease:
                 renewed = await self.key_value.keep_alive(lease)
@@ -160,6 +189,7 @@
 
     async def stop(self):
         """Stop at once, as in a crash."""
+        self.journal.record_break(self.id)
         self._register_task.cancel()
         await self.proxy.stop()
         for stream in list(self.raw_streams):
--- a/wigeonmill/standins/fault_proxy.py
+++ b/wigeonmill/standins/fault_proxy.py
@@ -1,6 +1,7 @@
 """A TCP proxy that injects faults, with an HTTP control port."""
 
 import asyncio
+from collections.abc import Callable
 import enum
 import socket
 import struct
@@ -35,21 +36,26 @@
     `delay_ms` delays each chunk in both directions. `drop` discards the
     traffic in both directions; a direction of a connection that has lost a
     chunk forwards nothing more. `stall` blocks one direction until it is
-    cleared. Each of the next `cuts` connections is closed once it has
-    forwarded `cut_after_bytes` of replies. `duplicate` sends the requests of
-    new connections a second time on another connection. `refuse` resets new
-    connections; `reset` resets the open ones once.
+    cleared, `hold` blocks both. Each of the next `cuts` connections is closed
+    once it has forwarded `cut_after_bytes` of replies. `duplicate` sends the
+    requests of new connections a second time on another connection. `refuse`
+    resets new connections; `reset` resets the open ones once.
     """
 
     delay_ms: float = 0.0
     drop: bool = False
     stall: Direction | None = None
+    hold: bool = False
     cut_after_bytes: int = 0
     cuts: int = 0
     duplicate: bool = False
     refuse: bool = False
     reset: bool = False
 
+    def blocks(self, direction: Direction) -> bool:
+        """Whether traffic in this direction waits."""
+        return self.hold or self.stall is direction
+
 
 class ProxyOptions(msgspec.Struct, forbid_unknown_fields=True):
     """The upstream address (IP:port) and the control port."""
@@ -80,6 +86,8 @@
         self.stats = ProxyAudit()
         self.clock = Clock()
         self.open_streams: set[IOStream] = set()
+        # Called whenever a connection is cut after `cut_after_bytes`.
+        self.on_cut: Callable[[], None] = lambda: None
 
     def audit(self) -> ProxyAudit:
         """Return the counts so far."""
@@ -150,7 +158,7 @@
             remaining_ms = due_ms - self._state.clock.now_ms()
             if remaining_ms > 0:
                 await asyncio.sleep(remaining_ms / 1000.0)
-            while self._state.faults.stall is self._direction:
+            while self._state.faults.blocks(self._direction):
                 await asyncio.sleep(STALL_POLL_INTERVAL_MS / 1000.0)
             if not data:
                 return
@@ -167,6 +175,7 @@
                     extra.write(data)
             if self._limit_bytes and forwarded_bytes >= self._limit_bytes:
                 self._state.stats.cut += 1
+                self._state.on_cut()
                 return
 
     def _count_bytes(self, size: int) -> None:
