Check in the soak that whole requests get a whole answer

A request that its caller has written completely gets a whole answer of any status. It isn't lost if its target broke the run off, its time limit was reached, its entry was killed or paused or ran out of its grace time, or it crossed the close of its connection and was not passed on. SIGHUP, SIGTERM, a change and a target's silence excuse nothing. A second check finds requests without an end long after their deadline. Callers open a new connection if they have seen the end of the old one.

The existing test of a cut stream expects the new promise beside the one that it expected before; all other tests of checks are as they were.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import enum
+import math
 import secrets
 import time
 
@@ -53,6 +54,8 @@
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b''
+    # When the caller had written the whole request.
+    written_at: float = math.inf
     ended_at: float = 0.0
     # The caller disconnected on purpose before the answer.
     disconnected: bool = False
@@ -82,10 +85,13 @@
 
     async def send(self, attempt, key):
         """Send one request and read its answer."""
+        if self.reader is not None and self.reader.at_eof():
+            self.close()
         if self.writer is None and not await self._connect():
             attempt.outcome = Outcome.NOT_SENT
             return
         self.writer.write(encode_request(attempt, key))
+        attempt.written_at = time.monotonic()
         attempt.outcome = Outcome.CLOSED
         try:
             keep_alive = await self._read_answer(attempt)
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -12,6 +12,8 @@
 from tests.platform.soak.handlers import CRASHING_PART
 from tests.platform.soak.handlers import EVENT_COUNT
 from tests.platform.soak.journal import Journal
+from tests.platform.soak.lost import find_endless
+from tests.platform.soak.lost import find_lost
 
 # Statuses that guarantee that a request was not run and never will be.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -63,6 +65,14 @@
     found += _check_leaving(attempts, journal)
     found += _check_closings(attempts, journal)
     found += _check_crashing_part(attempts, journal)
+    found += [
+        Breach('lost', attempt.id, detail)
+        for attempt, detail in find_lost(attempts, journal)
+    ]
+    found += [
+        Breach('an end in time', attempt.id, detail)
+        for attempt, detail in find_endless(attempts, journal)
+    ]
     final_attempts = [
         a
         for a in attempts
--- a/tests/platform/soak/environment.py
+++ b/tests/platform/soak/environment.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 
 from result import Err
 
@@ -196,7 +197,13 @@
     async def put_state(self):
         """Write the desired state again with a higher version."""
         async with self._operator_lock:
-            await self._put('op/config', self._next_state())
+            state = self._next_state()
+            shortest_ms = min(r['timeoutMs'] for r in state['routes'])
+            self.journal.timeouts.append(
+                (time.monotonic(), shortest_ms / 1000.0)
+            )
+            self.journal.record_work('change')
+            await self._put('op/config', state)
 
     def _next_state(self):
         self.version += self.rng.randint(1, 5)
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -5,6 +5,7 @@
 import time
 
 from tests.platform.soak.environment import DOMAINS
+from tests.platform.soak.environment import GRACE_MS
 from tests.platform.soak.environment import PLAIN_SERVICE
 from tests.platform.soak.environment import STREAM_SERVICE
 from tests.platform.soak.handlers import AnswerForm
@@ -87,7 +88,10 @@
     async def kill(self):
         gateway = self._pick_gateway()
         span = self._begin(gateway.name)
+        journal = self.environment.journal
+        killing = journal.interrupt(gateway.name, time.monotonic())
         gateway.kill_and_wait()
+        self._end(killing)
         await self._wait(DOWN_RANGE_S)
         if not gateway.running:
             gateway.start()
@@ -96,23 +100,38 @@
     async def stop_and_start(self):
         gateway = self._pick_gateway()
         span = self._begin(gateway.name)
-        gateway.signal_process(signal.SIGTERM)
-        await gateway.wait_until_exited()
+        await self._terminate(gateway)
         await self._wait(DOWN_RANGE_S)
         if not gateway.running:
             gateway.start()
         self._end(span)
 
+    async def _terminate(self, gateway):
+        """Send SIGTERM and wait for the end of the process."""
+        journal = self.environment.journal
+        journal.record_work('SIGTERM', gateway.name)
+        last_sixth_at = time.monotonic() + GRACE_MS / 1000.0 * 5 / 6
+        gateway.signal_process(signal.SIGTERM)
+        await gateway.wait_until_exited()
+        exited_at = time.monotonic()
+        if exited_at >= last_sixth_at:
+            journal.interrupt(gateway.name, last_sixth_at, exited_at)
+
     async def pause(self):
         gateway = self._pick_gateway()
         span = self._begin(gateway.name)
+        journal = self.environment.journal
+        pausing = journal.interrupt(gateway.name, time.monotonic())
         gateway.signal_process(signal.SIGSTOP)
         await self._wait(FAULT_RANGE_S)
         gateway.signal_process(signal.SIGCONT)
+        self._end(pausing)
         self._end(span)
 
     async def reload(self):
-        self._pick_gateway().signal_process(signal.SIGHUP)
+        gateway = self._pick_gateway()
+        self.environment.journal.record_work('SIGHUP', gateway.name)
+        gateway.signal_process(signal.SIGHUP)
 
     async def store_down(self):
         self.environment.key_value.faults.outage = True
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -3,6 +3,7 @@
 import json
 
 from tests.platform.soak.callers import Attempt
+from tests.platform.soak.callers import DEADLINE_MS
 from tests.platform.soak.callers import Kind
 from tests.platform.soak.callers import Outcome
 from tests.platform.soak.callers import SOUND_PART
@@ -14,6 +15,7 @@
 from tests.platform.soak.checks import MIN_SOUND_COUNT
 from tests.platform.soak.handlers import CRASHING_PART
 from tests.platform.soak.handlers import EVENT_COUNT
+from tests.platform.soak.journal import Break
 from tests.platform.soak.journal import Closing
 from tests.platform.soak.journal import Journal
 from tests.platform.soak.journal import Order
@@ -102,7 +104,7 @@
     cut = make_attempt(
         Kind.STREAM, body=events(3), outcome=Outcome.CUT, sent_at=99.0
     )
-    assert find_broken_promises(cut, make_run()) == {'recovery'}
+    assert find_broken_promises(cut, make_run()) == {'recovery', 'lost'}
 
 
 def test_finds_runs_at_a_drained_target():
@@ -264,3 +266,78 @@
     assert promise in sound_breaches(503, MIN_SOUND_COUNT)
     assert promise not in sound_breaches(503, MIN_SOUND_COUNT - 1)
     assert promise not in sound_breaches(200, MIN_SOUND_COUNT)
+
+
+def lost_promises(kind=Kind.STREAM, runs=(('t1', 101.0),), **changes):
+    """Cut a request off 1 s after it was sent, with changes to the rest."""
+    journal = Journal(
+        breaks=changes.pop('breaks', []),
+        interrupted=changes.pop('interrupted', {}),
+        timeouts=changes.pop('timeouts', []),
+    )
+    for target, at in runs:
+        journal.add(make_run(target, started_at=at))
+    state = {
+        'outcome': Outcome.CUT,
+        'body': events(3) if kind is Kind.STREAM else b'',
+        'written_at': 101.0,
+        'ended_at': 102.0,
+    }
+    attempt = make_attempt(kind, **(state | changes))
+    found = find_breaches([attempt], journal, FAULT_FREE_FROM)
+    return {breach.promise for breach in found} - {'recovery'}
+
+
+def test_finds_whole_requests_that_end_without_a_whole_answer():
+    assert lost_promises() == {'lost'}
+    for kind in (Kind.SAFE, Kind.UNSAFE):
+        assert lost_promises(kind, outcome=Outcome.CLOSED) == {'lost'}
+    assert not lost_promises(outcome=Outcome.NOT_SENT, body=b'')
+    assert not lost_promises(disconnected=True)
+
+
+def test_a_request_that_crosses_a_close_is_not_lost():
+    crossing = {'outcome': Outcome.CLOSED, 'body': b'', 'ended_at': 101.1}
+    assert not lost_promises(runs=(), **crossing)
+    assert lost_promises(**crossing) == {'lost'}
+    crossing['ended_at'] = 101.3
+    assert lost_promises(runs=(), **crossing) == {'lost'}
+
+
+def test_a_run_that_its_target_broke_off_is_not_lost():
+    assert not lost_promises(breaks=[Break('t1', 101.5)])
+    assert not lost_promises(breaks=[Break('t1', 101.5, 'q1')])
+    for found in (
+        Break('t2', 101.5),
+        Break('t1', 101.5, 'q2'),
+        Break('t1', 100.9),
+        Break('t1', 102.1),
+    ):
+        assert lost_promises(breaks=[found]) == {'lost'}
+    # Another target ran it long after the break.
+    runs = (('t1', 101.0), ('t2', 101.1))
+    early, late = Break('t1', 101.05), Break('t1', 105.5)
+    assert lost_promises(runs=runs, breaks=[early], ended_at=103.0)
+    assert not lost_promises(runs=runs, breaks=[early], ended_at=102.0)
+    assert lost_promises(runs=runs, breaks=[late], ended_at=103.0)
+
+
+def test_requests_of_an_interrupted_entry_are_not_lost():
+    assert not lost_promises(interrupted={'g0': [[101.5, 103.0]]})
+    assert lost_promises(interrupted={'g0': [[90.0, 100.0]]}) == {'lost'}
+    assert lost_promises(interrupted={'g1': [[101.5, 103.0]]}) == {'lost'}
+
+
+def test_a_request_that_reached_its_time_limit_is_not_lost():
+    assert not lost_promises(ended_at=101.0 + DEADLINE_MS / 1000.0)
+    assert not lost_promises(timeouts=[(50.0, 1.0)])
+    assert lost_promises(timeouts=[(50.0, 1.0), (90.0, 4.0)]) == {'lost'}
+    assert not lost_promises(timeouts=[(50.0, 1.0), (99.0, 4.0)])
+    assert lost_promises(timeouts=[(50.0, 4.0), (102.5, 1.0)]) == {'lost'}
+
+
+def test_finds_requests_without_an_end():
+    endless = {'outcome': Outcome.TIMED_OUT, 'ended_at': 107.0, 'body': b''}
+    assert lost_promises(**endless) == {'an end in time'}
+    assert not lost_promises(**endless, disconnected=True)
+    assert not lost_promises(**endless, interrupted={'g0': [[102.0, 103.0]]})
