Play series of signals, restarts and changes in the soak

SIGHUP in series, just before and after SIGTERM and while a process starts; storms of 5 to 20 changes in two seconds that alter time limits, attempts, the idle time, weights, keys and routes and then restore them; callers that keep one connection to each entry busy until it is closed. Drawn with a random generator of its own.

A process that ends by itself, or with another exit code than its stop gives, is a breach now. Until now such a process stayed away and only the recovery showed it; it is started again after the breach, so that the other checks still see five entries.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -21,6 +21,8 @@
 # share their other parts.
 CRASHING_RANGE_S = (0.3, 1.2)
 SOUND_RANGE_S = (0.05, 0.2)
+# Pauses of callers that keep one connection busy.
+KEPT_RANGE_S = (0.0, 0.05)
 
 
 class Kind(enum.Enum):
@@ -217,6 +219,17 @@
         for conn in connections.values():
             conn.close()
 
+    async def run_on_kept_connections(self):
+        """Keep one connection to each entry busy until it is closed."""
+        await asyncio.gather(*map(self._client_of_entry, self.entries))
+
+    async def _client_of_entry(self, name):
+        conn = Connection(self.entries[name])
+        while not self.stopped:
+            await self._send_attempt(conn, name)
+            await asyncio.sleep(self.rng.uniform(*KEPT_RANGE_S))
+        conn.close()
+
     async def _send_attempt(self, conn, name):
         kind = self.rng.choice(list(Kind))
         team, key = self.rng.choice(list(self.teams.items()))
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -65,6 +65,10 @@
     found += _check_leaving(attempts, journal)
     found += _check_closings(attempts, journal)
     found += _check_crashing_part(attempts, journal)
+    found += [
+        Breach('process ended by itself', '', detail)
+        for detail in journal.own_ends
+    ]
     found += [
         Breach('lost', attempt.id, detail)
         for attempt, detail in find_lost(attempts, journal)
--- a/tests/platform/soak/environment.py
+++ b/tests/platform/soak/environment.py
@@ -14,6 +14,10 @@
 
 from bench.chaos_parts.ports import reserve_address
 from tests.platform.soak.journal import Journal
+from tests.platform.soak.states import make_state
+from tests.platform.soak.states import PLAIN_SERVICE
+from tests.platform.soak.states import STREAM_SERVICE
+from tests.platform.soak.states import Variation
 from tests.platform.soak.store import start_store
 from tests.platform.soak.targets import MODEL
 from tests.platform.soak.targets import Target
@@ -24,13 +28,15 @@
 
 ROOT = Path(__file__).parents[3]
 DOMAINS = ('d0', 'd1', 'd2')
-PLAIN_SERVICE = 'ledger'
-STREAM_SERVICE = 'streams'
 GRACE_MS = 4_000
 WEIGHTS_DEADLINE_MS = 10_000
 READY_TIMEOUT_S = 15.0
-# Time after which a target is back that crashed under a prompt part.
+# Time after which a target is back that crashed under a prompt part, and a
+# gateway that ended by itself.
 RESTART_S = 0.5
+WATCH_S = 0.01
+# Exit codes of processes that were told to end, at any point of their start.
+ASKED_EXIT_CODES = (0, -signal.SIGTERM, -signal.SIGKILL)
 
 
 class Gateway:
@@ -47,6 +53,10 @@
         self.log = folder / f'{name}.log'
         self._settings = folder / f'{name}.json'
         self._popen = None
+        self._started_at = 0.0
+        # Whether the process was asked to end, and its end has been seen.
+        self._may_end = False
+        self._end_seen = True
 
     async def prepare(self, store, seeds):
         self.store_proxy = await start_fault_proxy(ProxyOptions(store))
@@ -78,6 +88,8 @@
                 stdout=log,
                 stderr=log,
             )
+        self._started_at = time.monotonic()
+        self._may_end = self._end_seen = False
 
     @property
     def running(self):
@@ -85,8 +97,24 @@
 
     def signal_process(self, signum):
         if self.running:
+            if signum in (signal.SIGTERM, signal.SIGKILL):
+                self._may_end = True
             self._popen.send_signal(signum)
 
+    def take_own_end(self):
+        """Return the exit code of a process that ended by itself, once."""
+        if self._end_seen or self.running:
+            return None
+        self._end_seen = True
+        exit_code = self._popen.returncode
+        if self._may_end and exit_code in ASKED_EXIT_CODES:
+            return None
+        return exit_code
+
+    def has_run_for(self, time_s):
+        """Whether the process is running and was started that long ago."""
+        return self.running and time.monotonic() >= self._started_at + time_s
+
     def kill_and_wait(self):
         """Kill the process if it is running, and wait until it has exited."""
         self.signal_process(signal.SIGCONT)
@@ -133,7 +161,9 @@
         self.journal = Journal()
         self.targets = []
         self.version = 0
-        self._replacing = set()
+        self.variation = Variation()
+        self._beside = set()
+        self._watching = None
         # Only one operator writes at a time, so that versions only increase.
         self._operator_lock = asyncio.Lock()
         self.teams = {'one': 'key-1', 'two': 'key-2'}
@@ -161,6 +191,29 @@
             gateway.start()
         for gateway in self.gateways:
             await asyncio.wait_for(self._until_ready(gateway), READY_TIMEOUT_S)
+        self._watching = asyncio.ensure_future(self._watch_processes())
+
+    async def _watch_processes(self):
+        while True:
+            for gateway in self.gateways:
+                exit_code = gateway.take_own_end()
+                if exit_code is not None:
+                    self.journal.own_ends.append(
+                        f'{gateway.name} with {exit_code}'
+                    )
+                    self._run_beside(self._restart(gateway))
+            await asyncio.sleep(WATCH_S)
+
+    async def _restart(self, gateway):
+        """Start a process again that ended by itself."""
+        await asyncio.sleep(RESTART_S)
+        if not gateway.running:
+            gateway.start()
+
+    def _run_beside(self, coro):
+        task = asyncio.ensure_future(coro)
+        self._beside.add(task)
+        task.add_done_callback(self._beside.discard)
 
     async def _until_ready(self, gateway):
         while not await gateway.is_ready():
@@ -185,9 +238,7 @@
             await target.stop()
 
     def _replace_crashed(self, target):
-        task = asyncio.ensure_future(self._stop_and_replace(target))
-        self._replacing.add(task)
-        task.add_done_callback(self._replacing.discard)
+        self._run_beside(self._stop_and_replace(target))
 
     async def _stop_and_replace(self, target):
         await self.remove_target(target)
@@ -207,36 +258,7 @@
 
     def _next_state(self):
         self.version += self.rng.randint(1, 5)
-        routes = [
-            self._route('safe', PLAIN_SERVICE, 'safe', attempts=3),
-            self._route('unsafe', PLAIN_SERVICE, 'unsafe', attempts=3),
-            self._route(
-                'stream',
-                STREAM_SERVICE,
-                'streaming',
-                attempts=3,
-                canResume=True,
-            ),
-        ]
-        return {
-            'version': self.version,
-            'routes': routes,
-            'services': [
-                {'name': PLAIN_SERVICE},
-                {
-                    'name': STREAM_SERVICE,
-                    'engine': {
-                        'capacity': 16,
-                        'kvTokens': 100_000,
-                        'kvBytes': 1_000,
-                    },
-                },
-            ],
-            'tenants': [
-                {'name': name, 'apiKeys': [key]}
-                for name, key in self.teams.items()
-            ],
-        }
+        return make_state(self.version, self.teams, self.variation)
 
     async def publish_weights(self):
         """Publish a newer weight version for the model engines."""
@@ -260,21 +282,11 @@
                     return
             await asyncio.sleep(0.05)
 
-    def _route(self, name, service, kind, **extra):
-        return {
-            'name': name,
-            'host': 'soak.example',
-            'prefix': f'/{name}/',
-            'kind': kind,
-            'timeoutMs': 4_000,
-            'sloMs': 400,
-            'service': service,
-            'gapAimMs': 400,
-        } | extra
-
     async def close(self):
-        if self._replacing:
-            await asyncio.gather(*self._replacing)
+        if self._watching is not None:
+            self._watching.cancel()
+        if self._beside:
+            await asyncio.gather(*self._beside)
         for gateway in self.gateways:
             gateway.kill_and_wait()
         for target in list(self.targets):
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -6,10 +6,10 @@
 
 from tests.platform.soak.environment import DOMAINS
 from tests.platform.soak.environment import GRACE_MS
-from tests.platform.soak.environment import PLAIN_SERVICE
-from tests.platform.soak.environment import STREAM_SERVICE
 from tests.platform.soak.handlers import AnswerForm
 from tests.platform.soak.handlers import SilenceForm
+from tests.platform.soak.states import PLAIN_SERVICE
+from tests.platform.soak.states import STREAM_SERVICE
 from wigeonmill.standins.fault_proxy import Direction
 
 DOWN_RANGE_S = (0.1, 1.0)
@@ -129,7 +129,9 @@
         self._end(span)
 
     async def reload(self):
-        gateway = self._pick_gateway()
+        self._reload(self._pick_gateway())
+
+    def _reload(self, gateway):
         self.environment.journal.record_work('SIGHUP', gateway.name)
         gateway.signal_process(signal.SIGHUP)
 
--- a/tests/platform/soak/journal.py
+++ b/tests/platform/soak/journal.py
@@ -89,6 +89,8 @@
     # Spans in which a process was killed or paused, or its grace ran out, by
     # its entry.
     interrupted: dict[str, list[list[float]]] = field(default_factory=dict)
+    # The processes that ended though nobody asked them to.
+    own_ends: list[str] = field(default_factory=list)
     # The time limits of the routes in seconds, and when they were sent.
     timeouts: list[tuple[float, float]] = field(default_factory=list)
 
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -21,6 +21,7 @@
 from tests.platform.soak.faults import Faults
 from tests.platform.soak.faults import NoticeFaults
 from tests.platform.soak.faults import SilenceFaults
+from tests.platform.soak.series import SeriesFaults
 
 CLIENTS = 12
 # The time for leases, drains and stops in progress to end, and then the time
@@ -71,7 +72,16 @@
             environment.entries,
             dict(environment.teams),
         )
-        calling = asyncio.gather(callers.run(CLIENTS), callers.run_crashing())
+        keeping = Callers(
+            random.Random(seed + 6),
+            environment.entries,
+            dict(environment.teams),
+        )
+        calling = asyncio.gather(
+            callers.run(CLIENTS),
+            callers.run_crashing(),
+            keeping.run_on_kept_connections(),
+        )
         until = loop.time() + seconds
         notice_rng = random.Random(seed + 2)
         await asyncio.gather(
@@ -83,11 +93,14 @@
             SilenceFaults(
                 random.Random(seed + 4), environment, record_fault
             ).run(until),
+            SeriesFaults(
+                random.Random(seed + 5), environment, record_fault
+            ).run(until),
         )
         await asyncio.sleep(SETTLE_S)
         fault_free_from = time.monotonic()
         await asyncio.sleep(FAULT_FREE_S)
-        callers.stopped = True
+        callers.stopped = keeping.stopped = True
         await calling
         memory_mb = {g.name: g.peak_memory_mb() for g in environment.gateways}
         outdated = [
@@ -100,14 +113,13 @@
         raise
     finally:
         await asyncio.wait_for(environment.close(), CLOSE_S)
-    report.attempts = len(callers.attempts)
+    attempts = callers.attempts + keeping.attempts
+    report.attempts = len(attempts)
     report.ends = dict(
-        collections.Counter(
-            f'{a.outcome.value} {a.status}' for a in callers.attempts
-        )
+        collections.Counter(f'{a.outcome.value} {a.status}' for a in attempts)
     )
     report.breaches = find_breaches(
-        callers.attempts, environment.journal, fault_free_from
+        attempts, environment.journal, fault_free_from
     )
     report.breaches += [
         Breach('weights reach all engines', '', detail) for detail in outdated
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -341,3 +341,10 @@
     assert lost_promises(**endless) == {'an end in time'}
     assert not lost_promises(**endless, disconnected=True)
     assert not lost_promises(**endless, interrupted={'g0': [[102.0, 103.0]]})
+
+
+def test_finds_a_process_that_ended_by_itself():
+    journal = Journal(own_ends=['g1 with -1'])
+    journal.add(make_run())
+    found = find_breaches([make_attempt()], journal, FAULT_FREE_FROM)
+    assert [breach.promise for breach in found] == ['process ended by itself']
