Let targets of the soak ask single entries for rest

A target asks one entry or all of them for rest, in answers with and without its id, each with a time of its own or with the end of the rest, while some callers leave just as they are refused and new connections are held up. A target that leaves may tell only one entry so.

The check counts all arrivals from an entry, run or refused, in the span of each answer by itself; until now it counted refusals after the first answer with the same end. A target that stood still with its connections excuses them, as they may have been sent before its answer left. The old test of the check keeps its times and bounds, and states arrivals apart from answers.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -137,6 +137,11 @@
             if size == 0:
                 return
 
+    def leave(self):
+        """Close the connection while an answer may be read."""
+        if self.writer is not None:
+            self.writer.close()
+
     def close(self):
         if self.writer is not None:
             self.writer.close()
@@ -174,10 +179,11 @@
 class Callers:
     """Clients that send requests to random entries until `stopped` is set."""
 
-    def __init__(self, rng, entries, teams, disconnect_share=0.05):
+    def __init__(self, rng, entries, teams, journal, disconnect_share=0.05):
         self.rng = rng
         self.entries = entries
         self.teams = teams
+        self.journal = journal
         self.disconnect_share = disconnect_share
         self.attempts = []
         self.stopped = False
@@ -264,13 +270,20 @@
 
     async def _send(self, conn, attempt, key, disconnects):
         self.attempts.append(attempt)
+
+        def leave():
+            attempt.disconnected = True
+            conn.leave()
+
+        self.journal.expect_request(attempt.id, attempt.entry, leave)
         timeout_s = (
             self.rng.uniform(0.0, 0.2) if disconnects else CALLER_TIMEOUT_S
         )
         try:
             await asyncio.wait_for(conn.send(attempt, key), timeout_s)
         except asyncio.TimeoutError:
-            attempt.disconnected = disconnects
+            attempt.disconnected |= disconnects
             attempt.outcome = Outcome.TIMED_OUT
             conn.close()
+        del self.journal.leave[attempt.id]
         attempt.ended_at = time.monotonic()
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -11,6 +11,7 @@
 from tests.platform.soak.callers import SOUND_PART
 from tests.platform.soak.handlers import CRASHING_PART
 from tests.platform.soak.handlers import EVENT_COUNT
+from tests.platform.soak.handlers import SilenceForm
 from tests.platform.soak.journal import Journal
 from tests.platform.soak.lost import find_endless
 from tests.platform.soak.lost import find_lost
@@ -203,19 +204,47 @@
 
 
 def _check_closings(attempts, journal):
+    """Check each answer's span by itself; one answer may follow another."""
     entries = {attempt.id: attempt.entry for attempt in attempts}
-    arrivals = {}
+    arrived_at = {}
+    for arrival in journal.arrivals:
+        key = entries.get(arrival.request_id), arrival.target
+        arrived_at.setdefault(key, []).append(arrival.at)
+    worst = {}
     for closing in journal.closings:
-        key = entries.get(closing.request_id), closing.target, closing.until
-        arrivals.setdefault(key, []).append(closing)
-    for (entry, target, until), closings in arrivals.items():
-        first_at = closings[0].refused_at
-        late = [c for c in closings if c.refused_at > first_at + CLOSING_S]
+        target, answered_at = closing.target, closing.refused_at
+        key = entries.get(closing.request_id), target
+        late = [
+            at
+            for at in arrived_at.get(key, ())
+            if answered_at + CLOSING_S < at < closing.until
+        ]
         if len(late) > MAX_WHILE_CLOSED and not (
-            _had_fault(journal, entry, first_at, until)
-            or _had_fault(journal, target, first_at, until)
+            _had_fault(journal, key[0], answered_at, closing.until)
+            or _had_fault(journal, target, answered_at, closing.until)
+            or _stood_still(journal, target, answered_at, closing.until)
         ):
-            yield Breach('closed', late[-1].request_id, f'{len(late)} came')
+            if len(late) > worst.get(key, (0,))[0]:
+                worst[key] = len(late), closing
+    for (entry, target), (count, closing) in worst.items():
+        stated_s = closing.until - closing.refused_at
+        yield Breach(
+            'closed',
+            closing.request_id,
+            f'{count} came to {target} from {entry} after the answer at '
+            f'{closing.refused_at:.2f} that asked for {stated_s:.2f} s',
+        )
+
+
+def _stood_still(journal, target, start, end):
+    """Whether requests may have waited in front of a target."""
+    return any(
+        silence.target == target
+        and silence.form == SilenceForm.FROZEN.value
+        and silence.began_at <= end
+        and silence.ended_at >= start
+        for silence in journal.silences
+    )
 
 
 def _check_crashing_part(attempts, journal):
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -7,6 +7,7 @@
 from tests.platform.soak.environment import DOMAINS
 from tests.platform.soak.environment import GRACE_MS
 from tests.platform.soak.handlers import AnswerForm
+from tests.platform.soak.handlers import Rest
 from tests.platform.soak.handlers import SilenceForm
 from tests.platform.soak.states import PLAIN_SERVICE
 from tests.platform.soak.states import STREAM_SERVICE
@@ -257,8 +258,11 @@
 
     async def close_target(self):
         time_s = self.rng.uniform(*FAULT_RANGE_S)
-        self._pick_target().closed_until = time.monotonic() + time_s
+        target = self._pick_target()
+        target.rest = rest = Rest(None, time.monotonic() + time_s)
         await asyncio.sleep(time_s)
+        if target.rest is rest:
+            target.rest = None
 
 
 class SilenceFaults(Faults):
--- a/tests/platform/soak/handlers.py
+++ b/tests/platform/soak/handlers.py
@@ -1,15 +1,18 @@
 """Handles the requests to a target of the soak."""
 
 import asyncio
+from dataclasses import dataclass
 import enum
 import itertools
 import json
+import random
 import secrets
 import time
 
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
+from tests.platform.soak.journal import Arrival
 from tests.platform.soak.journal import Closing
 from tests.platform.soak.journal import Run
 from wigeonmill.standins.fault_proxy import reset_stream
@@ -25,6 +28,11 @@
 ENDLESS_PART = b'z' * 65_536
 # A prompt part under which targets crash when they begin to write.
 CRASHING_PART = 'bad0'
+# Times of rest that answers state if each states its own.
+STATED_RANGE_S = (0.5, 3.0)
+# The share of the callers that leave just before they are refused for rest.
+LEFT_SHARE = 0.3
+LEFT_RANGE_S = (0.0, 0.02)
 
 
 class AnswerForm(enum.Enum):
@@ -51,19 +59,50 @@
     INSIDE_EVENT = 'inside an event'
 
 
+@dataclass
+class Rest:
+    """What a target that asks for rest tells one entry, or all (None)."""
+
+    entry: str | None
+    until: float
+    # Whether answers name the target.
+    named: bool = False
+    # Whether each answer states a time of its own, which may be longer or
+    # shorter than that of the one before.
+    varied: bool = False
+
+    def applies_to(self, entry):
+        """Whether requests from this entry are refused now."""
+        return time.monotonic() < self.until and self.entry in (None, entry)
+
+    def stated_s(self):
+        """Return the time that the next answer states, in seconds."""
+        if self.varied:
+            return random.uniform(*STATED_RANGE_S)
+        return self.until - time.monotonic()
+
+
 class TargetHandler(RequestHandler):
     def initialize(self, target):
         self.target = target
 
     async def _serve(self):
         target, headers = self.target, self.request.headers
+        request_id = headers.get('Request-Id', '')
+        is_control = self.request.path.startswith('/wigeonmill/')
+        if not is_control and self._is_addressed():
+            target.journal.arrivals.append(
+                Arrival(request_id, target.id, time.monotonic())
+            )
         await target.wait_for(SilenceForm.REQUESTS)
-        if target.leaving:
+        entry = target.journal.entries.get(request_id)
+        if target.leaving and (
+            target.leaving_for is None or entry in target.leaving_for
+        ):
             self.set_header('Server-Leaving', '1')
-        if self.request.path.startswith('/wigeonmill/'):
+        if is_control:
             self._serve_control()
             return
-        request_id = headers.get('Request-Id', '')
         self.set_header('Request-Id', request_id)
         self.set_header(
             'Server-Load', f'{target.open_requests},0,{target.slots}'
@@ -73,13 +112,8 @@
             self.set_header('Not-Executed', '1')
             self.set_status(421)
             return
-        now = time.monotonic()
-        if now < target.closed_until:
-            closing = Closing(request_id, target.id, now, target.closed_until)
-            target.journal.closings.append(closing)
-            self.set_header('Retry-After', f'{closing.until - now:.3f}')
-            self.set_header('Not-Executed', '1')
-            self.set_status(503)
+        if target.rest is not None and target.rest.applies_to(entry):
+            await self._ask_for_rest(request_id, target.rest)
             return
         if target.open_requests >= MAX_OPEN_REQUESTS or target.loading:
             self.set_header('Not-Executed', '1')
@@ -93,6 +127,22 @@
         finally:
             target.open_requests -= 1
 
+    async def _ask_for_rest(self, request_id, rest):
+        journal = self.target.journal
+        if random.random() < LEFT_SHARE and request_id in journal.leave:
+            journal.leave[request_id]()
+            await asyncio.sleep(random.uniform(*LEFT_RANGE_S))
+        now, stated_s = time.monotonic(), rest.stated_s()
+        self.set_header('Not-Executed', '1')
+        self.set_status(503)
+        if stated_s <= 0:
+            return
+        if rest.named:
+            self.set_header('Instance-Id', self.target.id)
+        self.set_header('Retry-After', f'{stated_s:.3f}')
+        closing = Closing(request_id, self.target.id, now, now + stated_s)
+        journal.closings.append(closing)
+
     def _is_addressed(self):
         expected = self.request.headers.get('Expect-Instance')
         return expected in (None, self.target.id)
--- a/tests/platform/soak/journal.py
+++ b/tests/platform/soak/journal.py
@@ -1,5 +1,6 @@
 """What targets, faults and the operator of a soak have seen and done."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 import math
@@ -39,6 +40,15 @@
     until: float
 
 
+@dataclass
+class Arrival:
+    """A request that reached the target for which it was meant."""
+
+    request_id: str
+    target: str
+    at: float
+
+
 @dataclass
 class Break:
     """A moment at which a target broke off its runs, or only one of them."""
@@ -77,6 +87,10 @@
     # The time at which a target was listed as draining, by its id.
     drained_at: dict[str, float] = field(default_factory=dict)
     closings: list[Closing] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    # The entries of requests, by their ids, and how their callers leave.
+    entries: dict[str, str] = field(default_factory=dict)
+    leave: dict[str, Callable[[], None]] = field(default_factory=dict)
     # Times of faults by the entry or target that they hit: start and end.
     faults: dict[str, list[list[float]]] = field(default_factory=dict)
     # The software versions of all targets, by their ids.
@@ -97,6 +111,11 @@
     def add(self, run):
         self.runs.setdefault(run.request_id, []).append(run)
 
+    def expect_request(self, request_id, entry, leave):
+        """Record a request before it is sent; `leave` makes its caller go."""
+        self.entries[request_id] = entry
+        self.leave[request_id] = leave
+
     def record_break(self, target, request_id=None):
         self.breaks.append(Break(target, time.monotonic(), request_id))
 
--- a/tests/platform/soak/lost.py
+++ b/tests/platform/soak/lost.py
@@ -119,6 +119,9 @@
                     f' silent {silence.form} {silence.began_at:.2f}'
                     f' to {silence.ended_at:.2f}'
                 )
+        for start, end in journal.faults.get(run.target, ()):
+            if start <= attempt.ended_at and end >= run.started_at:
+                text += f' in trouble {start:.2f} to {end:.2f}'
     for work in journal.works:
         if (
             work.entry in ('', attempt.entry)
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -21,6 +21,7 @@
 from tests.platform.soak.faults import Faults
 from tests.platform.soak.faults import NoticeFaults
 from tests.platform.soak.faults import SilenceFaults
+from tests.platform.soak.rests import RestFaults
 from tests.platform.soak.series import SeriesFaults
 
 CLIENTS = 12
@@ -71,11 +72,13 @@
             random.Random(seed + 1),
             environment.entries,
             dict(environment.teams),
+            environment.journal,
         )
         keeping = Callers(
             random.Random(seed + 6),
             environment.entries,
             dict(environment.teams),
+            environment.journal,
         )
         calling = asyncio.gather(
             callers.run(CLIENTS),
@@ -96,6 +99,9 @@
             SeriesFaults(
                 random.Random(seed + 5), environment, record_fault
             ).run(until),
+            RestFaults(random.Random(seed + 7), environment, record_fault).run(
+                until
+            ),
         )
         await asyncio.sleep(SETTLE_S)
         fault_free_from = time.monotonic()
--- a/tests/platform/soak/targets.py
+++ b/tests/platform/soak/targets.py
@@ -44,7 +44,10 @@
         self.state = 'ready'
         # Stated in the answers only, not in the record.
         self.leaving = False
-        self.closed_until = 0.0
+        # The only entries that are told so; None: all.
+        self.leaving_for = None
+        # What it tells entries of which it wants no requests.
+        self.rest = None
         self.sequence = 0
         self.version = journal.version
         # Targets of two software versions serve side by side.
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -15,11 +15,14 @@
 from tests.platform.soak.checks import MIN_SOUND_COUNT
 from tests.platform.soak.handlers import CRASHING_PART
 from tests.platform.soak.handlers import EVENT_COUNT
+from tests.platform.soak.handlers import SilenceForm
+from tests.platform.soak.journal import Arrival
 from tests.platform.soak.journal import Break
 from tests.platform.soak.journal import Closing
 from tests.platform.soak.journal import Journal
 from tests.platform.soak.journal import Order
 from tests.platform.soak.journal import Run
+from tests.platform.soak.journal import Silence
 
 FAULT_FREE_FROM = 100.0
 
@@ -167,14 +170,25 @@
     assert 'left alone' in leaving_breaches(110.0, fault=(98.0, 99.0))
 
 
-def closing_breaches(times, fault=None):
+def closing_breaches(
+    times, fault=None, stated=((100.0, 110.0),), entry='g0', silence=None
+):
+    """Let requests arrive at these times; the first ones get answers."""
     attempts = [make_attempt(id=f'q{n}', status=503) for n in range(9)]
+    for attempt in attempts[len(stated) :]:
+        attempt.entry = entry
     journal = Journal()
+    journal.arrivals = [
+        Arrival(f'q{n}', 't1', at) for n, at in enumerate(times)
+    ]
     journal.closings = [
-        Closing(f'q{n}', 't1', at, 110.0) for n, at in enumerate(times)
+        Closing(f'q{n}', 't1', at, until)
+        for n, (at, until) in enumerate(stated)
     ]
     if fault is not None:
         journal.faults['t1'] = [list(fault)]
+    if silence is not None:
+        journal.silences = [Silence('t1', 102.0, silence, 103.0)]
     found = find_breaches(attempts, journal, 0.0)
     return {breach.promise for breach in found}
 
@@ -183,9 +197,32 @@
     late = 100.0 + CLOSING_S + 0.1
     assert 'closed' in closing_breaches([100.0, late, late, late])
     assert 'closed' not in closing_breaches([100.0, 100.1, late, late])
+    assert 'closed' not in closing_breaches([100.0, 110.1, 110.1, 110.1])
     assert 'closed' not in closing_breaches(
         [100.0, late, late, late], (99.0, 101.0)
     )
+    # Only the entry that was told so has to wait.
+    assert 'closed' not in closing_breaches(
+        [100.0, late, late, late], entry='g1'
+    )
+
+
+def test_each_answer_that_asks_for_time_counts():
+    late = 100.0 + CLOSING_S + 0.1
+    times = [100.0, late, 105.0, 105.0, 105.0]
+    longer_first = ((100.0, 110.0), (late, 101.0))
+    longer_last = ((100.0, 101.0), (late, 110.0))
+    for stated in (longer_first, longer_last):
+        assert 'closed' in closing_breaches(times, stated=stated)
+    both_short = ((100.0, 101.0), (late, 102.0))
+    assert 'closed' not in closing_breaches(times, stated=both_short)
+
+
+def test_only_a_frozen_target_excuses_requests_while_it_is_closed():
+    times = [100.0, 103.0, 103.0, 103.0]
+    frozen, other = SilenceForm.FROZEN, SilenceForm.BEFORE_HEAD
+    assert 'closed' not in closing_breaches(times, silence=frozen.value)
+    assert 'closed' in closing_breaches(times, silence=other.value)
 
 
 def test_finds_a_stream_that_goes_on_at_other_software():
--- a/wigeonmill/standins/fault_proxy.py
+++ b/wigeonmill/standins/fault_proxy.py
@@ -33,7 +33,8 @@
 class ProxyFaults(msgspec.Struct):
     """Faults of a proxy; zero values mean none.
 
-    `delay_ms` delays each chunk in both directions. `drop` discards the
+    `delay_ms` delays each chunk in both directions, `connect_delay_ms` new
+    connections before they are forwarded. `drop` discards the
     traffic in both directions; a direction of a connection that has lost a
     chunk forwards nothing more. `stall` blocks one direction until it is
     cleared, `hold` blocks both. Each of the next `cuts` connections is closed
@@ -43,6 +44,7 @@
     """
 
     delay_ms: float = 0.0
+    connect_delay_ms: float = 0.0
     drop: bool = False
     stall: Direction | None = None
     hold: bool = False
@@ -197,6 +199,8 @@
             state.stats.refused += 1
             reset_stream(stream)
             return
+        if state.faults.connect_delay_ms:
+            await asyncio.sleep(state.faults.connect_delay_ms / 1000.0)
         host, port = state.upstream.rsplit(':', 1)
         try:
             upstream = await TCPClient().connect(host, int(port))
