--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -56,6 +56,7 @@
         (b'{"drop": true}', HttpErrorKind.TIMEOUT, 0),
         (b'{"stall": "up"}', HttpErrorKind.TIMEOUT, 0),
         (b'{"stall": "down"}', HttpErrorKind.TIMEOUT, 1),
+        (b'{"hold": true}', HttpErrorKind.TIMEOUT, 0),
         (b'{"refuse": true}', HttpErrorKind.BROKEN, 0),
         (b'{"cuts": 1, "cut_after_bytes": 40}', HttpErrorKind.BROKEN, 1),
     ],
@@ -82,6 +83,30 @@
     asyncio.run(check())
 
 
+def test_held_traffic_goes_on_when_the_hold_ends():
+    async def check():
+        async with proxied_ledger() as proxied:
+            await proxied.set_faults(b'{"hold": true}')
+            waiting = asyncio.ensure_future(proxied.post_credit())
+            await asyncio.sleep(0.1)
+            assert not waiting.done() and not proxied.ledger.applied
+            await proxied.set_faults(b'{"hold": false}')
+            assert (await waiting).unwrap().status == 201
+
+    asyncio.run(check())
+
+
+def test_new_connections_are_held_up():
+    async def check():
+        async with proxied_ledger() as proxied:
+            await proxied.set_faults(b'{"connect_delay_ms": 50}')
+            assert (await proxied.post_credit()).unwrap().elapsed_ms >= 50.0
+            # The client keeps its connection.
+            assert (await proxied.post_credit()).unwrap().elapsed_ms < 50.0
+
+    asyncio.run(check())
+
+
 def test_a_duplicate_connection_books_a_credit_twice():
     async def check():
         async with proxied_ledger() as proxied:
