--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass
 from dataclasses import field
 import enum
+import math
 import secrets
 import time
 
-from tests.platform.soak.targets import CRASHING_PART
+from tests.platform.soak.handlers import CRASHING_PART
 from tests.platform.soak.targets import MODEL
 
 DEADLINE_MS = 4_000
@@ -20,6 +21,8 @@
 # share their other parts.
 CRASHING_RANGE_S = (0.3, 1.2)
 SOUND_RANGE_S = (0.05, 0.2)
+# Pauses of callers that keep one connection busy.
+KEPT_RANGE_S = (0.0, 0.05)
 
 
 class Kind(enum.Enum):
@@ -53,9 +56,13 @@
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b''
+    # When the caller had written the whole request.
+    written_at: float = math.inf
     ended_at: float = 0.0
     # The caller disconnected on purpose before the answer.
     disconnected: bool = False
+    # It did so after a target's answer for rest had reached the entry.
+    left_answered: bool = False
     # The attempt that brought the first event of a resumed stream.
     resumes: 'Attempt | None' = None
     # The middle part of the prompt of a stream.
@@ -82,10 +89,13 @@
 
     async def send(self, attempt, key):
         """Send one request and read its answer."""
+        if self.reader is not None and self.reader.at_eof():
+            self.close()
         if self.writer is None and not await self._connect():
             attempt.outcome = Outcome.NOT_SENT
             return
         self.writer.write(encode_request(attempt, key))
+        attempt.written_at = time.monotonic()
         attempt.outcome = Outcome.CLOSED
         try:
             keep_alive = await self._read_answer(attempt)
@@ -129,6 +139,11 @@
             if size == 0:
                 return
 
+    def leave(self):
+        """Close the connection while an answer may be read."""
+        if self.writer is not None:
+            self.writer.close()
+
     def close(self):
         if self.writer is not None:
             self.writer.close()
@@ -166,10 +181,11 @@
 class Callers:
     """Clients that send requests to random entries until `stopped` is set."""
 
-    def __init__(self, rng, entries, teams, disconnect_share=0.05):
+    def __init__(self, rng, entries, teams, journal, disconnect_share=0.05):
         self.rng = rng
         self.entries = entries
         self.teams = teams
+        self.journal = journal
         self.disconnect_share = disconnect_share
         self.attempts = []
         self.stopped = False
@@ -211,6 +227,17 @@
         for conn in connections.values():
             conn.close()
 
+    async def run_on_kept_connections(self):
+        """Keep one connection to each entry busy until it is closed."""
+        await asyncio.gather(*map(self._client_of_entry, self.entries))
+
+    async def _client_of_entry(self, name):
+        conn = Connection(self.entries[name])
+        while not self.stopped:
+            await self._send_attempt(conn, name)
+            await asyncio.sleep(self.rng.uniform(*KEPT_RANGE_S))
+        conn.close()
+
     async def _send_attempt(self, conn, name):
         kind = self.rng.choice(list(Kind))
         team, key = self.rng.choice(list(self.teams.items()))
@@ -245,13 +272,20 @@
 
     async def _send(self, conn, attempt, key, disconnects):
         self.attempts.append(attempt)
+
+        def leave():
+            attempt.disconnected = attempt.left_answered = True
+            conn.leave()
+
+        self.journal.expect_request(attempt.id, attempt.entry, leave)
         timeout_s = (
             self.rng.uniform(0.0, 0.2) if disconnects else CALLER_TIMEOUT_S
         )
         try:
             await asyncio.wait_for(conn.send(attempt, key), timeout_s)
         except asyncio.TimeoutError:
-            attempt.disconnected = disconnects
+            attempt.disconnected |= disconnects
             attempt.outcome = Outcome.TIMED_OUT
             conn.close()
+        del self.journal.leave[attempt.id]
         attempt.ended_at = time.monotonic()
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -9,9 +9,12 @@
 from tests.platform.soak.callers import Kind
 from tests.platform.soak.callers import Outcome
 from tests.platform.soak.callers import SOUND_PART
-from tests.platform.soak.targets import CRASHING_PART
-from tests.platform.soak.targets import EVENT_COUNT
-from tests.platform.soak.targets import Journal
+from tests.platform.soak.closings import find_late_arrivals
+from tests.platform.soak.handlers import CRASHING_PART
+from tests.platform.soak.handlers import EVENT_COUNT
+from tests.platform.soak.journal import Journal
+from tests.platform.soak.lost import find_endless
+from tests.platform.soak.lost import find_lost
 
 # Statuses that guarantee that a request was not run and never will be.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -20,10 +23,6 @@
 # A caller's request that is sent later than this after its entry has passed
 # on that a target leaves does not reach the target.
 LEAVING_S = 0.5
-# An entry sends a target no more than this many requests later than
-# `CLOSING_S` after its first refusal with a time, until the time is over.
-CLOSING_S = 0.5
-MAX_WHILE_CLOSED = 2
 # The minimum share of successful attempts after the last fault. A few attempts
 # fail because of their targets.
 MIN_SERVED_SHARE = 0.85
@@ -61,8 +60,23 @@
     found += _check_targets(attempts, journal)
     found += _check_orders(journal)
     found += _check_leaving(attempts, journal)
-    found += _check_closings(attempts, journal)
+    found += [
+        Breach('closed', request_id, detail)
+        for request_id, detail in find_late_arrivals(attempts, journal)
+    ]
     found += _check_crashing_part(attempts, journal)
+    found += [
+        Breach('process ended by itself', '', detail)
+        for detail in journal.own_ends
+    ]
+    found += [
+        Breach('lost', attempt.id, detail)
+        for attempt, detail in find_lost(attempts, journal)
+    ]
+    found += [
+        Breach('an end in time', attempt.id, detail)
+        for attempt, detail in find_endless(attempts, journal)
+    ]
     final_attempts = [
         a
         for a in attempts
@@ -183,27 +197,11 @@
             at = passed_on.get((attempt.entry, run.target), math.inf)
             if attempt.sent_at <= at + LEAVING_S:
                 continue
-            if not _had_fault(journal, attempt.entry, at, run.started_at):
+            if not journal.had_fault(attempt.entry, at, run.started_at):
                 late_s = attempt.sent_at - at
                 yield Breach('left alone', attempt.id, f'{late_s:.1f} s late')
 
 
-def _check_closings(attempts, journal):
-    entries = {attempt.id: attempt.entry for attempt in attempts}
-    arrivals = {}
-    for closing in journal.closings:
-        key = entries.get(closing.request_id), closing.target, closing.until
-        arrivals.setdefault(key, []).append(closing)
-    for (entry, target, until), closings in arrivals.items():
-        first_at = closings[0].refused_at
-        late = [c for c in closings if c.refused_at > first_at + CLOSING_S]
-        if len(late) > MAX_WHILE_CLOSED and not (
-            _had_fault(journal, entry, first_at, until)
-            or _had_fault(journal, target, first_at, until)
-        ):
-            yield Breach('closed', late[-1].request_id, f'{len(late)} came')
-
-
 def _check_crashing_part(attempts, journal):
     if len(journal.part_crashes) < MAX_CRASHES:
         return
@@ -214,8 +212,7 @@
         if attempt.part == CRASHING_PART
         for run in journal.runs.get(attempt.id, [])
         if run.started_at > fifth_at + CONTACT_S
-        and not _had_fault(
-            journal,
+        and not journal.had_fault(
             attempt.entry,
             run.started_at - CONTACT_S,
             run.started_at,
@@ -241,10 +238,3 @@
     ]
     if shares[0] < MIN_SOUND_SHARE * shares[1]:
         yield Breach('sound requests beside a crashing part', '', shares)
-
-
-def _had_fault(journal, name, start, end):
-    return any(
-        fault_start <= end and fault_end >= start
-        for fault_start, fault_end in journal.faults.get(name, ())
-    )
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -5,14 +5,17 @@
 import time
 
 from tests.platform.soak.environment import DOMAINS
-from tests.platform.soak.environment import PLAIN_SERVICE
-from tests.platform.soak.environment import STREAM_SERVICE
-from tests.platform.soak.targets import AnswerForm
+from tests.platform.soak.environment import GRACE_MS
+from tests.platform.soak.handlers import AnswerForm
+from tests.platform.soak.handlers import Rest
+from tests.platform.soak.handlers import SilenceForm
+from tests.platform.soak.states import PLAIN_SERVICE
+from tests.platform.soak.states import STREAM_SERVICE
 from wigeonmill.standins.fault_proxy import Direction
-from wigeonmill.standins.fault_proxy import reset_stream
 
 DOWN_RANGE_S = (0.1, 1.0)
 FAULT_RANGE_S = (0.5, 3.0)
+SILENCE_RANGE_S = (0.8, 2.5)
 # Time from the moment at which a target leaves to its end.
 LEAVING_S = 4.0
 INTERVAL_RANGE_S = (0.2, 1.2)
@@ -86,7 +89,10 @@
     async def kill(self):
         gateway = self._pick_gateway()
         span = self._begin(gateway.name)
+        journal = self.environment.journal
+        killing = journal.interrupt(gateway.name, time.monotonic())
         gateway.kill_and_wait()
+        self._end(killing)
         await self._wait(DOWN_RANGE_S)
         if not gateway.running:
             gateway.start()
@@ -95,23 +101,40 @@
     async def stop_and_start(self):
         gateway = self._pick_gateway()
         span = self._begin(gateway.name)
-        gateway.signal_process(signal.SIGTERM)
-        await gateway.wait_until_exited()
+        await self._terminate(gateway)
         await self._wait(DOWN_RANGE_S)
         if not gateway.running:
             gateway.start()
         self._end(span)
 
+    async def _terminate(self, gateway):
+        """Send SIGTERM and wait for the end of the process."""
+        journal = self.environment.journal
+        journal.record_work('SIGTERM', gateway.name)
+        last_sixth_at = time.monotonic() + GRACE_MS / 1000.0 * 5 / 6
+        gateway.signal_process(signal.SIGTERM)
+        await gateway.wait_until_exited()
+        exited_at = time.monotonic()
+        if exited_at >= last_sixth_at:
+            journal.interrupt(gateway.name, last_sixth_at, exited_at)
+
     async def pause(self):
         gateway = self._pick_gateway()
         span = self._begin(gateway.name)
+        journal = self.environment.journal
+        pausing = journal.interrupt(gateway.name, time.monotonic())
         gateway.signal_process(signal.SIGSTOP)
         await self._wait(FAULT_RANGE_S)
         gateway.signal_process(signal.SIGCONT)
+        self._end(pausing)
         self._end(span)
 
     async def reload(self):
-        self._pick_gateway().signal_process(signal.SIGHUP)
+        self._reload(self._pick_gateway())
+
+    def _reload(self, gateway):
+        self.environment.journal.record_work('SIGHUP', gateway.name)
+        gateway.signal_process(signal.SIGHUP)
 
     async def store_down(self):
         self.environment.key_value.faults.outage = True
@@ -158,8 +181,7 @@
     async def reset_target(self):
         target = self._pick_target()
         span = self._begin(target.id)
-        for stream in list(target.proxy.state.open_streams):
-            reset_stream(stream)
+        target.reset_connections()
         self._end(span)
 
     async def cut_target_answers(self):
@@ -236,5 +258,31 @@
 
     async def close_target(self):
         time_s = self.rng.uniform(*FAULT_RANGE_S)
-        self._pick_target().closed_until = time.monotonic() + time_s
+        target = self._pick_target()
+        target.rest = rest = Rest(None, time.monotonic() + time_s)
+        await asyncio.sleep(time_s)
+        if target.rest is rest:
+            target.rest = None
+
+
+class SilenceFaults(Faults):
+    """Sound targets that are silent for a time and go on.
+
+    They are drawn beside the other faults, whose list stays as it was.
+    """
+
+    def __init__(self, rng, environment, record_fault):
+        super().__init__(rng, environment, record_fault)
+        self._kinds = [self.hold_target]
+
+    async def hold_target(self):
+        target = self._pick_target()
+        form = self.rng.choice(list(SilenceForm))
+        time_s = self.rng.uniform(*SILENCE_RANGE_S)
+        if target.silence is not None:
+            return
+        span = self.environment.journal.begin_silence(target.id, form.value)
+        target.fall_silent(form)
         await asyncio.sleep(time_s)
+        target.go_on()
+        span.ended_at = time.monotonic()
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -20,6 +20,9 @@
 from tests.platform.soak.faults import AnswerFaults
 from tests.platform.soak.faults import Faults
 from tests.platform.soak.faults import NoticeFaults
+from tests.platform.soak.faults import SilenceFaults
+from tests.platform.soak.rests import RestFaults
+from tests.platform.soak.series import SeriesFaults
 
 CLIENTS = 12
 # The time for leases, drains and stops in progress to end, and then the time
@@ -69,8 +72,19 @@
             random.Random(seed + 1),
             environment.entries,
             dict(environment.teams),
+            environment.journal,
+        )
+        keeping = Callers(
+            random.Random(seed + 6),
+            environment.entries,
+            dict(environment.teams),
+            environment.journal,
+        )
+        calling = asyncio.gather(
+            callers.run(CLIENTS),
+            callers.run_crashing(),
+            keeping.run_on_kept_connections(),
         )
-        calling = asyncio.gather(callers.run(CLIENTS), callers.run_crashing())
         until = loop.time() + seconds
         notice_rng = random.Random(seed + 2)
         await asyncio.gather(
@@ -79,11 +93,20 @@
             AnswerFaults(
                 random.Random(seed + 3), environment, record_fault
             ).run(until),
+            SilenceFaults(
+                random.Random(seed + 4), environment, record_fault
+            ).run(until),
+            SeriesFaults(
+                random.Random(seed + 5), environment, record_fault
+            ).run(until),
+            RestFaults(random.Random(seed + 7), environment, record_fault).run(
+                until
+            ),
         )
         await asyncio.sleep(SETTLE_S)
         fault_free_from = time.monotonic()
         await asyncio.sleep(FAULT_FREE_S)
-        callers.stopped = True
+        callers.stopped = keeping.stopped = True
         await calling
         memory_mb = {g.name: g.peak_memory_mb() for g in environment.gateways}
         outdated = [
@@ -96,14 +119,13 @@
         raise
     finally:
         await asyncio.wait_for(environment.close(), CLOSE_S)
-    report.attempts = len(callers.attempts)
+    attempts = callers.attempts + keeping.attempts
+    report.attempts = len(attempts)
     report.ends = dict(
-        collections.Counter(
-            f'{a.outcome.value} {a.status}' for a in callers.attempts
-        )
+        collections.Counter(f'{a.outcome.value} {a.status}' for a in attempts)
     )
     report.breaches = find_breaches(
-        callers.attempts, environment.journal, fault_free_from
+        attempts, environment.journal, fault_free_from
     )
     report.breaches += [
         Breach('weights reach all engines', '', detail) for detail in outdated
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -3,21 +3,26 @@
 import json
 
 from tests.platform.soak.callers import Attempt
+from tests.platform.soak.callers import DEADLINE_MS
 from tests.platform.soak.callers import Kind
 from tests.platform.soak.callers import Outcome
 from tests.platform.soak.callers import SOUND_PART
-from tests.platform.soak.checks import CLOSING_S
 from tests.platform.soak.checks import CONTACT_S
 from tests.platform.soak.checks import DRAIN_S
 from tests.platform.soak.checks import find_breaches
 from tests.platform.soak.checks import LEAVING_S
 from tests.platform.soak.checks import MIN_SOUND_COUNT
-from tests.platform.soak.targets import Closing
-from tests.platform.soak.targets import CRASHING_PART
-from tests.platform.soak.targets import EVENT_COUNT
-from tests.platform.soak.targets import Journal
-from tests.platform.soak.targets import Order
-from tests.platform.soak.targets import Run
+from tests.platform.soak.closings import CLOSING_S
+from tests.platform.soak.handlers import CRASHING_PART
+from tests.platform.soak.handlers import EVENT_COUNT
+from tests.platform.soak.handlers import SilenceForm
+from tests.platform.soak.journal import Arrival
+from tests.platform.soak.journal import Break
+from tests.platform.soak.journal import Closing
+from tests.platform.soak.journal import Journal
+from tests.platform.soak.journal import Order
+from tests.platform.soak.journal import Run
+from tests.platform.soak.journal import Silence
 
 FAULT_FREE_FROM = 100.0
 
@@ -102,7 +107,7 @@
     cut = make_attempt(
         Kind.STREAM, body=events(3), outcome=Outcome.CUT, sent_at=99.0
     )
-    assert find_broken_promises(cut, make_run()) == {'recovery'}
+    assert find_broken_promises(cut, make_run()) == {'recovery', 'lost'}
 
 
 def test_finds_runs_at_a_drained_target():
@@ -165,14 +170,34 @@
     assert 'left alone' in leaving_breaches(110.0, fault=(98.0, 99.0))
 
 
-def closing_breaches(times, fault=None):
+def closing_breaches(
+    times,
+    fault=None,
+    stated=((100.0, 110.0),),
+    entry='g0',
+    silence=None,
+    left_at=None,
+    left_answered=False,
+):
+    """Let requests arrive at these times; the first ones get answers."""
     attempts = [make_attempt(id=f'q{n}', status=503) for n in range(9)]
+    if left_at is not None:
+        attempts[0].disconnected, attempts[0].ended_at = True, left_at
+        attempts[0].left_answered = left_answered
+    for attempt in attempts[len(stated) :]:
+        attempt.entry = entry
     journal = Journal()
+    journal.arrivals = [
+        Arrival(f'q{n}', 't1', at) for n, at in enumerate(times)
+    ]
     journal.closings = [
-        Closing(f'q{n}', 't1', at, 110.0) for n, at in enumerate(times)
+        Closing(f'q{n}', 't1', at, until)
+        for n, (at, until) in enumerate(stated)
     ]
     if fault is not None:
         journal.faults['t1'] = [list(fault)]
+    if silence is not None:
+        journal.silences = [Silence('t1', 102.0, silence, 103.0)]
     found = find_breaches(attempts, journal, 0.0)
     return {breach.promise for breach in found}
 
@@ -181,9 +206,41 @@
     late = 100.0 + CLOSING_S + 0.1
     assert 'closed' in closing_breaches([100.0, late, late, late])
     assert 'closed' not in closing_breaches([100.0, 100.1, late, late])
+    assert 'closed' not in closing_breaches([100.0, 110.1, 110.1, 110.1])
     assert 'closed' not in closing_breaches(
         [100.0, late, late, late], (99.0, 101.0)
     )
+    # Only the entry that was told so has to wait.
+    assert 'closed' not in closing_breaches(
+        [100.0, late, late, late], entry='g1'
+    )
+
+
+def test_each_answer_that_asks_for_time_counts():
+    late = 100.0 + CLOSING_S + 0.1
+    times = [100.0, late, 105.0, 105.0, 105.0]
+    longer_first = ((100.0, 110.0), (late, 101.0))
+    longer_last = ((100.0, 101.0), (late, 110.0))
+    for stated in (longer_first, longer_last):
+        assert 'closed' in closing_breaches(times, stated=stated)
+    both_short = ((100.0, 101.0), (late, 102.0))
+    assert 'closed' not in closing_breaches(times, stated=both_short)
+
+
+def test_an_answer_counts_though_its_caller_left_just_after_it():
+    times = [100.0, 103.0, 103.0, 103.0]
+    assert 'closed' in closing_breaches(times, left_at=100.01)
+    assert 'closed' not in closing_breaches(times, left_at=100.002)
+    assert 'closed' in closing_breaches(
+        times, left_at=100.002, left_answered=True
+    )
+
+
+def test_only_a_frozen_target_excuses_requests_while_it_is_closed():
+    times = [100.0, 103.0, 103.0, 103.0]
+    frozen, other = SilenceForm.FROZEN, SilenceForm.BEFORE_HEAD
+    assert 'closed' not in closing_breaches(times, silence=frozen.value)
+    assert 'closed' in closing_breaches(times, silence=other.value)
 
 
 def test_finds_a_stream_that_goes_on_at_other_software():
@@ -264,3 +321,85 @@
     assert promise in sound_breaches(503, MIN_SOUND_COUNT)
     assert promise not in sound_breaches(503, MIN_SOUND_COUNT - 1)
     assert promise not in sound_breaches(200, MIN_SOUND_COUNT)
+
+
+def lost_promises(kind=Kind.STREAM, runs=(('t1', 101.0),), **changes):
+    """Cut a request off 1 s after it was sent, with changes to the rest."""
+    journal = Journal(
+        breaks=changes.pop('breaks', []),
+        interrupted=changes.pop('interrupted', {}),
+        timeouts=changes.pop('timeouts', []),
+    )
+    for target, at in runs:
+        journal.add(make_run(target, started_at=at))
+    state = {
+        'outcome': Outcome.CUT,
+        'body': events(3) if kind is Kind.STREAM else b'',
+        'written_at': 101.0,
+        'ended_at': 102.0,
+    }
+    attempt = make_attempt(kind, **(state | changes))
+    found = find_breaches([attempt], journal, FAULT_FREE_FROM)
+    return {breach.promise for breach in found} - {'recovery'}
+
+
+def test_finds_whole_requests_that_end_without_a_whole_answer():
+    assert lost_promises() == {'lost'}
+    for kind in (Kind.SAFE, Kind.UNSAFE):
+        assert lost_promises(kind, outcome=Outcome.CLOSED) == {'lost'}
+    assert not lost_promises(outcome=Outcome.NOT_SENT, body=b'')
+    assert not lost_promises(disconnected=True)
+
+
+def test_a_request_that_crosses_a_close_is_not_lost():
+    crossing = {'outcome': Outcome.CLOSED, 'body': b'', 'ended_at': 101.1}
+    assert not lost_promises(runs=(), **crossing)
+    assert lost_promises(**crossing) == {'lost'}
+    crossing['ended_at'] = 101.3
+    assert lost_promises(runs=(), **crossing) == {'lost'}
+
+
+def test_a_run_that_its_target_broke_off_is_not_lost():
+    assert not lost_promises(breaks=[Break('t1', 101.5)])
+    assert not lost_promises(breaks=[Break('t1', 101.5, 'q1')])
+    for found in (
+        Break('t2', 101.5),
+        Break('t1', 101.5, 'q2'),
+        Break('t1', 100.9),
+        Break('t1', 102.1),
+    ):
+        assert lost_promises(breaks=[found]) == {'lost'}
+    # Another target ran it long after the break.
+    runs = (('t1', 101.0), ('t2', 101.1))
+    early, late = Break('t1', 101.05), Break('t1', 105.5)
+    assert lost_promises(runs=runs, breaks=[early], ended_at=103.0)
+    assert not lost_promises(runs=runs, breaks=[early], ended_at=102.0)
+    assert lost_promises(runs=runs, breaks=[late], ended_at=103.0)
+
+
+def test_requests_of_an_interrupted_entry_are_not_lost():
+    assert not lost_promises(interrupted={'g0': [[101.5, 103.0]]})
+    assert lost_promises(interrupted={'g0': [[90.0, 100.0]]}) == {'lost'}
+    assert lost_promises(interrupted={'g1': [[101.5, 103.0]]}) == {'lost'}
+
+
+def test_a_request_that_reached_its_time_limit_is_not_lost():
+    assert not lost_promises(ended_at=101.0 + DEADLINE_MS / 1000.0)
+    assert not lost_promises(timeouts=[(50.0, 1.0)])
+    assert lost_promises(timeouts=[(50.0, 1.0), (90.0, 4.0)]) == {'lost'}
+    assert not lost_promises(timeouts=[(50.0, 1.0), (99.0, 4.0)])
+    assert lost_promises(timeouts=[(50.0, 4.0), (102.5, 1.0)]) == {'lost'}
+
+
+def test_finds_requests_without_an_end():
+    endless = {'outcome': Outcome.TIMED_OUT, 'ended_at': 107.0, 'body': b''}
+    assert lost_promises(**endless) == {'an end in time'}
+    assert not lost_promises(**endless, disconnected=True)
+    assert not lost_promises(**endless, interrupted={'g0': [[102.0, 103.0]]})
+
+
+def test_finds_a_process_that_ended_by_itself():
+    journal = Journal(own_ends=['g1 with -1'])
+    journal.add(make_run())
+    found = find_breaches([make_attempt()], journal, FAULT_FREE_FROM)
+    assert [breach.promise for breach in found] == ['process ended by itself']
