--- a/tests/gateway/test_internal_errors.py
+++ b/tests/gateway/test_internal_errors.py
@@ -214,7 +214,8 @@
         ctx.circuits,
         ctx.desired.is_domain_closed,
     )
-    return Forwarder(ctx, FakeClient(clock, [GOOD]), picker, NoCache())
+    client = FakeClient(clock, [GOOD], ctx.notices)
+    return Forwarder(ctx, client, picker, NoCache())
 
 
 # What a request passes from its admission to the line at its end.
