Ask a target of the same software beside a silent one, if there is one

Until the first event the second target could be one of another software version.

If no other target runs the software of the first, any may be asked, and the origin follows the one that writes.

--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -265,6 +265,22 @@
     assert harness.ctx.origins.get('q1').target_id == sent_to
 
 
+# Guards against ORDER: peers that miss the replacement of an origin resume the
+# stream at the software of the target that was asked first.
+@pytest.mark.parametrize('others', [['v2', 'v1', 'v2'], ['v2', 'v2', 'v1']])
+def test_the_second_target_runs_the_software_of_the_first_if_any_does(others):
+    for seed in range(20):
+        scripts = [silent_stream('after-head', 2_500.0), rest_after(0)]
+        harness = engine_harness(scripts, versions=('v1', 'v2', *others))
+        harness.picker._rng.seed(seed)
+        run_stream(harness)
+        assert_whole(harness)
+        targets = [
+            harness.ctx.directory.get(sent[0]) for sent in harness.client.sent
+        ]
+        assert len({target.software_version for target in targets}) == 1
+
+
 @pytest.mark.parametrize('max_targets', [2, 3, 9])
 def test_silent_targets_use_no_more_attempts_and_budget_than_allowed(
     max_targets,
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -1,5 +1,6 @@
 """Runs one caller's request, with retries, up to its final answer."""
 
+from dataclasses import replace
 import logging
 
 from result import Err
@@ -22,6 +23,7 @@
 from wigeonmill.gateway.failures import Failure
 from wigeonmill.gateway.failures import stalled
 from wigeonmill.gateway.part_guard import Quarantine
+from wigeonmill.gateway.picker import Demand
 from wigeonmill.gateway.picker import Pick
 from wigeonmill.gateway.picker import Picker
 from wigeonmill.gateway.relay import Relay
@@ -29,6 +31,7 @@
 from wigeonmill.gateway.run_log import RunLog
 from wigeonmill.gateway.run_terms import LATE_PRIORITY
 from wigeonmill.gateway.run_terms import RunTerms
+from wigeonmill.gateway.stream_origins import origin_of
 from wigeonmill.gateway.target_client import TargetClient
 from wigeonmill.gateway.targets import Target
 
@@ -136,7 +139,23 @@
 
     def _pick(self) -> Result[Pick, Refusal]:
         """Return a target that was not tried, if one can start in time."""
-        picked = self._picker.pick(self._terms.demand(self._tried_ids))
+        return self._pick_for(self._terms.demand(self._tried_ids))
+
+    def _pick_beside(self, first: Attempt) -> Result[Pick, Refusal]:
+        """Return a target to try beside `first`, of its software if possible.
+
+        Then the origin of the stream is the same whichever of them writes.
+        """
+        demand = self._terms.demand(self._tried_ids)
+        if demand.origin is None:
+            same_software = replace(demand, origin=origin_of(first.target))
+            picked = self._pick_for(same_software)
+            if not isinstance(picked, Err):
+                return picked
+        return self._pick_for(demand)
+
+    def _pick_for(self, demand: Demand) -> Result[Pick, Refusal]:
+        picked = self._picker.pick(demand)
         if isinstance(picked, Err):
             return picked
         refusal = self._deadline_refusal(picked.ok_value)
@@ -234,7 +253,7 @@
         if denial:
             self._record_second_denial(first, denial)
             return None
-        picked = self._pick()
+        picked = self._pick_beside(first)
         if isinstance(picked, Err):
             denial = picked.err_value.reason.value
         elif not self._acquire_retry():
