Keep the first attempt when the second one fails by an error or brings nothing

What callers saw: a stream whose first target was sound and silent was broken off or replaced (LOST).

Cause: the second attempt could end the first without bringing anything. - An error of the gateway while the second was started or read ended the whole request, left the exchange of the second open, and counted it as a run for good. - A head that could not be sent, a 3xx or 4xx, and a comment or an event without an id counted as the next event.

An error in one of two attempts is a failure of that attempt; each is released first. Only an event with a new id, the end, or a success takes the lead, after its head was sent. What else a stream writes beside another one is held, up to the limit of an event. An error of our own is no fault of a target.

--- /dev/null
+++ b/tests/gateway/test_failover.py
@@ -0,0 +1,123 @@
+"""Tests of two attempts of one stream that are under way together."""
+
+import pytest
+
+from tests.gateway import fakes
+from tests.gateway.fakes import make_head
+from tests.gateway.fakes import Pause
+from tests.gateway.test_silent_targets import assert_whole
+from tests.gateway.test_silent_targets import END
+from tests.gateway.test_silent_targets import engine_harness
+from tests.gateway.test_silent_targets import event
+from tests.gateway.test_silent_targets import run_stream
+from tests.gateway.test_silent_targets import silent_stream
+from wigeonmill.gateway.target_client import ExchangeEnd
+
+WHERE = ['before-head', 'between-events']
+
+
+class BrokenError(Exception):
+    pass
+
+
+def fail(*args):
+    raise BrokenError
+
+
+def assert_released(harness):
+    """Check that no target works on, or is counted as doing so."""
+    assert all(sent[2].cancelled for sent in harness.client.sent)
+    targets = list(harness.ctx.directory.all())
+    assert [t.load.own_runs() for t in targets] == [0] * len(targets)
+
+
+# Guards against LOST: an error of the gateway in the attempt at the second
+# target ended the stream of the first, and left the second one running.
+@pytest.mark.parametrize('where', WHERE)
+def test_an_error_in_the_second_attempt_leaves_the_first(where):
+    second = (Pause(200.0), fail)
+    harness = engine_harness([silent_stream(where, 2_500.0), second])
+    run_stream(harness)
+    assert_whole(harness)
+    assert_released(harness)
+
+
+@pytest.mark.parametrize('where', WHERE)
+@pytest.mark.parametrize('method', ['send', 'pick'])
+def test_an_error_as_the_second_attempt_starts_leaves_the_first(
+    where, method, monkeypatch
+):
+    harness = engine_harness([silent_stream(where, 2_500.0), fakes.SILENT])
+    owner = {'send': harness.client, 'pick': harness.picker}[method]
+    calls = [getattr(owner, method)]
+    monkeypatch.setattr(
+        type(owner),
+        method,
+        lambda self, *args: (calls.pop() if calls else fail)(*args),
+    )
+    run_stream(harness)
+    assert_whole(harness)
+    assert_released(harness)
+
+
+def test_an_error_in_the_only_attempt_ends_its_run():
+    harness = engine_harness([(make_head(), event(1), fail)])
+    with pytest.raises(BrokenError):
+        run_stream(harness)
+    assert_released(harness)
+
+
+def test_a_head_that_cannot_be_sent_leaves_the_first():
+    bad_head = make_head(fields=(('X-Bad', ''),))
+    harness = engine_harness(
+        [silent_stream('before-head', 2_500.0), (bad_head, event(1), END)]
+    )
+    begin = harness.channel.begin
+    harness.channel.begin = lambda head: (
+        fail() if head.fields == bad_head.fields else begin(head)
+    )
+    run_stream(harness)
+    assert_whole(harness)
+    assert_released(harness)
+
+
+# Guards against LOST: an answer of the second target that is no stream
+# replaced the stream that the first one was about to write.
+@pytest.mark.parametrize('status', [302, 400, 404, 413])
+def test_a_rejection_by_the_second_target_leaves_the_first(status):
+    harness = engine_harness(
+        [
+            silent_stream('before-head', 1_600.0),
+            (make_head(status), b'no', END),
+        ]
+    )
+    run_stream(harness)
+    assert_whole(harness)
+
+
+# Guards against LOST: the first target was left for one that had written
+# nothing but a comment.
+@pytest.mark.parametrize('where', WHERE)
+@pytest.mark.parametrize('data', [b': ping\n\n', b'retry: 10\n\n'])
+@pytest.mark.parametrize('end', [(ExchangeEnd.BROKEN,), ()])
+def test_a_comment_of_the_second_target_leaves_the_first(where, data, end):
+    second = (make_head(), data, *end)
+    harness = engine_harness([silent_stream(where, 1_600.0), second])
+    run_stream(harness)
+    assert_whole(harness)
+
+
+def test_comments_are_passed_on_once_there_is_one_attempt():
+    comment = b': ping\n\n'
+    script = (make_head(), comment, event(1), comment, END)
+    harness = engine_harness([script])
+    assert run_stream(harness).body == comment + event(1) + comment
+
+
+def test_comments_without_end_are_limited_beside_another_attempt():
+    second = (make_head(), *[b': ping\n\n' * 10_000] * 100)
+    harness = engine_harness([silent_stream('before-head', 1_600.0), second])
+    run_stream(harness)
+    assert_whole(harness)
+    broken = harness.ctx.metrics.reasons('gateway_answers_broken')
+    assert broken == {'event_too_long': 1}
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -10,6 +10,7 @@
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.event_stream import EventSplitter
+from wigeonmill.gateway.event_stream import StreamEvent
 from wigeonmill.gateway.failures import caller_too_slow
 from wigeonmill.gateway.failures import ErrorAnswer
 from wigeonmill.gateway.failures import Failure
@@ -60,7 +61,8 @@
 
     `on_lead` is called before anything new is written to the caller, and
     `on_stall` at intervals while the target is silent. If nothing may be done
-    about a silent target, `watches_stalls` is not set.
+    about a silent target, `watches_stalls` is not set. While `has_rival`
+    returns true, another attempt of the same request is under way.
     """
 
     __slots__ = (
@@ -74,6 +76,7 @@
         'target',
         'on_lead',
         'on_stall',
+        'has_rival',
         'reported_load',
         'receipt',
         'served',
@@ -102,6 +105,7 @@
         self._watches_stalls = watches_stalls
         self.on_lead: Callable[[Attempt], None] = _ignore
         self.on_stall: Callable[[Attempt], None] = _ignore
+        self.has_rival: Callable[[], bool] = _has_none
         self.reported_load = ''
         self.receipt = AnswerReceipt()
         # Whether the target lived on while it wrote the answer.
@@ -154,6 +158,8 @@
         head: TargetHead | None = None
         body = bytearray()
         splitter = EventSplitter()
+        # Comments and the like, which are no reason to leave a rival.
+        held: list[StreamEvent] = []
         streaming = False
         while True:
             part = await self._next_stream_part()
@@ -171,11 +177,13 @@
                 if events:
                     self.target.load.record_first_token(self._in_flight)
                     self._record_progress()
-                if self._relay.has_new(events):
-                    self.on_lead(self)
-                    self._relay.forward(head, events)
-                    self._record_origin()
-                if len(splitter.remainder) > self._ctx.answer_limits.event:
+                held += events
+                if self._relay.has_next(held) or not self.has_rival():
+                    self._pass_on(head, held)
+                    held = []
+                held_bytes = sum(len(event.data) for event in held)
+                held_bytes += len(splitter.remainder)
+                if held_bytes > self._ctx.answer_limits.event:
                     return self._overlong('event')
                 if self._channel.unsent_bytes > self._ctx.answer_limits.unsent:
                     return self._unread()
@@ -186,10 +194,19 @@
             elif part is ExchangeEnd.COMPLETE and head is not None:
                 if not streaming:
                     return self._process_answer(head, bytes(body))
-                return self._end_stream(head, splitter)
+                return self._end_stream(head, splitter, held)
             else:
                 return self._transfer_failure(part)
 
+    def _pass_on(self, head: TargetHead, events: list[StreamEvent]) -> None:
+        if not self._relay.has_new(events):
+            return
+        # A head that can't be sent must not end the other attempt.
+        self._relay.start(head)
+        self.on_lead(self)
+        self._relay.forward(head, events)
+        self._record_origin()
+
     def _transfer_failure(self, end: ExchangeEnd) -> Failure:
         if end is not ExchangeEnd.NOT_SENT:
             self._ctx.metrics.count('gateway_answers_broken', 'connection')
@@ -210,10 +227,15 @@
         return caller_too_slow()
 
     def _end_stream(
-        self, head: TargetHead, splitter: EventSplitter
+        self,
+        head: TargetHead,
+        splitter: EventSplitter,
+        held: list[StreamEvent],
     ) -> Failure | None:
         """Finish a stream that ended in an orderly way, if it is complete.
 
+        `held` are events that were not passed on yet.
+
         The end of the connection looks the same whether the target was done
         or had broken off.
         """
@@ -228,7 +250,9 @@
             return transfer_failed(ExchangeEnd.BROKEN, message)
         if self.receipt.events:
             self._record_served()
+        self._relay.start(head)
         self.on_lead(self)
+        self._relay.forward(head, held)
         self._relay.finish(head, splitter.remainder)
         self.target.load.record_run_end(self._in_flight)
         return None
@@ -306,6 +330,13 @@
             return may_have_run(
                 Reason.MAY_HAVE_RUN, f'status {head.status} to a resumption'
             )
+        if not head.succeeded and self.has_rival():
+            # The target of the other attempt may still write the stream.
+            return may_have_run(
+                Reason.MAY_HAVE_RUN,
+                f'status {head.status}',
+                ErrorAnswer(head, body),
+            )
         if head.succeeded:
             self._record_served()
         self.on_lead(self)
@@ -337,3 +368,7 @@
 
 def _ignore(attempt: Attempt) -> None:
     pass
+
+
+def _has_none() -> bool:
+    return False
--- a/wigeonmill/gateway/failover.py
+++ b/wigeonmill/gateway/failover.py
@@ -1,10 +1,14 @@
 """Runs the attempts of a stream that are under way at the same time."""
 
 import asyncio
+import logging
 from typing import Protocol
 
 from wigeonmill.gateway.attempt import Attempt
 from wigeonmill.gateway.failures import Failure
+from wigeonmill.gateway.failures import internal_error
+
+logger = logging.getLogger(__name__)
 
 
 class FailoverOwner(Protocol):
@@ -27,17 +31,18 @@
     """Runs an attempt and, while its target is silent, one more beside it.
 
     The first attempt to deliver something new for the caller goes on, and the
-    other one is cancelled before that is passed on. An attempt that fails
-    leaves the other one running.
+    other one is cancelled before that is passed on. An attempt that fails,
+    even by an error of the gateway itself, leaves the other one running.
     """
 
-    __slots__ = ('_owner', '_running', '_cancelled', '_ended')
+    __slots__ = ('_owner', '_running', '_cancelled', '_ended', '_can_start')
 
     def __init__(self, owner: FailoverOwner) -> None:
         self._owner = owner
         self._running: dict[Attempt, asyncio.Task[Failure | None]] = {}
         self._cancelled: list[asyncio.Task[Failure | None]] = []
         self._ended = asyncio.Event()
+        self._can_start = True
 
     async def run(self, first: Attempt) -> Failure | None:
         """Return None after an answer, or else the last failure."""
@@ -53,6 +58,7 @@
     def _start(self, attempt: Attempt) -> None:
         attempt.on_lead = self._lead
         attempt.on_stall = self._stall
+        attempt.has_rival = self._has_rival
         task = asyncio.ensure_future(attempt.run())
         task.add_done_callback(lambda _task: self._ended.set())
         self._running[attempt] = task
@@ -63,16 +69,40 @@
             self._ended.clear()
             ended = [a for a, task in self._running.items() if task.done()]
             for attempt in ended:
-                failure = self._running.pop(attempt).result()
+                task = self._running.pop(attempt)
                 attempt.close()
+                failure = self._result(task)
                 self._owner.on_end(attempt, failure)
                 if failure is None or not self._running:
                     return failure
 
+    def _result(self, task: asyncio.Task[Failure | None]) -> Failure | None:
+        """Return how an attempt ended.
+
+        An exception is raised only if no other attempt can go on.
+        """
+        exc = task.exception()
+        if exc is None:
+            return task.result()
+        if not self._running:
+            raise exc
+        logger.error('internal error in one of two attempts', exc_info=exc)
+        return internal_error()
+
+    def _has_rival(self) -> bool:
+        """Whether two attempts are under way."""
+        return len(self._running) > 1
+
     def _stall(self, attempt: Attempt) -> None:
-        if len(self._running) > 1:
+        if self._has_rival() or not self._can_start:
+            return
+        try:
+            second = self._owner.start_second(attempt)
+        except Exception:
+            # The silent target may still go on.
+            logger.exception('internal error starting a second attempt')
+            self._can_start = False
             return
-        second = self._owner.start_second(attempt)
         if second is not None:
             self._start(second)
 
--- a/wigeonmill/gateway/failures.py
+++ b/wigeonmill/gateway/failures.py
@@ -63,6 +63,11 @@
     return may_have_run(Reason.BROKEN_OFF, 'the target stopped sending')
 
 
+def internal_error() -> Failure:
+    """Return the failure of an attempt by an error of the gateway itself."""
+    return may_have_run(Reason.INTERNAL, 'internal error')
+
+
 def not_run(message: str, reached: bool = True) -> Failure:
     """Return the failure of a request that the target has not run."""
     return Failure(Reason.NOT_RUN, message, reached, may_have_run=False)
--- a/wigeonmill/gateway/relay.py
+++ b/wigeonmill/gateway/relay.py
@@ -29,10 +29,22 @@
         """Whether the caller has been sent anything."""
         return self.started_ms is not None
 
+    def has_next(self, events: list[StreamEvent]) -> bool:
+        """Whether `events` have one with an id that the caller lacks."""
+        return any(
+            event.id is not None and self._is_new(event) for event in events
+        )
+
     def has_new(self, events: list[StreamEvent]) -> bool:
         """Whether the caller does not have one of `events` yet."""
         return any(self._is_new(event) for event in events)
 
+    def start(self, head: TargetHead) -> None:
+        """Send the head of the answer, if none was sent."""
+        if not self.started:
+            self._channel.begin(AnswerHead(head.status, head.fields))
+            self.started_ms = self._clock.now_ms()
+
     def forward(self, head: TargetHead, events: list[StreamEvent]) -> None:
         """Send the events that the caller does not have yet."""
         for event in events:
@@ -40,12 +52,12 @@
                 continue
             if event.id is not None:
                 self.last_event_id = event.id
-            self._start_answer(head)
+            self.start(head)
             self._channel.send(event.data)
 
     def finish(self, head: TargetHead, remainder: bytes) -> None:
         """End the stream as complete; `remainder` follows the last event."""
-        self._start_answer(head)
+        self.start(head)
         if remainder:
             self._channel.send(remainder)
         self._channel.finish()
@@ -54,8 +66,3 @@
         if event.id is None or self.last_event_id is None:
             return True
         return event.id > self.last_event_id
-
-    def _start_answer(self, head: TargetHead) -> None:
-        if not self.started:
-            self.started_ms = self._clock.now_ms()
-            self._channel.begin(AnswerHead(head.status, head.fields))
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -47,6 +47,10 @@
 # as cold for this time.
 SUSPECTED_START_MS = 3_000.0
 DEFAULT_RETRY_AFTER_MS = 400.0
+# Failures that say nothing about the health of their target.
+REASONS_WITHOUT_BLAME = frozenset(
+    (Reason.OLD_WEIGHTS, Reason.CALLER_TOO_SLOW, Reason.INTERNAL)
+)
 
 
 class RequestRun:
@@ -219,7 +223,6 @@
         """Send the request to a target."""
         target = pick.target
         self._tried_ids.append(target.id)
-        self._arrivals += 1
         if target.is_cold(self._ctx.clock.now_ms()):
             target.cold_allowance.record()
         self._ctx.circuits.record_dispatch(target.id)
@@ -232,12 +235,17 @@
             priority,
             delayed=priority == LATE_PRIORITY or pick.waits,
         )
-        exchange = self._client.send(
-            self._req,
-            target,
-            self._terms.instructions(target, priority),
-            self._route.idempotent,
-        )
+        try:
+            exchange = self._client.send(
+                self._req,
+                target,
+                self._terms.instructions(target, priority),
+                self._route.idempotent,
+            )
+        except BaseException:
+            target.load.close(in_flight)
+            raise
+        self._arrivals += 1
         attempt = Attempt(
             self._ctx,
             self._terms,
@@ -341,7 +349,7 @@
             circuits.record_success(target.id)
             target.load.record_outcome(failed=False)
             return
-        if failure.reason in (Reason.OLD_WEIGHTS, Reason.CALLER_TOO_SLOW):
+        if failure.reason in REASONS_WITHOUT_BLAME:
             return
         if failure.reason is Reason.TIMEOUT and not target.load.is_silent():
             return
