Keep connections open whose head has begun

What callers saw: a request cut off by a close of the entry, without an answer, if its head came in more than one piece while the entry drained or the idle time of the connection ended.

Cause: `has_no_input` asked the kernel only. A part of a head that tornado had read into the buffer of the stream was gone from there, so the connection looked idle, and each tick of a drain and the idle limit closed it.

Fix: a connection whose stream has buffered bytes has input. A head that never ends still ends with MAX_OVERDUE_CHECKS after the idle limit.

--- a/tests/gateway/test_idle_conns.py
+++ b/tests/gateway/test_idle_conns.py
@@ -12,7 +12,9 @@
 from tests.gateway.raw_caller import REQUEST
 from tests.gateway.raw_caller import run_with_server
 from tests.gateway.samples import make_request
+from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.answers import AnswerHead
+from wigeonmill.gateway.idle_conns import MAX_OVERDUE_CHECKS
 
 # The server of the tests listens with an idle time of 15,000 ms.
 SHORT_MS = 200.0
@@ -37,8 +39,8 @@
     monkeypatch.setattr('wigeonmill.gateway.server.IDLE_SLACK_MS', 50.0)
 
 
-def run(check):
-    run_with_server(Forwarder, Codec(), check)
+def run(check, clock=None):
+    run_with_server(Forwarder, Codec(), check, clock)
 
 
 async def is_open(reader):
@@ -126,3 +128,48 @@
         writer.close()
 
     run(check)
+
+
+# Guards against LOST: a part of a head that was read already looked like no
+# input, and the drain closed the connection while the rest was on its way.
+@pytest.mark.parametrize('cut', [1, 20, len(REQUEST) - 2])
+def test_a_head_that_has_begun_outlasts_the_closing_of_idle_conns(cut):
+    async def check(server, forwarder):
+        reader, writer = await connect(server)
+        writer.write(REQUEST[:cut])
+        await asyncio.sleep(0.05)
+        assert server.close_idle() == 0
+        writer.write(REQUEST[cut:])
+        assert await read_answer(reader) == WHOLE
+        await asyncio.sleep(0.05)
+        assert server.close_idle() == 1
+        writer.close()
+
+    run(check)
+
+
+# Guards against LOST: the same when the idle time ended inside a head. A head
+# that never ends does not hold its connection.
+@pytest.mark.parametrize('completes', [True, False])
+def test_a_head_that_has_begun_outlasts_the_idle_time_for_some_checks(
+    completes,
+):
+    clock = ManualClock(1_000_000.0)
+
+    async def check(server, forwarder):
+        reader, writer = await connect(server)
+        writer.write(REQUEST[:30])
+        await asyncio.sleep(0.05)
+        clock.advance(20_000.0)
+        for _ in range(MAX_OVERDUE_CHECKS):
+            server._close_expired()
+        assert await is_open(reader)
+        if completes:
+            writer.write(REQUEST[30:])
+            assert await read_answer(reader) == WHOLE
+        else:
+            server._close_expired()
+            assert await reader.read() == b''
+        writer.close()
+
+    run(check, clock)
--- a/wigeonmill/gateway/idle_conns.py
+++ b/wigeonmill/gateway/idle_conns.py
@@ -57,7 +57,7 @@
         self._waits.pop(conn, None)
 
     def without_input(self) -> list[HTTP1Connection]:
-        """Return the connections on which nothing has arrived."""
+        """Return the connections on which no part of a head has arrived."""
         return [conn for conn in self if has_no_input(conn)]
 
     def expired(self) -> list[HTTP1Connection]:
@@ -82,12 +82,13 @@
     """Whether no part of a request has arrived on a connection.
 
     Tornado delivers a request one loop iteration after it was read, and its
-    stream is not reading in between.
+    stream is not reading in between. A part of a head waits in the buffer of
+    the stream, for which tornado has no public name.
     """
     stream = conn.stream
     if stream.closed():
         return True
-    if not stream.reading():
+    if not stream.reading() or stream._read_buffer_size:
         return False
     try:
         flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
