Do not hold a target lost for an error of the gateway

What callers saw: an error of ours in the handling of an answer (such as one raised while its head was decoded) counted as a loss of its target. After three, the request was refused as `crashes_targets` at all entries for two minutes, circuits opened, and the losses fed the guard of prompt parts.

Cause: the transfer ended as BROKEN, like one whose connection broke.

Fix: it ends as FAILED_HERE, which is an end of its own from the transfer to the failure of the attempt. The target may have run the request, so that retries are allowed as before, but it is not lost. It is counted as gateway_answers_broken{internal}; the log has `reply not handled` with the traceback, as before.

Evidence: the new test sends four requests over real connections to targets whose answers cannot be decoded. Before, the crash guard refused the request; now it does not, no circuit opens, and four answers are counted.

--- a/tests/gateway/test_internal_errors.py
+++ b/tests/gateway/test_internal_errors.py
@@ -6,8 +6,10 @@
 import pytest
 from result import Ok
 
+from tests.gateway.fakes import FakeChannel
 from tests.gateway.fakes import FakeClient
 from tests.gateway.fakes import GOOD
+from tests.gateway.fakes import Harness
 from tests.gateway.fakes import NoCache
 from tests.gateway.raw_caller import connect
 from tests.gateway.raw_caller import exchange
@@ -16,6 +18,7 @@
 from tests.gateway.raw_caller import run_with_server
 from tests.gateway.samples import make_record
 from tests.gateway.samples import make_request
+from tests.gateway.samples import make_route
 from tests.gateway.samples import make_state
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.allowances import RetryLimits
@@ -23,9 +26,13 @@
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.context import GatewayContext
+from wigeonmill.gateway.crash_guard import request_fingerprint
+from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.forwarder import Forwarder
 from wigeonmill.gateway.picker import Picker
+from wigeonmill.gateway.target_client import TargetClient
 from wigeonmill.metrics import Metrics
+from wigeonmill.providers.transfers import TransferLoop
 
 OK_HEAD = AnswerHead(200, ())
 
@@ -254,3 +261,60 @@
         assert server.open_requests == 0
 
     run_with_server(make_forwarder, PlainCodec(), check)
+
+
+class BrokenTargetCodec:
+    """Sends requests without fields and fails at each answer."""
+
+    def request_fields(self, req, instructions):
+        return ()
+
+    answer_head = fail
+
+
+async def answer_target(reader, writer):
+    try:
+        while True:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+    except (asyncio.IncompleteReadError, ConnectionError):
+        writer.close()
+
+
+# Guards against LOST: an error of ours in the answers to a request counted as
+# three targets lost by it, and it was refused for two minutes.
+def test_an_error_in_the_handling_of_answers_is_no_loss_of_targets():
+    async def run():
+        served = await asyncio.start_server(answer_target, '127.0.0.1', 0)
+        port = served.sockets[0].getsockname()[1]
+        records = [
+            make_record(f't{n}', address=f'127.0.0.1:{port}') for n in range(5)
+        ]
+        harness = Harness([GOOD], records)
+        transfers = TransferLoop()
+        harness.client = TargetClient(
+            transfers, BrokenTargetCodec(), harness.clock, harness.ctx.notices
+        )
+        now_ms = harness.clock.now_ms()
+        try:
+            for number in range(4):
+                req = make_request(
+                    id=f'q{number}',
+                    arrived_ms=now_ms,
+                    method='GET',
+                    body=b'',
+                )
+                harness.channel = FakeChannel()
+                await harness.start(req, make_route(kind=RouteKind.SAFE))
+        finally:
+            transfers.close()
+            served.close()
+        return harness, req
+
+    harness, req = asyncio.run(asyncio.wait_for(run(), 5.0))
+    ctx = harness.ctx
+    assert not ctx.crash_guard.refuses(request_fingerprint(req, ''))
+    targets = list(ctx.directory.all())
+    assert not [t.id for t in targets if ctx.circuits.blocked(t.id)]
+    assert harness.channel.refusal.reason is Reason.MAY_HAVE_RUN
+    assert ctx.metrics.reasons('gateway_answers_broken') == {'internal': 4}
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -191,7 +191,9 @@
                 return self._transfer_failure(part)
 
     def _transfer_failure(self, end: ExchangeEnd) -> Failure:
-        if end is not ExchangeEnd.NOT_SENT:
+        if end is ExchangeEnd.FAILED_HERE:
+            self._ctx.metrics.count('gateway_answers_broken', 'internal')
+        elif end is not ExchangeEnd.NOT_SENT:
             self._ctx.metrics.count('gateway_answers_broken', 'connection')
         return transfer_failed(end, self._exchange.message)
 
--- a/wigeonmill/gateway/failures.py
+++ b/wigeonmill/gateway/failures.py
@@ -78,7 +78,10 @@
 
 
 def transfer_failed(end: ExchangeEnd, message: str) -> Failure:
-    """Return the failure of a connection that ended early or never opened."""
+    """Return the failure of a transfer without a complete answer.
+
+    Its connection ended early or never opened, or this process failed.
+    """
     if end is ExchangeEnd.NOT_SENT:
         return Failure(
             Reason.NOT_RUN,
@@ -93,5 +96,5 @@
         message,
         reached=True,
         may_have_run=True,
-        target_lost=True,
+        target_lost=end is not ExchangeEnd.FAILED_HERE,
     )
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -108,12 +108,15 @@
     COMPLETE = 'complete'
     NOT_SENT = 'not_sent'
     BROKEN = 'broken'
+    # An error of this process, which says nothing about the target.
+    FAILED_HERE = 'failed_here'
 
 
 _EXCHANGE_ENDS = {
     TransferEnd.COMPLETE: ExchangeEnd.COMPLETE,
     TransferEnd.NOT_SENT: ExchangeEnd.NOT_SENT,
     TransferEnd.BROKEN: ExchangeEnd.BROKEN,
+    TransferEnd.FAILED_HERE: ExchangeEnd.FAILED_HERE,
 }
 
 AnswerPart = TargetHead | bytes | ExchangeEnd
--- a/wigeonmill/providers/fetch.py
+++ b/wigeonmill/providers/fetch.py
@@ -101,6 +101,6 @@
         transfer.cancel()
     if end is TransferEnd.NOT_SENT:
         return Err(FetchError(collector.message, sent=False))
-    if end is TransferEnd.BROKEN or collector.head is None:
+    if end is not TransferEnd.COMPLETE or collector.head is None:
         return Err(FetchError(collector.message, sent=True))
     return Ok(FetchedReply(collector.head, bytes(collector.body)))
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -45,6 +45,8 @@
     NOT_SENT = 'not_sent'
     # After a byte was sent, the connection closed or the reply was not HTTP.
     BROKEN = 'broken'
+    # The reply could not be handled because of an error of this process.
+    FAILED_HERE = 'failed_here'
 
 
 class Framing(enum.Enum):
@@ -314,7 +316,7 @@
             )
             transfer.cancel()
             message = 'internal error while handling the reply'
-            _deliver_end(transfer, TransferEnd.BROKEN, message)
+            _deliver_end(transfer, TransferEnd.FAILED_HERE, message)
 
 
 def _deliver_end(transfer: Transfer, end: TransferEnd, message: str) -> None:
