Log that the gateway closed after a last answer

What operators saw: a request that was read behind an answer whose connection was then closed by the gateway (in a drain, or as an answer to HTTP/1.0 without a length ended) was dropped and logged with closed_by=caller. That hid what might be LOST.

Cause: only closes of idle connections recorded a reason, by the object of one request; the next request on the stream has another.

Fix: reasons are kept by stream, and the close after an answer records `drain`, or `answer` for the end of an answer.

Evidence: both cases of the new test counted {caller: 1} before; they count {drain: 1} and {answer: 1} now.

--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -291,6 +291,31 @@
     run_with_server(check)
 
 
+# Guards against a log that blames callers for a close of the gateway's own,
+# which hides LOST.
+@pytest.mark.parametrize(
+    ('version', 'draining', 'reason'),
+    [('1.1', True, 'drain'), ('1.0', False, 'answer')],
+)
+def test_a_request_behind_a_last_answer_is_dropped_by_the_gateway(
+    version, draining, reason
+):
+    async def check(server, forwarder, port):
+        reader, writer = await connect(port)
+        head = f'GET /a/stream HTTP/{version}\r\nHost: h\r\n'
+        head += 'Connection: keep-alive\r\n\r\n'
+        writer.write(head.encode() + REQUEST)
+        await forwarder.stream_started.wait()
+        server.draining = draining
+        forwarder.may_finish.set()
+        await reader.read()
+        await wait_briefly()
+        dropped = server.metrics.reasons('gateway_requests_dropped')
+        assert dropped == {reason: 1}
+
+    run_with_server(check)
+
+
 LARGE_BODY = b'x' * 17_000_000
 REQUEST_WITH_LARGE_BODY = (
     b'POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 17000000\r\n\r\n'
--- a/wigeonmill/gateway/caller_channel.py
+++ b/wigeonmill/gateway/caller_channel.py
@@ -71,6 +71,9 @@
     def add_unsent(self, conn: HTTP1Connection) -> None:
         """Add a connection on which an answer is still being sent."""
 
+    def close_after_answer(self, conn: HTTP1Connection) -> None:
+        """Close a connection whose last answer was sent."""
+
 
 class HttpChannel:
     """Writes one answer; a disconnect of the caller cancels the request."""
@@ -215,7 +218,15 @@
         if self._server.draining or self._ends_with_conn:
             # The head may have been sent before the drain started, so that
             # the caller does not know that the connection will be closed.
-            asyncio.ensure_future(_close_after_flush(self._conn))
+            asyncio.ensure_future(self._close_after_flush())
+
+    async def _close_after_flush(self) -> None:
+        """Close the connection after the kernel has taken all its output."""
+        try:
+            await self._conn.stream.write(b'')
+        except StreamClosedError:
+            return
+        self._server.close_after_answer(self._conn)
 
     def abort(self) -> None:
         """Close the connection, so that the answer does not look complete."""
@@ -354,15 +365,6 @@
             self.fail(RuntimeError('the request ended without an answer'))
 
 
-async def _close_after_flush(conn: HTTP1Connection) -> None:
-    """Close a connection after all its output was handed to the kernel."""
-    try:
-        await conn.stream.write(b'')
-    except StreamClosedError:
-        return
-    conn.close()
-
-
 def _start_line(status: int) -> ResponseStartLine:
     return ResponseStartLine(
         'HTTP/1.1', status, responses.get(status, 'Unknown')
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -16,6 +16,7 @@
 from tornado.httputil import RequestStartLine
 from tornado.httputil import ResponseStartLine
 from tornado.ioloop import PeriodicCallback
+from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
 from wigeonmill.addresses import split_address
@@ -58,6 +59,8 @@
     CALLER = 'caller'
     IDLE = 'idle'
     DRAIN = 'drain'
+    # The end of an answer without a length or chunks.
+    ANSWER = 'answer'
 
 
 class GatewayServer(HTTPServerConnectionDelegate):
@@ -85,8 +88,9 @@
         self._unsent: weakref.WeakSet[HTTP1Connection] = weakref.WeakSet()
         self._idle = IdleConns(clock)
         self._idle_check = PeriodicCallback(self._close_expired, IDLE_CHECK_MS)
+        # By stream, because each request has a connection object of its own.
         self._close_reasons: weakref.WeakKeyDictionary[
-            HTTP1Connection, CloseReason
+            IOStream, CloseReason
         ] = weakref.WeakKeyDictionary()
         self.last_request_ms = clock.now_ms()
         self._server: HTTPServer | None = None
@@ -155,7 +159,7 @@
 
     def close_reason(self, conn: HTTP1Connection) -> CloseReason:
         """Return why a closed connection was closed."""
-        return self._close_reasons.get(conn, CloseReason.CALLER)
+        return self._close_reasons.get(conn.stream, CloseReason.CALLER)
 
     def stop_accepting(self) -> None:
         """Stop accepting new connections and requests."""
@@ -176,7 +180,15 @@
 
     def _close_idle(self, conn: HTTP1Connection, reason: CloseReason) -> None:
         self._idle.remove(conn)
-        self._close_reasons[conn] = reason
+        self._close(conn, reason)
+
+    def close_after_answer(self, conn: HTTP1Connection) -> None:
+        """Close a connection whose last answer was sent."""
+        reason = CloseReason.DRAIN if self.draining else CloseReason.ANSWER
+        self._close(conn, reason)
+
+    def _close(self, conn: HTTP1Connection, reason: CloseReason) -> None:
+        self._close_reasons[conn.stream] = reason
         conn.close()
 
     def set_limits(self, limits: RequestLimits) -> None:
