Refuse a request behind a stream that ends in a drain

What callers saw: a connection closed without an answer to a request that they had sent before a stream ended, if the entry began to drain inside the stream. The head of the stream was sent before the drain, so nothing had told them of the close.

Cause: the connection was closed as soon as the stream was sent, also if the next request had been read or waited in the kernel.

Fix: a connection whose close was not announced is closed once it is idle. A request on it is refused with 503 (`shutting_down`), which says that it has not run, and with `Connection: close`. After an announced close nothing more is served, as HTTP demands. A head that never ends has the idle limit.

--- a/wigeonmill/gateway/caller_channel.py
+++ b/wigeonmill/gateway/caller_channel.py
@@ -74,6 +74,9 @@
     def close_after_answer(self, conn: HTTP1Connection) -> None:
         """Close a connection whose last answer was sent."""
 
+    def end_conn(self, conn: HTTP1Connection) -> None:
+        """Refuse the next request on a connection, or close it if idle."""
+
 
 class HttpChannel:
     """Writes one answer; a disconnect of the caller cancels the request."""
@@ -91,6 +94,7 @@
         '_has_chunks',
         '_is_head',
         '_ends_with_conn',
+        '_close_announced',
         '_unsent_bytes',
     )
 
@@ -106,6 +110,7 @@
         self._has_chunks = start.version != 'HTTP/1.0'
         self._is_head = start.method == 'HEAD'
         self._ends_with_conn = False
+        self._close_announced = False
         self._unsent_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._req: CallerRequest | None = None
@@ -215,10 +220,12 @@
         self._end = end
         if self._conn.stream.writing():
             self._server.add_unsent(self._conn)
-        if self._server.draining or self._ends_with_conn:
-            # The head may have been sent before the drain started, so that
-            # the caller does not know that the connection will be closed.
+        if self._close_announced or self._ends_with_conn:
             asyncio.ensure_future(self._close_after_flush())
+        elif self._server.draining:
+            # The head was sent before the drain started, so that the caller
+            # may have sent its next request already.
+            self._server.end_conn(self._conn)
 
     async def _close_after_flush(self) -> None:
         """Close the connection after the kernel has taken all its output."""
@@ -337,6 +344,7 @@
             headers.add(name, value)
         if self._server.draining:
             headers['Connection'] = 'close'
+            self._close_announced = True
         return headers
 
     def _on_close(self) -> None:
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -1,5 +1,6 @@
 """Serves callers: tornado's HTTP server in front of a forwarder."""
 
+import asyncio
 import enum
 import logging
 import math
@@ -28,6 +29,7 @@
 from wigeonmill.gateway.caller_codec import CallerCodec
 from wigeonmill.gateway.desired import RequestLimits
 from wigeonmill.gateway.forwarder import Forwarder
+from wigeonmill.gateway.idle_conns import has_no_input
 from wigeonmill.gateway.idle_conns import IdleConns
 from wigeonmill.gateway.request import CallerRequest
 from wigeonmill.log import loggable_ms
@@ -86,6 +88,8 @@
         self._open: set[HttpChannel] = set()
         # Connections with an answer that the kernel has not taken yet.
         self._unsent: weakref.WeakSet[HTTP1Connection] = weakref.WeakSet()
+        # Streams whose next request is refused because of a drain.
+        self._ending: weakref.WeakSet[IOStream] = weakref.WeakSet()
         self._idle = IdleConns(clock)
         self._idle_check = PeriodicCallback(self._close_expired, IDLE_CHECK_MS)
         # By stream, because each request has a connection object of its own.
@@ -148,6 +152,10 @@
     ) -> HTTPMessageDelegate:
         assert isinstance(request_conn, HTTP1Connection)
         self._idle.add(request_conn)
+        if request_conn.stream in self._ending:
+            # By then tornado has begun to read.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._close_if_idle, request_conn)
         return _RequestReader(self, request_conn)
 
     def on_close(self, server_conn: object) -> None:
@@ -187,6 +195,18 @@
         reason = CloseReason.DRAIN if self.draining else CloseReason.ANSWER
         self._close(conn, reason)
 
+    def end_conn(self, conn: HTTP1Connection) -> None:
+        """Refuse the next request on a connection, or close it if idle."""
+        self._ending.add(conn.stream)
+
+    def refuses(self, conn: HTTP1Connection) -> bool:
+        """Whether a request on a connection comes too late for a drain."""
+        return self.refusing or conn.stream in self._ending
+
+    def _close_if_idle(self, conn: HTTP1Connection) -> None:
+        if has_no_input(conn):
+            self._close_idle(conn, CloseReason.DRAIN)
+
     def _close(self, conn: HTTP1Connection, reason: CloseReason) -> None:
         self._close_reasons[conn.stream] = reason
         conn.close()
@@ -262,7 +282,7 @@
             channel.refuse_unserved(decoded.err_value)
         elif _size(self._headers) > server.max_header_bytes:
             channel.refuse_unserved(_HEADERS_TOO_LARGE, decoded.ok_value)
-        elif server.refusing:
+        elif server.refuses(self._conn):
             channel.refuse_unserved(SHUTTING_DOWN, decoded.ok_value)
         else:
             channel.serve(decoded.ok_value)
