--- a/wigeonmill/gateway/caller_channel.py
+++ b/wigeonmill/gateway/caller_channel.py
@@ -71,6 +71,12 @@
     def add_unsent(self, conn: HTTP1Connection) -> None:
         """Add a connection on which an answer is still being sent."""
 
+    def close_after_answer(self, conn: HTTP1Connection) -> None:
+        """Close a connection whose last answer was sent."""
+
+    def end_conn(self, conn: HTTP1Connection) -> None:
+        """Refuse the next request on a connection, or close it if idle."""
+
 
 class HttpChannel:
     """Writes one answer; a disconnect of the caller cancels the request."""
@@ -88,6 +94,7 @@
         '_has_chunks',
         '_is_head',
         '_ends_with_conn',
+        '_close_announced',
         '_unsent_bytes',
     )
 
@@ -103,6 +110,7 @@
         self._has_chunks = start.version != 'HTTP/1.0'
         self._is_head = start.method == 'HEAD'
         self._ends_with_conn = False
+        self._close_announced = False
         self._unsent_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._req: CallerRequest | None = None
@@ -212,10 +220,20 @@
         self._end = end
         if self._conn.stream.writing():
             self._server.add_unsent(self._conn)
-        if self._server.draining or self._ends_with_conn:
-            # The head may have been sent before the drain started, so that
-            # the caller does not know that the connection will be closed.
-            asyncio.ensure_future(_close_after_flush(self._conn))
+        if self._close_announced or self._ends_with_conn:
+            asyncio.ensure_future(self._close_after_flush())
+        elif self._server.draining:
+            # The head was sent before the drain started, so that the caller
+            # may have sent its next request already.
+            self._server.end_conn(self._conn)
+
+    async def _close_after_flush(self) -> None:
+        """Close the connection after the kernel has taken all its output."""
+        try:
+            await self._conn.stream.write(b'')
+        except StreamClosedError:
+            return
+        self._server.close_after_answer(self._conn)
 
     def abort(self) -> None:
         """Close the connection, so that the answer does not look complete."""
@@ -326,6 +344,7 @@
             headers.add(name, value)
         if self._server.draining:
             headers['Connection'] = 'close'
+            self._close_announced = True
         return headers
 
     def _on_close(self) -> None:
@@ -354,15 +373,6 @@
             self.fail(RuntimeError('the request ended without an answer'))
 
 
-async def _close_after_flush(conn: HTTP1Connection) -> None:
-    """Close a connection after all its output was handed to the kernel."""
-    try:
-        await conn.stream.write(b'')
-    except StreamClosedError:
-        return
-    conn.close()
-
-
 def _start_line(status: int) -> ResponseStartLine:
     return ResponseStartLine(
         'HTTP/1.1', status, responses.get(status, 'Unknown')
