Number the origins of a stream, so that the latest one counts

A stream that had moved to another target before its first event could go on at the first target's software: an entry that was told of the first target and missed the message about the second one named the first once the sender was gone.

Cause: origins had no order, and an entry that knew any origin asked nobody.

Each replacement has a higher number now; a lower one never replaces it.

The thrift compiler rejects `service` as the name of a field, so the code of the inner protocol could not be generated; the field is `service_name` now. Its number on the wire is the same, and the new fields are optional.

--- a/tests/gateway/test_origin_exchange.py
+++ b/tests/gateway/test_origin_exchange.py
@@ -25,6 +25,8 @@
 from wigeonmill.protocol.codec import decode_body
 from wigeonmill.protocol.codec import encode_frame
 from wigeonmill.protocol.codec import LENGTH_BYTES
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
+from wigeonmill.protocol.gen.inner.ttypes import Kind
 
 SERVICE = 'engines'
 DELAY_S = 0.01
@@ -403,3 +405,42 @@
         assert found in (None, origin_of(V2))
 
     fleet.run(check)
+
+
+# Guards against ORDER: messages on one stream may arrive in any order.
+def test_an_origin_that_arrives_late_does_not_replace_a_later_one():
+    fleet = Fleet(4)
+    first, second, *others = fleet.listed
+
+    async def check():
+        fleet.entries[first].record('q1', V1)
+        fleet.entries[first].record('q1', V2)
+        await settle()
+        (late,) = [
+            message for address, message in fleet.messages if address == second
+        ]
+        late.begun[0].software_version = V1.software_version
+        late.begun[0].number = 1
+        envelope = Envelope(Kind.STREAM_ORIGINS, 0, 0, stream_origins=late)
+        fleet.deliver(second, over_the_wire(envelope))
+        fleet.kill(first)
+        fleet.silent = set(others)
+        found = await fleet.entries[second].find('q1', SERVICE)
+        assert found == origin_of(V2)
+
+    fleet.run(check)
+
+
+def test_a_replica_asks_no_further_than_the_entry_that_began_the_stream():
+    fleet = Fleet(4)
+    first, second, *others = fleet.listed
+    fleet.silent = set(others)
+
+    async def check():
+        fleet.entries[first].record('q1', V1)
+        await settle()
+        started_ms = fleet.clock.now_ms()
+        assert await fleet.entries[second].find('q1', SERVICE) == origin_of(V1)
+        assert fleet.clock.now_ms() - started_ms < FIND_TIMEOUT_MS
+
+    fleet.run(check)
--- a/wigeonmill/gateway/origin_exchange.py
+++ b/wigeonmill/gateway/origin_exchange.py
@@ -111,8 +111,7 @@
         """Record that a stream is sent to `target` to begin there."""
         if not self._is_usable(request_id):
             return
-        origin = origin_of(target)
-        self._local.add(request_id, origin)
+        origin = self._local.replace(request_id, origin_of(target))
         earlier = self._replicas.pop(request_id, ())
         chosen = self._ranked_peers(request_id)[:REPLICAS]
         replicas = tuple(dict.fromkeys((*earlier, *chosen)))
@@ -136,9 +135,11 @@
         started_ms = self._clock.now_ms()
         inquiry = _Inquiry(self._local.get(request_id))
         source = 'local'
-        if inquiry.origin is None and self._is_usable(request_id):
+        # A peer's origin may have been replaced by one that did not arrive.
+        if not self._is_authority(request_id) and self._is_usable(request_id):
+            known = inquiry.origin
             await self._ask_peers(request_id, inquiry)
-            source = 'peer'
+            source = 'local' if inquiry.origin == known else 'peer'
         if inquiry.origin is None:
             version = self._only_version(service)
             if version is not None:
@@ -170,7 +171,7 @@
         if not message.wanted:
             return None
         known = [
-            _to_wire(request_id, origin)
+            _to_wire(request_id, origin, self._is_authority(request_id))
             for request_id in message.wanted[:MAX_WANTED]
             if (origin := self._local.get(request_id)) is not None
         ]
@@ -182,6 +183,10 @@
             stream_origins=reply,
         )
 
+    def _is_authority(self, request_id: str) -> bool:
+        """Whether this entry itself sent the stream to its targets."""
+        return request_id in self._replicas
+
     def _is_usable(self, request_id: str) -> bool:
         return 0 < len(request_id) <= MAX_REQUEST_ID_LENGTH
 
@@ -226,7 +231,10 @@
         pending = self._pending.pop(address, None)
         if not pending:
             return
-        begun = [_to_wire(id_, origin) for id_, origin in pending.items()]
+        begun = [
+            _to_wire(request_id, origin, authority=True)
+            for request_id, origin in pending.items()
+        ]
         message = ttypes.StreamOrigins(self._name, begun, [])
         envelope = Envelope(Kind.STREAM_ORIGINS, 0, 0, stream_origins=message)
         if not self._links.notify(address, envelope):
@@ -234,20 +242,28 @@
                 self._metrics.count('stream_origins_not_sent', 'unreachable')
 
     async def _ask_peers(self, request_id: str, inquiry: _Inquiry) -> None:
-        """Ask several peers at once, until the first one knows the origin."""
+        """Ask several peers at once for the latest origin.
+
+        It ends early once the entry that sent the stream to its targets has
+        answered, or as many entries as normally keep an origin.
+        """
         tasks = [
             asyncio.ensure_future(self._ask_peer(address, request_id, inquiry))
             for address in self._ranked_peers(request_id)
         ]
         inquiry.asked = len(tasks)
+        holders = int(inquiry.origin is not None)
         try:
             for done in asyncio.as_completed(
                 tasks, timeout=FIND_TIMEOUT_MS / 1000.0
             ):
-                origin = await done
-                if origin is not None:
-                    inquiry.origin = origin
-                    self._local.add(request_id, origin)
+                item = await done
+                if item is None:
+                    continue
+                self._local.add(request_id, _from_wire(item))
+                inquiry.origin = self._local.get(request_id)
+                holders += 1
+                if item.authority or holders >= REPLICAS:
                     return
         except asyncio.TimeoutError:
             return
@@ -257,7 +273,7 @@
 
     async def _ask_peer(
         self, address: str, request_id: str, inquiry: _Inquiry
-    ) -> StreamOrigin | None:
+    ) -> ttypes.StreamOrigin | None:
         message = ttypes.StreamOrigins(self._name, [], [request_id])
         envelope = Envelope(Kind.STREAM_ORIGINS, 0, 0, stream_origins=message)
         reply = await self._links.request(address, envelope, FIND_TIMEOUT_MS)
@@ -266,24 +282,29 @@
         inquiry.answered += 1
         for item in reply.ok_value.stream_origins.begun or ():
             if item.request == request_id:
-                return _from_wire(item)
+                return item
         return None
 
 
-def _to_wire(request_id: str, origin: StreamOrigin) -> ttypes.StreamOrigin:
+def _to_wire(
+    request_id: str, origin: StreamOrigin, authority: bool
+) -> ttypes.StreamOrigin:
     return ttypes.StreamOrigin(
         request_id,
         origin.service,
         origin.software_version,
         origin.target_id,
         origin.target_started_at_ms,
+        origin.number,
+        authority,
     )
 
 
 def _from_wire(item: ttypes.StreamOrigin) -> StreamOrigin:
     return StreamOrigin(
-        item.service or '',
+        item.service_name or '',
         item.software_version or '',
         item.target or '',
         item.started_at_ms or 0,
+        item.number or 1,
     )
--- a/wigeonmill/gateway/stream_origins.py
+++ b/wigeonmill/gateway/stream_origins.py
@@ -2,6 +2,8 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
 from typing import Protocol
 
 from wigeonmill.gateway.targets import Target
@@ -16,13 +18,15 @@
 
     `software_version` is empty if the target stated none. `target_id` and
     `target_started_at_ms` identify the lifetime that began the stream; they
-    are empty and 0 if only the version is known.
+    are empty and 0 if only the version is known. `number` orders the origins
+    of one request; a later one replaces those before it.
     """
 
     service: str
     software_version: str
     target_id: str = ''
     target_started_at_ms: int = 0
+    number: int = field(default=1, compare=False)
 
     def may_resume_at(self, target: Target) -> bool:
         """Whether `target` runs the software that began the stream."""
@@ -71,10 +75,21 @@
 
     def record(self, request_id: str, target: Target) -> None:
         """Record that a stream is sent to `target` to begin there."""
-        self.add(request_id, origin_of(target))
+        self.replace(request_id, origin_of(target))
+
+    def replace(self, request_id: str, origin: StreamOrigin) -> StreamOrigin:
+        """Record an origin after all others of the request; return it."""
+        earlier = self._by_request.get(request_id)
+        if earlier is not None:
+            origin = replace(origin, number=earlier.number + 1)
+        self.add(request_id, origin)
+        return origin
 
     def add(self, request_id: str, origin: StreamOrigin) -> None:
-        """Record an origin; it replaces an earlier one of the request."""
+        """Record an origin, unless a later one of the request is known."""
+        known = self._by_request.get(request_id)
+        if known is not None and known.number > origin.number:
+            return
         self._by_request[request_id] = origin
         self._by_request.move_to_end(request_id)
         if len(self._by_request) > MAX_ORIGINS:
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -3438,10 +3438,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etypeA, _sizeA) = iprot.readListBegin()
-                    for _iA in range(_sizeA):
-                        _elemA = iprot.readBinary()
-                        self.parts.append(_elemA)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readBinary()
+                        self.parts.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3468,8 +3468,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iterA in self.parts:
-                oprot.writeBinary(iterA)
+            for iter90 in self.parts:
+                oprot.writeBinary(iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lifetime is not None:
@@ -3535,10 +3535,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etypeA, _sizeA) = iprot.readListBegin()
-                    for _iA in range(_sizeA):
-                        _elemA = iprot.readBinary()
-                        self.parts.append(_elemA)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readBinary()
+                        self.parts.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3560,8 +3560,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iterA in self.parts:
-                oprot.writeBinary(iterA)
+            for iter97 in self.parts:
+                oprot.writeBinary(iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3856,11 +3856,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = CachePart()
-                        _elem89.read(iprot)
-                        self.parts.append(_elem89)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = CachePart()
+                        _elem103.read(iprot)
+                        self.parts.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3897,8 +3897,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter90 in self.parts:
-                iter90.write(oprot)
+            for iter104 in self.parts:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3996,33 +3996,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.open_work = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = OpenWork()
-                        _elem96.read(iprot)
-                        self.open_work.append(_elem96)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = OpenWork()
+                        _elem110.read(iprot)
+                        self.open_work.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.losses = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = TargetLoss()
-                        _elem102.read(iprot)
-                        self.losses.append(_elem102)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = TargetLoss()
+                        _elem116.read(iprot)
+                        self.losses.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = StoreRecord()
-                        _elem108.read(iprot)
-                        self.records.append(_elem108)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = StoreRecord()
+                        _elem122.read(iprot)
+                        self.records.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4034,22 +4034,22 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.cache_points = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = CachePoint()
-                        _elem114.read(iprot)
-                        self.cache_points.append(_elem114)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = CachePoint()
+                        _elem128.read(iprot)
+                        self.cache_points.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.cache_updates = []
-                    (_etype118, _size115) = iprot.readListBegin()
-                    for _i119 in range(_size115):
-                        _elem120 = CacheUpdate()
-                        _elem120.read(iprot)
-                        self.cache_updates.append(_elem120)
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = CacheUpdate()
+                        _elem134.read(iprot)
+                        self.cache_updates.append(_elem134)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4066,22 +4066,22 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.part_outcomes = []
-                    (_etypeB, _sizeB) = iprot.readListBegin()
-                    for _iB in range(_sizeB):
-                        _elemB = PartOutcome()
-                        _elemB.read(iprot)
-                        self.part_outcomes.append(_elemB)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = PartOutcome()
+                        _elem140.read(iprot)
+                        self.part_outcomes.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.part_quarantines = []
-                    (_etypeC, _sizeC) = iprot.readListBegin()
-                    for _iC in range(_sizeC):
-                        _elemC = PartQuarantine()
-                        _elemC.read(iprot)
-                        self.part_quarantines.append(_elemC)
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = PartQuarantine()
+                        _elem146.read(iprot)
+                        self.part_quarantines.append(_elem146)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4106,22 +4106,22 @@
         if self.open_work is not None:
             oprot.writeFieldBegin('open_work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.open_work))
-            for iter121 in self.open_work:
-                iter121.write(oprot)
+            for iter147 in self.open_work:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter122 in self.losses:
-                iter122.write(oprot)
+            for iter148 in self.losses:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter123 in self.records:
-                iter123.write(oprot)
+            for iter149 in self.records:
+                iter149.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records_to is not None:
@@ -4131,15 +4131,15 @@
         if self.cache_points is not None:
             oprot.writeFieldBegin('cache_points', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_points))
-            for iter124 in self.cache_points:
-                iter124.write(oprot)
+            for iter150 in self.cache_points:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cache_updates is not None:
             oprot.writeFieldBegin('cache_updates', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_updates))
-            for iter125 in self.cache_updates:
-                iter125.write(oprot)
+            for iter151 in self.cache_updates:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.listing is not None:
@@ -4153,15 +4153,15 @@
         if self.part_outcomes is not None:
             oprot.writeFieldBegin('part_outcomes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.part_outcomes))
-            for iterB in self.part_outcomes:
-                iterB.write(oprot)
+            for iter152 in self.part_outcomes:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_quarantines is not None:
             oprot.writeFieldBegin('part_quarantines', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.part_quarantines))
-            for iterC in self.part_quarantines:
-                iterC.write(oprot)
+            for iter153 in self.part_quarantines:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4193,28 +4193,34 @@
     """
     Attributes:
      - request
-     - service
+     - service_name
      - software_version
      - target
      - started_at_ms
+     - number
+     - authority
 
     """
 
     __slots__ = (
         'request',
-        'service',
+        'service_name',
         'software_version',
         'target',
         'started_at_ms',
+        'number',
+        'authority',
     )
 
 
-    def __init__(self, request=None, service=None, software_version=None, target=None, started_at_ms=None,):
+    def __init__(self, request=None, service_name=None, software_version=None, target=None, started_at_ms=None, number=None, authority=None,):
         self.request = request
-        self.service = service
+        self.service_name = service_name
         self.software_version = software_version
         self.target = target
         self.started_at_ms = started_at_ms
+        self.number = number
+        self.authority = authority
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4232,7 +4238,7 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.service = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -4250,6 +4256,16 @@
                     self.started_at_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.authority = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4264,9 +4280,9 @@
             oprot.writeFieldBegin('request', TType.STRING, 1)
             oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
             oprot.writeFieldEnd()
-        if self.service is not None:
-            oprot.writeFieldBegin('service', TType.STRING, 2)
-            oprot.writeString(self.service.encode('utf-8') if sys.version_info[0] == 2 else self.service)
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
         if self.software_version is not None:
             oprot.writeFieldBegin('software_version', TType.STRING, 3)
@@ -4280,6 +4296,14 @@
             oprot.writeFieldBegin('started_at_ms', TType.I64, 5)
             oprot.writeI64(self.started_at_ms)
             oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 6)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.authority is not None:
+            oprot.writeFieldBegin('authority', TType.BOOL, 7)
+            oprot.writeBool(self.authority)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4343,21 +4367,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = StreamOrigin()
-                        _elem131.read(iprot)
-                        self.begun.append(_elem131)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = StreamOrigin()
+                        _elem159.read(iprot)
+                        self.begun.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.wanted.append(_elem137)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4378,15 +4402,15 @@
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter138 in self.begun:
-                iter138.write(oprot)
+            for iter166 in self.begun:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.wanted))
-            for iter139 in self.wanted:
-                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
+            for iter167 in self.wanted:
+                oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5109,10 +5133,12 @@
 StreamOrigin.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'service', 'UTF8', None, ),  # 2
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'software_version', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'target', 'UTF8', None, ),  # 4
     (5, TType.I64, 'started_at_ms', None, None, ),  # 5
+    (6, TType.I32, 'number', None, None, ),  # 6
+    (7, TType.BOOL, 'authority', None, None, ),  # 7
 )
 all_structs.append(StreamOrigins)
 StreamOrigins.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -345,17 +345,20 @@
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
-// start identifies the lifetime that began the stream.
+// start identifies the lifetime that began the stream. The sender is authority
+// if it sent the stream there itself.
 struct StreamOrigin {
   1: string request
-  2: string service
+  2: string service_name
   3: string software_version
   4: string target
   5: i64 started_at_ms
+  6: optional i32 number
+  7: optional bool authority
 }
 
-// Origins of streams. The receiver keeps those in begun, which replace earlier
-// ones of the same requests. It answers with those that it knows of the
+// Origins of streams. The receiver keeps those in begun, unless it has a later
+// one of the same request by their numbers. It answers with those that it knows of the
 // requests in wanted; without any in wanted there is no answer.
 struct StreamOrigins {
   1: string sender
