Ignore SIGHUP once a process has stopped

What operators saw: a process that was asked to stop ended by SIGHUP instead of with code 0 if a reload came in its last moment.

Cause: the event loop restores the default action of its signals as it closes, and the interpreter still has to end.

The handler is replaced by one that ignores the signal before the loop closes. The test failed before.

--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -4,6 +4,7 @@
 import os
 from pathlib import Path
 import random
+import signal
 import subprocess
 import sys
 import threading
@@ -205,3 +206,20 @@
     path = tmp_path / 'settings.json'
     path.write_bytes(b'{')
     assert start_with(path, monkeypatch) == (EXIT_SETTINGS, [])
+
+
+# Guards against a stop that looks like a crash: SIGHUP after the loop had
+# dropped its handlers ended the process by the signal.
+def test_a_hangup_after_a_stop_is_ignored():
+    before = signal.getsignal(signal.SIGHUP)
+
+    async def run():
+        role = await make_role()
+        role._stop.set()
+        await role.run()
+
+    try:
+        asyncio.run(run())
+        assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+    finally:
+        signal.signal(signal.SIGHUP, before)
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -252,6 +252,9 @@
         await self._server.close()
         self._status.close()
         self._transfers.close()
+        # The loop restores the default action of its signals as it closes.
+        asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         logger.info('stopped')
 
     def _listen(self) -> None:
