Keep late reports from reviving a released quarantine

Callers of requests with a sound prompt part got 503 part_crashes_targets for ten minutes, although a run with the part had been served and the quarantine released.

A report of a quarantine says its age. The time under way is not in it, so that at each entry the quarantine seems to begin later, by a truncated millisecond at least and by seconds if an entry stood still. A peer that had not heard of the release yet reported it once more; where the report seemed to begin after the served run, it was adopted again, and told to the entry that had just released it.

A quarantine that really follows a served run has a loss after it, which entries are told of before. Without one, a report within the longest transit after the run is taken for the released quarantine, and a release ends a quarantine that seems to have begun later.

--- a/tests/gateway/test_part_guard.py
+++ b/tests/gateway/test_part_guard.py
@@ -213,6 +213,61 @@
     assert not any(entry.guard.find((b'shared',)) for entry in entries)
 
 
+# Guards against LOST: a report of a quarantine that had been under way for a
+# while looked newer than the release, and put the quarantine in force again.
+@pytest.mark.parametrize('transit_ms', [1.0, 500.0, 3_000.0])
+def test_a_late_report_does_not_revive_a_released_quarantine(transit_ms):
+    clock, entries = make_entries(3)
+    first, second, third = entries
+    for number in range(3):
+        crash(clock, first, b'shared', lifetime=f't{number}')
+    exchange(entries)
+    second.guard.record_served((b'shared',))
+    (sent,) = first.guard.quarantines()
+    age_ms = clock.now_ms() - sent.since_ms
+    for _ in range(2):
+        exchange(entries)
+    clock.advance(age_ms + transit_ms)
+    for entry in entries:
+        entry.guard.adopt(sent.parts, age_ms, 'peer')
+    exchange(entries)
+    assert not any(entry.guard.find((b'shared',)) for entry in entries)
+
+
+# Guards against LOST: a report of a quarantine that had been under way for a
+# while looked newer than a release that arrived after it.
+def test_a_release_ends_a_quarantine_that_was_reported_late():
+    clock, (first, second) = make_entries(2)
+    for number in range(3):
+        crash(clock, first, b'shared', lifetime=f't{number}')
+    (sent,) = first.guard.quarantines()
+    age_ms = clock.now_ms() - sent.since_ms
+    first.guard.record_served((b'shared',))
+    clock.advance(age_ms + 500.0)
+    second.guard.adopt(sent.parts, age_ms, 'peer')
+    assert second.guard.find((b'shared',))
+    second.guard.record_remote(RunOutcome((b'shared',)), age_ms + 500.0)
+    assert not second.guard.find((b'shared',))
+
+
+# Guards against BUDGET: the losses after a release are what tells a quarantine
+# that follows it from a late report of the one before.
+def test_a_quarantine_after_a_release_is_adopted():
+    clock, entries = make_entries(2)
+    first, second = entries
+    for number in range(3):
+        crash(clock, first, BAD, lifetime=f't{number}')
+    exchange(entries)
+    second.guard.record_served((BAD,))
+    for _ in range(2):
+        exchange(entries)
+    clock.advance(10.0)
+    for number in range(3, 6):
+        crash(clock, first, BAD, lifetime=f't{number}', after_ms=10.0)
+    exchange(entries)
+    assert second.guard.find((BAD,))
+
+
 # Guards against BUDGET: an entry that had restarted sent such requests again.
 def test_an_entry_that_has_just_started_learns_a_quarantine():
     clock, entries = make_entries(3)
--- a/wigeonmill/gateway/part_guard.py
+++ b/wigeonmill/gateway/part_guard.py
@@ -37,6 +37,9 @@
 PROBE_BEFORE_MS = 60_000.0
 # After a quarantine, a single crash quarantines again within this time.
 PROBATION_MS = 600_000.0
+# Maximum time for which a report is under way. Its age does not include it, so
+# that what it reports seems to have begun later by as much.
+MAX_TRANSIT_MS = 10_000.0
 MAX_SUSPECTS = 4096
 MAX_LIFETIMES = 32
 MAX_QUARANTINES = 64
@@ -240,7 +243,7 @@
         group = frozenset(parts)
         since_ms = self._clock.now_ms() - age_ms
         served_since = any(
-            self._suspects[key].served_ms >= since_ms
+            self._is_released(key, since_ms, self._suspects[key].served_ms)
             for key in group
             if key in self._suspects
         )
@@ -419,6 +422,21 @@
         ]
         return set.intersection(*lost)
 
+    def _is_released(
+        self, key: bytes, since_ms: float, served_ms: float
+    ) -> bool:
+        """Whether a run with a part was served after its quarantine began.
+
+        The quarantine may have begun earlier than reported; one that follows
+        the run has a loss after it.
+        """
+        if since_ms <= served_ms:
+            return True
+        if since_ms > served_ms + MAX_TRANSIT_MS:
+            return False
+        suspect = self._suspects.get(key)
+        return suspect is None or suspect.last_ms <= served_ms
+
     def _clear(self, key: bytes, at_ms: float) -> bool:
         """Clear a part of its losses up to a run that was served.
 
@@ -431,7 +449,9 @@
         for group in [g for g in self._probations if key in g]:
             del self._probations[group]
         for quarantine in list(self._quarantines):
-            if key not in quarantine.parts or quarantine.since_ms > at_ms:
+            if key not in quarantine.parts:
+                continue
+            if not self._is_released(key, quarantine.since_ms, at_ms):
                 continue
             released = True
             self._quarantines.remove(quarantine)
