Find processes that do not end, and signal them as soon as they can bear it

The soak stood still when a gateway did not end after SIGTERM, and so did a whole run of the tests: a fault waited for the end without a limit.

A fault now waits for the process that it signalled, and a process that has not ended a second after its grace time is killed and reported ('process ends in time'). The time for which it is suspended on purpose does not count.

Whether a process handles or ignores SIGHUP is now read from its state, which is earlier than 150 ms if the machine is idle, and never too early.

The new test fails without the check; no other check has changed.

--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -69,6 +69,9 @@
         Breach('process ended by itself', '', detail)
         for detail in journal.own_ends
     ]
+    found += [
+        Breach('process ends in time', '', name) for name in journal.hung_ends
+    ]
     found += [
         Breach('lost', attempt.id, detail)
         for attempt, detail in find_lost(attempts, journal)
--- a/tests/platform/soak/environment.py
+++ b/tests/platform/soak/environment.py
@@ -35,6 +35,7 @@
 # gateway that ended by itself.
 RESTART_S = 0.5
 WATCH_S = 0.01
+EXIT_POLL_S = 0.02
 # Exit codes of processes that were told to end, at any point of their start.
 ASKED_EXIT_CODES = (0, -signal.SIGTERM, -signal.SIGKILL)
 
@@ -53,7 +54,6 @@
         self.log = folder / f'{name}.log'
         self._settings = folder / f'{name}.json'
         self._popen = None
-        self._started_at = 0.0
         # Whether the process was asked to end, and its end has been seen.
         self._may_end = False
         self._end_seen = True
@@ -88,7 +88,6 @@
                 stdout=log,
                 stderr=log,
             )
-        self._started_at = time.monotonic()
         self._may_end = self._end_seen = False
 
     @property
@@ -111,9 +110,21 @@
             return None
         return exit_code
 
-    def has_run_for(self, time_s):
-        """Whether the process is running and was started that long ago."""
-        return self.running and time.monotonic() >= self._started_at + time_s
+    def survives_reload(self):
+        """Whether the process runs and handles or ignores SIGHUP.
+
+        It can do neither before it runs code of its own.
+        """
+        if not self.running:
+            return False
+        status = self._read_status()
+        masks = int(status['SigCgt'], 16) | int(status['SigIgn'], 16)
+        return bool(masks >> (signal.SIGHUP - 1) & 1)
+
+    def _read_status(self):
+        status = Path(f'/proc/{self._popen.pid}/status').read_text()
+        lines = (line.split(':', 1) for line in status.splitlines())
+        return {name: value.strip() for name, value in lines}
 
     def kill_and_wait(self):
         """Kill the process if it is running, and wait until it has exited."""
@@ -126,17 +137,27 @@
         """Return the peak memory of the process, 0 if it is not running."""
         if not self.running:
             return 0.0
-        status = Path(f'/proc/{self._popen.pid}/status').read_text()
-        (peak,) = [
-            line.split()[1]
-            for line in status.splitlines()
-            if line.startswith('VmHWM:')
-        ]
-        return int(peak) / 1024.0
-
-    async def wait_until_exited(self):
-        while self.running:
-            await asyncio.sleep(0.02)
+        return int(self._read_status()['VmHWM'].split()[0]) / 1024.0
+
+    async def wait_until_exited(self, timeout_s):
+        """Wait until the process that runs now has exited.
+
+        Return False and kill it if it has run that long. The time for which
+        it was suspended does not count.
+        """
+        process = self._popen
+        left_s = timeout_s
+        checked_at = time.monotonic()
+        while process.poll() is None:
+            if left_s <= 0.0:
+                self.kill_and_wait()
+                return False
+            suspended = self._read_status()['State'].startswith('T')
+            await asyncio.sleep(EXIT_POLL_S)
+            now = time.monotonic()
+            left_s -= 0.0 if suspended else now - checked_at
+            checked_at = now
+        return True
 
     async def is_ready(self):
         host, port = self.ready.split(':')
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -15,6 +15,8 @@
 
 DOWN_RANGE_S = (0.1, 1.0)
 FAULT_RANGE_S = (0.5, 3.0)
+# The grace time, and time to notice the end of the process.
+EXIT_TIMEOUT_S = GRACE_MS / 1000.0 + 1.0
 SILENCE_RANGE_S = (0.8, 2.5)
 # Time from the moment at which a target leaves to its end.
 LEAVING_S = 4.0
@@ -113,7 +115,8 @@
         journal.record_work('SIGTERM', gateway.name)
         last_sixth_at = time.monotonic() + GRACE_MS / 1000.0 * 5 / 6
         gateway.signal_process(signal.SIGTERM)
-        await gateway.wait_until_exited()
+        if not await gateway.wait_until_exited(EXIT_TIMEOUT_S):
+            journal.hung_ends.append(gateway.name)
         exited_at = time.monotonic()
         if exited_at >= last_sixth_at:
             journal.interrupt(gateway.name, last_sixth_at, exited_at)
@@ -133,8 +136,9 @@
         self._reload(self._pick_gateway())
 
     def _reload(self, gateway):
-        self.environment.journal.record_work('SIGHUP', gateway.name)
-        gateway.signal_process(signal.SIGHUP)
+        if gateway.survives_reload():
+            self.environment.journal.record_work('SIGHUP', gateway.name)
+            gateway.signal_process(signal.SIGHUP)
 
     async def store_down(self):
         self.environment.key_value.faults.outage = True
--- a/tests/platform/soak/journal.py
+++ b/tests/platform/soak/journal.py
@@ -105,6 +105,8 @@
     interrupted: dict[str, list[list[float]]] = field(default_factory=dict)
     # The processes that ended though nobody asked them to.
     own_ends: list[str] = field(default_factory=list)
+    # Processes that had not exited after their grace time.
+    hung_ends: list[str] = field(default_factory=list)
     # The time limits of the routes in seconds, and when they were sent.
     timeouts: list[tuple[float, float]] = field(default_factory=list)
 
--- a/tests/platform/soak/series.py
+++ b/tests/platform/soak/series.py
@@ -10,8 +10,7 @@
 
 SIGNAL_COUNT = (3, 8)
 SIGNAL_PAUSE_S = (0.0, 0.2)
-# A process can handle no signal before it runs code of its own.
-STARTED_S = 0.15
+STARTED_POLL_S = 0.01
 STORM_COUNT = (5, 20)
 STORM_S = 2.0
 
@@ -53,7 +52,8 @@
         await self._wait(DOWN_RANGE_S)
         if not gateway.running:
             gateway.start()
-        await asyncio.sleep(STARTED_S)
+        while gateway.running and not gateway.survives_reload():
+            await asyncio.sleep(STARTED_POLL_S)
         await self._reload_often(gateway)
         self._end(span)
 
@@ -72,6 +72,5 @@
 
     async def _reload_often(self, gateway):
         for _ in range(self.rng.randint(*SIGNAL_COUNT)):
-            if gateway.has_run_for(STARTED_S):
-                self._reload(gateway)
+            self._reload(gateway)
             await self._wait(SIGNAL_PAUSE_S)
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -403,3 +403,12 @@
     journal.add(make_run())
     found = find_breaches([make_attempt()], journal, FAULT_FREE_FROM)
     assert [breach.promise for breach in found] == ['process ended by itself']
+
+
+# Guards against LOST: a process that did not end within its grace time held
+# up the soak, which had no check for it.
+def test_finds_a_process_that_did_not_end():
+    journal = Journal(hung_ends=['g1'])
+    journal.add(make_run())
+    found = find_breaches([make_attempt()], journal, FAULT_FREE_FROM)
+    assert [breach.promise for breach in found] == ['process ends in time']
