Keep the notice of a target whose record comes later

Callers saw: requests went to a target within the time of rest that it had asked for, or after it had stated that it leaves, if its answer had come by the address of another target before its own record did.

Cause: a notice that names a target without a record was logged and dropped. Records come late in an outage of the key-value service, and addresses are used again.

It is kept by the id until the record comes, and applied to each lifetime that had started by the wall time of the answer, as a late record is treated already; a later start is a new lifetime and is not bound. A time is kept until its end, leaving for as long as a target that is gone. 256 targets at most are kept; then expired ones go first, or else the oldest one, which is counted (target_notices{dropped}) and logged. target_notices{kept} and the line "notice kept" replace {ignored} and "notice ignored", as nothing is ignored any more.

--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -230,6 +230,7 @@
             max_closed_ms,
             self.directory.get,
         )
+        self.directory.subscribe(self.notices.apply_kept)
         self.loss_log = LossLog(clock)
         self.crash_guard = CrashGuard(clock, self.loss_log)
         self.part_guard = PartGuard(
--- a/wigeonmill/gateway/target_notices.py
+++ b/wigeonmill/gateway/target_notices.py
@@ -6,6 +6,7 @@
 import logging
 
 from wigeonmill.clock import Clock
+from wigeonmill.gateway.targets import GONE_RETENTION_MS
 from wigeonmill.gateway.targets import Target
 from wigeonmill.log import loggable_ms
 from wigeonmill.metrics import Metrics
@@ -18,6 +19,10 @@
 OPENING_SPREAD = 0.25
 MAX_OPENING_SPREAD_MS = 1_000.0
 MAX_LOGGED_CHARS = 40
+# Maximum number of targets without a record whose notices are kept, and how
+# long it is kept that one leaves.
+MAX_KEPT = 256
+KEPT_LEAVING_MS = GONE_RETENTION_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,8 +45,30 @@
 NoticeSink = Callable[[Target, Notice, str], None]
 
 
+@dataclass(slots=True)
+class _KeptNotice:
+    """What a target without a record has stated, and when (wall times).
+
+    `leaving_until_ms` is the time until which it is kept that it leaves.
+    """
+
+    source: str
+    request_id: str
+    leaving_until_ms: float = 0.0
+    left_at_wall_ms: int = 0
+    closed_until_ms: float = 0.0
+    closed_at_wall_ms: int = 0
+
+    def expired(self, now_ms: float) -> bool:
+        return max(self.leaving_until_ms, self.closed_until_ms) <= now_ms
+
+
 class TargetNotices:
-    """Applies the notices in answers to the state of their targets."""
+    """Applies the notices in answers to the state of their targets.
+
+    A notice of a target that has no record yet is kept until the record
+    comes; `apply_kept` then has to be called.
+    """
 
     __slots__ = (
         '_clock',
@@ -49,6 +76,7 @@
         '_entry_position',
         '_max_closed_ms',
         '_find_target',
+        '_kept',
     )
 
     def __init__(
@@ -64,6 +92,8 @@
         self._entry_position = entry_position
         self._max_closed_ms = max_closed_ms
         self._find_target = find_target
+        # By target id, the one with the oldest last notice first.
+        self._kept: dict[str, _KeptNotice] = {}
 
     def record(
         self, target: Target, notice: Notice, source: str, request_id: str = ''
@@ -77,13 +107,13 @@
         if notice.target_id not in (None, target.id):
             named = self._find_target(notice.target_id)
             if named is None:
-                self._ignore(target, notice, source, request_id)
+                self._keep(
+                    notice.target_id, target, notice, source, request_id
+                )
                 return
             target = named
-        if notice.leaving and not target.draining:
-            target.draining = True
-            self._metrics.count('target_notices', 'leaving')
-            _log('target leaving', target, source, request_id, {})
+        if notice.leaving:
+            self._set_leaving(target, source, request_id)
         if notice.malformed is not None:
             self._metrics.count('target_notices', 'malformed')
             details = {'value': notice.malformed[:MAX_LOGGED_CHARS]}
@@ -107,29 +137,99 @@
         }
         logger.warning('request unwanted', extra=extra)
 
-    def _ignore(
-        self, target: Target, notice: Notice, source: str, request_id: str
+    def apply_kept(self, target: Target) -> None:
+        """Apply the kept notices of a target whose record has just come.
+
+        They are those of a lifetime that had started by then. A later one
+        has stated nothing yet.
+        """
+        kept = self._kept.get(target.id)
+        if kept is None:
+            return
+        now_ms = self._clock.now_ms()
+        born_ms = target.started_at_ms
+        if now_ms < kept.leaving_until_ms and born_ms <= kept.left_at_wall_ms:
+            self._set_leaving(target, kept.source, kept.request_id)
+        if now_ms < kept.closed_until_ms and born_ms <= kept.closed_at_wall_ms:
+            target.close(kept.closed_until_ms, kept.closed_at_wall_ms)
+            self._metrics.count('target_notices', 'closed')
+            details = {'closed_ms': round(kept.closed_until_ms - now_ms)}
+            _log(
+                'target closed', target, kept.source, kept.request_id, details
+            )
+
+    def _keep(
+        self,
+        named: str,
+        asked: Target,
+        notice: Notice,
+        source: str,
+        request_id: str,
     ) -> None:
-        """Report a notice of a target that is not in the directory."""
+        """Keep a notice of a target that is not in the directory."""
         if not notice.leaving and not notice.closed_ms:
             return
-        self._metrics.count('target_notices', 'ignored')
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        kept = self._kept.pop(named, None) or _KeptNotice(source, request_id)
+        if notice.leaving:
+            kept.leaving_until_ms = now_ms + KEPT_LEAVING_MS
+            kept.left_at_wall_ms = wall_ms
+        closed_ms = self._closed_ms(notice.closed_ms or 0.0)
+        if closed_ms > 0:
+            until_ms = now_ms + closed_ms
+            kept.closed_until_ms = max(kept.closed_until_ms, until_ms)
+            kept.closed_at_wall_ms = wall_ms
+        self._make_room(now_ms)
+        self._kept[named] = kept
+        self._metrics.count('target_notices', 'kept')
         details = {
-            'named': notice.target_id,
+            'named': named,
             'leaving': notice.leaving,
-            'closed_ms': loggable_ms(notice.closed_ms or 0.0),
+            'stated_ms': loggable_ms(notice.closed_ms or 0.0),
+            'closed_ms': round(closed_ms),
         }
-        _log('notice ignored', target, source, request_id, details)
+        _log('notice kept', asked, source, request_id, details)
 
-    def _close(
-        self, target: Target, stated_ms: float, source: str, request_id: str
+    def _make_room(self, now_ms: float) -> None:
+        """Drop expired notices and, if need be, the oldest one."""
+        if len(self._kept) < MAX_KEPT:
+            return
+        self._kept = {
+            id_: kept
+            for id_, kept in self._kept.items()
+            if not kept.expired(now_ms)
+        }
+        if len(self._kept) >= MAX_KEPT:
+            dropped = next(iter(self._kept))
+            del self._kept[dropped]
+            self._metrics.count('target_notices', 'dropped')
+            logger.warning('kept notice dropped', extra={'target': dropped})
+
+    def _set_leaving(
+        self, target: Target, source: str, request_id: str
     ) -> None:
-        """Close a target; the entries open it one after the other."""
+        if target.draining:
+            return
+        target.draining = True
+        self._metrics.count('target_notices', 'leaving')
+        _log('target leaving', target, source, request_id, {})
+
+    def _closed_ms(self, stated_ms: float) -> float:
+        """Return for how long to close a target that stated a time.
+
+        The entries open it one after the other.
+        """
         closed_ms = min(stated_ms, self._max_closed_ms)
         if closed_ms < stated_ms:
             self._metrics.count('target_notices', 'capped')
         spread_ms = min(OPENING_SPREAD * closed_ms, MAX_OPENING_SPREAD_MS)
-        closed_ms += spread_ms * self._entry_position()
+        return closed_ms + spread_ms * self._entry_position()
+
+    def _close(
+        self, target: Target, stated_ms: float, source: str, request_id: str
+    ) -> None:
+        """Close a target for the time that it stated."""
+        closed_ms = self._closed_ms(stated_ms)
         until_ms = self._clock.now_ms() + closed_ms
         wall_ms = self._clock.wall_ms()
         target.close(until_ms, wall_ms)
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -168,10 +168,12 @@
         '_recovered_ms',
         '_by_service',
         '_estimates',
+        '_on_discovered',
     )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._on_discovered: Callable[[Target], None] = lambda _target: None
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
         # The estimates of each service as a whole.
@@ -179,6 +181,10 @@
         self._key_value_down = False
         self._recovered_ms = float('-inf')
 
+    def subscribe(self, on_discovered: Callable[[Target], None]) -> None:
+        """Call `on_discovered` with each new lifetime of a target."""
+        self._on_discovered = on_discovered
+
     def all(self) -> Iterable[Target]:
         """Return every known target that is not gone."""
         return [t for t in self._targets.values() if not t.gone]
@@ -293,6 +299,7 @@
                 'weights': record.weights,
             },
         )
+        self._on_discovered(target)
 
     def _mark_gone(self, target: Target, reason: str) -> None:
         target.gone = True
