--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -29,6 +29,7 @@
 from wigeonmill.gateway.target_notices import Notice
 from wigeonmill.gateway.target_notices import OPENING_SPREAD
 from wigeonmill.gateway.target_notices import TargetNotices
+from wigeonmill.gateway.targets import GONE_RETENTION_MS
 from wigeonmill.metrics import Metrics
 
 LEAVING = Notice(leaving=True)
@@ -480,6 +481,35 @@
     assert not target.is_closed(5_000.0 + closed_ms)
 
 
+# Guards against requests within a long time that a target may ask for.
+@pytest.mark.parametrize('stated_ms', [300_001.0, 3_600_000.0, 86_400_000.0])
+def test_a_long_time_is_obeyed_to_its_end(stated_ms):
+    harness = ledgers([closed(stated_ms), fakes.GOOD], count=1)
+    run_ledger(harness)
+    harness.clock.advance(stated_ms - 1)
+    assert run_ledger(harness).refusal.reason is Reason.TARGETS_CLOSED
+    assert len(harness.client.sent) == 1
+    harness.clock.advance(1)
+    assert run_ledger(harness).status == 200
+    assert harness.ctx.metrics.reasons('target_notices') == {'closed': 1}
+
+
+# Guards against a time that is forgotten with a target that seemed gone.
+def test_a_long_time_outlasts_the_absence_of_the_record():
+    harness = ledgers([closed(3_600_000.0), fakes.GOOD], count=1)
+    run_ledger(harness)
+    directory = harness.ctx.directory
+    directory.remove('t0')
+    harness.clock.advance(GONE_RETENTION_MS + 1)
+    directory.expire()
+    directory.apply(make_record('t0', heartbeat=2))
+    assert run_ledger(harness).refusal.reason is Reason.TARGETS_CLOSED
+    directory.remove('t0')
+    harness.clock.advance(3_600_000.0)
+    directory.expire()
+    assert directory.get('t0') is None
+
+
 # Guards against values that close a target for good or stop the entry.
 @pytest.mark.parametrize('stated_ms', [1e23, float('inf')])
 def test_a_huge_time_is_capped_and_counted(stated_ms, caplog):
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -46,7 +46,7 @@
     retry_window_ms: Milliseconds = 10_000.0
     lease_ms: Milliseconds = 3_000.0
     weights_deadline_ms: Milliseconds = 15_000.0
-    max_closed_ms: Milliseconds = 300_000.0
+    max_closed_ms: Milliseconds = 86_400_000.0
     max_answer_bytes: ByteLimit = 4_194_304
     max_event_bytes: ByteLimit = 262_144
     max_unsent_bytes: ByteLimit = 1_048_576
--- a/wigeonmill/gateway/target_notices.py
+++ b/wigeonmill/gateway/target_notices.py
@@ -13,7 +13,9 @@
 
 logger = logging.getLogger(__name__)
 
-DEFAULT_MAX_CLOSED_MS = 300_000.0
+# A target may ask for any time. Beyond a day it is taken for a mistake, which
+# would keep the target out of service for good.
+DEFAULT_MAX_CLOSED_MS = 86_400_000.0
 # Time over which the entries open a closed target again, as a share of the
 # time that it asked for. Otherwise all of them would send to it at once.
 OPENING_SPREAD = 0.25
@@ -234,7 +236,7 @@
         wall_ms = self._clock.wall_ms()
         target.close(until_ms, wall_ms)
         # A later record may have replaced the target since the request. The
-        # time is short, so it does no harm if an earlier lifetime asked.
+        # answer does not say which of the two lifetimes asked for the time.
         present = self._find_target(target.id)
         if present is not None and present is not target:
             present.close(until_ms, wall_ms)
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -267,10 +267,17 @@
                     on_gone(target)
 
     def _evict_gone(self, now_ms: float) -> None:
-        """Evict targets that have been gone for longer than the retention."""
+        """Evict targets that have been gone for longer than the retention.
+
+        A closed one stays, so that it is not opened if its record returns.
+        """
         oldest_ms = now_ms - GONE_RETENTION_MS
         for target in list(self._targets.values()):
-            if target.gone and target.gone_ms < oldest_ms:
+            if (
+                target.gone
+                and target.gone_ms < oldest_ms
+                and not target.is_closed(now_ms)
+            ):
                 del self._targets[target.id]
 
     def _add(self, record: TargetRecord) -> None:
