Limit the open requests of a target that has just been opened again

Callers saw: when the time of rest that a target had asked for was over, all callers of an entry went there at once; those beyond what it could queue were refused, and the target asked for rest again.

Cause: the entries open a target in turn, but within an entry nothing limited it. It has no open requests yet, so it is the cheapest until its slots are taken, and the only one if all were closed, as callers return together.

For a second after it opens, a target counts as full when it has two open requests per slot, by the load that the picker knows (own requests, those of other entries and the target's own report). The rate of cold targets is not used: services of whole answers have none, and the target is not cold.

The tests come with the fix.

--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -1,5 +1,6 @@
 """Tests what an entry does after a target has said something of itself."""
 
+import asyncio
 import dataclasses
 import functools
 import logging
@@ -18,6 +19,7 @@
 from tests.gateway.samples import make_request
 from tests.gateway.samples import make_route
 from tests.gateway.samples import make_target
+from tests.virtual_time import run_virtual
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.desired import RouteKind
@@ -30,6 +32,7 @@
 from wigeonmill.gateway.target_notices import OPENING_SPREAD
 from wigeonmill.gateway.target_notices import TargetNotices
 from wigeonmill.gateway.targets import GONE_RETENTION_MS
+from wigeonmill.gateway.targets import OPENING_MS
 from wigeonmill.metrics import Metrics
 
 LEAVING = Notice(leaving=True)
@@ -562,6 +565,78 @@
     assert min(gaps) > 0.5 * CLOSED_MS * OPENING_SPREAD / entries
 
 
+def run_at_once(harness, count):
+    """Run requests of callers that all come at the same time."""
+    channels = [fakes.FakeChannel() for _number in range(count)]
+
+    async def run(channel):
+        harness.channel = channel
+        await harness.start(request_at(harness), make_route())
+
+    async def run_all():
+        await asyncio.gather(*map(run, channels))
+
+    run_virtual(harness.clock, run_all())
+    return channels
+
+
+def opened(answer, count=1):
+    """Return a harness whose first target has just opened again."""
+    harness = ledgers([answer], count=count)
+    target = harness.ctx.directory.get('t0')
+    harness.ctx.notices.record(target, Notice(closed_ms=CLOSED_MS), 'answer')
+    harness.clock.advance(CLOSED_MS)
+    return harness
+
+
+SLOW = (fakes.Pause(90.0), *fakes.GOOD)
+
+
+# Guards against a rush of all callers of an entry at the end of the time.
+def test_a_target_that_opens_gets_no_more_than_its_slots_bear():
+    harness = opened(SLOW)
+    channels = run_at_once(harness, 60)
+    limit = 2 * harness.ctx.directory.get('t0').slots
+    assert len(harness.client.sent) == limit
+    refused = [c.refusal for c in channels if c.refusal is not None]
+    assert len(refused) == 60 - limit
+    assert {r.reason for r in refused} == {Reason.TARGETS_FULL}
+    assert {r.status for r in refused} == {503}
+    assert min(r.retry_after_ms for r in refused) >= 400.0
+    # Slots that have become free are used at once.
+    run_at_once(harness, 60)
+    assert len(harness.client.sent) == 2 * limit
+
+
+# Guards against a limit that outlasts the opening.
+def test_a_target_that_has_been_open_for_a_while_is_not_limited():
+    harness = opened(SLOW)
+    harness.clock.advance(OPENING_MS)
+    channels = run_at_once(harness, 60)
+    assert len(harness.client.sent) == 60
+    assert all(channel.status == 200 for channel in channels)
+
+
+# Guards against a refusal to callers while another target has room.
+def test_callers_beyond_the_slots_of_an_opening_target_go_to_others():
+    harness = opened(SLOW, count=2)
+    for _turn in range(3):
+        # The target that opens has the lower cost.
+        harness.ctx.directory.get('t1').load.record_outcome(failed=True)
+    channels = run_at_once(harness, 60)
+    assert all(channel.status == 200 for channel in channels)
+    assert sent_ids(harness).count('t0') == 12
+
+
+# Guards against a limit on targets that never asked for anything.
+def test_a_target_that_was_never_closed_is_not_limited():
+    harness = ledgers([SLOW], count=1)
+    target = make_target(ManualClock(0.0))
+    assert not target.is_opening(0.0)
+    run_at_once(harness, 60)
+    assert len(harness.client.sent) == 60
+
+
 # Guards against a reborn target that stays closed.
 def test_a_new_lifetime_is_not_closed():
     harness = ledgers([closed(), fakes.GOOD], count=1)
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -54,6 +54,9 @@
 WEIGHTS_RETRY_AFTER_MS = 1_000.0
 # Margin for a request to reach a target with old weights and begin to run.
 BEGIN_MARGIN_MS = 400.0
+# Maximum number of open requests of a target that has just been opened, per
+# slot: one that runs and one that waits.
+OPENING_REQUESTS_PER_SLOT = 2
 # Jitter of the retry time, as a share, so that refused callers do not all
 # return at once, and the longest time of which it is a share.
 RETRY_JITTER = 0.5
@@ -158,6 +161,10 @@
         admissible = self._within_cold_rate(current, demand)
         if not admissible:
             return Err(self._refusal(Reason.TARGETS_COLD, 'targets are cold'))
+        admissible = self._within_opening_limit(admissible)
+        if not admissible:
+            message = 'targets that have just opened are full'
+            return Err(self._refusal(Reason.TARGETS_FULL, message))
         healthy = [
             target
             for target in admissible
@@ -273,6 +280,22 @@
             <= 0
         ]
 
+    def _within_opening_limit(self, targets: Sequence[Target]) -> list[Target]:
+        """Leave out opening targets that have enough open requests.
+
+        With all callers that return at once, a target that is short of slots
+        would ask for time again.
+        """
+        now_ms = self._clock.now_ms()
+        return [
+            target
+            for target in targets
+            if not target.is_opening(now_ms)
+            or target.slots <= 0
+            or target.load.occupied()
+            < OPENING_REQUESTS_PER_SLOT * target.slots
+        ]
+
     def _best(self, targets: Sequence[Target], demand: Demand) -> Pick:
         home_id = self._home_id(demand)
         sampled = self._sample(targets, demand, home_id)
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -20,6 +20,8 @@
 # A target that is gone is kept for this time, so that stale records of it are
 # recognized.
 GONE_RETENTION_MS = 600_000.0
+# Time after the end of its closed time in which a target is still opening.
+OPENING_MS = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +106,7 @@
         # Until then the target is avoided if others remain.
         self.refusing_until_ms = 0.0
         # Until then the target must not get new requests.
-        self.closed_until_ms = 0.0
+        self.closed_until_ms = float('-inf')
         # Wall time at which it asked for that.
         self.closed_at_wall_ms = 0
         self.loading: Loading | None = None
@@ -128,6 +130,13 @@
         """Whether the target asked for no requests until a later time."""
         return now_ms < self.closed_until_ms
 
+    def is_opening(self, now_ms: float) -> bool:
+        """Whether the target has only just been opened again.
+
+        Callers that were refused meanwhile return at about the same time.
+        """
+        return 0.0 <= now_ms - self.closed_until_ms < OPENING_MS
+
     def close(self, until_ms: float, wall_ms: int) -> None:
         """Send nothing until then, as the target asked for at `wall_ms`."""
         self.closed_until_ms = max(self.closed_until_ms, until_ms)
