--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -20,6 +20,8 @@
 # A target that is gone is kept for this time, so that stale records of it are
 # recognized.
 GONE_RETENTION_MS = 600_000.0
+# Time after the end of its closed time in which a target is still opening.
+OPENING_MS = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +106,7 @@
         # Until then the target is avoided if others remain.
         self.refusing_until_ms = 0.0
         # Until then the target must not get new requests.
-        self.closed_until_ms = 0.0
+        self.closed_until_ms = float('-inf')
         # Wall time at which it asked for that.
         self.closed_at_wall_ms = 0
         self.loading: Loading | None = None
@@ -128,6 +130,13 @@
         """Whether the target asked for no requests until a later time."""
         return now_ms < self.closed_until_ms
 
+    def is_opening(self, now_ms: float) -> bool:
+        """Whether the target has only just been opened again.
+
+        Callers that were refused meanwhile return at about the same time.
+        """
+        return 0.0 <= now_ms - self.closed_until_ms < OPENING_MS
+
     def close(self, until_ms: float, wall_ms: int) -> None:
         """Send nothing until then, as the target asked for at `wall_ms`."""
         self.closed_until_ms = max(self.closed_until_ms, until_ms)
@@ -168,10 +177,12 @@
         '_recovered_ms',
         '_by_service',
         '_estimates',
+        '_on_discovered',
     )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._on_discovered: Callable[[Target], None] = lambda _target: None
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
         # The estimates of each service as a whole.
@@ -179,6 +190,10 @@
         self._key_value_down = False
         self._recovered_ms = float('-inf')
 
+    def subscribe(self, on_discovered: Callable[[Target], None]) -> None:
+        """Call `on_discovered` with each new lifetime of a target."""
+        self._on_discovered = on_discovered
+
     def all(self) -> Iterable[Target]:
         """Return every known target that is not gone."""
         return [t for t in self._targets.values() if not t.gone]
@@ -261,10 +276,17 @@
                     on_gone(target)
 
     def _evict_gone(self, now_ms: float) -> None:
-        """Evict targets that have been gone for longer than the retention."""
+        """Evict targets that have been gone for longer than the retention.
+
+        A closed one stays, so that it is not opened if its record returns.
+        """
         oldest_ms = now_ms - GONE_RETENTION_MS
         for target in list(self._targets.values()):
-            if target.gone and target.gone_ms < oldest_ms:
+            if (
+                target.gone
+                and target.gone_ms < oldest_ms
+                and not target.is_closed(now_ms)
+            ):
                 del self._targets[target.id]
 
     def _add(self, record: TargetRecord) -> None:
@@ -293,6 +315,7 @@
                 'weights': record.weights,
             },
         )
+        self._on_discovered(target)
 
     def _mark_gone(self, target: Target, reason: str) -> None:
         target.gone = True
