Wait for agents that start if no other target is left

Cause: the agent of the only target had just started. Until it has read which requests are quarantined it refuses offers as "starting" with a retry after 500 ms. The entry excluded the target after that refusal, had no other, and refused the caller. Before its first configuration an agent has no service at all: its node refuses the request as unknown_kind, which the entry took for no answer and repeated several times within milliseconds.

A dispatcher now keeps the times at which starting targets want to be asked again. If no other target is left it waits for the first of them, for 8 s in all and never past the deadline; it refuses at once if that can't be. A wait starts no work and takes nothing from the retry budget. A run whose first token stalled doesn't wait, as its answer may still come. Refusals for load come at once as before. An agent without a configuration answers offers, runs and calls as starting, and a refused request for an offer is an answer, so it isn't repeated at once. The entry reads the quarantine itself while an agent starts, as it does for agents that give no answer: a prompt that crashed two targets reached a third one beside a starting agent.

--- a/tests/features/targets.feature
+++ b/tests/features/targets.feature
@@ -46,3 +46,8 @@
     Given 2 engines and 1 entries
     When all agents are paused for less than a second
     Then a prompt sent during the pause is answered
+
+  Scenario: A prompt waits for its only agent that has just started
+    Given 1 engines and 1 entries
+    When the agent restarts while the key-value service is paused
+    Then a prompt sent during the pause is answered
--- a/tests/features/test_targets.py
+++ b/tests/features/test_targets.py
@@ -7,6 +7,7 @@
 from pytest_bdd import then
 from pytest_bdd import when
 
+from bench.processes import wait_for_listener
 from bench.standin_control import set_faults
 from bench.system import DOMAINS
 from wigeonmill.standins.answers import expected_answer
@@ -263,6 +264,21 @@
         agent.signal(signal.SIGCONT)
 
 
+# Guards against a 503 no_target for a caller with seconds left, as the only
+# agent had no configuration, or no quarantine, yet.
+@when('the agent restarts while the key-value service is paused')
+def restart_agent_without_key_value(harness):
+    harness.run(harness.prompt('warm up'))
+    harness.system.key_value.signal(signal.SIGSTOP)
+    target = harness.target('engine-1')
+    target.agent.kill()
+    harness.system.restart_agent('engine-1')
+    wait_for_listener(target.agent_address)
+    harness.context['task'] = harness.loop.create_task(
+        harness.prompt('meanwhile')
+    )
+
+
 @then('prompts are answered by the other engine')
 def check_other_engine_answers(harness):
     for number in range(4):
--- a/wigeonmill/agent/role.py
+++ b/wigeonmill/agent/role.py
@@ -6,6 +6,8 @@
 
 from wigeonmill.agent.admission import make_admission
 from wigeonmill.agent.admission_types import AdmissionSettings
+from wigeonmill.agent.admission_types import Refusal
+from wigeonmill.agent.admission_types import RefusalReason
 from wigeonmill.agent.cache_follower import CacheFollower
 from wigeonmill.agent.cache_manager import CacheManager
 from wigeonmill.agent.calls import CallClient
@@ -15,7 +17,9 @@
 from wigeonmill.agent.engine import EngineClient
 from wigeonmill.agent.engine_cache import EngineCacheClient
 from wigeonmill.agent.load_slots import LoadSlots
+from wigeonmill.agent.model_messages import refusal_message
 from wigeonmill.agent.model_service import ModelService
+from wigeonmill.agent.model_service import STARTING_RETRY_MS
 from wigeonmill.agent.plain_service import PlainService
 from wigeonmill.agent.quarantine import Quarantine
 from wigeonmill.agent.quarantine_share import QuarantineShare
@@ -40,6 +44,8 @@
 from wigeonmill.node import Node
 from wigeonmill.protocol.conn import Conn
 from wigeonmill.protocol.gen.inner.ttypes import Envelope
+from wigeonmill.protocol.gen.inner.ttypes import Kind
+from wigeonmill.protocol.gen.inner.ttypes import Refused
 
 logger = logging.getLogger(__name__)
 
@@ -96,9 +102,31 @@
 
     def _handle(self, conn: Conn, envelope: Envelope) -> bool:
         if self._service is None:
-            return False
+            return self._refuse_starting(conn, envelope)
         return self._service.handle(conn, envelope)
 
+    def _refuse_starting(self, conn: Conn, envelope: Envelope) -> bool:
+        """Refuse work before the first configuration of this agent.
+
+        Returns False if the message is not about work.
+        """
+        refusal = Refusal(RefusalReason.STARTING, STARTING_RETRY_MS)
+        reply = Envelope(
+            Kind.REFUSED, envelope.stream, self._node.holder.serial
+        )
+        if envelope.kind == Kind.OFFER_REQUEST:
+            reply.kind = Kind.OFFER
+            reply.offer = refusal_message(refusal)
+        elif envelope.kind in (Kind.RUN, Kind.CALL):
+            reply.refused = Refused(
+                refusal.reason.value, '', refusal.retry_after_ms, True
+            )
+        else:
+            return False
+        self._node.metrics.count('agent_refusals', refusal.reason.value)
+        conn.send(reply)
+        return True
+
     def _on_config(self, record: ConfigRecord) -> None:
         name = self._node.settings.agent.target
         placement = find_placement(record.document, name)
--- a/wigeonmill/entry/dispatch.py
+++ b/wigeonmill/entry/dispatch.py
@@ -23,7 +23,9 @@
 from wigeonmill.entry.refusals import combined_refusal
 from wigeonmill.entry.refusals import quarantine_refusal
 from wigeonmill.entry.refusals import QUARANTINED
+from wigeonmill.entry.refusals import STARTING
 from wigeonmill.entry.requests import ModelRequest
+from wigeonmill.entry.start_waits import StartWaits
 from wigeonmill.protocol.client import PeerStream
 from wigeonmill.protocol.gen.inner.ttypes import Envelope
 from wigeonmill.protocol.gen.inner.ttypes import Kind
@@ -32,6 +34,7 @@
 from wigeonmill.protocol.gen.inner.ttypes import Run
 from wigeonmill.routing.offers import choose_offer
 from wigeonmill.routing.offers import TargetOffer
+from wigeonmill.routing.offers import TargetRefusal
 from wigeonmill.routing.retries import Attempts
 from wigeonmill.routing.retries import may_retry
 from wigeonmill.routing.retries import RetryReason
@@ -62,12 +65,14 @@
 class _FailedAttempt:
     """A failed attempt; it is final if `reason` is None.
 
-    `unanswered` means that none of the agents asked gave an answer.
+    `unanswered` means that none of the agents asked gave an answer,
+    `no_offer` that no run was sent.
     """
 
     error: ApiError
     reason: RetryReason | None
     unanswered: bool = False
+    no_offer: bool = False
 
 
 class Dispatcher:
@@ -95,6 +100,9 @@
         self._attempts = Attempts(started_ms + request.deadline_ms, True)
         self._excluded: set[str] = set()
         self._repeated_rounds = 0
+        self._start_waits = StartWaits(
+            context.clock, self._attempts.deadline_ms
+        )
         # The refusal of the last round, returned when no target is left.
         self._last_refusal: ApiError | None = None
 
@@ -103,8 +111,14 @@
         """Time remaining until the request's deadline."""
         return self._attempts.deadline_ms - self._context.clock.now_ms()
 
-    async def start(self) -> Result[StartedRun, ApiError]:
-        """Start the run on a target, or return why none accepted it."""
+    async def start(
+        self, wait_for_starting: bool = True
+    ) -> Result[StartedRun, ApiError]:
+        """Start the run on a target, or return why none accepted it.
+
+        If no other target is left, those that are starting are waited for
+        unless `wait_for_starting` is False.
+        """
         while True:
             started = await self._try_target()
             if isinstance(started, Ok):
@@ -112,6 +126,9 @@
             failed = started.err_value
             if failed.unanswered and self._may_repeat_round():
                 continue
+            if wait_for_starting and failed.no_offer:
+                if await self._wait_for_starting():
+                    continue
             if failed.reason is None or not self.take_retry(failed.reason):
                 return Err(self.adjust_not_run(failed.error))
 
@@ -154,7 +171,18 @@
         ):
             return False
         self._repeated_rounds += 1
-        self._context.metrics.count('offers_repeated')
+        self._context.metrics.count('offers_repeated', 'unanswered')
+        return True
+
+    async def _wait_for_starting(self) -> bool:
+        """Wait for a starting target; False if another can be asked."""
+        if self._pick():
+            return False
+        due = await self._start_waits.wait()
+        if not due:
+            return False
+        self._excluded.difference_update(due)
+        self._context.metrics.count('offers_repeated', 'starting')
         return True
 
     def record_possible_start(self) -> None:
@@ -179,18 +207,11 @@
         context = self._context
         if context.crashes.is_quarantined(self._fingerprint):
             return Err(_FailedAttempt(quarantine_refusal(), None))
-        # A prompt shorter than one block is routed by its fingerprint, so
-        # that the agents that saw it crash a target are asked again.
-        names = self._routes.picker.pick(
-            self._block_keys or [self._fingerprint],
-            self._excluded,
-            context.breakers.blocked,
-        )
+        names = self._pick()
         targets = [self._routes.targets[name] for name in names]
         if not targets:
-            return Err(
-                _FailedAttempt(self._last_refusal or _no_target_error(), None)
-            )
+            error = self._last_refusal or _no_target_error()
+            return Err(_FailedAttempt(error, None, no_offer=True))
         timeout_ms = min(
             context.settings.offer_timeout_ms, max(self.remaining_ms, 1.0)
         )
@@ -202,7 +223,8 @@
             names[self._routes.picker.count :],
         )
         self._merge_crash_records(offer_round.crash_records)
-        if offer_round.unresponsive:
+        if offer_round.unresponsive or _starting(offer_round):
+            # Their agents may know of crashes and can't say so.
             await context.crashes.refresh()
         if self._is_quarantined(offer_round):
             return Err(_FailedAttempt(quarantine_refusal(), None))
@@ -213,12 +235,27 @@
             unanswered = len(offer_round.unresponsive) == len(names)
             return Err(
                 _FailedAttempt(
-                    self._last_refusal, _retry_reason(offer_round), unanswered
+                    self._last_refusal,
+                    _retry_reason(offer_round),
+                    unanswered,
+                    no_offer=True,
                 )
             )
         release_unused(context, targets, offer_round.offers, chosen.ok_value)
         return await self._dispatch(chosen.ok_value)
 
+    def _pick(self) -> list[str]:
+        """Return the names of the targets to ask next.
+
+        A prompt shorter than one block is routed by its fingerprint, so that
+        the agents that saw it crash a target are asked again.
+        """
+        return self._routes.picker.pick(
+            self._block_keys or [self._fingerprint],
+            self._excluded,
+            self._context.breakers.blocked,
+        )
+
     async def _dispatch(
         self, offer: TargetOffer
     ) -> Result[StartedRun, _FailedAttempt]:
@@ -268,6 +305,8 @@
         slow than all of the agents; then only unreachable targets are
         excluded.
         """
+        for refusal in _starting(offer_round):
+            self._start_waits.add(refusal.target, refusal.retry_after_ms)
         if offer_round.refusals or len(offer_round.unresponsive) < len(names):
             self._excluded.update(names)
         else:
@@ -326,6 +365,10 @@
     return RetryReason.REFUSED
 
 
+def _starting(offer_round: OfferRound) -> list[TargetRefusal]:
+    return [r for r in offer_round.refusals if r.reason == STARTING]
+
+
 def _refused_attempt(refused: Refused | None) -> _FailedAttempt:
     error = agent_refusal(refused)
     if error.reason in (Reason.QUARANTINED, Reason.DEADLINE):
--- a/wigeonmill/entry/model_run.py
+++ b/wigeonmill/entry/model_run.py
@@ -232,7 +232,7 @@
             return None
         self._dispatcher.record_possible_start()
         stream = self._stream
-        started = await self._dispatcher.start()
+        started = await self._dispatcher.start(wait_for_starting=False)
         if isinstance(started, Err):
             return None
         if self._stream is not stream:
--- a/wigeonmill/entry/offer_round.py
+++ b/wigeonmill/entry/offer_round.py
@@ -163,7 +163,11 @@
         return _Answer(None)
     elapsed_ms = context.clock.now_ms() - started_ms
     context.metrics.histogram('inner_round_trip').record(elapsed_ms)
-    offer = answer.unwrap().offer
+    offer, refused = answer.unwrap().offer, answer.unwrap().refused
+    if refused is not None:
+        wait_ms = int(refused.retry_after_ms or 0)
+        reason = refused.reason or ''
+        return _Answer(TargetRefusal(target.name, reason, wait_ms))
     if offer is None:
         return None
     if offer.refusal:
--- a/wigeonmill/entry/refusals.py
+++ b/wigeonmill/entry/refusals.py
@@ -6,6 +6,8 @@
 from wigeonmill.routing.offers import Refusal
 
 QUARANTINED = 'quarantined'
+# The agent needs a moment before it can run anything.
+STARTING = 'starting'
 # The caller's reason for each reason of an agent; others are NO_TARGET.
 _CALLER_REASONS = {
     'deadline': Reason.DEADLINE,
