Keep a cancellation that comes as a wait ends

A process that stops could stay until it was killed: its loops for the entry's registration and the leader's lease went on after they were cancelled. So did the poll of a cache store that was removed from the configuration.

All calls to the key-value service, engines and stores waited in asyncio.wait_for(). In Python 3.11 it returns the result and drops the cancellation if that comes in the turn of the loop in which the call ends, or in the next one. A loop that calls again and again never sees it.

wait_done(), which claims used already, now serves all single futures; other waits use asyncio.timeout(). Both raise the cancellation.

--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -4,6 +4,8 @@
 
 from result import Ok
 
+from tests.providers.held_transfers import HeldTransfers
+from tests.providers.test_fetch import CALL
 from wigeonmill.clock import Clock
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.desired import CacheStoreSpec
@@ -17,6 +19,7 @@
 from wigeonmill.gateway.store_watch import STALE_VIEW_MS
 from wigeonmill.gateway.store_watch import StoreWatch
 from wigeonmill.metrics import Metrics
+from wigeonmill.providers.fetch import fetch
 
 ENTRIES = 27
 STORE = '127.0.0.1:9'
@@ -100,3 +103,33 @@
 
 def test_a_designated_poller_polls_continuously():
     assert count_polls(is_poller=True, gets_updates=True) > 10
+
+
+class HeldStore:
+    """A store whose polls end when a test says so."""
+
+    def __init__(self):
+        self.transfers = HeldTransfers()
+
+    async def poll_events(self, address, since, wait_ms):
+        return await fetch(self.transfers, CALL, 1_000.0)
+
+
+# Guards against a store that is polled for good after it was removed: its
+# task dropped the cancellation that came as a poll ended.
+def test_a_store_that_is_removed_as_a_poll_ends_is_not_polled_again(
+    monkeypatch,
+):
+    monkeypatch.setattr('wigeonmill.gateway.store_watch.FAILED_PAUSE_MS', 1.0)
+
+    async def run():
+        stores = HeldStore()
+        watch = StoreWatch(stores, Clock(), Metrics(), lambda *_args: True)
+        watch.set_stores([SPEC])
+        await asyncio.sleep(0.01)
+        stores.transfers.end_all()
+        watch.set_stores([])
+        await asyncio.sleep(0.05)
+        return len(stores.transfers.started)
+
+    assert asyncio.run(run()) == 1
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -58,8 +58,10 @@
 PROCESSOR_S = 40_000.0
 
 
-async def make_role(uptime_ms=0.0, load_settings=lambda: Ok(SETTINGS)):
-    transfers = TransferLoop()
+async def make_role(
+    uptime_ms=0.0, load_settings=lambda: Ok(SETTINGS), transfers=None
+):
+    transfers = transfers or TransferLoop()
     store = AllianceStore(SETTINGS.key_value, transfers)
     return GatewayRole(
         SETTINGS,
--- a/wigeonmill/claims/attempt.py
+++ b/wigeonmill/claims/attempt.py
@@ -34,9 +34,9 @@
 from wigeonmill.claims.record import key_name
 from wigeonmill.claims.record import KeyStatus
 from wigeonmill.claims.record import make_record
-from wigeonmill.claims.waiting import wait_done
 from wigeonmill.clock import Clock
 from wigeonmill.metrics import Metrics
+from wigeonmill.waiting import wait_done
 
 # How long close() waits for claims, records and voids in progress.
 CLOSE_TIMEOUT_MS = 5_000.0
--- a/wigeonmill/claims/owners.py
+++ b/wigeonmill/claims/owners.py
@@ -19,10 +19,10 @@
 from wigeonmill.claims.segment import Head
 from wigeonmill.claims.segment import head_key
 from wigeonmill.claims.shard import ShardOwner
-from wigeonmill.claims.waiting import wait_done
 from wigeonmill.clock import Clock
 from wigeonmill.metrics import Metrics
 from wigeonmill.providers.key_value import KeyValue
+from wigeonmill.waiting import wait_done
 
 logger = logging.getLogger(__name__)
 
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -292,11 +292,11 @@
 
     async def _release_leases(self) -> None:
         """Release leases, so that others need not wait until they expire."""
-        releases = asyncio.gather(
-            self._leadership.resign(), self._registration.withdraw()
-        )
         try:
-            await asyncio.wait_for(releases, RELEASE_TIMEOUT_S)
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                await asyncio.gather(
+                    self._leadership.resign(), self._registration.withdraw()
+                )
         except asyncio.TimeoutError:
             logger.warning('leases not released in time')
 
--- a/wigeonmill/membership/membership.py
+++ b/wigeonmill/membership/membership.py
@@ -165,9 +165,9 @@
         """Announce that this process leaves, so that it gets no new work."""
         for reader in self._readers:
             reader.set_active(False)
-        announcement = self.gossiper.announce_leave()
         try:
-            await asyncio.wait_for(announcement, LEAVE_TIMEOUT_MS / 1000.0)
+            async with asyncio.timeout(LEAVE_TIMEOUT_MS / 1000.0):
+                await self.gossiper.announce_leave()
         except asyncio.TimeoutError:
             self._metrics.count('gossip_failures', 'goodbye')
 
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -205,7 +205,8 @@
 
     async def _connect(self) -> Conn | None:
         try:
-            return await asyncio.wait_for(self._dial(), CONNECT_TIMEOUT_S)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await self._dial()
         except (
             OSError,
             StreamClosedError,
--- a/wigeonmill/protocol/server.py
+++ b/wigeonmill/protocol/server.py
@@ -92,9 +92,8 @@
         )
         conn.send(challenge)
         try:
-            envelope = await asyncio.wait_for(
-                conn.receive(), HANDSHAKE_TIMEOUT_S
-            )
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                envelope = await conn.receive()
         except asyncio.TimeoutError:
             return False
         hello = envelope.hello if envelope else None
--- a/wigeonmill/providers/fetch.py
+++ b/wigeonmill/providers/fetch.py
@@ -12,6 +12,7 @@
 from wigeonmill.providers.transfers import TransferCall
 from wigeonmill.providers.transfers import TransferEnd
 from wigeonmill.providers.transfers import TransferLoop
+from wigeonmill.waiting import wait_done
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,11 +95,12 @@
     )
     transfer = loop.start(call, collector)
     try:
-        end = await asyncio.wait_for(collector.ended, timeout_ms / 1000.0)
-    except asyncio.TimeoutError:
-        return Err(FetchError('no complete reply in time', sent=True))
+        in_time = await wait_done(collector.ended, timeout_ms / 1000.0)
     finally:
         transfer.cancel()
+    if not in_time:
+        return Err(FetchError('no complete reply in time', sent=True))
+    end = collector.ended.result()
     if end is TransferEnd.NOT_SENT:
         return Err(FetchError(collector.message, sent=False))
     if end is not TransferEnd.COMPLETE or collector.head is None:
--- a/wigeonmill/standins/engine_batch.py
+++ b/wigeonmill/standins/engine_batch.py
@@ -192,7 +192,8 @@
     async def _wait_for_run(self) -> None:
         self._run_submitted.clear()
         try:
-            await asyncio.wait_for(self._run_submitted.wait(), 0.05)
+            async with asyncio.timeout(0.05):
+                await self._run_submitted.wait()
         except asyncio.TimeoutError:
             return
 
--- a/wigeonmill/standins/memory_key_value.py
+++ b/wigeonmill/standins/memory_key_value.py
@@ -174,7 +174,8 @@
         changed = self._changed
         timeout_s = min(remaining_ms, 50.0) / 1000.0
         try:
-            await asyncio.wait_for(changed.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await changed.wait()
         except asyncio.TimeoutError:
             return
 
--- a/wigeonmill/standins/prefix_cache.py
+++ b/wigeonmill/standins/prefix_cache.py
@@ -81,9 +81,8 @@
             self._event_added.clear()
             timeout_ms = min(remaining_ms, self._ms_until_visible(sequence))
             try:
-                await asyncio.wait_for(
-                    self._event_added.wait(), timeout_ms / 1000.0
-                )
+                async with asyncio.timeout(timeout_ms / 1000.0):
+                    await self._event_added.wait()
             except asyncio.TimeoutError:
                 continue
 
