Pass on what arrived of a stream before a deadline ends it

A stream whose parts, even its end, had arrived while the loop was busy past the deadline was aborted, or answered with 504 if it had not begun. The time was checked before the queue of received parts. The same check broke off a run on older weights whose first event was already here.

The deadline and the time to begin now end the wait only: both are checked when the queue is empty. It cannot be filled again before the check, since nothing is awaited while parts are left, so nothing is waited for beyond the deadline.

--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -282,28 +282,47 @@
     async def _next_stream_part(
         self,
     ) -> TargetHead | bytes | ExchangeEnd | Failure:
+        """Wait for the next part of a stream, or return why it has no time.
+
+        Time that is over ends the wait only. Parts that have arrived by then
+        are returned first.
+        """
         self._quiet_since_ms = self._ctx.clock.now_ms()
         while True:
-            now_ms = self._ctx.clock.now_ms()
-            until_ms = self._terms.deadline_ms
-            if now_ms >= until_ms:
-                return timed_out()
-            if self._watches_stalls:
-                until_ms = min(until_ms, now_ms + STALL_CHECK_MS)
-            if not self._in_flight.answered:
-                begin_by_ms = self._terms.begin_by_ms(self.target)
-                if now_ms >= begin_by_ms:
-                    return may_have_run(
-                        Reason.OLD_WEIGHTS,
-                        'not begun on old weights within their time',
-                    )
-                until_ms = min(until_ms, begin_by_ms, now_ms + BEGIN_CHECK_MS)
-            part = await self._exchange.next(until_ms)
+            part = await self._exchange.next(self._wait_until_ms())
             if part is not None:
                 return part
+            failure = self._time_over()
+            if failure is not None:
+                return failure
             if self._watches_stalls and self.silent_ms >= STALL_MS:
                 self.on_stall(self)
 
+    def _wait_until_ms(self) -> float:
+        """Return when to look again what may be done about a silent target."""
+        now_ms = self._ctx.clock.now_ms()
+        until_ms = self._terms.deadline_ms
+        if self._watches_stalls:
+            until_ms = min(until_ms, now_ms + STALL_CHECK_MS)
+        if not self._in_flight.answered:
+            begin_by_ms = self._terms.begin_by_ms(self.target)
+            until_ms = min(until_ms, begin_by_ms, now_ms + BEGIN_CHECK_MS)
+        return until_ms
+
+    def _time_over(self) -> Failure | None:
+        """Return the failure of an attempt that has no time left."""
+        now_ms = self._ctx.clock.now_ms()
+        if now_ms >= self._terms.deadline_ms:
+            return timed_out()
+        if self._in_flight.answered:
+            return None
+        if now_ms >= self._terms.begin_by_ms(self.target):
+            return may_have_run(
+                Reason.OLD_WEIGHTS,
+                'not begun on old weights within their time',
+            )
+        return None
+
     def _process_answer(self, head: TargetHead, body: bytes) -> Failure | None:
         """Pass a complete answer on, or return why it is not valid."""
         now_ms = self._ctx.clock.now_ms()
