Go back to an overtaken target when the other one breaks

A resumable stream whose target was silent for a second was asked for at a second target. If that one wrote an event and then broke, the stream was cut off on routes with two targets, though the first target had not failed: it was cancelled at that event and had used up a target of the request. The same happened when the first one went on, so that the second was cancelled, and then broke.

The first can't be kept beside the writing one, which may work on alone from its first event on. So the stream is now asked for again at the target that was overtaken, if the route allows no further target or none is left. That is one more arrival but no further target, so the bound of BUDGET on targets holds; targets reached are counted as a set. It is a retry like others: five attempts, retry budget, time left, quarantines, Last-Event-Id and the software of the origin apply. A target is returned to only after it was overtaken, so an ordinary failure of two targets ends as before.

--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -5,12 +5,18 @@
 from tests.gateway import fakes
 from tests.gateway.fakes import make_head
 from tests.gateway.fakes import Pause
+from tests.gateway.samples import ENGINES
 from tests.gateway.test_silent_targets import assert_whole
 from tests.gateway.test_silent_targets import END
 from tests.gateway.test_silent_targets import engine_harness
 from tests.gateway.test_silent_targets import event
+from tests.gateway.test_silent_targets import LAST_BEFORE_SILENCE
+from tests.gateway.test_silent_targets import rest_after
 from tests.gateway.test_silent_targets import run_stream
 from tests.gateway.test_silent_targets import silent_stream
+from tests.gateway.test_silent_targets import WHOLE_STREAM
+from wigeonmill.gateway.allowances import RetryAllowance
+from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.target_client import ExchangeEnd
 
 WHERE = ['before-head', 'between-events']
@@ -121,3 +127,82 @@
     assert_whole(harness)
     broken = harness.ctx.metrics.reasons('gateway_answers_broken')
     assert broken == {'event_too_long': 1}
+
+
+def broken_after(first, last):
+    """Return a script that writes some events and then breaks."""
+    data = b''.join(event(n) for n in range(first, last + 1))
+    return (make_head(), data, ExchangeEnd.BROKEN)
+
+
+def sent_to(harness):
+    return [sent[0] for sent in harness.client.sent]
+
+
+# Guards against LOST: a stream was given up when the target that had overtaken
+# the other one broke, although that one was sound and had been left for it.
+@pytest.mark.parametrize('where', WHERE)
+@pytest.mark.parametrize('first_breaks', [False, True])
+def test_a_stream_goes_back_to_the_target_that_was_overtaken(
+    where, first_breaks
+):
+    last = LAST_BEFORE_SILENCE[where]
+    first = silent_stream(where, 6_000.0)
+    second = broken_after(last + 1, last + 1)
+    if first_breaks:
+        opening = first[: 2 * (last > 0)]
+        first = (*opening, Pause(1_500.0), *broken_after(last + 1, last + 1))
+        second = fakes.SILENT
+    harness = engine_harness([first, second, rest_after(last + 1)])
+    run_stream(harness)
+    assert_whole(harness)
+    one, other, again = sent_to(harness)
+    assert one != other
+    assert again == (other if first_breaks else one)
+    assert harness.client.sent[2][1].last_event_id == last + 1
+
+
+def test_a_stream_goes_to_another_target_before_one_that_was_overtaken():
+    scripts = [
+        silent_stream('between-events', 6_000.0),
+        broken_after(3, 3),
+        rest_after(3),
+    ]
+    harness = engine_harness(scripts, versions=['v1'] * 3)
+    run_stream(harness, max_targets=3)
+    assert_whole(harness)
+    assert len(set(sent_to(harness))) == 3
+
+
+# Going back is a retry like others (BUDGET, ORDER).
+def test_a_stream_goes_back_within_the_retry_budget():
+    scripts = [silent_stream('between-events', 6_000.0), broken_after(3, 3)]
+    harness = engine_harness(scripts)
+    limits = RetryLimits(ratio=0.0, slack=1.5)
+    allowance = RetryAllowance(harness.clock, limits)
+    harness.clock.advance(limits.window_ms)
+    harness.ctx._retries[ENGINES] = allowance
+    run_stream(harness)
+    assert harness.channel.aborted
+    assert len(harness.client.sent) == 2
+
+
+@pytest.mark.parametrize('max_targets', [2, 3])
+def test_a_stream_goes_back_to_a_target_once(max_targets):
+    scripts = [silent_stream('between-events', 6_000.0)]
+    scripts += [broken_after(3, 3), broken_after(4, 4)]
+    harness = engine_harness(scripts)
+    run_stream(harness, max_targets=max_targets)
+    assert harness.channel.aborted
+    assert harness.channel.body == WHOLE_STREAM
+    assert len(harness.client.sent) == 3
+    assert len(set(sent_to(harness))) == 2
+
+
+def test_a_stream_does_not_go_back_to_other_software():
+    scripts = [silent_stream('before-head', 6_000.0), broken_after(1, 1)]
+    harness = engine_harness([*scripts, rest_after(1)], versions=('v1', 'v2'))
+    run_stream(harness)
+    assert harness.channel.aborted
+    assert harness.channel.body == event(1)
+    assert len(harness.client.sent) == 2
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -65,12 +65,13 @@
     """The requirements of one request on a target.
 
     `entry_position` is that of this entry among `entry_count`, from 0 to 1.
-    `avoid` names the targets that were already tried. If `regions` is empty,
-    any region is allowed. `fetchable_tokens` of the prompt can be fetched
-    from a cache store. `desired_version` is the newest weight version that
-    operators have set for the model. No run may begin on an older version
-    once the time that `old_weights_remaining_ms` returns for it has passed. A
-    stream with an `origin` may go on only at the software that began it.
+    `avoid` names the targets that were already tried. If `only` is not empty,
+    it names those that are allowed. If `regions` is empty, any region is
+    allowed. `fetchable_tokens` of the prompt can be fetched from a cache
+    store. `desired_version` is the newest weight version that operators have
+    set for the model. No run may begin on an older version once the time that
+    `old_weights_remaining_ms` returns for it has passed. A stream with an
+    `origin` may go on only at the software that began it.
     """
 
     service: str
@@ -82,6 +83,7 @@
     priority: int = 0
     regions: Collection[str] = ()
     avoid: Collection[str] = ()
+    only: Collection[str] = ()
     generation: Generation | None = None
     cache_tokens: int = 0
     fetchable_tokens: int = 0
@@ -193,7 +195,9 @@
         untried = [
             target
             for target in self._same_software(demand)
-            if target.id not in demand.avoid and not target.is_closed(now_ms)
+            if target.id not in demand.avoid
+            and (not demand.only or target.id in demand.only)
+            and not target.is_closed(now_ms)
         ]
         not_loading = [
             t for t in untried if not t.is_loading(now_ms)
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -82,7 +82,9 @@
         # the retry budget has been asked for.
         self._arrivals = 0
         self._retries_acquired = 0
-        self._targets_reached = 0
+        self._reached_ids: set[str] = set()
+        # Targets left for another one that wrote first.
+        self._overtaken_ids: set[str] = set()
         self._began_at: Target | None = None
         # The attempt that was started beside another one, while both run.
         self._second: Attempt | None = None
@@ -154,8 +156,20 @@
         return await self._send(picked.ok_value)
 
     def _pick(self) -> Result[Pick, Refusal]:
-        """Return a target that was not tried, if one can start in time."""
-        return self._pick_for(self._terms.demand(self._tried_ids))
+        """Return a target that can start in time.
+
+        It is one that was not tried, or else one that was overtaken. That one
+        has not failed, and is no further target for the request.
+        """
+        demand = self._terms.demand(self._tried_ids)
+        if not self._overtaken_ids:
+            return self._pick_for(demand)
+        if self._may_reach_another(running=0):
+            picked = self._pick_for(demand)
+            if not isinstance(picked, Err):
+                return picked
+        overtaken = tuple(self._overtaken_ids)
+        return self._pick_for(replace(demand, avoid=(), only=overtaken))
 
     def _pick_beside(self, first: Attempt) -> Result[Pick, Refusal]:
         """Return a target to try beside `first`, of its software if possible.
@@ -223,6 +237,7 @@
         """Send the request to a target."""
         target = pick.target
         self._tried_ids.append(target.id)
+        self._overtaken_ids.discard(target.id)
         if target.is_cold(self._ctx.clock.now_ms()):
             target.cold_allowance.record()
         self._ctx.circuits.record_dispatch(target.id)
@@ -291,7 +306,8 @@
         self._record_origin(attempt.target)
         if overtaken is None:
             return
-        self._track_failure(stalled())
+        self._track_failure(overtaken.target, stalled())
+        self._overtaken_ids.add(overtaken.target.id)
         if overtaken is self._second:
             self._record_second('first_went_on', attempt, overtaken)
         else:
@@ -305,7 +321,7 @@
         self._record_outcome(attempt.target, failure)
         if failure is None:
             return
-        self._track_failure(failure)
+        self._track_failure(attempt.target, failure)
         if not attempt.served:
             self._record_lost_parts(attempt.target, failure)
         if self._second is not None:
@@ -380,11 +396,11 @@
                 extra={'request_id': self._req.id, 'target': target.id},
             )
 
-    def _track_failure(self, failure: Failure) -> None:
+    def _track_failure(self, target: Target, failure: Failure) -> None:
         if not failure.arrived_at_service:
             self._arrivals -= 1
         if failure.reached:
-            self._targets_reached += 1
+            self._reached_ids.add(target.id)
         self._may_have_run = self._may_have_run or failure.may_have_run
 
     def _may_retry(self, failure: Failure) -> bool:
@@ -409,9 +425,10 @@
             return 'caller_left'
         if self._terms.remaining_ms <= MIN_ATTEMPT_MS:
             return 'deadline'
-        if (
-            self._attempts >= MAX_ATTEMPTS
-            or self._targets_reached + running >= self._terms.max_targets
+        if self._attempts >= MAX_ATTEMPTS:
+            return 'attempts'
+        if not self._may_reach_another(running) and (
+            running or not self._overtaken_ids
         ):
             return 'attempts'
         if self._ctx.crash_guard.refuses(self._fingerprint):
@@ -420,6 +437,11 @@
             return 'part_crashes_targets'
         return ''
 
+    def _may_reach_another(self, running: int) -> bool:
+        """Whether the route allows a target besides the `running` ones."""
+        reached = len(self._reached_ids)
+        return reached + running < self._terms.max_targets
+
     def _acquire_retry(self) -> bool:
         """Use the retry budget for one more attempt, if it allows one.
 
