Keep attempts for a stream that was refused beside a silent target

While the target of a resumable stream was silent, each target that was asked beside it and could not be reached, refused or was another one used up one of the five attempts, and stayed excluded. If the silent target then broke, the stream was cut off though it had run at one target only: four such answers come within a second.

An attempt that surely was not run while another one had the request now counts only against more attempts beside it, and its target may be asked once more when the other one breaks. No more targets are asked beside a silent one than before, and a request makes nine attempts at most, of which four may have run nothing beside another. Each arrival still takes from the retry budget.

A target that refuses still counts as one that the request was sent to: the protocol defines a route's attempts as the targets it may be sent to, run or not, and the tests hold to it. Asking the same one again is no further target.

--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -206,3 +206,75 @@
     assert harness.channel.aborted
     assert harness.channel.body == event(1)
     assert len(harness.client.sent) == 2
+
+
+def breaking_stream(where, pause_ms):
+    """Return a script that is silent for a time and then breaks."""
+    opening = silent_stream(where, 0.0)[: 2 * (where != 'before-head')]
+    return (*opening, Pause(pause_ms), ExchangeEnd.BROKEN)
+
+
+NOT_RUN = {
+    'unreachable': fakes.NOT_SENT,
+    'full': fakes.FULL,
+    'wrong-target': fakes.WRONG_TARGET,
+}
+
+
+# Guards against LOST: targets that had not run a stream, asked beside a silent
+# one, used up its attempts, so that none was left when the silent one broke.
+@pytest.mark.parametrize('where', WHERE)
+@pytest.mark.parametrize('what', list(NOT_RUN))
+def test_targets_that_ran_nothing_use_up_no_attempts(where, what):
+    last = LAST_BEFORE_SILENCE[where]
+    scripts = [breaking_stream(where, 2_500.0), *[NOT_RUN[what]] * 4]
+    harness = engine_harness([*scripts, rest_after(last)], versions=['v1'] * 6)
+    run_stream(harness, max_targets=6)
+    assert_whole(harness)
+    assert len(set(sent_to(harness))) == 6
+
+
+# Guards against LOST: the only other target was asked beside the silent one in
+# vain, and not again when the silent one broke.
+@pytest.mark.parametrize('where', WHERE)
+@pytest.mark.parametrize('what', list(NOT_RUN))
+def test_a_target_that_ran_nothing_is_asked_again_when_the_first_breaks(
+    where, what
+):
+    last = LAST_BEFORE_SILENCE[where]
+    scripts = [breaking_stream(where, 2_500.0), NOT_RUN[what]]
+    harness = engine_harness([*scripts, rest_after(last)])
+    run_stream(harness)
+    assert_whole(harness)
+    first, second, again = sent_to(harness)
+    assert first != second == again
+
+
+def test_a_second_target_is_asked_again_if_the_first_refused_beside_it():
+    scripts = [(Pause(1_500.0), *fakes.FULL)]
+    scripts += [(Pause(1_000.0), *broken_after(1, 1)), rest_after(1)]
+    harness = engine_harness(scripts)
+    run_stream(harness)
+    assert_whole(harness)
+    first, second, again = sent_to(harness)
+    assert second != first == again
+
+
+# What is asked in vain stays bounded (BUDGET).
+@pytest.mark.parametrize('what', list(NOT_RUN))
+def test_targets_asked_in_vain_are_bounded(what):
+    scripts = [breaking_stream('before-head', 4_000.0), NOT_RUN[what]]
+    harness = engine_harness(scripts, versions=['v1'] * 20)
+    beside = []
+    breaks_at_ms = harness.clock.now_ms() + 4_000.0
+    send = harness.client.send
+
+    def record(*args):
+        beside.append(harness.clock.now_ms() < breaks_at_ms)
+        return send(*args)
+
+    harness.client.send = record
+    run_stream(harness, max_targets=20)
+    assert harness.channel.status == 502
+    assert beside.count(True) == 5
+    assert beside.count(False) == 4
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -39,7 +39,8 @@
 
 logger = logging.getLogger(__name__)
 
-# Maximum attempts of one request, including those that reached no target.
+# Maximum attempts of one request, including those that reached no target. One
+# that was not run beside another one counts only against more beside it.
 MAX_ATTEMPTS = 5
 # Minimum remaining time for which another attempt is started.
 MIN_ATTEMPT_MS = 60.0
@@ -83,8 +84,11 @@
         self._arrivals = 0
         self._retries_acquired = 0
         self._reached_ids: set[str] = set()
-        # Targets left for another one that wrote first.
-        self._overtaken_ids: set[str] = set()
+        # Targets that did not fail the request while another one had it: they
+        # were left for one that wrote first, or did not run it.
+        self._returnable_ids: set[str] = set()
+        # Attempts beside another one that were not run.
+        self._fruitless = 0
         self._began_at: Target | None = None
         # The attempt that was started beside another one, while both run.
         self._second: Attempt | None = None
@@ -158,18 +162,18 @@
     def _pick(self) -> Result[Pick, Refusal]:
         """Return a target that can start in time.
 
-        It is one that was not tried, or else one that was overtaken. That one
-        has not failed, and is no further target for the request.
+        It is one that was not tried, or else one to return to, which is no
+        further target for the request.
         """
         demand = self._terms.demand(self._tried_ids)
-        if not self._overtaken_ids:
+        if not self._returnable_ids:
             return self._pick_for(demand)
         if self._may_reach_another(running=0):
             picked = self._pick_for(demand)
             if not isinstance(picked, Err):
                 return picked
-        overtaken = tuple(self._overtaken_ids)
-        return self._pick_for(replace(demand, avoid=(), only=overtaken))
+        returnable = tuple(self._returnable_ids)
+        return self._pick_for(replace(demand, avoid=(), only=returnable))
 
     def _pick_beside(self, first: Attempt) -> Result[Pick, Refusal]:
         """Return a target to try beside `first`, of its software if possible.
@@ -237,7 +241,7 @@
         """Send the request to a target."""
         target = pick.target
         self._tried_ids.append(target.id)
-        self._overtaken_ids.discard(target.id)
+        self._returnable_ids.discard(target.id)
         if target.is_cold(self._ctx.clock.now_ms()):
             target.cold_allowance.record()
         self._ctx.circuits.record_dispatch(target.id)
@@ -307,7 +311,7 @@
         if overtaken is None:
             return
         self._track_failure(overtaken.target, stalled())
-        self._overtaken_ids.add(overtaken.target.id)
+        self._returnable_ids.add(overtaken.target.id)
         if overtaken is self._second:
             self._record_second('first_went_on', attempt, overtaken)
         else:
@@ -325,6 +329,9 @@
         if not attempt.served:
             self._record_lost_parts(attempt.target, failure)
         if self._second is not None:
+            if not failure.may_have_run:
+                self._fruitless += 1
+                self._returnable_ids.add(attempt.target.id)
             outcome = 'failed' if attempt is self._second else 'first_failed'
             self._record_second(outcome, attempt, self._second, failure)
             self._second = None
@@ -425,10 +432,11 @@
             return 'caller_left'
         if self._terms.remaining_ms <= MIN_ATTEMPT_MS:
             return 'deadline'
-        if self._attempts >= MAX_ATTEMPTS:
+        fruitless = 0 if running else self._fruitless
+        if self._attempts - fruitless >= MAX_ATTEMPTS:
             return 'attempts'
         if not self._may_reach_another(running) and (
-            running or not self._overtaken_ids
+            running or not self._returnable_ids
         ):
             return 'attempts'
         if self._ctx.crash_guard.refuses(self._fingerprint):
