End the transfer of a HEAD request with a body at the reply's head

A HEAD request with a body was answered with 504 when its time was over. Curl was told to upload, which also makes it wait for a body of the reply, and a reply to HEAD has none.

The transfer now ends when the final head of such a reply has been received, and its connection is closed, since curl would take the next bytes on it for the body. HEAD requests without a body are sent as before.

--- a/tests/providers/test_transfers.py
+++ b/tests/providers/test_transfers.py
@@ -397,3 +397,35 @@
     with_server(server, check)
     ((head, _body),) = server.requests
     assert head.startswith(b'POST /a/\xe9?b=\xff HTTP/1.1\r\n')
+
+
+HEAD_REPLY = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: 1\r\n\r\n'
+
+
+# Guards against LOST: a HEAD request with a body waited for the body of its
+# reply, which has none, until its time was over, and was answered with 504.
+@pytest.mark.parametrize('body', [b'', b'hello', b'x' * 300_000])
+@pytest.mark.parametrize(
+    'reply_bytes',
+    [
+        HEAD_REPLY,
+        b'HTTP/1.1 404 No\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'HTTP/1.1 103 Early\r\n\r\n' + HEAD_REPLY,
+        b'HTTP/1.1 200 OK\r\n\r\n',
+    ],
+)
+def test_a_reply_to_a_head_request_has_no_body(body, reply_bytes):
+    server = ScriptedServer([reply_bytes, REPLY])
+
+    async def check(loop, address):
+        call = make_call(address, method='HEAD', body=body)
+        reply = (await fetch(loop, call, 1_000)).unwrap()
+        assert reply.head.status in (200, 404)
+        assert reply.body == b''
+        assert reply.head.get('content-length') in (None, '5')
+        # The next reply on the address is not taken for the rest of that one.
+        assert (await fetch(loop, make_call(address), 1_000)).is_ok()
+        assert [sent[1] for sent in server.requests] == [body, b'hello']
+        assert server.requests[0][0].startswith(b'HEAD /a/../b?c HTTP/1.1\r\n')
+
+    with_server(server, check)
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -329,6 +329,15 @@
         )
 
 
+def _end_at_head(transfer: Transfer) -> None:
+    """End a transfer whose reply is its head, and close its connection.
+
+    Curl sends the body of a request only if it waits for one of the reply.
+    """
+    transfer.cancel()
+    _deliver_end(transfer, TransferEnd.COMPLETE, '')
+
+
 def _classify_end(curl: pycurl.Curl, errno: int) -> TransferEnd:
     if errno == 0:
         return TransferEnd.COMPLETE
@@ -347,6 +356,8 @@
         if reader.feed(raw):
             head = ReplyHead(reader.status, tuple(reader.fields))
             owner.pending.append(lambda: transfer.sink.on_head(head))
+            if call.method == 'HEAD' and call.body:
+                owner.pending.append(lambda: _end_at_head(transfer))
 
     def on_body(data: bytes) -> None:
         owner.pending.append(lambda: transfer.sink.on_data(data))
