Refuse requests that are being read when a drain ends

A process with no open request left its drain as soon as it took no more callers, also while it was reading a head or a body. That connection was closed without an answer or a refusal, with over half of the grace time left. At the end of a full drain the same happened to a request of which a part of the body was read.

A drain now waits for begun requests as it does for open ones, up to the same limit; those that are read whole meanwhile are refused with 503, not run. At the limit a request whose head was read gets that refusal before its body is complete. A connection with less than a head is still closed: nothing was accepted, so its caller may send the request elsewhere.

A caller that begins a request and never ends it now holds a stopping process until the limit, as an open stream does.

--- a/tests/platform/test_drain.py
+++ b/tests/platform/test_drain.py
@@ -186,3 +186,80 @@
         writer.close()
 
     run(check)
+
+
+PARTS = {'in-head': (HEAD + b'body')[:30], 'in-body': HEAD + b'bo'}
+
+
+# Guards against LOST: with no other request open, the process stopped while a
+# request was being read, and closed its connection without a refusal.
+@pytest.mark.parametrize('part', list(PARTS))
+def test_a_drain_waits_until_a_begun_request_is_refused(part, monkeypatch):
+    monkeypatch.setattr('wigeonmill.gateway.role.DRAIN_FRACTION', 0.5)
+
+    async def check(role):
+        role._server.forwarder = Forwarder(RequestState.WAITING)
+        reader, writer = await connect(role._server)
+        writer.write(PARTS[part])
+        await asyncio.sleep(0.05)
+        role._stop.set()
+        await asyncio.sleep(1.0)
+        writer.write((HEAD + b'body')[len(PARTS[part]) :])
+        status, _body = await read_answer(reader)
+        assert status == 503
+        assert await reader.read() == b''
+        ends = role.metrics.reasons('gateway_requests_ended')
+        assert ends == {'refused': 1}
+        writer.close()
+
+    run(check)
+
+
+# Guards against LOST: a request of which a part was read when the drain ended
+# got no refusal.
+@pytest.mark.parametrize('body', [b'', b'bo'])
+def test_the_end_of_a_drain_refuses_requests_that_are_being_read(body):
+    async def check(role):
+        role._server.forwarder = Forwarder(RequestState.WAITING)
+        reader, writer = await connect(role._server)
+        writer.write(HEAD + body)
+        await asyncio.sleep(0.05)
+        role._stop.set()
+        status, _body = await read_answer(reader)
+        assert status == 503
+        assert await reader.read() == b''
+        ends = role.metrics.reasons('gateway_requests_ended')
+        assert ends == {'refused': 1}
+        writer.close()
+
+    run(check)
+
+
+# A caller of which less than a head was read may send its request elsewhere.
+def test_the_end_of_a_drain_closes_connections_with_a_begun_head():
+    async def check(role):
+        role._server.forwarder = Forwarder(RequestState.WAITING)
+        reader, writer = await connect(role._server)
+        writer.write(PARTS['in-head'])
+        await asyncio.sleep(0.05)
+        role._stop.set()
+        assert await reader.read() == b''
+        assert not role.metrics.reasons('gateway_requests_ended')
+        writer.close()
+
+    run(check)
+
+
+def test_a_head_read_after_the_drain_is_refused():
+    async def check(role):
+        role._server.forwarder = Forwarder(RequestState.WAITING)
+        reader, writer = await connect(role._server)
+        writer.write(PARTS['in-head'])
+        role._stop.set()
+        await asyncio.sleep(1.0)
+        writer.write((HEAD + b'body')[len(PARTS['in-head']) :])
+        status, _body = await read_answer(reader)
+        assert status == 503
+        writer.close()
+
+    run(check)
--- a/wigeonmill/gateway/idle_conns.py
+++ b/wigeonmill/gateway/idle_conns.py
@@ -60,6 +60,10 @@
         """Return the connections on which no part of a head has arrived."""
         return [conn for conn in self if has_no_input(conn)]
 
+    def count_with_input(self) -> int:
+        """Return the number of connections on which a head has begun."""
+        return sum(not has_no_input(conn) for conn in self)
+
     def expired(self) -> list[HTTP1Connection]:
         """Return the connections whose time is over.
 
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -266,7 +266,7 @@
         self._peers.listen(self._settings.inner)
 
     async def _drain(self) -> None:
-        """Finish open requests, and close idle connections.
+        """Finish open and begun requests, and close idle connections.
 
         Their callers then connect to other entries.
         """
@@ -285,7 +285,11 @@
                 self._server.stop_accepting()
             if elapsed_ms >= limit_ms:
                 break
-            busy = self._server.open_requests > 0 or self._server.has_unsent
+            busy = (
+                self._server.open_requests > 0
+                or self._server.begun_requests > 0
+                or self._server.has_unsent
+            )
             if not accepting and not busy:
                 break
         logger.info('drained', extra={'open': self._server.open_requests})
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -86,6 +86,8 @@
         self.max_header_bytes = MAX_HEADER_BYTES
         self.port = 0
         self._open: set[HttpChannel] = set()
+        # Requests of which the head was read, but not the whole body.
+        self._reading: weakref.WeakSet[_RequestReader] = weakref.WeakSet()
         # Connections with an answer that the kernel has not taken yet.
         self._unsent: weakref.WeakSet[HTTP1Connection] = weakref.WeakSet()
         # Streams whose next request is refused because of a drain.
@@ -104,6 +106,11 @@
         """The number of requests that are being served."""
         return len(self._open)
 
+    @property
+    def begun_requests(self) -> int:
+        """The number of requests of which only a part was read."""
+        return len(self._reading) + self._idle.count_with_input()
+
     @property
     def has_unsent(self) -> bool:
         """Whether an answer is still being sent."""
@@ -124,9 +131,12 @@
     def end_requests(self) -> None:
         """End the open requests and refuse those that are read later.
 
-        Callers get a whole answer unless a part of one was written.
+        Callers get a whole answer unless a part of one was written, also those
+        that have not sent the whole body.
         """
         self.refusing = True
+        for reader in list(self._reading):
+            reader.refuse_unread()
         for channel in list(self._open):
             channel.end_by_shutdown()
 
@@ -161,6 +171,14 @@
     def on_close(self, server_conn: object) -> None:
         pass
 
+    def add_reading(self, reader: '_RequestReader') -> None:
+        """Add a request whose body is being read."""
+        self._reading.add(reader)
+
+    def remove_reading(self, reader: '_RequestReader') -> None:
+        """Remove a request that was read or whose connection closed."""
+        self._reading.discard(reader)
+
     def remove_idle(self, conn: HTTP1Connection) -> None:
         """Remove a connection that has a request or that was closed."""
         self._idle.remove(conn)
@@ -247,6 +265,7 @@
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
         self._server.remove_idle(self._conn)
+        self._server.add_reading(self)
         self._conn.set_max_body_size(self._server.max_body_bytes)
         self._start = start_line
         self._headers = headers
@@ -258,12 +277,26 @@
 
     def finish(self) -> None:
         assert self._start is not None
+        self._server.remove_reading(self)
         channel = HttpChannel(self._server, self._conn, self._start)
         try:
             self._start_serving(channel, self._start)
         except Exception as exc:
             channel.fail_to_start(exc)
 
+    def refuse_unread(self) -> None:
+        """Refuse a request before its body was read, and close."""
+        assert self._start is not None
+        self._server.remove_reading(self)
+        channel = HttpChannel(self._server, self._conn, self._start)
+        try:
+            decoded = self._server.codec.request(
+                self._start, self._headers, b'', self._server.clock.now_ms()
+            )
+            channel.refuse_unserved(SHUTTING_DOWN, decoded.ok())
+        except Exception as exc:
+            channel.fail_to_start(exc)
+
     def _start_serving(
         self, channel: HttpChannel, start: RequestStartLine
     ) -> None:
@@ -305,6 +338,7 @@
 
     def on_connection_close(self) -> None:
         self._server.remove_idle(self._conn)
+        self._server.remove_reading(self)
         self._body.clear()
 
 
