Test that a drain cuts no stream before the last sixth of the grace

By the users' rules that is no LOST: a request that was sent no later than 3 s after the SIGTERM is not counted if its engine was still at work in the last sixth of the grace time, which begins at 0.833, and nothing is accepted later than 2.7 s after it. The caller sees that the stream is incomplete and may resume it.

The product code is unchanged.

--- a/tests/platform/test_drain.py
+++ b/tests/platform/test_drain.py
@@ -5,6 +5,7 @@
 import signal
 import time
 
+import msgspec
 import pytest
 from result import Ok
 
@@ -15,6 +16,7 @@
 from wigeonmill.gateway.answers import AnswerHead
 from wigeonmill.gateway.answers import Progress
 from wigeonmill.gateway.answers import RequestState
+from wigeonmill.gateway.role import DRAIN_FRACTION
 
 HEAD = (
     b'POST /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q1\r\n'
@@ -263,3 +265,27 @@
         writer.close()
 
     run(check)
+
+
+# Guards against LOST: a stream whose engine works on in the last sixth of the
+# grace time may be cut then, but not before.
+def test_an_open_stream_is_not_cut_before_the_last_sixth(monkeypatch):
+    monkeypatch.setattr(
+        'wigeonmill.gateway.role.DRAIN_FRACTION', DRAIN_FRACTION
+    )
+    settings = msgspec.structs.replace(SETTINGS, grace_ms=3_000.0)
+
+    async def check(role):
+        role._server.forwarder = Forwarder(RequestState.STREAMING)
+        reader, writer = await connect(role._server)
+        writer.write(HEAD + b'body')
+        await asyncio.sleep(0.05)
+        started_s = time.monotonic()
+        role._stop.set()
+        answer = await reader.read()
+        cut_ms = (time.monotonic() - started_s) * 1000.0
+        assert b'part' in answer
+        assert settings.grace_ms * 5 / 6 < cut_ms < settings.grace_ms
+        writer.close()
+
+    run_role(lambda: Ok(settings), check)
