Send nothing to the few targets that vanish in an outage

Entries whose links were crowded after others had been killed took the key-value service for lost for 0.8 s. Records that are removed in an outage, or within two seconds of its end, may have expired with it, so their targets are only marked as missing and were used like others.

An outage that ends leases ends most of them. While at least half of the targets of a service are listed, the missing ones get no new requests; with fewer, all are used as before.

Three cases of the new test fail without the change; the one for an outage that ends all leases passes with and without it.

--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -1,5 +1,7 @@
 """Tests of target lifetimes and of the directory during an outage."""
 
+import pytest
+
 from tests.gateway.samples import LEDGER
 from tests.gateway.samples import make_record
 from wigeonmill.clock import ManualClock
@@ -66,6 +68,42 @@
     assert ids(directory) == ['t1']
 
 
+# Guards against DRAIN: an entry that had lost the key-value service for a
+# moment kept sending to targets that left meanwhile, until two seconds later.
+@pytest.mark.parametrize('count, left', [(2, 1), (3, 1), (8, 4)])
+def test_a_target_that_leaves_in_an_outage_gets_nothing_more(count, left):
+    directory = Directory(ManualClock())
+    for number in range(count):
+        directory.apply(
+            make_record(f't{number}', address=f'127.0.0.1:{number}')
+        )
+    directory.key_value_lost()
+    for number in range(left):
+        directory.remove(f't{number}')
+    assert ids(directory) == [f't{n}' for n in range(left, count)]
+    directory.key_value_recovered()
+    assert ids(directory) == [f't{n}' for n in range(left, count)]
+    directory.apply(make_record('t0', heartbeat=2, address='127.0.0.1:0'))
+    assert ids(directory)[0] == 't0'
+
+
+# Guards against LOST: the first targets to register again after an outage got
+# the requests of all.
+def test_targets_that_are_not_listed_are_used_until_half_are():
+    directory = Directory(ManualClock())
+    addresses = {f't{n}': f'127.0.0.1:{n}' for n in range(8)}
+    for id_, address in addresses.items():
+        directory.apply(make_record(id_, address=address))
+    directory.key_value_lost()
+    for id_ in addresses:
+        directory.remove(id_)
+    directory.key_value_recovered()
+    for count, id_ in enumerate(list(addresses)[:3]):
+        assert len(ids(directory)) == 8, count
+        directory.apply(make_record(id_, heartbeat=2, address=addresses[id_]))
+    assert len(ids(directory)) == 8
+
+
 def test_cold_time_starts_when_the_record_is_received():
     clock = ManualClock()
     directory = Directory(clock)
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -203,12 +203,20 @@
         return self._targets.get(target_id)
 
     def of_service(self, service: str) -> list[Target]:
-        """Return the targets of a service that accept new requests."""
-        return [
+        """Return the targets of a service that accept new requests.
+
+        If less than half of them are listed, the records of the others may
+        have expired in an outage, and they are returned as well.
+        """
+        accepting = [
             target
             for target in self._by_service.get(service, ())
             if not target.leaving
         ]
+        listed = [t for t in accepting if t.missing_since_ms is None]
+        if 2 * len(listed) < len(accepting):
+            return accepting
+        return listed
 
     def apply(self, record: TargetRecord) -> None:
         """Apply a record that a target published."""
@@ -233,7 +241,8 @@
         """Handle the removal of a target's record.
 
         During an outage of the key-value service and shortly after, the
-        target is only marked as missing.
+        target is only marked as missing. It may be in use until it is gone,
+        see `of_service`.
         """
         target = self._targets.get(target_id)
         if target is None or target.gone:
