Blame no target for an answer that failed in the gateway

An error of ours while an answer was handled ended the attempt as one that said nothing about the target: neither its circuit nor the crash guard counted it. An answer that our code can't handle would push work from sound targets to others.

A failure now states that it is internal, and such failures leave the health of the target as it was. Retries and the answer to the caller are unchanged.

--- a/tests/gateway/test_internal_errors.py
+++ b/tests/gateway/test_internal_errors.py
@@ -316,5 +316,7 @@
     assert not ctx.crash_guard.refuses(request_fingerprint(req, ''))
     targets = list(ctx.directory.all())
     assert not [t.id for t in targets if ctx.circuits.blocked(t.id)]
+    # Nor is it a failure, for which targets would get less work.
+    assert [t.load.failure_share() for t in targets] == [0.0] * len(targets)
     assert harness.channel.refusal.reason is Reason.MAY_HAVE_RUN
     assert ctx.metrics.reasons('gateway_answers_broken') == {'internal': 4}
--- a/wigeonmill/gateway/failures.py
+++ b/wigeonmill/gateway/failures.py
@@ -22,7 +22,9 @@
     `arrived_at_service` is set if the request arrived at a process of the
     service, and `reached` if that was the intended target. `may_have_run` is
     set if the target may have started the request, `target_lost` if the
-    connection failed, and `final` if no retry is allowed.
+    connection failed, `internal` if an error of this process ended the
+    attempt, which says nothing about the target, and `final` if no retry is
+    allowed.
     """
 
     reason: Reason
@@ -31,6 +33,7 @@
     may_have_run: bool
     arrived_at_service: bool = True
     target_lost: bool = False
+    internal: bool = False
     answer: ErrorAnswer | None = None
     retry_after_ms: float | None = None
     final: bool = False
@@ -65,7 +68,13 @@
 
 def internal_error() -> Failure:
     """Return the failure of an attempt by an error of the gateway itself."""
-    return may_have_run(Reason.INTERNAL, 'internal error')
+    return Failure(
+        Reason.INTERNAL,
+        'internal error',
+        reached=True,
+        may_have_run=True,
+        internal=True,
+    )
 
 
 def not_run(message: str, reached: bool = True) -> Failure:
@@ -102,4 +111,5 @@
         reached=True,
         may_have_run=True,
         target_lost=end is not ExchangeEnd.FAILED_HERE,
+        internal=end is ExchangeEnd.FAILED_HERE,
     )
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -49,9 +49,7 @@
 SUSPECTED_START_MS = 3_000.0
 DEFAULT_RETRY_AFTER_MS = 400.0
 # Failures that say nothing about the health of their target.
-REASONS_WITHOUT_BLAME = frozenset(
-    (Reason.OLD_WEIGHTS, Reason.CALLER_TOO_SLOW, Reason.INTERNAL)
-)
+REASONS_WITHOUT_BLAME = frozenset((Reason.OLD_WEIGHTS, Reason.CALLER_TOO_SLOW))
 
 
 class RequestRun:
@@ -372,7 +370,7 @@
             circuits.record_success(target.id)
             target.load.record_outcome(failed=False)
             return
-        if failure.reason in REASONS_WITHOUT_BLAME:
+        if failure.internal or failure.reason in REASONS_WITHOUT_BLAME:
             return
         if failure.reason is Reason.TIMEOUT and not target.load.is_silent():
             return
