Close a broken off connection also if it can't be reset

An answer without a length or chunks, to a caller that speaks HTTP/1.0, ends with its connection. To break it off, the connection is told to reset as it closes. If the kernel refused that option, abort() raised before the close: the request counted as finished and the connection stayed open, so that the caller waited until its own time was over.

The error is logged and the connection closed. By hand, the kernel took the option also after a reset by the peer and refused it for a closed descriptor only; no way is known in which it refuses it while a caller could take the close for the end of the answer.

tests/gateway/test_internal_errors.py: the 2 new cases, in which the option is refused, failed before by a time limit and pass now.

--- a/tests/gateway/test_internal_errors.py
+++ b/tests/gateway/test_internal_errors.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 
 import pytest
 from result import Ok
@@ -105,6 +106,12 @@
     fail()
 
 
+async def begin_and_abort(channel):
+    channel.begin(OK_HEAD)
+    channel.send(b'part')
+    channel.abort()
+
+
 async def begin_and_return(channel):
     channel.begin(OK_HEAD)
     channel.send(b'part')
@@ -191,6 +198,30 @@
     run_with_server(lambda: Script(serve), Codec(), check)
 
 
+# Guards against LOST: an error in resetting the connection of a stream left it
+# open, and the caller waited for more.
+@pytest.mark.parametrize('serve', [begin_and_fail, begin_and_abort])
+def test_an_error_in_a_reset_closes_the_connection(serve, monkeypatch, caplog):
+    setsockopt = socket.socket.setsockopt
+
+    def fail_to_linger(sock, level, option, *value):
+        if option == socket.SO_LINGER:
+            raise OSError
+        setsockopt(sock, level, option, *value)
+
+    monkeypatch.setattr(socket.socket, 'setsockopt', fail_to_linger)
+
+    async def check(server, forwarder):
+        reader, writer = await connect(server)
+        writer.write(REQUEST.replace(b'HTTP/1.1', b'HTTP/1.0'))
+        assert (await reader.read()).endswith(b'part')
+        assert server.open_requests == 0
+        assert 'connection not reset' in caplog.text
+        writer.close()
+
+    run_with_server(lambda: Script(serve), Codec(), check)
+
+
 def test_an_error_after_the_answer_keeps_the_connection():
     async def check(server, forwarder):
         reader, writer = await connect(server)
--- a/wigeonmill/gateway/caller_channel.py
+++ b/wigeonmill/gateway/caller_channel.py
@@ -240,10 +240,20 @@
         self._finished = True
         if self._ends_with_conn and not self.closed:
             # An orderly close would mark the end of the answer.
+            self._reset_on_close()
+        self._conn.close()
+
+    def _reset_on_close(self) -> None:
+        try:
             self._conn.stream.socket.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
-        self._conn.close()
+        except OSError:
+            # Left open, its caller would wait for more.
+            logger.exception(
+                'connection not reset',
+                extra={'request_id': self._req.id if self._req else ''},
+            )
 
     def end_by_shutdown(self) -> None:
         """End a request for which the process has no time left."""
