End no connection opened after a crash of the stand-in engine

A crash closed the stand-in's connections one by one until none was left, so it also closed those that were opened meanwhile: audits that a test read just after the crash, health checks, and runs of the engine's next life. Tests saw "Connection reset by peer" or no answer at all.

It now closes the connections that are open at the crash and no others.

--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -205,6 +205,37 @@
     asyncio.run(check())
 
 
+async def read_status(reader, writer):
+    """Return the status line of an answer; empty if there is none."""
+    writer.write(b'GET /audit HTTP/1.1\r\nHost: engine\r\n\r\n')
+    return await reader.readline()
+
+
+# Guards against a crash that resets connections opened after it, such as that
+# of an audit or of the next run.
+def test_a_crash_ends_no_connection_that_is_opened_after_it():
+    async def check():
+        server = await start_engine(EngineOptions())
+        host, _, port = server.address.rpartition(':')
+        before = [
+            await asyncio.open_connection(host, int(port)) for _ in range(20)
+        ]
+        for reader, writer in before:
+            assert await read_status(reader, writer)
+        server.state.crash()
+        await asyncio.sleep(0)
+        after = await asyncio.open_connection(host, int(port))
+        for reader, _writer in before:
+            assert await reader.read(65536)
+            assert await reader.read() == b''
+        assert b'200' in await read_status(*after)
+        for _reader, writer in [*before, after]:
+            writer.close()
+        await server.stop()
+
+    asyncio.run(check())
+
+
 def test_turning_cold_keeps_streams_and_clears_the_cache():
     async def check():
         options = {'cold_duration_ms': 30.0}
--- a/wigeonmill/standins/server.py
+++ b/wigeonmill/standins/server.py
@@ -35,6 +35,15 @@
         """Apply faults that were just set."""
 
 
+class StandinHttpServer(HTTPServer):
+    """An HTTP server that can drop its connections while it listens."""
+
+    async def close_open_connections(self) -> None:
+        """Close the connections that are open now, but no later ones."""
+        conns = list(self._connections)
+        await asyncio.gather(*(conn.close() for conn in conns))
+
+
 @dataclass(slots=True)
 class StandinServer(Generic[S]):
     """A running stand-in; addresses are IP:port.
@@ -45,7 +54,7 @@
 
     address: str
     state: S
-    _http: HTTPServer
+    _http: StandinHttpServer
     _on_stop: Callable[[], Awaitable[None]] | None
     control_address: str = ''
 
@@ -57,8 +66,8 @@
         await self._http.close_all_connections()
 
     async def drop_connections(self) -> None:
-        """Close every connection and keep listening."""
-        await self._http.close_all_connections()
+        """Close the connections that are open now and keep listening."""
+        await self._http.close_open_connections()
 
 
 class ErrorDetail(msgspec.Struct):
@@ -151,7 +160,7 @@
     ]
     app = Application([*shared, *routes], log_function=_no_access_log)
     sockets = bind_sockets(port, host)
-    server = HTTPServer(app, max_buffer_size=MAX_BODY_BYTES)
+    server = StandinHttpServer(app, max_buffer_size=MAX_BODY_BYTES)
     server.add_sockets(sockets)
     bound = sockets[0].getsockname()
     return StandinServer(f'{bound[0]}:{bound[1]}', state, server, on_stop)
