End a process although a task of it does not end

A gateway process that stops waited without a limit, in asyncio.run(), for tasks that it had cancelled once, and for the close of its callers' connections. One task that does not end kept the process until it was killed; a caller on a kept connection got nothing and a rolling restart stood still.

The close of callers' connections has 0.05 s, that of a node's background tasks 5 s.

--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -1,13 +1,44 @@
 """The end of a process: every task ends once it is cancelled."""
 
 import asyncio
+import os
+import signal
+import subprocess
+import sys
 
+import msgspec
 import pytest
 
 from tests.platform.test_start import end_tasks
 from tests.platform.test_start import make_role
+from tests.platform.test_start import ROOT
+from tests.platform.test_start import SETTINGS
 from tests.providers.held_transfers import HeldTransfers
 
+# Runs a gateway process that is stopped at once, with a task that never ends.
+STUBBORN = """
+import asyncio, sys, time
+from alliance.daemon import main
+from wigeonmill.gateway.role import GatewayRole
+
+serve = GatewayRole.run
+
+async def stubborn():
+    while True:
+        try:
+            await asyncio.sleep(10.0)
+        except asyncio.CancelledError:
+            pass
+
+async def run(role):
+    asyncio.ensure_future(stubborn())
+    role._stop.set()
+    await serve(role)
+
+GatewayRole.run = run
+sys.exit(main(time.monotonic() * 1000.0))
+"""
+
 
 async def tasks_left(turns):
     """Cancel a role's tasks some turns of the loop after their calls end.
@@ -37,3 +68,47 @@
 @pytest.mark.parametrize('turns', range(4))
 def test_a_call_that_ends_does_not_hide_the_end_of_its_loop(turns):
     assert asyncio.run(tasks_left(turns)) == 0
+
+
+# Guards against an operator's restart that stands still: a process waited
+# without a limit for a task that had been cancelled.
+def test_a_gateway_process_ends_beside_a_task_that_does_not(tmp_path):
+    settings = msgspec.structs.replace(SETTINGS, grace_ms=1_000.0)
+    path = tmp_path / 'settings.json'
+    path.write_bytes(msgspec.json.encode(settings))
+    env = os.environ | {
+        'PYTHONPATH': f'{ROOT}{os.pathsep}{ROOT / "platform"}',
+        'WIGEONMILL_CONFIG': str(path),
+    }
+    done = subprocess.run(
+        [sys.executable, '-c', STUBBORN],
+        capture_output=True,
+        text=True,
+        env=env,
+        timeout=20.0,
+    )
+    assert done.returncode == 0, done.stderr
+    assert '"stopped"' in done.stdout
+    assert '"calls": ["stubborn", "sleep"]' in done.stdout
+
+
+# Guards against a process that does not stop: the close of its callers'
+# connections waited without a limit.
+def test_a_stop_does_not_wait_for_a_connection_that_stays(monkeypatch):
+    monkeypatch.setattr('wigeonmill.gateway.role.DRAIN_FRACTION', 0.0)
+
+    async def run():
+        role = await make_role()
+        monkeypatch.setattr(role._server, 'close', asyncio.Event().wait)
+        role._stop.set()
+        running = asyncio.ensure_future(role.run())
+        await asyncio.wait([running], timeout=5.0)
+        ended = running.done()
+        await end_tasks()
+        return ended
+
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        assert asyncio.run(run())
+    finally:
+        signal.signal(signal.SIGHUP, before)
--- a/wigeonmill/daemon.py
+++ b/wigeonmill/daemon.py
@@ -23,6 +23,7 @@
 from wigeonmill.node import Node
 from wigeonmill.node import TlsContexts
 from wigeonmill.providers.etcd import EtcdKeyValue
+from wigeonmill.runner import run_process
 from wigeonmill.settings import load_settings
 from wigeonmill.settings import Settings
 from wigeonmill.tls import make_client_context
@@ -32,6 +33,7 @@
 
 EXIT_USAGE = 2
 EXIT_SETTINGS = 3
+END_TIMEOUT_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,12 +162,12 @@
     settings = loaded.unwrap()
     configure_logs(settings.process, settings.log_level)
     if 'embedded' in settings.roles:
-        return asyncio.run(EmbeddedSystem(settings).run())
+        return run_process(EmbeddedSystem(settings).run(), END_TIMEOUT_S)
     credentials = load_credentials(settings)
     if isinstance(credentials, Err):
         print(f'{args[0]}: {credentials.err_value}', file=sys.stderr)
         return EXIT_SETTINGS
-    asyncio.run(Daemon(settings, credentials.ok_value).run())
+    run_process(Daemon(settings, credentials.ok_value).run(), END_TIMEOUT_S)
     return 0
 
 
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -69,6 +69,8 @@
 LEADER_TERM_MS = 1_500.0
 # Timeout of the last calls to the key-value service.
 RELEASE_TIMEOUT_S = 0.3
+# Limit of the close of callers' connections once no request is served.
+CLOSE_TIMEOUT_S = 0.05
 # Fraction of the time before SIGKILL that a drain may take.
 DRAIN_FRACTION = 0.93
 
@@ -249,7 +251,7 @@
         self._stores.close()
         self._peers.close()
         self._sync.close()
-        await self._server.close()
+        await self._close_server()
         self._status.close()
         self._transfers.close()
         # The loop restores the default action of its signals as it closes.
@@ -300,6 +302,13 @@
         except asyncio.TimeoutError:
             logger.warning('leases not released in time')
 
+    async def _close_server(self) -> None:
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._server.close()
+        except asyncio.TimeoutError:
+            logger.warning('connections of callers not closed in time')
+
     async def _run_housekeeping(self) -> None:
         """Drop missing targets, measure the loop lag and log the counters."""
         logged_ms = self._clock.now_ms()
--- a/wigeonmill/node.py
+++ b/wigeonmill/node.py
@@ -33,6 +33,8 @@
 logger = logging.getLogger(__name__)
 
 VM_LIST_TIMEOUT_MS = 2_000.0
+# How long a close waits for background tasks to end after it cancels them.
+CLOSE_TIMEOUT_S = 5.0
 
 Handler = Callable[[Conn, Envelope], bool]
 
@@ -114,7 +116,8 @@
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_TIMEOUT_S)
         self._server.close_all()
         self.peers.close()
         self.membership.close()
--- a/wigeonmill/standins/__main__.py
+++ b/wigeonmill/standins/__main__.py
@@ -12,6 +12,7 @@
 import cappa
 import msgspec
 
+from wigeonmill.runner import run_process
 from wigeonmill.standins.engine import start_engine
 from wigeonmill.standins.engine_core import EngineOptions
 from wigeonmill.standins.fault_proxy import ProxyOptions
@@ -28,6 +29,8 @@
 from wigeonmill.standins.weight_store import start_weight_store
 from wigeonmill.standins.weight_store import WeightStoreOptions
 
+END_TIMEOUT_S = 2.0
+
 
 @dataclass(frozen=True, slots=True)
 class Kind:
@@ -91,7 +94,7 @@
     if kind is None:
         raise SystemExit(f'kind must be one of: {", ".join(sorted(KINDS))}')
     try:
-        asyncio.run(serve(kind, args))
+        run_process(serve(kind, args), END_TIMEOUT_S)
     except (OSError, msgspec.MsgspecError) as exc:
         raise SystemExit(str(exc)) from exc
 
