Return only to reached targets at the limit of a route

A request could be sent to more targets than its route allows: a target that was asked beside a silent one and was not reached (no connection, or 421 by another process) may be returned to, and that was not counted as a further target. Once the silent target had been overtaken and the other one broke, the limit was reached, and the one that was not reached yet was picked as if it had been (BUDGET: more engines than `attempts`).

Unless the route allows a further target, the request now returns only to targets that it has reached.

The four cases of the new test failed before: of three targets that may be reached the fourth one got the request, of two the third.

--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -250,6 +250,27 @@
     assert first != second == again
 
 
+# Guards against BUDGET: a target that had not been reached beside a silent one
+# was returned to when the route allowed no further target.
+@pytest.mark.parametrize('what', ['unreachable', 'wrong-target'])
+@pytest.mark.parametrize('max_targets', [2, 3])
+def test_returns_do_not_exceed_the_number_of_targets(what, max_targets):
+    broken = [broken_after(n, n) for n in range(1, max_targets)]
+    scripts = [silent_stream('before-head', 6_000.0), NOT_RUN[what], *broken]
+    # Long enough for a target that refused the request to be picked again.
+    scripts[2] = (*scripts[2][:-1], Pause(1_500.0), scripts[2][-1])
+    harness = engine_harness(
+        [*scripts, rest_after(max_targets - 1)],
+        versions=['v1'] * (max_targets + 1),
+    )
+    run_stream(harness, max_targets=max_targets)
+    assert_whole(harness)
+    first, unreached, *later = sent_to(harness)
+    assert unreached not in later
+    assert later[-1] == first
+    assert len({first, *later}) == max_targets
+
+
 def test_a_second_target_is_asked_again_if_the_first_refused_beside_it():
     scripts = [(Pause(1_500.0), *fakes.FULL)]
     scripts += [(Pause(1_000.0), *broken_after(1, 1)), rest_after(1)]
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -160,18 +160,17 @@
     def _pick(self) -> Result[Pick, Refusal]:
         """Return a target that can start in time.
 
-        It is one that was not tried, or else one to return to, which is no
-        further target for the request.
+        It is one that was not tried, or else one to return to.
         """
         demand = self._terms.demand(self._tried_ids)
-        if not self._returnable_ids:
+        if not self._returnable():
             return self._pick_for(demand)
         if self._may_reach_another(running=0):
             picked = self._pick_for(demand)
             if not isinstance(picked, Err):
                 return picked
-        returnable = tuple(self._returnable_ids)
-        return self._pick_for(replace(demand, avoid=(), only=returnable))
+        only = tuple(self._returnable())
+        return self._pick_for(replace(demand, avoid=(), only=only))
 
     def _pick_beside(self, first: Attempt) -> Result[Pick, Refusal]:
         """Return a target to try beside `first`, of its software if possible.
@@ -434,7 +433,7 @@
         if self._attempts - fruitless >= MAX_ATTEMPTS:
             return 'attempts'
         if not self._may_reach_another(running) and (
-            running or not self._returnable_ids
+            running or not self._returnable()
         ):
             return 'attempts'
         if self._ctx.crash_guard.refuses(self._fingerprint):
@@ -448,6 +447,15 @@
         reached = len(self._reached_ids)
         return reached + running < self._terms.max_targets
 
+    def _returnable(self) -> set[str]:
+        """Return the targets to return to within the limit of the route.
+
+        One that was tried and not reached counts as a further target.
+        """
+        if self._may_reach_another(running=0):
+            return self._returnable_ids
+        return self._returnable_ids & self._reached_ids
+
     def _acquire_retry(self) -> bool:
         """Use the retry budget for one more attempt, if it allows one.
 
