Send a listing to peers that may have missed removals

A record is removed with a revision that only those know who saw the removal. An entry that starts reads a listing, which does not name removed keys, and then counted as complete up to the revision of the listing. A peer that asked it for changes got those without the removals between its own copy and the listing, became complete as well, and never heard of them.

An entry now remembers the revision of its latest listing and answers a peer whose copy is older with a listing instead of the changes.

--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -1,3 +1,5 @@
+import itertools
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -105,3 +107,76 @@
     theirs.replace(mine.present(), mine.complete)
     assert not theirs.present()
     assert theirs.complete == mine.complete
+
+
+# Guards against DRAIN: an entry that had restarted told others of all changes
+# but the removals before its listing, and they sent to such targets for good.
+def test_an_entry_that_missed_removals_before_a_listing_needs_a_listing():
+    mine, theirs = Mirror(), Mirror()
+    theirs.replace([Record('targets/0', 2, b't')], 4)
+    mine.replace([Record('op/a', 6, b'a')], 7)
+    assert mine.lacks_changes_since(theirs.complete)
+    theirs.replace(mine.present(), mine.complete)
+    assert [record.key for record in theirs.present()] == ['op/a']
+    mine.apply([Record('op/a', 8, None)])
+    mine.advance(8)
+    assert not mine.lacks_changes_since(theirs.complete)
+    assert theirs.lacks_changes_since(6)
+
+
+def test_a_listing_that_is_not_newer_hides_no_removals():
+    mirror = Mirror()
+    mirror.replace([], 3)
+    mirror.advance(9)
+    mirror.replace([], 9)
+    assert not mirror.lacks_changes_since(3)
+
+
+def put(service, _entries, revision):
+    service['a'] = Record('a', revision + 1, b'x')
+    return revision + 1
+
+
+def remove(service, _entries, revision):
+    return revision + 1 if service.pop('a', None) else revision
+
+
+def list_at(number):
+    def step(service, entries, revision):
+        entries[number].replace(service.values(), revision)
+        return revision
+
+    return step
+
+
+def ask(asked, asking):
+    def step(_service, entries, revision):
+        mine, theirs = entries[asked], entries[asking]
+        if mine.complete <= theirs.complete:
+            return revision
+        if mine.lacks_changes_since(theirs.complete):
+            theirs.replace(mine.present(), mine.complete)
+        else:
+            theirs.merge(*mine.changes_since(theirs.complete))
+        return revision
+
+    return step
+
+
+STEPS = (put, remove, list_at(0), list_at(1), ask(0, 1), ask(1, 0))
+
+
+# Guards against DRAIN: a copy that counted as complete kept a removed record.
+def test_a_complete_copy_is_that_of_the_service():
+    wrong = []
+    for steps in itertools.product(range(len(STEPS)), repeat=6):
+        service, entries, revision = {}, (Mirror(), Mirror()), 0
+        for step in steps:
+            revision = STEPS[step](service, entries, revision)
+        if any(
+            entry.present() != list(service.values())
+            for entry in entries
+            if entry.complete == revision
+        ):
+            wrong.append(steps)
+    assert not wrong
--- a/wigeonmill/gateway/mirror.py
+++ b/wigeonmill/gateway/mirror.py
@@ -37,6 +37,7 @@
         '_listeners',
         '_removed',
         '_forgotten',
+        '_listed',
         'complete',
     )
 
@@ -47,6 +48,9 @@
         # a removal that is no longer kept.
         self._removed: dict[str, int] = {}
         self._forgotten = 0
+        # The revision of the latest listing. It does not tell which keys had
+        # been removed by then.
+        self._listed = 0
         self.complete = 0
 
     def subscribe(self, listener: Callable[[Record], None]) -> None:
@@ -97,12 +101,14 @@
             if known.key not in keys and known.revision < revision
         ]
         count = self.apply([*listed, *removed])
+        if revision > self.complete:
+            self._listed = revision
         self.advance(revision)
         return count
 
     def lacks_changes_since(self, revision: int) -> bool:
-        """Whether removals after `revision` are no longer kept."""
-        return revision < self._forgotten
+        """Whether removals after `revision` are not known or not kept."""
+        return revision < max(self._forgotten, self._listed)
 
     def changes_since(self, revision: int) -> tuple[list[Record], int]:
         """Return a bounded number of changes after `revision`, oldest first.
