Wait for agents that start with calls of plain services too

A call whose only target had just started its agent got 503 no_target at once, with seconds left: the entry excluded the target after the refusal "starting", which an agent without a configuration gives, and had no other.

The call waits for it now as a prompt does, for 8 s in all and never past its deadline, and takes nothing from the retry budget. A call that may have run is not repeated this way, nor one whose caller has left meanwhile. calls_repeated{starting} counts the waits.

Three of the four new tests failed on the old code; the refusal at once, which must stay, passed. The one of the caller that leaves fails as well if the check for it is taken out.

--- a/wigeonmill/entry/plain.py
+++ b/wigeonmill/entry/plain.py
@@ -7,11 +7,14 @@
 from wigeonmill.config.model import Target
 from wigeonmill.config.rules import runs_at_most_once
 from wigeonmill.entry.base import TeamHandler
+from wigeonmill.entry.context import EntryContext
 from wigeonmill.entry.context import ServiceRoutes
 from wigeonmill.entry.errors import ApiError
 from wigeonmill.entry.errors import Reason
 from wigeonmill.entry.refusals import agent_refusal
+from wigeonmill.entry.refusals import STARTING
 from wigeonmill.entry.requests import parse_deadline
+from wigeonmill.entry.start_waits import StartWaits
 from wigeonmill.protocol.client import PeerErrorKind
 from wigeonmill.protocol.gen.inner.ttypes import Call
 from wigeonmill.protocol.gen.inner.ttypes import CallReply
@@ -55,6 +58,14 @@
         'OPTIONS',
     )
 
+    def initialize(self, context: EntryContext) -> None:
+        super().initialize(context)
+        self._disconnected = False
+
+    def on_connection_close(self) -> None:
+        super().on_connection_close()
+        self._disconnected = True
+
     async def get(self, service: str, path: str) -> None:
         """Forward a call; all HTTP methods are handled in the same way."""
         if self._finished:
@@ -99,6 +110,7 @@
         idempotent = not key and self.request.method in IDEMPOTENT_METHODS
         attempts = Attempts(started_ms + deadline_ms, idempotent)
         excluded: set[str] = set()
+        start_waits = StartWaits(self.context.clock, attempts.deadline_ms)
         message = 'no target of the service is available'
         last_error = ApiError(Reason.NO_TARGET, message, 1000)
         while True:
@@ -109,12 +121,18 @@
                 return
             excluded.add(target.name)
             result = await self._try_target(
-                routes, target, path, key, attempts
+                routes, target, path, key, attempts, start_waits
             )
             if isinstance(result, CallReply):
                 self._write_reply(result)
                 return
             last_error = result
+            if result.reason not in _FINAL_REASONS:
+                left = self._pick_target(routes, key, excluded)
+                if left is None and await self._wait_for_starting(
+                    start_waits, attempts, excluded
+                ):
+                    continue
             reason = RetryReason.REFUSED
             if result.reason is Reason.NO_TARGET:
                 reason = RetryReason.UNREACHABLE
@@ -145,6 +163,7 @@
         path: str,
         key: str,
         attempts: Attempts,
+        start_waits: StartWaits,
     ) -> CallReply | ApiError:
         context = self.context
         context.breakers.record_dispatch(target.name)
@@ -163,9 +182,12 @@
             return ApiError(reason, error.message, 0, False)
         reply = answer.unwrap().call_reply
         if reply is None:
-            refusal = agent_refusal(answer.unwrap().refused)
+            refused = answer.unwrap().refused
+            refusal = agent_refusal(refused)
             if not refusal.not_run:
                 attempts.may_have_started = True
+            elif refused is not None and refused.reason == STARTING:
+                start_waits.add(target.name, refusal.retry_after_ms)
             return refusal
         if reply.digest != hashlib.sha256(reply.body or b'').digest():
             attempts.may_have_started = True
@@ -176,6 +198,22 @@
         context.budget.record_success()
         return reply
 
+    async def _wait_for_starting(
+        self, start_waits: StartWaits, attempts: Attempts, excluded: set[str]
+    ) -> bool:
+        """Wait for a starting target; return whether to ask it again.
+
+        A call that may have run is left to the retry budget.
+        """
+        if attempts.may_have_started:
+            return False
+        due = await start_waits.wait()
+        if not due or self._disconnected:
+            return False
+        excluded.difference_update(due)
+        self.context.metrics.count('calls_repeated', 'starting')
+        return True
+
     def _build_call(
         self, service: str, path: str, key: str, remaining_ms: float
     ) -> Call:
