Count only unsent bytes against the limit of a stream

A stream whose caller kept up could be broken off as one that its caller does not read. The channel counted all bytes that it had written since the kernel had last taken everything.

The limit now applies to what the connection's buffer holds.

--- a/tests/gateway/test_answer_limits.py
+++ b/tests/gateway/test_answer_limits.py
@@ -1,10 +1,18 @@
 """Answers without end are broken off before they fill the memory."""
 
+import asyncio
+import socket
+
 import pytest
 
 from tests.gateway.fakes import make_head
+from tests.gateway.raw_caller import REQUEST
+from tests.gateway.raw_caller import run_with_server
 from tests.gateway.samples import make_request
 from tests.gateway.samples import make_route
+from tests.gateway.test_internal_errors import Codec
+from tests.gateway.test_internal_errors import OK_HEAD
+from tests.gateway.test_internal_errors import Script
 from tests.gateway.test_request_run import engine_harness
 from tests.gateway.test_request_run import event
 from tests.gateway.test_request_run import plain_harness
@@ -90,3 +98,42 @@
     req = make_request(arrived_ms=harness.clock.now_ms())
     channel = harness.run(req, make_route(max_targets=1))
     assert channel.status == (200 if size <= LIMITS.body else 502)
+
+
+# Guards against LOST: all bytes of a stream counted as unread while its caller
+# was behind, and one that kept up was broken off at the limit.
+def test_a_caller_that_keeps_up_holds_only_what_it_has_not_read():
+    ahead_chunks, chunks = 64, 512
+    chunk = b'x' * 1_024
+    unread = asyncio.Semaphore(ahead_chunks)
+    unsent = []
+
+    async def serve(channel):
+        # Small, so that the caller is behind all the time.
+        buffer = (socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        channel._conn.stream.socket.setsockopt(*buffer)
+        channel.begin(OK_HEAD)
+        for _number in range(chunks):
+            await unread.acquire()
+            channel.send(chunk)
+            unsent.append(channel.unsent_bytes)
+        channel.finish()
+
+    async def check(server, forwarder):
+        loop = asyncio.get_running_loop()
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        sock.setblocking(False)
+        await loop.sock_connect(sock, ('127.0.0.1', server.port))
+        await loop.sock_sendall(sock, REQUEST)
+        received = 0
+        while len(unsent) < chunks:
+            received += len(await loop.sock_recv(sock, len(chunk)))
+            while received >= len(chunk):
+                received -= len(chunk)
+                unread.release()
+        sock.close()
+
+    run_with_server(lambda: Script(serve), Codec(), check)
+    assert min(unsent[ahead_chunks:]) > 0
+    assert max(unsent) < 2 * ahead_chunks * len(chunk)
--- a/wigeonmill/gateway/caller_channel.py
+++ b/wigeonmill/gateway/caller_channel.py
@@ -95,7 +95,6 @@
         '_is_head',
         '_ends_with_conn',
         '_close_announced',
-        '_unsent_bytes',
     )
 
     def __init__(
@@ -111,7 +110,6 @@
         self._is_head = start.method == 'HEAD'
         self._ends_with_conn = False
         self._close_announced = False
-        self._unsent_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._req: CallerRequest | None = None
         self._progress: Callable[[], Progress] | None = None
@@ -128,8 +126,9 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """The bytes written since the kernel had last taken all of them."""
-        return self._unsent_bytes if self._conn.stream.writing() else 0
+        """The bytes that were written and that the kernel has not taken."""
+        # Tornado has no public name for its buffer.
+        return len(self._conn.stream._write_buffer)
 
     def serve(self, req: CallerRequest) -> None:
         """Start to serve the request; its answer uses this channel."""
@@ -203,7 +202,6 @@
     def send(self, data: bytes) -> None:
         """Send the next part of the body."""
         if not self.closed and not self._is_head:
-            self._unsent_bytes = self.unsent_bytes + len(data)
             self._conn.write(data)
 
     def finish(self) -> None:
