Take the reply to HEAD on a stream's route for whole

HEAD on a route for streams was refused with 502 if the reply had no length and no chunks, as is usual for a stream. No event had come, and the end of such a reply looked like that of a broken connection. The request went to all targets that its route allows, and each of them counted as lost, which can close their circuits and quarantine parts of the prompt.

A reply to HEAD never has a body, so that it needs no event to be whole.

The new test failed before: the request was refused.

--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -259,6 +259,18 @@
     assert channel.status == 502
 
 
+# Guards against LOST: the reply to HEAD on a stream's route was taken for a
+# stream that had broken off, its targets for lost, and the caller was refused.
+def test_the_reply_to_head_is_whole_without_an_event():
+    head = make_head(framing=Framing.CLOSE)
+    harness = engine_harness([(head, ExchangeEnd.COMPLETE)])
+    channel = run_stream(harness, method='HEAD', body=b'')
+    assert channel.finished
+    assert channel.status == 200
+    assert len(harness.client.sent) == 1
+    assert harness.ctx.metrics.reasons('gateway_answers_broken') == {}
+
+
 @pytest.mark.parametrize('ends', list(ENDS_INSIDE_AN_EVENT))
 def test_a_resumable_stream_that_ends_inside_an_event_goes_on(ends):
     """A stream that had been broken off reached its caller as complete."""
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -244,7 +244,12 @@
         cut = ''
         if splitter.inside_event:
             cut = 'inside_event'
-        elif head.framing is Framing.CLOSE and not self.receipt.events:
+        elif (
+            head.framing is Framing.CLOSE
+            and not self.receipt.events
+            # The reply to HEAD is whole without a body.
+            and self._terms.req.method != 'HEAD'
+        ):
             cut = 'before_first_event'
         if cut:
             self._ctx.metrics.count('gateway_answers_broken', cut)
