Keep an attempt whose rival can't be recorded

An error of the gateway while it recorded how one of two attempts had ended also ended the other one, and the caller got a 500 or a stream that was cut.

Such errors are logged now while an attempt goes on. What the limits on further attempts depend on is recorded first, so that it is not missed.

The four cases of the two new tests failed before; all pass now.

--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -18,6 +18,8 @@
 from wigeonmill.gateway.allowances import RetryAllowance
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.target_client import ExchangeEnd
+from wigeonmill.gateway.target_load import TargetLoad
+from wigeonmill.routing.circuit import CircuitBreakers
 
 WHERE = ['before-head', 'between-events']
 
@@ -66,6 +68,37 @@
     assert_released(harness)
 
 
+# Guards against LOST: an error of the gateway in the records of an attempt
+# that had failed ended the stream of the other one.
+@pytest.mark.parametrize('where', WHERE)
+def test_an_error_as_an_attempt_ends_leaves_the_other(where, monkeypatch):
+    second = fakes.CUT_BEFORE_HEAD
+    harness = engine_harness([silent_stream(where, 2_500.0), second])
+    monkeypatch.setattr(CircuitBreakers, 'record_failure', fail)
+    run_stream(harness)
+    assert_whole(harness)
+    assert_released(harness)
+
+
+# Guards against LOST: such an error as an attempt took over left neither of
+# the two, since the other one had been cancelled.
+@pytest.mark.parametrize('where', WHERE)
+def test_an_error_as_an_attempt_takes_over_leaves_it(where, monkeypatch):
+    last = LAST_BEFORE_SILENCE[where]
+    harness = engine_harness([silent_stream(where, 6_000.0), rest_after(last)])
+    record_outcome = TargetLoad.record_outcome
+    monkeypatch.setattr(
+        TargetLoad,
+        'record_outcome',
+        lambda self, failed: (
+            fail() if failed else record_outcome(self, failed)
+        ),
+    )
+    run_stream(harness)
+    assert_whole(harness)
+    assert_released(harness)
+
+
 def test_an_error_in_the_only_attempt_ends_its_run():
     harness = engine_harness([(make_head(), event(1), fail)])
     with pytest.raises(BrokenError):
--- a/wigeonmill/gateway/failover.py
+++ b/wigeonmill/gateway/failover.py
@@ -72,7 +72,7 @@
                 task = self._running.pop(attempt)
                 attempt.close()
                 failure = self._result(task)
-                self._owner.on_end(attempt, failure)
+                self._report_end(attempt, failure)
                 if failure is None or not self._running:
                     return failure
 
@@ -89,6 +89,15 @@
         logger.error('internal error in one of two attempts', exc_info=exc)
         return internal_error()
 
+    def _report_end(self, attempt: Attempt, failure: Failure | None) -> None:
+        try:
+            self._owner.on_end(attempt, failure)
+        except Exception:
+            if not self._running:
+                raise
+            # The other attempt may still serve the request.
+            logger.exception('internal error as one of two attempts ended')
+
     def _has_rival(self) -> bool:
         """Whether two attempts are under way."""
         return len(self._running) > 1
@@ -113,7 +122,11 @@
             if other is not attempt and not task.done():
                 overtaken = other
                 self._cancel(other)
-        self._owner.on_lead(attempt, overtaken)
+        try:
+            self._owner.on_lead(attempt, overtaken)
+        except Exception:
+            # The attempt is the only one left.
+            logger.exception('internal error as an attempt went on')
 
     def _cancel(self, attempt: Attempt) -> None:
         task = self._running.pop(attempt)
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -304,34 +304,36 @@
 
     def on_lead(self, attempt: Attempt, overtaken: Attempt | None) -> None:
         """Record where the stream goes on, before the caller gets more."""
-        self._record_origin(attempt.target)
         if overtaken is None:
+            self._record_origin(attempt.target)
             return
+        second, self._second = self._second, None
         self._track_failure(overtaken.target, stalled())
         self._returnable_ids.add(overtaken.target.id)
-        if overtaken is self._second:
+        self._record_origin(attempt.target)
+        if overtaken is second:
             self._record_second('first_went_on', attempt, overtaken)
         else:
             self._record_outcome(overtaken.target, stalled())
             self._record_second('took_over', overtaken, attempt)
-        self._second = None
 
     def on_end(self, attempt: Attempt, failure: Failure | None) -> None:
         """Record how an attempt ended."""
+        second, self._second = self._second, None
+        if failure is not None:
+            self._track_failure(attempt.target, failure)
+            if second is not None and not failure.may_have_run:
+                self._fruitless += 1
+                self._returnable_ids.add(attempt.target.id)
         self._log.record_end(attempt)
         self._record_outcome(attempt.target, failure)
         if failure is None:
             return
-        self._track_failure(attempt.target, failure)
         if not attempt.served:
             self._record_lost_parts(attempt.target, failure)
-        if self._second is not None:
-            if not failure.may_have_run:
-                self._fruitless += 1
-                self._returnable_ids.add(attempt.target.id)
-            outcome = 'failed' if attempt is self._second else 'first_failed'
-            self._record_second(outcome, attempt, self._second, failure)
-            self._second = None
+        if second is not None:
+            outcome = 'failed' if attempt is second else 'first_failed'
+            self._record_second(outcome, attempt, second, failure)
 
     def _record_second(
         self,
