Hand out no address twice to the processes of a test

free_address asks the kernel for a free port and closes it again, so a process that is still starting doesn't hold its port and another one may be given the same. The second can't listen and ends, and the test waits for the start of the system in vain.

An address is none of the last 1,000 that the same process handed out. Draws by other test processes can still meet.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,6 +1,7 @@
 """Runs the system and its stand-ins as real processes on loopback."""
 
 import asyncio
+import collections
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
@@ -29,6 +30,8 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 KEY_VALUE_TIMEOUT_MS = 1000
+# The ports that free_address returned last.
+_handed_out: collections.deque[int] = collections.deque(maxlen=1000)
 
 
 @dataclass(slots=True)
@@ -155,10 +158,18 @@
 
 
 def free_address() -> str:
-    """Return a loopback IP:port that no process listens on at present."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
+    """Return a loopback IP:port that no process listens on at present.
+
+    It is none of the last ones returned, as their processes may not listen
+    yet.
+    """
+    while True:
+        with socket.socket() as sock:
+            sock.bind(('127.0.0.1', 0))
+            port = sock.getsockname()[1]
+        if port not in _handed_out:
+            _handed_out.append(port)
+            return f'127.0.0.1:{port}'
 
 
 def wait_for_listener(
