Don't blame a part for the outage of its service

Callers of sound requests got 503 part_crashes_targets while targets of their service ended or reset their connections: a part that all of them have was quarantined.

Cause: whether chance explains that a part was lost with three targets in a row was judged by all other runs of the gateway, also those of services that could not have lost anything.

Now the runs with prompts at the services of the lost lifetimes must speak against chance, too. The directory knows these services, also for losses that peers report. Where nothing is served, nothing tells one part from another.

The simulation in test_part_guard.py passes with its bounds unchanged. The fixture of that file gives the guard a function for the services.

--- a/tests/gateway/test_part_guard.py
+++ b/tests/gateway/test_part_guard.py
@@ -28,7 +28,15 @@
     def __init__(self, clock, probes=False):
         self.clock = clock
         self.log = LossLog(clock)
-        self.guard = PartGuard(clock, Metrics(), self.log, lambda: probes)
+        # The services of lifetimes, if they are known.
+        self.services = {}
+        self.guard = PartGuard(
+            clock,
+            Metrics(),
+            self.log,
+            lambda: probes,
+            lambda lifetime: self.services.get(lifetime, ''),
+        )
         self.told = {}
 
     def tell(self, other):
@@ -190,6 +198,67 @@
     assert entry.guard.find((BAD, b'new'))
 
 
+# Guards against LOST: a part of all requests to one service was refused after
+# its targets had reset their connections, because another service went on.
+@pytest.mark.parametrize(
+    'served, served_service, refuses',
+    [
+        ((b'other',), 'ledger', False),
+        # A request without a prompt.
+        ((), 'streams', False),
+        ((b'other',), 'streams', True),
+    ],
+)
+def test_runs_that_differ_are_no_evidence(served, served_service, refuses):
+    clock, (entry,) = make_entries()
+    for number in range(3):
+        entry.services[f't{number}'] = 'streams'
+        for other in range(4):
+            keys = (b'shared', b'subject %d %d' % (number, other))
+            entry.guard.record_lost(keys, f't{number}')
+        clock.advance(15.0)
+    for _ in range(200):
+        entry.guard.record_served(served, served_service)
+    refused = entry.guard.find((b'shared', b'subject')) is not None
+    assert refused == refuses
+
+
+# Guards against BUDGET: a part that ends targets of a service with few runs
+# was not blamed before many more of them had ended.
+def test_few_runs_at_the_service_suffice_beside_many_others():
+    clock, (entry,) = make_entries()
+    for number in range(3):
+        entry.services[f't{number}'] = 'streams'
+        entry.guard.record_lost((b'shared', BAD), f't{number}')
+        for other in range(2):
+            keys = (b'shared', b'subject %d %d' % (number, other))
+            entry.guard.record_lost(keys, f't{number}')
+        for _ in range(6):
+            entry.guard.record_served((b'shared',), 'streams')
+        for _ in range(25):
+            entry.guard.record_served((), 'ledger')
+        clock.advance(1_000.0)
+    assert entry.guard.find((b'shared', BAD))
+
+
+# Guards against BUDGET: an entry that lost no target itself knows from the
+# lifetimes which service the crashes of a part hit.
+def test_crashes_that_others_report_are_compared_within_their_service():
+    clock, (first, second) = make_entries(2)
+    for entry in (first, second):
+        entry.services |= {f't{number}': 'streams' for number in range(3)}
+    for number in range(3):
+        first.guard.record_lost((BAD,), f't{number}')
+        clock.advance(1_000.0)
+        exchange((first, second))
+    for _ in range(20):
+        second.guard.record_served((), 'ledger')
+    assert not second.guard.find((BAD,))
+    for _ in range(20):
+        second.guard.record_served((b'sound',), 'streams')
+    assert second.guard.find((BAD,))
+
+
 def test_no_part_is_blamed_while_hardly_any_run_is_served():
     clock, (entry,) = make_entries()
     for number in range(10):
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -273,7 +273,9 @@
     def _record_served(self) -> None:
         if not self.served:
             self.served = True
-            self._ctx.part_guard.record_served(self._terms.part_keys)
+            self._ctx.part_guard.record_served(
+                self._terms.part_keys, self.target.service
+            )
 
     def _record_origin(self) -> None:
         if self._relay.started and self._terms.origin is None:
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -233,7 +233,11 @@
         self.loss_log = LossLog(clock)
         self.crash_guard = CrashGuard(clock, self.loss_log)
         self.part_guard = PartGuard(
-            clock, metrics, self.loss_log, lambda: entry_position() == 0.0
+            clock,
+            metrics,
+            self.loss_log,
+            lambda: entry_position() == 0.0,
+            self.directory.service_of,
         )
         self.answer_limits = answer_limits
         self.origins: StreamOrigins = LocalStreamOrigins()
--- a/wigeonmill/gateway/part_guard.py
+++ b/wigeonmill/gateway/part_guard.py
@@ -27,6 +27,8 @@
 # served, and if the chance that a sound part was lost as often is this small.
 MIN_CRASHES = 3
 MAX_CHANCE = 0.002
+# The same by the runs at the services that lost the targets, which are fewer.
+MAX_CHANCE_AT_SERVICES = 0.05
 # Of several parts that were lost together, one is blamed alone if it crashes
 # this many more targets without the others.
 MIN_CRASHES_ALONE = 2
@@ -71,19 +73,26 @@
     keys: frozenset[bytes]
 
 
+@dataclass(frozen=True, slots=True)
+class _Runs:
+    """Numbers of an entry's runs of one group."""
+
+    lost: int = 0
+    served: int = 0
+
+
 @dataclass(slots=True)
 class _Suspect:
     """A part under which targets were lost, by their lifetimes.
 
-    `runs_lost` and `runs_served` are the entry's numbers of runs before the
-    first loss that counts; `own_losses` are those of this part since then.
+    `runs_before` are the entry's runs by group before the first loss that
+    counts; `own_losses` are those of this part since then.
     """
 
     losses: dict[str, _Loss] = field(default_factory=dict)
     served_ms: float = float('-inf')
     told_ms: float = float('-inf')
-    runs_lost: int = 0
-    runs_served: int = 0
+    runs_before: dict[str | None, _Runs] = field(default_factory=dict)
     own_losses: int = 0
 
     @property
@@ -118,8 +127,8 @@
         '_suspects',
         '_quarantines',
         '_probations',
-        '_runs_lost',
-        '_runs_served',
+        '_runs',
+        '_service_of',
         '_may_probe',
         '_started_ms',
     )
@@ -130,13 +139,16 @@
         metrics: Metrics,
         log: LossLog,
         may_probe: Callable[[], bool],
+        service_of: Callable[[str], str],
     ) -> None:
         """Create the guard of an entry.
 
         `may_probe` tells whether it is the one of all entries that probes
-        quarantined parts.
+        quarantined parts, and `service_of` the service of a lifetime, which
+        is empty if the target is not known.
         """
         self._may_probe = may_probe
+        self._service_of = service_of
         self._clock = clock
         self._started_ms = clock.now_ms()
         self._metrics = metrics
@@ -145,8 +157,9 @@
         self._quarantines: list[Quarantine] = []
         # The end of each probation.
         self._probations: dict[frozenset[bytes], float] = {}
-        self._runs_lost = 0
-        self._runs_served = 0
+        # By service; those without shared parts, which may be of another
+        # kind, are under None.
+        self._runs: dict[str | None, _Runs] = {}
 
     def find(self, keys: Collection[bytes]) -> Quarantine | None:
         """Return the quarantine that forbids a request with these parts."""
@@ -196,13 +209,19 @@
 
     def record_lost(self, keys: Collection[bytes], lifetime: str) -> None:
         """Record that a target was lost while it ran a request."""
-        self._runs_lost += 1
+        service = self._service_of(lifetime) if keys else None
+        runs = self._runs.get(service, _Runs())
+        self._runs[service] = _Runs(runs.lost + 1, runs.served)
         outcome = RunOutcome(tuple(keys), lifetime)
         self._add_losses(outcome, self._clock.now_ms(), local=True)
 
-    def record_served(self, keys: Collection[bytes]) -> None:
-        """Record that a target lived on while it served a request."""
-        self._runs_served += 1
+    def record_served(
+        self, keys: Collection[bytes], service: str = ''
+    ) -> None:
+        """Record that a target of `service` lived on while it served."""
+        group = service if keys else None
+        runs = self._runs.get(group, _Runs())
+        self._runs[group] = _Runs(runs.lost, runs.served + 1)
         now_ms = self._clock.now_ms()
         to_tell = []
         for key in keys:
@@ -289,8 +308,7 @@
             suspect.own_losses += local
             return False
         if not self._counting_losses(suspect):
-            suspect.runs_lost = self._runs_lost
-            suspect.runs_served = self._runs_served
+            suspect.runs_before = dict(self._runs)
             suspect.own_losses = 0
         elif local:
             suspect.own_losses += 1
@@ -363,7 +381,7 @@
             needed, max_chance = MIN_CRASHES_ALONE, MAX_CHANCE_ALONE
         if len(lifetimes) < needed:
             return set()
-        if self._chance(suspect, len(lifetimes)) > max_chance:
+        if self._may_be_chance(suspect, lifetimes, max_chance):
             return set()
         return lifetimes
 
@@ -376,14 +394,35 @@
             for quarantine in self._quarantines
         )
 
-    def _chance(self, suspect: _Suspect, crashes: int) -> float:
+    def _may_be_chance(
+        self, suspect: _Suspect, lifetimes: set[str], max_chance: float
+    ) -> bool:
+        """Whether a sound part may well have been lost as often.
+
+        It may if nothing else was served since the first of the losses at the
+        services that lost the targets. A service that goes on tells nothing of
+        one that is down, nor does a request without a prompt of one with it.
+        """
+        crashes = len(lifetimes)
+        services: set[str | None] = set(map(self._service_of, lifetimes))
+        at_services = self._chance(suspect, crashes, services)
+        overall = self._chance(suspect, crashes, self._runs.keys())
+        return overall > max_chance or at_services > MAX_CHANCE_AT_SERVICES
+
+    def _chance(
+        self, suspect: _Suspect, crashes: int, services: Collection[str | None]
+    ) -> float:
         """Return the chance that a sound part would be lost as often.
 
         It is 1 if no other runs were served since the first of the losses:
         then nothing tells this part from the others.
         """
-        lost = self._runs_lost - suspect.runs_lost - suspect.own_losses
-        served = self._runs_served - suspect.runs_served
+        lost, served = -suspect.own_losses, 0
+        for service in services:
+            runs = self._runs.get(service, _Runs())
+            before = suspect.runs_before.get(service, _Runs())
+            lost += runs.lost - before.lost
+            served += runs.served - before.served
         lost = max(0, lost) + 1
         return float((lost / (lost + served)) ** crashes)
 
@@ -406,8 +445,10 @@
                 'source': source,
                 'age_ms': round(self._clock.now_ms() - quarantine.since_ms),
                 'targets': sorted(quarantine.lifetimes),
-                'runs_lost': self._runs_lost,
-                'runs_served': self._runs_served,
+                'runs_lost': sum(runs.lost for runs in self._runs.values()),
+                'runs_served': sum(
+                    runs.served for runs in self._runs.values()
+                ),
             },
         )
 
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -187,6 +187,11 @@
         """Return the target with this id."""
         return self._targets.get(target_id)
 
+    def service_of(self, lifetime: str) -> str:
+        """Return the service of a lifetime; it is empty if not known."""
+        target = self._targets.get(lifetime.rpartition('@')[0])
+        return target.service if target is not None else ''
+
     def of_service(self, service: str) -> list[Target]:
         """Return the targets of a service that accept new requests."""
         return [
