Don't blame prompt parts for answers that are too long

An answer without end is given up by the gateway, which closes the connection while the target writes. That was recorded as the end of the target under the parts of the prompt, so a part could be quarantined though one of its three targets had never ended.

Such a failure is marked now and is no loss of the parts. The target's circuit and the count of the request's own losses are as before.

test_a_part_is_not_blamed_for_answers_that_are_too_long[False] failed before.

--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -10,6 +10,7 @@
 from tests.gateway.test_request_run import event
 from tests.gateway.test_request_run import run_stream
 from tests.gateway.test_request_run import stream_route
+from wigeonmill.gateway.context import AnswerLimits
 from wigeonmill.gateway.request import Generation
 from wigeonmill.gateway.request import PromptPart
 from wigeonmill.gateway.target_client import ExchangeEnd
@@ -102,6 +103,22 @@
     assert fleet.send('other 4', BAD).status == 503
 
 
+# Guards against LOST: a target that wrote without end, until the gateway shut
+# the connection, was counted as ended, and a sound part was refused.
+@pytest.mark.parametrize('ends', [True, False])
+def test_a_part_is_not_blamed_for_answers_that_are_too_long(ends):
+    fleet = Fleet()
+    fleet.harness.ctx.answer_limits = AnswerLimits(event=5_000)
+    for number in range(5):
+        head = make_head(request_id=f'q{fleet.requests + 1}')
+        part = ExchangeEnd.BROKEN if ends else b'x' * 10_000
+        fleet.send('shared', f'subject {number}', script=(head, part))
+        for other in range(20):
+            fleet.send(f'other {other}', 'sound')
+    quarantined = fleet.harness.ctx.metrics.reasons('gateway_part_quarantines')
+    assert ('crashes' in quarantined) == ends
+
+
 @pytest.mark.parametrize('survives', [True, False])
 def test_a_stream_that_breaks_off_late_clears_its_parts(survives):
     fleet = Fleet()
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -16,6 +16,7 @@
 from wigeonmill.gateway.failures import Failure
 from wigeonmill.gateway.failures import may_have_run
 from wigeonmill.gateway.failures import not_run
+from wigeonmill.gateway.failures import overlong
 from wigeonmill.gateway.failures import timed_out
 from wigeonmill.gateway.failures import transfer_failed
 from wigeonmill.gateway.relay import Relay
@@ -220,8 +221,7 @@
         The target may send bytes without end, which must not fill the memory.
         """
         self._ctx.metrics.count('gateway_answers_broken', f'{what}_too_long')
-        message = f'the {what} of the answer is too long'
-        return transfer_failed(ExchangeEnd.BROKEN, message)
+        return overlong(f'the {what} of the answer is too long')
 
     def _unread(self) -> Failure:
         """Return the failure of a stream whose caller does not read it."""
--- a/wigeonmill/gateway/failures.py
+++ b/wigeonmill/gateway/failures.py
@@ -22,7 +22,8 @@
     `arrived_at_service` is set if the request arrived at a process of the
     service, and `reached` if that was the intended target. `may_have_run` is
     set if the target may have started the request, `target_lost` if the
-    connection failed, and `final` if no retry is allowed.
+    connection failed, and `final` if no retry is allowed. `was_writing` is set
+    if this process closed the connection while the target was writing.
     """
 
     reason: Reason
@@ -31,6 +32,7 @@
     may_have_run: bool
     arrived_at_service: bool = True
     target_lost: bool = False
+    was_writing: bool = False
     answer: ErrorAnswer | None = None
     retry_after_ms: float | None = None
     final: bool = False
@@ -63,6 +65,18 @@
     return may_have_run(Reason.BROKEN_OFF, 'the target stopped sending')
 
 
+def overlong(message: str) -> Failure:
+    """Return the failure of an attempt whose answer is too long."""
+    return Failure(
+        Reason.MAY_HAVE_RUN,
+        message,
+        reached=True,
+        may_have_run=True,
+        target_lost=True,
+        was_writing=True,
+    )
+
+
 def internal_error() -> Failure:
     """Return the failure of an attempt by an error of the gateway itself."""
     return may_have_run(Reason.INTERNAL, 'internal error')
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -367,6 +367,8 @@
 
     def _record_lost_parts(self, target: Target, failure: Failure) -> None:
         """Record the parts of the prompt if their target may have ended."""
+        if failure.was_writing:
+            return
         if failure.target_lost and failure.arrived_at_service:
             self._ctx.part_guard.record_lost(
                 self._terms.part_keys, target.lifetime
