Don't blame a part for targets that another one ended

A request with a crashing part ends up to three targets in a row within 0.1 s.

The lifetimes that ended under parts in quarantine are kept with it, also those of runs that were under way then. Another part is blamed only if it was lost with two targets more, like one of several parts that were always lost together. So a part that is blamed first, and wrongly, can't hide the one that goes on to end targets.

test_a_part_is_not_blamed_for_targets_that_another_one_ended failed before. The simulation in test_part_guard.py passes with its bounds unchanged.

--- a/tests/gateway/test_part_guard.py
+++ b/tests/gateway/test_part_guard.py
@@ -259,6 +259,44 @@
     assert second.guard.find((BAD,))
 
 
+# Guards against LOST: a request with a crashing part ended three targets, and
+# another one that went on with it was lost with each; its part was refused.
+def test_a_part_is_not_blamed_for_targets_that_another_one_ended():
+    clock, entries = make_entries(2)
+    for number in range(3):
+        entries[0].guard.record_lost((b'shared', b'subject'), f't{number}')
+        entries[0].guard.record_lost((b'shared', BAD), f't{number}')
+        clock.advance(40.0)
+        exchange(entries)
+    for entry in entries:
+        for _ in range(50):
+            entry.guard.record_served((b'shared',))
+        assert entry.guard.find((b'shared', BAD))
+        assert not entry.guard.find((b'shared', b'subject'))
+    # One was running at another target already.
+    entries[0].guard.record_lost((b'shared', b'subject'), 't3')
+    entries[1].guard.record_lost((b'shared', BAD), 't3')
+    exchange(entries)
+    for entry in entries:
+        assert not entry.guard.find((b'shared', b'subject'))
+
+
+# Guards against BUDGET: a part that was blamed first, and wrongly, must not
+# hide the one that goes on to end targets.
+def test_a_part_that_ends_further_targets_is_blamed_beside_another():
+    clock, (entry,) = make_entries()
+    for number in range(3):
+        entry.guard.record_lost((b'subject',), f't{number}')
+        entry.guard.record_lost((BAD,), f't{number}')
+        clock.advance(40.0)
+    for _ in range(50):
+        entry.guard.record_served((b'sound',))
+    assert entry.guard.find((b'subject',))
+    for number in range(3, 5):
+        crash(clock, entry, BAD, lifetime=f't{number}')
+    assert entry.guard.find((BAD,))
+
+
 def test_no_part_is_blamed_while_hardly_any_run_is_served():
     clock, (entry,) = make_entries()
     for number in range(10):
--- a/wigeonmill/gateway/part_guard.py
+++ b/wigeonmill/gateway/part_guard.py
@@ -108,7 +108,8 @@
 
     If several parts were always lost together, `parts` holds all of them, and
     requests with only some of them are still sent. `lifetimes` are the targets
-    that were lost. `probed` is set once a request was sent in spite of it.
+    that were lost under them. `probed` is set once a request was sent in spite
+    of it.
     """
 
     parts: frozenset[bytes]
@@ -276,6 +277,9 @@
         if not new:
             return
         self._log.add_parts(outcome, at_ms, local)
+        for quarantine in self._quarantines:
+            if quarantine.parts.issubset(outcome.keys):
+                quarantine.lifetimes.add(outcome.lifetime)
         if not self._renews_quarantine(outcome.keys):
             self._judge(outcome.keys)
 
@@ -383,6 +387,8 @@
             return set()
         if self._may_be_chance(suspect, lifetimes, max_chance):
             return set()
+        if self._are_explained(key, lifetimes):
+            return set()
         return lifetimes
 
     def _is_lost_without_others(
@@ -394,6 +400,18 @@
             for quarantine in self._quarantines
         )
 
+    def _are_explained(self, key: bytes, lifetimes: set[str]) -> bool:
+        """Whether these lifetimes, but for one, ended under other parts.
+
+        Those parts are in quarantine. A request that goes on at other targets
+        may be lost with each that the same other one ends.
+        """
+        return any(
+            len(lifetimes - quarantine.lifetimes) < MIN_CRASHES_ALONE
+            for quarantine in self._quarantines
+            if key not in quarantine.parts
+        )
+
     def _may_be_chance(
         self, suspect: _Suspect, lifetimes: set[str], max_chance: float
     ) -> bool:
