--- a/wigeonmill/gateway/failures.py
+++ b/wigeonmill/gateway/failures.py
@@ -24,7 +24,8 @@
     set if the target may have started the request, `target_lost` if the
     connection failed, `internal` if an error of this process ended the
     attempt, which says nothing about the target, and `final` if no retry is
-    allowed.
+    allowed. `was_writing` is set if this process closed the connection while
+    the target was writing.
     """
 
     reason: Reason
@@ -34,6 +35,7 @@
     arrived_at_service: bool = True
     target_lost: bool = False
     internal: bool = False
+    was_writing: bool = False
     answer: ErrorAnswer | None = None
     retry_after_ms: float | None = None
     final: bool = False
@@ -66,6 +68,18 @@
     return may_have_run(Reason.BROKEN_OFF, 'the target stopped sending')
 
 
+def overlong(message: str) -> Failure:
+    """Return the failure of an attempt whose answer is too long."""
+    return Failure(
+        Reason.MAY_HAVE_RUN,
+        message,
+        reached=True,
+        may_have_run=True,
+        target_lost=True,
+        was_writing=True,
+    )
+
+
 def internal_error() -> Failure:
     """Return the failure of an attempt by an error of the gateway itself."""
     return Failure(
