Keep an attempt beside one that can't be closed

An error of the gateway as one of two attempts was closed ended the other one: the caller got a 500 or a stream that was cut (LOST, an error inside). An attempt that had taken over was ended as well, although the error was that of the one it had overtaken.

The error is logged, and the target's load is released in any case.

--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -99,6 +99,37 @@
     assert_released(harness)
 
 
+# Guards against LOST: an error as one of two attempts was closed ended the
+# stream of the other one.
+@pytest.mark.parametrize('where', WHERE)
+@pytest.mark.parametrize('what', ['overtaken', 'failed'])
+def test_an_error_closing_an_attempt_leaves_the_other(
+    where, what, monkeypatch
+):
+    last = LAST_BEFORE_SILENCE[where]
+    scripts = {
+        'overtaken': [silent_stream(where, 6_000.0), rest_after(last)],
+        'failed': [silent_stream(where, 2_500.0), fakes.CUT_BEFORE_HEAD],
+    }
+    harness = engine_harness(scripts[what])
+    cancel = fakes.FakeExchange.cancel
+    closed = []
+
+    def fail_once(self):
+        closed.append(self)
+        (fail if len(closed) == 1 else cancel)(self)
+
+    monkeypatch.setattr(fakes.FakeExchange, 'cancel', fail_once)
+    run_stream(harness)
+    assert harness.channel.finished
+    assert harness.channel.body == WHOLE_STREAM
+    # Later ones are closed all the same.
+    assert len(closed) == 2
+    assert closed[1].cancelled
+    targets = list(harness.ctx.directory.all())
+    assert [t.load.own_runs() for t in targets] == [0] * len(targets)
+
+
 def test_an_error_in_the_only_attempt_ends_its_run():
     harness = engine_harness([(make_head(), event(1), fail)])
     with pytest.raises(BrokenError):
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -121,8 +121,10 @@
 
     def close(self) -> None:
         """Cancel the request at the target, unless it is complete."""
-        self._exchange.cancel()
-        self.target.load.close(self._in_flight)
+        try:
+            self._exchange.cancel()
+        finally:
+            self.target.load.close(self._in_flight)
 
     @property
     def silent_ms(self) -> float:
--- a/wigeonmill/gateway/failover.py
+++ b/wigeonmill/gateway/failover.py
@@ -70,7 +70,7 @@
             ended = [a for a, task in self._running.items() if task.done()]
             for attempt in ended:
                 task = self._running.pop(attempt)
-                attempt.close()
+                self._close(attempt)
                 failure = self._result(task)
                 self._report_end(attempt, failure)
                 if failure is None or not self._running:
@@ -131,5 +131,12 @@
     def _cancel(self, attempt: Attempt) -> None:
         task = self._running.pop(attempt)
         task.cancel()
-        attempt.close()
         self._cancelled.append(task)
+        self._close(attempt)
+
+    def _close(self, attempt: Attempt) -> None:
+        try:
+            attempt.close()
+        except Exception:
+            # What the other attempt writes does not depend on it.
+            logger.exception('internal error closing an attempt')
