Read and log the limits that targets name in their answers

Now each answer's statement is kept with the target when its head arrives. The lines "target limited" and "target unlimited" have the rate before and after, the kind of call and the age of the request; the counters are target_notices{limited} and {unlimited}. A malformed limit is counted and logged and changes nothing.

Answers overtake each other. So a statement counts as made between the time at which its request was sent and the time at which the answer was read: a limit ends or rises by an answer to a request that was sent after the limit was read, and of two statements whose order can't be told the lower limit holds. Only a success without the field says that there is no limit. A limit belongs to one lifetime; a record that comes later than the answer takes it over.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -62,6 +62,7 @@
         self._on_head = on_head
         self._parts = list(parts)
         self._silent_until_ms = None
+        self.sent_ms = clock.now_ms()
         self.message = ''
         self.cancelled = False
 
@@ -109,10 +110,13 @@
         self._scripts = list(scripts)
 
     def send(self, req, target, instructions, idempotent):
+        self._notices.record_sent(target, req.id)
         turn = min(len(self.sent), len(self._scripts) - 1)
 
         def on_head(head):
-            self._notices.record(target, head.notice, 'answer', req.id)
+            self._notices.record(
+                target, head.notice, 'answer', req.id, exchange.sent_ms
+            )
 
         exchange = FakeExchange(
             self._clock, target, self._scripts[turn], on_head
--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -691,3 +691,64 @@
     channel = run_stream(harness, [script])
     assert len(harness.client.sent) == 1
     assert channel.aborted
+
+
+def limited(per_s, **changes):
+    return whole(notice=Notice(limit_per_s=per_s), **changes)
+
+
+# Guards against LIMIT: what an answer states about the limit is not kept, or
+# nothing shows that a target named one.
+def test_a_limit_is_kept_logged_and_counted_until_an_answer_names_none(caplog):
+    caplog.set_level(logging.INFO)
+    harness = ledgers([limited(4.0)], count=1)
+    target = next(iter(harness.ctx.directory.all()))
+    run_ledger(harness)
+    assert target.limit.per_s == 4.0
+    harness.clock.advance(5_000.0)
+    harness.client.set_scripts([limited(math.inf)])
+    run_ledger(harness)
+    assert target.limit.per_s == math.inf
+    counts = harness.ctx.metrics.reasons('target_notices')
+    assert counts == {'limited': 1, 'unlimited': 1}
+    lines = [r for r in caplog.records if hasattr(r, 'before_per_s')]
+    assert [(r.message, r.per_s, r.before_per_s) for r in lines] == [
+        ('target limited', 4.0, None),
+        ('target unlimited', None, 4.0),
+    ]
+
+
+@pytest.mark.parametrize('status', [200, 404, 500, 503])
+def test_any_answer_names_a_limit_although_it_breaks_off(status):
+    script = limited(2.0, status=status, end=ExchangeEnd.BROKEN)
+    harness = ledgers([script], count=1)
+    run_ledger(harness)
+    target = next(iter(harness.ctx.directory.all()))
+    assert target.limit.per_s == 2.0
+
+
+# Guards against a limit of an earlier lifetime, and against its loss because
+# the record of the lifetime that named it came late.
+@pytest.mark.parametrize(
+    ('born_after_ms', 'per_s'), [(-1, 4.0), (1, math.inf)]
+)
+def test_a_new_lifetime_has_the_limit_that_it_named_itself(
+    born_after_ms, per_s
+):
+    harness = ledgers([limited(4.0)], count=1)
+    run_ledger(harness)
+    named_ms = harness.clock.wall_ms()
+    record = make_record('t0', started_at_ms=named_ms + born_after_ms)
+    harness.ctx.directory.apply(record)
+    assert harness.ctx.directory.get('t0').limit.per_s == per_s
+
+
+# Guards against a limit of a target that is named but not listed yet.
+def test_a_limit_of_a_target_without_a_record_is_kept():
+    harness = ledgers([], count=1)
+    target = next(iter(harness.ctx.directory.all()))
+    notice = Notice(target_id='t9', limit_per_s=3.0)
+    harness.ctx.notices.record(target, notice, 'answer')
+    harness.ctx.directory.apply(make_record('t9'))
+    assert harness.ctx.directory.get('t9').limit.per_s == 3.0
+    assert target.limit.per_s == math.inf
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -1,3 +1,5 @@
+from math import inf
+
 import pytest
 
 from alliance.targets import AllianceTargets
@@ -135,6 +137,39 @@
     assert decode_head(status, Retry_After=2).notice.closed_ms is None
 
 
+# Guards against LIMIT: a stated limit that is not read, or is misread.
+@pytest.mark.parametrize(
+    ('text', 'per_s'),
+    [
+        ('3.9', 3.9),
+        (' 1 ', 1.0),
+        ('0', 0.0),
+        ('.25', 0.25),
+        ('0007', 7.0),
+        ('9' * 400, inf),
+    ],
+)
+@pytest.mark.parametrize('status', [200, 404, 421, 429, 500, 503])
+def test_any_answer_may_name_a_limit(status, text, per_s):
+    notice = decode_head(status, Server_Limit=text).notice
+    assert notice.limit_per_s == per_s
+    assert notice.malformed is None
+
+
+@pytest.mark.parametrize('text', ['', '-1', '1e3', 'nan', '3,9', '3;w=1'])
+def test_a_malformed_limit_says_nothing_and_is_reported(text):
+    notice = decode_head(200, Server_Limit=text).notice
+    assert (notice.limit_per_s, notice.malformed) == (None, text)
+
+
+# Guards against a limit that ends by an answer of something in between.
+@pytest.mark.parametrize(
+    ('status', 'per_s'), [(200, inf), (204, inf), (421, None), (503, None)]
+)
+def test_only_a_success_without_a_limit_says_that_there_is_none(status, per_s):
+    assert decode_head(status).notice.limit_per_s == per_s
+
+
 # Guards against requests that end in an internal error: the time could not be
 # used as a number, and each later request to that target met it.
 @pytest.mark.parametrize('digits', [19, 400, 5_000])
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -199,7 +199,11 @@
         # Applied here because an answer may never be read: its caller may
         # have left, or its time may be over.
         self._notices.record(
-            self._target, decoded.notice, 'answer', self._request_id
+            self._target,
+            decoded.notice,
+            'answer',
+            self._request_id,
+            self.sent_ms,
         )
         if self._abandoned:
             self.cancel()
--- /dev/null
+++ b/wigeonmill/gateway/target_limit.py
@@ -0,0 +1,100 @@
+"""The rate of requests that a target accepts from all entries together.
+
+A target in need names its limit in its answers for as long as it applies.
+Answers overtake each other, and peers report what they were told, so each
+statement has the span of time in which its target may have made it.
+"""
+
+from dataclasses import dataclass
+from math import inf
+
+from wigeonmill.clock import Clock
+
+# Clocks of peers are compared by the age of a statement. Messages from peers
+# take no longer than this.
+MAX_TRANSIT_MS = 500.0
+# Time for which the end of a limit is reported to the peers.
+REPORT_ENDED_MS = 30_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class LimitStatement:
+    """What one answer states about the limit of its target.
+
+    `per_s` is in requests per second, and infinite if the answer names no
+    limit. The target made the statement between `sent_ms`, the time at which
+    the request was sent, and `read_ms`. `from_peer` is set if another entry
+    got the answer.
+    """
+
+    per_s: float
+    sent_ms: float
+    read_ms: float
+    from_peer: bool = False
+
+
+_NO_STATEMENT = LimitStatement(inf, -inf, -inf)
+
+
+class TargetLimit:
+    """The limit that a target has named last, as far as can be told.
+
+    Of two statements the later one holds. If their order can't be told, the
+    lower limit does.
+    """
+
+    __slots__ = ('_clock', '_latest', '_ended_ms')
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._latest = _NO_STATEMENT
+        self._ended_ms = -inf
+
+    @property
+    def per_s(self) -> float:
+        """The limit in requests per second; infinite if there is none."""
+        return self._latest.per_s
+
+    @property
+    def confirmed_ms(self) -> float:
+        """The time at which it was stated last."""
+        return self._latest.read_ms
+
+    def apply(self, statement: LimitStatement) -> bool:
+        """Apply a statement; return whether the limit has changed."""
+        latest = self._latest
+        if statement.per_s == latest.per_s:
+            self._latest = LimitStatement(
+                latest.per_s,
+                max(latest.sent_ms, statement.sent_ms),
+                max(latest.read_ms, statement.read_ms),
+                latest.from_peer and statement.from_peer,
+            )
+            return False
+        if statement.per_s < latest.per_s:
+            is_outdated = statement.read_ms <= latest.sent_ms
+        else:
+            is_outdated = statement.sent_ms <= latest.read_ms
+        if is_outdated:
+            return False
+        self._latest = statement
+        if statement.per_s == inf:
+            self._ended_ms = self._clock.now_ms()
+        return True
+
+    def inherit(self, previous: 'TargetLimit') -> None:
+        """Take over what was stated to an earlier record of the target."""
+        self._latest = previous._latest
+
+    def to_report(self) -> LimitStatement | None:
+        """Return what to report to the peers, if there is anything.
+
+        Only what this entry was told itself is reported.
+        """
+        latest = self._latest
+        ended_for_ms = self._clock.now_ms() - self._ended_ms
+        if latest.from_peer:
+            return None
+        if latest.per_s == inf and ended_for_ms >= REPORT_ENDED_MS:
+            return None
+        return latest
--- a/wigeonmill/gateway/target_notices.py
+++ b/wigeonmill/gateway/target_notices.py
@@ -4,8 +4,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 import logging
+from math import inf
 
 from wigeonmill.clock import Clock
+from wigeonmill.gateway.target_limit import LimitStatement
 from wigeonmill.gateway.targets import GONE_RETENTION_MS
 from wigeonmill.gateway.targets import Target
 from wigeonmill.log import loggable_ms
@@ -22,9 +24,10 @@
 MAX_OPENING_SPREAD_MS = 1_000.0
 MAX_LOGGED_CHARS = 40
 # Maximum number of targets without a record whose notices are kept, and how
-# long it is kept that one leaves.
+# long it is kept that one leaves or names a limit.
 MAX_KEPT = 256
 KEPT_LEAVING_MS = GONE_RETENTION_MS
+KEPT_LIMIT_MS = 60_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,14 +36,17 @@
 
     `target_id` is the id of that target, or None if the answer does not name
     it. `leaving` is set if it accepts no new requests until its end, and
-    `closed_ms` if it accepts none for that time. `malformed` is a statement
-    that could not be parsed.
+    `closed_ms` if it accepts none for that time. `limit_per_s` is the rate of
+    requests that it accepts from all entries together: infinite if the answer
+    names no limit, and None if that says nothing about the target.
+    `malformed` is a statement that could not be parsed.
     """
 
     target_id: str | None = None
     leaving: bool = False
     closed_ms: float | None = None
     malformed: str | None = None
+    limit_per_s: float | None = None
 
 
 # Called with a target, the notice in its answer and the kind of the call.
@@ -60,9 +66,14 @@
     left_at_wall_ms: int = 0
     closed_until_ms: float = 0.0
     closed_at_wall_ms: int = 0
+    limit: LimitStatement | None = None
+    limited_at_wall_ms: int = 0
 
     def expired(self, now_ms: float) -> bool:
-        return max(self.leaving_until_ms, self.closed_until_ms) <= now_ms
+        until_ms = max(self.leaving_until_ms, self.closed_until_ms)
+        if self.limit is not None:
+            until_ms = max(until_ms, self.limit.read_ms + KEPT_LIMIT_MS)
+        return until_ms <= now_ms
 
 
 class TargetNotices:
@@ -98,19 +109,30 @@
         self._kept: dict[str, _KeptNotice] = {}
 
     def record(
-        self, target: Target, notice: Notice, source: str, request_id: str = ''
+        self,
+        target: Target,
+        notice: Notice,
+        source: str,
+        request_id: str = '',
+        sent_ms: float = -inf,
     ) -> None:
         """Apply a notice in an answer to a call of `target`.
 
-        `source` names the kind of call. If another target has answered at
-        the address, the notice is that target's; without an id it is that of
-        the target that was called.
+        `source` names the kind of call, and `sent_ms` when it was sent, if
+        that is known. If another target has answered at the address, the
+        notice is that target's; without an id it is that of the target that
+        was called.
         """
+        limit = None
+        if notice.limit_per_s is not None:
+            limit = LimitStatement(
+                notice.limit_per_s, sent_ms, self._clock.now_ms()
+            )
         if notice.target_id not in (None, target.id):
             named = self._find_target(notice.target_id)
             if named is None:
                 self._keep(
-                    notice.target_id, target, notice, source, request_id
+                    notice.target_id, target, notice, limit, source, request_id
                 )
                 return
             target = named
@@ -122,6 +144,8 @@
             _log('malformed notice', target, source, request_id, details)
         if notice.closed_ms:
             self._close(target, notice.closed_ms, source, request_id)
+        if limit is not None:
+            self._limit(target, limit, source, request_id)
 
     def record_sent(self, target: Target, request_id: str) -> None:
         """Report a request to a target that wants none; there must be none."""
@@ -159,17 +183,21 @@
             _log(
                 'target closed', target, kept.source, kept.request_id, details
             )
+        if kept.limit is not None and born_ms <= kept.limited_at_wall_ms:
+            self._limit(target, kept.limit, kept.source, kept.request_id)
 
     def _keep(
         self,
         named: str,
         asked: Target,
         notice: Notice,
+        limit: LimitStatement | None,
         source: str,
         request_id: str,
     ) -> None:
         """Keep a notice of a target that is not in the directory."""
-        if not notice.leaving and not notice.closed_ms:
+        names_limit = limit is not None and limit.per_s < inf
+        if not (notice.leaving or notice.closed_ms or names_limit):
             return
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
         kept = self._kept.pop(named, None) or _KeptNotice(source, request_id)
@@ -181,6 +209,9 @@
             until_ms = now_ms + closed_ms
             kept.closed_until_ms = max(kept.closed_until_ms, until_ms)
             kept.closed_at_wall_ms = wall_ms
+        if names_limit:
+            kept.limit = limit
+            kept.limited_at_wall_ms = wall_ms
         self._make_room(now_ms)
         self._kept[named] = kept
         self._metrics.count('target_notices', 'kept')
@@ -189,6 +220,7 @@
             'leaving': notice.leaving,
             'stated_ms': loggable_ms(notice.closed_ms or 0.0),
             'closed_ms': round(closed_ms),
+            'limit_per_s': limit.per_s if limit and names_limit else None,
         }
         _log('notice kept', asked, source, request_id, details)
 
@@ -216,6 +248,37 @@
         self._metrics.count('target_notices', 'leaving')
         _log('target leaving', target, source, request_id, {})
 
+    def _limit(
+        self,
+        target: Target,
+        statement: LimitStatement,
+        source: str,
+        request_id: str,
+    ) -> None:
+        """Apply what an answer states about the limit of a target."""
+        affected = [target]
+        # A later record may have replaced the target since the request. The
+        # answer does not say which of the two lifetimes named the limit.
+        present = self._find_target(target.id)
+        if present not in (None, target) and statement.per_s < inf:
+            affected.append(present)
+        for each in affected:
+            before = each.limit.per_s
+            if not each.limit.apply(statement):
+                continue
+            outcome = 'limited' if statement.per_s < inf else 'unlimited'
+            self._metrics.count('target_notices', outcome)
+            details = {
+                'per_s': _loggable_rate(statement.per_s),
+                'before_per_s': _loggable_rate(before),
+                'sent_ms_ago': loggable_ms(
+                    self._clock.now_ms() - statement.sent_ms
+                ),
+            }
+            _log(f'target {outcome}', each, source, request_id, details)
+        if statement.per_s < inf:
+            target.limited_at_wall_ms = self._clock.wall_ms()
+
     def _closed_ms(self, stated_ms: float) -> float:
         """Return for how long to close a target that stated a time.
 
@@ -248,6 +311,10 @@
         _log('target closed', target, source, request_id, details)
 
 
+def _loggable_rate(per_s: float) -> float | None:
+    return per_s if per_s < inf else None
+
+
 def _log(
     message: str,
     target: Target,
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -9,6 +9,7 @@
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.allowances import ColdAllowance
 from wigeonmill.gateway.estimates import Estimates
+from wigeonmill.gateway.target_limit import TargetLimit
 from wigeonmill.gateway.target_load import TargetLoad
 
 logger = logging.getLogger(__name__)
@@ -78,6 +79,8 @@
         'refusing_until_ms',
         'closed_until_ms',
         'closed_at_wall_ms',
+        'limit',
+        'limited_at_wall_ms',
         'loading',
         'load',
     )
@@ -109,6 +112,9 @@
         self.closed_until_ms = float('-inf')
         # Wall time at which it asked for that.
         self.closed_at_wall_ms = 0
+        self.limit = TargetLimit(clock)
+        # Wall time at which it named one.
+        self.limited_at_wall_ms = 0
         self.loading: Loading | None = None
         self.load = TargetLoad(clock, estimates)
 
@@ -314,6 +320,12 @@
             # The process was already up when it asked for the time; only its
             # record is late.
             target.close(previous.closed_until_ms, previous.closed_at_wall_ms)
+        if (
+            previous is not None
+            and record.started_at_ms <= previous.limited_at_wall_ms
+        ):
+            target.limit.inherit(previous.limit)
+            target.limited_at_wall_ms = previous.limited_at_wall_ms
         self._targets[record.id] = target
         self._rebuild_index()
         logger.info(
