Tell the other entries of limits that targets name

An entry that seldom sends to a target learned of its limit by a request that the target did not accept, and one that may not send under a low limit could not learn of the end at all. An entry that may not send and hears nothing for a minute sends within its share.

Tests: a limit and its end reach a peer over a real connection; outdated and malformed reports change nothing. Both fail without the exchange.

--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -10,6 +10,7 @@
 from wigeonmill.gateway.allowances import ColdAllowance
 from wigeonmill.gateway.allowances import Fleet
 from wigeonmill.gateway.allowances import LimitAllowance
+from wigeonmill.gateway.allowances import MAX_UNCONFIRMED_MS
 from wigeonmill.gateway.allowances import RetryAllowance
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.sliding_window import SlidingWindow
@@ -242,3 +243,13 @@
     clock = ManualClock()
     allowance = make_limited(clock, 9, 30)
     assert allowance.wait_ms(2.0) == pytest.approx(625.0)
+
+
+# Guards against an entry that keeps a limit for good: it may not send, and so
+# is never told of the end.
+def test_an_entry_sends_if_a_limit_has_not_been_confirmed_for_long():
+    clock = ManualClock()
+    allowance = make_limited(clock, 9, 30)
+    clock.advance(MAX_UNCONFIRMED_MS)
+    assert allowance.wait_ms(2.0, MAX_UNCONFIRMED_MS - 1.0) > 0
+    assert allowance.wait_ms(2.0, MAX_UNCONFIRMED_MS) == 0
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,6 +1,8 @@
 """Entries exchange updates over real connections on loopback."""
 
 import asyncio
+from math import inf
+from math import nan
 import random
 
 from tests.gateway.samples import make_engine_record
@@ -17,9 +19,12 @@
 from wigeonmill.gateway.store_view import CacheListing
 from wigeonmill.gateway.store_view import StoreView
 from wigeonmill.gateway.stream_origins import origin_of
+from wigeonmill.gateway.target_limit import MAX_TRANSIT_MS
+from wigeonmill.gateway.target_notices import Notice
 from wigeonmill.metrics import Metrics
 from wigeonmill.protocol.gen.inner.ttypes import EntryNews
 from wigeonmill.protocol.gen.inner.ttypes import Kind
+from wigeonmill.protocol.gen.inner.ttypes import LimitNotice
 from wigeonmill.protocol.gen.inner.ttypes import PartOutcome
 from wigeonmill.protocol.gen.inner.ttypes import PartQuarantine
 from wigeonmill.protocol.handshake import InnerKeys
@@ -191,6 +196,52 @@
     run_with_two(check)
 
 
+# Guards against LIMIT: entries that have not been told, or that send no more
+# and so are not told, keep an old limit.
+def test_limits_of_targets_and_their_ends_are_reported():
+    async def check(first, second):
+        clock = first.ctx.clock
+        targets = [e.ctx.directory.get('e0') for e in (first, second)]
+
+        def state(per_s, sent_ms):
+            notice = Notice(limit_per_s=per_s)
+            first.ctx.notices.record(
+                targets[0], notice, 'answer', 'q1', sent_ms
+            )
+
+        state(2.5, clock.now_ms())
+        await wait_until(lambda: targets[1].limit.per_s == 2.5)
+        await asyncio.sleep(MAX_TRANSIT_MS / 1_000.0)
+        state(inf, clock.now_ms())
+        await wait_until(lambda: targets[1].limit.per_s == inf)
+        assert second.ctx.metrics.reasons('target_notices') == {
+            'limited': 1,
+            'unlimited': 1,
+        }
+
+    run_with_two(check)
+
+
+# Guards against a peer whose message ends a limit that was named later.
+def test_an_outdated_report_ends_no_limit():
+    async def check(first, second):
+        target = second.ctx.directory.get('e0')
+        second.ctx.notices.record(target, Notice(limit_per_s=2.5), 'answer')
+        born_ms = target.started_at_ms
+        for notice in (
+            LimitNotice('e0', born_ms, None, int(MAX_TRANSIT_MS), 0),
+            LimitNotice('e0', born_ms + 1, 1.0, 0, 0),
+            LimitNotice('e0', born_ms, nan, 0, 0),
+            LimitNotice('e0', born_ms, -1.0, 0, 0),
+            LimitNotice('e9', born_ms, 1.0, 0, 0),
+            LimitNotice(),
+        ):
+            second.peers._apply_update(EntryNews(sender='x', limits=[notice]))
+        assert target.limit.per_s == 2.5
+
+    run_with_two(check)
+
+
 def test_an_entry_without_the_key_is_rejected():
     async def check(first, second):
         second.ctx.crash_guard.record(b'print', 'q1 e0')
--- a/tests/gateway/test_target_limit.py
+++ b/tests/gateway/test_target_limit.py
@@ -66,3 +66,10 @@
     assert limit.to_report() == LimitStatement(*ended)
     clock.advance(REPORT_ENDED_MS)
     assert limit.to_report() is None
+
+
+# Guards against two entries that confirm an old limit to each other for good.
+def test_a_report_of_a_peer_is_not_reported_back():
+    limit = make_limit((4.0, 0.0, 10.0), (4.0, 5.0, 90.0, True))
+    assert limit.to_report() == LimitStatement(4.0, 0.0, 10.0)
+    assert not limit.apply(LimitStatement(inf, 20.0, 30.0))
--- a/wigeonmill/gateway/allowances.py
+++ b/wigeonmill/gateway/allowances.py
@@ -21,6 +21,9 @@
 # it. The second figure is the most that one entry sends at once.
 LIMIT_BURST = 3.0
 MAX_TOKENS = 2.0
+# An entry that is not selected sends too if nobody has confirmed the limit for
+# this time. It could not learn of its end otherwise.
+MAX_UNCONFIRMED_MS = 60_000.0
 # Covers rounding errors of the time at which a bucket has a whole token.
 TOKEN_TOLERANCE = 1e-6
 
@@ -156,19 +159,21 @@
         self._tokens = 0.0
         self._filled_ms = self._clock.now_ms()
 
-    def wait_ms(self, per_s: float) -> float:
+    def wait_ms(self, per_s: float, unconfirmed_ms: float = 0.0) -> float:
         """Return the time until a request may be sent (0: now).
 
-        `per_s` is the rate that the target accepts. If this entry may not
-        send at all, the result is the mean time between the requests of those
-        that may.
+        `per_s` is the rate that the target accepts, which was stated last
+        `unconfirmed_ms` ago. If this entry may not send at all, the result is
+        the mean time between the requests of those that may.
         """
         entry_count = self._fleet.count()
         per_s = max(MIN_LIMIT_PER_S, per_s)
         burst = LIMIT_BURST + per_s
         senders = max(1, min(entry_count, int(burst)))
-        if senders < entry_count and not self._fleet.is_selected(
-            self._key, senders
+        if (
+            senders < entry_count
+            and unconfirmed_ms < MAX_UNCONFIRMED_MS
+            and not self._fleet.is_selected(self._key, senders)
         ):
             return 1_000.0 / (per_s * USED_SHARE)
         share_per_ms = per_s * USED_SHARE / senders / 1_000.0
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -1,4 +1,4 @@
-"""Exchanges open requests, target losses and records between entries.
+"""Exchanges open requests, target losses, limits and records of entries.
 
 An entry that the key-value service rejects learns of configuration changes,
 revoked keys and leaving targets from its peers.
@@ -18,6 +18,7 @@
 from wigeonmill.addresses import split_address
 from wigeonmill.gateway.cache_event_exchange import CacheEventExchange
 from wigeonmill.gateway.context import GatewayContext
+from wigeonmill.gateway.limit_exchange import LimitExchange
 from wigeonmill.gateway.loss_log import RunOutcome
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
@@ -75,6 +76,7 @@
         self._addresses = addresses
         self._keys = keys
         self._caches = caches
+        self._limits = LimitExchange(ctx.clock, ctx.directory, ctx.notices)
         self._rng = rng
         self._in_flight: set[str] = set()
         # Addresses that have not yet had their turn in the current rotation.
@@ -266,6 +268,7 @@
             records_to=complete if known_to is not None else 0,
             listing=listing or None,
             copy_age_ms=self._ctx.freshness.age_ms,
+            limits=self._limits.to_send() or None,
         )
 
     def _add_losses(
@@ -311,6 +314,7 @@
         self._apply_open_work(update)
         for loss in update.losses or ():
             self._ctx.crash_guard.record_remote(loss.fingerprint, loss.loss)
+        self._limits.apply(update.limits or ())
         guard = self._ctx.part_guard
         for outcome in update.part_outcomes or ():
             observed = RunOutcome(
--- a/wigeonmill/gateway/target_limit.py
+++ b/wigeonmill/gateway/target_limit.py
@@ -41,6 +41,15 @@
 _NO_STATEMENT = LimitStatement(inf, -inf, -inf)
 
 
+def _merge(first: LimitStatement, other: LimitStatement) -> LimitStatement:
+    """Return a statement made twice, by the later times."""
+    return LimitStatement(
+        first.per_s,
+        max(first.sent_ms, other.sent_ms),
+        max(first.read_ms, other.read_ms),
+    )
+
+
 class TargetLimit:
     """The limit that a target has named last, as far as can be told.
 
@@ -48,11 +57,13 @@
     lower limit does.
     """
 
-    __slots__ = ('_clock', '_latest', '_ended_ms', '_ended_per_s')
+    __slots__ = ('_clock', '_latest', '_told', '_ended_ms', '_ended_per_s')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._latest = _NO_STATEMENT
+        # What the target has told this entry itself.
+        self._told = _NO_STATEMENT
         self._ended_ms = -inf
         self._ended_per_s = inf
 
@@ -77,20 +88,17 @@
         return start_per_s * 2.0 ** (open_ms / DOUBLING_MS)
 
     @property
-    def confirmed_ms(self) -> float:
-        """The time at which it was stated last."""
-        return self._latest.read_ms
+    def unconfirmed_ms(self) -> float:
+        """The time since it was stated last."""
+        return self._clock.now_ms() - self._latest.read_ms
 
     def apply(self, statement: LimitStatement) -> bool:
         """Apply a statement; return whether the limit has changed."""
         latest = self._latest
         if statement.per_s == latest.per_s:
-            self._latest = LimitStatement(
-                latest.per_s,
-                max(latest.sent_ms, statement.sent_ms),
-                max(latest.read_ms, statement.read_ms),
-                latest.from_peer and statement.from_peer,
-            )
+            self._latest = _merge(latest, statement)
+            if not statement.from_peer:
+                self._told = _merge(statement, self._told_of(latest.per_s))
             return False
         if statement.per_s < latest.per_s:
             is_outdated = statement.read_ms <= latest.sent_ms
@@ -99,24 +107,31 @@
         if is_outdated:
             return False
         self._latest = statement
+        if not statement.from_peer:
+            self._told = statement
         if statement.per_s == inf:
             self._ended_ms = self._clock.now_ms()
             self._ended_per_s = latest.per_s
         return True
 
+    def _told_of(self, per_s: float) -> LimitStatement:
+        told = self._told
+        return told if told.per_s == per_s else _NO_STATEMENT
+
     def inherit(self, previous: 'TargetLimit') -> None:
         """Take over what was stated to an earlier record of the target."""
         self._latest = previous._latest
+        self._told = previous._told
 
     def to_report(self) -> LimitStatement | None:
         """Return what to report to the peers, if there is anything.
 
         Only what this entry was told itself is reported.
         """
-        latest = self._latest
-        ended_for_ms = self._clock.now_ms() - self._ended_ms
-        if latest.from_peer:
+        told = self._told
+        if told is _NO_STATEMENT or told.per_s != self._latest.per_s:
             return None
-        if latest.per_s == inf and ended_for_ms >= REPORT_ENDED_MS:
+        ended_for_ms = self._clock.now_ms() - self._ended_ms
+        if told.per_s == inf and ended_for_ms >= REPORT_ENDED_MS:
             return None
-        return latest
+        return told
--- a/wigeonmill/gateway/target_notices.py
+++ b/wigeonmill/gateway/target_notices.py
@@ -145,7 +145,35 @@
         if notice.closed_ms:
             self._close(target, notice.closed_ms, source, request_id)
         if limit is not None:
-            self._limit(target, limit, source, request_id)
+            self.record_limit(target, limit, source, request_id)
+
+    def record_limit(
+        self,
+        target: Target,
+        statement: LimitStatement,
+        source: str,
+        request_id: str = '',
+    ) -> None:
+        """Apply what was stated about the limit of a target."""
+        affected = [target]
+        # A later record may have replaced the target since the request. The
+        # answer does not say which of the two lifetimes named the limit.
+        present = self._find_target(target.id)
+        if (
+            present is not None
+            and present is not target
+            and statement.per_s < inf
+            and not statement.from_peer
+        ):
+            affected.append(present)
+        for each in affected:
+            before_per_s = each.limit.per_s
+            if each.limit.apply(statement):
+                self._handle_new_limit(
+                    each, before_per_s, statement, source, request_id
+                )
+        if statement.per_s < inf:
+            target.limited_at_wall_ms = self._clock.wall_ms()
 
     def record_sent(self, target: Target, request_id: str) -> None:
         """Count a request that is being sent to a target.
@@ -192,7 +220,7 @@
                 'target closed', target, kept.source, kept.request_id, details
             )
         if kept.limit is not None and born_ms <= kept.limited_at_wall_ms:
-            self._limit(target, kept.limit, kept.source, kept.request_id)
+            self.record_limit(target, kept.limit, kept.source, kept.request_id)
 
     def _keep(
         self,
@@ -256,38 +284,26 @@
         self._metrics.count('target_notices', 'leaving')
         _log('target leaving', target, source, request_id, {})
 
-    def _limit(
+    def _handle_new_limit(
         self,
         target: Target,
+        before_per_s: float,
         statement: LimitStatement,
         source: str,
         request_id: str,
     ) -> None:
-        """Apply what an answer states about the limit of a target."""
-        affected = [target]
-        # A later record may have replaced the target since the request. The
-        # answer does not say which of the two lifetimes named the limit.
-        present = self._find_target(target.id)
-        if present not in (None, target) and statement.per_s < inf:
-            affected.append(present)
-        for each in affected:
-            before = each.limit.per_s
-            if not each.limit.apply(statement):
-                continue
-            if before == inf:
-                each.limit_allowance.reset()
-            outcome = 'limited' if statement.per_s < inf else 'unlimited'
-            self._metrics.count('target_notices', outcome)
-            details = {
-                'per_s': _loggable_rate(statement.per_s),
-                'before_per_s': _loggable_rate(before),
-                'sent_ms_ago': loggable_ms(
-                    self._clock.now_ms() - statement.sent_ms
-                ),
-            }
-            _log(f'target {outcome}', each, source, request_id, details)
-        if statement.per_s < inf:
-            target.limited_at_wall_ms = self._clock.wall_ms()
+        if before_per_s == inf:
+            target.limit_allowance.reset()
+        outcome = 'limited' if statement.per_s < inf else 'unlimited'
+        self._metrics.count('target_notices', outcome)
+        details = {
+            'per_s': _loggable_rate(statement.per_s),
+            'before_per_s': _loggable_rate(before_per_s),
+            'sent_ms_ago': loggable_ms(
+                self._clock.now_ms() - statement.sent_ms
+            ),
+        }
+        _log(f'target {outcome}', target, source, request_id, details)
 
     def _closed_ms(self, stated_ms: float) -> float:
         """Return for how long to close a target that stated a time.
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -152,7 +152,9 @@
     def limit_wait_ms(self) -> float:
         """Return the time until its limit allows a request (0: now)."""
         per_s = self.limit.accepted_per_s
-        return 0.0 if per_s == inf else self.limit_allowance.wait_ms(per_s)
+        if per_s == inf:
+            return 0.0
+        return self.limit_allowance.wait_ms(per_s, self.limit.unconfirmed_ms)
 
     def record_sent(self) -> None:
         """Record a request that is being sent now."""
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -3593,6 +3593,122 @@
         return not (self == other)
 
 
+class LimitNotice(object):
+    """
+    Attributes:
+     - target
+     - started_at_ms
+     - per_s
+     - sent_ms_ago
+     - read_ms_ago
+
+    """
+
+    __slots__ = (
+        'target',
+        'started_at_ms',
+        'per_s',
+        'sent_ms_ago',
+        'read_ms_ago',
+    )
+
+
+    def __init__(self, target=None, started_at_ms=None, per_s=None, sent_ms_ago=None, read_ms_ago=None,):
+        self.target = target
+        self.started_at_ms = started_at_ms
+        self.per_s = per_s
+        self.sent_ms_ago = sent_ms_ago
+        self.read_ms_ago = read_ms_ago
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.sent_ms_ago = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.read_ms_ago = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LimitNotice')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.started_at_ms is not None:
+            oprot.writeFieldBegin('started_at_ms', TType.I64, 2)
+            oprot.writeI64(self.started_at_ms)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.per_s)
+            oprot.writeFieldEnd()
+        if self.sent_ms_ago is not None:
+            oprot.writeFieldBegin('sent_ms_ago', TType.I64, 4)
+            oprot.writeI64(self.sent_ms_ago)
+            oprot.writeFieldEnd()
+        if self.read_ms_ago is not None:
+            oprot.writeFieldBegin('read_ms_ago', TType.I64, 5)
+            oprot.writeI64(self.read_ms_ago)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CachePoint(object):
     """
     Attributes:
@@ -3941,6 +4057,7 @@
      - copy_age_ms
      - part_outcomes
      - part_quarantines
+     - limits
 
     """
 
@@ -3957,10 +4074,11 @@
         'copy_age_ms',
         'part_outcomes',
         'part_quarantines',
+        'limits',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -3973,6 +4091,7 @@
         self.copy_age_ms = copy_age_ms
         self.part_outcomes = part_outcomes
         self.part_quarantines = part_quarantines
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4085,6 +4204,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = LimitNotice()
+                        _elem152.read(iprot)
+                        self.limits.append(_elem152)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4106,22 +4236,22 @@
         if self.open_work is not None:
             oprot.writeFieldBegin('open_work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.open_work))
-            for iter147 in self.open_work:
-                iter147.write(oprot)
+            for iter153 in self.open_work:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter148 in self.losses:
-                iter148.write(oprot)
+            for iter154 in self.losses:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter149 in self.records:
-                iter149.write(oprot)
+            for iter155 in self.records:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records_to is not None:
@@ -4131,15 +4261,15 @@
         if self.cache_points is not None:
             oprot.writeFieldBegin('cache_points', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_points))
-            for iter150 in self.cache_points:
-                iter150.write(oprot)
+            for iter156 in self.cache_points:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cache_updates is not None:
             oprot.writeFieldBegin('cache_updates', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_updates))
-            for iter151 in self.cache_updates:
-                iter151.write(oprot)
+            for iter157 in self.cache_updates:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.listing is not None:
@@ -4153,15 +4283,22 @@
         if self.part_outcomes is not None:
             oprot.writeFieldBegin('part_outcomes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.part_outcomes))
-            for iter152 in self.part_outcomes:
-                iter152.write(oprot)
+            for iter158 in self.part_outcomes:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_quarantines is not None:
             oprot.writeFieldBegin('part_quarantines', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.part_quarantines))
-            for iter153 in self.part_quarantines:
-                iter153.write(oprot)
+            for iter159 in self.part_quarantines:
+                iter159.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter160 in self.limits:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4367,21 +4504,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = StreamOrigin()
-                        _elem159.read(iprot)
-                        self.begun.append(_elem159)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = StreamOrigin()
+                        _elem166.read(iprot)
+                        self.begun.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype163, _size160) = iprot.readListBegin()
-                    for _i164 in range(_size160):
-                        _elem165 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.wanted.append(_elem165)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4402,15 +4539,15 @@
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter166 in self.begun:
-                iter166.write(oprot)
+            for iter173 in self.begun:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.wanted))
-            for iter167 in self.wanted:
-                oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
+            for iter174 in self.wanted:
+                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5088,6 +5225,15 @@
     (1, TType.LIST, 'parts', (TType.STRING, 'BINARY', False), None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
 )
+all_structs.append(LimitNotice)
+LimitNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_at_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'per_s', None, None, ),  # 3
+    (4, TType.I64, 'sent_ms_ago', None, None, ),  # 4
+    (5, TType.I64, 'read_ms_ago', None, None, ),  # 5
+)
 all_structs.append(CachePoint)
 CachePoint.thrift_spec = (
     None,  # 0
@@ -5128,6 +5274,7 @@
     (10, TType.DOUBLE, 'copy_age_ms', None, None, ),  # 10
     (11, TType.LIST, 'part_outcomes', (TType.STRUCT, [PartOutcome, None], False), None, ),  # 11
     (12, TType.LIST, 'part_quarantines', (TType.STRUCT, [PartQuarantine, None], False), None, ),  # 12
+    (13, TType.LIST, 'limits', (TType.STRUCT, [LimitNotice, None], False), None, ),  # 13
 )
 all_structs.append(StreamOrigin)
 StreamOrigin.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -294,6 +294,17 @@
   2: i32 age_ms
 }
 
+// What a target, identified with its start, stated to the sender: the requests
+// per second that it accepts from all entries, or no limit without per_s. It
+// was stated between the times that are sent_ms_ago and read_ms_ago ago.
+struct LimitNotice {
+  1: string target
+  2: i64 started_at_ms
+  3: optional double per_s
+  4: i64 sent_ms_ago
+  5: i64 read_ms_ago
+}
+
 // Position up to which the sender knows the contents of a cache store: the
 // event number next, counted from the store start that boot identifies. The
 // sender requests the later events.
@@ -342,6 +353,7 @@
   10: optional double copy_age_ms
   11: optional list<PartOutcome> part_outcomes
   12: optional list<PartQuarantine> part_quarantines
+  13: optional list<LimitNotice> limits
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
