Let targets of the soak name limits, and check them by the rule

The soak's targets named no limit, so nothing showed over restarts, freezes, cuts and configuration changes whether entries keep them.

--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -13,6 +13,7 @@
 from tests.platform.soak.handlers import CRASHING_PART
 from tests.platform.soak.handlers import EVENT_COUNT
 from tests.platform.soak.journal import Journal
+from tests.platform.soak.limits import find_exceeded
 from tests.platform.soak.lost import find_endless
 from tests.platform.soak.lost import find_lost
 
@@ -64,6 +65,10 @@
         Breach('closed', request_id, detail)
         for request_id, detail in find_late_arrivals(attempts, journal)
     ]
+    found += [
+        Breach('limited', limit.target, detail)
+        for limit, detail in find_exceeded(attempts, journal)
+    ]
     found += _check_crashing_part(attempts, journal)
     found += [
         Breach('process ended by itself', '', detail)
--- a/tests/platform/soak/closings.py
+++ b/tests/platform/soak/closings.py
@@ -35,7 +35,7 @@
         if len(late) > MAX_WHILE_CLOSED and not (
             journal.had_fault(key[0], answered_at, closing.until)
             or journal.had_fault(target, answered_at, closing.until)
-            or _stood_still(journal, target, answered_at, closing.until)
+            or stood_still(journal, target, answered_at, closing.until)
         ):
             if len(late) > worst.get(key, (0,))[0]:
                 worst[key] = len(late), closing
@@ -58,7 +58,7 @@
     )
 
 
-def _stood_still(journal, target, start, end):
+def stood_still(journal, target, start, end):
     """Whether requests may have waited in front of a target."""
     return any(
         silence.target == target
--- a/tests/platform/soak/handlers.py
+++ b/tests/platform/soak/handlers.py
@@ -101,6 +101,8 @@
         entry = target.journal.entries.get(request_id)
         if target.leaving:
             self.set_header('Server-Leaving', '1')
+        if target.limit is not None:
+            self.set_header('Server-Limit', f'{target.limit.per_s:g}')
         if is_control:
             self._serve_control()
             return
--- a/tests/platform/soak/journal.py
+++ b/tests/platform/soak/journal.py
@@ -40,6 +40,16 @@
     until: float
 
 
+@dataclass
+class Limit:
+    """A span in which the answers of a target name its limit."""
+
+    target: str
+    per_s: float
+    named_at: float
+    ended_at: float = math.inf
+
+
 @dataclass
 class Arrival:
     """A request that reached the target for which it was meant."""
@@ -88,6 +98,7 @@
     drained_at: dict[str, float] = field(default_factory=dict)
     closings: list[Closing] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
+    limits: list[Limit] = field(default_factory=list)
     # The entries of requests, by their ids, and how their callers leave.
     entries: dict[str, str] = field(default_factory=dict)
     leave: dict[str, Callable[[], None]] = field(default_factory=dict)
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -21,6 +21,7 @@
 from tests.platform.soak.faults import Faults
 from tests.platform.soak.faults import NoticeFaults
 from tests.platform.soak.faults import SilenceFaults
+from tests.platform.soak.limits import LimitFaults
 from tests.platform.soak.rests import RestFaults
 from tests.platform.soak.series import SeriesFaults
 
@@ -102,6 +103,9 @@
             RestFaults(random.Random(seed + 7), environment, record_fault).run(
                 until
             ),
+            LimitFaults(
+                random.Random(seed + 8), environment, record_fault
+            ).run(until),
         )
         await asyncio.sleep(SETTLE_S)
         fault_free_from = time.monotonic()
--- a/tests/platform/soak/targets.py
+++ b/tests/platform/soak/targets.py
@@ -46,6 +46,8 @@
         self.leaving = False
         # What it tells entries of which it wants no requests.
         self.rest = None
+        # The limit that its answers name; None: none.
+        self.limit = None
         self.sequence = 0
         self.version = journal.version
         # Targets of two software versions serve side by side.
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -20,6 +20,7 @@
 from tests.platform.soak.journal import Break
 from tests.platform.soak.journal import Closing
 from tests.platform.soak.journal import Journal
+from tests.platform.soak.journal import Limit
 from tests.platform.soak.journal import Order
 from tests.platform.soak.journal import Run
 from tests.platform.soak.journal import Silence
@@ -412,3 +413,48 @@
     journal.add(make_run())
     found = find_breaches([make_attempt()], journal, FAULT_FREE_FROM)
     assert [breach.promise for breach in found] == ['process ends in time']
+
+
+LIMIT_AT = 50.0
+
+
+def find_exceeded_limits(
+    per_s, count, *, from_s=4.0, told=('g0', 'g1'), **faults
+):
+    """Check `count` requests of two entries within the four seconds."""
+    limit = Limit('t1', per_s, LIMIT_AT)
+    journal = Journal(limits=[limit], faults=faults)
+    headers = {'server-seal': 't1.q', 'server-limit': f'{per_s:g}'}
+    attempts = [
+        make_attempt(
+            id=f'told {entry}', entry=entry, ended_at=LIMIT_AT, headers=headers
+        )
+        for entry in told
+    ]
+    for number in range(count):
+        attempt = make_attempt(id=f'q{number}', entry=f'g{number % 2}')
+        attempts.append(attempt)
+        at = LIMIT_AT + from_s + 3.9 * number / count
+        journal.arrivals.append(Arrival(attempt.id, 't1', at))
+    found = find_breaches(attempts, journal, FAULT_FREE_FROM)
+    return [b for b in found if b.promise == 'limited']
+
+
+def test_more_requests_than_a_limit_allows_are_a_breach():
+    assert not find_exceeded_limits(1.0, 11)
+    assert len(find_exceeded_limits(1.0, 12)) == 1
+    assert not find_exceeded_limits(3.9, 28)
+    assert find_exceeded_limits(3.9, 29)
+    assert find_exceeded_limits(0.0, 6)
+
+
+def test_entries_that_were_not_told_or_had_a_fault_are_excused():
+    assert not find_exceeded_limits(1.0, 22, told=('g0',))
+    assert find_exceeded_limits(1.0, 24, told=('g0',))
+    span = [[LIMIT_AT + 3.5, LIMIT_AT + 8.0]]
+    assert not find_exceeded_limits(1.0, 22, g1=span)
+    assert not find_exceeded_limits(1.0, 40, t1=span)
+
+
+def test_a_limit_binds_after_the_contact_time():
+    assert not find_exceeded_limits(1.0, 100, from_s=-1.0)
