Keep the origins of open streams when all entries are lost

Callers whose streams broke off as all entries were killed, while two software versions served, could not take them up: "origin of a stream unknown".

Cause: an origin was in the memory of one entry and three peers only. Now an entry writes those of its open streams to a leased record of its own, only while a service has several versions, in batches, and from the first event that a caller gets, after which an origin never changes. Thus an old, lost or late record lacks streams, which stay refused, but names no wrong version; two records that disagree say nothing. Versions in records count as seen, so one that came and went before the leader published it isn't missed either.

The new tests fail without the records (each entry's origins were gone). The line of an unknown origin names the versions known and the streams recorded, so on-call can tell missing peers, missing records and two versions apart.

--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -22,7 +22,15 @@
 def make_mirror(harness, on_desired_state=lambda state: None):
     mirror = Mirror()
     intake = RecordIntake(
-        harness.ctx, Decoder(), None, None, None, None, None, on_desired_state
+        harness.ctx,
+        Decoder(),
+        None,
+        None,
+        None,
+        None,
+        None,
+        None,
+        on_desired_state,
     )
     mirror.subscribe(intake.apply_record)
     return mirror
--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -177,3 +177,20 @@
     harness.channel = FakeChannel()
     harness.run(req, route)
     assert harness.client.sent == []
+
+
+# Guards against a record without the streams that callers may take up.
+def test_an_entry_knows_which_streams_its_callers_may_take_up():
+    harness = harness_of(['v1'], [broken_after(1)])
+
+    def open_ids():
+        streams = harness.ctx.open_streams.of_services([ENGINES])
+        return [request_id for request_id, _origin in streams]
+
+    run_stream(harness, 'q1', max_targets=1)
+    assert open_ids() == ['q1']
+    harness.client.set_scripts([complete(2, request_id='q2')])
+    run_stream(harness, 'q2', last_event_id=1, resumed_id='q1')
+    assert open_ids() == []
+    run_stream(harness, 'q3')
+    assert open_ids() == []
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -287,6 +287,10 @@
     def _record_origin(self) -> None:
         if self._relay.started and self._terms.origin is None:
             self._terms.origin = origin_of(self.target)
+            if self._terms.route.resumable:
+                self._ctx.open_streams.begin(
+                    self._terms.stream_id, self._terms.origin
+                )
 
     async def _next_stream_part(
         self,
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -13,6 +13,7 @@
 from wigeonmill.gateway.desired import RouteTable
 from wigeonmill.gateway.freshness import Freshness
 from wigeonmill.gateway.loss_log import LossLog
+from wigeonmill.gateway.origin_records import OpenStreams
 from wigeonmill.gateway.part_guard import PartGuard
 from wigeonmill.gateway.stream_origins import LocalStreamOrigins
 from wigeonmill.gateway.stream_origins import StreamOrigins
@@ -186,6 +187,7 @@
         'part_guard',
         'answer_limits',
         'origins',
+        'open_streams',
         'entry_count',
         'entry_position',
         '_retry_limits',
@@ -245,6 +247,7 @@
         )
         self.answer_limits = answer_limits
         self.origins: StreamOrigins = LocalStreamOrigins()
+        self.open_streams = OpenStreams(clock)
         # Returns the number of entries that may be alive.
         self.entry_count = entry_count
         # Returns the position of this entry among them, from 0 to 1.
--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -14,9 +14,11 @@
 from wigeonmill.gateway.desired import DesiredState
 from wigeonmill.gateway.inner_key import SharedInnerKey
 from wigeonmill.gateway.mirror import Record
+from wigeonmill.gateway.origin_records import OriginRecords
 from wigeonmill.gateway.own_records import decode_own
 from wigeonmill.gateway.own_records import ENTRY_PREFIX
 from wigeonmill.gateway.own_records import INNER_KEY
+from wigeonmill.gateway.own_records import ORIGINS_PREFIX
 from wigeonmill.gateway.own_records import PART_QUARANTINES_KEY
 from wigeonmill.gateway.own_records import PREFIX
 from wigeonmill.gateway.own_records import ROLLOUT_KEY
@@ -47,6 +49,7 @@
         '_publisher',
         '_versions',
         '_quarantines',
+        '_origins',
         '_on_desired_state',
     )
 
@@ -59,6 +62,7 @@
         publisher: RolloutPublisher,
         versions: SoftwareVersions,
         quarantines: PartQuarantines,
+        origins: OriginRecords,
         on_desired_state: Callable[[DesiredState], None],
     ) -> None:
         self._ctx = ctx
@@ -68,6 +72,7 @@
         self._publisher = publisher
         self._versions = versions
         self._quarantines = quarantines
+        self._origins = origins
         self._on_desired_state = on_desired_state
 
     def apply_record(self, record: Record) -> None:
@@ -92,6 +97,8 @@
     def _apply_own_record(self, record: Record) -> None:
         if record.key.startswith(ENTRY_PREFIX):
             self._entries.update(record)
+        elif record.key.startswith(ORIGINS_PREFIX):
+            self._origins.update(record)
         elif record.key == INNER_KEY:
             self._inner_key.update(record)
         elif record.key == SOFTWARE_VERSIONS_KEY:
--- a/wigeonmill/gateway/origin_exchange.py
+++ b/wigeonmill/gateway/origin_exchange.py
@@ -65,6 +65,28 @@
         """Return the answer of a peer; a missing one closes nothing."""
 
 
+class RecordedOrigins(Protocol):
+    """The origins in the records of the entries."""
+
+    def get(self, request_id: str) -> StreamOrigin | None:
+        """Return the origin of a stream, if it is certain."""
+
+    def describe(self, service: str) -> dict[str, object]:
+        """Return what is known of the versions of a service, for the log."""
+
+
+class NoRecords:
+    """Stands for entries that write no records."""
+
+    def get(self, request_id: str) -> StreamOrigin | None:
+        """Return None."""
+        return None
+
+    def describe(self, service: str) -> dict[str, object]:
+        """Return nothing."""
+        return {}
+
+
 @dataclass(slots=True)
 class _Inquiry:
     """What came of asking peers for one origin."""
@@ -78,7 +100,8 @@
     """The origins of the streams of all entries.
 
     Origins are sent to the peers that rank first for the request. A peer that
-    is not connected is used only if there are too few others. `only_version`
+    is not connected is used only if there are too few others. `records` has
+    what the entries have written to the key-value service, and `only_version`
     returns the version that began every stream of a service, if it is known
     and there is just one.
     """
@@ -90,12 +113,14 @@
         name: str,
         links: PeerLinks,
         only_version: Callable[[str], str | None] = lambda service: None,
+        records: RecordedOrigins = NoRecords(),
     ) -> None:
         self._clock = clock
         self._metrics = metrics
         self._name = name
         self._links = links
         self._only_version = only_version
+        self._records = records
         self._local = LocalStreamOrigins()
         # Peers that have been sent the origin of a request. They also get
         # its replacement.
@@ -133,6 +158,11 @@
         It takes `FIND_TIMEOUT_MS` at most.
         """
         started_ms = self._clock.now_ms()
+        # Unlike that of a peer, it can't have been replaced by a later one.
+        recorded = self._records.get(request_id)
+        if recorded is not None:
+            self._metrics.count('stream_origins_found', 'recorded')
+            return recorded
         inquiry = _Inquiry(self._local.get(request_id))
         source = 'local'
         # A peer's origin may have been replaced by one that did not arrive.
@@ -155,6 +185,7 @@
                     'asked': inquiry.asked,
                     'answered': inquiry.answered,
                     'took_ms': round(self._clock.now_ms() - started_ms, 1),
+                    **self._records.describe(service),
                 },
             )
         self._metrics.count('stream_origins_found', source)
--- a/wigeonmill/gateway/own_records.py
+++ b/wigeonmill/gateway/own_records.py
@@ -17,6 +17,7 @@
 ROLLOUT_KEY = 'wigeonmill/rollout'
 INNER_KEY = 'wigeonmill/inner-key'
 SOFTWARE_VERSIONS_KEY = 'wigeonmill/software-versions'
+ORIGINS_PREFIX = 'wigeonmill/origins/'
 PART_QUARANTINES_KEY = 'wigeonmill/part-quarantines'
 
 
@@ -58,6 +59,12 @@
     versions: dict[str, list[str]]
 
 
+class OriginsRecord(msgspec.Struct, frozen=True):
+    """The requests that began streams, by service and software version."""
+
+    origins: dict[str, dict[str, list[str]]]
+
+
 class PartQuarantineRecord(msgspec.Struct, frozen=True):
     """Parts of a quarantine, as hexadecimal keys, and its wall time."""
 
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -123,14 +123,27 @@
             )
             return
         self._ctx.retries(self._terms.service).record_request()
+        if self._terms.origin is not None:
+            # All entries may be lost once more before the stream ends.
+            self._ctx.open_streams.begin(
+                self._terms.stream_id, self._terms.origin
+            )
+        complete = False
+        try:
+            complete = await self._run_attempts()
+        finally:
+            self._ctx.open_streams.end(self._terms.stream_id, complete)
+
+    async def _run_attempts(self) -> bool:
+        """Attempt the request; return whether the caller has its answer."""
         while True:
             failure = await self._attempt_once()
             if failure is None:
                 self._log.log_end('answered', self._attempts)
-                return
+                return True
             if not self._may_retry(failure):
                 self._give_up(failure)
-                return
+                return False
 
     async def _find_origin(self) -> bool:
         """Find what began a resumed stream; return False if it is unknown."""
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import logging
 import random
+import secrets
 import signal
 import time
 
@@ -26,6 +27,8 @@
 from wigeonmill.gateway.leadership import Leadership
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.origin_exchange import SharedStreamOrigins
+from wigeonmill.gateway.origin_records import OriginPublisher
+from wigeonmill.gateway.origin_records import OriginRecords
 from wigeonmill.gateway.own_records import ENTRY_PREFIX
 from wigeonmill.gateway.own_records import LEADER_KEY
 from wigeonmill.gateway.part_records import PartQuarantines
@@ -180,12 +183,23 @@
         self._quarantines_publisher = PartQuarantinesPublisher(
             clock, quarantines, self._leadership, adapter.keys
         )
+        origin_records = OriginRecords(self._versions)
+        self._origin_publisher = OriginPublisher(
+            clock,
+            self.metrics,
+            self._ctx.open_streams,
+            self._versions,
+            adapter.keys,
+            f'{settings.process}/{secrets.token_hex(4)}',
+            self._entries.count,
+        )
         origins = SharedStreamOrigins(
             clock,
             self.metrics,
             settings.process,
             self._peers,
             self._versions.only_version,
+            origin_records,
         )
         self._peers.handle(Kind.STREAM_ORIGINS, origins.answer)
         self._ctx.origins = origins
@@ -201,6 +215,7 @@
             publisher,
             self._versions,
             quarantines,
+            origin_records,
             self._on_desired_state,
         )
         self._mirror.subscribe(intake.apply_record)
@@ -237,6 +252,7 @@
                 self._run_rollout,
                 self._run_versions_publisher,
                 self._run_quarantines_publisher,
+                self._run_origin_publisher,
                 self._run_cache_cleaner,
                 self._ensure_inner_key,
                 self._peers.run,
@@ -384,6 +400,11 @@
             await self._quarantines_publisher.step()
             await asyncio.sleep(TICK_MS / 1000.0)
 
+    async def _run_origin_publisher(self) -> None:
+        while True:
+            await self._origin_publisher.step()
+            await asyncio.sleep(TICK_MS / 1000.0)
+
     async def _run_cache_cleaner(self) -> None:
         while True:
             await self._cleaner.step()
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -106,6 +106,13 @@
         """The services that the route sends requests to."""
         return [s.service for s in self.route.shares if s.weight > 0]
 
+    @property
+    def stream_id(self) -> str:
+        """The id of the request that began the stream."""
+        if self.req.last_event_id is None:
+            return self.req.id
+        return self.req.resumed_id
+
     def resume(self, origin: StreamOrigin) -> None:
         """Go on with a stream at the service that began it, if possible."""
         self.origin = origin
--- a/wigeonmill/gateway/software_versions.py
+++ b/wigeonmill/gateway/software_versions.py
@@ -114,15 +114,30 @@
         if not self._is_complete:
             return None
         self.observe()
-        versions = {
-            *self._seen_ms.get(service, ()),
-            *(self._published or {}).get(service, ()),
-        }
+        versions = self.known(service)
         if len(versions) != 1:
             return None
         # An empty version may stand for several ones.
         return versions.pop() or None
 
+    def mixed_services(self) -> list[str]:
+        """Return the services that had several versions recently."""
+        published = self._published or {}
+        return [
+            service
+            for service in {*self._seen_ms, *published}
+            if len(self.known(service)) > 1
+        ]
+
+    def record_origins(self, service: str, versions: Iterable[str]) -> None:
+        """Record versions that began streams, though they may be gone."""
+        self._mark_seen(service, versions)
+
+    def known(self, service: str) -> set[str]:
+        """Return the versions that a service had recently, as far as known."""
+        published = self._published or {}
+        return {*self._seen_ms.get(service, ()), *published.get(service, ())}
+
     def to_publish(self) -> Versions | None:
         """Return what is to be published in place of the current record."""
         if self._freshness.out_of_reach:
