Don't take resumed streams for late ones

Cause: the time until a resumed stream goes on was compared with the objective for the first event, which its caller has had already. So it counted as late, got the least priority, and was refused if the whole queue could not be done in its time. It is now compared with the objective for pauses, as a stream that goes on within one answer, has the priority of its route and is refused only if that does not start it in time.

The first test fails before: the resumed stream is refused.

--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -13,6 +13,7 @@
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.desired import ServiceShare
+from wigeonmill.gateway.run_terms import LATE_PRIORITY
 from wigeonmill.gateway.target_client import ExchangeEnd
 
 
@@ -179,6 +180,37 @@
     assert harness.client.sent == []
 
 
+def occupy(harness, prompt_tokens, priority):
+    """Let a request wait at the only engine for its prompt to be read."""
+    load = harness.ctx.directory.get('e0').load
+    load.open(10_000, prompt_tokens, priority, delayed=True)
+
+
+# Guards against LOST: after the loss of all entries, callers that took up
+# their streams were refused, while new streams began: the time that an engine
+# needs to resume was compared with the objective of a new stream.
+def test_a_resumed_stream_is_not_put_behind_new_ones_for_being_late():
+    harness = harness_of(['v1'], [complete(2)])
+    harness.ctx.origins.record('q0', harness.ctx.directory.get('e0'))
+    occupy(harness, 100_000, priority=0)
+    occupy(harness, 5_000_000, priority=LATE_PRIORITY)
+    refused = run_stream(harness, 'q1')
+    assert refused.refusal.reason is Reason.TOO_LATE
+    resumed = run_stream(harness, 'q1', last_event_id=1, resumed_id='q0')
+    assert resumed.finished
+    [(_id, instructions, _exchange)] = harness.client.sent
+    assert instructions.priority < LATE_PRIORITY
+
+
+def test_a_resumed_stream_that_cannot_start_in_time_is_refused():
+    harness = harness_of(['v1'], [complete(2)])
+    harness.ctx.origins.record('q0', harness.ctx.directory.get('e0'))
+    occupy(harness, 50_000_000, priority=0)
+    resumed = run_stream(harness, 'q1', last_event_id=1, resumed_id='q0')
+    assert resumed.refusal.reason is Reason.TOO_LATE
+    assert not harness.client.sent
+
+
 # Guards against a record without the streams that callers may take up.
 def test_an_entry_knows_which_streams_its_callers_may_take_up():
     harness = harness_of(['v1'], [broken_after(1)])
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -217,14 +217,17 @@
     def _deadline_refusal(self, pick: Pick) -> Refusal | None:
         """Return a refusal if the target cannot start the request in time."""
         generation = self._req.generation
-        if generation is None or not self._terms.is_late(pick):
+        if generation is None or self._relay.started:
             return None
+        if not (self._terms.continues or self._terms.is_late(pick)):
+            return None
+        priority = self._terms.priority(pick)
         load = pick.target.load
         starts_ms = load.first_token_ms(
-            pick.prefill_tokens, LATE_PRIORITY, pick.target.slots
+            pick.prefill_tokens, priority, pick.target.slots
         )
         starts_ms += load.memory_wait_ms(
-            generation.tokens, LATE_PRIORITY, self._terms.cache_tokens
+            generation.tokens, priority, self._terms.cache_tokens
         )
         remaining_ms = self._terms.remaining_ms
         if starts_ms <= remaining_ms:
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -113,6 +113,14 @@
             return self.req.id
         return self.req.resumed_id
 
+    @property
+    def continues(self) -> bool:
+        """Whether the caller has a part of the stream already.
+
+        It may have it from an earlier request.
+        """
+        return self._relay.started or self.origin is not None
+
     def resume(self, origin: StreamOrigin) -> None:
         """Go on with a stream at the service that began it, if possible."""
         self.origin = origin
@@ -121,7 +129,7 @@
 
     def is_late(self, pick: Pick) -> bool:
         """Whether a model request is expected to miss its objective."""
-        if self.req.generation is None or self._relay.started:
+        if self.req.generation is None or self.continues:
             return False
         return pick.lateness_cost >= LATE_COST
 
@@ -153,7 +161,6 @@
                 self.req, self.team, newest_version
             )
         objective_ms, objective_remaining_ms = self._objective()
-        started = self._relay.started
         return Demand(
             service=self.service,
             cold_per_s=spec.cold_per_s if spec else 0.0,
@@ -162,7 +169,11 @@
             remaining_ms=self.remaining_ms,
             objective_ms=objective_ms,
             objective_remaining_ms=objective_remaining_ms,
-            priority=STARTED_PRIORITY if started else self._base_priority(),
+            priority=(
+                STARTED_PRIORITY
+                if self._relay.started
+                else self._base_priority()
+            ),
             regions=self._regions(),
             avoid=tuple(avoid),
             generation=generation,
@@ -238,7 +249,7 @@
 
         Once a stream has started, the objective bounds its longest pause.
         """
-        if self._relay.started:
+        if self.continues:
             gap_ms = self.route.gap_objective_ms
             return gap_ms, gap_ms
         elapsed_ms = self._ctx.clock.now_ms() - self.req.arrived_ms
