Keep a limited target's next request for the most urgent caller refused

Where all targets of a service are limited, whoever asks when the next request fits got it.

The next request of the target that accepts one first is now kept for a caller of at least the priority that was refused last, for 1.6 times its Retry-After and two seconds at most. With 6 requests a second for a limit of 2, a sixth of them urgent, the share of urgent ones that is served is more than twice that of the others; without the change that test fails. More than half of the limit is used.

--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -1,5 +1,6 @@
 """Tests of the shares of limits that all entries have in common."""
 
+import heapq
 import random
 
 from hypothesis import given
@@ -10,6 +11,7 @@
 from wigeonmill.gateway.allowances import ColdAllowance
 from wigeonmill.gateway.allowances import Fleet
 from wigeonmill.gateway.allowances import LimitAllowance
+from wigeonmill.gateway.allowances import MAX_RESERVED_MS
 from wigeonmill.gateway.allowances import MAX_UNCONFIRMED_MS
 from wigeonmill.gateway.allowances import RetryAllowance
 from wigeonmill.gateway.allowances import RetryLimits
@@ -253,3 +255,53 @@
     clock.advance(MAX_UNCONFIRMED_MS)
     assert allowance.wait_ms(2.0, MAX_UNCONFIRMED_MS - 1.0) > 0
     assert allowance.wait_ms(2.0, MAX_UNCONFIRMED_MS) == 0
+
+
+# Guards against less urgent requests that use up a limit: callers that were
+# refused come back later than others arrive.
+def test_the_next_request_is_kept_for_a_more_urgent_one_that_was_refused():
+    clock = ManualClock()
+    allowance = make_limited(clock, 0, 1)
+    clock.advance(allowance.wait_ms(1.0))
+    allowance.record()
+    wait_ms = allowance.wait_ms(1.0)
+    allowance.reserve(priority=1, wait_ms=wait_ms)
+    allowance.reserve(priority=4, wait_ms=wait_ms)
+    clock.advance(wait_ms)
+    assert allowance.wait_ms(1.0, priority=1) == 0.0
+    assert allowance.wait_ms(1.0, priority=2) > 0.0
+    clock.advance(MAX_RESERVED_MS)
+    assert allowance.wait_ms(1.0, priority=2) == 0.0
+    allowance.reserve(priority=1, wait_ms=wait_ms)
+    allowance.record()
+    clock.advance(wait_ms)
+    assert allowance.wait_ms(1.0, priority=2) == 0.0
+
+
+# Guards against a limit that is left unused, and against urgent requests that
+# are served no better than others.
+def test_urgent_requests_go_first_where_a_limit_is_short():
+    rng = random.Random(5)
+    clock = ManualClock()
+    allowance = make_limited(clock, 0, 1)
+    arrivals = [
+        (rng.uniform(0.0, 300_000.0), priority, tries)
+        for priority, tries, count in ((1, 2, 300), (5, 2, 1_500))
+        for _request in range(count)
+    ]
+    heapq.heapify(arrivals)
+    sent = {1: 0, 5: 0}
+    while arrivals:
+        at_ms, priority, tries = heapq.heappop(arrivals)
+        clock.set_ms(at_ms)
+        wait_ms = allowance.wait_ms(2.0, priority=priority)
+        if wait_ms <= 0:
+            allowance.record()
+            sent[priority] += 1
+            continue
+        allowance.reserve(priority, wait_ms)
+        if tries > 1:
+            back_ms = at_ms + wait_ms * rng.uniform(1.0, 1.5)
+            heapq.heappush(arrivals, (back_ms, priority, tries - 1))
+    assert sent[1] / 300 > 2 * sent[5] / 1_500
+    assert sum(sent.values()) >= 0.5 * 2.0 * 300
--- a/wigeonmill/gateway/allowances.py
+++ b/wigeonmill/gateway/allowances.py
@@ -21,6 +21,11 @@
 # it. The second figure is the most that one entry sends at once.
 LIMIT_BURST = 3.0
 MAX_TOKENS = 2.0
+# The next request of a limited target is kept for one that was refused and is
+# more urgent, for this many times the time after which it may return, and no
+# longer than this.
+RESERVED_FACTOR = 1.6
+MAX_RESERVED_MS = 2_000.0
 # An entry that is not selected sends too if nobody has confirmed the limit for
 # this time. It could not learn of its end otherwise.
 MAX_UNCONFIRMED_MS = 60_000.0
@@ -145,7 +150,15 @@
     any t seconds, in all `LIMIT_BURST + r + USED_SHARE * r * t` at most.
     """
 
-    __slots__ = ('_clock', '_fleet', '_key', '_tokens', '_filled_ms')
+    __slots__ = (
+        '_clock',
+        '_fleet',
+        '_key',
+        '_tokens',
+        '_filled_ms',
+        '_reserved_priority',
+        '_reserved_until_ms',
+    )
 
     def __init__(self, clock: Clock, fleet: Fleet, key: str) -> None:
         self._clock = clock
@@ -153,18 +166,23 @@
         self._key = key
         self._tokens = 0.0
         self._filled_ms = clock.now_ms()
+        self._reserved_priority = 0
+        self._reserved_until_ms = float('-inf')
 
     def reset(self) -> None:
         """Start with an empty bucket."""
         self._tokens = 0.0
         self._filled_ms = self._clock.now_ms()
 
-    def wait_ms(self, per_s: float, unconfirmed_ms: float = 0.0) -> float:
+    def wait_ms(
+        self, per_s: float, unconfirmed_ms: float = 0.0, priority: int = 0
+    ) -> float:
         """Return the time until a request may be sent (0: now).
 
         `per_s` is the rate that the target accepts, which was stated last
         `unconfirmed_ms` ago. If this entry may not send at all, the result is
-        the mean time between the requests of those that may.
+        the mean time between the requests of those that may. Of the requests
+        that have to wait, those with the lowest `priority` go first.
         """
         entry_count = self._fleet.count()
         per_s = max(MIN_LIMIT_PER_S, per_s)
@@ -182,8 +200,25 @@
         self._tokens = min(burst / senders, MAX_TOKENS, filled)
         self._filled_ms = now_ms
         missing = 1.0 - self._tokens
-        return missing / share_per_ms if missing > TOKEN_TOLERANCE else 0.0
+        wait_ms = missing / share_per_ms if missing > TOKEN_TOLERANCE else 0.0
+        if priority > self._reserved_priority:
+            wait_ms = max(wait_ms, self._reserved_until_ms - now_ms)
+        return wait_ms
+
+    def reserve(self, priority: int, wait_ms: float) -> None:
+        """Keep the next request for one that is refused until `wait_ms`."""
+        now_ms = self._clock.now_ms()
+        if (
+            now_ms < self._reserved_until_ms
+            and self._reserved_priority <= priority
+        ):
+            return
+        self._reserved_priority = priority
+        self._reserved_until_ms = now_ms + min(
+            MAX_RESERVED_MS, RESERVED_FACTOR * wait_ms
+        )
 
     def record(self) -> None:
         """Record a request that is being sent now."""
         self._tokens -= 1.0
+        self._reserved_until_ms = float('-inf')
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -163,15 +163,9 @@
         admissible = self._within_cold_rate(current, demand)
         if not admissible:
             return Err(self._refusal(Reason.TARGETS_COLD, 'targets are cold'))
-        unlimited = [t for t in admissible if t.limit_wait_ms() <= 0]
+        unlimited = self._within_limits(admissible, demand)
         if not unlimited:
-            return Err(
-                self._refusal(
-                    Reason.TARGETS_LIMITED,
-                    'targets accept no more requests a second',
-                    min(t.limit_wait_ms() for t in admissible),
-                )
-            )
+            return Err(self._limited(admissible, demand))
         admissible = self._within_opening_limit(unlimited)
         if not admissible:
             message = 'targets that have just opened are full'
@@ -190,7 +184,10 @@
         The result is 0 unless no target in service accepts requests now.
         """
         waits_ms = [
-            max(self._closed_ms(target), target.limit_wait_ms())
+            max(
+                self._closed_ms(target),
+                target.limit_wait_ms(demand.priority),
+            )
             for target in self._same_software(demand)
         ]
         return self._with_jitter(min(waits_ms, default=0.0))
@@ -296,6 +293,25 @@
             <= 0
         ]
 
+    def _within_limits(
+        self, targets: Sequence[Target], demand: Demand
+    ) -> list[Target]:
+        return [t for t in targets if t.limit_wait_ms(demand.priority) <= 0]
+
+    def _limited(self, targets: Sequence[Target], demand: Demand) -> Refusal:
+        """Return the refusal of a request beyond the limits of all targets.
+
+        The first one to accept another keeps it for such an urgent request.
+        """
+        first = min(targets, key=lambda t: t.limit_wait_ms(demand.priority))
+        wait_ms = first.limit_wait_ms(demand.priority)
+        first.limit_allowance.reserve(demand.priority, wait_ms)
+        return self._refusal(
+            Reason.TARGETS_LIMITED,
+            'targets accept no more requests a second',
+            wait_ms,
+        )
+
     def _within_opening_limit(self, targets: Sequence[Target]) -> list[Target]:
         """Leave out opening targets that have enough open requests.
 
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -149,12 +149,18 @@
         """
         return 0.0 <= now_ms - self.closed_until_ms < OPENING_MS
 
-    def limit_wait_ms(self) -> float:
-        """Return the time until its limit allows a request (0: now)."""
+    def limit_wait_ms(self, priority: int = 0) -> float:
+        """Return the time until its limit allows a request (0: now).
+
+        Less urgent requests, with a higher `priority`, may have to wait for
+        others that were refused.
+        """
         per_s = self.limit.accepted_per_s
         if per_s == inf:
             return 0.0
-        return self.limit_allowance.wait_ms(per_s, self.limit.unconfirmed_ms)
+        return self.limit_allowance.wait_ms(
+            per_s, self.limit.unconfirmed_ms, priority
+        )
 
     def record_sent(self) -> None:
         """Record a request that is being sent now."""
