--- a/tests/platform/soak/journal.py
+++ b/tests/platform/soak/journal.py
@@ -1,11 +1,16 @@
 """What targets, faults and the operator of a soak have seen and done."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 import math
 import time
 
+# A timer that is later than this shows that the process stood still.
+STALL_S = 0.05
+STALL_CHECK_S = 0.02
+
 
 @dataclass
 class Run:
@@ -114,6 +119,9 @@
     # Spans in which a process was killed or paused, or its grace ran out, by
     # its entry.
     interrupted: dict[str, list[list[float]]] = field(default_factory=dict)
+    # Spans in which the soak's own process stood still, so that its callers
+    # and targets neither sent nor read anything.
+    stalls: list[list[float]] = field(default_factory=list)
     # The processes that ended though nobody asked them to.
     own_ends: list[str] = field(default_factory=list)
     # Processes that had not exited after their grace time.
@@ -147,6 +155,22 @@
         self.interrupted.setdefault(entry, []).append(span)
         return span
 
+    async def watch_stalls(self):
+        """Record the stalls of this process until cancelled."""
+        while True:
+            slept_at = time.monotonic()
+            await asyncio.sleep(STALL_CHECK_S)
+            now = time.monotonic()
+            if now - slept_at >= STALL_CHECK_S + STALL_S:
+                self.stalls.append([slept_at, now])
+
+    def stalled_s(self, start, end):
+        """Return for how long this process stood still in a span."""
+        return sum(
+            max(0.0, min(end, stall_end) - max(start, stall_start))
+            for stall_start, stall_end in self.stalls
+        )
+
     def begin_fault(self, name):
         """Record a fault; the caller replaces its end when it is over."""
         span = [time.monotonic(), math.inf]
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -330,6 +330,7 @@
         breaks=changes.pop('breaks', []),
         interrupted=changes.pop('interrupted', {}),
         timeouts=changes.pop('timeouts', []),
+        stalls=changes.pop('stalls', []),
     )
     for target, at in runs:
         journal.add(make_run(target, started_at=at))
@@ -360,6 +361,14 @@
     assert lost_promises(runs=(), **crossing) == {'lost'}
 
 
+# The caller of a soak that stands still sees the close late.
+def test_a_close_that_the_soak_could_not_see_in_time_is_not_lost():
+    late = {'outcome': Outcome.CLOSED, 'body': b'', 'ended_at': 101.4}
+    assert not lost_promises(runs=(), stalls=[[100.9, 101.3]], **late)
+    assert lost_promises(runs=(), stalls=[[100.9, 101.1]], **late) == {'lost'}
+    assert lost_promises(stalls=[[100.9, 101.3]], **late) == {'lost'}
+
+
 def test_a_run_that_its_target_broke_off_is_not_lost():
     assert not lost_promises(breaks=[Break('t1', 101.5)])
     assert not lost_promises(breaks=[Break('t1', 101.5, 'q1')])
