--- a/tests/gateway/test_origin_exchange.py
+++ b/tests/gateway/test_origin_exchange.py
@@ -27,6 +27,8 @@
 from wigeonmill.protocol.codec import LENGTH_BYTES
 from wigeonmill.protocol.gen.inner.ttypes import Envelope
 from wigeonmill.protocol.gen.inner.ttypes import Kind
+from wigeonmill.protocol.gen.inner.ttypes import StreamOrigin
+from wigeonmill.protocol.gen.inner.ttypes import StreamOrigins
 
 SERVICE = 'engines'
 DELAY_S = 0.01
@@ -444,3 +446,23 @@
         assert fleet.clock.now_ms() - started_ms < FIND_TIMEOUT_MS
 
     fleet.run(check)
+
+
+# Guards against a broken peer that fills the memory with one message.
+def test_the_origins_in_one_message_are_bounded():
+    fleet = Fleet(2)
+    address = fleet.listed[0]
+
+    async def check():
+        begun = [
+            StreamOrigin(f'q{n}', SERVICE, 'v1', 't', 1, 1, True)
+            for n in range(MAX_PENDING + 1)
+        ]
+        message = StreamOrigins('x', begun, [])
+        envelope = Envelope(Kind.STREAM_ORIGINS, 0, 0, stream_origins=message)
+        fleet.entries[address].answer(envelope)
+        known = fleet.entries[address]._local
+        assert known.get(f'q{MAX_PENDING - 1}') is not None
+        assert known.get(f'q{MAX_PENDING}') is None
+
+    fleet.run(check)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -163,3 +163,16 @@
     record = Record(key, 1, b'{"a":' * 100_000)
     change = AllianceRecords().decode(record)
     assert change is None or change == TargetUnlisted('t1')
+
+
+# Guards against updates between entries that fail as a whole: they have the
+# start of a target as a number of 64 bits.
+@pytest.mark.parametrize('born', [2**63, -(2**63) - 1, 10**30])
+def test_a_start_of_more_than_64_bits_is_malformed(born):
+    change = decode('servers/i-1', TARGET | {'born': born})
+    assert not isinstance(change, TargetListed)
+
+
+def test_the_largest_start_is_decoded():
+    change = decode('servers/i-1', TARGET | {'born': 2**63 - 1})
+    assert change.target.started_at_ms == 2**63 - 1
--- a/wigeonmill/gateway/origin_exchange.py
+++ b/wigeonmill/gateway/origin_exchange.py
@@ -37,7 +37,8 @@
 FIND_TIMEOUT_MS = 150.0
 # Origins recorded within this time are sent together.
 BATCH_MS = 2.0
-# Limit of the origins that wait for a connection to a peer.
+# Limit of the origins that wait for a connection to a peer, and of those that
+# are accepted in one message.
 MAX_PENDING = 1_000
 # Limit of the requests that are looked up for a peer in one message.
 MAX_WANTED = 256
@@ -196,7 +197,7 @@
         message = envelope.stream_origins
         if message is None:
             return None
-        for item in message.begun or ():
+        for item in (message.begun or ())[:MAX_PENDING]:
             if self._is_usable(item.request or ''):
                 self._local.add(item.request, _from_wire(item))
         if not message.wanted:
