Write the origins of a small fleet at the same times

The records of origins cost more calls of the key-value service than they must: each write wakes the entries that watch, five of them on Costline, and each entry wrote at times of its own.

More entries write one after the other. A step of the wall clock moves a write by an interval at most.

--- a/wigeonmill/gateway/origin_records.py
+++ b/wigeonmill/gateway/origin_records.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 import logging
 from math import inf
+import zlib
 
 import msgspec
 from result import Err
@@ -34,9 +35,11 @@
 logger = logging.getLogger(__name__)
 
 # All entries together write this often, and one no more often than at the
-# interval.
+# interval. Those of a small fleet write at the same times, so that the entries
+# that watch the key-value service read several records at once.
 FLEET_WRITES_PER_S = 15.0
-MIN_INTERVAL_MS = 250.0
+MIN_INTERVAL_MS = 400.0
+MAX_ALIGNED_ENTRIES = 8
 RETRY_MS = 1_000.0
 # A caller may take up a broken stream for this time.
 RESUMABLE_MS = 15_000.0
@@ -158,7 +161,8 @@
         '_revision',
         '_lease',
         '_renewed_ms',
-        '_due_ms',
+        '_slot',
+        '_retry_at_ms',
         '_published',
     )
 
@@ -185,20 +189,22 @@
         self._revision = 0
         self._lease = 0
         self._renewed_ms = 0.0
-        self._due_ms = 0.0
+        self._slot = 0
+        self._retry_at_ms = 0.0
         self._published: set[str] = set()
 
     async def step(self) -> None:
         """Write the record if that is due and it lacks a stream."""
-        if self._clock.now_ms() < self._due_ms:
+        slot = int(self._slot_time_ms() // self._interval_ms())
+        if slot == self._slot or self._clock.now_ms() < self._retry_at_ms:
             return
+        self._slot = slot
         mixed = self._versions.mixed_services()
         if not mixed:
             return
         found = dict(list(self._streams.of_services(mixed))[-MAX_STREAMS:])
         if found.keys() <= self._published:
             return
-        self._due_ms = self._clock.now_ms() + self._interval_ms()
         written = await self._write(found)
         if isinstance(written, Err):
             self._handle_failure(written.err_value)
@@ -206,6 +212,17 @@
         self._revision = written.ok_value
         self._published = set(found)
 
+    def pause_ms(self) -> float:
+        """Return the time until the next write may be due."""
+        interval_ms = self._interval_ms()
+        return interval_ms - self._slot_time_ms() % interval_ms
+
+    def _slot_time_ms(self) -> float:
+        """Return the time from which the slots for writes are counted."""
+        aligned = self._entry_count() <= MAX_ALIGNED_ENTRIES
+        offset_ms = 0 if aligned else zlib.crc32(self._prefix.encode())
+        return self._clock.wall_ms() + offset_ms
+
     def _interval_ms(self) -> float:
         fleet_ms = 1_000.0 * self._entry_count() / FLEET_WRITES_PER_S
         return max(MIN_INTERVAL_MS, fleet_ms)
@@ -251,7 +268,7 @@
             'origins not stored',
             extra={'key': self._key, 'detail': error.message},
         )
-        self._due_ms = self._clock.now_ms() + RETRY_MS
+        self._retry_at_ms = self._clock.now_ms() + RETRY_MS
         if error.kind is not KvErrorKind.UNAVAILABLE:
             # The revision of the record is not known. The next one has a key
             # of its own, and this one expires.
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -403,7 +403,7 @@
     async def _run_origin_publisher(self) -> None:
         while True:
             await self._origin_publisher.step()
-            await asyncio.sleep(TICK_MS / 1000.0)
+            await asyncio.sleep(self._origin_publisher.pause_ms() / 1000.0)
 
     async def _run_cache_cleaner(self) -> None:
         while True:
