Take a late copy of an answer for no other request's

Operators of similar systems had told of a second copy of an answer that comes late on a connection in use again. Here callers never got it as their own, but: - a copy of a refusal (503 or 421 with "not run") made the request that waited on the connection "not run", though its target ran it: callers were told 503, and a request that must not run twice would have been sent again; - the connection stayed in use, so each later request on it got the answer of the one before and failed with 502, though it had run; - a report or order read a request's answer as its reply: 200 as "already done".

Cause: the status was looked at before the id, and curl keeps a connection whose reply is complete, whosever it is. Now the id is looked at first, and curl ends the connection after the head of another request's answer, where the right one may still come; the target is not blamed.

--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -175,3 +175,18 @@
 
     asyncio.run(asyncio.wait_for(run(), 10.0))
     assert seen == [(3_000.0, 'report')]
+
+
+# Guards against an order that counts as carried out, or a report that is read,
+# because an answer to a request came late on the connection.
+@pytest.mark.parametrize('status', [200, 202, 412, 421])
+def test_an_answer_to_a_request_is_no_reply_to_a_call(status):
+    async def check(standin, transfers):
+        target = make_target(address=standin.address)
+        engines = AllianceEngines(transfers)
+        outcome = await engines.load_weights(target, ORDER)
+        assert outcome is OrderOutcome.UNKNOWN
+        assert (await engines.report(target)).is_err()
+
+    reply = Reply(status, {'models': []}, headers={'Request-Id': 'q1'})
+    with_standin(lambda call: reply, check)
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -339,6 +339,12 @@
     def _process_answer(self, head: TargetHead, body: bytes) -> Failure | None:
         """Pass a complete answer on, or return why it is not valid."""
         now_ms = self._ctx.clock.now_ms()
+        if head.request_id not in (None, self._terms.req.id):
+            # Not even a refusal in it concerns this request.
+            self._ctx.metrics.count('gateway_answers_broken', 'other_request')
+            return may_have_run(
+                Reason.MAY_HAVE_RUN, 'answer to another request'
+            )
         if head.wrong_target:
             self.target.refusing_until_ms = now_ms + WRONG_TARGET_PAUSE_MS
             return not_run('wrong target or weight version', reached=False)
@@ -349,10 +355,6 @@
             return may_have_run(
                 Reason.MAY_HAVE_RUN, 'the answer is not verified'
             )
-        if head.request_id not in (None, self._terms.req.id):
-            return may_have_run(
-                Reason.MAY_HAVE_RUN, 'answer to another request'
-            )
         if head.status in NOT_RUN_STATUSES:
             return may_have_run(Reason.MAY_HAVE_RUN, f'status {head.status}')
         if head.status >= 500:
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -101,6 +101,9 @@
     def answer_head(self, head: ReplyHead) -> TargetHead:
         """Decode the head of a target's answer."""
 
+    def is_answer_to(self, req: CallerRequest, head: ReplyHead) -> bool:
+        """Whether a head may be that of the answer to a request."""
+
 
 class ExchangeEnd(enum.Enum):
     """How the transfer of an answer ended."""
@@ -133,6 +136,7 @@
         '_request_id',
         '_deadline_ms',
         '_has_head',
+        '_is_foreign',
         '_abandoned',
         '_parts',
         '_waiter',
@@ -161,6 +165,8 @@
         self.sent_ms = clock.now_ms()
         self._deadline_ms = self.sent_ms + remaining_ms
         self._has_head = False
+        # Whether another request's answer has come.
+        self._is_foreign = False
         self._abandoned = False
         self.message = ''
 
@@ -196,6 +202,7 @@
     def on_head(self, head: ReplyHead) -> None:
         decoded = self._codec.answer_head(head)
         self._has_head = True
+        self._is_foreign = decoded.request_id not in (None, self._request_id)
         # Applied here because an answer may never be read: its caller may
         # have left, or its time may be over.
         self._notices.record(
@@ -217,6 +224,9 @@
 
     def on_end(self, end: TransferEnd, message: str) -> None:
         self.message = message
+        if self._is_foreign:
+            # Its head tells why it is of no use; the target is not to blame.
+            end = TransferEnd.COMPLETE
         self._add(_EXCHANGE_ENDS[end])
 
     def _add(self, part: AnswerPart) -> None:
@@ -275,6 +285,7 @@
                 CONNECT_TIMEOUT_MS, instructions.deadline_ms
             ),
             max_idle_s=usable_idle_s(target.load.keep_alive_s, idempotent),
+            is_reply=lambda head: self._codec.is_answer_to(req, head),
         )
         exchange = Exchange(
             self._codec,
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -58,6 +58,10 @@
     CLOSE = 'close'
 
 
+# Returned to curl by a callback, it ends the transfer and its connection.
+_ABORT = -1
+
+
 @dataclass(frozen=True, slots=True)
 class ReplyHead:
     """Status and header fields of a reply, in the order received."""
@@ -102,7 +106,9 @@
 
     Unless `repeatable`, curl never resends the request if a reused
     connection turns out to be closed. A connection is reused if it was idle
-    for at most `max_idle_s` (0: always open a new one).
+    for at most `max_idle_s` (0: always open a new one). `is_reply` tells
+    whether a head is that of the reply to this request. If it is not, the
+    connection is closed after it, as the reply may still come there.
     """
 
     address: str
@@ -113,6 +119,7 @@
     repeatable: bool
     connect_timeout_ms: float
     max_idle_s: int
+    is_reply: Callable[[ReplyHead], bool] = lambda _head: True
 
 
 class Transfer:
@@ -352,12 +359,15 @@
     reader = _HeaderReader()
     owner = transfer
 
-    def on_header(raw: bytes) -> None:
+    def on_header(raw: bytes) -> int:
         if reader.feed(raw):
             head = ReplyHead(reader.status, tuple(reader.fields))
             owner.pending.append(lambda: transfer.sink.on_head(head))
+            if not call.is_reply(head):
+                return _ABORT
             if call.method == 'HEAD' and call.body:
                 owner.pending.append(lambda: _end_at_head(transfer))
+        return len(raw)
 
     def on_body(data: bytes) -> None:
         owner.pending.append(lambda: transfer.sink.on_data(data))
