Show that a stalled stream that sends bytes ends with its time

Operators of similar systems had told of stalled streams that sent a byte now and then and never ended. It can't happen here: the four new cases pass as they are.

--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -332,3 +332,21 @@
     channel = harness.run(req, make_route(kind=kind))
     assert (channel.status, channel.body) == (200, b'whole')
     assert len(harness.client.sent) == 1
+
+
+# Guards against a stream without end: its target stands still but sends a byte
+# of an event or a comment now and then.
+@pytest.mark.parametrize('part', [b'x', b': still there\n\n'])
+@pytest.mark.parametrize('began', [True, False])
+def test_a_stream_that_stalls_and_sends_bytes_ends_with_its_time(began, part):
+    bytes_now_and_then = (Pause(50.0), part) * 1_000
+    head = (make_head(), event(1)) if began else (make_head(),)
+    harness = engine_harness([(*head, *bytes_now_and_then)])
+    started_ms = harness.clock.now_ms()
+    channel = run_stream(harness, max_targets=1, timeout_ms=4_000.0)
+    assert 4_000.0 <= harness.clock.now_ms() - started_ms < 4_200.0
+    if channel.aborted:
+        assert not channel.finished
+    else:
+        assert channel.status == 504
+    assert harness.client.sent[0][2].cancelled
