Drop broken streams that can't be taken up any more

Found on reading the change again: an entry kept each stream that broke off, also those that their callers left, until a record was written, which happens only while a service has several versions. Its memory grew with each of them: 1,000 of 1,000 streams kept over 25 minutes, where 15 s count. They are now dropped in the order in which they broke, at each end of a stream; the test keeps 12 at most.

--- a/tests/gateway/test_origin_records.py
+++ b/tests/gateway/test_origin_records.py
@@ -306,3 +306,15 @@
     }
     assert len(pauses) >= moments
     assert (len(pauses) == 1) == (entry_count == 5)
+
+
+# Guards against memory that grows with each stream that a caller leaves, while
+# there is one version and nothing is written.
+def test_broken_streams_are_not_kept_for_good():
+    world = World()
+    entry = Entry(world, 'g0/1', ['v1'])
+    for number in range(1_000):
+        entry.streams.begin(f'q{number}', V1)
+        entry.streams.end(f'q{number}', complete=False)
+        world.clock.advance(RESUMABLE_MS / 10.0)
+    assert len(entry.streams) <= 12
--- a/wigeonmill/gateway/origin_records.py
+++ b/wigeonmill/gateway/origin_records.py
@@ -10,9 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterator
-from dataclasses import dataclass
 import logging
-from math import inf
 import zlib
 
 import msgspec
@@ -46,59 +44,63 @@
 # Records outlive their entry for this time at least.
 LEASE_TERM_MS = 60_000
 LEASE_RENEWAL_MS = 20_000.0
-# Limit of the streams in one record; the oldest are left out first.
+# Limit of the streams in one record; broken ones are left out first.
 MAX_STREAMS = 2_000
 MAX_REQUEST_ID_LENGTH = 256
 
 
-@dataclass(slots=True)
-class _OpenStream:
-    """A stream whose caller has an event; `until_ms` is set once it broke."""
-
-    origin: StreamOrigin
-    until_ms: float = inf
-
-
 class OpenStreams:
     """The streams that callers of this entry may have to take up.
 
     They are identified by the request that began them.
     """
 
-    __slots__ = ('_clock', '_streams')
+    __slots__ = ('_clock', '_open', '_broken')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._streams: dict[str, _OpenStream] = {}
+        self._open: dict[str, StreamOrigin] = {}
+        # Those that broke off, the first one first, and until when they may
+        # be taken up.
+        self._broken: dict[str, tuple[StreamOrigin, float]] = {}
 
     def begin(self, request_id: str, origin: StreamOrigin) -> None:
         """Record that the caller of a stream has an event of it."""
         if 0 < len(request_id) <= MAX_REQUEST_ID_LENGTH:
-            self._streams[request_id] = _OpenStream(origin)
+            self._broken.pop(request_id, None)
+            self._open[request_id] = origin
 
     def end(self, request_id: str, complete: bool) -> None:
         """Record the end of a stream; an incomplete one may be taken up."""
-        stream = self._streams.get(request_id)
-        if stream is None:
-            return
-        if complete:
-            del self._streams[request_id]
-        else:
-            stream.until_ms = self._clock.now_ms() + RESUMABLE_MS
+        self._drop_expired()
+        origin = self._open.pop(request_id, None)
+        if origin is not None and not complete:
+            until_ms = self._clock.now_ms() + RESUMABLE_MS
+            self._broken[request_id] = (origin, until_ms)
 
     def of_services(
         self, services: Collection[str]
     ) -> Iterator[tuple[str, StreamOrigin]]:
-        """Return the streams with a version of some services, oldest first."""
+        """Return the streams with a version of some services.
+
+        Broken ones come first.
+        """
+        self._drop_expired()
+        broken = [(id_, origin) for id_, (origin, _) in self._broken.items()]
+        for request_id, origin in (*broken, *self._open.items()):
+            if origin.service in services and origin.software_version:
+                yield request_id, origin
+
+    def __len__(self) -> int:
+        return len(self._open) + len(self._broken)
+
+    def _drop_expired(self) -> None:
         now_ms = self._clock.now_ms()
-        for request_id, stream in list(self._streams.items()):
-            if stream.until_ms < now_ms:
-                del self._streams[request_id]
-            elif (
-                stream.origin.service in services
-                and stream.origin.software_version
-            ):
-                yield request_id, stream.origin
+        while self._broken:
+            request_id, (_origin, until_ms) = next(iter(self._broken.items()))
+            if until_ms >= now_ms:
+                return
+            del self._broken[request_id]
 
 
 class OriginRecords:
