Read the pace of targets, and tell other entries of silent ones

A head with a fourth figure of load counted as malformed, so running and waiting requests were lost as well. And silence was known to one entry only, for as long as a request of it waited there: each of 29 entries lost requests to each of six lost engines, again and again.

All four figures are read, each for itself and bounded. The pace (target_pace) stretches the expected time of work for as long as a spell lasts; samples are divided by it; it is told with the open work, and used for a time drawn by chance, so that entries don't run to one target. A suspicion of silence (suspicions) outlives its request, is told to the others, keeps new requests away, and ends with a byte; two entries probe a silent target once a second, on a new connection.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -242,6 +242,32 @@
     run_with_two(check)
 
 
+def test_silent_targets_are_reported_until_they_are_heard():
+    async def check(first, second):
+        for entry in (first, second):
+            entry.load.last_activity_ms -= 1_000.0
+        target = second.ctx.directory.get('e0')
+        second.ctx.suspicions.record_unreached(target)
+        # With a request of its own unanswered, one teller is enough.
+        first.load.open(0, 0, 0)
+        suspected = first.ctx.suspicions.is_suspected
+        first_target = first.ctx.directory.get('e0')
+        await wait_until(lambda: suspected(first_target))
+        second.load.record_activity()
+        await wait_until(lambda: not suspected(first_target))
+
+    run_with_two(check)
+
+
+def test_the_pace_of_targets_is_reported():
+    async def check(first, second):
+        second.load.record_report(None, 2.5)
+        await wait_until(lambda: first.load.pace.seen() == 2.5)
+        assert first.load.runs() == 0
+
+    run_with_two(check)
+
+
 def test_an_entry_without_the_key_is_rejected():
     async def check(first, second):
         second.ctx.crash_guard.record(b'print', 'q1 e0')
--- a/tests/platform/soak/handlers.py
+++ b/tests/platform/soak/handlers.py
@@ -108,7 +108,9 @@
             return
         self.set_header('Request-Id', request_id)
         self.set_header(
-            'Server-Load', f'{target.open_requests},0,{target.slots}'
+            'Server-Load',
+            f'{target.open_requests},0,{target.slots},'
+            f'{target.machine.stated()}',
         )
         version = headers.get('Expect-Version', str(target.version))
         if not self._is_addressed() or version != str(target.version):
@@ -187,7 +189,7 @@
         self.set_header('Server-Seal', f'{target.id}.{request_id}')
         self.set_header('Weight-Versions', str(target.version))
         if CRASHING_PART in headers.get('Prefix-Hash', ''):
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await self.target.machine.work(EVENT_INTERVAL_S)
             target.crash()
             reset_stream(self.detach())
             return
@@ -201,7 +203,7 @@
             for number in range(last_event + 1, EVENT_COUNT + 1):
                 await self._write_event(number, request_id)
             return
-        await asyncio.sleep(PLAIN_RUN_S)
+        await self.target.machine.work(PLAIN_RUN_S)
         if secrets.randbelow(1000) < FAILED_SHARE * 1000:
             self.set_status(500)
         body = json.dumps({'id': request_id, 'by': target.id})
@@ -214,7 +216,7 @@
     async def _write_event(self, number, request_id):
         target = self.target
         event = f'id: {number}\ndata: {request_id} {number}\n\n'
-        await asyncio.sleep(EVENT_INTERVAL_S)
+        await self.target.machine.work(EVENT_INTERVAL_S)
         if target.is_silent(SilenceForm.BEFORE_BODY):
             await self.flush()
             await target.wait_for(SilenceForm.BEFORE_BODY)
@@ -250,12 +252,12 @@
                 while True:
                     await stream.write(ENDLESS_PART)
             if 'stream' not in self.request.path:
-                await asyncio.sleep(PLAIN_RUN_S)
+                await self.target.machine.work(PLAIN_RUN_S)
                 body = {'id': request_id, 'by': self.target.id}
                 await stream.write(json.dumps(body).encode())
                 return
             for number in range(last_event + 1, EVENT_COUNT + 1):
-                await asyncio.sleep(EVENT_INTERVAL_S)
+                await self.target.machine.work(EVENT_INTERVAL_S)
                 event = f'id: {number}\ndata: {request_id} {number}\n\n'
                 if (
                     form is AnswerForm.INSIDE_EVENT
--- a/tests/platform/soak/targets.py
+++ b/tests/platform/soak/targets.py
@@ -13,6 +13,7 @@
 from tests.platform.soak.handlers import SilenceForm
 from tests.platform.soak.handlers import TargetHandler
 from tests.platform.soak.journal import Order
+from tests.platform.soak.machines import SharedMachine
 from wigeonmill.standins.fault_proxy import ProxyOptions
 from wigeonmill.standins.fault_proxy import reset_stream
 from wigeonmill.standins.fault_proxy import start_fault_proxy
@@ -40,6 +41,7 @@
         self.domain = domain
         self.streaming = streaming
         self.slots = 16
+        self.machine = SharedMachine(self.id)
         self.open_requests = 0
         self.state = 'ready'
         # Stated in the answers only, not in the record.
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -83,6 +83,26 @@
     assert ('Server-Seal', 'x') in answer.fields
 
 
+def load_of(text):
+    load = decode_head(200, Server_Load=text).load
+    return load and (load.running, load.waiting, load.slots, load.pace)
+
+
+def test_a_malformed_figure_of_the_load_leaves_the_others_valid():
+    assert load_of('3,1,8,250') == (3, 1, 8, 2.5)
+    assert load_of('3,1,8') == (3, 1, 8, None)
+    assert load_of('3,1,8,100,7') == (3, 1, 8, 1.0)
+    assert load_of('3,x,8,250') == (3, None, 8, 2.5)
+    assert load_of('-3,,8,') == (None, None, 8, None)
+    assert load_of(',,,50') == (None, None, None, 0.5)
+    assert load_of('x,y') is None
+
+
+def test_absurd_figures_of_the_load_are_bounded():
+    assert load_of('9' * 18 + ',1,8,0') == (10_000, 1, 8, None)
+    assert load_of('9' * 19 + ',1,8,100') == (None, 1, 8, 1.0)
+
+
 def test_content_encoding_marks_the_body_as_encoded():
     assert decode_head(Content_Encoding='gzip').encoded
     assert not decode_head(Content_Encoding='identity').encoded
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -391,10 +391,10 @@
     def _record_head(self, head: TargetHead) -> None:
         self.receipt.framing = head.framing
         if head.load is not None:
-            self.target.load.record_reported(
-                head.load.running + head.load.waiting
+            self.target.load.record_report(head.load.requests, head.load.pace)
+            self.reported_load = (
+                f'{head.load.running or 0},{head.load.waiting or 0}'
             )
-            self.reported_load = f'{head.load.running},{head.load.waiting}'
         generation = self._terms.req.generation
         if generation is not None and head.weight_version is not None:
             weights = self.target.weights
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -17,6 +17,7 @@
 from wigeonmill.gateway.part_guard import PartGuard
 from wigeonmill.gateway.stream_origins import LocalStreamOrigins
 from wigeonmill.gateway.stream_origins import StreamOrigins
+from wigeonmill.gateway.suspicions import Suspicions
 from wigeonmill.gateway.target_notices import DEFAULT_MAX_CLOSED_MS
 from wigeonmill.gateway.target_notices import TargetNotices
 from wigeonmill.gateway.targets import Directory
@@ -180,6 +181,7 @@
         'freshness',
         'desired',
         'directory',
+        'suspicions',
         'circuits',
         'notices',
         'loss_log',
@@ -226,7 +228,9 @@
             contact_ms,
             uptime_ms,
         )
-        self.directory = Directory(clock, Fleet(entry_count, is_selected))
+        fleet = Fleet(entry_count, is_selected)
+        self.directory = Directory(clock, fleet)
+        self.suspicions = Suspicions(clock, metrics, self.directory, fleet)
         self.circuits = CircuitBreakers(clock, rng)
         self.notices = TargetNotices(
             clock,
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -22,6 +22,8 @@
 from wigeonmill.gateway.loss_log import RunOutcome
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
+from wigeonmill.gateway.suspicion_exchange import pace_to_send
+from wigeonmill.gateway.suspicion_exchange import SuspicionExchange
 from wigeonmill.gateway.target_load import PeerLoad
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.protocol.client import PeerClient
@@ -77,6 +79,7 @@
         self._keys = keys
         self._caches = caches
         self._limits = LimitExchange(ctx.clock, ctx.directory, ctx.notices)
+        self._silences = SuspicionExchange(ctx.directory, ctx.suspicions)
         self._rng = rng
         self._in_flight: set[str] = set()
         # Addresses that have not yet had their turn in the current rotation.
@@ -269,6 +272,7 @@
             listing=listing or None,
             copy_age_ms=self._ctx.freshness.age_ms,
             limits=self._limits.to_send() or None,
+            silences=self._silences.to_send() or None,
         )
 
     def _add_losses(
@@ -305,9 +309,10 @@
                 target.load.own_runs(),
                 _trim_zeros(target.load.tokens),
                 _trim_zeros(target.load.waiting_tokens),
+                *pace_to_send(target),
             )
             for target in self._ctx.directory.all()
-            if target.load.own_runs()
+            if target.load.own_runs() or pace_to_send(target)
         ]
 
     def _apply_update(self, update: EntryNews) -> None:
@@ -315,6 +320,7 @@
         for loss in update.losses or ():
             self._ctx.crash_guard.record_remote(loss.fingerprint, loss.loss)
         self._limits.apply(update.limits or ())
+        self._silences.apply(update.sender, update.silences or ())
         guard = self._ctx.part_guard
         for outcome in update.part_outcomes or ():
             observed = RunOutcome(
@@ -367,6 +373,7 @@
                 now_ms,
             )
             target.load.set_peer_load(update.sender, load)
+            self._silences.apply_pace(target, work)
 
     def _make_client(self, address: str) -> PeerClient:
         return PeerClient(
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -22,6 +22,7 @@
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
 from wigeonmill.gateway.request import Generation
 from wigeonmill.gateway.stream_origins import StreamOrigin
+from wigeonmill.gateway.suspicions import Suspicions
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.gateway.targets import Directory
 from wigeonmill.gateway.targets import Target
@@ -74,7 +75,8 @@
     store. `desired_version` is the newest weight version that operators have
     set for the model. No run may begin on an older version once the time that
     `old_weights_remaining_ms` returns for it has passed. A stream with an
-    `origin` may go on only at the software that began it.
+    `origin` may go on only at the software that began it. One that is
+    `repeatable` may be run twice.
     """
 
     service: str
@@ -95,6 +97,7 @@
     old_weights_remaining_ms: Callable[[int], float] = lambda _loaded: inf
     entry_position: float = 0.0
     origin: StreamOrigin | None = None
+    repeatable: bool = True
 
     @property
     def tokens(self) -> int:
@@ -129,6 +132,7 @@
         '_circuits',
         '_is_domain_closed',
         '_region_of',
+        '_suspicions',
     )
 
     def __init__(
@@ -139,6 +143,7 @@
         circuits: CircuitBreakers,
         is_domain_closed: Callable[[str], bool],
         region_of: Mapping[str, str] | None = None,
+        suspicions: Suspicions | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -146,6 +151,7 @@
         self._circuits = circuits
         self._is_domain_closed = is_domain_closed
         self._region_of = region_of or {}
+        self._suspicions = suspicions
 
     def pick(self, demand: Demand) -> Result[Pick, Refusal]:
         """Return the best target, or why there is none."""
@@ -175,7 +181,11 @@
             for target in admissible
             if not self._circuits.blocked(target.id)
         ]
-        best = self._best(healthy or admissible, demand)
+        probed = self._to_probe(admissible, demand)
+        if probed is not None:
+            return Ok(probed)
+        heard = self._without_suspected(healthy)
+        best = self._best(heard or healthy or admissible, demand)
         return Ok(best)
 
     def retry_after_ms(self, demand: Demand) -> float:
@@ -312,6 +322,37 @@
             wait_ms,
         )
 
+    def _to_probe(
+        self, targets: Sequence[Target], demand: Demand
+    ) -> Pick | None:
+        """Return a silent target to which this request should be sent.
+
+        It will most likely be tried elsewhere after that.
+        """
+        suspicions = self._suspicions
+        if (
+            suspicions is None
+            or not len(suspicions)
+            or len(targets) < 2
+            or demand.avoid
+            or demand.origin is not None
+        ):
+            return None
+        for target in targets:
+            if suspicions.may_probe(
+                target, demand.repeatable, demand.objective_remaining_ms
+            ):
+                pick = self._evaluate(target, demand, self._home_id(demand))
+                if pick.expected_ms < demand.remaining_ms:
+                    return pick
+        return None
+
+    def _without_suspected(self, targets: Sequence[Target]) -> list[Target]:
+        suspicions = self._suspicions
+        if suspicions is None or not len(suspicions):
+            return list(targets)
+        return [t for t in targets if not suspicions.is_suspected(t)]
+
     def _within_opening_limit(self, targets: Sequence[Target]) -> list[Target]:
         """Leave out opening targets that have enough open requests.
 
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -266,7 +266,9 @@
             pick.prefill_tokens,
             priority,
             delayed=priority == LATE_PRIORITY or pick.waits,
+            expected_ms=pick.expected_ms,
         )
+        self._ctx.suspicions.record_sent(target, in_flight)
         try:
             exchange = self._client.send(
                 self._req,
@@ -393,6 +395,7 @@
             return
         if not failure.arrived_at_service:
             circuits.record_failure(target.id)
+            self._ctx.suspicions.record_unreached(target)
             # A target that refuses connections may be restarting.
             cold_until_ms = self._ctx.clock.now_ms() + SUSPECTED_START_MS
             target.cold_until_ms = max(target.cold_until_ms, cold_until_ms)
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -347,6 +347,7 @@
             lag.record(max(0.0, self._clock.now_ms() - due_ms))
             self._ctx.directory.expire()
             self._versions.observe()
+            self._ctx.suspicions.observe()
             if self._clock.now_ms() - logged_ms >= COUNTERS_INTERVAL_MS:
                 logged_ms = self._clock.now_ms()
                 self._log_counters()
@@ -435,6 +436,7 @@
             ctx.circuits,
             ctx.desired.is_domain_closed,
             self._settings.regions,
+            ctx.suspicions,
         )
         client = TargetClient(
             self._transfers, self._adapter.targets, self._clock, ctx.notices
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -183,6 +183,7 @@
             penalize_old_weights=weights_due,
             old_weights_remaining_ms=self._old_weights_remaining_ms,
             origin=self.origin,
+            repeatable=self.route.idempotent,
         )
 
     def begin_by_ms(self, target: Target) -> float:
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -55,11 +55,23 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """The numbers of requests of all callers at a target, and its slots."""
+    """The numbers of requests of all callers at a target, and its slots.
 
-    running: int
-    waiting: int
-    slots: int
+    `pace` is the time that work takes there now, as a multiple of the usual.
+    What is not stated, or malformed, is None.
+    """
+
+    running: int | None = None
+    waiting: int | None = None
+    slots: int | None = None
+    pace: float | None = None
+
+    @property
+    def requests(self) -> int | None:
+        """The running and waiting requests, as far as they are stated."""
+        if self.running is None and self.waiting is None:
+            return None
+        return (self.running or 0) + (self.waiting or 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -284,7 +296,13 @@
             connect_timeout_ms=min(
                 CONNECT_TIMEOUT_MS, instructions.deadline_ms
             ),
-            max_idle_s=usable_idle_s(target.load.keep_alive_s, idempotent),
+            # A silent target does not accept a new connection, mostly, and
+            # what was not sent may go elsewhere.
+            max_idle_s=(
+                0
+                if target.suspected
+                else usable_idle_s(target.load.keep_alive_s, idempotent)
+            ),
             is_reply=lambda head: self._codec.is_answer_to(req, head),
         )
         exchange = Exchange(
--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -5,6 +5,8 @@
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.estimates import Estimates
 from wigeonmill.gateway.estimates import TargetEstimates
+from wigeonmill.gateway.target_pace import TargetPace
+from wigeonmill.gateway.target_pace import usual_ms
 
 # Time for which a target's own report of its load is used.
 REPORTED_LOAD_TTL_MS = 400.0
@@ -112,7 +114,9 @@
 
     `tokens` is the memory it occupies and `prefill_tokens` the part of its
     prompt that must be prefilled. `tokens_ahead` and `runs_ahead` are the
-    waiting tokens and the open requests before it when it was sent.
+    waiting tokens and the open requests before it when it was sent, and
+    `pace` is that of the target then. Its answer was expected within
+    `expected_ms`.
     `delayed` is set if it had to wait for memory or for more urgent requests.
     `answered` is set at its first token or at its whole answer.
     """
@@ -125,6 +129,8 @@
         'tokens_ahead',
         'runs_ahead',
         'delayed',
+        'pace',
+        'expected_ms',
         'answered',
     )
 
@@ -137,6 +143,8 @@
         tokens_ahead: int,
         runs_ahead: int,
         delayed: bool,
+        pace: float = 1.0,
+        expected_ms: float = 0.0,
     ) -> None:
         self.sent_ms = sent_ms
         self.tokens = tokens
@@ -145,6 +153,8 @@
         self.tokens_ahead = tokens_ahead
         self.runs_ahead = runs_ahead
         self.delayed = delayed
+        self.pace = pace
+        self.expected_ms = expected_ms
         self.answered = False
 
 
@@ -162,6 +172,9 @@
         '_failure_share',
         '_last_outcome_ms',
         'last_activity_ms',
+        'last_byte_ms',
+        'others_heard_ms',
+        'pace',
         'tokens',
         'waiting_tokens',
         'keep_alive_s',
@@ -179,6 +192,11 @@
         self._failure_share = 0.0
         self._last_outcome_ms = clock.now_ms()
         self.last_activity_ms = clock.now_ms()
+        # Unlike the time above, it is not set before the first byte.
+        self.last_byte_ms = float('-inf')
+        # When other entries had a byte of it, as far as they have told.
+        self.others_heard_ms = float('-inf')
+        self.pace = TargetPace(clock)
         self.tokens = [0] * PRIORITIES
         self.waiting_tokens = [0] * PRIORITIES
         self.keep_alive_s: int | None = None
@@ -189,8 +207,12 @@
         prefill_tokens: int,
         priority: int,
         delayed: bool = False,
+        expected_ms: float = 0.0,
     ) -> InFlightRequest:
-        """Register a request that is being sent now."""
+        """Register a request that is being sent now.
+
+        Its first token or whole answer is due after `expected_ms`.
+        """
         request = InFlightRequest(
             self._clock.now_ms(),
             tokens,
@@ -199,6 +221,8 @@
             self._tokens_ahead(priority),
             self.runs(),
             delayed,
+            self.pace.seen(),
+            expected_ms,
         )
         self._open[request] = None
         self.tokens[priority] += tokens
@@ -208,6 +232,7 @@
     def record_activity(self) -> None:
         """Record that the target has just sent some bytes."""
         self.last_activity_ms = self._clock.now_ms()
+        self.last_byte_ms = self.last_activity_ms
 
     def record_first_token(self, request: InFlightRequest) -> None:
         """Update the estimate from the time to a first token.
@@ -219,21 +244,21 @@
         request.answered = True
         self.waiting_tokens[request.priority] -= request.prefill_tokens
         if not request.delayed:
-            took_ms = self._clock.now_ms() - request.sent_ms
+            took_ms = self._took_ms(request)
             self._estimates.add_first_token(
                 request.tokens_ahead + request.prefill_tokens, took_ms
             )
 
     def record_run_end(self, request: InFlightRequest) -> None:
         """Update the estimates with a complete run."""
-        took_ms = self._clock.now_ms() - request.sent_ms
+        took_ms = self._took_ms(request)
         self._estimates.add_run(request.tokens, took_ms, request.delayed)
 
     def record_whole_answer(
         self, request: InFlightRequest, slots: int
     ) -> None:
         """Update the mean time of a whole answer, without the slot wait."""
-        took_ms = self._clock.now_ms() - request.sent_ms
+        took_ms = self._took_ms(request)
         own_ms = took_ms / _slot_rounds(request.runs_ahead, slots)
         self._mean_answer_ms += SAMPLE_WEIGHT * (own_ms - self._mean_answer_ms)
 
@@ -273,6 +298,13 @@
         """Return the number of open requests of all entries."""
         return len(self._open) + self._peers.runs()
 
+    def record_report(self, runs: int | None, pace: float | None) -> None:
+        """Store what the target stated in an answer; None: nothing."""
+        if runs is not None:
+            self.record_reported(runs)
+        if pace is not None:
+            self.pace.record(pace)
+
     def record_reported(self, runs: int) -> None:
         """Store the runs and waiting requests that the target reported."""
         self._reported_runs = runs
@@ -285,7 +317,7 @@
         return max(self.runs(), reported)
 
     def slot_wait_ms(self, priority: int, slots: int) -> float:
-        """Return the expected time that a new request waits for a slot.
+        """Return the time for a slot at the usual pace of the target.
 
         Slots become free evenly over the mean duration of a run. Waiting
         requests of less urgent priorities are overtaken.
@@ -314,7 +346,7 @@
         if shortfall <= 0 or capacity <= 0:
             return 0.0
         run_ms = self._estimates.runs.duration_by_memory_ms()
-        return run_ms * shortfall / capacity
+        return self.pace.stretch(run_ms * shortfall / capacity)
 
     def memory_shortfall(
         self, tokens: int, priority: int, capacity: int
@@ -331,11 +363,35 @@
 
     def is_silent(self) -> bool:
         """Whether unanswered requests have received nothing for too long."""
+        return self.unanswered_ms() > SILENCE_MS
+
+    def silent_since_ms(self) -> float | None:
+        """Return since when an overdue answer is silent; None: none is.
+
+        A full target may write nothing for twice the time that was expected.
+        """
+        now_ms = self._clock.now_ms()
+        for request in self._open:
+            since_ms = max(self.last_activity_ms, request.sent_ms)
+            limit_ms = SILENCE_MS + 2.0 * request.expected_ms
+            if not request.answered and now_ms - since_ms > limit_ms:
+                return since_ms
+        return None
+
+    def is_open(self, request: InFlightRequest | None) -> bool:
+        """Whether the request is at the target."""
+        return request in self._open
+
+    def unanswered_ms(self) -> float:
+        """Return for how long unanswered requests have received nothing.
+
+        It is 0 if there are none.
+        """
         waiting = [s.sent_ms for s in self._open if not s.answered]
         if not waiting:
-            return False
+            return 0.0
         since_ms = max(self.last_activity_ms, min(waiting))
-        return self._clock.now_ms() - since_ms > SILENCE_MS
+        return self._clock.now_ms() - since_ms
 
     def first_token_ms(
         self, prefill_tokens: int, priority: int, slots: int
@@ -350,11 +406,19 @@
             slope * self._tokens_ahead(priority),
             self.slot_wait_ms(priority, slots),
         )
-        return fixed_ms + slope * prefill_tokens + wait_ms
+        work_ms = fixed_ms + slope * prefill_tokens + wait_ms
+        return self.pace.stretch(work_ms)
 
     def whole_answer_ms(self, slots: int) -> float:
         """Return the expected time to a whole answer of a new request."""
-        return self._mean_answer_ms * _slot_rounds(self.occupied(), slots)
+        rounds = _slot_rounds(self.occupied(), slots)
+        return self.pace.stretch(self._mean_answer_ms * rounds)
+
+    def _took_ms(self, request: InFlightRequest) -> float:
+        """Return how long a request took, at the usual pace of the target."""
+        took_ms = self._clock.now_ms() - request.sent_ms
+        mean_pace = (request.pace + self.pace.seen()) / 2
+        return usual_ms(took_ms, mean_pace)
 
     def _tokens_ahead(self, priority: int) -> int:
         """Return the waiting tokens that precede a new request."""
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -87,6 +87,7 @@
         'limited_at_wall_ms',
         'loading',
         'load',
+        'suspected',
     )
 
     def __init__(
@@ -123,6 +124,8 @@
         self.limited_at_wall_ms = 0
         self.loading: Loading | None = None
         self.load = TargetLoad(clock, estimates)
+        # Whether it was suspected of silence at the last request.
+        self.suspected = False
 
     @property
     def lifetime(self) -> str:
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -264,12 +264,25 @@
 
 // An entry's open requests at a target. By priority, tokens is the memory that
 // they take, in tokens, and waiting_tokens the part of their prompts that is
-// still to be processed.
+// still to be processed. pace_percent is the time that work takes there, in
+// percent of the usual, as the target stated it to the sender pace_age_ms ago.
 struct OpenWork {
   1: string target
   2: i32 runs
   3: list<i64> tokens
   4: list<i64> waiting_tokens
+  5: optional i32 pace_percent
+  6: optional i32 pace_age_ms
+}
+
+// A lifetime of a target that the sender, or an entry known to it, suspects.
+// silent_ms is for how long it has sent the sender nothing that it waits for;
+// heard_ms is how long ago it sent the sender something.
+struct TargetSilence {
+  1: string target
+  2: i64 started_at_ms
+  3: optional i32 silent_ms
+  4: optional i32 heard_ms
 }
 
 // The loss of a target during a request; each loss is reported separately.
@@ -354,6 +367,7 @@
   11: optional list<PartOutcome> part_outcomes
   12: optional list<PartQuarantine> part_quarantines
   13: optional list<LimitNotice> limits
+  15: optional list<TargetSilence> silences
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
