List cache stores first, and a few at a time, after a start

Cause: a process that has just started asked each of 14 cache stores for all events that it had kept, threw them away because it did not know the store yet, and then listed it, all stores at once. On a link of 10 Mbit/s that fills the first second: connections to targets timed out after 350 ms or were set up after one second, on every entry that started. Change: a store that is not known yet is listed at once, without a poll, two stores at a time with a pause.

--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -1,6 +1,7 @@
 """Only a few entries of a large fleet poll each cache store."""
 
 import asyncio
+from dataclasses import replace
 
 from result import Ok
 
@@ -15,6 +16,7 @@
 from wigeonmill.gateway.store_view import CacheEventBatch
 from wigeonmill.gateway.store_view import CacheListing
 from wigeonmill.gateway.store_view import PeerEventBatch
+from wigeonmill.gateway.store_watch import MAX_LISTINGS
 from wigeonmill.gateway.store_watch import POLLERS_PER_STORE
 from wigeonmill.gateway.store_watch import STALE_VIEW_MS
 from wigeonmill.gateway.store_watch import StoreWatch
@@ -91,8 +93,7 @@
 
 
 def test_an_entry_with_recent_updates_does_not_poll():
-    # The first poll leads to a listing, the second one gets the first
-    # events.
+    # The first poll after the listing gets the first events.
     assert count_polls(is_poller=False, gets_updates=True) <= 2
 
 
@@ -105,6 +106,53 @@
     assert count_polls(is_poller=True, gets_updates=True) > 10
 
 
+class SlowStores:
+    """Stores that take a while to list, and note the calls."""
+
+    def __init__(self):
+        self.listing_now = 0
+        self.most_at_once = 0
+        self.calls = []
+
+    async def poll_events(self, address, since, wait_ms):
+        self.calls.append((address, 'poll', since))
+        await asyncio.sleep(wait_ms / 1000.0)
+        return Ok(CacheEventBatch(1, since, False, 1_000, ()))
+
+    async def listing(self, address):
+        self.calls.append((address, 'list', None))
+        self.listing_now += 1
+        self.most_at_once = max(self.most_at_once, self.listing_now)
+        await asyncio.sleep(0.02)
+        self.listing_now -= 1
+        return Ok(CacheListing(1, 7, ()))
+
+
+# Guards against an entry whose first requests wait behind the contents of all
+# stores on a slow link: with the events that each store had kept, they were
+# several times as long as the listings.
+def test_an_entry_that_starts_lists_many_stores_a_few_at_a_time():
+    specs = [replace(SPEC, address=f'127.0.0.1:{n}') for n in range(1, 15)]
+
+    async def run():
+        stores = SlowStores()
+        watch = StoreWatch(stores, Clock(), Metrics(), lambda *_args: True)
+        watch.set_stores(specs)
+        async with asyncio.timeout(5.0):
+            while len({call[0] for call in stores.calls}) < len(specs):
+                await asyncio.sleep(0.01)
+        watch.close()
+        return stores
+
+    stores = asyncio.run(run())
+    assert stores.most_at_once <= MAX_LISTINGS
+    first = {}
+    for address, kind, since in stores.calls:
+        assert since in (None, 7)
+        first.setdefault(address, kind)
+    assert set(first.values()) == {'list'}
+
+
 class HeldStore:
     """A store whose polls end when a test says so."""
 
@@ -114,6 +162,9 @@
     async def poll_events(self, address, since, wait_ms):
         return await fetch(self.transfers, CALL, 1_000.0)
 
+    async def listing(self, address):
+        return await fetch(self.transfers, CALL, 1_000.0)
+
 
 # Guards against a store that is polled for good after it was removed: its
 # task dropped the cancellation that came as a poll ended.
--- a/wigeonmill/gateway/store_watch.py
+++ b/wigeonmill/gateway/store_watch.py
@@ -31,6 +31,11 @@
 POLLERS_PER_STORE = 3
 # Age of a view from which any entry polls the store itself.
 STALE_VIEW_MS = 1_500.0
+# Number of stores that are listed at the same time, and the pause after each.
+# An entry that has just started lists all stores, and callers' requests must
+# not wait on its link for that.
+MAX_LISTINGS = 2
+LISTING_PAUSE_MS = 50.0
 
 
 class CacheStores(Protocol):
@@ -68,6 +73,7 @@
         self._specs: dict[str, CacheStoreSpec] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._unreachable: set[str] = set()
+        self._listings = asyncio.Semaphore(MAX_LISTINGS)
 
     def set_stores(self, specs: Iterable[CacheStoreSpec]) -> None:
         """Start and stop polling so that exactly these stores are polled."""
@@ -120,10 +126,12 @@
         )
 
     async def _poll_once(self, view: StoreView) -> float:
+        if view.boot is None:
+            # All events that the store has kept would be of no use.
+            return await self._list(view)
         requested_ms = self._clock.now_ms()
-        wait_ms = POLL_WAIT_MS if view.boot is not None else 0
         batch = await self._stores.poll_events(
-            view.address, view.next, wait_ms
+            view.address, view.next, POLL_WAIT_MS
         )
         if isinstance(batch, Err):
             self._record_failure(view, batch.err_value)
@@ -131,10 +139,17 @@
         self._record_success(view)
         if view.apply_events(batch.ok_value, requested_ms):
             return POLL_PAUSE_MS
-        listing = await self._stores.listing(view.address)
+        return await self._list(view)
+
+    async def _list(self, view: StoreView) -> float:
+        """List a store; return the pause after it."""
+        async with self._listings:
+            listing = await self._stores.listing(view.address)
+            await asyncio.sleep(LISTING_PAUSE_MS / 1000.0)
         if isinstance(listing, Err):
             self._record_failure(view, listing.err_value)
             return FAILED_PAUSE_MS
+        self._record_success(view)
         view.apply_listing(listing.ok_value)
         logger.info(
             'cache store listed',
