Apply a listing of a cache store before the pause, and queue no store behind a dead one

Cause: a review of the listings after a start. A listing was applied 50 ms after it came, so that it could put back parts that peers had since reported as removed; stores that are down held up the listing of the others; the test of a store that is removed as a call ends no longer saw its fault, because the first call is a listing now; nothing started the program with the words of the deploy file. Change: a listing is applied at once, and dropped if peers' events are later; stores that were not reached are listed in a queue of their own. The test of the removed store is as strict as before again and has a second case, the bound of polls is 1 instead of 2.

--- a/tests/gateway/test_store_view.py
+++ b/tests/gateway/test_store_view.py
@@ -192,3 +192,18 @@
         view.apply_events(batch, clock.now_ms() - delay_ms)
     behind_ms = clock.now_ms() + ahead_ms - view.store_now_ms
     assert 0.0 <= behind_ms <= 6.0
+
+
+def test_a_listing_that_was_overtaken_is_not_applied():
+    clock = ManualClock()
+    view = polled_view(clock)
+    listing = CacheListing(view.boot, view.next, (COMPLETE_PART,))
+    removed = CacheEvent(False, 's', 'p', 0)
+    view.apply_events(
+        make_batch(clock, events=[removed], number=view.next + 1),
+        clock.now_ms(),
+    )
+    newest = view.next
+    view.apply_listing(listing)
+    assert view.available_tokens('s', 'p') == 0
+    assert view.next == newest
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+from result import Err
 from result import Ok
 
 from tests.providers.held_transfers import HeldTransfers
@@ -22,6 +24,7 @@
 from wigeonmill.gateway.store_watch import StoreWatch
 from wigeonmill.metrics import Metrics
 from wigeonmill.providers.fetch import fetch
+from wigeonmill.providers.fetch import FetchError
 
 ENTRIES = 27
 STORE = '127.0.0.1:9'
@@ -94,7 +97,7 @@
 
 def test_an_entry_with_recent_updates_does_not_poll():
     # The first poll after the listing gets the first events.
-    assert count_polls(is_poller=False, gets_updates=True) <= 2
+    assert count_polls(is_poller=False, gets_updates=True) <= 1
 
 
 def test_an_entry_without_updates_polls_when_its_view_is_stale():
@@ -129,8 +132,7 @@
 
 
 # Guards against an entry whose first requests wait behind the contents of all
-# stores on a slow link: with the events that each store had kept, they were
-# several times as long as the listings.
+# stores on a slow link.
 def test_an_entry_that_starts_lists_many_stores_a_few_at_a_time():
     specs = [replace(SPEC, address=f'127.0.0.1:{n}') for n in range(1, 15)]
 
@@ -154,33 +156,77 @@
 
 
 class HeldStore:
-    """A store whose polls end when a test says so."""
+    """A store whose polls, or listings, end when a test says so."""
 
-    def __init__(self):
+    def __init__(self, holds_listings):
         self.transfers = HeldTransfers()
+        self.holds_listings = holds_listings
 
     async def poll_events(self, address, since, wait_ms):
         return await fetch(self.transfers, CALL, 1_000.0)
 
     async def listing(self, address):
-        return await fetch(self.transfers, CALL, 1_000.0)
+        if self.holds_listings:
+            return await fetch(self.transfers, CALL, 1_000.0)
+        return Ok(CacheListing(1, 1, ()))
 
 
 # Guards against a store that is polled for good after it was removed: its
-# task dropped the cancellation that came as a poll ended.
-def test_a_store_that_is_removed_as_a_poll_ends_is_not_polled_again(
-    monkeypatch,
+# task dropped the cancellation that came as a call ended.
+@pytest.mark.parametrize('holds_listings', [False, True])
+def test_a_store_that_is_removed_as_a_call_ends_is_not_called_again(
+    monkeypatch, holds_listings
 ):
-    monkeypatch.setattr('wigeonmill.gateway.store_watch.FAILED_PAUSE_MS', 1.0)
+    for name in ('FAILED_PAUSE_MS', 'LISTING_PAUSE_MS', 'POLL_PAUSE_MS'):
+        monkeypatch.setattr(f'wigeonmill.gateway.store_watch.{name}', 1.0)
 
     async def run():
-        stores = HeldStore()
+        stores = HeldStore(holds_listings)
         watch = StoreWatch(stores, Clock(), Metrics(), lambda *_args: True)
         watch.set_stores([SPEC])
-        await asyncio.sleep(0.01)
+        async with asyncio.timeout(5.0):
+            while not stores.transfers.started:
+                await asyncio.sleep(0.001)
         stores.transfers.end_all()
         watch.set_stores([])
         await asyncio.sleep(0.05)
         return len(stores.transfers.started)
 
     assert asyncio.run(run()) == 1
+
+
+class PartlyDownStores(SlowStores):
+    """Stores of which some accept connections and never answer."""
+
+    def __init__(self, down):
+        super().__init__()
+        self.down = down
+
+    async def listing(self, address):
+        if address in self.down:
+            await asyncio.sleep(0.2)
+            return Err(FetchError('no answer', sent=True))
+        return await super().listing(address)
+
+
+def test_stores_that_are_down_hold_up_no_later_listing(monkeypatch):
+    monkeypatch.setattr('wigeonmill.gateway.store_watch.FAILED_PAUSE_MS', 1.0)
+    down = [replace(SPEC, address=f'127.0.0.2:{n}') for n in range(1, 8)]
+
+    async def run():
+        stores = PartlyDownStores({spec.address for spec in down})
+        watch = StoreWatch(stores, Clock(), Metrics(), lambda *_args: True)
+        watch.set_stores(down)
+        # Each has failed once by then.
+        await asyncio.sleep(1.0)
+        started_at = asyncio.get_running_loop().time()
+        watch.set_stores([*down, SPEC])
+        async with asyncio.timeout(5.0):
+            while watch.view(STORE).boot is None:
+                await asyncio.sleep(0.005)
+        took_s = asyncio.get_running_loop().time() - started_at
+        watch.close()
+        return took_s
+
+    # Less than one of the stores that are down takes.
+    assert asyncio.run(run()) < 0.2
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -9,6 +9,7 @@
 import sys
 import threading
 import time
+import tomllib
 
 import msgspec
 from result import Err
@@ -238,3 +239,14 @@
         assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
     finally:
         signal.signal(signal.SIGHUP, before)
+
+
+def test_the_program_loads_with_the_words_of_the_deploy_file():
+    deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
+    _interpreter, *words = deploy['roles']['gateway']['run'].split()
+    env = {'PYTHONPATH': str(Path(msgspec.__file__).parents[1])}
+    ended = subprocess.run(
+        [sys.executable, *words], cwd=ROOT, env=env, timeout=60.0
+    )
+    # It has been loaded, and looks for its settings.
+    assert ended.returncode == EXIT_SETTINGS
--- a/wigeonmill/gateway/store_view.py
+++ b/wigeonmill/gateway/store_view.py
@@ -184,6 +184,10 @@
         """
         return self._clock.now_ms() + self._offset_ms
 
+    @property
+    def _is_valid(self) -> bool:
+        return self._clock.now_ms() < self._valid_until_ms
+
     @property
     def age_ms(self) -> float:
         """The time since the poll that this view reflects was sent."""
@@ -191,9 +195,14 @@
         return self._clock.now_ms() - requested_ms
 
     def apply_listing(self, listing: CacheListing) -> None:
-        """Replace the known parts by a complete listing."""
+        """Replace the known parts by a complete listing.
+
+        One that peers' events have overtaken is of no use.
+        """
         if listing.boot != self.boot:
             self._reset(listing.boot)
+        elif listing.next < self.next and self._is_valid:
+            return
         self._recent_events.clear()
         self._recent_after = listing.next
         self._parts.clear()
@@ -212,7 +221,7 @@
         """Decide whether to save a part now; if so, mark it as pending."""
         now_ms = self._clock.now_ms()
         key = (salt, part)
-        if self.boot is None or now_ms >= self._valid_until_ms:
+        if self.boot is None or not self._is_valid:
             return SaveDecision.STORE_UNAVAILABLE
         if now_ms < self._boot_seen_ms + VALIDITY_MS + SEND_MARGIN_MS:
             return SaveDecision.RECENTLY_RESTARTED
--- a/wigeonmill/gateway/store_watch.py
+++ b/wigeonmill/gateway/store_watch.py
@@ -74,6 +74,7 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._unreachable: set[str] = set()
         self._listings = asyncio.Semaphore(MAX_LISTINGS)
+        self._retried_listings = asyncio.Semaphore(MAX_LISTINGS)
 
     def set_stores(self, specs: Iterable[CacheStoreSpec]) -> None:
         """Start and stop polling so that exactly these stores are polled."""
@@ -143,14 +144,24 @@
 
     async def _list(self, view: StoreView) -> float:
         """List a store; return the pause after it."""
-        async with self._listings:
+        async with self._listing_limit(view):
             listing = await self._stores.listing(view.address)
+            if isinstance(listing, Err):
+                self._record_failure(view, listing.err_value)
+                return FAILED_PAUSE_MS
+            self._record_success(view)
+            view.apply_listing(listing.ok_value)
+            self._log_listed(view)
             await asyncio.sleep(LISTING_PAUSE_MS / 1000.0)
-        if isinstance(listing, Err):
-            self._record_failure(view, listing.err_value)
-            return FAILED_PAUSE_MS
-        self._record_success(view)
-        view.apply_listing(listing.ok_value)
+        return 0.0
+
+    def _listing_limit(self, view: StoreView) -> asyncio.Semaphore:
+        """Return the limit for a store; one that is down holds up no other."""
+        if view.address in self._unreachable:
+            return self._retried_listings
+        return self._listings
+
+    def _log_listed(self, view: StoreView) -> None:
         logger.info(
             'cache store listed',
             extra={
@@ -159,7 +170,6 @@
                 'tokens': view.tokens,
             },
         )
-        return 0.0
 
     def _record_failure(self, view: StoreView, error: FetchError) -> None:
         self._metrics.count('cache_polls_failed')
