--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -21,6 +21,7 @@
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.desired import ServiceShare
+from wigeonmill.gateway.suspicions import CONNECT_MS
 from wigeonmill.gateway.target_client import ExchangeEnd
 
 STREAM = {
@@ -350,3 +351,16 @@
     else:
         assert channel.status == 504
     assert harness.client.sent[0][2].cancelled
+
+
+def test_a_connection_that_is_not_accepted_makes_its_target_suspected():
+    records = [make_record('t1'), make_record('t2')]
+    harness = Harness([fakes.NOT_SENT, fakes.GOOD], records)
+    harness.clock.advance(CONNECT_MS)
+    req = make_request(arrived_ms=harness.clock.now_ms())
+    assert harness.run(req, make_route()).status == 200
+    lost, served = (
+        harness.ctx.directory.get(sent[0]) for sent in harness.client.sent
+    )
+    assert harness.ctx.suspicions.is_suspected(lost)
+    assert not harness.ctx.suspicions.is_suspected(served)
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -29,10 +29,12 @@
 
     def __init__(self):
         self.sinks = []
+        self.calls = []
         self.done = False
 
     def start(self, call, sink):
         self.sinks.append(sink)
+        self.calls.append(call)
         return self
 
     def cancel(self):
@@ -77,6 +79,15 @@
         return max(0.0, self.target.closed_until_ms - self.clock.now_ms())
 
 
+@pytest.mark.parametrize('suspected', [False, True])
+def test_a_suspected_target_gets_its_requests_on_new_connections(suspected):
+    """A machine that is lost accepts none, and what was not sent may retry."""
+    world = World()
+    world.target.suspected = suspected
+    world.send()
+    assert (world.transfers.calls[0].max_idle_s == 0) is suspected
+
+
 # Guards against a notice that is lost because nobody reads the answer.
 @pytest.mark.parametrize('end', [None, TransferEnd.BROKEN])
 def test_a_notice_counts_although_its_answer_is_never_read(end):
