Bound the probes of silent targets, and drop suspicions of replaced lifetimes

Change: a quarter of the requests at most are probes, an entry alone waits twice as long each time; others are selected every four seconds; an own request has to be overdue beyond its expected time; attempts shorter than a connection may take say nothing; with less than half of the targets heard from, all are used.

--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -127,6 +127,11 @@
         finally:
             self.target.load.close(self._in_flight)
 
+    @property
+    def sent_ms(self) -> float:
+        """When the request was sent."""
+        return self._in_flight.sent_ms
+
     @property
     def silent_ms(self) -> float:
         """The time for which the target has sent nothing at all."""
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -22,6 +22,7 @@
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
 from wigeonmill.gateway.request import Generation
 from wigeonmill.gateway.stream_origins import StreamOrigin
+from wigeonmill.gateway.suspicions import MIN_HEARD_SHARE
 from wigeonmill.gateway.suspicions import Suspicions
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.gateway.targets import Directory
@@ -335,6 +336,7 @@
             or not len(suspicions)
             or len(targets) < 2
             or demand.avoid
+            or demand.only
             or demand.origin is not None
         ):
             return None
@@ -351,7 +353,11 @@
         suspicions = self._suspicions
         if suspicions is None or not len(suspicions):
             return list(targets)
-        return [t for t in targets if not suspicions.is_suspected(t)]
+        heard = [t for t in targets if not suspicions.is_suspected(t)]
+        # The few that are left would get the work of all.
+        if len(heard) < MIN_HEARD_SHARE * len(targets):
+            return list(targets)
+        return heard
 
     def _within_opening_limit(self, targets: Sequence[Target]) -> list[Target]:
         """Leave out opening targets that have enough open requests.
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 import logging
+from math import inf
 
 from result import Err
 from result import Result
@@ -266,7 +267,10 @@
             pick.prefill_tokens,
             priority,
             delayed=priority == LATE_PRIORITY or pick.waits,
-            expected_ms=pick.expected_ms,
+            # The time was expected of a request that is not overtaken.
+            expected_ms=(
+                inf if priority == LATE_PRIORITY else pick.expected_ms
+            ),
         )
         self._ctx.suspicions.record_sent(target, in_flight)
         try:
@@ -332,7 +336,9 @@
         if overtaken is second:
             self._record_second('first_went_on', attempt, overtaken)
         else:
-            self._record_outcome(overtaken.target, stalled())
+            self._record_outcome(
+                overtaken.target, stalled(), overtaken.sent_ms
+            )
             self._record_second('took_over', overtaken, attempt)
 
     def on_end(self, attempt: Attempt, failure: Failure | None) -> None:
@@ -344,7 +350,7 @@
                 self._fruitless += 1
                 self._returnable_ids.add(attempt.target.id)
         self._log.record_end(attempt)
-        self._record_outcome(attempt.target, failure)
+        self._record_outcome(attempt.target, failure, attempt.sent_ms)
         if failure is None:
             return
         if not attempt.served:
@@ -382,7 +388,9 @@
             self._began_at = target
             self._ctx.origins.record(self._req.id, target)
 
-    def _record_outcome(self, target: Target, failure: Failure | None) -> None:
+    def _record_outcome(
+        self, target: Target, failure: Failure | None, sent_ms: float
+    ) -> None:
         """Update the health of a target with the outcome of an attempt."""
         circuits = self._ctx.circuits
         if failure is None:
@@ -395,7 +403,7 @@
             return
         if not failure.arrived_at_service:
             circuits.record_failure(target.id)
-            self._ctx.suspicions.record_unreached(target)
+            self._ctx.suspicions.record_unreached(target, sent_ms)
             # A target that refuses connections may be restarting.
             cold_until_ms = self._ctx.clock.now_ms() + SUSPECTED_START_MS
             target.cold_until_ms = max(target.cold_until_ms, cold_until_ms)
--- a/wigeonmill/gateway/suspicions.py
+++ b/wigeonmill/gateway/suspicions.py
@@ -25,7 +25,7 @@
 # Entries whose suspicion counts for one that has no evidence of its own. The
 # link of a single one may be cut.
 MIN_TELLERS = 2
-# With a request of its own unanswered for this time, one teller is enough.
+# With a request of its own overdue for this time, one teller is enough.
 OWN_WAIT_MS = 200.0
 # Others are told of a silence that lasts this long: an engine that is full may
 # write nothing for a second. Of a connection that is not accepted they are
@@ -38,13 +38,22 @@
 # something since it was tried.
 CONNECT_MS = 350.0
 # So many entries probe a target that others suspect as well, each at this
-# interval. The others wait for news, and for the second interval at most, in
-# case no selected one has requests. The third is that of an entry whose
-# suspicion nobody shares.
+# interval. After a while others are selected: the first ones may be cut off
+# from the target, or have no requests.
 PROBERS = 2
 PROBE_INTERVAL_MS = 1_000.0
-OTHERS_INTERVAL_MS = 30_000.0
+PROBER_TURN_MS = 4_000.0
+PROBER_TURNS = 8
+# First interval of an entry whose suspicion nobody shares, most likely because
+# its own link is cut. It doubles with each probe, up to the longest.
 ALONE_INTERVAL_MS = 2_000.0
+MAX_ALONE_INTERVAL_MS = 16_000.0
+# Part of this entry's requests that may be probes, and how many probes it may
+# have saved up.
+PROBE_SHARE = 0.25
+MAX_PROBE_CREDIT = 4.0
+# With a smaller share of targets that are heard from, all are used.
+MIN_HEARD_SHARE = 0.5
 # A probe is late by about this much if it is not accepted. A request without
 # that time, and one that must not be run twice, probes only if no better one
 # has for the time given.
@@ -75,20 +84,24 @@
 
 @dataclass(slots=True)
 class _Suspicion:
-    """What is known of the silence of one lifetime of a target.
+    """What is known, since `began_ms`, of the silence of a target's lifetime.
 
     `told_ms` is when the silence began for other entries, and when they told
     it. They are told of this entry's from `tell_from_ms` on. `probed_ms` is
-    when the last probe was sent, which is `probe`.
+    when the last probe was sent, which is `probe`, and `probes` how many were
+    sent since something was last heard. With `probe_now`, one is due.
     """
 
     target: Target
+    began_ms: float
     own_since_ms: float | None = None
     tell_from_ms: float = inf
     told_ms: dict[str, tuple[float, float]] = field(default_factory=dict)
     recovered_ms: float = -inf
     probed_ms: float = -inf
     probe: InFlightRequest | None = None
+    probes: int = 0
+    probe_now: bool = False
 
 
 class Suspicions:
@@ -101,6 +114,7 @@
         '_fleet',
         '_suspicions',
         '_observed_ms',
+        '_probe_credit',
     )
 
     def __init__(
@@ -116,6 +130,7 @@
         self._fleet = fleet
         self._suspicions: dict[str, _Suspicion] = {}
         self._observed_ms = -inf
+        self._probe_credit = MAX_PROBE_CREDIT
 
     def __len__(self) -> int:
         return len(self._suspicions)
@@ -137,9 +152,18 @@
                 tell_from_ms = silent_since_ms + TOLD_SILENCE_MS
                 self._suspect(target, silent_since_ms, 'silent', tell_from_ms)
 
-    def record_unreached(self, target: Target) -> None:
-        """Record that a connection to the target was not accepted."""
-        since_ms = self._clock.now_ms() - CONNECT_MS
+    def record_unreached(self, target: Target, sent_ms: float) -> None:
+        """Record that a connection to the target was not accepted.
+
+        The request was sent at `sent_ms`. It tells nothing if the caller had
+        less time than a connection may take, or if this process stood still.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms < sent_ms + CONNECT_MS:
+            return
+        if now_ms > self._observed_ms + MAX_OBSERVATION_GAP_MS:
+            return
+        since_ms = now_ms - CONNECT_MS
         if target.load.last_activity_ms <= since_ms:
             self._suspect(target, since_ms, 'not reached', since_ms)
 
@@ -153,18 +177,18 @@
         tellers = len(self._tellers(suspicion))
         if tellers == 0 or tellers >= MIN_TELLERS:
             return tellers > 0
-        return target.load.unanswered_ms() >= OWN_WAIT_MS
+        return target.load.overdue_ms() >= OWN_WAIT_MS
 
     def may_probe(
         self, target: Target, repeatable: bool, objective_ms: float
     ) -> bool:
         """Whether a request may be sent to a suspected target as a probe."""
-        if not self.is_suspected(target):
+        if self._probe_credit < 1.0 or not self.is_suspected(target):
             return False
         suspicion = self._suspicions[target.lifetime]
         if target.load.is_open(suspicion.probe):
             return False
-        due_ms = suspicion.probed_ms + self._probe_interval_ms(suspicion)
+        due_ms = self._probe_due_ms(suspicion)
         if not repeatable:
             due_ms += UNSAFE_PROBE_DELAY_MS
         elif objective_ms < PROBE_TIME_MS:
@@ -174,11 +198,17 @@
     def record_sent(self, target: Target, request: InFlightRequest) -> None:
         """Record a request that is being sent to the target now."""
         target.suspected = self.is_suspected(target)
-        if target.suspected:
-            suspicion = self._suspicions[target.lifetime]
-            suspicion.probed_ms = self._clock.now_ms()
-            suspicion.probe = request
-            self._metrics.count('gateway_silent_targets', 'probed')
+        if not target.suspected:
+            credit = self._probe_credit + PROBE_SHARE
+            self._probe_credit = min(MAX_PROBE_CREDIT, credit)
+            return
+        self._probe_credit = max(0.0, self._probe_credit - 1.0)
+        suspicion = self._suspicions[target.lifetime]
+        suspicion.probed_ms = self._clock.now_ms()
+        suspicion.probe = request
+        suspicion.probes += 1
+        suspicion.probe_now = False
+        self._metrics.count('gateway_silent_targets', 'probed')
 
     def to_send(self) -> list[Silence]:
         """Return what to tell the other entries."""
@@ -233,7 +263,8 @@
         if suspicion is None or suspicion.own_since_ms is None:
             return
         if known_ms <= suspicion.own_since_ms < heard_ms:
-            suspicion.probed_ms = -inf
+            suspicion.probe_now = True
+            suspicion.probes = 0
 
     def _suspect(
         self, target: Target, since_ms: float, why: str, tell_from_ms: float
@@ -257,9 +288,7 @@
         )
 
     def _add(self, target: Target) -> _Suspicion:
-        suspicion = _Suspicion(target)
-        if not self._fleet.is_selected(target.lifetime, PROBERS):
-            suspicion.probed_ms = self._clock.now_ms()
+        suspicion = _Suspicion(target, self._clock.now_ms())
         self._suspicions[target.lifetime] = suspicion
         return suspicion
 
@@ -302,12 +331,24 @@
             for since_ms, told_ms in suspicion.told_ms.values()
         )
 
-    def _probe_interval_ms(self, suspicion: _Suspicion) -> float:
-        if self._fleet.is_selected(suspicion.target.lifetime, PROBERS):
-            return PROBE_INTERVAL_MS
+    def _probe_due_ms(self, suspicion: _Suspicion) -> float:
+        """Return when this entry may probe the target next."""
+        if suspicion.probe_now:
+            return -inf
+        age_ms = self._clock.now_ms() - suspicion.began_ms
+        turn = int(age_ms // PROBER_TURN_MS)
+        key = f'{suspicion.target.lifetime} {turn % PROBER_TURNS}'
+        if self._fleet.is_selected(key, PROBERS):
+            last_ms = suspicion.probed_ms
+            if turn:
+                turn_ms = suspicion.began_ms + turn * PROBER_TURN_MS
+                last_ms = max(last_ms, turn_ms)
+            return last_ms + PROBE_INTERVAL_MS
         if self._tellers(suspicion):
-            return OTHERS_INTERVAL_MS
-        return ALONE_INTERVAL_MS
+            return inf
+        interval_ms = ALONE_INTERVAL_MS * float(2 ** min(suspicion.probes, 8))
+        last_ms = max(suspicion.probed_ms, suspicion.began_ms)
+        return last_ms + min(MAX_ALONE_INTERVAL_MS, interval_ms)
 
     def _drop_settled(self) -> None:
         """Drop lifetimes that are gone or that nobody suspects any more."""
@@ -315,9 +356,17 @@
         oldest_ms = now_ms - TOLD_TTL_MS
         for key, suspicion in list(self._suspicions.items()):
             self._find(suspicion.target)
-            if suspicion.target.gone or not (
-                suspicion.own_since_ms is not None
-                or now_ms < suspicion.recovered_ms + RECOVERED_MS
-                or any(at >= oldest_ms for _, at in suspicion.told_ms.values())
+            target = suspicion.target
+            replaced = self._directory.get(target.id) is not target
+            if (
+                target.gone
+                or replaced
+                or not (
+                    suspicion.own_since_ms is not None
+                    or now_ms < suspicion.recovered_ms + RECOVERED_MS
+                    or any(
+                        at >= oldest_ms for _, at in suspicion.told_ms.values()
+                    )
+                )
             ):
                 del self._suspicions[key]
--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -378,6 +378,23 @@
                 return since_ms
         return None
 
+    def overdue_ms(self) -> float:
+        """Return for how long an answer has been silent and overdue.
+
+        It is negative if none is overdue.
+        """
+        now_ms = self._clock.now_ms()
+        return max(
+            (
+                now_ms
+                - max(self.last_activity_ms, request.sent_ms)
+                - request.expected_ms
+                for request in self._open
+                if not request.answered
+            ),
+            default=float('-inf'),
+        )
+
     def is_open(self, request: InFlightRequest | None) -> bool:
         """Whether the request is at the target."""
         return request in self._open
