--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -19,6 +19,7 @@
 from wigeonmill.gateway.store_view import CacheListing
 from wigeonmill.gateway.store_view import StoreView
 from wigeonmill.gateway.stream_origins import origin_of
+from wigeonmill.gateway.suspicions import CONNECT_MS
 from wigeonmill.gateway.target_limit import MAX_TRANSIT_MS
 from wigeonmill.gateway.target_notices import Notice
 from wigeonmill.metrics import Metrics
