Send requests beside slow answers within a share of extra work

A few answers take many times as long as the rest of their kind, because their target is slow at that moment, not lost. Only streams whose target was silent for a second got another attempt, and whole answers none.

Requests that may be repeated are now sent to a second target once their answer is later than 95 of 100 of its kind, in proportion to the time that was expected, if another target is expected to be enough faster. The first valid answer is passed on and the other attempt is cancelled. Each entry keeps to a share of its own first attempts' work, so that the sum over all entries holds without a common count. Off unless extra_work_share is set.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -9,6 +9,7 @@
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.cache_plan import CachePlan
 from wigeonmill.gateway.context import GatewayContext
+from wigeonmill.gateway.extra_work import ExtraWorkLimits
 from wigeonmill.gateway.picker import Picker
 from wigeonmill.gateway.request_run import RequestRun
 from wigeonmill.gateway.target_client import ExchangeEnd
@@ -176,11 +177,18 @@
 class Harness:
     """A gateway context with fake targets that runs single requests."""
 
-    def __init__(self, scripts, records, state=None):
+    def __init__(
+        self, scripts, records, state=None, extra_work=ExtraWorkLimits()
+    ):
         self.clock = ManualClock(1_000_000.0)
         limits = RetryLimits(ratio=1.0, slack=100.0)
         self.ctx = GatewayContext(
-            self.clock, random.Random(1), Metrics(), limits, lambda: 1
+            self.clock,
+            random.Random(1),
+            Metrics(),
+            limits,
+            lambda: 1,
+            extra_work=extra_work,
         )
         self.ctx.desired.adopt(state or make_state())
         for service in self.ctx.desired.state.services:
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -21,6 +21,7 @@
 from wigeonmill.gateway.failures import transfer_failed
 from wigeonmill.gateway.relay import Relay
 from wigeonmill.gateway.run_terms import RunTerms
+from wigeonmill.gateway.slow_answers import AnswerWatch
 from wigeonmill.gateway.stream_origins import origin_of
 from wigeonmill.gateway.target_client import Exchange
 from wigeonmill.gateway.target_client import ExchangeEnd
@@ -36,6 +37,10 @@
 # A target is silent if it has sent nothing for a stream for this time, nor
 # for any other request.
 STALL_MS = 1_000.0
+# Time until it is looked again what may be done about a slow answer, and the
+# share of the time that it has taken which may be added to that.
+SLOW_CHECK_MS = 50.0
+SLOW_CHECK_SHARE = 0.25
 # A target that has written a stream for this time does not crash under it.
 SERVED_MS = 1_000.0
 # A target that reported itself full gets no new requests for this time.
@@ -61,9 +66,11 @@
     """Reads the answer of one target and passes it on if it is valid.
 
     `on_lead` is called before anything new is written to the caller, and
-    `on_stall` at intervals while the target is silent. If nothing may be done
-    about a silent target, `watches_stalls` is not set. While `has_rival`
-    returns true, another attempt of the same request is under way.
+    `on_stall` at intervals while the target is silent, or while the answer is
+    slow as `watch` says. If nothing may be done about a silent target,
+    `watches_stalls` is not set, and if nothing may be done about a slow
+    answer, there is no `watch`. While `has_rival` returns true, another
+    attempt of the same request is under way.
     """
 
     __slots__ = (
@@ -81,6 +88,7 @@
         'reported_load',
         'receipt',
         'served',
+        'watch',
         '_first_event_ms',
         '_quiet_since_ms',
     )
@@ -111,6 +119,7 @@
         self.receipt = AnswerReceipt()
         # Whether the target lived on while it wrote the answer.
         self.served = False
+        self.watch: AnswerWatch | None = None
         self._first_event_ms: float | None = None
         self._quiet_since_ms = ctx.clock.now_ms()
 
@@ -126,6 +135,8 @@
             self._exchange.cancel()
         finally:
             self.target.load.close(self._in_flight)
+            if self.watch is not None:
+                self.watch.record_cut()
 
     @property
     def silent_ms(self) -> float:
@@ -134,11 +145,26 @@
         since_ms = max(self._quiet_since_ms, self.target.load.last_activity_ms)
         return now_ms - since_ms
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether another target may be asked because this one is silent."""
+        return self._watches_stalls and self.silent_ms >= STALL_MS
+
+    def record_overtaken(self) -> None:
+        """Record that another attempt has answered before this one."""
+        if self.watch is None or not self.watch.is_late:
+            return
+        if self._terms.route.kind is not RouteKind.STREAMING:
+            # It takes longer still, but more is not known.
+            self.target.load.record_whole_answer(
+                self._in_flight, self.target.slots
+            )
+
     async def _receive_whole(self) -> Failure | None:
         head: TargetHead | None = None
         body = bytearray()
         while True:
-            part = await self._exchange.next(self._terms.deadline_ms)
+            part = await self._next_whole_part()
             if part is None:
                 return timed_out()
             if isinstance(part, TargetHead):
@@ -179,6 +205,7 @@
                 self.receipt.trailing_bytes = len(splitter.remainder)
                 if events:
                     self.target.load.record_first_token(self._in_flight)
+                    self._record_answer_time()
                     self._record_progress()
                 held += events
                 if self._relay.has_next(held) or not self.has_rival():
@@ -292,6 +319,38 @@
                     self._terms.stream_id, self._terms.origin
                 )
 
+    def _record_answer_time(self) -> None:
+        if self.watch is not None:
+            self.watch.record_answer()
+
+    async def _next_whole_part(
+        self,
+    ) -> TargetHead | bytes | ExchangeEnd | None:
+        """Wait for the next part of a whole answer until the deadline."""
+        deadline_ms = self._terms.deadline_ms
+        while True:
+            until_ms = min(deadline_ms, self._slow_check_ms())
+            part = await self._exchange.next(until_ms)
+            if part is not None or self._ctx.clock.now_ms() >= deadline_ms:
+                return part
+            self._check_slow()
+
+    def _slow_check_ms(self) -> float:
+        """Return when to look next whether the answer is slow."""
+        if self.watch is None or self._in_flight.answered:
+            return float('inf')
+        now_ms = self._ctx.clock.now_ms()
+        if now_ms < self.watch.late_at_ms:
+            return self.watch.late_at_ms
+        elapsed_ms = now_ms - self._in_flight.sent_ms
+        return now_ms + max(SLOW_CHECK_MS, SLOW_CHECK_SHARE * elapsed_ms)
+
+    def _check_slow(self) -> None:
+        """Ask for another attempt if the answer is slow."""
+        if self.watch is not None and self.watch.is_late:
+            self.watch.record_late()
+            self.on_stall(self)
+
     async def _next_stream_part(
         self,
     ) -> TargetHead | bytes | ExchangeEnd | Failure:
@@ -308,13 +367,15 @@
             failure = self._time_over()
             if failure is not None:
                 return failure
-            if self._watches_stalls and self.silent_ms >= STALL_MS:
+            if self.is_silent:
                 self.on_stall(self)
+            else:
+                self._check_slow()
 
     def _wait_until_ms(self) -> float:
         """Return when to look again what may be done about a silent target."""
         now_ms = self._ctx.clock.now_ms()
-        until_ms = self._terms.deadline_ms
+        until_ms = min(self._terms.deadline_ms, self._slow_check_ms())
         if self._watches_stalls:
             until_ms = min(until_ms, now_ms + STALL_CHECK_MS)
         if not self._in_flight.answered:
@@ -366,7 +427,8 @@
             return may_have_run(
                 Reason.MAY_HAVE_RUN, f'status {head.status} to a resumption'
             )
-        if not head.succeeded and self.has_rival():
+        streaming = self._terms.route.kind is RouteKind.STREAMING
+        if streaming and not head.succeeded and self.has_rival():
             # The target of the other attempt may still write the stream.
             return may_have_run(
                 Reason.MAY_HAVE_RUN,
@@ -375,6 +437,7 @@
             )
         if head.succeeded:
             self._record_served()
+            self._record_answer_time()
         self.on_lead(self)
         self._channel.answer(AnswerHead(head.status, head.fields), body)
         return None
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -11,6 +11,8 @@
 from wigeonmill.gateway.crash_guard import CrashGuard
 from wigeonmill.gateway.desired import DesiredState
 from wigeonmill.gateway.desired import RouteTable
+from wigeonmill.gateway.extra_attempts import ExtraAttempts
+from wigeonmill.gateway.extra_work import ExtraWorkLimits
 from wigeonmill.gateway.freshness import Freshness
 from wigeonmill.gateway.loss_log import LossLog
 from wigeonmill.gateway.origin_records import OpenStreams
@@ -190,6 +192,7 @@
         'open_streams',
         'entry_count',
         'entry_position',
+        'extra',
         '_retry_limits',
         '_retries',
     )
@@ -208,6 +211,7 @@
         max_closed_ms: float = DEFAULT_MAX_CLOSED_MS,
         answer_limits: AnswerLimits = AnswerLimits(),
         is_selected: Callable[[str, int], bool] = lambda _key, _count: True,
+        extra_work: ExtraWorkLimits = ExtraWorkLimits(),
     ) -> None:
         """Create the state of a process that has run for `uptime_ms`.
 
@@ -252,6 +256,7 @@
         self.entry_count = entry_count
         # Returns the position of this entry among them, from 0 to 1.
         self.entry_position = entry_position
+        self.extra = ExtraAttempts(clock, metrics, self.circuits, extra_work)
         self._retry_limits = retry_limits
         self._retries: dict[str, RetryAllowance] = {}
 
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -1,5 +1,6 @@
 """Runs one caller's request, with retries, up to its final answer."""
 
+from collections.abc import Collection
 from dataclasses import replace
 import logging
 
@@ -33,6 +34,7 @@
 from wigeonmill.gateway.run_log import RunLog
 from wigeonmill.gateway.run_terms import LATE_PRIORITY
 from wigeonmill.gateway.run_terms import RunTerms
+from wigeonmill.gateway.slow_answers import Trial
 from wigeonmill.gateway.stream_origins import origin_of
 from wigeonmill.gateway.target_client import TargetClient
 from wigeonmill.gateway.targets import Target
@@ -90,6 +92,9 @@
         self._began_at: Target | None = None
         # The attempt that was started beside another one, while both run.
         self._second: Attempt | None = None
+        # Whether that one was started because its target was silent.
+        self._left_silent = False
+        self._trial: Trial | None = None
         self._second_denials: set[str] = set()
         self._may_have_run = False
         self._tried_ids: list[str] = []
@@ -185,12 +190,14 @@
         only = tuple(self._returnable())
         return self._pick_for(replace(demand, avoid=(), only=only))
 
-    def _pick_beside(self, first: Attempt) -> Result[Pick, Refusal]:
+    def _pick_beside(
+        self, first: Attempt, only: Collection[str] = ()
+    ) -> Result[Pick, Refusal]:
         """Return a target to try beside `first`, of its software if possible.
 
         Then the origin of the stream is the same whichever of them writes.
         """
-        demand = self._terms.demand(self._tried_ids)
+        demand = replace(self._terms.demand(self._tried_ids), only=only)
         if demand.origin is None:
             same_software = replace(demand, origin=origin_of(first.target))
             picked = self._pick_for(same_software)
@@ -242,7 +249,10 @@
     async def _send(self, pick: Pick) -> Failure | None:
         attempt = self._begin(pick)
         if self._can_fail_over():
-            return await Failover(self).run(attempt)
+            try:
+                return await Failover(self).run(attempt)
+            finally:
+                self._end_trial(None)
         try:
             failure = await attempt.run()
         finally:
@@ -286,12 +296,19 @@
             target,
             exchange,
             in_flight,
-            self._can_fail_over(),
+            self._may_leave_silent(),
         )
+        attempt.watch = self._ctx.extra.watch(self._route, pick)
+        if self._attempts == 1:
+            self._ctx.extra.record_work(pick, generation)
         self._log.record_attempt(attempt, pick, priority)
         return attempt
 
     def _can_fail_over(self) -> bool:
+        """Whether another target may be tried while one has the request."""
+        return self._may_leave_silent() or self._ctx.extra.allows(self._route)
+
+    def _may_leave_silent(self) -> bool:
         """Whether another target may be tried while one is silent."""
         return (
             self._route.kind is RouteKind.STREAMING
@@ -305,19 +322,56 @@
         if denial:
             self._record_second_denial(first, denial)
             return None
-        picked = self._pick_beside(first)
+        self._left_silent = first.is_silent
+        if self._left_silent:
+            picked = self._pick_beside(first).map_err(_reason)
+        else:
+            picked = self._pick_beside_slow(first)
         if isinstance(picked, Err):
-            denial = picked.err_value.reason.value
+            denial = picked.err_value
         elif not self._acquire_retry():
             denial = 'budget'
         if denial:
             self._record_second_denial(first, denial)
             return None
+        pick = picked.unwrap()
         self._attempts += 1
-        self._second = self._begin(picked.unwrap())
-        self._record_second('started', first, self._second)
+        self._second = self._begin(pick)
+        self._ctx.extra.record_extra(pick, self._req.generation)
+        if not self._left_silent:
+            self._trial = self._ctx.extra.begin_trial(
+                self._route, self._terms.service
+            )
+        self._record_second(
+            'started' if self._left_silent else 'started_slow',
+            first,
+            self._second,
+        )
         return self._second
 
+    def _end_trial(self, won: bool | None) -> None:
+        trial, self._trial = self._trial, None
+        if trial is not None:
+            trial.end(won)
+
+    def _pick_beside_slow(self, first: Attempt) -> Result[Pick, str]:
+        """Return a target for extra work beside `first`, or why none."""
+        extra = self._ctx.extra
+        denial = extra.general_denial(self._route, self._terms.service)
+        if denial or first.watch is None:
+            return Err(denial or 'no_gain')
+        targets = self._ctx.directory.of_service(self._terms.service)
+        only = {t.id for t in extra.candidates(targets, self._route)}
+        if not only - set(self._tried_ids):
+            return Err('no_room')
+        picked = self._pick_beside(first, only).map_err(_reason)
+        if isinstance(picked, Err):
+            return picked
+        denial = extra.denial(
+            first.watch, self._terms.demand(()), picked.ok_value
+        )
+        return Err(denial) if denial else picked
+
     def on_lead(self, attempt: Attempt, overtaken: Attempt | None) -> None:
         """Record where the stream goes on, before the caller gets more."""
         if overtaken is None:
@@ -327,10 +381,13 @@
         self._track_failure(overtaken.target, stalled())
         self._returnable_ids.add(overtaken.target.id)
         self._record_origin(attempt.target)
+        overtaken.record_overtaken()
+        self._end_trial(won=overtaken is not second)
         if overtaken is second:
             self._record_second('first_went_on', attempt, overtaken)
         else:
-            self._record_outcome(overtaken.target, stalled())
+            if self._left_silent:
+                self._record_outcome(overtaken.target, stalled())
             self._record_second('took_over', overtaken, attempt)
 
     def on_end(self, attempt: Attempt, failure: Failure | None) -> None:
@@ -358,7 +415,7 @@
         second: Attempt,
         failure: Failure | None = None,
     ) -> None:
-        """Record what became of an attempt beside a silent target.
+        """Record what became of an attempt beside another one.
 
         `attempt` is the other one, or the one that failed.
         """
@@ -542,3 +599,7 @@
         retry_after_ms=refusal.retry_after_ms,
         final=True,
     )
+
+
+def _reason(refusal: Refusal) -> str:
+    return refusal.reason.value
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -21,6 +21,7 @@
 from wigeonmill.gateway.context import AnswerLimits
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.desired import DesiredState
+from wigeonmill.gateway.extra_work import ExtraWorkLimits
 from wigeonmill.gateway.forwarder import Forwarder
 from wigeonmill.gateway.inner_key import SharedInnerKey
 from wigeonmill.gateway.intake import RecordIntake
@@ -129,6 +130,9 @@
                 unsent=settings.max_unsent_bytes,
             ),
             self._entries.is_selected,
+            ExtraWorkLimits(
+                settings.extra_work_share, settings.extra_work_window_ms
+            ),
         )
         self._sync = MirrorSync(
             adapter.source,
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -44,6 +44,8 @@
     retry_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.2
     retry_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
     retry_window_ms: Milliseconds = 10_000.0
+    extra_work_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    extra_work_window_ms: Milliseconds = 10_000.0
     lease_ms: Milliseconds = 3_000.0
     weights_deadline_ms: Milliseconds = 15_000.0
     max_closed_ms: Milliseconds = 86_400_000.0
--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -352,6 +352,11 @@
         )
         return fixed_ms + slope * prefill_tokens + wait_ms
 
+    @property
+    def mean_answer_ms(self) -> float:
+        """The mean time of a whole answer without waits."""
+        return self._mean_answer_ms
+
     def whole_answer_ms(self, slots: int) -> float:
         """Return the expected time to a whole answer of a new request."""
         return self._mean_answer_ms * _slot_rounds(self.occupied(), slots)
