Tell the other entries of a target that leaves

A target may state in an answer that it leaves before its record says so. Only the entry that got the answer stopped sending to it; the others went on until they read the record, which takes long while the store is away.

Updates now name, for 30 s, the lifetimes that stated so to the sender. A lifetime that leaves never returns, so an update may come late or twice; a later lifetime of the same target is not affected. Older builds ignore the field. Without this the new tests of two entries have the peer go on.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -222,6 +222,16 @@
     run_with_two(check)
 
 
+def test_a_target_that_leaves_is_reported():
+    async def check(first, second):
+        targets = [e.ctx.directory.get('e0') for e in (first, second)]
+        notice = Notice(leaving=True)
+        first.ctx.notices.record(targets[0], notice, 'answer')
+        await wait_until(lambda: targets[1].leaving)
+
+    run_with_two(check)
+
+
 # Guards against a peer whose message ends a limit that was named later.
 def test_an_outdated_report_ends_no_limit():
     async def check(first, second):
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -18,6 +18,7 @@
 from wigeonmill.addresses import split_address
 from wigeonmill.gateway.cache_event_exchange import CacheEventExchange
 from wigeonmill.gateway.context import GatewayContext
+from wigeonmill.gateway.leaving_exchange import LeavingExchange
 from wigeonmill.gateway.limit_exchange import LimitExchange
 from wigeonmill.gateway.loss_log import RunOutcome
 from wigeonmill.gateway.mirror import Mirror
@@ -77,6 +78,7 @@
         self._keys = keys
         self._caches = caches
         self._limits = LimitExchange(ctx.clock, ctx.directory, ctx.notices)
+        self._leaving = LeavingExchange(ctx.directory, ctx.notices)
         self._rng = rng
         self._in_flight: set[str] = set()
         # Addresses that have not yet had their turn in the current rotation.
@@ -269,6 +271,7 @@
             listing=listing or None,
             copy_age_ms=self._ctx.freshness.age_ms,
             limits=self._limits.to_send() or None,
+            leaving=self._leaving.to_send() or None,
         )
 
     def _add_losses(
@@ -315,6 +318,7 @@
         for loss in update.losses or ():
             self._ctx.crash_guard.record_remote(loss.fingerprint, loss.loss)
         self._limits.apply(update.limits or ())
+        self._leaving.apply(update.leaving or ())
         guard = self._ctx.part_guard
         for outcome in update.part_outcomes or ():
             observed = RunOutcome(
--- a/wigeonmill/gateway/target_notices.py
+++ b/wigeonmill/gateway/target_notices.py
@@ -28,6 +28,8 @@
 MAX_KEPT = 256
 KEPT_LEAVING_MS = GONE_RETENTION_MS
 KEPT_LIMIT_MS = 60_000.0
+# Peers are told for this time that a target leaves.
+REPORT_LEAVING_MS = 30_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +92,7 @@
         '_max_closed_ms',
         '_find_target',
         '_kept',
+        '_told_leaving',
     )
 
     def __init__(
@@ -107,6 +110,32 @@
         self._find_target = find_target
         # By target id, the one with the oldest last notice first.
         self._kept: dict[str, _KeptNotice] = {}
+        # When lifetimes, by id and start, stated to this entry that they
+        # leave.
+        self._told_leaving: dict[tuple[str, int], float] = {}
+
+    def told_leaving(self) -> list[tuple[str, int]]:
+        """Return the lifetimes that lately stated that they leave."""
+        oldest_ms = self._clock.now_ms() - REPORT_LEAVING_MS
+        self._told_leaving = {
+            lifetime: at_ms
+            for lifetime, at_ms in self._told_leaving.items()
+            if at_ms >= oldest_ms
+        }
+        return list(self._told_leaving)
+
+    def record_leaving(self, target: Target) -> None:
+        """Apply that a target stated to a peer that it leaves."""
+        self._set_leaving(target, 'peer', '')
+
+    def keep_leaving(self, target_id: str, started_at_ms: int) -> None:
+        """Keep that a lifetime without a record leaves, as a peer says."""
+        now_ms = self._clock.now_ms()
+        kept = self._kept.pop(target_id, None) or _KeptNotice('peer', '')
+        kept.leaving_until_ms = now_ms + KEPT_LEAVING_MS
+        kept.left_at_wall_ms = max(kept.left_at_wall_ms, started_at_ms)
+        self._make_room(now_ms)
+        self._kept[target_id] = kept
 
     def record(
         self,
@@ -137,6 +166,8 @@
                 return
             target = named
         if notice.leaving:
+            lifetime = (target.id, target.started_at_ms)
+            self._told_leaving[lifetime] = self._clock.now_ms()
             self._set_leaving(target, source, request_id)
         if notice.malformed is not None:
             self._metrics.count('target_notices', 'malformed')
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -3709,6 +3709,86 @@
         return not (self == other)
 
 
+class LeavingTarget(object):
+    """
+    Attributes:
+     - target
+     - started_at_ms
+
+    """
+
+    __slots__ = (
+        'target',
+        'started_at_ms',
+    )
+
+
+    def __init__(self, target=None, started_at_ms=None,):
+        self.target = target
+        self.started_at_ms = started_at_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingTarget')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.started_at_ms is not None:
+            oprot.writeFieldBegin('started_at_ms', TType.I64, 2)
+            oprot.writeI64(self.started_at_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CachePoint(object):
     """
     Attributes:
@@ -4058,6 +4138,7 @@
      - part_outcomes
      - part_quarantines
      - limits
+     - leaving
 
     """
 
@@ -4075,10 +4156,11 @@
         'part_outcomes',
         'part_quarantines',
         'limits',
+        'leaving',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, leaving=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4092,6 +4174,7 @@
         self.part_outcomes = part_outcomes
         self.part_quarantines = part_quarantines
         self.limits = limits
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4215,6 +4298,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = LeavingTarget()
+                        _elem158.read(iprot)
+                        self.leaving.append(_elem158)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4236,22 +4330,22 @@
         if self.open_work is not None:
             oprot.writeFieldBegin('open_work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.open_work))
-            for iter153 in self.open_work:
-                iter153.write(oprot)
+            for iter159 in self.open_work:
+                iter159.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter154 in self.losses:
-                iter154.write(oprot)
+            for iter160 in self.losses:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter155 in self.records:
-                iter155.write(oprot)
+            for iter161 in self.records:
+                iter161.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records_to is not None:
@@ -4261,15 +4355,15 @@
         if self.cache_points is not None:
             oprot.writeFieldBegin('cache_points', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_points))
-            for iter156 in self.cache_points:
-                iter156.write(oprot)
+            for iter162 in self.cache_points:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cache_updates is not None:
             oprot.writeFieldBegin('cache_updates', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_updates))
-            for iter157 in self.cache_updates:
-                iter157.write(oprot)
+            for iter163 in self.cache_updates:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.listing is not None:
@@ -4283,22 +4377,29 @@
         if self.part_outcomes is not None:
             oprot.writeFieldBegin('part_outcomes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.part_outcomes))
-            for iter158 in self.part_outcomes:
-                iter158.write(oprot)
+            for iter164 in self.part_outcomes:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_quarantines is not None:
             oprot.writeFieldBegin('part_quarantines', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.part_quarantines))
-            for iter159 in self.part_quarantines:
-                iter159.write(oprot)
+            for iter165 in self.part_quarantines:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter160 in self.limits:
-                iter160.write(oprot)
+            for iter166 in self.limits:
+                iter166.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter167 in self.leaving:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4504,21 +4605,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = StreamOrigin()
-                        _elem166.read(iprot)
-                        self.begun.append(_elem166)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = StreamOrigin()
+                        _elem173.read(iprot)
+                        self.begun.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.wanted.append(_elem172)
+                    (_etype177, _size174) = iprot.readListBegin()
+                    for _i178 in range(_size174):
+                        _elem179 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted.append(_elem179)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4539,15 +4640,15 @@
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter173 in self.begun:
-                iter173.write(oprot)
+            for iter180 in self.begun:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.wanted))
-            for iter174 in self.wanted:
-                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
+            for iter181 in self.wanted:
+                oprot.writeString(iter181.encode('utf-8') if sys.version_info[0] == 2 else iter181)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5234,6 +5335,12 @@
     (4, TType.I64, 'sent_ms_ago', None, None, ),  # 4
     (5, TType.I64, 'read_ms_ago', None, None, ),  # 5
 )
+all_structs.append(LeavingTarget)
+LeavingTarget.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_at_ms', None, None, ),  # 2
+)
 all_structs.append(CachePoint)
 CachePoint.thrift_spec = (
     None,  # 0
@@ -5275,6 +5382,13 @@
     (11, TType.LIST, 'part_outcomes', (TType.STRUCT, [PartOutcome, None], False), None, ),  # 11
     (12, TType.LIST, 'part_quarantines', (TType.STRUCT, [PartQuarantine, None], False), None, ),  # 12
     (13, TType.LIST, 'limits', (TType.STRUCT, [LimitNotice, None], False), None, ),  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.LIST, 'leaving', (TType.STRUCT, [LeavingTarget, None], False), None, ),  # 20
 )
 all_structs.append(StreamOrigin)
 StreamOrigin.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -305,6 +305,13 @@
   5: i64 read_ms_ago
 }
 
+// A target, identified with its start, that stated to the sender that it
+// leaves.
+struct LeavingTarget {
+  1: string target
+  2: i64 started_at_ms
+}
+
 // Position up to which the sender knows the contents of a cache store: the
 // event number next, counted from the store start that boot identifies. The
 // sender requests the later events.
@@ -354,6 +361,7 @@
   11: optional list<PartOutcome> part_outcomes
   12: optional list<PartQuarantine> part_quarantines
   13: optional list<LimitNotice> limits
+  20: optional list<LeavingTarget> leaving
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
