Know the usual answer times at entries with few requests

One of 29 entries gets a request of a kind every second or so, and half of each 10 s were forgotten, so that most entries never knew what is usual.

A request's time is held against what was expected when it was sent, so what is usual changes slowly; its half-life is 60 s now.

--- a/wigeonmill/gateway/extra_attempts.py
+++ b/wigeonmill/gateway/extra_attempts.py
@@ -75,7 +75,7 @@
             self._service(pick.target.service).record_work(work)
 
     def record_extra(self, pick: Pick, generation: Generation | None) -> None:
-        """Record an attempt beside another one.
+        """Record an attempt beside a slow one.
 
         All of it counts, as either of the two may turn out to be in vain.
         """
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -109,6 +109,19 @@
         target_id = self._tried_ids[-1] if self._tried_ids else ''
         return Progress(state, target_id, self._terms.remaining_ms)
 
+    @property
+    def config_version(self) -> int | None:
+        """The version of the configuration in force."""
+        return self._terms.config_version
+
+    def preview(self) -> tuple[Result[Pick, Refusal], Demand]:
+        """Return what the first attempt would do now, and for which demand."""
+        demand = self._terms.demand(())
+        quarantine = self._ctx.part_guard.find(self._terms.part_keys)
+        if quarantine is not None:
+            return Err(self._part_refusal(quarantine)), demand
+        return self._pick(), demand
+
     async def run(self) -> None:
         """Run the request until its channel is answered or aborted."""
         if self._ctx.crash_guard.refuses(self._fingerprint):
@@ -337,8 +350,8 @@
         pick = picked.unwrap()
         self._attempts += 1
         self._second = self._begin(pick)
-        self._ctx.extra.record_extra(pick, self._req.generation)
         if not self._left_silent:
+            self._ctx.extra.record_extra(pick, self._req.generation)
             self._trial = self._ctx.extra.begin_trial(
                 self._route, self._terms.service
             )
--- a/wigeonmill/gateway/slow_answers.py
+++ b/wigeonmill/gateway/slow_answers.py
@@ -15,8 +15,9 @@
 # It is slow beyond this multiple of the median, too. A few slow targets raise
 # the upper quantiles of the kind, but not its median.
 MAX_SPREAD = 3.0
-# The weight of an answer halves in this time.
-HALF_LIFE_MS = 10_000.0
+# The weight of an answer halves in this time. One entry of many may get a
+# request of a kind only every second or so.
+HALF_LIFE_MS = 60_000.0
 # Weight of answers from which the quantiles are used.
 MIN_WEIGHT = 20.0
 # Buckets of the ratio of the time to the expected time, per octave and in all,
@@ -87,7 +88,7 @@
 
     def _fade(self) -> None:
         age_ms = self._clock.now_ms() - self._faded_ms
-        if age_ms < HALF_LIFE_MS / 20.0:
+        if age_ms < HALF_LIFE_MS / 100.0:
             return
         self._faded_ms = self._clock.now_ms()
         factor = 0.5 ** (age_ms / HALF_LIFE_MS)
