Show where a request would go now, without sending it

Operators could only learn from logs why a request had gone where it did. `wigeonmill where` asks a gateway over its metrics address, which previews the first attempt of a run that is never begun: the target or the refusal with its time, and each target's expected time, cost and restrictions. Random states are put back and nothing is reserved, so two explanations change nothing and the next pick is the one that was told; tests compare both.

--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -5,8 +5,10 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from math import inf
 import random
@@ -129,6 +131,7 @@
         '_circuits',
         '_is_domain_closed',
         '_region_of',
+        '_reserves',
     )
 
     def __init__(
@@ -146,6 +149,26 @@
         self._circuits = circuits
         self._is_domain_closed = is_domain_closed
         self._region_of = region_of or {}
+        self._reserves = True
+
+    @contextmanager
+    def hypothetical(self) -> Iterator[None]:
+        """Let picks change neither the random state nor any reservation."""
+        state = self._rng.getstate()
+        self._reserves = False
+        try:
+            yield
+        finally:
+            self._reserves = True
+            self._rng.setstate(state)
+
+    def evaluate_all(self, demand: Demand) -> list[Pick]:
+        """Return what each target in service would cost."""
+        home_id = self._home_id(demand)
+        return [
+            self._evaluate(target, demand, home_id)
+            for target in self._same_software(demand)
+        ]
 
     def pick(self, demand: Demand) -> Result[Pick, Refusal]:
         """Return the best target, or why there is none."""
@@ -305,7 +328,8 @@
         """
         first = min(targets, key=lambda t: t.limit_wait_ms(demand.priority))
         wait_ms = first.limit_wait_ms(demand.priority)
-        first.limit_allowance.reserve(demand.priority, wait_ms)
+        if self._reserves:
+            first.limit_allowance.reserve(demand.priority, wait_ms)
         return self._refusal(
             Reason.TARGETS_LIMITED,
             'targets accept no more requests a second',
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -21,6 +21,7 @@
 from wigeonmill.gateway.context import AnswerLimits
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.desired import DesiredState
+from wigeonmill.gateway.explanation import Explainer
 from wigeonmill.gateway.extra_work import ExtraWorkLimits
 from wigeonmill.gateway.forwarder import Forwarder
 from wigeonmill.gateway.inner_key import SharedInnerKey
@@ -224,7 +225,10 @@
         )
         self._mirror.subscribe(intake.apply_record)
         self._status = StatusServer(
-            adapter.ready_path, lambda: self.ready, self.metrics
+            adapter.ready_path,
+            lambda: self.ready,
+            self.metrics,
+            self._explainer,
         )
 
     @property
@@ -443,9 +447,9 @@
         client = TargetClient(
             self._transfers, self._adapter.targets, self._clock, ctx.notices
         )
-        forwarder = Forwarder(
-            ctx, client, picker, StorePlanner(self._stores, self.metrics)
-        )
+        planner = StorePlanner(self._stores, self.metrics)
+        self._explainer = Explainer(ctx, client, picker, planner)
+        forwarder = Forwarder(ctx, client, picker, planner)
         return GatewayServer(
             forwarder, self._adapter.callers, self._clock, self.metrics
         )
--- a/wigeonmill/gateway/status_server.py
+++ b/wigeonmill/gateway/status_server.py
@@ -1,4 +1,4 @@
-"""Serves the balancer's readiness checks and the metrics."""
+"""Serves readiness checks, metrics and the question where requests go."""
 
 from collections.abc import Callable
 
@@ -7,6 +7,8 @@
 from tornado.web import RequestHandler
 
 from wigeonmill.addresses import split_address
+from wigeonmill.gateway.explanation import Explainer
+from wigeonmill.gateway.explanation import parse_question
 from wigeonmill.metrics import Metrics
 from wigeonmill.monitoring import CONTENT_TYPE
 
@@ -29,19 +31,41 @@
         self.finish(self._metrics.render())
 
 
+class _WhereHandler(RequestHandler):
+    def initialize(self, explainer: Explainer) -> None:
+        self._explainer = explainer
+
+    def get(self) -> None:
+        fields = {
+            name: self.get_arguments(name)
+            for name in self.request.query_arguments
+        }
+        question = parse_question(fields)
+        if isinstance(question, str):
+            self.set_status(400)
+            self.finish({'problem': question})
+            return
+        self.finish(self._explainer.explain(question))
+
+
 class StatusServer:
-    """An HTTP server with the readiness path and /metrics."""
+    """An HTTP server with the readiness path, /metrics and /where."""
 
     __slots__ = ('_server',)
 
     def __init__(
-        self, ready_path: str, ready: Callable[[], bool], metrics: Metrics
+        self,
+        ready_path: str,
+        ready: Callable[[], bool],
+        metrics: Metrics,
+        explainer: Explainer,
     ) -> None:
         self._server = HTTPServer(
             Application(
                 [
                     (ready_path, _ReadyHandler, {'ready': ready}),
                     ('/metrics', _MetricsHandler, {'metrics': metrics}),
+                    ('/where', _WhereHandler, {'explainer': explainer}),
                 ]
             )
         )
--- a/wigeonmill/tools/cli.py
+++ b/wigeonmill/tools/cli.py
@@ -28,6 +28,7 @@
 from wigeonmill.tools.session import Dependencies
 from wigeonmill.tools.session import make_dependencies
 from wigeonmill.tools.status_command import StatusCommand
+from wigeonmill.tools.where_command import WhereCommand
 
 Command = (
     CheckCommand
@@ -41,6 +42,7 @@
     | RestoreCommand
     | ConsoleCommand
     | ExplainCommand
+    | WhereCommand
     | SchemaCommand
     | CompletionCommand
 )
