Let the soak send requests beside slow answers

Its gateways have a share of extra work, and a request that runs at more targets than any route allows is a breach.

--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -10,6 +10,7 @@
 from tests.platform.soak.callers import Outcome
 from tests.platform.soak.callers import SOUND_PART
 from tests.platform.soak.closings import find_late_arrivals
+from tests.platform.soak.extra_work import find_excess
 from tests.platform.soak.handlers import CRASHING_PART
 from tests.platform.soak.handlers import EVENT_COUNT
 from tests.platform.soak.journal import Journal
@@ -69,6 +70,10 @@
         Breach('limited', limit.target, detail)
         for limit, detail in find_exceeded(attempts, journal)
     ]
+    found += [
+        Breach('targets of a request', attempt.id, detail)
+        for attempt, detail in find_excess(attempts, journal)
+    ]
     found += _check_crashing_part(attempts, journal)
     found += [
         Breach('process ended by itself', '', detail)
--- a/tests/platform/soak/environment.py
+++ b/tests/platform/soak/environment.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from bench.chaos_parts.ports import reserve_address
+from tests.platform.soak.extra_work import EXTRA_WORK_SHARE
 from tests.platform.soak.journal import Journal
 from tests.platform.soak.states import make_state
 from tests.platform.soak.states import PLAIN_SERVICE
@@ -73,6 +74,7 @@
             'key_value': self.store_proxy.address,
             'expected_entries': 3,
             'grace_ms': GRACE_MS,
+            'extra_work_share': EXTRA_WORK_SHARE,
             'weights_deadline_ms': WEIGHTS_DEADLINE_MS,
         }
         self._settings.write_text(json.dumps(settings))
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -24,6 +24,7 @@
 from tests.platform.soak.journal import Order
 from tests.platform.soak.journal import Run
 from tests.platform.soak.journal import Silence
+from tests.platform.soak.states import MAX_ATTEMPTS
 
 FAULT_FREE_FROM = 100.0
 
@@ -467,3 +468,11 @@
 
 def test_a_limit_binds_after_the_contact_time():
     assert not find_exceeded_limits(1.0, 100, from_s=-1.0)
+
+
+def test_finds_a_request_at_too_many_targets():
+    runs = [make_run(f't{n}') for n in range(MAX_ATTEMPTS + 1)]
+    attempt = make_attempt(Kind.SAFE, headers={'server-seal': 't0.q1'})
+    assert not find_broken_promises(attempt, *runs[:-1])
+    broken = find_broken_promises(attempt, *runs)
+    assert broken == {'targets of a request'}
