--- a/tests/gateway/test_extra_attempts.py
+++ b/tests/gateway/test_extra_attempts.py
@@ -22,6 +22,7 @@
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.desired import ServiceShare
+from wigeonmill.gateway.extra_attempts import ExtraAttempts
 from wigeonmill.gateway.extra_work import ExtraWorkLimits
 from wigeonmill.gateway.request import Generation
 from wigeonmill.gateway.request_run import RequestRun
@@ -134,6 +135,10 @@
         return sorted(self.took_ms[-last:])[int(0.95 * last)]
 
 
+def trials(load):
+    return load.harness.ctx.extra._kind(load.route, load.service).trials
+
+
 def assert_answered_once(load):
     for channel in load.channels:
         assert channel.status == 200
@@ -194,13 +199,13 @@
     assert_answered_once(load)
 
 
-def prepared(first, second, stream=False, **route):
-    """Return a load of two targets; the next request has these answers."""
-    load = Load(share=0.5, targets=2, stream=stream, **route)
+def prepared(*answers, stream=False, targets=2, **route):
+    """Return a load of few targets; the next request has these answers."""
+    load = Load(share=0.5, targets=targets, stream=stream, **route)
     load.play(200)
     load.channels.clear()
     load.sent.clear()
-    scripts = iter((first, second))
+    scripts = iter(answers)
 
     def send(req, target, instructions, idempotent):
         exchange = fakes.FakeExchange(
@@ -238,6 +243,7 @@
     assert_answered_once(load)
     assert load.started() == 1
     assert load.ends() == {'failed': 1}
+    assert trials(load)._running == 0
 
 
 def test_a_first_target_that_fails_leaves_the_second():
@@ -247,6 +253,95 @@
     assert_answered_once(load)
     assert load.started() == 1
     assert load.ends() == {'first_failed': 1}
+    assert trials(load)._running == 0
+
+
+def never():
+    return stream_after(60_000.0)
+
+
+def test_two_second_attempts_that_fail_leave_no_trial():
+    load = prepared(
+        answer_after(900.0), fakes.NOT_SENT, fakes.NOT_SENT, targets=4
+    )
+    load.play(1, interval_ms=1_000.0)
+    assert_answered_once(load)
+    assert load.started() == 2
+    assert trials(load)._running == 0
+
+
+def test_a_silent_second_is_no_trial_of_a_slow_answer(monkeypatch):
+    load = prepared(
+        never(), fakes.NOT_SENT, stream_after(10.0), stream=True, targets=4
+    )
+    # The second one is started once the first has been silent for 1 s.
+    find = ExtraAttempts.candidates
+
+    def candidates(extra, targets, route):
+        return [] if load.started() else find(extra, targets, route)
+
+    monkeypatch.setattr(ExtraAttempts, 'candidates', candidates)
+    load.play(1, interval_ms=3_000.0)
+    assert load.channels[0].finished
+    assert load.started() == load.outcomes()['started'] == 1
+    assert trials(load)._running == 0
+    assert trials(load)._allowed < 2.0
+
+
+# Load: one target of five never answers.
+def sent_to_dead_target(share, dead):
+    load = Load(share=share)
+    load.play(200)
+    load.times[dead] = 1e9
+    load.sent.clear()
+    load.play(200)
+    return sum(target_id == dead for target_id, _in, _exchange in load.sent)
+
+
+def test_a_dead_target_gets_no_more_requests_than_without_extra_work():
+    # Each of the five in turn, as they differ in what is expected of them.
+    ids = [f't{n}' for n in range(5)]
+    without = sum(sent_to_dead_target(0.0, dead) for dead in ids)
+    assert sum(sent_to_dead_target(SHARE, dead) for dead in ids) <= without
+
+
+def test_an_overtaken_target_is_avoided_for_a_time():
+    load = prepared(answer_after(900.0), answer_after(1.0))
+    load.play(1, interval_ms=1_000.0)
+    assert load.ends() == {'took_over': 1}
+    slow = load.harness.ctx.directory.get(load.sent[0][0])
+    assert slow.load.failure_share() > 0.0
+    assert not load.harness.ctx.circuits.blocked(slow.id)
+    load.sent.clear()
+    load.harness.client.send = load._send
+    load.play(20)
+    assert slow.id not in {target_id for target_id, _in, _ex in load.sent}
+    load.clock.advance(10_000.0)
+    assert slow.load.failure_share() == 0.0
+
+
+# The second one is started when the first is slow, and answers before the
+# first has been silent for 1 s, or after.
+@pytest.mark.parametrize(('ms', 'silent'), [(50.0, False), (1_500.0, True)])
+def test_a_silent_stream_that_is_overtaken_counts_as_failed(
+    ms, silent, monkeypatch
+):
+    failures = []
+    record = RequestRun._record_outcome
+
+    def record_outcome(run, target, failure):
+        if failure is not None:
+            failures.append(target.id)
+        record(run, target, failure)
+
+    monkeypatch.setattr(RequestRun, '_record_outcome', record_outcome)
+    load = prepared(never(), stream_after(ms), stream=True)
+    load.play(1, interval_ms=3_000.0)
+    assert load.started() == 1
+    assert load.ends() == {'took_over': 1}
+    slow = load.harness.ctx.directory.get(load.sent[0][0])
+    assert slow.load.failure_share() > 0.0
+    assert failures == ([slow.id] if silent else [])
 
 
 def test_a_rejection_is_passed_on_as_without_a_second_target():
--- a/tests/gateway/test_extra_work.py
+++ b/tests/gateway/test_extra_work.py
@@ -47,6 +47,17 @@
         assert extra <= SHARE * work + 1e-6
 
 
+# Load: a service at which no answer is ever slow.
+def test_what_is_kept_ends_though_nobody_asks_for_it():
+    clock = ManualClock(0.0)
+    work = ExtraWork(clock, LIMITS)
+    for _ in range(5_000):
+        clock.advance(10.0)
+        work.record_work(1.0)
+        work.record_extra(0.01)
+        assert len(work) <= 2 * WINDOW_MS / 10.0
+
+
 def test_an_entry_that_has_just_started_earns_before_it_spends():
     work = ExtraWork(ManualClock(0.0), LIMITS)
     assert work.available == 0.0
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -89,6 +89,8 @@
         'receipt',
         'served',
         'watch',
+        'was_silent',
+        '_was_late',
         '_first_event_ms',
         '_quiet_since_ms',
     )
@@ -120,6 +122,9 @@
         # Whether the target lived on while it wrote the answer.
         self.served = False
         self.watch: AnswerWatch | None = None
+        # What the target was when the attempt was closed.
+        self.was_silent = False
+        self._was_late = False
         self._first_event_ms: float | None = None
         self._quiet_since_ms = ctx.clock.now_ms()
 
@@ -131,6 +136,8 @@
 
     def close(self) -> None:
         """Cancel the request at the target, unless it is complete."""
+        self.was_silent = self.is_silent
+        self._was_late = self.watch is not None and self.watch.is_late
         try:
             self._exchange.cancel()
         finally:
@@ -151,14 +158,13 @@
         return self._watches_stalls and self.silent_ms >= STALL_MS
 
     def record_overtaken(self) -> None:
-        """Record that another attempt has answered before this one."""
-        if self.watch is None or not self.watch.is_late:
-            return
-        if self._terms.route.kind is not RouteKind.STREAMING:
-            # It takes longer still, but more is not known.
-            self.target.load.record_whole_answer(
-                self._in_flight, self.target.slots
-            )
+        """Record that another attempt has answered before this closed one.
+
+        What is known of the target's times doesn't change, as an answer
+        would have taken longer still. Its standing does, for seconds.
+        """
+        if self._was_late:
+            self.target.load.record_outcome(failed=True)
 
     async def _receive_whole(self) -> Failure | None:
         head: TargetHead | None = None
--- a/wigeonmill/gateway/extra_work.py
+++ b/wigeonmill/gateway/extra_work.py
@@ -56,6 +56,10 @@
         """Add the work of an attempt beside another one."""
         self._extra.add(work)
 
+    def __len__(self) -> int:
+        """Return the number of attempts that are kept."""
+        return len(self._work) + len(self._extra)
+
     @property
     def available(self) -> float:
         """The extra work that may be caused now."""
@@ -75,15 +79,23 @@
         )
         self._sum = 0.0
 
+    def __len__(self) -> int:
+        return len(self._values)
+
     def add(self, value: float) -> None:
+        # Nothing may ask for the total.
+        self._expire()
         self._values.append((self._clock.now_ms(), value))
         self._sum += value
 
     def total(self) -> float:
+        self._expire()
+        return self._sum
+
+    def _expire(self) -> None:
         oldest_ms = self._clock.now_ms() - self._window_ms
         while self._values and self._values[0][0] <= oldest_ms:
             self._sum -= self._values.popleft()[1]
         if not self._values:
             # Rounding errors must not add up.
             self._sum = 0.0
-        return self._sum
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -313,7 +313,7 @@
         )
         attempt.watch = self._ctx.extra.watch(self._route, pick)
         if self._attempts == 1:
-            self._ctx.extra.record_work(pick, generation)
+            self._ctx.extra.record_work(self._route, pick, generation)
         self._log.record_attempt(attempt, pick, priority)
         return attempt
 
@@ -394,18 +394,25 @@
         self._track_failure(overtaken.target, stalled())
         self._returnable_ids.add(overtaken.target.id)
         self._record_origin(attempt.target)
-        overtaken.record_overtaken()
         self._end_trial(won=overtaken is not second)
         if overtaken is second:
+            overtaken.record_overtaken()
             self._record_second('first_went_on', attempt, overtaken)
         else:
-            if self._left_silent:
+            if self._left_silent or overtaken.was_silent:
                 self._record_outcome(overtaken.target, stalled())
+            else:
+                overtaken.record_overtaken()
             self._record_second('took_over', overtaken, attempt)
 
     def on_end(self, attempt: Attempt, failure: Failure | None) -> None:
         """Record how an attempt ended."""
         second, self._second = self._second, None
+        if second is not None:
+            # Only one that failed alone says nothing of the other one.
+            is_second = attempt is second
+            lost = False if is_second else None
+            self._end_trial(is_second if failure is None else lost)
         if failure is not None:
             self._track_failure(attempt.target, failure)
             if second is not None and not failure.may_have_run:
