Keep retries, scales and bounds of extra attempts, and let questions judge nothing

Cause: attempts beside slow answers could use up the retry budget; their gain compared an expected time with one measured; each look at a target rebuilt the table of targets; the share was tested by two windows though one is kept; a question to /where judged parts and ended quarantines.

Change: a slow answer gets a second attempt while half of the retry budget is left; the other target's time is multiplied by the kind's median ratio; the table is ordered by time and shortened at its front; PartGuard.peek finds without judging.

Result: after 200 requests with two of five targets slow and a share of 1.0, half of a retry budget of 0.05 is left, and a request whose target is lost is answered by another. The share holds by the largest single window that ends in a window, for each entry, at 1, 5, 29 and 100 entries.

--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -20,6 +20,8 @@
 from wigeonmill.gateway.explanation import parse_question
 from wigeonmill.gateway.explanation import Question
 from wigeonmill.gateway.part_guard import part_keys
+from wigeonmill.gateway.part_guard import PartGuard
+from wigeonmill.gateway.part_guard import QUARANTINE_MS
 from wigeonmill.gateway.request import PromptPart
 from wigeonmill.gateway.target_client import ExchangeEnd
 from wigeonmill.gateway.target_limit import LimitStatement
@@ -55,6 +57,12 @@
     return harness, explainer
 
 
+def guard_state(guard):
+    return repr(
+        (guard._quarantines, guard._probations, guard._suspects, guard._runs)
+    )
+
+
 def snapshot(harness):
     """Return what a pick or a request would change."""
     ctx = harness.ctx
@@ -77,6 +85,7 @@
         sorted(ctx._retries),
         len(harness.client.sent),
         len(ctx.circuits),
+        guard_state(ctx.part_guard),
     )
 
 
@@ -139,6 +148,23 @@
     assert answer['retry_after_ms'] > 0
 
 
+def test_parts_are_neither_judged_nor_released_by_a_question(monkeypatch):
+    harness, explainer = make_world()
+    generation = explainer._request(MODEL_QUESTION).generation
+    keys = part_keys(generation)[:1]
+    guard = harness.ctx.part_guard
+    for number in range(9):
+        guard.record_lost(keys, f'e{number}@1')
+    guard._quarantines.clear()
+    guard.adopt([b'other'], 0.0, 'peer')
+    harness.clock.advance(QUARANTINE_MS + 1.0)
+    monkeypatch.setattr(guard._suspects[keys[0]], 'served_ms', 0.0)
+    monkeypatch.delattr(PartGuard, '_judge')
+    before = snapshot(harness)
+    assert 'target' in explainer.explain(MODEL_QUESTION)
+    assert snapshot(harness) == before
+
+
 def test_requests_that_no_route_or_team_allows():
     _harness, explainer = make_world(teams=[make_team('red')])
     assert explainer.explain(PLAIN)['refusal'] == 'unknown_key'
--- a/tests/gateway/test_extra_attempts.py
+++ b/tests/gateway/test_extra_attempts.py
@@ -393,6 +393,28 @@
     load.harness.ctx._retries[LEDGER] = allowance
 
 
+# Load: slow answers to small requests, then a lost target.
+def test_a_lost_target_gets_its_retry_after_much_extra_work():
+    load = Load(share=1.0)
+    limits = RetryLimits(ratio=0.05, slack=0.0)
+    allowance = RetryAllowance(load.clock, limits)
+    load.harness.ctx._retries[LEDGER] = allowance
+    load.play(200)
+    load.times |= {'t0': SLOW_MS, 't1': SLOW_MS}
+    load.play(200)
+    assert load.started() > 0
+    assert load.outcomes()['budget'] > 0
+    # Each starts while half is left.
+    assert allowance.available(29) >= allowance._allowed(29) / 2.0 - 1.0
+    load.channels.clear()
+    scripts = iter((fakes.CUT_IN_BODY, answer_after(1.0)))
+    load.harness.client.send = lambda _req, target, *_: fakes.FakeExchange(
+        load.clock, target, next(scripts), lambda _head: None
+    )
+    load.play(1)
+    assert load.channels[0].status == 200
+
+
 @pytest.mark.parametrize('restrict', [cold, closed, limited, full, no_budget])
 def test_no_extra_work_goes_to_a_restricted_target(restrict):
     load = prepared(answer_after(900.0), answer_after(1.0))
--- a/tests/gateway/test_extra_work.py
+++ b/tests/gateway/test_extra_work.py
@@ -23,18 +23,21 @@
     rng = random.Random(entries)
     works = [ExtraWork(clock, LIMITS) for _ in range(entries)]
     done = []
+    by_entry = {}
     for _ in range(4_000):
         clock.advance(rng.expovariate(1 / 10.0))
         number = int(entries * rng.random() ** 2)
         if rng.random() < 0.01:
             works[number] = ExtraWork(clock, LIMITS)
         work = rng.choice([10.0, 500.0])
-        works[number].record_work(work)
+        entry = works[number]
+        entry.record_work(work)
         extra = 0.0
         if works[number].available >= work:
             works[number].record_extra(work)
             extra = work
         done.append((clock.now_ms(), work, extra))
+        by_entry.setdefault(entry, []).append(done[-1])
     assert sum(extra for _at, _work, extra in done) > 0.0
     for until_ms in range(0, int(clock.now_ms()), 500):
         extra = sum(
@@ -45,6 +48,21 @@
             w for at, w, _ in done if until_ms - 2 * WINDOW_MS < at <= until_ms
         )
         assert extra <= SHARE * work + 1e-6
+    for done in by_entry.values():
+        assert_share_of_largest_window(done)
+
+
+def assert_share_of_largest_window(done):
+    """Check each window of an entry by the largest one that ends in it."""
+    largest = [
+        (end, sum(w for at, w, _ in done if end - WINDOW_MS < at <= end))
+        for end, _, _ in done
+    ]
+    for until_ms, _, _ in done:
+        begin_ms = until_ms - WINDOW_MS
+        extra = sum(e for at, _, e in done if begin_ms < at <= until_ms)
+        work = max(w for end, w in largest if begin_ms < end <= until_ms)
+        assert extra <= SHARE * work + 1e-6
 
 
 # Load: a service at which no answer is ever slow.
--- a/tests/gateway/test_slow_answers.py
+++ b/tests/gateway/test_slow_answers.py
@@ -97,6 +97,21 @@
     assert not targets.is_slow('t0')
 
 
+def test_targets_that_are_gone_are_forgotten(clock):
+    targets = RecentTargets(clock)
+    for number in range(1_000):
+        clock.advance(100.0)
+        targets.record(f't{number}', slow=False)
+    assert len(targets._seen) <= 21
+
+
+def test_the_usual_time_is_on_the_scale_of_the_answers(clock):
+    kind = SlowAnswers(clock).kind('s', 'r')
+    feed(kind.times, [3.0] * 40)
+    followed = AnswerWatch(clock, kind, 't1', EXPECTED_MS)
+    assert followed.usual_ms(200.0) == pytest.approx(600.0, rel=0.2)
+
+
 def watch(clock, kind, took_ms, end):
     followed = AnswerWatch(clock, kind, 't1', EXPECTED_MS)
     clock.advance(took_ms)
--- a/wigeonmill/gateway/extra_attempts.py
+++ b/wigeonmill/gateway/extra_attempts.py
@@ -137,10 +137,11 @@
         """Return why `pick` is not sent beside a slow attempt ('': it is)."""
         if pick.waits:
             return 'no_room'
-        gain_ms = watch.remaining_ms - pick.expected_ms
+        usual_ms = watch.usual_ms(pick.expected_ms)
+        gain_ms = watch.remaining_ms - usual_ms
         if (
             gain_ms < MIN_GAIN_SHARE * demand.objective_ms
-            or pick.expected_ms > demand.remaining_ms
+            or usual_ms > demand.remaining_ms
         ):
             return 'no_gain'
         service = self._service(demand.service)
--- a/wigeonmill/gateway/part_guard.py
+++ b/wigeonmill/gateway/part_guard.py
@@ -177,6 +177,15 @@
                 return quarantine
         return None
 
+    def peek(self, keys: Collection[bytes]) -> Quarantine | None:
+        """Return the quarantine in force for these parts; change nothing."""
+        for quarantine in self._quarantines:
+            if self.remaining_ms(quarantine) > 0 and quarantine.parts.issubset(
+                keys
+            ):
+                return quarantine
+        return None
+
     def admit(self, keys: Collection[bytes]) -> Quarantine | None:
         """Return the quarantine that forbids a new request, if any does.
 
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -117,7 +117,7 @@
     def preview(self) -> tuple[Result[Pick, Refusal], Demand]:
         """Return what the first attempt would do now, and for which demand."""
         demand = self._terms.demand(())
-        quarantine = self._ctx.part_guard.find(self._terms.part_keys)
+        quarantine = self._ctx.part_guard.peek(self._terms.part_keys)
         if quarantine is not None:
             return Err(self._part_refusal(quarantine)), demand
         return self._pick(), demand
@@ -342,6 +342,8 @@
             picked = self._pick_beside_slow(first)
         if isinstance(picked, Err):
             denial = picked.err_value
+        elif not (self._left_silent or self._keeps_retries()):
+            denial = 'budget'
         elif not self._acquire_retry():
             denial = 'budget'
         if denial:
@@ -553,6 +555,11 @@
             return self._returnable_ids
         return self._returnable_ids & self._reached_ids
 
+    def _keeps_retries(self) -> bool:
+        """Whether extra work leaves retries to requests of lost targets."""
+        allowance = self._ctx.retries(self._terms.service)
+        return allowance.half_is_left(self._ctx.entry_count())
+
     def _acquire_retry(self) -> bool:
         """Use the retry budget for one more attempt, if it allows one.
 
--- a/wigeonmill/gateway/slow_answers.py
+++ b/wigeonmill/gateway/slow_answers.py
@@ -61,6 +61,10 @@
             self._quantile(SLOW_QUANTILE), MAX_SPREAD * self._quantile(0.5)
         )
 
+    def median_ratio(self) -> float:
+        """Return the ratio that half of the answers don't exceed."""
+        return self._quantile(0.5)
+
     def remaining(self, ratio: float) -> float:
         """Return the mean of what answers later than `ratio` took beyond it.
 
@@ -102,17 +106,20 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        # By target id, when it was seen last and whether it was slow.
+        # By target id, when it was seen last and whether it was slow; the
+        # one seen longest ago comes first.
         self._seen: dict[str, tuple[float, bool]] = {}
 
     def record(self, target_id: str, slow: bool) -> None:
         """Record an answer in time, or one that is late."""
+        self._seen.pop(target_id, None)
         self._seen[target_id] = (self._clock.now_ms(), slow)
+        self._expire()
 
     def is_slow(self, target_id: str) -> bool:
         """Whether the last answer of a target was late, a short time ago."""
-        self._expire()
-        return self._seen.get(target_id, (0.0, False))[1]
+        at_ms, slow = self._seen.get(target_id, (-math.inf, False))
+        return slow and at_ms >= self._oldest_ms
 
     def most_are_slow(self) -> bool:
         """Whether another target is as likely to be slow as not."""
@@ -120,13 +127,16 @@
         slow = sum(is_slow for _at_ms, is_slow in self._seen.values())
         return slow > 1 and slow >= MAX_SLOW_TARGETS * len(self._seen)
 
+    @property
+    def _oldest_ms(self) -> float:
+        return self._clock.now_ms() - RECENT_MS
+
     def _expire(self) -> None:
-        oldest_ms = self._clock.now_ms() - RECENT_MS
-        self._seen = {
-            target_id: seen
-            for target_id, seen in self._seen.items()
-            if seen[0] >= oldest_ms
-        }
+        while self._seen:
+            target_id = next(iter(self._seen))
+            if self._seen[target_id][0] >= self._oldest_ms:
+                return
+            del self._seen[target_id]
 
 
 class Trials:
@@ -231,6 +241,10 @@
         ratio = self._elapsed_ms / self._expected_ms
         return self._kind.times.remaining(ratio) * self._expected_ms
 
+    def usual_ms(self, expected_ms: float) -> float:
+        """Return what an answer with this expected time usually takes."""
+        return self._kind.times.median_ratio() * expected_ms
+
     def record_late(self) -> None:
         """Record that the answer is late, though it may still come."""
         self._kind.targets.record(self._target_id, slow=True)
