Let a rejection by the second of two targets leave the first running

Cause: with a whole answer, status 4xx of a second target ended the first and counted as won; plain requests preferred targets of one software.

Change: such a status is a failure of the second one. The same software is preferred for streams only. The test that had the second one's 404 passed on is replaced, as this is what it must not do: now the first one's answer is passed on, and a 404 of the first itself is passed on as without a second target.

--- a/tests/gateway/test_extra_attempts.py
+++ b/tests/gateway/test_extra_attempts.py
@@ -352,10 +352,19 @@
     assert failures == ([slow.id] if silent else [])
 
 
-def test_a_rejection_is_passed_on_as_without_a_second_target():
+def test_a_rejection_by_the_second_target_leaves_the_first():
     rejected = answer_after(0.0, make_head(404))
     load = prepared(answer_after(600.0), rejected)
     load.play(1, interval_ms=1_000.0)
+    assert_answered_once(load)
+    assert load.ends() == {'failed': 1}
+
+
+def test_a_rejection_by_the_first_is_passed_on_as_without_a_second_target():
+    rejected = answer_after(250.0, make_head(404))
+    load = prepared(rejected, answer_after(250.0))
+    load.play(1, interval_ms=1_000.0)
+    assert load.started() == 1
     assert load.channels[0].status == 404
 
 
--- a/tests/gateway/test_leaving_exchange.py
+++ b/tests/gateway/test_leaving_exchange.py
@@ -88,3 +88,27 @@
     peer.exchange.apply([LeavingTarget(), LeavingTarget('t1'), *many])
     assert peer.offered() == ['t1']
     assert len(peer.ctx.notices._kept) == MAX_UNKNOWN
+
+
+# Load: targets leave all the time, and no peer is to be told.
+def test_what_is_to_be_told_ends_though_nobody_is_told(clock):
+    entry = Entry(clock, [f't{n}' for n in range(200)])
+    for number in range(200):
+        clock.advance(1_000.0)
+        target = entry.target(f't{number}')
+        entry.ctx.notices.record(target, Notice(leaving=True), 'answer')
+    kept = entry.ctx.notices._told_leaving
+    assert len(kept) <= REPORT_LEAVING_MS / 1_000.0 + 1
+
+
+# Load: a peer repeats that targets without a record leave.
+def test_repeated_updates_push_no_kept_notice_out(clock):
+    entry = Entry(clock, ())
+    notices = entry.ctx.notices
+    for number in range(MAX_UNKNOWN):
+        notices.keep_leaving(f'u{number}', BORN_MS)
+    before = list(notices._kept)
+    updates = [LeavingTarget(id_, BORN_MS) for id_ in before]
+    for _ in range(20):
+        entry.exchange.apply(updates)
+    assert list(notices._kept) == before
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -89,6 +89,7 @@
         'receipt',
         'served',
         'watch',
+        'is_second',
         'was_silent',
         '_was_late',
         '_first_event_ms',
@@ -122,6 +123,8 @@
         # Whether the target lived on while it wrote the answer.
         self.served = False
         self.watch: AnswerWatch | None = None
+        # Whether it was started beside another one.
+        self.is_second = False
         # What the target was when the attempt was closed.
         self.was_silent = False
         self._was_late = False
@@ -434,8 +437,12 @@
                 Reason.MAY_HAVE_RUN, f'status {head.status} to a resumption'
             )
         streaming = self._terms.route.kind is RouteKind.STREAMING
-        if streaming and not head.succeeded and self.has_rival():
-            # The target of the other attempt may still write the stream.
+        if (
+            not head.succeeded
+            and (streaming or self.is_second)
+            and self.has_rival()
+        ):
+            # The target of the other attempt may still give a better answer.
             return may_have_run(
                 Reason.MAY_HAVE_RUN,
                 f'status {head.status}',
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -206,12 +206,14 @@
     def _pick_beside(
         self, first: Attempt, only: Collection[str] = ()
     ) -> Result[Pick, Refusal]:
-        """Return a target to try beside `first`, of its software if possible.
+        """Return a target to try beside `first`.
 
-        Then the origin of the stream is the same whichever of them writes.
+        It has the same software as that of a stream if possible. Then the
+        origin of the stream is the same whichever of them writes.
         """
         demand = replace(self._terms.demand(self._tried_ids), only=only)
-        if demand.origin is None:
+        streaming = self._route.kind is RouteKind.STREAMING
+        if streaming and demand.origin is None:
             same_software = replace(demand, origin=origin_of(first.target))
             picked = self._pick_for(same_software)
             if not isinstance(picked, Err):
@@ -352,6 +354,7 @@
         pick = picked.unwrap()
         self._attempts += 1
         self._second = self._begin(pick)
+        self._second.is_second = True
         if not self._left_silent:
             self._ctx.extra.record_extra(pick, self._req.generation)
             self._trial = self._ctx.extra.begin_trial(
