--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -21,6 +21,7 @@
 from wigeonmill.gateway.failures import transfer_failed
 from wigeonmill.gateway.relay import Relay
 from wigeonmill.gateway.run_terms import RunTerms
+from wigeonmill.gateway.slow_answers import AnswerWatch
 from wigeonmill.gateway.stream_origins import origin_of
 from wigeonmill.gateway.target_client import Exchange
 from wigeonmill.gateway.target_client import ExchangeEnd
@@ -36,6 +37,10 @@
 # A target is silent if it has sent nothing for a stream for this time, nor
 # for any other request.
 STALL_MS = 1_000.0
+# Time until it is looked again what may be done about a slow answer, and the
+# share of the time that it has taken which may be added to that.
+SLOW_CHECK_MS = 50.0
+SLOW_CHECK_SHARE = 0.25
 # A target that has written a stream for this time does not crash under it.
 SERVED_MS = 1_000.0
 # A target that reported itself full gets no new requests for this time.
@@ -61,9 +66,11 @@
     """Reads the answer of one target and passes it on if it is valid.
 
     `on_lead` is called before anything new is written to the caller, and
-    `on_stall` at intervals while the target is silent. If nothing may be done
-    about a silent target, `watches_stalls` is not set. While `has_rival`
-    returns true, another attempt of the same request is under way.
+    `on_stall` at intervals while the target is silent, or while the answer is
+    slow as `watch` says. If nothing may be done about a silent target,
+    `watches_stalls` is not set, and if nothing may be done about a slow
+    answer, there is no `watch`. While `has_rival` returns true, another
+    attempt of the same request is under way.
     """
 
     __slots__ = (
@@ -81,6 +88,10 @@
         'reported_load',
         'receipt',
         'served',
+        'watch',
+        'is_second',
+        'was_silent',
+        '_was_late',
         '_first_event_ms',
         '_quiet_since_ms',
     )
@@ -111,6 +122,12 @@
         self.receipt = AnswerReceipt()
         # Whether the target lived on while it wrote the answer.
         self.served = False
+        self.watch: AnswerWatch | None = None
+        # Whether it was started beside another one.
+        self.is_second = False
+        # What the target was when the attempt was closed.
+        self.was_silent = False
+        self._was_late = False
         self._first_event_ms: float | None = None
         self._quiet_since_ms = ctx.clock.now_ms()
 
@@ -122,10 +139,14 @@
 
     def close(self) -> None:
         """Cancel the request at the target, unless it is complete."""
+        self.was_silent = self.is_silent
+        self._was_late = self.watch is not None and self.watch.is_late
         try:
             self._exchange.cancel()
         finally:
             self.target.load.close(self._in_flight)
+            if self.watch is not None:
+                self.watch.record_cut()
 
     @property
     def sent_ms(self) -> float:
@@ -139,11 +160,25 @@
         since_ms = max(self._quiet_since_ms, self.target.load.last_activity_ms)
         return now_ms - since_ms
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether another target may be asked because this one is silent."""
+        return self._watches_stalls and self.silent_ms >= STALL_MS
+
+    def record_overtaken(self) -> None:
+        """Record that another attempt has answered before this closed one.
+
+        What is known of the target's times doesn't change, as an answer
+        would have taken longer still. Its standing does, for seconds.
+        """
+        if self._was_late:
+            self.target.load.record_outcome(failed=True)
+
     async def _receive_whole(self) -> Failure | None:
         head: TargetHead | None = None
         body = bytearray()
         while True:
-            part = await self._exchange.next(self._terms.deadline_ms)
+            part = await self._next_whole_part()
             if part is None:
                 return timed_out()
             if isinstance(part, TargetHead):
@@ -184,6 +219,7 @@
                 self.receipt.trailing_bytes = len(splitter.remainder)
                 if events:
                     self.target.load.record_first_token(self._in_flight)
+                    self._record_answer_time()
                     self._record_progress()
                 held += events
                 if self._relay.has_next(held) or not self.has_rival():
@@ -297,6 +333,38 @@
                     self._terms.stream_id, self._terms.origin
                 )
 
+    def _record_answer_time(self) -> None:
+        if self.watch is not None:
+            self.watch.record_answer()
+
+    async def _next_whole_part(
+        self,
+    ) -> TargetHead | bytes | ExchangeEnd | None:
+        """Wait for the next part of a whole answer until the deadline."""
+        deadline_ms = self._terms.deadline_ms
+        while True:
+            until_ms = min(deadline_ms, self._slow_check_ms())
+            part = await self._exchange.next(until_ms)
+            if part is not None or self._ctx.clock.now_ms() >= deadline_ms:
+                return part
+            self._check_slow()
+
+    def _slow_check_ms(self) -> float:
+        """Return when to look next whether the answer is slow."""
+        if self.watch is None or self._in_flight.answered:
+            return float('inf')
+        now_ms = self._ctx.clock.now_ms()
+        if now_ms < self.watch.late_at_ms:
+            return self.watch.late_at_ms
+        elapsed_ms = now_ms - self._in_flight.sent_ms
+        return now_ms + max(SLOW_CHECK_MS, SLOW_CHECK_SHARE * elapsed_ms)
+
+    def _check_slow(self) -> None:
+        """Ask for another attempt if the answer is slow."""
+        if self.watch is not None and self.watch.is_late:
+            self.watch.record_late()
+            self.on_stall(self)
+
     async def _next_stream_part(
         self,
     ) -> TargetHead | bytes | ExchangeEnd | Failure:
@@ -313,13 +381,15 @@
             failure = self._time_over()
             if failure is not None:
                 return failure
-            if self._watches_stalls and self.silent_ms >= STALL_MS:
+            if self.is_silent:
                 self.on_stall(self)
+            else:
+                self._check_slow()
 
     def _wait_until_ms(self) -> float:
         """Return when to look again what may be done about a silent target."""
         now_ms = self._ctx.clock.now_ms()
-        until_ms = self._terms.deadline_ms
+        until_ms = min(self._terms.deadline_ms, self._slow_check_ms())
         if self._watches_stalls:
             until_ms = min(until_ms, now_ms + STALL_CHECK_MS)
         if not self._in_flight.answered:
@@ -371,8 +441,13 @@
             return may_have_run(
                 Reason.MAY_HAVE_RUN, f'status {head.status} to a resumption'
             )
-        if not head.succeeded and self.has_rival():
-            # The target of the other attempt may still write the stream.
+        streaming = self._terms.route.kind is RouteKind.STREAMING
+        if (
+            not head.succeeded
+            and (streaming or self.is_second)
+            and self.has_rival()
+        ):
+            # The target of the other attempt may still give a better answer.
             return may_have_run(
                 Reason.MAY_HAVE_RUN,
                 f'status {head.status}',
@@ -380,6 +455,7 @@
             )
         if head.succeeded:
             self._record_served()
+            self._record_answer_time()
         self.on_lead(self)
         self._channel.answer(AnswerHead(head.status, head.fields), body)
         return None
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -18,6 +18,7 @@
 from wigeonmill.addresses import split_address
 from wigeonmill.gateway.cache_event_exchange import CacheEventExchange
 from wigeonmill.gateway.context import GatewayContext
+from wigeonmill.gateway.leaving_exchange import LeavingExchange
 from wigeonmill.gateway.limit_exchange import LimitExchange
 from wigeonmill.gateway.loss_log import RunOutcome
 from wigeonmill.gateway.mirror import Mirror
@@ -80,6 +81,7 @@
         self._caches = caches
         self._limits = LimitExchange(ctx.clock, ctx.directory, ctx.notices)
         self._silences = SuspicionExchange(ctx.directory, ctx.suspicions)
+        self._leaving = LeavingExchange(ctx.directory, ctx.notices)
         self._rng = rng
         self._in_flight: set[str] = set()
         # Addresses that have not yet had their turn in the current rotation.
@@ -273,6 +275,7 @@
             copy_age_ms=self._ctx.freshness.age_ms,
             limits=self._limits.to_send() or None,
             silences=self._silences.to_send() or None,
+            leaving=self._leaving.to_send() or None,
         )
 
     def _add_losses(
@@ -321,6 +324,7 @@
             self._ctx.crash_guard.record_remote(loss.fingerprint, loss.loss)
         self._limits.apply(update.limits or ())
         self._silences.apply(update.sender, update.silences or ())
+        self._leaving.apply(update.leaving or ())
         guard = self._ctx.part_guard
         for outcome in update.part_outcomes or ():
             observed = RunOutcome(
