Save parts again when a request is sent again

A save was taken as under way for 4 s although its request had gone to an engine that never read the part (silent, lost, refusing). The request's next engine then neither fetched nor saved it. The save is tied to its request now; any other request still leaves it alone. The test of a single save used one request id for both requests; it uses two now, and a new one sends the same request twice.

--- a/tests/gateway/test_cache_planner.py
+++ b/tests/gateway/test_cache_planner.py
@@ -52,8 +52,8 @@
     return StorePlanner(watch, Metrics()), watch
 
 
-def plan_of(planner, version=1, team=None, subject='s1'):
-    req = make_request(generation=make_generation(subject))
+def plan_of(planner, version=1, team=None, subject='s1', id_='q1'):
+    req = make_request(id=id_, generation=make_generation(subject))
     return planner.plan(req, team, make_target(), version)
 
 
@@ -62,7 +62,14 @@
     first = plan_of(planner)
     assert all(first.save_to[:-1])
     assert first.save_to[-1] is None
-    assert plan_of(planner).save_to == (None, None, None)
+    assert plan_of(planner, id_='q2').save_to == (None, None, None)
+
+
+def test_a_request_that_is_sent_again_saves_its_parts_again():
+    planner, _watch = make_planner()
+    first = plan_of(planner)
+    assert plan_of(planner).save_to == first.save_to
+    assert plan_of(planner, id_='q2').save_to == (None, None, None)
 
 
 def test_complete_parts_are_fetched_with_a_useful_deadline():
--- a/wigeonmill/gateway/cache_planner.py
+++ b/wigeonmill/gateway/cache_planner.py
@@ -80,7 +80,7 @@
             if held:
                 views.append(view)
             fetch_from.append(view.address if held else None)
-            saves = not held and self._start_save(view, salt, part)
+            saves = not held and self._start_save(view, salt, part, req.id)
             save_to.append(view.address if saves else None)
             fetched += held
             saved += part.tokens if saves else 0
@@ -96,9 +96,9 @@
         )
 
     def _start_save(
-        self, view: StoreView, salt: str, part: PromptPart
+        self, view: StoreView, salt: str, part: PromptPart, request_id: str
     ) -> bool:
-        decision = view.start_save(salt, part.id)
+        decision = view.start_save(salt, part.id, request_id)
         self._metrics.count('cache_tokens', decision.value, by=part.tokens)
         return decision is SaveDecision.SAVE
 
--- a/wigeonmill/gateway/store_view.py
+++ b/wigeonmill/gateway/store_view.py
@@ -113,7 +113,8 @@
     def __init__(self, clock: Clock, address: str) -> None:
         self._clock = clock
         self._parts: dict[tuple[str, str], int] = {}
-        self._pending: dict[tuple[str, str], float] = {}
+        # When each save expires, and the request that carries it.
+        self._pending: dict[tuple[str, str], tuple[float, str]] = {}
         self._valid_until_ms = 0.0
         self._boot_seen_ms = 0.0
         # Recent events, each with the event number that its batch reached.
@@ -208,8 +209,14 @@
             return 0
         return self._parts.get((salt, part), 0)
 
-    def start_save(self, salt: str, part: str) -> SaveDecision:
-        """Decide whether to save a part now; if so, mark it as pending."""
+    def start_save(
+        self, salt: str, part: str, request_id: str = ''
+    ) -> SaveDecision:
+        """Decide whether to save a part now; if so, mark it as pending.
+
+        A request that is sent again starts its save again, because its first
+        target may never have read the part.
+        """
         now_ms = self._clock.now_ms()
         key = (salt, part)
         if self.boot is None or now_ms >= self._valid_until_ms:
@@ -218,11 +225,12 @@
             return SaveDecision.RECENTLY_RESTARTED
         if key in self._parts:
             return SaveDecision.HELD
-        if self._pending.get(key, 0.0) > now_ms:
+        until_ms, saver = self._pending.get(key, (0.0, ''))
+        if until_ms > now_ms and (not request_id or saver != request_id):
             return SaveDecision.IN_PROGRESS
         if len(self._pending) >= MAX_PENDING_SAVES:
             self._expire_pending_saves(now_ms)
-        self._pending[key] = now_ms + SAVE_PENDING_MS
+        self._pending[key] = now_ms + SAVE_PENDING_MS, request_id
         return SaveDecision.SAVE
 
     def parts_with_salts(self, salts: Iterable[str]) -> list[tuple[str, str]]:
@@ -257,9 +265,9 @@
     def _expire_pending_saves(self, now_ms: float) -> None:
         """Drop pending saves that were not reported as complete in time."""
         self._pending = {
-            key: until_ms
-            for key, until_ms in self._pending.items()
-            if until_ms > now_ms
+            key: pending
+            for key, pending in self._pending.items()
+            if pending[0] > now_ms
         }
 
     def _apply_event(self, event: CacheEvent) -> None:
