Count bytes between failure domains in picks and updates

domain_transfer_cost states what a megabyte between failure domains costs; 0, the default, changes nothing. It is a tie-break among targets that all answer in time, bounded below the cost of a late answer, and half of the compared targets are of the own domain.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -458,3 +458,13 @@
             first.peers.close()
 
     asyncio.run(run())
+
+
+def test_entries_learn_which_peers_are_in_another_domain():
+    async def check(first, near, far, older):
+        peers = (first, near, far, older)
+        for entry, domain in zip(peers, ('d1', 'd1', 'd2', ''), strict=True):
+            entry.peers._domain = domain
+        await wait_until(lambda: first.peers._far == {far.address})
+
+    run_with_entries(check, 3, KEYS)
--- a/tests/gateway/test_picker.py
+++ b/tests/gateway/test_picker.py
@@ -10,6 +10,7 @@
 from tests.gateway.samples import MODEL
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.answers import Reason
+from wigeonmill.gateway.domain_costs import DomainCosts
 from wigeonmill.gateway.picker import Demand
 from wigeonmill.gateway.picker import Picker
 from wigeonmill.gateway.target_load import PeerLoad
@@ -25,7 +26,7 @@
 class Fleet:
     """A set of targets and a picker that chooses among them."""
 
-    def __init__(self, records):
+    def __init__(self, records, domain_costs=DomainCosts()):
         self.clock = ManualClock()
         rng = random.Random(7)
         self.directory = Directory(self.clock)
@@ -39,6 +40,7 @@
             CircuitBreakers(self.clock, rng),
             self.closed.__contains__,
             {'d1': 'north', 'd2': 'south'},
+            domain_costs,
         )
 
     def target(self, id_):
@@ -380,3 +382,39 @@
     assert fleet.pick().target is not home
     fleet.clock.advance(REPORTED_LOAD_TTL_MS + 1)
     assert fleet.pick().target is home
+
+
+def domain_fleet():
+    records = [
+        make_engine_record(f'e{n}', failure_domain=f'd{n % 3}')
+        for n in range(24)
+    ]
+    return Fleet(records, DomainCosts('d1', 1.5))
+
+
+def test_equal_targets_are_taken_from_the_own_domain():
+    fleet = domain_fleet()
+    domains = [
+        fleet.pick(
+            entry_count=29,
+            body_bytes=12_000,
+            generation=make_generation(f's{n}', tokens=0, own=500),
+        ).target.failure_domain
+        for n in range(50)
+    ]
+    assert domains.count('d1') == 50
+
+
+def test_a_loaded_own_domain_is_never_a_reason_to_be_late():
+    fleet = domain_fleet()
+    for target in fleet.directory.all():
+        if target.failure_domain == 'd1':
+            target.load.open(100_000, 100_000, 0)
+    for number in range(50):
+        pick = fleet.pick(
+            entry_count=29,
+            body_bytes=12_000,
+            generation=make_generation(f's{number}'),
+        )
+        assert pick.target.failure_domain != 'd1'
+        assert pick.expected_ms < OBJECTIVE_MS
--- a/tests/platform/soak/environment.py
+++ b/tests/platform/soak/environment.py
@@ -21,6 +21,7 @@
 from tests.platform.soak.store import start_store
 from tests.platform.soak.targets import MODEL
 from tests.platform.soak.targets import Target
+from tests.platform.soak.uneven import uneven_settings
 from wigeonmill.clock import Clock
 from wigeonmill.standins.fault_proxy import ProxyOptions
 from wigeonmill.standins.fault_proxy import start_fault_proxy
@@ -74,6 +75,7 @@
             'expected_entries': 3,
             'grace_ms': GRACE_MS,
             'weights_deadline_ms': WEIGHTS_DEADLINE_MS,
+            **uneven_settings(self.name),
         }
         self._settings.write_text(json.dumps(settings))
 
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -22,6 +22,7 @@
 from wigeonmill.gateway.loss_log import RunOutcome
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
+from wigeonmill.gateway.peer_rotation import PeerRotation
 from wigeonmill.gateway.target_load import PeerLoad
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.protocol.client import PeerClient
@@ -69,7 +70,13 @@
         keys: Callable[[], InnerKeys],
         caches: CacheEventExchange,
         rng: random.Random,
+        domain: str = '',
+        prefers_domain: bool = False,
     ) -> None:
+        """Create the exchange of an entry in a failure domain.
+
+        With `prefers_domain`, most updates go to entries of that domain.
+        """
         self._ctx = ctx
         self._mirror = mirror
         self._name = name
@@ -77,10 +84,11 @@
         self._keys = keys
         self._caches = caches
         self._limits = LimitExchange(ctx.clock, ctx.directory, ctx.notices)
-        self._rng = rng
+        self._domain = domain
+        self._rotation = PeerRotation(rng, prefers_domain)
+        # Addresses of entries that have named another failure domain.
+        self._far: set[str] = set()
         self._in_flight: set[str] = set()
-        # Addresses that have not yet had their turn in the current rotation.
-        self._round_peers: list[str] = []
         # The number of the last target loss sent to each entry: in requests
         # by address, in replies by entry name. A process that has restarted
         # has none of them: it has another incarnation and connects anew. In
@@ -154,8 +162,7 @@
     def _next_peers(self) -> list[str]:
         """Return the peers of the next interval.
 
-        All peers are chosen in turn, in a random order. Peers that have not
-        answered their last update yet are skipped.
+        Peers that have not answered their last update yet are skipped.
         """
         known = set(self._addresses())
         self._sent_losses = {
@@ -163,17 +170,10 @@
             for peer, sent in self._sent_losses.items()
             if peer in known
         }
-        chosen: list[str] = []
-        for _round in range(2):
-            while self._round_peers and len(chosen) < MAX_PEERS_PER_ROUND:
-                address = self._round_peers.pop()
-                available = address in known and address not in self._in_flight
-                if available and address not in chosen:
-                    chosen.append(address)
-            if len(chosen) < MAX_PEERS_PER_ROUND:
-                self._round_peers = list(known)
-                self._rng.shuffle(self._round_peers)
-        return chosen
+        self._far &= known
+        return self._rotation.next(
+            known, self._in_flight, self._far, MAX_PEERS_PER_ROUND
+        )
 
     async def _send_update(self, address: str, ask: bool) -> None:
         """Send an update to one entry; with `ask`, also request its data.
@@ -211,6 +211,7 @@
                 if told not in (None, process):
                     last_loss, all_to = 0, last_number
                 self._sent_losses[address] = (process, last_loss, all_to)
+                self._record_domain(address, answer.failure_domain)
                 self._apply_update(answer)
                 if ask:
                     self._confirm_copy(answer, requested_boot_ms)
@@ -269,6 +270,7 @@
             listing=listing or None,
             copy_age_ms=self._ctx.freshness.age_ms,
             limits=self._limits.to_send() or None,
+            failure_domain=self._domain or None,
         )
 
     def _add_losses(
@@ -340,6 +342,13 @@
                     },
                 )
 
+    def _record_domain(self, address: str, domain: str | None) -> None:
+        """Record where a peer is; older entries do not say it."""
+        if domain and domain != self._domain:
+            self._far.add(address)
+        else:
+            self._far.discard(address)
+
     def _confirm_copy(
         self, answer: EntryNews, requested_boot_ms: float
     ) -> None:
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -20,6 +20,7 @@
 from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.credit import lateness_cost
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
+from wigeonmill.gateway.domain_costs import DomainCosts
 from wigeonmill.gateway.request import Generation
 from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.target_load import PRIORITIES
@@ -90,6 +91,7 @@
     generation: Generation | None = None
     cache_tokens: int = 0
     fetchable_tokens: int = 0
+    body_bytes: int = 0
     desired_version: int | None = None
     penalize_old_weights: bool = False
     old_weights_remaining_ms: Callable[[int], float] = lambda _loaded: inf
@@ -129,6 +131,7 @@
         '_circuits',
         '_is_domain_closed',
         '_region_of',
+        '_domain_costs',
     )
 
     def __init__(
@@ -139,6 +142,7 @@
         circuits: CircuitBreakers,
         is_domain_closed: Callable[[str], bool],
         region_of: Mapping[str, str] | None = None,
+        domain_costs: DomainCosts = DomainCosts(),
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -146,6 +150,7 @@
         self._circuits = circuits
         self._is_domain_closed = is_domain_closed
         self._region_of = region_of or {}
+        self._domain_costs = domain_costs
 
     def pick(self, demand: Demand) -> Result[Pick, Refusal]:
         """Return the best target, or why there is none."""
@@ -353,11 +358,27 @@
         count = SAMPLED_ENGINES if is_model else SAMPLED_TARGETS
         if len(targets) <= count:
             return targets
-        chosen = self._rng.sample(targets, count)
+        chosen = self._chosen(targets, count)
         if all(target.id != home_id for target in chosen):
             chosen += [target for target in targets if target.id == home_id]
         return chosen
 
+    def _chosen(self, targets: Sequence[Target], count: int) -> list[Target]:
+        """Return a random sample; half of it, if it matters, of this domain.
+
+        The rest is of all domains, so that a loaded domain gets help.
+        """
+        if not self._domain_costs.apply:
+            return self._rng.sample(targets, count)
+        own = [
+            target
+            for target in targets
+            if self._domain_costs.is_own(target.failure_domain)
+        ]
+        chosen = self._rng.sample(own, min(len(own), (count + 1) // 2))
+        others = [target for target in targets if target not in chosen]
+        return chosen + self._rng.sample(others, count - len(chosen))
+
     def _home_id(self, demand: Demand) -> str:
         """Return the id of the home target, or '' if there is none.
 
@@ -401,6 +422,9 @@
             expected_ms, demand.objective_remaining_ms, demand.objective_ms
         )
         cost = lateness + self._extra_cost(target, demand)
+        cost += self._domain_costs.cost(
+            target.failure_domain, demand.body_bytes, demand.generation
+        )
         return Pick(
             target,
             expected_ms,
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -21,6 +21,7 @@
 from wigeonmill.gateway.context import AnswerLimits
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.desired import DesiredState
+from wigeonmill.gateway.domain_costs import DomainCosts
 from wigeonmill.gateway.forwarder import Forwarder
 from wigeonmill.gateway.inner_key import SharedInnerKey
 from wigeonmill.gateway.intake import RecordIntake
@@ -172,6 +173,8 @@
             self._inner_key.current,
             CacheEventExchange(self._stores),
             rng,
+            settings.failure_domain,
+            settings.domain_transfer_cost > 0,
         )
         self._versions = SoftwareVersions(
             clock, self._ctx.directory, self._ctx.freshness
@@ -435,6 +438,10 @@
             ctx.circuits,
             ctx.desired.is_domain_closed,
             self._settings.regions,
+            DomainCosts(
+                self._settings.failure_domain,
+                self._settings.domain_transfer_cost,
+            ),
         )
         client = TargetClient(
             self._transfers, self._adapter.targets, self._clock, ctx.notices
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -179,6 +179,7 @@
             generation=generation,
             cache_tokens=self.cache_tokens,
             fetchable_tokens=fetchable,
+            body_bytes=len(self.req.body),
             desired_version=newest_version,
             penalize_old_weights=weights_due,
             old_weights_remaining_ms=self._old_weights_remaining_ms,
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -52,6 +52,7 @@
     max_unsent_bytes: ByteLimit = 1_048_576
     max_reply_bytes: ByteLimit = 8_388_608
     contact_ms: Milliseconds = 3_000.0
+    domain_transfer_cost: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     log_level: str = 'INFO'
 
 
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -4058,6 +4058,7 @@
      - part_outcomes
      - part_quarantines
      - limits
+     - failure_domain
 
     """
 
@@ -4075,10 +4076,11 @@
         'part_outcomes',
         'part_quarantines',
         'limits',
+        'failure_domain',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, failure_domain=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4092,6 +4094,7 @@
         self.part_outcomes = part_outcomes
         self.part_quarantines = part_quarantines
         self.limits = limits
+        self.failure_domain = failure_domain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4215,6 +4218,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4301,6 +4309,10 @@
                 iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 18)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5275,6 +5287,11 @@
     (11, TType.LIST, 'part_outcomes', (TType.STRUCT, [PartOutcome, None], False), None, ),  # 11
     (12, TType.LIST, 'part_quarantines', (TType.STRUCT, [PartQuarantine, None], False), None, ),  # 12
     (13, TType.LIST, 'limits', (TType.STRUCT, [LimitNotice, None], False), None, ),  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    (18, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 18
 )
 all_structs.append(StreamOrigin)
 StreamOrigin.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -354,6 +354,7 @@
   11: optional list<PartOutcome> part_outcomes
   12: optional list<PartQuarantine> part_quarantines
   13: optional list<LimitNotice> limits
+  18: optional string failure_domain
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
