--- a/tests/gateway/test_picker.py
+++ b/tests/gateway/test_picker.py
@@ -384,28 +384,6 @@
     assert fleet.pick().target is home
 
 
-def test_a_burst_for_one_new_subject_meets_at_its_two_homes():
-    fleet = Fleet(engines(26))
-    found = set()
-    for _turn in range(40):
-        pick = fleet.pick(entry_count=29)
-        assert pick.expected_ms < OBJECTIVE_MS
-        found.add(pick.target.id)
-        pick.target.load.open(10_000, 500, 0)
-    assert len(found) <= 2
-
-
-def test_a_burst_for_one_subject_leaves_homes_that_would_be_late():
-    fleet = Fleet(engines(26))
-    home_ids = set()
-    for _turn in range(60):
-        pick = fleet.pick(entry_count=29)
-        assert pick.expected_ms < OBJECTIVE_MS
-        home_ids.add(pick.target.id)
-        pick.target.load.open(1_000, pick.prefill_tokens, 0)
-    assert len(home_ids) > 2
-
-
 def domain_fleet():
     records = [
         make_engine_record(f'e{n}', failure_domain=f'd{n % 3}')
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -21,15 +21,14 @@
 from wigeonmill.gateway.credit import lateness_cost
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
 from wigeonmill.gateway.domain_costs import DomainCosts
-from wigeonmill.gateway.part_homes import PartHomes
-from wigeonmill.gateway.part_homes import Reading
-from wigeonmill.gateway.part_homes import reading_at
 from wigeonmill.gateway.request import Generation
 from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.gateway.targets import Directory
 from wigeonmill.gateway.targets import Target
 from wigeonmill.routing.circuit import CircuitBreakers
+from wigeonmill.routing.rendezvous import rank
+from wigeonmill.routing.rendezvous import WeightedTarget
 
 # Cost of a target whose recent requests all failed, and of one that has
 # stopped sending anything.
@@ -38,9 +37,9 @@
 # Cost per share of a target's memory that the request needs beyond the free
 # memory, because the target would have to preempt other runs.
 PREEMPTION_COST = 0.3
-# Cost if tokens that another target holds are read for one whole objective or
-# longer. It stays below that of a late answer.
-READING_COST = 0.5
+# Time to fetch cached prompt parts from a store, without the transfer of
+# their tokens.
+FETCH_FIXED_MS = 15.0
 # With more entries than this, the load that entries report to each other is
 # older than a short request lasts. If every entry chose the best of all
 # targets, they would all choose the same one, so each entry compares a random
@@ -73,11 +72,10 @@
     `avoid` names the targets that were already tried. If `only` is not empty,
     it names those that are allowed. If `regions` is empty, any region is
     allowed. `fetchable_tokens` of the prompt can be fetched from a cache
-    store. `desired_version` is the newest
-    weight version that operators have set for the model. No run may begin on
-    an older version once the time that `old_weights_remaining_ms` returns for
-    it has passed. A stream with an `origin` may go on only at the software
-    that began it.
+    store. `desired_version` is the newest weight version that operators have
+    set for the model. No run may begin on an older version once the time that
+    `old_weights_remaining_ms` returns for it has passed. A stream with an
+    `origin` may go on only at the software that began it.
     """
 
     service: str
@@ -133,7 +131,6 @@
         '_circuits',
         '_is_domain_closed',
         '_region_of',
-        '_homes',
         '_domain_costs',
     )
 
@@ -153,7 +150,6 @@
         self._circuits = circuits
         self._is_domain_closed = is_domain_closed
         self._region_of = region_of or {}
-        self._homes = PartHomes()
         self._domain_costs = domain_costs
 
     def pick(self, demand: Demand) -> Result[Pick, Refusal]:
@@ -338,24 +334,24 @@
         ]
 
     def _best(self, targets: Sequence[Target], demand: Demand) -> Pick:
-        homes = self._home_ids(demand)
-        sampled = self._sample(targets, demand, homes)
-        best = self._cheapest(sampled, demand, homes)
+        home_id = self._home_id(demand)
+        sampled = self._sample(targets, demand, home_id)
+        best = self._cheapest(sampled, demand, home_id)
         if best.cost > FULL_SCAN_COST and len(sampled) < len(targets):
-            best = self._cheapest(targets, demand, homes)
+            return self._cheapest(targets, demand, home_id)
         return best
 
     def _cheapest(
-        self, targets: Sequence[Target], demand: Demand, homes: Sequence[str]
+        self, targets: Sequence[Target], demand: Demand, home_id: str
     ) -> Pick:
-        picks = [self._evaluate(target, demand, homes) for target in targets]
+        picks = [self._evaluate(target, demand, home_id) for target in targets]
         self._rng.shuffle(picks)
         return min(picks, key=lambda pick: pick.cost)
 
     def _sample(
-        self, targets: Sequence[Target], demand: Demand, homes: Sequence[str]
+        self, targets: Sequence[Target], demand: Demand, home_id: str
     ) -> Sequence[Target]:
-        """Return the targets to compare, always including the homes."""
+        """Return the targets to compare, always including the home target."""
         if demand.entry_count <= FULL_SCAN_ENTRIES:
             return targets
         is_model = demand.generation is not None
@@ -363,12 +359,8 @@
         if len(targets) <= count:
             return targets
         chosen = self._chosen(targets, count)
-        chosen_ids = {target.id for target in chosen}
-        chosen += [
-            target
-            for target in targets
-            if target.id in homes and target.id not in chosen_ids
-        ]
+        if all(target.id != home_id for target in chosen):
+            chosen += [target for target in targets if target.id == home_id]
         return chosen
 
     def _chosen(self, targets: Sequence[Target], count: int) -> list[Target]:
@@ -387,31 +379,37 @@
         others = [target for target in targets if target not in chosen]
         return chosen + self._rng.sample(others, count - len(chosen))
 
-    def _home_ids(self, demand: Demand) -> tuple[str, ...]:
-        """Return the ids of the homes of the prompt, the first one first.
+    def _home_id(self, demand: Demand) -> str:
+        """Return the id of the home target, or '' if there is none.
 
-        All targets in service are ranked, so that the homes do not move while
-        a target is loading weights or refuses requests.
+        The home target is the one whose cache should hold the shared parts of
+        the prompt. All targets in service are ranked, so that the home does
+        not move while a target is loading weights or refuses requests.
         """
-        ids = [target.id for target in self._in_service(demand)]
-        return self._homes.homes(demand.generation, ids)
+        if (
+            demand.generation is None
+            or demand.generation.last_shared_part is None
+        ):
+            return ''
+        candidates = [
+            WeightedTarget(target.id, target.failure_domain)
+            for target in self._in_service(demand)
+        ]
+        if not candidates:
+            return ''
+        key = demand.generation.last_shared_part.id.encode()
+        return rank(key, candidates, 1)[0].name
 
-    def _evaluate(
-        self, target: Target, demand: Demand, homes: Sequence[str]
-    ) -> Pick:
+    def _evaluate(self, target: Target, demand: Demand, home_id: str) -> Pick:
         load = target.load
         prefill = 0
-        slot_ms = memory_ms = reading_cost = 0.0
+        slot_ms = memory_ms = 0.0
         if demand.generation is None:
             expected_ms = load.whole_answer_ms(target.slots)
         else:
-            reading = reading_at(
-                homes.index(target.id) if target.id in homes else None,
-                demand.generation,
-                demand.fetchable_tokens,
+            prefill, fetch_ms = self._prefill_and_fetch(
+                target, demand, home_id
             )
-            prefill, fetch_ms = reading.tokens, reading.fetch_ms
-            reading_cost = self._reading_cost(target, demand, reading)
             expected_ms = load.first_token_ms(
                 prefill, demand.priority, target.slots
             )
@@ -423,7 +421,7 @@
         lateness = lateness_cost(
             expected_ms, demand.objective_remaining_ms, demand.objective_ms
         )
-        cost = lateness + reading_cost + self._extra_cost(target, demand)
+        cost = lateness + self._extra_cost(target, demand)
         cost += self._domain_costs.cost(
             target.failure_domain, demand.body_bytes, demand.generation
         )
@@ -452,14 +450,19 @@
             cost += PREEMPTION_COST * max(0, shortfall) / demand.cache_tokens
         return cost
 
-    def _reading_cost(
-        self, target: Target, demand: Demand, reading: Reading
-    ) -> float:
-        """Return the cost of the time that needless reading takes."""
-        if demand.objective_ms <= 0:
-            return 0.0
-        reading_ms = target.load.reading_ms(reading.repeated)
-        return READING_COST * min(1.0, reading_ms / demand.objective_ms)
+    def _prefill_and_fetch(
+        self, target: Target, demand: Demand, home_id: str
+    ) -> tuple[int, float]:
+        """Return the tokens to prefill and the time to fetch the others."""
+        generation = demand.generation
+        assert generation is not None
+        shared = sum(part.tokens for part in generation.shared_parts)
+        own = generation.prompt_tokens - shared
+        if target.id == home_id:
+            return max(0, own), 0.0
+        fetched = min(shared, demand.fetchable_tokens)
+        fetch_ms = FETCH_FIXED_MS if fetched else 0.0
+        return max(0, own + shared - fetched), fetch_ms
 
     def _has_old_weights(self, target: Target, demand: Demand) -> bool:
         if demand.desired_version is None or demand.generation is None:
--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -352,10 +352,6 @@
         )
         return fixed_ms + slope * prefill_tokens + wait_ms
 
-    def reading_ms(self, tokens: int) -> float:
-        """Return the time for which the target reads `tokens`."""
-        return self._estimates.line()[1] * tokens
-
     def whole_answer_ms(self, slots: int) -> float:
         """Return the expected time to a whole answer of a new request."""
         return self._mean_answer_ms * _slot_rounds(self.occupied(), slots)
