--- a/tests/gateway/test_picker.py
+++ b/tests/gateway/test_picker.py
@@ -40,7 +40,7 @@
             CircuitBreakers(self.clock, rng),
             self.closed.__contains__,
             {'d1': 'north', 'd2': 'south'},
-            domain_costs,
+            domain_costs=domain_costs,
         )
 
     def target(self, id_):
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -24,6 +24,8 @@
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.peer_rotation import PeerRotation
+from wigeonmill.gateway.suspicion_exchange import pace_to_send
+from wigeonmill.gateway.suspicion_exchange import SuspicionExchange
 from wigeonmill.gateway.target_load import PeerLoad
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.protocol.client import PeerClient
@@ -93,6 +95,7 @@
         self._rotation = PeerRotation(rng, prefers_domain)
         # Addresses of entries that have named another failure domain.
         self._far: set[str] = set()
+        self._silences = SuspicionExchange(ctx.directory, ctx.suspicions)
         self._in_flight: set[str] = set()
         # The number of the last target loss sent to each entry: in requests
         # by address, in replies by entry name. A process that has restarted
@@ -288,6 +291,7 @@
             copy_age_ms=self._ctx.freshness.age_ms,
             limits=self._limits.to_send() or None,
             failure_domain=self._domain or None,
+            silences=self._silences.to_send() or None,
         )
 
     def _add_losses(
@@ -324,9 +328,10 @@
                 target.load.own_runs(),
                 _trim_zeros(target.load.tokens),
                 _trim_zeros(target.load.waiting_tokens),
+                *pace_to_send(target),
             )
             for target in self._ctx.directory.all()
-            if target.load.own_runs()
+            if target.load.own_runs() or pace_to_send(target)
         ]
 
     def _apply_update(self, update: EntryNews) -> None:
@@ -334,6 +339,7 @@
         for loss in update.losses or ():
             self._ctx.crash_guard.record_remote(loss.fingerprint, loss.loss)
         self._limits.apply(update.limits or ())
+        self._silences.apply(update.sender, update.silences or ())
         guard = self._ctx.part_guard
         for outcome in update.part_outcomes or ():
             observed = RunOutcome(
@@ -393,6 +399,7 @@
                 now_ms,
             )
             target.load.set_peer_load(update.sender, load)
+            self._silences.apply_pace(target, work)
 
     def _make_client(self, address: str) -> PeerClient:
         return PeerClient(
