--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -17,12 +17,14 @@
 
 from wigeonmill.addresses import split_address
 from wigeonmill.gateway.cache_event_exchange import CacheEventExchange
+from wigeonmill.gateway.context import DEFAULT_CONTACT_MS
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.leaving_exchange import LeavingExchange
 from wigeonmill.gateway.limit_exchange import LimitExchange
 from wigeonmill.gateway.loss_log import RunOutcome
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
+from wigeonmill.gateway.peer_rotation import PeerRotation
 from wigeonmill.gateway.suspicion_exchange import pace_to_send
 from wigeonmill.gateway.suspicion_exchange import SuspicionExchange
 from wigeonmill.gateway.target_load import PeerLoad
@@ -72,7 +74,15 @@
         keys: Callable[[], InnerKeys],
         caches: CacheEventExchange,
         rng: random.Random,
+        domain: str = '',
+        prefers_domain: bool = False,
+        contact_ms: float = DEFAULT_CONTACT_MS,
     ) -> None:
+        """Create the exchange of an entry in a failure domain.
+
+        With `prefers_domain`, most updates go to entries of that domain,
+        except for `contact_ms` after news that only this entry tells.
+        """
         self._ctx = ctx
         self._mirror = mirror
         self._name = name
@@ -80,12 +90,15 @@
         self._keys = keys
         self._caches = caches
         self._limits = LimitExchange(ctx.clock, ctx.directory, ctx.notices)
+        self._domain = domain
+        self._prefers_domain = prefers_domain
+        self._contact_ms = contact_ms
+        self._rotation = PeerRotation(rng, prefers_domain)
+        # Addresses of entries that have named another failure domain.
+        self._far: set[str] = set()
         self._silences = SuspicionExchange(ctx.directory, ctx.suspicions)
         self._leaving = LeavingExchange(ctx.directory, ctx.notices)
-        self._rng = rng
         self._in_flight: set[str] = set()
-        # Addresses that have not yet had their turn in the current rotation.
-        self._round_peers: list[str] = []
         # The number of the last target loss sent to each entry: in requests
         # by address, in replies by entry name. A process that has restarted
         # has none of them: it has another incarnation and connects anew. In
@@ -159,8 +172,7 @@
     def _next_peers(self) -> list[str]:
         """Return the peers of the next interval.
 
-        All peers are chosen in turn, in a random order. Peers that have not
-        answered their last update yet are skipped.
+        Peers that have not answered their last update yet are skipped.
         """
         known = set(self._addresses())
         self._sent_losses = {
@@ -168,17 +180,22 @@
             for peer, sent in self._sent_losses.items()
             if peer in known
         }
-        chosen: list[str] = []
-        for _round in range(2):
-            while self._round_peers and len(chosen) < MAX_PEERS_PER_ROUND:
-                address = self._round_peers.pop()
-                available = address in known and address not in self._in_flight
-                if available and address not in chosen:
-                    chosen.append(address)
-            if len(chosen) < MAX_PEERS_PER_ROUND:
-                self._round_peers = list(known)
-                self._rng.shuffle(self._round_peers)
-        return chosen
+        self._far &= known
+        return self._rotation.next(
+            known,
+            self._in_flight,
+            self._far,
+            MAX_PEERS_PER_ROUND,
+            self._prefers_domain and self._has_urgent_news(),
+        )
+
+    def _has_urgent_news(self) -> bool:
+        """Whether there is a recent loss or limit, told first hand only."""
+        lost_ms = self._ctx.clock.now_ms() - self._ctx.loss_log.last_local_ms
+        return (
+            self._limits.has_named_within(self._contact_ms)
+            or lost_ms < self._contact_ms
+        )
 
     async def _send_update(self, address: str, ask: bool) -> None:
         """Send an update to one entry; with `ask`, also request its data.
@@ -216,6 +233,7 @@
                 if told not in (None, process):
                     last_loss, all_to = 0, last_number
                 self._sent_losses[address] = (process, last_loss, all_to)
+                self._record_domain(address, answer.failure_domain)
                 self._apply_update(answer)
                 if ask:
                     self._confirm_copy(answer, requested_boot_ms)
@@ -274,6 +292,7 @@
             listing=listing or None,
             copy_age_ms=self._ctx.freshness.age_ms,
             limits=self._limits.to_send() or None,
+            failure_domain=self._domain or None,
             silences=self._silences.to_send() or None,
             leaving=self._leaving.to_send() or None,
         )
@@ -350,6 +369,13 @@
                     },
                 )
 
+    def _record_domain(self, address: str, domain: str | None) -> None:
+        """Record where a peer is; older entries do not say it."""
+        if domain and domain != self._domain:
+            self._far.add(address)
+        else:
+            self._far.discard(address)
+
     def _confirm_copy(
         self, answer: EntryNews, requested_boot_ms: float
     ) -> None:
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -22,6 +22,7 @@
 from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.credit import lateness_cost
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
+from wigeonmill.gateway.domain_costs import DomainCosts
 from wigeonmill.gateway.request import Generation
 from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.suspicions import MIN_HEARD_SHARE
@@ -95,6 +96,7 @@
     generation: Generation | None = None
     cache_tokens: int = 0
     fetchable_tokens: int = 0
+    body_bytes: int = 0
     desired_version: int | None = None
     penalize_old_weights: bool = False
     old_weights_remaining_ms: Callable[[int], float] = lambda _loaded: inf
@@ -135,6 +137,7 @@
         '_circuits',
         '_is_domain_closed',
         '_region_of',
+        '_domain_costs',
         '_suspicions',
         '_reserves',
     )
@@ -148,6 +151,7 @@
         is_domain_closed: Callable[[str], bool],
         region_of: Mapping[str, str] | None = None,
         suspicions: Suspicions | None = None,
+        domain_costs: DomainCosts = DomainCosts(),
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -155,6 +159,7 @@
         self._circuits = circuits
         self._is_domain_closed = is_domain_closed
         self._region_of = region_of or {}
+        self._domain_costs = domain_costs
         self._suspicions = suspicions
         self._reserves = True
 
@@ -424,11 +429,27 @@
         count = SAMPLED_ENGINES if is_model else SAMPLED_TARGETS
         if len(targets) <= count:
             return targets
-        chosen = self._rng.sample(targets, count)
+        chosen = self._chosen(targets, count)
         if all(target.id != home_id for target in chosen):
             chosen += [target for target in targets if target.id == home_id]
         return chosen
 
+    def _chosen(self, targets: Sequence[Target], count: int) -> list[Target]:
+        """Return a random sample; half of it, if it matters, of this domain.
+
+        The rest is of all domains, so that a loaded domain gets help.
+        """
+        if not self._domain_costs.apply:
+            return self._rng.sample(targets, count)
+        own = [
+            target
+            for target in targets
+            if self._domain_costs.is_own(target.failure_domain)
+        ]
+        chosen = self._rng.sample(own, min(len(own), (count + 1) // 2))
+        others = [target for target in targets if target not in chosen]
+        return chosen + self._rng.sample(others, count - len(chosen))
+
     def _home_id(self, demand: Demand) -> str:
         """Return the id of the home target, or '' if there is none.
 
@@ -472,6 +493,9 @@
             expected_ms, demand.objective_remaining_ms, demand.objective_ms
         )
         cost = lateness + self._extra_cost(target, demand)
+        cost += self._domain_costs.cost(
+            target.failure_domain, demand.body_bytes, demand.generation
+        )
         return Pick(
             target,
             expected_ms,
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -23,6 +23,7 @@
 from wigeonmill.gateway.desired import DesiredState
 from wigeonmill.gateway.explanation import Explainer
 from wigeonmill.gateway.extra_work import ExtraWorkLimits
+from wigeonmill.gateway.domain_costs import DomainCosts
 from wigeonmill.gateway.forwarder import Forwarder
 from wigeonmill.gateway.inner_key import SharedInnerKey
 from wigeonmill.gateway.intake import RecordIntake
@@ -177,6 +178,9 @@
             self._inner_key.current,
             CacheEventExchange(self._stores),
             rng,
+            settings.failure_domain,
+            settings.domain_transfer_cost > 0,
+            settings.contact_ms,
         )
         self._versions = SoftwareVersions(
             clock, self._ctx.directory, self._ctx.freshness
@@ -445,6 +449,10 @@
             ctx.desired.is_domain_closed,
             self._settings.regions,
             ctx.suspicions,
+            DomainCosts(
+                self._settings.failure_domain,
+                self._settings.domain_transfer_cost,
+            ),
         )
         client = TargetClient(
             self._transfers, self._adapter.targets, self._clock, ctx.notices
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -4268,6 +4268,7 @@
      - limits
      - silences
      - leaving
+     - failure_domain
 
     """
 
@@ -4286,11 +4287,12 @@
         'part_quarantines',
         'limits',
         'silences',
+        'failure_domain',
         'leaving',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, silences=None, leaving=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, silences=None, leaving=None, failure_domain=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4306,6 +4308,7 @@
         self.limits = limits
         self.silences = silences
         self.leaving = leaving
+        self.failure_domain = failure_domain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4451,6 +4454,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4544,6 +4552,10 @@
                 iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 18)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
@@ -5545,7 +5557,7 @@
     (15, TType.LIST, 'silences', (TType.STRUCT, [TargetSilence, None], False), None, ),  # 15
     None,  # 16
     None,  # 17
-    None,  # 18
+    (18, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 18
     None,  # 19
     (20, TType.LIST, 'leaving', (TType.STRUCT, [LeavingTarget, None], False), None, ),  # 20
 )
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -376,6 +376,7 @@
   13: optional list<LimitNotice> limits
   15: optional list<TargetSilence> silences
   20: optional list<LeavingTarget> leaving
+  18: optional string failure_domain
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
