Let teams compete for the room of a loaded service

Nothing asked who was served how much, and a service without room got requests until it refused them. Within a priority, prompts above 1/32 of an engine's memory stood behind all long runs: the largest of the hurried kind were refused as too late, also those of the highest priority. Runs that can wait filled the engines, so that urgent ones preempted them.

With fair_admission and teams in the document, the levels at engines follow priority, size and the team's share of what all entries served; runs that can wait leave a fifth of the memory free; a request without room is held for up to a quarter of its objective, in an order, in a bounded queue; what is hopeless is refused at once; a caller that returns is known by its deadline and not refused again while it can be served late. Entries tell each other decaying totals while a service is short.

--- /dev/null
+++ b/tests/gateway/test_admission_run.py
@@ -0,0 +1,333 @@
+import asyncio
+import random
+
+import pytest
+
+from tests.gateway.fakes import FakeChannel
+from tests.gateway.fakes import FULL
+from tests.gateway.fakes import GOOD
+from tests.gateway.fakes import Harness
+from tests.gateway.fakes import make_head
+from tests.gateway.fakes import NoCache
+from tests.gateway.fakes import Pause
+from tests.gateway.samples import ENGINES
+from tests.gateway.samples import make_engine_record
+from tests.gateway.samples import make_generation
+from tests.gateway.samples import make_record
+from tests.gateway.samples import make_request
+from tests.gateway.samples import make_route
+from tests.gateway.samples import make_state
+from tests.gateway.samples import make_team
+from tests.virtual_time import run_virtual
+from wigeonmill.gateway.answers import Reason
+from wigeonmill.gateway.answers import RequestState
+from wigeonmill.gateway.desired import RouteKind
+from wigeonmill.gateway.desired import ServiceShare
+from wigeonmill.gateway.request_run import RequestRun
+from wigeonmill.gateway.run_terms import RETURNED_PRIORITY
+from wigeonmill.gateway.target_client import ExchangeEnd
+
+TEAM = make_team()
+ENGINE_SHARES = (ServiceShare(ENGINES, 1.0),)
+CHECK = make_route(
+    name='check',
+    kind=RouteKind.STREAMING,
+    shares=ENGINE_SHARES,
+    resumable=True,
+)
+CONSULT = make_route(
+    name='consult',
+    prefix='/b/',
+    kind=RouteKind.STREAMING,
+    shares=ENGINE_SHARES,
+    objective_ms=1_600.0,
+    timeout_ms=12_000.0,
+)
+# An answer to a stream without events, which ends it.
+STREAM = (make_head(), b'data: x\n\n', ExchangeEnd.COMPLETE)
+
+
+def make_harness(scripts=(GOOD,), records=None, **changes):
+    state = make_state(
+        routes=[make_route(), CHECK, CONSULT], teams=[TEAM], **changes
+    )
+    harness = Harness(scripts, records or [make_record()], state)
+    harness.ctx.fair_admission = True
+    return harness
+
+
+def make_arriving(harness, **changes):
+    values = {'arrived_ms': harness.clock.now_ms(), 'deadline_ms': 4_000.0}
+    return make_request(**(values | changes))
+
+
+def held_ms(caplog):
+    """Return the longest hold that was logged."""
+    lines = [r for r in caplog.records if r.message == 'request held']
+    return max((line.held_ms for line in lines), default=0.0)
+
+
+@pytest.fixture(autouse=True)
+def _log_all(caplog):
+    caplog.set_level('INFO')
+
+
+def test_a_request_is_not_held_while_a_target_has_room():
+    harness = make_harness(records=[make_record('t1'), make_record('t2')])
+    now_ms = harness.clock.now_ms()
+    harness.ctx.directory.get('t1').refusing_until_ms = now_ms + 150.0
+    harness.run(make_arriving(harness), make_route(), TEAM)
+    assert harness.clock.now_ms() == now_ms
+    assert harness.client.sent[0][0] == 't2'
+
+
+def test_a_request_waits_until_a_target_stops_refusing():
+    harness = make_harness()
+    target = harness.ctx.directory.get('t1')
+    target.refusing_until_ms = harness.clock.now_ms() + 50.0
+    channel = harness.run(make_arriving(harness), make_route(), TEAM)
+    assert channel.status == 200
+    # It was not sent into a refusal.
+    assert len(harness.client.sent) == 1
+    assert 50.0 <= harness.clock.now_ms() - 1_010_000.0 <= 75.0
+
+
+def test_a_request_is_held_for_a_quarter_of_its_objective_at_most():
+    harness = make_harness()
+    target = harness.ctx.directory.get('t1')
+    target.refusing_until_ms = harness.clock.now_ms() + 5_000.0
+    began_ms = harness.clock.now_ms()
+    harness.run(make_arriving(harness), make_route(), TEAM)
+    assert harness.clock.now_ms() - began_ms <= 100.01
+    assert len(harness.client.sent) == 1
+
+
+@pytest.mark.parametrize('lacks', ['teams', 'setting'])
+def test_nothing_is_held_without_teams_or_the_setting(lacks):
+    harness = make_harness()
+    if lacks == 'setting':
+        harness.ctx.fair_admission = False
+    else:
+        harness.ctx.desired.adopt(make_state(version=2))
+    now_ms = harness.clock.now_ms()
+    harness.ctx.directory.get('t1').refusing_until_ms = now_ms + 150.0
+    harness.run(make_arriving(harness), make_route(), None)
+    assert harness.clock.now_ms() == now_ms
+
+
+def test_a_caller_that_leaves_while_it_is_held_is_not_served():
+    harness = make_harness()
+    target = harness.ctx.directory.get('t1')
+    target.refusing_until_ms = harness.clock.now_ms() + 5_000.0
+    harness.channel.closed = True
+    harness.run(make_arriving(harness), make_route(), TEAM)
+    assert harness.client.sent == []
+    assert harness.ctx.waiting_room.waiting == 0
+
+
+def start_run(harness, req, route, channel):
+    return RequestRun(
+        harness.ctx,
+        harness.client,
+        harness.picker,
+        NoCache(),
+        req,
+        route,
+        TEAM,
+        channel,
+    )
+
+
+def test_a_held_request_ends_as_not_sent_when_the_entry_stops():
+    harness = make_harness()
+    target = harness.ctx.directory.get('t1')
+    target.refusing_until_ms = harness.clock.now_ms() + 5_000.0
+    run = start_run(
+        harness, make_arriving(harness), make_route(), harness.channel
+    )
+
+    async def stop():
+        running = asyncio.ensure_future(run.run())
+        await asyncio.sleep(0.05)
+        # The server refuses what is in this state, truly as not run.
+        assert run.progress().state is RequestState.WAITING
+        running.cancel()
+
+    run_virtual(harness.clock, stop())
+    assert harness.client.sent == []
+    assert harness.ctx.waiting_room.waiting == 0
+
+
+def test_room_that_becomes_free_goes_to_those_that_wait():
+    harness = make_harness((STREAM,), [make_engine_record()])
+    load = harness.ctx.directory.get('e1').load
+    blocking = load.open(98_000, 0, 0)
+    order = []
+
+    async def call(name, wait_s, **changes):
+        await asyncio.sleep(wait_s)
+        if name == 'new':
+            load.close(blocking)
+        req = make_arriving(
+            harness, generation=make_generation(tokens=15_000), **changes
+        )
+        await start_run(harness, req, CONSULT, FakeChannel()).run()
+        order.append(name)
+
+    async def run():
+        await asyncio.gather(
+            call('new', 0.05, deadline_ms=12_000.0),
+            call('waiting', 0.0, deadline_ms=12_000.0),
+        )
+
+    run_virtual(harness.clock, run())
+    assert order == ['waiting', 'new']
+
+
+def test_a_hopeless_request_is_refused_at_once():
+    harness = make_harness()
+    target = harness.ctx.directory.get('t1')
+    target.refusing_until_ms = harness.clock.now_ms() + 5_000.0
+    began_ms = harness.clock.now_ms()
+    req = make_arriving(harness, deadline_ms=40.0)
+    channel = harness.run(req, make_route(), TEAM)
+    assert channel.refusal.reason is Reason.TOO_LATE
+    assert channel.refusal.retry_after_ms >= 400.0
+    assert harness.clock.now_ms() == began_ms
+
+
+def sent_priority(harness, route, generation, **changes):
+    req = make_arriving(harness, generation=generation, **changes)
+    harness.run(req, route, TEAM)
+    return harness.client.sent[0][1].priority
+
+
+def test_large_prompts_of_the_hurried_kind_go_before_runs_that_can_wait():
+    prompt = make_generation(tokens=4_000)
+    records = [make_engine_record()]
+    check = make_harness((STREAM,), records)
+    assert sent_priority(check, CHECK, prompt) == 1
+    consult = make_harness((STREAM,), records)
+    assert sent_priority(consult, CONSULT, prompt) == 2
+
+
+def test_teams_above_their_share_go_later_within_the_rank():
+    harness = make_harness((STREAM,), [make_engine_record()])
+    shares = harness.ctx.team_shares
+    shares.record_shortage(ENGINES)
+    for team, asked, served in (('team', 9e5, 8e5), ('small', 9e5, 1e4)):
+        shares.record_asked(ENGINES, team, asked)
+        shares.record_served(ENGINES, team, served)
+    assert sent_priority(harness, CONSULT, make_generation()) == 3
+
+
+def fill(harness, tokens, priority):
+    """Let other runs occupy memory of the engine."""
+    harness.ctx.directory.get('e1').load.open(tokens, 0, priority)
+
+
+def test_runs_that_can_wait_leave_memory_for_urgent_ones(caplog):
+    # A fifth of 130,000 tokens remains free for them.
+    harness = make_harness((STREAM,), [make_engine_record()])
+    fill(harness, 98_000, 0)
+    sent_priority(harness, CONSULT, make_generation())
+    assert held_ms(caplog) == 400.0
+    caplog.clear()
+    harness = make_harness((STREAM,), [make_engine_record()])
+    fill(harness, 98_000, 0)
+    sent_priority(harness, CHECK, make_generation())
+    assert held_ms(caplog) == 0.0
+
+
+def test_a_late_request_that_returns_goes_before_the_other_late_ones():
+    harness = make_harness((STREAM,), [make_engine_record()])
+    fill(harness, 200_000, 0)
+    prompt = make_generation()
+    priority = sent_priority(harness, CHECK, prompt, deadline_ms=1_880.0)
+    assert priority == RETURNED_PRIORITY
+
+
+class SlotService:
+    """Targets of six slots that refuse when all are taken, 70 ms a call."""
+
+    def __init__(self, harness):
+        self._client = harness.client
+        self._busy = 0
+        self.refused = 0
+
+    def send(self, *args):
+        if self._busy >= 6:
+            self.refused += 1
+            script = FULL
+        else:
+            self._busy += 1
+            script = (Pause(70.0), make_head(), b'whole', self._end)
+        self._client.set_scripts([script])
+        return self._client.send(*args)
+
+    def _end(self):
+        self._busy -= 1
+        return ExchangeEnd.COMPLETE
+
+
+def play_six_slots(fair):
+    """Eighty requests a second, in bursts, for five seconds."""
+    harness = make_harness(records=[make_record('t1')])
+    harness.ctx.fair_admission = fair
+    service = SlotService(harness)
+    rng = random.Random(1)
+    channels = []
+
+    async def call():
+        channel = FakeChannel()
+        channels.append(channel)
+        req = make_arriving(harness)
+        await RequestRun(
+            harness.ctx,
+            service,
+            harness.picker,
+            None,
+            req,
+            make_route(),
+            TEAM,
+            channel,
+        ).run()
+
+    async def run():
+        calls = []
+        for _each in range(400):
+            await asyncio.sleep(rng.expovariate(80.0))
+            calls.append(asyncio.ensure_future(call()))
+        await asyncio.gather(*calls)
+
+    run_virtual(harness.clock, run())
+    served = sum(channel.status == 200 for channel in channels)
+    return served, service.refused, harness
+
+
+def test_six_slots_eighty_requests_a_second(caplog):
+    served, refused, harness = play_six_slots(fair=True)
+    served_before, refused_before, _harness = play_six_slots(fair=False)
+    # Fewer arrivals are refused, and none of the callers pays for it.
+    assert refused < refused_before
+    assert served >= served_before
+    assert held_ms(caplog) <= 100.0
+    assert harness.ctx.waiting_room.waiting == 0
+
+
+@pytest.mark.parametrize(
+    ('deadline_ms', 'sent'), [(2_000.0, 0), (1_880.0, 1), (950.0, 0)]
+)
+def test_a_returned_caller_is_not_refused_again_if_it_can_be_served_late(
+    deadline_ms, sent
+):
+    harness = make_harness((STREAM,), [make_engine_record()])
+    # Its memory is free in about 2.9 s.
+    fill(harness, 310_000, 0)
+    req = make_arriving(
+        harness, generation=make_generation(), deadline_ms=deadline_ms
+    )
+    channel = harness.run(req, CHECK, TEAM)
+    assert len(harness.client.sent) == sent
+    if not sent:
+        assert channel.refusal.reason is Reason.TOO_LATE
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -15,11 +15,15 @@
 from wigeonmill.gateway.loss_log import LossLog
 from wigeonmill.gateway.origin_records import OpenStreams
 from wigeonmill.gateway.part_guard import PartGuard
+from wigeonmill.gateway.service_profile import ServiceProfiles
 from wigeonmill.gateway.stream_origins import LocalStreamOrigins
 from wigeonmill.gateway.stream_origins import StreamOrigins
 from wigeonmill.gateway.target_notices import DEFAULT_MAX_CLOSED_MS
 from wigeonmill.gateway.target_notices import TargetNotices
 from wigeonmill.gateway.targets import Directory
+from wigeonmill.gateway.team_shares import ServedSessions
+from wigeonmill.gateway.team_shares import TeamShares
+from wigeonmill.gateway.waiting_room import WaitingRoom
 from wigeonmill.metrics import Metrics
 from wigeonmill.routing.circuit import CircuitBreakers
 
@@ -185,6 +189,11 @@
         'loss_log',
         'crash_guard',
         'part_guard',
+        'fair_admission',
+        'team_shares',
+        'waiting_room',
+        'sessions',
+        'profiles',
         'answer_limits',
         'origins',
         'open_streams',
@@ -245,6 +254,12 @@
             lambda: entry_position() == 0.0,
             self.directory.service_of,
         )
+        # Whether operators want teams to compete for room by their shares.
+        self.fair_admission = False
+        self.team_shares = TeamShares(clock)
+        self.waiting_room = WaitingRoom(clock)
+        self.sessions = ServedSessions()
+        self.profiles = ServiceProfiles()
         self.answer_limits = answer_limits
         self.origins: StreamOrigins = LocalStreamOrigins()
         self.open_streams = OpenStreams(clock)
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -24,6 +24,8 @@
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.target_load import PeerLoad
 from wigeonmill.gateway.target_load import PRIORITIES
+from wigeonmill.gateway.team_share_exchange import apply_shares
+from wigeonmill.gateway.team_share_exchange import shares_to_wire
 from wigeonmill.protocol.client import PeerClient
 from wigeonmill.protocol.client import PeerError
 from wigeonmill.protocol.client import PeerPool
@@ -269,6 +271,7 @@
             listing=listing or None,
             copy_age_ms=self._ctx.freshness.age_ms,
             limits=self._limits.to_send() or None,
+            served_work=shares_to_wire(self._ctx.team_shares) or None,
         )
 
     def _add_losses(
@@ -312,6 +315,8 @@
 
     def _apply_update(self, update: EntryNews) -> None:
         self._apply_open_work(update)
+        shares = update.served_work or ()
+        apply_shares(self._ctx.team_shares, update.sender, shares)
         for loss in update.losses or ():
             self._ctx.crash_guard.record_remote(loss.fingerprint, loss.loss)
         self._limits.apply(update.limits or ())
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -48,6 +48,9 @@
 SAMPLED_ENGINES = 4
 # If every sampled target costs more than this, all targets are evaluated.
 FULL_SCAN_COST = 0.5
+# A target of this cost is not picked for its room alone: it is silent or
+# fails most of what it gets.
+UNUSABLE_COST = 0.8
 # Time after which a refused caller can expect a warm target or a free slot.
 RETRY_AFTER_MS = 400.0
 # Time after which a refused caller can expect a target with new weights.
@@ -74,7 +77,10 @@
     store. `desired_version` is the newest weight version that operators have
     set for the model. No run may begin on an older version once the time that
     `old_weights_remaining_ms` returns for it has passed. A stream with an
-    `origin` may go on only at the software that began it.
+    `origin` may go on only at the software that began it. A target has room
+    for the request if `spare_tokens` of its memory remain free besides it. If
+    `needs_room` is set, all targets are compared before one without room is
+    picked.
     """
 
     service: str
@@ -95,6 +101,8 @@
     old_weights_remaining_ms: Callable[[int], float] = lambda _loaded: inf
     entry_position: float = 0.0
     origin: StreamOrigin | None = None
+    spare_tokens: int = 0
+    needs_room: bool = False
 
     @property
     def tokens(self) -> int:
@@ -332,7 +340,8 @@
         home_id = self._home_id(demand)
         sampled = self._sample(targets, demand, home_id)
         best = self._cheapest(sampled, demand, home_id)
-        if best.cost > FULL_SCAN_COST and len(sampled) < len(targets):
+        scan = best.cost > FULL_SCAN_COST or (demand.needs_room and best.waits)
+        if scan and len(sampled) < len(targets):
             return self._cheapest(targets, demand, home_id)
         return best
 
@@ -341,7 +350,15 @@
     ) -> Pick:
         picks = [self._evaluate(target, demand, home_id) for target in targets]
         self._rng.shuffle(picks)
-        return min(picks, key=lambda pick: pick.cost)
+        best = min(picks, key=lambda pick: pick.cost)
+        if demand.needs_room and best.waits:
+            with_room = [
+                pick
+                for pick in picks
+                if not pick.waits and pick.cost < UNUSABLE_COST
+            ]
+            return min(with_room, key=lambda pick: pick.cost, default=best)
+        return best
 
     def _sample(
         self, targets: Sequence[Target], demand: Demand, home_id: str
@@ -394,7 +411,9 @@
             )
             slot_ms = load.slot_wait_ms(demand.priority, target.slots)
             memory_ms = load.memory_wait_ms(
-                demand.tokens, demand.priority, demand.cache_tokens
+                demand.tokens + demand.spare_tokens,
+                demand.priority,
+                demand.cache_tokens,
             )
             expected_ms += fetch_ms + memory_ms
         lateness = lateness_cost(
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -6,6 +6,7 @@
 from result import Err
 from result import Result
 
+from wigeonmill.gateway.admission_run import AdmissionRun
 from wigeonmill.gateway.answers import AnswerHead
 from wigeonmill.gateway.answers import CallerChannel
 from wigeonmill.gateway.answers import NOT_RUN_STATUSES
@@ -75,6 +76,7 @@
         self._relay = Relay(channel, ctx.clock, req.last_event_id)
         self._terms = RunTerms(ctx, planner, self._relay, req, route, team)
         self._log = RunLog(ctx, self._terms, self._relay)
+        self._admission = AdmissionRun(ctx, self._terms, channel)
         self._fingerprint = request_fingerprint(req, team.name if team else '')
         self._attempts = 0
         # Attempts that may have arrived at the service, and how many of them
@@ -123,6 +125,7 @@
             )
             return
         self._ctx.retries(self._terms.service).record_request()
+        self._admission.record_asked()
         if self._terms.origin is not None:
             # All entries may be lost once more before the stream ends.
             self._ctx.open_streams.begin(
@@ -139,6 +142,7 @@
         while True:
             failure = await self._attempt_once()
             if failure is None:
+                self._admission.record_served()
                 self._log.log_end('answered', self._attempts)
                 return True
             if not self._may_retry(failure):
@@ -165,7 +169,7 @@
 
     async def _attempt_once(self) -> Failure | None:
         self._attempts += 1
-        picked = self._pick()
+        picked = await self._admission.admit(self._pick)
         if isinstance(picked, Err):
             return _not_sent(picked.err_value)
         return await self._send(picked.ok_value)
@@ -230,13 +234,13 @@
             generation.tokens, priority, self._terms.cache_tokens
         )
         remaining_ms = self._terms.remaining_ms
-        if starts_ms <= remaining_ms:
+        if starts_ms <= remaining_ms * self._admission.patience:
             return None
         return Refusal(
             Reason.TOO_LATE,
             f'would start in {starts_ms:.0f} ms, '
             f'deadline in {remaining_ms:.0f} ms',
-            max(DEFAULT_RETRY_AFTER_MS, starts_ms - remaining_ms),
+            self._admission.retry_after_ms(starts_ms),
         )
 
     async def _send(self, pick: Pick) -> Failure | None:
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -130,6 +130,7 @@
             ),
             self._entries.is_selected,
         )
+        self._ctx.fair_admission = settings.fair_admission
         self._sync = MirrorSync(
             adapter.source,
             self._mirror,
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -2,6 +2,10 @@
 
 from collections.abc import Collection
 
+from wigeonmill.gateway.admission import engine_level
+from wigeonmill.gateway.admission import has_returned
+from wigeonmill.gateway.admission import RESERVED_SHARE
+from wigeonmill.gateway.admission import Size
 from wigeonmill.gateway.cache_plan import CachePlan
 from wigeonmill.gateway.cache_plan import CachePlanner
 from wigeonmill.gateway.context import GatewayContext
@@ -13,6 +17,7 @@
 from wigeonmill.gateway.picker import Pick
 from wigeonmill.gateway.relay import Relay
 from wigeonmill.gateway.request import CallerRequest
+from wigeonmill.gateway.service_profile import ServiceProfile
 from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.target_client import Instructions
 from wigeonmill.gateway.targets import Target
@@ -26,9 +31,11 @@
 # priority than those that may still be answered in time.
 LATE_COST = 0.6
 LATE_PRIORITY = 8
-STARTED_PRIORITY = 0
 # A prompt that occupies more than this share of an engine's memory is long.
 LONG_PROMPT_SHARE = 1.0 / 32.0
+# One of a caller that returns after a refusal goes before the others of them.
+RETURNED_PRIORITY = 7
+STARTED_PRIORITY = 0
 # Matches no region, as no region has an empty name.
 _NO_REGION = ''
 
@@ -121,6 +128,31 @@
         """
         return self._relay.started or self.origin is not None
 
+    @property
+    def competes(self) -> bool:
+        """Whether room is shared among the teams that ask for it."""
+        state = self._ctx.desired.state
+        return self._ctx.fair_admission and bool(state and state.teams)
+
+    @property
+    def has_returned(self) -> bool:
+        """Whether the caller seems to have been refused before."""
+        return self.competes and has_returned(
+            self.req.deadline_ms, self.route.timeout_ms
+        )
+
+    @property
+    def is_above_share(self) -> bool:
+        """Whether the team is above its fair share of a service in need."""
+        shares = self._ctx.team_shares
+        return (
+            self.competes
+            and shares.is_short(self.service)
+            and shares.is_above(
+                self.service, self.team.name if self.team else ''
+            )
+        )
+
     def resume(self, origin: StreamOrigin) -> None:
         """Go on with a stream at the service that began it, if possible."""
         self.origin = origin
@@ -141,7 +173,9 @@
         """
         if self._relay.started:
             return STARTED_PRIORITY
-        return LATE_PRIORITY if self.is_late(pick) else self._base_priority()
+        if not self.is_late(pick):
+            return self._base_priority()
+        return RETURNED_PRIORITY if self.has_returned else LATE_PRIORITY
 
     def demand(self, avoid: Collection[str]) -> Demand:
         """Return the current requirements of the request."""
@@ -183,6 +217,8 @@
             penalize_old_weights=weights_due,
             old_weights_remaining_ms=self._old_weights_remaining_ms,
             origin=self.origin,
+            spare_tokens=self._spare_tokens(),
+            needs_room=self.competes,
         )
 
     def begin_by_ms(self, target: Target) -> float:
@@ -266,6 +302,13 @@
         configured = self.route.priority
         if self.team is not None and self.team.priority is not None:
             configured = self.team.priority
+        if self.competes:
+            return engine_level(
+                configured,
+                self._profile().priorities,
+                self._size(),
+                self.is_above_share,
+            )
         return max(0, min(LATE_PRIORITY - 1, 2 * configured + self._is_long()))
 
     def _is_long(self) -> bool:
@@ -274,6 +317,28 @@
             return False
         return generation.tokens > LONG_PROMPT_SHARE * self.cache_tokens
 
+    def _size(self) -> Size:
+        """Return whether it is long, and then whether it can wait.
+
+        The hurried kind of request can't: its largest prompts would stand
+        behind all runs of the other kinds.
+        """
+        if not self._is_long():
+            return Size.SHORT
+        if self._profile().has_shorter(self.route.objective_ms):
+            return Size.CAN_WAIT
+        return Size.LONG
+
+    def _spare_tokens(self) -> int:
+        """Return the memory to leave free for more urgent requests."""
+        if not self.competes or self.continues:
+            return 0
+        can_wait = self._size() is Size.CAN_WAIT
+        return int(RESERVED_SHARE * self.cache_tokens * can_wait)
+
+    def _profile(self) -> ServiceProfile:
+        return self._ctx.profiles.get(self._ctx.desired.state, self.service)
+
     def _regions(self) -> tuple[str, ...]:
         """Return the regions that route and team allow (empty: any)."""
         route = self.route.regions
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -52,6 +52,7 @@
     max_unsent_bytes: ByteLimit = 1_048_576
     max_reply_bytes: ByteLimit = 8_388_608
     contact_ms: Milliseconds = 3_000.0
+    fair_admission: bool = False
     log_level: str = 'INFO'
 
 
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -4042,6 +4042,110 @@
         return not (self == other)
 
 
+class ServedWork(object):
+    """
+    Attributes:
+     - service_name
+     - team
+     - asked
+     - served
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'team',
+        'asked',
+        'served',
+    )
+
+
+    def __init__(self, service_name=None, team=None, asked=None, served=None,):
+        self.service_name = service_name
+        self.team = team
+        self.asked = asked
+        self.served = served
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.asked = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.served = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServedWork')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.team is not None:
+            oprot.writeFieldBegin('team', TType.STRING, 2)
+            oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
+            oprot.writeFieldEnd()
+        if self.asked is not None:
+            oprot.writeFieldBegin('asked', TType.I32, 3)
+            oprot.writeI32(self.asked)
+            oprot.writeFieldEnd()
+        if self.served is not None:
+            oprot.writeFieldBegin('served', TType.I32, 4)
+            oprot.writeI32(self.served)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EntryNews(object):
     """
     Attributes:
@@ -4058,6 +4162,7 @@
      - part_outcomes
      - part_quarantines
      - limits
+     - served_work
 
     """
 
@@ -4075,10 +4180,11 @@
         'part_outcomes',
         'part_quarantines',
         'limits',
+        'served_work',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, served_work=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4092,6 +4198,7 @@
         self.part_outcomes = part_outcomes
         self.part_quarantines = part_quarantines
         self.limits = limits
+        self.served_work = served_work
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4215,6 +4322,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.served_work = []
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = ServedWork()
+                        _elem158.read(iprot)
+                        self.served_work.append(_elem158)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4236,22 +4354,22 @@
         if self.open_work is not None:
             oprot.writeFieldBegin('open_work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.open_work))
-            for iter153 in self.open_work:
-                iter153.write(oprot)
+            for iter159 in self.open_work:
+                iter159.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter154 in self.losses:
-                iter154.write(oprot)
+            for iter160 in self.losses:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter155 in self.records:
-                iter155.write(oprot)
+            for iter161 in self.records:
+                iter161.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records_to is not None:
@@ -4261,15 +4379,15 @@
         if self.cache_points is not None:
             oprot.writeFieldBegin('cache_points', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_points))
-            for iter156 in self.cache_points:
-                iter156.write(oprot)
+            for iter162 in self.cache_points:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cache_updates is not None:
             oprot.writeFieldBegin('cache_updates', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_updates))
-            for iter157 in self.cache_updates:
-                iter157.write(oprot)
+            for iter163 in self.cache_updates:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.listing is not None:
@@ -4283,22 +4401,29 @@
         if self.part_outcomes is not None:
             oprot.writeFieldBegin('part_outcomes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.part_outcomes))
-            for iter158 in self.part_outcomes:
-                iter158.write(oprot)
+            for iter164 in self.part_outcomes:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_quarantines is not None:
             oprot.writeFieldBegin('part_quarantines', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.part_quarantines))
-            for iter159 in self.part_quarantines:
-                iter159.write(oprot)
+            for iter165 in self.part_quarantines:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter160 in self.limits:
-                iter160.write(oprot)
+            for iter166 in self.limits:
+                iter166.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.served_work is not None:
+            oprot.writeFieldBegin('served_work', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.served_work))
+            for iter167 in self.served_work:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4504,21 +4629,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = StreamOrigin()
-                        _elem166.read(iprot)
-                        self.begun.append(_elem166)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = StreamOrigin()
+                        _elem173.read(iprot)
+                        self.begun.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.wanted.append(_elem172)
+                    (_etype177, _size174) = iprot.readListBegin()
+                    for _i178 in range(_size174):
+                        _elem179 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted.append(_elem179)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4539,15 +4664,15 @@
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter173 in self.begun:
-                iter173.write(oprot)
+            for iter180 in self.begun:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.wanted))
-            for iter174 in self.wanted:
-                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
+            for iter181 in self.wanted:
+                oprot.writeString(iter181.encode('utf-8') if sys.version_info[0] == 2 else iter181)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5259,6 +5384,14 @@
     (5, TType.DOUBLE, 'age_ms', None, None, ),  # 5
     (6, TType.LIST, 'parts', (TType.STRUCT, [CachePart, None], False), None, ),  # 6
 )
+all_structs.append(ServedWork)
+ServedWork.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'team', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'asked', None, None, ),  # 3
+    (4, TType.I32, 'served', None, None, ),  # 4
+)
 all_structs.append(EntryNews)
 EntryNews.thrift_spec = (
     None,  # 0
@@ -5275,6 +5408,9 @@
     (11, TType.LIST, 'part_outcomes', (TType.STRUCT, [PartOutcome, None], False), None, ),  # 11
     (12, TType.LIST, 'part_quarantines', (TType.STRUCT, [PartQuarantine, None], False), None, ),  # 12
     (13, TType.LIST, 'limits', (TType.STRUCT, [LimitNotice, None], False), None, ),  # 13
+    None,  # 14
+    None,  # 15
+    (16, TType.LIST, 'served_work', (TType.STRUCT, [ServedWork, None], False), None, ),  # 16
 )
 all_structs.append(StreamOrigin)
 StreamOrigin.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -334,6 +334,15 @@
   6: list<CachePart> parts
 }
 
+// What a team has asked for at a service, and what it was served, in requests
+// or in tokens. Both halve every two seconds.
+struct ServedWork {
+  1: string service_name
+  2: string team
+  3: i32 asked
+  4: i32 served
+}
+
 // An update from one entry to another. known_to is the revision up to which
 // the sender knows every change of the key-value service. The answer holds the
 // records after the requester's known_to, complete up to records_to. With
@@ -354,6 +363,7 @@
   11: optional list<PartOutcome> part_outcomes
   12: optional list<PartQuarantine> part_quarantines
   13: optional list<LimitNotice> limits
+  16: optional list<ServedWork> served_work
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
