Let one team's load burst in the soak

Callers of one team come all at once now and then. Each team has to be served at least a quarter as often as all are. The entries of the soak let teams compete for room.

--- a/tests/platform/soak/environment.py
+++ b/tests/platform/soak/environment.py
@@ -73,6 +73,7 @@
             'key_value': self.store_proxy.address,
             'expected_entries': 3,
             'grace_ms': GRACE_MS,
+            'fair_admission': True,
             'weights_deadline_ms': WEIGHTS_DEADLINE_MS,
         }
         self._settings.write_text(json.dumps(settings))
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -25,6 +25,8 @@
 from tests.platform.soak.limits import LimitFaults
 from tests.platform.soak.rests import RestFaults
 from tests.platform.soak.series import SeriesFaults
+from tests.platform.soak.shares import Bursts
+from tests.platform.soak.shares import find_underserved
 
 CLIENTS = 12
 # The time for leases, drains and stops in progress to end, and then the time
@@ -95,8 +97,10 @@
             keeping.run_on_kept_connections(),
         )
         until = loop.time() + seconds
+        bursts = Bursts(random.Random(seed + 10), environment)
         notice_rng = random.Random(seed + 2)
         await asyncio.gather(
+            bursts.run(until),
             Faults(rng, environment, record_fault).run(until),
             NoticeFaults(notice_rng, environment, record_fault).run(until),
             AnswerFaults(
@@ -136,7 +140,7 @@
         if watching is not None:
             watching.cancel()
         await asyncio.wait_for(environment.close(), CLOSE_S)
-    attempts = callers.attempts + keeping.attempts
+    attempts = callers.attempts + keeping.attempts + bursts.attempts
     report.attempts = len(attempts)
     report.ends = dict(
         collections.Counter(f'{a.outcome.value} {a.status}' for a in attempts)
@@ -144,6 +148,10 @@
     report.breaches = find_breaches(
         attempts, environment.journal, fault_free_from
     )
+    report.breaches += [
+        Breach('each team is served', '', f'{team}: {detail}')
+        for team, detail in find_underserved(attempts)
+    ]
     report.breaches += [
         Breach('weights reach all engines', '', detail) for detail in outdated
     ]
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -24,6 +24,7 @@
 from tests.platform.soak.journal import Order
 from tests.platform.soak.journal import Run
 from tests.platform.soak.journal import Silence
+from tests.platform.soak.shares import find_underserved
 
 FAULT_FREE_FROM = 100.0
 
@@ -467,3 +468,15 @@
 
 def test_a_limit_binds_after_the_contact_time():
     assert not find_exceeded_limits(1.0, 100, from_s=-1.0)
+
+
+def test_a_team_that_is_served_too_rarely_is_found():
+    large = [make_attempt() for _each in range(300)]
+    small = [make_attempt(team='two', status=503) for _each in range(60)]
+    assert [team for team, _detail in find_underserved(large + small)] == [
+        'two'
+    ]
+    for attempt in small[:15]:
+        attempt.status = 200
+    assert list(find_underserved(large + small)) == []
+    assert list(find_underserved(large + small[-40:])) == []
