Refuse returned requests that come too late at once

They were sent if the estimate was below twice the time they had left, as a second refusal loses them. What can't be served in time is refused at once again; a returned request is still judged without the late ones that it goes before.

--- a/tests/gateway/test_admission_run.py
+++ b/tests/gateway/test_admission_run.py
@@ -189,7 +189,7 @@
     target = harness.ctx.directory.get('t1')
     target.refusing_until_ms = harness.clock.now_ms() + 5_000.0
     began_ms = harness.clock.now_ms()
-    req = make_arriving(harness, deadline_ms=40.0)
+    req = make_arriving(harness, deadline_ms=50.0)
     channel = harness.run(req, make_route(), TEAM)
     assert channel.refusal.reason is Reason.TOO_LATE
     assert channel.refusal.retry_after_ms >= 400.0
@@ -322,8 +322,9 @@
     deadline_ms, sent
 ):
     harness = make_harness((STREAM,), [make_engine_record()])
-    # Its memory is free in about 2.9 s.
-    fill(harness, 310_000, 0)
+    # Its memory is free in about 1.4 s, or in 3.7 s behind all late requests.
+    fill(harness, 200_000, 0)
+    fill(harness, 150_000, 8)
     req = make_arriving(
         harness, generation=make_generation(), deadline_ms=deadline_ms
     )
--- a/wigeonmill/gateway/admission.py
+++ b/wigeonmill/gateway/admission.py
@@ -19,9 +19,6 @@
 # A caller that has less than this share of the route's time left has been
 # refused before, or is in as much of a hurry.
 RETURNED_SHARE = 0.95
-# A caller that has returned is lost if it is refused again, and estimates are
-# uncertain. It is refused if they exceed its time by this factor.
-RETURNED_PATIENCE = 2.0
 # Callers return after up to this share of the time that they have left.
 MAX_RETRY_SHARE = 1.0 / 3.0
 MIN_RETRY_AFTER_MS = 400.0
@@ -74,16 +71,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Applicant:
-    """What is known of a request that asks for room, times in ms.
-
-    It is hopeless if it is expected to start after `patience` times the time
-    that it has left.
-    """
+    """What is known of a request that asks for room, times in ms."""
 
     objective_ms: float
     remaining_ms: float
     held_ms: float = 0.0
-    patience: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +108,7 @@
     """Return what to do with a request."""
     if room.has_room and room.refused_ms <= 0:
         return Decision(Verdict.SEND, Why.ROOM)
-    if room.starts_ms > applicant.patience * applicant.remaining_ms:
+    if room.starts_ms > applicant.remaining_ms:
         return Decision(Verdict.REFUSE, Why.HOPELESS)
     hold_ms = MAX_HELD_SHARE * applicant.objective_ms - applicant.held_ms
     hold_ms = min(hold_ms, applicant.remaining_ms - room.starts_ms)
--- a/wigeonmill/gateway/admission_run.py
+++ b/wigeonmill/gateway/admission_run.py
@@ -11,7 +11,6 @@
 from wigeonmill.gateway.admission import Decision
 from wigeonmill.gateway.admission import MIN_RETRY_AFTER_MS
 from wigeonmill.gateway.admission import retry_after_ms
-from wigeonmill.gateway.admission import RETURNED_PATIENCE
 from wigeonmill.gateway.admission import Room
 from wigeonmill.gateway.admission import Standing
 from wigeonmill.gateway.admission import Verdict
@@ -109,7 +108,6 @@
             self._terms.route.objective_ms,
             self._terms.remaining_ms,
             self._held_ms + now_ms - since_ms,
-            self.patience,
         )
         return decide(room, applicant)
 
@@ -164,11 +162,6 @@
         after_ms = self.retry_after_ms(pick.expected_ms)
         return Refusal(Reason.TARGETS_FULL, 'too many requests wait', after_ms)
 
-    @property
-    def patience(self) -> float:
-        """The multiple of its time up to which it is expected in time."""
-        return RETURNED_PATIENCE if self._terms.has_returned else 1.0
-
     def retry_after_ms(self, starts_ms: float) -> float:
         """Return when the caller may return if it could start then."""
         remaining_ms = self._terms.remaining_ms
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -234,7 +234,7 @@
             generation.tokens, priority, self._terms.cache_tokens
         )
         remaining_ms = self._terms.remaining_ms
-        if starts_ms <= remaining_ms * self._admission.patience:
+        if starts_ms <= remaining_ms:
             return None
         return Refusal(
             Reason.TOO_LATE,
