--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -217,6 +217,7 @@
             penalize_old_weights=weights_due,
             old_weights_remaining_ms=self._old_weights_remaining_ms,
             origin=self.origin,
+            repeatable=self.route.idempotent,
             spare_tokens=self._spare_tokens(),
             needs_room=self.competes,
         )
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -3212,6 +3212,8 @@
      - runs
      - tokens
      - waiting_tokens
+     - pace_percent
+     - pace_age_ms
 
     """
 
@@ -3220,14 +3222,18 @@
         'runs',
         'tokens',
         'waiting_tokens',
+        'pace_percent',
+        'pace_age_ms',
     )
 
 
-    def __init__(self, target=None, runs=None, tokens=None, waiting_tokens=None,):
+    def __init__(self, target=None, runs=None, tokens=None, waiting_tokens=None, pace_percent=None, pace_age_ms=None,):
         self.target = target
         self.runs = runs
         self.tokens = tokens
         self.waiting_tokens = waiting_tokens
+        self.pace_percent = pace_percent
+        self.pace_age_ms = pace_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3268,6 +3274,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.pace_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.pace_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3300,6 +3316,118 @@
                 oprot.writeI64(iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.pace_percent is not None:
+            oprot.writeFieldBegin('pace_percent', TType.I32, 5)
+            oprot.writeI32(self.pace_percent)
+            oprot.writeFieldEnd()
+        if self.pace_age_ms is not None:
+            oprot.writeFieldBegin('pace_age_ms', TType.I32, 6)
+            oprot.writeI32(self.pace_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetSilence(object):
+    """
+    Attributes:
+     - target
+     - started_at_ms
+     - silent_ms
+     - heard_ms
+
+    """
+
+    __slots__ = (
+        'target',
+        'started_at_ms',
+        'silent_ms',
+        'heard_ms',
+    )
+
+
+    def __init__(self, target=None, started_at_ms=None, silent_ms=None, heard_ms=None,):
+        self.target = target
+        self.started_at_ms = started_at_ms
+        self.silent_ms = silent_ms
+        self.heard_ms = heard_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.silent_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.heard_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetSilence')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.started_at_ms is not None:
+            oprot.writeFieldBegin('started_at_ms', TType.I64, 2)
+            oprot.writeI64(self.started_at_ms)
+            oprot.writeFieldEnd()
+        if self.silent_ms is not None:
+            oprot.writeFieldBegin('silent_ms', TType.I32, 3)
+            oprot.writeI32(self.silent_ms)
+            oprot.writeFieldEnd()
+        if self.heard_ms is not None:
+            oprot.writeFieldBegin('heard_ms', TType.I32, 4)
+            oprot.writeI32(self.heard_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4086,13 +4214,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.asked = iprot.readI32()
+                if ftype == TType.I64:
+                    self.asked = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I32:
-                    self.served = iprot.readI32()
+                if ftype == TType.I64:
+                    self.served = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -4114,12 +4242,12 @@
             oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
             oprot.writeFieldEnd()
         if self.asked is not None:
-            oprot.writeFieldBegin('asked', TType.I32, 3)
-            oprot.writeI32(self.asked)
+            oprot.writeFieldBegin('asked', TType.I64, 3)
+            oprot.writeI64(self.asked)
             oprot.writeFieldEnd()
         if self.served is not None:
-            oprot.writeFieldBegin('served', TType.I32, 4)
-            oprot.writeI32(self.served)
+            oprot.writeFieldBegin('served', TType.I64, 4)
+            oprot.writeI64(self.served)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -4162,6 +4290,7 @@
      - part_outcomes
      - part_quarantines
      - limits
+     - silences
      - served_work
 
     """
@@ -4180,11 +4309,12 @@
         'part_outcomes',
         'part_quarantines',
         'limits',
+        'silences',
         'served_work',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, served_work=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, silences=None, served_work=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4198,6 +4328,7 @@
         self.part_outcomes = part_outcomes
         self.part_quarantines = part_quarantines
         self.limits = limits
+        self.silences = silences
         self.served_work = served_work
 
     def read(self, iprot):
@@ -4322,14 +4453,25 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 16:
+            elif fid == 15:
                 if ftype == TType.LIST:
-                    self.served_work = []
+                    self.silences = []
                     (_etype156, _size153) = iprot.readListBegin()
                     for _i157 in range(_size153):
-                        _elem158 = ServedWork()
+                        _elem158 = TargetSilence()
                         _elem158.read(iprot)
-                        self.served_work.append(_elem158)
+                        self.silences.append(_elem158)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.served_work = []
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = ServedWork()
+                        _elem164.read(iprot)
+                        self.served_work.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4354,22 +4496,22 @@
         if self.open_work is not None:
             oprot.writeFieldBegin('open_work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.open_work))
-            for iter159 in self.open_work:
-                iter159.write(oprot)
+            for iter165 in self.open_work:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter160 in self.losses:
-                iter160.write(oprot)
+            for iter166 in self.losses:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter161 in self.records:
-                iter161.write(oprot)
+            for iter167 in self.records:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records_to is not None:
@@ -4379,15 +4521,15 @@
         if self.cache_points is not None:
             oprot.writeFieldBegin('cache_points', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_points))
-            for iter162 in self.cache_points:
-                iter162.write(oprot)
+            for iter168 in self.cache_points:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cache_updates is not None:
             oprot.writeFieldBegin('cache_updates', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_updates))
-            for iter163 in self.cache_updates:
-                iter163.write(oprot)
+            for iter169 in self.cache_updates:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.listing is not None:
@@ -4401,29 +4543,36 @@
         if self.part_outcomes is not None:
             oprot.writeFieldBegin('part_outcomes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.part_outcomes))
-            for iter164 in self.part_outcomes:
-                iter164.write(oprot)
+            for iter170 in self.part_outcomes:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_quarantines is not None:
             oprot.writeFieldBegin('part_quarantines', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.part_quarantines))
-            for iter165 in self.part_quarantines:
-                iter165.write(oprot)
+            for iter171 in self.part_quarantines:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter166 in self.limits:
-                iter166.write(oprot)
+            for iter172 in self.limits:
+                iter172.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.silences is not None:
+            oprot.writeFieldBegin('silences', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.silences))
+            for iter173 in self.silences:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served_work is not None:
             oprot.writeFieldBegin('served_work', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.served_work))
-            for iter167 in self.served_work:
-                iter167.write(oprot)
+            for iter174 in self.served_work:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4629,21 +4778,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = StreamOrigin()
-                        _elem173.read(iprot)
-                        self.begun.append(_elem173)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = StreamOrigin()
+                        _elem180.read(iprot)
+                        self.begun.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype177, _size174) = iprot.readListBegin()
-                    for _i178 in range(_size174):
-                        _elem179 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.wanted.append(_elem179)
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted.append(_elem186)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4664,15 +4813,15 @@
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter180 in self.begun:
-                iter180.write(oprot)
+            for iter187 in self.begun:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.wanted))
-            for iter181 in self.wanted:
-                oprot.writeString(iter181.encode('utf-8') if sys.version_info[0] == 2 else iter181)
+            for iter188 in self.wanted:
+                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5330,6 +5479,16 @@
     (2, TType.I32, 'runs', None, None, ),  # 2
     (3, TType.LIST, 'tokens', (TType.I64, None, False), None, ),  # 3
     (4, TType.LIST, 'waiting_tokens', (TType.I64, None, False), None, ),  # 4
+    (5, TType.I32, 'pace_percent', None, None, ),  # 5
+    (6, TType.I32, 'pace_age_ms', None, None, ),  # 6
+)
+all_structs.append(TargetSilence)
+TargetSilence.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_at_ms', None, None, ),  # 2
+    (3, TType.I32, 'silent_ms', None, None, ),  # 3
+    (4, TType.I32, 'heard_ms', None, None, ),  # 4
 )
 all_structs.append(TargetLoss)
 TargetLoss.thrift_spec = (
@@ -5389,8 +5548,8 @@
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'team', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'asked', None, None, ),  # 3
-    (4, TType.I32, 'served', None, None, ),  # 4
+    (3, TType.I64, 'asked', None, None, ),  # 3
+    (4, TType.I64, 'served', None, None, ),  # 4
 )
 all_structs.append(EntryNews)
 EntryNews.thrift_spec = (
@@ -5409,7 +5568,7 @@
     (12, TType.LIST, 'part_quarantines', (TType.STRUCT, [PartQuarantine, None], False), None, ),  # 12
     (13, TType.LIST, 'limits', (TType.STRUCT, [LimitNotice, None], False), None, ),  # 13
     None,  # 14
-    None,  # 15
+    (15, TType.LIST, 'silences', (TType.STRUCT, [TargetSilence, None], False), None, ),  # 15
     (16, TType.LIST, 'served_work', (TType.STRUCT, [ServedWork, None], False), None, ),  # 16
 )
 all_structs.append(StreamOrigin)
