Keep large amounts of work, and large prompts, from stopping admission

Cause: an amount above 2^31 could not be encoded, and stopped all updates to other entries. The reserve counted in the expected time, and a prompt above four fifths of an engine's memory was held before an empty engine. The reserve was kept also where no route is more urgent, and shares without weight counted for a service's priorities and objectives.

The reserve is cut to what the engine has besides the prompt, decides only whether a request waits, and needs a route with a shorter objective.

--- a/tests/gateway/test_admission_run.py
+++ b/tests/gateway/test_admission_run.py
@@ -239,6 +239,33 @@
     assert held_ms(caplog) == 0.0
 
 
+@pytest.mark.parametrize('tokens', [60_000, 103_000, 108_000, 128_300])
+def test_no_prompt_is_held_before_an_empty_engine(tokens, caplog):
+    harness = make_harness((STREAM,), [make_engine_record()])
+    prompt = make_generation(tokens=tokens)
+    sent_priority(harness, CONSULT, prompt, deadline_ms=12_000.0)
+    assert held_ms(caplog) == 0.0
+
+
+def test_no_memory_is_kept_free_if_no_route_is_more_urgent(caplog):
+    harness = make_harness((STREAM,), [make_engine_record()])
+    harness.ctx.desired.adopt(
+        make_state(version=2, routes=[CONSULT], teams=[TEAM])
+    )
+    fill(harness, 98_000, 0)
+    sent_priority(harness, CONSULT, make_generation())
+    assert held_ms(caplog) == 0.0
+
+
+def test_a_request_counts_for_no_more_work_than_an_engine_holds():
+    harness = make_harness((STREAM,), [make_engine_record()])
+    prompt = make_generation(tokens=3_000_000_000)
+    harness.run(make_arriving(harness, generation=prompt), CHECK, TEAM)
+    harness.ctx.team_shares.record_shortage(ENGINES)
+    (row,) = harness.ctx.team_shares.to_tell()
+    assert 0.0 < row.asked <= 130_000.0
+
+
 def test_a_late_request_that_returns_goes_before_the_other_late_ones():
     harness = make_harness((STREAM,), [make_engine_record()])
     fill(harness, 200_000, 0)
--- a/wigeonmill/gateway/admission_run.py
+++ b/wigeonmill/gateway/admission_run.py
@@ -203,8 +203,14 @@
 
     @property
     def _work(self) -> float:
-        """The work of the request, in tokens or in requests."""
-        return float(self._tokens or 1)
+        """The work of the request, in tokens or in requests.
+
+        Callers state the tokens; none needs more than an engine has.
+        """
+        tokens = self._tokens
+        if self._terms.cache_tokens > 0:
+            tokens = min(tokens, self._terms.cache_tokens)
+        return float(tokens or 1)
 
     @property
     def _session(self) -> str:
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -446,7 +446,7 @@
     def _evaluate(self, target: Target, demand: Demand, home_id: str) -> Pick:
         load = target.load
         prefill = 0
-        slot_ms = memory_ms = 0.0
+        waits = False
         if demand.generation is None:
             expected_ms = load.whole_answer_ms(target.slots)
         else:
@@ -458,11 +458,14 @@
             )
             slot_ms = load.slot_wait_ms(demand.priority, target.slots)
             memory_ms = load.memory_wait_ms(
-                demand.tokens + demand.spare_tokens,
-                demand.priority,
-                demand.cache_tokens,
+                demand.tokens, demand.priority, demand.cache_tokens
             )
             expected_ms += fetch_ms + memory_ms
+            waits = (
+                memory_ms > 0
+                or slot_ms > 0
+                or self._lacks_spare(target, demand)
+            )
         lateness = lateness_cost(
             expected_ms, demand.objective_remaining_ms, demand.objective_ms
         )
@@ -473,7 +476,22 @@
             prefill,
             cost,
             lateness,
-            memory_ms > 0 or slot_ms > 0,
+            waits,
+        )
+
+    def _lacks_spare(self, target: Target, demand: Demand) -> bool:
+        """Whether too little memory would remain for urgent requests.
+
+        The reserve of a large prompt is smaller, so that it has room on an
+        empty engine.
+        """
+        fitting = demand.cache_tokens - demand.tokens
+        spare = min(demand.spare_tokens, fitting)
+        return spare > 0 and (
+            target.load.memory_shortfall(
+                demand.tokens + spare, demand.priority, demand.cache_tokens
+            )
+            > 0
         )
 
     def _extra_cost(self, target: Target, demand: Demand) -> float:
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -326,7 +326,7 @@
         """
         if not self._is_long():
             return Size.SHORT
-        if self._profile().has_shorter(self.route.objective_ms):
+        if self._profile().can_wait(self.route.objective_ms):
             return Size.CAN_WAIT
         return Size.LONG
 
@@ -334,8 +334,11 @@
         """Return the memory to leave free for more urgent requests."""
         if not self.competes or self.continues:
             return 0
-        can_wait = self._size() is Size.CAN_WAIT
-        return int(RESERVED_SHARE * self.cache_tokens * can_wait)
+        if not self._is_long():
+            return 0
+        if not self._profile().has_shorter(self.route.objective_ms):
+            return 0
+        return int(RESERVED_SHARE * self.cache_tokens)
 
     def _profile(self) -> ServiceProfile:
         return self._ctx.profiles.get(self._ctx.desired.state, self.service)
--- a/wigeonmill/gateway/service_profile.py
+++ b/wigeonmill/gateway/service_profile.py
@@ -15,9 +15,13 @@
     objectives_ms: frozenset[float]
 
     def has_shorter(self, objective_ms: float) -> bool:
+        """Whether another route has less time."""
+        return min(self.objectives_ms, default=inf) < objective_ms
+
+    def can_wait(self, objective_ms: float) -> bool:
         """Whether another route has less time, or all have the same."""
-        others_ms = self.objectives_ms - {objective_ms}
-        return min(others_ms, default=-inf) < objective_ms
+        same = not self.objectives_ms - {objective_ms}
+        return same or self.has_shorter(objective_ms)
 
 
 class ServiceProfiles:
@@ -47,7 +51,10 @@
         route
         for route in state.routes
         if route.kind is RouteKind.STREAMING
-        and any(share.service == service for share in route.shares)
+        and any(
+            share.service == service and share.weight > 0
+            for share in route.shares
+        )
     ]
     priorities = {t.priority for t in state.teams if t.priority is not None}
     # A team's priority overrides that of the route.
--- a/wigeonmill/gateway/team_share_exchange.py
+++ b/wigeonmill/gateway/team_share_exchange.py
@@ -6,11 +6,19 @@
 from wigeonmill.gateway.team_shares import TeamWork
 from wigeonmill.protocol.gen.inner.ttypes import ServedWork
 
+# The largest amount that a message holds.
+MAX_WORK = 2**63 - 1
+
 
 def shares_to_wire(shares: TeamShares) -> list[ServedWork]:
     """Return the rows to tell another entry."""
     return [
-        ServedWork(row.service, row.team, round(row.asked), round(row.served))
+        ServedWork(
+            row.service,
+            row.team,
+            min(MAX_WORK, round(row.asked)),
+            min(MAX_WORK, round(row.served)),
+        )
         for row in shares.to_tell()
     ]
 
