Check again for crashes after a hold, and say how a hold ended

Cause: a request was checked against crashed requests and quarantined parts only before it was held. A probe that was never sent used up the only one. A hold that ended by cancellation or displacement was logged as sent.

Change: both are checked at each look; the request admitted as a probe passes its own quarantine, and gives the probe back if it was not sent. The outcome of a hold is set where it ends, with `caller_left` and `ended`.

--- a/tests/gateway/test_admission_run.py
+++ b/tests/gateway/test_admission_run.py
@@ -21,8 +21,10 @@
 from tests.virtual_time import run_virtual
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import RequestState
+from wigeonmill.gateway.crash_guard import request_fingerprint
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.desired import ServiceShare
+from wigeonmill.gateway.part_guard import part_keys
 from wigeonmill.gateway.request_run import RequestRun
 from wigeonmill.gateway.run_terms import RETURNED_PRIORITY
 from wigeonmill.gateway.target_client import ExchangeEnd
@@ -196,6 +198,81 @@
     assert harness.clock.now_ms() == began_ms
 
 
+def hold(harness, meanwhile, cancel=False):
+    """Hold a request before a full engine, and do something meanwhile."""
+    harness.ctx.directory.get('e1').load.open(98_000, 0, 0)
+    req = make_arriving(
+        harness, generation=make_generation(), deadline_ms=12_000.0
+    )
+    run = start_run(harness, req, CONSULT, harness.channel)
+
+    async def play():
+        running = asyncio.ensure_future(run.run())
+        await asyncio.sleep(0.05)
+        assert harness.ctx.waiting_room.waiting == 1
+        meanwhile(req)
+        if cancel:
+            running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    run_virtual(harness.clock, play())
+
+
+def quarantine(harness, age_ms):
+    keys = part_keys(make_generation())
+    harness.ctx.part_guard.adopt(keys[1:2], age_ms, 'peer')
+
+
+def test_a_request_whose_part_is_blamed_while_it_is_held_is_not_sent():
+    harness = make_harness((STREAM,), [make_engine_record()])
+    hold(harness, lambda _req: quarantine(harness, 0.0))
+    assert harness.client.sent == []
+    assert harness.channel.refusal.reason is Reason.PART_CRASHES_TARGETS
+
+
+def test_a_request_that_is_blamed_while_it_is_held_is_not_sent():
+    harness = make_harness((STREAM,), [make_engine_record()])
+
+    def blame(req):
+        fingerprint = request_fingerprint(req, TEAM.name)
+        for number in range(9):
+            harness.ctx.crash_guard.record(fingerprint, f'loss {number}')
+        assert harness.ctx.crash_guard.refuses(fingerprint)
+
+    hold(harness, blame)
+    assert harness.client.sent == []
+    assert harness.channel.refusal.reason is Reason.CRASHES_TARGETS
+
+
+def test_a_probe_that_was_held_is_sent():
+    harness = make_harness((STREAM,), [make_engine_record()])
+    quarantine(harness, 3_000.0)
+    hold(harness, lambda _req: None)
+    assert len(harness.client.sent) == 1
+
+
+@pytest.mark.parametrize(
+    ('leaves', 'outcome'), [(False, 'ended'), (True, 'caller_left')]
+)
+def test_a_held_probe_that_ends_before_it_is_sent_is_given_back(
+    leaves, outcome, caplog
+):
+    harness = make_harness((STREAM,), [make_engine_record()])
+    quarantine(harness, 3_000.0)
+
+    def leave(_req):
+        (known,) = harness.ctx.part_guard.quarantines()
+        assert known.probed
+        harness.channel.closed = leaves
+
+    hold(harness, leave, cancel=True)
+    assert harness.client.sent == []
+    (known,) = harness.ctx.part_guard.quarantines()
+    assert not known.probed
+    lines = [r for r in caplog.records if r.message == 'request held']
+    assert [line.outcome for line in lines] == [outcome]
+
+
 def sent_priority(harness, route, generation, **changes):
     req = make_arriving(harness, generation=generation, **changes)
     harness.run(req, route, TEAM)
--- a/wigeonmill/gateway/admission_run.py
+++ b/wigeonmill/gateway/admission_run.py
@@ -59,10 +59,13 @@
             self._ctx.sessions.record(self._session)
             self._ctx.waiting_room.offer_slot(self._terms.service)
 
-    async def admit(self, pick: Picking) -> Result[Pick, Refusal]:
+    async def admit(
+        self, pick: Picking, check: Callable[[], Refusal | None]
+    ) -> Result[Pick, Refusal]:
         """Return a target once the request may be sent, or its refusal.
 
-        `pick` returns the best target at the moment.
+        `pick` returns the best target at the moment, and `check` a refusal if
+        the request may no longer be sent after it was held.
         """
         picked = pick()
         if not self._terms.competes or self._terms.continues:
@@ -70,6 +73,7 @@
         since_ms = self._ctx.clock.now_ms()
         place: Place | None = None
         turn = Turn.LOOK
+        outcome = ''
         try:
             while not isinstance(picked, Err):
                 decision = self._decide(picked.ok_value, since_ms, turn)
@@ -83,19 +87,27 @@
                 if place is None:
                     place = self._place(decision)
                     if not self._ctx.waiting_room.enter(place):
-                        return Err(self._displaced(picked.ok_value))
+                        picked = Err(self._displaced(picked.ok_value))
+                        break
                 now_ms = self._ctx.clock.now_ms()
                 place.until_ms = now_ms + decision.hold_ms
                 turn = await self._ctx.waiting_room.wait(place)
                 if turn is Turn.DISPLACED:
-                    return Err(self._displaced(picked.ok_value))
+                    picked = Err(self._displaced(picked.ok_value))
+                    break
                 if self._channel.closed:
                     return Err(Refusal(Reason.NOT_RUN, 'the caller has left'))
-                picked = pick()
+                denial = check()
+                picked = pick() if denial is None else Err(denial)
+            outcome = _outcome(picked)
         finally:
             if place is not None:
                 self._ctx.waiting_room.leave(place)
-                self._record_held(since_ms, picked)
+                if not outcome:
+                    outcome = (
+                        'caller_left' if self._channel.closed else 'ended'
+                    )
+                self._record_held(since_ms, outcome)
         return picked
 
     def _decide(self, pick: Pick, since_ms: float, turn: Turn) -> Decision:
@@ -169,17 +181,11 @@
             return max(MIN_RETRY_AFTER_MS, starts_ms - remaining_ms)
         return retry_after_ms(starts_ms, remaining_ms, self._ctx.rng.random())
 
-    def _record_held(
-        self, since_ms: float, picked: Result[Pick, Refusal]
-    ) -> None:
+    def _record_held(self, since_ms: float, outcome: str) -> None:
         held_ms = self._ctx.clock.now_ms() - since_ms
         self._held_ms += held_ms
         self._ctx.metrics.histogram('gateway_held').record(held_ms)
-        outcome = 'sent'
-        if isinstance(picked, Err):
-            outcome = picked.err_value.reason.value
-        elif picked.ok_value.waits:
-            outcome = Why.HELD_OUT.value
+        if outcome == Why.HELD_OUT.value:
             self._ctx.metrics.count('gateway_admission', outcome)
         logger.info(
             'request held',
@@ -217,3 +223,10 @@
         generation = self._terms.req.generation
         part = generation.last_shared_part if generation else None
         return part.id if part else ''
+
+
+def _outcome(picked: Result[Pick, Refusal]) -> str:
+    """Return what became of a request that was held."""
+    if isinstance(picked, Err):
+        return picked.err_value.reason.value
+    return Why.HELD_OUT.value if picked.ok_value.waits else 'sent'
--- a/wigeonmill/gateway/part_guard.py
+++ b/wigeonmill/gateway/part_guard.py
@@ -198,6 +198,10 @@
         )
         return None
 
+    def give_back(self, probe: Quarantine) -> None:
+        """Let another request probe, as the admitted one was not sent."""
+        probe.probed = False
+
     def _is_suspicious(self, key: bytes) -> bool:
         suspect = self._suspects.get(key)
         return suspect is not None and len(suspect.losses) >= MIN_CRASHES
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -96,6 +96,8 @@
         self._second_denials: set[str] = set()
         self._may_have_run = False
         self._tried_ids: list[str] = []
+        # The quarantine in spite of which the request was admitted.
+        self._probe: Quarantine | None = None
 
     def progress(self) -> Progress:
         """Return how far the request has come."""
@@ -125,6 +127,7 @@
                 blocked.reason, blocked.message, blocked.retry_after_ms
             )
             return
+        self._probe = guard.find(self._terms.part_keys)
         self._ctx.retries(self._terms.service).record_request()
         self._admission.record_asked()
         if self._terms.origin is not None:
@@ -137,6 +140,8 @@
             complete = await self._run_attempts()
         finally:
             self._ctx.open_streams.end(self._terms.stream_id, complete)
+            if self._probe is not None and not self._tried_ids:
+                guard.give_back(self._probe)
 
     async def _run_attempts(self) -> bool:
         """Attempt the request; return whether the caller has its answer."""
@@ -170,7 +175,7 @@
 
     async def _attempt_once(self) -> Failure | None:
         self._attempts += 1
-        picked = await self._admission.admit(self._pick)
+        picked = await self._admission.admit(self._pick, self._crash_refusal)
         if isinstance(picked, Err):
             return _not_sent(picked.err_value)
         return await self._send(picked.ok_value)
@@ -210,6 +215,17 @@
         refusal = self._deadline_refusal(picked.ok_value)
         return picked if refusal is None else Err(refusal)
 
+    def _crash_refusal(self) -> Refusal | None:
+        """Return a refusal if the request was blamed while it was held."""
+        if self._ctx.crash_guard.refuses(self._fingerprint):
+            return Refusal(
+                Reason.CRASHES_TARGETS, 'request crashed its targets'
+            )
+        quarantine = self._ctx.part_guard.find(self._terms.part_keys)
+        if quarantine is None or quarantine is self._probe:
+            return None
+        return self._part_refusal(quarantine)
+
     def _part_refusal(self, quarantine: Quarantine) -> Refusal:
         """Return the refusal of a prompt with parts that crash targets."""
         parts = ', '.join(sorted(key.hex() for key in quarantine.parts))
