Space the rounds of waiting requests, and bound the cost of idle teams

Cause: a request that was looking with its time over made rounds follow each other without a pause. With the most teams known, each request of a new one searched all for idle ones, and what lost entries told stayed until the next comparison of shares.

Change: only requests that wait set the time of a round, and rounds are 2 ms apart; a request whose time ends within this looks in the earlier one, and holds below 2 ms are not begun, so that no hold becomes longer. Idle teams are searched for once a second and service, and an update drops what is older than six seconds.

--- a/tests/gateway/test_team_shares.py
+++ b/tests/gateway/test_team_shares.py
@@ -76,6 +76,35 @@
     assert shares.ratio(S, f't{MAX_TEAMS + 5}') == 0.0
 
 
+def test_idle_teams_are_searched_for_once_a_second():
+    clock = ManualClock()
+    shares = TeamShares(clock)
+    for number in range(MAX_TEAMS):
+        shares.record_asked(S, f't{number}', 1.0)
+
+    def new_counts_at(now_ms):
+        clock.advance(now_ms - clock.now_ms())
+        shares.record_asked(S, 'new', 1.0)
+        shares.record_served(S, 'new', 1.0)
+        clock.advance(100.0)
+        return shares.ratio(S, 'new') > 0
+
+    # The others are idle after 8.6 s.
+    assert not new_counts_at(8_500.0)
+    assert not new_counts_at(9_000.0)
+    assert new_counts_at(9_600.0)
+
+
+def test_what_lost_entries_told_is_dropped_without_any_request():
+    clock = ManualClock()
+    shares = TeamShares(clock)
+    for number in range(50):
+        shares.apply(f'e{number}', [TeamWork(S, 't', 5.0, 5.0)])
+        clock.advance(1_000.0)
+    # What is older than six seconds has no effect any more.
+    assert len(shares._told) <= 7
+
+
 def test_sessions_are_forgotten_in_the_order_of_their_answers():
     sessions = ServedSessions()
     for number in range(4_097):
--- a/tests/gateway/test_waiting_room.py
+++ b/tests/gateway/test_waiting_room.py
@@ -1,5 +1,7 @@
 import asyncio
 
+import pytest
+
 from tests.virtual_time import run_virtual
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.admission import Standing
@@ -92,6 +94,29 @@
     assert not room.enter(make_place(rank=5, bytes_=1))
 
 
+def test_a_place_that_does_not_wait_starts_no_rounds():
+    clock = ManualClock()
+    room = WaitingRoom(clock)
+    # Its time is over, and its request is just looking.
+    looking, waiting = make_place(rank=1), make_place()
+    looking.until_ms = 0.0
+    room.enter(looking)
+    room.enter(waiting)
+    assert run_virtual(clock, room.wait(waiting)) is Turn.LOOK
+    assert clock.now_ms() == pytest.approx(LOOK_MS, abs=0.01)
+
+
+@pytest.mark.parametrize('until_ms', [0.0, 0.5])
+def test_rounds_are_a_few_ms_apart(until_ms):
+    clock = ManualClock()
+    room = WaitingRoom(clock)
+    place = make_place()
+    place.until_ms = until_ms
+    room.enter(place)
+    assert run_virtual(clock, room.wait(place)) is Turn.LOOK
+    assert clock.now_ms() >= 2.0
+
+
 def test_many_waiting_requests_look_a_few_at_a_time():
     clock = ManualClock()
     room = WaitingRoom(clock)
--- a/wigeonmill/gateway/admission.py
+++ b/wigeonmill/gateway/admission.py
@@ -15,7 +15,7 @@
 # Longest time that a request is held, as a share of its objective.
 MAX_HELD_SHARE = 0.25
 # A shorter hold would not see any room that becomes free.
-MIN_HOLD_MS = 1.0
+MIN_HOLD_MS = 2.0
 # A caller that has less than this share of the route's time left has been
 # refused before, or is in as much of a hurry.
 RETURNED_SHARE = 0.95
--- a/wigeonmill/gateway/team_shares.py
+++ b/wigeonmill/gateway/team_shares.py
@@ -26,6 +26,8 @@
 MAX_TOLD_TEAMS = 16
 MAX_TEAMS = 1_024
 MAX_SESSIONS = 4_096
+# Each search for idle teams goes through all of them.
+DROP_INTERVAL_MS = 1_000.0
 # Smaller totals are dropped.
 MIN_WORK = 0.05
 
@@ -95,7 +97,14 @@
     get what they ask for, no team is above it.
     """
 
-    __slots__ = ('_clock', '_own', '_told', '_short_ms', '_levels')
+    __slots__ = (
+        '_clock',
+        '_own',
+        '_told',
+        '_short_ms',
+        '_levels',
+        '_dropped_ms',
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -104,6 +113,8 @@
         # By service, when it was last short of room.
         self._short_ms: dict[str, float] = {}
         self._levels: dict[str, tuple[float, dict[str, float], float]] = {}
+        # By service, when idle teams were dropped last.
+        self._dropped_ms: dict[str, float] = {}
 
     def record_asked(self, service: str, team: str, work: float) -> None:
         """Count a request that has arrived."""
@@ -151,23 +162,31 @@
         for row in rows:
             if _is_amount(row.asked) and _is_amount(row.served):
                 by_service.setdefault(row.service, []).append(row)
-        self._told.pop(sender, None)
+        now_ms = self._clock.now_ms()
+        self._told = {
+            other: told
+            for other, told in self._told.items()
+            if other != sender and told.factor(now_ms) > 0
+        }
         if by_service:
-            self._told[sender] = _Told(by_service, self._clock.now_ms())
+            self._told[sender] = _Told(by_service, now_ms)
 
     def _account(self, service: str, team: str) -> _Account | None:
         accounts = self._own.setdefault(service, {})
         account = accounts.get(team)
         if account is None:
             if len(accounts) >= MAX_TEAMS:
-                self._drop_idle(accounts)
+                self._drop_idle(service, accounts)
             if len(accounts) >= MAX_TEAMS:
                 return None
             account = accounts[team] = _Account()
         return account
 
-    def _drop_idle(self, accounts: dict[str, _Account]) -> None:
+    def _drop_idle(self, service: str, accounts: dict[str, _Account]) -> None:
         now_ms = self._clock.now_ms()
+        if now_ms - self._dropped_ms.get(service, -inf) < DROP_INTERVAL_MS:
+            return
+        self._dropped_ms[service] = now_ms
         for team, account in list(accounts.items()):
             if account.asked.at(now_ms) < MIN_WORK:
                 del accounts[team]
--- a/wigeonmill/gateway/waiting_room.py
+++ b/wigeonmill/gateway/waiting_room.py
@@ -10,10 +10,14 @@
 from math import inf
 
 from wigeonmill.clock import Clock
+from wigeonmill.gateway.admission import MIN_HOLD_MS
 from wigeonmill.gateway.admission import Standing
 
 # Interval at which waiting requests look for room that others have freed.
 LOOK_MS = 20.0
+# Shortest time between two rounds. Those whose time is over within it look in
+# the earlier one.
+MIN_ROUND_MS = MIN_HOLD_MS
 MAX_WAITING = 256
 MAX_WAITING_BYTES = 8 * 1024 * 1024
 # Requests that look at once at each interval, besides those whose time is
@@ -136,9 +140,9 @@
     def _look(self) -> None:
         """Let the first requests look, and those whose time is over."""
         self._timer = None
-        now_ms = self._clock.now_ms()
+        by_ms = self._clock.now_ms() + MIN_ROUND_MS
         for number, place in enumerate(self._places):
-            if number < MAX_LOOKS or now_ms >= place.until_ms:
+            if number < MAX_LOOKS or by_ms >= place.until_ms:
                 place.end(Turn.LOOK)
         # Those that don't look now wait on.
         if len(self._places) > MAX_LOOKS:
@@ -148,8 +152,12 @@
         """Look at the next interval, or when the time of the first is over."""
         if self._timer is not None:
             return
-        first_ms = min(place.until_ms for place in self._places)
-        wait_ms = max(0.0, min(LOOK_MS, first_ms - self._clock.now_ms()))
+        first_ms = min(
+            (place.until_ms for place in self._places if place.waits),
+            default=inf,
+        )
+        wait_ms = min(LOOK_MS, first_ms - self._clock.now_ms())
+        wait_ms = max(MIN_ROUND_MS, wait_ms)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(wait_ms / 1000.0, self._look)
 
