--- a/tests/platform/soak/environment.py
+++ b/tests/platform/soak/environment.py
@@ -76,6 +76,7 @@
             'expected_entries': 3,
             'grace_ms': GRACE_MS,
             'extra_work_share': EXTRA_WORK_SHARE,
+            'fair_admission': True,
             'weights_deadline_ms': WEIGHTS_DEADLINE_MS,
             **uneven_settings(self.name),
         }
--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -24,6 +24,7 @@
 from tests.platform.soak.journal import Order
 from tests.platform.soak.journal import Run
 from tests.platform.soak.journal import Silence
+from tests.platform.soak.shares import find_underserved
 from tests.platform.soak.states import MAX_ATTEMPTS
 
 FAULT_FREE_FROM = 100.0
@@ -476,3 +477,15 @@
     assert not find_broken_promises(attempt, *runs[:-1])
     broken = find_broken_promises(attempt, *runs)
     assert broken == {'targets of a request'}
+
+
+def test_a_team_that_is_served_too_rarely_is_found():
+    large = [make_attempt() for _each in range(300)]
+    small = [make_attempt(team='two', status=503) for _each in range(60)]
+    assert [team for team, _detail in find_underserved(large + small)] == [
+        'two'
+    ]
+    for attempt in small[:15]:
+        attempt.status = 200
+    assert list(find_underserved(large + small)) == []
+    assert list(find_underserved(large + small[-40:])) == []
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -53,6 +53,9 @@
 SAMPLED_ENGINES = 4
 # If every sampled target costs more than this, all targets are evaluated.
 FULL_SCAN_COST = 0.5
+# A target of this cost is not picked for its room alone: it is silent or
+# fails most of what it gets.
+UNUSABLE_COST = 0.8
 # Time after which a refused caller can expect a warm target or a free slot.
 RETRY_AFTER_MS = 400.0
 # Time after which a refused caller can expect a target with new weights.
@@ -80,7 +83,10 @@
     set for the model. No run may begin on an older version once the time that
     `old_weights_remaining_ms` returns for it has passed. A stream with an
     `origin` may go on only at the software that began it. One that is
-    `repeatable` may be run twice.
+    `repeatable` may be run twice. A target has room for the request if
+    `spare_tokens` of its memory remain free besides it, as far as the memory
+    is so large. If `needs_room` is set, all targets are compared before one
+    without room is picked.
     """
 
     service: str
@@ -103,6 +109,8 @@
     entry_position: float = 0.0
     origin: StreamOrigin | None = None
     repeatable: bool = True
+    spare_tokens: int = 0
+    needs_room: bool = False
 
     @property
     def tokens(self) -> int:
@@ -408,7 +416,8 @@
         home_id = self._home_id(demand)
         sampled = self._sample(targets, demand, home_id)
         best = self._cheapest(sampled, demand, home_id)
-        if best.cost > FULL_SCAN_COST and len(sampled) < len(targets):
+        scan = best.cost > FULL_SCAN_COST or (demand.needs_room and best.waits)
+        if scan and len(sampled) < len(targets):
             return self._cheapest(targets, demand, home_id)
         return best
 
@@ -417,7 +426,15 @@
     ) -> Pick:
         picks = [self._evaluate(target, demand, home_id) for target in targets]
         self._rng.shuffle(picks)
-        return min(picks, key=lambda pick: pick.cost)
+        best = min(picks, key=lambda pick: pick.cost)
+        if demand.needs_room and best.waits:
+            with_room = [
+                pick
+                for pick in picks
+                if not pick.waits and pick.cost < UNUSABLE_COST
+            ]
+            return min(with_room, key=lambda pick: pick.cost, default=best)
+        return best
 
     def _sample(
         self, targets: Sequence[Target], demand: Demand, home_id: str
@@ -474,7 +491,7 @@
     def _evaluate(self, target: Target, demand: Demand, home_id: str) -> Pick:
         load = target.load
         prefill = 0
-        slot_ms = memory_ms = 0.0
+        waits = False
         if demand.generation is None:
             expected_ms = load.whole_answer_ms(target.slots)
         else:
@@ -489,6 +506,11 @@
                 demand.tokens, demand.priority, demand.cache_tokens
             )
             expected_ms += fetch_ms + memory_ms
+            waits = (
+                memory_ms > 0
+                or slot_ms > 0
+                or self._lacks_spare(target, demand)
+            )
         lateness = lateness_cost(
             expected_ms, demand.objective_remaining_ms, demand.objective_ms
         )
@@ -502,7 +524,22 @@
             prefill,
             cost,
             lateness,
-            memory_ms > 0 or slot_ms > 0,
+            waits,
+        )
+
+    def _lacks_spare(self, target: Target, demand: Demand) -> bool:
+        """Whether too little memory would remain for urgent requests.
+
+        The reserve of a large prompt is smaller, so that it has room on an
+        empty engine.
+        """
+        fitting = demand.cache_tokens - demand.tokens
+        spare = min(demand.spare_tokens, fitting)
+        return spare > 0 and (
+            target.load.memory_shortfall(
+                demand.tokens + spare, demand.priority, demand.cache_tokens
+            )
+            > 0
         )
 
     def _extra_cost(self, target: Target, demand: Demand) -> float:
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -8,6 +8,7 @@
 from result import Err
 from result import Result
 
+from wigeonmill.gateway.admission_run import AdmissionRun
 from wigeonmill.gateway.answers import AnswerHead
 from wigeonmill.gateway.answers import CallerChannel
 from wigeonmill.gateway.answers import NOT_RUN_STATUSES
@@ -78,6 +79,7 @@
         self._relay = Relay(channel, ctx.clock, req.last_event_id)
         self._terms = RunTerms(ctx, planner, self._relay, req, route, team)
         self._log = RunLog(ctx, self._terms, self._relay)
+        self._admission = AdmissionRun(ctx, self._terms, channel)
         self._fingerprint = request_fingerprint(req, team.name if team else '')
         self._attempts = 0
         # Attempts that may have arrived at the service, and how many of them
@@ -99,6 +101,8 @@
         self._second_denials: set[str] = set()
         self._may_have_run = False
         self._tried_ids: list[str] = []
+        # The quarantine in spite of which the request was admitted.
+        self._probe: Quarantine | None = None
 
     def progress(self) -> Progress:
         """Return how far the request has come."""
@@ -141,7 +145,9 @@
                 blocked.reason, blocked.message, blocked.retry_after_ms
             )
             return
+        self._probe = guard.find(self._terms.part_keys)
         self._ctx.retries(self._terms.service).record_request()
+        self._admission.record_asked()
         if self._terms.origin is not None:
             # All entries may be lost once more before the stream ends.
             self._ctx.open_streams.begin(
@@ -152,12 +158,15 @@
             complete = await self._run_attempts()
         finally:
             self._ctx.open_streams.end(self._terms.stream_id, complete)
+            if self._probe is not None and not self._tried_ids:
+                guard.give_back(self._probe)
 
     async def _run_attempts(self) -> bool:
         """Attempt the request; return whether the caller has its answer."""
         while True:
             failure = await self._attempt_once()
             if failure is None:
+                self._admission.record_served()
                 self._log.log_end('answered', self._attempts)
                 return True
             if not self._may_retry(failure):
@@ -184,7 +193,7 @@
 
     async def _attempt_once(self) -> Failure | None:
         self._attempts += 1
-        picked = self._pick()
+        picked = await self._admission.admit(self._pick, self._crash_refusal)
         if isinstance(picked, Err):
             return _not_sent(picked.err_value)
         return await self._send(picked.ok_value)
@@ -228,6 +237,17 @@
         refusal = self._deadline_refusal(picked.ok_value)
         return picked if refusal is None else Err(refusal)
 
+    def _crash_refusal(self) -> Refusal | None:
+        """Return a refusal if the request was blamed while it was held."""
+        if self._ctx.crash_guard.refuses(self._fingerprint):
+            return Refusal(
+                Reason.CRASHES_TARGETS, 'request crashed its targets'
+            )
+        quarantine = self._ctx.part_guard.find(self._terms.part_keys)
+        if quarantine is None or quarantine is self._probe:
+            return None
+        return self._part_refusal(quarantine)
+
     def _part_refusal(self, quarantine: Quarantine) -> Refusal:
         """Return the refusal of a prompt with parts that crash targets."""
         parts = ', '.join(sorted(key.hex() for key in quarantine.parts))
@@ -259,7 +279,7 @@
             Reason.TOO_LATE,
             f'would start in {starts_ms:.0f} ms, '
             f'deadline in {remaining_ms:.0f} ms',
-            max(DEFAULT_RETRY_AFTER_MS, starts_ms - remaining_ms),
+            self._admission.retry_after_ms(starts_ms),
         )
 
     async def _send(self, pick: Pick) -> Failure | None:
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -21,9 +21,9 @@
 from wigeonmill.gateway.context import AnswerLimits
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.desired import DesiredState
+from wigeonmill.gateway.domain_costs import DomainCosts
 from wigeonmill.gateway.explanation import Explainer
 from wigeonmill.gateway.extra_work import ExtraWorkLimits
-from wigeonmill.gateway.domain_costs import DomainCosts
 from wigeonmill.gateway.forwarder import Forwarder
 from wigeonmill.gateway.inner_key import SharedInnerKey
 from wigeonmill.gateway.intake import RecordIntake
@@ -136,6 +136,7 @@
                 settings.extra_work_share, settings.extra_work_window_ms
             ),
         )
+        self._ctx.fair_admission = settings.fair_admission
         self._sync = MirrorSync(
             adapter.source,
             self._mirror,
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -55,6 +55,7 @@
     max_reply_bytes: ByteLimit = 8_388_608
     contact_ms: Milliseconds = 3_000.0
     domain_transfer_cost: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    fair_admission: bool = False
     log_level: str = 'INFO'
 
 
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -4250,6 +4250,110 @@
         return not (self == other)
 
 
+class ServedWork(object):
+    """
+    Attributes:
+     - service_name
+     - team
+     - asked
+     - served
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'team',
+        'asked',
+        'served',
+    )
+
+
+    def __init__(self, service_name=None, team=None, asked=None, served=None,):
+        self.service_name = service_name
+        self.team = team
+        self.asked = asked
+        self.served = served
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.asked = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.served = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServedWork')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.team is not None:
+            oprot.writeFieldBegin('team', TType.STRING, 2)
+            oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
+            oprot.writeFieldEnd()
+        if self.asked is not None:
+            oprot.writeFieldBegin('asked', TType.I64, 3)
+            oprot.writeI64(self.asked)
+            oprot.writeFieldEnd()
+        if self.served is not None:
+            oprot.writeFieldBegin('served', TType.I64, 4)
+            oprot.writeI64(self.served)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EntryNews(object):
     """
     Attributes:
@@ -4269,6 +4373,7 @@
      - silences
      - leaving
      - failure_domain
+     - served_work
 
     """
 
@@ -4287,12 +4392,13 @@
         'part_quarantines',
         'limits',
         'silences',
+        'served_work',
         'failure_domain',
         'leaving',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, silences=None, leaving=None, failure_domain=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, silences=None, leaving=None, failure_domain=None, served_work=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4309,6 +4415,7 @@
         self.silences = silences
         self.leaving = leaving
         self.failure_domain = failure_domain
+        self.served_work = served_work
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4459,6 +4566,17 @@
                     self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.served_work = []
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = ServedWork()
+                        _elem170.read(iprot)
+                        self.served_work.append(_elem170)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4480,22 +4598,22 @@
         if self.open_work is not None:
             oprot.writeFieldBegin('open_work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.open_work))
-            for iter165 in self.open_work:
-                iter165.write(oprot)
+            for iter171 in self.open_work:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter166 in self.losses:
-                iter166.write(oprot)
+            for iter172 in self.losses:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter167 in self.records:
-                iter167.write(oprot)
+            for iter173 in self.records:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records_to is not None:
@@ -4505,15 +4623,15 @@
         if self.cache_points is not None:
             oprot.writeFieldBegin('cache_points', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_points))
-            for iter168 in self.cache_points:
-                iter168.write(oprot)
+            for iter174 in self.cache_points:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cache_updates is not None:
             oprot.writeFieldBegin('cache_updates', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_updates))
-            for iter169 in self.cache_updates:
-                iter169.write(oprot)
+            for iter175 in self.cache_updates:
+                iter175.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.listing is not None:
@@ -4527,29 +4645,36 @@
         if self.part_outcomes is not None:
             oprot.writeFieldBegin('part_outcomes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.part_outcomes))
-            for iter170 in self.part_outcomes:
-                iter170.write(oprot)
+            for iter176 in self.part_outcomes:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_quarantines is not None:
             oprot.writeFieldBegin('part_quarantines', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.part_quarantines))
-            for iter171 in self.part_quarantines:
-                iter171.write(oprot)
+            for iter177 in self.part_quarantines:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter172 in self.limits:
-                iter172.write(oprot)
+            for iter178 in self.limits:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.silences is not None:
             oprot.writeFieldBegin('silences', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.silences))
-            for iter173 in self.silences:
-                iter173.write(oprot)
+            for iter179 in self.silences:
+                iter179.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.served_work is not None:
+            oprot.writeFieldBegin('served_work', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.served_work))
+            for iter180 in self.served_work:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.failure_domain is not None:
@@ -4559,8 +4684,8 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter174 in self.leaving:
-                iter174.write(oprot)
+            for iter181 in self.leaving:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4766,21 +4891,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = StreamOrigin()
-                        _elem180.read(iprot)
-                        self.begun.append(_elem180)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = StreamOrigin()
+                        _elem187.read(iprot)
+                        self.begun.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.wanted.append(_elem186)
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted.append(_elem193)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4801,15 +4926,15 @@
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter187 in self.begun:
-                iter187.write(oprot)
+            for iter194 in self.begun:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.wanted))
-            for iter188 in self.wanted:
-                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
+            for iter195 in self.wanted:
+                oprot.writeString(iter195.encode('utf-8') if sys.version_info[0] == 2 else iter195)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5537,6 +5662,14 @@
     (5, TType.DOUBLE, 'age_ms', None, None, ),  # 5
     (6, TType.LIST, 'parts', (TType.STRUCT, [CachePart, None], False), None, ),  # 6
 )
+all_structs.append(ServedWork)
+ServedWork.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'team', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'asked', None, None, ),  # 3
+    (4, TType.I64, 'served', None, None, ),  # 4
+)
 all_structs.append(EntryNews)
 EntryNews.thrift_spec = (
     None,  # 0
@@ -5555,7 +5688,7 @@
     (13, TType.LIST, 'limits', (TType.STRUCT, [LimitNotice, None], False), None, ),  # 13
     None,  # 14
     (15, TType.LIST, 'silences', (TType.STRUCT, [TargetSilence, None], False), None, ),  # 15
-    None,  # 16
+    (16, TType.LIST, 'served_work', (TType.STRUCT, [ServedWork, None], False), None, ),  # 16
     None,  # 17
     (18, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 18
     None,  # 19
