Roll software versions out by shares and evidence

Operators can order that a service moves to a version, and nothing answered that: a bad version got as large a share as its targets. Each entry now keeps to a share with counts of its own, the counts of all entries convict a bad version, and the leader moves the stages and writes the status.

Measured: unit tests of share and evidence pass; without an order the tests of the gateway pass as before.

--- a/wigeonmill/gateway/adapter.py
+++ b/wigeonmill/gateway/adapter.py
@@ -5,6 +5,7 @@
 from wigeonmill.gateway.caller_codec import CallerCodec
 from wigeonmill.gateway.changes import RecordDecoder
 from wigeonmill.gateway.engine_orders import EngineOrders
+from wigeonmill.gateway.software_rollout import RolloutStatuses
 from wigeonmill.gateway.store_watch import CacheStores
 from wigeonmill.gateway.sync import RecordSource
 from wigeonmill.gateway.target_client import TargetCodec
@@ -22,4 +23,5 @@
     keys: LeasedKeys
     engines: EngineOrders
     caches: CacheStores
+    rollouts: RolloutStatuses
     ready_path: str
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -81,7 +81,7 @@
         'reported_load',
         'receipt',
         'served',
-        '_first_event_ms',
+        'first_event_ms',
         '_quiet_since_ms',
     )
 
@@ -111,7 +111,8 @@
         self.receipt = AnswerReceipt()
         # Whether the target lived on while it wrote the answer.
         self.served = False
-        self._first_event_ms: float | None = None
+        # When the first event of a stream came, if any did.
+        self.first_event_ms: float | None = None
         self._quiet_since_ms = ctx.clock.now_ms()
 
     async def run(self) -> Failure | None:
@@ -272,9 +273,9 @@
         A part that crashes targets does so when they begin to write.
         """
         now_ms = self._ctx.clock.now_ms()
-        if self._first_event_ms is None:
-            self._first_event_ms = now_ms
-        if now_ms >= self._first_event_ms + SERVED_MS:
+        if self.first_event_ms is None:
+            self.first_event_ms = now_ms
+        if now_ms >= self.first_event_ms + SERVED_MS:
             self._record_served()
 
     def _record_served(self) -> None:
--- a/wigeonmill/gateway/changes.py
+++ b/wigeonmill/gateway/changes.py
@@ -45,10 +45,41 @@
     target_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class SoftwareRolloutOrdered:
+    """Operators ordered that a service moves to a software version.
+
+    `duration_ms` is not positive if the order is malformed. `revision` is
+    that of the order's record.
+    """
+
+    service: str
+    version: str
+    duration_ms: float
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class SoftwareRolloutUnreadable:
+    """An order for a service does not tell its version."""
+
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class SoftwareRolloutWithdrawn:
+    """Operators removed the order for a service."""
+
+    service: str
+
+
 Change = (
     DesiredStateChanged
     | DesiredWeightsChanged
     | DomainServiceChanged
+    | SoftwareRolloutOrdered
+    | SoftwareRolloutUnreadable
+    | SoftwareRolloutWithdrawn
     | TargetListed
     | TargetUnlisted
 )
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -15,6 +15,8 @@
 from wigeonmill.gateway.loss_log import LossLog
 from wigeonmill.gateway.origin_records import OpenStreams
 from wigeonmill.gateway.part_guard import PartGuard
+from wigeonmill.gateway.service_rollout import RolloutLimits
+from wigeonmill.gateway.software_rollout import SoftwareRollouts
 from wigeonmill.gateway.stream_origins import LocalStreamOrigins
 from wigeonmill.gateway.stream_origins import StreamOrigins
 from wigeonmill.gateway.target_notices import DEFAULT_MAX_CLOSED_MS
@@ -188,6 +190,7 @@
         'answer_limits',
         'origins',
         'open_streams',
+        'rollouts',
         'entry_count',
         'entry_position',
         '_retry_limits',
@@ -208,6 +211,7 @@
         max_closed_ms: float = DEFAULT_MAX_CLOSED_MS,
         answer_limits: AnswerLimits = AnswerLimits(),
         is_selected: Callable[[str, int], bool] = lambda _key, _count: True,
+        rollout_limits: RolloutLimits = RolloutLimits(),
     ) -> None:
         """Create the state of a process that has run for `uptime_ms`.
 
@@ -248,6 +252,15 @@
         self.answer_limits = answer_limits
         self.origins: StreamOrigins = LocalStreamOrigins()
         self.open_streams = OpenStreams(clock)
+        self.rollouts = SoftwareRollouts(
+            clock,
+            metrics,
+            self.directory,
+            self.freshness,
+            entry_count,
+            is_selected,
+            rollout_limits,
+        )
         # Returns the number of entries that may be alive.
         self.entry_count = entry_count
         # Returns the position of this entry among them, from 0 to 1.
--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -8,6 +8,9 @@
 from wigeonmill.gateway.changes import DesiredWeightsChanged
 from wigeonmill.gateway.changes import DomainServiceChanged
 from wigeonmill.gateway.changes import RecordDecoder
+from wigeonmill.gateway.changes import SoftwareRolloutOrdered
+from wigeonmill.gateway.changes import SoftwareRolloutUnreadable
+from wigeonmill.gateway.changes import SoftwareRolloutWithdrawn
 from wigeonmill.gateway.changes import TargetListed
 from wigeonmill.gateway.changes import TargetUnlisted
 from wigeonmill.gateway.context import GatewayContext
@@ -23,11 +26,13 @@
 from wigeonmill.gateway.own_records import PREFIX
 from wigeonmill.gateway.own_records import ROLLOUT_KEY
 from wigeonmill.gateway.own_records import RolloutRecord
+from wigeonmill.gateway.own_records import SOFTWARE_ROLLOUT_PREFIX
 from wigeonmill.gateway.own_records import SOFTWARE_VERSIONS_KEY
 from wigeonmill.gateway.part_records import PartQuarantines
 from wigeonmill.gateway.registration import EntryList
 from wigeonmill.gateway.rollout_notice import apply_rollout
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
+from wigeonmill.gateway.service_rollout import RolloutOrder
 from wigeonmill.gateway.software_versions import SoftwareVersions
 from wigeonmill.log import loggable_ms
 
@@ -99,6 +104,8 @@
             self._entries.update(record)
         elif record.key.startswith(ORIGINS_PREFIX):
             self._origins.update(record)
+        elif record.key.startswith(SOFTWARE_ROLLOUT_PREFIX):
+            self._ctx.rollouts.update(record)
         elif record.key == INNER_KEY:
             self._inner_key.update(record)
         elif record.key == SOFTWARE_VERSIONS_KEY:
@@ -133,6 +140,14 @@
                     else 'failure domain out of service',
                     extra={'domain': domain},
                 )
+            case SoftwareRolloutOrdered(service, to, duration_ms, revision):
+                self._ctx.rollouts.start(
+                    RolloutOrder(service, to, duration_ms, revision)
+                )
+            case SoftwareRolloutUnreadable(service):
+                self._ctx.rollouts.reject(service)
+            case SoftwareRolloutWithdrawn(service):
+                self._ctx.rollouts.withdraw(service)
             case TargetListed(target):
                 self._ctx.directory.apply(target)
             case TargetUnlisted(target_id):
--- a/wigeonmill/gateway/own_records.py
+++ b/wigeonmill/gateway/own_records.py
@@ -19,6 +19,7 @@
 SOFTWARE_VERSIONS_KEY = 'wigeonmill/software-versions'
 ORIGINS_PREFIX = 'wigeonmill/origins/'
 PART_QUARANTINES_KEY = 'wigeonmill/part-quarantines'
+SOFTWARE_ROLLOUT_PREFIX = 'wigeonmill/rollouts/'
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
@@ -65,6 +66,24 @@
     origins: dict[str, dict[str, list[str]]]
 
 
+class SoftwareRolloutRecord(msgspec.Struct, frozen=True):
+    """The rollout of a software version at one service.
+
+    `order` is the revision of the order, `from_versions` are those that the
+    service had when the leader began, `left_out` those that earlier orders
+    left without requests. `why` tells operators about `stage`.
+    """
+
+    order: int
+    version: str
+    stage: str
+    started_unix_ms: int
+    stage_unix_ms: int
+    from_versions: list[str] = []
+    left_out: list[str] = []
+    why: str = ''
+
+
 class PartQuarantineRecord(msgspec.Struct, frozen=True):
     """Parts of a quarantine, as hexadecimal keys, and its wall time."""
 
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -269,6 +269,7 @@
             listing=listing or None,
             copy_age_ms=self._ctx.freshness.age_ms,
             limits=self._limits.to_send() or None,
+            rollouts=self._ctx.rollouts.reports() or None,
         )
 
     def _add_losses(
@@ -315,6 +316,7 @@
         for loss in update.losses or ():
             self._ctx.crash_guard.record_remote(loss.fingerprint, loss.loss)
         self._limits.apply(update.limits or ())
+        self._ctx.rollouts.apply_reports(update.rollouts or ())
         guard = self._ctx.part_guard
         for outcome in update.part_outcomes or ():
             observed = RunOutcome(
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -21,6 +21,7 @@
 from wigeonmill.gateway.credit import lateness_cost
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
 from wigeonmill.gateway.request import Generation
+from wigeonmill.gateway.service_rollout import VersionFilter
 from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.target_load import PRIORITIES
 from wigeonmill.gateway.targets import Directory
@@ -74,7 +75,8 @@
     store. `desired_version` is the newest weight version that operators have
     set for the model. No run may begin on an older version once the time that
     `old_weights_remaining_ms` returns for it has passed. A stream with an
-    `origin` may go on only at the software that began it.
+    `origin` may go on only at the software that began it. `versions` limits
+    the targets during a rollout of a software version.
     """
 
     service: str
@@ -95,6 +97,7 @@
     old_weights_remaining_ms: Callable[[int], float] = lambda _loaded: inf
     entry_position: float = 0.0
     origin: StreamOrigin | None = None
+    versions: VersionFilter | None = None
 
     @property
     def tokens(self) -> int:
@@ -228,6 +231,7 @@
             target
             for target in self._directory.of_service(demand.service)
             if not self._is_domain_closed(target.failure_domain)
+            and (demand.versions is None or demand.versions.allows(target))
             and (
                 not demand.regions
                 or self._region_of.get(target.failure_domain) in demand.regions
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -33,6 +33,7 @@
 from wigeonmill.gateway.run_log import RunLog
 from wigeonmill.gateway.run_terms import LATE_PRIORITY
 from wigeonmill.gateway.run_terms import RunTerms
+from wigeonmill.gateway.software_rollout import Trial
 from wigeonmill.gateway.stream_origins import origin_of
 from wigeonmill.gateway.target_client import TargetClient
 from wigeonmill.gateway.targets import Target
@@ -91,6 +92,8 @@
         # The attempt that was started beside another one, while both run.
         self._second: Attempt | None = None
         self._second_denials: set[str] = set()
+        # The attempts that count in a rollout of a software version.
+        self._trials: dict[Attempt, Trial] = {}
         self._may_have_run = False
         self._tried_ids: list[str] = []
 
@@ -133,6 +136,8 @@
             complete = await self._run_attempts()
         finally:
             self._ctx.open_streams.end(self._terms.stream_id, complete)
+            for trial in self._trials.values():
+                trial.close()
 
     async def _run_attempts(self) -> bool:
         """Attempt the request; return whether the caller has its answer."""
@@ -200,6 +205,10 @@
 
     def _pick_for(self, demand: Demand) -> Result[Pick, Refusal]:
         picked = self._picker.pick(demand)
+        versions = demand.versions
+        if isinstance(picked, Err) and versions and versions.fallback:
+            demand = replace(demand, versions=versions.fallback)
+            picked = self._picker.pick(demand)
         if isinstance(picked, Err):
             return picked
         refusal = self._deadline_refusal(picked.ok_value)
@@ -278,6 +287,7 @@
             target.load.close(in_flight)
             raise
         self._arrivals += 1
+        trial = self._ctx.rollouts.begin(self._route.name, target, generation)
         attempt = Attempt(
             self._ctx,
             self._terms,
@@ -288,6 +298,8 @@
             in_flight,
             self._can_fail_over(),
         )
+        if trial is not None:
+            self._trials[attempt] = trial
         self._log.record_attempt(attempt, pick, priority)
         return attempt
 
@@ -325,6 +337,7 @@
             return
         second, self._second = self._second, None
         self._track_failure(overtaken.target, stalled())
+        self._end_trial(overtaken, stalled())
         self._returnable_ids.add(overtaken.target.id)
         self._record_origin(attempt.target)
         if overtaken is second:
@@ -336,6 +349,7 @@
     def on_end(self, attempt: Attempt, failure: Failure | None) -> None:
         """Record how an attempt ended."""
         second, self._second = self._second, None
+        self._end_trial(attempt, failure)
         if failure is not None:
             self._track_failure(attempt.target, failure)
             if second is not None and not failure.may_have_run:
@@ -351,6 +365,11 @@
             outcome = 'failed' if attempt is second else 'first_failed'
             self._record_second(outcome, attempt, second, failure)
 
+    def _end_trial(self, attempt: Attempt, failure: Failure | None) -> None:
+        trial = self._trials.get(attempt)
+        if trial is not None:
+            trial.end(failure, attempt.first_event_ms)
+
     def _record_second(
         self,
         outcome: str,
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -29,17 +29,22 @@
 from wigeonmill.gateway.origin_exchange import SharedStreamOrigins
 from wigeonmill.gateway.origin_records import OriginPublisher
 from wigeonmill.gateway.origin_records import OriginRecords
+from wigeonmill.gateway.own_records import decode_own
 from wigeonmill.gateway.own_records import ENTRY_PREFIX
 from wigeonmill.gateway.own_records import LEADER_KEY
+from wigeonmill.gateway.own_records import LeaderRecord
 from wigeonmill.gateway.part_records import PartQuarantines
 from wigeonmill.gateway.part_records import PartQuarantinesPublisher
 from wigeonmill.gateway.peers import Peers
 from wigeonmill.gateway.picker import Picker
 from wigeonmill.gateway.registration import EntryList
 from wigeonmill.gateway.registration import Registration
+from wigeonmill.gateway.rollout_exchange import RolloutExchange
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
 from wigeonmill.gateway.server import GatewayServer
+from wigeonmill.gateway.service_rollout import RolloutLimits
 from wigeonmill.gateway.settings import GatewaySettings
+from wigeonmill.gateway.software_rollout import SoftwareRolloutLeader
 from wigeonmill.gateway.software_versions import SoftwareVersions
 from wigeonmill.gateway.software_versions import SoftwareVersionsPublisher
 from wigeonmill.gateway.status_server import StatusServer
@@ -129,6 +134,11 @@
                 unsent=settings.max_unsent_bytes,
             ),
             self._entries.is_selected,
+            RolloutLimits(
+                settings.rollout_share,
+                settings.rollout_slack,
+                settings.rollback_ms,
+            ),
         )
         self._sync = MirrorSync(
             adapter.source,
@@ -203,6 +213,30 @@
         )
         self._peers.handle(Kind.STREAM_ORIGINS, origins.answer)
         self._ctx.origins = origins
+        self._rollout_exchange = RolloutExchange(
+            clock,
+            self.metrics,
+            rng,
+            settings.process,
+            self._ctx.rollouts,
+            self._peers,
+            self._leader_address,
+        )
+        self._peers.handle(
+            Kind.SOFTWARE_ROLLOUT, self._rollout_exchange.receive
+        )
+        self._software_rollout = SoftwareRolloutLeader(
+            clock,
+            self._ctx.freshness,
+            self.metrics,
+            self._ctx.rollouts,
+            self._ctx.directory,
+            self._leadership,
+            adapter.keys,
+            self._mirror,
+            adapter.rollouts,
+            self._has_service,
+        )
         self._cleaner = CacheCleaner(
             self._ctx, self._leadership, adapter.caches, self._stores
         )
@@ -250,6 +284,7 @@
                 self._run_registration,
                 self._run_leadership,
                 self._run_rollout,
+                self._run_software_rollout,
                 self._run_versions_publisher,
                 self._run_quarantines_publisher,
                 self._run_origin_publisher,
@@ -390,6 +425,12 @@
             await self._rollout.step()
             await asyncio.sleep(TICK_MS / 1000.0)
 
+    async def _run_software_rollout(self) -> None:
+        while True:
+            self._rollout_exchange.step()
+            await self._software_rollout.step()
+            await asyncio.sleep(TICK_MS / 1000.0)
+
     async def _run_versions_publisher(self) -> None:
         while True:
             await self._versions_publisher.step()
@@ -416,6 +457,17 @@
             return None
         return KvEntry(record.key, record.value, record.revision)
 
+    def _leader_address(self) -> str | None:
+        """Return the inner address of the leader, unless this one leads."""
+        record = self._mirror.get(LEADER_KEY)
+        leader = decode_own(record, LeaderRecord) if record else None
+        return self._entries.peers().get(leader.entry) if leader else None
+
+    def _has_service(self, service: str) -> bool:
+        """Whether a service is known; any may be without a configuration."""
+        state = self._ctx.desired.state
+        return state is None or service in state.services
+
     def _on_desired_state(self, state: DesiredState) -> None:
         self._stores.set_stores(state.stores)
         self._server.set_limits(state.limits)
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -183,6 +183,9 @@
             penalize_old_weights=weights_due,
             old_weights_remaining_ms=self._old_weights_remaining_ms,
             origin=self.origin,
+            versions=self._ctx.rollouts.filter(
+                self.service, self.route.name, bool(avoid), self.origin
+            ),
         )
 
     def begin_by_ms(self, target: Target) -> float:
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -52,6 +52,9 @@
     max_unsent_bytes: ByteLimit = 1_048_576
     max_reply_bytes: ByteLimit = 8_388_608
     contact_ms: Milliseconds = 3_000.0
+    rollout_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    rollout_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
+    rollback_ms: Milliseconds = 5_000.0
     log_level: str = 'INFO'
 
 
--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -352,6 +352,11 @@
         )
         return fixed_ms + slope * prefill_tokens + wait_ms
 
+    def prefill_ms(self, tokens: int) -> float:
+        """Return the expected time to a first token without any wait."""
+        fixed_ms, slope = self._estimates.line()
+        return fixed_ms + slope * tokens
+
     def whole_answer_ms(self, slots: int) -> float:
         """Return the expected time to a whole answer of a new request."""
         return self._mean_answer_ms * _slot_rounds(self.occupied(), slots)
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -44,6 +44,7 @@
     ENTRY_NEWS_REPLY = 61
     STREAM_ORIGINS = 62
     STREAM_ORIGINS_REPLY = 63
+    SOFTWARE_ROLLOUT = 64
 
     _VALUES_TO_NAMES = {
         1: "CHALLENGE",
@@ -73,6 +74,7 @@
         61: "ENTRY_NEWS_REPLY",
         62: "STREAM_ORIGINS",
         63: "STREAM_ORIGINS_REPLY",
+        64: "SOFTWARE_ROLLOUT",
     }
 
     _NAMES_TO_VALUES = {
@@ -103,6 +105,7 @@
         "ENTRY_NEWS_REPLY": 61,
         "STREAM_ORIGINS": 62,
         "STREAM_ORIGINS_REPLY": 63,
+        "SOFTWARE_ROLLOUT": 64,
     }
 
 
@@ -4042,6 +4045,283 @@
         return not (self == other)
 
 
+class VersionCount(object):
+    """
+    Attributes:
+     - route
+     - target
+     - answers
+     - failed
+     - slow
+     - times
+     - first_ms
+     - whole_ms
+
+    """
+
+    __slots__ = (
+        'route',
+        'target',
+        'answers',
+        'failed',
+        'slow',
+        'times',
+        'first_ms',
+        'whole_ms',
+    )
+
+
+    def __init__(self, route=None, target=None, answers=None, failed=None, slow=None, times=None, first_ms=None, whole_ms=None,):
+        self.route = route
+        self.target = target
+        self.answers = answers
+        self.failed = failed
+        self.slow = slow
+        self.times = times
+        self.first_ms = first_ms
+        self.whole_ms = whole_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.answers = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.failed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.slow = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.times = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.first_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.whole_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VersionCount')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.I64, 3)
+            oprot.writeI64(self.answers)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.I64, 4)
+            oprot.writeI64(self.failed)
+            oprot.writeFieldEnd()
+        if self.slow is not None:
+            oprot.writeFieldBegin('slow', TType.I64, 5)
+            oprot.writeI64(self.slow)
+            oprot.writeFieldEnd()
+        if self.times is not None:
+            oprot.writeFieldBegin('times', TType.I64, 6)
+            oprot.writeI64(self.times)
+            oprot.writeFieldEnd()
+        if self.first_ms is not None:
+            oprot.writeFieldBegin('first_ms', TType.DOUBLE, 7)
+            oprot.writeDouble(self.first_ms)
+            oprot.writeFieldEnd()
+        if self.whole_ms is not None:
+            oprot.writeFieldBegin('whole_ms', TType.DOUBLE, 8)
+            oprot.writeDouble(self.whole_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutReport(object):
+    """
+    Attributes:
+     - service_name
+     - order
+     - reporter
+     - bad
+     - counts
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'order',
+        'reporter',
+        'bad',
+        'counts',
+    )
+
+
+    def __init__(self, service_name=None, order=None, reporter=None, bad=None, counts=None,):
+        self.service_name = service_name
+        self.order = order
+        self.reporter = reporter
+        self.bad = bad
+        self.counts = counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.order = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reporter = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.bad = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = VersionCount()
+                        _elem110.read(iprot)
+                        self.counts.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutReport')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.I64, 2)
+            oprot.writeI64(self.order)
+            oprot.writeFieldEnd()
+        if self.reporter is not None:
+            oprot.writeFieldBegin('reporter', TType.STRING, 3)
+            oprot.writeString(self.reporter.encode('utf-8') if sys.version_info[0] == 2 else self.reporter)
+            oprot.writeFieldEnd()
+        if self.bad is not None:
+            oprot.writeFieldBegin('bad', TType.BOOL, 4)
+            oprot.writeBool(self.bad)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.counts))
+            for iter111 in self.counts:
+                iter111.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EntryNews(object):
     """
     Attributes:
@@ -4058,6 +4338,7 @@
      - part_outcomes
      - part_quarantines
      - limits
+     - rollouts
 
     """
 
@@ -4075,10 +4356,11 @@
         'part_outcomes',
         'part_quarantines',
         'limits',
+        'rollouts',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4092,6 +4374,7 @@
         self.part_outcomes = part_outcomes
         self.part_quarantines = part_quarantines
         self.limits = limits
+        self.rollouts = rollouts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4115,33 +4398,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.open_work = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = OpenWork()
-                        _elem110.read(iprot)
-                        self.open_work.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = OpenWork()
+                        _elem117.read(iprot)
+                        self.open_work.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.losses = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = TargetLoss()
-                        _elem116.read(iprot)
-                        self.losses.append(_elem116)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = TargetLoss()
+                        _elem123.read(iprot)
+                        self.losses.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = StoreRecord()
-                        _elem122.read(iprot)
-                        self.records.append(_elem122)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = StoreRecord()
+                        _elem129.read(iprot)
+                        self.records.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4153,22 +4436,22 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.cache_points = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = CachePoint()
-                        _elem128.read(iprot)
-                        self.cache_points.append(_elem128)
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = CachePoint()
+                        _elem135.read(iprot)
+                        self.cache_points.append(_elem135)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.cache_updates = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = CacheUpdate()
-                        _elem134.read(iprot)
-                        self.cache_updates.append(_elem134)
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = CacheUpdate()
+                        _elem141.read(iprot)
+                        self.cache_updates.append(_elem141)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4185,33 +4468,44 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.part_outcomes = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = PartOutcome()
-                        _elem140.read(iprot)
-                        self.part_outcomes.append(_elem140)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = PartOutcome()
+                        _elem147.read(iprot)
+                        self.part_outcomes.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.part_quarantines = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = PartQuarantine()
-                        _elem146.read(iprot)
-                        self.part_quarantines.append(_elem146)
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = PartQuarantine()
+                        _elem153.read(iprot)
+                        self.part_quarantines.append(_elem153)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = LimitNotice()
-                        _elem152.read(iprot)
-                        self.limits.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = LimitNotice()
+                        _elem159.read(iprot)
+                        self.limits.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.rollouts = []
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = RolloutReport()
+                        _elem165.read(iprot)
+                        self.rollouts.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4236,22 +4530,22 @@
         if self.open_work is not None:
             oprot.writeFieldBegin('open_work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.open_work))
-            for iter153 in self.open_work:
-                iter153.write(oprot)
+            for iter166 in self.open_work:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter154 in self.losses:
-                iter154.write(oprot)
+            for iter167 in self.losses:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter155 in self.records:
-                iter155.write(oprot)
+            for iter168 in self.records:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records_to is not None:
@@ -4261,15 +4555,15 @@
         if self.cache_points is not None:
             oprot.writeFieldBegin('cache_points', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_points))
-            for iter156 in self.cache_points:
-                iter156.write(oprot)
+            for iter169 in self.cache_points:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cache_updates is not None:
             oprot.writeFieldBegin('cache_updates', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_updates))
-            for iter157 in self.cache_updates:
-                iter157.write(oprot)
+            for iter170 in self.cache_updates:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.listing is not None:
@@ -4283,22 +4577,29 @@
         if self.part_outcomes is not None:
             oprot.writeFieldBegin('part_outcomes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.part_outcomes))
-            for iter158 in self.part_outcomes:
-                iter158.write(oprot)
+            for iter171 in self.part_outcomes:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_quarantines is not None:
             oprot.writeFieldBegin('part_quarantines', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.part_quarantines))
-            for iter159 in self.part_quarantines:
-                iter159.write(oprot)
+            for iter172 in self.part_quarantines:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter160 in self.limits:
-                iter160.write(oprot)
+            for iter173 in self.limits:
+                iter173.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rollouts is not None:
+            oprot.writeFieldBegin('rollouts', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
+            for iter174 in self.rollouts:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4504,21 +4805,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = StreamOrigin()
-                        _elem166.read(iprot)
-                        self.begun.append(_elem166)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = StreamOrigin()
+                        _elem180.read(iprot)
+                        self.begun.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.wanted.append(_elem172)
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted.append(_elem186)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4539,15 +4840,15 @@
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter173 in self.begun:
-                iter173.write(oprot)
+            for iter187 in self.begun:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.wanted))
-            for iter174 in self.wanted:
-                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
+            for iter188 in self.wanted:
+                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5259,6 +5560,27 @@
     (5, TType.DOUBLE, 'age_ms', None, None, ),  # 5
     (6, TType.LIST, 'parts', (TType.STRUCT, [CachePart, None], False), None, ),  # 6
 )
+all_structs.append(VersionCount)
+VersionCount.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'answers', None, None, ),  # 3
+    (4, TType.I64, 'failed', None, None, ),  # 4
+    (5, TType.I64, 'slow', None, None, ),  # 5
+    (6, TType.I64, 'times', None, None, ),  # 6
+    (7, TType.DOUBLE, 'first_ms', None, None, ),  # 7
+    (8, TType.DOUBLE, 'whole_ms', None, None, ),  # 8
+)
+all_structs.append(RolloutReport)
+RolloutReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'order', None, None, ),  # 2
+    (3, TType.STRING, 'reporter', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'bad', None, None, ),  # 4
+    (5, TType.LIST, 'counts', (TType.STRUCT, [VersionCount, None], False), None, ),  # 5
+)
 all_structs.append(EntryNews)
 EntryNews.thrift_spec = (
     None,  # 0
@@ -5275,6 +5597,7 @@
     (11, TType.LIST, 'part_outcomes', (TType.STRUCT, [PartOutcome, None], False), None, ),  # 11
     (12, TType.LIST, 'part_quarantines', (TType.STRUCT, [PartQuarantine, None], False), None, ),  # 12
     (13, TType.LIST, 'limits', (TType.STRUCT, [LimitNotice, None], False), None, ),  # 13
+    (14, TType.LIST, 'rollouts', (TType.STRUCT, [RolloutReport, None], False), None, ),  # 14
 )
 all_structs.append(StreamOrigin)
 StreamOrigin.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -32,6 +32,7 @@
   ENTRY_NEWS_REPLY = 61
   STREAM_ORIGINS = 62
   STREAM_ORIGINS_REPLY = 63
+  SOFTWARE_ROLLOUT = 64
 }
 
 // First message of the accepting side: the nonce for the client's proof.
@@ -334,6 +335,31 @@
   6: list<CachePart> parts
 }
 
+// Answers to requests of a route since an order, failures and slow answers
+// among them. target is empty for the old versions, which also have medians of
+// the times to the first piece and to the end, and of how many answers.
+struct VersionCount {
+  1: string route
+  2: string target
+  3: i64 answers
+  4: i64 failed
+  5: i64 slow
+  6: optional i64 times
+  7: optional double first_ms
+  8: optional double whole_ms
+}
+
+// What an entry knows of the rollout of a software version: its own counts,
+// which only rise, or that the version is bad. order is the revision of the
+// operators' order, reporter identifies the sender's process.
+struct RolloutReport {
+  1: string service_name
+  2: i64 order
+  3: string reporter
+  4: bool bad
+  5: list<VersionCount> counts
+}
+
 // An update from one entry to another. known_to is the revision up to which
 // the sender knows every change of the key-value service. The answer holds the
 // records after the requester's known_to, complete up to records_to. With
@@ -354,6 +380,7 @@
   11: optional list<PartOutcome> part_outcomes
   12: optional list<PartQuarantine> part_quarantines
   13: optional list<LimitNotice> limits
+  14: optional list<RolloutReport> rollouts
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
