Let the shares of many entries with few requests add up

Each of 31 entries with two requests a second stayed below one whole request, so that the canary and the first step sent next to nothing. A random fraction for each entry makes the sum right on average.

--- a/tests/gateway/test_rollout_share.py
+++ b/tests/gateway/test_rollout_share.py
@@ -13,7 +13,11 @@
 def test_all_entries_together_stay_below_the_share(entries):
     rng = random.Random(entries)
     limits = [
-        ShareLimit(0.1, entry_slack(50, entries, lambda count, n=n: n < count))
+        ShareLimit(
+            0.1,
+            entry_slack(50, entries, lambda count, n=n: n < count),
+            rng.random(),
+        )
         for n in range(entries)
     ]
     for sent in range(1, 3_000):
--- /dev/null
+++ b/tests/gateway/test_rollout_stages.py
@@ -0,0 +1,50 @@
+"""Which stage follows, as the leader sees it."""
+
+import dataclasses
+
+import pytest
+
+from wigeonmill.gateway.rollout_evidence import Judgement
+from wigeonmill.gateway.rollout_stages import next_stage
+from wigeonmill.gateway.rollout_stages import Progress
+from wigeonmill.gateway.rollout_stages import Stage
+
+CANARY = Progress(
+    Stage.CANARY, 7_000.0, 7_000.0, 12_000.0, Judgement.GOOD, 3, 3, 9
+)
+FULL = dataclasses.replace(
+    CANARY, stage=Stage.FULL, elapsed_ms=10_000.0, in_stage_ms=2_000.0
+)
+
+
+@pytest.mark.parametrize(
+    'progress, changes, expected',
+    (
+        (CANARY, {}, Stage.EIGHTH),
+        (CANARY, {'elapsed_ms': 3_000.0}, Stage.CANARY),
+        (CANARY, {'judgement': Judgement.UNKNOWN}, Stage.CANARY),
+        (CANARY, {'judgement': Judgement.SUSPICIOUS}, Stage.CANARY),
+        (CANARY, {'judgement': Judgement.BAD}, Stage.ROLLED_BACK),
+        (CANARY, {'new_targets': 0}, Stage.CANARY),
+        (
+            CANARY,
+            {'new_targets': 0, 'elapsed_ms': 11_500.0},
+            Stage.ROLLED_BACK,
+        ),
+        (FULL, {}, Stage.FULL),
+        (FULL, {'old_runs': 0}, Stage.DONE),
+        (FULL, {'old_runs': 0, 'in_stage_ms': 100.0}, Stage.FULL),
+        (FULL, {'elapsed_ms': 11_500.0}, Stage.DONE),
+        (FULL, {'judgement': Judgement.BAD}, Stage.ROLLED_BACK),
+        (
+            FULL,
+            {'old_runs': 0, 'judgement': Judgement.SUSPICIOUS},
+            Stage.FULL,
+        ),
+        (FULL, {'stage': Stage.DONE}, Stage.DONE),
+        (FULL, {'stage': Stage.ROLLED_BACK}, Stage.ROLLED_BACK),
+    ),
+)
+def test_the_stage_that_follows(progress, changes, expected):
+    stage, _why = next_stage(dataclasses.replace(progress, **changes))
+    assert stage is expected
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -5,13 +5,18 @@
 import pytest
 
 from alliance.records import AllianceRecords
+from alliance.rollouts import AllianceRollouts
 from wigeonmill.gateway.changes import DesiredStateChanged
 from wigeonmill.gateway.changes import DesiredWeightsChanged
 from wigeonmill.gateway.changes import DomainServiceChanged
+from wigeonmill.gateway.changes import SoftwareRolloutOrdered
+from wigeonmill.gateway.changes import SoftwareRolloutUnreadable
+from wigeonmill.gateway.changes import SoftwareRolloutWithdrawn
 from wigeonmill.gateway.changes import TargetListed
 from wigeonmill.gateway.changes import TargetUnlisted
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.mirror import Record
+from wigeonmill.gateway.rollout_stages import Stage
 
 TARGET = {
     'service': 's',
@@ -176,3 +181,44 @@
 def test_the_largest_start_is_decoded():
     change = decode('servers/i-1', TARGET | {'born': 2**63 - 1})
     assert change.target.started_at_ms == 2**63 - 1
+
+
+ROLLOUT = {'service': 's', 'to': 'v2', 'durationS': 12}
+
+
+@pytest.mark.parametrize(
+    'value, expected',
+    (
+        (ROLLOUT, SoftwareRolloutOrdered('s', 'v2', 12_000.0, 8)),
+        (ROLLOUT | {'to': 3}, SoftwareRolloutOrdered('s', '3', 12_000.0, 8)),
+        (
+            ROLLOUT | {'durationS': 'x'},
+            SoftwareRolloutOrdered('s', 'v2', 0.0, 8),
+        ),
+        ({'to': 'v2'}, SoftwareRolloutOrdered('s', 'v2', 0.0, 8)),
+        (
+            ROLLOUT | {'service': 'other'},
+            SoftwareRolloutOrdered('s', 'v2', 0.0, 8),
+        ),
+        (ROLLOUT | {'to': None}, SoftwareRolloutUnreadable('s')),
+        ([], SoftwareRolloutUnreadable('s')),
+        (None, SoftwareRolloutWithdrawn('s')),
+    ),
+)
+def test_the_order_of_a_rollout_is_decoded(value, expected):
+    assert decode('op/rollout/s', value, revision=8) == expected
+
+
+@pytest.mark.parametrize(
+    'stage, state',
+    (
+        (Stage.CANARY, 'running'),
+        (Stage.FULL, 'running'),
+        (Stage.DONE, 'done'),
+        (Stage.ROLLED_BACK, 'rolled_back'),
+    ),
+)
+def test_the_status_of_a_rollout_is_encoded(stage, state):
+    key, value = AllianceRollouts().encode('s', stage, 'v2')
+    assert key == 'status/rollout/s'
+    assert json.loads(value) == {'state': state, 'to': 'v2'}
--- a/wigeonmill/gateway/rollout_share.py
+++ b/wigeonmill/gateway/rollout_share.py
@@ -54,8 +54,9 @@
     ) -> None:
         """Create the counts of an order.
 
-        With `rounding`, which differs from entry to entry and is below 1,
-        entries with one extra request each keep it for different times.
+        `rounding`, a random number below 1, makes up for the fractions of a
+        request that each of many entries with few requests has left. The sum
+        of all entries is right on average, and off by a few at most.
         """
         self._rounding = rounding
         self._share = share
@@ -121,4 +122,5 @@
         # The request to be sent counts as one that reaches the service, but
         # only once it has left.
         allowed = part * self._share * self.arrivals + self._slack
+        allowed += self._rounding
         return allowed - self.new_arrivals
--- a/wigeonmill/gateway/service_rollout.py
+++ b/wigeonmill/gateway/service_rollout.py
@@ -138,7 +138,7 @@
         self._reporter = reporter
         self._heard_ms = now_ms
         self._known: Mapping[str, int] = {}
-        self._credit = 0.0
+        self._credit = rounding
         self._tried: frozenset[str] | None = frozenset()
 
     @property
