--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -16,6 +16,7 @@
 from tests.platform.soak.limits import find_exceeded
 from tests.platform.soak.lost import find_endless
 from tests.platform.soak.lost import find_lost
+from tests.platform.soak.rollouts import find_exposed
 
 # Statuses that guarantee that a request was not run and never will be.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -69,6 +70,10 @@
         Breach('limited', limit.target, detail)
         for limit, detail in find_exceeded(attempts, journal)
     ]
+    found += [
+        Breach('exposed', version, detail)
+        for version, detail in find_exposed(attempts, journal)
+    ]
     found += _check_crashing_part(attempts, journal)
     found += [
         Breach('process ended by itself', '', detail)
--- a/tests/platform/soak/environment.py
+++ b/tests/platform/soak/environment.py
@@ -181,6 +181,8 @@
         self.key_value = MemoryKeyValue(Clock())
         self.journal = Journal()
         self.targets = []
+        # The last rollout of each service that was done.
+        self.rolled_out = {}
         self.version = 0
         self.variation = Variation()
         self._beside = set()
@@ -240,13 +242,15 @@
         while not await gateway.is_ready():
             await asyncio.sleep(0.05)
 
-    async def add_target(self, service, domain):
+    async def add_target(self, service, domain, rollout=None):
+        """Start a target of a rollout, or of the software in service."""
         target = Target(
             self.key_value,
             self.journal,
             service,
             domain,
             service == STREAM_SERVICE,
+            rollout or self.rolled_out.get(service),
         )
         target.on_crash = self._replace_crashed
         self.targets.append(await target.start())
@@ -275,7 +279,7 @@
                 (time.monotonic(), shortest_ms / 1000.0)
             )
             self.journal.record_work('change')
-            await self._put('op/config', state)
+            await self.put('op/config', state)
 
     def _next_state(self):
         self.version += self.rng.randint(1, 5)
@@ -286,10 +290,10 @@
         async with self._operator_lock:
             version = self.journal.version + 1
             value = {'model': MODEL, 'version': version}
-            await self._put(f'op/version/{MODEL}', value)
+            await self.put(f'op/version/{MODEL}', value)
             self.journal.version = version
 
-    async def _put(self, key, content):
+    async def put(self, key, content):
         value = json.dumps(content).encode()
         while True:
             found = await self.key_value.get(key)
--- a/tests/platform/soak/handlers.py
+++ b/tests/platform/soak/handlers.py
@@ -196,6 +196,9 @@
         if form and secrets.randbelow(1000) < SPOILED_SHARE * 1000:
             await self._write_raw(form, request_id, last_event)
             return
+        rollout = target.rollout
+        if rollout is not None and await rollout.spoil(self):
+            return
         if 'stream' in self.request.path:
             self.set_header('Content-Type', 'text/event-stream')
             for number in range(last_event + 1, EVENT_COUNT + 1):
--- a/tests/platform/soak/journal.py
+++ b/tests/platform/soak/journal.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 import math
 import time
+from typing import Any
 
 # A timer that is later than this shows that the process stood still.
 STALL_S = 0.05
@@ -129,6 +130,10 @@
     # The time limits of the routes in seconds, and when they were sent.
     timeouts: list[tuple[float, float]] = field(default_factory=list)
 
+    # The operator's rollouts, and the services of all targets by their ids.
+    rollouts: list[Any] = field(default_factory=list)
+    services: dict[str, str] = field(default_factory=dict)
+
     def add(self, run):
         self.runs.setdefault(run.request_id, []).append(run)
 
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -24,6 +24,7 @@
 from tests.platform.soak.faults import SilenceFaults
 from tests.platform.soak.limits import LimitFaults
 from tests.platform.soak.rests import RestFaults
+from tests.platform.soak.rollouts import RolloutFaults
 from tests.platform.soak.series import SeriesFaults
 
 CLIENTS = 12
@@ -47,6 +48,8 @@
     seconds: float
     attempts: int = 0
     orders: int = 0
+    # Each rollout: its fault, how it ended and after how many seconds.
+    rollouts: list[str] = field(default_factory=list)
     ends: dict[str, int] = field(default_factory=dict)
     # Crashes of targets under the crashing part.
     part_crashes: int = 0
@@ -114,6 +117,9 @@
             HerdFaults(random.Random(seed + 9), environment, record_fault).run(
                 until if herd else loop.time()
             ),
+            RolloutFaults(
+                random.Random(seed + 10), environment, record_fault
+            ).run(until),
             LimitFaults(
                 random.Random(seed + 8), environment, record_fault
             ).run(until),
@@ -153,6 +159,10 @@
         if used > MAX_MEMORY_MB
     ]
     report.part_crashes = len(environment.journal.part_crashes)
+    report.rollouts = [
+        f'{r.kind} {r.state} {r.took_s:.1f}'
+        for r in environment.journal.rollouts
+    ]
     report.orders = len(environment.journal.orders)
     report.stalls = [
         round(end - start, 2) for start, end in environment.journal.stalls
--- a/tests/platform/soak/targets.py
+++ b/tests/platform/soak/targets.py
@@ -31,7 +31,9 @@
 class Target:
     """One incarnation of a target, behind a proxy."""
 
-    def __init__(self, key_value, journal, service, domain, streaming):
+    def __init__(
+        self, key_value, journal, service, domain, streaming, rollout=None
+    ):
         self.id = f'i-{secrets.token_hex(5)}'
         self.started_ms = int(time.time() * 1000)
         self.key_value = key_value
@@ -52,7 +54,12 @@
         self.version = journal.version
         # Targets of two software versions serve side by side.
         self.software = f'v{1 + len(journal.software) % 2}'
+        # The rollout that brought its software, if one did.
+        self.rollout = rollout
+        if rollout is not None:
+            self.software = rollout.version
         journal.software[self.id] = self.software
+        journal.services[self.id] = service
         # How some answers are written for a time; None: all as usual.
         self.answer_form = None
         self.raw_streams = set()
--- a/wigeonmill/gateway/rollout_stages.py
+++ b/wigeonmill/gateway/rollout_stages.py
@@ -20,6 +20,8 @@
 # The first step is long: with few requests, it shows most.
 FIRST_STEP_TIME = 0.1
 STEP_TIME = 0.06
+# At full share, what turns bad under load shows while it can still go back.
+FULL_TIME = 0.12
 # Minimum time of a step: the entries have to learn of it.
 MIN_STEP_MS = 400.0
 # After that, what a lost leader has cost is made up for by a shorter way.
@@ -58,6 +60,7 @@
     Stage.DONE: 1.0,
     Stage.ROLLED_BACK: 0.0,
 }
+_STEP_TIMES = {Stage.EIGHTH: FIRST_STEP_TIME, Stage.FULL: FULL_TIME}
 _NEXT = {
     Stage.CANARY: Stage.EIGHTH,
     Stage.EIGHTH: Stage.THIRD,
@@ -98,7 +101,7 @@
             return Stage.ROLLED_BACK, 'no target of the version is left'
         return stage, 'no target of the version is left'
     doubtful = progress.judgement is Judgement.SUSPICIOUS
-    part = FIRST_STEP_TIME if stage is Stage.EIGHTH else STEP_TIME
+    part = _STEP_TIMES.get(stage, STEP_TIME)
     step_ms = max(MIN_STEP_MS, part * progress.duration_ms)
     settled = progress.in_stage_ms >= step_ms
     if stage is Stage.FULL:
