--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -128,6 +128,11 @@
         finally:
             self.target.load.close(self._in_flight)
 
+    @property
+    def sent_ms(self) -> float:
+        """When the request was sent."""
+        return self._in_flight.sent_ms
+
     @property
     def silent_ms(self) -> float:
         """The time for which the target has sent nothing at all."""
@@ -392,10 +397,10 @@
     def _record_head(self, head: TargetHead) -> None:
         self.receipt.framing = head.framing
         if head.load is not None:
-            self.target.load.record_reported(
-                head.load.running + head.load.waiting
+            self.target.load.record_report(head.load.requests, head.load.pace)
+            self.reported_load = (
+                f'{head.load.running or 0},{head.load.waiting or 0}'
             )
-            self.reported_load = f'{head.load.running},{head.load.waiting}'
         generation = self._terms.req.generation
         if generation is not None and head.weight_version is not None:
             weights = self.target.weights
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -19,6 +19,7 @@
 from wigeonmill.gateway.software_rollout import SoftwareRollouts
 from wigeonmill.gateway.stream_origins import LocalStreamOrigins
 from wigeonmill.gateway.stream_origins import StreamOrigins
+from wigeonmill.gateway.suspicions import Suspicions
 from wigeonmill.gateway.target_notices import DEFAULT_MAX_CLOSED_MS
 from wigeonmill.gateway.target_notices import TargetNotices
 from wigeonmill.gateway.targets import Directory
@@ -182,6 +183,7 @@
         'freshness',
         'desired',
         'directory',
+        'suspicions',
         'circuits',
         'notices',
         'loss_log',
@@ -230,7 +232,9 @@
             contact_ms,
             uptime_ms,
         )
-        self.directory = Directory(clock, Fleet(entry_count, is_selected))
+        fleet = Fleet(entry_count, is_selected)
+        self.directory = Directory(clock, fleet)
+        self.suspicions = Suspicions(clock, metrics, self.directory, fleet)
         self.circuits = CircuitBreakers(clock, rng)
         self.notices = TargetNotices(
             clock,
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -186,6 +186,7 @@
             versions=self._ctx.rollouts.filter(
                 self.service, self.route.name, bool(avoid), self.origin
             ),
+            repeatable=self.route.idempotent,
         )
 
     def begin_by_ms(self, target: Target) -> float:
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -3215,6 +3215,8 @@
      - runs
      - tokens
      - waiting_tokens
+     - pace_percent
+     - pace_age_ms
 
     """
 
@@ -3223,14 +3225,18 @@
         'runs',
         'tokens',
         'waiting_tokens',
+        'pace_percent',
+        'pace_age_ms',
     )
 
 
-    def __init__(self, target=None, runs=None, tokens=None, waiting_tokens=None,):
+    def __init__(self, target=None, runs=None, tokens=None, waiting_tokens=None, pace_percent=None, pace_age_ms=None,):
         self.target = target
         self.runs = runs
         self.tokens = tokens
         self.waiting_tokens = waiting_tokens
+        self.pace_percent = pace_percent
+        self.pace_age_ms = pace_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3271,6 +3277,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.pace_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.pace_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3303,6 +3319,118 @@
                 oprot.writeI64(iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.pace_percent is not None:
+            oprot.writeFieldBegin('pace_percent', TType.I32, 5)
+            oprot.writeI32(self.pace_percent)
+            oprot.writeFieldEnd()
+        if self.pace_age_ms is not None:
+            oprot.writeFieldBegin('pace_age_ms', TType.I32, 6)
+            oprot.writeI32(self.pace_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetSilence(object):
+    """
+    Attributes:
+     - target
+     - started_at_ms
+     - silent_ms
+     - heard_ms
+
+    """
+
+    __slots__ = (
+        'target',
+        'started_at_ms',
+        'silent_ms',
+        'heard_ms',
+    )
+
+
+    def __init__(self, target=None, started_at_ms=None, silent_ms=None, heard_ms=None,):
+        self.target = target
+        self.started_at_ms = started_at_ms
+        self.silent_ms = silent_ms
+        self.heard_ms = heard_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.silent_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.heard_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetSilence')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.started_at_ms is not None:
+            oprot.writeFieldBegin('started_at_ms', TType.I64, 2)
+            oprot.writeI64(self.started_at_ms)
+            oprot.writeFieldEnd()
+        if self.silent_ms is not None:
+            oprot.writeFieldBegin('silent_ms', TType.I32, 3)
+            oprot.writeI32(self.silent_ms)
+            oprot.writeFieldEnd()
+        if self.heard_ms is not None:
+            oprot.writeFieldBegin('heard_ms', TType.I32, 4)
+            oprot.writeI32(self.heard_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4339,6 +4467,7 @@
      - part_quarantines
      - limits
      - rollouts
+     - silences
 
     """
 
@@ -4357,10 +4486,11 @@
         'part_quarantines',
         'limits',
         'rollouts',
+        'silences',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None, silences=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4375,6 +4505,7 @@
         self.part_quarantines = part_quarantines
         self.limits = limits
         self.rollouts = rollouts
+        self.silences = silences
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4509,6 +4640,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.silences = []
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = TargetSilence()
+                        _elem171.read(iprot)
+                        self.silences.append(_elem171)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4530,22 +4672,22 @@
         if self.open_work is not None:
             oprot.writeFieldBegin('open_work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.open_work))
-            for iter166 in self.open_work:
-                iter166.write(oprot)
+            for iter172 in self.open_work:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter167 in self.losses:
-                iter167.write(oprot)
+            for iter173 in self.losses:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter168 in self.records:
-                iter168.write(oprot)
+            for iter174 in self.records:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records_to is not None:
@@ -4555,15 +4697,15 @@
         if self.cache_points is not None:
             oprot.writeFieldBegin('cache_points', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_points))
-            for iter169 in self.cache_points:
-                iter169.write(oprot)
+            for iter175 in self.cache_points:
+                iter175.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cache_updates is not None:
             oprot.writeFieldBegin('cache_updates', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_updates))
-            for iter170 in self.cache_updates:
-                iter170.write(oprot)
+            for iter176 in self.cache_updates:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.listing is not None:
@@ -4577,29 +4719,36 @@
         if self.part_outcomes is not None:
             oprot.writeFieldBegin('part_outcomes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.part_outcomes))
-            for iter171 in self.part_outcomes:
-                iter171.write(oprot)
+            for iter177 in self.part_outcomes:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_quarantines is not None:
             oprot.writeFieldBegin('part_quarantines', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.part_quarantines))
-            for iter172 in self.part_quarantines:
-                iter172.write(oprot)
+            for iter178 in self.part_quarantines:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter173 in self.limits:
-                iter173.write(oprot)
+            for iter179 in self.limits:
+                iter179.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollouts is not None:
             oprot.writeFieldBegin('rollouts', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
-            for iter174 in self.rollouts:
-                iter174.write(oprot)
+            for iter180 in self.rollouts:
+                iter180.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.silences is not None:
+            oprot.writeFieldBegin('silences', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.silences))
+            for iter181 in self.silences:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4805,21 +4954,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = StreamOrigin()
-                        _elem180.read(iprot)
-                        self.begun.append(_elem180)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = StreamOrigin()
+                        _elem187.read(iprot)
+                        self.begun.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.wanted.append(_elem186)
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted.append(_elem193)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4840,15 +4989,15 @@
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter187 in self.begun:
-                iter187.write(oprot)
+            for iter194 in self.begun:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.wanted))
-            for iter188 in self.wanted:
-                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
+            for iter195 in self.wanted:
+                oprot.writeString(iter195.encode('utf-8') if sys.version_info[0] == 2 else iter195)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5506,6 +5655,16 @@
     (2, TType.I32, 'runs', None, None, ),  # 2
     (3, TType.LIST, 'tokens', (TType.I64, None, False), None, ),  # 3
     (4, TType.LIST, 'waiting_tokens', (TType.I64, None, False), None, ),  # 4
+    (5, TType.I32, 'pace_percent', None, None, ),  # 5
+    (6, TType.I32, 'pace_age_ms', None, None, ),  # 6
+)
+all_structs.append(TargetSilence)
+TargetSilence.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_at_ms', None, None, ),  # 2
+    (3, TType.I32, 'silent_ms', None, None, ),  # 3
+    (4, TType.I32, 'heard_ms', None, None, ),  # 4
 )
 all_structs.append(TargetLoss)
 TargetLoss.thrift_spec = (
@@ -5598,6 +5757,7 @@
     (12, TType.LIST, 'part_quarantines', (TType.STRUCT, [PartQuarantine, None], False), None, ),  # 12
     (13, TType.LIST, 'limits', (TType.STRUCT, [LimitNotice, None], False), None, ),  # 13
     (14, TType.LIST, 'rollouts', (TType.STRUCT, [RolloutReport, None], False), None, ),  # 14
+    (15, TType.LIST, 'silences', (TType.STRUCT, [TargetSilence, None], False), None, ),  # 15
 )
 all_structs.append(StreamOrigin)
 StreamOrigin.thrift_spec = (
