Let a malformed rollout order change nothing but its status

An order without a usable duration that named the version in service took that version out of service. It gets its status now, no verdict and no filter, and a running rollout goes on. The time before the first record counts as the order's. The new version is a way out only on a fresh copy and within the limit of its share; at full share only on a fresh copy. A rollout that is over counts no requests. A version whose order is withdrawn before it is proven stays left out while its targets and others are there. Counts go to no peer without a running rollout. A process that starts after a withdrawal does not know of it.

--- a/tests/gateway/test_software_rollout.py
+++ b/tests/gateway/test_software_rollout.py
@@ -17,6 +17,7 @@
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.rollout_evidence import OLD
 from wigeonmill.gateway.rollout_evidence import Tally
+from wigeonmill.gateway.rollout_stages import Stage
 from wigeonmill.gateway.service_rollout import RolloutOrder
 from wigeonmill.gateway.software_rollout import SoftwareRolloutLeader
 from wigeonmill.gateway.stream_origins import StreamOrigin
@@ -261,3 +262,75 @@
     world.rollouts.update(Record(RECORD_KEY, 9, b'{'))
     world.lead()
     assert world.status() == 'canary v2'
+
+
+@pytest.mark.parametrize('running', (False, True))
+def test_a_malformed_order_leaves_the_requests_as_they_are(running):
+    world = World(versions=('v1', 'v2') if running else ('v1', 'v1'))
+    if running:
+        world.rollouts.start(ORDER)
+        world.lead()
+    before = world.rollouts.get(LEDGER)
+    world.rollouts.start(RolloutOrder(LEDGER, 'v1', 0.0, 9))
+    world.lead()
+    assert world.status() == 'rolled_back v1'
+    assert world.rollouts.get(LEDGER) is before
+    assert world.send()
+    if running:
+        assert not before.bad
+        assert not before.left_out
+
+
+def test_the_time_before_the_first_record_counts():
+    world = World()
+    world.rollouts.start(ORDER)
+    world.clock.advance(4_000.0)
+    world.lead(5.8)
+    assert world.status() == 'done v2'
+
+
+def test_the_new_version_is_a_way_out_only_within_its_limit():
+    world = World(versions=('v2',))
+    world.rollouts.start(ORDER)
+    rollout = world.rollouts.get(LEDGER)
+    rollout.apply_stage(Stage.EIGHTH)
+    sent = 0
+    for _ in range(200):
+        chosen = world.rollouts.filter(LEDGER, 'r', False, None)
+        if not chosen.only and chosen.fallback is not None:
+            sent += 1
+            rollout.limit.record('r', True)
+    assert sent <= 50
+    rollout.apply_stage(Stage.FULL)
+    world.clock.advance(3_500.0)
+    chosen = world.rollouts.filter(LEDGER, 'r', False, None)
+    assert not chosen.only
+    assert chosen.fallback is None
+
+
+def test_a_rollout_that_is_over_counts_no_requests():
+    world = World()
+    world.rollouts.start(ORDER)
+    world.lead(9.8)
+    target = world.ctx.directory.get('t3')
+    assert world.rollouts.begin('r', target, None) is None
+
+
+def test_an_unproven_version_gets_nothing_after_a_withdrawal():
+    world = World(versions=('v1', 'v2'))
+    world.rollouts.start(ORDER)
+    world.lead()
+    world.rollouts.withdraw(LEDGER)
+    world.lead()
+    chosen = world.rollouts.filter(LEDGER, 'r', False, None)
+    allowed = [chosen.allows(t) for t in world.ctx.directory.all()]
+    assert allowed == [True, False]
+    assert chosen.fallback is None
+
+
+def test_a_withdrawn_version_is_forgotten_with_its_targets():
+    world = World(versions=('v1', 'v1'))
+    world.rollouts.start(ORDER)
+    world.rollouts.withdraw(LEDGER)
+    world.lead()
+    assert world.rollouts.get(LEDGER) is None
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -196,6 +196,10 @@
             SoftwareRolloutOrdered('s', 'v2', 0.0, 8),
         ),
         ({'to': 'v2'}, SoftwareRolloutOrdered('s', 'v2', 0.0, 8)),
+        (
+            ROLLOUT | {'durationS': 1e308},
+            SoftwareRolloutOrdered('s', 'v2', 0.0, 8),
+        ),
         (
             ROLLOUT | {'service': 'other'},
             SoftwareRolloutOrdered('s', 'v2', 0.0, 8),
--- a/wigeonmill/gateway/rollout_exchange.py
+++ b/wigeonmill/gateway/rollout_exchange.py
@@ -81,11 +81,11 @@
         if now_ms - self._reported_ms < REPORT_INTERVAL_MS:
             return
         self._reported_ms = now_ms
+        if all(rollout.is_over for rollout in self._rollouts.all()):
+            return
         peers = list(self._links.addresses())
         address = self._leader_address()
-        if address is None or len(peers) < MIN_REPORTED_PEERS:
-            return
-        if any(not rollout.is_over for rollout in self._rollouts.all()):
+        if address is not None and len(peers) >= MIN_REPORTED_PEERS:
             self._send([address])
 
     def _on_verdict(self, service: str) -> None:
--- a/wigeonmill/gateway/service_rollout.py
+++ b/wigeonmill/gateway/service_rollout.py
@@ -98,7 +98,9 @@
         '_credit',
         '_tried',
         '_reporter',
+        'withdrawn',
         '_heard_ms',
+        '_word_age_ms',
         '_known',
     )
 
@@ -112,6 +114,7 @@
         joined_late: bool,
         now_ms: float,
         left_out: Iterable[str] = (),
+        word_age_ms: float = 0.0,
     ) -> None:
         """Create the state of an order that has just been heard of.
 
@@ -119,6 +122,7 @@
         rollout may have run before this process did; it then has no part of
         the extra requests, which an earlier one may have used.
         `left_out` are versions that earlier orders leave without requests.
+        `word_age_ms` is how old the copy was to which the order came.
         """
         self.order = order
         # None until the leader has published one.
@@ -136,16 +140,25 @@
         self.fleet = FleetEvidence()
         self._limits = limits
         self._reporter = reporter
+        self.withdrawn = False
         self._heard_ms = now_ms
+        # A process that had no copy before can't know when it was given.
+        self._word_age_ms = 0.0 if joined_late else word_age_ms
         self._known: Mapping[str, int] = {}
         self._credit = rounding
         self._tried: frozenset[str] | None = frozenset()
 
     @property
     def is_over(self) -> bool:
-        """Whether the leader has published how the rollout ended."""
+        """Whether the rollout has ended or its order was removed."""
+        if self.withdrawn:
+            return True
         return self.stage is not None and self.stage.is_final
 
+    def order_age_ms(self, now_ms: float) -> float:
+        """Return the most time that may have passed since the order."""
+        return now_ms - self._heard_ms + self._word_age_ms
+
     def is_new(self, target: Target) -> bool:
         """Whether a target has the version of the order."""
         return target.software_version == self.order.version
@@ -208,11 +221,10 @@
         if self.stage is Stage.DONE:
             left = self.from_versions | self.left_out
             return VersionFilter(left, only=False)
-        if self.bad:
+        if self.bad or self.withdrawn:
             return old
         fresh = word_age_ms < FRESH_PART * self._limits.rollback_ms
         share = self._share() if fresh else None
-        proven = self.stage is not None and self.stage.share is not None
         may_send = fresh and self.limit.allows()
         if origin is not None and origin.software_version in version:
             # A stream goes on where it began, or not at all.
@@ -227,11 +239,11 @@
             if self._credit >= 1.0:
                 self._credit -= 1.0
                 return _first(new, old)
-            return _first(old, any_new)
+            return _first(old, any_new) if may_send else old
         wants = fresh and not is_retry and self._wants_sample(route, now_ms)
         if wants and self._tried:
             return _first(new, old)
-        return _first(old, any_new) if may_send or proven else old
+        return _first(old, any_new) if may_send else old
 
     def _wants_sample(self, route: str, now_ms: float) -> bool:
         canary_ms = CANARY_TIME * max(1.0, self.order.duration_ms)
--- a/wigeonmill/gateway/software_rollout.py
+++ b/wigeonmill/gateway/software_rollout.py
@@ -158,6 +158,7 @@
         '_limits',
         '_rollouts',
         '_records',
+        '_malformed',
         '_early_verdicts',
     )
 
@@ -183,6 +184,8 @@
         self._limits = limits
         self._rollouts: dict[str, ServiceRollout] = {}
         self._records: dict[str, SoftwareRolloutRecord] = {}
+        # By service. They get a status and change nothing else.
+        self._malformed: dict[str, RolloutOrder] = {}
         self._early_verdicts: dict[tuple[str, int], None] = {}
 
     def all(self) -> list[ServiceRollout]:
@@ -193,6 +196,14 @@
         """Return the last rollout that was ordered for a service."""
         return self._rollouts.get(service)
 
+    def malformed(self) -> list[RolloutOrder]:
+        """Return the last orders of services that can't be followed."""
+        return list(self._malformed.values())
+
+    def is_malformed_later(self, order: RolloutOrder) -> bool:
+        """Whether a malformed order came after `order`."""
+        return order.service in self._malformed
+
     def record_of(self, order: RolloutOrder) -> SoftwareRolloutRecord | None:
         """Return what the leader has published of an order."""
         record = self._records.get(order.service)
@@ -207,10 +218,15 @@
 
     def start(self, order: RolloutOrder) -> None:
         """Begin with an order, unless it or a later one is known."""
-        known = self._rollouts.get(order.service)
+        service = order.service
+        known = self._rollouts.get(service)
         if known is not None and known.order.revision >= order.revision:
             return
-        service = order.service
+        if order.duration_ms <= 0:
+            self._malformed[service] = order
+            self.reject(service)
+            return
+        self._malformed.pop(service, None)
         age_ms = self._freshness.age_ms
         rollout = ServiceRollout(
             order,
@@ -220,6 +236,7 @@
             lambda count: self._is_selected(f'rollout {service}', count),
             joined_late=age_ms > SLACK_COPY_AGE_MS,
             now_ms=self._clock.now_ms(),
+            word_age_ms=age_ms,
             left_out=known.left_out_after() if known is not None else (),
         )
         self._rollouts[service] = rollout
@@ -240,11 +257,15 @@
         self._observe(rollout)
 
     def withdraw(self, service: str) -> None:
-        """Forget an order that was removed, unless it has been decided."""
+        """End an order that was removed, unless it has been decided.
+
+        Its version gets nothing while it has targets beside those of others.
+        """
+        self._malformed.pop(service, None)
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.bad or rollout.stage is Stage.DONE:
             return
-        del self._rollouts[service]
+        rollout.withdrawn = True
         self._metrics.count('software_rollouts', 'withdrawn')
         logger.info('software rollout withdrawn', extra={'service': service})
 
@@ -293,7 +314,7 @@
     ) -> Trial | None:
         """Count a request that is being sent to a target."""
         rollout = self._rollouts.get(target.service)
-        if rollout is None:
+        if rollout is None or rollout.is_over:
             return None
         cold_cache_ms = 0.0
         if rollout.is_new(target):
@@ -306,10 +327,18 @@
 
     def observe(self) -> None:
         """Judge the versions of all rollouts that are not over."""
-        for rollout in self._rollouts.values():
-            if not rollout.is_over:
+        for rollout in self.all():
+            if rollout.withdrawn:
+                self._forget_if_gone(rollout)
+            elif not rollout.is_over:
                 self._observe(rollout)
 
+    def _forget_if_gone(self, rollout: ServiceRollout) -> None:
+        targets = self._directory.of_service(rollout.order.service)
+        new = sum(rollout.is_new(target) for target in targets)
+        if not new or new == len(targets):
+            del self._rollouts[rollout.order.service]
+
     def _observe(self, rollout: ServiceRollout) -> None:
         targets = self._directory.of_service(rollout.order.service)
         rollout.observe(self._clock.now_ms(), targets)
@@ -320,7 +349,7 @@
         """Return what other entries are told of the rollouts."""
         reports = []
         for rollout in self._rollouts.values():
-            if rollout.stage is Stage.DONE:
+            if rollout.stage is Stage.DONE or rollout.withdrawn:
                 continue
             counts = {} if rollout.bad else rollout.evidence.counts
             times = rollout.evidence.times()
@@ -482,9 +511,16 @@
         """Advance each rollout, if this entry is the leader."""
         for rollout in self._rollouts.all():
             if self._leadership.is_leader and not (
-                self._rollouts.is_replaced(rollout.order)
+                rollout.withdrawn or self._rollouts.is_replaced(rollout.order)
             ):
                 await self._step(rollout)
+        for order in self._rollouts.malformed():
+            if self._leadership.is_leader:
+                await self._write_status(order, Stage.ROLLED_BACK)
+
+    async def _write_status(self, order: RolloutOrder, stage: Stage) -> None:
+        status = self._statuses.encode(order.service, stage, order.version)
+        await self._write(*status)
 
     async def _step(self, rollout: ServiceRollout) -> None:
         order = rollout.order
@@ -493,7 +529,7 @@
             rollout,
             record,
             self._clock.wall_ms(),
-            min(self._freshness.age_ms, order.duration_ms),
+            self._order_age_ms(rollout),
             self._directory.of_service(order.service),
             self._has_service(order.service),
         )
@@ -505,9 +541,16 @@
             self._metrics.count('software_rollout_stages', planned.stage)
             record = planned
         if record is not None and rollout.stage is not None:
-            stage = Stage(record.stage)
-            status = self._statuses.encode(order.service, stage, order.version)
-            await self._write(*status)
+            if not self._rollouts.is_malformed_later(order):
+                await self._write_status(order, Stage(record.stage))
+
+    def _order_age_ms(self, rollout: ServiceRollout) -> float:
+        """Return how long ago the order may have been given."""
+        age_ms = max(
+            rollout.order_age_ms(self._clock.now_ms()),
+            self._freshness.age_ms,
+        )
+        return min(age_ms, rollout.order.duration_ms)
 
     async def _write(self, key: str, value: bytes) -> bool:
         """Write a record unless it is there; return whether it is."""
@@ -586,8 +629,6 @@
     stage, why = Stage.CANARY, 'ordered'
     if rollout.bad:
         stage, why = Stage.ROLLED_BACK, 'the version is bad'
-    elif order.duration_ms <= 0:
-        stage, why = Stage.ROLLED_BACK, 'the order is malformed'
     elif not known_service:
         stage, why = Stage.ROLLED_BACK, 'the service is unknown'
     elif versions == [order.version]:
