Compare versions with what the old ones were at the same time

At full share the window of 2 s has hardly any old answers: usual failures counted as excess, and totals compared a busy time with a calm one. The excess takes the old rate since the order with its margin, leaves out routes without old answers, and its limit grows with the deviation. Slow answers are compared within times in which both versions had some.

--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -88,3 +88,30 @@
     assert own.counts['r', 't1'] == Tally(1, 0, 1)
     own.record('r', 't1', False, 400.0, 400.0, cold_cache_ms=300.0)
     assert own.counts['r', 't1'] == Tally(2, 0, 1)
+
+
+def test_usual_failures_without_old_answers_in_the_window_convict_nobody():
+    usual = {('r', OLD): Tally(1_000, 140), ('none', 't1'): Tally(50, 50)}
+    counts = {('r', name): Tally(80, 11) for name in ('t1', 't2', 't3')}
+    found = judge(counts, DOMAINS, 0, usual)
+    assert found.judgement is Judgement.GOOD
+
+
+def test_more_than_usual_failures_without_old_answers_convict():
+    usual = {('r', OLD): Tally(1_000, 10)}
+    counts = {('r', name): Tally(80, 40) for name in ('t1', 't2', 't3')}
+    found = judge(counts, DOMAINS, 0, usual)
+    assert found.judgement is Judgement.BAD
+
+
+def test_slow_answers_are_not_compared_with_those_of_a_calmer_time():
+    fleet = FleetEvidence()
+    targets = [f'n{n}' for n in range(6)]
+    domains = {name: f'd{n % 3}' for n, name in enumerate(targets)}
+    counts = {('r', OLD): Tally(2_000, 0, 20)}
+    counts |= {('r', name): Tally(20) for name in targets}
+    fleet.replace('e1', counts, {})
+    assert fleet.judge(0.0, domains, 20).judgement is Judgement.GOOD
+    counts = counts | {('r', name): Tally(170, 0, 12) for name in targets}
+    fleet.replace('e1', counts, {})
+    assert fleet.judge(1_000.0, domains, 20).judgement is Judgement.GOOD
--- a/wigeonmill/gateway/rollout_evidence.py
+++ b/wigeonmill/gateway/rollout_evidence.py
@@ -24,6 +24,10 @@
 # Bad answers beyond those that the old versions' share explains, from which a
 # version is given up before the difference is certain.
 MAX_EXCESS = 30.0
+# The same in standard deviations of their usual number, if that is more.
+EXCESS_DEVIATIONS = 4.5
+# Old answers beside each new one, by which times of the same load compare.
+PAIRED_PART = 0.25
 # With a smaller excess on the other machines, one machine alone is bad; with
 # fewer answers of them, that is not known.
 MIN_OTHER_EXCESS = 5.0
@@ -241,7 +245,13 @@
 class FleetEvidence:
     """The counts of all entries; those of a lost entry stay."""
 
-    __slots__ = ('_by_entry', '_merged', '_times', '_snapshots')
+    __slots__ = (
+        '_by_entry',
+        '_merged',
+        '_times',
+        '_snapshots',
+        '_pairs',
+    )
 
     def __init__(self) -> None:
         self._by_entry: dict[str, Counts] = {}
@@ -250,6 +260,7 @@
         self._snapshots: collections.deque[tuple[float, Counts]] = (
             collections.deque()
         )
+        self._pairs = PairedTimes()
 
     def replace(
         self, entry: str, counts: Counts, times: Mapping[str, UsualTimes]
@@ -301,11 +312,14 @@
     ) -> Finding:
         """Judge all answers since the order, and the last ones alone."""
         merged = self._merged
-        finding = judge(merged, domains, min_answers)
+        self._pairs.update(merged)
+        finding = judge(merged, domains, min_answers, times=self._pairs)
         recent = self._since(now_ms, merged)
         if recent is None or finding.judgement is Judgement.BAD:
             return finding
-        late = judge(recent, domains, 0)
+        times = PairedTimes()
+        times.update(recent)
+        late = judge(recent, domains, 0, merged, times)
         if late.judgement in (Judgement.BAD, Judgement.SUSPICIOUS):
             return late
         return finding
@@ -327,14 +341,63 @@
         }
 
 
+class PairedTimes:
+    """The answers of both versions from times in which both had some.
+
+    When all are slower for a while, a version that has all requests then is
+    not compared with what the others were before.
+    """
+
+    __slots__ = ('counts', 'expected', '_paired')
+
+    def __init__(self) -> None:
+        self.counts: Counts = {}
+        # Slow answers of the new version, at the old one's rates at the time.
+        self.expected: dict[str, float] = {}
+        self._paired: Counts = {}
+
+    def update(self, counts: Counts) -> None:
+        """Take in totals; answers without old ones beside them wait."""
+        by_route: dict[str, dict[str, Tally]] = {}
+        for (route, target), tally in counts.items():
+            since = tally.minus(self._paired.get((route, target), _NOTHING))
+            if since.answers:
+                by_route.setdefault(route, {})[target] = since
+        for route, added in by_route.items():
+            old = added.get(OLD, _NOTHING)
+            new = sum(t.answers for t in added.values()) - old.answers
+            if not old.answers or old.answers < PAIRED_PART * new:
+                continue
+            self.expected[route] = (
+                self.expected.get(route, 0.0) + new * old.slow / old.answers
+            )
+            for target, tally in added.items():
+                key = route, target
+                self.counts.setdefault(key, Tally()).add(tally)
+                self._paired[key] = counts[key].minus(_NOTHING)
+
+
 def judge(
-    counts: Counts, domains: Mapping[str, str], min_answers: int
+    counts: Counts,
+    domains: Mapping[str, str],
+    min_answers: int,
+    usual: Counts | None = None,
+    times: PairedTimes | None = None,
 ) -> Finding:
     """Compare the new version with the old ones, route by route.
 
+    The old versions' rate of failures beyond which there is an excess is that
+    of `usual`, if it is set. What is slow is compared within `times`.
+
     `domains` has the failure domain of each target. Good is a version with
     `min_answers` on each route, or a tenth of the old ones' if that is less.
     """
+    if usual is None:
+        usual = counts
+    if times is None:
+        times = PairedTimes()
+        times.update(counts)
+    variance = 0.0
     routes = sorted({route for route, _target in counts})
     worst = Finding(Judgement.GOOD)
     excess: dict[str, float] = {}
@@ -347,19 +410,26 @@
             if name == route and target != OLD and tally.answers
         }
         for kind in ('failed', 'slow'):
-            finding = _compare(route, kind, old, new, domains)
+            if kind == 'failed':
+                finding = _compare(route, kind, old, new, domains)
+            else:
+                finding = _compare_slow(route, times, domains)
             if finding.judgement is Judgement.BAD:
                 return finding
             if finding.judgement is Judgement.SUSPICIOUS:
                 worst = finding
-        rates = _usual_rate(old.failed, old.answers) + _usual_rate(
-            old.slow, old.answers
-        )
+        before = usual.get((route, OLD), _NOTHING)
+        beside = times.counts.get((route, OLD), _NOTHING)
+        failing = _highest_rate(before.failed, before.answers)
+        slow = _highest_rate(beside.slow, beside.answers)
         for target, tally in new.items():
-            bad = tally.failed + tally.slow
-            excess[target] = (
-                excess.get(target, 0.0) + bad - rates * tally.answers
-            )
+            if not before.answers:
+                break
+            paired = times.counts.get((route, target), _NOTHING)
+            expected = failing * tally.answers + slow * paired.answers
+            variance += expected
+            bad = tally.failed + paired.slow
+            excess[target] = excess.get(target, 0.0) + bad - expected
             answers[target] = answers.get(target, 0) + tally.answers
         seen = sum(tally.answers for tally in new.values())
         if seen < min(min_answers, old.answers // MIN_PART):
@@ -371,18 +441,34 @@
                     old_answers=old.answers,
                 )
     for kind in ('failed', 'slow'):
-        finding = _compare_all(counts, kind, domains)
+        compared = counts if kind == 'failed' else times.counts
+        finding = _compare_all(compared, kind, domains)
         if finding.judgement is Judgement.BAD:
             return finding
         if finding.judgement is Judgement.SUSPICIOUS:
             worst = finding
     total = sum(excess.values())
-    if total >= MAX_EXCESS and not _one_place_alone(excess, answers, domains):
+    limit = max(MAX_EXCESS, EXCESS_DEVIATIONS * math.sqrt(variance))
+    if total >= limit and not _one_place_alone(excess, answers, domains):
         bad = sum(t.failed + t.slow for k, t in counts.items() if k[1] != OLD)
         return Finding(Judgement.BAD, '', 'excess', bad, sum(answers.values()))
     return worst
 
 
+def _compare_slow(
+    route: str, times: PairedTimes, domains: Mapping[str, str]
+) -> Finding:
+    new = {
+        target: tally
+        for (name, target), tally in times.counts.items()
+        if name == route and target != OLD and tally.answers
+    }
+    answers = sum(tally.answers for tally in new.values())
+    rate = times.expected.get(route, 0.0) / answers if answers else 0.0
+    old = times.counts.get((route, OLD), _NOTHING)
+    return _compare(route, 'slow', old, new, domains, min(1.0, rate))
+
+
 def _compare_all(
     counts: Counts, kind: str, domains: Mapping[str, str]
 ) -> Finding:
@@ -498,10 +584,6 @@
     )
 
 
-def _usual_rate(bad: int, answers: int) -> float:
-    return bad / answers if answers else 0.0
-
-
 def _highest_rate(bad: int, answers: int) -> float:
     """Return the highest rate that the old versions plausibly have."""
     return min(1.0, (bad + 1.0 + math.sqrt(bad + 1.0)) / (answers + 3.0))
