--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -17,6 +17,7 @@
 from tests.platform.soak.limits import find_exceeded
 from tests.platform.soak.lost import find_endless
 from tests.platform.soak.lost import find_lost
+from tests.platform.soak.rollouts import find_exposed
 
 # Statuses that guarantee that a request was not run and never will be.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -74,6 +75,10 @@
         Breach('targets of a request', attempt.id, detail)
         for attempt, detail in find_excess(attempts, journal)
     ]
+    found += [
+        Breach('exposed', version, detail)
+        for version, detail in find_exposed(attempts, journal)
+    ]
     found += _check_crashing_part(attempts, journal)
     found += [
         Breach('process ended by itself', '', detail)
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -24,6 +24,7 @@
 from tests.platform.soak.faults import SilenceFaults
 from tests.platform.soak.limits import LimitFaults
 from tests.platform.soak.rests import RestFaults
+from tests.platform.soak.rollouts import RolloutFaults
 from tests.platform.soak.series import SeriesFaults
 from tests.platform.soak.shares import Bursts
 from tests.platform.soak.shares import find_underserved
@@ -49,6 +50,8 @@
     seconds: float
     attempts: int = 0
     orders: int = 0
+    # Each rollout: its fault, how it ended and after how many seconds.
+    rollouts: list[str] = field(default_factory=list)
     ends: dict[str, int] = field(default_factory=dict)
     # Crashes of targets under the crashing part.
     part_crashes: int = 0
@@ -118,6 +121,9 @@
             HerdFaults(random.Random(seed + 9), environment, record_fault).run(
                 until if herd else loop.time()
             ),
+            RolloutFaults(
+                random.Random(seed + 10), environment, record_fault
+            ).run(until),
             LimitFaults(
                 random.Random(seed + 8), environment, record_fault
             ).run(until),
@@ -161,6 +167,10 @@
         if used > MAX_MEMORY_MB
     ]
     report.part_crashes = len(environment.journal.part_crashes)
+    report.rollouts = [
+        f'{r.kind} {r.state} {r.took_s:.1f}'
+        for r in environment.journal.rollouts
+    ]
     report.orders = len(environment.journal.orders)
     report.stalls = [
         round(end - start, 2) for start, end in environment.journal.stalls
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -92,7 +92,7 @@
         'is_second',
         'was_silent',
         '_was_late',
-        '_first_event_ms',
+        'first_event_ms',
         '_quiet_since_ms',
     )
 
@@ -128,7 +128,8 @@
         # What the target was when the attempt was closed.
         self.was_silent = False
         self._was_late = False
-        self._first_event_ms: float | None = None
+        # When the first event of a stream came, if any did.
+        self.first_event_ms: float | None = None
         self._quiet_since_ms = ctx.clock.now_ms()
 
     async def run(self) -> Failure | None:
@@ -313,9 +314,9 @@
         A part that crashes targets does so when they begin to write.
         """
         now_ms = self._ctx.clock.now_ms()
-        if self._first_event_ms is None:
-            self._first_event_ms = now_ms
-        if now_ms >= self._first_event_ms + SERVED_MS:
+        if self.first_event_ms is None:
+            self.first_event_ms = now_ms
+        if now_ms >= self.first_event_ms + SERVED_MS:
             self._record_served()
 
     def _record_served(self) -> None:
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -18,6 +18,8 @@
 from wigeonmill.gateway.origin_records import OpenStreams
 from wigeonmill.gateway.part_guard import PartGuard
 from wigeonmill.gateway.service_profile import ServiceProfiles
+from wigeonmill.gateway.service_rollout import RolloutLimits
+from wigeonmill.gateway.software_rollout import SoftwareRollouts
 from wigeonmill.gateway.stream_origins import LocalStreamOrigins
 from wigeonmill.gateway.stream_origins import StreamOrigins
 from wigeonmill.gateway.suspicions import Suspicions
@@ -201,6 +203,7 @@
         'answer_limits',
         'origins',
         'open_streams',
+        'rollouts',
         'entry_count',
         'entry_position',
         'extra',
@@ -223,6 +226,7 @@
         answer_limits: AnswerLimits = AnswerLimits(),
         is_selected: Callable[[str, int], bool] = lambda _key, _count: True,
         extra_work: ExtraWorkLimits = ExtraWorkLimits(),
+        rollout_limits: RolloutLimits = RolloutLimits(),
     ) -> None:
         """Create the state of a process that has run for `uptime_ms`.
 
@@ -271,6 +275,15 @@
         self.answer_limits = answer_limits
         self.origins: StreamOrigins = LocalStreamOrigins()
         self.open_streams = OpenStreams(clock)
+        self.rollouts = SoftwareRollouts(
+            clock,
+            metrics,
+            self.directory,
+            self.freshness,
+            entry_count,
+            is_selected,
+            rollout_limits,
+        )
         # Returns the number of entries that may be alive.
         self.entry_count = entry_count
         # Returns the position of this entry among them, from 0 to 1.
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -295,6 +295,7 @@
             copy_age_ms=self._ctx.freshness.age_ms,
             limits=self._limits.to_send() or None,
             failure_domain=self._domain or None,
+            rollouts=self._ctx.rollouts.reports() or None,
             silences=self._silences.to_send() or None,
             leaving=self._leaving.to_send() or None,
             served_work=shares_to_wire(self._ctx.team_shares) or None,
@@ -347,6 +348,7 @@
         for loss in update.losses or ():
             self._ctx.crash_guard.record_remote(loss.fingerprint, loss.loss)
         self._limits.apply(update.limits or ())
+        self._ctx.rollouts.apply_reports(update.rollouts or ())
         self._silences.apply(update.sender, update.silences or ())
         self._leaving.apply(update.leaving or ())
         guard = self._ctx.part_guard
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -24,6 +24,7 @@
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
 from wigeonmill.gateway.domain_costs import DomainCosts
 from wigeonmill.gateway.request import Generation
+from wigeonmill.gateway.service_rollout import VersionFilter
 from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.suspicions import MIN_HEARD_SHARE
 from wigeonmill.gateway.suspicions import Suspicions
@@ -86,7 +87,8 @@
     `repeatable` may be run twice. A target has room for the request if
     `spare_tokens` of its memory remain free besides it, as far as the memory
     is so large. If `needs_room` is set, all targets are compared before one
-    without room is picked.
+    without room is picked. `versions` limits the targets during a
+    rollout of a software version.
     """
 
     service: str
@@ -108,6 +110,7 @@
     old_weights_remaining_ms: Callable[[int], float] = lambda _loaded: inf
     entry_position: float = 0.0
     origin: StreamOrigin | None = None
+    versions: VersionFilter | None = None
     repeatable: bool = True
     spare_tokens: int = 0
     needs_room: bool = False
@@ -275,6 +278,7 @@
             target
             for target in self._directory.of_service(demand.service)
             if not self._is_domain_closed(target.failure_domain)
+            and (demand.versions is None or demand.versions.allows(target))
             and (
                 not demand.regions
                 or self._region_of.get(target.failure_domain) in demand.regions
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -37,6 +37,7 @@
 from wigeonmill.gateway.run_terms import LATE_PRIORITY
 from wigeonmill.gateway.run_terms import RunTerms
 from wigeonmill.gateway.slow_answers import Trial
+from wigeonmill.gateway.software_rollout import Trial as VersionTrial
 from wigeonmill.gateway.stream_origins import origin_of
 from wigeonmill.gateway.target_client import TargetClient
 from wigeonmill.gateway.targets import Target
@@ -99,6 +100,8 @@
         self._left_silent = False
         self._trial: Trial | None = None
         self._second_denials: set[str] = set()
+        # The attempts that count in a rollout of a software version.
+        self._version_trials: dict[Attempt, VersionTrial] = {}
         self._may_have_run = False
         self._tried_ids: list[str] = []
         # The quarantine in spite of which the request was admitted.
@@ -160,6 +163,8 @@
             self._ctx.open_streams.end(self._terms.stream_id, complete)
             if self._probe is not None and not self._tried_ids:
                 guard.give_back(self._probe)
+            for trial in self._version_trials.values():
+                trial.close()
 
     async def _run_attempts(self) -> bool:
         """Attempt the request; return whether the caller has its answer."""
@@ -232,6 +237,10 @@
 
     def _pick_for(self, demand: Demand) -> Result[Pick, Refusal]:
         picked = self._picker.pick(demand)
+        versions = demand.versions
+        if isinstance(picked, Err) and versions and versions.fallback:
+            demand = replace(demand, versions=versions.fallback)
+            picked = self._picker.pick(demand)
         if isinstance(picked, Err):
             return picked
         refusal = self._deadline_refusal(picked.ok_value)
@@ -329,6 +338,7 @@
             target.load.close(in_flight)
             raise
         self._arrivals += 1
+        trial = self._ctx.rollouts.begin(self._route.name, target, generation)
         attempt = Attempt(
             self._ctx,
             self._terms,
@@ -342,6 +352,8 @@
         attempt.watch = self._ctx.extra.watch(self._route, pick)
         if self._attempts == 1:
             self._ctx.extra.record_work(self._route, pick, generation)
+        if trial is not None:
+            self._version_trials[attempt] = trial
         self._log.record_attempt(attempt, pick, priority)
         return attempt
 
@@ -423,6 +435,7 @@
             return
         second, self._second = self._second, None
         self._track_failure(overtaken.target, stalled())
+        self._end_version_trial(overtaken, stalled())
         self._returnable_ids.add(overtaken.target.id)
         self._record_origin(attempt.target)
         self._end_trial(won=overtaken is not second)
@@ -446,6 +459,7 @@
             is_second = attempt is second
             lost = False if is_second else None
             self._end_trial(is_second if failure is None else lost)
+        self._end_version_trial(attempt, failure)
         if failure is not None:
             self._track_failure(attempt.target, failure)
             if second is not None and not failure.may_have_run:
@@ -461,6 +475,13 @@
             outcome = 'failed' if attempt is second else 'first_failed'
             self._record_second(outcome, attempt, second, failure)
 
+    def _end_version_trial(
+        self, attempt: Attempt, failure: Failure | None
+    ) -> None:
+        trial = self._version_trials.get(attempt)
+        if trial is not None:
+            trial.end(failure, attempt.first_event_ms)
+
     def _record_second(
         self,
         outcome: str,
--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -431,6 +431,11 @@
         """The mean time of a whole answer without waits."""
         return self._mean_answer_ms
 
+    def prefill_ms(self, tokens: int) -> float:
+        """Return the expected time to a first token without any wait."""
+        fixed_ms, slope = self._estimates.line()
+        return fixed_ms + slope * tokens
+
     def whole_answer_ms(self, slots: int) -> float:
         """Return the expected time to a whole answer of a new request."""
         rounds = _slot_rounds(self.occupied(), slots)
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -44,6 +44,7 @@
     ENTRY_NEWS_REPLY = 61
     STREAM_ORIGINS = 62
     STREAM_ORIGINS_REPLY = 63
+    SOFTWARE_ROLLOUT = 64
 
     _VALUES_TO_NAMES = {
         1: "CHALLENGE",
@@ -73,6 +74,7 @@
         61: "ENTRY_NEWS_REPLY",
         62: "STREAM_ORIGINS",
         63: "STREAM_ORIGINS_REPLY",
+        64: "SOFTWARE_ROLLOUT",
     }
 
     _NAMES_TO_VALUES = {
@@ -103,6 +105,7 @@
         "ENTRY_NEWS_REPLY": 61,
         "STREAM_ORIGINS": 62,
         "STREAM_ORIGINS_REPLY": 63,
+        "SOFTWARE_ROLLOUT": 64,
     }
 
 
@@ -4354,6 +4357,283 @@
         return not (self == other)
 
 
+class VersionCount(object):
+    """
+    Attributes:
+     - route
+     - target
+     - answers
+     - failed
+     - slow
+     - times
+     - first_ms
+     - whole_ms
+
+    """
+
+    __slots__ = (
+        'route',
+        'target',
+        'answers',
+        'failed',
+        'slow',
+        'times',
+        'first_ms',
+        'whole_ms',
+    )
+
+
+    def __init__(self, route=None, target=None, answers=None, failed=None, slow=None, times=None, first_ms=None, whole_ms=None,):
+        self.route = route
+        self.target = target
+        self.answers = answers
+        self.failed = failed
+        self.slow = slow
+        self.times = times
+        self.first_ms = first_ms
+        self.whole_ms = whole_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.answers = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.failed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.slow = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.times = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.first_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.whole_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VersionCount')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.I64, 3)
+            oprot.writeI64(self.answers)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.I64, 4)
+            oprot.writeI64(self.failed)
+            oprot.writeFieldEnd()
+        if self.slow is not None:
+            oprot.writeFieldBegin('slow', TType.I64, 5)
+            oprot.writeI64(self.slow)
+            oprot.writeFieldEnd()
+        if self.times is not None:
+            oprot.writeFieldBegin('times', TType.I64, 6)
+            oprot.writeI64(self.times)
+            oprot.writeFieldEnd()
+        if self.first_ms is not None:
+            oprot.writeFieldBegin('first_ms', TType.DOUBLE, 7)
+            oprot.writeDouble(self.first_ms)
+            oprot.writeFieldEnd()
+        if self.whole_ms is not None:
+            oprot.writeFieldBegin('whole_ms', TType.DOUBLE, 8)
+            oprot.writeDouble(self.whole_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutReport(object):
+    """
+    Attributes:
+     - service_name
+     - order
+     - reporter
+     - bad
+     - counts
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'order',
+        'reporter',
+        'bad',
+        'counts',
+    )
+
+
+    def __init__(self, service_name=None, order=None, reporter=None, bad=None, counts=None,):
+        self.service_name = service_name
+        self.order = order
+        self.reporter = reporter
+        self.bad = bad
+        self.counts = counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.order = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reporter = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.bad = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = VersionCount()
+                        _elem110.read(iprot)
+                        self.counts.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutReport')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.I64, 2)
+            oprot.writeI64(self.order)
+            oprot.writeFieldEnd()
+        if self.reporter is not None:
+            oprot.writeFieldBegin('reporter', TType.STRING, 3)
+            oprot.writeString(self.reporter.encode('utf-8') if sys.version_info[0] == 2 else self.reporter)
+            oprot.writeFieldEnd()
+        if self.bad is not None:
+            oprot.writeFieldBegin('bad', TType.BOOL, 4)
+            oprot.writeBool(self.bad)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.counts))
+            for iter111 in self.counts:
+                iter111.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EntryNews(object):
     """
     Attributes:
@@ -4370,6 +4650,7 @@
      - part_outcomes
      - part_quarantines
      - limits
+     - rollouts
      - silences
      - leaving
      - failure_domain
@@ -4391,6 +4672,7 @@
         'part_outcomes',
         'part_quarantines',
         'limits',
+        'rollouts',
         'silences',
         'served_work',
         'failure_domain',
@@ -4398,7 +4680,7 @@
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, silences=None, leaving=None, failure_domain=None, served_work=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None, silences=None, leaving=None, failure_domain=None, served_work=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4412,6 +4694,7 @@
         self.part_outcomes = part_outcomes
         self.part_quarantines = part_quarantines
         self.limits = limits
+        self.rollouts = rollouts
         self.silences = silences
         self.leaving = leaving
         self.failure_domain = failure_domain
@@ -4439,33 +4722,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.open_work = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = OpenWork()
-                        _elem110.read(iprot)
-                        self.open_work.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = OpenWork()
+                        _elem117.read(iprot)
+                        self.open_work.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.losses = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = TargetLoss()
-                        _elem116.read(iprot)
-                        self.losses.append(_elem116)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = TargetLoss()
+                        _elem123.read(iprot)
+                        self.losses.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = StoreRecord()
-                        _elem122.read(iprot)
-                        self.records.append(_elem122)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = StoreRecord()
+                        _elem129.read(iprot)
+                        self.records.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4477,22 +4760,22 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.cache_points = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = CachePoint()
-                        _elem128.read(iprot)
-                        self.cache_points.append(_elem128)
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = CachePoint()
+                        _elem135.read(iprot)
+                        self.cache_points.append(_elem135)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.cache_updates = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = CacheUpdate()
-                        _elem134.read(iprot)
-                        self.cache_updates.append(_elem134)
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = CacheUpdate()
+                        _elem141.read(iprot)
+                        self.cache_updates.append(_elem141)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4509,55 +4792,66 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.part_outcomes = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = PartOutcome()
-                        _elem140.read(iprot)
-                        self.part_outcomes.append(_elem140)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = PartOutcome()
+                        _elem147.read(iprot)
+                        self.part_outcomes.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.part_quarantines = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = PartQuarantine()
-                        _elem146.read(iprot)
-                        self.part_quarantines.append(_elem146)
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = PartQuarantine()
+                        _elem153.read(iprot)
+                        self.part_quarantines.append(_elem153)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = LimitNotice()
-                        _elem152.read(iprot)
-                        self.limits.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = LimitNotice()
+                        _elem159.read(iprot)
+                        self.limits.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.rollouts = []
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = RolloutReport()
+                        _elem165.read(iprot)
+                        self.rollouts.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.silences = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = TargetSilence()
-                        _elem158.read(iprot)
-                        self.silences.append(_elem158)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = TargetSilence()
+                        _elem171.read(iprot)
+                        self.silences.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = LeavingTarget()
-                        _elem164.read(iprot)
-                        self.leaving.append(_elem164)
+                    (_etype175, _size172) = iprot.readListBegin()
+                    for _i176 in range(_size172):
+                        _elem177 = LeavingTarget()
+                        _elem177.read(iprot)
+                        self.leaving.append(_elem177)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4569,11 +4863,11 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.served_work = []
-                    (_etype168, _size165) = iprot.readListBegin()
-                    for _i169 in range(_size165):
-                        _elem170 = ServedWork()
-                        _elem170.read(iprot)
-                        self.served_work.append(_elem170)
+                    (_etype181, _size178) = iprot.readListBegin()
+                    for _i182 in range(_size178):
+                        _elem183 = ServedWork()
+                        _elem183.read(iprot)
+                        self.served_work.append(_elem183)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4598,22 +4892,22 @@
         if self.open_work is not None:
             oprot.writeFieldBegin('open_work', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.open_work))
-            for iter171 in self.open_work:
-                iter171.write(oprot)
+            for iter184 in self.open_work:
+                iter184.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter172 in self.losses:
-                iter172.write(oprot)
+            for iter185 in self.losses:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter173 in self.records:
-                iter173.write(oprot)
+            for iter186 in self.records:
+                iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records_to is not None:
@@ -4623,15 +4917,15 @@
         if self.cache_points is not None:
             oprot.writeFieldBegin('cache_points', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_points))
-            for iter174 in self.cache_points:
-                iter174.write(oprot)
+            for iter187 in self.cache_points:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cache_updates is not None:
             oprot.writeFieldBegin('cache_updates', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.cache_updates))
-            for iter175 in self.cache_updates:
-                iter175.write(oprot)
+            for iter188 in self.cache_updates:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.listing is not None:
@@ -4645,36 +4939,43 @@
         if self.part_outcomes is not None:
             oprot.writeFieldBegin('part_outcomes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.part_outcomes))
-            for iter176 in self.part_outcomes:
-                iter176.write(oprot)
+            for iter189 in self.part_outcomes:
+                iter189.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_quarantines is not None:
             oprot.writeFieldBegin('part_quarantines', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.part_quarantines))
-            for iter177 in self.part_quarantines:
-                iter177.write(oprot)
+            for iter190 in self.part_quarantines:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter178 in self.limits:
-                iter178.write(oprot)
+            for iter191 in self.limits:
+                iter191.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rollouts is not None:
+            oprot.writeFieldBegin('rollouts', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
+            for iter192 in self.rollouts:
+                iter192.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.silences is not None:
             oprot.writeFieldBegin('silences', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.silences))
-            for iter179 in self.silences:
-                iter179.write(oprot)
+            for iter193 in self.silences:
+                iter193.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served_work is not None:
             oprot.writeFieldBegin('served_work', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.served_work))
-            for iter180 in self.served_work:
-                iter180.write(oprot)
+            for iter194 in self.served_work:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.failure_domain is not None:
@@ -4684,8 +4985,8 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter181 in self.leaving:
-                iter181.write(oprot)
+            for iter195 in self.leaving:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4891,21 +5192,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = StreamOrigin()
-                        _elem187.read(iprot)
-                        self.begun.append(_elem187)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = StreamOrigin()
+                        _elem201.read(iprot)
+                        self.begun.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.wanted.append(_elem193)
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted.append(_elem207)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4926,15 +5227,15 @@
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter194 in self.begun:
-                iter194.write(oprot)
+            for iter208 in self.begun:
+                iter208.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.wanted))
-            for iter195 in self.wanted:
-                oprot.writeString(iter195.encode('utf-8') if sys.version_info[0] == 2 else iter195)
+            for iter209 in self.wanted:
+                oprot.writeString(iter209.encode('utf-8') if sys.version_info[0] == 2 else iter209)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5670,6 +5971,27 @@
     (3, TType.I64, 'asked', None, None, ),  # 3
     (4, TType.I64, 'served', None, None, ),  # 4
 )
+all_structs.append(VersionCount)
+VersionCount.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'answers', None, None, ),  # 3
+    (4, TType.I64, 'failed', None, None, ),  # 4
+    (5, TType.I64, 'slow', None, None, ),  # 5
+    (6, TType.I64, 'times', None, None, ),  # 6
+    (7, TType.DOUBLE, 'first_ms', None, None, ),  # 7
+    (8, TType.DOUBLE, 'whole_ms', None, None, ),  # 8
+)
+all_structs.append(RolloutReport)
+RolloutReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'order', None, None, ),  # 2
+    (3, TType.STRING, 'reporter', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'bad', None, None, ),  # 4
+    (5, TType.LIST, 'counts', (TType.STRUCT, [VersionCount, None], False), None, ),  # 5
+)
 all_structs.append(EntryNews)
 EntryNews.thrift_spec = (
     None,  # 0
@@ -5686,7 +6008,7 @@
     (11, TType.LIST, 'part_outcomes', (TType.STRUCT, [PartOutcome, None], False), None, ),  # 11
     (12, TType.LIST, 'part_quarantines', (TType.STRUCT, [PartQuarantine, None], False), None, ),  # 12
     (13, TType.LIST, 'limits', (TType.STRUCT, [LimitNotice, None], False), None, ),  # 13
-    None,  # 14
+    (14, TType.LIST, 'rollouts', (TType.STRUCT, [RolloutReport, None], False), None, ),  # 14
     (15, TType.LIST, 'silences', (TType.STRUCT, [TargetSilence, None], False), None, ),  # 15
     (16, TType.LIST, 'served_work', (TType.STRUCT, [ServedWork, None], False), None, ),  # 16
     None,  # 17
