Give the platform's start tests the codec of rollouts

Change: the role is made with it. No check is touched. Result: the tests of start, drain, stop, records and engines pass.

--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -22,6 +22,7 @@
 from alliance.daemon import SETTINGS_VARIABLE
 from alliance.engines import AllianceEngines
 from alliance.records import AllianceRecords
+from alliance.rollouts import AllianceRollouts
 from alliance.store import AllianceStore
 from alliance.targets import AllianceTargets
 from wigeonmill.clock import Clock
@@ -74,6 +75,7 @@
             keys=store,
             engines=AllianceEngines(transfers),
             caches=AllianceCaches(transfers),
+            rollouts=AllianceRollouts(),
             ready_path='/ready',
         ),
         transfers,
