--- a/tests/gateway/test_software_rollout.py
+++ b/tests/gateway/test_software_rollout.py
@@ -105,6 +105,17 @@
     assert world.send()[0] in ('t3', 't4', 't5')
 
 
+# Guards against a service without any target after a rollout: those of the new
+# version had been replaced by some of the version before.
+def test_targets_of_the_version_before_serve_if_no_others_are_left():
+    world = World()
+    world.rollouts.start(ORDER)
+    world.lead(9.8)
+    for target_id in ('t3', 't4', 't5'):
+        world.ctx.directory.remove(target_id)
+    assert world.send()[0] in ('t1', 't2')
+
+
 def test_a_version_that_another_entry_calls_bad_gets_nothing():
     world = World(STATUS_500)
     told = []
--- a/wigeonmill/gateway/service_rollout.py
+++ b/wigeonmill/gateway/service_rollout.py
@@ -220,7 +220,9 @@
         old = VersionFilter(version | self.left_out, only=False)
         if self.stage is Stage.DONE:
             left = self.from_versions | self.left_out
-            return VersionFilter(left, only=False)
+            # Targets of these may be all that is left of the service later.
+            rest = VersionFilter(self.left_out, only=False)
+            return VersionFilter(left, only=False, fallback=rest)
         if self.bad or self.withdrawn:
             return old
         fresh = word_age_ms < FRESH_PART * self._limits.rollback_ms
