Let settings depend on the policies that the platform states

Parts that only some deployments ask for were on or off for all of them, as all share one template. A template can now pass on the policies of its deployment and name the settings that each calls for. Settings of policies that are not in force are validated too, so that a mistake shows at once.

--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 from typing import Annotated
+from typing import Any
 
 import msgspec
 from result import Err
@@ -24,7 +25,9 @@
     forwards, `ready` its readiness checks, `inner` the connections of other
     entries, and `metrics` counters and histograms (if empty, only `ready`
     serves them). `seeds` are inner addresses of other entries. Times are in
-    ms, sizes in bytes.
+    ms, sizes in bytes. `policies` are those that the platform states for the
+    deployment; the settings that `by_policy` names for one of them replace
+    the others.
     """
 
     process: str
@@ -60,6 +63,8 @@
     rollout_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
     rollback_ms: Milliseconds = 5_000.0
     log_level: str = 'INFO'
+    policies: list[str] = []
+    by_policy: dict[str, dict[str, Any]] = {}
 
 
 def load_gateway_settings(
@@ -72,13 +77,29 @@
         advice = f'name a readable file ({exc.strerror})'
         return Err([SettingsFault('settings file', path, advice)])
     try:
-        settings = msgspec.json.decode(data, type=GatewaySettings)
-    except msgspec.DecodeError as exc:
+        settings = _apply_policies(msgspec.json.decode(data))
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
         return Err([SettingsFault('settings file', path, str(exc))])
     faults = _address_faults(settings)
     return Err(faults) if faults else Ok(settings)
 
 
+def _apply_policies(document: Any) -> GatewaySettings:
+    """Return the settings with those of the policies that are in force.
+
+    The settings of each policy are validated, in force or not, so that a
+    mistake shows before the policy does.
+
+    Raises `msgspec.ValidationError`.
+    """
+    settings = msgspec.convert(document, GatewaySettings)
+    for changes in settings.by_policy.values():
+        msgspec.convert(document | changes, GatewaySettings)
+    for policy in settings.policies:
+        document = document | settings.by_policy.get(policy, {})
+    return msgspec.convert(document, GatewaySettings)
+
+
 def _address_faults(settings: GatewaySettings) -> list[SettingsFault]:
     named = [
         ('callers', settings.callers),
