Compare failures of a short time with the old versions' rate since the order

Change: the rate there is at least that of all old answers since the order, on one route and on all together, as it was for the excess already.

--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -115,3 +115,11 @@
     counts = counts | {('r', name): Tally(170, 0, 12) for name in targets}
     fleet.replace('e1', counts, {})
     assert fleet.judge(1_000.0, domains, 20).judgement is Judgement.GOOD
+
+
+def test_few_old_answers_of_a_good_moment_convict_nobody():
+    usual = {('r', OLD): Tally(1_300, 185)}
+    counts = {('r', OLD): Tally(38, 0)}
+    counts |= {('r', name): Tally(84, 13) for name in ('t1', 't2', 't3')}
+    found = judge(counts, DOMAINS, 0, usual)
+    assert found.judgement is Judgement.GOOD
--- a/wigeonmill/gateway/rollout_evidence.py
+++ b/wigeonmill/gateway/rollout_evidence.py
@@ -386,8 +386,8 @@
 ) -> Finding:
     """Compare the new version with the old ones, route by route.
 
-    The old versions' rate of failures beyond which there is an excess is that
-    of `usual`, if it is set. What is slow is compared within `times`.
+    The old versions' rate of failures is at least that of `usual`, if it is
+    set. What is slow is compared within `times`.
 
     `domains` has the failure domain of each target. Good is a version with
     `min_answers` on each route, or a tenth of the old ones' if that is less.
@@ -409,18 +409,17 @@
             for (name, target), tally in counts.items()
             if name == route and target != OLD and tally.answers
         }
-        for kind in ('failed', 'slow'):
-            if kind == 'failed':
-                finding = _compare(route, kind, old, new, domains)
-            else:
-                finding = _compare_slow(route, times, domains)
+        before = usual.get((route, OLD), _NOTHING)
+        failing = _highest_rate(before.failed, before.answers)
+        for finding in (
+            _compare(route, 'failed', old, new, domains, failing),
+            _compare_slow(route, times, domains),
+        ):
             if finding.judgement is Judgement.BAD:
                 return finding
             if finding.judgement is Judgement.SUSPICIOUS:
                 worst = finding
-        before = usual.get((route, OLD), _NOTHING)
         beside = times.counts.get((route, OLD), _NOTHING)
-        failing = _highest_rate(before.failed, before.answers)
         slow = _highest_rate(beside.slow, beside.answers)
         for target, tally in new.items():
             if not before.answers:
@@ -440,9 +439,10 @@
                     answers=seen,
                     old_answers=old.answers,
                 )
-    for kind in ('failed', 'slow'):
-        compared = counts if kind == 'failed' else times.counts
-        finding = _compare_all(compared, kind, domains)
+    for finding in (
+        _compare_all(counts, 'failed', domains, usual),
+        _compare_all(times.counts, 'slow', domains, times.counts),
+    ):
         if finding.judgement is Judgement.BAD:
             return finding
         if finding.judgement is Judgement.SUSPICIOUS:
@@ -470,12 +470,12 @@
 
 
 def _compare_all(
-    counts: Counts, kind: str, domains: Mapping[str, str]
+    counts: Counts, kind: str, domains: Mapping[str, str], usual: Counts
 ) -> Finding:
     """Compare one kind of bad answers on all routes together.
 
     With few requests, no route alone has enough. Each route counts with the
-    rate of the old versions there.
+    rate of the old versions there, in `counts` or `usual`.
     """
     old = Tally()
     new: dict[str, Tally] = {}
@@ -485,9 +485,13 @@
             old.add(tally)
             continue
         new.setdefault(target, Tally()).add(tally)
-        there = counts.get((route, OLD), Tally())
-        rate = (getattr(there, kind) + 1.0) / (there.answers + 2.0)
-        expected += rate * tally.answers
+        expected += tally.answers * max(
+            (getattr(there, kind) + 1.0) / (there.answers + 2.0)
+            for there in (
+                counts.get((route, OLD), _NOTHING),
+                usual.get((route, OLD), _NOTHING),
+            )
+        )
     answers = sum(tally.answers for tally in new.values())
     usual_rate = expected / answers if answers else 0.0
     return _compare('', kind, old, new, domains, usual_rate)
