Compare no times once the old versions get no requests of an entry

Cause: entries learn of the last step up to 1 s apart. Change: an entry marks no answer of the new version as slow while it sends all requests there. Tried before and dropped: comparing counts by entry alone, as updates between entries span the change.

--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -123,3 +123,13 @@
     counts |= {('r', name): Tally(84, 13) for name in ('t1', 't2', 't3')}
     found = judge(counts, DOMAINS, 0, usual)
     assert found.judgement is Judgement.GOOD
+
+
+def test_times_are_not_compared_once_the_old_versions_get_no_requests():
+    own = OwnEvidence()
+    for _ in range(8):
+        own.record('r', OLD, False, 100.0, 100.0)
+    own.compares_times = False
+    own.record('r', 't1', False, 400.0, 400.0)
+    assert own.counts['r', 't1'] == Tally(1, 0, 0)
+    assert not own.is_slow('r', 400.0, 0.0)
--- a/wigeonmill/gateway/rollout_evidence.py
+++ b/wigeonmill/gateway/rollout_evidence.py
@@ -144,12 +144,22 @@
     """What this entry has seen since the order; counts only rise.
 
     With few requests of its own, it goes by the usual times of all entries.
+    `compares_times` is set while the old versions get requests of this entry:
+    later, their times are those of another load.
     """
 
-    __slots__ = ('counts', '_first_ms', '_whole_ms', '_shared', '_pending')
+    __slots__ = (
+        'counts',
+        'compares_times',
+        '_first_ms',
+        '_whole_ms',
+        '_shared',
+        '_pending',
+    )
 
     def __init__(self) -> None:
         self.counts: Counts = {}
+        self.compares_times = True
         self._first_ms: dict[str, RecentTimes] = {}
         self._whole_ms: dict[str, RecentTimes] = {}
         self._shared: Mapping[str, UsualTimes] = {}
@@ -191,6 +201,8 @@
         if target == OLD:
             self._first_ms.setdefault(route, RecentTimes()).add(first_ms)
             self._whole_ms.setdefault(route, RecentTimes()).add(whole_ms)
+        elif not self.compares_times:
+            usual = None
         elif usual is None:
             self._pending.append(answer)
             return
@@ -211,7 +223,7 @@
         self, route: str, took_ms: float, cold_cache_ms: float
     ) -> bool:
         """Whether a whole answer takes several times the usual time."""
-        usual = self._usual(route)
+        usual = self._usual(route) if self.compares_times else None
         return usual is not None and _exceeds(
             took_ms, usual.whole_ms, cold_cache_ms
         )
--- a/wigeonmill/gateway/service_rollout.py
+++ b/wigeonmill/gateway/service_rollout.py
@@ -181,6 +181,8 @@
     ) -> None:
         """Apply what the leader has published; a bad verdict stays."""
         self.stage = stage
+        share = self._share()
+        self.evidence.compares_times = share is None or share < 1.0
         self.from_versions = frozenset(from_versions)
         self.left_out |= frozenset(left_out) - {self.order.version}
         if stage is Stage.ROLLED_BACK:
