Move all requests to an unproven version only once they fit within its limit

Change: no step is left out. More than an eighth follows only if a version with a third of bad answers would have shown, on each route and lately. Schedules lose the leader at that stage, too.

--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -133,3 +133,23 @@
     own.record('r', 't1', False, 400.0, 400.0)
     assert own.counts['r', 't1'] == Tally(1, 0, 0)
     assert not own.is_slow('r', 400.0, 0.0)
+
+
+def is_proven(rare, lately_bad=0):
+    """Whether a version is proven, with a number of its rare answers."""
+    fleet = FleetEvidence()
+    counts = {('common', OLD): Tally(500), ('common', 't1'): Tally(30)}
+    counts |= {('rare', OLD): Tally(50), ('rare', 't1'): Tally(rare)}
+    fleet.replace('e1', counts, {})
+    fleet.judge(0.0, DOMAINS, 20)
+    counts['common', OLD] = Tally(600)
+    counts['common', 't1'] = Tally(45, lately_bad)
+    fleet.replace('e1', counts, {})
+    return fleet.is_proven(1_000.0)
+
+
+def test_a_version_is_proven_by_answers_on_each_route_and_lately():
+    assert is_proven(rare=12)
+    assert not is_proven(rare=4)
+    assert not is_proven(rare=12, lately_bad=5)
+    assert not FleetEvidence().is_proven(1_000.0)
--- a/tests/gateway/test_rollout_share.py
+++ b/tests/gateway/test_rollout_share.py
@@ -53,3 +53,21 @@
         tries[route] += is_new
     assert tries['rare'] >= 40
     assert tries['common'] >= 40
+
+
+# 30 requests a second for 12 s: the platform allows 36 and 50 more.
+@pytest.mark.parametrize(
+    'elapsed_ms, expected', ((6_000, False), (11_000, True))
+)
+def test_all_later_requests_fit_near_the_end(elapsed_ms, expected):
+    limit = ShareLimit(0.1, 20)
+    for number in range(30 * elapsed_ms // 1_000):
+        limit.record('r', number < 40)
+    rest_ms = 12_000.0 - elapsed_ms
+    assert limit.has_room_for_all(elapsed_ms, rest_ms, 50.0) is expected
+
+
+def test_all_later_requests_of_a_quiet_service_fit_at_once():
+    limit = ShareLimit(0.1, 20)
+    limit.record('r', False)
+    assert limit.has_room_for_all(1_000.0, 11_000.0, 50.0)
--- a/tests/gateway/test_software_rollout_schedules.py
+++ b/tests/gateway/test_software_rollout_schedules.py
@@ -273,7 +273,8 @@
     for number, (per_s, entries) in enumerate(LOADS)
     for lost_at in LOST_AT
 ] + [
-    (fault, per_s, entries, 'ordered', number % 2 == 0)
+    (fault, per_s, entries, lost_at, number % 2 == 0)
+    for lost_at in ('ordered', 'deferred')
     for fault in FAULTS
     for number, (per_s, entries) in enumerate(LOADS)
 ]
--- a/wigeonmill/gateway/rollout_evidence.py
+++ b/wigeonmill/gateway/rollout_evidence.py
@@ -8,6 +8,7 @@
 
 from bisect import insort
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -42,6 +43,10 @@
 # A recent change shows in the answers of this time.
 WINDOW_MS = 2_000.0
 SNAPSHOT_MS = 500.0
+# A version is proven if one with such a share of bad answers beyond the usual
+# ones would have shown more, but for this chance.
+BAD_PART = 1.0 / 3.0
+MISSED_CHANCE = 0.05
 # With few requests, the new version needs the old ones' answers by this.
 MIN_PART = 10
 OLD = ''
@@ -336,6 +341,20 @@
             return late
         return finding
 
+    def is_proven(self, now_ms: float) -> bool:
+        """Whether a bad version would have shown on each route, and lately.
+
+        Looks at the answers of the last time on all routes together.
+        """
+        routes = {route for route, _target in self._merged}
+        recent = self._since(now_ms, self._merged)
+        return (
+            bool(routes)
+            and recent is not None
+            and all(_is_proven(self._merged, {route}) for route in routes)
+            and _is_proven(recent, routes)
+        )
+
     def _since(self, now_ms: float, merged: Counts) -> Counts | None:
         """Return the counts of the last time, and keep the current ones."""
         snapshots = self._snapshots
@@ -600,6 +619,18 @@
     )
 
 
+def _is_proven(counts: Counts, routes: Collection[str]) -> bool:
+    """Whether a bad version would show more bad answers on these routes."""
+    old, new = Tally(), Tally()
+    for (route, target), tally in counts.items():
+        if route in routes:
+            (old if target == OLD else new).add(tally)
+    usual = (old.failed + old.slow) / old.answers if old.answers else 0.0
+    good = new.answers - new.failed - new.slow
+    good_rate = (1.0 - min(1.0, usual)) * (1.0 - BAD_PART)
+    return _tail(good, new.answers, good_rate) < MISSED_CHANCE
+
+
 def _highest_rate(bad: int, answers: int) -> float:
     """Return the highest rate that the old versions plausibly have."""
     return min(1.0, (bad + 1.0 + math.sqrt(bad + 1.0)) / (answers + 3.0))
@@ -611,6 +642,8 @@
         return 1.0
     if bad <= rate * answers:
         return 1.0
+    if rate <= 0.0:
+        return 0.0
     log_rate, log_rest = math.log(rate), math.log1p(-rate)
     total = 0.0
     for count in range(bad, answers + 1):
--- a/wigeonmill/gateway/rollout_share.py
+++ b/wigeonmill/gateway/rollout_share.py
@@ -18,6 +18,9 @@
 SLACK_PART = 0.4
 # Part of them that is spread over the canary's time.
 LATER_PART = 0.5
+# Part of them that a deferred move uses, as the requests that follow vary in
+# number.
+REST_PART = 0.8
 # A route keeps at least this part of its requests at the old versions, which
 # are what the new one is compared with.
 MAX_ROUTE_PART = 0.5
@@ -40,6 +43,22 @@
     return 1 if usable >= 1 and is_selected(usable) else 0
 
 
+def fits(
+    new: int,
+    requests: int,
+    elapsed_ms: float,
+    rest_ms: float,
+    share: float,
+    extra: float,
+) -> bool:
+    """Whether a bad version may get all requests of the last `rest_ms`.
+
+    `new` of `requests` were sent to it in `elapsed_ms`.
+    """
+    rest = requests / max(1.0, elapsed_ms) * max(0.0, rest_ms)
+    return new + rest <= share * (requests + rest) + REST_PART * extra
+
+
 class ShareLimit:
     """Counts what this entry has sent since the order.
 
@@ -118,6 +137,24 @@
         kept = math.floor(later + self._rounding)
         return self._room(CANARY_PART) - kept >= needed
 
+    def has_room_for_all(
+        self, elapsed_ms: float, rest_ms: float, extra: float
+    ) -> bool:
+        """Whether the new version may get all requests of the last time.
+
+        They are expected at the rate so far, and must stay within the share
+        and this entry's part of the extra requests, even if the version turns
+        out to be bad.
+        """
+        return fits(
+            self.new_arrivals,
+            self.arrivals,
+            elapsed_ms,
+            rest_ms,
+            self._share,
+            extra,
+        )
+
     def _room(self, part: float) -> float:
         # The request to be sent counts as one that reaches the service, but
         # only once it has left.
--- a/wigeonmill/gateway/rollout_stages.py
+++ b/wigeonmill/gateway/rollout_stages.py
@@ -24,8 +24,12 @@
 FULL_TIME = 0.12
 # Minimum time of a step: the entries have to learn of it.
 MIN_STEP_MS = 400.0
-# After that, what a lost leader has cost is made up for by a shorter way.
-LAST_THIRD = 0.7
+# A move that was deferred goes on in steps if both still have their time.
+LAST_THIRD = 0.8
+# A step that begins later has no time to show anything.
+LAST_STEP = 0.91
+# A move that was deferred begins by then, so that there is time to see it.
+LAST_MOVE = 0.92
 # The old versions end by then, although they have open work. The last step is
 # still a whole one, if there is any time for that.
 LAST_DONE = 0.93
@@ -38,6 +42,9 @@
     CANARY = 'canary'
     EIGHTH = 'eighth'
     THIRD = 'third'
+    # Each entry moves all its requests once what is left of the order's time
+    # fits within what a bad version may get.
+    DEFERRED = 'deferred'
     FULL = 'full'
     DONE = 'done'
     ROLLED_BACK = 'rolled_back'
@@ -49,7 +56,10 @@
 
     @property
     def share(self) -> float | None:
-        """The share of the new version; None: as few as a canary gets."""
+        """The share of the new version; None: as few as a canary gets.
+
+        In `DEFERRED` that goes for entries that have not moved all.
+        """
         return _SHARES.get(self)
 
 
@@ -73,7 +83,10 @@
     """The state of a rollout as the leader knows it; times in ms.
 
     `new_targets` and `old_targets` are those in service, `old_runs` the open
-    requests of all entries at the old ones.
+    requests of all entries at the old ones. `proven` is set if a bad version
+    would have shown by now. While the move is deferred, `moved` is set if the
+    leader has sent all requests to the new version for a step, `fits` if what
+    is left for all entries fits within what a bad version may get.
     """
 
     stage: Stage
@@ -84,6 +97,9 @@
     new_targets: int
     old_targets: int
     old_runs: int
+    proven: bool
+    moved: bool
+    fits: bool
 
 
 def next_stage(progress: Progress) -> tuple[Stage, str]:
@@ -110,13 +126,29 @@
         return Stage.ROLLED_BACK, 'the answers look worse until the last'
     if doubtful:
         return stage, 'the answers look worse'
+    if stage is Stage.DEFERRED:
+        return _after_deferred(progress, elapsed)
     if not settled:
         return stage, 'the step lasts'
-    if elapsed >= LAST_THIRD:
-        return Stage.FULL, 'the version is good so far'
+    if not progress.proven:
+        return Stage.DEFERRED, 'too few answers to move all'
+    if elapsed >= LAST_STEP:
+        return Stage.DEFERRED, 'too late for another step'
     return _NEXT[stage], 'the version is good so far'
 
 
+def _after_deferred(progress: Progress, elapsed: float) -> tuple[Stage, str]:
+    if progress.moved and (elapsed >= LAST_DONE or not progress.old_runs):
+        return Stage.DONE, 'nothing speaks against the version'
+    if elapsed >= NEARLY_OVER:
+        if progress.moved or progress.fits:
+            return Stage.DONE, 'nothing speaks against the version'
+        return Stage.ROLLED_BACK, 'too few answers to move all'
+    if progress.proven and not progress.moved and elapsed < LAST_THIRD:
+        return Stage.THIRD, 'the version is good so far'
+    return Stage.DEFERRED, 'all requests are not within the limit'
+
+
 def _after_full(
     progress: Progress, elapsed: float, settled: bool, doubtful: bool
 ) -> tuple[Stage, str]:
--- a/wigeonmill/gateway/service_rollout.py
+++ b/wigeonmill/gateway/service_rollout.py
@@ -20,8 +20,11 @@
 from wigeonmill.gateway.rollout_evidence import OwnEvidence
 from wigeonmill.gateway.rollout_share import CANARY_PART
 from wigeonmill.gateway.rollout_share import entry_slack
+from wigeonmill.gateway.rollout_share import fits
 from wigeonmill.gateway.rollout_share import ShareLimit
 from wigeonmill.gateway.rollout_stages import CANARY_TIME
+from wigeonmill.gateway.rollout_stages import LAST_MOVE
+from wigeonmill.gateway.rollout_stages import MIN_STEP_MS
 from wigeonmill.gateway.rollout_stages import Stage
 from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.targets import Target
@@ -91,12 +94,18 @@
         'left_out',
         'bad',
         'finding',
+        'proven',
+        'moved',
+        'fits',
         'limit',
         'evidence',
         'fleet',
         '_limits',
         '_credit',
         '_tried',
+        '_extra',
+        '_moved_at_ms',
+        '_has_spare',
         '_reporter',
         'withdrawn',
         '_heard_ms',
@@ -131,9 +140,21 @@
         self.left_out = frozenset(left_out) - {order.version}
         self.bad = False
         self.finding = Finding(Judgement.UNKNOWN)
+        # Whether a bad version would have shown by now.
+        self.proven = False
+        # Whether this entry has made a deferred move, a step ago at least.
+        self.moved = False
+        # Whether all requests to come fit within the limit of all entries.
+        self.fits = False
         slack = 0
+        # This entry's part of what a bad version may get beyond its share.
+        self._extra = 0.0
         if not joined_late:
             slack = entry_slack(limits.slack, entry_count, is_selected)
+            self._extra = limits.slack / max(1, entry_count)
+        self._moved_at_ms: float | None = None
+        # Whether an eighth leaves room for a deferred move.
+        self._has_spare = False
         rounding = xxhash.xxh3_64_intdigest(reporter.encode()) / 2.0**64
         self.limit = ShareLimit(limits.share, slack, rounding)
         self.evidence = OwnEvidence()
@@ -155,6 +176,11 @@
             return True
         return self.stage is not None and self.stage.is_final
 
+    @property
+    def has_begun_move(self) -> bool:
+        """Whether this entry makes a deferred move."""
+        return self._moved_at_ms is not None
+
     def order_age_ms(self, now_ms: float) -> float:
         """Return the most time that may have passed since the order."""
         return now_ms - self._heard_ms + self._word_age_ms
@@ -181,8 +207,7 @@
     ) -> None:
         """Apply what the leader has published; a bad verdict stays."""
         self.stage = stage
-        share = self._share()
-        self.evidence.compares_times = share is None or share < 1.0
+        self._compare_times()
         self.from_versions = frozenset(from_versions)
         self.left_out |= frozenset(left_out) - {self.order.version}
         if stage is Stage.ROLLED_BACK:
@@ -204,8 +229,45 @@
         self.evidence.settle(self.fleet.usual_times())
         domains = {t.id: t.failure_domain for t in targets}
         self.finding = self.fleet.judge(now_ms, domains, MIN_ANSWERS)
+        self.proven = self.fleet.is_proven(now_ms)
+        self._move_deferred(now_ms)
+        self._compare_times()
         self._tried = self._choose_tried(targets)
 
+    def _move_deferred(self, now_ms: float) -> None:
+        """Move all requests of a deferred move once there is room."""
+        if self.stage is not Stage.DEFERRED:
+            self._moved_at_ms = None
+            self.moved = False
+            return
+        duration_ms = self.order.duration_ms
+        elapsed_ms = now_ms - self._heard_ms
+        rest_ms = duration_ms - elapsed_ms
+        new, old = self.fleet.totals()
+        limits = self._limits
+        self.fits = fits(
+            new.answers,
+            new.answers + old.answers,
+            elapsed_ms,
+            rest_ms,
+            limits.share,
+            limits.slack,
+        )
+        self._has_spare = self.limit.has_room_for_all(
+            elapsed_ms, (1.0 - LAST_MOVE) * duration_ms, self._extra
+        )
+        doubtful = self.finding.judgement is Judgement.SUSPICIOUS
+        if self._moved_at_ms is not None:
+            self.moved = now_ms - self._moved_at_ms >= MIN_STEP_MS
+        elif not doubtful and self.limit.has_room_for_all(
+            elapsed_ms, rest_ms, self._extra
+        ):
+            self._moved_at_ms = now_ms
+
+    def _compare_times(self) -> None:
+        share = self._share()
+        self.evidence.compares_times = share is None or share < 1.0
+
     def filter(
         self,
         route: str,
@@ -257,6 +319,10 @@
 
     def _share(self) -> float | None:
         """Return the share of the new version beyond that of a canary."""
+        if self.stage is Stage.DEFERRED:
+            if self._moved_at_ms is not None:
+                return 1.0
+            return Stage.EIGHTH.share if self._has_spare else None
         return self.stage.share if self.stage is not None else None
 
     def _choose_tried(self, targets: Sequence[Target]) -> frozenset[str]:
--- a/wigeonmill/gateway/software_rollout.py
+++ b/wigeonmill/gateway/software_rollout.py
@@ -341,7 +341,20 @@
 
     def _observe(self, rollout: ServiceRollout) -> None:
         targets = self._directory.of_service(rollout.order.service)
+        before = rollout.has_begun_move
         rollout.observe(self._clock.now_ms(), targets)
+        if rollout.has_begun_move and not before:
+            self._metrics.count('software_rollout_moves')
+            logger.info(
+                'software rollout moves all',
+                extra={
+                    'service': rollout.order.service,
+                    'to': rollout.order.version,
+                    'order': rollout.order.revision,
+                    'proven': rollout.proven,
+                    **_sizes(rollout),
+                },
+            )
         if rollout.finding.judgement is Judgement.BAD:
             self._condemn(rollout, 'own counts')
 
@@ -606,6 +619,9 @@
             len(new),
             len(old),
             sum(target.load.runs() for target in old),
+            rollout.proven,
+            rollout.moved,
+            rollout.fits,
         )
     )
     if following is stage:
