--- a/tests/gateway/test_software_rollout_schedules.py
+++ b/tests/gateway/test_software_rollout_schedules.py
@@ -5,6 +5,7 @@
 no request that was sent later than 5 s after its 50th bad answer.
 """
 
+from bisect import bisect_left
 import heapq
 import itertools
 import random
@@ -35,6 +36,9 @@
 # the time of an order to tell a bad version from chance: under a tenth of
 # them at 12 s makes less than six.
 DECIDABLE_PER_S = 30
+# Some versions are bad under load only: with half of the requests of a time.
+LOADED_PART = 0.5
+LOADED_MS = 500.0
 FAULTS = ('good', 'fails', 'slow', 'fails_later', 'slow_later', 'one_route')
 
 
@@ -164,8 +168,14 @@
         )
 
     def is_affected(self, route):
-        if self.fault == 'good' or self.clock.now_ms() < self.bad_from_ms:
+        now_ms = self.clock.now_ms()
+        if self.fault == 'good' or now_ms < self.bad_from_ms:
             return False
+        if self.fault.endswith('_loaded'):
+            lately = bisect_left(self.new_sent_ms, now_ms - LOADED_MS)
+            sent = len(self.new_sent_ms) - lately
+            if sent < LOADED_PART * self.per_s * LOADED_MS / 1000.0:
+                return False
         if self.fault == 'one_route' and route != 'rare':
             return False
         return self.rng.random() < self.affected
@@ -303,6 +313,17 @@
         assert stage is Stage.ROLLED_BACK
 
 
+@pytest.mark.parametrize('seed', range(2))
+@pytest.mark.parametrize('load', LOADS[2:])
+@pytest.mark.parametrize('fault', ('fails_loaded', 'slow_loaded'))
+def test_a_version_that_is_bad_under_load_only_keeps_to_the_rule(
+    fault, load, seed
+):
+    fleet = Fleet(random.Random(seed), fault, *load, '', False)
+    fleet.play()
+    assert fleet.exposure()[0] <= 0
+
+
 def play_long_full(seed, busy):
     """Play a good version that one long request keeps at full share for 4 s.
 
