--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -115,3 +115,41 @@
     counts = counts | {('r', name): Tally(170, 0, 12) for name in targets}
     fleet.replace('e1', counts, {})
     assert fleet.judge(1_000.0, domains, 20).judgement is Judgement.GOOD
+
+
+def test_few_old_answers_of_a_good_moment_convict_nobody():
+    usual = {('r', OLD): Tally(1_300, 185)}
+    counts = {('r', OLD): Tally(38, 0)}
+    counts |= {('r', name): Tally(84, 13) for name in ('t1', 't2', 't3')}
+    found = judge(counts, DOMAINS, 0, usual)
+    assert found.judgement is Judgement.GOOD
+
+
+def test_times_are_not_compared_once_the_old_versions_get_no_requests():
+    own = OwnEvidence()
+    for _ in range(8):
+        own.record('r', OLD, False, 100.0, 100.0)
+    own.compares_times = False
+    own.record('r', 't1', False, 400.0, 400.0)
+    assert own.counts['r', 't1'] == Tally(1, 0, 0)
+    assert not own.is_slow('r', 400.0, 0.0)
+
+
+def is_proven(rare, lately_bad=0):
+    """Whether a version is proven, with a number of its rare answers."""
+    fleet = FleetEvidence()
+    counts = {('common', OLD): Tally(500), ('common', 't1'): Tally(30)}
+    counts |= {('rare', OLD): Tally(50), ('rare', 't1'): Tally(rare)}
+    fleet.replace('e1', counts, {})
+    fleet.judge(0.0, DOMAINS, 20)
+    counts['common', OLD] = Tally(600)
+    counts['common', 't1'] = Tally(45, lately_bad)
+    fleet.replace('e1', counts, {})
+    return fleet.is_proven(1_000.0)
+
+
+def test_a_version_is_proven_by_answers_on_each_route_and_lately():
+    assert is_proven(rare=12)
+    assert not is_proven(rare=4)
+    assert not is_proven(rare=12, lately_bad=5)
+    assert not FleetEvidence().is_proven(1_000.0)
--- a/wigeonmill/gateway/rollout_evidence.py
+++ b/wigeonmill/gateway/rollout_evidence.py
@@ -8,6 +8,7 @@
 
 from bisect import insort
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -42,6 +43,10 @@
 # A recent change shows in the answers of this time.
 WINDOW_MS = 2_000.0
 SNAPSHOT_MS = 500.0
+# A version is proven if one with such a share of bad answers beyond the usual
+# ones would have shown more, but for this chance.
+BAD_PART = 1.0 / 3.0
+MISSED_CHANCE = 0.05
 # With few requests, the new version needs the old ones' answers by this.
 MIN_PART = 10
 OLD = ''
@@ -144,12 +149,22 @@
     """What this entry has seen since the order; counts only rise.
 
     With few requests of its own, it goes by the usual times of all entries.
+    `compares_times` is set while the old versions get requests of this entry:
+    later, their times are those of another load.
     """
 
-    __slots__ = ('counts', '_first_ms', '_whole_ms', '_shared', '_pending')
+    __slots__ = (
+        'counts',
+        'compares_times',
+        '_first_ms',
+        '_whole_ms',
+        '_shared',
+        '_pending',
+    )
 
     def __init__(self) -> None:
         self.counts: Counts = {}
+        self.compares_times = True
         self._first_ms: dict[str, RecentTimes] = {}
         self._whole_ms: dict[str, RecentTimes] = {}
         self._shared: Mapping[str, UsualTimes] = {}
@@ -191,6 +206,8 @@
         if target == OLD:
             self._first_ms.setdefault(route, RecentTimes()).add(first_ms)
             self._whole_ms.setdefault(route, RecentTimes()).add(whole_ms)
+        elif not self.compares_times:
+            usual = None
         elif usual is None:
             self._pending.append(answer)
             return
@@ -211,7 +228,7 @@
         self, route: str, took_ms: float, cold_cache_ms: float
     ) -> bool:
         """Whether a whole answer takes several times the usual time."""
-        usual = self._usual(route)
+        usual = self._usual(route) if self.compares_times else None
         return usual is not None and _exceeds(
             took_ms, usual.whole_ms, cold_cache_ms
         )
@@ -324,6 +341,20 @@
             return late
         return finding
 
+    def is_proven(self, now_ms: float) -> bool:
+        """Whether a bad version would have shown on each route, and lately.
+
+        Looks at the answers of the last time on all routes together.
+        """
+        routes = {route for route, _target in self._merged}
+        recent = self._since(now_ms, self._merged)
+        return (
+            bool(routes)
+            and recent is not None
+            and all(_is_proven(self._merged, {route}) for route in routes)
+            and _is_proven(recent, routes)
+        )
+
     def _since(self, now_ms: float, merged: Counts) -> Counts | None:
         """Return the counts of the last time, and keep the current ones."""
         snapshots = self._snapshots
@@ -386,8 +417,8 @@
 ) -> Finding:
     """Compare the new version with the old ones, route by route.
 
-    The old versions' rate of failures beyond which there is an excess is that
-    of `usual`, if it is set. What is slow is compared within `times`.
+    The old versions' rate of failures is at least that of `usual`, if it is
+    set. What is slow is compared within `times`.
 
     `domains` has the failure domain of each target. Good is a version with
     `min_answers` on each route, or a tenth of the old ones' if that is less.
@@ -409,18 +440,17 @@
             for (name, target), tally in counts.items()
             if name == route and target != OLD and tally.answers
         }
-        for kind in ('failed', 'slow'):
-            if kind == 'failed':
-                finding = _compare(route, kind, old, new, domains)
-            else:
-                finding = _compare_slow(route, times, domains)
+        before = usual.get((route, OLD), _NOTHING)
+        failing = _highest_rate(before.failed, before.answers)
+        for finding in (
+            _compare(route, 'failed', old, new, domains, failing),
+            _compare_slow(route, times, domains),
+        ):
             if finding.judgement is Judgement.BAD:
                 return finding
             if finding.judgement is Judgement.SUSPICIOUS:
                 worst = finding
-        before = usual.get((route, OLD), _NOTHING)
         beside = times.counts.get((route, OLD), _NOTHING)
-        failing = _highest_rate(before.failed, before.answers)
         slow = _highest_rate(beside.slow, beside.answers)
         for target, tally in new.items():
             if not before.answers:
@@ -440,9 +470,10 @@
                     answers=seen,
                     old_answers=old.answers,
                 )
-    for kind in ('failed', 'slow'):
-        compared = counts if kind == 'failed' else times.counts
-        finding = _compare_all(compared, kind, domains)
+    for finding in (
+        _compare_all(counts, 'failed', domains, usual),
+        _compare_all(times.counts, 'slow', domains, times.counts),
+    ):
         if finding.judgement is Judgement.BAD:
             return finding
         if finding.judgement is Judgement.SUSPICIOUS:
@@ -470,12 +501,12 @@
 
 
 def _compare_all(
-    counts: Counts, kind: str, domains: Mapping[str, str]
+    counts: Counts, kind: str, domains: Mapping[str, str], usual: Counts
 ) -> Finding:
     """Compare one kind of bad answers on all routes together.
 
     With few requests, no route alone has enough. Each route counts with the
-    rate of the old versions there.
+    rate of the old versions there, in `counts` or `usual`.
     """
     old = Tally()
     new: dict[str, Tally] = {}
@@ -485,9 +516,13 @@
             old.add(tally)
             continue
         new.setdefault(target, Tally()).add(tally)
-        there = counts.get((route, OLD), Tally())
-        rate = (getattr(there, kind) + 1.0) / (there.answers + 2.0)
-        expected += rate * tally.answers
+        expected += tally.answers * max(
+            (getattr(there, kind) + 1.0) / (there.answers + 2.0)
+            for there in (
+                counts.get((route, OLD), _NOTHING),
+                usual.get((route, OLD), _NOTHING),
+            )
+        )
     answers = sum(tally.answers for tally in new.values())
     usual_rate = expected / answers if answers else 0.0
     return _compare('', kind, old, new, domains, usual_rate)
@@ -584,6 +619,18 @@
     )
 
 
+def _is_proven(counts: Counts, routes: Collection[str]) -> bool:
+    """Whether a bad version would show more bad answers on these routes."""
+    old, new = Tally(), Tally()
+    for (route, target), tally in counts.items():
+        if route in routes:
+            (old if target == OLD else new).add(tally)
+    usual = (old.failed + old.slow) / old.answers if old.answers else 0.0
+    good = new.answers - new.failed - new.slow
+    good_rate = (1.0 - min(1.0, usual)) * (1.0 - BAD_PART)
+    return _tail(good, new.answers, good_rate) < MISSED_CHANCE
+
+
 def _highest_rate(bad: int, answers: int) -> float:
     """Return the highest rate that the old versions plausibly have."""
     return min(1.0, (bad + 1.0 + math.sqrt(bad + 1.0)) / (answers + 3.0))
@@ -595,6 +642,8 @@
         return 1.0
     if bad <= rate * answers:
         return 1.0
+    if rate <= 0.0:
+        return 0.0
     log_rate, log_rest = math.log(rate), math.log1p(-rate)
     total = 0.0
     for count in range(bad, answers + 1):
