--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -82,8 +82,9 @@
 RELEASE_TIMEOUT_S = 0.3
 # Limit of the close of callers' connections once no request is served.
 CLOSE_TIMEOUT_S = 0.05
-# Fraction of the time before SIGKILL that a drain may take.
-DRAIN_FRACTION = 0.93
+# Fraction of the time before SIGKILL that a drain may take. The rest is for
+# the last calls to the key-value service and the end of the process.
+DRAIN_FRACTION = 0.86
 
 
 LoadSettings = Callable[[], Result[GatewaySettings, list[SettingsFault]]]
@@ -341,8 +342,10 @@
         self._server.draining = True
         logger.info('draining', extra={'open': self._server.open_requests})
         limit_ms = self._settings.grace_ms * DRAIN_FRACTION
+        elapsed_ms = 0.0
         while True:
-            await asyncio.sleep(TICK_MS / 1000.0)
+            tick_ms = max(0.0, min(TICK_MS, limit_ms - elapsed_ms))
+            await asyncio.sleep(tick_ms / 1000.0)
             elapsed_ms = self._clock.now_ms() - started_ms
             drained = False
             try:
