Judge slow answers by their service until their kind is known

Cause: each entry learns a kind by itself from 20 answers. After a restart of an entry the same holds until it has had them.

Until a kind is known, an entry goes by the ratios of all answers of the service, which include those of requests that may not be repeated.

--- a/tests/gateway/test_extra_attempts.py
+++ b/tests/gateway/test_extra_attempts.py
@@ -207,6 +207,20 @@
     assert_answered_once(load)
 
 
+# Load: an entry that has started gets few requests that may be repeated among
+# others.
+def test_few_reads_among_many_writes_get_second_attempts():
+    load = Load(share=0.2)
+    read, load.route = load.route, make_route(kind=RouteKind.UNSAFE)
+    load.play(60)
+    assert load.started() == 0
+    load.route = read
+    load.times['t0'] = SLOW_MS
+    load.play(15)
+    assert 0 < load.started() <= 0.2 * 75
+    assert_answered_once(load)
+
+
 def prepared(*answers, stream=False, targets=2, **route):
     """Return a load of few targets; the next request has these answers."""
     load = Load(share=0.5, targets=targets, stream=stream, **route)
--- a/tests/gateway/test_slow_answers.py
+++ b/tests/gateway/test_slow_answers.py
@@ -75,6 +75,28 @@
     assert times.slow_ratio() < 1.3
 
 
+# Load: one of many entries gets two requests of a service a second, and few of
+# them are of the kind.
+def test_a_kind_with_few_requests_goes_by_its_service(clock):
+    answers = SlowAnswers(clock)
+    read = answers.kind('s', 'read')
+    for number in range(24):
+        clock.advance(500.0)
+        route = 'write' if number % 4 else 'read'
+        repeatable = route == 'read'
+        followed = AnswerWatch(
+            clock, answers.kind('s', route), 't1', EXPECTED_MS, repeatable
+        )
+        assert repeatable or followed.late_at_ms == math.inf
+        clock.advance(EXPECTED_MS)
+        followed.record_answer()
+    assert read.times.slow_ratio() == math.inf
+    late_at_ms = AnswerWatch(clock, read, 't1', EXPECTED_MS).late_at_ms
+    assert late_at_ms < clock.now_ms() + 1.3 * EXPECTED_MS
+    other = AnswerWatch(clock, answers.kind('s2', 'read'), 't1', EXPECTED_MS)
+    assert other.late_at_ms == math.inf
+
+
 def test_an_answer_later_than_any_goes_on_as_long_as_it_took(clock):
     times = AnswerTimes(clock)
     feed(times, [1.0] * 100)
--- a/wigeonmill/gateway/extra_attempts.py
+++ b/wigeonmill/gateway/extra_attempts.py
@@ -58,14 +58,18 @@
         )
 
     def watch(self, route: Route, pick: Pick) -> AnswerWatch | None:
-        """Return what follows an attempt that is being sent, if anything."""
-        if not self.allows(route):
+        """Return what follows an attempt that is being sent, if anything.
+
+        Answers that may not be repeated show how long the others take.
+        """
+        if self._limits.share <= 0.0:
             return None
         return AnswerWatch(
             self._clock,
             self._kind(route, pick.target.service),
             pick.target.id,
             pick.expected_ms,
+            self.allows(route),
         )
 
     def record_work(
--- a/wigeonmill/gateway/slow_answers.py
+++ b/wigeonmill/gateway/slow_answers.py
@@ -2,7 +2,8 @@
 
 A kind is a service and a route. Its times are compared with those that were
 expected when the requests were sent, so that long prompts and queues at a
-target don't count as slow.
+target don't count as slow. One entry of many gets few requests of a kind;
+until it knows the kind, it goes by all answers of the service.
 """
 
 from collections.abc import Callable
@@ -52,10 +53,14 @@
         self._fade()
         self._weights[_bucket(ratio)] += 1.0
 
+    def is_known(self) -> bool:
+        """Whether there were enough answers lately."""
+        self._fade()
+        return sum(self._weights) >= MIN_WEIGHT
+
     def slow_ratio(self) -> float:
         """Return the ratio from which an answer is slow (inf: not known)."""
-        self._fade()
-        if sum(self._weights) < MIN_WEIGHT:
+        if not self.is_known():
             return math.inf
         return min(
             self._quantile(SLOW_QUANTILE), MAX_SPREAD * self._quantile(0.5)
@@ -187,21 +192,35 @@
 
 
 class AnswerKind:
-    """What is known of the answers to one route by one service."""
+    """What is known of the answers to one route by one service.
 
-    __slots__ = ('times', 'targets', 'trials')
+    `service_times` are those of all its routes.
+    """
 
-    def __init__(self, clock: Clock) -> None:
+    __slots__ = ('times', 'service_times', 'targets', 'trials')
+
+    def __init__(self, clock: Clock, service_times: AnswerTimes) -> None:
         self.times = AnswerTimes(clock)
+        self.service_times = service_times
         self.targets = RecentTargets(clock)
         self.trials = Trials()
 
+    @property
+    def known_times(self) -> AnswerTimes:
+        """The times of the kind, or of its service until they are known."""
+        return self.times if self.times.is_known() else self.service_times
+
+    def add(self, ratio: float) -> None:
+        """Add one answer."""
+        self.times.add(ratio)
+        self.service_times.add(ratio)
+
 
 class AnswerWatch:
     """Follows one attempt until its first event or its whole answer.
 
     `late_at_ms` is when the answer becomes slow. It is infinite if nothing
-    may be done about that.
+    may be done about that, as with a request that is not `repeatable`.
     """
 
     __slots__ = (
@@ -220,6 +239,7 @@
         kind: AnswerKind,
         target_id: str,
         expected_ms: float,
+        repeatable: bool = True,
     ) -> None:
         self._clock = clock
         self._kind = kind
@@ -227,8 +247,10 @@
         self._expected_ms = max(1.0, expected_ms)
         self._sent_ms = clock.now_ms()
         self._ended = False
-        slow_ms = kind.times.slow_ratio() * self._expected_ms
-        self.late_at_ms = self._sent_ms + slow_ms
+        self.late_at_ms = math.inf
+        if repeatable:
+            slow_ms = kind.known_times.slow_ratio() * self._expected_ms
+            self.late_at_ms = self._sent_ms + slow_ms
 
     @property
     def is_late(self) -> bool:
@@ -239,11 +261,11 @@
     def remaining_ms(self) -> float:
         """The expected time to the answer from now on."""
         ratio = self._elapsed_ms / self._expected_ms
-        return self._kind.times.remaining(ratio) * self._expected_ms
+        return self._kind.known_times.remaining(ratio) * self._expected_ms
 
     def usual_ms(self, expected_ms: float) -> float:
         """Return what an answer with this expected time usually takes."""
-        return self._kind.times.median_ratio() * expected_ms
+        return self._kind.known_times.median_ratio() * expected_ms
 
     def record_late(self) -> None:
         """Record that the answer is late, though it may still come."""
@@ -255,7 +277,7 @@
             return
         slow = self._clock.now_ms() > self.late_at_ms
         self._ended = True
-        self._kind.times.add(self._elapsed_ms / self._expected_ms)
+        self._kind.add(self._elapsed_ms / self._expected_ms)
         self._kind.targets.record(self._target_id, slow)
 
     def record_cut(self) -> None:
@@ -275,11 +297,12 @@
 class SlowAnswers:
     """The kinds of answers that this entry knows."""
 
-    __slots__ = ('_clock', '_kinds')
+    __slots__ = ('_clock', '_kinds', '_services')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._kinds: dict[tuple[str, str], AnswerKind] = {}
+        self._services: dict[str, AnswerTimes] = {}
 
     def kind(self, service: str, route: str) -> AnswerKind:
         """Return the kind of the answers to `route` by `service`."""
@@ -288,7 +311,16 @@
         if found is None:
             if len(self._kinds) >= MAX_KINDS:
                 del self._kinds[next(iter(self._kinds))]
-            found = self._kinds[key] = AnswerKind(self._clock)
+            times = self._service_times(service)
+            found = self._kinds[key] = AnswerKind(self._clock, times)
+        return found
+
+    def _service_times(self, service: str) -> AnswerTimes:
+        found = self._services.get(service)
+        if found is None:
+            if len(self._services) >= MAX_KINDS:
+                del self._services[next(iter(self._services))]
+            found = self._services[service] = AnswerTimes(self._clock)
         return found
 
 
