Count all work of a service as earned, also before its first repeatable request

An entry earns extra work by the work of its requests. At a service it counted that of requests that may not be repeated only after the first one that may. So the first slow read of an entry got no other attempt, though it had served many writes.

The new test failed before: no attempt beside a slow read after 100 writes.

--- a/tests/gateway/test_extra_attempts.py
+++ b/tests/gateway/test_extra_attempts.py
@@ -221,6 +221,18 @@
     assert_answered_once(load)
 
 
+# Load: the first request that may be repeated comes after many others.
+def test_other_requests_earn_extra_work_before_the_first_read():
+    load = Load(targets=2)
+    read, load.route = load.route, make_route(kind=RouteKind.UNSAFE)
+    load.play(100)
+    load.route = read
+    load.times = dict.fromkeys(load.times, SLOW_MS)
+    load.play(1)
+    assert load.started() == 1
+    assert_answered_once(load)
+
+
 def prepared(*answers, stream=False, targets=2, **route):
     """Return a load of few targets; the next request has these answers."""
     load = Load(share=0.5, targets=targets, stream=stream, **route)
--- a/wigeonmill/gateway/extra_attempts.py
+++ b/wigeonmill/gateway/extra_attempts.py
@@ -72,14 +72,9 @@
             self.allows(route),
         )
 
-    def record_work(
-        self, route: Route, pick: Pick, generation: Generation | None
-    ) -> None:
-        """Record the first attempt of any request.
-
-        It is of no use at a service whose requests can't be repeated.
-        """
-        if self.allows(route) or pick.target.service in self._work:
+    def record_work(self, pick: Pick, generation: Generation | None) -> None:
+        """Record the first attempt of any request."""
+        if self._limits.share > 0.0:
             work = _work_of(pick, generation)
             self._service(pick.target.service).record_work(work)
 
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -351,7 +351,7 @@
         )
         attempt.watch = self._ctx.extra.watch(self._route, pick)
         if self._attempts == 1:
-            self._ctx.extra.record_work(self._route, pick, generation)
+            self._ctx.extra.record_work(pick, generation)
         if trial is not None:
             self._version_trials[attempt] = trial
         self._log.record_attempt(attempt, pick, priority)
