Don't blame a request for lost targets after it was served

A request that crashes its targets is never served. So an answer that shows that the target ran it and lives on takes back the losses so far at this entry; one that shows no run (a rejection) does not, and a loss told again by a peer doesn't count again.

Before, the fourth request of the new test was refused.

--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -54,3 +54,16 @@
         passed_on += batch
     latest = [f'r{number} t' for number in range(100, count)]
     assert names(passed_on) == latest
+
+
+def test_a_loss_that_a_peer_tells_again_does_not_count_after_an_answer():
+    clock = ManualClock(1_000.0)
+    guard = CrashGuard(clock, LossLog(clock))
+    for number in range(3):
+        guard.record(b'f', f'r{number} t{number}')
+    assert guard.refuses(b'f')
+    guard.record_served(b'f')
+    guard.record_remote(b'f', 'r1 t1')
+    assert guard.count(b'f') == 0
+    guard.record(b'f', 'r4 t4')
+    assert guard.count(b'f') == 1
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.gateway import fakes
+from tests.gateway.fakes import FakeChannel
 from tests.gateway.fakes import Harness
 from tests.gateway.fakes import make_head
 from tests.gateway.samples import ENGINES
@@ -515,3 +516,27 @@
     channel = run_stream(harness)
     assert not harness.client.sent
     assert channel.status == 503
+
+
+# Guards against a sound request that is refused for two minutes: three targets
+# ended for other reasons while they ran it, though others served it each time.
+def test_a_request_that_is_served_each_time_does_not_crash_its_targets():
+    scripts = [fakes.CUT_BEFORE_HEAD, fakes.GOOD] * 3 + [fakes.GOOD]
+    harness = plain_harness(scripts, count=7)
+    route = make_route(max_targets=2)
+    for _ in range(4):
+        harness.channel = FakeChannel()
+        channel = harness.run(request_at(harness), route)
+        assert channel.status == 200
+
+
+# An answer that a target gave without running the request shows nothing.
+def test_a_request_that_is_only_rejected_may_crash_its_targets():
+    rejected = (make_head(404), b'', ExchangeEnd.COMPLETE)
+    scripts = [fakes.CUT_BEFORE_HEAD, rejected] * 3 + [fakes.GOOD]
+    harness = plain_harness(scripts, count=7)
+    route = make_route(max_targets=2)
+    for _ in range(4):
+        harness.channel = FakeChannel()
+        channel = harness.run(request_at(harness), route)
+    assert channel.refusal.reason is Reason.CRASHES_TARGETS
--- a/wigeonmill/gateway/crash_guard.py
+++ b/wigeonmill/gateway/crash_guard.py
@@ -1,5 +1,7 @@
 """Blocks requests that have crashed several targets."""
 
+from math import inf
+
 import xxhash
 
 from wigeonmill.clock import Clock
@@ -45,6 +47,17 @@
         self._log.add_request(fingerprint, loss, local)
         return True
 
+    def record_served(self, fingerprint: bytes) -> None:
+        """Record that a target has answered a request and lives on.
+
+        The losses so far had another reason. Other entries, which are told of
+        the losses only, go on counting them.
+        """
+        known = self._losses.get(fingerprint)
+        if known:
+            # Peers may tell them again.
+            self._losses[fingerprint] = dict.fromkeys(known, -inf)
+
     def count(self, fingerprint: bytes) -> int:
         """Return the number of unexpired losses."""
         losses = self._losses.get(fingerprint)
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -468,6 +468,8 @@
         self._log.record_end(attempt)
         self._record_outcome(attempt.target, failure, attempt.sent_ms)
         if failure is None:
+            if attempt.served:
+                self._ctx.crash_guard.record_served(self._fingerprint)
             return
         if not attempt.served:
             self._record_lost_parts(attempt.target, failure)
