Tell in an explanation that a target has just been opened again

Picks leave out targets whose time of rest has just ended, so that callers who return don't all go there. The command that explains a pick listed no restriction for them, so an operator could not see why they got nothing. The test now has one such target; it failed before.

--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -128,10 +128,12 @@
     harness, explainer = make_world()
     now_ms = harness.clock.now_ms()
     harness.ctx.directory.get('t1').closed_until_ms = now_ms + 500.0
+    harness.ctx.directory.get('t2').closed_until_ms = now_ms - 1.0
     answer = explainer.explain(PLAIN)
     targets = {t['target']: t for t in answer['targets']}
     assert len(targets) == 9
     assert targets['t1']['restrictions'] == ['closed']
+    assert targets['t2']['restrictions'] == ['opening']
     chosen = targets[answer['target']]
     assert chosen['restrictions'] == []
     assert chosen['cost'] == chosen['lateness_cost'] + chosen['other_cost']
--- a/wigeonmill/gateway/explanation.py
+++ b/wigeonmill/gateway/explanation.py
@@ -180,6 +180,7 @@
             ),
             'cold': target.is_cold(now_ms),
             'closed': target.is_closed(now_ms),
+            'opening': target.is_opening(now_ms),
             'loading_weights': target.is_loading(now_ms),
             'refusing': target.refusing_until_ms > now_ms,
             f'limited_to_{per_s:g}_per_s': per_s < math.inf,
