Expect a slow answer to end soon if most such answers do

Cause: the time to go was the mean of the answers in later buckets only. Those that end in the bucket of the present time, which is 19 % wide, were left out, though most slow answers are just a little late.

Now the answers of that bucket count by the part of it that is left.

--- a/tests/gateway/test_slow_answers.py
+++ b/tests/gateway/test_slow_answers.py
@@ -97,6 +97,20 @@
     assert other.late_at_ms == math.inf
 
 
+# Load: answers of which most slow ones are only a little later than usual. The
+# buckets are 19 % wide.
+@pytest.mark.parametrize('quantile', [0.5, 0.9, 0.95, 0.98])
+def test_the_remaining_time_is_the_mean_of_later_answers(clock, quantile):
+    rng = random.Random(1)
+    ratios = sorted(rng.lognormvariate(0.0, 0.4) for _ in range(2_000))
+    times = AnswerTimes(clock)
+    feed(times, ratios)
+    ratio = ratios[int(quantile * len(ratios))]
+    beyond = [later - ratio for later in ratios if later > ratio]
+    mean = sum(beyond) / len(beyond)
+    assert times.remaining(ratio) == pytest.approx(mean, rel=0.19)
+
+
 def test_an_answer_later_than_any_goes_on_as_long_as_it_took(clock):
     times = AnswerTimes(clock)
     feed(times, [1.0] * 100)
--- a/wigeonmill/gateway/slow_answers.py
+++ b/wigeonmill/gateway/slow_answers.py
@@ -76,13 +76,20 @@
         If there are none, what took so long is taken to go on as long again.
         """
         self._fade()
-        first = _bucket(ratio) + 1
-        weight = sum(self._weights[first:])
+        bucket = _bucket(ratio)
+        # Those of its own bucket that took longer end soon.
+        upper = _upper_end(bucket)
+        soon = upper - ratio
+        near = self._weights[bucket] * max(
+            0.0, soon / (upper - _lower_end(bucket))
+        )
+        later = self._weights[bucket + 1 :]
+        weight = near + sum(later)
         if weight < 1.0:
             return ratio
-        beyond = sum(
-            count * (_middle(first + n) - ratio)
-            for n, count in enumerate(self._weights[first:])
+        beyond = near * soon / 2.0 + sum(
+            count * (_middle(bucket + 1 + n) - ratio)
+            for n, count in enumerate(later)
         )
         return beyond / weight
 
@@ -329,8 +336,12 @@
     return min(BUCKETS - 1, int(octaves * BUCKETS_PER_OCTAVE))
 
 
+def _lower_end(bucket: int) -> float:
+    return float(LOWEST_RATIO * 2.0 ** (bucket / BUCKETS_PER_OCTAVE))
+
+
 def _upper_end(bucket: int) -> float:
-    return float(LOWEST_RATIO * 2.0 ** ((bucket + 1) / BUCKETS_PER_OCTAVE))
+    return _lower_end(bucket + 1)
 
 
 def _middle(bucket: int) -> float:
