Show that the soak sees closes late by the time it stands still

"lost" of the soak passes over a connection that is closed within 0.2 s of a request that was not read, and by as much later as the soak itself stood still.

The new test shows the same with one connection: a close that comes in time and is seen late passes, and one that comes late with the soak running does not.

--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -1,8 +1,15 @@
 """Tests that the soak's checks find each broken guarantee."""
 
+import asyncio
 import json
+import math
+import socket
+import time
+
+import pytest
 
 from tests.platform.soak.callers import Attempt
+from tests.platform.soak.callers import Connection
 from tests.platform.soak.callers import DEADLINE_MS
 from tests.platform.soak.callers import Kind
 from tests.platform.soak.callers import Outcome
@@ -24,6 +31,8 @@
 from tests.platform.soak.journal import Order
 from tests.platform.soak.journal import Run
 from tests.platform.soak.journal import Silence
+from tests.platform.soak.journal import STALL_CHECK_S
+from tests.platform.soak.lost import find_lost
 from tests.platform.soak.shares import find_underserved
 from tests.platform.soak.states import MAX_ATTEMPTS
 
@@ -371,6 +380,58 @@
     assert lost_promises(stalls=[[100.9, 101.3]], **late) == {'lost'}
 
 
+async def close_of_a_request(close_s, stall_s):
+    """Send a request that is not read; return its attempt and the journal.
+
+    Its connection is closed `close_s` later, and this process stands still
+    for `stall_s` once it is written.
+    """
+    listener = socket.create_server(('127.0.0.1', 0))
+    attempt = make_attempt(
+        sent_at=time.monotonic(), outcome=Outcome.TIMED_OUT, status=0, body=b''
+    )
+    journal = Journal()
+
+    def accept():
+        conn, _address = listener.accept()
+        time.sleep(close_s)
+        conn.close()
+
+    async def send():
+        conn = Connection('127.0.0.1:{}'.format(listener.getsockname()[1]))
+        await conn.send(attempt, 'key')
+        attempt.ended_at = time.monotonic()
+
+    watching = asyncio.ensure_future(journal.watch_stalls())
+    accepting = asyncio.to_thread(accept)
+    sending = asyncio.ensure_future(asyncio.wait_for(send(), 5.0))
+    closing = asyncio.ensure_future(accepting)
+    while attempt.written_at == math.inf:
+        await asyncio.sleep(0.0)
+    time.sleep(stall_s)
+    await asyncio.gather(sending, closing)
+    await asyncio.sleep(2 * STALL_CHECK_S)
+    watching.cancel()
+    listener.close()
+    return attempt, journal
+
+
+# The trace of a close that came within the time for one that crosses a request
+# and was seen later because the soak stood still, and of one that came later.
+@pytest.mark.parametrize(
+    ('close_s', 'stall_s', 'lost'),
+    [(0.02, 0.6, False), (0.02, 0.0, False), (0.6, 0.0, True)],
+)
+def test_the_time_at_which_a_close_is_seen_has_the_stalls_in_it(
+    close_s, stall_s, lost
+):
+    attempt, journal = asyncio.run(close_of_a_request(close_s, stall_s))
+    assert attempt.outcome is Outcome.CLOSED
+    seen_s = attempt.ended_at - attempt.written_at
+    assert seen_s >= max(close_s - 0.01, stall_s)
+    assert bool(list(find_lost([attempt], journal))) is lost
+
+
 def test_a_run_that_its_target_broke_off_is_not_lost():
     assert not lost_promises(breaks=[Break('t1', 101.5)])
     assert not lost_promises(breaks=[Break('t1', 101.5, 'q1')])
