Hand out ports to a test's processes that no outgoing connection is given

A process that is still starting does not hold its port. Those of the features' tests were in the kernel's range for outgoing connections, so a call of any other process could take one meanwhile; the process then ended as it could not listen, and its test waited in vain for 20 s.

The ports now come from the block below that range, as those of the soak do. Blocks have 1,024 ports, as up to 1,000 are kept from being handed out again.

--- a/bench/chaos_parts/ports.py
+++ b/bench/chaos_parts/ports.py
@@ -6,7 +6,7 @@
 import socket
 
 LOWEST_PORT = 12_000
-PORTS_PER_PROCESS = 512
+PORTS_PER_PROCESS = 1024
 RANGE_FILE = Path('/proc/sys/net/ipv4/ip_local_port_range')
 # Used if the system does not report its ephemeral range.
 DEFAULT_EPHEMERAL_START = 32_768
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from bench.chaos_parts.ports import reserve_address
 from wigeonmill.clock import Clock
 from wigeonmill.config.acceptance import Submission
 from wigeonmill.config.acceptance import submit
@@ -161,15 +162,11 @@
     """Return a loopback IP:port that no process listens on at present.
 
     It is none of the last ones returned, as their processes may not listen
-    yet.
+    yet, and no outgoing connection is given it meanwhile.
     """
-    while True:
-        with socket.socket() as sock:
-            sock.bind(('127.0.0.1', 0))
-            port = sock.getsockname()[1]
-        if port not in _handed_out:
-            _handed_out.append(port)
-            return f'127.0.0.1:{port}'
+    address = reserve_address(set(_handed_out))
+    _handed_out.append(int(address.rpartition(':')[2]))
+    return address
 
 
 def wait_for_listener(
