Let a drain go on until 0.6 s before the end of its grace time

What follows a drain does not grow with the grace time, so the drain takes all but 0.6 s of it (7.4 s of 8 s), and 0.84 of a short one at least, since a stream may be cut in the last sixth only.

The test of a process that ends in time has a grace time of 8 s beside that of 4 s.

--- a/tests/platform/test_drain.py
+++ b/tests/platform/test_drain.py
@@ -1,6 +1,7 @@
 """Requests that were read whole are answered while a process drains."""
 
 import asyncio
+import math
 import os
 import signal
 import time
@@ -17,6 +18,7 @@
 from wigeonmill.gateway.answers import Progress
 from wigeonmill.gateway.answers import RequestState
 from wigeonmill.gateway.role import DRAIN_FRACTION
+from wigeonmill.gateway.role import STOP_MS
 from wigeonmill.gateway.server import GatewayServer
 
 HEAD = (
@@ -56,6 +58,7 @@
     role = 'wigeonmill.gateway.role.'
     monkeypatch.setattr(role + 'CLOSE_IDLE_AFTER_MS', 100.0)
     monkeypatch.setattr(role + 'STOP_ACCEPTING_AFTER_MS', 100.0)
+    monkeypatch.setattr(role + 'STOP_MS', math.inf)
     monkeypatch.setattr(role + 'DRAIN_FRACTION', 0.1)
 
     async def release(role):
@@ -297,6 +300,7 @@
     monkeypatch.setattr(
         'wigeonmill.gateway.role.DRAIN_FRACTION', DRAIN_FRACTION
     )
+    monkeypatch.setattr('wigeonmill.gateway.role.STOP_MS', STOP_MS)
     settings = msgspec.structs.replace(SETTINGS, grace_ms=3_000.0)
 
     async def check(role):
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -1,6 +1,7 @@
 """The end of a process: every task ends once it is cancelled."""
 
 import asyncio
+import math
 import os
 import signal
 import subprocess
@@ -127,8 +128,10 @@
 
 # Guards against a process that is killed at the end of its grace time: the
 # last calls and the exit came on top of a drain that took all of it.
-def test_a_gateway_process_with_an_open_stream_ends_in_its_time(tmp_path):
-    grace_s = 4.0
+@pytest.mark.parametrize('grace_s', [4.0, 8.0])
+def test_a_gateway_process_with_an_open_stream_ends_in_its_time(
+    tmp_path, grace_s
+):
     done = run_process(
         tmp_path, BUSY, grace_s * 1000.0, ROOT / 'platform/wigeonmilld.py'
     )
@@ -143,6 +146,7 @@
 # connections waited without a limit.
 def test_a_stop_does_not_wait_for_a_connection_that_stays(monkeypatch):
     monkeypatch.setattr('wigeonmill.gateway.role.DRAIN_FRACTION', 0.0)
+    monkeypatch.setattr('wigeonmill.gateway.role.STOP_MS', math.inf)
 
     async def run():
         role = await make_role()
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -82,9 +82,11 @@
 RELEASE_TIMEOUT_S = 0.3
 # Limit of the close of callers' connections once no request is served.
 CLOSE_TIMEOUT_S = 0.05
-# Fraction of the time before SIGKILL that a drain may take. The rest is for
-# the last calls to the key-value service and the end of the process.
-DRAIN_FRACTION = 0.86
+# Time before SIGKILL at which a drain ends. It is for the last calls to the
+# key-value service and the end of the process.
+STOP_MS = 600.0
+# Fraction of the time before SIGKILL that a drain may take at least.
+DRAIN_FRACTION = 0.84
 
 
 LoadSettings = Callable[[], Result[GatewaySettings, list[SettingsFault]]]
@@ -341,7 +343,8 @@
         started_ms = self._clock.now_ms()
         self._server.draining = True
         logger.info('draining', extra={'open': self._server.open_requests})
-        limit_ms = self._settings.grace_ms * DRAIN_FRACTION
+        grace_ms = self._settings.grace_ms
+        limit_ms = max(grace_ms - STOP_MS, grace_ms * DRAIN_FRACTION)
         elapsed_ms = 0.0
         while True:
             tick_ms = max(0.0, min(TICK_MS, limit_ms - elapsed_ms))
