--- a/wigeonmill/gateway/extra_attempts.py
+++ b/wigeonmill/gateway/extra_attempts.py
@@ -58,24 +58,23 @@
         )
 
     def watch(self, route: Route, pick: Pick) -> AnswerWatch | None:
-        """Return what follows an attempt that is being sent, if anything."""
-        if not self.allows(route):
+        """Return what follows an attempt that is being sent, if anything.
+
+        Answers that may not be repeated show how long the others take.
+        """
+        if self._limits.share <= 0.0:
             return None
         return AnswerWatch(
             self._clock,
             self._kind(route, pick.target.service),
             pick.target.id,
             pick.expected_ms,
+            self.allows(route),
         )
 
-    def record_work(
-        self, route: Route, pick: Pick, generation: Generation | None
-    ) -> None:
-        """Record the first attempt of any request.
-
-        It is of no use at a service whose requests can't be repeated.
-        """
-        if self.allows(route) or pick.target.service in self._work:
+    def record_work(self, pick: Pick, generation: Generation | None) -> None:
+        """Record the first attempt of any request."""
+        if self._limits.share > 0.0:
             work = _work_of(pick, generation)
             self._service(pick.target.service).record_work(work)
 
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -351,7 +351,7 @@
         )
         attempt.watch = self._ctx.extra.watch(self._route, pick)
         if self._attempts == 1:
-            self._ctx.extra.record_work(self._route, pick, generation)
+            self._ctx.extra.record_work(pick, generation)
         if trial is not None:
             self._version_trials[attempt] = trial
         self._log.record_attempt(attempt, pick, priority)
@@ -468,6 +468,8 @@
         self._log.record_end(attempt)
         self._record_outcome(attempt.target, failure, attempt.sent_ms)
         if failure is None:
+            if attempt.served:
+                self._ctx.crash_guard.record_served(self._fingerprint)
             return
         if not attempt.served:
             self._record_lost_parts(attempt.target, failure)
