Let polls of a stale store view return at once

A poll of a view that is stale doesn't wait now; only the entries that poll a store anyway wait for its events.

--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -15,10 +15,12 @@
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.own_records import ENTRY_PREFIX
 from wigeonmill.gateway.registration import EntryList
+from wigeonmill.gateway.store_view import CacheEvent
 from wigeonmill.gateway.store_view import CacheEventBatch
 from wigeonmill.gateway.store_view import CacheListing
 from wigeonmill.gateway.store_view import PeerEventBatch
 from wigeonmill.gateway.store_watch import MAX_LISTINGS
+from wigeonmill.gateway.store_watch import POLL_WAIT_MS
 from wigeonmill.gateway.store_watch import POLLERS_PER_STORE
 from wigeonmill.gateway.store_watch import STALE_VIEW_MS
 from wigeonmill.gateway.store_watch import StoreWatch
@@ -230,3 +232,53 @@
 
     # Less than one of the stores that are down takes.
     assert asyncio.run(run()) < 0.2
+
+
+class FullStore:
+    """A store that holds a few polls at once and refuses further ones."""
+
+    def __init__(self, max_polls):
+        self.max_polls = max_polls
+        self.polls_now = 0
+        self.refused = 0
+
+    async def poll_events(self, address, since, wait_ms):
+        if self.polls_now >= self.max_polls:
+            self.refused += 1
+            return Err(FetchError('status 429', sent=True))
+        if wait_ms:
+            self.polls_now += 1
+            await asyncio.sleep(wait_ms / 1000.0)
+            self.polls_now -= 1
+        return Ok(CacheEventBatch(1, since, False, 1_000, ()))
+
+    async def listing(self, address):
+        part = CacheEvent(True, '', 'p1', 100)
+        return Ok(CacheListing(1, 7, (part,)))
+
+
+# Load: all entries start together and want to fetch from every store at once,
+# of which each holds as many polls as the few entries that poll it need.
+def test_all_entries_that_start_together_may_fetch_after_their_first_poll():
+    lists = make_entry_lists()
+
+    async def run():
+        store = FullStore(SPEC.max_event_polls)
+        watches = [
+            StoreWatch(store, Clock(), Metrics(), each.is_selected)
+            for each in lists
+        ]
+        for watch in watches:
+            watch.set_stores([SPEC])
+        # Less than one poll that waits for events takes.
+        async with asyncio.timeout(POLL_WAIT_MS / 1000.0):
+            while not all(
+                watch.view(STORE).available_tokens('', 'p1')
+                for watch in watches
+            ):
+                await asyncio.sleep(0.005)
+        for watch in watches:
+            watch.close()
+        return store
+
+    assert asyncio.run(run()).refused == 0
--- a/wigeonmill/gateway/store_watch.py
+++ b/wigeonmill/gateway/store_watch.py
@@ -24,6 +24,9 @@
 
 # How long a poll waits for events. Shorter polls are charged as probes.
 POLL_WAIT_MS = 700
+# A poll of a view that is stale does not wait. A store holds only a few polls
+# at once, and refuses those of the others if all entries start together.
+CATCH_UP_WAIT_MS = 0
 # Pause after a response, so that a busy store is not polled for every event.
 POLL_PAUSE_MS = 100.0
 FAILED_PAUSE_MS = 500.0
@@ -131,8 +134,11 @@
             # All events that the store has kept would be of no use.
             return await self._list(view)
         requested_ms = self._clock.now_ms()
+        is_stale = view.age_ms > STALE_VIEW_MS
         batch = await self._stores.poll_events(
-            view.address, view.next, POLL_WAIT_MS
+            view.address,
+            view.next,
+            CATCH_UP_WAIT_MS if is_stale else POLL_WAIT_MS,
         )
         if isinstance(batch, Err):
             self._record_failure(view, batch.err_value)
