Listen for callers before the program is imported

Callers that connect while a process imports were refused. If all entries restart together, as after a loss of power, that costs each of them one of its few retries. The main program listens first now; what connects waits in the kernel until the process reads it. The process is ready as late as before, so the balancer sends it nothing earlier.

The fake of the start's run() in tests/platform/test_start.py takes the socket as well.

--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 import random
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -12,6 +13,7 @@
 import tomllib
 
 import msgspec
+import pytest
 from result import Err
 from result import Ok
 
@@ -25,6 +27,7 @@
 from alliance.rollouts import AllianceRollouts
 from alliance.store import AllianceStore
 from alliance.targets import AllianceTargets
+from wigeonmill.addresses import split_address
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.adapter import Adapter
 from wigeonmill.gateway.role import GatewayRole
@@ -56,6 +59,19 @@
 sys.path.insert(0, 'platform')
 runpy.run_path('platform/wigeonmilld.py', run_name='__main__')
 """
+# Runs the main program, whose first module takes long to import.
+SLOW_START = """
+import runpy, sys, time
+
+class Slow:
+    def find_spec(self, name, path=None, target=None):
+        if name == 'alliance':
+            time.sleep(1.0)
+
+sys.meta_path.insert(0, Slow())
+sys.path.insert(0, 'platform')
+runpy.run_path('platform/wigeonmilld.py', run_name='__main__')
+"""
 # The platform's processor clock of a process that has just started.
 PROCESSOR_S = 40_000.0
 
@@ -101,6 +117,51 @@
     assert 700.0 <= role._ctx.desired.uptime_ms < 1_700.0
 
 
+def free_address():
+    with socket.create_server(('127.0.0.1', 0)) as sock:
+        return f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+def connect_within(address, seconds):
+    """Connect to a process that has just started, before it is ready."""
+    until_s = time.monotonic() + seconds
+    while True:
+        try:
+            return socket.create_connection(split_address(address), 10.0)
+        except ConnectionRefusedError:
+            if time.monotonic() > until_s:
+                raise
+            time.sleep(0.01)
+
+
+# Load: all entries have lost power, and their callers return while the
+# processes still import. One that was refused has used up a retry.
+def test_a_caller_that_connects_during_the_imports_gets_its_answer(tmp_path):
+    callers = free_address()
+    settings = msgspec.structs.replace(SETTINGS, callers=callers)
+    path = tmp_path / 'settings.json'
+    path.write_bytes(msgspec.json.encode(settings))
+    env = os.environ | {'PYTHONPATH': str(ROOT), SETTINGS_VARIABLE: str(path)}
+    process = subprocess.Popen(
+        [sys.executable, '-c', SLOW_START], cwd=ROOT, env=env
+    )
+    try:
+        with connect_within(callers, 5.0) as conn:
+            # The imports take longer than that.
+            conn.sendall(
+                b'GET /a/x HTTP/1.1\r\nHost: h.example\r\n'
+                b'Request-Id: q1\r\nDeadline-Ms: 3000\r\n\r\n'
+            )
+            conn.settimeout(0.3)
+            with pytest.raises(TimeoutError):
+                conn.recv(1)
+            conn.settimeout(10.0)
+            assert conn.recv(12) == b'HTTP/1.1 503'
+    finally:
+        process.terminate()
+        process.wait(10.0)
+
+
 # Guards against LOST: SIGHUP ended a process that was still importing.
 def test_a_hangup_during_the_start_does_not_end_the_process():
     env = os.environ | {'PYTHONPATH': str(ROOT), SETTINGS_VARIABLE: ''}
@@ -193,7 +254,7 @@
     """Run the main program up to its loop; return the exit code."""
     started = []
 
-    async def run(settings, path, started_boot_ms):
+    async def run(settings, path, started_boot_ms, callers):
         started.append(settings)
 
     monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
--- /dev/null
+++ b/wigeonmill/early_listener.py
@@ -0,0 +1,49 @@
+"""Listens for callers before the rest of the program is imported.
+
+Most of the start is spent on imports. Callers that connect meanwhile wait for
+the process instead of being refused, which would cost them one of their few
+retries if all entries restart together. This module imports little.
+"""
+
+from collections.abc import Sequence
+import json
+import socket
+
+from wigeonmill.addresses import split_address
+
+# Maximum number of connections that wait to be accepted.
+BACKLOG = 1024
+
+
+def listen(address: str) -> socket.socket:
+    """Return a socket that listens at an IP:port address.
+
+    An OSError is raised if it can't.
+    """
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+def listen_early(path: str, name: str) -> socket.socket | None:
+    """Listen at the address that the settings file at `path` has as `name`.
+
+    Return None if that fails; the faults are reported once the settings are
+    checked.
+    """
+    try:
+        with open(path, encoding='utf-8') as file:
+            address = json.load(file)[name]
+        return listen(address)
+    except (OSError, ValueError, LookupError, TypeError, AttributeError):
+        return None
+
+
+def take(early: Sequence[socket.socket], address: str) -> socket.socket:
+    """Return the socket of `early` at an address, or else a new one."""
+    for sock in early:
+        if sock.getsockname()[:2] == split_address(address):
+            return sock
+    return listen(address)
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import logging
 import random
 import secrets
 import signal
+import socket
 import time
 
 import msgspec
@@ -13,6 +15,7 @@
 from result import Result
 
 from wigeonmill.clock import Clock
+from wigeonmill.early_listener import take
 from wigeonmill.gateway.adapter import Adapter
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.cache_cleaner import CacheCleaner
@@ -101,8 +104,13 @@
         rng: random.Random,
         load_settings: LoadSettings,
         uptime_ms: float = 0.0,
+        listening: Sequence[socket.socket] = (),
     ) -> None:
-        """Create the role of a process that has run for `uptime_ms`."""
+        """Create the role of a process that has run for `uptime_ms`.
+
+        `listening` are sockets at which callers may be waiting already.
+        """
+        self._listening = listening
         self._settings = settings
         self._reload_timer: asyncio.TimerHandle | None = None
         self._load_settings = load_settings
@@ -326,7 +334,8 @@
 
     def _listen(self) -> None:
         idle_ms = self._settings.idle_ms
-        self._server.listen(self._settings.callers, idle_ms)
+        callers = take(self._listening, self._settings.callers)
+        self._server.listen_at(callers, idle_ms)
         self._status.listen(self._settings.ready)
         if self._settings.metrics:
             self._status.listen(self._settings.metrics)
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -4,6 +4,7 @@
 import enum
 import logging
 import math
+import socket
 import weakref
 
 from result import Err
@@ -18,10 +19,9 @@
 from tornado.httputil import ResponseStartLine
 from tornado.ioloop import PeriodicCallback
 from tornado.iostream import IOStream
-from tornado.netutil import bind_sockets
 
-from wigeonmill.addresses import split_address
 from wigeonmill.clock import Clock
+from wigeonmill.early_listener import listen
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.caller_channel import HttpChannel
@@ -43,8 +43,6 @@
 # A longer head is not read to its end and gets no answer.
 MAX_READ_HEADER_BYTES = 1024 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
-# Maximum number of connections that wait to be accepted.
-BACKLOG = 1024
 # Callers may reuse an idle connection up to the limit that operators set. The
 # server waits a little longer, so that it does not close a connection while a
 # request is on its way.
@@ -142,9 +140,11 @@
 
     def listen(self, address: str, idle_ms: float) -> None:
         """Listen at an IP:port address."""
-        host, port = split_address(address)
-        sockets = bind_sockets(port, host, backlog=BACKLOG)
-        self.port = sockets[0].getsockname()[1]
+        self.listen_at(listen(address), idle_ms)
+
+    def listen_at(self, sock: socket.socket, idle_ms: float) -> None:
+        """Accept the connections of a socket that listens."""
+        self.port = sock.getsockname()[1]
         self._server = HTTPServer(
             self,
             max_header_size=MAX_READ_HEADER_BYTES,
@@ -153,7 +153,7 @@
         # Its timer keeps the limit that it was started with and does not see
         # what has arrived when it fires.
         self._server.conn_params.header_timeout = None
-        self._server.add_sockets(sockets)
+        self._server.add_socket(sock)
         self.set_idle_time(idle_ms)
         self._idle_check.start()
 
