--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -21,6 +21,7 @@
 from wigeonmill.gateway.service_rollout import RolloutLimits
 from wigeonmill.gateway.software_rollout import SoftwareRollouts
 from wigeonmill.gateway.stream_origins import LocalStreamOrigins
+from wigeonmill.gateway.start_hold import StartHold
 from wigeonmill.gateway.stream_origins import StreamOrigins
 from wigeonmill.gateway.suspicions import Suspicions
 from wigeonmill.gateway.target_notices import DEFAULT_MAX_CLOSED_MS
@@ -199,6 +200,7 @@
         'team_shares',
         'waiting_room',
         'sessions',
+        'start_hold',
         'profiles',
         'answer_limits',
         'origins',
@@ -274,6 +276,7 @@
         self.profiles = ServiceProfiles()
         self.answer_limits = answer_limits
         self.origins: StreamOrigins = LocalStreamOrigins()
+        self.start_hold = StartHold(clock)
         self.open_streams = OpenStreams(clock)
         self.rollouts = SoftwareRollouts(
             clock,
--- a/wigeonmill/gateway/forwarder.py
+++ b/wigeonmill/gateway/forwarder.py
@@ -43,6 +43,9 @@
 
     async def serve(self, req: CallerRequest, channel: CallerChannel) -> None:
         """Answer `req` on `channel`."""
+        if self._ctx.desired.state is None:
+            end = await self._ctx.start_hold.wait(req)
+            self._ctx.metrics.count('gateway_start_holds', end.value)
         admitted = self._admit(req)
         if isinstance(admitted, Err):
             refusal = admitted.err_value
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -495,6 +495,10 @@
         self._stores.set_stores(state.stores)
         self._server.set_limits(state.limits)
 
+        table = self._ctx.desired.table
+        self._ctx.start_hold.release(
+            lambda req: table.match(req.host, req.path)
+        )
     def _on_connection_change(self, connected: bool) -> None:
         if connected:
             self._ctx.directory.key_value_recovered()
