Let callers that are late already go after others after a restart

With restart_order_ms a process counts the earlier tries of a caller against its objective for that time after its start: the time that its Deadline lacks to the route's timeout. After a loss of power of all entries most requests that return have missed their objective; they took the place of those that could be answered in time. It is 0, off, by default.

--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -17,11 +17,12 @@
 from wigeonmill.gateway.loss_log import LossLog
 from wigeonmill.gateway.origin_records import OpenStreams
 from wigeonmill.gateway.part_guard import PartGuard
+from wigeonmill.gateway.restart_order import RestartOrder
 from wigeonmill.gateway.service_profile import ServiceProfiles
 from wigeonmill.gateway.service_rollout import RolloutLimits
 from wigeonmill.gateway.software_rollout import SoftwareRollouts
-from wigeonmill.gateway.stream_origins import LocalStreamOrigins
 from wigeonmill.gateway.start_hold import StartHold
+from wigeonmill.gateway.stream_origins import LocalStreamOrigins
 from wigeonmill.gateway.stream_origins import StreamOrigins
 from wigeonmill.gateway.suspicions import Suspicions
 from wigeonmill.gateway.target_notices import DEFAULT_MAX_CLOSED_MS
@@ -199,8 +200,9 @@
         'fair_admission',
         'team_shares',
         'waiting_room',
-        'sessions',
         'start_hold',
+        'restart_order',
+        'sessions',
         'profiles',
         'answer_limits',
         'origins',
@@ -229,12 +231,15 @@
         is_selected: Callable[[str, int], bool] = lambda _key, _count: True,
         extra_work: ExtraWorkLimits = ExtraWorkLimits(),
         rollout_limits: RolloutLimits = RolloutLimits(),
+        restart_order_ms: float = 0.0,
     ) -> None:
         """Create the state of a process that has run for `uptime_ms`.
 
         `contact_ms` is the time after a start or an outage from which the
         platform's rules bind an entry. `is_selected` tells whether this entry
-        is one of a number of them that are selected for a key.
+        is one of a number of them that are selected for a key. For
+        `restart_order_ms` after the start, callers that are late already go
+        after the others.
         """
         self.clock = clock
         self.rng = rng
@@ -272,11 +277,12 @@
         self.fair_admission = False
         self.team_shares = TeamShares(clock)
         self.waiting_room = WaitingRoom(clock)
+        self.start_hold = StartHold(clock)
+        self.restart_order = RestartOrder(clock, restart_order_ms, uptime_ms)
         self.sessions = ServedSessions()
         self.profiles = ServiceProfiles()
         self.answer_limits = answer_limits
         self.origins: StreamOrigins = LocalStreamOrigins()
-        self.start_hold = StartHold(clock)
         self.open_streams = OpenStreams(clock)
         self.rollouts = SoftwareRollouts(
             clock,
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -153,6 +153,7 @@
                 settings.rollout_slack,
                 settings.rollback_ms,
             ),
+            settings.restart_order_ms,
         )
         self._ctx.fair_admission = settings.fair_admission
         self._sync = MirrorSync(
@@ -494,11 +495,11 @@
     def _on_desired_state(self, state: DesiredState) -> None:
         self._stores.set_stores(state.stores)
         self._server.set_limits(state.limits)
-
         table = self._ctx.desired.table
         self._ctx.start_hold.release(
             lambda req: table.match(req.host, req.path)
         )
+
     def _on_connection_change(self, connected: bool) -> None:
         if connected:
             self._ctx.directory.key_value_recovered()
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -17,6 +17,7 @@
 from wigeonmill.gateway.picker import Pick
 from wigeonmill.gateway.relay import Relay
 from wigeonmill.gateway.request import CallerRequest
+from wigeonmill.gateway.restart_order import used_before_ms
 from wigeonmill.gateway.service_profile import ServiceProfile
 from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.target_client import Instructions
@@ -294,6 +295,10 @@
             gap_ms = self.route.gap_objective_ms
             return gap_ms, gap_ms
         elapsed_ms = self._ctx.clock.now_ms() - self.req.arrived_ms
+        if self._ctx.restart_order.applies:
+            elapsed_ms += used_before_ms(
+                self.req.deadline_ms, self.route.timeout_ms
+            )
         objective_ms = self.route.objective_ms
         return objective_ms, objective_ms - elapsed_ms
 
