Divide the retry slack by demand where operators ask for it

The slack of the retry budget was divided equally, so that an entry with little traffic left its part unused while another refused. With shares_by_demand each entry tells a claim in its answers to updates, its demand relative to the mean, and uses no larger one while any it told is valid; a claim that is not known counts as the largest. So the parts add up to one at most, whatever was lost or is late. The smallest part of the last budget window counts.

The test has 1 to 400 entries with demand that moves, lost and late answers, entries that stand still, are cut off one way or restart. Limits of cold targets and named limits stay equal: their slots and selected entries depend on equal parts.

--- a/wigeonmill/gateway/allowances.py
+++ b/wigeonmill/gateway/allowances.py
@@ -78,22 +78,22 @@
         """Count the first arrival of a request."""
         self._requests.add()
 
-    def available(self, entry_count: int) -> float:
+    def available(self, entry_count: float) -> float:
         """Return the available retries of one of `entry_count` entries."""
         return self._allowed(entry_count) - self._retries.count()
 
-    def half_is_left(self, entry_count: int) -> bool:
+    def half_is_left(self, entry_count: float) -> bool:
         """Whether at least half of the budget is available."""
         return self.available(entry_count) >= self._allowed(entry_count) / 2.0
 
-    def _allowed(self, entry_count: int) -> float:
+    def _allowed(self, entry_count: float) -> float:
         age_ms = self._clock.now_ms() - self._started_ms
         ramp_up = min(1.0, age_ms / self._limits.window_ms)
-        slack = self._limits.slack * ramp_up / max(1, entry_count)
+        slack = self._limits.slack * ramp_up / max(1.0, entry_count)
         share = self._limits.ratio * self._requests.count() + slack
         return share * USED_SHARE
 
-    def try_acquire(self, entry_count: int) -> bool:
+    def try_acquire(self, entry_count: float) -> bool:
         """Use one retry and return True, if one is available."""
         if self.available(entry_count) < 1.0:
             return False
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -9,6 +9,7 @@
 from wigeonmill.gateway.allowances import RetryAllowance
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.crash_guard import CrashGuard
+from wigeonmill.gateway.demand_shares import DemandShares
 from wigeonmill.gateway.desired import DesiredState
 from wigeonmill.gateway.desired import RouteTable
 from wigeonmill.gateway.extra_attempts import ExtraAttempts
@@ -208,6 +209,7 @@
         'origins',
         'open_streams',
         'rollouts',
+        'demand_shares',
         'entry_count',
         'entry_position',
         'extra',
@@ -232,6 +234,8 @@
         extra_work: ExtraWorkLimits = ExtraWorkLimits(),
         rollout_limits: RolloutLimits = RolloutLimits(),
         restart_order_ms: float = 0.0,
+        shares_by_demand: bool = False,
+        is_counted: Callable[[str], bool] = lambda _entry: True,
     ) -> None:
         """Create the state of a process that has run for `uptime_ms`.
 
@@ -239,7 +243,8 @@
         platform's rules bind an entry. `is_selected` tells whether this entry
         is one of a number of them that are selected for a key. For
         `restart_order_ms` after the start, callers that are late already go
-        after the others.
+        after the others. `is_counted` tells whether `entry_count` includes an
+        entry.
         """
         self.clock = clock
         self.rng = rng
@@ -293,6 +298,9 @@
             is_selected,
             rollout_limits,
         )
+        self.demand_shares = DemandShares(
+            clock, entry_count, is_counted, shares_by_demand
+        )
         # Returns the number of entries that may be alive.
         self.entry_count = entry_count
         # Returns the position of this entry among them, from 0 to 1.
@@ -308,3 +316,14 @@
             allowance = RetryAllowance(self.clock, self._retry_limits)
             self._retries[service] = allowance
         return allowance
+
+    def retry_sharers(self, service: str) -> float:
+        """Return among how many entries the retry slack is divided.
+
+        If it is divided by demand, the result is the number that would have
+        this entry's part each.
+        """
+        if not self.demand_shares.enabled:
+            return self.entry_count()
+        window_ms = self._retry_limits.window_ms
+        return 1.0 / self.demand_shares.part(service, window_ms)
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -19,6 +19,8 @@
 from wigeonmill.gateway.cache_event_exchange import CacheEventExchange
 from wigeonmill.gateway.context import DEFAULT_CONTACT_MS
 from wigeonmill.gateway.context import GatewayContext
+from wigeonmill.gateway.demand_exchange import apply_claims
+from wigeonmill.gateway.demand_exchange import claims_to_wire
 from wigeonmill.gateway.leaving_exchange import LeavingExchange
 from wigeonmill.gateway.limit_exchange import LimitExchange
 from wigeonmill.gateway.loss_log import RunOutcome
@@ -237,6 +239,12 @@
                 self._sent_losses[address] = (process, last_loss, all_to)
                 self._record_domain(address, answer.failure_domain)
                 self._apply_update(answer)
+                apply_claims(
+                    self._ctx.demand_shares,
+                    answer.sender,
+                    answer.demand_claims or (),
+                    requested_boot_ms,
+                )
                 if ask:
                     self._confirm_copy(answer, requested_boot_ms)
                 self._caches.apply_updates(
@@ -260,6 +268,7 @@
             None if update.known_to == NO_REVISION else update.known_to
         )
         answer = self._build_update(changes_after)
+        answer.demand_claims = claims_to_wire(self._ctx.demand_shares) or None
         told, known = self._replied_losses.get(update.sender, (conn, 0))
         if told is not conn:
             known = 0
--- a/wigeonmill/gateway/registration.py
+++ b/wigeonmill/gateway/registration.py
@@ -163,6 +163,10 @@
         """The number of entries that are listed or recently were."""
         return len(self._addresses) + len(self._unlisted_at_ms)
 
+    def is_counted(self, entry: str) -> bool:
+        """Whether `count` includes an entry."""
+        return entry in self._addresses or entry in self._unlisted_at_ms
+
     def count(self) -> int:
         """Return how many entries may be alive, this one included."""
         # Ordered by time, because an entry is appended when it is unlisted.
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -150,6 +150,7 @@
             return
         self._probe = guard.find(self._terms.part_keys)
         self._ctx.retries(self._terms.service).record_request()
+        self._ctx.demand_shares.record_request(self._terms.service)
         self._admission.record_asked()
         if self._terms.origin is not None:
             # All entries may be lost once more before the stream ends.
@@ -613,7 +614,9 @@
     def _keeps_retries(self) -> bool:
         """Whether extra work leaves retries to requests of lost targets."""
         allowance = self._ctx.retries(self._terms.service)
-        return allowance.half_is_left(self._ctx.entry_count())
+        return allowance.half_is_left(
+            self._ctx.retry_sharers(self._terms.service)
+        )
 
     def _acquire_retry(self) -> bool:
         """Use the retry budget for one more attempt, if it allows one.
@@ -624,7 +627,8 @@
         if self._retries_acquired >= self._arrivals:
             return True
         allowance = self._ctx.retries(self._terms.service)
-        if not allowance.try_acquire(self._ctx.entry_count()):
+        sharers = self._ctx.retry_sharers(self._terms.service)
+        if not allowance.try_acquire(sharers):
             return False
         self._retries_acquired += 1
         return True
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -154,6 +154,8 @@
                 settings.rollback_ms,
             ),
             settings.restart_order_ms,
+            settings.shares_by_demand,
+            self._entries.is_counted,
         )
         self._ctx.fair_admission = settings.fair_admission
         self._sync = MirrorSync(
@@ -406,6 +408,7 @@
             self._ctx.directory.expire()
             self._versions.observe()
             self._ctx.suspicions.observe()
+            self._ctx.demand_shares.observe()
             if self._clock.now_ms() - logged_ms >= COUNTERS_INTERVAL_MS:
                 logged_ms = self._clock.now_ms()
                 self._log_counters()
--- a/wigeonmill/gateway/run_log.py
+++ b/wigeonmill/gateway/run_log.py
@@ -63,6 +63,7 @@
         """Log what becomes of a second attempt beside a silent target."""
         terms = self._terms
         allowance = self._ctx.retries(terms.service)
+        sharers = self._ctx.retry_sharers(terms.service)
         logger.info(
             'second attempt',
             extra={
@@ -72,7 +73,7 @@
                 'second_target': second.target.id if second else '',
                 'silent_ms': round(attempt.silent_ms, 1),
                 'remaining_ms': round(terms.remaining_ms, 1),
-                'budget': round(allowance.available(self._ctx.entry_count())),
+                'budget': round(allowance.available(sharers)),
                 'detail': failure.message if failure else '',
             },
         )
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -56,6 +56,7 @@
     contact_ms: Milliseconds = 3_000.0
     domain_transfer_cost: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     fair_admission: bool = False
+    shares_by_demand: bool = False
     restart_order_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     rollout_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     rollout_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -4357,6 +4357,98 @@
         return not (self == other)
 
 
+class DemandClaim(object):
+    """
+    Attributes:
+     - service_name
+     - amount
+     - requests
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'amount',
+        'requests',
+    )
+
+
+    def __init__(self, service_name=None, amount=None, requests=None,):
+        self.service_name = service_name
+        self.amount = amount
+        self.requests = requests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.amount = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.requests = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DemandClaim')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.amount is not None:
+            oprot.writeFieldBegin('amount', TType.I32, 2)
+            oprot.writeI32(self.amount)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I64, 3)
+            oprot.writeI64(self.requests)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class VersionCount(object):
     """
     Attributes:
@@ -4655,6 +4747,7 @@
      - leaving
      - failure_domain
      - served_work
+     - demand_claims
 
     """
 
@@ -4675,12 +4768,13 @@
         'rollouts',
         'silences',
         'served_work',
+        'demand_claims',
         'failure_domain',
         'leaving',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None, silences=None, leaving=None, failure_domain=None, served_work=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None, silences=None, leaving=None, failure_domain=None, served_work=None, demand_claims=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4699,6 +4793,7 @@
         self.leaving = leaving
         self.failure_domain = failure_domain
         self.served_work = served_work
+        self.demand_claims = demand_claims
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4871,6 +4966,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.demand_claims = []
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = DemandClaim()
+                        _elem201.read(iprot)
+                        self.demand_claims.append(_elem201)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4978,6 +5084,13 @@
                 iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.demand_claims is not None:
+            oprot.writeFieldBegin('demand_claims', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.demand_claims))
+            for iter202 in self.demand_claims:
+                iter202.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         if self.failure_domain is not None:
             oprot.writeFieldBegin('failure_domain', TType.STRING, 18)
             oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
@@ -5971,6 +6084,13 @@
     (3, TType.I64, 'asked', None, None, ),  # 3
     (4, TType.I64, 'served', None, None, ),  # 4
 )
+all_structs.append(DemandClaim)
+DemandClaim.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'amount', None, None, ),  # 2
+    (3, TType.I64, 'requests', None, None, ),  # 3
+)
 all_structs.append(VersionCount)
 VersionCount.thrift_spec = (
     None,  # 0
@@ -6011,7 +6131,7 @@
     (14, TType.LIST, 'rollouts', (TType.STRUCT, [RolloutReport, None], False), None, ),  # 14
     (15, TType.LIST, 'silences', (TType.STRUCT, [TargetSilence, None], False), None, ),  # 15
     (16, TType.LIST, 'served_work', (TType.STRUCT, [ServedWork, None], False), None, ),  # 16
-    None,  # 17
+    (17, TType.LIST, 'demand_claims', (TType.STRUCT, [DemandClaim, None], False), None, ),  # 17
     (18, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 18
     None,  # 19
     (20, TType.LIST, 'leaving', (TType.STRUCT, [LeavingTarget, None], False), None, ),  # 20
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -364,6 +364,15 @@
   4: i64 served
 }
 
+// What an entry claims of the limits of a service that all have in common,
+// as a multiple of 1/16 of the mean demand, and its recent requests for it.
+// Sent in answers only; the sender uses no larger claim for four seconds.
+struct DemandClaim {
+  1: string service_name
+  2: i32 amount
+  3: i64 requests
+}
+
 // Answers to requests of a route since an order, failures and slow answers
 // among them. target is empty for the old versions, which also have medians of
 // the times to the first piece and to the end, and of how many answers.
@@ -414,6 +423,7 @@
   20: optional list<LeavingTarget> leaving
   18: optional string failure_domain
   16: optional list<ServedWork> served_work
+  17: optional list<DemandClaim> demand_claims
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
