Put late callers right after those of their kind after a restart

With restart_order_ms requests that were late by their caller's earlier tries got the level of all late ones. They go one level after those of their kind now, before kinds that are less urgent.

--- a/wigeonmill/gateway/restart_order.py
+++ b/wigeonmill/gateway/restart_order.py
@@ -1,8 +1,8 @@
 """Lets callers that can be answered in time go first after a restart.
 
 After a restart of all entries the requests that were open return together
-with new ones, and most of them are late already. They keep their place among
-the late ones, so that a target that is short of room answers others in time.
+with new ones, and most of them are late already. Those that a target short of
+room can still answer in time go first, and the late ones right after them.
 """
 
 from wigeonmill.clock import Clock
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -175,7 +175,9 @@
         if self._relay.started:
             return STARTED_PRIORITY
         if not self.is_late(pick):
-            return self._base_priority()
+            return min(
+                LATE_PRIORITY - 1, self._base_priority() + self._goes_after()
+            )
         return RETURNED_PRIORITY if self.has_returned else LATE_PRIORITY
 
     def demand(self, avoid: Collection[str]) -> Demand:
@@ -295,13 +297,19 @@
             gap_ms = self.route.gap_objective_ms
             return gap_ms, gap_ms
         elapsed_ms = self._ctx.clock.now_ms() - self.req.arrived_ms
-        if self._ctx.restart_order.applies:
-            elapsed_ms += used_before_ms(
-                self.req.deadline_ms, self.route.timeout_ms
-            )
         objective_ms = self.route.objective_ms
         return objective_ms, objective_ms - elapsed_ms
 
+    def _goes_after(self) -> bool:
+        """Whether those of its kind that can be in time go first.
+
+        It is late by the earlier tries of its caller.
+        """
+        if not self._ctx.restart_order.applies or self.continues:
+            return False
+        used_ms = used_before_ms(self.req.deadline_ms, self.route.timeout_ms)
+        return used_ms > self.route.objective_ms
+
     def _base_priority(self) -> int:
         """Return the priority of the request while it is not late.
 
