--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import logging
 import random
 import secrets
 import signal
+import socket
 import time
 
 import msgspec
@@ -13,6 +15,7 @@
 from result import Result
 
 from wigeonmill.clock import Clock
+from wigeonmill.early_listener import take
 from wigeonmill.gateway.adapter import Adapter
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.cache_cleaner import CacheCleaner
@@ -104,8 +107,13 @@
         rng: random.Random,
         load_settings: LoadSettings,
         uptime_ms: float = 0.0,
+        listening: Sequence[socket.socket] = (),
     ) -> None:
-        """Create the role of a process that has run for `uptime_ms`."""
+        """Create the role of a process that has run for `uptime_ms`.
+
+        `listening` are sockets at which callers may be waiting already.
+        """
+        self._listening = listening
         self._settings = settings
         self._reload_timer: asyncio.TimerHandle | None = None
         self._load_settings = load_settings
@@ -148,6 +156,9 @@
                 settings.rollout_slack,
                 settings.rollback_ms,
             ),
+            settings.restart_order_ms,
+            settings.shares_by_demand,
+            self._entries.is_counted,
         )
         self._ctx.fair_admission = settings.fair_admission
         self._sync = MirrorSync(
@@ -329,7 +340,8 @@
 
     def _listen(self) -> None:
         idle_ms = self._settings.idle_ms
-        self._server.listen(self._settings.callers, idle_ms)
+        callers = take(self._listening, self._settings.callers)
+        self._server.listen_at(callers, idle_ms)
         self._status.listen(self._settings.ready)
         if self._settings.metrics:
             self._status.listen(self._settings.metrics)
@@ -402,6 +414,7 @@
             self._ctx.directory.expire()
             self._versions.observe()
             self._ctx.suspicions.observe()
+            self._ctx.demand_shares.observe()
             if self._clock.now_ms() - logged_ms >= COUNTERS_INTERVAL_MS:
                 logged_ms = self._clock.now_ms()
                 self._log_counters()
@@ -491,6 +504,10 @@
     def _on_desired_state(self, state: DesiredState) -> None:
         self._stores.set_stores(state.stores)
         self._server.set_limits(state.limits)
+        table = self._ctx.desired.table
+        self._ctx.start_hold.release(
+            lambda req: table.match(req.host, req.path)
+        )
 
     def _on_connection_change(self, connected: bool) -> None:
         if connected:
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -17,6 +17,7 @@
 from wigeonmill.gateway.picker import Pick
 from wigeonmill.gateway.relay import Relay
 from wigeonmill.gateway.request import CallerRequest
+from wigeonmill.gateway.restart_order import used_before_ms
 from wigeonmill.gateway.service_profile import ServiceProfile
 from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.target_client import Instructions
@@ -174,7 +175,9 @@
         if self._relay.started:
             return STARTED_PRIORITY
         if not self.is_late(pick):
-            return self._base_priority()
+            return min(
+                LATE_PRIORITY - 1, self._base_priority() + self._goes_after()
+            )
         return RETURNED_PRIORITY if self.has_returned else LATE_PRIORITY
 
     def demand(self, avoid: Collection[str]) -> Demand:
@@ -297,6 +300,16 @@
         objective_ms = self.route.objective_ms
         return objective_ms, objective_ms - elapsed_ms
 
+    def _goes_after(self) -> bool:
+        """Whether those of its kind that can be in time go first.
+
+        It is late by the earlier tries of its caller.
+        """
+        if not self._ctx.restart_order.applies or self.continues:
+            return False
+        used_ms = used_before_ms(self.req.deadline_ms, self.route.timeout_ms)
+        return used_ms > self.route.objective_ms
+
     def _base_priority(self) -> int:
         """Return the priority of the request while it is not late.
 
