Hold and refuse by the memory that is really free

Under overload the engines preempted what they had begun: a request counted the memory of less urgent runs as free, waited a quarter of its objective and was sent without room all the same. The preempted runs read their prompts again, which outlasted the overload by seconds.

With fair_admission, memory that less urgent runs hold is not free. What would be late for want of room is refused at once with the time to come back, behind those that wait already. A caller that returned is known by its deadline, is held for two objectives (callers leave a stream without an event after four) and is then sent as the last. Requests that are late leave a fifth more memory to those that can be in time, and keep their level if they had room.

--- a/tests/gateway/test_waiting_room.py
+++ b/tests/gateway/test_waiting_room.py
@@ -16,6 +16,7 @@
 def make_place(rank=2, excess=0.5, bytes_=100, service='s', **changes):
     values = {
         'above_share': excess > 1.0,
+        'is_late': False,
         'is_new': True,
         'session_served': True,
         'tokens': 1,
--- a/wigeonmill/gateway/admission.py
+++ b/wigeonmill/gateway/admission.py
@@ -14,14 +14,21 @@
 RESERVED_SHARE = 0.2
 # Longest time that a request is held, as a share of its objective.
 MAX_HELD_SHARE = 0.25
+# A hold ends so long before the latest time to start, as it may end late.
+START_MARGIN_MS = 25.0
 # A shorter hold would not see any room that becomes free.
 MIN_HOLD_MS = 2.0
-# A caller that has less than this share of the route's time left has been
-# refused before, or is in as much of a hurry.
-RETURNED_SHARE = 0.95
+# What is late already leaves this share besides, so that those who can be in
+# time don't wait behind it.
+LATE_RESERVED_SHARE = 0.2
+# Objectives for which a caller that returned is held. Callers leave a stream
+# without any event after four; the rest is for its start.
+MAX_RETURNED_HELD = 2.0
 # Callers return after up to this share of the time that they have left.
 MAX_RETRY_SHARE = 1.0 / 3.0
 MIN_RETRY_AFTER_MS = 400.0
+# A caller that returns has at least this share of its time left.
+MIN_RETURNED_SHARE = 0.6
 # The times at which they return are spread over this share.
 RETRY_SPREAD = 0.4
 
@@ -45,6 +52,7 @@
     TARGETS_REFUSE = 'targets_refuse'
     NO_ROOM = 'no_room'
     HELD_OUT = 'held_out'
+    LATE = 'late'
     HOPELESS = 'hopeless'
 
 
@@ -71,11 +79,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Applicant:
-    """What is known of a request that asks for room, times in ms."""
+    """What is known of a request that asks for room, times in ms.
+
+    `in_time_ms` is what is left of its objective; it is negative after that.
+    """
 
     objective_ms: float
+    in_time_ms: float
     remaining_ms: float
     held_ms: float = 0.0
+    returned: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,16 +100,21 @@
     hold_ms: float = 0.0
 
 
+HELD_OUT = Decision(Verdict.SEND, Why.HELD_OUT)
+TOO_LATE = Decision(Verdict.REFUSE, Why.LATE)
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class Standing:
     """The order of requests that wait, the first one being the smallest.
 
-    Rank goes first. Within it, teams that were served less than their fair
-    share do, then callers that return after a refusal, sessions without any
-    answer yet, and small requests.
+    Rank goes first. Within it, requests that may still be in time do, teams
+    that were served less than their fair share, then callers that return after
+    a refusal, sessions without any answer yet, and small requests.
     """
 
     rank: int
+    is_late: bool
     above_share: bool
     is_new: bool
     session_served: bool
@@ -110,11 +128,24 @@
         return Decision(Verdict.SEND, Why.ROOM)
     if room.starts_ms > applicant.remaining_ms:
         return Decision(Verdict.REFUSE, Why.HOPELESS)
-    hold_ms = MAX_HELD_SHARE * applicant.objective_ms - applicant.held_ms
-    hold_ms = min(hold_ms, applicant.remaining_ms - room.starts_ms)
+    if room.refused_ms > 0:
+        longest_ms = MAX_HELD_SHARE * applicant.objective_ms
+        why, after = Why.TARGETS_REFUSE, HELD_OUT
+    elif applicant.returned:
+        # A second refusal would lose it.
+        longest_ms = MAX_RETURNED_HELD * applicant.objective_ms
+        why, after = Why.NO_ROOM, HELD_OUT
+    else:
+        longest_ms = MAX_HELD_SHARE * applicant.objective_ms
+        why, after = Why.NO_ROOM, TOO_LATE
+        if room.starts_ms > applicant.in_time_ms:
+            return after
+    hold_ms = min(
+        longest_ms - applicant.held_ms,
+        applicant.remaining_ms - room.starts_ms - START_MARGIN_MS,
+    )
     if hold_ms < MIN_HOLD_MS:
-        return Decision(Verdict.SEND, Why.HELD_OUT)
-    why = Why.TARGETS_REFUSE if room.refused_ms > 0 else Why.NO_ROOM
+        return after
     return Decision(Verdict.HOLD, why, hold_ms)
 
 
@@ -135,12 +166,23 @@
 
 
 def has_returned(deadline_ms: float, timeout_ms: float) -> bool:
-    """Whether a caller has used up a part of its time before.
+    """Whether a caller has been refused before, or is in as much of a hurry.
 
     `deadline_ms` is the time that it states to wait. Its repeat has another
     id and mostly reaches another entry, which knows of no refusal.
     """
-    return deadline_ms < RETURNED_SHARE * timeout_ms
+    return timeout_ms - deadline_ms >= MIN_RETRY_AFTER_MS
+
+
+def waited_ms(deadline_ms: float, timeout_ms: float) -> float:
+    """Return for how long a caller has waited in its earlier attempts.
+
+    One with less time than any that returns states a short deadline of its
+    own.
+    """
+    if deadline_ms < MIN_RETURNED_SHARE * timeout_ms:
+        return 0.0
+    return max(0.0, timeout_ms - deadline_ms)
 
 
 def retry_after_ms(
--- a/wigeonmill/gateway/admission_run.py
+++ b/wigeonmill/gateway/admission_run.py
@@ -78,7 +78,7 @@
             while not isinstance(picked, Err):
                 decision = self._decide(picked.ok_value, since_ms, turn)
                 if decision.verdict is Verdict.REFUSE:
-                    picked = Err(self._hopeless(picked.ok_value))
+                    picked = Err(self._too_late(picked.ok_value, decision))
                     break
                 if decision.verdict is not Verdict.HOLD and (
                     place is not None or self._goes_first()
@@ -118,8 +118,10 @@
         room = Room(not pick.waits, refused_ms, pick.expected_ms)
         applicant = Applicant(
             self._terms.route.objective_ms,
+            self._terms.in_time_ms,
             self._terms.remaining_ms,
             self._held_ms + now_ms - since_ms,
+            self._terms.has_returned,
         )
         return decide(room, applicant)
 
@@ -151,6 +153,7 @@
         terms = self._terms
         return Standing(
             terms.demand(()).priority,
+            terms.in_time_ms <= 0,
             terms.is_above_share,
             not terms.has_returned,
             self._ctx.sessions.has(self._session),
@@ -158,20 +161,33 @@
             terms.req.arrived_ms,
         )
 
-    def _hopeless(self, pick: Pick) -> Refusal:
+    def _too_late(self, pick: Pick, decision: Decision) -> Refusal:
         """Return the refusal of a request that can't be served in time."""
-        self._ctx.metrics.count('gateway_admission', Why.HOPELESS.value)
+        self._ctx.team_shares.record_shortage(self._terms.service)
+        self._ctx.metrics.count('gateway_admission', decision.why.value)
         return Refusal(
             Reason.TOO_LATE,
             f'expected in {pick.expected_ms:.0f} ms, '
             f'deadline in {self._terms.remaining_ms:.0f} ms',
-            self.retry_after_ms(pick.expected_ms),
+            self.retry_after_ms(self._room_ms(pick)),
         )
 
+    def _room_ms(self, pick: Pick) -> float:
+        """Return when there is room behind those that wait already.
+
+        The other entries are expected to hold as many, and room becomes free
+        on all targets.
+        """
+        service = self._terms.service
+        waiting = self._ctx.waiting_room.waiting_for(service)
+        targets = len(self._ctx.directory.of_service(service))
+        ahead = waiting * self._ctx.entry_count() / max(1, targets)
+        return pick.expected_ms * (1.0 + ahead)
+
     def _displaced(self, pick: Pick) -> Refusal:
         """Return the refusal of a request that others go before."""
         self._ctx.metrics.count('gateway_admission', 'displaced')
-        after_ms = self.retry_after_ms(pick.expected_ms)
+        after_ms = self.retry_after_ms(self._room_ms(pick))
         return Refusal(Reason.TARGETS_FULL, 'too many requests wait', after_ms)
 
     def retry_after_ms(self, starts_ms: float) -> float:
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -115,6 +115,15 @@
     spare_tokens: int = 0
     needs_room: bool = False
 
+    @property
+    def memory_priority(self) -> int:
+        """The least urgent runs whose memory is not free for the request.
+
+        A run that it preempted would lose its objective of pauses and read
+        its prompt again.
+        """
+        return PRIORITIES - 1 if self.needs_room else self.priority
+
     @property
     def tokens(self) -> int:
         """The memory that the request occupies, in tokens."""
@@ -507,7 +516,7 @@
             )
             slot_ms = load.slot_wait_ms(demand.priority, target.slots)
             memory_ms = load.memory_wait_ms(
-                demand.tokens, demand.priority, demand.cache_tokens
+                demand.tokens, demand.memory_priority, demand.cache_tokens
             )
             expected_ms += fetch_ms + memory_ms
             waits = (
@@ -541,7 +550,9 @@
         spare = min(demand.spare_tokens, fitting)
         return spare > 0 and (
             target.load.memory_shortfall(
-                demand.tokens + spare, demand.priority, demand.cache_tokens
+                demand.tokens + spare,
+                demand.memory_priority,
+                demand.cache_tokens,
             )
             > 0
         )
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -4,8 +4,10 @@
 
 from wigeonmill.gateway.admission import engine_level
 from wigeonmill.gateway.admission import has_returned
+from wigeonmill.gateway.admission import LATE_RESERVED_SHARE
 from wigeonmill.gateway.admission import RESERVED_SHARE
 from wigeonmill.gateway.admission import Size
+from wigeonmill.gateway.admission import waited_ms
 from wigeonmill.gateway.cache_plan import CachePlan
 from wigeonmill.gateway.cache_plan import CachePlanner
 from wigeonmill.gateway.context import GatewayContext
@@ -91,6 +93,12 @@
         """The time until the deadline of the caller or of the route."""
         return self.deadline_ms - self._ctx.clock.now_ms()
 
+    @property
+    def in_time_ms(self) -> float:
+        """The time left of the objective, from the caller's first attempt."""
+        waited = waited_ms(self.req.deadline_ms, self.route.timeout_ms)
+        return self._objective()[1] - waited
+
     @property
     def max_targets(self) -> int:
         """The number of targets that the request may be sent to."""
@@ -173,7 +181,9 @@
         """
         if self._relay.started:
             return STARTED_PRIORITY
-        if not self.is_late(pick):
+        # What has room keeps it: if it were preempted, its prompt would be
+        # read again.
+        if not self.is_late(pick) or (self.competes and not pick.waits):
             return self._base_priority()
         return RETURNED_PRIORITY if self.has_returned else LATE_PRIORITY
 
@@ -336,13 +346,14 @@
 
     def _spare_tokens(self) -> int:
         """Return the memory to leave free for more urgent requests."""
-        if not self.competes or self.continues:
-            return 0
-        if not self._is_long():
-            return 0
-        if not self._profile().has_shorter(self.route.objective_ms):
+        if not self.competes or self.continues or self.req.generation is None:
             return 0
-        return int(RESERVED_SHARE * self.cache_tokens)
+        share = LATE_RESERVED_SHARE if self.in_time_ms <= 0 else 0.0
+        if self._is_long() and self._profile().has_shorter(
+            self.route.objective_ms
+        ):
+            share += RESERVED_SHARE
+        return int(share * self.cache_tokens)
 
     def _profile(self) -> ServiceProfile:
         return self._ctx.profiles.get(self._ctx.desired.state, self.service)
--- a/wigeonmill/gateway/waiting_room.py
+++ b/wigeonmill/gateway/waiting_room.py
@@ -86,6 +86,10 @@
         """The number of requests that wait."""
         return len(self._places)
 
+    def waiting_for(self, service: str) -> int:
+        """Return the number of requests that wait for a service."""
+        return sum(place.service == service for place in self._places)
+
     def goes_first(self, service: str, standing: Standing) -> bool:
         """Whether none that waits for a service goes before `standing`."""
         return not any(
