Let a policy or a stated pace call for fair admission

Deployments differ by what calls for it: the platform states a policy, or the targets state how long work takes there. Two settings name them, both off by default, so the earlier deployments are served as before.

--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -196,6 +196,7 @@
         'crash_guard',
         'part_guard',
         'fair_admission',
+        'fair_admission_pace',
         'team_shares',
         'waiting_room',
         'sessions',
@@ -268,6 +269,7 @@
         )
         # Whether operators want teams to compete for room by their shares.
         self.fair_admission = False
+        self.fair_admission_pace = False
         self.team_shares = TeamShares(clock)
         self.waiting_room = WaitingRoom(clock)
         self.sessions = ServedSessions()
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -46,6 +46,7 @@
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
 from wigeonmill.gateway.server import GatewayServer
 from wigeonmill.gateway.service_rollout import RolloutLimits
+from wigeonmill.gateway.settings import admits_fairly
 from wigeonmill.gateway.settings import GatewaySettings
 from wigeonmill.gateway.software_rollout import SoftwareRolloutLeader
 from wigeonmill.gateway.software_versions import SoftwareVersions
@@ -146,7 +147,8 @@
                 settings.rollback_ms,
             ),
         )
-        self._ctx.fair_admission = settings.fair_admission
+        self._ctx.fair_admission = admits_fairly(settings)
+        self._ctx.fair_admission_pace = settings.fair_admission_pace
         self._sync = MirrorSync(
             adapter.source,
             self._mirror,
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -140,7 +140,12 @@
     def competes(self) -> bool:
         """Whether room is shared among the teams that ask for it."""
         state = self._ctx.desired.state
-        return self._ctx.fair_admission and bool(state and state.teams)
+        if not (state and state.teams):
+            return False
+        return self._ctx.fair_admission or (
+            self._ctx.fair_admission_pace
+            and self._ctx.directory.states_pace(self.service)
+        )
 
     @property
     def has_returned(self) -> bool:
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -55,13 +55,24 @@
     max_reply_bytes: ByteLimit = 8_388_608
     contact_ms: Milliseconds = 3_000.0
     domain_transfer_cost: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    policies: list[str] = []
     fair_admission: bool = False
+    fair_admission_policy: str = ''
+    fair_admission_pace: bool = False
     rollout_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     rollout_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
     rollback_ms: Milliseconds = 5_000.0
     log_level: str = 'INFO'
 
 
+def admits_fairly(settings: GatewaySettings) -> bool:
+    """Whether teams compete for the room of all services."""
+    return (
+        settings.fair_admission
+        or settings.fair_admission_policy in settings.policies
+    )
+
+
 def load_gateway_settings(
     path: str,
 ) -> Result[GatewaySettings, list[SettingsFault]]:
--- a/wigeonmill/gateway/target_pace.py
+++ b/wigeonmill/gateway/target_pace.py
@@ -52,6 +52,11 @@
         self._own_pace = 1.0
         self._own_ms = -inf
 
+    @property
+    def is_stated(self) -> bool:
+        """Whether the target has stated any pace."""
+        return self._at_ms > -inf
+
     def record(self, pace: float) -> None:
         """Record what the target has stated to this entry."""
         self._own_pace = min(max(pace, MIN_PACE), MAX_PACE)
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -258,6 +258,13 @@
             return accepting
         return listed
 
+    def states_pace(self, service: str) -> bool:
+        """Whether a target of the service has stated how long work takes."""
+        return any(
+            target.load.pace.is_stated
+            for target in self._by_service.get(service, ())
+        )
+
     def apply(self, record: TargetRecord) -> None:
         """Apply a record that a target published."""
         known = self._targets.get(record.id)
