Refuse who returned instead of sending it without room

After its hold, a caller that returned was sent to an engine without room as the last of all. Such runs were preempted, or preempted others, and read their prompts again: the overload lasted on.

It is now held for three objectives and then refused.

--- a/wigeonmill/gateway/admission.py
+++ b/wigeonmill/gateway/admission.py
@@ -23,7 +23,7 @@
 LATE_RESERVED_SHARE = 0.2
 # Objectives for which a caller that returned is held. Callers leave a stream
 # without any event after four; the rest is for its start.
-MAX_RETURNED_HELD = 2.0
+MAX_RETURNED_HELD = 3.0
 # Callers return after up to this share of the time that they have left.
 MAX_RETRY_SHARE = 1.0 / 3.0
 MIN_RETRY_AFTER_MS = 400.0
@@ -132,9 +132,9 @@
         longest_ms = MAX_HELD_SHARE * applicant.objective_ms
         why, after = Why.TARGETS_REFUSE, HELD_OUT
     elif applicant.returned:
-        # A second refusal would lose it.
+        # A second refusal loses it; sent without room, it would be preempted.
         longest_ms = MAX_RETURNED_HELD * applicant.objective_ms
-        why, after = Why.NO_ROOM, HELD_OUT
+        why, after = Why.NO_ROOM, TOO_LATE
     else:
         longest_ms = MAX_HELD_SHARE * applicant.objective_ms
         why, after = Why.NO_ROOM, TOO_LATE
