--- a/tests/gateway/test_admission_run.py
+++ b/tests/gateway/test_admission_run.py
@@ -97,7 +97,7 @@
     assert 50.0 <= harness.clock.now_ms() - 1_010_000.0 <= 75.0
 
 
-def test_a_request_is_held_for_a_quarter_of_its_objective_at_most():
+def test_a_request_is_held_for_a_quarter_of_its_objective_at_most(caplog):
     harness = make_harness()
     target = harness.ctx.directory.get('t1')
     target.refusing_until_ms = harness.clock.now_ms() + 5_000.0
@@ -105,6 +105,8 @@
     harness.run(make_arriving(harness), make_route(), TEAM)
     assert harness.clock.now_ms() - began_ms <= 100.01
     assert len(harness.client.sent) == 1
+    lines = [r for r in caplog.records if r.message == 'request held']
+    assert [line.outcome for line in lines] == ['held_out']
 
 
 @pytest.mark.parametrize('lacks', ['teams', 'setting'])
--- a/wigeonmill/gateway/admission_run.py
+++ b/wigeonmill/gateway/admission_run.py
@@ -74,9 +74,11 @@
         place: Place | None = None
         turn = Turn.LOOK
         outcome = ''
+        why = Why.ROOM
         try:
             while not isinstance(picked, Err):
                 decision = self._decide(picked.ok_value, since_ms, turn)
+                why = decision.why
                 if decision.verdict is Verdict.REFUSE:
                     picked = Err(self._too_late(picked.ok_value, decision))
                     break
@@ -99,7 +101,7 @@
                     return Err(Refusal(Reason.NOT_RUN, 'the caller has left'))
                 denial = check()
                 picked = pick() if denial is None else Err(denial)
-            outcome = _outcome(picked)
+            outcome = _outcome(picked, why)
         finally:
             if place is not None:
                 self._ctx.waiting_room.leave(place)
@@ -241,8 +243,8 @@
         return part.id if part else ''
 
 
-def _outcome(picked: Result[Pick, Refusal]) -> str:
+def _outcome(picked: Result[Pick, Refusal], why: Why) -> str:
     """Return what became of a request that was held."""
     if isinstance(picked, Err):
         return picked.err_value.reason.value
-    return Why.HELD_OUT.value if picked.ok_value.waits else 'sent'
+    return why.value if why is Why.HELD_OUT else 'sent'
