--- a/wigeonmill/early_listener.py
+++ b/wigeonmill/early_listener.py
@@ -27,16 +27,18 @@
     return sock
 
 
-def listen_early(path: str, name: str) -> socket.socket | None:
+def listen_early(path: str, name: str, switch: str) -> socket.socket | None:
     """Listen at the address that the settings file at `path` has as `name`.
 
-    Return None if that fails; the faults are reported once the settings are
-    checked.
+    Return None if the setting `switch` is off or if that fails; the faults
+    are reported once the settings are checked.
     """
     try:
         with open(path, encoding='utf-8') as file:
-            address = json.load(file)[name]
-        return listen(address)
+            settings = json.load(file)
+        for policy in settings.get('policies', ()):
+            settings |= settings.get('by_policy', {}).get(policy, {})
+        return listen(settings[name]) if settings.get(switch) else None
     except (OSError, ValueError, LookupError, TypeError, AttributeError):
         return None
 
--- a/wigeonmill/gateway/forwarder.py
+++ b/wigeonmill/gateway/forwarder.py
@@ -43,7 +43,7 @@
 
     async def serve(self, req: CallerRequest, channel: CallerChannel) -> None:
         """Answer `req` on `channel`."""
-        if self._ctx.desired.state is None:
+        if self._ctx.desired.state is None and self._ctx.start_hold.enabled:
             end = await self._ctx.start_hold.wait(req)
             self._ctx.metrics.count('gateway_start_holds', end.value)
         admitted = self._admit(req)
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -160,7 +160,9 @@
             settings.shares_by_demand,
             self._entries.is_counted,
         )
+        self._ctx.start_hold.enabled = settings.hold_at_start
         self._ctx.fair_admission = settings.fair_admission
+        self._ctx.fair_admission_pace = settings.fair_admission_pace
         self._sync = MirrorSync(
             adapter.source,
             self._mirror,
--- a/wigeonmill/gateway/start_hold.py
+++ b/wigeonmill/gateway/start_hold.py
@@ -59,11 +59,12 @@
 
 
 class StartHold:
-    """The requests that wait for the first configuration."""
+    """The requests that wait for the first configuration, if `enabled`."""
 
-    __slots__ = ('_clock', '_waiting', '_bytes')
+    __slots__ = ('enabled', '_clock', '_waiting', '_bytes')
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, enabled: bool = False) -> None:
+        self.enabled = enabled
         self._clock = clock
         self._waiting: dict[asyncio.Future[None], CallerRequest] = {}
         self._bytes = 0
