Count requests without a target among those that a deferred move expects

Change: the expected rate is that of requests that looked for a target. The leader goes by its own answers only if old ones are among them. At the end of the time the version is done if no old target is left.

--- a/tests/gateway/test_rollout_share.py
+++ b/tests/gateway/test_rollout_share.py
@@ -71,3 +71,13 @@
     limit = ShareLimit(0.1, 20)
     limit.record('r', False)
     assert limit.has_room_for_all(1_000.0, 11_000.0, 50.0)
+
+
+def test_requests_without_a_target_count_among_those_to_come():
+    limit = ShareLimit(0.1, 20)
+    for _ in range(5):
+        limit.record('r', True)
+    limit.asked = 90
+    assert not limit.has_room_for_all(3_000.0, 2_000.0, 50.0)
+    limit.asked = 5
+    assert limit.has_room_for_all(3_000.0, 2_000.0, 50.0)
--- a/tests/gateway/test_rollout_stages.py
+++ b/tests/gateway/test_rollout_stages.py
@@ -58,6 +58,7 @@
         (DEFERRED, {'elapsed_ms': 11_500.0, 'fits': True}, Stage.DEFERRED),
         (DEFERRED, {'elapsed_ms': 11_700.0}, Stage.ROLLED_BACK),
         (DEFERRED, {'elapsed_ms': 11_700.0, 'fits': True}, Stage.DONE),
+        (DEFERRED, {'elapsed_ms': 11_700.0, 'old_targets': 0}, Stage.DONE),
         (DEFERRED, {'judgement': Judgement.SUSPICIOUS}, Stage.DEFERRED),
         (DEFERRED, {'judgement': Judgement.BAD}, Stage.ROLLED_BACK),
         (FULL, {}, Stage.FULL),
--- a/wigeonmill/gateway/rollout_share.py
+++ b/wigeonmill/gateway/rollout_share.py
@@ -66,7 +66,7 @@
     resumed streams are among them.
     """
 
-    __slots__ = ('_share', '_slack', '_rounding', '_all', '_new')
+    __slots__ = ('asked', '_share', '_slack', '_rounding', '_all', '_new')
 
     def __init__(
         self, share: float, slack: int, rounding: float = 0.0
@@ -77,6 +77,8 @@
         request that each of many entries with few requests has left. The sum
         of all entries is right on average, and off by a few at most.
         """
+        # Requests that looked for a target, those that found none included.
+        self.asked = 0
         self._rounding = rounding
         self._share = share
         self._slack = slack
@@ -142,13 +144,14 @@
     ) -> bool:
         """Whether the new version may get all requests of the last time.
 
-        They are expected at the rate so far, and must stay within the share
-        and this entry's part of the extra requests, even if the version turns
-        out to be bad.
+        They are expected at the rate so far at which requests looked for a
+        target, as there may have been none of the old versions. They must
+        stay within the share and this entry's part of the extra requests,
+        even if the version turns out to be bad.
         """
         return fits(
             self.new_arrivals,
-            self.arrivals,
+            max(self.asked, self.arrivals),
             elapsed_ms,
             rest_ms,
             self._share,
--- a/wigeonmill/gateway/rollout_stages.py
+++ b/wigeonmill/gateway/rollout_stages.py
@@ -141,7 +141,7 @@
     if progress.moved and (elapsed >= LAST_DONE or not progress.old_runs):
         return Stage.DONE, 'nothing speaks against the version'
     if elapsed >= NEARLY_OVER:
-        if progress.moved or progress.fits:
+        if progress.moved or progress.fits or not progress.old_targets:
             return Stage.DONE, 'nothing speaks against the version'
         return Stage.ROLLED_BACK, 'too few answers to move all'
     if progress.proven and not progress.moved and elapsed < LAST_THIRD:
--- a/wigeonmill/gateway/service_rollout.py
+++ b/wigeonmill/gateway/service_rollout.py
@@ -245,7 +245,7 @@
         rest_ms = duration_ms - elapsed_ms
         new, old = self.fleet.totals()
         limits = self._limits
-        self.fits = fits(
+        self.fits = old.answers > 0 and fits(
             new.answers,
             new.answers + old.answers,
             elapsed_ms,
@@ -280,6 +280,7 @@
 
         `word_age_ms` is how old this entry's copy of the stage may be.
         """
+        self.limit.asked += 1
         version = frozenset((self.order.version,))
         old = VersionFilter(version | self.left_out, only=False)
         if self.stage is Stage.DONE:
