Bound what an entry holds for slow callers, and hold back their targets

Nothing bounded the sum of what an entry holds: unread answers, answers under way and unfinished bodies counted each for itself, so callers that read a byte a second could fill the memory of the process.

max_held_bytes (0, the default: as before) bounds the sum. An answer whose caller is 64 KiB behind is not read on from its target for up to a second at a time. At the bound the caller that has read or sent nothing for the longest time ends; a caller whose time is over ends once it has read nothing for 2 s. A target that is not read is not silent.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -10,6 +10,7 @@
 from wigeonmill.gateway.cache_plan import CachePlan
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.extra_work import ExtraWorkLimits
+from wigeonmill.gateway.held_bytes import Holding
 from wigeonmill.gateway.picker import Picker
 from wigeonmill.gateway.request_run import RequestRun
 from wigeonmill.gateway.target_client import ExchangeEnd
@@ -66,6 +67,18 @@
         self.sent_ms = clock.now_ms()
         self.message = ''
         self.cancelled = False
+        # When reading was paused, and when it went on.
+        self.paused_ms = []
+        self.resumed_ms = []
+
+    def pause(self):
+        self._target.load.pause_reading()
+        self.paused_ms.append(self._clock.now_ms())
+        return True
+
+    def resume(self):
+        self._target.load.resume_reading()
+        self.resumed_ms.append(self._clock.now_ms())
 
     async def next(self, until_ms):
         if self._parts and isinstance(self._parts[0], Pause):
@@ -132,12 +145,17 @@
     def __init__(self):
         self.closed = False
         self.unsent_bytes = 0
+        self.ended = ''
+        self.holding = Holding(self._end, lambda: self.unsent_bytes)
         self.status = None
         self.refusal = None
         self.body = b''
         self.finished = False
         self.aborted = False
 
+    def _end(self, why):
+        self.ended = why
+
     def refuse(self, refusal):
         assert self.status is None
         self.refusal = refusal
--- /dev/null
+++ b/tests/gateway/test_held_bytes.py
@@ -0,0 +1,180 @@
+"""Many callers that read or send a byte a second; nothing is sent here."""
+
+import asyncio
+
+import pytest
+
+from tests.gateway.fakes import FakeChannel
+from tests.virtual_time import run_virtual
+from wigeonmill.clock import ManualClock
+from wigeonmill.gateway.held_bytes import HeldBytes
+from wigeonmill.gateway.held_bytes import LOW_WATER_BYTES
+
+MB = 1_000_000
+# What the targets' pages call some seconds, at least.
+TARGETS_CUT_MS = 2_000.0
+
+
+class Reader(FakeChannel):
+    """A caller that reads `per_s` bytes a second of what was written."""
+
+    def __init__(self, held, clock, per_s):
+        super().__init__()
+        self._held = held
+        self._clock = clock
+        self._per_s = per_s
+        self._read_ms = clock.now_ms()
+        self.holding.read_unsent = self.read
+
+    def write(self, size):
+        self.unsent_bytes = self.read() + size
+        self._held.record_written(self.holding, size)
+
+    def read(self):
+        read = int((self._clock.now_ms() - self._read_ms) / 1e3 * self._per_s)
+        if read:
+            self._read_ms = self._clock.now_ms()
+            self.unsent_bytes = max(0, self.unsent_bytes - read)
+        return self.unsent_bytes
+
+
+def make_held(max_bytes=10 * MB):
+    clock = ManualClock(1_000_000.0)
+    return HeldBytes(clock, max_bytes), clock
+
+
+def test_many_readers_of_a_byte_a_second_stay_below_the_bound():
+    held, clock = make_held()
+    readers = [Reader(held, clock, per_s=1) for _number in range(500)]
+    for _second in range(60):
+        for reader in readers:
+            if not reader.ended and not held.is_behind(reader.holding):
+                reader.write(16 * 1024)
+        clock.advance(1_000.0)
+        held.check()
+        assert held.total <= 10 * MB
+    assert held.total == sum(r.unsent_bytes for r in readers if not r.ended)
+
+
+def test_the_caller_that_read_nothing_for_the_longest_ends_first():
+    held, clock = make_held()
+    never = Reader(held, clock, per_s=0)
+    never.write(4 * MB)
+    slow = Reader(held, clock, per_s=1)
+    slow.write(4 * MB)
+    clock.advance(5_000.0)
+    held.check()
+    late = Reader(held, clock, per_s=0)
+    late.write(4 * MB)
+    assert (never.ended, slow.ended, late.ended) == ('memory', '', '')
+    assert held.total <= 8 * MB
+
+
+def test_a_caller_that_reads_is_not_ended_for_others():
+    held, clock = make_held()
+    fast = Reader(held, clock, per_s=100 * MB)
+    fast.write(6 * MB)
+    never = Reader(held, clock, per_s=0)
+    clock.advance(100.0)
+    never.write(6 * MB)
+    assert not fast.ended and not never.ended
+
+
+def test_requests_that_wait_for_their_targets_are_not_ended():
+    held, _clock = make_held()
+    channel = FakeChannel()
+    held.set_input(channel.holding, 20 * MB, complete=True)
+    assert not channel.ended
+
+
+def test_bodies_that_are_sent_slowly_count_and_the_most_idle_ends():
+    held, clock = make_held()
+    stopped, sending = FakeChannel(), FakeChannel()
+    held.set_input(stopped.holding, 5 * MB, complete=False)
+    for size in range(4 * MB, 6 * MB, MB // 2):
+        clock.advance(1_000.0)
+        held.set_input(sending.holding, size, complete=False)
+    assert (stopped.ended, sending.ended) == ('memory', '')
+
+
+def test_a_caller_that_never_reads_ends_with_its_own_time():
+    held, clock = make_held()
+    never = Reader(held, clock, per_s=0)
+    never.holding.deadline_ms = clock.now_ms() + 12_000.0
+    never.write(1_000)
+    clock.advance(11_900.0)
+    held.check()
+    assert not never.ended
+    clock.advance(200.0)
+    held.check()
+    assert never.ended == 'deadline'
+    assert held.total == 0
+
+
+def test_an_answer_that_is_ready_late_is_delivered():
+    held, clock = make_held()
+    reader = Reader(held, clock, per_s=1_000)
+    reader.holding.deadline_ms = clock.now_ms() - 5_000.0
+    reader.write(20_000)
+    for _tick in range(250):
+        clock.advance(100.0)
+        held.check()
+    assert not reader.ended
+    assert held.total == 0
+
+
+def test_a_target_is_read_on_before_it_cuts_off():
+    """Load: a caller that never reads, with all of its time left."""
+    held, clock = make_held()
+    never = Reader(held, clock, per_s=0)
+    never.write(2 * LOW_WATER_BYTES)
+    started_ms = clock.now_ms()
+    run_virtual(clock, held.wait(never.holding, started_ms + 15_000.0))
+    assert clock.now_ms() - started_ms < TARGETS_CUT_MS
+
+
+def test_a_wait_ends_once_the_caller_has_read():
+    held, clock = make_held()
+    reader = Reader(held, clock, per_s=MB)
+    reader.write(2 * LOW_WATER_BYTES)
+
+    async def check_at_intervals():
+        while True:
+            await asyncio.sleep(0.1)
+            held.check()
+
+    async def run():
+        checking = asyncio.ensure_future(check_at_intervals())
+        await held.wait(reader.holding, clock.now_ms() + 15_000.0)
+        checking.cancel()
+
+    started_ms = clock.now_ms()
+    run_virtual(clock, run())
+    assert clock.now_ms() - started_ms < 300.0
+
+
+@pytest.mark.parametrize('complete', [True, False])
+def test_without_a_bound_nobody_waits_or_ends(complete):
+    held, clock = make_held(max_bytes=0)
+    never = Reader(held, clock, per_s=0)
+    never.holding.deadline_ms = clock.now_ms()
+    held.set_input(never.holding, 50 * MB, complete)
+    never.write(50 * MB)
+    held.add_collected(never.holding, 50 * MB)
+    clock.advance(60_000.0)
+    held.check()
+    assert not held.is_behind(never.holding)
+    assert not never.ended
+
+
+def test_answers_under_way_leave_nothing_behind_as_they_end():
+    held, clock = make_held()
+    never = Reader(held, clock, per_s=0)
+    held.add_collected(never.holding, MB)
+    never.write(8 * MB)
+    clock.advance(1.0)
+    other = Reader(held, clock, per_s=0)
+    other.write(4 * MB)
+    assert never.ended == 'memory'
+    held.add_collected(never.holding, -MB)
+    assert held.total == 4 * MB
--- a/tests/providers/test_transfers.py
+++ b/tests/providers/test_transfers.py
@@ -429,3 +429,63 @@
         assert server.requests[0][0].startswith(b'HEAD /a/../b?c HTTP/1.1\r\n')
 
     with_server(server, check)
+
+
+class CollectingSink:
+    """Counts the bytes of a reply."""
+
+    def __init__(self):
+        self.size = 0
+        self.ended = asyncio.get_running_loop().create_future()
+
+    def on_head(self, head):
+        pass
+
+    def on_data(self, data):
+        self.size += len(data)
+
+    def on_end(self, end, message):
+        self.ended.set_result(end)
+
+
+def test_a_paused_transfer_reads_nothing_until_it_is_resumed():
+    """Load: a caller that reads nothing of an answer of many megabytes."""
+    size = 20_000_000
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size
+    server = ScriptedServer([head + b'x' * size])
+
+    async def check(loop, address):
+        sink = CollectingSink()
+        transfer = loop.start(make_call(address), sink)
+        while not sink.size:
+            await asyncio.sleep(0.001)
+        transfer.pause()
+        await asyncio.sleep(0.05)
+        paused_at = sink.size
+        await asyncio.sleep(0.3)
+        assert sink.size == paused_at < size
+        transfer.resume()
+        assert await sink.ended is TransferEnd.COMPLETE
+        assert sink.size == size
+
+    with_server(server, check)
+
+
+def test_a_paused_transfer_can_be_cancelled():
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n'
+    server = ScriptedServer([head + b'x' * 5_000_000, REPLY])
+
+    async def check(loop, address):
+        sink = CollectingSink()
+        transfer = loop.start(make_call(address), sink)
+        while not sink.size:
+            await asyncio.sleep(0.001)
+        transfer.pause()
+        transfer.cancel()
+        transfer.resume()
+        second = CollectingSink()
+        loop.start(make_call(address), second)
+        assert await second.ended is TransferEnd.COMPLETE
+        assert second.size == len(b'whole')
+
+    with_server(server, check)
--- a/wigeonmill/gateway/answers.py
+++ b/wigeonmill/gateway/answers.py
@@ -5,6 +5,7 @@
 import enum
 from typing import Protocol
 
+from wigeonmill.gateway.held_bytes import Holding
 from wigeonmill.gateway.request import HeaderFields
 
 
@@ -34,6 +35,7 @@
     TIMEOUT = 'timeout'
     BROKEN_OFF = 'broken_off'
     CALLER_TOO_SLOW = 'caller_too_slow'
+    MEMORY_FULL = 'memory_full'
     INTERNAL = 'internal'
     SHUTTING_DOWN = 'shutting_down'
 
@@ -64,6 +66,7 @@
     Reason.TIMEOUT: 504,
     Reason.BROKEN_OFF: 502,
     Reason.CALLER_TOO_SLOW: 502,
+    Reason.MEMORY_FULL: 503,
     Reason.INTERNAL: 500,
     Reason.SHUTTING_DOWN: 503,
 }
@@ -124,6 +127,10 @@
     def closed(self) -> bool:
         """Whether the caller has disconnected."""
 
+    @property
+    def holding(self) -> Holding:
+        """What is held for the caller."""
+
     @property
     def unsent_bytes(self) -> int:
         """The most that may be held of an answer that the caller must read."""
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -94,6 +94,8 @@
         '_was_late',
         'first_event_ms',
         '_quiet_since_ms',
+        '_collected',
+        '_paused',
     )
 
     def __init__(
@@ -131,6 +133,9 @@
         # When the first event of a stream came, if any did.
         self.first_event_ms: float | None = None
         self._quiet_since_ms = ctx.clock.now_ms()
+        # The bytes that it holds, and whether they wait for the caller.
+        self._collected = 0
+        self._paused = False
 
     async def run(self) -> Failure | None:
         """Pass the answer on, or return why there is none to pass on."""
@@ -142,6 +147,7 @@
         """Cancel the request at the target, unless it is complete."""
         self.was_silent = self.is_silent
         self._was_late = self.watch is not None and self.watch.is_late
+        self._hold(0)
         try:
             self._exchange.cancel()
         finally:
@@ -164,7 +170,11 @@
     @property
     def is_silent(self) -> bool:
         """Whether another target may be asked because this one is silent."""
-        return self._watches_stalls and self.silent_ms >= STALL_MS
+        return (
+            self._watches_stalls
+            and not self._paused
+            and self.silent_ms >= STALL_MS
+        )
 
     def record_overtaken(self) -> None:
         """Record that another attempt has answered before this closed one.
@@ -189,6 +199,7 @@
                 body += part
                 if len(body) > self._ctx.answer_limits.body:
                     return self._overlong('body')
+                await self._wait_for_caller(len(body))
             elif part is ExchangeEnd.COMPLETE and head is not None:
                 self._in_flight.answered = True
                 self.target.load.record_whole_answer(
@@ -232,10 +243,12 @@
                     return self._overlong('event')
                 if self._channel.unsent_bytes > self._ctx.answer_limits.unsent:
                     return self._unread()
+                await self._wait_for_caller(held_bytes)
             elif isinstance(part, bytes):
                 body += part
                 if len(body) > self._ctx.answer_limits.body:
                     return self._overlong('body')
+                await self._wait_for_caller(len(body))
             elif part is ExchangeEnd.COMPLETE and head is not None:
                 if not streaming:
                     return self._process_answer(head, bytes(body))
@@ -243,6 +256,29 @@
             else:
                 return self._transfer_failure(part)
 
+    def _hold(self, collected: int) -> None:
+        """Set the bytes that are held and not written to the caller."""
+        change = collected - self._collected
+        self._collected = collected
+        self._ctx.held.add_collected(self._channel.holding, change)
+
+    async def _wait_for_caller(self, collected: int) -> None:
+        """Stop reading from the target while the caller is behind.
+
+        The target would close a connection that is not read for long.
+        """
+        self._hold(collected)
+        held, holding = self._ctx.held, self._channel.holding
+        if not held.is_behind(holding) or not self._exchange.pause():
+            return
+        self._ctx.metrics.count('gateway_slow_callers', 'paused')
+        self._paused = True
+        try:
+            await held.wait(holding, self._terms.deadline_ms)
+        finally:
+            self._paused = False
+            self._exchange.resume()
+
     def _pass_on(self, head: TargetHead, events: list[StreamEvent]) -> None:
         if not self._relay.has_new(events):
             return
@@ -458,6 +494,7 @@
             self._record_served()
             self._record_answer_time()
         self.on_lead(self)
+        self._hold(0)
         self._channel.answer(AnswerHead(head.status, head.fields), body)
         return None
 
--- a/wigeonmill/gateway/caller_channel.py
+++ b/wigeonmill/gateway/caller_channel.py
@@ -23,6 +23,8 @@
 from wigeonmill.gateway.answers import RequestState
 from wigeonmill.gateway.caller_codec import CallerCodec
 from wigeonmill.gateway.forwarder import Forwarder
+from wigeonmill.gateway.held_bytes import HeldBytes
+from wigeonmill.gateway.held_bytes import Holding
 from wigeonmill.gateway.request import CallerRequest
 from wigeonmill.log import loggable_ms
 from wigeonmill.metrics import Metrics
@@ -49,6 +51,7 @@
     REFUSED = 'refused'
     BROKEN_OFF = 'broken_off'
     CALLER_CLOSED = 'caller_closed'
+    CALLER_IDLE = 'caller_idle'
     DRAIN_ENDED = 'drain_ended'
     INTERNAL_ERROR = 'internal_error'
 
@@ -60,6 +63,7 @@
     codec: CallerCodec
     clock: Clock
     metrics: Metrics
+    held: HeldBytes
     draining: bool
 
     def add_open(self, channel: 'HttpChannel') -> None:
@@ -95,6 +99,7 @@
         '_is_head',
         '_ends_with_conn',
         '_close_announced',
+        'holding',
     )
 
     def __init__(
@@ -118,6 +123,7 @@
         self._begun = False
         self._finished = False
         self._caller_disconnected = False
+        self.holding = Holding(self._end_unread, lambda: self.unsent_bytes)
 
     @property
     def closed(self) -> bool:
@@ -127,12 +133,16 @@
     @property
     def unsent_bytes(self) -> int:
         """The bytes that were written and that the kernel has not taken."""
+        if self._conn.stream.closed():
+            return 0
         # Tornado has no public name for its buffer.
         return len(self._conn.stream._write_buffer)
 
     def serve(self, req: CallerRequest) -> None:
         """Start to serve the request; its answer uses this channel."""
         self._req = req
+        self.holding.deadline_ms = req.arrived_ms + req.deadline_ms
+        self._server.held.set_input(self.holding, len(req.body), complete=True)
         self._conn.stream.set_nodelay(True)
         self._task = asyncio.ensure_future(
             self._server.forwarder.serve(req, self)
@@ -190,6 +200,7 @@
             body = b''
         self._conn.write_headers(_start_line(head.status), headers, body)
         self._begun = True
+        self._server.held.record_written(self.holding, len(body))
 
     def begin(self, head: AnswerHead) -> None:
         """Send the head of an answer whose body follows in parts."""
@@ -203,6 +214,11 @@
         """Send the next part of the body."""
         if not self.closed and not self._is_head:
             self._conn.write(data)
+            self._server.held.record_written(self.holding, len(data))
+
+    def announce_close(self) -> None:
+        """Let the answer say that the connection closes after it."""
+        self._close_announced = True
 
     def finish(self) -> None:
         """End the body as complete."""
@@ -211,7 +227,8 @@
     def _finish_as(self, end: RequestEnd) -> None:
         if self.closed:
             self._finished = True
-            self._end = RequestEnd.CALLER_CLOSED
+            if self._end is not RequestEnd.CALLER_IDLE:
+                self._end = RequestEnd.CALLER_CLOSED
             return
         self._conn.finish()
         self._finished = True
@@ -351,10 +368,27 @@
         for name, value in head.fields:
             headers.add(name, value)
         if self._server.draining:
-            headers['Connection'] = 'close'
             self._close_announced = True
+        if self._close_announced:
+            headers['Connection'] = 'close'
         return headers
 
+    def _end_unread(self, why: str) -> None:
+        """End a request whose caller does not read its answer."""
+        self._server.metrics.count('gateway_slow_callers', why)
+        logger.warning(
+            'caller does not read',
+            extra={
+                'request_id': self._req.id if self._req else '',
+                'reason': why,
+                'finished': self._finished,
+            },
+        )
+        self.abort()
+        if self._task is not None and not self._task.done():
+            self._end = RequestEnd.CALLER_IDLE
+            self._task.cancel()
+
     def _on_close(self) -> None:
         self._caller_disconnected = True
         if self._task is not None and not self._finished:
@@ -362,13 +396,14 @@
 
     def _on_done(self, task: 'asyncio.Task[None]') -> None:
         self._server.remove_open(self)
+        self._server.held.release_input(self.holding)
         try:
             self._conclude(task)
         finally:
             self._count_end()
 
     def _conclude(self, task: 'asyncio.Task[None]') -> None:
-        if self._end is RequestEnd.DRAIN_ENDED:
+        if self._end in (RequestEnd.DRAIN_ENDED, RequestEnd.CALLER_IDLE):
             self._log_end()
         elif task.cancelled() and self._caller_disconnected:
             self._end = RequestEnd.CALLER_CLOSED
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -14,6 +14,7 @@
 from wigeonmill.gateway.extra_attempts import ExtraAttempts
 from wigeonmill.gateway.extra_work import ExtraWorkLimits
 from wigeonmill.gateway.freshness import Freshness
+from wigeonmill.gateway.held_bytes import HeldBytes
 from wigeonmill.gateway.loss_log import LossLog
 from wigeonmill.gateway.origin_records import OpenStreams
 from wigeonmill.gateway.part_guard import PartGuard
@@ -171,12 +172,13 @@
 
     `body` applies to an answer that is read completely before it is passed
     on, `event` to one event of a stream, and `unsent` to what the caller of a
-    stream has not read yet.
+    stream has not read yet. `held` applies to all callers together (0: none).
     """
 
     body: int = 4 * 1024 * 1024
     event: int = 256 * 1024
     unsent: int = 1024 * 1024
+    held: int = 0
 
 
 class GatewayContext:
@@ -201,6 +203,7 @@
         'sessions',
         'profiles',
         'answer_limits',
+        'held',
         'origins',
         'open_streams',
         'rollouts',
@@ -273,6 +276,7 @@
         self.sessions = ServedSessions()
         self.profiles = ServiceProfiles()
         self.answer_limits = answer_limits
+        self.held = HeldBytes(clock, answer_limits.held)
         self.origins: StreamOrigins = LocalStreamOrigins()
         self.open_streams = OpenStreams(clock)
         self.rollouts = SoftwareRollouts(
--- a/wigeonmill/gateway/explanation.py
+++ b/wigeonmill/gateway/explanation.py
@@ -16,6 +16,7 @@
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.desired import Route
 from wigeonmill.gateway.desired import Team
+from wigeonmill.gateway.held_bytes import Holding
 from wigeonmill.gateway.picker import Demand
 from wigeonmill.gateway.picker import Pick
 from wigeonmill.gateway.picker import Picker
@@ -238,6 +239,7 @@
 
     closed = False
     unsent_bytes = 0
+    holding = Holding(lambda _why: None, lambda: 0)
 
     def track(self, progress: Callable[[], Progress]) -> None:
         pass
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -135,6 +135,7 @@
                 body=settings.max_answer_bytes,
                 event=settings.max_event_bytes,
                 unsent=settings.max_unsent_bytes,
+                held=settings.max_held_bytes,
             ),
             self._entries.is_selected,
             ExtraWorkLimits(
@@ -396,6 +397,7 @@
             self._ctx.directory.expire()
             self._versions.observe()
             self._ctx.suspicions.observe()
+            self._ctx.held.check()
             if self._clock.now_ms() - logged_ms >= COUNTERS_INTERVAL_MS:
                 logged_ms = self._clock.now_ms()
                 self._log_counters()
@@ -514,7 +516,11 @@
         self._explainer = Explainer(ctx, client, picker, planner)
         forwarder = Forwarder(ctx, client, picker, planner)
         return GatewayServer(
-            forwarder, self._adapter.callers, self._clock, self.metrics
+            forwarder,
+            self._adapter.callers,
+            self._clock,
+            self.metrics,
+            ctx.held,
         )
 
     def _install_signals(self) -> None:
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -29,6 +29,8 @@
 from wigeonmill.gateway.caller_codec import CallerCodec
 from wigeonmill.gateway.desired import RequestLimits
 from wigeonmill.gateway.forwarder import Forwarder
+from wigeonmill.gateway.held_bytes import HeldBytes
+from wigeonmill.gateway.held_bytes import Holding
 from wigeonmill.gateway.idle_conns import has_no_input
 from wigeonmill.gateway.idle_conns import IdleConns
 from wigeonmill.gateway.request import CallerRequest
@@ -53,6 +55,9 @@
 _HEADERS_TOO_LARGE = Refusal(
     Reason.HEADERS_TOO_LARGE, 'the header fields are too large'
 )
+_MEMORY_FULL = Refusal(
+    Reason.MEMORY_FULL, 'too much is held for slow callers', 1_000.0
+)
 
 
 class CloseReason(enum.Enum):
@@ -74,7 +79,10 @@
         codec: CallerCodec,
         clock: Clock,
         metrics: Metrics,
+        held: HeldBytes | None = None,
     ) -> None:
+        self.held = held or HeldBytes(clock)
+        metrics.gauge('gateway_held_bytes', lambda: self.held.total)
         self.forwarder = forwarder
         self.codec = codec
         self.clock = clock
@@ -136,7 +144,7 @@
         """
         self.refusing = True
         for reader in list(self._reading):
-            reader.refuse_unread()
+            reader.refuse_unread(SHUTTING_DOWN)
         for channel in list(self._open):
             channel.end_by_shutdown()
 
@@ -256,6 +264,7 @@
         self._start: RequestStartLine | None = None
         self._headers = HTTPHeaders()
         self._body: list[bytes] = []
+        self._held = Holding(self._end_unread, lambda: 0)
         self._received_ms = server.clock.now_ms()
 
     def headers_received(
@@ -274,26 +283,30 @@
     def data_received(self, chunk: bytes) -> None:
         self._body.append(chunk)
         self._received_ms = self._server.clock.now_ms()
+        size = self._held.input + len(chunk)
+        self._server.held.set_input(self._held, size, complete=False)
 
     def finish(self) -> None:
         assert self._start is not None
-        self._server.remove_reading(self)
+        self._stop_reading()
         channel = HttpChannel(self._server, self._conn, self._start)
         try:
             self._start_serving(channel, self._start)
         except Exception as exc:
             channel.fail_to_start(exc)
 
-    def refuse_unread(self) -> None:
+    def refuse_unread(self, refusal: Refusal) -> None:
         """Refuse a request before its body was read, and close."""
         assert self._start is not None
-        self._server.remove_reading(self)
+        self._stop_reading()
+        self._body.clear()
         channel = HttpChannel(self._server, self._conn, self._start)
+        channel.announce_close()
         try:
             decoded = self._server.codec.request(
                 self._start, self._headers, b'', self._server.clock.now_ms()
             )
-            channel.refuse_unserved(SHUTTING_DOWN, decoded.ok())
+            channel.refuse_unserved(refusal, decoded.ok())
         except Exception as exc:
             channel.fail_to_start(exc)
 
@@ -338,9 +351,17 @@
 
     def on_connection_close(self) -> None:
         self._server.remove_idle(self._conn)
-        self._server.remove_reading(self)
+        self._stop_reading()
         self._body.clear()
 
+    def _stop_reading(self) -> None:
+        self._server.remove_reading(self)
+        self._server.held.release(self._held)
+
+    def _end_unread(self, why: str) -> None:
+        self._server.metrics.count('gateway_slow_callers', f'body_{why}')
+        self.refuse_unread(_MEMORY_FULL)
+
 
 def _size(headers: HTTPHeaders) -> int:
     return sum(len(name) + len(value) for name, value in headers.get_all())
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -195,6 +195,20 @@
             await self._wait(wait_ms)
         return self._parts.popleft()
 
+    def pause(self) -> bool:
+        """Read no more of the answer; return False if it has ended."""
+        if self._transfer is None or self._transfer.done:
+            return False
+        self._transfer.pause()
+        self._target.load.pause_reading()
+        return True
+
+    def resume(self) -> None:
+        """Read on after a pause."""
+        self._target.load.resume_reading()
+        if self._transfer is not None:
+            self._transfer.resume()
+
     def cancel(self) -> None:
         """Stop the request at the target by closing its connection.
 
--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -171,6 +171,7 @@
         '_reported_ms',
         '_failure_share',
         '_last_outcome_ms',
+        '_paused',
         'last_activity_ms',
         'last_byte_ms',
         'others_heard_ms',
@@ -191,6 +192,8 @@
         self._reported_ms = float('-inf')
         self._failure_share = 0.0
         self._last_outcome_ms = clock.now_ms()
+        # The number of its answers that are not read for the moment.
+        self._paused = 0
         self.last_activity_ms = clock.now_ms()
         # Unlike the time above, it is not set before the first byte.
         self.last_byte_ms = float('-inf')
@@ -234,6 +237,18 @@
         self.last_activity_ms = self._clock.now_ms()
         self.last_byte_ms = self.last_activity_ms
 
+    def pause_reading(self) -> None:
+        """Record that an answer is not read until its caller reads it.
+
+        Meanwhile the target is not silent, as it may have sent something.
+        """
+        self._paused += 1
+
+    def resume_reading(self) -> None:
+        """Record that a paused answer is read again, from now on."""
+        self._paused -= 1
+        self.last_activity_ms = self._clock.now_ms()
+
     def record_first_token(self, request: InFlightRequest) -> None:
         """Update the estimate from the time to a first token.
 
@@ -370,6 +385,8 @@
 
         A full target may write nothing for twice the time that was expected.
         """
+        if self._paused:
+            return None
         now_ms = self._clock.now_ms()
         for request in self._open:
             since_ms = max(self.last_activity_ms, request.sent_ms)
@@ -383,6 +400,8 @@
 
         It is negative if none is overdue.
         """
+        if self._paused:
+            return float('-inf')
         now_ms = self._clock.now_ms()
         return max(
             (
@@ -405,7 +424,7 @@
         It is 0 if there are none.
         """
         waiting = [s.sent_ms for s in self._open if not s.answered]
-        if not waiting:
+        if not waiting or self._paused:
             return 0.0
         since_ms = max(self.last_activity_ms, min(waiting))
         return self._clock.now_ms() - since_ms
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -146,6 +146,19 @@
         """Cancel the transfer and close its connection."""
         self._loop.cancel(self)
 
+    def pause(self) -> None:
+        """Read no more of the reply; not to be called by curl's callbacks.
+
+        An end of the connection isn't noticed until the transfer is resumed.
+        """
+        if self.curl is not None:
+            self.curl.pause(pycurl.PAUSE_RECV)
+
+    def resume(self) -> None:
+        """Read on after a pause."""
+        if self.curl is not None:
+            self.curl.pause(pycurl.PAUSE_CONT)
+
 
 class _HeaderReader:
     """Collects the header of the final reply; interim ones are discarded."""
