Count memory that entries have not told of, and what a request would preempt

An urgent request saw room at an engine wherever less urgent runs held the memory, and preempted them: they are read again, and their streams pause. And all entries saw the same room for as long as updates take, so that open runs came to twice the memory of an engine.

memory_bounds (off by default: as before) lets Pick.waits count all open runs, the new ones that peers may not have told, and those that the engine alone reports; the loss of preempted runs is a cost of the target. While more is asked for than is free until updates arrive, entries use the room in turns.

--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
+from dataclasses import replace
 from math import inf
 import random
 
@@ -23,6 +24,7 @@
 from wigeonmill.gateway.credit import lateness_cost
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
 from wigeonmill.gateway.domain_costs import DomainCosts
+from wigeonmill.gateway.memory_guard import RoomTurns
 from wigeonmill.gateway.request import Generation
 from wigeonmill.gateway.service_rollout import VersionFilter
 from wigeonmill.gateway.stream_origins import StreamOrigin
@@ -151,6 +153,7 @@
         '_domain_costs',
         '_suspicions',
         '_reserves',
+        '_room_turns',
     )
 
     def __init__(
@@ -163,6 +166,7 @@
         region_of: Mapping[str, str] | None = None,
         suspicions: Suspicions | None = None,
         domain_costs: DomainCosts = DomainCosts(),
+        room_turns: RoomTurns | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -173,6 +177,8 @@
         self._domain_costs = domain_costs
         self._suspicions = suspicions
         self._reserves = True
+        # Set if requests are kept from engines without memory for them.
+        self._room_turns = room_turns
 
     @contextmanager
     def hypothetical(self) -> Iterator[None]:
@@ -417,6 +423,19 @@
         ]
 
     def _best(self, targets: Sequence[Target], demand: Demand) -> Pick:
+        best = self._best_by_cost(targets, demand)
+        turns = self._room_turns
+        if turns is None or best.waits or demand.generation is None:
+            return best
+        free_tokens = sum(
+            max(0, -self._expected_shortfall(target, demand, 0))
+            for target in targets
+        )
+        if turns.has_turn(demand.service, free_tokens):
+            return best
+        return replace(best, waits=True)
+
+    def _best_by_cost(self, targets: Sequence[Target], demand: Demand) -> Pick:
         home_id = self._home_id(demand)
         sampled = self._sample(targets, demand, home_id)
         best = self._cheapest(sampled, demand, home_id)
@@ -514,6 +533,7 @@
                 memory_ms > 0
                 or slot_ms > 0
                 or self._lacks_spare(target, demand)
+                or self._lacks_memory(target, demand)
             )
         lateness = lateness_cost(
             expected_ms, demand.objective_remaining_ms, demand.objective_ms
@@ -546,6 +566,21 @@
             > 0
         )
 
+    def _lacks_memory(self, target: Target, demand: Demand) -> bool:
+        """Whether the request would wait for memory or preempt others."""
+        return self._expected_shortfall(target, demand, demand.tokens) > 0
+
+    def _expected_shortfall(
+        self, target: Target, demand: Demand, tokens: int
+    ) -> int:
+        if self._room_turns is None:
+            return 0
+        count = len(self._directory.of_service(demand.service))
+        begun_tokens = self._room_turns.begun_tokens(demand.service, count)
+        return target.load.expected_shortfall(
+            tokens, demand.cache_tokens, begun_tokens
+        )
+
     def _extra_cost(self, target: Target, demand: Demand) -> float:
         load = target.load
         cost = load.failure_share() * FAILURE_COST
@@ -560,6 +595,12 @@
                 demand.tokens, PRIORITIES - 1, demand.cache_tokens
             )
             cost += PREEMPTION_COST * max(0, shortfall) / demand.cache_tokens
+            if self._room_turns is not None:
+                cost += load.displaced_cost(
+                    self._expected_shortfall(target, demand, demand.tokens),
+                    demand.tokens,
+                    demand.priority,
+                )
         return cost
 
     def _prefill_and_fetch(
--- a/wigeonmill/gateway/run_terms.py
+++ b/wigeonmill/gateway/run_terms.py
@@ -20,6 +20,7 @@
 from wigeonmill.gateway.service_profile import ServiceProfile
 from wigeonmill.gateway.stream_origins import StreamOrigin
 from wigeonmill.gateway.target_client import Instructions
+from wigeonmill.gateway.target_load import LATE_PRIORITY
 from wigeonmill.gateway.targets import Target
 
 # Age of a new weight version at which answers by older weights cost credit.
@@ -30,7 +31,6 @@
 # A request that is expected to lose this share of its credit gets a lower
 # priority than those that may still be answered in time.
 LATE_COST = 0.6
-LATE_PRIORITY = 8
 # A prompt that occupies more than this share of an engine's memory is long.
 LONG_PROMPT_SHARE = 1.0 / 32.0
 # One of a caller that returns after a refusal goes before the others of them.
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -57,6 +57,7 @@
     contact_ms: Milliseconds = 3_000.0
     domain_transfer_cost: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     fair_admission: bool = False
+    memory_bounds: bool = False
     rollout_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     rollout_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
     rollback_ms: Milliseconds = 5_000.0
--- a/wigeonmill/gateway/target_load.py
+++ b/wigeonmill/gateway/target_load.py
@@ -5,6 +5,8 @@
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.estimates import Estimates
 from wigeonmill.gateway.estimates import TargetEstimates
+from wigeonmill.gateway.memory_guard import displaced_cost
+from wigeonmill.gateway.memory_guard import MemoryUse
 from wigeonmill.gateway.target_pace import TargetPace
 from wigeonmill.gateway.target_pace import usual_ms
 
@@ -23,6 +25,8 @@
 SILENCE_MS = 700.0
 # Number of priority levels of the engines; 0 is the most urgent.
 PRIORITIES = 10
+# Requests that are late already have this level or a less urgent one.
+LATE_PRIORITY = 8
 # The load reported by another entry expires after this time.
 PEER_LOAD_TTL_MS = 2_000.0
 
@@ -56,13 +60,22 @@
     for each request would take most of the time of target selection.
     """
 
-    __slots__ = ('_clock', '_loads', '_runs', '_tokens', '_waiting')
+    __slots__ = (
+        '_clock',
+        '_loads',
+        '_runs',
+        '_runs_at_ms',
+        '_tokens',
+        '_waiting',
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         # In the order in which they were received.
         self._loads: dict[str, PeerLoad] = {}
         self._runs = 0
+        # The sum of the times of what was told, over all runs.
+        self._runs_at_ms = 0.0
         self._tokens = [0] * PRIORITIES
         self._waiting = [0] * PRIORITIES
 
@@ -83,6 +96,12 @@
         self._expire()
         return self._runs
 
+    def told_run_ms(self) -> float:
+        """Return the sum of the ages of what was told, over all runs."""
+        self._expire()
+        age_ms = self._runs * self._clock.now_ms() - self._runs_at_ms
+        return max(0.0, age_ms)
+
     def tokens(self, priorities: int) -> int:
         """Return the memory used by the `priorities` most urgent levels."""
         self._expire()
@@ -103,6 +122,7 @@
 
     def _add(self, load: PeerLoad, sign: int) -> None:
         self._runs += sign * load.runs
+        self._runs_at_ms += sign * load.runs * load.at_ms
         for priority, tokens in enumerate(load.tokens):
             self._tokens[priority] += sign * tokens
         for priority, tokens in enumerate(load.waiting_tokens):
@@ -376,6 +396,53 @@
         used = sum(self.tokens[:levels]) + self._peers.tokens(levels)
         return used + tokens - capacity
 
+    def expected_shortfall(
+        self, tokens: int, capacity: int, begun_tokens: float = 0.0
+    ) -> int:
+        """Return how much memory a request lacks unless others are preempted.
+
+        What entries have not told yet is counted as far as it is expected:
+        `begun_tokens` of new runs, less those that have ended. A negative
+        result is the memory that would remain free.
+        """
+        if capacity <= 0:
+            return 0
+        runs = self._estimates.runs
+        use = MemoryUse(
+            self._open_tokens(),
+            self.runs(),
+            self.occupied(),
+            self._peers.told_run_ms() / max(1.0, runs.run_ms),
+            begun_tokens / max(1.0, runs.run_tokens),
+            runs.run_tokens,
+        )
+        if not use.runs and not use.reported_runs:
+            # An empty target takes the largest prompt.
+            return min(0, tokens - capacity)
+        return use.expected_tokens + tokens - capacity
+
+    def displaced_cost(
+        self, shortfall: int, tokens: int, priority: int
+    ) -> float:
+        """Return the credit lost by runs that a request would preempt.
+
+        It is per credit of the request. Runs that are late lose none.
+        """
+        in_time = sum(self.tokens[:LATE_PRIORITY])
+        in_time += self._peers.tokens(LATE_PRIORITY)
+        late = self._open_tokens() - in_time
+        levels = priority + 1
+        urgent = sum(self.tokens[:levels]) + self._peers.tokens(levels)
+        return displaced_cost(
+            shortfall - late,
+            tokens,
+            in_time - urgent,
+            self._estimates.runs.run_tokens,
+        )
+
+    def _open_tokens(self) -> int:
+        return sum(self.tokens) + self._peers.tokens(PRIORITIES)
+
     def is_silent(self) -> bool:
         """Whether unanswered requests have received nothing for too long."""
         return self.unanswered_ms() > SILENCE_MS
