End no caller for the time in which the entry stood still

After a freeze callers looked idle for all of it, and were ended at the first look, although the process had not written what they would have read. A test brings it about.

--- a/wigeonmill/gateway/held_bytes.py
+++ b/wigeonmill/gateway/held_bytes.py
@@ -65,15 +65,15 @@
 class HeldBytes:
     """The bytes held for all callers, at most `max_bytes` (0: no bound)."""
 
-    __slots__ = ('_clock', '_max_bytes', '_holdings', 'total', 'peak')
+    __slots__ = ('_clock', '_max_bytes', '_holdings', '_checked_ms', 'total')
 
     def __init__(self, clock: Clock, max_bytes: int = 0) -> None:
         self._clock = clock
         self._max_bytes = max_bytes
         # Those that hold anything.
         self._holdings: dict[Holding, None] = {}
+        self._checked_ms = clock.now_ms()
         self.total = 0
-        self.peak = 0
 
     @property
     def is_bounded(self) -> bool:
@@ -119,7 +119,12 @@
     def check(self) -> None:
         """Look what callers have read, and end those whose time is over."""
         now_ms = self._clock.now_ms()
+        stood_still = now_ms - self._checked_ms > MAX_PAUSE_MS
+        self._checked_ms = now_ms
         for holding in list(self._holdings):
+            if stood_still and holding.idle_since_ms < inf:
+                # The process has not written what they would have read.
+                holding.idle_since_ms = now_ms
             if holding.unsent:
                 unsent = holding.read_unsent()
                 self._update_unsent(holding, unsent)
@@ -176,7 +181,6 @@
 
     def _apply(self, holding: Holding, change: int) -> None:
         self.total += change
-        self.peak = max(self.peak, self.total)
         if holding.total + change > 0:
             self._holdings[holding] = None
         else:
