Drop turns at room, and let short prompts go by what is known

A turn lasts as long as updates take, longer than a request may be held. Short prompts need less memory than the uncertainty of it.

--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -16,7 +16,7 @@
 from wigeonmill.gateway.freshness import Freshness
 from wigeonmill.gateway.held_bytes import HeldBytes
 from wigeonmill.gateway.loss_log import LossLog
-from wigeonmill.gateway.memory_guard import RoomTurns
+from wigeonmill.gateway.memory_guard import UnseenWork
 from wigeonmill.gateway.origin_records import OpenStreams
 from wigeonmill.gateway.part_guard import PartGuard
 from wigeonmill.gateway.service_profile import ServiceProfiles
@@ -202,7 +202,7 @@
         'team_shares',
         'waiting_room',
         'sessions',
-        'room_turns',
+        'unseen_work',
         'profiles',
         'answer_limits',
         'held',
@@ -276,7 +276,7 @@
         self.team_shares = TeamShares(clock)
         self.waiting_room = WaitingRoom(clock)
         self.sessions = ServedSessions()
-        self.room_turns = RoomTurns(clock, rng, entry_count)
+        self.unseen_work = UnseenWork(clock, entry_count)
         self.profiles = ServiceProfiles()
         self.answer_limits = answer_limits
         self.held = HeldBytes(clock, answer_limits.held)
--- a/wigeonmill/gateway/memory_guard.py
+++ b/wigeonmill/gateway/memory_guard.py
@@ -10,7 +10,6 @@
 from math import ceil
 from math import exp
 from math import sqrt
-import random
 
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.credit import LATE_CREDIT_SHARE
@@ -19,10 +18,13 @@
 BLOCK_TOKENS = 16
 # No request is worth more than this many of those that it would preempt.
 MAX_DISPLACED_COST = 4.0
+# A prompt that needs less than this share of the memory goes by what is known:
+# what entries may not have told yet is more than it needs.
+SHORT_SHARE = 1.0 / 32.0
 # Interval of the updates to other entries, and how many get each.
 UPDATE_INTERVAL_MS = 200.0
 PEERS_TOLD = 6
-# Time over which tokens that are asked for and sent are averaged.
+# Time over which the tokens that are sent are averaged.
 RECENT_MS = 1_000.0
 
 
@@ -77,87 +79,41 @@
     return min(MAX_DISPLACED_COST, cost)
 
 
-class RoomTurns:
-    """Decides whether this entry may use the room that all entries see.
+class UnseenWork:
+    """Estimates what other entries have sent and not told yet.
 
-    Each sees the room that becomes free until it is told who took it. If all
-    together ask for more than that in the meantime, each one uses the room
-    for as large a part of the time as there is room for what is asked.
+    All entries are taken to be like this one.
     """
 
-    __slots__ = (
-        '_clock',
-        '_rng',
-        '_entry_count',
-        '_asked',
-        '_sent',
-        '_turns',
-    )
-
-    def __init__(
-        self,
-        clock: Clock,
-        rng: random.Random,
-        entry_count: Callable[[], int],
-    ) -> None:
+    __slots__ = ('_clock', '_entry_count', '_sent')
+
+    def __init__(self, clock: Clock, entry_count: Callable[[], int]) -> None:
         self._clock = clock
-        self._rng = rng
         self._entry_count = entry_count
-        # By service, the tokens of late that were asked for and sent.
-        self._asked: dict[str, RecentTokens] = {}
+        # By service, the tokens that were sent of late.
         self._sent: dict[str, RecentTokens] = {}
-        # By service, a number from 0 to 1, and until when it is used.
-        self._turns: dict[str, tuple[float, float]] = {}
-
-    def record_asked(self, service: str, tokens: int) -> None:
-        """Count a request of this entry, whatever becomes of it."""
-        self._recent(self._asked, service).add(tokens)
 
     def record_sent(self, service: str, tokens: int) -> None:
         """Count a request that this entry sends to a target."""
-        self._recent(self._sent, service).add(tokens)
+        recent = self._sent.get(service)
+        if recent is None:
+            recent = self._sent[service] = RecentTokens(self._clock)
+        recent.add(tokens)
 
     def begun_tokens(self, service: str, count: int) -> float:
-        """Return what others may have sent to one of `count` targets.
-
-        It is what they have not told yet; all entries are taken to be like
-        this one.
-        """
-        sent = self._recent(self._sent, service).per_ms()
-        others = self._entry_count() - 1
-        return sent * others * self._told_ms() / 2.0 / max(1, count)
-
-    def has_turn(self, service: str, free_tokens: int) -> bool:
-        """Whether this entry may use the room of all targets now."""
-        entries = self._entry_count()
-        asked = self._recent(self._asked, service).per_ms() * self._told_ms()
-        if entries <= 1 or asked * entries <= free_tokens:
-            return True
-        now_ms = self._clock.now_ms()
-        turn, until_ms = self._turns.get(service, (0.0, 0.0))
-        if now_ms >= until_ms:
-            turn = self._rng.random()
-            self._turns[service] = turn, now_ms + self._told_ms()
-        return turn < free_tokens / (asked * entries)
-
-    def _told_ms(self) -> float:
-        """Return the time in which each other entry gets an update."""
-        others = self._entry_count() - 1
-        return UPDATE_INTERVAL_MS * max(1.0, others / PEERS_TOLD)
-
-    def _recent(
-        self, by_service: 'dict[str, RecentTokens]', service: str
-    ) -> 'RecentTokens':
-        recent = by_service.get(service)
+        """Return what others may have sent to one of `count` targets."""
+        recent = self._sent.get(service)
         if recent is None:
-            recent = by_service[service] = RecentTokens(self._clock)
-        return recent
+            return 0.0
+        others = self._entry_count() - 1
+        told_ms = UPDATE_INTERVAL_MS * max(1.0, others / PEERS_TOLD)
+        return recent.per_ms() * others * told_ms / 2.0 / max(1, count)
 
 
 class RecentTokens:
     """An average of tokens over time in which older ones fade.
 
-    The newest ones don't count, since those who look do so just after them.
+    The newest ones don't count, as an entry looks when it has just sent some.
     """
 
     __slots__ = ('_clock', '_before', '_newest', '_at_ms')
--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -10,7 +10,6 @@
 from collections.abc import Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
-from dataclasses import replace
 from math import inf
 import random
 
@@ -24,7 +23,8 @@
 from wigeonmill.gateway.credit import lateness_cost
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
 from wigeonmill.gateway.domain_costs import DomainCosts
-from wigeonmill.gateway.memory_guard import RoomTurns
+from wigeonmill.gateway.memory_guard import SHORT_SHARE
+from wigeonmill.gateway.memory_guard import UnseenWork
 from wigeonmill.gateway.request import Generation
 from wigeonmill.gateway.service_rollout import VersionFilter
 from wigeonmill.gateway.stream_origins import StreamOrigin
@@ -153,7 +153,7 @@
         '_domain_costs',
         '_suspicions',
         '_reserves',
-        '_room_turns',
+        '_unseen_work',
     )
 
     def __init__(
@@ -166,7 +166,7 @@
         region_of: Mapping[str, str] | None = None,
         suspicions: Suspicions | None = None,
         domain_costs: DomainCosts = DomainCosts(),
-        room_turns: RoomTurns | None = None,
+        unseen_work: UnseenWork | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -178,7 +178,7 @@
         self._suspicions = suspicions
         self._reserves = True
         # Set if requests are kept from engines without memory for them.
-        self._room_turns = room_turns
+        self._unseen_work = unseen_work
 
     @contextmanager
     def hypothetical(self) -> Iterator[None]:
@@ -423,19 +423,6 @@
         ]
 
     def _best(self, targets: Sequence[Target], demand: Demand) -> Pick:
-        best = self._best_by_cost(targets, demand)
-        turns = self._room_turns
-        if turns is None or best.waits or demand.generation is None:
-            return best
-        free_tokens = sum(
-            max(0, -self._expected_shortfall(target, demand, 0))
-            for target in targets
-        )
-        if turns.has_turn(demand.service, free_tokens):
-            return best
-        return replace(best, waits=True)
-
-    def _best_by_cost(self, targets: Sequence[Target], demand: Demand) -> Pick:
         home_id = self._home_id(demand)
         sampled = self._sample(targets, demand, home_id)
         best = self._cheapest(sampled, demand, home_id)
@@ -573,10 +560,14 @@
     def _expected_shortfall(
         self, target: Target, demand: Demand, tokens: int
     ) -> int:
-        if self._room_turns is None:
+        if self._unseen_work is None:
             return 0
+        if tokens < SHORT_SHARE * demand.cache_tokens:
+            return target.load.memory_shortfall(
+                tokens, PRIORITIES - 1, demand.cache_tokens
+            )
         count = len(self._directory.of_service(demand.service))
-        begun_tokens = self._room_turns.begun_tokens(demand.service, count)
+        begun_tokens = self._unseen_work.begun_tokens(demand.service, count)
         return target.load.expected_shortfall(
             tokens, demand.cache_tokens, begun_tokens
         )
@@ -595,7 +586,7 @@
                 demand.tokens, PRIORITIES - 1, demand.cache_tokens
             )
             cost += PREEMPTION_COST * max(0, shortfall) / demand.cache_tokens
-            if self._room_turns is not None:
+            if self._unseen_work is not None:
                 cost += load.displaced_cost(
                     self._expected_shortfall(target, demand, demand.tokens),
                     demand.tokens,
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -151,11 +151,6 @@
         self._probe = guard.find(self._terms.part_keys)
         self._ctx.retries(self._terms.service).record_request()
         self._admission.record_asked()
-        generation = self._req.generation
-        if generation is not None:
-            self._ctx.room_turns.record_asked(
-                self._terms.service, generation.tokens
-            )
         if self._terms.origin is not None:
             # All entries may be lost once more before the stream ends.
             self._ctx.open_streams.begin(
@@ -333,7 +328,9 @@
         )
         self._ctx.suspicions.record_sent(target, in_flight)
         if generation is not None:
-            self._ctx.room_turns.record_sent(target.service, generation.tokens)
+            self._ctx.unseen_work.record_sent(
+                target.service, generation.tokens
+            )
         try:
             exchange = self._client.send(
                 self._req,
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -508,7 +508,7 @@
                 self._settings.failure_domain,
                 self._settings.domain_transfer_cost,
             ),
-            ctx.room_turns if self._settings.memory_bounds else None,
+            ctx.unseen_work if self._settings.memory_bounds else None,
         )
         client = TargetClient(
             self._transfers, self._adapter.targets, self._clock, ctx.notices
