--- a/wigeonmill/gateway/picker.py
+++ b/wigeonmill/gateway/picker.py
@@ -23,6 +23,8 @@
 from wigeonmill.gateway.credit import lateness_cost
 from wigeonmill.gateway.credit import OLD_WEIGHTS_COST
 from wigeonmill.gateway.domain_costs import DomainCosts
+from wigeonmill.gateway.memory_guard import SHORT_SHARE
+from wigeonmill.gateway.memory_guard import UnseenWork
 from wigeonmill.gateway.request import Generation
 from wigeonmill.gateway.service_rollout import VersionFilter
 from wigeonmill.gateway.stream_origins import StreamOrigin
@@ -160,6 +162,7 @@
         '_domain_costs',
         '_suspicions',
         '_reserves',
+        '_unseen_work',
     )
 
     def __init__(
@@ -172,6 +175,7 @@
         region_of: Mapping[str, str] | None = None,
         suspicions: Suspicions | None = None,
         domain_costs: DomainCosts = DomainCosts(),
+        unseen_work: UnseenWork | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -182,6 +186,8 @@
         self._domain_costs = domain_costs
         self._suspicions = suspicions
         self._reserves = True
+        # Set if requests are kept from engines without memory for them.
+        self._unseen_work = unseen_work
 
     @contextmanager
     def hypothetical(self) -> Iterator[None]:
@@ -523,6 +529,7 @@
                 memory_ms > 0
                 or slot_ms > 0
                 or self._lacks_spare(target, demand)
+                or self._lacks_memory(target, demand)
             )
         lateness = lateness_cost(
             expected_ms, demand.objective_remaining_ms, demand.objective_ms
@@ -557,6 +564,25 @@
             > 0
         )
 
+    def _lacks_memory(self, target: Target, demand: Demand) -> bool:
+        """Whether the request would wait for memory or preempt others."""
+        return self._expected_shortfall(target, demand, demand.tokens) > 0
+
+    def _expected_shortfall(
+        self, target: Target, demand: Demand, tokens: int
+    ) -> int:
+        if self._unseen_work is None:
+            return 0
+        if tokens < SHORT_SHARE * demand.cache_tokens:
+            return target.load.memory_shortfall(
+                tokens, PRIORITIES - 1, demand.cache_tokens
+            )
+        count = len(self._directory.of_service(demand.service))
+        begun_tokens = self._unseen_work.begun_tokens(demand.service, count)
+        return target.load.expected_shortfall(
+            tokens, demand.cache_tokens, begun_tokens
+        )
+
     def _extra_cost(self, target: Target, demand: Demand) -> float:
         load = target.load
         cost = load.failure_share() * FAILURE_COST
@@ -571,6 +597,12 @@
                 demand.tokens, PRIORITIES - 1, demand.cache_tokens
             )
             cost += PREEMPTION_COST * max(0, shortfall) / demand.cache_tokens
+            if self._unseen_work is not None:
+                cost += load.displaced_cost(
+                    self._expected_shortfall(target, demand, demand.tokens),
+                    demand.tokens,
+                    demand.priority,
+                )
         return cost
 
     def _prefill_and_fetch(
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -328,6 +328,10 @@
             ),
         )
         self._ctx.suspicions.record_sent(target, in_flight)
+        if generation is not None:
+            self._ctx.unseen_work.record_sent(
+                target.service, generation.tokens
+            )
         try:
             exchange = self._client.send(
                 self._req,
