Tell in an explanation what admission would do with the request

Where fair admission was on, `wigeonmill where` named a target although the request would be held or refused first: the preview went past the admission. It asks the same decision now, and counts and reserves nothing.

The two new cases failed before; tests/gateway/test_explanation.py and tests/tools pass.

--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -1,5 +1,6 @@
 """Tests that an explanation tells what a pick does, and changes nothing."""
 
+import dataclasses
 import pickle
 
 import pytest
@@ -206,3 +207,23 @@
     assert parse_question(fields) == Question(
         'h', '/a', model='m', parts=(PromptPart('a:b', 5),)
     )
+
+
+# Load: teams compete for a service whose only target is full.
+@pytest.mark.parametrize(
+    ('deadline_ms', 'expected'),
+    [(10_000.0, 'held_up_to_ms'), (20.0, 'refusal')],
+)
+def test_an_explanation_tells_what_admission_would_do(deadline_ms, expected):
+    harness, explainer = make_world([make_team()], [make_record('t1')])
+    harness.ctx.fair_admission = True
+    target = harness.ctx.directory.get('t1')
+    target.refusing_until_ms = harness.clock.now_ms() + 5_000.0
+    question = dataclasses.replace(
+        PLAIN, team=make_team().name, deadline_ms=deadline_ms
+    )
+    before = snapshot(harness)
+    answer = explainer.explain(question)
+    assert expected in answer
+    assert answer.get('held_up_to_ms', 0.0) <= 100.0
+    assert snapshot(harness) == before
--- a/wigeonmill/gateway/admission_run.py
+++ b/wigeonmill/gateway/admission_run.py
@@ -59,6 +59,25 @@
             self._ctx.sessions.record(self._session)
             self._ctx.waiting_room.offer_slot(self._terms.service)
 
+    def preview(
+        self, picked: Result[Pick, Refusal]
+    ) -> tuple[Result[Pick, Refusal], float]:
+        """Return what `admit` would do first, and for how long it may hold.
+
+        Nothing is counted and no place is taken.
+        """
+        if (
+            isinstance(picked, Err)
+            or not self._terms.competes
+            or self._terms.continues
+        ):
+            return picked, 0.0
+        now_ms = self._ctx.clock.now_ms()
+        decision = self._decide(picked.ok_value, now_ms, Turn.LOOK)
+        if decision.verdict is Verdict.REFUSE:
+            return Err(self._late_refusal(picked.ok_value)), 0.0
+        return picked, decision.hold_ms
+
     async def admit(
         self, pick: Picking, check: Callable[[], Refusal | None]
     ) -> Result[Pick, Refusal]:
@@ -167,6 +186,9 @@
         """Return the refusal of a request that can't be served in time."""
         self._ctx.team_shares.record_shortage(self._terms.service)
         self._ctx.metrics.count('gateway_admission', decision.why.value)
+        return self._late_refusal(pick)
+
+    def _late_refusal(self, pick: Pick) -> Refusal:
         return Refusal(
             Reason.TOO_LATE,
             f'expected in {pick.expected_ms:.0f} ms, '
--- a/wigeonmill/gateway/explanation.py
+++ b/wigeonmill/gateway/explanation.py
@@ -105,11 +105,13 @@
             team,
             _NoChannel(),
         )
-        picked, demand = run.preview()
+        picked, hold_ms, demand = run.preview()
         if isinstance(picked, Err):
             answer = _refused(picked.err_value)
         else:
             answer = {'target': picked.ok_value.target.id}
+            if hold_ms > 0:
+                answer['held_up_to_ms'] = round(hold_ms, 1)
         considered = {
             pick.target.id: pick for pick in self._picker.evaluate_all(demand)
         }
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -122,13 +122,17 @@
         """The version of the configuration in force."""
         return self._terms.config_version
 
-    def preview(self) -> tuple[Result[Pick, Refusal], Demand]:
-        """Return what the first attempt would do now, and for which demand."""
+    def preview(self) -> tuple[Result[Pick, Refusal], float, Demand]:
+        """Return what the first attempt would do now, and for which demand.
+
+        The second value is the longest time in ms for which it is held first.
+        """
         demand = self._terms.demand(())
         quarantine = self._ctx.part_guard.peek(self._terms.part_keys)
         if quarantine is not None:
-            return Err(self._part_refusal(quarantine)), demand
-        return self._pick(), demand
+            return Err(self._part_refusal(quarantine)), 0.0, demand
+        picked, hold_ms = self._admission.preview(self._pick())
+        return picked, hold_ms, demand
 
     async def run(self) -> None:
         """Run the request until its channel is answered or aborted."""
--- a/wigeonmill/tools/where_command.py
+++ b/wigeonmill/tools/where_command.py
@@ -42,6 +42,8 @@
                 yield f'retry after: {answer["retry_after_ms"]:.0f} ms'
         else:
             yield f'target: {answer["target"]}'
+            if 'held_up_to_ms' in answer:
+                yield f'held before: {answer["held_up_to_ms"]:.0f} ms at most'
         for name in ('route', 'service', 'config', 'priority'):
             if name in answer:
                 yield f'{name}: {answer[name]}'
