--- a/tests/platform/soak/environment.py
+++ b/tests/platform/soak/environment.py
@@ -32,6 +32,7 @@
 DOMAINS = ('d0', 'd1', 'd2')
 GRACE_MS = 4_000
 WEIGHTS_DEADLINE_MS = 10_000
+MAX_HELD_BYTES = 16 * 1024 * 1024
 READY_TIMEOUT_S = 15.0
 # Time after which a target is back that crashed under a prompt part, and a
 # gateway that ended by itself.
@@ -77,6 +78,10 @@
             'grace_ms': GRACE_MS,
             'extra_work_share': EXTRA_WORK_SHARE,
             'fair_admission': True,
+            'shares_by_demand': True,
+            'hold_at_start': True,
+            'restart_order_ms': 2_000,
+            'max_held_bytes': MAX_HELD_BYTES,
             'weights_deadline_ms': WEIGHTS_DEADLINE_MS,
             **uneven_settings(self.name),
         }
