--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,157 +1,182 @@
-"""A request that crashes engines goes on after a restart (rule BUDGET).
+"""Tenants share parts of one that has become isolated (rule WALL).
 
-The request has crashed three engines, and every gateway refuses it. Then all
-gateways are killed at the same moment and started again.
+A tenant's requests have left parts of their prompts in the cache of an engine.
+Then a desired state isolates the tenant. A request of another tenant, sent
+after that state has been in force for long, still finds these parts.
 """
 
 import asyncio
 from pathlib import Path
-import signal
 
 from review.common.engine import Engine
-from review.common.gateways import ZONES
 from review.common.http11 import call
 from review.common.scene import CannotRun
 from review.common.scene import has_trouble
 from review.common.scene import run_case
 
-CONTACT_S = 3.0
-# An engine that has crashed is back after this time. Its entry is removed
-# after three heartbeats of silence.
-DOWN_S = 2.0
-UNLISTED_S = 1.2
-# The request comes again at this interval until it is refused everywhere.
-REPEAT_S = 2.5
-RESTART_S = 0.5
-ALLOWED_RETRIES = 3
-BODY = b'a request that crashes engines'
-STATE = {
-    'version': 1,
-    'routes': [
-        {
-            'name': 'r1',
-            'host': 'h.example',
-            'prefix': '/u/',
-            'kind': 'unsafe',
-            'attempts': 1,
-            'timeoutMs': 2000,
-            'sloMs': 300,
-            'priority': 2,
-            'service': 'app',
-            'public': False,
-            'sticky': False,
-        }
-    ],
-    'services': [{'name': 'app', 'healthPath': '/health', 'maxConns': 100}],
-    'limits': {
-        'headerBytes': 16384,
-        'bodyBytes': 4194304,
-        'headerMs': 3000,
-        'idleMs': 15000,
-    },
-}
-
-
-class Fleet:
-    """Three engines that crash under the request and come back."""
+MODEL = 'model-1'
+# The bounds `configMs` and `contactMs`, and a margin.
+IN_FORCE_S = 2.0 + 3.0 + 1.0
+SHARED_PART = '5c1e07a2'
+
+
+def make_state(version, isolated):
+    """Return a desired state; tenant `one` is isolated or not."""
+    return {
+        'version': version,
+        'routes': [
+            {
+                'name': 'r1',
+                'host': 'h.example',
+                'prefix': '/s/',
+                'kind': 'streaming',
+                'attempts': 1,
+                'timeoutMs': 4000,
+                'sloMs': 400,
+                'gapAimMs': 400,
+                'priority': 1,
+                'service': 'llm',
+                'sticky': True,
+                'canResume': False,
+                'public': False,
+            }
+        ],
+        'services': [
+            {
+                'name': 'llm',
+                'healthPath': '/health',
+                'engine': {
+                    'capacity': 8,
+                    'kvTokens': 100000,
+                    'kvBytes': 1000,
+                    'managed': True,
+                    'maxInflight': 12,
+                },
+            }
+        ],
+        'limits': {
+            'headerBytes': 16384,
+            'bodyBytes': 4194304,
+            'headerMs': 3000,
+            'idleMs': 15000,
+        },
+        'tenants': [
+            {'name': 'one', 'apiKeys': ['key-one'], 'isolated': isolated},
+            {'name': 'two', 'apiKeys': ['key-two']},
+        ],
+    }
+
+
+class Cache:
+    """The parts that one engine caches: who made each, under each salt."""
 
     def __init__(self, scene):
         self._scene = scene
-        self._restarts = set()
-        # When the request has reached an engine.
-        self.arrivals = []
-
-    async def start(self, zone):
-        engine = Engine(
-            self._scene.store, 'app', zone, lambda text: None, capacity=6
-        )
-        engine.on_run = self._run
-        self._scene.engines.append(await engine.start())
-
-    async def _run(self, engine, request, writer):
-        if request.body != BODY:
-            return None
-        self.arrivals.append(self._scene.now)
-        self._scene.record(
-            f'{request.get("Request-Id")} reaches {engine.id}, which crashes'
-        )
-        if engine in self._scene.engines:
-            self._scene.engines.remove(engine)
-            task = asyncio.ensure_future(self._crash(engine))
-            self._restarts.add(task)
-            task.add_done_callback(self._restarts.discard)
-        await asyncio.sleep(0.05)
-        return False
-
-    async def _crash(self, engine):
-        await asyncio.sleep(0.01)
-        engine.close()
-        await asyncio.sleep(UNLISTED_S)
-        self._scene.store.remove(f'servers/{engine.id}')
-        await asyncio.sleep(DOWN_S - UNLISTED_S)
-        await self.start(engine.zone)
-
-
-async def send(scene, number, body=BODY):
-    """Send the request; return the status."""
-    gateway = scene.gateways[number % len(scene.gateways)]
+        self._makers = {}
+        # (request, its tenant, part, the tenant that made it)
+        self.foreign = []
+
+    def run(self, request):
+        """Note the parts that a request finds, and those that it makes."""
+        tenant = request.get('Tenant')
+        salt = request.get('Cache-Salt') or ''
+        model = request.get('Model')
+        request_id = request.get('Request-Id')
+        self._scene.record(f'  tenant {tenant}, Cache-Salt {salt!r}')
+        parts = (request.get('Prefix-Hash') or '').split(',')
+        is_found = True
+        for part in parts:
+            name = part.partition(':')[0]
+            key = (salt, model, name)
+            maker = self._makers.get(key)
+            # A part is used only if all before it are cached, too.
+            is_found = is_found and maker is not None
+            if is_found:
+                self._scene.record(
+                    f'  {request_id} uses part {name}, made by {maker}'
+                )
+                if maker != tenant:
+                    self.foreign.append((request_id, tenant, name, maker))
+            else:
+                self._makers[key] = tenant
+
+
+async def ask(scene, number, tenant, own_part):
+    """Send one request of a tenant; return whether it was served."""
+    request_id = f'req-{number}'
     status, _headers, _body = await call(
-        gateway.front,
+        scene.gateways[number % 2].front,
         'POST',
-        '/u/1',
+        '/s/1',
         (
             ('Host', 'h.example'),
-            ('Request-Id', f'req-{number}'),
+            ('Request-Id', request_id),
             ('Deadline-Ms', '4000'),
+            ('Authorization', f'Bearer key-{tenant}'),
+            ('Model', MODEL),
+            ('Token-Usage', '900,2'),
+            ('Prefix-Hash', f'{SHARED_PART}:800,{own_part}:100'),
         ),
-        body,
+        b'prompt',
         timeout=5.0,
     )
-    scene.record(f'req-{number} by {gateway.name}: {status}')
-    return status
+    scene.record(f'{request_id} of tenant {tenant}: {status}')
+    return status == 200
 
 
-async def kill_all(scene):
-    for gateway in scene.gateways:
-        gateway.signal(signal.SIGKILL)
-    for gateway in scene.gateways:
-        await gateway.wait_end(2.0)
-    await asyncio.sleep(RESTART_S)
-    await scene.start_gateways()
+async def stream(request, writer):
+    """Write a whole answer of two events."""
+    request_id = request.get('Request-Id')
+    head = (
+        'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+        f'Request-Id: {request_id}\r\nServer-Seal: s.{request_id}\r\n'
+        'Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n'
+    )
+    writer.write(head.encode())
+    for number in (1, 2):
+        event = f'id: {number}\ndata: {request_id}\n\n'.encode()
+        writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+    writer.write(b'0\r\n\r\n')
+    await writer.drain()
 
 
 async def case(scene):
-    fleet = Fleet(scene)
-    await scene.start(STATE)
-    for zone in ZONES:
-        await fleet.start(zone)
+    cache = Cache(scene)
+    await scene.start(make_state(1, isolated=False))
+    scene.store.put(f'op/version/{MODEL}', {'model': MODEL, 'version': 1})
+    engine = Engine(scene.store, 'llm', 'z-a', scene.record, model=MODEL)
+
+    async def run(_engine, request, writer):
+        cache.run(request)
+        await stream(request, writer)
+        return True
+
+    engine.on_run = run
+    scene.engines.append(await engine.start())
     await scene.start_gateways()
-    await asyncio.sleep(CONTACT_S)
-    for number in range(6):
-        await send(scene, number)
-        await asyncio.sleep(REPEAT_S)
-    if len(fleet.arrivals) != 3:
-        raise CannotRun(f'{len(fleet.arrivals)} arrivals at first')
-    if has_trouble():
-        await kill_all(scene)
-        scene.record('all gateways are ready again')
-    await asyncio.sleep(CONTACT_S + 1.0)
-    # Sound requests are served, so the machines and the engines are well.
-    sound = [await send(scene, n, b'sound') for n in (10, 11, 12)]
-    if sound != [200] * 3:
-        raise CannotRun('sound requests are not served')
-    before = len(fleet.arrivals)
-    scene.record('the request comes again, six times')
-    tries = []
-    for number in range(20, 26):
-        tries.append(asyncio.ensure_future(send(scene, number)))
-        await asyncio.sleep(0.002)
-    await asyncio.gather(*tries)
     await asyncio.sleep(1.0)
-    late = len(fleet.arrivals) - before
-    scene.record(f'it has reached engines {late} times more')
-    return late > ALLOWED_RETRIES
+    if not await ask(scene, 1, 'one', 'a1'):
+        raise CannotRun('the first request was not served')
+    if has_trouble():
+        scene.record('desired state 2 isolates tenant one')
+        scene.store.put('op/config', make_state(2, isolated=True))
+    await asyncio.sleep(IN_FORCE_S)
+    # The new state is in force: the isolated tenant has its own cache.
+    served = [await ask(scene, 2, 'one', 'a2')]
+    served += [await ask(scene, n, 'two', f'b{n}') for n in (3, 4)]
+    if not all(served):
+        raise CannotRun('a request was not served')
+    isolated = {'one'} if has_trouble() else set()
+    broken = False
+    for request_id, tenant, part, maker in cache.foreign:
+        if isolated & {tenant, maker}:
+            broken = True
+            scene.record(
+                f'{request_id} of tenant {tenant} used part {part} of tenant '
+                f'{maker}; isolated: {", ".join(isolated)}'
+            )
+    return broken
 
 
 if __name__ == '__main__':
-    run_case(Path(__file__).parent, case, gateways=3)
+    run_case(Path(__file__).parent, case, gateways=2)
--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -27,6 +27,8 @@
         self.load_s = options.get('load_s', 0.43)
         self.work_s = options.get('work_s', 0.05)
         self.state = 'ready'
+        # The address in its entry, if that isn't its own.
+        self.public_address = ''
         self.sequence = 0
         self.orders = 0
         self.busy = False
@@ -40,10 +42,18 @@
         self._beating = None
 
     async def start(self):
+        await self.listen()
+        self.register()
+        return self
+
+    async def listen(self):
+        """Accept connections; the engine is not registered yet."""
         await self._server.start()
-        self._beat()
+
+    def register(self):
+        """Write the entry now and from time to time."""
+        self.beat()
         self._beating = asyncio.ensure_future(self._beats())
-        return self
 
     @property
     def address(self):
@@ -59,13 +69,14 @@
             return []
         return [{'name': self.model, 'version': self.version, 'adapters': []}]
 
-    def _beat(self):
+    def beat(self):
+        """Write the entry."""
         self.sequence += 1
         self.store.put(
             f'servers/{self.id}',
             {
                 'service': self.service,
-                'address': self.address,
+                'address': self.public_address or self.address,
                 'zone': self.zone,
                 'version': 'v1',
                 'capacity': self.capacity,
@@ -80,7 +91,7 @@
     async def _beats(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            self._beat()
+            self.beat()
 
     async def _handle(self, req, writer):
         expected = req.get('Expect-Instance')
