--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -33,8 +33,8 @@
         self.orders = 0
         self.busy = False
         self.running = 0
-        # Called with each order that is accepted.
-        self.on_accepted = None
+        # Called with each order.
+        self.on_order = None
         # Called with each request that begins to run; may write the answer
         # itself and then returns True, or False to close the connection.
         self.on_run = None
@@ -130,14 +130,14 @@
 
     def _order(self, order):
         """Accept an order of new weights, or return why not."""
+        if self.on_order is not None:
+            self.on_order(self, order)
         if self.busy or order.get('expected') not in (None, self.orders):
             status = 409
         elif order['version'] == self.version:
             status = 200
         else:
             status = 202
-            if self.on_accepted is not None:
-                self.on_accepted(self, order)
             self.orders += 1
             self.busy = True
             asyncio.get_running_loop().call_later(
