--- a/review/common/gateways.py
+++ b/review/common/gateways.py
@@ -87,8 +87,11 @@
             'fair_admission_pace': True,
             'policies': list(POLICIES),
         } | changes
-        path = self.folder / f'{self.name}.json'
-        path.write_text(json.dumps(settings))
+        self.write_settings(json.dumps(settings))
+
+    def write_settings(self, text):
+        """Write the settings file."""
+        (self.folder / f'{self.name}.json').write_text(text)
 
     def start(self):
         words = deploy_command()
