--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,58 +1,51 @@
-"""Tenants share parts of one that has become isolated (rule WALL).
+"""A key that was taken away stays valid for good (rule CONFIG).
 
-A tenant's requests have left parts of their prompts in the cache of an engine.
-Then a desired state isolates the tenant. A request of another tenant, sent
-after that state has been in force for long, still finds these parts.
+The store comes back from an older copy, and gives revisions out again. The
+gateways take the next desired state for an older one.
 """
 
 import asyncio
+import json
 from pathlib import Path
 
 from review.common.engine import Engine
+from review.common.gateways import ZONES
 from review.common.http11 import call
 from review.common.scene import CannotRun
 from review.common.scene import has_trouble
 from review.common.scene import run_case
 
-MODEL = 'model-1'
-# The bounds `configMs` and `contactMs`, and a margin.
-IN_FORCE_S = 2.0 + 3.0 + 1.0
-SHARED_PART = '5c1e07a2'
+CONTACT_S = 3.0
+CONFIG_S = 2.0
+OUTER_S = 5.0
+# The store is away for a moment and comes back from a copy some seconds old.
+AWAY_S = 1.0
+COPY_AGE_S = 8.0
+# From its return to the desired state that takes a key away.
+REVOKED_AFTER_S = CONTACT_S + 0.5
 
 
-def make_state(version, isolated):
-    """Return a desired state; tenant `one` is isolated or not."""
+def make_state(version, keys):
+    """Return a desired state in which the tenant has these keys."""
     return {
         'version': version,
         'routes': [
             {
                 'name': 'r1',
                 'host': 'h.example',
-                'prefix': '/s/',
-                'kind': 'streaming',
+                'prefix': '/u/',
+                'kind': 'unsafe',
                 'attempts': 1,
-                'timeoutMs': 4000,
-                'sloMs': 400,
-                'gapAimMs': 400,
-                'priority': 1,
-                'service': 'llm',
-                'sticky': True,
-                'canResume': False,
+                'timeoutMs': 2000,
+                'sloMs': 300,
+                'priority': 2,
+                'service': 'app',
                 'public': False,
+                'sticky': False,
             }
         ],
         'services': [
-            {
-                'name': 'llm',
-                'healthPath': '/health',
-                'engine': {
-                    'capacity': 8,
-                    'kvTokens': 100000,
-                    'kvBytes': 1000,
-                    'managed': True,
-                    'maxInflight': 12,
-                },
-            }
+            {'name': 'app', 'healthPath': '/health', 'maxConns': 100}
         ],
         'limits': {
             'headerBytes': 16384,
@@ -60,123 +53,108 @@
             'headerMs': 3000,
             'idleMs': 15000,
         },
-        'tenants': [
-            {'name': 'one', 'apiKeys': ['key-one'], 'isolated': isolated},
-            {'name': 'two', 'apiKeys': ['key-two']},
-        ],
+        'tenants': [{'name': 'one', 'apiKeys': list(keys), 'priority': 1}],
     }
 
 
-class Cache:
-    """The parts that one engine caches: who made each, under each salt."""
+class Callers:
+    """Sends requests with a key by each gateway; notes what has run."""
 
     def __init__(self, scene):
         self._scene = scene
-        self._makers = {}
-        # (request, its tenant, part, the tenant that made it)
-        self.foreign = []
-
-    def run(self, request):
-        """Note the parts that a request finds, and those that it makes."""
-        tenant = request.get('Tenant')
-        salt = request.get('Cache-Salt') or ''
-        model = request.get('Model')
-        request_id = request.get('Request-Id')
-        self._scene.record(f'  tenant {tenant}, Cache-Salt {salt!r}')
-        parts = (request.get('Prefix-Hash') or '').split(',')
-        is_found = True
-        for part in parts:
-            name = part.partition(':')[0]
-            key = (salt, model, name)
-            maker = self._makers.get(key)
-            # A part is used only if all before it are cached, too.
-            is_found = is_found and maker is not None
-            if is_found:
-                self._scene.record(
-                    f'  {request_id} uses part {name}, made by {maker}'
-                )
-                if maker != tenant:
-                    self.foreign.append((request_id, tenant, name, maker))
-            else:
-                self._makers[key] = tenant
-
-
-async def ask(scene, number, tenant, own_part):
-    """Send one request of a tenant; return whether it was served."""
-    request_id = f'req-{number}'
-    status, _headers, _body = await call(
-        scene.gateways[number % 2].front,
-        'POST',
-        '/s/1',
-        (
-            ('Host', 'h.example'),
-            ('Request-Id', request_id),
-            ('Deadline-Ms', '4000'),
-            ('Authorization', f'Bearer key-{tenant}'),
-            ('Model', MODEL),
-            ('Token-Usage', '900,2'),
-            ('Prefix-Hash', f'{SHARED_PART}:800,{own_part}:100'),
-        ),
-        b'prompt',
-        timeout=5.0,
+        self._count = 0
+        self.ran = set()
+
+    async def run(self, _engine, request, _writer):
+        self.ran.add(request.get('Request-Id'))
+        return None
+
+    async def ask(self, gateway, key):
+        """Return the status, and whether the request has run."""
+        self._count += 1
+        request_id = f'req-{self._count}'
+        status, _headers, _body = await call(
+            gateway.front,
+            'POST',
+            '/u/1',
+            (
+                ('Host', 'h.example'),
+                ('Request-Id', request_id),
+                ('Deadline-Ms', '4000'),
+                ('Authorization', f'Bearer {key}'),
+            ),
+            b'order',
+            timeout=5.0,
+        )
+        has_run = request_id in self.ran
+        self._scene.record(
+            f'{request_id} with {key} by {gateway.name}: {status}'
+            + (', it has run' if has_run else '')
+        )
+        return status, has_run
+
+
+async def drill(scene):
+    """Let the store be away and come back from a copy."""
+    before = scene.store.revision
+    scene.store.leave()
+    scene.record(f'the store is away, its revision is {before}')
+    await asyncio.sleep(AWAY_S)
+    lost = scene.store.come_back(COPY_AGE_S)
+    scene.record(
+        f'it is back from a copy of {COPY_AGE_S:g} s ago, revision '
+        f'{scene.store.revision}, Store-Era {scene.store.era}'
     )
-    scene.record(f'{request_id} of tenant {tenant}: {status}')
-    return status == 200
-
-
-async def stream(request, writer):
-    """Write a whole answer of two events."""
-    request_id = request.get('Request-Id')
-    head = (
-        'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
-        f'Request-Id: {request_id}\r\nServer-Seal: s.{request_id}\r\n'
-        'Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n'
-    )
-    writer.write(head.encode())
-    for number in (1, 2):
-        event = f'id: {number}\ndata: {request_id}\n\n'.encode()
-        writer.write(b'%x\r\n%b\r\n' % (len(event), event))
-    writer.write(b'0\r\n\r\n')
-    await writer.drain()
+    # What the operator and the engines wrote is written again.
+    for key, value in sorted(lost.items()):
+        if key.startswith('op/') and value is not None:
+            scene.store.put(key, value)
+            scene.record(f'{key} is written again')
+    for engine in scene.engines:
+        engine.beat()
 
 
 async def case(scene):
-    cache = Cache(scene)
-    await scene.start(make_state(1, isolated=False))
-    scene.store.put(f'op/version/{MODEL}', {'model': MODEL, 'version': 1})
-    engine = Engine(scene.store, 'llm', 'z-a', scene.record, model=MODEL)
-
-    async def run(_engine, request, writer):
-        cache.run(request)
-        await stream(request, writer)
-        return True
-
-    engine.on_run = run
-    scene.engines.append(await engine.start())
+    callers = Callers(scene)
+    await scene.start(make_state(1, ('key-a', 'key-b')))
+    # As many engines as the site has.
+    for number in range(9):
+        engine = Engine(
+            scene.store, 'app', ZONES[number % 3], lambda text: None
+        )
+        engine.on_run = callers.run
+        scene.engines.append(await engine.start())
+        await asyncio.sleep(0.1)
     await scene.start_gateways()
-    await asyncio.sleep(1.0)
-    if not await ask(scene, 1, 'one', 'a1'):
-        raise CannotRun('the first request was not served')
+    await asyncio.sleep(COPY_AGE_S + 1.0)
+    scene.record('desired state 2 is confirmed')
+    scene.store.put('op/config', make_state(2, ('key-a', 'key-b', 'key-c')))
+    await asyncio.sleep(0.5)
     if has_trouble():
-        scene.record('desired state 2 isolates tenant one')
-        scene.store.put('op/config', make_state(2, isolated=True))
-    await asyncio.sleep(IN_FORCE_S)
-    # The new state is in force: the isolated tenant has its own cache.
-    served = [await ask(scene, 2, 'one', 'a2')]
-    served += [await ask(scene, n, 'two', f'b{n}') for n in (3, 4)]
-    if not all(served):
-        raise CannotRun('a request was not served')
-    isolated = {'one'} if has_trouble() else set()
+        await drill(scene)
+    else:
+        await asyncio.sleep(AWAY_S)
+    await asyncio.sleep(REVOKED_AFTER_S)
+    scene.store.put('op/config', make_state(3, ('key-a', 'key-c')))
+    scene.record(
+        'desired state 3, without key-b, is confirmed at revision '
+        f'{scene.store.revision}'
+    )
+    await asyncio.sleep(CONFIG_S + OUTER_S + 1.0)
     broken = False
-    for request_id, tenant, part, maker in cache.foreign:
-        if isolated & {tenant, maker}:
-            broken = True
-            scene.record(
-                f'{request_id} of tenant {tenant} used part {part} of tenant '
-                f'{maker}; isolated: {", ".join(isolated)}'
-            )
+    for _ in range(4):
+        for gateway in scene.gateways:
+            status, _has_run = await callers.ask(gateway, 'key-a')
+            if status != 200:
+                raise CannotRun('a request with a valid key is not served')
+            _status, has_run = await callers.ask(gateway, 'key-b')
+            broken = broken or has_run
+        await asyncio.sleep(3.0)
+    scene.record(f'the revision of the store is {scene.store.revision} now')
+    config = json.loads(scene.store.value('op/config'))
+    scene.record(f'op/config holds version {config["version"]}')
     return broken
 
 
 if __name__ == '__main__':
-    run_case(Path(__file__).parent, case, gateways=2)
+    run_case(Path(__file__).parent, case, gateways=3)
--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -8,7 +8,8 @@
 from review.common.http11 import encode_reply
 from review.common.http11 import Server
 
-HEARTBEAT_S = 0.4
+# `heartbeatMs` of the small deployments.
+HEARTBEAT_S = 1.2
 
 
 class Engine:
@@ -91,7 +92,8 @@
     async def _beats(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            self.beat()
+            if not self.store.away:
+                self.beat()
 
     async def _handle(self, req, writer):
         expected = req.get('Expect-Instance')
--- a/review/common/http11.py
+++ b/review/common/http11.py
@@ -119,6 +119,10 @@
     def close(self):
         if self._server is not None:
             self._server.close()
+        self.reset_all()
+
+    def reset_all(self):
+        """Reset the open connections."""
         for writer in list(self.writers):
             reset(writer)
 
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import json
 import time
 
@@ -27,12 +28,21 @@
         self.on_call = None
         # Called with (key, value or None, revision) after each change.
         self.on_change = None
+        # Rises when the store comes back from a copy.
+        self.era = 1
+        # Whether it is away: connections are reset.
+        self.away = False
+        # Copies of (time, items, revision), the oldest first.
+        self._copies = collections.deque(maxlen=300)
         self._server = Server(self._handle)
-        self._expiring = None
+        self._tasks = []
 
     async def start(self):
         await self._server.start()
-        self._expiring = asyncio.ensure_future(self._expire())
+        self._tasks = [
+            asyncio.ensure_future(self._expire()),
+            asyncio.ensure_future(self._copy()),
+        ]
         return self
 
     @property
@@ -40,8 +50,8 @@
         return self._server.address
 
     def close(self):
-        if self._expiring is not None:
-            self._expiring.cancel()
+        for task in self._tasks:
+            task.cancel()
         self._server.close()
 
     def put(self, key, value, lease=0):
@@ -73,6 +83,43 @@
         if self.on_change is not None:
             self.on_change(key, None, self.revision)
 
+    async def _copy(self):
+        while True:
+            copy = (time.monotonic(), dict(self.items), self.revision)
+            self._copies.append(copy)
+            await asyncio.sleep(0.1)
+
+    def leave(self):
+        """Be away until `come_back`."""
+        self.away = True
+        self._server.reset_all()
+
+    def come_back(self, age_s):
+        """Come back from a copy that was made `age_s` ago.
+
+        Leases are gone, with the keys that they had. Return the keys of the
+        operator and the engines, with the lost values (None: removed).
+        """
+        at = time.monotonic() - age_s
+        copies = [copy for copy in self._copies if copy[0] <= at]
+        _at, items, revision = copies[-1]
+        lost = {
+            key: self.value(key)
+            for key in {*self.items, *items}
+            if key.startswith(('op/', 'servers/'))
+            and self.items.get(key) != items.get(key)
+        }
+        self.items = {
+            key: item for key, item in items.items() if not item['lease']
+        }
+        self.revision = revision
+        self.history = []
+        self.oldest = revision
+        self.leases = {}
+        self.era += 1
+        self.away = False
+        return lost
+
     def value(self, key):
         item = self.items.get(key)
         return base64.b64decode(item['value']) if item else None
@@ -98,6 +145,9 @@
 
     async def _handle(self, req, writer):
         verdict = None
+        if self.away:
+            reset(writer)
+            return False
         if self.on_call is not None:
             verdict = await self.on_call(req)
         if verdict == 'silent':
@@ -114,6 +164,9 @@
             writer.write(encode_reply(status, body))
             return True
         status, body = await self._run(req)
+        if self.away:
+            reset(writer)
+            return False
         if verdict == 'lost':
             await asyncio.sleep(60.0)
             return False
@@ -172,7 +225,7 @@
         after = int(query['after'])
         until = time.monotonic() + int(query['waitMs']) / 1000.0
         while True:
-            if after < self.oldest:
+            if not self.oldest <= after <= self.revision:
                 return 410, {}
             events = [
                 event
