Order changes by era, so that a restored store is followed

Cause: the copy of the store ordered records by revision alone. A restored store gives revisions out again, so a new desired state with a lower revision than the one before was taken for an older one, and the copy was listed again and again until the revisions had caught up.

Change: a position orders changes by era, then revision. platform/ makes positions from Store-Era; if an answer names none, a revision below that of an earlier answer begins an era. An older answer of the same named era changes nothing. Entries send their era to peers; older builds are served as before. Fencing tokens, the leader, registrations, origins and the published records use positions as well.

--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -5,6 +5,7 @@
 from wigeonmill.gateway.context import CONTACT_MARGIN_MS
 from wigeonmill.gateway.context import DesiredConfig
 from wigeonmill.gateway.freshness import Freshness
+from wigeonmill.gateway.targets import RECOVERY_GRACE_MS
 
 DEADLINE_MS = 8_000.0
 # The platform's time after a start from which an entry is bound by the rules.
@@ -192,3 +193,22 @@
     freshness.confirm(age_ms=4_000.0)
     clock.advance(GRACE_MS)
     assert config.old_weights_remaining_ms(MODEL, 1) == float('inf')
+
+
+# Guards against EVAC: a copy from before the evacuation has no record of it
+# until operators write it again.
+def test_a_closed_domain_stays_closed_after_a_restore():
+    clock, _freshness, config = make_config()
+    config.set_domain_open('d1', False)
+    config.set_domain_open('d2', False)
+    config.key_value_restored()
+    config.set_domain_open('d1', True)
+    config.set_domain_open('d2', True)
+    clock.advance(RECOVERY_GRACE_MS - 1)
+    assert config.is_domain_closed('d1')
+    config.set_domain_open('d1', False)
+    clock.advance(2)
+    assert config.is_domain_closed('d1')
+    assert not config.is_domain_closed('d2')
+    config.set_domain_open('d1', True)
+    assert not config.is_domain_closed('d1')
--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -1,5 +1,7 @@
 """Changed records reach the component that they concern."""
 
+import msgspec
+
 from tests.gateway.fakes import Harness
 from tests.gateway.samples import make_record
 from tests.gateway.samples import make_state
@@ -8,6 +10,9 @@
 from wigeonmill.gateway.intake import RecordIntake
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
+from wigeonmill.gateway.own_records import ROLLOUT_KEY
+from wigeonmill.gateway.own_records import RolloutRecord
+from wigeonmill.gateway.revisions import position
 
 
 class Decoder:
@@ -57,3 +62,33 @@
     mirror.apply([Record('state', 1, b'{}'), Record('t1', 2, b'{}')])
     assert harness.ctx.desired.state.version == 7
     assert harness.ctx.directory.get('t1') is not None
+
+
+class Publisher:
+    """Ignores the revision of the record."""
+
+    def update_revision(self, record):
+        pass
+
+
+def test_the_era_of_a_fencing_token_is_reported_if_it_is_later():
+    harness = Harness([()], [])
+    reported = []
+    intake = RecordIntake(
+        harness.ctx,
+        Decoder(),
+        None,
+        None,
+        Publisher(),
+        None,
+        None,
+        None,
+        lambda state: None,
+        reported.append,
+    )
+    for at in (position(1, 30), position(2, 30)):
+        fence = position(2, 12)
+        rollout = RolloutRecord('m', 1, [], {}, fence=fence)
+        value = msgspec.json.encode(rollout)
+        intake.apply_record(Record(ROLLOUT_KEY, at, value))
+    assert reported == [position(2, 12)]
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -110,3 +110,29 @@
     assert not entry.step()
     orders = run_for(clock, [entry], 12_000)
     assert orders
+
+
+# Guards against ONE: a leader whose lease a restore had lost gave orders until
+# its next renewal, or for good if its lease id was given out again.
+def test_a_restore_ends_the_term_before_the_next_order():
+    clock, keys = make_clock_and_keys()
+    entry = Entry(keys, clock, 'a')
+    run_for(clock, [entry], 4_000)
+    assert entry.leadership.may_order
+    entry.leadership.key_value_restored()
+    assert not entry.leadership.is_leader
+
+
+def test_a_lease_from_before_a_restore_makes_no_leader():
+    clock, keys = make_clock_and_keys()
+    entry = Entry(keys, clock, 'a')
+    grant = keys.grant_lease
+
+    async def grant_and_restore(ttl_ms):
+        granted = await grant(ttl_ms)
+        entry.leadership.key_value_restored()
+        return granted
+
+    keys.grant_lease = grant_and_restore
+    entry.step()
+    assert not entry.leadership.is_leader
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -7,6 +7,8 @@
 from wigeonmill.gateway.mirror import MAX_SHARED_RECORDS
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
+from wigeonmill.gateway.revisions import era_of
+from wigeonmill.gateway.revisions import position
 
 
 def test_an_older_change_never_replaces_a_newer_one():
@@ -180,3 +182,101 @@
         ):
             wrong.append(steps)
     assert not wrong
+
+
+def make_restored(records, revision, era=1):
+    """Return a listing of an era as arguments of `replace`."""
+    listed = [
+        Record(r.key, position(era, r.revision), r.value) for r in records
+    ]
+    return listed, position(era, revision)
+
+
+# Guards against CONFIG: after a restore with lower revisions, the records from
+# before it stayed in force.
+def test_a_listing_of_a_new_era_replaces_higher_revisions():
+    mirror = Mirror()
+    mirror.replace([Record('op/a', 90, b'old'), Record('op/b', 80, b'b')], 95)
+    changed = []
+    mirror.subscribe(changed.append)
+    mirror.replace(*make_restored([Record('op/a', 40, b'new')], 42))
+    assert mirror.get('op/a').value == b'new'
+    assert mirror.get('op/b').value is None
+    assert mirror.complete == position(1, 42)
+    assert {record.key for record in changed} == {'op/a', 'op/b'}
+
+
+def test_what_was_in_the_copy_is_not_reported_as_changed():
+    mirror = Mirror()
+    mirror.replace([Record('op/a', 20, b'a'), Record('op/b', 21, b'b')], 95)
+    changed = []
+    mirror.subscribe(changed.append)
+    mirror.replace(
+        *make_restored(
+            [Record('op/a', 20, b'a'), Record('op/b', 40, b'b')], 42
+        )
+    )
+    assert [record.key for record in changed] == ['op/b']
+
+
+def test_a_restore_is_reported_before_its_records():
+    mirror = Mirror()
+    events = []
+    mirror.subscribe_restores(events.append)
+    mirror.replace([Record('op/a', 90, b'old')], 95)
+    assert not events
+    mirror.subscribe(lambda record: events.append(record.key))
+    mirror.replace(*make_restored([Record('op/a', 40, b'new')], 42))
+    assert events == [95, 'op/a']
+
+
+# Guards against records that peers or late answers of an era that is over
+# bring back.
+def test_changes_of_an_earlier_era_are_ignored():
+    mirror = Mirror()
+    mirror.replace([Record('op/a', 20, b'a'), Record('op/c', 5, b'c')], 95)
+    mirror.replace(*make_restored([Record('op/a', 20, b'a')], 42))
+    mirror.merge(
+        [Record('op/a', 99, b'late'), Record('op/b', 98, b'late')], 99
+    )
+    mirror.replace([Record('op/c', 97, b'late')], 97)
+    assert [(r.key, r.value) for r in mirror.present()] == [('op/a', b'a')]
+    assert mirror.complete == position(1, 42)
+
+
+def test_an_entry_with_an_earlier_era_needs_a_listing():
+    mirror = Mirror()
+    mirror.replace(*make_restored([Record('op/a', 40, b'a')], 42))
+    assert mirror.lacks_changes_since(95)
+    assert mirror.lacks_changes_since(42)
+    assert not mirror.lacks_changes_since(position(1, 42))
+
+
+def restore(service, _entries, at):
+    """Begin a new era with nothing but what was first written."""
+    service.clear()
+    era = era_of(at) + 1
+    service['a'] = Record('a', position(era, 1), b'copy')
+    return position(era, 1)
+
+
+RESTORE_STEPS = (put, remove, restore, list_at(0), ask(0, 1), ask(1, 0))
+
+
+# Guards against CONFIG: an entry that had listed a restored service got the
+# records from before the restore back from its peers.
+def test_a_complete_copy_is_that_of_the_restored_service():
+    wrong = []
+    for steps in itertools.product(range(len(RESTORE_STEPS)), repeat=6):
+        service, entries, at = {}, (Mirror(), Mirror()), 1
+        entries[0].replace([], at)
+        entries[1].replace([], at)
+        for step in steps:
+            at = RESTORE_STEPS[step](service, entries, at)
+        if any(
+            entry.present() != list(service.values())
+            for entry in entries
+            if entry.complete == at
+        ):
+            wrong.append(steps)
+    assert not wrong
--- a/tests/gateway/test_origin_records.py
+++ b/tests/gateway/test_origin_records.py
@@ -318,3 +318,19 @@
         entry.streams.end(f'q{number}', complete=False)
         world.clock.advance(RESUMABLE_MS / 10.0)
     assert len(entry.streams) <= 12
+
+
+def test_the_record_is_written_again_after_a_restore():
+    async def check():
+        world = World()
+        entry = Entry(world, 'g0/1', ['v1', 'v2'])
+        entry.streams.begin('q1', V1)
+        await entry.publish()
+        [(key, revision, _value)] = await world.records()
+        await world.keys.delete(key, revision)
+        entry.publisher.key_value_restored()
+        world.clock.advance(MIN_INTERVAL_MS + 100.0)
+        await entry.publish()
+        assert len(await world.records()) == 1
+
+    asyncio.run(check())
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -5,6 +5,8 @@
 from math import nan
 import random
 
+import pytest
+
 from tests.gateway.samples import make_engine_record
 from wigeonmill.clock import Clock
 from wigeonmill.clock import ManualClock
@@ -16,6 +18,8 @@
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.origin_exchange import SharedStreamOrigins
 from wigeonmill.gateway.peers import Peers
+from wigeonmill.gateway.peers import UPDATE_INTERVAL_MS
+from wigeonmill.gateway.revisions import position
 from wigeonmill.gateway.store_view import CacheEvent
 from wigeonmill.gateway.store_view import CacheEventBatch
 from wigeonmill.gateway.store_view import CacheListing
@@ -27,10 +31,12 @@
 from wigeonmill.gateway.target_notices import Notice
 from wigeonmill.metrics import Metrics
 from wigeonmill.protocol.gen.inner.ttypes import EntryNews
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
 from wigeonmill.protocol.gen.inner.ttypes import Kind
 from wigeonmill.protocol.gen.inner.ttypes import LimitNotice
 from wigeonmill.protocol.gen.inner.ttypes import PartOutcome
 from wigeonmill.protocol.gen.inner.ttypes import PartQuarantine
+from wigeonmill.protocol.gen.inner.ttypes import StoreRecord
 from wigeonmill.protocol.handshake import InnerKeys
 
 KEYS = InnerKeys((b'k' * 32,))
@@ -92,6 +98,16 @@
         return self.ctx.directory.get('e0').load
 
 
+class FakeConn:
+    """Keeps the replies to a peer."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, reply):
+        self.sent.append(reply)
+
+
 def make_store_view(clock):
     view = StoreView(clock, '127.0.0.1:1')
     view.apply_listing(CacheListing(1, 5, ()))
@@ -137,6 +153,74 @@
     run_with_two(check)
 
 
+# Guards against CONFIG: a peer that had not heard of the restore brought the
+# records from before it back.
+@pytest.mark.parametrize('asks', [True, False])
+def test_the_entry_of_the_later_era_informs_the_other(asks):
+    async def check(first, second):
+        earlier, later = (first, second) if asks else (second, first)
+        earlier.mirror.replace(
+            [Record('op/config', 90, b'old'), Record('op/gone', 91, b'x')], 95
+        )
+        record = Record('op/config', position(1, 40), b'new')
+        later.mirror.replace([record], position(1, 42))
+        if asks:
+            await wait_until(
+                lambda: earlier.mirror.complete == position(1, 42)
+            )
+            assert earlier.mirror.present() == [record]
+        await asyncio.sleep(2.5 * UPDATE_INTERVAL_MS / 1_000.0)
+        assert later.mirror.present() == [record]
+
+    run_with_two(check)
+
+
+# Guards against a rolling update: an entry that knows no eras gets the changes
+# after its revision, and its records count as of the earliest era.
+def test_an_entry_without_eras_is_understood():
+    async def check(first, second):
+        second.mirror.replace([], position(3, 5))
+        second.mirror.apply([Record('op/a', position(3, 7), b'a')])
+        second.mirror.advance(position(3, 7))
+        conn = FakeConn()
+        update = EntryNews(
+            sender='old',
+            known_to=6,
+            records=[StoreRecord('op/a', 90, False, b'old')],
+            records_to=90,
+        )
+        envelope = Envelope(Kind.ENTRY_NEWS, 1, 0, entry_news=update)
+        second.peers._on_envelope(conn, envelope)
+        assert second.mirror.get('op/a').value == b'a'
+        answer = conn.sent[0].entry_news
+        assert (answer.known_to, answer.records_to) == (7, 7)
+        assert answer.records == [StoreRecord('op/a', 7, False, b'a')]
+        assert not answer.listing
+
+    run_with_two(check)
+
+
+@pytest.mark.parametrize(
+    ('era', 'revision'), [(-1, 9), (0, -5), (0, 2**62), (2**62, 9)]
+)
+def test_an_update_with_malformed_revisions_changes_no_record(era, revision):
+    async def check(first, second):
+        update = EntryNews(
+            sender='b',
+            known_to=revision,
+            records=[StoreRecord('op/a', revision, False, b'a')],
+            records_to=revision,
+            store_era=era,
+        )
+        envelope = Envelope(Kind.ENTRY_NEWS, 1, 0, entry_news=update)
+        conn = FakeConn()
+        second.peers._on_envelope(conn, envelope)
+        assert second.mirror.get('op/a') is None
+        assert len(conn.sent) == 1
+
+    run_with_two(check)
+
+
 def test_an_entry_learns_cache_store_contents_from_a_peer():
     async def check(first, second):
         clock = second.ctx.clock
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -85,3 +85,39 @@
             entries.update(make_record(name, '127.0.0.1:1', revision))
         positions.append(entries.position())
     assert positions == [0.0, 0.25, 0.5, 0.75]
+
+
+# Guards against an entry that its peers do not find after a restore, because
+# its lease id belongs to another entry now.
+def test_an_entry_registers_again_after_a_restore():
+    clock = ManualClock()
+    keys = MemoryKeyValue(clock)
+    registration = Registration(keys, clock, 'a', '127.0.0.1:1')
+    run_for(registration, keys, clock, 1_000)
+
+    async def lose_record():
+        found = (await keys.get(KEY)).unwrap()
+        await keys.delete(KEY, found.version)
+
+    asyncio.run(lose_record())
+    registration.key_value_restored()
+    assert run_for(registration, keys, clock, 400)
+
+
+def test_a_lease_from_before_a_restore_is_not_renewed():
+    clock = ManualClock()
+    keys = MemoryKeyValue(clock)
+    registration = Registration(keys, clock, 'a', '127.0.0.1:1')
+    grant = keys.grant_lease
+    leases = []
+
+    async def grant_and_restore(ttl_ms):
+        granted = await grant(ttl_ms)
+        leases.append(granted.unwrap())
+        if len(leases) == 1:
+            registration.key_value_restored()
+        return granted
+
+    keys.grant_lease = grant_and_restore
+    found = run_for(registration, keys, clock, LEASE_TERM_MS)
+    assert found.lease == leases[-1] != leases[0]
--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -137,3 +137,42 @@
     clock.advance(GONE_RETENTION_MS + 1)
     directory.expire()
     assert directory.get('t1') is None
+
+
+def make_restored_directory(count=3):
+    """Return the directory of `count` targets just after a restore."""
+    clock = ManualClock(10_000.0)
+    directory = Directory(clock)
+    for number in range(count):
+        directory.apply(
+            make_record(f't{number}', address=f'127.0.0.1:{number}')
+        )
+    directory.key_value_restored()
+    return clock, directory
+
+
+# Guards against 503 after a restore that no call has failed in: targets that
+# had not registered again counted as gone.
+def test_targets_that_the_copy_lacks_have_time_to_register_again():
+    clock, directory = make_restored_directory()
+    directory.remove('t0')
+    directory.remove('t1')
+    assert len(ids(directory)) == 3
+    clock.advance(RECOVERY_GRACE_MS - 1)
+    directory.apply(make_record('t0', heartbeat=2, address='127.0.0.1:0'))
+    clock.advance(2)
+    directory.expire()
+    assert set(ids(directory)) == {'t0', 't2'}
+
+
+# Guards against DRAIN: the copy still has targets that have left since.
+def test_a_target_that_only_the_copy_has_stays_gone():
+    clock = ManualClock(10_000.0)
+    directory = Directory(clock)
+    directory.apply(make_record(heartbeat=5))
+    directory.remove('t1')
+    directory.key_value_restored()
+    directory.apply(make_record(heartbeat=5))
+    assert ids(directory) == []
+    directory.apply(make_record(heartbeat=6))
+    assert ids(directory) == ['t1']
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -1,9 +1,11 @@
 """A stand-in for the platform's HTTP services with scripted answers."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+import inspect
 import json
 
 from tornado.httpserver import HTTPServer
@@ -48,6 +50,8 @@
         call = Call(req.method, req.path, query, dict(req.headers), body)
         self._standin.calls.append(call)
         reply = self._standin.answer(call)
+        if inspect.isawaitable(reply):
+            reply = await reply
         if reply.lost:
             await asyncio.sleep(TIMEOUT_S)
         self.set_status(reply.status)
@@ -60,9 +64,12 @@
 
 
 class Standin:
-    """Listens on loopback; `answer` returns the reply to each call."""
+    """Listens on loopback; `answer` returns the reply to each call.
 
-    def __init__(self, answer: Callable[[Call], Reply]):
+    It may be a coroutine function.
+    """
+
+    def __init__(self, answer: Callable[[Call], Reply | Awaitable[Reply]]):
         self.answer = answer
         self.calls: list[Call] = []
         app = Application([('.*', _Handler, {'standin': self})])
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,6 +6,7 @@
 from tests.platform.standin import Reply
 from tests.platform.standin import with_standin
 from wigeonmill.gateway.mirror import Record
+from wigeonmill.gateway.revisions import position
 from wigeonmill.providers.key_value import KvErrorKind
 
 
@@ -136,3 +137,155 @@
         assert outcome.unwrap_err().kind is KvErrorKind.UNKNOWN
 
     check_store(lambda call: Reply(body='no json'), check)
+
+
+def era(number):
+    return {'Store-Era': str(number)}
+
+
+def listing(revision, headers, *items):
+    body = {'items': list(items), 'storeRevision': revision}
+    return Reply(body=body, headers=headers)
+
+
+def test_positions_carry_the_era_that_the_store_names():
+    async def check(store, standin):
+        found = (await store.listing()).unwrap()
+        assert found.revision == position(3, 9)
+        assert found.records == (Record('op/a', position(3, 5), b'v'),)
+        swapped = await store.compare_and_swap('k', position(3, 5), b'x')
+        assert swapped.unwrap() == position(3, 10)
+        assert standin.calls[-1].body['expected'][0]['revision'] == 5
+        await store.changes(position(3, 9), 50, fresh=False)
+        assert standin.calls[-1].query['after'] == '9'
+
+    def answer(call):
+        if call.path.endswith('kv-range'):
+            return listing(9, era(3), item('op/a', 5))
+        if call.path.endswith('kv-txn'):
+            return Reply(body={'revision': 10}, headers=era(3))
+        body = {'events': [], 'storeRevision': 9}
+        return Reply(body=body, headers=era(3))
+
+    check_store(answer, check)
+
+
+# Guards against a late answer that is taken for a restored store: the copy
+# would go back to records that are no longer in force.
+def test_an_older_answer_of_the_same_era_is_no_restore():
+    revisions = iter([90, 80])
+
+    async def check(store, standin):
+        assert (await store.listing()).unwrap().revision == position(3, 90)
+        outcome = await store.listing()
+        assert outcome.unwrap_err().kind is KvErrorKind.UNAVAILABLE
+
+    check_store(lambda call: listing(next(revisions), era(3)), check)
+
+
+def test_an_answer_of_an_era_that_is_over_is_ignored():
+    eras = iter([4, 3])
+
+    async def check(store, standin):
+        assert (await store.listing()).unwrap().revision == position(4, 90)
+        outcome = await store.listing()
+        assert outcome.unwrap_err().kind is KvErrorKind.UNAVAILABLE
+
+    check_store(lambda call: listing(90, era(next(eras))), check)
+
+
+def test_a_lower_revision_without_an_era_is_a_restore():
+    revisions = iter([90, 40, 41])
+
+    async def check(store, standin):
+        assert (await store.listing()).unwrap().revision == 90
+        assert (await store.listing()).unwrap().revision == position(1, 40)
+        assert (await store.listing()).unwrap().revision == position(1, 41)
+
+    check_store(lambda call: listing(next(revisions), {}), check)
+
+
+# Guards against an entry that has just started after a restore and counts
+# revisions in an era of its own.
+def test_the_era_of_other_entries_counts_without_a_named_one():
+    async def check(store, standin):
+        await store.changes(position(2, 30), 50, fresh=False)
+        assert (await store.listing()).unwrap().revision == position(2, 40)
+
+    def answer(call):
+        if call.path.endswith('kv-range'):
+            return listing(40, {})
+        return Reply(body={'events': [], 'storeRevision': 35})
+
+    check_store(answer, check)
+
+
+# Guards against orders that engines refuse for good, because all entries have
+# restarted since a restore and their fencing tokens are lower than before.
+@pytest.mark.parametrize(
+    ('headers', 'counted'), [({}, 2), (era(1), 1)], ids=['inferred', 'named']
+)
+def test_an_era_in_a_record_counts_without_a_named_one(headers, counted):
+    async def check(store, standin):
+        first = (await store.listing()).unwrap()
+        store.adopt_era(position(2, 83))
+        changed = await store.changes(first.revision, 50, fresh=False)
+        assert changed.is_err() == (counted == 2)
+        found = (await store.listing()).unwrap()
+        assert found.revision == position(counted, 30)
+
+    def answer(call):
+        if call.path.endswith('kv-range'):
+            return listing(30, headers)
+        body = {'events': [], 'storeRevision': 30}
+        return Reply(body=body, headers=headers)
+
+    check_store(answer, check)
+
+
+@pytest.mark.parametrize(
+    'headers', [era(4), {}], ids=['later era', 'lower revision']
+)
+def test_a_watch_across_a_restore_asks_for_a_listing(headers):
+    async def check(store, standin):
+        outcome = await store.changes(position(3, 90), 50, fresh=False)
+        assert outcome.unwrap_err().kind is KvErrorKind.INVALID
+
+    body = {'events': [], 'storeRevision': 40}
+    check_store(lambda call: Reply(body=body, headers=headers), check)
+
+
+def test_a_listing_across_a_restore_is_not_used():
+    pages = iter([3, 4])
+
+    async def check(store, standin):
+        outcome = await store.listing()
+        assert outcome.unwrap_err().kind is KvErrorKind.UNAVAILABLE
+
+    def answer(call):
+        body = {
+            'items': [item('op/a', 3)],
+            'truncated': True,
+            'storeRevision': 9,
+        }
+        return Reply(body=body, headers=era(next(pages)))
+
+    check_store(answer, check)
+
+
+@pytest.mark.parametrize('text', ['', 'x', '-1', '1.5', '9' * 5_000])
+def test_a_malformed_era_is_an_error(text):
+    async def check(store, standin):
+        outcome = await store.listing()
+        assert outcome.unwrap_err().kind is KvErrorKind.UNKNOWN
+
+    check_store(lambda call: listing(9, {'Store-Era': text}), check)
+
+
+@pytest.mark.parametrize('revision', [-1, 2**40, 2**70])
+def test_a_revision_out_of_range_is_an_error(revision):
+    async def check(store, standin):
+        outcome = await store.listing()
+        assert outcome.unwrap_err().kind is KvErrorKind.UNKNOWN
+
+    check_store(lambda call: listing(revision, {}), check)
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 import random
 
 from wigeonmill.clock import Clock
@@ -31,6 +32,7 @@
 from wigeonmill.gateway.target_notices import DEFAULT_MAX_CLOSED_MS
 from wigeonmill.gateway.target_notices import TargetNotices
 from wigeonmill.gateway.targets import Directory
+from wigeonmill.gateway.targets import RECOVERY_GRACE_MS
 from wigeonmill.gateway.team_shares import ServedSessions
 from wigeonmill.gateway.team_shares import TeamShares
 from wigeonmill.gateway.waiting_room import WaitingRoom
@@ -54,6 +56,8 @@
         'state',
         'table',
         '_closed_domains',
+        '_reopening_ms',
+        '_rewritten_ms',
         '_weights_set_ms',
         '_weights_deadline_ms',
         '_grace_ms',
@@ -75,6 +79,10 @@
         self.state: DesiredState | None = None
         self.table = RouteTable(())
         self._closed_domains: set[str] = set()
+        # When domains open that were not listed after a restore.
+        self._reopening_ms: dict[str, float] = {}
+        # When operators have written again what a restore lost.
+        self._rewritten_ms = -inf
         # By model, the versions that were set and when, in ascending order.
         self._weights_set_ms: dict[str, dict[int, float]] = {}
         self._weights_deadline_ms = weights_deadline_ms
@@ -91,14 +99,28 @@
 
     def set_domain_open(self, domain: str, is_open: bool) -> None:
         """Put a failure domain into service or take it out of service."""
-        if is_open:
-            self._closed_domains.discard(domain)
-        else:
+        self._reopening_ms.pop(domain, None)
+        if not is_open:
             self._closed_domains.add(domain)
+        elif self._clock.now_ms() < self._rewritten_ms:
+            # Operators may only not have closed it again yet.
+            self._reopening_ms[domain] = self._rewritten_ms
+        else:
+            self._closed_domains.discard(domain)
+
+    def key_value_restored(self) -> None:
+        """Record that the key-value service came back from a copy.
+
+        What operators wrote after the copy was made, they write again.
+        """
+        self._rewritten_ms = self._clock.now_ms() + RECOVERY_GRACE_MS
 
     def is_domain_closed(self, domain: str) -> bool:
         """Whether a failure domain must not get new requests."""
-        return domain in self._closed_domains
+        opens_ms = self._reopening_ms.get(domain, inf)
+        return (
+            domain in self._closed_domains and self._clock.now_ms() < opens_ms
+        )
 
     def set_weight_version(self, model: str, version: int) -> bool:
         """Set a model's weight version, unless it or a later one was set."""
--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -30,6 +30,8 @@
 from wigeonmill.gateway.own_records import SOFTWARE_VERSIONS_KEY
 from wigeonmill.gateway.part_records import PartQuarantines
 from wigeonmill.gateway.registration import EntryList
+from wigeonmill.gateway.revisions import era_of
+from wigeonmill.gateway.revisions import revision_of
 from wigeonmill.gateway.rollout_notice import apply_rollout
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
 from wigeonmill.gateway.service_rollout import RolloutOrder
@@ -56,6 +58,7 @@
         '_quarantines',
         '_origins',
         '_on_desired_state',
+        '_on_later_era',
     )
 
     def __init__(
@@ -69,7 +72,13 @@
         quarantines: PartQuarantines,
         origins: OriginRecords,
         on_desired_state: Callable[[DesiredState], None],
+        on_later_era: Callable[[int], None] = lambda _at: None,
     ) -> None:
+        """Create the intake of a gateway.
+
+        `on_later_era` is called with a position of an era that follows that
+        of the record which names it.
+        """
         self._ctx = ctx
         self._decoder = decoder
         self._entries = entries
@@ -79,6 +88,7 @@
         self._quarantines = quarantines
         self._origins = origins
         self._on_desired_state = on_desired_state
+        self._on_later_era = on_later_era
 
     def apply_record(self, record: Record) -> None:
         """Apply a changed record; an error concerns this record alone."""
@@ -88,7 +98,11 @@
             self._ctx.metrics.count('records_not_applied')
             logger.exception(
                 'record not applied',
-                extra={'key': record.key, 'revision': record.revision},
+                extra={
+                    'key': record.key,
+                    'revision': revision_of(record.revision),
+                    'era': era_of(record.revision),
+                },
             )
 
     def _apply(self, record: Record) -> None:
@@ -116,6 +130,8 @@
             self._publisher.update_revision(record)
             found = decode_own(record, RolloutRecord)
             if found is not None:
+                if era_of(found.fence) > era_of(record.revision):
+                    self._on_later_era(found.fence)
                 apply_rollout(self._ctx, found, MAX_LOADING_PAUSE_MS)
 
     def _apply_change(self, change: Change) -> None:
--- a/wigeonmill/gateway/leadership.py
+++ b/wigeonmill/gateway/leadership.py
@@ -34,7 +34,7 @@
     The lease lasts for `term_ms`. A new leader waits for `takeover_delay_ms`
     before its first order, so that the orders of two leaders are at least
     that far apart. It does not wait if the same entry led before. The fencing
-    token is the revision of the leader's key.
+    token is the position of the last change of the leader's key.
     """
 
     __slots__ = (
@@ -50,6 +50,7 @@
         '_valid_until_boot_ms',
         '_orders_from_ms',
         '_renew_at_ms',
+        '_restores',
         'fence',
     )
 
@@ -73,6 +74,8 @@
         self._valid_until_boot_ms = 0.0
         self._orders_from_ms = 0.0
         self._renew_at_ms = 0.0
+        # How often the key-value service lost all leases.
+        self._restores = 0
         self.fence = 0
 
     @property
@@ -110,6 +113,11 @@
         if self._state is _State.LEADER:
             self._become_follower(why)
 
+    def key_value_restored(self) -> None:
+        """Give up the lease, which the service lost with the leader's key."""
+        self._restores += 1
+        self.step_down('the key-value service was restored')
+
     async def _renew(self) -> None:
         if not self.is_leader:
             self._become_follower('lease not renewed in time')
@@ -125,6 +133,7 @@
 
     async def _acquire(self, known: KvEntry | None) -> None:
         sent_ms, sent_boot_ms = self._clock.now_ms(), self._clock.boot_ms()
+        restores = self._restores
         granted = await self._keys.grant_lease(int(self._term_ms))
         if isinstance(granted, Err):
             return
@@ -140,7 +149,7 @@
             fence = written.ok_value
         elif written.err_value.kind is KvErrorKind.UNKNOWN:
             fence = await self._read_own_revision(value)
-        if not fence:
+        if not fence or restores != self._restores:
             await self._keys.revoke_lease(lease)
             return
         self._state = _State.LEADER
--- a/wigeonmill/gateway/origin_records.py
+++ b/wigeonmill/gateway/origin_records.py
@@ -166,6 +166,7 @@
         '_slot',
         '_retry_at_ms',
         '_published',
+        '_restores',
     )
 
     def __init__(
@@ -194,6 +195,8 @@
         self._slot = 0
         self._retry_at_ms = 0.0
         self._published: set[str] = set()
+        # How often the key-value service lost all leases.
+        self._restores = 0
 
     async def step(self) -> None:
         """Write the record if that is due and it lacks a stream."""
@@ -207,13 +210,22 @@
         found = dict(list(self._streams.of_services(mixed))[-MAX_STREAMS:])
         if found.keys() <= self._published:
             return
+        restores = self._restores
         written = await self._write(found)
+        if restores != self._restores:
+            return
         if isinstance(written, Err):
             self._handle_failure(written.err_value)
             return
         self._revision = written.ok_value
         self._published = set(found)
 
+    def key_value_restored(self) -> None:
+        """Write a new record: the service lost the lease with the old one."""
+        self._restores += 1
+        self._lease = 0
+        self._published = set()
+
     def pause_ms(self) -> float:
         """Return the time until the next write may be due."""
         interval_ms = self._interval_ms()
@@ -254,9 +266,13 @@
             if not isinstance(renewed, Err):
                 self._renewed_ms = now_ms
             return renewed
+        restores = self._restores
         granted = await self._keys.grant_lease(LEASE_TERM_MS)
         if isinstance(granted, Err):
             return granted
+        if restores != self._restores:
+            message = 'the key-value service was restored'
+            return Err(KvError(KvErrorKind.UNAVAILABLE, message))
         self._lease = granted.ok_value
         self._renewed_ms = now_ms
         self._terms += 1
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -27,6 +27,9 @@
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.peer_rotation import PeerRotation
+from wigeonmill.gateway.revisions import era_of
+from wigeonmill.gateway.revisions import position
+from wigeonmill.gateway.revisions import revision_of
 from wigeonmill.gateway.suspicion_exchange import pace_to_send
 from wigeonmill.gateway.suspicion_exchange import SuspicionExchange
 from wigeonmill.gateway.target_load import PeerLoad
@@ -218,7 +221,7 @@
             last_loss = self._add_losses(update, known, all_to)
             update.known_to = NO_REVISION
             if ask:
-                update.known_to = self._mirror.complete
+                update.known_to = revision_of(self._mirror.complete)
                 update.cache_points = self._caches.stale_points()
             envelope = Envelope(Kind.ENTRY_NEWS, entry_news=update)
             requested_ms = self._ctx.clock.now_ms()
@@ -264,10 +267,7 @@
         if envelope.kind != Kind.ENTRY_NEWS or update is None:
             return
         self._apply_update(update)
-        changes_after = (
-            None if update.known_to == NO_REVISION else update.known_to
-        )
-        answer = self._build_update(changes_after)
+        answer = self._build_update(self._requested_after(update))
         answer.demand_claims = claims_to_wire(self._ctx.demand_shares) or None
         told, known = self._replied_losses.get(update.sender, (conn, 0))
         if told is not conn:
@@ -284,6 +284,20 @@
         )
         conn.send(reply)
 
+    def _requested_after(self, update: EntryNews) -> int | None:
+        """Return the position after which a peer requests changes, if any."""
+        if update.known_to == NO_REVISION:
+            return None
+        era = update.store_era
+        if era is None:
+            # Older entries know no eras.
+            era = era_of(self._mirror.complete)
+        try:
+            return position(era, update.known_to)
+        except ValueError as exc:
+            _log_malformed(update, exc)
+            return None
+
     def _build_update(self, known_to: int | None) -> EntryNews:
         records: list[Record] = []
         listing = False
@@ -296,10 +310,11 @@
                 records, complete = self._mirror.changes_since(known_to)
         return EntryNews(
             sender=self._name,
-            known_to=self._mirror.complete,
+            known_to=revision_of(self._mirror.complete),
             open_work=self._open_work(),
             records=[_to_wire(record) for record in records],
-            records_to=complete if known_to is not None else 0,
+            records_to=revision_of(complete) if known_to is not None else 0,
+            store_era=era_of(self._mirror.complete),
             listing=listing or None,
             copy_age_ms=self._ctx.freshness.age_ms,
             limits=self._limits.to_send() or None,
@@ -369,12 +384,26 @@
         for quarantine in update.part_quarantines or ():
             age_ms = max(0, quarantine.age_ms or 0)
             guard.adopt(quarantine.parts or (), age_ms, 'peer')
-        if (update.records_to or 0) > self._mirror.complete:
-            records = [_from_wire(record) for record in update.records or ()]
+        self._apply_records(update)
+
+    def _apply_records(self, update: EntryNews) -> None:
+        """Apply the records of a peer whose copy is more complete."""
+        if not update.records_to:
+            return
+        era = update.store_era or 0
+        try:
+            complete = position(era, update.records_to)
+            records = [
+                _from_wire(record, era) for record in update.records or ()
+            ]
+        except ValueError as exc:
+            _log_malformed(update, exc)
+            return
+        if complete > self._mirror.complete:
             if update.listing:
-                count = self._mirror.replace(records, update.records_to)
+                count = self._mirror.replace(records, complete)
             else:
-                count = self._mirror.merge(records, update.records_to)
+                count = self._mirror.merge(records, complete)
             if count:
                 logger.info(
                     'changes received from a peer',
@@ -382,6 +411,7 @@
                         'entry': update.sender,
                         'count': count,
                         'complete': update.records_to,
+                        'era': era,
                     },
                 )
 
@@ -399,7 +429,10 @@
         if answer.copy_age_ms is None:
             # Older entries do not send it.
             return
-        if self._mirror.complete >= answer.known_to:
+        era = era_of(self._mirror.complete)
+        if answer.store_era not in (None, era):
+            return
+        if revision_of(self._mirror.complete) >= answer.known_to:
             # The reply may have been waiting while the process was suspended.
             took_ms = self._ctx.clock.boot_ms() - requested_boot_ms
             self._ctx.freshness.confirm(answer.copy_age_ms + took_ms)
@@ -440,15 +473,22 @@
     return list(by_priority[:used])
 
 
+def _log_malformed(update: EntryNews, exc: ValueError) -> None:
+    logger.warning(
+        'malformed update of an entry',
+        extra={'entry': update.sender, 'detail': str(exc)},
+    )
+
+
 def _to_wire(record: Record) -> StoreRecord:
     return StoreRecord(
         record.key,
-        record.revision,
+        revision_of(record.revision),
         record.value is None,
         record.value or b'',
     )
 
 
-def _from_wire(record: StoreRecord) -> Record:
+def _from_wire(record: StoreRecord, era: int) -> Record:
     value = None if record.removed else record.value
-    return Record(record.key, record.revision, value)
+    return Record(record.key, position(era, record.revision), value)
--- a/wigeonmill/gateway/registration.py
+++ b/wigeonmill/gateway/registration.py
@@ -30,7 +30,15 @@
 class Registration:
     """Maintains this entry's leased record in the key-value service."""
 
-    __slots__ = ('_keys', '_clock', '_key', '_value', '_lease', '_due_ms')
+    __slots__ = (
+        '_keys',
+        '_clock',
+        '_key',
+        '_value',
+        '_lease',
+        '_due_ms',
+        '_restores',
+    )
 
     def __init__(
         self, keys: LeasedKeys, clock: Clock, entry: str, address: str
@@ -41,6 +49,8 @@
         self._value = msgspec.json.encode(EntryRecord(address))
         self._lease = 0
         self._due_ms = 0.0
+        # How often the key-value service lost all leases.
+        self._restores = 0
 
     async def step(self, listed: Record | None) -> None:
         """Register, or renew the lease, if that is due.
@@ -55,13 +65,22 @@
         else:
             await self._register(listed)
 
+    def key_value_restored(self) -> None:
+        """Register again: the service lost the lease with the record."""
+        self._restores += 1
+        self._lease = 0
+        self._due_ms = 0.0
+
     async def withdraw(self) -> None:
         """Revoke the lease, which also removes the record."""
         if self._lease:
             await self._keys.revoke_lease(self._lease)
 
     async def _renew(self) -> None:
+        restores = self._restores
         renewed = await self._keys.keep_alive(self._lease)
+        if restores != self._restores:
+            return
         if not isinstance(renewed, Err):
             self._due_ms = (
                 self._clock.now_ms() + LEASE_TERM_MS / RENEWALS_PER_LEASE
@@ -72,6 +91,7 @@
             self._due_ms = 0.0
 
     async def _register(self, listed: Record | None) -> None:
+        restores = self._restores
         granted = await self._keys.grant_lease(LEASE_TERM_MS)
         if isinstance(granted, Err):
             return
@@ -86,6 +106,8 @@
                 'not registered', extra={'detail': written.err_value.message}
             )
             return
+        if restores != self._restores:
+            return
         self._lease = lease
         self._due_ms = (
             self._clock.now_ms() + LEASE_TERM_MS / RENEWALS_PER_LEASE
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -45,6 +45,8 @@
 from wigeonmill.gateway.picker import Picker
 from wigeonmill.gateway.registration import EntryList
 from wigeonmill.gateway.registration import Registration
+from wigeonmill.gateway.revisions import era_of
+from wigeonmill.gateway.revisions import revision_of
 from wigeonmill.gateway.rollout_exchange import RolloutExchange
 from wigeonmill.gateway.rollout_notice import RolloutPublisher
 from wigeonmill.gateway.server import GatewayServer
@@ -59,6 +61,7 @@
 from wigeonmill.gateway.sync import MirrorSync
 from wigeonmill.gateway.target_client import TargetClient
 from wigeonmill.gateway.weights_rollout import WeightsRollout
+from wigeonmill.log import loggable_ms
 from wigeonmill.metrics import Metrics
 from wigeonmill.protocol.gen.inner.ttypes import Kind
 from wigeonmill.providers.key_value import KvEntry
@@ -278,8 +281,10 @@
             quarantines,
             origin_records,
             self._on_desired_state,
+            adapter.source.adopt_era,
         )
         self._mirror.subscribe(intake.apply_record)
+        self._mirror.subscribe_restores(self._on_key_value_restored)
         self._status = StatusServer(
             adapter.ready_path,
             lambda: self.ready,
@@ -519,6 +524,24 @@
         else:
             self._ctx.directory.key_value_lost()
 
+    def _on_key_value_restored(self, previous: int) -> None:
+        """Expect the records that a copy of the service lacks once more."""
+        self.metrics.count('key_value_restores')
+        logger.warning(
+            'key-value service restored from a copy',
+            extra={
+                'previous_era': era_of(previous),
+                'previous_revision': revision_of(previous),
+                'copy_age_ms': loggable_ms(self._ctx.freshness.age_ms),
+                'was_leader': self._leadership.is_leader,
+            },
+        )
+        self._ctx.directory.key_value_restored()
+        self._ctx.desired.key_value_restored()
+        self._leadership.key_value_restored()
+        self._registration.key_value_restored()
+        self._origin_publisher.key_value_restored()
+
     def _make_server(self, rng: random.Random) -> GatewayServer:
         ctx = self._ctx
         picker = Picker(
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -16,6 +16,8 @@
 from wigeonmill.gateway.freshness import Freshness
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
+from wigeonmill.gateway.revisions import era_of
+from wigeonmill.gateway.revisions import revision_of
 from wigeonmill.gateway.supervision import run_supervised
 from wigeonmill.metrics import Metrics
 from wigeonmill.providers.key_value import KvError
@@ -65,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Current and removed records, complete up to `revision`."""
+    """Current and removed records, complete up to the position `revision`."""
 
     records: tuple[Record, ...]
     revision: int
@@ -80,12 +82,16 @@
     async def changes(
         self, after: int, wait_ms: int, fresh: bool
     ) -> Result[Changes, KvError]:
-        """Wait for changes after a revision.
+        """Wait for changes after a position.
 
-        The error is INVALID if the revision is too old. `fresh` requests a
-        new connection, because an existing one may have gone silent.
+        The error is INVALID if it is too old or its era is over. `fresh`
+        requests a new connection, because an existing one may have gone
+        silent.
         """
 
+    def adopt_era(self, at: int) -> None:
+        """Count revisions in the era of `at`, unless the service names it."""
+
 
 class FleetEntries(Protocol):
     """The entries, of which some are selected to watch the service."""
@@ -240,7 +246,7 @@
         self._metrics.count('key_value_failures', error.kind.value)
         if error.kind is KvErrorKind.INVALID:
             logger.info(
-                'history compacted, listing again',
+                'changes not available, listing again',
                 extra={'detail': error.message},
             )
             return
@@ -258,6 +264,9 @@
             self._connected = True
             logger.info(
                 'key-value service reachable',
-                extra={'complete': self._mirror.complete},
+                extra={
+                    'complete': revision_of(self._mirror.complete),
+                    'era': era_of(self._mirror.complete),
+                },
             )
             self._on_connection_change(True)
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -209,6 +209,7 @@
         '_targets',
         '_key_value_down',
         '_recovered_ms',
+        '_restored_ms',
         '_by_service',
         '_estimates',
         '_on_discovered',
@@ -224,6 +225,7 @@
         self._estimates: dict[str, Estimates] = {}
         self._key_value_down = False
         self._recovered_ms = float('-inf')
+        self._restored_ms = float('-inf')
 
     def subscribe(self, on_discovered: Callable[[Target], None]) -> None:
         """Call `on_discovered` with each new lifetime of a target."""
@@ -273,7 +275,9 @@
             return
         if record.started_at_ms < known.started_at_ms:
             return
-        if record.heartbeat < known.heartbeat:
+        if record.heartbeat < known.heartbeat or self._is_from_copy(
+            known, record
+        ):
             logger.info(
                 'stale heartbeat ignored',
                 extra={'target': record.id, 'heartbeat': record.heartbeat},
@@ -294,13 +298,9 @@
         target = self._targets.get(target_id)
         if target is None or target.gone:
             return
-        now_ms = self._clock.now_ms()
-        if (
-            self._key_value_down
-            or now_ms < self._recovered_ms + RECOVERY_GRACE_MS
-        ):
+        if self._is_recovering():
             if target.missing_since_ms is None:
-                target.missing_since_ms = now_ms
+                target.missing_since_ms = self._clock.now_ms()
             return
         self._mark_gone(target, 'not listed')
 
@@ -314,14 +314,33 @@
             self._key_value_down = False
             self._recovered_ms = self._clock.now_ms()
 
+    def key_value_restored(self) -> None:
+        """Record that the key-value service came back from a copy.
+
+        What targets wrote after the copy was made, they write again.
+        """
+        self._restored_ms = self._recovered_ms = self._clock.now_ms()
+
+    def _is_recovering(self) -> bool:
+        """Whether targets that are not listed may register again."""
+        return (
+            self._key_value_down
+            or self._clock.now_ms() < self._recovered_ms + RECOVERY_GRACE_MS
+        )
+
+    def _is_from_copy(self, known: Target, record: TargetRecord) -> bool:
+        """Whether a record of a target that is gone was in the copy only."""
+        return (
+            known.gone
+            and record.heartbeat <= known.heartbeat
+            and self._clock.now_ms() < self._restored_ms + RECOVERY_GRACE_MS
+        )
+
     def expire(self, on_gone: Callable[[Target], None] | None = None) -> None:
         """Mark targets as gone that are still missing after the grace time."""
         now_ms = self._clock.now_ms()
         self._evict_gone(now_ms)
-        if (
-            self._key_value_down
-            or now_ms < self._recovered_ms + RECOVERY_GRACE_MS
-        ):
+        if self._is_recovering():
             return
         for target in list(self._targets.values()):
             if target.missing_since_ms is not None and not target.gone:
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -4748,6 +4748,7 @@
      - failure_domain
      - served_work
      - demand_claims
+     - store_era
 
     """
 
@@ -4771,10 +4772,11 @@
         'demand_claims',
         'failure_domain',
         'leaving',
+        'store_era',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None, silences=None, leaving=None, failure_domain=None, served_work=None, demand_claims=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None, silences=None, leaving=None, failure_domain=None, served_work=None, demand_claims=None, store_era=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4794,6 +4796,7 @@
         self.failure_domain = failure_domain
         self.served_work = served_work
         self.demand_claims = demand_claims
+        self.store_era = store_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4977,6 +4980,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.store_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5102,6 +5110,10 @@
                 iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.store_era is not None:
+            oprot.writeFieldBegin('store_era', TType.I64, 21)
+            oprot.writeI64(self.store_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6135,6 +6147,7 @@
     (18, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 18
     None,  # 19
     (20, TType.LIST, 'leaving', (TType.STRUCT, [LeavingTarget, None], False), None, ),  # 20
+    (21, TType.I64, 'store_era', None, None, ),  # 21
 )
 all_structs.append(StreamOrigin)
 StreamOrigin.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -403,7 +403,8 @@
 // records after the requester's known_to, complete up to records_to. With
 // listing, they are all present records, because some removals after known_to
 // are no longer kept. copy_age_ms is the time since the sender's copy of the
-// key-value service was known to be complete up to its known_to.
+// key-value service was known to be complete up to its known_to. All revisions
+// are of the era store_era; older entries, which know no eras, do not send it.
 struct EntryNews {
   1: string sender
   2: i64 known_to
@@ -424,6 +425,7 @@
   18: optional string failure_domain
   16: optional list<ServedWork> served_work
   17: optional list<DemandClaim> demand_claims
+  21: optional i64 store_era
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
