Take up a stream at the only version by a current copy alone

Seen by callers (a report of another operator, confirmed by the users' leads): during a release, a gateway that had been cut off or stood still for less than 3 s took streams that targets of the new software version had begun through other gateways up at the old version (ORDER).

Cause: if no peer knows the origin of a stream, the only version of the service that the gateway knows is taken for it. The copy behind that could be as old as the time after which a gateway takes itself for cut off.

Change: the copy must have every change made before the question. If that isn't known, the key-value service is asked for the changes; all questions within 50 ms share a call. If it doesn't reply in 500 ms, most of the peers asked must have answered. Otherwise the origin is unknown, as with several versions.

--- a/wigeonmill/gateway/origin_exchange.py
+++ b/wigeonmill/gateway/origin_exchange.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -35,6 +36,8 @@
 REPLICAS = 3
 MAX_ASKED_PEERS = 8
 FIND_TIMEOUT_MS = 150.0
+# A slow key-value service responds within a quarter of a second.
+CONFIRM_TIMEOUT_MS = 500.0
 # Origins recorded within this time are sent together.
 BATCH_MS = 2.0
 # Limit of the origins that wait for a connection to a peer, and of those that
@@ -95,6 +98,17 @@
     origin: StreamOrigin | None = None
     asked: int = 0
     answered: int = 0
+    # Whether the versions that this entry knows may lack that of the stream.
+    outdated: bool = False
+
+    @property
+    def has_majority(self) -> bool:
+        """Whether most of the asked peers have answered."""
+        return 2 * self.answered > self.asked
+
+
+async def _always_current(_since_ms: float, _timeout_ms: float) -> bool:
+    return True
 
 
 class SharedStreamOrigins:
@@ -104,7 +118,8 @@
     is not connected is used only if there are too few others. `records` has
     what the entries have written to the key-value service, and `only_version`
     returns the version that began every stream of a service, if it is known
-    and there is just one.
+    and there is just one. `confirm_copy` returns whether that takes account of
+    all targets listed before a time (see `MirrorSync.confirm`).
     """
 
     def __init__(
@@ -115,6 +130,9 @@
         links: PeerLinks,
         only_version: Callable[[str], str | None] = lambda service: None,
         records: RecordedOrigins = NoRecords(),
+        confirm_copy: Callable[
+            [float, float], Awaitable[bool]
+        ] = _always_current,
     ) -> None:
         self._clock = clock
         self._metrics = metrics
@@ -122,6 +140,7 @@
         self._links = links
         self._only_version = only_version
         self._records = records
+        self._confirm_copy = confirm_copy
         self._local = LocalStreamOrigins()
         # Peers that have been sent the origin of a request. They also get
         # its replacement.
@@ -156,9 +175,11 @@
     async def find(self, request_id: str, service: str) -> StreamOrigin | None:
         """Return the origin of a stream, or None if it is unknown.
 
-        It takes `FIND_TIMEOUT_MS` at most.
+        It takes `FIND_TIMEOUT_MS` at most, and `CONFIRM_TIMEOUT_MS` more if
+        no entry knows it.
         """
         started_ms = self._clock.now_ms()
+        started_boot_ms = self._clock.boot_ms()
         # Unlike that of a peer, it can't have been replaced by a later one.
         recorded = self._records.get(request_id)
         if recorded is not None:
@@ -172,7 +193,9 @@
             await self._ask_peers(request_id, inquiry)
             source = 'local' if inquiry.origin == known else 'peer'
         if inquiry.origin is None:
-            version = self._only_version(service)
+            version = await self._find_only_version(
+                service, started_boot_ms, inquiry
+            )
             if version is not None:
                 inquiry.origin = StreamOrigin(service, version)
                 source = 'only_version'
@@ -185,6 +208,7 @@
                     'service': service,
                     'asked': inquiry.asked,
                     'answered': inquiry.answered,
+                    'outdated': inquiry.outdated,
                     'took_ms': round(self._clock.now_ms() - started_ms, 1),
                     **self._records.describe(service),
                 },
@@ -192,6 +216,23 @@
         self._metrics.count('stream_origins_found', source)
         return inquiry.origin
 
+    async def _find_only_version(
+        self, service: str, since_ms: float, inquiry: _Inquiry
+    ) -> str | None:
+        """Return the only version that can have begun a stream, if any.
+
+        The stream began before `since_ms`, possibly at a target that joined
+        while this entry was cut off or suspended. If the key-value service
+        can't tell, most of the asked peers must have answered.
+        """
+        if self._only_version(service) is None:
+            return None
+        current = await self._confirm_copy(since_ms, CONFIRM_TIMEOUT_MS)
+        if not current and not inquiry.has_majority:
+            inquiry.outdated = True
+            return None
+        return self._only_version(service)
+
     def answer(self, envelope: Envelope) -> Envelope | None:
         """Keep the origins that a peer sends; return those that it wants."""
         message = envelope.stream_origins
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -240,6 +240,7 @@
             self._peers,
             self._versions.only_version,
             origin_records,
+            self._sync.confirm,
         )
         self._peers.handle(Kind.STREAM_ORIGINS, origins.answer)
         self._ctx.origins = origins
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass
 import logging
+from math import inf
 import random
 from typing import Any
 from typing import Protocol
@@ -54,6 +55,9 @@
 # A copy that was not confirmed for longer than this is confirmed by a watch
 # that does not wait, so that later changes are not taken to be as old.
 MAX_WATCH_GAP_MS = 500.0
+# Calls that only confirm the copy are sent at this interval at most. Each
+# serves all who ask meanwhile.
+CONFIRM_INTERVAL_MS = 50.0
 FIRST_BACKOFF_MS = 50.0
 MAX_BACKOFF_MS = 500.0
 _READERS_KEY = 'key-value service'
@@ -131,6 +135,11 @@
         self._freshness = freshness
         self._entries = entries
         self._task: asyncio.Task[None] | None = None
+        # When the last call was sent whose reply is in the copy, on the clock
+        # that never stops. Later changes may be missing.
+        self._current_to_ms = -inf
+        self._confirming: asyncio.Task[bool] | None = None
+        self._confirm_sent_ms = -inf
         # None until the service has replied or failed for the first time.
         self._connected: bool | None = None
 
@@ -140,8 +149,44 @@
 
     def close(self) -> None:
         """Stop the synchronization."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in (self._task, self._confirming):
+            if task is not None:
+                task.cancel()
+
+    async def confirm(self, since_ms: float, timeout_ms: float) -> bool:
+        """Return whether the copy has every change made before `since_ms`.
+
+        That is a time on the clock that never stops. If it isn't known, the
+        service is asked; it is False if there is no reply within the timeout.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                while self._current_to_ms < since_ms:
+                    if self._confirming is None or self._confirming.done():
+                        self._confirming = asyncio.ensure_future(
+                            self._confirm_once()
+                        )
+                    # Others wait for the same reply.
+                    confirmed = await asyncio.shield(self._confirming)
+                    if not confirmed and self._confirm_sent_ms >= since_ms:
+                        return False
+        except asyncio.TimeoutError:
+            return False
+        return True
+
+    async def _confirm_once(self) -> bool:
+        """Ask for the changes up to now; return whether they are applied."""
+        due_ms = self._confirm_sent_ms + CONFIRM_INTERVAL_MS
+        await asyncio.sleep(max(0.0, due_ms - self._clock.boot_ms()) / 1000.0)
+        self._confirm_sent_ms = self._clock.boot_ms()
+        if not self._mirror.complete:
+            return False
+        outcome, _stalled_ms = await self._watch_once(reconnecting=True)
+        confirmed = not isinstance(outcome, Err)
+        self._metrics.count(
+            'copy_confirmations', 'current' if confirmed else 'failed'
+        )
+        return confirmed
 
     async def _run(self) -> None:
         backoff_ms = FIRST_BACKOFF_MS
@@ -190,10 +235,12 @@
         return self._freshness.age_ms > MAX_WATCH_GAP_MS
 
     async def _list_once(self) -> tuple[Result[Changes, KvError], float]:
+        sent_boot_ms = self._clock.boot_ms()
         outcome, stalled_ms = await self._call(self._source.listing())
         if not isinstance(outcome, Err):
             found = outcome.ok_value
             self._mirror.replace(found.records, found.revision)
+            self._current_to_ms = max(self._current_to_ms, sent_boot_ms)
         return outcome, stalled_ms
 
     async def _watch_once(
@@ -204,7 +251,7 @@
             wait_ms = READER_WAIT_MS
         if reconnecting:
             wait_ms = RECONNECT_WAIT_MS
-        sent_ms = self._clock.now_ms()
+        sent_ms, sent_boot_ms = self._clock.now_ms(), self._clock.boot_ms()
         outcome, stalled_ms = await self._call(
             self._source.changes(
                 self._mirror.complete, wait_ms, fresh=reconnecting
@@ -218,6 +265,7 @@
                 self._freshness.confirm(stalled_ms)
             self._mirror.apply(found.records)
             self._mirror.advance(found.revision)
+            self._current_to_ms = max(self._current_to_ms, sent_boot_ms)
         return outcome, stalled_ms
 
     async def _call(
