Check each field of a target's entry by what its users can take

Seen by callers (a report of another operator, confirmed by the users' leads): with an odd address among the entries of the targets, a gateway of the entry's failure domain answered every request with an error (LOST).

Cause: only the types of fields were checked. The HTTP client raised on the address, which ended the request and said nothing of the target, so the entry stayed first choice.

Change: address, id, texts, counts and versions are checked where they are decoded; an entry that fails names no target. So are the addresses of cache stores and of entries. An address that curl doesn't take is a failed connection. A message of another entry that can't be handled no longer ends its connection.

One test of registrations used addresses whose port is a letter, which are malformed now; it uses numbers, and checks the same.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -641,3 +641,18 @@
     clock.advance(3_000.0)
     assert not entry.peers._has_urgent_news()
     entry.peers.close()
+
+
+def test_a_message_that_cannot_be_handled_does_not_end_the_connection():
+    async def check(first, second):
+        conn = FakeConn()
+        update = EntryNews(sender='b', known_to=0, open_work=[None])
+        envelope = Envelope(Kind.ENTRY_NEWS, 1, 0, entry_news=update)
+        second.peers._on_envelope(conn, envelope)
+        metrics = second.ctx.metrics
+        assert metrics.value('entry_news_failed', 'internal') == 1
+        request = first.load.open(12_000, 9_000, 1)
+        await wait_until(lambda: second.load.runs() == 1)
+        first.load.close(request)
+
+    run_with_two(check)
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -1,5 +1,7 @@
 import asyncio
 
+import pytest
+
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.own_records import ENTRY_PREFIX
@@ -53,7 +55,7 @@
     clock = ManualClock()
     entries = EntryList(clock, 'a', min_count=1)
     for name in 'abc':
-        entries.update(make_record(name, f'127.0.0.1:{name}'))
+        entries.update(make_record(name, f'127.0.0.1:{ord(name)}'))
     assert entries.count() == 3
     assert set(entries.peers()) == {'b', 'c'}
     entries.update(make_record('c', None, revision=2))
@@ -121,3 +123,23 @@
     keys.grant_lease = grant_and_restore
     found = run_for(registration, keys, clock, LEASE_TERM_MS)
     assert found.lease == leases[-1] != leases[0]
+
+
+# Guards against updates to peers that fail as a whole.
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'{"address":"127.0.0.1"}',
+        b'{"address":"127.0.0.1:99999"}',
+        b'{"address":"host:1"}',
+        b'{"address":5}',
+        b'{"a":' * 100_000,
+        b'\xff',
+    ],
+)
+def test_an_odd_record_names_no_peer(value):
+    entries = EntryList(ManualClock(), 'a', min_count=1)
+    entries.update(make_record('b', '127.0.0.1:2'))
+    entries.update(Record(ENTRY_PREFIX + 'b', 2, value))
+    entries.update(Record(ENTRY_PREFIX + 'c', 3, value))
+    assert entries.peers() == {}
--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -176,3 +176,25 @@
     assert ids(directory) == []
     directory.apply(make_record(heartbeat=6))
     assert ids(directory) == ['t1']
+
+
+# Guards against 503 for each request: an entry with an unknown service and the
+# address of a live target took that target out of service.
+def test_an_entry_of_an_unknown_service_says_nothing_of_an_address():
+    directory = Directory(ManualClock())
+    directory.apply(make_record('t1', started_at_ms=1_000))
+    odd = make_record('odd', started_at_ms=9_000, service='unknown')
+    directory.apply(odd)
+    directory.set_services([LEDGER])
+    assert ids(directory) == ['t1']
+    directory.remove('odd')
+    assert ids(directory) == ['t1']
+
+
+def test_a_service_that_is_added_later_has_its_targets():
+    directory = Directory(ManualClock())
+    directory.set_services(['other'])
+    directory.apply(make_record('t1'))
+    assert ids(directory) == []
+    directory.set_services(['other', LEDGER])
+    assert ids(directory) == ['t1']
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -1,11 +1,20 @@
+import asyncio
+from dataclasses import asdict
 import json
 
+from hypothesis import example
 from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies as st
 import pytest
 
 from alliance.records import AllianceRecords
+from alliance.records import MAX_COLD_MS
+from alliance.records import MAX_TEXT_LENGTH
 from alliance.rollouts import AllianceRollouts
+from alliance.targets import AllianceTargets
+from tests.gateway.samples import make_request
+from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.changes import DesiredStateChanged
 from wigeonmill.gateway.changes import DesiredWeightsChanged
 from wigeonmill.gateway.changes import DomainServiceChanged
@@ -17,6 +26,17 @@
 from wigeonmill.gateway.desired import RouteKind
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.rollout_stages import Stage
+from wigeonmill.gateway.stream_origins import origin_of
+from wigeonmill.gateway.target_client import Instructions
+from wigeonmill.gateway.targets import Directory
+from wigeonmill.protocol.codec import decode_body
+from wigeonmill.protocol.codec import encode_frame
+from wigeonmill.protocol.codec import LENGTH_BYTES
+from wigeonmill.protocol.gen.inner import ttypes
+from wigeonmill.protocol.gen.inner.ttypes import Envelope
+from wigeonmill.protocol.gen.inner.ttypes import Kind
+from wigeonmill.providers.transfers import TransferCall
+from wigeonmill.providers.transfers import TransferLoop
 
 TARGET = {
     'service': 's',
@@ -81,6 +101,7 @@
         {'name': 't', 'apiKeys': ['a', 'b'], 'priority': 1, 'isolated': True}
     ],
 }
+STORES = [s for s in STATE['services'] if 'kvStoreAddr' in s]
 
 
 def decode(key, value, revision=1):
@@ -226,3 +247,175 @@
     key, value = AllianceRollouts().encode('s', stage, 'v2')
     assert key == 'status/rollout/s'
     assert json.loads(value) == {'state': state, 'to': 'v2'}
+
+
+ODD_TEXTS = st.one_of(
+    st.text(max_size=40),
+    st.sampled_from(
+        [
+            '',
+            'x' * 100_000,
+            'a\r\nX-Injected: 1',
+            '\x00',
+            '\u0663' * 3,
+            '127.0.0.1:0',
+            '127.0.0.1:65536',
+            '127.0.0.1:99999',
+            '127.0.0.1:-1',
+            '127.0.0.1:\u0663',
+            '127.0.0.1',
+            '[::1]:80',
+            'host:80',
+            '127.0.0.1:80/path',
+            'user@127.0.0.1:80',
+        ]
+    ),
+)
+ODD_NUMBERS = st.one_of(
+    st.integers(),
+    st.sampled_from([2**31, 2**63, -(2**63) - 1, 10**400]),
+    st.floats(allow_nan=False, allow_infinity=False),
+)
+ODD_VALUES = st.one_of(
+    ODD_TEXTS,
+    ODD_NUMBERS,
+    st.none(),
+    st.booleans(),
+    st.lists(ODD_NUMBERS, max_size=3),
+    st.dictionaries(st.text(max_size=3), ODD_NUMBERS, max_size=3),
+    st.lists(
+        st.fixed_dictionaries({'name': ODD_TEXTS, 'version': ODD_NUMBERS}),
+        max_size=3,
+    ),
+)
+
+
+class Sink:
+    """Notes how a transfer ended."""
+
+    def __init__(self):
+        self.ends = []
+
+    def on_head(self, head):
+        pass
+
+    def on_data(self, data):
+        pass
+
+    def on_end(self, end, message):
+        self.ends.append(end)
+
+
+def use_target(target):
+    """Do with a record what the gateway does with each listed target."""
+    clock = ManualClock()
+    directory = Directory(clock)
+    directory.apply(target)
+    directory.apply(target)
+    known = directory.get(target.id)
+    load = known.load
+    load.close(load.open(12_000, 9_000, 1))
+    assert load.slot_wait_ms(1, known.slots) >= 0.0
+    assert not known.is_cold(clock.now_ms() + MAX_COLD_MS)
+    req = make_request()
+    versions = known.weights.values()
+    instructions = Instructions(
+        known.id, 1_000.0, weight_version=max(versions, default=None)
+    )
+    call = TransferCall(
+        address=known.address,
+        method='POST',
+        target='/a/',
+        fields=AllianceTargets().request_fields(req, instructions),
+        body=b'x',
+        repeatable=False,
+        connect_timeout_ms=50.0,
+        max_idle_s=0,
+    )
+    assert all(
+        '\n' not in value and '\r' not in value for _, value in call.fields
+    )
+
+    async def send():
+        loop = TransferLoop()
+        sink = Sink()
+        loop.start(call, sink).cancel()
+        loop.close()
+        return sink.ends
+
+    assert not asyncio.run(send())
+    origin = origin_of(known)
+    message = ttypes.StreamOrigins(
+        'a',
+        [
+            ttypes.StreamOrigin(
+                'q',
+                origin.service,
+                origin.software_version,
+                origin.target_id,
+                origin.target_started_at_ms,
+            )
+        ],
+        [],
+    )
+    work = [ttypes.OpenWork(known.id, 1, [1], [1])]
+    news = ttypes.EntryNews('a', open_work=work)
+    envelope = Envelope(
+        Kind.ENTRY_NEWS, 1, 0, entry_news=news, stream_origins=message
+    )
+    assert decode_body(encode_frame(envelope)[LENGTH_BYTES:]).is_ok()
+    json.dumps(asdict(target))
+
+
+# Guards against LOST: one odd entry of another writer made a gateway fail
+# requests, because a later user of the field couldn't take the value.
+@settings(deadline=None, max_examples=300)
+@given(st.sampled_from(list(TARGET)), ODD_VALUES)
+@example('address', '127.0.0.1:\u0663')
+@example('service', 'x' * 100_000)
+@example('capacity', 10**30)
+@example('models', [{'name': 'm', 'version': 10**30}])
+def test_an_odd_entry_names_no_target_or_one_that_can_be_used(field, value):
+    change = decode('servers/i-1', TARGET | {field: value})
+    if isinstance(change, TargetListed):
+        use_target(change.target)
+    else:
+        assert change == TargetUnlisted('i-1')
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        '127.0.0.1:0',
+        '127.0.0.1:65536',
+        '127.0.0.1:99999999999',
+        '127.0.0.1:\u0663',
+        '127.0.0.1',
+        '[127.0.0.1]:80',
+        'host:80',
+        'user@127.0.0.1:80',
+        '',
+    ],
+)
+def test_an_entry_without_an_address_names_no_target(address):
+    change = decode('servers/i-1', TARGET | {'address': address})
+    assert change == TargetUnlisted('i-1')
+    stores = [service | {'kvStoreAddr': address} for service in STORES]
+    state = decode('op/config', STATE | {'services': stores}).state
+    assert state.stores == ()
+
+
+@pytest.mark.parametrize('id_', ['', 'a b', 'a\r\nX: 1', '\xe9', 'x' * 201])
+def test_an_entry_with_an_id_that_cannot_be_sent_names_no_target(id_):
+    assert decode(f'servers/{id_}', TARGET) == TargetUnlisted(id_)
+
+
+@settings(deadline=None)
+@given(st.sampled_from(['model', 'version']), ODD_VALUES)
+def test_odd_weights_are_malformed_or_can_be_sent(field, value):
+    change = decode(
+        'op/version/m', {'model': 'm', 'version': 2} | {field: value}
+    )
+    if change is not None:
+        assert 0 <= change.version < 2**63
+        assert len(change.model) <= MAX_TEXT_LENGTH
--- a/tests/providers/test_transfers.py
+++ b/tests/providers/test_transfers.py
@@ -489,3 +489,54 @@
         assert second.size == len(b'whole')
 
     with_server(server, check)
+
+
+class EndSink:
+    """Notes how a transfer ended."""
+
+    def __init__(self):
+        self.ends = []
+
+    def on_head(self, head):
+        pass
+
+    def on_data(self, data):
+        pass
+
+    def on_end(self, end, message):
+        self.ends.append(end)
+
+
+# Guards against LOST: an address that curl does not take ended the request
+# that was to be sent there, instead of counting against the target.
+@pytest.mark.parametrize(
+    'address', ['127.0.0.1:99999', '\ud800:1', 'a\x00b:1', '', 'x y:1']
+)
+@pytest.mark.parametrize('cancelled', [False, True])
+def test_a_request_to_an_odd_address_is_not_sent(address, cancelled):
+    async def run():
+        loop = TransferLoop()
+        sink = EndSink()
+        call = TransferCall(
+            address=address,
+            method='GET',
+            target='/',
+            fields=(),
+            body=b'',
+            repeatable=False,
+            connect_timeout_ms=100.0,
+            max_idle_s=0,
+        )
+        transfer = loop.start(call, sink)
+        assert not sink.ends
+        if cancelled:
+            transfer.cancel()
+        for _turn in range(100):
+            await asyncio.sleep(0.01)
+            if sink.ends:
+                break
+        assert sink.ends == ([] if cancelled else [TransferEnd.NOT_SENT])
+        assert transfer.done
+        loop.close()
+
+    asyncio.run(run())
--- a/wigeonmill/gateway/own_records.py
+++ b/wigeonmill/gateway/own_records.py
@@ -103,7 +103,7 @@
         return None
     try:
         return msgspec.json.decode(record.value, type=kind)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         logger.warning(
             'malformed record',
             extra={'key': record.key, 'detail': str(exc)},
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -257,6 +257,14 @@
             self._in_flight.discard(address)
 
     def _on_envelope(self, conn: Conn, envelope: Envelope) -> None:
+        try:
+            self._handle_envelope(conn, envelope)
+        except Exception:
+            # The other messages on the connection are not concerned.
+            self._ctx.metrics.count('entry_news_failed', 'internal')
+            logger.exception('message of another entry not handled')
+
+    def _handle_envelope(self, conn: Conn, envelope: Envelope) -> None:
         handler = self._handlers.get(envelope.kind)
         if handler is not None:
             reply = handler(envelope)
--- a/wigeonmill/gateway/registration.py
+++ b/wigeonmill/gateway/registration.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err
 
+from wigeonmill.addresses import is_address
 from wigeonmill.clock import Clock
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.own_records import decode_own
@@ -143,6 +144,9 @@
         self._selected.clear()
         self._position = None
         found = decode_own(record, EntryRecord)
+        if found is not None and not is_address(found.address):
+            logger.warning('malformed record', extra={'key': record.key})
+            found = None
         if found is None:
             if self._addresses.pop(name, None) is not None:
                 self._unlisted_at_ms[name] = self._clock.now_ms()
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -512,6 +512,7 @@
         return state is None or service in state.services
 
     def _on_desired_state(self, state: DesiredState) -> None:
+        self._ctx.directory.set_services(state.services.keys())
         self._stores.set_stores(state.stores)
         self._server.set_limits(state.limits)
         table = self._ctx.desired.table
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -1,6 +1,7 @@
 """The directory of targets; each start of a target is a new lifetime."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
@@ -211,6 +212,7 @@
         '_recovered_ms',
         '_restored_ms',
         '_by_service',
+        '_services',
         '_estimates',
         '_on_discovered',
     )
@@ -221,6 +223,8 @@
         self._on_discovered: Callable[[Target], None] = lambda _target: None
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
+        # The services that exist; None without a configuration.
+        self._services: frozenset[str] | None = None
         # The estimates of each service as a whole.
         self._estimates: dict[str, Estimates] = {}
         self._key_value_down = False
@@ -231,6 +235,16 @@
         """Call `on_discovered` with each new lifetime of a target."""
         self._on_discovered = on_discovered
 
+    def set_services(self, services: Collection[str]) -> None:
+        """Use only targets of these services.
+
+        A record of another service says nothing, also not about the target at
+        its address.
+        """
+        if self._services != frozenset(services):
+            self._services = frozenset(services)
+            self._rebuild_index()
+
     def all(self) -> Iterable[Target]:
         """Return every known target that is not gone."""
         return [t for t in self._targets.values() if not t.gone]
@@ -419,6 +433,11 @@
         """
         by_address: dict[str, Target] = {}
         for target in self._targets.values():
+            if (
+                self._services is not None
+                and target.service not in self._services
+            ):
+                continue
             previous = by_address.get(target.address)
             if (
                 previous is None
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -125,7 +125,15 @@
 class Transfer:
     """A transfer in progress; `cancel` ends it without a further callback."""
 
-    __slots__ = ('_loop', 'curl', 'sink', 'pending', 'call', 'body_offset')
+    __slots__ = (
+        '_loop',
+        '_failing',
+        'curl',
+        'sink',
+        'pending',
+        'call',
+        'body_offset',
+    )
 
     def __init__(
         self, loop: 'TransferLoop', call: TransferCall, sink: TransferSink
@@ -136,6 +144,7 @@
         self.curl: pycurl.Curl | None = None
         self.pending: list[Callable[[], None]] = []
         self.body_offset = 0
+        self._failing: asyncio.Handle | None = None
 
     @property
     def done(self) -> bool:
@@ -144,8 +153,16 @@
 
     def cancel(self) -> None:
         """Cancel the transfer and close its connection."""
+        if self._failing is not None:
+            self._failing.cancel()
         self._loop.cancel(self)
 
+    def fail_soon(self, message: str) -> None:
+        """End a transfer that can't be sent, after the caller has returned."""
+        self._failing = asyncio.get_running_loop().call_soon(
+            _deliver_end, self, TransferEnd.NOT_SENT, message
+        )
+
     def pause(self) -> None:
         """Read no more of the reply; not to be called by curl's callbacks.
 
@@ -229,6 +246,12 @@
         curl = (
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
+        try:
+            curl.setopt(pycurl.URL, f'http://{call.address}/')
+        except (pycurl.error, ValueError) as exc:
+            curl.close()
+            transfer.fail_soon(f'no address: {exc}')
+            return transfer
         transfer.curl = curl
         _prepare(curl, transfer)
         self._active[curl] = transfer
@@ -385,7 +408,6 @@
     def on_body(data: bytes) -> None:
         owner.pending.append(lambda: transfer.sink.on_data(data))
 
-    curl.setopt(pycurl.URL, f'http://{call.address}/')
     curl.setopt(pycurl.REQUEST_TARGET, call.target.encode('latin-1'))
     curl.setopt(pycurl.PATH_AS_IS, 1)
     curl.setopt(pycurl.CUSTOMREQUEST, call.method)
