Believe an answer without an id on a new connection only

Cause: an answer without an id counted as that of the request under way. Targets echo the id; without it, an answer on a kept connection may be that of an earlier request, or of a call without an id.

Change: such an answer counts only on a connection that was opened for the request. Nothing of another request's answer is used: no refusal, notice, load or weights.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -123,7 +123,7 @@
     def set_scripts(self, scripts):
         self._scripts = list(scripts)
 
-    def send(self, req, target, instructions, idempotent):
+    def send(self, req, target, instructions, idempotent, again=False):
         self._notices.record_sent(target, req.id)
         turn = min(len(self.sent), len(self._scripts) - 1)
 
--- a/tests/gateway/test_request_ends.py
+++ b/tests/gateway/test_request_ends.py
@@ -50,7 +50,7 @@
         self._parts = list(parts)
         self.go_on = asyncio.Event()
 
-    def send(self, req, target, instructions, idempotent):
+    def send(self, req, target, instructions, idempotent, again=False):
         return self
 
     async def next(self, until_ms):
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -53,6 +53,9 @@
     def answer_head(self, head):
         return make_head(head.status, notice=self._notice)
 
+    def is_answer_to(self, req, head):
+        return head.get('request-id') in (None, req.id)
+
 
 class World:
     """A client with one target whose answers carry `notice`."""
@@ -88,6 +91,29 @@
     assert (world.transfers.calls[0].max_idle_s == 0) is suspected
 
 
+# Guards against REFUSED: the refusal of the first time came once more, while
+# the target ran the request.
+@pytest.mark.parametrize('again', [False, True])
+def test_a_request_is_sent_again_to_a_target_on_a_new_connection(again):
+    world = World()
+    world.client.send(
+        make_request(), world.target, Instructions('t1', TIME_MS), True, again
+    )
+    assert (world.transfers.calls[0].max_idle_s == 0) is again
+
+
+# Guards against a target that is closed, limited or taken for leaving by what
+# it said some requests ago.
+def test_a_notice_in_another_requests_answer_says_nothing():
+    world = World()
+    exchange = world.send()
+    fields = (('Request-Id', 'earlier'),)
+    world.transfers.sinks[-1].on_head(ReplyHead(503, fields))
+    head = asyncio.run(exchange.next(world.clock.now_ms() + 1.0))
+    assert head.foreign
+    assert world.closed_for_ms == 0.0
+
+
 # Guards against a notice that is lost because nobody reads the answer.
 @pytest.mark.parametrize('end', [None, TransferEnd.BROKEN])
 def test_a_notice_counts_although_its_answer_is_never_read(end):
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -201,10 +201,11 @@
                     return self._overlong('body')
                 await self._wait_for_caller(len(body))
             elif part is ExchangeEnd.COMPLETE and head is not None:
-                self._in_flight.answered = True
-                self.target.load.record_whole_answer(
-                    self._in_flight, self.target.slots
-                )
+                if not head.foreign:
+                    self._in_flight.answered = True
+                    self.target.load.record_whole_answer(
+                        self._in_flight, self.target.slots
+                    )
                 return self._process_answer(head, bytes(body))
             else:
                 return self._transfer_failure(part)
@@ -451,7 +452,7 @@
     def _process_answer(self, head: TargetHead, body: bytes) -> Failure | None:
         """Pass a complete answer on, or return why it is not valid."""
         now_ms = self._ctx.clock.now_ms()
-        if head.request_id not in (None, self._terms.req.id):
+        if head.foreign:
             # Not even a refusal in it concerns this request.
             self._ctx.metrics.count('gateway_answers_broken', 'other_request')
             return may_have_run(
@@ -502,6 +503,7 @@
         """Whether the head is a sealed success of this very request."""
         return (
             head.succeeded
+            and not head.foreign
             and head.sealed
             and not head.encoded
             and head.request_id == self._terms.req.id
@@ -509,6 +511,8 @@
 
     def _record_head(self, head: TargetHead) -> None:
         self.receipt.framing = head.framing
+        if head.foreign:
+            return
         if head.load is not None:
             self.target.load.record_report(head.load.requests, head.load.pace)
             self.reported_load = (
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -313,6 +313,7 @@
     def _begin(self, pick: Pick) -> Attempt:
         """Send the request to a target."""
         target = pick.target
+        again = target.id in self._tried_ids
         self._tried_ids.append(target.id)
         self._returnable_ids.discard(target.id)
         if target.is_cold(self._ctx.clock.now_ms()):
@@ -342,6 +343,7 @@
                 target,
                 self._terms.instructions(target, priority),
                 self._route.idempotent,
+                again,
             )
         except BaseException:
             target.load.close(in_flight)
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from dataclasses import dataclass
+from dataclasses import replace
 import enum
 from typing import Protocol
 
@@ -80,7 +81,8 @@
 
     `sealed` is set if the target confirms the answer by a seal, and `not_run`
     if it states that it has not run the request. `fields` are passed on to
-    the caller. `notice` is what the target states about itself.
+    the caller. `notice` is what the target states about itself. `foreign` is
+    set if it may be the head of another request's answer.
     """
 
     status: int
@@ -95,6 +97,7 @@
     encoded: bool = False
     notice: Notice = Notice()
     framing: Framing = Framing.LENGTH
+    foreign: bool = False
 
     @property
     def succeeded(self) -> bool:
@@ -145,7 +148,7 @@
         '_clock',
         '_notices',
         '_target',
-        '_request_id',
+        '_req',
         '_deadline_ms',
         '_has_head',
         '_is_foreign',
@@ -163,21 +166,21 @@
         clock: Clock,
         notices: TargetNotices,
         target: Target,
-        request_id: str,
+        req: CallerRequest,
         remaining_ms: float,
     ) -> None:
         self._codec = codec
         self._clock = clock
         self._notices = notices
         self._target = target
-        self._request_id = request_id
+        self._req = req
         self._parts: collections.deque[AnswerPart] = collections.deque()
         self._waiter: asyncio.Future[None] | None = None
         self._transfer: Transfer | None = None
         self.sent_ms = clock.now_ms()
         self._deadline_ms = self.sent_ms + remaining_ms
         self._has_head = False
-        # Whether another request's answer has come.
+        # Whether what has come may be another request's answer.
         self._is_foreign = False
         self._abandoned = False
         self.message = ''
@@ -228,14 +231,18 @@
     def on_head(self, head: ReplyHead) -> None:
         decoded = self._codec.answer_head(head)
         self._has_head = True
-        self._is_foreign = decoded.request_id not in (None, self._request_id)
+        if not self._codec.is_answer_to(self._req, head):
+            # None of it is news of this request, nor of the target now.
+            self._is_foreign = True
+            self._add(replace(decoded, foreign=True, load=None))
+            return
         # Applied here because an answer may never be read: its caller may
         # have left, or its time may be over.
         self._notices.record(
             self._target,
             decoded.notice,
             'answer',
-            self._request_id,
+            self._req.id,
             self.sent_ms,
         )
         if self._abandoned:
@@ -297,8 +304,13 @@
         target: Target,
         instructions: Instructions,
         idempotent: bool,
+        again: bool = False,
     ) -> Exchange:
-        """Send `req` to `target`; `Exchange.next` returns the answer."""
+        """Send `req` to `target`; `Exchange.next` returns the answer.
+
+        `again` is set if it was sent there before. Its earlier answer, which
+        has the same id, can't come on a new connection.
+        """
         self._notices.record_sent(target, req.id)
         call = TransferCall(
             address=target.address,
@@ -314,7 +326,7 @@
             # what was not sent may go elsewhere.
             max_idle_s=(
                 0
-                if target.suspected
+                if target.suspected or again or not req.id
                 else usable_idle_s(target.load.keep_alive_s, idempotent)
             ),
             is_reply=lambda head: self._codec.is_answer_to(req, head),
@@ -324,7 +336,7 @@
             self._clock,
             self._notices,
             target,
-            req.id,
+            req,
             instructions.deadline_ms,
         )
         exchange.start(self._loop, call)
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -64,10 +64,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplyHead:
-    """Status and header fields of a reply, in the order received."""
+    """Status and header fields of a reply, in the order received.
+
+    `first_on_connection` is set if the connection was opened for the request,
+    so that the reply can't be a late one to an earlier request.
+    """
 
     status: int
     fields: tuple[tuple[str, str], ...]
+    first_on_connection: bool = False
 
     @property
     def framing(self) -> Framing:
@@ -133,6 +138,7 @@
         'pending',
         'call',
         'body_offset',
+        'connected',
     )
 
     def __init__(
@@ -144,6 +150,8 @@
         self.curl: pycurl.Curl | None = None
         self.pending: list[Callable[[], None]] = []
         self.body_offset = 0
+        # Whether a connection was opened for it.
+        self.connected = False
         self._failing: asyncio.Handle | None = None
 
     @property
@@ -397,7 +405,9 @@
 
     def on_header(raw: bytes) -> int:
         if reader.feed(raw):
-            head = ReplyHead(reader.status, tuple(reader.fields))
+            head = ReplyHead(
+                reader.status, tuple(reader.fields), owner.connected
+            )
             owner.pending.append(lambda: transfer.sink.on_head(head))
             if not call.is_reply(head):
                 return _ABORT
@@ -405,6 +415,10 @@
                 owner.pending.append(lambda: _end_at_head(transfer))
         return len(raw)
 
+    def on_open(purpose: int, address: object) -> socket.socket | int:
+        owner.connected = True
+        return open_socket(purpose, address)
+
     def on_body(data: bytes) -> None:
         owner.pending.append(lambda: transfer.sink.on_data(data))
 
@@ -420,7 +434,7 @@
     curl.setopt(pycurl.PROXY, '')
     curl.setopt(pycurl.BUFFERSIZE, RECEIVE_BUFFER_BYTES)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(call.connect_timeout_ms)))
-    curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
+    curl.setopt(pycurl.OPENSOCKETFUNCTION, on_open)
     if call.max_idle_s > 0:
         curl.setopt(pycurl.MAXAGE_CONN, call.max_idle_s)
     else:
