--- a/tests/gateway/test_extra_attempts.py
+++ b/tests/gateway/test_extra_attempts.py
@@ -89,7 +89,7 @@
     def started(self):
         return self.outcomes().get('started_slow', 0)
 
-    def _send(self, req, target, instructions, idempotent):
+    def _send(self, req, target, instructions, idempotent, again=False):
         after = stream_after if self.stream else answer_after
         exchange = fakes.FakeExchange(
             self.clock,
@@ -241,7 +241,7 @@
     load.sent.clear()
     scripts = iter(answers)
 
-    def send(req, target, instructions, idempotent):
+    def send(req, target, instructions, idempotent, again=False):
         exchange = fakes.FakeExchange(
             load.clock, target, next(scripts), lambda _head: None
         )
