Log the transfers of records, and show that a large state never arrives

No logic is changed yet.

The logs now have the bytes, time and end of each large transfer, and the revision, size and age of the copy beside 'configuration in force'; an update that another entry did not answer is logged with what had arrived of it.

--- a/tests/platform/restorable_store.py
+++ b/tests/platform/restorable_store.py
@@ -70,6 +70,10 @@
                 'storeRevision': self.revision,
             }
             reply = Reply(body=body)
+        elif call.path.endswith('kv-lease'):
+            reply = Reply(body={'lease': 1, 'ttlMs': call.body['ttlMs']})
+        elif '/kv-keep/' in call.path:
+            reply = Reply(body={})
         else:
             reply = self._transact(call.body)
         if self._names_era:
--- a/wigeonmill/gateway/intake.py
+++ b/wigeonmill/gateway/intake.py
@@ -109,10 +109,31 @@
         if record.key.startswith(PREFIX):
             self._apply_own_record(record)
             return
+        started_ms = self._ctx.clock.now_ms()
         change = self._decoder.decode(record)
-        if change is not None:
+        if isinstance(change, DesiredStateChanged):
+            self._adopt(change.state, record, started_ms)
+        elif change is not None:
             self._apply_change(change)
 
+    def _adopt(
+        self, state: DesiredState, record: Record, started_ms: float
+    ) -> None:
+        copy_age_ms = self._ctx.freshness.age_ms
+        if not self._ctx.desired.adopt(state):
+            return
+        self._on_desired_state(state)
+        logger.info(
+            'configuration in force',
+            extra={
+                'version': state.version,
+                'revision': revision_of(record.revision),
+                'bytes': len(record.value or b''),
+                'copy_age_ms': loggable_ms(copy_age_ms),
+                'took_ms': loggable_ms(self._ctx.clock.now_ms() - started_ms),
+            },
+        )
+
     def _apply_own_record(self, record: Record) -> None:
         if record.key.startswith(ENTRY_PREFIX):
             self._entries.update(record)
@@ -137,13 +158,6 @@
     def _apply_change(self, change: Change) -> None:
         desired = self._ctx.desired
         match change:
-            case DesiredStateChanged(state):
-                if desired.adopt(state):
-                    self._on_desired_state(state)
-                    logger.info(
-                        'configuration in force',
-                        extra={'version': state.version},
-                    )
             case DesiredWeightsChanged(model, version):
                 copy_age_ms = self._ctx.freshness.age_ms
                 if desired.set_weight_version(model, version):
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -229,8 +229,19 @@
             client = self._pool.get(address)
             reply = await client.request(envelope, UPDATE_TIMEOUT_MS)
             if isinstance(reply, Err):
-                self._ctx.metrics.count(
-                    'entry_news_failed', reply.err_value.kind.value
+                error = reply.err_value
+                self._ctx.metrics.count('entry_news_failed', error.kind.value)
+                logger.info(
+                    'update not answered by another entry',
+                    extra={
+                        'address': address,
+                        'kind': error.kind.value,
+                        'received_bytes': client.unread_bytes,
+                        'asked': ask,
+                        'took_ms': round(
+                            self._ctx.clock.boot_ms() - requested_boot_ms
+                        ),
+                    },
                 )
                 # A connection without a reply is replaced by a new one.
                 self._pool.drop(address)
@@ -420,6 +431,7 @@
                         'count': count,
                         'complete': update.records_to,
                         'era': era,
+                        'bytes': sum(len(r.value or b'') for r in records),
                     },
                 )
 
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -20,6 +20,7 @@
 from wigeonmill.gateway.revisions import era_of
 from wigeonmill.gateway.revisions import revision_of
 from wigeonmill.gateway.supervision import run_supervised
+from wigeonmill.log import loggable_ms
 from wigeonmill.metrics import Metrics
 from wigeonmill.providers.key_value import KvError
 from wigeonmill.providers.key_value import KvErrorKind
@@ -60,6 +61,8 @@
 CONFIRM_INTERVAL_MS = 50.0
 FIRST_BACKOFF_MS = 50.0
 MAX_BACKOFF_MS = 500.0
+# Size of received records from which their transfer is logged.
+LOGGED_TRANSFER_BYTES = 32 * 1024
 _READERS_KEY = 'key-value service'
 
 
@@ -239,6 +242,7 @@
         outcome, stalled_ms = await self._call(self._source.listing())
         if not isinstance(outcome, Err):
             found = outcome.ok_value
+            self._log_transfer(found, self._clock.boot_ms() - sent_boot_ms)
             self._mirror.replace(found.records, found.revision)
             self._current_to_ms = max(self._current_to_ms, sent_boot_ms)
         return outcome, stalled_ms
@@ -259,6 +263,7 @@
         )
         if not isinstance(outcome, Err):
             found = outcome.ok_value
+            self._log_transfer(found, self._clock.boot_ms() - sent_boot_ms)
             took_ms = self._clock.now_ms() - sent_ms
             if took_ms > WAITED_MS and not reconnecting:
                 # Nothing had changed until the reply was sent.
@@ -292,6 +297,15 @@
 
     def _record_failure(self, error: KvError) -> None:
         self._metrics.count('key_value_failures', error.kind.value)
+        if error.received_bytes:
+            logger.warning(
+                'transfer from the key-value service given up',
+                extra={
+                    'received_bytes': error.received_bytes,
+                    'detail': error.message,
+                    **self._describe_copy(),
+                },
+            )
         if error.kind is KvErrorKind.INVALID:
             logger.info(
                 'changes not available, listing again',
@@ -306,6 +320,26 @@
             )
             self._on_connection_change(False)
 
+    def _log_transfer(self, found: Changes, took_ms: float) -> None:
+        """Log the transfer of records that take time on a slow link."""
+        size = sum(len(record.value or b'') for record in found.records)
+        if size >= LOGGED_TRANSFER_BYTES:
+            logger.info(
+                'records received from the key-value service',
+                extra={
+                    'count': len(found.records),
+                    'bytes': size,
+                    'took_ms': round(took_ms),
+                    **self._describe_copy(),
+                },
+            )
+
+    def _describe_copy(self) -> dict[str, object]:
+        return {
+            'complete': revision_of(self._mirror.complete),
+            'copy_age_ms': loggable_ms(self._freshness.age_ms),
+        }
+
     def _record_success(self, stalled_ms: float) -> None:
         self._freshness.confirm(stalled_ms)
         if not self._connected:
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -144,6 +144,11 @@
         """Whether too much is waiting to be sent."""
         return self._conn is not None and self._conn.congested
 
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes received of an answer that is not complete."""
+        return self._conn.unread_bytes if self._conn is not None else 0
+
     async def connect(self) -> bool:
         """Connect if necessary; return whether there is a connection."""
         return self.connected or await self._connect_once() is not None
--- a/wigeonmill/protocol/conn.py
+++ b/wigeonmill/protocol/conn.py
@@ -80,6 +80,11 @@
         """Bytes that wait for the current write to end."""
         return len(self._write_buffer)
 
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes received of a frame that is not complete."""
+        return len(self._read_buffer)
+
     @property
     def congested(self) -> bool:
         """Whether senders should wait for `on_drain`."""
--- a/wigeonmill/providers/fetch.py
+++ b/wigeonmill/providers/fetch.py
@@ -30,10 +30,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchError:
-    """A failed call; `sent` if the server may have received the request."""
+    """A failed call; `sent` if the server may have received the request.
+
+    `received_bytes` of the body of the reply had arrived.
+    """
 
     message: str
     sent: bool
+    received_bytes: int = 0
 
 
 class _Collector:
@@ -99,10 +103,22 @@
     finally:
         transfer.cancel()
     if not in_time:
-        return Err(FetchError('no complete reply in time', sent=True))
+        return Err(
+            FetchError(
+                'no complete reply in time',
+                sent=True,
+                received_bytes=len(collector.body),
+            )
+        )
     end = collector.ended.result()
     if end is TransferEnd.NOT_SENT:
         return Err(FetchError(collector.message, sent=False))
     if end is not TransferEnd.COMPLETE or collector.head is None:
-        return Err(FetchError(collector.message, sent=True))
+        return Err(
+            FetchError(
+                collector.message,
+                sent=True,
+                received_bytes=len(collector.body),
+            )
+        )
     return Ok(FetchedReply(collector.head, bytes(collector.body)))
--- a/wigeonmill/providers/key_value.py
+++ b/wigeonmill/providers/key_value.py
@@ -22,10 +22,14 @@
 
 @dataclass(frozen=True, slots=True)
 class KvError:
-    """A failed key-value call."""
+    """A failed key-value call.
+
+    `received_bytes` of the body of its reply had arrived.
+    """
 
     kind: KvErrorKind
     message: str
+    received_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
