Limit the silence of a reply, not its length

Seen by operators: a gateway with a large desired state never became ready, or kept an old one (CONFIG), while it fetched the same bytes over and over.

Cause: a call of the key-value service or of a cache store had a time limit for its whole reply. A reply that took longer was given up, and the next call began with its first byte. Pages of a listing that had arrived were dropped as well.

Change: the time limit holds until the head of a reply. A listing that was broken off goes on with the missing page. As a reply may take long now, the copy counts as old as the head of the reply.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -45,6 +45,49 @@
     )
 
 
+# Guards against CONFIG: a listing of several pages began anew after each
+# failure, and fetched the same pages again and again.
+def test_a_listing_that_was_broken_off_goes_on_with_the_missing_page():
+    refused = []
+
+    def answer(call):
+        after = call.query.get('after', '')
+        if after and not refused:
+            refused.append(after)
+            return Reply(503, {})
+        body = {'items': [item('op/a', 3)], 'storeRevision': 9}
+        if after:
+            body = {'items': [item('op/b', 4)], 'storeRevision': 11}
+        return Reply(body=body | {'truncated': not after})
+
+    async def check(store, standin):
+        assert (await store.listing()).is_err()
+        found = (await store.listing()).unwrap()
+        assert [record.key for record in found.records] == ['op/a', 'op/b']
+        assert found.revision == 9
+        asked = [call.query.get('after', '') for call in standin.calls]
+        assert asked == ['', 'op/a', 'op/a']
+
+    check_store(answer, check)
+
+
+def test_a_listing_is_begun_anew_if_its_first_page_is_of_another_era():
+    answers = [
+        Reply(body={'items': [item('a', 8)], 'storeRevision': 9})
+        for _page in range(3)
+    ]
+    answers[0].body['truncated'] = True
+    answers[1].body['storeRevision'] = 5
+    answers[2].body['storeRevision'] = 6
+
+    async def check(store, standin):
+        assert (await store.listing()).is_err()
+        assert (await store.listing()).is_ok()
+        assert 'after' not in standin.calls[2].query
+
+    check_store(lambda call: answers.pop(0), check)
+
+
 def test_watch_returns_changes_and_removals():
     events = [
         item('op/a', 12),
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -74,10 +74,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Current and removed records, complete up to the position `revision`."""
+    """Current and removed records, complete up to the position `revision`.
+
+    The service began to send them `age_ms` ago.
+    """
 
     records: tuple[Record, ...]
     revision: int
+    age_ms: float = 0.0
 
 
 class RecordSource(Protocol):
@@ -243,6 +247,7 @@
         if not isinstance(outcome, Err):
             found = outcome.ok_value
             self._log_transfer(found, self._clock.boot_ms() - sent_boot_ms)
+            stalled_ms += found.age_ms
             self._mirror.replace(found.records, found.revision)
             self._current_to_ms = max(self._current_to_ms, sent_boot_ms)
         return outcome, stalled_ms
@@ -264,7 +269,8 @@
         if not isinstance(outcome, Err):
             found = outcome.ok_value
             self._log_transfer(found, self._clock.boot_ms() - sent_boot_ms)
-            took_ms = self._clock.now_ms() - sent_ms
+            stalled_ms += found.age_ms
+            took_ms = self._clock.now_ms() - sent_ms - found.age_ms
             if took_ms > WAITED_MS and not reconnecting:
                 # Nothing had changed until the reply was sent.
                 self._freshness.confirm(stalled_ms)
--- a/wigeonmill/providers/fetch.py
+++ b/wigeonmill/providers/fetch.py
@@ -14,13 +14,17 @@
 from wigeonmill.providers.transfers import TransferLoop
 from wigeonmill.waiting import wait_done
 
+# The slowest transfer that goes on, on average.
+MIN_BYTES_PER_S = 8 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class FetchedReply:
-    """A complete reply of any status."""
+    """A complete reply of any status; `body_ms` passed since its head."""
 
     head: ReplyHead
     body: bytes
+    body_ms: float = 0.0
 
     @property
     def status(self) -> int:
@@ -48,6 +52,9 @@
         'body',
         'ended',
         'message',
+        'head_s',
+        'data_s',
+        '_loop',
         '_max_bytes',
         '_on_head',
     )
@@ -58,8 +65,11 @@
         max_bytes: int,
         on_head: Callable[[ReplyHead], None] | None,
     ) -> None:
+        self._loop = loop
         self._max_bytes = max_bytes
         self._on_head = on_head
+        # When the head and the last bytes arrived.
+        self.head_s = self.data_s = loop.time()
         self.head: ReplyHead | None = None
         self.body = bytearray()
         self.ended: asyncio.Future[TransferEnd] = loop.create_future()
@@ -67,6 +77,7 @@
 
     def on_head(self, head: ReplyHead) -> None:
         self.head = head
+        self.head_s = self.data_s = self._loop.time()
         if self._on_head is not None:
             self._on_head(head)
 
@@ -76,6 +87,7 @@
             self.on_end(TransferEnd.BROKEN, message)
             return
         self.body += data
+        self.data_s = self._loop.time()
 
     def on_end(self, end: TransferEnd, message: str) -> None:
         if not self.ended.done():
@@ -88,18 +100,21 @@
     call: TransferCall,
     timeout_ms: float,
     on_head: Callable[[ReplyHead], None] | None = None,
+    silence_ms: float = 0.0,
 ) -> Result[FetchedReply, FetchError]:
     """Make one call; raises nothing but CancelledError.
 
     A reply that is longer than the loop's limit is an error. `on_head` gets
-    the head as it arrives, also if the rest of the reply never does.
+    the head as it arrives, also if the rest of the reply never does. A reply
+    that has begun may take longer than the timeout while it is not silent for
+    `silence_ms` and arrives with `MIN_BYTES_PER_S` on average.
     """
     collector = _Collector(
         asyncio.get_running_loop(), loop.max_reply_bytes, on_head
     )
     transfer = loop.start(call, collector)
     try:
-        in_time = await wait_done(collector.ended, timeout_ms / 1000.0)
+        in_time = await _wait_for_end(collector, timeout_ms, silence_ms)
     finally:
         transfer.cancel()
     if not in_time:
@@ -121,4 +136,23 @@
                 received_bytes=len(collector.body),
             )
         )
-    return Ok(FetchedReply(collector.head, bytes(collector.body)))
+    body_ms = (asyncio.get_running_loop().time() - collector.head_s) * 1000.0
+    return Ok(FetchedReply(collector.head, bytes(collector.body), body_ms))
+
+
+async def _wait_for_end(
+    collector: _Collector, timeout_ms: float, silence_ms: float
+) -> bool:
+    """Return whether the reply ended before its time was over."""
+    time = asyncio.get_running_loop().time
+    timeout_at_s = time() + timeout_ms / 1000.0
+    until_s = timeout_at_s
+    while not await wait_done(collector.ended, until_s - time()):
+        if collector.head is None or not silence_ms:
+            return False
+        silent_at_s = collector.data_s + silence_ms / 1000.0
+        slow_at_s = timeout_at_s + len(collector.body) / MIN_BYTES_PER_S
+        until_s = max(timeout_at_s, min(silent_at_s, slow_at_s))
+        if time() >= until_s:
+            return False
+    return True
