Send large records between entries in parts, and what changed only

Callers saw requests handled by a configuration that had been replaced seconds before, and by keys that had been taken away (CONFIG, DENIED).

Cause: an entry's answer to a peer had the whole configuration in it, and the peer had 500 ms for it. On a link of 5 or 10 Mbit/s it was given up, its connection closed, and the next peer asked, which filled both links again. Open work and losses, which are in the same answer, were lost with it. An entry also answered several peers at once, and each new version began anew.

Change: an answer names records of more than 16 KiB, and the peer asks for them in parts of 32 KiB, compressed, as differences from the version that it has. One entry is asked at a time; after a second of silence the next one goes on at the same byte. A transfer is finished before that of a newer version. An entry serves two others at a time. Entries of older builds get and send records as before; an answer that is still arriving is waited for.

--- a/tests/platform/test_large_state.py
+++ b/tests/platform/test_large_state.py
@@ -95,6 +95,7 @@
             lambda connected: None,
             self.ctx.freshness,
             self,
+            lambda: self.peers.is_receiving,
         )
         self._sync.start()
         self._task = asyncio.ensure_future(self.peers.run())
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+from dataclasses import dataclass
 import logging
 import random
 import secrets
@@ -27,6 +28,9 @@
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.peer_rotation import PeerRotation
+from wigeonmill.gateway.record_fetcher import RecordFetcher
+from wigeonmill.gateway.record_sender import is_large
+from wigeonmill.gateway.record_sender import RecordSender
 from wigeonmill.gateway.revisions import era_of
 from wigeonmill.gateway.revisions import position
 from wigeonmill.gateway.revisions import revision_of
@@ -46,6 +50,7 @@
 from wigeonmill.protocol.gen.inner.ttypes import OpenWork
 from wigeonmill.protocol.gen.inner.ttypes import PartOutcome
 from wigeonmill.protocol.gen.inner.ttypes import PartQuarantine
+from wigeonmill.protocol.gen.inner.ttypes import RecordPart
 from wigeonmill.protocol.gen.inner.ttypes import StoreRecord
 from wigeonmill.protocol.gen.inner.ttypes import TargetLoss
 from wigeonmill.protocol.handshake import InnerKeys
@@ -69,6 +74,21 @@
 Handler = Callable[[Envelope], Envelope | None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Update:
+    """Records of a peer, of which large ones are still to be fetched.
+
+    With these, the copy is complete up to `complete`. With `listing` they are
+    all present records.
+    """
+
+    sender: str
+    records: list[Record]
+    large: list[tuple[str, int]]
+    complete: int
+    listing: bool
+
+
 class Peers:
     """Exchanges updates with the other entries over the inner protocol."""
 
@@ -112,7 +132,13 @@
         # requests it is also sent what others observed, up to the last number.
         self._sent_losses: dict[str, tuple[int, int, int]] = {}
         self._replied_losses: dict[str, tuple[Conn, int]] = {}
-        self._handlers: dict[int, Handler] = {}
+        self._sender = RecordSender(ctx.clock, ctx.metrics, name, mirror)
+        self._fetcher = RecordFetcher(
+            ctx.clock, ctx.metrics, name, mirror, self.request, self._complete
+        )
+        # The newest update whose large records are still being fetched.
+        self._incomplete: _Update | None = None
+        self._handlers: dict[int, Handler] = {Kind.RECORD_PART: self._on_part}
         self._pool = PeerPool(self._make_client)
         self._server = InnerServer(
             name,
@@ -130,9 +156,15 @@
 
     def close(self) -> None:
         """Close every connection."""
+        self._fetcher.close()
         self._server.close_all()
         self._pool.close()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a large record is arriving from a peer."""
+        return self._fetcher.is_receiving
+
     def handle(self, kind: int, handler: Handler) -> None:
         """Pass messages of another kind to `handler`."""
         self._handlers[kind] = handler
@@ -214,6 +246,7 @@
         self._in_flight.add(address)
         try:
             update = self._build_update(None)
+            update.records_apart = True if ask else None
             last_number = self._ctx.loss_log.last_number
             told, known, all_to = self._sent_losses.get(
                 address, (None, 0, last_number)
@@ -252,7 +285,7 @@
                     last_loss, all_to = 0, last_number
                 self._sent_losses[address] = (process, last_loss, all_to)
                 self._record_domain(address, answer.failure_domain)
-                self._apply_update(answer)
+                self._apply_update(answer, address)
                 apply_claims(
                     self._ctx.demand_shares,
                     answer.sender,
@@ -286,7 +319,9 @@
         if envelope.kind != Kind.ENTRY_NEWS or update is None:
             return
         self._apply_update(update)
-        answer = self._build_update(self._requested_after(update))
+        answer = self._build_update(
+            self._requested_after(update), bool(update.records_apart)
+        )
         answer.demand_claims = claims_to_wire(self._ctx.demand_shares) or None
         told, known = self._replied_losses.get(update.sender, (conn, 0))
         if told is not conn:
@@ -317,7 +352,26 @@
             _log_malformed(update, exc)
             return None
 
-    def _build_update(self, known_to: int | None) -> EntryNews:
+    def _on_part(self, envelope: Envelope) -> Envelope | None:
+        """Answer a peer that asks for a part of a large record."""
+        asked = envelope.record_part
+        if asked is None:
+            return None
+        return Envelope(
+            Kind.RECORD_PART_REPLY,
+            envelope.stream,
+            0,
+            record_part=self._sender.answer(asked),
+        )
+
+    def _build_update(
+        self, known_to: int | None, records_apart: bool = False
+    ) -> EntryNews:
+        """Return an update, with the changes after `known_to` if it is set.
+
+        With `records_apart`, large records are only named.
+        """
+        large: list[Record] = []
         records: list[Record] = []
         listing = False
         complete = self._mirror.complete
@@ -327,6 +381,9 @@
                 records = self._mirror.present()
             else:
                 records, complete = self._mirror.changes_since(known_to)
+        if records_apart:
+            large = [record for record in records if is_large(record)]
+            records = [record for record in records if not is_large(record)]
         return EntryNews(
             sender=self._name,
             known_to=revision_of(self._mirror.complete),
@@ -335,6 +392,7 @@
             records_to=revision_of(complete) if known_to is not None else 0,
             store_era=era_of(self._mirror.complete),
             listing=listing or None,
+            large_records=self._sender.announce(large) or None,
             copy_age_ms=self._ctx.freshness.age_ms,
             limits=self._limits.to_send() or None,
             failure_domain=self._domain or None,
@@ -384,7 +442,8 @@
             if target.load.own_runs() or pace_to_send(target)
         ]
 
-    def _apply_update(self, update: EntryNews) -> None:
+    def _apply_update(self, update: EntryNews, source: str = '') -> None:
+        """Apply an update; `source` is the address of its sender."""
         self._apply_open_work(update)
         shares = update.served_work or ()
         apply_shares(self._ctx.team_shares, update.sender, shares)
@@ -403,9 +462,9 @@
         for quarantine in update.part_quarantines or ():
             age_ms = max(0, quarantine.age_ms or 0)
             guard.adopt(quarantine.parts or (), age_ms, 'peer')
-        self._apply_records(update)
+        self._apply_records(update, source)
 
-    def _apply_records(self, update: EntryNews) -> None:
+    def _apply_records(self, update: EntryNews, source: str) -> None:
         """Apply the records of a peer whose copy is more complete."""
         if not update.records_to:
             return
@@ -415,25 +474,56 @@
             records = [
                 _from_wire(record, era) for record in update.records or ()
             ]
+            large = [
+                _named_record(part) for part in update.large_records or ()
+            ]
         except ValueError as exc:
             _log_malformed(update, exc)
             return
-        if complete > self._mirror.complete:
-            if update.listing:
-                count = self._mirror.replace(records, complete)
-            else:
-                count = self._mirror.merge(records, complete)
-            if count:
-                logger.info(
-                    'changes received from a peer',
-                    extra={
-                        'entry': update.sender,
-                        'count': count,
-                        'complete': update.records_to,
-                        'era': era,
-                        'bytes': sum(len(r.value or b'') for r in records),
-                    },
-                )
+        if complete <= self._mirror.complete:
+            return
+        received = _Update(
+            update.sender, records, large, complete, bool(update.listing)
+        )
+        if self._apply_complete(received):
+            return
+        if not received.listing:
+            self._mirror.apply(records)
+        self._incomplete = received
+        for key, at in large:
+            self._fetcher.fetch(key, at, source)
+
+    def _complete(self) -> None:
+        """Apply an update whose large records have arrived."""
+        update = self._incomplete
+        if update is not None and self._apply_complete(update):
+            self._incomplete = None
+
+    def _apply_complete(self, update: _Update) -> bool:
+        """Apply an update; return False if a large record is missing."""
+        if not all(self._fetcher.has(key, at) for key, at in update.large):
+            return False
+        if update.complete <= self._mirror.complete:
+            return True
+        if update.listing:
+            known = [self._fetcher.record(key) for key, _at in update.large]
+            listed = [*update.records, *(record for record in known if record)]
+            count = self._mirror.replace(listed, update.complete)
+        else:
+            count = self._mirror.merge(update.records, update.complete)
+        if count or update.large:
+            logger.info(
+                'changes received from a peer',
+                extra={
+                    'entry': update.sender,
+                    'count': count,
+                    'complete': revision_of(update.complete),
+                    'era': era_of(update.complete),
+                    'bytes': sum(len(r.value or b'') for r in update.records),
+                    'large': len(update.large),
+                },
+            )
+        return True
 
     def _record_domain(self, address: str, domain: str | None) -> None:
         """Record where a peer is; older entries do not say it."""
@@ -509,6 +599,13 @@
     )
 
 
+def _named_record(part: RecordPart) -> tuple[str, int]:
+    """Return the key and position of a large record that a peer names."""
+    if not part.key:
+        raise ValueError('a record without a key')
+    return part.key, position(part.store_era or 0, part.revision or 0)
+
+
 def _from_wire(record: StoreRecord, era: int) -> Record:
     value = None if record.removed else record.value
     return Record(record.key, position(era, record.revision), value)
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -176,6 +176,7 @@
             self._on_connection_change,
             self._ctx.freshness,
             self._entries,
+            lambda: self._peers.is_receiving,
         )
         self._registration = Registration(
             adapter.keys, clock, settings.process, settings.inner
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -132,7 +132,14 @@
         on_connection_change: Callable[[bool], None],
         freshness: Freshness,
         entries: FleetEntries,
+        is_receiving: Callable[[], bool] = lambda: False,
     ) -> None:
+        """Create the synchronization of an entry.
+
+        While it `is_receiving` a large record from a peer, an entry that is
+        no reader does not get the same from the service.
+        """
+        self._is_receiving = is_receiving
         self._source = source
         self._mirror = mirror
         self._clock = clock
@@ -235,7 +242,9 @@
         )
 
     def _is_stale(self) -> bool:
-        return self._freshness.age_ms > STALE_COPY_MS
+        return (
+            self._freshness.age_ms > STALE_COPY_MS and not self._is_receiving()
+        )
 
     def _has_gap(self) -> bool:
         """Whether changes may have come since the last watch ended."""
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -66,9 +66,14 @@
         self._conn.send(envelope)
 
     async def receive(self, timeout_ms: float) -> Result[Envelope, PeerError]:
-        """Return the next answer, or an error if there is none."""
+        """Return the next answer, or an error if there is none.
+
+        While a long message arrives on the connection, no timeout ends.
+        """
         if not self._received and not self._ended:
-            if not await self._wait(timeout_ms):
+            while not await self._wait(timeout_ms):
+                if self._conn.is_receiving(timeout_ms):
+                    continue
                 error = PeerError(PeerErrorKind.TIMEOUT, 'no answer in time')
                 return Err(error)
         if self._received:
--- a/wigeonmill/protocol/conn.py
+++ b/wigeonmill/protocol/conn.py
@@ -21,6 +21,8 @@
 HIGH_WATER_BYTES = 1 << 20
 
 READ_CHUNK_BYTES = 65536
+# The slowest transfer of a frame that counts as one.
+MIN_BYTES_PER_S = 8 * 1024
 
 OnEnvelope = Callable[['Conn', Envelope], None]
 
@@ -50,6 +52,8 @@
         'on_drain',
         '_traffic',
         '_read_buffer',
+        '_read_s',
+        '_frame_began_s',
         '_received',
         '_write_buffer',
         '_writing',
@@ -67,6 +71,8 @@
         self.closed = False
         self.on_drain: Callable[[], None] | None = None
         self._read_buffer = bytearray()
+        # When bytes were read last, and when the incomplete frame began.
+        self._read_s = self._frame_began_s = 0.0
         self._received: collections.deque[Envelope] = collections.deque()
         self._write_buffer = bytearray()
         self._writing = False
@@ -85,6 +91,20 @@
         """Bytes received of a frame that is not complete."""
         return len(self._read_buffer)
 
+    def is_receiving(self, within_ms: float) -> bool:
+        """Whether a part of an incomplete frame has come lately.
+
+        It arrived in the last `within_ms`, at the least rate or a higher one.
+        """
+        now_s = asyncio.get_running_loop().time()
+        frame_s = now_s - self._frame_began_s
+        return (
+            not self.closed
+            and bool(self._read_buffer)
+            and (now_s - self._read_s) * 1000.0 < within_ms
+            and len(self._read_buffer) >= MIN_BYTES_PER_S * frame_s
+        )
+
     @property
     def congested(self) -> bool:
         """Whether senders should wait for `on_drain`."""
@@ -139,6 +159,9 @@
         except (StreamClosedError, ssl.SSLError):
             return False
         self._traffic.received_bytes += len(data)
+        self._read_s = asyncio.get_running_loop().time()
+        if not self._read_buffer:
+            self._frame_began_s = self._read_s
         self._read_buffer += data
         start = 0
         while True:
@@ -158,6 +181,8 @@
                 return False
             self._received.append(envelope.unwrap())
             start = end
+        if start:
+            self._frame_began_s = self._read_s
         del self._read_buffer[:start]
         return True
 
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -45,6 +45,8 @@
     STREAM_ORIGINS = 62
     STREAM_ORIGINS_REPLY = 63
     SOFTWARE_ROLLOUT = 64
+    RECORD_PART = 65
+    RECORD_PART_REPLY = 66
 
     _VALUES_TO_NAMES = {
         1: "CHALLENGE",
@@ -75,6 +77,8 @@
         62: "STREAM_ORIGINS",
         63: "STREAM_ORIGINS_REPLY",
         64: "SOFTWARE_ROLLOUT",
+        65: "RECORD_PART",
+        66: "RECORD_PART_REPLY",
     }
 
     _NAMES_TO_VALUES = {
@@ -106,6 +110,8 @@
         "STREAM_ORIGINS": 62,
         "STREAM_ORIGINS_REPLY": 63,
         "SOFTWARE_ROLLOUT": 64,
+        "RECORD_PART": 65,
+        "RECORD_PART_REPLY": 66,
     }
 
 
@@ -4726,6 +4732,182 @@
         return not (self == other)
 
 
+class RecordPart(object):
+    """
+    Attributes:
+     - sender
+     - key
+     - revision
+     - store_era
+     - basis
+     - offset
+     - size
+     - digest
+     - data
+     - refusal
+
+    """
+
+    __slots__ = (
+        'sender',
+        'key',
+        'revision',
+        'store_era',
+        'basis',
+        'offset',
+        'size',
+        'digest',
+        'data',
+        'refusal',
+    )
+
+
+    def __init__(self, sender=None, key=None, revision=None, store_era=None, basis=None, offset=None, size=None, digest=None, data=None, refusal=None,):
+        self.sender = sender
+        self.key = key
+        self.revision = revision
+        self.store_era = store_era
+        self.basis = basis
+        self.offset = offset
+        self.size = size
+        self.digest = digest
+        self.data = data
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.store_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.basis = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.size = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.refusal = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RecordPart')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 1)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.store_era is not None:
+            oprot.writeFieldBegin('store_era', TType.I64, 4)
+            oprot.writeI64(self.store_era)
+            oprot.writeFieldEnd()
+        if self.basis is not None:
+            oprot.writeFieldBegin('basis', TType.I64, 5)
+            oprot.writeI64(self.basis)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 6)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.size is not None:
+            oprot.writeFieldBegin('size', TType.I64, 7)
+            oprot.writeI64(self.size)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 8)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 9)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRING, 10)
+            oprot.writeString(self.refusal.encode('utf-8') if sys.version_info[0] == 2 else self.refusal)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EntryNews(object):
     """
     Attributes:
@@ -4749,6 +4931,8 @@
      - served_work
      - demand_claims
      - store_era
+     - records_apart
+     - large_records
 
     """
 
@@ -4773,10 +4957,12 @@
         'failure_domain',
         'leaving',
         'store_era',
+        'records_apart',
+        'large_records',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None, silences=None, leaving=None, failure_domain=None, served_work=None, demand_claims=None, store_era=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None, silences=None, leaving=None, failure_domain=None, served_work=None, demand_claims=None, store_era=None, records_apart=None, large_records=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -4797,6 +4983,8 @@
         self.served_work = served_work
         self.demand_claims = demand_claims
         self.store_era = store_era
+        self.records_apart = records_apart
+        self.large_records = large_records
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4985,6 +5173,22 @@
                     self.store_era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.BOOL:
+                    self.records_apart = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.LIST:
+                    self.large_records = []
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = RecordPart()
+                        _elem207.read(iprot)
+                        self.large_records.append(_elem207)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5114,6 +5318,17 @@
             oprot.writeFieldBegin('store_era', TType.I64, 21)
             oprot.writeI64(self.store_era)
             oprot.writeFieldEnd()
+        if self.records_apart is not None:
+            oprot.writeFieldBegin('records_apart', TType.BOOL, 22)
+            oprot.writeBool(self.records_apart)
+            oprot.writeFieldEnd()
+        if self.large_records is not None:
+            oprot.writeFieldBegin('large_records', TType.LIST, 23)
+            oprot.writeListBegin(TType.STRUCT, len(self.large_records))
+            for iter208 in self.large_records:
+                iter208.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5417,6 +5632,7 @@
      - status
      - entry_news
      - stream_origins
+     - record_part
 
     """
 
@@ -5447,10 +5663,11 @@
         'claim_reply',
         'entry_news',
         'stream_origins',
+        'record_part',
     )
 
 
-    def __init__(self, kind=None, stream=None, config_serial=None, challenge=None, hello=None, welcome=None, offer_request=None, offer=None, release=None, run=None, run_accepted=None, chunk=None, run_end=None, refused=None, cancel=None, resume=None, ack=None, call=None, call_reply=None, claim_call=None, claim_reply=None, gossip=None, status_request=None, status=None, entry_news=None, stream_origins=None,):
+    def __init__(self, kind=None, stream=None, config_serial=None, challenge=None, hello=None, welcome=None, offer_request=None, offer=None, release=None, run=None, run_accepted=None, chunk=None, run_end=None, refused=None, cancel=None, resume=None, ack=None, call=None, call_reply=None, claim_call=None, claim_reply=None, gossip=None, status_request=None, status=None, entry_news=None, stream_origins=None, record_part=None,):
         self.kind = kind
         self.stream = stream
         self.config_serial = config_serial
@@ -5477,6 +5694,7 @@
         self.status = status
         self.entry_news = entry_news
         self.stream_origins = stream_origins
+        self.record_part = record_part
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5640,6 +5858,12 @@
                     self.stream_origins.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 33:
+                if ftype == TType.STRUCT:
+                    self.record_part = RecordPart()
+                    self.record_part.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5754,6 +5978,10 @@
             oprot.writeFieldBegin('stream_origins', TType.STRUCT, 32)
             self.stream_origins.write(oprot)
             oprot.writeFieldEnd()
+        if self.record_part is not None:
+            oprot.writeFieldBegin('record_part', TType.STRUCT, 33)
+            self.record_part.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6124,6 +6352,20 @@
     (4, TType.BOOL, 'bad', None, None, ),  # 4
     (5, TType.LIST, 'counts', (TType.STRUCT, [VersionCount, None], False), None, ),  # 5
 )
+all_structs.append(RecordPart)
+RecordPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.I64, 'store_era', None, None, ),  # 4
+    (5, TType.I64, 'basis', None, None, ),  # 5
+    (6, TType.I64, 'offset', None, None, ),  # 6
+    (7, TType.I64, 'size', None, None, ),  # 7
+    (8, TType.STRING, 'digest', 'BINARY', None, ),  # 8
+    (9, TType.STRING, 'data', 'BINARY', None, ),  # 9
+    (10, TType.STRING, 'refusal', 'UTF8', None, ),  # 10
+)
 all_structs.append(EntryNews)
 EntryNews.thrift_spec = (
     None,  # 0
@@ -6148,6 +6390,8 @@
     None,  # 19
     (20, TType.LIST, 'leaving', (TType.STRUCT, [LeavingTarget, None], False), None, ),  # 20
     (21, TType.I64, 'store_era', None, None, ),  # 21
+    (22, TType.BOOL, 'records_apart', None, None, ),  # 22
+    (23, TType.LIST, 'large_records', (TType.STRUCT, [RecordPart, None], False), None, ),  # 23
 )
 all_structs.append(StreamOrigin)
 StreamOrigin.thrift_spec = (
@@ -6202,6 +6446,7 @@
     (30, TType.STRUCT, 'claim_reply', [ClaimReply, None], None, ),  # 30
     (31, TType.STRUCT, 'entry_news', [EntryNews, None], None, ),  # 31
     (32, TType.STRUCT, 'stream_origins', [StreamOrigins, None], None, ),  # 32
+    (33, TType.STRUCT, 'record_part', [RecordPart, None], None, ),  # 33
 )
 fix_spec(all_structs)
 del all_structs
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -33,6 +33,8 @@
   STREAM_ORIGINS = 62
   STREAM_ORIGINS_REPLY = 63
   SOFTWARE_ROLLOUT = 64
+  RECORD_PART = 65
+  RECORD_PART_REPLY = 66
 }
 
 // First message of the accepting side: the nonce for the client's proof.
@@ -398,6 +400,24 @@
   5: list<VersionCount> counts
 }
 
+// A part of a large record of the key-value service, encoded with zlib. A
+// request names the record, the revision of the record that the sender has
+// (basis, 0: none) and the offset of the part. The answer has the data from
+// there, the size of the whole, its digest, and the basis that it is encoded
+// against; or a refusal. In EntryNews, size is that of the value.
+struct RecordPart {
+  1: string sender
+  2: string key
+  3: i64 revision
+  4: i64 store_era
+  5: i64 basis
+  6: i64 offset
+  7: optional i64 size
+  8: optional binary digest
+  9: optional binary data
+  10: optional string refusal
+}
+
 // An update from one entry to another. known_to is the revision up to which
 // the sender knows every change of the key-value service. The answer holds the
 // records after the requester's known_to, complete up to records_to. With
@@ -405,6 +425,8 @@
 // are no longer kept. copy_age_ms is the time since the sender's copy of the
 // key-value service was known to be complete up to its known_to. All revisions
 // are of the era store_era; older entries, which know no eras, do not send it.
+// If the requester sets records_apart, large records are only named in
+// large_records, and the requester gets them by RECORD_PART.
 struct EntryNews {
   1: string sender
   2: i64 known_to
@@ -426,6 +448,8 @@
   16: optional list<ServedWork> served_work
   17: optional list<DemandClaim> demand_claims
   21: optional i64 store_era
+  22: optional bool records_apart
+  23: optional list<RecordPart> large_records
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
@@ -479,4 +503,5 @@
   28: optional Status status
   31: optional EntryNews entry_news
   32: optional StreamOrigins stream_origins
+  33: optional RecordPart record_part
 }
