Read the key-value service at the entries with fast links

Cause: the entries that read the service for the others were selected without regard to their links.

Change: an entry's record has the rate of its link, from the setting link_mbps, and the selection of readers is weighted by it. Entries of older builds select evenly, so that while builds are mixed there are more readers.

--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -1,10 +1,13 @@
 import asyncio
 
+import msgspec
 import pytest
 
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.own_records import ENTRY_PREFIX
+from wigeonmill.gateway.own_records import EntryRecord
+from wigeonmill.gateway.registration import EntriesByLink
 from wigeonmill.gateway.registration import EntryList
 from wigeonmill.gateway.registration import LEASE_TERM_MS
 from wigeonmill.gateway.registration import Registration
@@ -143,3 +146,41 @@
     entries.update(Record(ENTRY_PREFIX + 'b', 2, value))
     entries.update(Record(ENTRY_PREFIX + 'c', 3, value))
     assert entries.peers() == {}
+
+
+def make_entries(own_name, links_mbps):
+    entries = EntryList(ManualClock(0.0), own_name, 1, links_mbps[own_name])
+    for name, link_mbps in links_mbps.items():
+        value = msgspec.json.encode(EntryRecord('127.0.0.1:1', link_mbps))
+        entries.update(Record(ENTRY_PREFIX + name, 1, value))
+    return entries
+
+
+# Guards against CONFIG: a large configuration came through readers whose
+# links took seconds for it, beside entries with fast links.
+def test_entries_with_fast_links_are_selected_first():
+    links_mbps = {f'e{n}': 200.0 if n < 6 else 5.0 for n in range(27)}
+    selected = {
+        name
+        for name in links_mbps
+        if EntriesByLink(make_entries(name, links_mbps)).is_selected('r', 8)
+    }
+    assert len(selected) == 8
+    assert {f'e{n}' for n in range(6)} <= selected
+
+
+@pytest.mark.parametrize('link_mbps', [0.0, -3.0])
+def test_entries_are_selected_evenly_if_no_link_is_known(link_mbps):
+    links_mbps = dict.fromkeys(('a', 'b', 'c', 'd'), link_mbps)
+    for name in links_mbps:
+        entries = make_entries(name, links_mbps)
+        for key in ('r', 's', 't'):
+            by_link = EntriesByLink(entries).is_selected(key, 2)
+            assert by_link == entries.is_selected(key, 2)
+
+
+def test_a_record_of_an_older_build_names_no_link():
+    entries = EntryList(ManualClock(0.0), 'a', 1)
+    value = b'{"address": "127.0.0.1:1"}'
+    entries.update(Record(ENTRY_PREFIX + 'b', 1, value))
+    assert entries.peers() == {'b': '127.0.0.1:1'}
--- a/wigeonmill/gateway/own_records.py
+++ b/wigeonmill/gateway/own_records.py
@@ -23,9 +23,13 @@
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
-    """An entry and its inner address (IP:port)."""
+    """An entry, its inner address (IP:port) and the rate of its link.
+
+    The rate is 0 if it is not known, as in records of older builds.
+    """
 
     address: str
+    link_mbps: float = 0.0
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
--- a/wigeonmill/gateway/registration.py
+++ b/wigeonmill/gateway/registration.py
@@ -26,6 +26,8 @@
 # An entry that is no longer listed is still counted for this long, because it
 # may be running without a connection to the key-value service.
 UNLISTED_GRACE_MS = 15_000.0
+# The rate that counts for a link that is slower or unknown.
+LEAST_LINK_MBPS = 1.0
 
 
 class Registration:
@@ -42,12 +44,17 @@
     )
 
     def __init__(
-        self, keys: LeasedKeys, clock: Clock, entry: str, address: str
+        self,
+        keys: LeasedKeys,
+        clock: Clock,
+        entry: str,
+        address: str,
+        link_mbps: float = 0.0,
     ) -> None:
         self._keys = keys
         self._clock = clock
         self._key = ENTRY_PREFIX + entry
-        self._value = msgspec.json.encode(EntryRecord(address))
+        self._value = msgspec.json.encode(EntryRecord(address, link_mbps))
         self._lease = 0
         self._due_ms = 0.0
         # How often the key-value service lost all leases.
@@ -122,20 +129,29 @@
         '_clock',
         '_own_name',
         '_addresses',
+        '_links_mbps',
         '_unlisted_at_ms',
         '_min_count',
         '_selected',
         '_position',
     )
 
-    def __init__(self, clock: Clock, own_name: str, min_count: int) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        own_name: str,
+        min_count: int,
+        own_link_mbps: float = 0.0,
+    ) -> None:
         self._clock = clock
         self._own_name = own_name
         self._addresses: dict[str, str] = {}
+        # Known rates of the links of entries.
+        self._links_mbps = {own_name: own_link_mbps}
         self._unlisted_at_ms: dict[str, float] = {}
         self._min_count = min_count
         # Results of `is_selected` for the current list, by its arguments.
-        self._selected: dict[tuple[str, int], bool] = {}
+        self._selected: dict[tuple[str, int, bool], bool] = {}
         self._position: float | None = None
 
     def update(self, record: Record) -> None:
@@ -148,10 +164,13 @@
             logger.warning('malformed record', extra={'key': record.key})
             found = None
         if found is None:
+            if name != self._own_name:
+                self._links_mbps.pop(name, None)
             if self._addresses.pop(name, None) is not None:
                 self._unlisted_at_ms[name] = self._clock.now_ms()
             return
         self._addresses[name] = found.address
+        self._links_mbps[name] = found.link_mbps
         self._unlisted_at_ms.pop(name, None)
 
     def peers(self) -> dict[str, str]:
@@ -162,20 +181,27 @@
             if name != self._own_name
         }
 
-    def is_selected(self, key: str, count: int) -> bool:
+    def is_selected(self, key: str, count: int, by_link: bool = False) -> bool:
         """Whether this entry is one of `count` that are selected for `key`.
 
-        All entries make the same selection once they have the same list.
+        All entries make the same selection once they have the same list. With
+        `by_link`, those with fast links are preferred.
         """
-        known = self._selected.get((key, count))
+        known = self._selected.get((key, count, by_link))
         if known is None:
             names = {*self._addresses, self._own_name}
-            entries = [WeightedTarget(name, '') for name in names]
+            entries = [
+                WeightedTarget(name, '', self._weight(name) if by_link else 1)
+                for name in names
+            ]
             best = rank(key.encode(), entries, count)
             known = any(entry.name == self._own_name for entry in best)
-            self._selected[key, count] = known
+            self._selected[key, count, by_link] = known
         return known
 
+    def _weight(self, name: str) -> float:
+        return max(LEAST_LINK_MBPS, self._links_mbps.get(name, 0.0))
+
     def position(self) -> float:
         """Return the position of this entry in the list, from 0 to 1."""
         if self._position is None:
@@ -203,3 +229,24 @@
                 break
             del self._unlisted_at_ms[name]
         return max(self.tracked_names, self._min_count)
+
+
+class EntriesByLink:
+    """The entries, of which those with fast links are selected first.
+
+    Load: large records, which the selected entries read from the key-value
+    service and pass on to the others over their links.
+    """
+
+    __slots__ = ('_entries',)
+
+    def __init__(self, entries: EntryList) -> None:
+        self._entries = entries
+
+    def count(self) -> int:
+        """Return how many entries may be alive, this one included."""
+        return self._entries.count()
+
+    def is_selected(self, key: str, count: int) -> bool:
+        """Whether this entry is one of `count` that are selected for `key`."""
+        return self._entries.is_selected(key, count, by_link=True)
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -43,6 +43,7 @@
 from wigeonmill.gateway.part_records import PartQuarantinesPublisher
 from wigeonmill.gateway.peers import Peers
 from wigeonmill.gateway.picker import Picker
+from wigeonmill.gateway.registration import EntriesByLink
 from wigeonmill.gateway.registration import EntryList
 from wigeonmill.gateway.registration import Registration
 from wigeonmill.gateway.revisions import era_of
@@ -127,7 +128,10 @@
         self._stop = asyncio.Event()
         self._mirror = Mirror()
         self._entries = EntryList(
-            clock, settings.process, settings.expected_entries
+            clock,
+            settings.process,
+            settings.expected_entries,
+            settings.link_mbps,
         )
         limits = RetryLimits(
             settings.retry_ratio,
@@ -175,11 +179,15 @@
             self.metrics,
             self._on_connection_change,
             self._ctx.freshness,
-            self._entries,
+            EntriesByLink(self._entries),
             lambda: self._peers.is_receiving,
         )
         self._registration = Registration(
-            adapter.keys, clock, settings.process, settings.inner
+            adapter.keys,
+            clock,
+            settings.process,
+            settings.inner,
+            settings.link_mbps,
         )
         self._leadership = Leadership(
             adapter.keys,
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -41,6 +41,7 @@
     seeds: list[str] = []
     key_value: str
     key_value_ttl_min_ms: Milliseconds = 1_000.0
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     expected_entries: Annotated[int, msgspec.Meta(ge=1)] = 4
     idle_ms: Milliseconds = 15_000.0
     grace_ms: Milliseconds = 8_000.0
