Finish the requests of a process that is stopped while it starts

Cause: a gateway with hold_at_start listens before its imports, and SIGTERM had its default action until the loop handled it, a second later on a slow machine.

Change: a process that listens early notes the signal and drains once it runs. The drain's time counts from the signal, so that SIGKILL doesn't end it.

Result: three cases failed before with a reset connection; one that the process ends in time failed without counting from the signal.

--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -137,16 +137,60 @@
 # Load: all entries have lost power, and their callers return while the
 # processes still import. One that was refused has used up a retry.
 def test_a_caller_that_connects_during_the_imports_gets_its_answer(tmp_path):
+    check_early_caller(tmp_path, [])
+
+
+# Guards against LOST: SIGTERM ended a process that was still importing, and
+# closed the connections that it had not read.
+@pytest.mark.parametrize(
+    'signals',
+    [
+        [signal.SIGTERM],
+        [signal.SIGINT],
+        [signal.SIGTERM, signal.SIGTERM, signal.SIGHUP],
+    ],
+)
+def test_a_caller_gets_its_answer_if_the_process_is_stopped_meanwhile(
+    tmp_path, signals
+):
+    assert check_early_caller(tmp_path, signals) == 0
+
+
+# Guards against LOST: SIGKILL ended a drain, because the time before it was
+# counted from the end of the imports.
+def test_a_process_that_is_stopped_during_the_imports_ends_in_time(tmp_path):
+    grace_s = 5.0
+    process, callers = start_slowly(tmp_path, grace_ms=grace_s * 1_000.0)
+    try:
+        with connect_within(callers, 5.0) as conn:
+            conn.sendall(b'GET /a/x HTTP/1.1\r\nHost: h.example\r\n')
+            process.terminate()
+            process.wait(grace_s)
+    finally:
+        process.kill()
+
+
+def start_slowly(folder, **changes):
+    """Start a process that listens early; return it and the address."""
     callers = free_address()
     settings = msgspec.structs.replace(
-        SETTINGS, callers=callers, hold_at_start=True
+        SETTINGS, callers=callers, hold_at_start=True, **changes
     )
-    path = tmp_path / 'settings.json'
+    path = folder / 'settings.json'
     path.write_bytes(msgspec.json.encode(settings))
     env = os.environ | {'PYTHONPATH': str(ROOT), SETTINGS_VARIABLE: str(path)}
     process = subprocess.Popen(
         [sys.executable, '-c', SLOW_START], cwd=ROOT, env=env
     )
+    return process, callers
+
+
+def check_early_caller(tmp_path, signals):
+    """Send a request during the imports, then signals; return the exit code.
+
+    The process is stopped at the end if no signal has stopped it.
+    """
+    process, callers = start_slowly(tmp_path)
     try:
         with connect_within(callers, 5.0) as conn:
             # The imports take longer than that.
@@ -157,8 +201,12 @@
             conn.settimeout(0.3)
             with pytest.raises(TimeoutError):
                 conn.recv(1)
+            for number in signals:
+                process.send_signal(number)
             conn.settimeout(10.0)
             assert conn.recv(12) == b'HTTP/1.1 503'
+        if signals:
+            return process.wait(15.0)
     finally:
         process.terminate()
         process.wait(10.0)
--- a/wigeonmill/early_listener.py
+++ b/wigeonmill/early_listener.py
@@ -7,12 +7,15 @@
 
 from collections.abc import Sequence
 import json
+import signal
 import socket
+import time
 
 from wigeonmill.addresses import split_address
 
 # Maximum number of connections that wait to be accepted.
 BACKLOG = 1024
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def listen(address: str) -> socket.socket:
@@ -27,9 +30,34 @@
     return sock
 
 
+class StopRequest:
+    """When the process was first told to stop before its loop handled it."""
+
+    __slots__ = ('boot_ms',)
+
+    def __init__(self) -> None:
+        # On the clock that includes time spent suspended.
+        self.boot_ms: float | None = None
+
+    def hold_signals(self) -> None:
+        """Note signals to stop, until the loop handles them."""
+        for number in STOP_SIGNALS:
+            signal.signal(number, self._note)
+
+    def _note(self, _number: int, _frame: object) -> None:
+        if self.boot_ms is None:
+            self.boot_ms = time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
+# The process has one, as it has one set of signal handlers.
+EARLY_STOP = StopRequest()
+
+
 def listen_early(path: str, name: str, switch: str) -> socket.socket | None:
     """Listen at the address that the settings file at `path` has as `name`.
 
+    Signals to stop are only noted from then on: their default action would
+    close the connections of callers, which the process has not read yet.
     Return None if the setting `switch` is off or if that fails; the faults
     are reported once the settings are checked.
     """
@@ -38,7 +66,10 @@
             settings = json.load(file)
         for policy in settings.get('policies', ()):
             settings |= settings.get('by_policy', {}).get(policy, {})
-        return listen(settings[name]) if settings.get(switch) else None
+        if not settings.get(switch):
+            return None
+        EARLY_STOP.hold_signals()
+        return listen(settings[name])
     except (OSError, ValueError, LookupError, TypeError, AttributeError):
         return None
 
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -15,6 +15,8 @@
 from result import Result
 
 from wigeonmill.clock import Clock
+from wigeonmill.early_listener import EARLY_STOP
+from wigeonmill.early_listener import STOP_SIGNALS
 from wigeonmill.early_listener import take
 from wigeonmill.gateway.adapter import Adapter
 from wigeonmill.gateway.allowances import RetryLimits
@@ -371,6 +373,8 @@
         Their callers then connect to other entries.
         """
         started_ms = self._clock.now_ms()
+        if EARLY_STOP.boot_ms is not None:
+            started_ms -= self._clock.boot_ms() - EARLY_STOP.boot_ms
         self._server.draining = True
         logger.info('draining', extra={'open': self._server.open_requests})
         grace_ms = self._settings.grace_ms
@@ -585,8 +589,10 @@
 
     def _install_signals(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self._stop.set)
+        if EARLY_STOP.boot_ms is not None:
+            self._stop.set()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
     def _reload(self, retries: int = MAX_RELOAD_RETRIES) -> None:
