Count a continued listing as old as its first page

Found by reading: a listing that continued an earlier one made the copy count as current up to the later call, though its first pages lack changes made between. A gateway could then take up a stream at the only software version that it knew.

Only updates wait for a long message on their connection, not the search for a stream's origin.

--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+import pytest
 from result import Err
 from result import Ok
 
@@ -316,3 +317,44 @@
         assert states == [False, True]
 
     with_sync(check, error=KvError(KvErrorKind.UNAVAILABLE, 'down'))
+
+
+# Guards against TWICE: a listing that continued an earlier one lacks changes
+# that its first pages came before, but counted as made after the call.
+@pytest.mark.parametrize('age_ms', [0.0, 60_000.0])
+def test_a_copy_is_current_only_to_the_begin_of_its_listing(age_ms):
+    class Source(FakeSource):
+        async def listing(self):
+            found = (await super().listing()).unwrap()
+            return Ok(Changes(found.records, found.revision, age_ms))
+
+        async def changes(self, after, wait_ms, fresh):
+            await asyncio.sleep(0.001)
+            return Err(KvError(KvErrorKind.UNAVAILABLE, 'status 503'))
+
+    async def run():
+        clock = Clock()
+        freshness = Freshness(clock)
+        mirror = Mirror()
+        sync = MirrorSync(
+            Source(),
+            mirror,
+            clock,
+            random.Random(1),
+            Metrics(),
+            lambda connected: None,
+            freshness,
+            OneEntry(),
+        )
+        before_ms = clock.boot_ms()
+        sync.start()
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                while not mirror.complete:
+                    await asyncio.sleep(0.001)
+            assert await sync.confirm(before_ms, 50.0) == (age_ms == 0.0)
+            assert freshness.age_ms >= age_ms
+        finally:
+            sync.close()
+
+    asyncio.run(run())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,3 +1,4 @@
+import asyncio
 import base64
 
 import pytest
@@ -62,9 +63,12 @@
 
     async def check(store, standin):
         assert (await store.listing()).is_err()
+        await asyncio.sleep(0.05)
         found = (await store.listing()).unwrap()
         assert [record.key for record in found.records] == ['op/a', 'op/b']
         assert found.revision == 9
+        # The copy is as old as the first page.
+        assert found.age_ms >= 50.0
         asked = [call.query.get('after', '') for call in standin.calls]
         assert asked == ['', 'op/a', 'op/a']
 
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -260,7 +260,9 @@
             requested_ms = self._ctx.clock.now_ms()
             requested_boot_ms = self._ctx.clock.boot_ms()
             client = self._pool.get(address)
-            reply = await client.request(envelope, UPDATE_TIMEOUT_MS)
+            reply = await client.request(
+                envelope, UPDATE_TIMEOUT_MS, while_receiving=True
+            )
             if isinstance(reply, Err):
                 error = reply.err_value
                 self._ctx.metrics.count('entry_news_failed', error.kind.value)
--- a/wigeonmill/gateway/sync.py
+++ b/wigeonmill/gateway/sync.py
@@ -76,7 +76,8 @@
 class Changes:
     """Current and removed records, complete up to the position `revision`.
 
-    The service began to send them `age_ms` ago.
+    The service began to send them `age_ms` ago, which is before the call if
+    that continued an earlier one.
     """
 
     records: tuple[Record, ...]
@@ -257,8 +258,10 @@
             found = outcome.ok_value
             self._log_transfer(found, self._clock.boot_ms() - sent_boot_ms)
             stalled_ms += found.age_ms
+            took_ms = self._clock.boot_ms() - sent_boot_ms
             self._mirror.replace(found.records, found.revision)
-            self._current_to_ms = max(self._current_to_ms, sent_boot_ms)
+            if found.age_ms <= took_ms:
+                self._current_to_ms = max(self._current_to_ms, sent_boot_ms)
         return outcome, stalled_ms
 
     async def _watch_once(
--- a/wigeonmill/protocol/client.py
+++ b/wigeonmill/protocol/client.py
@@ -65,14 +65,17 @@
         envelope.config_serial = self._client.config_serial()
         self._conn.send(envelope)
 
-    async def receive(self, timeout_ms: float) -> Result[Envelope, PeerError]:
+    async def receive(
+        self, timeout_ms: float, while_receiving: bool = False
+    ) -> Result[Envelope, PeerError]:
         """Return the next answer, or an error if there is none.
 
-        While a long message arrives on the connection, no timeout ends.
+        With `while_receiving`, no timeout ends while a long message arrives
+        on the connection.
         """
         if not self._received and not self._ended:
             while not await self._wait(timeout_ms):
-                if self._conn.is_receiving(timeout_ms):
+                if while_receiving and self._conn.is_receiving(timeout_ms):
                     continue
                 error = PeerError(PeerErrorKind.TIMEOUT, 'no answer in time')
                 return Err(error)
@@ -173,15 +176,18 @@
         return Ok(stream)
 
     async def request(
-        self, envelope: Envelope, timeout_ms: float
+        self,
+        envelope: Envelope,
+        timeout_ms: float,
+        while_receiving: bool = False,
     ) -> Result[Envelope, PeerError]:
-        """Send a request and return its single answer."""
+        """Send a request and return its single answer (see `receive`)."""
         opened = await self.open(envelope)
         if opened.is_err():
             return Err(opened.unwrap_err())
         stream = opened.unwrap()
         try:
-            return await stream.receive(timeout_ms)
+            return await stream.receive(timeout_ms, while_receiving)
         finally:
             stream.close()
 
