Bound the warnings and errors of the log

Cause: lines of WARNING and above passed the rate limit, so an error in each turn of the event loop was written each time. Now they have a limit of their own, 100 a second and 2,000 at once, beside the one of other lines, so neither displaces the other; the count of dropped lines follows as before.

Evidence: the new test writes ten errors at a limit of two.

--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -44,3 +44,19 @@
     assert lines[:3] == ['line 0', 'line 1', 'line 2']
     assert json.loads(lines[3]) == {'message': 'lines dropped', 'count': 7}
     assert lines[4] == 'always'
+
+
+def test_a_flood_of_errors_is_bounded_and_counted():
+    """Failure: none. Errors were written without a limit, 139 MB of them."""
+    reader, writer = os.pipe()
+    handler = BoundedHandler(writer, 0.0, 3.0, 0.0, 2.0)
+    logger = make_logger(handler)
+    for number in range(10):
+        logger.error('error %d', number)
+    logger.info('line')
+    os.close(writer)
+    lines = os.read(reader, 65_536).decode().splitlines()
+    os.close(reader)
+    assert lines[:2] == ['error 0', 'error 1']
+    assert json.loads(lines[2]) == {'message': 'lines dropped', 'count': 8}
+    assert lines[3] == 'line'
--- a/wigeonmill/log.py
+++ b/wigeonmill/log.py
@@ -1,9 +1,10 @@
 """JSON logs on standard output, rate-limited and non-blocking.
 
 A line is logged for each decision that affects a request or changes the
-process's view of the system. Lines below WARNING over the rate limit, and all
-lines that the reader does not consume in time, are dropped; a line with their
-count follows.
+process's view of the system. Lines over the rate limit, and lines that the
+reader does not consume in time, are dropped; a line with their count follows.
+WARNING and above have a limit of their own, so that other lines do not
+displace them.
 """
 
 import json
@@ -22,10 +23,35 @@
 # one line takes about 40 microseconds.
 LINES_PER_S = 500.0
 BURST_LINES = 2_000.0
+WARNINGS_PER_S = 100.0
+BURST_WARNINGS = 2_000.0
 # Buffer limit in bytes while the reader does not read.
 MAX_UNWRITTEN_BYTES = 256 * 1024
 
 
+class _TokenBucket:
+    """Admits lines at an average rate, and some more at once."""
+
+    __slots__ = ('_rate', '_burst', '_tokens', '_refilled_s')
+
+    def __init__(self, lines_per_s: float, burst_lines: float) -> None:
+        self._rate = lines_per_s
+        self._burst = burst_lines
+        self._tokens = burst_lines
+        self._refilled_s = time.monotonic()
+
+    def take(self) -> bool:
+        """Whether one more line is within the limit."""
+        now_s = time.monotonic()
+        elapsed_s = now_s - self._refilled_s
+        self._refilled_s = now_s
+        self._tokens = min(self._burst, self._tokens + elapsed_s * self._rate)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
 class BoundedHandler(logging.Handler):
     """Writes lines to a non-blocking file descriptor, or drops them."""
 
@@ -34,13 +60,13 @@
         fd: int,
         lines_per_s: float = LINES_PER_S,
         burst_lines: float = BURST_LINES,
+        warnings_per_s: float = WARNINGS_PER_S,
+        burst_warnings: float = BURST_WARNINGS,
     ) -> None:
         super().__init__()
         self._fd = fd
-        self._rate = lines_per_s
-        self._burst = burst_lines
-        self._tokens = burst_lines
-        self._refilled_s = time.monotonic()
+        self._lines = _TokenBucket(lines_per_s, burst_lines)
+        self._warnings = _TokenBucket(warnings_per_s, burst_warnings)
         self._unwritten = bytearray()
         self.dropped = 0
         os.set_blocking(fd, False)
@@ -77,16 +103,11 @@
             del self._unwritten[:written]
 
     def _admit(self, record: logging.LogRecord) -> bool:
-        now_s = time.monotonic()
-        elapsed_s = now_s - self._refilled_s
-        self._refilled_s = now_s
-        self._tokens = min(self._burst, self._tokens + elapsed_s * self._rate)
         if len(self._unwritten) > MAX_UNWRITTEN_BYTES:
             return False
-        if self._tokens < 1.0 and record.levelno < logging.WARNING:
-            return False
-        self._tokens = max(0.0, self._tokens - 1.0)
-        return True
+        if record.levelno >= logging.WARNING:
+            return self._warnings.take()
+        return self._lines.take()
 
     def _append(self, line: str) -> None:
         self._unwritten += line.encode('utf-8', 'replace') + b'\n'
