Read no bodies at the addresses of operators

What callers saw: none directly; 40 bodies of 4 MB that stop a byte short, sent to the address of readiness or of metrics, made a process exceed the memory of the smallest machine (150 MB), which ends it. Cause: tornado's server there read up to 100 MB a request, though no request has a body. Now a body and a head over 16 KiB are refused, and a connection that stays idle is closed after 60 s.

--- a/wigeonmill/gateway/status_server.py
+++ b/wigeonmill/gateway/status_server.py
@@ -12,6 +12,12 @@
 from wigeonmill.metrics import Metrics
 from wigeonmill.monitoring import CONTENT_TYPE
 
+# Requests here have no body, and only a few known callers send them.
+MAX_HEADER_BYTES = 16 * 1024
+MAX_BODY_BYTES = 0
+IDLE_S = 60.0
+BODY_S = 5.0
+
 
 class _ReadyHandler(RequestHandler):
     def initialize(self, ready: Callable[[], bool]) -> None:
@@ -67,7 +73,11 @@
                     ('/metrics', _MetricsHandler, {'metrics': metrics}),
                     ('/where', _WhereHandler, {'explainer': explainer}),
                 ]
-            )
+            ),
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            idle_connection_timeout=IDLE_S,
+            body_timeout=BODY_S,
         )
 
     def listen(self, address: str) -> None:
