Limit the frames of processes that have not proved their key

What callers saw: none directly; 40 connections to the inner address, each with the length of a long frame and 4 MB of it, made a process exceed the memory of the smallest machine. Cause: a frame of 16 MB was read before the handshake was over. Now one of over 16 KiB closes the connection until the key is proved; a handshake has a few hundred bytes.

--- a/tests/platform/test_crowd.py
+++ b/tests/platform/test_crowd.py
@@ -195,6 +195,15 @@
     asyncio.run(play(tmp_path, body, CLIENTS, to))
 
 
+# Guards against frames of clients that have not proved their key.
+def test_a_crowd_of_long_frames_leaves_memory(tmp_path):
+    async def frame(client, number):
+        await client.send((3 * BODY_BYTES).to_bytes(4, 'big'))
+        await client.send_body(BODY_BYTES)
+
+    asyncio.run(play(tmp_path, frame, CLIENTS, 'inner'))
+
+
 # Guards against a process that a crowd keeps from its end.
 @pytest.mark.parametrize('behave', [short_body, complete, silent])
 def test_a_process_ends_beside_a_crowd(tmp_path, behave):
--- a/wigeonmill/protocol/conn.py
+++ b/wigeonmill/protocol/conn.py
@@ -13,6 +13,7 @@
 from wigeonmill.protocol.codec import decode_length
 from wigeonmill.protocol.codec import encode_frame
 from wigeonmill.protocol.codec import LENGTH_BYTES
+from wigeonmill.protocol.codec import MAX_FRAME_BYTES
 from wigeonmill.protocol.gen.inner.ttypes import Envelope
 
 logger = logging.getLogger(__name__)
@@ -59,6 +60,7 @@
         '_writing',
         '_flush_scheduled',
         '_close_callbacks',
+        'max_frame_bytes',
     )
 
     def __init__(
@@ -69,6 +71,8 @@
         self.peer = ''
         self.role = ''
         self.closed = False
+        # A longer frame closes the connection.
+        self.max_frame_bytes = MAX_FRAME_BYTES
         self.on_drain: Callable[[], None] | None = None
         self._read_buffer = bytearray()
         # When bytes were read last, and when the incomplete frame began.
@@ -172,6 +176,9 @@
             if length.is_err():
                 self._reject(length.unwrap_err().message)
                 return False
+            if length.unwrap() > self.max_frame_bytes:
+                self._reject(f'a frame of {length.unwrap()} bytes')
+                return False
             end = body_start + length.unwrap()
             if len(self._read_buffer) < end:
                 break
--- a/wigeonmill/protocol/server.py
+++ b/wigeonmill/protocol/server.py
@@ -11,6 +11,7 @@
 from tornado.tcpserver import TCPServer
 
 from wigeonmill.metrics import Metrics
+from wigeonmill.protocol.codec import MAX_FRAME_BYTES
 from wigeonmill.protocol.conn import Conn
 from wigeonmill.protocol.conn import OnEnvelope
 from wigeonmill.protocol.conn import Traffic
@@ -27,6 +28,8 @@
 logger = logging.getLogger(__name__)
 
 HANDSHAKE_TIMEOUT_S = 5.0
+# Limit of a frame of a process that has not proved its key.
+MAX_HANDSHAKE_BYTES = 16 * 1024
 
 
 class InnerServer(TCPServer):
@@ -74,10 +77,12 @@
         self, stream: IOStream, address: tuple[str, int]
     ) -> None:
         conn = Conn(stream, self._traffic)
+        conn.max_frame_bytes = MAX_HANDSHAKE_BYTES
         if not await self._authenticate(conn):
             self._metrics.count('inner_refusals', 'handshake')
             conn.close()
             return
+        conn.max_frame_bytes = MAX_FRAME_BYTES
         self._conns.add(conn)
         try:
             await conn.dispatch(self._on_envelope)
