--- a/tests/platform/test_crowd.py
+++ b/tests/platform/test_crowd.py
@@ -13,6 +13,7 @@
 from tests.platform.crowd import ask
 from tests.platform.crowd import BODY_BYTES
 from tests.platform.crowd import crowd
+from tests.platform.crowd import HANG_S
 from tests.platform.crowd import HEADER_BYTES
 from tests.platform.crowd import make_head
 from tests.platform.crowd import MAX_FDS
@@ -32,6 +33,20 @@
     return f'Content-Length: {size}'
 
 
+async def silent(client, number):
+    await asyncio.sleep(HANG_S)
+
+
+async def begun_head(client, number):
+    await client.send(b'POST /work/x HTT')
+    await asyncio.sleep(HANG_S)
+
+
+async def no_body(client, number):
+    await client.send(make_head(POST, f'c{number}', length(200)))
+    await asyncio.sleep(HANG_S)
+
+
 async def play(folder, behave, count, to='callers', rounds=1, route_count=0):
     async with run_gateway(folder, route_count) as gateway:
         for _round in range(rounds):
@@ -43,6 +58,13 @@
         return gateway
 
 
+# Guards against a process that has no descriptor left and fills its log.
+@pytest.mark.parametrize('behave', [silent, begun_head, no_body])
+def test_a_crowd_of_connections_leaves_descriptors(tmp_path, behave):
+    gateway = asyncio.run(play(tmp_path, behave, CONNECTIONS))
+    assert gateway.log.stat().st_size <= LOG_BYTES
+
+
 # Guards against bodies at addresses that read none.
 @pytest.mark.parametrize('to', ['ready', 'metrics'])
 def test_a_crowd_at_another_address_leaves_memory(tmp_path, to):
--- a/wigeonmill/gateway/idle_conns.py
+++ b/wigeonmill/gateway/idle_conns.py
@@ -14,14 +14,28 @@
 
 
 class _Wait:
-    """How long one connection waits, and may wait, in ms."""
+    """How long one connection waits, and may wait, in ms.
 
-    __slots__ = ('since_ms', 'limit_ms', 'overdue_checks')
+    `is_used` tells whether a request has arrived on it before, and
+    `head_checks` how many checks in a row have found part of a head.
+    """
 
-    def __init__(self, since_ms: float, limit_ms: float) -> None:
+    __slots__ = (
+        'since_ms',
+        'limit_ms',
+        'is_used',
+        'overdue_checks',
+        'head_checks',
+    )
+
+    def __init__(
+        self, since_ms: float, limit_ms: float, is_used: bool
+    ) -> None:
         self.since_ms = since_ms
         self.limit_ms = limit_ms
+        self.is_used = is_used
         self.overdue_checks = 0
+        self.head_checks = 0
 
 
 class IdleConns:
@@ -33,7 +47,7 @@
     report when a connection closes, so they are held by weak references.
     """
 
-    __slots__ = ('_clock', '_waits', 'limit_ms')
+    __slots__ = ('_clock', '_waits', 'limit_ms', 'max_head_checks')
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -41,6 +55,9 @@
             weakref.WeakKeyDictionary()
         )
         self.limit_ms = float('inf')
+        # Checks that may find part of a head. They are counted, as time also
+        # passes while the process stands still.
+        self.max_head_checks = 2**31
 
     def __len__(self) -> int:
         return len(self._waits)
@@ -48,9 +65,13 @@
     def __iter__(self) -> Iterator[HTTP1Connection]:
         return iter(list(self._waits))
 
-    def add(self, conn: HTTP1Connection) -> None:
-        """Add a connection that begins to wait for a request."""
-        self._waits[conn] = _Wait(self._clock.now_ms(), self.limit_ms)
+    def add(self, conn: HTTP1Connection, is_used: bool = False) -> None:
+        """Add a connection that begins to wait for a request.
+
+        `is_used` tells whether one has arrived on it before.
+        """
+        now_ms = self._clock.now_ms()
+        self._waits[conn] = _Wait(now_ms, self.limit_ms, is_used)
 
     def remove(self, conn: HTTP1Connection) -> None:
         """Remove a connection that has a request or that was closed."""
@@ -81,6 +102,34 @@
                 found.append(conn)
         return found
 
+    def expired_heads(self) -> list[HTTP1Connection]:
+        """Return the connections whose heads take too long."""
+        found = []
+        for conn, wait in list(self._waits.items()):
+            if not conn.stream._read_buffer_size:
+                wait.head_checks = 0
+                continue
+            wait.head_checks += 1
+            if wait.head_checks > self.max_head_checks:
+                found.append(conn)
+        return found
+
+    def longest(self) -> HTTP1Connection | None:
+        """Return the connection that has waited for the longest time."""
+        return next(iter(self._waits), None)
+
+    def longest_unused(self, since_ms: float) -> HTTP1Connection | None:
+        """Return the one of those that were not used, or None.
+
+        Those that have waited since `since_ms` or later are not considered.
+        """
+        for conn, wait in self._waits.items():
+            if wait.since_ms > since_ms:
+                return None
+            if not wait.is_used:
+                return conn
+        return None
+
 
 def has_no_input(conn: HTTP1Connection) -> bool:
     """Whether no part of a request has arrived on a connection.
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -33,6 +33,7 @@
 from wigeonmill.gateway.inner_key import SharedInnerKey
 from wigeonmill.gateway.intake import RecordIntake
 from wigeonmill.gateway.leadership import Leadership
+from wigeonmill.gateway.machine_limits import caller_conns_limit
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.origin_exchange import SharedStreamOrigins
 from wigeonmill.gateway.origin_records import OriginPublisher
@@ -66,6 +67,7 @@
 from wigeonmill.gateway.weights_rollout import WeightsRollout
 from wigeonmill.log import loggable_ms
 from wigeonmill.metrics import Metrics
+from wigeonmill.process_memory import max_descriptors
 from wigeonmill.protocol.gen.inner.ttypes import Kind
 from wigeonmill.providers.key_value import KvEntry
 from wigeonmill.providers.transfers import TransferLoop
@@ -579,12 +581,16 @@
         planner = StorePlanner(self._stores, self.metrics)
         self._explainer = Explainer(ctx, client, picker, planner)
         forwarder = Forwarder(ctx, client, picker, planner)
+        descriptors = max_descriptors()
+        if self._settings.max_descriptors:
+            descriptors = min(descriptors, self._settings.max_descriptors)
         return GatewayServer(
             forwarder,
             self._adapter.callers,
             self._clock,
             self.metrics,
             ctx.held,
+            caller_conns_limit(descriptors),
         )
 
     def _install_signals(self) -> None:
--- a/wigeonmill/gateway/server.py
+++ b/wigeonmill/gateway/server.py
@@ -22,6 +22,7 @@
 
 from wigeonmill.clock import Clock
 from wigeonmill.early_listener import listen
+from wigeonmill.gateway.acceptor import Acceptor
 from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.answers import Refusal
 from wigeonmill.gateway.caller_channel import HttpChannel
@@ -50,6 +51,9 @@
 # request is on its way.
 IDLE_SLACK_MS = 2_000.0
 IDLE_CHECK_MS = 250.0
+# Time after which a caller's connection that has sent no more is closed rather
+# than one that was used before.
+STALL_MS = 1_000.0
 _HEADERS_TOO_LARGE = Refusal(
     Reason.HEADERS_TOO_LARGE, 'the header fields are too large'
 )
@@ -66,6 +70,10 @@
     DRAIN = 'drain'
     # The end of an answer without a length or chunks.
     ANSWER = 'answer'
+    # The head took too long.
+    HEAD = 'head'
+    # Too many connections were open.
+    CONNECTIONS = 'connections'
 
 
 class GatewayServer(HTTPServerConnectionDelegate):
@@ -78,9 +86,13 @@
         clock: Clock,
         metrics: Metrics,
         held: HeldBytes | None = None,
+        max_conns: int = 2**31,
     ) -> None:
+        """Create a server with at most `max_conns` connections."""
         self.held = held or HeldBytes(clock)
         metrics.gauge('gateway_held_bytes', lambda: self.held.total)
+        metrics.gauge('gateway_open_conns', lambda: self.open_conns)
+        self._max_conns = max_conns
         self.forwarder = forwarder
         self.codec = codec
         self.clock = clock
@@ -99,13 +111,22 @@
         # Streams whose next request is refused because of a drain.
         self._ending: weakref.WeakSet[IOStream] = weakref.WeakSet()
         self._idle = IdleConns(clock)
-        self._idle_check = PeriodicCallback(self._close_expired, IDLE_CHECK_MS)
+        self._conn_check = PeriodicCallback(self._check_conns, IDLE_CHECK_MS)
         # By stream, because each request has a connection object of its own.
         self._close_reasons: weakref.WeakKeyDictionary[
             IOStream, CloseReason
         ] = weakref.WeakKeyDictionary()
         self.last_request_ms = clock.now_ms()
         self._server: HTTPServer | None = None
+        self._acceptor: Acceptor | None = None
+        # Streams on which a request has arrived.
+        self._used: weakref.WeakSet[IOStream] = weakref.WeakSet()
+
+    @property
+    def open_conns(self) -> int:
+        """The number of connections that are open."""
+        # Tornado has no public name for them.
+        return len(self._server._connections) if self._server else 0
 
     @property
     def open_requests(self) -> int:
@@ -161,15 +182,18 @@
         # Its timer keeps the limit that it was started with and does not see
         # what has arrived when it fires.
         self._server.conn_params.header_timeout = None
-        self._server.add_socket(sock)
+        self._acceptor = Acceptor(
+            sock, self._add_conn, self._close_for_room, self.metrics
+        )
         self.set_idle_time(idle_ms)
-        self._idle_check.start()
+        self._conn_check.start()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         assert isinstance(request_conn, HTTP1Connection)
-        self._idle.add(request_conn)
+        is_used = request_conn.stream in self._used
+        self._idle.add(request_conn, is_used)
         if request_conn.stream in self._ending:
             # By then tornado has begun to read.
             loop = asyncio.get_running_loop()
@@ -190,6 +214,7 @@
     def remove_idle(self, conn: HTTP1Connection) -> None:
         """Remove a connection that has a request or that was closed."""
         self._idle.remove(conn)
+        self._used.add(conn.stream)
 
     def close_reason(self, conn: HTTP1Connection) -> CloseReason:
         """Return why a closed connection was closed."""
@@ -198,8 +223,8 @@
     def stop_accepting(self) -> None:
         """Stop accepting new connections and requests."""
         self.refusing = True
-        if self._server is not None:
-            self._server.stop()
+        if self._acceptor is not None:
+            self._acceptor.close()
 
     def close_idle(self) -> int:
         """Close the connections without a request; return their number."""
@@ -208,10 +233,50 @@
             self._close_idle(conn, CloseReason.DRAIN)
         return len(idle)
 
+    def _add_conn(self, conn: socket.socket, address: object) -> None:
+        assert self._server is not None
+        if self.open_conns >= self._max_conns and not self._close_for_room():
+            # Its caller may repeat the request at once, as none was read.
+            conn.close()
+            self.metrics.count('gateway_conns_closed', 'none_idle')
+            return
+        assert isinstance(address, tuple)
+        conn.setblocking(False)
+        self._server.handle_stream(IOStream(conn), address)
+
+    def _close_for_room(self) -> bool:
+        """Close the connection of which least is expected; tell if any was.
+
+        That is one that has sent nothing, or stopped inside a request, for
+        the longest time, and else the one that was idle longest.
+        """
+        since_ms = self.clock.now_ms() - STALL_MS
+        conn = self._idle.longest_unused(since_ms)
+        if conn is None:
+            conn = self._stalled(since_ms)
+        if conn is None:
+            conn = self._idle.longest()
+        if conn is None:
+            return False
+        self._close_idle(conn, CloseReason.CONNECTIONS)
+        return True
+
+    def _stalled(self, since_ms: float) -> HTTP1Connection | None:
+        reader = min(self._reading, key=lambda r: r.received_ms, default=None)
+        if reader is None or reader.received_ms > since_ms:
+            return None
+        return reader.conn
+
     def _close_expired(self) -> None:
         for conn in self._idle.expired():
             self._close_idle(conn, CloseReason.IDLE)
 
+    def _check_conns(self) -> None:
+        """Close the connections whose time is over."""
+        self._close_expired()
+        for conn in self._idle.expired_heads():
+            self._close_idle(conn, CloseReason.HEAD)
+
     def _close_idle(self, conn: HTTP1Connection, reason: CloseReason) -> None:
         self._idle.remove(conn)
         self._close(conn, reason)
@@ -235,13 +300,24 @@
 
     def _close(self, conn: HTTP1Connection, reason: CloseReason) -> None:
         self._close_reasons[conn.stream] = reason
+        if reason in (CloseReason.HEAD, CloseReason.CONNECTIONS):
+            self._log_closed(reason)
         conn.close()
 
+    def _log_closed(self, reason: CloseReason) -> None:
+        self.metrics.count('gateway_conns_closed', reason.value)
+        logger.info(
+            'connection closed',
+            extra={'reason': reason.value, 'open_conns': self.open_conns},
+        )
+
     def set_limits(self, limits: RequestLimits) -> None:
         """Set the limits of requests, also on connections that are open."""
         self.set_idle_time(limits.idle_ms)
         self.max_body_bytes = max(MAX_BODY_BYTES, limits.body_bytes)
         self.max_header_bytes = max(MAX_HEADER_BYTES, limits.header_bytes)
+        head_ms = limits.header_ms + IDLE_SLACK_MS
+        self._idle.max_head_checks = math.ceil(head_ms / IDLE_CHECK_MS)
 
     def set_idle_time(self, idle_ms: float) -> None:
         """Set how long callers may reuse idle connections."""
@@ -249,9 +325,10 @@
 
     async def close(self) -> None:
         """Stop accepting and close every connection."""
-        self._idle_check.stop()
+        self._conn_check.stop()
+        if self._acceptor is not None:
+            self._acceptor.close()
         if self._server is not None:
-            self._server.stop()
             await self._server.close_all_connections()
 
 
@@ -267,6 +344,16 @@
         self._held = Holding(self._end_unread, lambda: 0)
         self._received_ms = server.clock.now_ms()
 
+    @property
+    def conn(self) -> HTTP1Connection:
+        """The connection on which the request is read."""
+        return self._conn
+
+    @property
+    def received_ms(self) -> float:
+        """When the last bytes of the request arrived."""
+        return self._received_ms
+
     def headers_received(
         self,
         start_line: RequestStartLine | ResponseStartLine,
