--- a/tests/gateway/test_held_bytes.py
+++ b/tests/gateway/test_held_bytes.py
@@ -8,6 +8,7 @@
 from tests.virtual_time import run_virtual
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.held_bytes import HeldBytes
+from wigeonmill.gateway.held_bytes import Holding
 from wigeonmill.gateway.held_bytes import LOW_WATER_BYTES
 
 MB = 1_000_000
@@ -195,3 +196,73 @@
     assert never.ended == 'memory'
     held.add_collected(never.holding, -MB)
     assert held.total == 4 * MB
+
+
+class Body:
+    """A body that is being read, or that waits for its target."""
+
+    def __init__(self, held, size, complete=False):
+        self.ended = ''
+        self.holding = Holding(self.end, lambda: 0)
+        self._held = held
+        self.set_size(size, complete)
+
+    def end(self, why):
+        self.ended = why
+
+    def set_size(self, size, complete=False):
+        self._held.set_input(self.holding, size, complete)
+
+
+def test_whole_bodies_leave_no_room_for_others():
+    """Load: whole bodies, which nothing ends, wait for their targets."""
+    held, _clock = make_held(10 * MB)
+    for _number in range(2):
+        assert held.has_room(4 * MB)
+        Body(held, 4 * MB, complete=True)
+    assert not held.has_room(4 * MB)
+    assert not held.has_room(1 * MB)
+    assert held.has_room(1_000)
+    assert held.total <= 10 * MB
+
+
+def test_a_body_that_is_alone_always_has_room():
+    held, clock = make_held(2 * MB)
+    assert held.has_room(4 * MB)
+    body = Body(held, 3 * MB)
+    clock.advance(60_000.0)
+    body.set_size(4 * MB)
+    held.check()
+    body.set_size(4 * MB, complete=True)
+    assert body.ended == ''
+
+
+def test_small_bodies_are_served_beside_a_crowd():
+    """Failure: an ordinary caller was ended, as it was idle for longest."""
+    held, clock = make_held(10 * MB)
+    small = Body(held, 200)
+    for _number in range(40):
+        clock.advance(10.0)
+        Body(held, 3 * MB)
+        assert held.total <= 10 * MB
+    assert small.ended == ''
+
+
+def test_a_body_that_grows_outlasts_those_that_stopped():
+    held, clock = make_held(10 * MB)
+    stopped = [Body(held, 3 * MB) for _number in range(2)]
+    growing = Body(held, 1 * MB)
+    for size in range(1, 5):
+        clock.advance(100.0)
+        growing.set_size(size * MB)
+    assert growing.ended == ''
+    assert [body.ended for body in stopped] == ['memory', '']
+
+
+def test_the_account_is_empty_once_all_have_gone():
+    held, _clock = make_held(10 * MB)
+    bodies = [Body(held, MB), Body(held, MB, complete=True)]
+    held.release(bodies[0].holding)
+    held.release_input(bodies[1].holding)
+    assert held.total == 0
+    assert held.has_room(8 * MB)
--- a/tests/platform/test_crowd.py
+++ b/tests/platform/test_crowd.py
@@ -33,6 +33,88 @@
     return f'Content-Length: {size}'
 
 
+async def short_body(client, number):
+    await client.send(make_head(POST, f'c{number}', length(BODY_BYTES)))
+    await client.send_body(BODY_BYTES - 1)
+
+
+async def body_that_stops_somewhere(client, number):
+    await client.send(make_head(POST, f'c{number}', length(BODY_BYTES)))
+    await client.send_body(BODY_BYTES * (number + 1) // (2 * CLIENTS + 1))
+
+
+async def short_chunks(client, number):
+    await client.send(make_head(POST, f'c{number}', CHUNKED))
+    await client.send_body(BODY_BYTES, chunked=True)
+
+
+async def trickle(client, number):
+    await client.send(make_head(POST, f'c{number}', length(BODY_BYTES)))
+    await client.send_body(BODY_BYTES - 1_000)
+    for _byte in range(900):
+        await client.send(b'x')
+        await asyncio.sleep(0.1)
+
+
+async def unknown_key(client, number):
+    head = make_head(POST, f'c{number}', length(BODY_BYTES))
+    await client.send(head.replace(b'Bearer key', b'Bearer no'))
+    await client.send_body(BODY_BYTES - 1)
+
+
+async def no_route(client, number):
+    line = 'POST /nowhere/x HTTP/1.1'
+    await client.send(make_head(line, f'c{number}', length(BODY_BYTES)))
+    await client.send_body(BODY_BYTES - 1)
+
+
+async def too_long(client, number):
+    size = 4 * BODY_BYTES
+    await client.send(make_head(POST, f'c{number}', length(size)))
+    await client.send_body(size - 1)
+
+
+async def complete(client, number):
+    await client.send(make_head(POST, f'c{number}', length(BODY_BYTES)))
+    await client.send_body(BODY_BYTES)
+
+
+async def complete_chunks(client, number):
+    await short_chunks(client, number)
+    await client.send(b'0\r\n\r\n')
+
+
+async def pipelined(client, number):
+    await client.send(make_head(POST, f'c{number}', length(0)))
+    await short_body(client, number)
+
+
+async def kept(client, number):
+    """Send a short body on a connection that was used before."""
+    line = 'POST /work/first HTTP/1.1'
+    await client.send(make_head(line, f'f{number}', length(0)))
+    await client.read_status()
+    await short_body(client, number)
+
+
+async def comes_and_goes(client, number):
+    """Leave with a part of a body; the test's crowd comes again."""
+    await body_that_stops_somewhere(client, number)
+    client.close()
+
+
+async def long_head(client, number):
+    # Less than what ends the head, more than the head may have.
+    await client.send(b'POST /work/x HTTP/1.1\r\nX: ')
+    await client.send_body(1_000_000)
+
+
+async def reads_nothing(client, number):
+    line = 'GET /work/large HTTP/1.1'
+    await client.send(make_head(line, f'c{number}'))
+    await asyncio.sleep(HANG_S)
+
+
 async def silent(client, number):
     await asyncio.sleep(HANG_S)
 
@@ -58,6 +140,43 @@
         return gateway
 
 
+# Guards against a process that runs out of memory.
+@pytest.mark.parametrize(
+    ('behave', 'count'),
+    [
+        (short_body, CLIENTS),
+        (body_that_stops_somewhere, 2 * CLIENTS),
+        (short_chunks, CLIENTS),
+        (trickle, CLIENTS),
+        (unknown_key, CLIENTS),
+        (no_route, CLIENTS),
+        (too_long, CLIENTS // 4),
+        (complete, CLIENTS),
+        (complete_chunks, CLIENTS),
+        (pipelined, CLIENTS),
+        (kept, CLIENTS),
+        (long_head, 3 * CLIENTS),
+        (reads_nothing, CLIENTS),
+    ],
+    ids=lambda value: getattr(value, '__name__', str(value)),
+)
+def test_a_crowd_leaves_memory_for_others(tmp_path, behave, count):
+    asyncio.run(play(tmp_path, behave, count))
+
+
+# Guards against memory that a crowd has left behind, beside which the next
+# one begins.
+@pytest.mark.parametrize('behave', [short_body, complete, comes_and_goes])
+def test_memory_is_there_for_the_next_crowd(tmp_path, behave):
+    asyncio.run(play(tmp_path, behave, 2 * CLIENTS, rounds=3))
+
+
+# Guards against a bound that leaves out what the process needs itself.
+@pytest.mark.parametrize('behave', [short_body, complete])
+def test_a_crowd_beside_a_large_state_leaves_memory(tmp_path, behave):
+    asyncio.run(play(tmp_path, behave, CLIENTS, route_count=3_000))
+
+
 # Guards against a process that has no descriptor left and fills its log.
 @pytest.mark.parametrize('behave', [silent, begun_head, no_body])
 def test_a_crowd_of_connections_leaves_descriptors(tmp_path, behave):
@@ -76,6 +195,23 @@
     asyncio.run(play(tmp_path, body, CLIENTS, to))
 
 
+# Guards against a process that a crowd keeps from its end.
+@pytest.mark.parametrize('behave', [short_body, complete, silent])
+def test_a_process_ends_beside_a_crowd(tmp_path, behave):
+    async def check():
+        async with run_gateway(tmp_path) as gateway:
+            address = gateway.settings['callers']
+            async with crowd(address, CLIENTS, behave):
+                gateway.check_bounds()
+                gateway.stop()
+                async with asyncio.timeout(HANG_S):
+                    code = await gateway.process.wait()
+            assert code == 0
+            assert gateway.peaks.memory <= 150_000_000
+
+    asyncio.run(check())
+
+
 # Guards against a bound that refuses what the users' pages allow.
 @pytest.mark.parametrize('route_count', [0, 3_000])
 def test_a_legal_request_alone_is_served(tmp_path, route_count):
@@ -89,3 +225,26 @@
             gateway.check_bounds()
 
     asyncio.run(check())
+
+
+# Guards against a refusal that is no promise, and against the rest of a body
+# that is taken for a request.
+@pytest.mark.parametrize('behave', [complete, short_body])
+def test_what_a_crowd_is_refused_was_not_run(tmp_path, behave):
+    async def check():
+        statuses = {}
+
+        async def note(client, number):
+            await behave(client, number)
+            statuses[f'c{number}'] = await client.read_status()
+
+        async with run_gateway(tmp_path) as gateway:
+            address = gateway.settings['callers']
+            async with crowd(address, CLIENTS, note, hold_s=4.0):
+                await answer_ordinary(gateway)
+            gateway.check_bounds()
+            refused = {c for c, status in statuses.items() if status == 503}
+            assert not refused & set(gateway.runs)
+            assert len(set(gateway.runs)) == len(gateway.runs)
+
+    asyncio.run(check())
--- a/wigeonmill/early_listener.py
+++ b/wigeonmill/early_listener.py
@@ -15,6 +15,9 @@
 
 # Maximum number of connections that wait to be accepted.
 BACKLOG = 1024
+# What the kernel keeps of each connection that is not read. It limits the rate
+# of a connection to this much in one round trip.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -26,6 +29,8 @@
     host, port = split_address(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
     sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    # Connections inherit it.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setblocking(False)
     return sock
 
--- a/wigeonmill/gateway/answers.py
+++ b/wigeonmill/gateway/answers.py
@@ -18,6 +18,7 @@
     MALFORMED = 'malformed'
     BODY_TOO_LARGE = 'body_too_large'
     HEADERS_TOO_LARGE = 'headers_too_large'
+    BODY_LATE = 'body_late'
     NO_TARGET = 'no_target'
     TARGETS_FULL = 'targets_full'
     TARGETS_COLD = 'targets_cold'
@@ -49,6 +50,7 @@
     Reason.MALFORMED: 400,
     Reason.BODY_TOO_LARGE: 413,
     Reason.HEADERS_TOO_LARGE: 431,
+    Reason.BODY_LATE: 408,
     Reason.NO_TARGET: 503,
     Reason.TARGETS_FULL: 503,
     Reason.TARGETS_COLD: 503,
--- a/wigeonmill/gateway/caller_channel.py
+++ b/wigeonmill/gateway/caller_channel.py
@@ -33,6 +33,9 @@
 
 # SO_LINGER with a time of 0 s: a close resets the connection.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+# Time for which input is read and dropped after the refusal of a request that
+# was not read to its end.
+READ_ON_MS = 2_000.0
 _STATUSES_WITHOUT_BODY = (204, 304)
 _INTERNAL_ERROR = Refusal(Reason.INTERNAL, 'internal error')
 # Another entry can serve the request at once.
@@ -99,6 +102,7 @@
         '_is_head',
         '_ends_with_conn',
         '_close_announced',
+        '_closes_unread',
         'holding',
     )
 
@@ -115,6 +119,8 @@
         self._is_head = start.method == 'HEAD'
         self._ends_with_conn = False
         self._close_announced = False
+        # Whether the request was not read to its end.
+        self._closes_unread = False
         self._task: asyncio.Task[None] | None = None
         self._req: CallerRequest | None = None
         self._progress: Callable[[], Progress] | None = None
@@ -220,6 +226,15 @@
         """Let the answer say that the connection closes after it."""
         self._close_announced = True
 
+    def close_unread(self) -> None:
+        """Let the connection close after an answer to an unread request.
+
+        Its input is read on for a moment, because a connection that is closed
+        with unread bytes is reset, and the answer is lost.
+        """
+        self._close_announced = True
+        self._closes_unread = True
+
     def finish(self) -> None:
         """End the body as complete."""
         self._finish_as(RequestEnd.ANSWERED)
@@ -230,9 +245,13 @@
             if self._end is not RequestEnd.CALLER_IDLE:
                 self._end = RequestEnd.CALLER_CLOSED
             return
-        self._conn.finish()
+        if not self._closes_unread:
+            self._conn.finish()
         self._finished = True
         self._end = end
+        if self._closes_unread:
+            asyncio.ensure_future(self._close_after_input())
+            return
         if self._conn.stream.writing():
             self._server.add_unsent(self._conn)
         if self._close_announced or self._ends_with_conn:
@@ -250,6 +269,18 @@
             return
         self._server.close_after_answer(self._conn)
 
+    async def _close_after_input(self) -> None:
+        """Close the connection once the caller has had time to read."""
+        stream = self._conn.stream
+        try:
+            await stream.write(b'')
+            stream.socket.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(READ_ON_MS / 1000.0)
+        except (StreamClosedError, OSError):
+            pass
+        if not stream.closed():
+            self._server.close_after_answer(self._conn)
+
     def abort(self) -> None:
         """Close the connection, so that the answer does not look complete."""
         self._finished = True
--- a/wigeonmill/gateway/forwarder.py
+++ b/wigeonmill/gateway/forwarder.py
@@ -46,7 +46,7 @@
         if self._ctx.desired.state is None and self._ctx.start_hold.enabled:
             end = await self._ctx.start_hold.wait(req)
             self._ctx.metrics.count('gateway_start_holds', end.value)
-        admitted = self._admit(req)
+        admitted = self._admit(req, len(req.body))
         if isinstance(admitted, Err):
             refusal = admitted.err_value
             self._ctx.metrics.count('gateway_refusals', refusal.reason.value)
@@ -76,7 +76,18 @@
         channel.track(run.progress)
         await run.run()
 
-    def _admit(self, req: CallerRequest) -> Result[Admission, Refusal]:
+    def check_head(self, req: CallerRequest, size: int) -> Refusal | None:
+        """Return why a request with a body of `size` bytes is not served.
+
+        `req` is without its body. Without a configuration nothing is known.
+        """
+        if self._ctx.desired.state is None:
+            return None
+        return self._admit(req, size).err()
+
+    def _admit(
+        self, req: CallerRequest, size: int
+    ) -> Result[Admission, Refusal]:
         desired = self._ctx.desired
         if desired.state is None:
             return Err(
@@ -92,7 +103,7 @@
         team = desired.table.team_of(req.key) if req.key else None
         if team is None and desired.table.needs_key and not route.public:
             return Err(Refusal(Reason.UNKNOWN_KEY, 'unknown key'))
-        if len(req.body) > desired.state.limits.body_bytes:
+        if size > desired.state.limits.body_bytes:
             return Err(Refusal(Reason.BODY_TOO_LARGE, 'the body is too large'))
         return Ok((route, team))
 
--- a/wigeonmill/gateway/held_bytes.py
+++ b/wigeonmill/gateway/held_bytes.py
@@ -1,9 +1,11 @@
 """Bounds the bytes that an entry holds for its callers.
 
 Load: many callers that read their answers, or send their bodies, a byte a
-second. A caller that is behind gets no more from its target for a moment. If
-all of them together hold too much, the one that has done nothing for the
-longest time is ended first.
+second, and many large bodies at once. A caller that is behind gets no more
+from its target for a moment. If all of them together hold too much, the one
+that has done nothing for the longest time is ended first. A body for which
+there would be no room beside those that wait for their targets is refused
+before it is read.
 """
 
 import asyncio
@@ -14,6 +16,11 @@
 
 # What a caller has not read of its answer before its target is read on.
 LOW_WATER_BYTES = 64 * 1024
+# Bodies up to this size are never refused, nor ended before larger ones. Their
+# number is limited by that of the connections.
+SMALL_BODY_BYTES = 4 * 1024
+# Share of the bound that larger bodies leave to what else is held.
+RESERVED_SHARE = 0.125
 # Longest time for which an answer is not read on from its target. Targets
 # close connections that are not read for some seconds.
 MAX_PAUSE_MS = 1_000.0
@@ -25,7 +32,8 @@
 class Holding:
     """What is held for one caller, in bytes.
 
-    `input` is the body of its request, `collected` what was read of an answer
+    `input` is the body of its request, and `is_reading` whether more of it
+    may come, `collected` what was read of an answer
     and not written yet, and `unsent` what was written and the kernel has not
     taken. `idle_since_ms` is the time since when the entry waits for the
     caller to read or to send; it is infinite if it doesn't.
@@ -33,6 +41,7 @@
 
     __slots__ = (
         'input',
+        'is_reading',
         'collected',
         'unsent',
         'idle_since_ms',
@@ -46,6 +55,7 @@
         self, end: Callable[[str], None], read_unsent: Callable[[], int]
     ) -> None:
         self.input = 0
+        self.is_reading = False
         self.collected = 0
         self.unsent = 0
         self.idle_since_ms = inf
@@ -65,29 +75,58 @@
 class HeldBytes:
     """The bytes held for all callers, at most `max_bytes` (0: no bound)."""
 
-    __slots__ = ('_clock', '_max_bytes', '_holdings', '_checked_ms', 'total')
+    __slots__ = (
+        '_clock',
+        '_holdings',
+        '_checked_ms',
+        '_reading',
+        'max_bytes',
+        'total',
+    )
 
     def __init__(self, clock: Clock, max_bytes: int = 0) -> None:
         self._clock = clock
-        self._max_bytes = max_bytes
+        self.max_bytes = max_bytes
         # Those that hold anything.
         self._holdings: dict[Holding, None] = {}
         self._checked_ms = clock.now_ms()
+        # The part of the total that is bodies of which more may come.
+        self._reading = 0
         self.total = 0
 
     @property
     def is_bounded(self) -> bool:
         """Whether there is a bound."""
-        return self._max_bytes > 0
+        return self.max_bytes > 0
+
+    @property
+    def _max_large_bytes(self) -> float:
+        return self.max_bytes * (1.0 - RESERVED_SHARE)
+
+    def has_room(self, size: int) -> bool:
+        """Whether a body of this size may be read.
+
+        Those that are being read have to make room for it if they are slower.
+        One that is alone may always be read.
+        """
+        fixed = self.total - self._reading
+        return (
+            not self.is_bounded
+            or size <= SMALL_BODY_BYTES
+            or fixed + size <= self._max_large_bytes
+            or self._is_alone(0)
+        )
 
     def set_input(self, holding: Holding, size: int, complete: bool) -> None:
         """Set the size of a body, of which more may have to be sent."""
         if not self.is_bounded:
             return
-        self._apply(holding, size - holding.input)
-        holding.input = size
+        self._set_input_size(holding, size, not complete)
         holding.idle_since_ms = inf if complete else self._clock.now_ms()
-        self._enforce()
+        if not complete and size > SMALL_BODY_BYTES:
+            self._enforce(self._max_large_bytes)
+        else:
+            self._enforce(self.max_bytes)
 
     def add_collected(self, holding: Holding, change: int) -> None:
         """Add to what was read of the answer and not written yet."""
@@ -95,26 +134,26 @@
             return
         self._apply(holding, change)
         holding.collected += change
-        self._enforce()
+        self._enforce(self.max_bytes)
 
     def record_written(self, holding: Holding, size: int) -> None:
         """Count `size` more bytes that were written to the caller."""
         if self.is_bounded:
             self._update_unsent(holding, holding.unsent + size)
             self._update_unsent(holding, holding.read_unsent())
-            self._enforce()
+            self._enforce(self.max_bytes)
 
     def release(self, holding: Holding) -> None:
         """Hold nothing more that the caller has to read or to complete."""
-        self._apply(holding, -(holding.input + holding.unsent))
-        holding.input = holding.unsent = 0
+        self._set_input_size(holding, 0, False)
+        self._apply(holding, -holding.unsent)
+        holding.unsent = 0
         holding.idle_since_ms = inf
         self._wake_all(holding)
 
     def release_input(self, holding: Holding) -> None:
         """Hold the body no longer; the caller may still read its answer."""
-        self._apply(holding, -holding.input)
-        holding.input = 0
+        self._set_input_size(holding, 0, False)
 
     def check(self) -> None:
         """Look what callers have read, and end those whose time is over."""
@@ -135,7 +174,7 @@
             )
             if now_ms >= since_ms + UNREAD_GRACE_MS:
                 self._end(holding, 'deadline')
-        self._enforce()
+        self._enforce(self.max_bytes)
 
     def is_behind(self, holding: Holding) -> bool:
         """Whether to read on from the target later.
@@ -148,7 +187,7 @@
         if holding.unsent > LOW_WATER_BYTES:
             return True
         held = holding.unsent or holding.collected
-        return held > 0 and self.total >= self._max_bytes
+        return held > 0 and self.total >= self.max_bytes
 
     async def wait(self, holding: Holding, until_ms: float) -> None:
         """Wait until the caller is not behind, or the target has to be read.
@@ -186,21 +225,42 @@
         else:
             self._holdings.pop(holding, None)
 
-    def _enforce(self) -> None:
+    def _set_input_size(
+        self, holding: Holding, size: int, is_reading: bool
+    ) -> None:
+        if holding.is_reading:
+            self._reading -= holding.input
+        if is_reading:
+            self._reading += size
+        self._apply(holding, size - holding.input)
+        holding.input = size
+        holding.is_reading = is_reading
+
+    def _is_alone(self, size: int) -> bool:
+        """Whether next to nothing is held but `size` bytes of one caller."""
+        return self.total - size <= self.max_bytes * RESERVED_SHARE
+
+    def _enforce(self, max_bytes: float) -> None:
         """End callers until the bound is kept, the most idle one first.
 
         Requests that wait for their targets alone are not ended.
         """
-        if not self.is_bounded or self.total <= self._max_bytes:
+        if not self.is_bounded or self.total <= max_bytes:
             return
         idle = [h for h in self._holdings if h.idle_since_ms < inf]
-        for holding in sorted(idle, key=lambda h: h.idle_since_ms):
-            if self.total <= self._max_bytes:
+        idle.sort(key=lambda h: (h.total <= SMALL_BODY_BYTES, h.idle_since_ms))
+        for holding in idle:
+            if self.total <= max_bytes:
                 return
             # It may have read since the last look.
             if holding.unsent:
                 self._update_unsent(holding, holding.read_unsent())
-            if holding.idle_since_ms < inf and self.total > self._max_bytes:
+            is_alone = holding.is_reading and self._is_alone(holding.total)
+            if (
+                holding.idle_since_ms < inf
+                and self.total > max_bytes
+                and not is_alone
+            ):
                 self._end(holding, 'memory')
 
     def _end(self, holding: Holding, why: str) -> None:
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -23,6 +23,7 @@
 from wigeonmill.gateway.cache_cleaner import CacheCleaner
 from wigeonmill.gateway.cache_event_exchange import CacheEventExchange
 from wigeonmill.gateway.cache_planner import StorePlanner
+from wigeonmill.gateway.caller_memory import CallerMemory
 from wigeonmill.gateway.context import AnswerLimits
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.desired import DesiredState
@@ -67,7 +68,10 @@
 from wigeonmill.gateway.weights_rollout import WeightsRollout
 from wigeonmill.log import loggable_ms
 from wigeonmill.metrics import Metrics
+from wigeonmill.process_memory import machine_bytes
 from wigeonmill.process_memory import max_descriptors
+from wigeonmill.process_memory import resident_bytes
+from wigeonmill.process_memory import return_free_memory
 from wigeonmill.protocol.gen.inner.ttypes import Kind
 from wigeonmill.providers.key_value import KvEntry
 from wigeonmill.providers.transfers import TransferLoop
@@ -285,6 +289,7 @@
             self._ctx, self._leadership, adapter.caches, self._stores
         )
         self._server = self._make_server(rng)
+        self._memory = self._make_memory()
         intake = RecordIntake(
             self._ctx,
             adapter.decoder,
@@ -440,10 +445,15 @@
             self._ctx.suspicions.observe()
             self._ctx.demand_shares.observe()
             self._ctx.held.check()
+            self._check_memory()
             if self._clock.now_ms() - logged_ms >= COUNTERS_INTERVAL_MS:
                 logged_ms = self._clock.now_ms()
                 self._log_counters()
 
+    def _check_memory(self) -> None:
+        self._memory.check()
+        self._server.max_unread_bytes = self._memory.max_unread_bytes
+
     def _log_counters(self) -> None:
         lag = self.metrics.histogram('gateway_loop_lag')
         logger.info(
@@ -530,6 +540,8 @@
         self._ctx.directory.set_services(state.services.keys())
         self._stores.set_stores(state.stores)
         self._server.set_limits(state.limits)
+        # A large state leaves less for callers.
+        self._memory.measure()
         table = self._ctx.desired.table
         self._ctx.start_hold.release(
             lambda req: table.match(req.host, req.path)
@@ -593,6 +605,17 @@
             caller_conns_limit(descriptors),
         )
 
+    def _make_memory(self) -> CallerMemory:
+        memory_bytes = int(self._settings.memory_mb * 1_000_000)
+        return CallerMemory(
+            self._clock,
+            self._ctx.held,
+            memory_bytes or machine_bytes(),
+            self._settings.max_held_bytes,
+            resident_bytes,
+            return_free_memory,
+        )
+
     def _install_signals(self) -> None:
         loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -58,6 +58,7 @@
     max_unsent_bytes: ByteLimit = 1_048_576
     max_held_bytes: Annotated[int, msgspec.Meta(ge=0)] = 0
     max_reply_bytes: ByteLimit = 8_388_608
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     max_descriptors: Annotated[int, msgspec.Meta(ge=0)] = 0
     contact_ms: Milliseconds = 3_000.0
     domain_transfer_cost: Annotated[float, msgspec.Meta(ge=0)] = 0.0
