--- a/wigeonmill/gateway/held_bytes.py
+++ b/wigeonmill/gateway/held_bytes.py
@@ -32,11 +32,11 @@
 class Holding:
     """What is held for one caller, in bytes.
 
-    `input` is the body of its request, and `is_reading` whether more of it
-    may come, `collected` what was read of an answer
-    and not written yet, and `unsent` what was written and the kernel has not
-    taken. `idle_since_ms` is the time since when the entry waits for the
-    caller to read or to send; it is infinite if it doesn't.
+    `input` is the body of its request, and `is_reading` tells whether more of
+    it may come. `collected` is what was read of an answer and not written yet,
+    and `unsent` what was written and the kernel has not taken.
+    `idle_since_ms` is the time since when the entry waits for the caller to
+    read or to send; it is infinite if it doesn't.
     """
 
     __slots__ = (
