--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A request that crashes engines comes again after all entries restarted."""
+"""An engine crashes once under lookups of one path."""
 
 import asyncio
 import itertools
@@ -6,6 +6,7 @@
 
 from review.fleet.engine import Engine
 from review.fleet.engine import Run
+from review.fleet.http11 import Answer
 from review.fleet.http11 import Request
 from review.fleet.store import Store
 from review.fleet.world import Client
@@ -20,116 +21,130 @@
 from review.fleet.world import ZONES
 
 WORK_S = 0.09
-POST_PATH = '/credits/'
-POISON_PATH = '/credits/ledger-7'
-POISON_BODY = b'{"ledger": 7, "amount": "1e"}'
-POISON_EVERY_S = 4.0
-# Time from the start of the run to the crash, and until the engine is back.
-CRASH_AFTER_S = 0.03
-DOWN_S = 2.0
-# All processes are killed after so many of the requests.
-KILLS_AFTER = (5, 10)
-REQUESTS = 15
-MAX_RETRIES = 3
+FIRST_PATH = '/sheets/'
+ADDED_PATH = '/prices/'
+HOT_PATH = '/prices/today'
+# Lookups that the callers of one entry send together, as they open a page,
+# and the time between such groups at one entry.
+GROUP = 12
+GROUP_EVERY_S = 24.0
+# Time of the crash, and how long it lasts.
+CRASH_AT_S = 14.0
+DOWN_S = 1.0
+END_S = 70.0
+
+
+class Sent:
+    """A request and when it was sent."""
+
+    def __init__(self, path: str, sent_s: float, answer: Answer) -> None:
+        self.path = path
+        self.sent_s = sent_s
+        self.served = answer.status == 200
 
 
 async def run(record: Record) -> bool:
     """Return whether the rule was broken."""
     store = Store()
     address = await store.start('127.0.0.1')
-    await store.put('op/config', state(1, [route('r', POST_PATH, 'unsafe')]))
+    routes = [route('r-first', FIRST_PATH, 'safe', attempts=2)]
+    await store.put('op/config', state(1, routes))
     runs: list[Run] = []
     engines = [Engine(store, 'desk', zone, runs, WORK_S) for zone in ZONES]
     for engine in engines:
         await engine.start('127.0.0.1')
-        engine.on_run = crash_under_poison
     fleet = Fleet(address)
-    poisoned: dict[str, bool] = {}
-    tasks: list[asyncio.Task[None]] = []
     try:
         await fleet.start()
+        routes.append(route('r-added', ADDED_PATH, 'safe', attempts=2))
+        await store.put('op/config', state(3, routes))
+        record.add('the store has confirmed version 3, with a new route')
         await asyncio.sleep(CONTACT_S)
-        tasks = [
-            asyncio.ensure_future(send_poison(record, fleet, poisoned)),
-            *(
-                asyncio.ensure_future(send_others(record, gateway))
-                for gateway in fleet.gateways
-            ),
-        ]
-        await tasks[0]
+        sent = await send_all(record, fleet, engines)
     finally:
-        for task in tasks:
-            task.cancel()
         fleet.close()
-    return judge(record, runs, poisoned)
-
-
-async def crash_under_poison(engine: Engine, req: Request) -> None:
-    """End the engine as it begins to run the request; it starts again."""
-    if req.body != POISON_BODY:
-        return
-
-    async def restart() -> None:
-        await asyncio.sleep(CRASH_AFTER_S)
-        engine.crash()
-        await asyncio.sleep(DOWN_S)
-        await engine.start('127.0.0.1')
-
-    asyncio.ensure_future(restart())
-    await asyncio.sleep(1.0)
-
+    record.add(f'{len(runs)} runs')
+    return judge(record, sent)
 
-async def send_poison(
-    record: Record, fleet: Fleet, poisoned: dict[str, bool]
-) -> None:
-    """Send the request again and again, to one entry after the other.
 
-    `poisoned` gets, by request id, whether the entry was in touch.
-    """
+async def send_all(
+    record: Record, fleet: Fleet, engines: list[Engine]
+) -> list[Sent]:
+    """Send the traffic of all callers, and crash an engine once."""
     client = Client(record)
-    loop = asyncio.get_running_loop()
-    gateways = itertools.cycle(fleet.gateways)
-    for number in range(1, REQUESTS + 1):
-        gateway = next(gateways)
-        in_touch = gateway.in_touch(loop.time())
-        request_id, _answer = await client.send(
-            gateway, 'POST', POISON_PATH, POISON_BODY
+    sent: list[Sent] = []
+    crash = asyncio.Event()
+
+    async def lookup(gateway: Gateway, path: str) -> None:
+        sent_s = record.now_s()
+        _id, answer = await client.send(gateway, 'GET', path)
+        sent.append(Sent(path, sent_s, answer))
+
+    async def first_routes(gateway: Gateway) -> None:
+        for number in itertools.count(1):
+            await lookup(gateway, f'{FIRST_PATH}{gateway.name}-{number}')
+            await asyncio.sleep(1.0)
+
+    async def page(gateway: Gateway) -> None:
+        await asyncio.gather(
+            *(lookup(gateway, HOT_PATH) for _caller in range(GROUP))
         )
-        poisoned[request_id] = in_touch and gateway.in_touch(loop.time())
-        if TROUBLE and number in KILLS_AFTER:
-            record.add('all processes are killed, and start again')
-            fleet.kill_all()
-        await asyncio.sleep(POISON_EVERY_S)
 
-
-async def send_others(record: Record, gateway: Gateway) -> None:
-    """Send sound requests."""
-    client = Client(record)
-    for number in itertools.count(1):
-        body = f'{{"credit": "{gateway.name}-{number}"}}'.encode()
-        path = f'{POST_PATH}{gateway.name}'
-        await client.send(gateway, 'POST', path, body)
-        await asyncio.sleep(0.5)
-
-
-def judge(record: Record, runs: list[Run], poisoned: dict[str, bool]) -> bool:
-    """Count the retries that reached engines after the third crash."""
-    crashes = [run for run in runs if run.path == POISON_PATH]
-    for number, crash in enumerate(crashes, 1):
-        record.add(
-            f'crash {number}: engine {crash.engine} under '
-            f'{crash.request_id} at {record.at_s(crash.at_s):.3f}'
-        )
-    if len(crashes) < MAX_RETRIES:
-        return False
-    from_s = crashes[MAX_RETRIES - 1].at_s + CRASH_AFTER_S + CONTACT_S
-    retries = [
-        crash
-        for crash in crashes
-        if crash.at_s > from_s and poisoned.get(crash.request_id)
+    async def pages(gateway: Gateway, first_s: float) -> None:
+        await asyncio.sleep(first_s)
+        while True:
+            await page(gateway)
+            await asyncio.sleep(GROUP_EVERY_S)
+
+    async def crash_once(engine: Engine, req: Request) -> None:
+        is_hot = req.target == HOT_PATH
+        if crash.is_set() and is_hot and engine.running >= GROUP / 3:
+            crash.clear()
+            asyncio.get_running_loop().call_later(0.04, engine.crash)
+
+    engines[0].on_run = crash_once
+    start_s = record.now_s()
+    tasks = [
+        asyncio.ensure_future(pages(gateway, 2.0 + 4.0 * number))
+        for number, gateway in enumerate(fleet.gateways)
+    ]
+    tasks += [
+        asyncio.ensure_future(first_routes(gateway))
+        for gateway in fleet.gateways
     ]
-    record.add(f'{len(retries)} retries by entries in touch after the third')
-    return len(retries) > MAX_RETRIES
+    try:
+        await asyncio.sleep(CRASH_AT_S - 1.0)
+        if TROUBLE:
+            crash.set()
+            while crash.is_set():
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(DOWN_S)
+            record.add('an engine has crashed; it starts again')
+            await engines[0].start('127.0.0.1')
+        await asyncio.sleep(start_s + END_S - record.now_s())
+    finally:
+        for task in tasks:
+            task.cancel()
+    return sent
+
+
+def judge(record: Record, sent: list[Sent]) -> bool:
+    """Compare the added route with the first one in steady state."""
+    steady_s = 3.0 + CONTACT_S + CRASH_AT_S + DOWN_S + 2 * CONTACT_S
+    shares = []
+    for prefix in (FIRST_PATH, ADDED_PATH):
+        found = [
+            request
+            for request in sent
+            if request.path.startswith(prefix) and request.sent_s > steady_s
+        ]
+        served = sum(request.served for request in found)
+        record.add(f'steady state: {prefix} {served} of {len(found)} served')
+        shares.append((served, len(found)))
+    (first, first_all), (added, added_all) = shares
+    if added_all < 20 or not first:
+        return False
+    return added / added_all < 0.25 * first / first_all
 
 
 if __name__ == '__main__':
--- a/review/fleet/engine.py
+++ b/review/fleet/engine.py
@@ -79,6 +79,10 @@
             self._beats.cancel()
         asyncio.ensure_future(self._forget(self.id))
 
+    def entry(self) -> dict[str, object]:
+        """Return what it says of itself besides its address."""
+        return {}
+
     async def _forget(self, id_: str) -> None:
         await asyncio.sleep(HEARTBEAT_S * MISSED_BEATS)
         await self._store.remove(f'servers/{id_}')
@@ -96,6 +100,7 @@
                 'coldLeftMs': 0,
                 'sequence': sequence,
                 'born': born,
+                **self.entry(),
             }
             await self._store.put(f'servers/{id_}', entry)
             await asyncio.sleep(HEARTBEAT_S)
--- a/review/fleet/world.py
+++ b/review/fleet/world.py
@@ -218,6 +218,7 @@
         body: bytes = b'',
         deadline_ms: int = 3000,
         extra: Mapping[str, str] | None = None,
+        key: str = KEY,
     ) -> tuple[str, Answer]:
         """Send one attempt; return its id and the answer."""
         request_id = f'{next(self._ids):016x}'
@@ -225,7 +226,7 @@
             'Host': HOST_NAME,
             'Request-Id': request_id,
             'Deadline-Ms': str(deadline_ms),
-            'Authorization': f'Bearer {KEY}',
+            'Authorization': f'Bearer {key}',
             **(extra or {}),
         }
         answer = await call(
