--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,123 +1,150 @@
-"""A tenant is isolated while its parts of prompts are cached."""
+"""An engine crashes once under lookups of one path."""
 
 import asyncio
+import itertools
 from pathlib import Path
 
+from review.fleet.engine import Engine
 from review.fleet.engine import Run
-from review.fleet.model_engine import MODEL
-from review.fleet.model_engine import ModelEngine
-from review.fleet.model_engine import service
-from review.fleet.model_engine import Use
+from review.fleet.http11 import Answer
+from review.fleet.http11 import Request
 from review.fleet.store import Store
 from review.fleet.world import Client
 from review.fleet.world import CONTACT_S
 from review.fleet.world import Fleet
-from review.fleet.world import HOST_NAME
+from review.fleet.world import Gateway
 from review.fleet.world import Record
+from review.fleet.world import route
 from review.fleet.world import run_case
 from review.fleet.world import state
 from review.fleet.world import TROUBLE
 from review.fleet.world import ZONES
 
-CONFIG_S = 2.0
-PATH = '/notes/'
-# The tenant that gets isolated, and another one.
-WALLED, OTHER = 'tenant-one', 'tenant-two'
-KEYS = {WALLED: 'k3yofone', OTHER: 'k3yoftwo'}
-# A part that the prompts of both tenants begin with.
-SHARED_PART = '5c1e07a2:1500'
-ROUNDS = 10
-
-
-def desired(version: int, isolated: bool) -> dict[str, object]:
-    """Return a desired state in which a tenant is isolated or not."""
-    route = {
-        'name': 'r-notes',
-        'host': HOST_NAME,
-        'prefix': PATH,
-        'kind': 'streaming',
-        'timeoutMs': 3000,
-        'sloMs': 1000,
-        'priority': 0,
-        'service': 'llm',
-        'attempts': 1,
-        'public': False,
-        'sticky': True,
-        'canResume': False,
-        'gapAimMs': 400,
-    }
-    found = state(version, [route])
-    found['services'] = [service()]
-    found['tenants'] = [
-        {
-            'name': name,
-            'apiKeys': [KEYS[name]],
-            'priority': 1,
-            'isolated': isolated and name == WALLED,
-        }
-        for name in (WALLED, OTHER)
-    ]
-    return found
+WORK_S = 0.09
+FIRST_PATH = '/sheets/'
+ADDED_PATH = '/prices/'
+HOT_PATH = '/prices/today'
+# Lookups that the callers of one entry send together, as they open a page,
+# and the time between such groups at one entry.
+GROUP = 12
+GROUP_EVERY_S = 24.0
+# Time of the crash, and how long it lasts.
+CRASH_AT_S = 14.0
+DOWN_S = 1.0
+END_S = 70.0
+
+
+class Sent:
+    """A request and when it was sent."""
+
+    def __init__(self, path: str, sent_s: float, answer: Answer) -> None:
+        self.path = path
+        self.sent_s = sent_s
+        self.served = answer.status == 200
 
 
 async def run(record: Record) -> bool:
     """Return whether the rule was broken."""
     store = Store()
     address = await store.start('127.0.0.1')
-    await store.put('op/config', desired(1, isolated=False))
+    routes = [route('r-first', FIRST_PATH, 'safe', attempts=2)]
+    await store.put('op/config', state(1, routes))
     runs: list[Run] = []
-    uses: list[Use] = []
-    engines = [ModelEngine(store, zone, runs, uses) for zone in ZONES * 2]
+    engines = [Engine(store, 'desk', zone, runs, WORK_S) for zone in ZONES]
     for engine in engines:
         await engine.start('127.0.0.1')
     fleet = Fleet(address)
     try:
         await fleet.start()
+        routes.append(route('r-added', ADDED_PATH, 'safe', attempts=2))
+        await store.put('op/config', state(3, routes))
+        record.add('the store has confirmed version 3, with a new route')
         await asyncio.sleep(CONTACT_S)
-        await send(record, fleet, WALLED)
-        isolated_s = asyncio.get_running_loop().time()
-        if TROUBLE:
-            await store.put('op/config', desired(3, isolated=True))
-            record.add(f'the store has confirmed that {WALLED} is isolated')
-        await asyncio.sleep(CONFIG_S + CONTACT_S)
-        await send(record, fleet, OTHER)
-        await send(record, fleet, WALLED)
+        sent = await send_all(record, fleet, engines)
     finally:
         fleet.close()
-    return judge(record, uses, isolated_s + CONFIG_S)
+    record.add(f'{len(runs)} runs')
+    return judge(record, sent)
 
 
-async def send(record: Record, fleet: Fleet, tenant: str) -> None:
-    """Send requests of a tenant at each entry."""
+async def send_all(
+    record: Record, fleet: Fleet, engines: list[Engine]
+) -> list[Sent]:
+    """Send the traffic of all callers, and crash an engine once."""
     client = Client(record)
-    for number in range(ROUNDS):
-        for gateway in fleet.gateways:
-            own_part = f'{tenant[-3:].encode().hex()}{number:04x}'
-            headers = {
-                'Model': MODEL,
-                'Token-Usage': '1600,5',
-                'Prefix-Hash': f'{SHARED_PART},{own_part}:100',
-            }
-            body = f'{tenant} {gateway.name} {number}'.encode()
-            await client.send(
-                gateway, 'POST', PATH, body, extra=headers, key=KEYS[tenant]
-            )
-
-
-def judge(record: Record, uses: list[Use], from_s: float) -> bool:
-    """Look for parts that went through the wall."""
-    broken = 0
-    for use in uses:
-        # Without the change neither of the two is isolated.
-        walled = TROUBLE and WALLED in (use.tenant, use.maker)
-        if walled and use.tenant != use.maker and use.at_s > from_s:
-            broken += 1
-        record.add(
-            f'{use.request_id} of {use.tenant} used part {use.part} under '
-            f'{use.salt!r} on {use.engine}, made by {use.maker}'
+    sent: list[Sent] = []
+    crash = asyncio.Event()
+
+    async def lookup(gateway: Gateway, path: str) -> None:
+        sent_s = record.now_s()
+        _id, answer = await client.send(gateway, 'GET', path)
+        sent.append(Sent(path, sent_s, answer))
+
+    async def first_routes(gateway: Gateway) -> None:
+        for number in itertools.count(1):
+            await lookup(gateway, f'{FIRST_PATH}{gateway.name}-{number}')
+            await asyncio.sleep(1.0)
+
+    async def page(gateway: Gateway) -> None:
+        await asyncio.gather(
+            *(lookup(gateway, HOT_PATH) for _caller in range(GROUP))
         )
-    record.add(f'{broken} uses of parts through the wall')
-    return broken > 0
+
+    async def pages(gateway: Gateway, first_s: float) -> None:
+        await asyncio.sleep(first_s)
+        while True:
+            await page(gateway)
+            await asyncio.sleep(GROUP_EVERY_S)
+
+    async def crash_once(engine: Engine, req: Request) -> None:
+        is_hot = req.target == HOT_PATH
+        if crash.is_set() and is_hot and engine.running >= GROUP / 3:
+            crash.clear()
+            asyncio.get_running_loop().call_later(0.04, engine.crash)
+
+    engines[0].on_run = crash_once
+    start_s = record.now_s()
+    tasks = [
+        asyncio.ensure_future(pages(gateway, 2.0 + 4.0 * number))
+        for number, gateway in enumerate(fleet.gateways)
+    ]
+    tasks += [
+        asyncio.ensure_future(first_routes(gateway))
+        for gateway in fleet.gateways
+    ]
+    try:
+        await asyncio.sleep(CRASH_AT_S - 1.0)
+        if TROUBLE:
+            crash.set()
+            while crash.is_set():
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(DOWN_S)
+            record.add('an engine has crashed; it starts again')
+            await engines[0].start('127.0.0.1')
+        await asyncio.sleep(start_s + END_S - record.now_s())
+    finally:
+        for task in tasks:
+            task.cancel()
+    return sent
+
+
+def judge(record: Record, sent: list[Sent]) -> bool:
+    """Compare the added route with the first one in steady state."""
+    steady_s = 3.0 + CONTACT_S + CRASH_AT_S + DOWN_S + 2 * CONTACT_S
+    shares = []
+    for prefix in (FIRST_PATH, ADDED_PATH):
+        found = [
+            request
+            for request in sent
+            if request.path.startswith(prefix) and request.sent_s > steady_s
+        ]
+        served = sum(request.served for request in found)
+        record.add(f'steady state: {prefix} {served} of {len(found)} served')
+        shares.append((served, len(found)))
+    (first, first_all), (added, added_all) = shares
+    if added_all < 20 or not first:
+        return False
+    return added / added_all < 0.25 * first / first_all
 
 
 if __name__ == '__main__':
