--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,13 +1,13 @@
-"""An engine crashes once under lookups of one path."""
+"""Another writer leaves an entry with fields missing."""
 
 import asyncio
 import itertools
 from pathlib import Path
+import time
 
 from review.fleet.engine import Engine
 from review.fleet.engine import Run
 from review.fleet.http11 import Answer
-from review.fleet.http11 import Request
 from review.fleet.store import Store
 from review.fleet.world import Client
 from review.fleet.world import CONTACT_S
@@ -20,22 +20,19 @@
 from review.fleet.world import TROUBLE
 from review.fleet.world import ZONES
 
-WORK_S = 0.09
-FIRST_PATH = '/sheets/'
-ADDED_PATH = '/prices/'
-HOT_PATH = '/prices/today'
-# Lookups that the callers of one entry send together, as they open a page,
-# and the time between such groups at one entry.
-GROUP = 12
-GROUP_EVERY_S = 24.0
-# Time of the crash, and how long it lasts.
-CRASH_AT_S = 14.0
-DOWN_S = 1.0
-END_S = 70.0
+WORK_S = 0.05
+# The routes, the first one and one that is added, and their services.
+FIRST_PATH, ADDED_PATH = '/sheets/', '/rates/'
+FIRST_SERVICE, ADDED_SERVICE = 'desk', 'rates'
+EVERY_S = 0.5
+CALM_S = 4.0
+# For how long the entry of the other writer is there.
+ODD_S = 2.0
+JUDGED_S = 20.0
 
 
 class Sent:
-    """A request and when it was sent."""
+    """A request, when it was sent and whether it was served."""
 
     def __init__(self, path: str, sent_s: float, answer: Answer) -> None:
         self.path = path
@@ -43,103 +40,96 @@
         self.served = answer.status == 200
 
 
+def desired(version: int, has_added: bool) -> dict[str, object]:
+    """Return a desired state with one route or with both."""
+    first = route('r-first', FIRST_PATH, 'safe', attempts=2)
+    added = route('r-added', ADDED_PATH, 'safe', attempts=2)
+    added['service'] = ADDED_SERVICE
+    found = state(version, [first, added] if has_added else [first])
+    services = found['services']
+    found['services'] = services + [services[0] | {'name': ADDED_SERVICE}]
+    return found
+
+
 async def run(record: Record) -> bool:
     """Return whether the rule was broken."""
     store = Store()
     address = await store.start('127.0.0.1')
-    routes = [route('r-first', FIRST_PATH, 'safe', attempts=2)]
-    await store.put('op/config', state(1, routes))
+    await store.put('op/config', desired(1, has_added=False))
     runs: list[Run] = []
-    engines = [Engine(store, 'desk', zone, runs, WORK_S) for zone in ZONES]
-    for engine in engines:
+    engines = [
+        Engine(store, FIRST_SERVICE, zone, runs, WORK_S) for zone in ZONES
+    ]
+    single = Engine(store, ADDED_SERVICE, ZONES[0], runs, WORK_S)
+    for engine in (*engines, single):
         await engine.start('127.0.0.1')
     fleet = Fleet(address)
+    sent: list[Sent] = []
+    tasks: list[asyncio.Task[None]] = []
     try:
         await fleet.start()
-        routes.append(route('r-added', ADDED_PATH, 'safe', attempts=2))
-        await store.put('op/config', state(3, routes))
+        await store.put('op/config', desired(3, has_added=True))
         record.add('the store has confirmed version 3, with a new route')
         await asyncio.sleep(CONTACT_S)
-        sent = await send_all(record, fleet, engines)
+        tasks = [
+            asyncio.ensure_future(send_all(record, gateway, path, sent))
+            for gateway in fleet.gateways
+            for path in (FIRST_PATH, ADDED_PATH)
+        ]
+        await asyncio.sleep(CALM_S)
+        if TROUBLE:
+            await leave_odd_entry(record, store, single)
+        await asyncio.sleep(CONTACT_S)
+        steady_s = record.now_s()
+        await asyncio.sleep(JUDGED_S)
     finally:
+        for task in tasks:
+            task.cancel()
         fleet.close()
     record.add(f'{len(runs)} runs')
-    return judge(record, sent)
+    return judge(record, sent, steady_s)
+
+
+async def leave_odd_entry(
+    record: Record, store: Store, engine: Engine
+) -> None:
+    """Write an entry of no engine, without `version` and `coldLeftMs`."""
+    entry = {
+        'service': ADDED_SERVICE,
+        'address': f'{engine.host}:{engine.port}',
+        'zone': engine.zone,
+        'capacity': 6,
+        'state': 'ready',
+        'sequence': 1,
+        'born': int(time.time() * 1000),
+    }
+    await store.put('servers/copy-1', entry)
+    record.add(f'another writer has left {entry}')
+    await asyncio.sleep(ODD_S)
+    await store.remove('servers/copy-1')
+    record.add('the entry is removed')
 
 
 async def send_all(
-    record: Record, fleet: Fleet, engines: list[Engine]
-) -> list[Sent]:
-    """Send the traffic of all callers, and crash an engine once."""
+    record: Record, gateway: Gateway, path: str, sent: list[Sent]
+) -> None:
+    """Send the requests of one route at one entry."""
     client = Client(record)
-    sent: list[Sent] = []
-    crash = asyncio.Event()
-
-    async def lookup(gateway: Gateway, path: str) -> None:
+    for number in itertools.count(1):
         sent_s = record.now_s()
-        _id, answer = await client.send(gateway, 'GET', path)
+        target = f'{path}{gateway.name}-{number}'
+        _id, answer = await client.send(gateway, 'GET', target)
         sent.append(Sent(path, sent_s, answer))
-
-    async def first_routes(gateway: Gateway) -> None:
-        for number in itertools.count(1):
-            await lookup(gateway, f'{FIRST_PATH}{gateway.name}-{number}')
-            await asyncio.sleep(1.0)
-
-    async def page(gateway: Gateway) -> None:
-        await asyncio.gather(
-            *(lookup(gateway, HOT_PATH) for _caller in range(GROUP))
-        )
-
-    async def pages(gateway: Gateway, first_s: float) -> None:
-        await asyncio.sleep(first_s)
-        while True:
-            await page(gateway)
-            await asyncio.sleep(GROUP_EVERY_S)
-
-    async def crash_once(engine: Engine, req: Request) -> None:
-        is_hot = req.target == HOT_PATH
-        if crash.is_set() and is_hot and engine.running >= GROUP / 3:
-            crash.clear()
-            asyncio.get_running_loop().call_later(0.04, engine.crash)
-
-    engines[0].on_run = crash_once
-    start_s = record.now_s()
-    tasks = [
-        asyncio.ensure_future(pages(gateway, 2.0 + 4.0 * number))
-        for number, gateway in enumerate(fleet.gateways)
-    ]
-    tasks += [
-        asyncio.ensure_future(first_routes(gateway))
-        for gateway in fleet.gateways
-    ]
-    try:
-        await asyncio.sleep(CRASH_AT_S - 1.0)
-        if TROUBLE:
-            crash.set()
-            while crash.is_set():
-                await asyncio.sleep(0.01)
-            await asyncio.sleep(DOWN_S)
-            record.add('an engine has crashed; it starts again')
-            await engines[0].start('127.0.0.1')
-        await asyncio.sleep(start_s + END_S - record.now_s())
-    finally:
-        for task in tasks:
-            task.cancel()
-    return sent
+        await asyncio.sleep(EVERY_S)
 
 
-def judge(record: Record, sent: list[Sent]) -> bool:
+def judge(record: Record, sent: list[Sent], steady_s: float) -> bool:
     """Compare the added route with the first one in steady state."""
-    steady_s = 3.0 + CONTACT_S + CRASH_AT_S + DOWN_S + 2 * CONTACT_S
     shares = []
-    for prefix in (FIRST_PATH, ADDED_PATH):
-        found = [
-            request
-            for request in sent
-            if request.path.startswith(prefix) and request.sent_s > steady_s
-        ]
+    for path in (FIRST_PATH, ADDED_PATH):
+        found = [s for s in sent if s.path == path and s.sent_s > steady_s]
         served = sum(request.served for request in found)
-        record.add(f'steady state: {prefix} {served} of {len(found)} served')
+        record.add(f'steady state: {path} {served} of {len(found)} served')
         shares.append((served, len(found)))
     (first, first_all), (added, added_all) = shares
     if added_all < 20 or not first:
--- a/review/fleet/engine.py
+++ b/review/fleet/engine.py
@@ -42,7 +42,7 @@
     ) -> None:
         self._store = store
         self._service = service
-        self._zone = zone
+        self.zone = zone
         self._runs = runs
         self._work_s = work_s
         self._capacity = capacity
@@ -53,6 +53,8 @@
         self.id = ''
         self.host = ''
         self.port = 0
+        # Until when it is cold, on the loop's clock.
+        self._cold_until_s = 0.0
         # Called as a request begins to run; it may crash the engine.
         self.on_run: Callable[[Engine, Request], Awaitable[None]] = _ignore
 
@@ -61,9 +63,11 @@
         """The number of requests that run."""
         return self._running
 
-    async def start(self, host: str) -> None:
+    async def start(self, host: str, cold_s: float = 0.0) -> None:
         """Listen and register; a later start keeps the address."""
         self.host = host
+        now_s = asyncio.get_running_loop().time()
+        self._cold_until_s = now_s + cold_s
         self.id = f'i-{next(self._ids):04d}'
         self._slots = asyncio.Semaphore(self._capacity)
         self._running = 0
@@ -83,6 +87,10 @@
         """Return what it says of itself besides its address."""
         return {}
 
+    def work_s(self, req: Request) -> float:
+        """Return how long a request runs."""
+        return self._work_s
+
     async def _forget(self, id_: str) -> None:
         await asyncio.sleep(HEARTBEAT_S * MISSED_BEATS)
         await self._store.remove(f'servers/{id_}')
@@ -93,11 +101,11 @@
             entry = {
                 'service': self._service,
                 'address': f'{self.host}:{self.port}',
-                'zone': self._zone,
+                'zone': self.zone,
                 'version': 'v1',
                 'capacity': self._capacity,
                 'state': 'ready',
-                'coldLeftMs': 0,
+                'coldLeftMs': self._cold_left_ms(),
                 'sequence': sequence,
                 'born': born,
                 **self.entry(),
@@ -105,6 +113,10 @@
             await self._store.put(f'servers/{id_}', entry)
             await asyncio.sleep(HEARTBEAT_S)
 
+    def _cold_left_ms(self) -> int:
+        left_s = self._cold_until_s - asyncio.get_running_loop().time()
+        return max(0, round(left_s * 1000.0))
+
     async def _handle(self, req: Request) -> Reply:
         id_ = self.id
         headers = {
@@ -129,7 +141,7 @@
         request_id = req.headers.get('request-id', '')
         self._runs.append(Run(request_id, self.id, now_s, req.target))
         await self.on_run(self, req)
-        await asyncio.sleep(self._work_s)
+        await asyncio.sleep(self.work_s(req))
         headers['Server-Seal'] = f'seal.{request_id}.{self.id}'
         return Reply(200, headers, b'x' * 800)
 
--- a/review/fleet/http11.py
+++ b/review/fleet/http11.py
@@ -32,11 +32,15 @@
 
 @dataclass
 class Reply:
-    """A reply; without a status the connection is reset."""
+    """A reply; without a status the connection is reset.
+
+    With `parts` the body is sent in chunks, each after a pause in seconds.
+    """
 
     status: int | None = 200
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b''
+    parts: list[tuple[float, bytes]] = field(default_factory=list)
 
 
 Handler = Callable[[Request], Awaitable[Reply]]
@@ -80,6 +84,11 @@
                     writer.transport.abort()
                     return
                 writer.write(encode_reply(reply))
+                for pause_s, data in reply.parts:
+                    await asyncio.sleep(pause_s)
+                    writer.write(b'%x\r\n%b\r\n' % (len(data), data))
+                if reply.parts:
+                    writer.write(b'0\r\n\r\n')
                 await writer.drain()
         except (
             ConnectionError,
@@ -122,11 +131,14 @@
 
 
 def encode_reply(reply: Reply) -> bytes:
-    """Return a reply with a length as bytes."""
+    """Return a reply as bytes, without the parts that follow."""
     status = reply.status or 0
     lines = [f'HTTP/1.1 {status} {REASONS.get(status, "Status")}']
     lines += [f'{name}: {value}' for name, value in reply.headers.items()]
-    lines.append(f'Content-Length: {len(reply.body)}')
+    if reply.parts:
+        lines.append('Transfer-Encoding: chunked')
+    else:
+        lines.append(f'Content-Length: {len(reply.body)}')
     return '\r\n'.join((*lines, '', '')).encode('latin-1') + reply.body
 
 
@@ -177,7 +189,18 @@
             return Answer(None, failure='closed without an answer')
         first, fields = found
         status = int(first.split(' ', 2)[1])
+        if fields.get('transfer-encoding') == 'chunked':
+            return Answer(status, fields, await _read_chunks(reader))
         length = int(fields.get('content-length', '0'))
         return Answer(status, fields, await reader.readexactly(length))
     finally:
         writer.close()
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
+    body = b''
+    while True:
+        size = int((await reader.readuntil(b'\r\n')).strip() or b'0', 16)
+        body += (await reader.readexactly(size + 2))[:-2]
+        if not size:
+            return body
--- a/review/fleet/model_engine.py
+++ b/review/fleet/model_engine.py
@@ -1,7 +1,4 @@
-"""A stand-in of a model engine that caches the parts of prompts."""
-
-import asyncio
-from dataclasses import dataclass
+"""A stand-in of the engines of a model."""
 
 from review.fleet.engine import Engine
 from review.fleet.engine import Run
@@ -9,67 +6,48 @@
 from review.fleet.http11 import Request
 from review.fleet.store import Store
 
-EVENTS = 5
-
-
-@dataclass
-class Use:
-    """A part that a request did not prefill, as another one had made it."""
-
-    request_id: str
-    engine: str
-    at_s: float
-    tenant: str
-    salt: str
-    part: str
-    maker: str
+MODEL = 'model0'
+EVENTS = 3
 
 
 class ModelEngine(Engine):
-    """Finds cached parts under the salt that the request bears."""
+    """Answers with a stream of events; `work_s` is by the path's prefix."""
 
     def __init__(
-        self, store: Store, zone: str, runs: list[Run], uses: list[Use]
+        self,
+        store: Store,
+        zone: str,
+        runs: list[Run],
+        work_by_prefix: dict[str, float],
     ) -> None:
-        super().__init__(store, 'llm', zone, runs, 0.05, capacity=64)
-        self._uses = uses
-        # The tenant whose request made a part, by salt and part.
-        self._makers: dict[tuple[str, str], str] = {}
+        super().__init__(store, 'llm', zone, runs, 0.0, capacity=64)
+        self._work_by_prefix = work_by_prefix
+        # The time before each event.
+        self.pause_s = 0.0
 
     def entry(self) -> dict[str, object]:
         """Return what it says of itself besides its address."""
         models = [{'name': MODEL, 'version': 1, 'adapters': []}]
         return {'stage': 'colocated', 'models': models}
 
+    def work_s(self, req: Request) -> float:
+        """Return how long a request runs."""
+        for prefix, work_s in self._work_by_prefix.items():
+            if req.target.startswith(prefix):
+                return work_s
+        return 0.0
+
     async def _run(self, req: Request, headers: dict[str, str]) -> Reply:
-        self._look_up(req)
         reply = await super()._run(req, headers)
         reply.headers['Content-Type'] = 'text/event-stream'
         reply.headers['Weight-Versions'] = '1'
-        events = [f'id: {n}\ndata: x\n\n' for n in range(1, EVENTS + 1)]
-        reply.body = ''.join(events).encode()
+        reply.body = b''
+        reply.parts = [
+            (self.pause_s, f'id: {number}\ndata: x\n\n'.encode())
+            for number in range(1, EVENTS + 1)
+        ]
         return reply
 
-    def _look_up(self, req: Request) -> None:
-        """Use the leading parts that are cached, and make the others."""
-        salt = req.headers.get('cache-salt', '')
-        tenant = req.headers.get('tenant', '')
-        now_s = asyncio.get_running_loop().time()
-        cached = True
-        for entry in req.headers['prefix-hash'].split(','):
-            part = entry.partition(':')[0]
-            maker = self._makers.get((salt, part))
-            cached = cached and maker is not None
-            if not cached or maker is None:
-                self._makers[salt, part] = tenant
-                continue
-            id_ = req.headers.get('request-id', '')
-            use = Use(id_, self.id, now_s, tenant, salt, part, maker)
-            self._uses.append(use)
-
-
-MODEL = 'model0'
-
 
 def service() -> dict[str, object]:
     """Return the service of these engines in a desired state."""
@@ -97,3 +75,22 @@
             'models': [{'name': MODEL}],
         },
     }
+
+
+def stream_route(name: str, prefix: str) -> dict[str, object]:
+    """Return a route of streams that may not be resumed."""
+    return {
+        'name': name,
+        'host': 'desk.example',
+        'prefix': prefix,
+        'kind': 'streaming',
+        'timeoutMs': 3000,
+        'sloMs': 1000,
+        'priority': 0,
+        'service': 'llm',
+        'attempts': 1,
+        'public': False,
+        'sticky': True,
+        'canResume': False,
+        'gapAimMs': 400,
+    }
--- a/review/fleet/world.py
+++ b/review/fleet/world.py
@@ -1,6 +1,7 @@
 """Starts gateways with the command of the deploy file, and records."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
 import itertools
@@ -32,6 +33,9 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 
+ChangeSettings = Callable[[dict[str, object]], dict[str, object]]
+
+
 class NotRun(Exception):
     """The case could not run."""
 
@@ -75,13 +79,16 @@
             f'{host}:{free_port(host)}' for _ in range(4)
         )
         self._proc: subprocess.Popen[bytes] | None = None
+        # Returns the settings to use in place of the usual ones.
+        self.change_settings: ChangeSettings = lambda settings: settings
         # When it was started or disturbed last, on the loop's clock.
         self.disturbed_s = 0.0
 
     def start(self, seeds: list[str]) -> None:
         """Start the process with the settings of a small deployment."""
         path = self._folder / f'{self.name}.json'
-        path.write_text(json.dumps(self._settings(seeds)))
+        settings = self.change_settings(self._settings(seeds))
+        path.write_text(json.dumps(settings))
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         command = deploy['roles']['gateway']['run'].split()
         env = {
