--- a/review/8/case.py
+++ b/review/8/case.py
@@ -105,7 +105,7 @@
             and engine.running >= GROUP / len(engines)
         ):
             crash.clear()
-            asyncio.get_running_loop().call_later(0.04, engine.crash)
+            asyncio.get_running_loop().call_later(0.02, engine.crash)
 
     engines[0].on_run = crash_once
     start_s = record.now_s()
