Count targets that are lost at one moment as one crash of a part

Cause: the guard of prompt parts counted the lost lifetimes. One cause that takes four targets was four crashes of each part that all of them ran, and the chance that a sound part is lost as often was computed as if they had been lost independently. Nothing released the part, as only the first of all entries may send a probe, and the callers of another zone don't reach it.

Change: losses are counted by events. Losses of one moment are one event, and so are those of one failure domain that served nothing in between. A run that was sent to a target after the first loss shows that the target was still there, so a request that ends one target after the other counts each of them. Entries tell each other how long a lost run had lasted. Any entry may probe a quarantine, each from another time on; that a probe was sent is told to all and published with the quarantine. Older builds ignore the new fields.

Why it works: the chance is that of as many independent events, which are not enough for a quarantine here, and a part that is blamed all the same is released by the callers of any entry.

--- a/tests/gateway/test_part_records.py
+++ b/tests/gateway/test_part_records.py
@@ -11,6 +11,7 @@
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.own_records import PART_QUARANTINES_KEY
+from wigeonmill.gateway.part_guard import PROBE_AFTER_MS
 from wigeonmill.gateway.part_guard import QUARANTINE_MS
 from wigeonmill.gateway.part_records import PartQuarantines
 from wigeonmill.gateway.part_records import PartQuarantinesPublisher
@@ -79,6 +80,21 @@
     assert not Process(clock, keys).forbids()
 
 
+# Guards against BUDGET: entries that had restarted probed a part once more.
+def test_a_probe_outlasts_a_restart_of_all_entries():
+    clock, keys = make_world()
+    process = make_quarantined(clock, keys)
+    process.step()
+    clock.advance(PROBE_AFTER_MS)
+    guard = process.entry.guard
+    assert not guard.admit((BAD,))
+    guard.record_probe_sent(guard.find((BAD,)))
+    process.step()
+    restarted = Process(clock, keys)
+    restarted.step()
+    assert restarted.entry.guard.admit((BAD,))
+
+
 def test_a_released_part_is_no_longer_published():
     clock, keys = make_world()
     process = make_quarantined(clock, keys)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -347,6 +347,27 @@
     run_with_two(check)
 
 
+# Guards against CONFIG: what tells a loss of a whole domain from crashes, and
+# that a quarantine was probed, was known to the entry itself only.
+def test_the_times_of_losses_and_probes_are_reported():
+    async def check(first, second):
+        guard = second.ctx.part_guard
+        guard.record_lost((b'bad',), 'e0@1', ran_ms=5_000.0)
+        heard = first.ctx.loss_log
+        await wait_until(lambda: heard.after(0, heard.last_number))
+        (loss,) = heard.after(0, heard.last_number)
+        assert loss.outcome.ran_ms == 5_000.0
+        guard.adopt((b'bad',), 10.0, 'peer')
+        guard.record_probe_sent(guard.find((b'bad',)))
+        await wait_until(
+            lambda: any(
+                item.probe_sent for item in first.ctx.part_guard.quarantines()
+            )
+        )
+
+    run_with_two(check)
+
+
 def serve_others(entry):
     for _ in range(20):
         entry.ctx.part_guard.record_served((b'sound',))
@@ -359,6 +380,8 @@
         guard = second.ctx.part_guard
         for number in range(2):
             guard.record_lost((b'shared', b'bad'), f'e{number}@1')
+            # Losses of one moment are one event.
+            await asyncio.sleep(0.02)
         for entry in (first, second):
             serve_others(entry)
         first.ctx.part_guard.record_lost((b'other', b'bad'), 'e2@1')
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -360,7 +360,9 @@
         if not self.served:
             self.served = True
             self._ctx.part_guard.record_served(
-                self._terms.part_keys, self.target.service
+                self._terms.part_keys,
+                self.target.service,
+                self.target.failure_domain,
             )
 
     def _record_origin(self) -> None:
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -17,6 +17,7 @@
 from wigeonmill.gateway.extra_work import ExtraWorkLimits
 from wigeonmill.gateway.freshness import Freshness
 from wigeonmill.gateway.held_bytes import HeldBytes
+from wigeonmill.gateway.loss_events import LossWitness
 from wigeonmill.gateway.loss_log import LossLog
 from wigeonmill.gateway.memory_guard import UnseenWork
 from wigeonmill.gateway.origin_records import OpenStreams
@@ -303,8 +304,9 @@
             clock,
             metrics,
             self.loss_log,
-            lambda: entry_position() == 0.0,
+            entry_position,
             self.directory.service_of,
+            LossWitness(clock, self.directory.domain_of),
         )
         # Whether operators want teams to compete for room by their shares.
         self.fair_admission = False
--- a/wigeonmill/gateway/loss_log.py
+++ b/wigeonmill/gateway/loss_log.py
@@ -21,11 +21,13 @@
     """How a run on some prompt parts ended: its target was lost or served it.
 
     The parts are identified by their keys. `lifetime` identifies the target
-    that was lost and its start; it is empty if the run was served.
+    that was lost and its start; it is empty if the run was served. `ran_ms` is
+    the time for which the run had lasted when its target was lost.
     """
 
     keys: tuple[bytes, ...]
     lifetime: str = ''
+    ran_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/wigeonmill/gateway/own_records.py
+++ b/wigeonmill/gateway/own_records.py
@@ -89,10 +89,14 @@
 
 
 class PartQuarantineRecord(msgspec.Struct, frozen=True):
-    """Parts of a quarantine, as hexadecimal keys, and its wall time."""
+    """Parts of a quarantine, as hexadecimal keys, and its wall time.
+
+    `probe_sent` is set once a request was sent in spite of it.
+    """
 
     parts: list[str]
     since_unix_ms: int
+    probe_sent: bool = False
 
 
 class PartQuarantinesRecord(msgspec.Struct, frozen=True):
--- a/wigeonmill/gateway/part_guard.py
+++ b/wigeonmill/gateway/part_guard.py
@@ -10,11 +10,15 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 import logging
 
 import xxhash
 
 from wigeonmill.clock import Clock
+from wigeonmill.gateway.loss_events import count_events
+from wigeonmill.gateway.loss_events import LossTimes
+from wigeonmill.gateway.loss_events import LossWitness
 from wigeonmill.gateway.loss_log import LOSS_TTL_MS
 from wigeonmill.gateway.loss_log import LossLog
 from wigeonmill.gateway.loss_log import RunOutcome
@@ -23,8 +27,9 @@
 
 logger = logging.getLogger(__name__)
 
-# A part is quarantined after at least this many crashes without a run that was
-# served, and if the chance that a sound part was lost as often is this small.
+# A part is quarantined after at least this many events in which targets were
+# lost under it, without a run that was served, and if the chance that a sound
+# part was lost as often is this small.
 MIN_CRASHES = 3
 MAX_CHANCE = 0.002
 # The same by the runs at the services that lost the targets, which are fewer.
@@ -34,9 +39,10 @@
 MIN_CRASHES_ALONE = 2
 MAX_CHANCE_ALONE = 0.005
 QUARANTINE_MS = 600_000.0
-# Age of a quarantine at which one request with its parts is sent.
+# Age of a quarantine from which the first entry may send one request with its
+# parts; the last one may this much later, unless another entry did.
 PROBE_AFTER_MS = 2_000.0
-PROBE_BEFORE_MS = 60_000.0
+PROBE_SPREAD_MS = 6_000.0
 # After a quarantine, a single crash quarantines again within this time.
 PROBATION_MS = 600_000.0
 # Maximum time for which a report is under way. Its age does not include it, so
@@ -72,9 +78,23 @@
     `keys` are the parts of the requests with this one that it was running.
     """
 
-    at_ms: float
+    times: LossTimes
     keys: frozenset[bytes]
 
+    @property
+    def at_ms(self) -> float:
+        """When the target was lost."""
+        return self.times.at_ms
+
+    def including(self, other: '_Loss') -> '_Loss':
+        """Return the same loss, noticed under another run as well."""
+        times, keys = self.times, self.keys
+        if other.times.began_ms < times.began_ms:
+            times = replace(times, began_ms=other.times.began_ms)
+        if len(keys) < MAX_PARTS:
+            keys |= other.keys
+        return _Loss(times, keys)
+
 
 @dataclass(frozen=True, slots=True)
 class _Runs:
@@ -111,14 +131,15 @@
 
     If several parts were always lost together, `parts` holds all of them, and
     requests with only some of them are still sent. `lifetimes` are the targets
-    that were lost under them. `probed` is set once a request was sent in spite
-    of it.
+    that were lost under them. `probed` is set once a request was admitted in
+    spite of it, and `probe_sent` once it was sent by any entry.
     """
 
     parts: frozenset[bytes]
     since_ms: float
     lifetimes: set[str] = field(default_factory=set)
     probed: bool = False
+    probe_sent: bool = False
 
 
 class PartGuard:
@@ -133,7 +154,8 @@
         '_probations',
         '_runs',
         '_service_of',
-        '_may_probe',
+        '_witness',
+        '_position',
         '_started_ms',
     )
 
@@ -142,17 +164,19 @@
         clock: Clock,
         metrics: Metrics,
         log: LossLog,
-        may_probe: Callable[[], bool],
+        position: Callable[[], float],
         service_of: Callable[[str], str],
+        witness: LossWitness,
     ) -> None:
         """Create the guard of an entry.
 
-        `may_probe` tells whether it is the one of all entries that probes
-        quarantined parts, and `service_of` the service of a lifetime, which
-        is empty if the target is not known.
+        `position` returns that of the entry among all of them, from 0 to 1,
+        and `service_of` the service of a lifetime, which is empty if the
+        target is not known.
         """
-        self._may_probe = may_probe
+        self._position = position
         self._service_of = service_of
+        self._witness = witness
         self._clock = clock
         self._started_ms = clock.now_ms()
         self._metrics = metrics
@@ -189,15 +213,16 @@
     def admit(self, keys: Collection[bytes]) -> Quarantine | None:
         """Return the quarantine that forbids a new request, if any does.
 
-        The first request at one of the entries in the time for probes is
-        admitted. If its parts were blamed wrongly, it is served and releases
-        them; nothing else could, because no request with them is sent.
+        One request is admitted in spite of a quarantine. If its parts were
+        blamed wrongly, it is served and releases them; nothing else could,
+        because no request with them is sent. As callers may reach some of the
+        entries only, each of them may admit it, but at another time.
         """
         quarantine = self.find(keys)
-        if quarantine is None or quarantine.probed or not self._may_probe():
+        if quarantine is None or quarantine.probed:
             return quarantine
         age_ms = self._clock.now_ms() - quarantine.since_ms
-        if not PROBE_AFTER_MS <= age_ms < PROBE_BEFORE_MS:
+        if age_ms < PROBE_AFTER_MS + self._position() * PROBE_SPREAD_MS:
             return quarantine
         quarantine.probed = True
         self._metrics.count('gateway_part_quarantines', 'probed')
@@ -207,6 +232,10 @@
         )
         return None
 
+    def record_probe_sent(self, probe: Quarantine) -> None:
+        """Record that the admitted request was sent to a target."""
+        probe.probe_sent = True
+
     def give_back(self, probe: Quarantine) -> None:
         """Let another request probe, as the admitted one was not sent."""
         probe.probed = False
@@ -224,18 +253,21 @@
         self._expire()
         return list(self._quarantines)
 
-    def record_lost(self, keys: Collection[bytes], lifetime: str) -> None:
-        """Record that a target was lost while it ran a request."""
+    def record_lost(
+        self, keys: Collection[bytes], lifetime: str, ran_ms: float = 0.0
+    ) -> None:
+        """Record that a target was lost, with a request of `ran_ms`."""
         service = self._service_of(lifetime) if keys else None
         runs = self._runs.get(service, _Runs())
         self._runs[service] = _Runs(runs.lost + 1, runs.served)
-        outcome = RunOutcome(tuple(keys), lifetime)
+        outcome = RunOutcome(tuple(keys), lifetime, ran_ms)
         self._add_losses(outcome, self._clock.now_ms(), local=True)
 
     def record_served(
-        self, keys: Collection[bytes], service: str = ''
+        self, keys: Collection[bytes], service: str = '', domain: str = ''
     ) -> None:
-        """Record that a target of `service` lived on while it served."""
+        """Record that a target lived on while it served."""
+        self._witness.record_served(domain)
         group = service if keys else None
         runs = self._runs.get(group, _Runs())
         self._runs[group] = _Runs(runs.lost, runs.served + 1)
@@ -270,7 +302,11 @@
             self._log.add_parts(RunOutcome(tuple(cleared)), at_ms, False)
 
     def adopt(
-        self, parts: Iterable[bytes], age_ms: float, source: str
+        self,
+        parts: Iterable[bytes],
+        age_ms: float,
+        source: str,
+        probe_sent: bool = False,
     ) -> None:
         """Put a quarantine in force that began `age_ms` ago elsewhere."""
         group = frozenset(parts)
@@ -282,12 +318,16 @@
         )
         if group and not served_since and age_ms < QUARANTINE_MS:
             self._quarantine(Quarantine(group, since_ms), source)
+        for known in self._quarantines:
+            if probe_sent and known.parts == group:
+                known.probed = known.probe_sent = True
 
     def _add_losses(
         self, outcome: RunOutcome, at_ms: float, local: bool
     ) -> None:
         new = False
-        loss = _Loss(at_ms, frozenset(outcome.keys))
+        times = self._witness.times(outcome.lifetime, at_ms, outcome.ran_ms)
+        loss = _Loss(times, frozenset(outcome.keys))
         for key in outcome.keys:
             new = self._add_loss(key, outcome.lifetime, loss, local) or new
         if not new:
@@ -322,9 +362,7 @@
         self._evict()
         known = suspect.losses.get(lifetime)
         if known is not None:
-            if len(known.keys) < MAX_PARTS and not loss.keys <= known.keys:
-                keys = known.keys | loss.keys
-                suspect.losses[lifetime] = _Loss(known.at_ms, keys)
+            suspect.losses[lifetime] = known.including(loss)
             suspect.own_losses += local
             return False
         if not self._counting_losses(suspect):
@@ -385,7 +423,8 @@
         group = frozenset(
             key
             for key, lifetimes in blamed.items()
-            if key == worst or len(lifetimes & blamed[worst]) >= MIN_CRASHES
+            if key == worst
+            or self._events(key, lifetimes & blamed[worst]) >= MIN_CRASHES
         )
         quarantine = Quarantine(group, self._clock.now_ms())
         self._quarantine(quarantine, 'crashes')
@@ -399,14 +438,19 @@
         needed, max_chance = MIN_CRASHES, MAX_CHANCE
         if self._is_lost_without_others(key, keys):
             needed, max_chance = MIN_CRASHES_ALONE, MAX_CHANCE_ALONE
-        if len(lifetimes) < needed:
+        if self._events(key, lifetimes) < needed:
             return set()
-        if self._may_be_chance(suspect, lifetimes, max_chance):
+        if self._may_be_chance(key, suspect, lifetimes, max_chance):
             return set()
         if self._are_explained(key, lifetimes):
             return set()
         return lifetimes
 
+    def _events(self, key: bytes, lifetimes: Iterable[str]) -> int:
+        """Return in how many events these targets were lost under a part."""
+        losses = self._suspects[key].losses
+        return count_events(losses[lifetime].times for lifetime in lifetimes)
+
     def _is_lost_without_others(
         self, key: bytes, keys: tuple[bytes, ...]
     ) -> bool:
@@ -417,19 +461,24 @@
         )
 
     def _are_explained(self, key: bytes, lifetimes: set[str]) -> bool:
-        """Whether these lifetimes, but for one, ended under other parts.
+        """Whether these lifetimes, but for one event, ended under others.
 
-        Those parts are in quarantine. A request that goes on at other targets
+        Those parts are quarantined. A request that goes on at other targets
         may be lost with each that the same other one ends.
         """
         return any(
-            len(lifetimes - quarantine.lifetimes) < MIN_CRASHES_ALONE
+            self._events(key, lifetimes - quarantine.lifetimes)
+            < MIN_CRASHES_ALONE
             for quarantine in self._quarantines
             if key not in quarantine.parts
         )
 
     def _may_be_chance(
-        self, suspect: _Suspect, lifetimes: set[str], max_chance: float
+        self,
+        key: bytes,
+        suspect: _Suspect,
+        lifetimes: set[str],
+        max_chance: float,
     ) -> bool:
         """Whether a sound part may well have been lost as often.
 
@@ -437,7 +486,7 @@
         services that lost the targets. A service that goes on tells nothing of
         one that is down, nor does a request without a prompt of one with it.
         """
-        crashes = len(lifetimes)
+        crashes = self._events(key, lifetimes)
         services: set[str | None] = set(map(self._service_of, lifetimes))
         at_services = self._chance(suspect, crashes, services)
         overall = self._chance(suspect, crashes, self._runs.keys())
--- a/wigeonmill/gateway/part_records.py
+++ b/wigeonmill/gateway/part_records.py
@@ -24,7 +24,8 @@
 # Delay before a failed write is repeated.
 RETRY_MS = 1_000.0
 
-Groups = set[frozenset[bytes]]
+# By their parts, whether a request was sent in spite of each quarantine.
+Groups = dict[frozenset[bytes], bool]
 
 
 class PartQuarantines:
@@ -35,7 +36,7 @@
     def __init__(self, clock: Clock, guard: PartGuard) -> None:
         self._clock = clock
         self._guard = guard
-        self._published: Groups = set()
+        self._published: Groups = {}
         self._revision = 0
 
     @property
@@ -48,22 +49,23 @@
         if record.revision <= self._revision:
             return
         self._revision = record.revision if record.value is not None else 0
-        self._published = set()
+        self._published = {}
         found = decode_own(record, PartQuarantinesRecord)
         for item in found.quarantines if found else ():
             parts = _decode_keys(item.parts)
             if not parts:
                 logger.warning('malformed quarantine', extra={'item': item})
                 continue
-            self._published.add(parts)
+            self._published[parts] = item.probe_sent
             # The wall clock may have been set back in between.
             age_ms = max(0, self._clock.wall_ms() - item.since_unix_ms)
-            self._guard.adopt(parts, age_ms, 'store')
+            self._guard.adopt(parts, age_ms, 'store', item.probe_sent)
 
     def to_publish(self) -> bytes | None:
         """Return the record to write in place of the published one, if any."""
         quarantines = self._guard.quarantines()
-        if {item.parts for item in quarantines} == self._published:
+        groups = {item.parts: item.probe_sent for item in quarantines}
+        if groups == self._published:
             return None
         now_ms = self._clock.now_ms()
         wall_ms = self._clock.wall_ms()
@@ -72,6 +74,7 @@
                 PartQuarantineRecord(
                     sorted(key.hex() for key in item.parts),
                     int(wall_ms - (now_ms - item.since_ms)),
+                    item.probe_sent,
                 )
                 for item in quarantines
             ]
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -420,12 +420,17 @@
                 list(item.outcome.keys),
                 item.outcome.lifetime,
                 int(now_ms - item.at_ms),
+                int(item.outcome.ran_ms) or None,
             )
             for item in losses
             if item.outcome is not None
         ] or None
         update.part_quarantines = [
-            PartQuarantine(list(item.parts), int(now_ms - item.since_ms))
+            PartQuarantine(
+                list(item.parts),
+                int(now_ms - item.since_ms),
+                item.probe_sent or None,
+            )
             for item in self._ctx.part_guard.quarantines()
         ] or None
         return losses[-1].number if losses else known
@@ -458,12 +463,19 @@
         guard = self._ctx.part_guard
         for outcome in update.part_outcomes or ():
             observed = RunOutcome(
-                tuple(outcome.parts or ()), outcome.lifetime or ''
+                tuple(outcome.parts or ()),
+                outcome.lifetime or '',
+                max(0, outcome.ran_ms or 0),
             )
             guard.record_remote(observed, max(0, outcome.age_ms or 0))
         for quarantine in update.part_quarantines or ():
             age_ms = max(0, quarantine.age_ms or 0)
-            guard.adopt(quarantine.parts or (), age_ms, 'peer')
+            guard.adopt(
+                quarantine.parts or (),
+                age_ms,
+                'peer',
+                bool(quarantine.probe_sent),
+            )
         self._apply_records(update, source)
 
     def _apply_records(self, update: EntryNews, source: str) -> None:
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -349,6 +349,8 @@
             target.load.close(in_flight)
             raise
         self._arrivals += 1
+        if self._probe is not None:
+            self._ctx.part_guard.record_probe_sent(self._probe)
         trial = self._ctx.rollouts.begin(self._route.name, target, generation)
         attempt = Attempt(
             self._ctx,
@@ -483,7 +485,7 @@
                 self._ctx.crash_guard.record_served(self._fingerprint)
             return
         if not attempt.served:
-            self._record_lost_parts(attempt.target, failure)
+            self._record_lost_parts(attempt, failure)
         if second is not None:
             outcome = 'failed' if attempt is second else 'first_failed'
             self._record_second(outcome, attempt, second, failure)
@@ -550,13 +552,15 @@
             circuits.record_failure(target.id)
             self._record_loss(target)
 
-    def _record_lost_parts(self, target: Target, failure: Failure) -> None:
+    def _record_lost_parts(self, attempt: Attempt, failure: Failure) -> None:
         """Record the parts of the prompt if their target may have ended."""
         if failure.was_writing:
             return
         if failure.target_lost and failure.arrived_at_service:
             self._ctx.part_guard.record_lost(
-                self._terms.part_keys, target.lifetime
+                self._terms.part_keys,
+                attempt.target.lifetime,
+                self._ctx.clock.now_ms() - attempt.sent_ms,
             )
 
     def _record_loss(self, target: Target) -> None:
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -258,6 +258,11 @@
         target = self._targets.get(lifetime.rpartition('@')[0])
         return target.service if target is not None else ''
 
+    def domain_of(self, lifetime: str) -> str:
+        """Return the domain of a lifetime; it is empty if not known."""
+        target = self._targets.get(lifetime.rpartition('@')[0])
+        return target.failure_domain if target is not None else ''
+
     def of_service(self, service: str) -> list[Target]:
         """Return the targets of a service that accept new requests.
 
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -3548,6 +3548,7 @@
      - parts
      - lifetime
      - age_ms
+     - ran_ms
 
     """
 
@@ -3555,13 +3556,15 @@
         'parts',
         'lifetime',
         'age_ms',
+        'ran_ms',
     )
 
 
-    def __init__(self, parts=None, lifetime=None, age_ms=None,):
+    def __init__(self, parts=None, lifetime=None, age_ms=None, ran_ms=None,):
         self.parts = parts
         self.lifetime = lifetime
         self.age_ms = age_ms
+        self.ran_ms = ran_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3592,6 +3595,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.ran_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3617,6 +3625,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 3)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.ran_ms is not None:
+            oprot.writeFieldBegin('ran_ms', TType.I32, 4)
+            oprot.writeI32(self.ran_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3647,18 +3659,21 @@
     Attributes:
      - parts
      - age_ms
+     - probe_sent
 
     """
 
     __slots__ = (
         'parts',
         'age_ms',
+        'probe_sent',
     )
 
 
-    def __init__(self, parts=None, age_ms=None,):
+    def __init__(self, parts=None, age_ms=None, probe_sent=None,):
         self.parts = parts
         self.age_ms = age_ms
+        self.probe_sent = probe_sent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3684,6 +3699,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.probe_sent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3705,6 +3725,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 2)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.probe_sent is not None:
+            oprot.writeFieldBegin('probe_sent', TType.BOOL, 3)
+            oprot.writeBool(self.probe_sent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6269,12 +6293,14 @@
     (1, TType.LIST, 'parts', (TType.STRING, 'BINARY', False), None, ),  # 1
     (2, TType.STRING, 'lifetime', 'UTF8', None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I32, 'ran_ms', None, None, ),  # 4
 )
 all_structs.append(PartQuarantine)
 PartQuarantine.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'parts', (TType.STRING, 'BINARY', False), None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'probe_sent', None, None, ),  # 3
 )
 all_structs.append(LimitNotice)
 LimitNotice.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -296,18 +296,22 @@
 
 // How a run ended on prompt parts, which are identified by their keys: its
 // target was lost, or served it if lifetime is empty. lifetime identifies the
-// target and its start, age_ms is the time since then.
+// target and its start, age_ms is the time since then, and ran_ms is for how
+// long the lost run had lasted.
 struct PartOutcome {
   1: list<binary> parts
   2: string lifetime
   3: i32 age_ms
+  4: optional i32 ran_ms
 }
 
 // Prompt parts that no request must have in common, because they crash
-// targets. age_ms is the time since the quarantine began.
+// targets. age_ms is the time since the quarantine began, and probe_sent is
+// set once an entry has sent a request with them since.
 struct PartQuarantine {
   1: list<binary> parts
   2: i32 age_ms
+  3: optional bool probe_sent
 }
 
 // What a target, identified with its start, stated to the sender: the requests
