Count a target once against equal requests, and tell what was served

Cause: a loss was identified by the request's id and the target, but counted by a fingerprint that holds no id, so one crash under three equal requests was three lost targets. Entries told each other the losses, but not that the same request was served since; those that refuse send nothing that could be served.

Change: a loss is identified by the lifetime of the target. Three of them refuse a request only if they were lost in at least two events, because the loss of a failure domain takes several targets under equal requests, too. An answer after a loss is told to the other entries with its age, and losses are told with theirs and with the time that the lost run had lasted. Older builds ignore the new fields; their losses count besides.

Why it works: one crash is one of the three losses that refuse a request, and an answer anywhere clears the losses before it everywhere. A request that ends one target after the other is lost in an event each time, as its run begins after the event before, and is refused at the third as before.

--- a/tests/gateway/test_internal_errors.py
+++ b/tests/gateway/test_internal_errors.py
@@ -344,7 +344,7 @@
 
     harness, req = asyncio.run(asyncio.wait_for(run(), 5.0))
     ctx = harness.ctx
-    assert not ctx.crash_guard.refuses(request_fingerprint(req, ''))
+    assert ctx.crash_guard.count(request_fingerprint(req, '')) == 0
     targets = list(ctx.directory.all())
     assert not [t.id for t in targets if ctx.circuits.blocked(t.id)]
     # Nor is it a failure, for which targets would get less work.
--- a/tests/gateway/test_loss_events.py
+++ b/tests/gateway/test_loss_events.py
@@ -24,6 +24,8 @@
     assert count_events(domains) == 1
     assert count_events(losses_at(1_003.0, 1_000.0, 1_006.0)) == 1
     assert count_events(losses_at(1_000.0, 1_000.0 + SAME_MOMENT_MS)) == 2
+    later = LossTimes(1_001.0, 1_000.0)
+    assert count_events([*losses_at(1_000.0), later]) == 2
 
 
 def test_a_moment_does_not_go_on_for_ever():
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -368,6 +368,21 @@
     run_with_two(check)
 
 
+# Guards against CONFIG: entries were told of the losses of a request, but not
+# that it was served since.
+def test_a_request_that_was_served_after_losses_is_reported():
+    async def check(first, second):
+        for number in range(3):
+            second.ctx.crash_guard.record(b'print', f'e{number}@7', 500.0)
+            await asyncio.sleep(0.02)
+        guard = first.ctx.crash_guard
+        await wait_until(lambda: guard.refuses(b'print'))
+        second.ctx.crash_guard.record_served(b'print')
+        await wait_until(lambda: guard.count(b'print') == 0)
+
+    run_with_two(check)
+
+
 def serve_others(entry):
     for _ in range(20):
         entry.ctx.part_guard.record_served((b'sound',))
@@ -380,8 +395,6 @@
         guard = second.ctx.part_guard
         for number in range(2):
             guard.record_lost((b'shared', b'bad'), f'e{number}@1')
-            # Losses of one moment are one event.
-            await asyncio.sleep(0.02)
         for entry in (first, second):
             serve_others(entry)
         first.ctx.part_guard.record_lost((b'other', b'bad'), 'e2@1')
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -302,7 +302,7 @@
     broken = harness.ctx.metrics.reasons('gateway_answers_broken')
     assert broken == {'inside_event': 1}
     (loss,) = [x for x in harness.ctx.loss_log.after(0) if x.loss]
-    assert loss.loss == 'q1 e0'
+    assert loss.loss == 'e0@1000'
     assert target.load.failure_share() > 0
 
 
@@ -322,6 +322,20 @@
     assert harness.client.sent[0][1].last_event_id == 8
 
 
+# Guards against CONFIG: equal requests that one target was running when it
+# crashed were refused by all entries for two minutes.
+@pytest.mark.parametrize('kind', RouteKind)
+def test_equal_requests_that_lost_one_target_are_not_refused(kind):
+    harness = engine_harness([fakes.CUT_BEFORE_HEAD], count=1)
+    route = stream_route(kind=kind, resumable=False, max_targets=1)
+    for number in range(8):
+        harness.channel = fakes.FakeChannel()
+        run_stream(harness, route, id=f'q{number}')
+        if harness.channel.refusal is not None:
+            assert harness.channel.refusal.reason is not Reason.CRASHES_TARGETS
+    assert len(harness.client.sent) >= 3
+
+
 def test_a_request_that_lost_three_targets_is_refused_everywhere():
     harness = engine_harness([fakes.CUT_BEFORE_HEAD])
     route = stream_route(max_targets=1)
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -299,14 +299,15 @@
         )
         self.directory.subscribe(self.notices.apply_kept)
         self.loss_log = LossLog(clock)
-        self.crash_guard = CrashGuard(clock, self.loss_log)
+        witness = LossWitness(clock, self.directory.domain_of)
+        self.crash_guard = CrashGuard(clock, self.loss_log, witness)
         self.part_guard = PartGuard(
             clock,
             metrics,
             self.loss_log,
             entry_position,
             self.directory.service_of,
-            LossWitness(clock, self.directory.domain_of),
+            witness,
         )
         # Whether operators want teams to compete for room by their shares.
         self.fair_admission = False
--- a/wigeonmill/gateway/loss_events.py
+++ b/wigeonmill/gateway/loss_events.py
@@ -34,20 +34,20 @@
     domain_served_ms: float = -inf
 
     def is_of_domain_loss(self, first: 'LossTimes') -> bool:
-        """Whether the loss of the whole domain, seen by `first`, was it.
-
-        A target that was sent a run after that was still there.
-        """
+        """Whether the loss of the whole domain, seen by `first`, was it."""
         return (
             bool(self.domain)
+            and self.began_ms < first.at_ms
             and self.at_ms - first.at_ms <= DOMAIN_LOSS_MS
-            and self.began_ms <= first.at_ms
             and self.domain_served_ms <= first.at_ms
         )
 
 
 def count_events(losses: Iterable[LossTimes]) -> int:
-    """Return how many separate events account for the losses."""
+    """Return how many separate events account for the losses.
+
+    A target that was sent the run after an event was still there.
+    """
     count = 0
     first_ms = last_ms = -inf
     first_of_domain: dict[str, LossTimes] = {}
@@ -57,7 +57,8 @@
             continue
         first_of_domain[loss.domain] = loss
         if (
-            loss.at_ms - last_ms >= SAME_MOMENT_MS
+            loss.began_ms >= first_ms
+            or loss.at_ms - last_ms >= SAME_MOMENT_MS
             or loss.at_ms - first_ms >= MAX_MOMENT_MS
         ):
             count += 1
--- a/wigeonmill/gateway/loss_log.py
+++ b/wigeonmill/gateway/loss_log.py
@@ -14,6 +14,8 @@
 # losses would fill a slow link.
 MAX_KNOWN_LOSSES = 4096
 MAX_LOSSES_PER_UPDATE = 32
+# In place of the lost target, if the run was served.
+SERVED = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +37,8 @@
     """A loss that this entry observed (`local`) or was told of.
 
     The numbers increase. A loss concerns a whole request by its `fingerprint`,
-    or else the parts of a prompt by `outcome`.
+    or else the parts of a prompt by `outcome`. Of a request, `loss` is the
+    lifetime of the target, or `SERVED`, and `ran_ms` the time of the lost run.
     """
 
     number: int
@@ -44,6 +47,7 @@
     loss: str
     local: bool
     outcome: RunOutcome | None = field(default=None)
+    ran_ms: float = 0.0
 
 
 class LossLog:
@@ -60,14 +64,27 @@
         # When the last target was lost that this entry itself observed.
         self.last_local_ms = -inf
 
-    def add_request(self, fingerprint: bytes, loss: str, local: bool) -> None:
-        """Add the loss of a target while it ran a request."""
+    def add_request(
+        self,
+        fingerprint: bytes,
+        loss: str,
+        local: bool,
+        at_ms: float,
+        ran_ms: float = 0.0,
+    ) -> None:
+        """Add how a run of a request ended at `at_ms`, after `ran_ms`."""
         self.last_number += 1
-        now_ms = self._clock.now_ms()
-        if local:
-            self.last_local_ms = now_ms
+        if local and loss != SERVED:
+            self.last_local_ms = self._clock.now_ms()
         self._losses.append(
-            KnownLoss(self.last_number, now_ms, fingerprint, loss, local)
+            KnownLoss(
+                self.last_number,
+                at_ms,
+                fingerprint,
+                loss,
+                local,
+                ran_ms=ran_ms,
+            )
         )
 
     def add_parts(
--- a/wigeonmill/gateway/peers.py
+++ b/wigeonmill/gateway/peers.py
@@ -25,6 +25,7 @@
 from wigeonmill.gateway.leaving_exchange import LeavingExchange
 from wigeonmill.gateway.limit_exchange import LimitExchange
 from wigeonmill.gateway.loss_log import RunOutcome
+from wigeonmill.gateway.loss_log import SERVED
 from wigeonmill.gateway.mirror import Mirror
 from wigeonmill.gateway.mirror import Record
 from wigeonmill.gateway.peer_rotation import PeerRotation
@@ -51,6 +52,7 @@
 from wigeonmill.protocol.gen.inner.ttypes import PartOutcome
 from wigeonmill.protocol.gen.inner.ttypes import PartQuarantine
 from wigeonmill.protocol.gen.inner.ttypes import RecordPart
+from wigeonmill.protocol.gen.inner.ttypes import ServedRequest
 from wigeonmill.protocol.gen.inner.ttypes import StoreRecord
 from wigeonmill.protocol.gen.inner.ttypes import TargetLoss
 from wigeonmill.protocol.handshake import InnerKeys
@@ -409,12 +411,22 @@
     ) -> int:
         """Add the losses after number `known`; return the last number."""
         losses = self._ctx.loss_log.after(known, all_to)
+        now_ms = self._ctx.clock.now_ms()
         update.losses = [
-            TargetLoss(item.fingerprint, item.loss)
+            TargetLoss(
+                item.fingerprint,
+                item.loss,
+                int(now_ms - item.at_ms),
+                int(item.ran_ms) or None,
+            )
             for item in losses
-            if item.outcome is None
+            if item.outcome is None and item.loss != SERVED
         ]
-        now_ms = self._ctx.clock.now_ms()
+        update.served_requests = [
+            ServedRequest(item.fingerprint, int(now_ms - item.at_ms))
+            for item in losses
+            if item.outcome is None and item.loss == SERVED
+        ] or None
         update.part_outcomes = [
             PartOutcome(
                 list(item.outcome.keys),
@@ -454,8 +466,7 @@
         self._apply_open_work(update)
         shares = update.served_work or ()
         apply_shares(self._ctx.team_shares, update.sender, shares)
-        for loss in update.losses or ():
-            self._ctx.crash_guard.record_remote(loss.fingerprint, loss.loss)
+        self._apply_request_outcomes(update)
         self._limits.apply(update.limits or ())
         self._ctx.rollouts.apply_reports(update.rollouts or ())
         self._silences.apply(update.sender, update.silences or ())
@@ -478,6 +489,20 @@
             )
         self._apply_records(update, source)
 
+    def _apply_request_outcomes(self, update: EntryNews) -> None:
+        guard = self._ctx.crash_guard
+        for loss in update.losses or ():
+            guard.record_remote(
+                loss.fingerprint,
+                loss.loss,
+                max(0, loss.age_ms or 0),
+                max(0, loss.ran_ms or 0),
+            )
+        for served in update.served_requests or ():
+            guard.record_served_remote(
+                served.fingerprint, max(0, served.age_ms or 0)
+            )
+
     def _apply_records(self, update: EntryNews, source: str) -> None:
         """Apply the records of a peer whose copy is more complete."""
         if not update.records_to:
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -550,7 +550,7 @@
             target.load.record_outcome(failed=True)
         if failure.target_lost:
             circuits.record_failure(target.id)
-            self._record_loss(target)
+            self._record_loss(target, sent_ms)
 
     def _record_lost_parts(self, attempt: Attempt, failure: Failure) -> None:
         """Record the parts of the prompt if their target may have ended."""
@@ -563,9 +563,11 @@
                 self._ctx.clock.now_ms() - attempt.sent_ms,
             )
 
-    def _record_loss(self, target: Target) -> None:
-        loss = f'{self._req.id} {target.id}'
-        if self._ctx.crash_guard.record(self._fingerprint, loss):
+    def _record_loss(self, target: Target, sent_ms: float) -> None:
+        ran_ms = self._ctx.clock.now_ms() - sent_ms
+        if self._ctx.crash_guard.record(
+            self._fingerprint, target.lifetime, ran_ms
+        ):
             logger.info(
                 'target failed while running a request',
                 extra={'request_id': self._req.id, 'target': target.id},
--- a/wigeonmill/protocol/gen/inner/ttypes.py
+++ b/wigeonmill/protocol/gen/inner/ttypes.py
@@ -3467,18 +3467,24 @@
     Attributes:
      - fingerprint
      - loss
+     - age_ms
+     - ran_ms
 
     """
 
     __slots__ = (
         'fingerprint',
         'loss',
+        'age_ms',
+        'ran_ms',
     )
 
 
-    def __init__(self, fingerprint=None, loss=None,):
+    def __init__(self, fingerprint=None, loss=None, age_ms=None, ran_ms=None,):
         self.fingerprint = fingerprint
         self.loss = loss
+        self.age_ms = age_ms
+        self.ran_ms = ran_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3499,6 +3505,16 @@
                     self.loss = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.ran_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3517,6 +3533,94 @@
             oprot.writeFieldBegin('loss', TType.STRING, 2)
             oprot.writeString(self.loss.encode('utf-8') if sys.version_info[0] == 2 else self.loss)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.ran_ms is not None:
+            oprot.writeFieldBegin('ran_ms', TType.I32, 4)
+            oprot.writeI32(self.ran_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServedRequest(object):
+    """
+    Attributes:
+     - fingerprint
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'age_ms',
+    )
+
+
+    def __init__(self, fingerprint=None, age_ms=None,):
+        self.fingerprint = fingerprint
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServedRequest')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4957,6 +5061,7 @@
      - store_era
      - records_apart
      - large_records
+     - served_requests
 
     """
 
@@ -4983,10 +5088,11 @@
         'store_era',
         'records_apart',
         'large_records',
+        'served_requests',
     )
 
 
-    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None, silences=None, leaving=None, failure_domain=None, served_work=None, demand_claims=None, store_era=None, records_apart=None, large_records=None,):
+    def __init__(self, sender=None, known_to=None, open_work=None, losses=None, records=None, records_to=None, cache_points=None, cache_updates=None, listing=None, copy_age_ms=None, part_outcomes=None, part_quarantines=None, limits=None, rollouts=None, silences=None, leaving=None, failure_domain=None, served_work=None, demand_claims=None, store_era=None, records_apart=None, large_records=None, served_requests=None,):
         self.sender = sender
         self.known_to = known_to
         self.open_work = open_work
@@ -5009,6 +5115,7 @@
         self.store_era = store_era
         self.records_apart = records_apart
         self.large_records = large_records
+        self.served_requests = served_requests
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5213,6 +5320,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.LIST:
+                    self.served_requests = []
+                    (_etype209, _size208) = iprot.readListBegin()
+                    for _i210 in range(_size208):
+                        _elem211 = ServedRequest()
+                        _elem211.read(iprot)
+                        self.served_requests.append(_elem211)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5353,6 +5471,13 @@
                 iter208.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.served_requests is not None:
+            oprot.writeFieldBegin('served_requests', TType.LIST, 24)
+            oprot.writeListBegin(TType.STRUCT, len(self.served_requests))
+            for iter212 in self.served_requests:
+                iter212.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6286,6 +6411,14 @@
     None,  # 0
     (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
     (2, TType.STRING, 'loss', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I32, 'ran_ms', None, None, ),  # 4
+)
+all_structs.append(ServedRequest)
+ServedRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
 )
 all_structs.append(PartOutcome)
 PartOutcome.thrift_spec = (
@@ -6418,6 +6551,7 @@
     (21, TType.I64, 'store_era', None, None, ),  # 21
     (22, TType.BOOL, 'records_apart', None, None, ),  # 22
     (23, TType.LIST, 'large_records', (TType.STRUCT, [RecordPart, None], False), None, ),  # 23
+    (24, TType.LIST, 'served_requests', (TType.STRUCT, [ServedRequest, None], False), None, ),  # 24
 )
 all_structs.append(StreamOrigin)
 StreamOrigin.thrift_spec = (
--- a/wigeonmill/protocol/wigeonmill.thrift
+++ b/wigeonmill/protocol/wigeonmill.thrift
@@ -288,10 +288,20 @@
   4: optional i32 heard_ms
 }
 
-// The loss of a target during a request; each loss is reported separately.
+// The loss of a target, identified with its start, while it ran a request or
+// several equal ones. age_ms is the time since then, and ran_ms is for how long
+// the lost run had lasted. Older entries name a request's id and the target.
 struct TargetLoss {
   1: binary fingerprint
   2: string loss
+  3: optional i32 age_ms
+  4: optional i32 ran_ms
+}
+
+// A request that was served age_ms ago, after it was lost with a target.
+struct ServedRequest {
+  1: binary fingerprint
+  2: i32 age_ms
 }
 
 // How a run ended on prompt parts, which are identified by their keys: its
@@ -454,6 +464,7 @@
   21: optional i64 store_era
   22: optional bool records_apart
   23: optional list<RecordPart> large_records
+  24: optional list<ServedRequest> served_requests
 }
 
 // The target that a request's stream was sent to, to begin there. The target's
