--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -136,3 +136,21 @@
     keys.grant_lease = grant_and_restore
     entry.step()
     assert not entry.leadership.is_leader
+
+
+# Guards against a service that grants no lease shorter than a stated time with
+# a fraction, so that no entry ever leads.
+def test_a_term_with_a_fraction_is_rounded_up():
+    clock, keys = make_clock_and_keys()
+    asked = []
+    grant = keys.grant_lease
+
+    async def grant_lease(ttl_ms):
+        asked.append(ttl_ms)
+        return await grant(ttl_ms)
+
+    keys.grant_lease = grant_lease
+    entry = Entry(keys, clock, 'e0')
+    entry.leadership = Leadership(keys, clock, 'e0', 1_500.5, 0.0)
+    entry.step()
+    assert asked == [1_501]
--- a/wigeonmill/gateway/leadership.py
+++ b/wigeonmill/gateway/leadership.py
@@ -2,6 +2,7 @@
 
 import enum
 import logging
+import math
 import secrets
 
 import msgspec
@@ -134,7 +135,7 @@
     async def _acquire(self, known: KvEntry | None) -> None:
         sent_ms, sent_boot_ms = self._clock.now_ms(), self._clock.boot_ms()
         restores = self._restores
-        granted = await self._keys.grant_lease(int(self._term_ms))
+        granted = await self._keys.grant_lease(math.ceil(self._term_ms))
         if isinstance(granted, Err):
             return
         lease = granted.ok_value
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -595,7 +595,8 @@
         forwarder = Forwarder(ctx, client, picker, planner)
         descriptors = max_descriptors()
         if self._settings.max_descriptors:
-            descriptors = min(descriptors, self._settings.max_descriptors)
+            stated = int(self._settings.max_descriptors)
+            descriptors = min(descriptors, stated)
         return GatewayServer(
             forwarder,
             self._adapter.callers,
--- a/wigeonmill/gateway/settings.py
+++ b/wigeonmill/gateway/settings.py
@@ -12,7 +12,11 @@
 from wigeonmill.addresses import is_address
 from wigeonmill.settings_fault import SettingsFault
 
-Milliseconds = Annotated[float, msgspec.Meta(gt=0)]
+# A hundred years, which also keeps the sums of times finite.
+MAX_MS = 100.0 * 366 * 86_400_000
+# More MB or descriptors than any machine has.
+MAX_COUNT = 1e12
+Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_MS)]
 ByteLimit = Annotated[int, msgspec.Meta(ge=1024)]
 
 
@@ -25,7 +29,8 @@
     forwards, `ready` its readiness checks, `inner` the connections of other
     entries, and `metrics` counters and histograms (if empty, only `ready`
     serves them). `seeds` are inner addresses of other entries. Times are in
-    ms, sizes in bytes. `policies` are those that the platform states for the
+    ms, sizes in bytes; a key that ends in `_s` in place of `_ms` states a time
+    in seconds. `policies` are those that the platform states for the
     deployment; the settings that `by_policy` names for one of them replace
     the others.
     """
@@ -58,8 +63,8 @@
     max_unsent_bytes: ByteLimit = 1_048_576
     max_held_bytes: Annotated[int, msgspec.Meta(ge=0)] = 0
     max_reply_bytes: ByteLimit = 8_388_608
-    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-    max_descriptors: Annotated[int, msgspec.Meta(ge=0)] = 0
+    memory_mb: Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)] = 0.0
+    max_descriptors: Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)] = 0.0
     contact_ms: Milliseconds = 3_000.0
     domain_transfer_cost: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     fair_admission: bool = False
@@ -86,8 +91,17 @@
         advice = f'name a readable file ({exc.strerror})'
         return Err([SettingsFault('settings file', path, advice)])
     try:
-        settings = _apply_policies(msgspec.json.decode(data))
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        document = msgspec.json.decode(data)
+        faults = _seconds_faults(document)
+        if faults:
+            return Err(faults)
+        settings = _apply_policies(document)
+    except (
+        msgspec.DecodeError,
+        msgspec.ValidationError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as exc:
         return Err([SettingsFault('settings file', path, str(exc))])
     faults = _address_faults(settings)
     return Err(faults) if faults else Ok(settings)
@@ -101,14 +115,65 @@
 
     Raises `msgspec.ValidationError`.
     """
+    document = _in_milliseconds(document)
     settings = msgspec.convert(document, GatewaySettings)
-    for changes in settings.by_policy.values():
+    by_policy = {
+        policy: _in_milliseconds(changes)
+        for policy, changes in settings.by_policy.items()
+    }
+    for changes in by_policy.values():
         msgspec.convert(document | changes, GatewaySettings)
     for policy in settings.policies:
-        document = document | settings.by_policy.get(policy, {})
+        document = document | by_policy.get(policy, {})
     return msgspec.convert(document, GatewaySettings)
 
 
+def _milliseconds_key(key: str) -> str | None:
+    """Return the setting that a key states in seconds, if it is one."""
+    name = key.removesuffix('_s') + '_ms'
+    is_seconds = (
+        key.endswith('_s') and name in GatewaySettings.__struct_fields__
+    )
+    return name if is_seconds else None
+
+
+def _in_milliseconds(document: Any) -> Any:
+    """Return the settings with all times in ms."""
+    if not isinstance(document, dict):
+        return document
+    found = {}
+    for key, value in document.items():
+        name = _milliseconds_key(key)
+        found[name or key] = value * 1_000.0 if name else value
+    return found
+
+
+def _seconds_faults(document: Any, path: str = '') -> list[SettingsFault]:
+    """Return what is wrong with the times that are stated in seconds."""
+    faults: list[SettingsFault] = []
+    if not isinstance(document, dict):
+        return faults
+    for key, value in document.items():
+        name = _milliseconds_key(key)
+        if name is None:
+            continue
+        if name in document:
+            advice = f'name this time once, not as {name} too'
+            faults.append(SettingsFault(path + key, repr(value), advice))
+        elif (
+            isinstance(value, bool)
+            or not isinstance(value, int | float)
+            or not 0 < value <= MAX_MS / 1_000.0
+        ):
+            advice = 'write a number of seconds above 0'
+            faults.append(SettingsFault(path + key, repr(value), advice))
+    by_policy = document.get('by_policy')
+    if isinstance(by_policy, dict):
+        for policy, changes in by_policy.items():
+            faults += _seconds_faults(changes, f'by_policy.{policy}.')
+    return faults
+
+
 def _address_faults(settings: GatewaySettings) -> list[SettingsFault]:
     named = [
         ('callers', settings.callers),
