Give teams that share a cache another one when others share it

Cause: the salt named one owner for all teams that are not isolated, in each desired state. What a team had left there stayed within reach of the others, in engines and in stores.

Change: the owner of the shared cache is a digest of the names of the teams that share it. A request uses the cache that its team has when it is sent; one of a team that is gone has a cache of its own. The leader frees parts of a cache that has had no owner for a minute from stores that are three quarters full, which nothing else would do.

Why it works: a state in which a team is isolated has another set than each in which it shared, and the set follows from the desired state alone, so that all entries agree, also after a restart. A team that is new and isolated at once, or that is isolated again, does not cost the others a cache.

--- a/tests/gateway/test_cache_cleaner.py
+++ b/tests/gateway/test_cache_cleaner.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import pytest
 from result import Ok
 
 from tests.gateway.samples import make_engine_record
@@ -10,19 +11,29 @@
 from wigeonmill.clock import ManualClock
 from wigeonmill.gateway.allowances import RetryLimits
 from wigeonmill.gateway.cache_cleaner import CacheCleaner
+from wigeonmill.gateway.cache_cleaner import GONE_OWNER_MS
 from wigeonmill.gateway.cache_cleaner import SETTLE_TIME_MS
 from wigeonmill.gateway.cache_salt import cache_salt
+from wigeonmill.gateway.cache_salt import CacheOwners
 from wigeonmill.gateway.context import GatewayContext
+from wigeonmill.gateway.desired import CacheStoreSpec
+from wigeonmill.gateway.desired import DesiredState
+from wigeonmill.gateway.desired import Team
 from wigeonmill.gateway.store_view import CacheEvent
 from wigeonmill.gateway.store_view import CacheListing
 from wigeonmill.gateway.store_view import StoreView
 from wigeonmill.metrics import Metrics
 
-OLD_SALT = cache_salt(MODEL, 1, None)
-NEW_SALT = cache_salt(MODEL, 2, None)
+OWNER = CacheOwners().owner(None)
+OLD_SALT = cache_salt(MODEL, 1, OWNER)
+NEW_SALT = cache_salt(MODEL, 2, OWNER)
 STORE = '127.0.0.1:1'
 
 
+def make_store(tokens):
+    return CacheStoreSpec('s', STORE, 'd0', tokens, 1_000.0, 0.0, 1, True)
+
+
 class FakeLeader:
     is_leader = True
 
@@ -58,8 +69,9 @@
         self.ctx.desired.set_weight_version(MODEL, 2)
         self.stores = FakeStores()
         self.leader = FakeLeader()
+        self.watch = FakeWatch(self.clock)
         self.cleaner = CacheCleaner(
-            self.ctx, self.leader, self.stores, FakeWatch(self.clock)
+            self.ctx, self.leader, self.stores, self.watch
         )
 
     def run_for(self, time_ms):
@@ -101,3 +113,31 @@
     harness.ctx.directory.apply(make_engine_record('e0', version=2))
     harness.run_for(SETTLE_TIME_MS * 3)
     assert harness.stores.freed == []
+
+
+# Guards against a store that fills up with parts that no request can use.
+@pytest.mark.parametrize('fills_up', [True, False])
+def test_parts_of_an_owner_that_is_gone_are_freed_when_room_is_short(fills_up):
+    harness = Harness()
+    tokens = 1_600 if fills_up else 2_000
+    harness.watch.specs = {STORE: make_store(tokens)}
+    harness.ctx.directory.apply(make_engine_record('e0', version=1))
+    harness.ctx.desired.adopt(DesiredState(1, (), {}))
+    harness.run_for(SETTLE_TIME_MS * 2)
+    sharing = (Team('one', ()),)
+    harness.ctx.desired.adopt(DesiredState(2, (), {}, teams=sharing))
+    harness.run_for(GONE_OWNER_MS)
+    assert harness.stores.freed == []
+    harness.run_for(1_000)
+    freed = {part for part, _boot in harness.stores.freed}
+    assert freed == ({(OLD_SALT, 'p'), (NEW_SALT, 'p')} if fills_up else set())
+
+
+def test_an_owner_that_returns_keeps_its_parts():
+    harness = Harness()
+    harness.watch.specs = {STORE: make_store(1_600)}
+    for version in range(1, 20):
+        teams = (Team('one', ()),) if version % 2 else ()
+        harness.ctx.desired.adopt(DesiredState(version, (), {}, teams=teams))
+        harness.run_for(GONE_OWNER_MS / 2)
+    assert harness.stores.freed == []
--- a/tests/gateway/test_cache_planner.py
+++ b/tests/gateway/test_cache_planner.py
@@ -9,6 +9,7 @@
 from wigeonmill.gateway.cache_planner import FETCH_MS_PER_TOKEN
 from wigeonmill.gateway.cache_planner import salt_for
 from wigeonmill.gateway.cache_planner import StorePlanner
+from wigeonmill.gateway.cache_salt import CacheOwners
 from wigeonmill.gateway.cache_salt import weights_of_salt
 from wigeonmill.gateway.desired import CacheStoreSpec
 from wigeonmill.gateway.store_view import CacheEvent
@@ -49,7 +50,8 @@
 def make_planner():
     clock = ManualClock()
     watch = FakeWatch(clock)
-    return StorePlanner(watch, Metrics()), watch
+    owners = CacheOwners()
+    return StorePlanner(watch, owners.owner, Metrics()), watch
 
 
 def plan_of(planner, version=1, team=None, subject='s1', id_='q1'):
@@ -99,15 +101,17 @@
 def test_versions_and_isolated_teams_have_separate_salts():
     isolated = make_team('one', isolated=True)
     other = make_team('two', isolated=True)
+    sharing = make_team('three')
+    owners = CacheOwners((isolated, other, sharing))
     req = make_request(generation=make_generation())
     salts = {
-        salt_for(req, team, version)
+        salt_for(req, owners.owner(team), version)
         for team in (None, isolated, other)
         for version in (1, 2)
     }
     assert len(salts) == 6
-    shared = salt_for(req, make_team('three'), 1)
-    assert shared == salt_for(req, None, 1)
+    shared = salt_for(req, owners.owner(sharing), 1)
+    assert shared == salt_for(req, owners.owner(None), 1)
     assert weights_of_salt(shared) == ('m', 1)
 
 
--- a/wigeonmill/gateway/cache_cleaner.py
+++ b/wigeonmill/gateway/cache_cleaner.py
@@ -1,9 +1,14 @@
-"""Frees cached parts of replaced weight versions, on the leader only."""
+"""Frees cached parts that are out of use, on the leader only.
 
+Those are parts of replaced weight versions, and of caches whose owner is gone.
+"""
+
+from collections.abc import Iterable
 import logging
 
 from result import Err
 
+from wigeonmill.gateway.cache_salt import owner_of_salt
 from wigeonmill.gateway.cache_salt import weights_of_salt
 from wigeonmill.gateway.context import GatewayContext
 from wigeonmill.gateway.leadership import Leadership
@@ -17,12 +22,16 @@
 # An engine may have started to fetch parts of its old weights shortly before
 # it changed. Each fetch ends within the validity of a store's view.
 SETTLE_TIME_MS = VALIDITY_MS + 1_000.0
+# An owner may return, and with it the use of its cache. Parts of one that has
+# been gone for longer are freed when the store fills up.
+GONE_OWNER_MS = 60_000.0
+FULL_SHARE = 0.75
 # Maximum number of parts freed by one call.
 MAX_FREED_PARTS = 200
 
 
 class CacheCleaner:
-    """Frees the cached parts that no engine can use any more."""
+    """Frees the cached parts that no request can use any more."""
 
     __slots__ = (
         '_ctx',
@@ -30,6 +39,7 @@
         '_stores',
         '_watch',
         '_settled_since_ms',
+        '_gone_since_ms',
     )
 
     def __init__(
@@ -44,17 +54,29 @@
         self._stores = stores
         self._watch = watch
         self._settled_since_ms: dict[tuple[str, int], float] = {}
+        # By salt, since when the owner of its cache is gone.
+        self._gone_since_ms: dict[str, float] = {}
 
     async def step(self) -> None:
-        """Free some replaced parts of each store if this entry leads."""
+        """Free some unused parts of each store if this entry leads."""
         if not self._leadership.is_leader:
             self._settled_since_ms.clear()
+            self._gone_since_ms.clear()
             return
         settled = self._settled_versions()
-        if not settled:
-            return
-        for address in list(self._watch.specs):
-            await self._free_replaced(self._watch.view(address), settled)
+        views = {
+            address: self._watch.view(address)
+            for address in list(self._watch.specs)
+        }
+        gone = self._gone_salts(views.values())
+        for address, view in views.items():
+            unused = {
+                salt for salt in view.salts() if _is_replaced(salt, settled)
+            }
+            spec = self._watch.specs.get(address)
+            if spec and view.tokens >= FULL_SHARE * spec.cache_tokens:
+                unused |= gone
+            await self._free(view, unused)
 
     def _settled_versions(self) -> dict[str, int]:
         """Return the lowest version of each model that has settled.
@@ -81,20 +103,34 @@
         self._settled_since_ms = current
         return settled
 
-    async def _free_replaced(
-        self, view: StoreView, settled: dict[str, int]
-    ) -> None:
-        replaced = [
-            salt for salt in view.salts() if _is_replaced(salt, settled)
-        ]
-        parts = view.parts_with_salts(replaced)[:MAX_FREED_PARTS]
+    def _gone_salts(self, views: Iterable[StoreView]) -> set[str]:
+        """Return the salts of caches whose owner has been gone for long."""
+        if self._ctx.desired.state is None:
+            return set()
+        now_ms = self._ctx.clock.now_ms()
+        owners = self._ctx.desired.caches.all()
+        held = set().union(*(view.salts() for view in views))
+        self._gone_since_ms = {
+            salt: self._gone_since_ms.get(salt, now_ms)
+            for salt in held
+            if owner_of_salt(salt) not in owners
+        }
+        oldest_ms = now_ms - GONE_OWNER_MS
+        return {
+            salt
+            for salt, since_ms in self._gone_since_ms.items()
+            if since_ms <= oldest_ms
+        }
+
+    async def _free(self, view: StoreView, unused: set[str]) -> None:
+        parts = view.parts_with_salts(unused)[:MAX_FREED_PARTS]
         if not parts or view.boot is None:
             return
         freed = await self._stores.free(view.address, parts, view.boot)
         outcome = 'failed' if isinstance(freed, Err) else 'freed'
         self._ctx.metrics.count('cache_parts_freed', outcome, by=len(parts))
         logger.info(
-            'replaced parts freed',
+            'unused parts freed',
             extra={
                 'store': view.address,
                 'parts': len(parts),
--- a/wigeonmill/gateway/cache_planner.py
+++ b/wigeonmill/gateway/cache_planner.py
@@ -1,5 +1,6 @@
 """Plans which cached prompt parts a request fetches and saves."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import uuid
 
@@ -28,10 +29,23 @@
 class StorePlanner:
     """Assigns each shared part to one store by rendezvous hashing."""
 
-    __slots__ = ('_watch', '_metrics', '_candidates', '_candidates_for')
+    __slots__ = (
+        '_watch',
+        '_owner_of',
+        '_metrics',
+        '_candidates',
+        '_candidates_for',
+    )
 
-    def __init__(self, watch: StoreWatch, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        watch: StoreWatch,
+        owner_of: Callable[[Team | None], str],
+        metrics: Metrics,
+    ) -> None:
+        """Create a planner; `owner_of` returns whose cache a team uses."""
         self._watch = watch
+        self._owner_of = owner_of
         self._metrics = metrics
         self._candidates: list[WeightedTarget] = []
         self._candidates_for: dict[str, CacheStoreSpec] = {}
@@ -40,7 +54,7 @@
         self, req: CallerRequest, team: Team | None, version: int | None
     ) -> int:
         """Return the number of tokens in the fetchable leading parts."""
-        salt = salt_for(req, team, version)
+        salt = salt_for(req, self._owner_of(team), version)
         if salt is None or version is None or req.generation is None:
             return 0
         total = 0
@@ -60,7 +74,7 @@
         version: int | None,
     ) -> CachePlan:
         """Return the plan for a request that is sent to `target` now."""
-        salt = salt_for(req, team, version)
+        salt = salt_for(req, self._owner_of(team), version)
         if salt is None or version is None or req.generation is None:
             return CachePlan(salt=salt)
         fetch_from: list[str | None] = []
@@ -133,7 +147,7 @@
 
 
 def salt_for(
-    req: CallerRequest, team: Team | None, version: int | None
+    req: CallerRequest, owner: str, version: int | None
 ) -> str | None:
     """Return the cache salt for a model request, or None for any other.
 
@@ -144,5 +158,5 @@
         return None
     model = req.generation.model
     if version is None:
-        return cache_salt(model, 0, team, uuid.uuid4().hex)
-    return cache_salt(model, version, team)
+        return cache_salt(model, 0, owner, uuid.uuid4().hex)
+    return cache_salt(model, version, owner)
--- a/wigeonmill/gateway/context.py
+++ b/wigeonmill/gateway/context.py
@@ -9,6 +9,7 @@
 from wigeonmill.gateway.allowances import Fleet
 from wigeonmill.gateway.allowances import RetryAllowance
 from wigeonmill.gateway.allowances import RetryLimits
+from wigeonmill.gateway.cache_salt import CacheOwners
 from wigeonmill.gateway.crash_guard import CrashGuard
 from wigeonmill.gateway.demand_shares import DemandShares
 from wigeonmill.gateway.desired import DesiredState
@@ -56,6 +57,7 @@
     __slots__ = (
         'state',
         'table',
+        'caches',
         '_closed_domains',
         '_reopening_ms',
         '_rewritten_ms',
@@ -79,6 +81,7 @@
         self._freshness = freshness
         self.state: DesiredState | None = None
         self.table = RouteTable(())
+        self.caches = CacheOwners()
         self._closed_domains: set[str] = set()
         # When domains open that were not listed after a restore.
         self._reopening_ms: dict[str, float] = {}
@@ -96,6 +99,7 @@
             return False
         self.state = state
         self.table = RouteTable(state.routes, state.teams)
+        self.caches = CacheOwners(state.teams)
         return True
 
     def set_domain_open(self, domain: str, is_open: bool) -> None:
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -590,7 +590,11 @@
         client = TargetClient(
             self._transfers, self._adapter.targets, self._clock, ctx.notices
         )
-        planner = StorePlanner(self._stores, self.metrics)
+        planner = StorePlanner(
+            self._stores,
+            lambda team: ctx.desired.caches.owner(team),
+            self.metrics,
+        )
         self._explainer = Explainer(ctx, client, picker, planner)
         forwarder = Forwarder(ctx, client, picker, planner)
         descriptors = max_descriptors()
