--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -117,6 +117,24 @@
     assert target.is_cold(clock.now_ms())
 
 
+# Guards against CONFIG: an entry of another writer hid the target at its
+# address for ten minutes after it had been removed.
+@pytest.mark.parametrize('draining', [False, True])
+def test_a_target_that_is_gone_hides_no_other_at_its_address(draining):
+    directory = Directory(ManualClock())
+    address = '127.0.0.1:9'
+    directory.apply(make_record('live', started_at_ms=1_000, address=address))
+    odd = make_record(
+        'odd', started_at_ms=2_000, address=address, draining=draining
+    )
+    directory.apply(odd)
+    directory.remove('odd')
+    assert ids(directory) == ['live']
+    # It is still known, so that a stale record does not bring it back.
+    directory.apply(make_record('odd', started_at_ms=1_500, address=address))
+    assert ids(directory) == ['live']
+
+
 def test_only_the_latest_target_at_an_address_is_used():
     directory = Directory(ManualClock())
     same_address = {'address': '127.0.0.1:9'}
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -74,10 +74,55 @@
         'service': LEDGER,
         'address': address,
         'zone': 'd0',
+        'version': 'v1',
         'capacity': 4,
         'state': 'ready',
+        'coldLeftMs': 0,
         'sequence': 1,
     }
     data = json.dumps(value).encode()
     change = AllianceRecords().decode(Record('servers/odd', 1, data))
     assert not isinstance(change, TargetListed)
+
+
+REQUIRED = (
+    'service',
+    'address',
+    'zone',
+    'version',
+    'capacity',
+    'state',
+    'coldLeftMs',
+    'sequence',
+)
+
+
+# Guards against CONFIG: an entry of another writer, without some of the fields
+# that name a target, took the target at its address out of service, and did so
+# for ten minutes after it had been removed.
+@pytest.mark.parametrize('missing', REQUIRED)
+@pytest.mark.parametrize('value', ['missing', None, {}, [1]])
+def test_an_entry_without_a_field_hides_no_target(missing, value):
+    async def check(sound, transfers):
+        entry = RealEntry(Clock(), transfers, sound)
+        (target,) = entry.ctx.directory.of_service(LEDGER)
+        odd = {
+            'service': LEDGER,
+            'address': target.address,
+            'zone': target.failure_domain,
+            'version': 'v1',
+            'capacity': 4,
+            'state': 'ready',
+            'coldLeftMs': 0,
+            'sequence': 1,
+            'born': target.started_at_ms + 1,
+        }
+        odd[missing] = value
+        if value == 'missing':
+            del odd[missing]
+        record = Record('servers/odd', 1, json.dumps(odd).encode())
+        change = AllianceRecords().decode(record)
+        assert not isinstance(change, TargetListed)
+        return await send_all(entry, count=2)
+
+    assert asyncio.run(serve_and(SoundTarget().serve, check)) == [200] * 2
--- a/wigeonmill/gateway/targets.py
+++ b/wigeonmill/gateway/targets.py
@@ -435,10 +435,12 @@
 
         Of several targets at one address only the last one started is kept.
         The earlier ones have ended, even if their records are still listed.
+        One that is gone says nothing of the others, as it may never have been
+        a target.
         """
         by_address: dict[str, Target] = {}
         for target in self._targets.values():
-            if (
+            if target.gone or (
                 self._services is not None
                 and target.service not in self._services
             ):
@@ -451,6 +453,5 @@
                 by_address[target.address] = target
         self._by_service = {}
         for target in by_address.values():
-            if not target.gone:
-                targets = self._by_service.setdefault(target.service, [])
-                targets.append(target)
+            targets = self._by_service.setdefault(target.service, [])
+            targets.append(target)
