Return the memory of large answers to the machine as they are freed

Cause: the allocator raises its limit for blocks of their own to the size of a block that was freed, and keeps larger ones between smaller ones from then on. An answer was also copied once more to be written with its head.

Change: the limit is fixed once callers hold a MB, and an answer of more than 64 KB is written apart from its head.

--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -17,6 +17,7 @@
         self.held = HeldBytes(self.clock)
         self.resident = 50 * MB
         self.returned = 0
+        self.separated = 0
         self.memory = CallerMemory(
             self.clock,
             self.held,
@@ -24,12 +25,16 @@
             max_held_bytes,
             lambda: self.resident,
             self.give_back,
+            self.separate,
         )
 
     def give_back(self):
         self.returned += 1
         self.resident = 50 * MB
 
+    def separate(self):
+        self.separated += 1
+
     def hold(self, size):
         """Hold a body; return what holds it."""
         holding = Holding(lambda why: None, lambda: 0)
@@ -85,3 +90,13 @@
     process.held.release(holding)
     process.memory.check()
     assert process.returned == 0
+
+
+def test_large_blocks_are_separated_once_callers_hold_much():
+    process = Process()
+    process.memory.check()
+    assert process.separated == 0
+    process.hold(8 * MB)
+    for _ in range(3):
+        process.memory.check()
+    assert process.separated == 1
--- a/wigeonmill/gateway/caller_channel.py
+++ b/wigeonmill/gateway/caller_channel.py
@@ -25,6 +25,7 @@
 from wigeonmill.gateway.forwarder import Forwarder
 from wigeonmill.gateway.held_bytes import HeldBytes
 from wigeonmill.gateway.held_bytes import Holding
+from wigeonmill.gateway.held_bytes import LOW_WATER_BYTES
 from wigeonmill.gateway.request import CallerRequest
 from wigeonmill.log import loggable_ms
 from wigeonmill.metrics import Metrics
@@ -204,7 +205,13 @@
             headers['Content-Length'] = str(len(body))
         if self._is_head:
             body = b''
-        self._conn.write_headers(_start_line(head.status), headers, body)
+        start = _start_line(head.status)
+        if len(body) > LOW_WATER_BYTES:
+            # Written with the head, it would be copied.
+            self._conn.write_headers(start, headers)
+            self._conn.write(body)
+        else:
+            self._conn.write_headers(start, headers, body)
         self._begun = True
         self._server.held.record_written(self.holding, len(body))
 
--- a/wigeonmill/gateway/caller_memory.py
+++ b/wigeonmill/gateway/caller_memory.py
@@ -27,6 +27,7 @@
         '_max_held_bytes',
         '_resident_bytes',
         '_return_free_memory',
+        '_separate_large_blocks',
         '_measured_ms',
         '_peak',
         'max_unread_bytes',
@@ -40,6 +41,7 @@
         max_held_bytes: int,
         resident_bytes: Callable[[], int],
         return_free_memory: Callable[[], None],
+        separate_large_blocks: Callable[[], None] = lambda: None,
     ) -> None:
         self._clock = clock
         self._held = held
@@ -47,6 +49,9 @@
         self._max_held_bytes = max_held_bytes
         self._resident_bytes = resident_bytes
         self._return_free_memory = return_free_memory
+        self._separate_large_blocks: Callable[[], None] | None = (
+            separate_large_blocks
+        )
         self._measured_ms = 0.0
         self._peak = 0
         self.max_unread_bytes = 0
@@ -56,6 +61,9 @@
         """Return the memory of a crowd that is gone, and measure in calm."""
         self._peak = max(self._peak, self._held.total)
         if self._held.total >= CALM_BYTES:
+            if self._separate_large_blocks is not None:
+                self._separate_large_blocks()
+                self._separate_large_blocks = None
             return
         if self._peak >= CROWD_BYTES:
             self._peak = 0
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -72,6 +72,7 @@
 from wigeonmill.process_memory import max_descriptors
 from wigeonmill.process_memory import resident_bytes
 from wigeonmill.process_memory import return_free_memory
+from wigeonmill.process_memory import separate_large_blocks
 from wigeonmill.protocol.gen.inner.ttypes import Kind
 from wigeonmill.providers.key_value import KvEntry
 from wigeonmill.providers.transfers import TransferLoop
@@ -619,6 +620,7 @@
             self._settings.max_held_bytes,
             resident_bytes,
             return_free_memory,
+            separate_large_blocks,
         )
 
     def _install_signals(self) -> None:
--- a/wigeonmill/process_memory.py
+++ b/wigeonmill/process_memory.py
@@ -4,6 +4,9 @@
 import resource
 
 _STATUS = '/proc/self/statm'
+LARGE_BYTES = 128 * 1024
+# From malloc.h.
+_M_MMAP_THRESHOLD = -3
 
 
 def resident_bytes() -> int:
@@ -28,6 +31,19 @@
     return soft if soft != resource.RLIM_INFINITY else 2**31
 
 
+def separate_large_blocks() -> None:
+    """Let the allocator return each block over `LARGE_BYTES` once it is free.
+
+    It raises its own limit with the size of blocks that were freed, and keeps
+    larger ones between others from then on.
+    """
+    import ctypes
+
+    set_option = getattr(ctypes.CDLL(None), 'mallopt', None)
+    if set_option is not None:
+        set_option(_M_MMAP_THRESHOLD, LARGE_BYTES)
+
+
 def return_free_memory() -> None:
     """Return the memory that the allocator keeps free to the machine."""
     # Imported late, as it makes up a part of each start.
