Bound what targets, stores and the key-value service send at once

Ordinary requests took up to 25 s.

Cause: the transfer loop read all that the kernel had, 2.7 MB a call on average, and queued it for each transfer before a request ran. Answers under way were bounded one by one; the account of all of them could end callers only, and read on after a second. The end of an event was searched from its beginning with each part, and events that the caller had were dropped without a bound.

Evidence: a profile of 40 streams (4.9 of 7.6 s in the search, 167 pieces of 16 KB a call), and the peaks of a real process in each form.

Change: a transfer reads 64 KB or 256 pieces ahead of its sink at most, less if there are many, and asks the kernel for 64 KB. While answers under way hold too much, the one that holds most goes on and the others wait; if none ends for two seconds, or at 4 MB beyond the bound, the one that holds most and comes least is broken off as that of a faulty target. Replies to the process's own calls hold 16 MB together. A stream of events that the caller has ends after 4 MB.

Why it works: what is not accounted is bounded by the window, and what is accounted has a way to shrink that doesn't depend on callers.

Tests that added to what a holding has collected set it by the collection now.

--- a/tests/gateway/test_answer_limits.py
+++ b/tests/gateway/test_answer_limits.py
@@ -137,3 +137,15 @@
     run_with_server(lambda: Script(serve), Codec(), check)
     assert min(unsent[ahead_chunks:]) > 0
     assert max(unsent) < 2 * ahead_chunks * len(chunk)
+
+
+# Guards against LOST: a stream that repeated one event without end took the
+# processor's time until its deadline.
+def test_a_stream_that_goes_on_with_known_events_is_broken_off():
+    again = event(1) * 200
+    harness = engine_harness([(make_head(), *([again] * 1_000))])
+    limit(harness)
+    channel = run_stream(harness, stream_route(resumable=False))
+    assert channel.aborted
+    assert broken(harness) == {'repeat_too_long': 1}
+    assert parts_read(harness) < 1_000
--- a/tests/gateway/test_held_bytes.py
+++ b/tests/gateway/test_held_bytes.py
@@ -39,6 +39,10 @@
         return self.unsent_bytes
 
 
+def fail(_why=''):
+    raise AssertionError('ended without need')
+
+
 def make_held(max_bytes=10 * MB):
     clock = ManualClock(1_000_000.0)
     return HeldBytes(clock, max_bytes), clock
@@ -178,7 +182,7 @@
     never.holding.deadline_ms = clock.now_ms()
     held.set_input(never.holding, 50 * MB, complete)
     never.write(50 * MB)
-    held.add_collected(never.holding, 50 * MB)
+    held.set_collected(held.collect(never.holding, fail), 50 * MB)
     clock.advance(60_000.0)
     held.check()
     assert not held.is_behind(never.holding)
@@ -188,16 +192,106 @@
 def test_answers_under_way_leave_nothing_behind_as_they_end():
     held, clock = make_held()
     never = Reader(held, clock, per_s=0)
-    held.add_collected(never.holding, MB)
+    collection = held.collect(never.holding, fail)
+    held.set_collected(collection, MB)
     never.write(8 * MB)
     clock.advance(1.0)
     other = Reader(held, clock, per_s=0)
     other.write(4 * MB)
     assert never.ended == 'memory'
-    held.add_collected(never.holding, -MB)
+    held.set_collected(collection, 0)
     assert held.total == 4 * MB
 
 
+class Answer:
+    """An answer that is read completely before it is passed on."""
+
+    def __init__(self, held):
+        self.broken = False
+        self.holding = Holding(fail, lambda: 0)
+        self._held = held
+        self._collection = held.collect(self.holding, self._break_off)
+
+    def _break_off(self):
+        self.broken = True
+        self.end()
+
+    def read(self, size):
+        self._held.set_collected(
+            self._collection, self._collection.size + size
+        )
+
+    def end(self):
+        self._held.set_collected(self._collection, 0)
+
+    @property
+    def size(self):
+        return self._collection.size
+
+
+def read_answers(held, clock, answers, seconds, may_read):
+    """Let targets send as fast as their answers are read."""
+    for _step in range(int(seconds * 100)):
+        for number, answer in enumerate(answers):
+            if answer.broken or not may_read(number, clock.now_ms()):
+                continue
+            if not held.is_behind(answer.holding):
+                answer.read(64 * 1024)
+            if answer.size >= 4 * MB:
+                answer.end()
+        clock.advance(10.0)
+        held.check()
+        yield
+
+
+# Guards against LOST: what targets sent without end was bounded for each
+# answer, but not for all of them.
+def test_answers_under_way_go_on_one_at_a_time_when_there_is_too_much():
+    held, clock = make_held()
+    answers = [Answer(held) for _number in range(40)]
+    done = 0
+    for _ in read_answers(held, clock, answers, 30, lambda _n, _ms: True):
+        assert held.total <= 15 * MB
+        done += sum(answer.size == 0 for answer in answers)
+    assert not any(answer.broken for answer in answers)
+    assert done
+
+
+# Guards against LOST: answers that stopped halfway kept the memory, and nobody
+# else was served.
+def test_the_answer_that_holds_most_and_does_not_come_is_ended():
+    held, clock = make_held()
+    stalled = [Answer(held) for _number in range(3)]
+    for number, answer in enumerate(stalled):
+        answer.read((3 + number) * MB)
+    coming = Answer(held)
+    for _ in read_answers(held, clock, [coming], 4, lambda _n, _ms: True):
+        pass
+    assert [answer.broken for answer in stalled] == [False, False, True]
+    assert not coming.broken
+    assert held.total < 10 * MB
+
+
+def test_a_small_answer_does_not_wait_for_others():
+    held, _clock = make_held()
+    Answer(held).read(9 * MB)
+    Answer(held).read(2 * MB)
+    small, larger = Answer(held), Answer(held)
+    small.read(2_000)
+    larger.read(200_000)
+    assert not held.is_behind(small.holding)
+    assert held.is_behind(larger.holding)
+
+
+def test_answers_far_beyond_the_bound_are_ended_at_once():
+    held, _clock = make_held()
+    answers = [Answer(held) for _number in range(6)]
+    for answer in answers:
+        answer.read(3 * MB)
+    assert sum(answer.broken for answer in answers) == 2
+    assert held.total <= 15 * MB
+
+
 class Body:
     """A body that is being read, or that waits for its target."""
 
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -32,7 +32,7 @@
         self.calls = []
         self.done = False
 
-    def start(self, call, sink):
+    def start(self, call, sink, acknowledges=False):
         self.sinks.append(sink)
         self.calls.append(call)
         return self
@@ -40,6 +40,9 @@
     def cancel(self):
         self.done = True
 
+    def release(self, size):
+        pass
+
 
 class FakeCodec:
     """Decodes every head as a refusal with one notice."""
--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -105,8 +105,11 @@
         self.address = f'127.0.0.1:{sockets[0].getsockname()[1]}'
 
 
-def _make_state(route_count):
-    """Return a desired state, padded with so many routes."""
+def _make_state(route_count, faulty):
+    """Return a desired state, padded with so many routes.
+
+    With `faulty`, it has a route of each kind to such targets.
+    """
     state = json.loads(make_large_state(1, route_count))
     state['routes'].append(
         {
@@ -121,6 +124,12 @@
         }
     )
     state['services'] = [{'name': 'workers'}, {'name': 'ledger'}]
+    if faulty:
+        state['services'].append({'name': 'faulty'})
+        for kind in ('safe', 'unsafe', 'streaming'):
+            changes = {'name': kind, 'kind': kind, 'prefix': f'/{kind}/'}
+            work = state['routes'][-1]
+            state['routes'].insert(0, work | changes | {'service': 'faulty'})
     state['tenants'] = [{'name': 'team', 'apiKeys': [KEY]}]
     state['limits'] = {
         'headerBytes': HEADER_BYTES,
@@ -198,15 +207,20 @@
 
 
 @contextlib.asynccontextmanager
-async def run_gateway(folder, route_count=0):
-    """Run a gateway on the smallest machine, before two engines."""
+async def run_gateway(folder, route_count=0, faulty=()):
+    """Run a gateway on the smallest machine, before two engines.
+
+    `faulty` are the addresses of targets of another service.
+    """
     store = RestorableStore(names_era=False)
-    store.put('op/config', _make_state(route_count))
+    store.put('op/config', _make_state(route_count, faulty))
     engines = [_Engine() for _number in range(2)]
-    for number, engine in enumerate(engines):
+    addresses = [('workers', engine.address) for engine in engines]
+    addresses += [('faulty', address) for address in faulty]
+    for number, (service, address) in enumerate(addresses):
         target = {
-            'service': 'workers',
-            'address': engine.address,
+            'service': service,
+            'address': address,
             'zone': 'd1',
             'version': 'v1',
             'capacity': ENGINE_SLOTS,
--- a/tests/providers/held_transfers.py
+++ b/tests/providers/held_transfers.py
@@ -1,6 +1,7 @@
 """Transfers without a network that end when a test says so."""
 
 from wigeonmill.providers.transfers import MAX_REPLY_BYTES
+from wigeonmill.providers.transfers import ReplyAccount
 from wigeonmill.providers.transfers import TransferEnd
 
 
@@ -18,6 +19,7 @@
 
     def __init__(self):
         self.max_reply_bytes = MAX_REPLY_BYTES
+        self.replies = ReplyAccount(2 * MAX_REPLY_BYTES)
         self.started = []
 
     def start(self, call, sink):
--- a/tests/providers/test_endless_replies.py
+++ b/tests/providers/test_endless_replies.py
@@ -9,7 +9,10 @@
 
 from tests.providers.test_transfers import make_call
 from wigeonmill.providers.fetch import fetch
+from wigeonmill.providers.transfers import MAX_REPLIES
+from wigeonmill.providers.transfers import RECEIVE_BUFFER_BYTES
 from wigeonmill.providers.transfers import TransferLoop
+from wigeonmill.providers.transfers import WINDOW_BYTES
 
 HEAD = b'HTTP/1.1 200 OK\r\n'
 MAX_REPLY_BYTES = 1024 * 1024
@@ -84,3 +87,81 @@
         listener.close()
 
     asyncio.run(check())
+
+
+class SlowSink:
+    """Takes what it was given when it is told to."""
+
+    def __init__(self):
+        self.size = 0
+        self.ended = False
+
+    def on_head(self, head):
+        pass
+
+    def on_data(self, data):
+        self.size += len(data)
+
+    def on_end(self, end, message):
+        self.ended = True
+
+
+# Guards against LOST: all that had arrived was read at once and queued, many
+# MB for each of the calls under way.
+@pytest.mark.parametrize('form', ['body-until-close', 'chunks', 'one-chunk'])
+def test_a_body_is_read_no_faster_than_it_is_taken(form):
+    async def check():
+        server = EndlessServer(*ENDLESS[form])
+        listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+        port = listener.sockets[0].getsockname()[1]
+        loop, sink = TransferLoop(), SlowSink()
+        call = make_call(f'127.0.0.1:{port}')
+        transfer = loop.start(call, sink, acknowledges=True)
+        taken = 0
+        for _ in range(20):
+            await asyncio.sleep(0.05)
+            assert sink.size - taken <= WINDOW_BYTES + RECEIVE_BUFFER_BYTES
+            transfer.release(sink.size - taken)
+            taken = sink.size
+        assert taken > 10 * WINDOW_BYTES
+        transfer.pause()
+        transfer.release(0)
+        await asyncio.sleep(0.1)
+        paused_at = sink.size
+        await asyncio.sleep(0.1)
+        assert sink.size == paused_at
+        transfer.resume()
+        transfer.release(sink.size - taken)
+        await asyncio.sleep(0.1)
+        assert sink.size > paused_at
+        transfer.cancel()
+        loop.close()
+        listener.close()
+
+    asyncio.run(asyncio.wait_for(check(), 10.0))
+
+
+# Guards against LOST: replies to the process's own calls were bounded one by
+# one only.
+def test_replies_that_are_collected_at_once_are_bounded_together():
+    async def check():
+        server = EndlessServer(*ENDLESS['body-until-close'])
+        listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+        port = listener.sockets[0].getsockname()[1]
+        loop = TransferLoop(max_reply_bytes=MAX_REPLY_BYTES)
+        call = make_call(f'127.0.0.1:{port}')
+        calls = [
+            asyncio.ensure_future(fetch(loop, call, TIMEOUT_MS))
+            for _ in range(40)
+        ]
+        largest = 0
+        while not all(done.done() for done in calls):
+            await asyncio.sleep(0.001)
+            largest = max(largest, loop.replies.total)
+        assert all(done.result().is_err() for done in calls)
+        assert 0 < largest <= MAX_REPLIES * MAX_REPLY_BYTES
+        assert loop.replies.total == 0
+        loop.close()
+        listener.close()
+
+    asyncio.run(asyncio.wait_for(check(), 20.0))
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -94,7 +94,9 @@
         '_was_late',
         'first_event_ms',
         '_quiet_since_ms',
-        '_collected',
+        '_collection',
+        '_broken_off',
+        '_repeated_bytes',
         '_paused',
     )
 
@@ -134,8 +136,12 @@
         self.first_event_ms: float | None = None
         self._quiet_since_ms = ctx.clock.now_ms()
         # The bytes that it holds, and whether they wait for the caller.
-        self._collected = 0
+        self._collection = ctx.held.collect(channel.holding, self._break_off)
         self._paused = False
+        # Whether it was ended to make room for others.
+        self._broken_off = False
+        # The size of the events that the caller had already.
+        self._repeated_bytes = 0
 
     async def run(self) -> Failure | None:
         """Pass the answer on, or return why there is none to pass on."""
@@ -238,6 +244,8 @@
                 if self._relay.has_next(held) or not self.has_rival():
                     self._pass_on(head, held)
                     held = []
+                if self._repeated_bytes > self._ctx.answer_limits.body:
+                    return self._overlong('repeat')
                 held_bytes = sum(len(event.data) for event in held)
                 held_bytes += len(splitter.remainder)
                 if held_bytes > self._ctx.answer_limits.event:
@@ -259,9 +267,11 @@
 
     def _hold(self, collected: int) -> None:
         """Set the bytes that are held and not written to the caller."""
-        change = collected - self._collected
-        self._collected = collected
-        self._ctx.held.add_collected(self._channel.holding, change)
+        self._ctx.held.set_collected(self._collection, collected)
+
+    def _break_off(self) -> None:
+        self._broken_off = True
+        self._exchange.break_off()
 
     async def _wait_for_caller(self, collected: int) -> None:
         """Stop reading from the target while the caller is behind.
@@ -282,6 +292,7 @@
 
     def _pass_on(self, head: TargetHead, events: list[StreamEvent]) -> None:
         if not self._relay.has_new(events):
+            self._repeated_bytes += sum(len(event.data) for event in events)
             return
         # A head that can't be sent must not end the other attempt.
         self._relay.start(head)
@@ -290,6 +301,9 @@
         self._record_origin()
 
     def _transfer_failure(self, end: ExchangeEnd) -> Failure:
+        if self._broken_off:
+            self._ctx.metrics.count('gateway_answers_broken', 'memory')
+            return overlong('too much is held of answers')
         if end is ExchangeEnd.FAILED_HERE:
             self._ctx.metrics.count('gateway_answers_broken', 'internal')
         elif end is not ExchangeEnd.NOT_SENT:
--- a/wigeonmill/gateway/event_stream.py
+++ b/wigeonmill/gateway/event_stream.py
@@ -4,7 +4,8 @@
 import re
 
 # A blank line ends an event. Targets may use any of the three line endings.
-_EVENT_TERMINATORS = (b'\n\n', b'\r\n\r\n', b'\r\r')
+_EVENT_TERMINATOR = re.compile(rb'\n\n|\r\n\r\n|\r\r')
+_MAX_TERMINATOR = 4
 _ID_PREFIX = b'id:'
 _LINE_BREAK = re.compile(rb'\r\n|\n|\r')
 
@@ -43,23 +44,17 @@
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append `data` and return the events that it completes."""
-        self._remainder += data
+        # A terminator may have begun before.
+        start = max(0, len(self._remainder) - _MAX_TERMINATOR + 1)
+        buffered = self._remainder + data
         events: list[StreamEvent] = []
-        while True:
-            end = _find_event_end(self._remainder)
-            if end is None:
-                return events
-            raw, self._remainder = self._remainder[:end], self._remainder[end:]
+        begin = 0
+        for found in _EVENT_TERMINATOR.finditer(buffered, start):
+            raw = buffered[begin : found.end()]
+            begin = found.end()
             events.append(StreamEvent(raw, _parse_event_id(raw)))
-
-
-def _find_event_end(data: bytes) -> int | None:
-    ends = [
-        position + len(terminator)
-        for terminator in _EVENT_TERMINATORS
-        if (position := data.find(terminator)) >= 0
-    ]
-    return min(ends) if ends else None
+        self._remainder = buffered[begin:]
+        return events
 
 
 def _parse_event_id(raw: bytes) -> int | None:
--- a/wigeonmill/gateway/held_bytes.py
+++ b/wigeonmill/gateway/held_bytes.py
@@ -1,11 +1,15 @@
 """Bounds the bytes that an entry holds for its callers.
 
 Load: many callers that read their answers, or send their bodies, a byte a
-second, and many large bodies at once. A caller that is behind gets no more
-from its target for a moment. If all of them together hold too much, the one
-that has done nothing for the longest time is ended first. A body for which
-there would be no room beside those that wait for their targets is refused
-before it is read.
+second, many large bodies at once, and many targets that send without end. A
+caller that is behind gets no more from its target for a moment. If all of them
+together hold too much, the one that has done nothing for the longest time is
+ended first. A body for which there would be no room beside those that wait for
+their targets is refused before it is read.
+
+Answers that are read completely before they are passed on go on one at a time
+while there is too much. If none of them ends for a while, the one that holds
+most is ended, as its target is faulty or slow.
 """
 
 import asyncio
@@ -24,6 +28,12 @@
 # Longest time for which an answer is not read on from its target. Targets
 # close connections that are not read for some seconds.
 MAX_PAUSE_MS = 1_000.0
+# Answers that hold as much as is left beyond the bound are ended.
+OVERDRAFT_BYTES = 4 * 1024 * 1024
+# Time without a byte after which an answer lets another one go on, beyond the
+# pause of each, and time with too much and no end after which one is ended.
+STALLED_MS = 250.0
+MAX_FULL_MS = 2_000.0
 # A caller whose time is over is ended once it has read nothing for this time,
 # so that answers that are ready are delivered, also late.
 UNREAD_GRACE_MS = 2_000.0
@@ -72,12 +82,32 @@
         return self.input + self.collected + self.unsent
 
 
+class Collection:
+    """What one target has sent of an answer that is not passed on yet.
+
+    `size` is in bytes, and `moved_ms` is when more of it came. `break_off`
+    ends the answer as that of a faulty target.
+    """
+
+    __slots__ = ('holding', 'size', 'moved_ms', 'break_off')
+
+    def __init__(
+        self, holding: Holding, now_ms: float, break_off: Callable[[], None]
+    ) -> None:
+        self.holding = holding
+        self.size = 0
+        self.moved_ms = now_ms
+        self.break_off = break_off
+
+
 class HeldBytes:
     """The bytes held for all callers, at most `max_bytes` (0: no bound)."""
 
     __slots__ = (
         '_clock',
         '_holdings',
+        '_collections',
+        '_full_since_ms',
         '_checked_ms',
         '_reading',
         'max_bytes',
@@ -89,6 +119,9 @@
         self.max_bytes = max_bytes
         # Those that hold anything.
         self._holdings: dict[Holding, None] = {}
+        self._collections: dict[Collection, None] = {}
+        # Since when there has been too much, or infinite.
+        self._full_since_ms = inf
         self._checked_ms = clock.now_ms()
         # The part of the total that is bodies of which more may come.
         self._reading = 0
@@ -128,13 +161,33 @@
         else:
             self._enforce(self.max_bytes)
 
-    def add_collected(self, holding: Holding, change: int) -> None:
-        """Add to what was read of the answer and not written yet."""
+    def collect(
+        self, holding: Holding, break_off: Callable[[], None]
+    ) -> Collection:
+        """Return a collection of what a target sends."""
+        return Collection(holding, self._clock.now_ms(), break_off)
+
+    def set_collected(self, collection: Collection, size: int) -> None:
+        """Set what was read of an answer and not written yet."""
+        change = size - collection.size
         if not self.is_bounded or not change:
             return
-        self._apply(holding, change)
-        holding.collected += change
+        collection.size = size
+        if change > 0:
+            collection.moved_ms = self._clock.now_ms()
+        if size:
+            self._collections[collection] = None
+        else:
+            self._collections.pop(collection, None)
+            # As long as answers end, others may wait.
+            self._full_since_ms = inf
+        self._apply(collection.holding, change)
+        collection.holding.collected += change
         self._enforce(self.max_bytes)
+        if self.total > self.max_bytes + OVERDRAFT_BYTES:
+            self._break_off_one()
+        elif change < 0:
+            self._wake_next()
 
     def record_written(self, holding: Holding, size: int) -> None:
         """Count `size` more bytes that were written to the caller."""
@@ -175,19 +228,27 @@
             if now_ms >= since_ms + UNREAD_GRACE_MS:
                 self._end(holding, 'deadline')
         self._enforce(self.max_bytes)
+        self._check_full(now_ms)
 
     def is_behind(self, holding: Holding) -> bool:
         """Whether to read on from the target later.
 
         If all of them together hold too much, nothing is read on for a caller
         that has something to read, nor into answers that are not complete.
+        Small ones and the one that is next are read on.
         """
         if not self.is_bounded:
             return False
         if holding.unsent > LOW_WATER_BYTES:
             return True
-        held = holding.unsent or holding.collected
-        return held > 0 and self.total >= self.max_bytes
+        if self.total < self.max_bytes:
+            return False
+        if holding.unsent:
+            return True
+        if holding.collected <= SMALL_BODY_BYTES:
+            return False
+        leader = self._next()
+        return leader is None or leader.holding is not holding
 
     async def wait(self, holding: Holding, until_ms: float) -> None:
         """Wait until the caller is not behind, or the target has to be read.
@@ -268,6 +329,59 @@
         holding.deadline_ms = inf
         holding.end(why)
 
+    def _next(self) -> Collection | None:
+        """Return the answer that goes on while there is too much.
+
+        It is the one that holds most, of those that do come.
+        """
+        if not self._collections:
+            return None
+        now_ms = self._clock.now_ms()
+        return max(
+            self._collections,
+            key=lambda c: (
+                now_ms - c.moved_ms < MAX_PAUSE_MS + STALLED_MS,
+                c.size,
+            ),
+        )
+
+    def _wake_next(self) -> None:
+        leader = self._next()
+        if leader is not None and not self.is_behind(leader.holding):
+            self._wake_all(leader.holding)
+
+    def _check_full(self, now_ms: float) -> None:
+        """End an answer if there has been too much for too long."""
+        if not self.is_bounded or self.total < self.max_bytes:
+            self._full_since_ms = inf
+            return
+        self._full_since_ms = min(self._full_since_ms, now_ms)
+        if now_ms - self._full_since_ms >= MAX_FULL_MS:
+            self._full_since_ms = now_ms
+            self._break_off_one()
+
+    def _break_off_one(self) -> None:
+        """End the answer that holds most, one that does not come first.
+
+        Its target is to blame, or the machine is too small for the load.
+        """
+        if not self._collections:
+            return
+        now_ms = self._clock.now_ms()
+        largest = max(
+            self._collections,
+            key=lambda c: (
+                now_ms - c.moved_ms >= MAX_PAUSE_MS + STALLED_MS,
+                c.size,
+            ),
+        )
+        if largest.size <= SMALL_BODY_BYTES:
+            return
+        # Its request lets go of the bytes as it ends.
+        del self._collections[largest]
+        largest.break_off()
+        self._wake_all(largest.holding)
+
     def _wake_all(self, holding: Holding) -> None:
         for waiter in holding.waiters:
             _wake(waiter)
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -187,7 +187,7 @@
 
     def start(self, loop: TransferLoop, call: TransferCall) -> None:
         """Start the transfer."""
-        self._transfer = loop.start(call, self)
+        self._transfer = loop.start(call, self, acknowledges=True)
 
     async def next(self, until_ms: float) -> AnswerPart | None:
         """Return the next part, or None if none arrives by `until_ms`."""
@@ -196,7 +196,10 @@
             if wait_ms <= 0:
                 return None
             await self._wait(wait_ms)
-        return self._parts.popleft()
+        part = self._parts.popleft()
+        if isinstance(part, bytes) and self._transfer is not None:
+            self._transfer.release(len(part))
+        return part
 
     def pause(self) -> bool:
         """Read no more of the answer; return False if it has ended."""
@@ -212,6 +215,12 @@
         if self._transfer is not None:
             self._transfer.resume()
 
+    def break_off(self) -> None:
+        """End the answer as broken, after what has been read of it."""
+        if self._transfer is not None and not self._transfer.done:
+            self._transfer.cancel()
+            self._add(ExchangeEnd.BROKEN)
+
     def cancel(self) -> None:
         """Stop the request at the target by closing its connection.
 
--- a/wigeonmill/providers/fetch.py
+++ b/wigeonmill/providers/fetch.py
@@ -8,6 +8,7 @@
 from result import Ok
 from result import Result
 
+from wigeonmill.providers.transfers import ReplyAccount
 from wigeonmill.providers.transfers import ReplyHead
 from wigeonmill.providers.transfers import TransferCall
 from wigeonmill.providers.transfers import TransferEnd
@@ -56,6 +57,7 @@
         'data_s',
         '_loop',
         '_max_bytes',
+        '_replies',
         '_on_head',
     )
 
@@ -63,10 +65,12 @@
         self,
         loop: asyncio.AbstractEventLoop,
         max_bytes: int,
+        replies: ReplyAccount,
         on_head: Callable[[ReplyHead], None] | None,
     ) -> None:
         self._loop = loop
         self._max_bytes = max_bytes
+        self._replies = replies
         self._on_head = on_head
         # When the head and the last bytes arrived.
         self.head_s = self.data_s = loop.time()
@@ -82,12 +86,20 @@
             self._on_head(head)
 
     def on_data(self, data: bytes) -> None:
+        if self.ended.done():
+            return
         if len(self.body) + len(data) > self._max_bytes:
             message = f'the reply is longer than {self._max_bytes} bytes'
             self.on_end(TransferEnd.BROKEN, message)
             return
         self.body += data
         self.data_s = self._loop.time()
+        self._replies.add(self.end_overlong, len(data))
+
+    def end_overlong(self) -> None:
+        """End a reply for which there is no room beside others."""
+        self.body.clear()
+        self.on_end(TransferEnd.BROKEN, 'too much is held of replies')
 
     def on_end(self, end: TransferEnd, message: str) -> None:
         if not self.ended.done():
@@ -110,13 +122,17 @@
     `silence_ms` and arrives with `MIN_BYTES_PER_S` on average.
     """
     collector = _Collector(
-        asyncio.get_running_loop(), loop.max_reply_bytes, on_head
+        asyncio.get_running_loop(),
+        loop.max_reply_bytes,
+        loop.replies,
+        on_head,
     )
     transfer = loop.start(call, collector)
     try:
         in_time = await _wait_for_end(collector, timeout_ms, silence_ms)
     finally:
         transfer.cancel()
+        loop.replies.remove(collector.end_overlong)
     if not in_time:
         return Err(
             FetchError(
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -24,6 +24,15 @@
 RECEIVE_BUFFER_BYTES = 16 * 1024
 # Limit of the body of a reply that is collected completely.
 MAX_REPLY_BYTES = 8 * 1024 * 1024
+# All of those that are being collected hold at most as much as so many.
+MAX_REPLIES = 2
+# What is read of one body before its sink has taken it, and of all of them.
+WINDOW_BYTES = 64 * 1024
+MAX_UNREAD_BYTES = 8 * 1024 * 1024
+# Pieces of one body, such as chunks, that are read before others go on.
+MAX_PIECES = 256
+# Of the kernel's buffer for received bytes, which may be twice that.
+SOCKET_BUFFER_BYTES = 64 * 1024
 # TCP keep-alive: idle seconds before the first probe, seconds between probes,
 # and the number of unanswered probes after which the connection is closed.
 KEEP_ALIVE_IDLE_S = 1
@@ -103,7 +112,11 @@
         """Handle the final status and header fields."""
 
     def on_data(self, data: bytes) -> None:
-        """Handle the next bytes of the body."""
+        """Handle the next bytes of the body.
+
+        A sink that started its transfer with `acknowledges` tells by
+        `Transfer.release` when it has taken them.
+        """
 
     def on_end(self, end: TransferEnd, message: str) -> None:
         """Handle the end; no further callback follows."""
@@ -132,11 +145,20 @@
 
 
 class Transfer:
-    """A transfer in progress; `cancel` ends it without a further callback."""
+    """A transfer in progress; `cancel` ends it without a further callback.
+
+    A body is read no faster than its sink takes it.
+    """
 
     __slots__ = (
         '_loop',
         '_failing',
+        '_acknowledges',
+        '_body',
+        '_unread',
+        '_pieces',
+        '_held_back',
+        '_paused',
         'curl',
         'sink',
         'pending',
@@ -147,9 +169,22 @@
     )
 
     def __init__(
-        self, loop: 'TransferLoop', call: TransferCall, sink: TransferSink
+        self,
+        loop: 'TransferLoop',
+        call: TransferCall,
+        sink: TransferSink,
+        acknowledges: bool = False,
     ) -> None:
         self._loop = loop
+        self._acknowledges = acknowledges
+        # What was read of the body and not delivered, and the size of that
+        # and of what was delivered and not taken.
+        self._body = bytearray()
+        self._unread = 0
+        self._pieces = 0
+        # Whether reading has stopped until more is taken, or by `pause`.
+        self._held_back = False
+        self._paused = False
         self.call = call
         self.sink = sink
         self.curl: pycurl.Curl | None = None
@@ -183,12 +218,63 @@
 
         An end of the connection isn't noticed until the transfer is resumed.
         """
+        self._paused = True
         if self.curl is not None:
             self.curl.pause(pycurl.PAUSE_RECV)
 
     def resume(self) -> None:
         """Read on after a pause."""
-        if self.curl is not None:
+        self._paused = False
+        self._read_on()
+
+    def release(self, size: int) -> None:
+        """Record that the sink has taken so much of the body."""
+        self._unread -= size
+        if self._held_back:
+            self._read_on()
+
+    def read(self, data: bytes) -> bool:
+        """Take a piece of the body from curl, unless there is no room."""
+        if self._is_full:
+            self._held_back = True
+            return False
+        self._body += data
+        self._unread += len(data)
+        self._pieces += 1
+        return True
+
+    def deliver(self) -> None:
+        """Deliver what was read to the sink, and read on if there is room."""
+        pending, self.pending = self.pending, []
+        for callback in pending:
+            if self.curl is None:
+                return
+            callback()
+        if self._body and self.curl is not None:
+            data = bytes(self._body)
+            self._body.clear()
+            self.sink.on_data(data)
+            if not self._acknowledges:
+                self._unread -= len(data)
+        self._pieces = 0
+        if self._held_back:
+            self._read_on()
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether there is anything to deliver, or to read on for."""
+        return bool(self.pending or self._body or self._held_back)
+
+    @property
+    def _is_full(self) -> bool:
+        return (
+            self._unread >= self._loop.window_bytes
+            or self._pieces >= MAX_PIECES
+        )
+
+    def _read_on(self) -> None:
+        if self.curl is not None and not self._paused and not self._is_full:
+            self._held_back = False
             self.curl.pause(pycurl.PAUSE_CONT)
 
 
@@ -230,6 +316,34 @@
         return True
 
 
+class ReplyAccount:
+    """Bounds what is held of all replies that are collected completely.
+
+    When it is too much, the longest one ends.
+    """
+
+    __slots__ = ('_max_bytes', '_sizes', 'total')
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        # By what ends the collection of each reply.
+        self._sizes: dict[Callable[[], None], int] = {}
+        self.total = 0
+
+    def add(self, end: Callable[[], None], size: int) -> None:
+        """Count so much more of the reply that `end` ends."""
+        self._sizes[end] = self._sizes.get(end, 0) + size
+        self.total += size
+        while self.total > self._max_bytes:
+            longest = max(self._sizes, key=lambda key: self._sizes[key])
+            self.remove(longest)
+            longest()
+
+    def remove(self, end: Callable[[], None]) -> None:
+        """Hold nothing more of a reply."""
+        self.total -= self._sizes.pop(end, 0)
+
+
 class TransferLoop:
     """Runs transfers on the event loop in which it is created."""
 
@@ -241,6 +355,7 @@
         '_active',
         '_closed',
         'max_reply_bytes',
+        'replies',
     )
 
     def __init__(
@@ -250,6 +365,8 @@
     ) -> None:
         """Create a loop; `max_reply_bytes` limits whole replies only."""
         self.max_reply_bytes = max_reply_bytes
+        # What is held of the replies that are collected completely.
+        self.replies = ReplyAccount(MAX_REPLIES * max_reply_bytes)
         self._loop = asyncio.get_running_loop()
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
@@ -260,9 +377,20 @@
         self._active: dict[pycurl.Curl, Transfer] = {}
         self._closed = False
 
-    def start(self, call: TransferCall, sink: TransferSink) -> Transfer:
+    @property
+    def window_bytes(self) -> int:
+        """What is read of one body before its sink has taken it."""
+        share = MAX_UNREAD_BYTES // max(1, len(self._active))
+        return max(RECEIVE_BUFFER_BYTES, min(WINDOW_BYTES, share))
+
+    def start(
+        self,
+        call: TransferCall,
+        sink: TransferSink,
+        acknowledges: bool = False,
+    ) -> Transfer:
         """Start a transfer; must not be called from a sink's `on_data`."""
-        transfer = Transfer(self, call, sink)
+        transfer = Transfer(self, call, sink, acknowledges)
         curl = (
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
@@ -341,7 +469,7 @@
     def _deliver(self) -> None:
         """Deliver received data to the sinks, then finish ended transfers."""
         for transfer in list(self._active.values()):
-            if transfer.pending:
+            if transfer.has_pending:
                 _deliver_pending(transfer)
         remaining = 1
         while remaining:
@@ -367,20 +495,16 @@
 
 
 def _deliver_pending(transfer: Transfer) -> None:
-    pending, transfer.pending = transfer.pending, []
-    for callback in pending:
-        if transfer.curl is None:
-            return
-        try:
-            callback()
-        except Exception:
-            # The rest of the reply is of no use, but other transfers go on.
-            logger.exception(
-                'reply not handled', extra={'address': transfer.call.address}
-            )
-            transfer.cancel()
-            message = 'internal error while handling the reply'
-            _deliver_end(transfer, TransferEnd.FAILED_HERE, message)
+    try:
+        transfer.deliver()
+    except Exception:
+        # The rest of the reply is of no use, but other transfers go on.
+        logger.exception(
+            'reply not handled', extra={'address': transfer.call.address}
+        )
+        transfer.cancel()
+        message = 'internal error while handling the reply'
+        _deliver_end(transfer, TransferEnd.FAILED_HERE, message)
 
 
 def _deliver_end(transfer: Transfer, end: TransferEnd, message: str) -> None:
@@ -436,8 +560,8 @@
         owner.connected = True
         return open_socket(purpose, address)
 
-    def on_body(data: bytes) -> None:
-        owner.pending.append(lambda: transfer.sink.on_data(data))
+    def on_body(data: bytes) -> int:
+        return len(data) if owner.read(data) else pycurl.WRITEFUNC_PAUSE
 
     curl.setopt(pycurl.REQUEST_TARGET, call.target.encode('latin-1'))
     curl.setopt(pycurl.PATH_AS_IS, 1)
@@ -503,6 +627,7 @@
     family, kind, protocol = address[0], address[1], address[2]  # type: ignore
     sock = socket.socket(family, kind, protocol)
     sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
     level = socket.IPPROTO_TCP
     sock.setsockopt(level, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
