Resume a transfer also if its body was not taken yet, and deliver what is ready

Each call of curl also looked at all transfers for something to deliver.

Change: a resumed transfer goes on as soon as there is room. Those with something to deliver, or to read on for, are in a list.

Result: the new test of test_endless_replies.py timed out before.

--- a/tests/providers/test_endless_replies.py
+++ b/tests/providers/test_endless_replies.py
@@ -141,6 +141,39 @@
     asyncio.run(asyncio.wait_for(check(), 10.0))
 
 
+# Guards against LOST: a transfer that was resumed while its sink had not taken
+# what was read stood still for good.
+def test_a_transfer_goes_on_that_was_resumed_before_its_body_was_taken():
+    async def check():
+        may_go_on = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(HEAD + b'\r\n' + b'z' * WINDOW_BYTES)
+            await may_go_on.wait()
+            writer.write(b'z' * WINDOW_BYTES)
+            writer.close()
+
+        listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = listener.sockets[0].getsockname()[1]
+        loop, sink = TransferLoop(), SlowSink()
+        call = make_call(f'127.0.0.1:{port}')
+        transfer = loop.start(call, sink, acknowledges=True)
+        while sink.size < WINDOW_BYTES:
+            await asyncio.sleep(0.01)
+        transfer.pause()
+        transfer.resume()
+        transfer.release(sink.size)
+        may_go_on.set()
+        while not sink.ended:
+            await asyncio.sleep(0.01)
+        assert sink.size == 2 * WINDOW_BYTES
+        loop.close()
+        listener.close()
+
+    asyncio.run(asyncio.wait_for(check(), 5.0))
+
+
 # Guards against LOST: replies to the process's own calls were bounded one by
 # one only.
 def test_replies_that_are_collected_at_once_are_bounded_together():
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -223,8 +223,9 @@
             self.curl.pause(pycurl.PAUSE_RECV)
 
     def resume(self) -> None:
-        """Read on after a pause."""
+        """Read on after a pause, as soon as there is room."""
         self._paused = False
+        self._held_back = True
         self._read_on()
 
     def release(self, size: int) -> None:
@@ -237,12 +238,20 @@
         """Take a piece of the body from curl, unless there is no room."""
         if self._is_full:
             self._held_back = True
+            self._loop.ready[self] = None
             return False
+        if not self._body:
+            self._loop.ready[self] = None
         self._body += data
         self._unread += len(data)
         self._pieces += 1
         return True
 
+    def call_later(self, callback: Callable[[], None]) -> None:
+        """Call back once curl has returned."""
+        self._loop.ready[self] = None
+        self.pending.append(callback)
+
     def deliver(self) -> None:
         """Deliver what was read to the sink, and read on if there is room."""
         pending, self.pending = self.pending, []
@@ -260,11 +269,6 @@
         if self._held_back:
             self._read_on()
 
-    @property
-    def has_pending(self) -> bool:
-        """Whether there is anything to deliver, or to read on for."""
-        return bool(self.pending or self._body or self._held_back)
-
     @property
     def _is_full(self) -> bool:
         return (
@@ -353,6 +357,7 @@
         '_timer',
         '_idle_handles',
         '_active',
+        'ready',
         '_closed',
         'max_reply_bytes',
         'replies',
@@ -375,6 +380,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._idle_handles: list[pycurl.Curl] = []
         self._active: dict[pycurl.Curl, Transfer] = {}
+        # Those that have something to deliver, or to read on for.
+        self.ready: dict[Transfer, None] = {}
         self._closed = False
 
     @property
@@ -468,9 +475,9 @@
 
     def _deliver(self) -> None:
         """Deliver received data to the sinks, then finish ended transfers."""
-        for transfer in list(self._active.values()):
-            if transfer.has_pending:
-                _deliver_pending(transfer)
+        ready, self.ready = self.ready, {}
+        for transfer in ready:
+            _deliver_pending(transfer)
         remaining = 1
         while remaining:
             remaining, succeeded, failed = self._multi.info_read()
@@ -549,11 +556,11 @@
             head = ReplyHead(
                 reader.status, tuple(reader.fields), owner.connected
             )
-            owner.pending.append(lambda: transfer.sink.on_head(head))
+            owner.call_later(lambda: transfer.sink.on_head(head))
             if not call.is_reply(head):
                 return _ABORT
             if call.method == 'HEAD' and call.body:
-                owner.pending.append(lambda: _end_at_head(transfer))
+                owner.call_later(lambda: _end_at_head(transfer))
         return len(raw)
 
     def on_open(purpose: int, address: object) -> socket.socket | int:
