Refuse replies with a line in their head that is no valid field

With a blank, a control byte, a high byte or a bracket in a name, or with no name, callers got status 500, though another engine could have answered.

Cause: nothing judged a head before it was used. The reader of transfers split each line at its colon and stripped both parts with `str.strip`, which takes away more than blanks and tabs, and curl, which frames the body, reads the same lines by other rules: `Content-Length : 15` was a length for us and no field for curl. What neither refused raised an error in tornado on the way to the caller. That was no failure of the engine, which answered fastest and got all requests.

Change: a head is read by one reader, which checks each of its lines, those of interim heads too, by the grammar of RFC 9112 (sections 4 and 5) and RFC 9110 (5.1 and 5.5), before anything in it is used. What is none of it ends the transfer as broken and closes its connection.

Why it works: what a caller gets follows from a head that has one reading. A request that may be repeated goes on at another target, any other gets 502.

--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -9,12 +9,13 @@
 from dataclasses import dataclass
 import enum
 import logging
-import re
 import socket
 from typing import Protocol
 
 import pycurl
 
+from wigeonmill.providers.reply_head import HeadReader
+
 logger = logging.getLogger(__name__)
 
 # Limit of open idle connections to all addresses; the oldest is closed first.
@@ -42,9 +43,6 @@
 # its peer acknowledges but reads nothing.
 TCP_USER_TIMEOUT_MS = 5_000
 
-# Other numbers are no status (RFC 9110, section 15).
-_STATUS_LINE = re.compile(r'HTTP/[0-9.]+ ([1-5][0-9]{2})(?: |$)')
-
 _TCP_KEEPCNT = getattr(socket, 'TCP_KEEPCNT', 6)
 _TCP_USER_TIMEOUT = getattr(socket, 'TCP_USER_TIMEOUT', 18)
 
@@ -282,44 +280,6 @@
             self.curl.pause(pycurl.PAUSE_CONT)
 
 
-class _HeaderReader:
-    """Collects the header of the final reply; interim ones are discarded.
-
-    `invalid` is set by a status line without a status.
-    """
-
-    __slots__ = ('status', 'fields', 'complete', 'invalid')
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.invalid = False
-        self.fields: list[tuple[str, str]] = []
-        self.complete = False
-
-    def feed(self, raw: bytes) -> bool:
-        """Process one line; returns whether it completed the final headers.
-
-        Lines after them are trailers, which are ignored.
-        """
-        if self.complete:
-            return False
-        line = raw.decode('latin-1').rstrip('\r\n')
-        if line.startswith('HTTP/') and not self.fields:
-            self.status = _parse_status(line)
-            self.invalid = not self.status
-            return False
-        if line:
-            name, _, value = line.partition(':')
-            self.fields.append((name.strip(), value.strip()))
-            return False
-        if self.status < 200:
-            # An interim reply; the next status line starts the final one.
-            self.fields = []
-            return False
-        self.complete = True
-        return True
-
-
 class ReplyAccount:
     """Bounds what is held of all replies that are collected completely.
 
@@ -544,13 +504,13 @@
 
 def _prepare(curl: pycurl.Curl, transfer: Transfer) -> None:
     call = transfer.call
-    reader = _HeaderReader()
+    reader = HeadReader()
     owner = transfer
 
     def on_header(raw: bytes) -> int:
         is_complete = reader.feed(raw)
-        if reader.invalid:
-            owner.fault = 'the reply has no valid status'
+        if reader.fault is not None:
+            owner.fault = f'malformed reply: {reader.fault.value}'
             return _ABORT
         if is_complete:
             head = ReplyHead(
@@ -643,9 +603,3 @@
     sock.setsockopt(level, _TCP_KEEPCNT, KEEP_ALIVE_PROBES)
     sock.setsockopt(level, _TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
     return sock
-
-
-def _parse_status(line: str) -> int:
-    """Return the status in a status line, or 0 if it has none (RFC 9110)."""
-    found = _STATUS_LINE.match(line)
-    return int(found.group(1)) if found else 0
