Refuse replies whose length or transfer coding is unclear

With an empty Transfer-Encoding the sizes of chunks were part of the body, and with `chunked, chunked` a body was passed on that was decoded once.

Cause: curl ignores a length beyond 63 bits and reads to the close, and takes what it can of a list of codings, while the gateway took the presence of either field for a framing. Neither was an error anywhere. A length beside chunks, and one in an interim head, was not read at all.

Change: at the end of each head its framing must have one meaning (RFC 9112, section 6): Content-Length is a number of up to 63 bits, which may be repeated if it is equal; Transfer-Encoding is `chunked` once, the only coding without being asked for, and not in HTTP/1.0. Any other head ends the transfer.

Why it works: the heads that are left are those in which curl and the gateway find the same end of the body.

Tests: test_reply_head.py tries each byte beside the digits of a length and beside `chunked`. Equal lengths, leading zeros, a length beside chunks and folded lines, which curl unfolds, are passed on with the whole body as before.

--- a/tests/platform/test_malformed_replies.py
+++ b/tests/platform/test_malformed_replies.py
@@ -28,7 +28,13 @@
 
 ORDER = WeightsOrder('m', 2, 'entry', 41, 3, cut_streams=False)
 KINDS = ('safe', 'unsafe', 'streaming')
-FORMS_FOR_PROCESS = ('blank-in-name', 'blank-before-colon', 'no-name')
+FORMS_FOR_PROCESS = (
+    'blank-in-name',
+    'blank-before-colon',
+    'no-name',
+    'length-2^64+15',
+    'coding-empty',
+)
 # A sound reply on a connection that stays open takes no longer.
 AT_ONCE_S = 1.0
 BODIES = {
@@ -111,6 +117,11 @@
         (b'Store Era: 1\r\nContent-Length: %(length)d\r\n', b'%(body)b'),
         (b'Store-Era : 1\r\nContent-Length: %(length)d\r\n', b'%(body)b'),
         (b'odd\r\nContent-Length: %(length)d\r\n', b'%(body)b'),
+        (b'Content-Length: 18446744073709551631\r\n', b'%(body)b'),
+        (
+            b'Transfer-Encoding: chunked, chunked\r\n',
+            b'%(length)x\r\n%(body)b\r\n0\r\n\r\n',
+        ),
     ],
 )
 def test_a_malformed_reply_of_the_store_is_an_error(head, wire):
@@ -263,8 +274,8 @@
         ]
         addresses = [address_of(listener) for listener in listeners]
         async with run_gateway(tmp_path, faulty=addresses) as gateway:
-            for kind in KINDS * len(forms):
-                line = f'POST /{kind}/x HTTP/1.1'
+            for number, kind in enumerate(KINDS * len(forms)):
+                line = f'POST /{kind}/{number} HTTP/1.1'
                 assert await ask(gateway.settings['callers'], line) == 502
         for listener in listeners:
             listener.close()
--- a/tests/providers/reply_forms.py
+++ b/tests/providers/reply_forms.py
@@ -95,7 +95,40 @@
     'no-minor-version': with_start(b'HTTP/1 200 OK'),
     'switched-protocols': with_start(b'HTTP/1.1 101 Switched'),
 }
-MALFORMED = MALFORMED_FIELDS
+MALFORMED_FRAMING = {
+    'length-empty': with_length(b''),
+    'length-word': with_length(b'many'),
+    'length-signed': with_length(b'+15'),
+    'length-negative': with_length(b'-15'),
+    'length-hexadecimal': with_length(b'0xf'),
+    'length-float': with_length(b'15.0'),
+    'length-with-a-tail': with_length(b'15x'),
+    'length-with-a-gap': with_length(b'1 5'),
+    'length-of-other-digits': with_length(b'\xb95'),
+    'length-list': with_length(b'15, 16'),
+    'length-list-with-a-gap': with_length(b'15,'),
+    'lengths-differ': with_length(b'15', b'16'),
+    'length-30-nines': with_length(b'9' * 30),
+    'length-2^63': with_length(b'%d' % 2**63),
+    'length-2^64+15': with_length(b'%d' % (2**64 + 15)),
+    'length-5000-digits': with_length(b'9' * 5_000),
+    'length-malformed-beside-chunks': HEAD
+    + CHUNKED
+    + b'Content-Length: %b\r\n\r\n' % (b'9' * 30)
+    + CHUNKS,
+    'length-in-interim': with_interim(b'Content-Length: 1x'),
+    'coding-empty': with_coding(b''),
+    'coding-twice': with_coding(b'chunked, chunked'),
+    'codings-equal': with_coding(b'chunked', b'chunked'),
+    'codings-differ': with_coding(b'chunked', b'gzip'),
+    'coding-identity': with_coding(b'identity'),
+    'coding-unknown': with_coding(b'odd'),
+    'coding-not-asked-for': with_coding(b'gzip, chunked'),
+    'coding-not-last': with_coding(b'chunked, gzip'),
+    'coding-with-parameter': with_coding(b'chunked;a=b'),
+    'coding-in-http-1.0': with_coding(b'chunked').replace(b'1.1', b'1.0'),
+}
+MALFORMED = MALFORMED_FIELDS | MALFORMED_FRAMING
 
 # Names of any case and with any mark, and values with any legal byte.
 SOUND = {
--- a/tests/providers/test_reply_head.py
+++ b/tests/providers/test_reply_head.py
@@ -5,6 +5,8 @@
 import pytest
 
 from wigeonmill.providers.reply_head import HeadReader
+from wigeonmill.providers.reply_head import is_one_length
+from wigeonmill.providers.reply_head import MAX_LENGTH
 from wigeonmill.providers.reply_head import parse_field
 from wigeonmill.providers.reply_head import ReplyFault
 
@@ -107,3 +109,85 @@
     reader.feed(b'\r\n')
     assert reader.complete
     assert read(b'HTTP/1.1 103 Hints', b'A b: c').fault is ReplyFault.FIELD
+
+
+# Guards against MIXED: a length that curl reads in part, or not at all.
+@pytest.mark.parametrize('template', [b'%b15', b'1%b5', b'15%b', b'%b'])
+def test_a_length_holds_digits_only(template):
+    for byte in BYTES:
+        value = template % byte
+        line = b'Content-Length:' + value
+        fault = read(b'HTTP/1.1 200 OK', line, b'').fault
+        is_length = value.strip(b' \t').isdigit()
+        if byte[0] in CONTROLS and byte != b'\t':
+            assert fault is ReplyFault.FIELD
+        else:
+            assert fault is (None if is_length else ReplyFault.LENGTH), value
+
+
+@pytest.mark.parametrize(
+    ('values', 'valid'),
+    [
+        (['0'], True),
+        (['015', '15'], True),
+        (['15, 15', '15'], True),
+        (['15,\t15'], True),
+        (['0' * 5_000 + '15'], True),
+        ([str(MAX_LENGTH)], True),
+        ([str(MAX_LENGTH + 1)], False),
+        ([str(2**64 + 15)], False),
+        (['9' * 30], False),
+        (['9' * 5_000], False),
+        (['15', '16'], False),
+        (['15, 16'], False),
+        (['15', ''], False),
+        (['15,,15'], False),
+        (['15 15'], False),
+        (['\u0661\u0665'], False),
+    ],
+)
+def test_a_length_is_stated_once_or_alike(values, valid):
+    assert is_one_length(values) is valid
+
+
+@pytest.mark.parametrize(
+    ('codings', 'fault'),
+    [
+        ([b'chunked'], None),
+        ([b'Chunked'], None),
+        ([b'\t chunked '], None),
+        ([b''], ReplyFault.CODING),
+        ([b'chunked', b'chunked'], ReplyFault.CODING),
+        ([b'chunked', b''], ReplyFault.CODING),
+        ([b'chunked, chunked'], ReplyFault.CODING),
+        ([b'gzip, chunked'], ReplyFault.CODING),
+        ([b'chunked, gzip'], ReplyFault.CODING),
+        ([b'gzip', b'chunked'], ReplyFault.CODING),
+        ([b'identity'], ReplyFault.CODING),
+        ([b'chunked;a=b'], ReplyFault.CODING),
+    ],
+)
+def test_chunked_is_the_only_coding(codings, fault):
+    lines = [b'Transfer-Encoding:' + coding for coding in codings]
+    assert read(b'HTTP/1.1 200 OK', *lines, b'').fault is fault
+
+
+# Guards against MIXED: a name of a coding that is almost right.
+@pytest.mark.parametrize(
+    'template', [b'%bchunked', b'chun%bked', b'chunked%b']
+)
+def test_no_byte_beside_the_coding_is_left_out(template):
+    for byte in BYTES:
+        coding = template % byte
+        line = b'Transfer-Encoding:' + coding
+        fault = read(b'HTTP/1.1 200 OK', line, b'').fault
+        if coding.strip(b' \t') == b'chunked':
+            assert fault is None
+        else:
+            assert fault in (ReplyFault.CODING, ReplyFault.FIELD), byte
+
+
+def test_http_1_0_has_no_codings():
+    coding = b'Transfer-Encoding: chunked'
+    assert read(b'HTTP/1.0 200 OK', coding, b'').fault is ReplyFault.CODING
+    assert read(b'HTTP/1.0 200 OK', b'').fault is None
