Check the sizes of chunks and the lines between them

Cause: curl reads the digits of a size and takes the rest of its line for an extension, so that `0xf` is the last chunk. It ends lines at a line feed alone, and passes trailers to a callback that ignored them.

Change: curl passes bodies on as they are (HTTP_TRANSFER_DECODING), and finds their end as before. The gateway decodes the chunks and checks their lines and trailers by the grammar of RFC 9112 (section 7.1). A line of another form ends the transfer as broken; what came before it is delivered. Lines are bounded, as curl no longer bounds trailers.

Why it works: sizes that are read have one meaning, so that curl and the gateway find the same end, and a body that curl ends elsewhere is not complete.

Tests: test_chunked_body.py tries each byte of a size and of the name of an extension, and decodes generated bodies in generated pieces.

--- a/wigeonmill/providers/reply_head.py
+++ b/wigeonmill/providers/reply_head.py
@@ -28,6 +28,10 @@
     LENGTH = 'length'
     # Transfer-Encoding is not `chunked`, the only coding that is asked for.
     CODING = 'coding'
+    # A line between the chunks of a body, or in their trailer.
+    CHUNK = 'chunk'
+    # Something else, found by curl.
+    OTHER = 'other'
 
 
 class HeadReader:
@@ -74,6 +78,11 @@
         self.complete = True
         return True
 
+    @property
+    def is_chunked(self) -> bool:
+        """Whether a body is sent in chunks."""
+        return bool(self._values('transfer-encoding'))
+
     def _begin(self, line: bytes) -> None:
         found = _STATUS_LINE.fullmatch(line)
         if found is None:
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -14,7 +14,7 @@
 
 import pycurl
 
-from wigeonmill.providers.reply_head import HeadReader
+from wigeonmill.providers.reply_reader import ReplyReader
 
 logger = logging.getLogger(__name__)
 
@@ -163,7 +163,7 @@
         'call',
         'body_offset',
         'connected',
-        'fault',
+        'reader',
     )
 
     def __init__(
@@ -190,8 +190,7 @@
         self.body_offset = 0
         # Whether a connection was opened for it.
         self.connected = False
-        # Why this process ended it, if it did.
-        self.fault = ''
+        self.reader: ReplyReader | None = None
         self._failing: asyncio.Handle | None = None
 
     @property
@@ -232,18 +231,23 @@
         if self._held_back:
             self._read_on()
 
-    def read(self, data: bytes) -> bool:
-        """Take a piece of the body from curl, unless there is no room."""
-        if self._is_full:
-            self._held_back = True
-            self._loop.ready[self] = None
-            return False
+    def has_room(self) -> bool:
+        """Whether more of the body may be read; if not, reading stops."""
+        if not self._is_full:
+            return True
+        self._held_back = True
+        self._loop.ready[self] = None
+        return False
+
+    def read(self, content: bytes, pieces: int) -> None:
+        """Take so many pieces of the body."""
+        self._pieces += pieces
+        if not content:
+            return
         if not self._body:
             self._loop.ready[self] = None
-        self._body += data
-        self._unread += len(data)
-        self._pieces += 1
-        return True
+        self._body += content
+        self._unread += len(content)
 
     def call_later(self, callback: Callable[[], None]) -> None:
         """Call back once curl has returned."""
@@ -454,10 +458,14 @@
         if transfer.curl is None:
             return
         end = _classify_end(curl, errno)
+        assert transfer.reader is not None
+        transfer.reader.end(errno, message)
+        if transfer.reader.fault is not None and end is TransferEnd.COMPLETE:
+            end = TransferEnd.BROKEN
         if errno == 0 and not curl.getinfo(pycurl.RESPONSE_CODE):
             end, message = TransferEnd.BROKEN, 'the reply has no status line'
         self._release(transfer, curl)
-        message = transfer.fault or message or f'curl error {errno}'
+        message = transfer.reader.message or message or f'curl error {errno}'
         _deliver_end(transfer, end, message)
 
 
@@ -504,17 +512,18 @@
 
 def _prepare(curl: pycurl.Curl, transfer: Transfer) -> None:
     call = transfer.call
-    reader = HeadReader()
+    reader = transfer.reader = ReplyReader(curl, call.method)
     owner = transfer
 
     def on_header(raw: bytes) -> int:
-        is_complete = reader.feed(raw)
+        is_complete = reader.read_line(raw)
         if reader.fault is not None:
-            owner.fault = f'malformed reply: {reader.fault.value}'
             return _ABORT
         if is_complete:
             head = ReplyHead(
-                reader.status, tuple(reader.fields), owner.connected
+                reader.head.status,
+                tuple(reader.head.fields),
+                owner.connected,
             )
             owner.call_later(lambda: transfer.sink.on_head(head))
             if not call.is_reply(head):
@@ -528,7 +537,12 @@
         return open_socket(purpose, address)
 
     def on_body(data: bytes) -> int:
-        return len(data) if owner.read(data) else pycurl.WRITEFUNC_PAUSE
+        if not owner.has_room():
+            return pycurl.WRITEFUNC_PAUSE
+        chunks = reader.chunks
+        content = reader.read_body(data)
+        owner.read(content, max(1, reader.chunks - chunks))
+        return len(data) if reader.fault is None else _ABORT
 
     curl.setopt(pycurl.REQUEST_TARGET, call.target.encode('latin-1'))
     curl.setopt(pycurl.PATH_AS_IS, 1)
