Check the replies to calls of agents and of the platform's clients, too

A sound reply with a trailer was an error.

Cause: these calls are made by tornado's client, which has a reader of heads of its own. The check for the end of the head took the line of a trailer for an unfinished head.

Change: the client reads replies with the reader of transfers. A head with a fault ends the call at once, a fault in the chunks of a stream with curl's next report of progress. `X-Http-Reason`, which tornado added, is gone from replies, so agents no longer hide a field of that name.

Why it works: there is one rule, whatever reads a reply.

--- a/tests/providers/test_reply_reader.py
+++ b/tests/providers/test_reply_reader.py
@@ -10,7 +10,7 @@
 
 
 def make_reader(*lines, method='GET'):
-    reader = ReplyReader(pycurl.Curl(), method)
+    reader = ReplyReader(method)
     for line in lines:
         reader.read_line(line + b'\r\n')
     return reader
--- a/wigeonmill/agent/calls.py
+++ b/wigeonmill/agent/calls.py
@@ -40,8 +40,6 @@
         'content-encoding',
     )
 )
-# Headers that the client library adds to a reply.
-_LIBRARY_HEADERS = frozenset(('x-http-reason',))
 _BODILESS = frozenset(('GET', 'HEAD', 'OPTIONS', 'DELETE'))
 
 
@@ -116,7 +114,7 @@
     headers = [
         Header(name, value)
         for name, value in response.headers.get_all()
-        if name.lower() not in HOP_HEADERS | _LIBRARY_HEADERS
+        if name.lower() not in HOP_HEADERS
     ]
     return make_reply(response.status, headers, response.body)
 
--- a/wigeonmill/providers/http.py
+++ b/wigeonmill/providers/http.py
@@ -18,12 +18,15 @@
 from tornado.httputil import HTTPHeaders
 
 from wigeonmill.clock import Clock
+from wigeonmill.providers.reply_reader import ReplyReader
 
 MAX_BODY_BYTES = 256 * 1024 * 1024
 # Curl errors that occur before the first byte of the request is sent.
 _NOT_SENT_ERRNOS = frozenset(
     (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
 )
+# Returned to curl by a callback, it ends the transfer and its connection.
+_ABORT = -1
 
 
 class HttpErrorKind(enum.Enum):
@@ -102,23 +105,6 @@
     connect_timeout_ms: float | None = None
 
 
-class _HeaderEndDetector:
-    """Detects whether the headers of the last reply are complete.
-
-    If the connection closes within the headers, curl reports a complete
-    reply without a body.
-    """
-
-    __slots__ = ('complete',)
-
-    def __init__(self) -> None:
-        self.complete = False
-
-    def feed(self, line: str) -> None:
-        """Process one header line."""
-        self.complete = not line.strip()
-
-
 class HttpClient:
     """A pool of curl handles, created on first use in the event loop."""
 
@@ -137,8 +123,8 @@
         )
         cancel.on_cancel(lambda: _set_done(cancelled_fut))
         start_ms = self._clock.now_ms()
-        headers = _HeaderEndDetector()
-        req = _build_request(call, cancel, headers)
+        reader = ReplyReader(call.method)
+        req = _build_request(call, cancel, reader)
         fetch = asyncio.ensure_future(
             self._pool().fetch(req, raise_error=False)
         )
@@ -154,10 +140,7 @@
             fetch.add_done_callback(_ignore_outcome)
             return Err(HttpError(HttpErrorKind.CANCELLED, 'cancelled'))
         elapsed_ms = self._clock.now_ms() - start_ms
-        if fetch.exception() is None and not headers.complete:
-            message = 'the connection closed within the reply headers'
-            return Err(HttpError(HttpErrorKind.BROKEN, message))
-        return _make_result(fetch, elapsed_ms)
+        return _make_result(fetch, reader, elapsed_ms)
 
     def close(self) -> None:
         """Close every connection; calls in progress get no result."""
@@ -176,17 +159,30 @@
 
 
 def _build_request(
-    call: HttpCall, cancel: CancelHandle, headers: _HeaderEndDetector
+    call: HttpCall, cancel: CancelHandle, reader: ReplyReader
 ) -> HTTPRequest:
     # Curl interprets 0 as no timeout.
     timeout_ms = max(call.timeout_ms, 1.0)
     connect_ms = max(call.connect_timeout_ms or timeout_ms, 1.0)
+    on_data = call.on_data
+
+    def on_header(line: bytes) -> int:
+        reader.read_line(line)
+        return len(line) if reader.fault is None else _ABORT
+
+    def on_progress(*_sizes: int) -> int:
+        return int(cancel.cancelled or reader.fault is not None)
+
+    def pass_on(data: bytes) -> None:
+        content = reader.read_body(data)
+        if content and on_data is not None:
+            on_data(content)
 
     def prepare(curl: pycurl.Curl) -> None:
+        reader.prepare(curl)
+        curl.setopt(pycurl.HEADERFUNCTION, on_header)
         curl.setopt(pycurl.NOPROGRESS, 0)
-        curl.setopt(
-            pycurl.XFERINFOFUNCTION, lambda *_sizes: int(cancel.cancelled)
-        )
+        curl.setopt(pycurl.XFERINFOFUNCTION, on_progress)
         if not call.repeatable:
             forbid_resend(curl, bool(call.body))
 
@@ -200,8 +196,7 @@
         follow_redirects=False,
         decompress_response=False,
         allow_nonstandard_methods=True,
-        header_callback=headers.feed,
-        streaming_callback=call.on_data,
+        streaming_callback=pass_on if on_data is not None else None,
         prepare_curl_callback=prepare,
     )
 
@@ -223,17 +218,31 @@
 
 
 def _make_result(
-    fetch: asyncio.Future[HTTPResponse], elapsed_ms: float
+    fetch: asyncio.Future[HTTPResponse],
+    reader: ReplyReader,
+    elapsed_ms: float,
 ) -> Result[HttpReply, HttpError]:
     exc = fetch.exception()
-    if exc is None:
-        response = fetch.result()
-        body = response.body or b''
-        return Ok(HttpReply(response.code, response.headers, body, elapsed_ms))
-    if not isinstance(exc, CurlError):
-        return Err(HttpError(HttpErrorKind.BROKEN, str(exc)))
-    message = f'curl error {exc.errno}: {os.fsdecode(exc.message or "")}'
-    return Err(HttpError(_classify_error(exc.errno), message))
+    errno, message = 0, str(exc)
+    if isinstance(exc, CurlError):
+        errno = exc.errno
+        message = f'curl error {errno}: {os.fsdecode(exc.message or "")}'
+    body = b''
+    if exc is None and reader.head.complete:
+        body = reader.read_body(fetch.result().body or b'')
+    reader.end(errno, message)
+    if reader.fault is not None:
+        return Err(HttpError(HttpErrorKind.BROKEN, reader.message))
+    if exc is not None:
+        return Err(HttpError(_classify_error(errno), message))
+    if not reader.head.complete:
+        # Curl takes that for a complete reply without a body.
+        message = 'the connection closed within the reply headers'
+        return Err(HttpError(HttpErrorKind.BROKEN, message))
+    headers = HTTPHeaders()
+    for name, value in reader.head.fields:
+        headers.add(name, value)
+    return Ok(HttpReply(reader.head.status, headers, body, elapsed_ms))
 
 
 def _classify_error(errno: int) -> HttpErrorKind:
--- a/wigeonmill/providers/reply_reader.py
+++ b/wigeonmill/providers/reply_reader.py
@@ -25,10 +25,7 @@
 
     __slots__ = ('head', 'fault', '_detail', '_has_body', '_chunked')
 
-    def __init__(self, curl: pycurl.Curl, method: str) -> None:
-        """Read the reply to a request that `curl` will send."""
-        # Curl still finds the end of the body, but does not decode it.
-        curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
+    def __init__(self, method: str) -> None:
         self.head = HeadReader()
         self.fault: ReplyFault | None = None
         self._detail = ''
@@ -47,6 +44,10 @@
             return ''
         return f'malformed reply: {self._detail or self.fault.value}'
 
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Let curl pass the body on as it is; curl still finds its end."""
+        curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
+
     def read_line(self, raw: bytes) -> bool:
         """Read a line of a head; returns whether it ended the final one."""
         is_complete = self.head.feed(raw)
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -512,7 +512,8 @@
 
 def _prepare(curl: pycurl.Curl, transfer: Transfer) -> None:
     call = transfer.call
-    reader = transfer.reader = ReplyReader(curl, call.method)
+    reader = transfer.reader = ReplyReader(call.method)
+    reader.prepare(curl)
     owner = transfer
 
     def on_header(raw: bytes) -> int:
