Check the answers that agents read from their engines

Cause: the client of an engine has callbacks of its own in tornado's client, which looked for the status alone.

Change: the stream of a run is read by the reader of transfers, and reports and orders go through the client that has it. Runs no longer ask for compressed answers, as curl would decompress them before their chunks are decoded.

Why it works: each reply that the system reads is judged by one rule.

--- a/tests/platform/test_malformed_replies.py
+++ b/tests/platform/test_malformed_replies.py
@@ -15,9 +15,11 @@
 from tests.platform.real_entry import RealEntry
 from tests.platform.real_entry import serve_and
 from tests.providers.reply_forms import BODY
+from tests.providers.reply_forms import fill_template
 from tests.providers.reply_forms import FormServer
 from tests.providers.reply_forms import MALFORMED
 from tests.providers.reply_forms import MALFORMED_CHUNKS
+from tests.providers.reply_forms import MALFORMED_TEMPLATES
 from tests.providers.reply_forms import SOUND
 from tests.providers.reply_forms import SOUND_TO_THE_CLOSE
 from tests.providers.test_transfers import make_call
@@ -117,30 +119,12 @@
 
 
 # Guards against MIXED: replies of the store and its watch, likewise.
-@pytest.mark.parametrize(
-    ('head', 'wire'),
-    [
-        (b'Store Era: 1\r\nContent-Length: %(length)d\r\n', b'%(body)b'),
-        (b'Store-Era : 1\r\nContent-Length: %(length)d\r\n', b'%(body)b'),
-        (b'odd\r\nContent-Length: %(length)d\r\n', b'%(body)b'),
-        (b'Content-Length: 18446744073709551631\r\n', b'%(body)b'),
-        (
-            b'Transfer-Encoding: chunked, chunked\r\n',
-            b'%(length)x\r\n%(body)b\r\n0\r\n\r\n',
-        ),
-        (
-            b'Transfer-Encoding: chunked\r\n',
-            b'%(length)xg\r\n%(body)b\r\n0\r\n\r\n',
-        ),
-    ],
-)
-def test_a_malformed_reply_of_the_store_is_an_error(head, wire):
+@pytest.mark.parametrize('form', MALFORMED_TEMPLATES)
+def test_a_malformed_reply_of_the_store_is_an_error(form):
     async def serve(reader, writer):
         method = (await reader.readuntil(b' ')).decode().strip()
-        body = BODIES[method]
-        values = {b'length': len(body), b'body': body}
-        reply = b'HTTP/1.1 200 OK\r\n' + head + b'\r\n' + wire
-        writer.write(reply % values)
+        template = MALFORMED_TEMPLATES[form]
+        writer.write(fill_template(template, BODIES[method]))
         writer.close()
 
     async def check(address, transfers):
--- a/tests/providers/reply_forms.py
+++ b/tests/providers/reply_forms.py
@@ -163,6 +163,32 @@
 }
 MALFORMED = MALFORMED_FIELDS | MALFORMED_FRAMING | MALFORMED_CHUNKS
 
+# For replies of which the body matters: before it, and around it.
+_LENGTH = b'Content-Length: %(length)d\r\n\r\n%(body)b'
+MALFORMED_TEMPLATES = {
+    'blank-in-name': b'Store Era: 1\r\n' + _LENGTH,
+    'blank-before-colon': b'Store-Era : 1\r\n' + _LENGTH,
+    'no-colon': b'odd\r\n' + _LENGTH,
+    'length-2^64+15': b'Content-Length: 18446744073709551631\r\n\r\n%(body)b',
+    'coding-twice': b'Transfer-Encoding: chunked, chunked\r\n\r\n'
+    b'%(length)x\r\n%(body)b\r\n0\r\n\r\n',
+    'size-with-a-tail': b'Transfer-Encoding: chunked\r\n\r\n'
+    b'%(length)xg\r\n%(body)b\r\n0\r\n\r\n',
+}
+SOUND_TEMPLATES = {
+    'length': _LENGTH,
+    'chunked': b'Transfer-Encoding: chunked\r\n\r\n'
+    b'%(length)x;a=b\r\n%(body)b\r\n0\r\nX-A: b\r\n\r\n',
+    'close': b'Connection: close\r\n\r\n%(body)b',
+}
+
+
+def fill_template(template, body):
+    """Return a reply with a body."""
+    values = {b'length': len(body), b'body': body}
+    return b'HTTP/1.1 200 OK\r\n' + template % values
+
+
 # Names of any case and with any mark, and values with any legal byte.
 SOUND = {
     'length': with_length(b'15'),
--- a/wigeonmill/agent/engine.py
+++ b/wigeonmill/agent/engine.py
@@ -1,6 +1,5 @@
 """The agent's client for its model engine, based on curl."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 import enum
@@ -12,18 +11,24 @@
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPError
 from tornado.httpclient import HTTPRequest
-from tornado.httpclient import HTTPResponse
 
+from wigeonmill.clock import Clock
 from wigeonmill.providers.http import close_curl_client
 from wigeonmill.providers.http import forbid_resend
+from wigeonmill.providers.http import HttpCall
+from wigeonmill.providers.http import HttpClient
+from wigeonmill.providers.http import HttpReply
+from wigeonmill.providers.reply_reader import ReplyReader
 
 logger = logging.getLogger(__name__)
 
 MAX_CLIENTS = 512
 CONNECT_TIMEOUT_S = 2.0
-CONTROL_TIMEOUT_S = 2.0
+CONTROL_TIMEOUT_MS = 2_000.0
 MAX_ERROR_BYTES = 65536
 STATE_LOADING = 'loading'
+# Returned to curl by a callback, it ends the transfer and its connection.
+_ABORT = -1
 _DATA = b'data: '
 _DONE = b'[DONE]'
 
@@ -141,7 +146,7 @@
         self._decode = msgspec.json.Decoder(_EngineChunk).decode
         self._partial_line = b''
         self._error_body = bytearray()
-        self._status = 0
+        self._reader = ReplyReader('POST')
         self._done_received = False
         self._cancelled = False
         self._malformed = False
@@ -153,28 +158,32 @@
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Install the callbacks that process the response as it arrives."""
+        self._reader.prepare(curl)
         forbid_resend(curl, has_body=True)
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_data)
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._on_progress)
 
-    def _on_header(self, line: bytes) -> None:
-        if line.startswith(b'HTTP/'):
-            parts = line.split()
-            if len(parts) > 1 and parts[1].isdigit():
-                self._status = int(parts[1])
+    def _on_header(self, line: bytes) -> int | None:
+        self._reader.read_line(line)
+        return None if self._reader.fault is None else _ABORT
 
     def failure_end(self, error: HTTPError) -> EngineEnd:
         """Return the end of a stream whose transfer failed."""
         if self._malformed:
             return EngineEnd(EngineEndKind.BROKEN, 'malformed event')
+        if self._reader.fault is not None:
+            return EngineEnd(EngineEndKind.BROKEN, self._reader.message)
         if self._cancelled:
             return EngineEnd(EngineEndKind.CANCELLED)
         return EngineEnd(_failure_kind(error), str(error))
 
     def transfer_end(self, status: int) -> EngineEnd:
         """Return the end of a stream whose transfer was completed."""
+        self._reader.end(0, '')
+        if self._reader.fault is not None:
+            return EngineEnd(EngineEndKind.BROKEN, self._reader.message)
         if status != 200:
             message = bytes(self._error_body).decode('utf-8', 'replace')
             return EngineEnd(EngineEndKind.REJECTED, message, status)
@@ -187,16 +196,20 @@
 
     def _on_data(self, data: bytes) -> int | None:
         if self._cancelled or self._malformed:
-            return -1
-        if self._status != 200:
-            self._error_body += data[:MAX_ERROR_BYTES]
-            return None
-        lines = (self._partial_line + data).split(b'\n')
+            return _ABORT
+        content = self._reader.read_body(data)
+        if self._reader.head.status == 200:
+            self._on_content(content)
+        else:
+            self._error_body += content[:MAX_ERROR_BYTES]
+        return None if self._reader.fault is None else _ABORT
+
+    def _on_content(self, content: bytes) -> None:
+        lines = (self._partial_line + content).split(b'\n')
         self._partial_line = lines.pop()
         for line in lines:
             if line.startswith(_DATA):
                 self._on_event(line[len(_DATA) :].strip())
-        return None
 
     def _on_event(self, data: bytes) -> None:
         if data == _DONE:
@@ -238,9 +251,7 @@
         self._http = CurlAsyncHTTPClient(
             force_instance=True, max_clients=MAX_CLIENTS
         )
-        self._control_http = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=8
-        )
+        self._control_http = HttpClient(Clock(), max_clients=8)
 
     async def run(
         self, path: str, body: bytes, stream: EngineStream, timeout_ms: float
@@ -270,6 +281,8 @@
             headers={'Content-Type': 'application/json'},
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=max(timeout_ms, 1.0) / 1000.0,
+            # Chunks are decoded here, after curl would decode the content.
+            decompress_response=False,
             streaming_callback=_ignore_data,
             prepare_curl_callback=stream.prepare,
         )
@@ -294,45 +307,39 @@
             order.adapters,
         )
         data = msgspec.json.encode(body)
-        response = await self._send_control('POST', '/admin/load', data)
-        if response is None:
+        reply = await self._send_control('POST', '/admin/load', data)
+        if reply is None:
             return OrderOutcome.UNKNOWN
-        if response.code < 300:
+        if reply.status < 300:
             return OrderOutcome.ACCEPTED
         return OrderOutcome.REFUSED
 
     async def health(self) -> EngineHealth | None:
         """Return the engine's report, or None if there is no valid reply."""
-        response = await self._send_control('GET', '/health', None)
-        if response is None or response.code != 200:
+        reply = await self._send_control('GET', '/health', None)
+        if reply is None or reply.status != 200:
             return None
         try:
-            return msgspec.json.decode(response.body, type=EngineHealth)
+            return msgspec.json.decode(reply.body, type=EngineHealth)
         except msgspec.DecodeError:
             return None
 
     def close(self) -> None:
         """Close the clients for streams and for control requests."""
         close_curl_client(self._http)
-        close_curl_client(self._control_http)
+        self._control_http.close()
 
     async def _send_control(
         self, method: str, path: str, body: bytes | None
-    ) -> HTTPResponse | None:
-        request = HTTPRequest(
+    ) -> HttpReply | None:
+        call = HttpCall(
+            method,
             self._base + path,
-            method=method,
-            body=body,
-            connect_timeout=CONTROL_TIMEOUT_S,
-            request_timeout=CONTROL_TIMEOUT_S,
+            CONTROL_TIMEOUT_MS,
+            body,
+            repeatable=True,
         )
-        try:
-            response = await self._control_http.fetch(
-                request, raise_error=False
-            )
-        except (HTTPError, OSError, asyncio.TimeoutError):
-            return None
-        return response
+        return (await self._control_http.send(call)).ok()
 
 
 def _failure_kind(error: HTTPError) -> EngineEndKind:
