Do not count targets that write malformed answers as crashed

Cause: a malformed answer ended as a broken connection, which counts as the loss of its target under the request and its prompt parts.

Evidence: eight targets that wrote a malformed head each got three of eight equal requests; the others were refused. The three cases of test_targets_that_write_malformed_answers_have_not_crashed fail on the code before.

Change: the end of such a transfer has a kind of its own. It is a failure of the target, opens its circuit like a lost connection and counts against its version in a rollout, but is no loss.

Why it works: what a target has written shows that it has not ended, and it is the target that is left alone, not the request.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -35,6 +35,7 @@
     ExchangeEnd.COMPLETE,
 )
 CUT_BEFORE_HEAD = (ExchangeEnd.BROKEN,)
+MALFORMED = (ExchangeEnd.MALFORMED,)
 CUT_IN_BODY = (make_head(), b'par', ExchangeEnd.BROKEN)
 STATUS_500 = (make_head(500), b'sorry', ExchangeEnd.COMPLETE)
 UNSEALED = (make_head(sealed=False), b'forged', ExchangeEnd.COMPLETE)
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -24,9 +24,11 @@
 from wigeonmill.gateway.desired import ServiceShare
 from wigeonmill.gateway.target_client import ExchangeEnd
 from wigeonmill.providers.transfers import Framing
+from wigeonmill.routing.circuit import FAILURES_TO_OPEN
 
 MAY_HAVE_RUN = [
     fakes.CUT_BEFORE_HEAD,
+    fakes.MALFORMED,
     fakes.CUT_IN_BODY,
     fakes.STATUS_500,
     fakes.UNSEALED,
@@ -347,6 +349,29 @@
     assert len(harness.client.sent) == 3
 
 
+# Guards against MIXED: targets whose answers were malformed counted as lost,
+# and equal requests were refused although no target had crashed.
+def test_a_request_whose_answers_are_malformed_is_refused_nowhere():
+    harness = engine_harness([fakes.MALFORMED], count=8)
+    route = stream_route(max_targets=1)
+    for number in range(5):
+        harness.channel = fakes.FakeChannel()
+        channel = run_stream(harness, route, id=f'q{number}')
+        assert channel.refusal.reason is Reason.MAY_HAVE_RUN
+    assert len(harness.client.sent) == 5
+
+
+# Guards against MIXED: a target that wrote nothing but malformed answers was
+# not held to be at fault.
+def test_a_target_whose_answers_are_malformed_gets_no_more_for_a_while():
+    harness = plain_harness([fakes.MALFORMED], count=1)
+    for number in range(FAILURES_TO_OPEN):
+        assert not harness.ctx.circuits.blocked('t0')
+        harness.channel = fakes.FakeChannel()
+        harness.run(request_at(harness, id=f'q{number}'), make_route())
+    assert harness.ctx.circuits.blocked('t0')
+
+
 @pytest.mark.parametrize(
     'scripts',
     list(itertools.product([fakes.FULL, fakes.WRONG_TARGET], repeat=2)),
--- a/tests/gateway/test_software_rollout.py
+++ b/tests/gateway/test_software_rollout.py
@@ -6,6 +6,7 @@
 
 from tests.gateway.fakes import GOOD
 from tests.gateway.fakes import Harness
+from tests.gateway.fakes import MALFORMED
 from tests.gateway.fakes import NOT_SENT
 from tests.gateway.fakes import STATUS_500
 from tests.gateway.samples import LEDGER
@@ -252,6 +253,15 @@
     assert counts == {('r', OLD): Tally(1, 1, 0)}
 
 
+# Guards against a version that writes malformed answers and is called good.
+def test_a_malformed_answer_counts_as_a_failure():
+    world = World(MALFORMED, versions=('v1',))
+    world.rollouts.start(ORDER)
+    world.send()
+    counts = world.rollouts.get(LEDGER).evidence.counts
+    assert counts == {('r', OLD): Tally(1, 1, 0)}
+
+
 @pytest.mark.parametrize('state', ('cold', 'loading'))
 def test_a_target_that_is_cold_or_loads_weights_does_not_count(state):
     world = World(STATUS_500, versions=('v1',))
--- a/tests/platform/test_malformed_replies.py
+++ b/tests/platform/test_malformed_replies.py
@@ -1,11 +1,15 @@
 """Tests what comes of replies whose head or chunks are malformed."""
 
 import asyncio
+import re
 
 import pytest
 
 from alliance.engines import AllianceEngines
 from alliance.store import AllianceStore
+from tests.gateway.samples import ENGINES
+from tests.gateway.samples import make_engine_record
+from tests.gateway.samples import make_generation
 from tests.gateway.samples import make_record
 from tests.gateway.samples import make_request
 from tests.gateway.samples import make_route
@@ -24,7 +28,9 @@
 from tests.providers.reply_forms import SOUND_TO_THE_CLOSE
 from tests.providers.test_transfers import make_call
 from wigeonmill.clock import Clock
+from wigeonmill.gateway.answers import Reason
 from wigeonmill.gateway.desired import RouteKind
+from wigeonmill.gateway.desired import ServiceShare
 from wigeonmill.gateway.engine_orders import OrderOutcome
 from wigeonmill.gateway.engine_orders import WeightsOrder
 from wigeonmill.providers.fetch import fetch
@@ -37,6 +43,7 @@
     'no-name',
     'length-2^64+15',
     'coding-empty',
+    'size-with-a-tail',
 )
 # A sound reply on a connection that stays open takes no longer.
 AT_ONCE_S = 1.0
@@ -95,9 +102,10 @@
 @pytest.mark.parametrize('form', MALFORMED)
 def test_a_malformed_reply_to_a_call_is_an_error(form):
     server = FormServer(MALFORMED[form])
-    notices = []
+    notices, faults = [], []
 
     async def check(address, transfers):
+        transfers.on_malformed = faults.append
         outcome = await fetch(transfers, make_call(address), 2_000.0)
         engines = AllianceEngines(transfers)
         engines.subscribe(lambda *notice: notices.append(notice))
@@ -114,6 +122,7 @@
     assert all(outcome.is_err() for outcome in outcomes)
     assert outcomes[0].unwrap_err().sent
     assert ordered is OrderOutcome.UNKNOWN
+    assert len(faults) == 4
     # Nothing in a malformed head is believed.
     assert not notices or form in MALFORMED_CHUNKS
 
@@ -263,6 +272,73 @@
     assert faulty.requests < 60
 
 
+# Guards against MIXED: targets that wrote malformed heads and went on counted
+# as crashed, so that sound requests were refused.
+@pytest.mark.parametrize('form', ['no-colon', 'blank-in-name', 'size-word'])
+def test_targets_that_write_malformed_answers_have_not_crashed(form):
+    servers = [FormServer(MALFORMED[form]) for _ in range(8)]
+
+    async def check(address, transfers):
+        entry = RealEntry(Clock(), transfers, address)
+        listeners = [
+            await asyncio.start_server(server.serve, '127.0.0.1', 0)
+            for server in servers
+        ]
+        for number, listener in enumerate(listeners):
+            record = make_engine_record(
+                f'e{number}', address=address_of(listener)
+            )
+            entry.ctx.directory.apply(record)
+
+        async def run(number):
+            """Run one of several equal requests."""
+            req = make_request(
+                id=f'q{number}',
+                arrived_ms=entry.ctx.clock.now_ms(),
+                fields=(('Request-Id', f'q{number}'),),
+                generation=make_generation(),
+            )
+            return await entry.send(
+                req,
+                make_route(
+                    kind=RouteKind.STREAMING,
+                    shares=(ServiceShare(ENGINES, 1.0),),
+                ),
+            )
+
+        failed = []
+        for number in range(len(servers)):
+            failed.append(await run(number))
+            # Losses that are further apart count as several events.
+            await asyncio.sleep(0.05)
+        for server in servers:
+            server.reply, server.stays = SOUND['length'], True
+        for record in entry.ctx.directory.all():
+            entry.ctx.circuits.record_success(record.id)
+        answered = await run(len(servers))
+        for listener in listeners:
+            listener.close()
+        return failed, answered, entry.ctx
+
+    failed, answered, ctx = asyncio.run(serve_and(servers[0].serve, check))
+    assert {channel.refusal.reason for channel in failed} == {
+        Reason.MAY_HAVE_RUN
+    }
+    assert sum(server.requests for server in servers) == len(servers) + 1
+    assert answered.body == BODY
+    broken = ctx.metrics.reasons('gateway_answers_broken')
+    assert broken == {'malformed': len(servers)}
+
+
+async def read_metrics(address):
+    host, port = address.rsplit(':', 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b'GET /metrics HTTP/1.0\r\n\r\n')
+    text = await reader.read()
+    writer.close()
+    return text.decode()
+
+
 # Guards against MIXED: the answer with such a head was an internal error of a
 # gateway, as only its own answer to the caller was checked.
 def test_a_gateway_answers_a_malformed_reply_with_502(tmp_path):
@@ -279,8 +355,18 @@
             for number, kind in enumerate(KINDS * len(forms)):
                 line = f'POST /{kind}/{number} HTTP/1.1'
                 assert await ask(gateway.settings['callers'], line) == 502
+            metrics = await read_metrics(gateway.settings['metrics'])
         for listener in listeners:
             listener.close()
+        return metrics
 
-    asyncio.run(check())
+    metrics = asyncio.run(check())
     assert sum(server.requests for server in servers) == len(servers)
+    name = 'wigeonmill_gateway_replies_malformed_total'
+    counts = re.findall(name + r'\{reason="(\w+)"\} (\d+)', metrics)
+    assert dict(counts) == {
+        'field': '9',
+        'length': '3',
+        'transfer_coding': '3',
+        'chunk': '3',
+    }
--- a/wigeonmill/gateway/attempt.py
+++ b/wigeonmill/gateway/attempt.py
@@ -306,6 +306,8 @@
             return overlong('too much is held of answers')
         if end is ExchangeEnd.FAILED_HERE:
             self._ctx.metrics.count('gateway_answers_broken', 'internal')
+        elif end is ExchangeEnd.MALFORMED:
+            self._ctx.metrics.count('gateway_answers_broken', 'malformed')
         elif end is not ExchangeEnd.NOT_SENT:
             self._ctx.metrics.count('gateway_answers_broken', 'connection')
         return transfer_failed(end, self._exchange.message)
--- a/wigeonmill/gateway/failures.py
+++ b/wigeonmill/gateway/failures.py
@@ -22,10 +22,11 @@
     `arrived_at_service` is set if the request arrived at a process of the
     service, and `reached` if that was the intended target. `may_have_run` is
     set if the target may have started the request, `target_lost` if the
-    connection failed, `internal` if an error of this process ended the
-    attempt, which says nothing about the target, and `final` if no retry is
-    allowed. `was_writing` is set if this process closed the connection while
-    the target was writing.
+    connection failed, `malformed` if the target wrote something that is no
+    answer, `internal` if an error of this process ended the attempt, which
+    says nothing about the target, and `final` if no retry is allowed.
+    `was_writing` is set if this process closed the connection while the
+    target was writing.
     """
 
     reason: Reason
@@ -34,6 +35,7 @@
     may_have_run: bool
     arrived_at_service: bool = True
     target_lost: bool = False
+    malformed: bool = False
     internal: bool = False
     was_writing: bool = False
     answer: ErrorAnswer | None = None
@@ -108,7 +110,8 @@
 def transfer_failed(end: ExchangeEnd, message: str) -> Failure:
     """Return the failure of a transfer without a complete answer.
 
-    Its connection ended early or never opened, or this process failed.
+    Its connection ended early or never opened, what came is no answer, or
+    this process failed.
     """
     if end is ExchangeEnd.NOT_SENT:
         return Failure(
@@ -119,11 +122,14 @@
             arrived_at_service=False,
             target_lost=True,
         )
+    malformed = end is ExchangeEnd.MALFORMED
+    internal = end is ExchangeEnd.FAILED_HERE
     return Failure(
         Reason.MAY_HAVE_RUN,
         message,
         reached=True,
         may_have_run=True,
-        target_lost=end is not ExchangeEnd.FAILED_HERE,
-        internal=end is ExchangeEnd.FAILED_HERE,
+        target_lost=not (malformed or internal),
+        malformed=malformed,
+        internal=internal,
     )
--- a/wigeonmill/gateway/request_run.py
+++ b/wigeonmill/gateway/request_run.py
@@ -548,8 +548,9 @@
             return
         if failure.may_have_run:
             target.load.record_outcome(failed=True)
-        if failure.target_lost:
+        if failure.target_lost or failure.malformed:
             circuits.record_failure(target.id)
+        if failure.target_lost:
             self._record_loss(target, sent_ms)
 
     def _record_lost_parts(self, attempt: Attempt, failure: Failure) -> None:
--- a/wigeonmill/gateway/role.py
+++ b/wigeonmill/gateway/role.py
@@ -75,6 +75,7 @@
 from wigeonmill.process_memory import separate_large_blocks
 from wigeonmill.protocol.gen.inner.ttypes import Kind
 from wigeonmill.providers.key_value import KvEntry
+from wigeonmill.providers.reply_head import ReplyFault
 from wigeonmill.providers.transfers import TransferLoop
 from wigeonmill.settings_fault import SettingsFault
 
@@ -134,6 +135,7 @@
         self._clock = clock
         self.metrics = Metrics()
         self._transfers = transfers
+        transfers.on_malformed = self._count_malformed
         self._stop = asyncio.Event()
         self._mirror = Mirror()
         self._entries = EntryList(
@@ -611,6 +613,9 @@
             caller_conns_limit(descriptors),
         )
 
+    def _count_malformed(self, fault: ReplyFault) -> None:
+        self.metrics.count('gateway_replies_malformed', fault.value)
+
     def _make_memory(self) -> CallerMemory:
         memory_bytes = int(self._settings.memory_mb * 1_000_000)
         return CallerMemory(
--- a/wigeonmill/gateway/target_client.py
+++ b/wigeonmill/gateway/target_client.py
@@ -126,6 +126,8 @@
     COMPLETE = 'complete'
     NOT_SENT = 'not_sent'
     BROKEN = 'broken'
+    # The target wrote something that is no answer, and may go on.
+    MALFORMED = 'malformed'
     # An error of this process, which says nothing about the target.
     FAILED_HERE = 'failed_here'
 
@@ -134,6 +136,7 @@
     TransferEnd.COMPLETE: ExchangeEnd.COMPLETE,
     TransferEnd.NOT_SENT: ExchangeEnd.NOT_SENT,
     TransferEnd.BROKEN: ExchangeEnd.BROKEN,
+    TransferEnd.MALFORMED: ExchangeEnd.MALFORMED,
     TransferEnd.FAILED_HERE: ExchangeEnd.FAILED_HERE,
 }
 
--- a/wigeonmill/providers/reply_head.py
+++ b/wigeonmill/providers/reply_head.py
@@ -27,7 +27,7 @@
     # Content-Length is no number, too large or stated differently twice.
     LENGTH = 'length'
     # Transfer-Encoding is not `chunked`, the only coding that is asked for.
-    CODING = 'coding'
+    CODING = 'transfer_coding'
     # A line between the chunks of a body, or in their trailer.
     CHUNK = 'chunk'
     # Something else, found by curl.
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -14,6 +14,7 @@
 
 import pycurl
 
+from wigeonmill.providers.reply_head import ReplyFault
 from wigeonmill.providers.reply_reader import ReplyReader
 
 logger = logging.getLogger(__name__)
@@ -54,8 +55,10 @@
     COMPLETE = 'complete'
     # No connection was made, or it closed before any byte was sent.
     NOT_SENT = 'not_sent'
-    # After a byte was sent, the connection closed or the reply was not HTTP.
+    # After a byte was sent, the connection closed.
     BROKEN = 'broken'
+    # After a byte was sent, a reply came that breaks the syntax of HTTP.
+    MALFORMED = 'malformed'
     # The reply could not be handled because of an error of this process.
     FAILED_HERE = 'failed_here'
 
@@ -325,6 +328,7 @@
         '_closed',
         'max_reply_bytes',
         'replies',
+        'on_malformed',
     )
 
     def __init__(
@@ -347,6 +351,8 @@
         # Those that have something to deliver, or to read on for.
         self.ready: dict[Transfer, None] = {}
         self._closed = False
+        # Called with the fault of each reply that is malformed.
+        self.on_malformed: Callable[[ReplyFault], None] = _ignore_fault
 
     @property
     def window_bytes(self) -> int:
@@ -460,15 +466,21 @@
         end = _classify_end(curl, errno)
         assert transfer.reader is not None
         transfer.reader.end(errno, message)
-        if transfer.reader.fault is not None and end is TransferEnd.COMPLETE:
-            end = TransferEnd.BROKEN
-        if errno == 0 and not curl.getinfo(pycurl.RESPONSE_CODE):
+        fault = transfer.reader.fault
+        if fault is not None and end is not TransferEnd.NOT_SENT:
+            end = TransferEnd.MALFORMED
+            self.on_malformed(fault)
+        elif errno == 0 and not curl.getinfo(pycurl.RESPONSE_CODE):
             end, message = TransferEnd.BROKEN, 'the reply has no status line'
         self._release(transfer, curl)
         message = transfer.reader.message or message or f'curl error {errno}'
         _deliver_end(transfer, end, message)
 
 
+def _ignore_fault(fault: ReplyFault) -> None:
+    pass
+
+
 def _deliver_pending(transfer: Transfer) -> None:
     try:
         transfer.deliver()
