Test replies that have a head only, and name the value that ends a transfer once

Replies to HEAD and those with status 204 or 304 are read to the end of their head, also if it states a length or chunks, and a malformed one is an error: six cases over real connections, which hold. The connection of a sound one is used again. The value with which callbacks end a transfer stood in three modules.

--- a/tests/platform/test_malformed_replies.py
+++ b/tests/platform/test_malformed_replies.py
@@ -19,8 +19,11 @@
 from tests.platform.real_entry import RealEntry
 from tests.platform.real_entry import serve_and
 from tests.providers.reply_forms import BODY
+from tests.providers.reply_forms import CHUNKED
 from tests.providers.reply_forms import fill_template
 from tests.providers.reply_forms import FormServer
+from tests.providers.reply_forms import HEAD
+from tests.providers.reply_forms import LENGTH
 from tests.providers.reply_forms import MALFORMED
 from tests.providers.reply_forms import MALFORMED_CHUNKS
 from tests.providers.reply_forms import MALFORMED_TEMPLATES
@@ -169,6 +172,33 @@
     assert (reply.status, reply.body) == (200, BODY)
 
 
+# Guards against a wait for the chunks of a reply that has a head only.
+@pytest.mark.parametrize(
+    ('method', 'status'),
+    [
+        ('HEAD', b'200 OK'),
+        ('GET', b'204 No Content'),
+        ('GET', b'304 Not Modified'),
+    ],
+)
+@pytest.mark.parametrize('framing', [LENGTH, CHUNKED])
+def test_a_reply_without_a_body_is_judged_by_its_head(framing, method, status):
+    head = HEAD.replace(b'200 OK', status) + framing
+    server = FormServer(head + b'\r\n', stays=True)
+
+    async def check(address, transfers):
+        call = make_call(address, method=method, body=b'', repeatable=True)
+        sound = await fetch(transfers, call, 2_000.0)
+        server.reply = head + b'X Odd: b\r\n\r\n'
+        return sound, await fetch(transfers, call, 2_000.0)
+
+    sound, malformed = asyncio.run(serve_and(server.serve, check))
+    assert sound.unwrap().status == int(status[:3])
+    assert not sound.unwrap().body
+    assert malformed.unwrap_err().sent
+    assert server.conns == 1
+
+
 # Guards against MIXED: what follows a malformed head on a connection was read
 # as the answer to another request.
 @pytest.mark.parametrize('form', MALFORMED)
--- a/wigeonmill/agent/engine.py
+++ b/wigeonmill/agent/engine.py
@@ -18,6 +18,7 @@
 from wigeonmill.providers.http import HttpCall
 from wigeonmill.providers.http import HttpClient
 from wigeonmill.providers.http import HttpReply
+from wigeonmill.providers.reply_reader import ABORT
 from wigeonmill.providers.reply_reader import ReplyReader
 
 logger = logging.getLogger(__name__)
@@ -27,8 +28,6 @@
 CONTROL_TIMEOUT_MS = 2_000.0
 MAX_ERROR_BYTES = 65536
 STATE_LOADING = 'loading'
-# Returned to curl by a callback, it ends the transfer and its connection.
-_ABORT = -1
 _DATA = b'data: '
 _DONE = b'[DONE]'
 
@@ -167,7 +166,7 @@
 
     def _on_header(self, line: bytes) -> int | None:
         self._reader.read_line(line)
-        return None if self._reader.fault is None else _ABORT
+        return None if self._reader.fault is None else ABORT
 
     def failure_end(self, error: HTTPError) -> EngineEnd:
         """Return the end of a stream whose transfer failed."""
@@ -196,13 +195,13 @@
 
     def _on_data(self, data: bytes) -> int | None:
         if self._cancelled or self._malformed:
-            return _ABORT
+            return ABORT
         content = self._reader.read_body(data)
         if self._reader.head.status == 200:
             self._on_content(content)
         else:
             self._error_body += content[:MAX_ERROR_BYTES]
-        return None if self._reader.fault is None else _ABORT
+        return None if self._reader.fault is None else ABORT
 
     def _on_content(self, content: bytes) -> None:
         lines = (self._partial_line + content).split(b'\n')
--- a/wigeonmill/providers/http.py
+++ b/wigeonmill/providers/http.py
@@ -18,6 +18,7 @@
 from tornado.httputil import HTTPHeaders
 
 from wigeonmill.clock import Clock
+from wigeonmill.providers.reply_reader import ABORT
 from wigeonmill.providers.reply_reader import ReplyReader
 
 MAX_BODY_BYTES = 256 * 1024 * 1024
@@ -25,8 +26,6 @@
 _NOT_SENT_ERRNOS = frozenset(
     (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
 )
-# Returned to curl by a callback, it ends the transfer and its connection.
-_ABORT = -1
 
 
 class HttpErrorKind(enum.Enum):
@@ -168,7 +167,7 @@
 
     def on_header(line: bytes) -> int:
         reader.read_line(line)
-        return len(line) if reader.fault is None else _ABORT
+        return len(line) if reader.fault is None else ABORT
 
     def on_progress(*_sizes: int) -> int:
         return int(cancel.cancelled or reader.fault is not None)
--- a/wigeonmill/providers/reply_reader.py
+++ b/wigeonmill/providers/reply_reader.py
@@ -6,6 +6,8 @@
 from wigeonmill.providers.reply_head import HeadReader
 from wigeonmill.providers.reply_head import ReplyFault
 
+# Returned to curl by a callback, it ends the transfer and its connection.
+ABORT = -1
 # Statuses of replies without a body (RFC 9112, section 6.3).
 _BODILESS_STATUSES = frozenset((204, 304))
 # Errors of curl by a reply that it can't parse; the second one has the name
--- a/wigeonmill/providers/transfers.py
+++ b/wigeonmill/providers/transfers.py
@@ -15,6 +15,7 @@
 import pycurl
 
 from wigeonmill.providers.reply_head import ReplyFault
+from wigeonmill.providers.reply_reader import ABORT
 from wigeonmill.providers.reply_reader import ReplyReader
 
 logger = logging.getLogger(__name__)
@@ -72,10 +73,6 @@
     CLOSE = 'close'
 
 
-# Returned to curl by a callback, it ends the transfer and its connection.
-_ABORT = -1
-
-
 @dataclass(frozen=True, slots=True)
 class ReplyHead:
     """Status and header fields of a reply, in the order received.
@@ -531,7 +528,7 @@
     def on_header(raw: bytes) -> int:
         is_complete = reader.read_line(raw)
         if reader.fault is not None:
-            return _ABORT
+            return ABORT
         if is_complete:
             head = ReplyHead(
                 reader.head.status,
@@ -540,7 +537,7 @@
             )
             owner.call_later(lambda: transfer.sink.on_head(head))
             if not call.is_reply(head):
-                return _ABORT
+                return ABORT
             if call.method == 'HEAD' and call.body:
                 owner.call_later(lambda: _end_at_head(transfer))
         return len(raw)
@@ -555,7 +552,7 @@
         chunks = reader.chunks
         content = reader.read_body(data)
         owner.read(content, max(1, reader.chunks - chunks))
-        return len(data) if reader.fault is None else _ABORT
+        return len(data) if reader.fault is None else ABORT
 
     curl.setopt(pycurl.REQUEST_TARGET, call.target.encode('latin-1'))
     curl.setopt(pycurl.PATH_AS_IS, 1)
