--- a/tests/platform/test_malformed_replies.py
+++ b/tests/platform/test_malformed_replies.py
@@ -55,12 +55,6 @@
 }
 
 
-async def warm_up(entry):
-    """Send requests that are answered, which the retry budget counts."""
-    for number in range(10):
-        await send(entry, f'w{number}')
-
-
 def address_of(listener):
     return f'127.0.0.1:{listener.sockets[0].getsockname()[1]}'
 
@@ -76,6 +70,12 @@
     return await entry.send(req, make_route(**changes))
 
 
+async def warm_up(entry):
+    """Send requests that are answered, which the retry budget counts."""
+    for number in range(10):
+        await send(entry, f'w{number}')
+
+
 # Guards against MIXED: an engine in trouble wrote a malformed head, and its
 # answer was passed on as a complete one, or ended in an internal error.
 @pytest.mark.parametrize('kind', RouteKind)
--- a/tests/providers/reply_forms.py
+++ b/tests/providers/reply_forms.py
@@ -12,7 +12,6 @@
 BODY = b'id: 1\ndata: x\n\n'
 LENGTH = b'Content-Length: 15\r\n'
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
-TYPE = b'Content-Type: text/event-stream\r\n'
 CHUNKS = b'f\r\n' + BODY + b'\r\n0\r\n\r\n'
 
 
