--- a/review/testbed/engine.py
+++ b/review/testbed/engine.py
@@ -16,6 +16,9 @@
 HEARTBEAT_S = 1.2
 # Reports show the state of this time ago.
 REPORT_AGE_S = 0.2
+# A request that crashes the engine does so this long after it has begun.
+CRASH_S = 0.005
+SILENT_BEATS = 3
 
 Note = Callable[..., None]
 
@@ -53,6 +56,8 @@
         self.delay_order: Callable[[dict[str, Any]], float | None] = (
             lambda _order: None
         )
+        # Ends the engine as it begins to run a request, if it returns true.
+        self.crashes_on: Callable[[Request], bool] = lambda _req: False
         self._orders: list[tuple[float, int]] = []
         self._beat = 0
         self._store = store
@@ -76,7 +81,13 @@
 
     def stop(self, why: str) -> None:
         """End at once: the listener and all channels close."""
+        if not self.alive:
+            return
         self.alive = False
+        # The platform removes the entry after some beats of silence.
+        asyncio.get_running_loop().call_later(
+            SILENT_BEATS * HEARTBEAT_S, self._forget, self.id, self.born
+        )
         if self._beats is not None:
             self._beats.cancel()
         if self._server is not None:
@@ -88,6 +99,10 @@
         self._writers.clear()
         self._note('engine ended', engine=self.id, why=why)
 
+    def _forget(self, id_: str, born: int) -> None:
+        if (id_, born) != (self.id, self.born) or not self.alive:
+            self._store.remove(f'servers/{id_}')
+
     def beat(self) -> int:
         """Write the entry; return the revision."""
         self._beat += 1
@@ -151,7 +166,11 @@
             headers = {'Request-Id': id_, 'Instance-Id': self.id}
             writer.write(reply_bytes(421, b'', headers))
             return
-        self._note('run begins', **seen, version=self.version)
+        self._note('run begins', **seen, version=self.version, path=req.path)
+        if self.crashes_on(req):
+            await asyncio.sleep(CRASH_S)
+            asyncio.get_running_loop().call_soon(self.stop, 'crash')
+            await asyncio.sleep(1.0)
         await asyncio.sleep(self.work_s)
         headers = {
             'Request-Id': id_,
