--- a/review/testbed/deployment.py
+++ b/review/testbed/deployment.py
@@ -5,7 +5,6 @@
 import os
 from pathlib import Path
 import signal
-import socket
 import tempfile
 import time
 from typing import Any
@@ -13,6 +12,7 @@
 from testbed.engine import Engine
 from testbed.store import Store
 from testbed.wire import call
+from testbed.wire import free_ports
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 COMMAND = ('python3', '-S', 'platform/wigeonmilld.py')
@@ -196,15 +196,3 @@
                 'platform',
             ],
         }
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    socks = [socket.socket() for _number in range(count)]
-    try:
-        for sock in socks:
-            sock.bind(('127.0.0.1', 0))
-        return [sock.getsockname()[1] for sock in socks]
-    finally:
-        for sock in socks:
-            sock.close()
--- a/review/testbed/engine.py
+++ b/review/testbed/engine.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from testbed.store import Store
+from testbed.wire import free_ports
 from testbed.wire import json_reply
-from testbed.wire import port_of
 from testbed.wire import reply_bytes
 from testbed.wire import Request
 from testbed.wire import serve
@@ -41,7 +41,7 @@
         self.zone = zone
         self.model = model
         self.work_s = work_s
-        self.port = 0
+        self.port = free_ports(1)[0]
         # How far the time of day of its machine is from the true one.
         self.clock_ms = 0.0
         self.version = 1
@@ -69,7 +69,6 @@
 
     async def start(self) -> None:
         self._server = await serve(self._handle, self.port)
-        self.port = port_of(self._server)
         self.born = int(time.time() * 1000 + self.clock_ms)
         self.alive = True
         self.state = 'ready'
--- a/review/testbed/wire.py
+++ b/review/testbed/wire.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 import json
+import random
+import socket
 from typing import Any
 from urllib.parse import parse_qsl
 
@@ -40,6 +42,10 @@
     body: bytes | None = b''
 
 
+# Below the ports that systems give to outgoing connections, as each listener
+# starts again at its port.
+PORTS = range(20_000, 32_000)
+
 Handler = Callable[[Request, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -112,6 +118,21 @@
     return await asyncio.start_server(on_channel, '127.0.0.1', port)
 
 
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    found: list[int] = []
+    while len(found) < count:
+        port = random.choice(PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
+
+
 def port_of(server: asyncio.Server) -> int:
     return server.sockets[0].getsockname()[1]
 
