--- a/review/testbed/engine.py
+++ b/review/testbed/engine.py
@@ -85,7 +85,7 @@
         self.alive = False
         # The platform removes the entry after some beats of silence.
         asyncio.get_running_loop().call_later(
-            SILENT_BEATS * HEARTBEAT_S, self._forget, self.id, self.born
+            SILENT_BEATS * HEARTBEAT_S, self._forget, self.id
         )
         if self._beats is not None:
             self._beats.cancel()
@@ -98,8 +98,8 @@
         self._writers.clear()
         self._note('engine ended', engine=self.id, why=why)
 
-    def _forget(self, id_: str, born: int) -> None:
-        if (id_, born) != (self.id, self.born) or not self.alive:
+    def _forget(self, id_: str) -> None:
+        if id_ != self.id or not self.alive:
             self._store.remove(f'servers/{id_}')
 
     def beat(self) -> int:
