--- a/review/testbed/engine.py
+++ b/review/testbed/engine.py
@@ -19,6 +19,8 @@
 # A request that crashes the engine does so this long after it has begun.
 CRASH_S = 0.005
 SILENT_BEATS = 3
+# What a head states in place of a version of one digit.
+SPOILT_VERSION = '9'
 
 Note = Callable[..., None]
 
@@ -58,6 +60,8 @@
         )
         # Ends the engine as it begins to run a request, if it returns true.
         self.crashes_on: Callable[[Request], bool] = lambda _req: False
+        # Whether the next answer is spoilt where its head tells the version.
+        self.spoils: Callable[[], bool] = lambda: False
         self._orders: list[tuple[float, int]] = []
         self._beat = 0
         self._store = store
@@ -176,6 +180,9 @@
             'Server-Seal': f'seal.{id_}',
             'Weight-Versions': str(self.version),
         }
+        if self.spoils():
+            headers['Weight-Versions'] = SPOILT_VERSION
+            self._note('head spoilt', **seen, version=self.version)
         if 'token-usage' not in req.headers:
             body = json.dumps({'request': id_}).encode()
             writer.write(reply_bytes(200, body, headers))
