--- a/review/testbed/engine.py
+++ b/review/testbed/engine.py
@@ -19,8 +19,8 @@
 # A request that crashes the engine does so this long after it has begun.
 CRASH_S = 0.005
 SILENT_BEATS = 3
-# What a head states in place of a version of one digit.
-SPOILT_VERSION = '9'
+# What is sent in place of a number of one digit.
+SPOILT_DIGIT = '9'
 
 Note = Callable[..., None]
 
@@ -62,6 +62,8 @@
         self.crashes_on: Callable[[Request], bool] = lambda _req: False
         # Whether the next answer is spoilt where its head tells the version.
         self.spoils: Callable[[], bool] = lambda: False
+        # Whether the id of the next stream's first event is spoilt.
+        self.spoils_id: Callable[[], bool] = lambda: False
         self._orders: list[tuple[float, int]] = []
         self._beat = 0
         self._store = store
@@ -181,7 +183,7 @@
             'Weight-Versions': str(self.version),
         }
         if self.spoils():
-            headers['Weight-Versions'] = SPOILT_VERSION
+            headers['Weight-Versions'] = SPOILT_DIGIT
             self._note('head spoilt', **seen, version=self.version)
         if 'token-usage' not in req.headers:
             body = json.dumps({'request': id_}).encode()
@@ -193,13 +195,17 @@
         lines += ['Transfer-Encoding: chunked', '', '']
         writer.write('\r\n'.join(lines).encode())
         first = int(req.headers.get('last-event-id', 0)) + 1
+        spoilt = self.spoils_id()
+        body = ''
         for number in range(first, 4):
-            event = f'id: {number}\ndata: {id_} {number}\n\n'.encode()
-            writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+            shown = SPOILT_DIGIT if spoilt and number == first else number
+            event = f'id: {shown}\ndata: {id_} {number}\n\n'
+            body += event
+            writer.write(b'%x\r\n%s\r\n' % (len(event), event.encode()))
             await writer.drain()
             await asyncio.sleep(0.02)
         writer.write(b'0\r\n\r\n')
-        self._note('run ends', **seen)
+        self._note('run ends', **seen, body=body, spoilt=spoilt)
 
     def _report(self) -> dict[str, Any]:
         seen = time.monotonic() - REPORT_AGE_S
--- a/review/testbed/traffic.py
+++ b/review/testbed/traffic.py
@@ -31,6 +31,7 @@
     deployment: Deployment
     statuses: dict[str, int] = field(default_factory=dict)
     sent_s: dict[str, float] = field(default_factory=dict)
+    bodies: dict[str, str | None] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._turns = itertools.cycle(self.deployment.gateways)
@@ -70,5 +71,7 @@
         )
         status = reply.status if reply.body is not None else 0
         self.statuses[id_] = status
-        record.note('answered', request=id_, status=status)
+        body = None if reply.body is None else reply.body.decode('latin-1')
+        self.bodies[id_] = body
+        record.note('answered', request=id_, status=status, body=body)
         return reply
