--- a/review/testbed/deployment.py
+++ b/review/testbed/deployment.py
@@ -120,9 +120,6 @@
         self.store.put('op/config', config)
         for engine in self.engines:
             await engine.start()
-        await self.start_gateways()
-
-    async def start_gateways(self) -> None:
         settings = self._settings()
         for gateway in self.gateways:
             await gateway.start(settings)
@@ -135,11 +132,6 @@
         await asyncio.sleep(1.0)
         self.record.note('ready')
 
-    async def kill_gateways(self) -> None:
-        """Kill all gateway processes at the same time."""
-        self.record.note('gateways killed')
-        await asyncio.gather(*(g.stop() for g in self.gateways))
-
     async def close(self) -> None:
         for gateway in self.gateways:
             await gateway.stop()
--- a/review/testbed/engine.py
+++ b/review/testbed/engine.py
@@ -16,8 +16,6 @@
 HEARTBEAT_S = 1.2
 # Reports show the state of this time ago.
 REPORT_AGE_S = 0.2
-# A request that crashes the engine does so this long after it has begun.
-CRASH_S = 0.005
 SILENT_BEATS = 3
 # What is sent in place of a number of one digit.
 SPOILT_DIGIT = '9'
@@ -58,8 +56,6 @@
         self.delay_order: Callable[[dict[str, Any]], float | None] = (
             lambda _order: None
         )
-        # Ends the engine as it begins to run a request, if it returns true.
-        self.crashes_on: Callable[[Request], bool] = lambda _req: False
         # Whether the next answer is spoilt where its head tells the version.
         self.spoils: Callable[[], bool] = lambda: False
         # Whether the id of the next stream's first event is spoilt.
@@ -172,10 +168,6 @@
             writer.write(reply_bytes(421, b'', headers))
             return
         self._note('run begins', **seen, version=self.version, path=req.path)
-        if self.crashes_on(req):
-            await asyncio.sleep(CRASH_S)
-            asyncio.get_running_loop().call_soon(self.stop, 'crash')
-            await asyncio.sleep(1.0)
         await asyncio.sleep(self.work_s)
         headers = {
             'Request-Id': id_,
