--- a/review/testbed/deployment.py
+++ b/review/testbed/deployment.py
@@ -124,14 +124,31 @@
         for gateway in self.gateways:
             await gateway.start(settings)
         self.record.note('gateways started')
-        async with asyncio.timeout(START_TIMEOUT_S):
-            for gateway in self.gateways:
-                while not await gateway.is_ready():
-                    await asyncio.sleep(0.1)
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                for gateway in self.gateways:
+                    while not await gateway.is_ready():
+                        await asyncio.sleep(0.1)
+        finally:
+            self._note_ended()
         # The gateways read the list of engines together with the state.
         await asyncio.sleep(1.0)
         self.record.note('ready')
 
+    def _note_ended(self) -> None:
+        """Note the gateways that have ended, and what they wrote last."""
+        for gateway in self.gateways:
+            process = gateway.process
+            if process is not None and process.returncode is not None:
+                path = gateway.folder / f'{gateway.name}.log'
+                lines = path.read_text(encoding='utf-8').splitlines()
+                self.record.note(
+                    'gateway ended',
+                    gateway=gateway.name,
+                    code=process.returncode,
+                    last=lines[-1:],
+                )
+
     async def close(self) -> None:
         for gateway in self.gateways:
             await gateway.stop()
--- a/review/testbed/wire.py
+++ b/review/testbed/wire.py
@@ -43,8 +43,9 @@
 
 
 # Below the ports that systems give to outgoing connections, as each listener
-# starts again at its port.
-PORTS = range(20_000, 32_000)
+# starts again at its port. A run draws from a block of its own.
+BLOCK_PORTS = 100
+BLOCKS = range(20_000, 32_000, BLOCK_PORTS)
 
 Handler = Callable[[Request, asyncio.StreamWriter], Awaitable[None]]
 
@@ -118,19 +119,50 @@
     return await asyncio.start_server(on_channel, '127.0.0.1', port)
 
 
+class _Ports:
+    """Draws each port of a block once; the first one holds the block."""
+
+    def __init__(self) -> None:
+        self._held: socket.socket | None = None
+        self._next = 0
+        self._end = 0
+
+    def draw(self) -> int:
+        if self._held is None:
+            self._hold_block()
+        while self._next < self._end:
+            port, self._next = self._next, self._next + 1
+            sock = _bound(port)
+            if sock is not None:
+                sock.close()
+                return port
+        raise OSError('no port of the block is free')
+
+    def _hold_block(self) -> None:
+        for first in random.sample(BLOCKS, len(BLOCKS)):
+            self._held = _bound(first)
+            if self._held is not None:
+                self._next, self._end = first + 1, first + BLOCK_PORTS
+                return
+        raise OSError('no block of ports is free')
+
+
+def _bound(port: int) -> socket.socket | None:
+    sock = socket.socket()
+    try:
+        sock.bind(('127.0.0.1', port))
+    except OSError:
+        sock.close()
+        return None
+    return sock
+
+
+_PORTS = _Ports()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    found: list[int] = []
-    while len(found) < count:
-        port = random.choice(PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        if port not in found:
-            found.append(port)
-    return found
+    """Return ports that nothing else in this run, nor another run, draws."""
+    return [_PORTS.draw() for _number in range(count)]
 
 
 def port_of(server: asyncio.Server) -> int:
